Workspace, wire types and the messages of an entry

Cause: several slices are built at once; what crosses their borders has to stand first. Ruled out: letting each slice declare its own copies of the shared types.

--- /dev/null
+++ b/src/bin/fescue-entry.rs
@@ -0,0 +1,2 @@
+//! stub
+fn main() {}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,114 @@
+//! Identifiers shared by every slice.
+
+use std::fmt;
+use std::sync::Arc;
+
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+/// Declares a cheaply cloned, ordered string identifier.
+macro_rules! string_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+string_id! {
+    /// A client account, as a document names it.
+    AccountId
+}
+string_id! {
+    /// A service; each has one document.
+    ServiceName
+}
+string_id! {
+    /// A machine that runs processes of this system.
+    InstanceId
+}
+string_id! {
+    /// A back end: a model engine or one replica of an application service.
+    EndpointId
+}
+string_id! {
+    /// An availability zone.
+    ZoneName
+}
+string_id! {
+    /// A request, chosen by the caller (`X-Request-Id`) or made by the entry.
+    RequestId
+}
+string_id! {
+    /// An idempotency key, chosen by the caller.
+    IdempotencyKey
+}
+
+/// One process lifetime: 128 random bits, without order or clock meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(Uuid);
+
+impl Incarnation {
+    /// Draws a new incarnation.
+    pub fn draw<R>(rng: &mut R) -> Self
+    where
+        R: rand::Rng,
+    {
+        Self(Uuid::from_u128(rng.random()))
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// One attempt to answer a request with a model; every token step carries it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamId(Uuid);
+
+impl StreamId {
+    /// Draws a new stream id.
+    pub fn draw<R>(rng: &mut R) -> Self
+    where
+        R: rand::Rng,
+    {
+        Self(Uuid::from_u128(rng.random()))
+    }
+}
+
+impl fmt::Display for StreamId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! fescueshore: a router for language-model pipelines over mixed accelerators.
+//!
+//! Slices by duty; each has its own state, messages and tests. Decisions do no I/O: a state
+//! machine takes a message and the present time and returns effects, and a thin driver carries
+//! them out. [`instance`] shows every message and effect of one instance.
+
+pub mod document;
+pub mod ids;
+pub mod instance;
+pub mod outcome;
+pub mod platform;
+pub mod wire;
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,9 @@
+//! Wire types: what crosses a process boundary. Every type here is read tolerantly
+//! (unknown fields are ignored, new fields have defaults), since two releases always meet.
+
+pub mod engine;
+pub mod local;
+pub mod platform;
+
+/// Version carried by messages between this system's own processes.
+pub const WIRE_VERSION: u16 = 1;
