Control: JSON-RPC interfaces and the operators' and peers' wire types

The gateway calls LocalApi, the operators' tool calls OperatorApi; both compile against these traits. Every call carries its key as the first parameter. Faults travel as the data of an error object; a lost race is a reply (AcceptReply::Conflict), not a fault, since it carries the current document and the changes since the base. The peers' messages are a first form and will grow.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod instance;
 pub mod outcome;
 pub mod platform;
+pub mod rpc;
 pub mod wire;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod engine;
 pub mod local;
+pub mod operator;
+pub mod peer;
 pub mod platform;
 
 /// Version carried by messages between this system's own processes.
