--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod instance;
 pub mod outcome;
 pub mod platform;
+pub mod routing;
 pub mod rpc;
 pub mod wire;
