Platform adapters over HTTP and the callers' wire types

The control and the entry share the adapters of table, objects, instance list and engines. A connect failure is NotSent; whatever fails after bytes may have left is ReplyLost, and the client library's Disconnected counts among the latter, since it is raised when the peer closes before the head of its reply. Each failure throws away the pooled connections it ran on. Redirects are off: the library would send a body twice.

--- a/src/platform/failure.rs
+++ b/src/platform/failure.rs
@@ -3,6 +3,9 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::http::HttpFailure;
+use crate::wire::engine::EngineError;
+
 /// Why a call to the table service has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -24,3 +27,72 @@
         matches!(self, Self::ReplyLost)
     }
 }
+
+impl From<HttpFailure> for TableFailure {
+    fn from(failure: HttpFailure) -> Self {
+        match failure {
+            HttpFailure::NotSent => Self::NotSent,
+            HttpFailure::ReplyLost => Self::ReplyLost,
+        }
+    }
+}
+
+/// Why a call to the object store has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ObjectFailure {
+    /// The request did not reach the store: surely nothing took effect.
+    #[error("the object store cannot be reached")]
+    NotSent,
+    /// The store refused before it did anything: surely nothing took effect.
+    #[error("the object store is over its rate limit")]
+    Throttled,
+    /// The request was sent and no reply came: it may have taken effect.
+    #[error("no reply from the object store; the write may have taken effect")]
+    ReplyLost,
+}
+
+impl From<HttpFailure> for ObjectFailure {
+    fn from(failure: HttpFailure) -> Self {
+        match failure {
+            HttpFailure::NotSent => Self::NotSent,
+            HttpFailure::ReplyLost => Self::ReplyLost,
+        }
+    }
+}
+
+/// Why the instance list could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum InstanceListFailure {
+    /// The service that keeps the list gave no whole reply in time.
+    #[error("the instance list cannot be read")]
+    NoReply,
+    /// The reply is not an instance list.
+    #[error("the instance list is malformed")]
+    Malformed,
+}
+
+/// Why a call to an engine has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum EngineCallFailure {
+    /// The request did not reach the engine: surely nothing took effect.
+    #[error("the engine cannot be reached")]
+    NotSent,
+    /// The request was sent and no reply came: it may have taken effect.
+    #[error("no reply from the engine; the call may have taken effect")]
+    ReplyLost,
+    /// The engine refused; nothing took effect.
+    #[error("the engine refused: {:?}", .error.code)]
+    Refused {
+        /// Its error.
+        error: EngineError,
+    },
+}
+
+impl From<HttpFailure> for EngineCallFailure {
+    fn from(failure: HttpFailure) -> Self {
+        match failure {
+            HttpFailure::NotSent => Self::NotSent,
+            HttpFailure::ReplyLost => Self::ReplyLost,
+        }
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,5 +1,22 @@
-//! Interfaces to the platform. Another platform is another adapter; no decision changes.
+//! Interfaces to the platform and the engines, and their HTTP adapters. Another platform is
+//! another adapter; no decision changes.
+//!
+//! An adapter belongs to the thread that made it. Each call has a timeout, after which the pooled
+//! connections to that peer are thrown away, since open connections can go silent for good.
 
+mod engine;
 mod failure;
+mod http;
+mod instances;
+mod objects;
+mod table;
+#[cfg(test)]
+mod tests;
 
-pub use failure::TableFailure;
+pub use engine::{EngineApi, HttpEngines};
+pub use failure::{EngineCallFailure, InstanceListFailure, ObjectFailure, TableFailure};
+#[allow(unused_imports)]
+pub(crate) use http::{HttpCall, HttpFailure, HttpPeer, HttpPeers, HttpReply, HttpStream};
+pub use instances::{HttpInstances, InstanceSource};
+pub use objects::{HttpObjects, ObjectStore};
+pub use table::{HttpTable, TableService};
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,8 @@
 //! Wire types: what crosses a process boundary. Every type here is read tolerantly
 //! (unknown fields are ignored, new fields have defaults), since two releases always meet.
 
+pub mod caller;
+pub mod claim;
 pub mod engine;
 pub mod local;
 pub mod operator;
