Stand-ins of the platform and of application services

Cause: the thin path needs something at the interfaces. Table service (versioned rows, conditional transactions, rate limits per row), object store, instance list with a lag per reader, weight store with a rate, and replicas of application services that count runs per idempotency key over all replicas of the process. Faults that all kinds share (freeze, silence, slowness, outage) stand in one middleware; the others are typed variants of one enum that the load tool can use.

The answer of a model is a function of model, version, adapter and prompt, so that callers can check one without asking the stand-in.

Ruled out: real weight bytes over loopback; only the time they take matters here.

--- /dev/null
+++ b/bench/src/instances/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-in of the platform's instance list.
+
+mod history;
+mod server;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use server::listen;
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,3 +1,11 @@
 //! The bench: stand-ins of the outside systems, and the load and experiment tool.
 
+pub mod answer;
+pub mod application;
+pub mod engine;
+pub mod instances;
+pub mod objects;
+pub mod standin;
+pub mod table;
 pub mod topology;
+pub mod weights;
