Control: messages and effects of its state machine; peers' messages

ControlMessage and ControlEffect stand beside the entry's in src/instance. Contract changes: TableCall gains Scan (answered by TableReply::Read); EntryReport gains revisions and capacities, both with defaults, so that a control never hands out a lower revision than its entry has and can split shares of what the service can generate; two platform failures are serialisable.

--- a/src/instance/entry.rs
+++ b/src/instance/entry.rs
@@ -13,7 +13,7 @@
     CacheEvents, EngineError, EngineState, OpenStream, StreamEvent, StreamProgress,
 };
 use crate::wire::local::{EntryReport, Snapshot};
-use crate::wire::platform::{ReadRows, Rows, TransactReply, Transaction};
+use crate::wire::platform::{ReadRows, Rows, ScanRows, TransactReply, Transaction};
 
 /// One caller waiting on an open connection. Numbers are never used twice in a process lifetime.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -122,6 +122,8 @@
     Transact(Transaction),
     /// A read.
     Read(ReadRows),
+    /// A read in key order; answered by [`TableReply::Read`].
+    Scan(ScanRows),
 }
 
 /// The table service's answer.
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -4,8 +4,13 @@
 //! machine together with the present time and carries out the effects that come back; the
 //! product's drivers do so with sockets and timers, a test with plain values.
 
+mod control;
 mod entry;
 
+pub use control::{
+    CONTROL_TICK_MS, ControlEffect, ControlMessage, OperatorAnswer, OperatorCall, PeerAnswer,
+    PeerCall, PeerFailure, PresentedKey,
+};
 pub use entry::{
     ApplicationFailure, ApplicationReply, CallId, CallerId, CallerRequest, Deadline, EntryEffect,
     EntryMessage, RequestBody, StreamFailure, TICK_MS, TableCall, TableReply,
--- a/src/platform/failure.rs
+++ b/src/platform/failure.rs
@@ -61,7 +61,8 @@
 }
 
 /// Why the instance list could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum InstanceListFailure {
     /// The service that keeps the list gave no whole reply in time.
     #[error("the instance list cannot be read")]
@@ -72,7 +73,8 @@
 }
 
 /// Why a call to an engine has no answer.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum EngineCallFailure {
     /// The request did not reach the engine: surely nothing took effect.
     #[error("the engine cannot be reached")]
--- a/src/wire/local.rs
+++ b/src/wire/local.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use super::platform::{InstancePhase, InstanceRole};
@@ -33,6 +34,21 @@
     /// Decisions to keep for `fescuectl explain` and the audit trail, newest last.
     #[serde(default)]
     pub decisions: Vec<DecisionRecord>,
+    /// Revisions in force at the entry; a control that knows a lower one hands out nothing.
+    #[serde(default)]
+    pub revisions: IndexMap<ServiceName, u64>,
+    /// What each service can generate now, as the entry sees it.
+    #[serde(default)]
+    pub capacities: Vec<ServiceCapacity>,
+}
+
+/// What a service can generate now.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceCapacity {
+    /// Service.
+    pub service: ServiceName,
+    /// Tokens a second.
+    pub tokens_per_s: f64,
 }
 
 /// What one account asks of one service at one entry.
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -1,26 +1,178 @@
 //! Messages between the controls of one cell.
+//!
+//! One exchange is a [`PeerMessage`] and its [`PeerReply`]. Both sides tell what they know by
+//! [`Beat`]s; whole states and demands pass only where the other side lacks them. Field names on
+//! the wire are short, since each control sends several messages a second.
 
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use super::local::DocumentInForce;
-use crate::ids::{Incarnation, InstanceId, ServiceName};
+use crate::ids::{AccountId, EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 
 /// What one control tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
     /// [`super::WIRE_VERSION`] of the sender.
+    #[serde(rename = "w")]
     pub wire_version: u16,
     /// Sender.
+    #[serde(rename = "f")]
     pub from: InstanceId,
-    /// The sender's process.
-    pub incarnation: Incarnation,
+    /// Instances the sender has heard of lately, itself included.
+    #[serde(rename = "b", default)]
+    pub beats: IndexMap<InstanceId, Beat>,
+    /// What the receiver may lack.
+    #[serde(rename = "n", default, skip_serializing_if = "News::is_empty")]
+    pub news: News,
 }
 
 /// Answer to a [`PeerMessage`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerReply {
     /// [`super::WIRE_VERSION`] of the sender.
+    #[serde(rename = "w")]
     pub wire_version: u16,
+    /// Beats that are newer here than in the message.
+    #[serde(rename = "b", default, skip_serializing_if = "IndexMap::is_empty")]
+    pub beats: IndexMap<InstanceId, Beat>,
+    /// What the message's sender lacks.
+    #[serde(rename = "n", default, skip_serializing_if = "News::is_empty")]
+    pub news: News,
+    /// Instances whose state is older here than the message says.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub want_states: Vec<InstanceId>,
+    /// Instances whose demand is older here than the message says.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub want_demands: Vec<InstanceId>,
+}
+
+/// How recent the knowledge of one instance is. Written as `[number, state_age, demand_age]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
+pub struct Beat {
+    /// Grows while the instance's control runs, over restarts too.
+    pub number: u64,
+    /// Number at which its state last changed; never above `number`.
+    pub state: u64,
+    /// Number at which its demand last changed; never above `number`.
+    pub demand: u64,
+}
+
+impl From<(u64, u64, u64)> for Beat {
+    fn from((number, state_age, demand_age): (u64, u64, u64)) -> Self {
+        Self {
+            number,
+            state: number.saturating_sub(state_age),
+            demand: number.saturating_sub(demand_age),
+        }
+    }
+}
+
+impl From<Beat> for (u64, u64, u64) {
+    fn from(beat: Beat) -> Self {
+        (
+            beat.number,
+            beat.number.saturating_sub(beat.state),
+            beat.number.saturating_sub(beat.demand),
+        )
+    }
+}
+
+/// States, demands and documents.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// States.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub states: Vec<PeerState>,
+    /// Demands.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub demands: Vec<PeerDemand>,
+    /// Documents just accepted.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub documents: Vec<DocumentInForce>,
+}
+
+impl News {
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.states.is_empty() && self.demands.is_empty() && self.documents.is_empty()
+    }
+}
+
+/// What an instance says of itself; changes seldom.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerState {
+    /// Instance.
+    #[serde(rename = "i")]
+    pub instance: InstanceId,
+    /// Its control process.
+    #[serde(rename = "c")]
+    pub incarnation: Incarnation,
+    /// [`Beat::state`] of this state.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Availability zone.
+    #[serde(rename = "z")]
+    pub zone: ZoneName,
+    /// Where callers connect.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Where its control listens.
+    #[serde(rename = "k")]
+    pub control_address: SocketAddr,
+    /// Whether it takes new requests.
+    #[serde(rename = "p")]
+    pub phase: PeerPhase,
+    /// Revisions in force there.
+    #[serde(rename = "r", default, skip_serializing_if = "IndexMap::is_empty")]
+    pub revisions: IndexMap<ServiceName, u64>,
+    /// Endpoints that the instance list shows to it as leaving.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<EndpointId>,
+    /// Endpoints that told its entry they take no new work now.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub draining: Vec<EndpointId>,
+}
+
+/// What an entry instance does, in its own words.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerPhase {
+    /// It has no documents in force yet, or its entry is not there.
+    #[default]
+    NotReady,
+    /// It takes new requests.
+    Serving,
+    /// It finishes what is in flight.
+    Stopping,
+}
+
+/// What the accounts ask of one entry; changes often.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerDemand {
+    /// Instance.
+    #[serde(rename = "i")]
+    pub instance: InstanceId,
+    /// [`Beat::demand`] of this demand.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Per service.
+    #[serde(rename = "s")]
+    pub services: IndexMap<ServiceName, ServiceDemand>,
+}
+
+/// What the accounts ask of one service at one entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// Tokens a second the service can generate, as this entry sees it.
+    #[serde(rename = "c", default)]
+    pub capacity_tokens_per_s: u64,
+    /// Tokens a second asked for, per account; accounts that ask for nothing are left out.
+    #[serde(rename = "w", default)]
+    pub wanted_tokens_per_s: IndexMap<AccountId, u64>,
 }
 
 /// Asks for documents in force.
@@ -33,6 +185,8 @@
 /// Documents in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FetchedDocuments {
+    /// Whether the sender's documents come from the store, or from a peer that has heard from it.
+    pub ready: bool,
     /// The documents.
     pub documents: Vec<DocumentInForce>,
 }
