Bench: deployment files and a runner for a fleet of real processes

Cause: the demo, the process tests and the experiments all need the same fleet on loopback. Conclusion: compiles against the RPC interfaces; not yet run against the daemons.

--- /dev/null
+++ b/bench/src/fleet/running.rs
@@ -0,0 +1,355 @@
+//! A fleet of processes and how it starts.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use fescueshore::ids::{EndpointId, InstanceId, ServiceName};
+use indexmap::IndexMap;
+use tempfile::TempDir;
+
+use super::address::AddressBook;
+use super::documents::accept_file;
+use super::error::FleetError;
+use super::name::ProcessName;
+use super::process::Process;
+use super::program::program;
+use super::settings::write_settings;
+use super::standin::StandinClient;
+use super::wait::wait_until;
+use crate::deployment::{Deployment, build_topology};
+use crate::topology::{EngineNode, EntryNode, Topology};
+
+/// How long a process may take to come up.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Choices at the start of a fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FleetOptions {
+    /// Engines that run in processes of their own, so that each can be killed or frozen alone.
+    pub separate_engines: Vec<EndpointId>,
+}
+
+/// Running processes of one deployment. Dropping it kills them and removes their files.
+pub struct Fleet {
+    deployment: Deployment,
+    topology: Topology,
+    topology_path: PathBuf,
+    separate_engines: Vec<EndpointId>,
+    processes: IndexMap<ProcessName, Process>,
+    standins: StandinClient,
+    addresses: AddressBook,
+    /// Last, so that the files outlive the processes.
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Reserves addresses and writes the topology; starts nothing yet.
+    ///
+    /// # Errors
+    /// Fails if no address is free or a file cannot be written.
+    pub fn prepare(deployment: Deployment, options: FleetOptions) -> Result<Self, FleetError> {
+        let mut addresses = AddressBook::reserve(&mut rand::rng())?;
+        let topology = build_topology(&deployment, || addresses.take());
+        let dir = tempfile::Builder::new()
+            .prefix("fescue-fleet-")
+            .tempdir()
+            .map_err(|source| file_error(&std::env::temp_dir(), source))?;
+        let topology_path = dir.path().join("topology.toml");
+        std::fs::write(&topology_path, toml::to_string(&topology)?)
+            .map_err(|source| file_error(&topology_path, source))?;
+        Ok(Self {
+            deployment,
+            topology,
+            topology_path,
+            separate_engines: options.separate_engines,
+            processes: IndexMap::new(),
+            standins: StandinClient::default(),
+            addresses,
+            dir,
+        })
+    }
+
+    /// Starts every process, accepts the documents and waits until every entry takes requests.
+    ///
+    /// # Errors
+    /// Fails with the cause and the log of the process at fault.
+    pub async fn start(deployment: Deployment, options: FleetOptions) -> Result<Self, FleetError> {
+        let mut fleet = Self::prepare(deployment, options)?;
+        fleet.start_standins().await?;
+        for entry in fleet.topology.entries.clone() {
+            fleet.spawn_control(&entry)?;
+        }
+        for entry in fleet.topology.entries.clone() {
+            fleet.await_control(&entry).await?;
+            fleet.spawn_entry(&entry)?;
+        }
+        fleet.accept_documents().await?;
+        for entry in fleet.topology.entries.clone() {
+            fleet.await_entry(&entry).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts the stand-ins and waits until they listen.
+    ///
+    /// # Errors
+    /// Fails if one does not come up.
+    pub async fn start_standins(&mut self) -> Result<(), FleetError> {
+        let mut names = vec![
+            ProcessName::Table,
+            ProcessName::Objects,
+            ProcessName::Instances,
+            ProcessName::Weights,
+            ProcessName::Engines,
+        ];
+        names.extend(
+            self.separate_engines
+                .iter()
+                .cloned()
+                .map(ProcessName::Engine),
+        );
+        let applications = self.topology.applications.iter();
+        names.extend(applications.map(|node| ProcessName::Application(node.name.clone())));
+        for name in &names {
+            self.spawn_standin(name)?;
+        }
+        for name in &names {
+            self.await_standin(name).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts a stand-in again and waits until it listens.
+    ///
+    /// # Errors
+    /// Fails if it does not come up.
+    pub async fn start_standin(&mut self, name: &ProcessName) -> Result<(), FleetError> {
+        self.spawn_standin(name)?;
+        self.await_standin(name).await
+    }
+
+    /// Starts the control process of an instance and waits until it listens.
+    ///
+    /// # Errors
+    /// Fails if it does not come up.
+    pub async fn start_control(&mut self, instance: &InstanceId) -> Result<(), FleetError> {
+        let entry = self.entry(instance)?.clone();
+        self.spawn_control(&entry)?;
+        self.await_control(&entry).await
+    }
+
+    /// Starts the entry process of an instance and waits until it takes requests.
+    ///
+    /// # Errors
+    /// Fails if it does not come up.
+    pub async fn start_entry(&mut self, instance: &InstanceId) -> Result<(), FleetError> {
+        let entry = self.entry(instance)?.clone();
+        self.spawn_entry(&entry)?;
+        self.await_entry(&entry).await
+    }
+
+    /// Starts the entry process of an instance without waiting for it.
+    ///
+    /// # Errors
+    /// Fails if the program cannot be started.
+    pub fn launch_entry(&mut self, instance: &InstanceId) -> Result<(), FleetError> {
+        let entry = self.entry(instance)?.clone();
+        self.spawn_entry(&entry)
+    }
+
+    /// Accepts the deployment's documents at the first instance.
+    ///
+    /// # Errors
+    /// Fails unless both are accepted.
+    pub async fn accept_documents(&self) -> Result<(), FleetError> {
+        let control = self.topology.entries[0].control_address;
+        for (service, path) in &self.deployment.documents {
+            accept_file(control, &self.deployment.operator, service, path).await?;
+        }
+        Ok(())
+    }
+
+    /// The process of that name.
+    ///
+    /// # Errors
+    /// Fails if it was never started.
+    pub fn process(&mut self, name: &ProcessName) -> Result<&mut Process, FleetError> {
+        self.processes
+            .get_mut(name)
+            .ok_or_else(|| FleetError::NoSuchProcess {
+                name: name.to_string(),
+            })
+    }
+
+    /// Every process by name.
+    pub fn processes(&self) -> impl Iterator<Item = (&ProcessName, &Process)> {
+        self.processes.iter()
+    }
+
+    /// The deployment it runs.
+    pub fn deployment(&self) -> &Deployment {
+        &self.deployment
+    }
+
+    /// Its names and addresses.
+    pub fn topology(&self) -> &Topology {
+        &self.topology
+    }
+
+    /// A client of the stand-ins' own pages.
+    pub fn standins(&self) -> &StandinClient {
+        &self.standins
+    }
+
+    /// Where callers connect, for every instance.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.topology.entries.iter().map(|e| e.address).collect()
+    }
+
+    /// Gives an address that nothing in the fleet uses.
+    pub fn spare_address(&mut self) -> SocketAddr {
+        self.addresses.take()
+    }
+
+    /// Directory of the fleet's files.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// Names of the services, the model's first.
+    pub fn services(&self) -> Vec<ServiceName> {
+        self.deployment.documents.keys().cloned().collect()
+    }
+
+    /// The instance of that name.
+    ///
+    /// # Errors
+    /// Fails if the topology has none.
+    pub fn entry(&self, instance: &InstanceId) -> Result<&EntryNode, FleetError> {
+        let found = self.topology.entries.iter().find(|e| e.name == *instance);
+        found.ok_or_else(|| FleetError::NoSuchProcess {
+            name: instance.to_string(),
+        })
+    }
+
+    fn spawn_standin(&mut self, name: &ProcessName) -> Result<(), FleetError> {
+        let mut args = vec![standin_kind(name).to_owned()];
+        args.extend(["--topology".to_owned(), path_text(&self.topology_path)]);
+        match name {
+            ProcessName::Engine(endpoint) | ProcessName::Application(endpoint) => {
+                args.extend(["--only".to_owned(), endpoint.to_string()]);
+            }
+            ProcessName::Engines if !self.separate_engines.is_empty() => {
+                let names: Vec<&str> = self.separate_engines.iter().map(|e| e.as_str()).collect();
+                args.extend(["--except".to_owned(), names.join(",")]);
+            }
+            _ => {}
+        }
+        self.spawn(name, "fescue-standin", &args)
+    }
+
+    fn spawn_control(&mut self, entry: &EntryNode) -> Result<(), FleetError> {
+        let args = self.settings_args(entry)?;
+        let name = ProcessName::Control(entry.name.clone());
+        self.spawn(&name, "fescue-control", &args)
+    }
+
+    fn spawn_entry(&mut self, entry: &EntryNode) -> Result<(), FleetError> {
+        let args = self.settings_args(entry)?;
+        let name = ProcessName::Entry(entry.name.clone());
+        self.spawn(&name, "fescue-entry", &args)
+    }
+
+    fn settings_args(&self, entry: &EntryNode) -> Result<Vec<String>, FleetError> {
+        let path = write_settings(entry, &self.topology.platform, self.dir.path())?;
+        Ok(vec!["--settings".to_owned(), path_text(&path)])
+    }
+
+    fn spawn(
+        &mut self,
+        name: &ProcessName,
+        binary: &str,
+        args: &[String],
+    ) -> Result<(), FleetError> {
+        let path = program(binary)?;
+        let process = Process::start(&name.to_string(), &path, args, self.dir.path())?;
+        self.processes.insert(name.clone(), process);
+        Ok(())
+    }
+
+    async fn await_standin(&mut self, name: &ProcessName) -> Result<(), FleetError> {
+        let process = self.process(name)?;
+        let ready = wait_until(START_LIMIT, async || {
+            !process.is_running() || process.log().lines().any(|line| line == "ready")
+        })
+        .await;
+        self.require(name, ready)
+    }
+
+    async fn await_control(&mut self, entry: &EntryNode) -> Result<(), FleetError> {
+        let name = ProcessName::Control(entry.name.clone());
+        let process = self.process(&name)?;
+        let address = entry.control_address;
+        let ready = wait_until(START_LIMIT, async || {
+            !process.is_running() || tokio::net::TcpStream::connect(address).await.is_ok()
+        })
+        .await;
+        self.require(&name, ready)
+    }
+
+    async fn await_entry(&mut self, entry: &EntryNode) -> Result<(), FleetError> {
+        let name = ProcessName::Entry(entry.name.clone());
+        let standins = self.standins.clone();
+        let process = self.process(&name)?;
+        let address = entry.address;
+        let ready = wait_until(START_LIMIT, async || {
+            !process.is_running() || standins.is_ok(address, "/readyz").await
+        })
+        .await;
+        self.require(&name, ready)
+    }
+
+    /// Fails unless the process came up and still runs.
+    fn require(&mut self, name: &ProcessName, came_up: bool) -> Result<(), FleetError> {
+        let process = self.process(name)?;
+        if came_up && process.is_running() {
+            return Ok(());
+        }
+        Err(FleetError::NotReady {
+            name: name.to_string(),
+            limit_ms: START_LIMIT.as_millis(),
+            log: process.log_tail(),
+        })
+    }
+
+    /// The engine of that name.
+    pub fn engine(&self, endpoint: &EndpointId) -> Option<&EngineNode> {
+        self.topology.engines.iter().find(|e| e.name == *endpoint)
+    }
+}
+
+fn standin_kind(name: &ProcessName) -> &'static str {
+    match name {
+        ProcessName::Table => "table",
+        ProcessName::Objects => "objects",
+        ProcessName::Instances => "instances",
+        ProcessName::Weights => "weights",
+        ProcessName::Application(_) => "service",
+        ProcessName::Engines
+        | ProcessName::Engine(_)
+        | ProcessName::Control(_)
+        | ProcessName::Entry(_) => "engine",
+    }
+}
+
+fn path_text(path: &Path) -> String {
+    path.to_string_lossy().into_owned()
+}
+
+fn file_error(path: &Path, source: std::io::Error) -> FleetError {
+    FleetError::File {
+        path: path.to_owned(),
+        source,
+    }
+}
--- /dev/null
+++ b/bench/src/fleet/settings.rs
@@ -0,0 +1,80 @@
+//! Settings files of the instances.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+
+use super::FleetError;
+use crate::topology::{EntryNode, PlatformNodes};
+
+/// Key shared by the fleet's own processes.
+const PEERS_KEY: &str = "bench-peers-key";
+
+#[derive(Serialize)]
+struct Settings<'a> {
+    instance: Instance<'a>,
+    entry: Listener,
+    control: Listener,
+    platform: Platform,
+    peers: Peers,
+}
+
+#[derive(Serialize)]
+struct Instance<'a> {
+    name: &'a str,
+    zone: &'a str,
+}
+
+#[derive(Serialize)]
+struct Listener {
+    listen: SocketAddr,
+}
+
+#[derive(Serialize)]
+struct Platform {
+    table: String,
+    objects: String,
+    instances: String,
+}
+
+#[derive(Serialize)]
+struct Peers {
+    key: &'static str,
+}
+
+/// Writes the settings file of one instance and returns its path.
+///
+/// # Errors
+/// Fails if the file cannot be written.
+pub(super) fn write_settings(
+    entry: &EntryNode,
+    platform: &PlatformNodes,
+    dir: &Path,
+) -> Result<PathBuf, FleetError> {
+    let settings = Settings {
+        instance: Instance {
+            name: entry.name.as_str(),
+            zone: entry.zone.as_str(),
+        },
+        entry: Listener {
+            listen: entry.address,
+        },
+        control: Listener {
+            listen: entry.control_address,
+        },
+        platform: Platform {
+            table: format!("http://{}", platform.table),
+            objects: format!("http://{}", platform.objects),
+            instances: format!("http://{}", platform.instances),
+        },
+        peers: Peers { key: PEERS_KEY },
+    };
+    let path = dir.join(format!("{}.toml", entry.name));
+    let text = toml::to_string(&settings)?;
+    std::fs::write(&path, text).map_err(|source| FleetError::File {
+        path: path.clone(),
+        source,
+    })?;
+    Ok(path)
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod answer;
 pub mod application;
+pub mod deployment;
 pub mod engine;
+pub mod fleet;
 pub mod instances;
 pub mod objects;
 pub mod standin;
