Settings, documents, keys, counters and log lines

Both files that people write are TOML, and one that does not check has to show every fault at once. A serde type ends at its first fault, so the parsed table is walked and each key handed to a reader; serde with deny_unknown_fields was ruled out for that reason.

--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -1,8 +1,18 @@
 //! Documents: one per service, written by its operators in TOML and checked whole.
 
+mod changes;
+mod digest;
 mod model;
+mod parse;
+mod queries;
+mod sections;
+#[cfg(test)]
+mod tests;
 
+pub use changes::{Change, ChangeKind};
+pub use digest::{DocumentDigest, digest};
 pub use model::{
     Account, Document, KeyDigest, ModelOffer, NonIdempotentRule, Operator, OperatorRole, Priority,
     ServiceKind,
 };
+pub use parse::{DocumentFaults, MAX_DOCUMENT_BYTES};
--- /dev/null
+++ b/src/document/tests.rs
@@ -0,0 +1,97 @@
+use super::{Document, OperatorRole, Priority, ServiceKind, digest};
+
+const LEDGER: &str = include_str!("../../examples/kammoun/ledger-api.toml");
+const MENU_MIND: &str = include_str!("../../examples/kammoun/menu-mind.toml");
+const COPYWRITER: &str = include_str!("../../examples/consortium/copywriter-pool.toml");
+const PANEL_DESK: &str = include_str!("../../examples/consortium/panel-desk.toml");
+
+#[test]
+fn the_examples_are_read_whole() {
+    for (text, accounts) in [
+        (LEDGER, 10),
+        (MENU_MIND, 10),
+        (COPYWRITER, 10),
+        (PANEL_DESK, 10),
+    ] {
+        let document = Document::parse(text).unwrap();
+        assert_eq!(document.accounts.len(), accounts);
+        assert_eq!(document.operators.len(), 2);
+    }
+}
+
+#[test]
+fn a_model_service_has_its_offers() {
+    let document = Document::parse(MENU_MIND).unwrap();
+    let model = document.model("menu-mind-24b").unwrap();
+    assert_eq!(model.layers, 24);
+    assert_eq!(model.adapters, ["recipe-cost", "waste-notes"]);
+    assert!(matches!(document.kind, ServiceKind::Model(_)));
+}
+
+#[test]
+fn demo_keys_name_their_owners() {
+    let document = Document::parse(LEDGER).unwrap();
+    let (id, account) = document.account_of_key("demo-key-grill-chain").unwrap();
+    assert_eq!(id.as_str(), "grill-chain");
+    assert_eq!(account.priority, Priority::Interactive);
+    let (name, operator) = document.operator_of_key("demo-operator-sami").unwrap();
+    assert_eq!((name, operator.role), ("sami", OperatorRole::Viewer));
+    assert!(document.account_of_key("demo-operator-sami").is_none());
+}
+
+#[test]
+fn rules_match_by_method_and_start_of_path() {
+    let document = Document::parse(LEDGER).unwrap();
+    let rule = |method, path| document.non_idempotent_rule(method, path).is_some();
+    assert!(rule("POST", "/stock-counts"));
+    assert!(rule("POST", "/stock-counts/7?day=1"));
+    assert!(!rule("GET", "/stock-counts"));
+    assert!(!rule("POST", "/prices"));
+}
+
+#[test]
+fn every_fault_has_its_line_and_remedy() {
+    let faults = Document::parse(include_str!("faulty.toml")).unwrap_err();
+    insta::assert_snapshot!(faults.render("menu-mind.toml"));
+}
+
+#[test]
+fn every_fault_of_syntax_has_its_line() {
+    let text = "service = menu\nkind = \"model\"\nkind = \"model\"\n[accounts\n";
+    insta::assert_snapshot!(Document::parse(text).unwrap_err());
+}
+
+#[test]
+fn sections_must_go_with_the_kind() {
+    let text = MENU_MIND.replace("kind = \"model\"", "kind = \"application\"");
+    insta::assert_snapshot!(Document::parse(&text).unwrap_err());
+}
+
+#[test]
+fn an_overlong_document_is_refused() {
+    let text = "#".repeat(super::MAX_DOCUMENT_BYTES + 1);
+    insta::assert_snapshot!(Document::parse(&text).unwrap_err());
+}
+
+#[test]
+fn a_diff_names_each_place() {
+    let before = Document::parse(LEDGER).unwrap();
+    let text = LEDGER
+        .replace("weight = 6", "weight = 7.5")
+        .replace("leaving = []", "leaving = [\"ledger-2\"]")
+        .replace("[accounts.ariana-diner]", "[accounts.sfax-diner]");
+    let after = Document::parse(&text).unwrap();
+    let lines: Vec<String> = before
+        .diff(&after)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+    assert!(before.diff(&before).is_empty());
+}
+
+#[test]
+fn the_digest_is_of_every_byte() {
+    assert_eq!(digest("a").to_string().len(), 64);
+    assert_ne!(digest("a"), digest("a\n"));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,19 @@
 //! machine takes a message and the present time and returns effects, and a thin driver carries
 //! them out. [`instance`] shows every message and effect of one instance.
 
+mod checked_toml;
 pub mod document;
+pub mod exit_codes;
 pub mod ids;
 pub mod instance;
+pub mod invariant;
+pub mod keys;
 pub mod outcome;
 pub mod platform;
 pub mod routing;
 pub mod rpc;
+pub mod settings;
+pub mod telemetry;
 pub mod wire;
+
+pub use checked_toml::{Fault, FaultKind};
