--- a/src/checked_toml/fault.rs
+++ b/src/checked_toml/fault.rs
@@ -4,6 +4,28 @@
 
 use thiserror::Error;
 
+/// Every fault of a text, by line.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub struct Faults {
+    /// Never empty.
+    pub faults: Vec<Fault>,
+}
+
+impl Faults {
+    /// Returns one line a fault, each starting with the input's name and the line number.
+    pub fn render(&self, input: &str) -> String {
+        let lines = self.faults.iter();
+        let lines: Vec<String> = lines.map(|fault| fault.render(input)).collect();
+        lines.join("\n")
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.render("line"))
+    }
+}
+
 /// One fault and its place.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
--- a/src/checked_toml/mod.rs
+++ b/src/checked_toml/mod.rs
@@ -10,8 +10,8 @@
 #[cfg(test)]
 mod tests;
 
-pub use fault::{Fault, FaultKind};
+pub use fault::{Fault, FaultKind, Faults};
 pub(crate) use readers::{
     address, base_url, flag, key_digest, name, number, one_of, secret, text, whole_number,
 };
-pub(crate) use section::{Checker, Located, Section};
+pub(crate) use section::{Checker, Located, Section, check};
--- a/src/checked_toml/section.rs
+++ b/src/checked_toml/section.rs
@@ -8,7 +8,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use super::fault::{Fault, FaultKind};
+use super::fault::{Fault, FaultKind, Faults};
 use super::readers::{check_name, wrong_type};
 
 /// A value and its place.
@@ -26,6 +26,25 @@
     }
 }
 
+/// Reads a whole text with `read`, which gets its top table; reports every fault in it.
+pub(crate) fn check<T, F>(text: &str, limit_bytes: usize, read: F) -> Result<T, Faults>
+where
+    F: FnOnce(&Checker<'_>, &mut Section<'_, '_>) -> Option<T>,
+{
+    let checker = Checker::new(text);
+    let value = checker.parse(limit_bytes).and_then(|table| {
+        let mut root = Section::root(&checker, &table);
+        let value = read(&checker, &mut root);
+        root.finish();
+        value
+    });
+    let faults = checker.into_faults();
+    match value {
+        Some(value) if faults.is_empty() => Ok(value),
+        _ => Err(Faults { faults }),
+    }
+}
+
 /// Collects the faults of one text.
 #[derive(Debug)]
 pub(crate) struct Checker<'t> {
@@ -36,7 +55,7 @@
 }
 
 impl<'t> Checker<'t> {
-    pub(crate) fn new(text: &'t str) -> Self {
+    fn new(text: &'t str) -> Self {
         let line_ends = text.match_indices('\n').map(|(at, _)| at).collect();
         Self {
             text,
@@ -46,7 +65,7 @@
     }
 
     /// Parses the text; reports every fault of syntax and returns `None` if there is one.
-    pub(crate) fn parse(&self, limit_bytes: usize) -> Option<DeTable<'t>> {
+    fn parse(&self, limit_bytes: usize) -> Option<DeTable<'t>> {
         let size_bytes = self.text.len();
         if size_bytes > limit_bytes {
             let kind = FaultKind::TooLarge {
@@ -74,7 +93,7 @@
     }
 
     /// Every fault, by line.
-    pub(crate) fn into_faults(self) -> Vec<Fault> {
+    fn into_faults(self) -> Vec<Fault> {
         let mut faults = self.faults.into_inner();
         faults.sort_by_key(|fault| fault.line);
         faults
@@ -96,7 +115,7 @@
 
 impl<'s, 't> Section<'s, 't> {
     /// The table of the whole text.
-    pub(crate) fn root(checker: &'s Checker<'t>, table: &'s DeTable<'t>) -> Self {
+    fn root(checker: &'s Checker<'t>, table: &'s DeTable<'t>) -> Self {
         Self::new(checker, table, String::new(), 1)
     }
 
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -15,4 +15,6 @@
     Account, Document, KeyDigest, ModelOffer, NonIdempotentRule, Operator, OperatorRole, Priority,
     ServiceKind,
 };
-pub use parse::{DocumentFaults, MAX_DOCUMENT_BYTES};
+pub use parse::MAX_DOCUMENT_BYTES;
+
+pub use crate::checked_toml::Faults as DocumentFaults;
--- a/src/document/parse.rs
+++ b/src/document/parse.rs
@@ -1,13 +1,12 @@
 //! Checks the text of a document.
 
 use indexmap::IndexMap;
-use thiserror::Error;
 
 use super::model::{Document, OperatorRole, ServiceKind};
 use super::sections::{
     KindWord, read_accounts, read_engines, read_models, read_operators, read_rules,
 };
-use crate::checked_toml::{Checker, Fault, FaultKind, Located, Section, name, one_of};
+use crate::checked_toml::{Checker, FaultKind, Faults, Located, Section, check, name, one_of};
 use crate::document::KeyDigest;
 use crate::ids::{EndpointId, ServiceName};
 
@@ -21,41 +20,10 @@
     ("application", KindWord::Application),
 ];
 
-/// Every fault of a document, by line.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("{}", self.render("document"))]
-pub struct DocumentFaults {
-    /// Never empty.
-    pub faults: Vec<Fault>,
-}
-
-impl DocumentFaults {
-    /// Returns one line a fault, each starting with the input's name.
-    pub fn render(&self, input: &str) -> String {
-        let lines: Vec<String> = self
-            .faults
-            .iter()
-            .map(|fault| fault.render(input))
-            .collect();
-        lines.join("\n")
-    }
-}
-
 impl Document {
     /// Checks the text of a document; reports every fault in it.
-    pub fn parse(text: &str) -> Result<Self, DocumentFaults> {
-        let checker = Checker::new(text);
-        let document = checker.parse(MAX_DOCUMENT_BYTES).and_then(|table| {
-            let mut root = Section::root(&checker, &table);
-            let document = read_root(&checker, &mut root);
-            root.finish();
-            document
-        });
-        let faults = checker.into_faults();
-        match document {
-            Some(document) if faults.is_empty() => Ok(document),
-            _ => Err(DocumentFaults { faults }),
-        }
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        check(text, MAX_DOCUMENT_BYTES, read_root)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,4 +19,4 @@
 pub mod telemetry;
 pub mod wire;
 
-pub use checked_toml::{Fault, FaultKind};
+pub use checked_toml::{Fault, FaultKind, Faults};
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,7 +10,7 @@
     ControlSettings, EntrySettings, InstanceSettings, LogFormat, LogSettings, PeerSettings,
     PlatformSettings, Settings, StopSettings,
 };
-pub use parse::{SettingsFaults, parse};
+pub use parse::parse;
 pub use read::{SettingsError, read};
 
 pub use crate::keys::Secret;
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -1,14 +1,13 @@
 //! Checks the text of a settings file.
 
 use log::LevelFilter;
-use thiserror::Error;
 
 use super::model::{
     ControlSettings, EntrySettings, InstanceSettings, LogFormat, LogSettings, PeerSettings,
     PlatformSettings, Settings, StopSettings,
 };
 use crate::checked_toml::{
-    Checker, Fault, FaultKind, Section, address, base_url, name, one_of, secret, whole_number,
+    FaultKind, Faults, Section, address, base_url, check, name, one_of, secret, whole_number,
 };
 use crate::ids::{InstanceId, ZoneName};
 
@@ -31,40 +30,9 @@
     ("trace", LevelFilter::Trace),
 ];
 
-/// Every fault of a settings file, by line.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("{}", self.render("settings"))]
-pub struct SettingsFaults {
-    /// Never empty.
-    pub faults: Vec<Fault>,
-}
-
-impl SettingsFaults {
-    /// Returns one line a fault, each starting with the input's name.
-    pub fn render(&self, input: &str) -> String {
-        let lines: Vec<String> = self
-            .faults
-            .iter()
-            .map(|fault| fault.render(input))
-            .collect();
-        lines.join("\n")
-    }
-}
-
 /// Checks the text of a settings file; reports every fault in it.
-pub fn parse(text: &str) -> Result<Settings, SettingsFaults> {
-    let checker = Checker::new(text);
-    let settings = checker.parse(MAX_SETTINGS_BYTES).and_then(|table| {
-        let mut root = Section::root(&checker, &table);
-        let settings = read_root(&mut root);
-        root.finish();
-        settings
-    });
-    let faults = checker.into_faults();
-    match settings {
-        Some(settings) if faults.is_empty() => Ok(settings),
-        _ => Err(SettingsFaults { faults }),
-    }
+pub fn parse(text: &str) -> Result<Settings, Faults> {
+    check(text, MAX_SETTINGS_BYTES, |_, root| read_root(root))
 }
 
 // Every section is read before any absence ends the reading, so that no fault hides another.
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -7,7 +7,8 @@
 use thiserror::Error;
 
 use super::model::Settings;
-use super::parse::{SettingsFaults, parse};
+use super::parse::parse;
+use crate::checked_toml::Faults;
 
 /// Why a settings file cannot be used.
 #[derive(Debug, Error)]
@@ -26,7 +27,7 @@
         /// The file.
         path: PathBuf,
         /// All of them.
-        faults: SettingsFaults,
+        faults: Faults,
     },
 }
 
