Claims, admission and fair shares: first version of their decisions

Each is a state machine of (message, now_ms). A claim dispatches only after its own write is known to be in the table; a claim that was not dispatched is marked released rather than deleted, so that a late write of it is refused. Admission queues by start-time fair queueing over accounts, with weights from this entry's part of the shares.

--- /dev/null
+++ b/src/admission/account.rs
@@ -0,0 +1,231 @@
+//! The queue of one account at one service.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use super::budget::RetryBudget;
+use super::rate::RateMeter;
+use crate::document::Priority;
+use crate::instance::CallerId;
+
+/// Time constant of what an account wants and spends.
+const DEMAND_WINDOW_MS: f64 = 1_000.0;
+/// Least time watched before a rate counts in full.
+const DEMAND_LEAST_MS: f64 = 250.0;
+/// A backlog counts as demand that wants to be served within this time.
+const BACKLOG_HORIZON_S: f64 = 1.0;
+/// Seconds of its share that an account may save up.
+const SAVED_SHARE_S: f64 = 0.5;
+/// How far above its share a limited account is let, so that a capacity taken for too low shows.
+const SHARE_SLACK: f64 = 1.1;
+/// Part of its document's weight that an account keeps, whatever its share.
+const LEAST_WEIGHT_PART: f64 = 0.02;
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) caller: CallerId,
+    /// What it is expected to cost; at least 1.
+    pub(crate) cost_tokens: f64,
+    /// When it is refused at the latest.
+    pub(crate) until_ms: u64,
+    /// Whether the caller named that time.
+    pub(crate) has_deadline: bool,
+}
+
+/// One account at one service.
+#[derive(Debug)]
+pub(crate) struct AccountQueue {
+    /// Weight in the document; greater than 0.
+    pub(crate) weight: f64,
+    pub(crate) priority: Priority,
+    pub(crate) waiting: VecDeque<Waiting>,
+    /// Sum of the waiting costs.
+    pub(crate) backlog_tokens: f64,
+    /// What the account was charged, each charge divided by the weight it had then. Only compared
+    /// with that of other accounts of the service.
+    pub(crate) spent_level: f64,
+    /// When its refused requests have been told to come back, the last of them.
+    pub(crate) promised_ms: f64,
+    pub(crate) budget: RetryBudget,
+    /// This entry's part of the fair share.
+    share_tokens_per_s: Option<f64>,
+    /// Weight at this entry; greater than 0.
+    local_weight: f64,
+    /// Share not spent yet; below 0 once the account is ahead of its share.
+    saved_tokens: f64,
+    saved_at_ms: u64,
+    /// Expected costs of the requests that run.
+    running: IndexMap<CallerId, f64>,
+    /// Part of the running costs charged ahead and not spent yet; at most their sum.
+    ahead_tokens: f64,
+    wanted: RateMeter,
+    spent: RateMeter,
+}
+
+impl AccountQueue {
+    pub(crate) fn new(weight: f64, priority: Priority, now_ms: u64) -> Self {
+        Self {
+            weight,
+            priority,
+            waiting: VecDeque::new(),
+            backlog_tokens: 0.0,
+            spent_level: 0.0,
+            promised_ms: 0.0,
+            budget: RetryBudget::new(),
+            share_tokens_per_s: None,
+            local_weight: weight,
+            saved_tokens: 0.0,
+            saved_at_ms: now_ms,
+            running: IndexMap::new(),
+            ahead_tokens: 0.0,
+            wanted: RateMeter::new(DEMAND_WINDOW_MS, now_ms),
+            spent: RateMeter::new(DEMAND_WINDOW_MS, now_ms),
+        }
+    }
+
+    /// Takes the weight of the document.
+    pub(crate) fn set_weight(&mut self, weight: f64, priority: Priority) {
+        self.weight = weight;
+        self.priority = priority;
+    }
+
+    pub(crate) fn share(&self) -> Option<f64> {
+        self.share_tokens_per_s
+    }
+
+    pub(crate) fn set_share(&mut self, tokens_per_s: Option<f64>) {
+        self.share_tokens_per_s = tokens_per_s;
+    }
+
+    /// Sets the weight at this entry: the share in units of the documents' weights.
+    pub(crate) fn set_local_weight(&mut self, weight_per_share: f64) {
+        self.local_weight = match self.share_tokens_per_s {
+            Some(share) => (share * weight_per_share).max(self.weight * LEAST_WEIGHT_PART),
+            None => self.weight,
+        };
+    }
+
+    pub(crate) fn local_weight(&self) -> f64 {
+        self.local_weight
+    }
+
+    /// Counts a request that asks, refused or not.
+    pub(crate) fn ask(&mut self, cost_tokens: f64, now_ms: u64) {
+        self.wanted.advance(now_ms);
+        self.wanted.add(cost_tokens);
+    }
+
+    pub(crate) fn push_back(&mut self, waiting: Waiting) {
+        self.backlog_tokens += waiting.cost_tokens;
+        self.waiting.push_back(waiting);
+    }
+
+    /// Takes the first request and charges its expected cost.
+    pub(crate) fn pop(&mut self, now_ms: u64) -> Option<CallerId> {
+        let first = self.waiting.pop_front()?;
+        self.drop_backlog(first.cost_tokens);
+        self.running.insert(first.caller, first.cost_tokens);
+        self.ahead_tokens += first.cost_tokens;
+        self.spend(first.cost_tokens, now_ms);
+        Some(first.caller)
+    }
+
+    /// Undoes a [`AccountQueue::pop`]: the request waits again, before all others.
+    pub(crate) fn unpop(&mut self, waiting: Waiting, now_ms: u64) {
+        if self.finish(waiting.caller, now_ms) {
+            self.backlog_tokens += waiting.cost_tokens;
+            self.waiting.push_front(waiting);
+        }
+    }
+
+    /// Forgets a waiting request.
+    pub(crate) fn remove(&mut self, caller: CallerId) -> bool {
+        let Some(at) = self
+            .waiting
+            .iter()
+            .position(|waiting| waiting.caller == caller)
+        else {
+            return false;
+        };
+        if let Some(waiting) = self.waiting.remove(at) {
+            self.drop_backlog(waiting.cost_tokens);
+        }
+        true
+    }
+
+    /// Ends a running request, and gives back what was charged ahead for it and not spent.
+    pub(crate) fn finish(&mut self, caller: CallerId, now_ms: u64) -> bool {
+        if self.running.swap_remove(&caller).is_none() {
+            return false;
+        }
+        let still_running: f64 = self.running.values().sum();
+        let unspent = self.ahead_tokens - still_running;
+        if unspent > 0.0 {
+            self.ahead_tokens = still_running;
+            self.spend(-unspent, now_ms);
+        }
+        true
+    }
+
+    /// Charges tokens spent; those that were charged ahead are not charged again.
+    pub(crate) fn charge(&mut self, tokens: f64, now_ms: u64) {
+        self.spent.advance(now_ms);
+        self.spent.add(tokens);
+        let charged_ahead = tokens.min(self.ahead_tokens);
+        self.ahead_tokens -= charged_ahead;
+        self.spend(tokens - charged_ahead, now_ms);
+    }
+
+    /// Whether the account has used up its share here and wants more than that.
+    pub(crate) fn is_limited(&mut self, now_ms: u64) -> bool {
+        let Some(share) = self.share_tokens_per_s else {
+            return false;
+        };
+        self.save(now_ms);
+        self.saved_tokens < 0.0 && self.wanted_per_s(now_ms) > share
+    }
+
+    /// Tokens a second asked for, the backlog included.
+    pub(crate) fn wanted_per_s(&mut self, now_ms: u64) -> f64 {
+        self.wanted.advance(now_ms);
+        self.wanted.per_s_at_least(DEMAND_LEAST_MS) + self.backlog_tokens / BACKLOG_HORIZON_S
+    }
+
+    /// Tokens a second spent.
+    pub(crate) fn spent_per_s(&mut self, now_ms: u64) -> f64 {
+        self.spent.advance(now_ms);
+        self.spent.per_s_at_least(DEMAND_LEAST_MS)
+    }
+
+    /// Whether nothing waits or runs.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    fn spend(&mut self, tokens: f64, now_ms: u64) {
+        self.save(now_ms);
+        self.saved_tokens -= tokens;
+        self.spent_level += tokens / self.local_weight;
+    }
+
+    /// Adds the share of the time passed.
+    fn save(&mut self, now_ms: u64) {
+        let passed_s = now_ms.saturating_sub(self.saved_at_ms) as f64 / 1_000.0;
+        self.saved_at_ms = self.saved_at_ms.max(now_ms);
+        if let Some(share) = self.share_tokens_per_s {
+            let saved = self.saved_tokens + share * SHARE_SLACK * passed_s;
+            self.saved_tokens = saved.min(share * SAVED_SHARE_S);
+        } else {
+            self.saved_tokens = 0.0;
+        }
+    }
+
+    fn drop_backlog(&mut self, cost_tokens: f64) {
+        self.backlog_tokens = (self.backlog_tokens - cost_tokens).max(0.0);
+        if self.waiting.is_empty() {
+            self.backlog_tokens = 0.0;
+        }
+    }
+}
--- /dev/null
+++ b/src/fairness/mod.rs
@@ -0,0 +1,9 @@
+//! Fair shares: weighted max-min, worked out alike on every node.
+
+mod max_min;
+mod split;
+#[cfg(test)]
+mod tests;
+
+pub use max_min::{ShareClaim, max_min};
+pub use split::{EntryDemand, EntryShare, split_shares};
--- /dev/null
+++ b/src/fairness/split.rs
@@ -0,0 +1,103 @@
+//! Division of a service's capacity among accounts, and of each account's share among entries.
+
+use indexmap::IndexMap;
+
+use super::max_min::{ShareClaim, max_min};
+use crate::ids::{AccountId, InstanceId};
+
+/// What one account asks at one entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryDemand {
+    /// The entry instance.
+    pub entry: InstanceId,
+    /// The account.
+    pub account: AccountId,
+    /// Tokens a second it asks there, refused requests included.
+    pub wanted_tokens_per_s: f64,
+}
+
+/// The part of an account's share that one entry may spend.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryShare {
+    /// The entry instance.
+    pub entry: InstanceId,
+    /// The account.
+    pub account: AccountId,
+    /// Tokens a second.
+    pub tokens_per_s: f64,
+}
+
+/// Divides `capacity_tokens_per_s` of one service: weighted max-min over the accounts by their
+/// demand at all entries together, then each account's share over its entries by demand there.
+///
+/// The result is in order of entry and account and depends on the demands only, not on their order:
+/// each node that knows the same demands finds the same shares. Accounts without a weight get none.
+pub fn split_shares(
+    capacity_tokens_per_s: f64,
+    weights: &IndexMap<AccountId, f64>,
+    demands: &[EntryDemand],
+) -> Vec<EntryShare> {
+    let demands = ordered(weights, demands);
+    let totals = totals(&demands);
+    let claims: Vec<ShareClaim> = totals
+        .iter()
+        .map(|(account, demand)| ShareClaim {
+            weight: weights.get(account).copied().unwrap_or(0.0),
+            demand: *demand,
+        })
+        .collect();
+    let shares = max_min(capacity_tokens_per_s, &claims);
+    demands
+        .into_iter()
+        .map(|demand| {
+            let part = part_of(&totals, &shares, &demand);
+            EntryShare {
+                entry: demand.entry,
+                account: demand.account,
+                tokens_per_s: part,
+            }
+        })
+        .collect()
+}
+
+/// Usable demands, one for each entry and account, in that order.
+fn ordered(weights: &IndexMap<AccountId, f64>, demands: &[EntryDemand]) -> Vec<EntryDemand> {
+    let mut sorted: Vec<EntryDemand> = demands
+        .iter()
+        .filter(|demand| weights.contains_key(&demand.account))
+        .filter(|demand| demand.wanted_tokens_per_s.is_finite())
+        .filter(|demand| demand.wanted_tokens_per_s > 0.0)
+        .cloned()
+        .collect();
+    sorted.sort_by(|a, b| {
+        (&a.entry, &a.account)
+            .cmp(&(&b.entry, &b.account))
+            .then(a.wanted_tokens_per_s.total_cmp(&b.wanted_tokens_per_s))
+    });
+    sorted.dedup_by(|later, kept| {
+        let same = later.entry == kept.entry && later.account == kept.account;
+        if same {
+            kept.wanted_tokens_per_s += later.wanted_tokens_per_s;
+        }
+        same
+    });
+    sorted
+}
+
+/// Demand of each account at all entries, in order of account.
+fn totals(demands: &[EntryDemand]) -> IndexMap<AccountId, f64> {
+    let mut totals = IndexMap::new();
+    for demand in demands {
+        *totals.entry(demand.account.clone()).or_insert(0.0) += demand.wanted_tokens_per_s;
+    }
+    totals.sort_unstable_keys();
+    totals
+}
+
+/// The part of its account's share that one entry's demand earns.
+fn part_of(totals: &IndexMap<AccountId, f64>, shares: &[f64], demand: &EntryDemand) -> f64 {
+    let Some((index, _, total)) = totals.get_full(&demand.account) else {
+        return 0.0;
+    };
+    shares[index] * demand.wanted_tokens_per_s / total
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,12 @@
 //! machine takes a message and the present time and returns effects, and a thin driver carries
 //! them out. [`instance`] shows every message and effect of one instance.
 
+pub mod admission;
 mod checked_toml;
+pub mod claims;
 pub mod document;
 pub mod exit_codes;
+pub mod fairness;
 pub mod ids;
 pub mod instance;
 pub mod invariant;
