Entry and chain: the request path as state machines, a first version

entry::Entry takes messages and the time and returns effects: authentication by key digest, admission, routing, chains with epochs and positions, claims for non-idempotent calls, the request book, locate, reports. Entry::locate takes a text that tells callers apart, so that each gets its own order of entries; LocateAnswer is a wire type.

--- /dev/null
+++ b/src/chain/blame.rs
@@ -0,0 +1,119 @@
+//! Which stage of a silent chain is at fault, from what its stages say when probed.
+
+use super::message::ProbeAnswer;
+
+/// What the answers of a round of probes say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Blame {
+    /// These stages gave no answer.
+    Dead(Vec<usize>),
+    /// These stages answer but have lost the stream.
+    Lost(Vec<usize>),
+    /// Every stage has finished what the entry waits for, or the first never heard of the stream:
+    /// the connection to it is silent.
+    Connection,
+    /// No stage has moved; this one, or the link to it, holds the chain up.
+    Stuck(usize),
+    /// Stages move; this one, or the link to it, is behind.
+    Behind(usize),
+}
+
+/// One round of probes: all stages at once.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    /// Number; grows over the life of a chain.
+    pub(crate) number: u32,
+    /// When stages that have not answered count as unreachable.
+    pub(crate) until_ms: u64,
+    answers: Vec<Option<ProbeAnswer>>,
+}
+
+impl Round {
+    /// Starts a round over `stages` stages.
+    pub(crate) fn new(number: u32, stages: usize, until_ms: u64) -> Self {
+        Self {
+            number,
+            until_ms,
+            answers: vec![None; stages],
+        }
+    }
+
+    /// Notes an answer; the first one of a stage counts.
+    pub(crate) fn add(&mut self, stage: usize, answer: ProbeAnswer) {
+        if let Some(slot) = self.answers.get_mut(stage) {
+            slot.get_or_insert(answer);
+        }
+    }
+
+    /// Whether every stage has answered.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.answers.iter().all(Option::is_some)
+    }
+
+    /// The answers; a missing one counts as unreachable.
+    pub(crate) fn into_answers(self) -> Vec<ProbeAnswer> {
+        self.answers
+            .into_iter()
+            .map(|answer| answer.unwrap_or(ProbeAnswer::Unreachable))
+            .collect()
+    }
+}
+
+/// Judges a round. `held` is the number of tokens the entry holds, `delivered` whether the epoch has
+/// delivered one, `before` the answers of the round before, if no token came since.
+pub(crate) fn judge(
+    answers: &[ProbeAnswer],
+    before: Option<&[ProbeAnswer]>,
+    epoch: u32,
+    held: u32,
+    delivered: bool,
+) -> Blame {
+    let dead = indexes(answers, |answer| answer == ProbeAnswer::Unreachable);
+    if !dead.is_empty() {
+        return Blame::Dead(dead);
+    }
+    let lost = indexes(answers, |answer| answer == ProbeAnswer::NotKnown);
+    if delivered && !lost.is_empty() {
+        return Blame::Lost(lost);
+    }
+    if answers.first() == Some(&ProbeAnswer::NotKnown) {
+        return Blame::Connection;
+    }
+    let positions = positions(answers, epoch);
+    let behind = first_behind(&positions);
+    let moved = before.is_none_or(|before| before != answers);
+    if moved {
+        return Blame::Behind(behind);
+    }
+    if positions.iter().all(|position| *position > held) {
+        return Blame::Connection;
+    }
+    Blame::Stuck(behind)
+}
+
+fn indexes<F>(answers: &[ProbeAnswer], holds: F) -> Vec<usize>
+where
+    F: Fn(ProbeAnswer) -> bool,
+{
+    let all = answers.iter().enumerate();
+    all.filter(|(_, answer)| holds(**answer))
+        .map(|(index, _)| index)
+        .collect()
+}
+
+/// Positions finished in an epoch; 0 for a stage that has not heard of it.
+fn positions(answers: &[ProbeAnswer], epoch: u32) -> Vec<u32> {
+    let finished = |answer: &ProbeAnswer| match answer {
+        ProbeAnswer::Progress(progress) if progress.epoch == epoch => progress.position,
+        _ => 0,
+    };
+    answers.iter().map(finished).collect()
+}
+
+/// The first stage that has finished fewer positions than the one before it. If there is none, the
+/// first stage waits for a token that the last one has made: it is behind.
+fn first_behind(positions: &[u32]) -> usize {
+    let pairs = positions.windows(2);
+    let found = pairs.into_iter().position(|pair| pair[1] < pair[0]);
+    found.map_or(0, |index| index + 1)
+}
--- /dev/null
+++ b/src/entry/completions.rs
@@ -0,0 +1,343 @@
+//! Completions: carries the effects of a chain out.
+
+use std::collections::VecDeque;
+
+use super::attempt::{Attempt, AttemptId, Completion, Work};
+use super::book::Answer;
+use super::machine::{Call, Entry, Flow};
+use crate::chain::{Chain, ChainEffect, ChainMessage, ChainSpec, DropCause, Expected};
+use crate::ids::EndpointId;
+use crate::instance::EntryEffect;
+use crate::routing::{NoRoute, Policy, RouteAsk};
+use crate::wire::engine::{OpenStream, Stage};
+
+impl<P> Entry<P>
+where
+    P: Policy,
+{
+    /// Starts the chain of a queued completion; nothing changes if there is no route.
+    pub(super) fn start_completion(
+        &mut self,
+        attempt: &mut Attempt,
+        now_ms: u64,
+    ) -> Result<Flow, NoRoute> {
+        let Work::Completion(completion) = &mut attempt.work else {
+            return Ok(Flow::GoesOn);
+        };
+        let ask = RouteAsk {
+            stream: completion.stream,
+            service: &attempt.service,
+            model: &completion.model,
+            adapter: completion.adapter.as_deref(),
+            prompt: &completion.prompt,
+            previous: &[],
+            exclude: &[],
+        };
+        let stages = self.router.plan(&ask, now_ms)?;
+        let expected = self.expected(&completion.model.name, &stages, completion.prompt_tokens);
+        let spec = ChainSpec {
+            stream: completion.stream,
+            request: attempt.key.request.clone(),
+            model: completion.model.name.clone(),
+            version: completion.model.version.clone(),
+            adapter: completion.adapter.clone(),
+            prompt: completion.prompt.clone(),
+            max_tokens: completion.max_tokens,
+            priority: completion.priority,
+            deadline: attempt.deadline,
+        };
+        let (chain, effects) = Chain::begin(spec, stages, expected, now_ms);
+        let prompt_tokens = completion.prompt_tokens;
+        completion.chain = Some(chain);
+        self.admission.charge(
+            &attempt.service,
+            &attempt.key.account,
+            prompt_tokens,
+            now_ms,
+        );
+        Ok(self.carry_out(attempt, effects, now_ms))
+    }
+
+    fn expected(&self, model: &str, stages: &[Stage], tokens: u32) -> Expected {
+        let history = self.prefill.get(model).copied().unwrap_or_default();
+        Expected {
+            gap_ms: self.router.expected_gap_ms(stages),
+            first_ms: history.expected_ms(tokens),
+        }
+    }
+
+    /// Hands a message to the chain of an attempt.
+    pub(super) fn tell_chain(
+        &mut self,
+        attempt: &mut Attempt,
+        message: ChainMessage,
+        now_ms: u64,
+    ) -> Flow {
+        let effects = match chain_of(attempt) {
+            Some(chain) => chain.handle(message, now_ms),
+            None => Vec::new(),
+        };
+        self.carry_out(attempt, effects, now_ms)
+    }
+
+    fn carry_out(&mut self, attempt: &mut Attempt, effects: Vec<ChainEffect>, now_ms: u64) -> Flow {
+        let mut effects = VecDeque::from(effects);
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                ChainEffect::Plan { exclude, is_retry } => {
+                    let message = self.replan(attempt, &exclude, is_retry, now_ms);
+                    if let Some(chain) = chain_of(attempt) {
+                        effects.extend(chain.handle(message, now_ms));
+                    }
+                }
+                ChainEffect::Done { cut_by_length, .. } => {
+                    self.complete(attempt, cut_by_length, now_ms);
+                    return Flow::Ended;
+                }
+                ChainEffect::GiveUp { code } => {
+                    self.refuse(attempt, code, now_ms);
+                    return Flow::Ended;
+                }
+                other => self.carry_out_one(attempt, other, now_ms),
+            }
+        }
+        Flow::GoesOn
+    }
+
+    fn carry_out_one(&mut self, attempt: &mut Attempt, effect: ChainEffect, now_ms: u64) {
+        match effect {
+            ChainEffect::Open {
+                open,
+                fresh_connection,
+            } => self.open_stream(attempt, open, fresh_connection, now_ms),
+            ChainEffect::Cancel { address, epoch } => {
+                if let Some(stream) = stream_of(attempt) {
+                    self.out.push(EntryEffect::CancelStream {
+                        address,
+                        stream,
+                        epoch,
+                    });
+                }
+            }
+            ChainEffect::Probe {
+                round,
+                stage,
+                address,
+                timeout_ms,
+            } => {
+                self.counts.count("entry.probes");
+                let Some(stream) = stream_of(attempt) else {
+                    return;
+                };
+                let call = self.open_call(Call::Probe {
+                    attempt: attempt.id,
+                    round,
+                    stage,
+                });
+                self.out.push(EntryEffect::ProbeStream {
+                    call,
+                    address,
+                    stream,
+                    timeout_ms,
+                });
+            }
+            ChainEffect::Fault { endpoint, fault } => {
+                self.counts.count("entry.faults");
+                self.router.observe_fault(&endpoint, fault, now_ms);
+                self.look_again();
+            }
+            ChainEffect::Token {
+                position,
+                text,
+                gap_ms,
+            } => self.send_token(attempt, position, &text, gap_ms, now_ms),
+            ChainEffect::Prefilled { took_ms, tokens } => {
+                if let Work::Completion(completion) = &attempt.work {
+                    let model = completion.model.name.clone();
+                    self.prefill.entry(model).or_default().add(took_ms, tokens);
+                }
+            }
+            ChainEffect::Dropped(cause) => self.counts.count(dropped_name(cause)),
+            ChainEffect::Plan { .. } | ChainEffect::Done { .. } | ChainEffect::GiveUp { .. } => {}
+        }
+    }
+
+    /// Looks for stages of the next epoch.
+    fn replan(
+        &mut self,
+        attempt: &mut Attempt,
+        exclude: &[EndpointId],
+        is_retry: bool,
+        now_ms: u64,
+    ) -> ChainMessage {
+        let Work::Completion(completion) = &attempt.work else {
+            return ChainMessage::RetryDenied;
+        };
+        let Some(chain) = &completion.chain else {
+            return ChainMessage::RetryDenied;
+        };
+        let account = &attempt.key.account;
+        if is_retry
+            && !self
+                .admission
+                .allow_retry(&attempt.service, account, now_ms)
+        {
+            self.counts.count("entry.retries.denied");
+            return ChainMessage::RetryDenied;
+        }
+        self.counts.count("entry.rebuilds");
+        let ask = RouteAsk {
+            stream: completion.stream,
+            service: &attempt.service,
+            model: &completion.model,
+            adapter: completion.adapter.as_deref(),
+            prompt: &completion.prompt,
+            previous: chain.stages(),
+            exclude,
+        };
+        match self.router.plan(&ask, now_ms) {
+            Ok(stages) => {
+                let tokens = chain.tokens_to_compute();
+                let expected = self.expected(&completion.model.name, &stages, tokens);
+                ChainMessage::Planned { stages, expected }
+            }
+            Err(reason) => ChainMessage::NoRoute { reason },
+        }
+    }
+
+    fn open_stream(
+        &mut self,
+        attempt: &mut Attempt,
+        open: OpenStream,
+        fresh_connection: bool,
+        now_ms: u64,
+    ) {
+        self.drop_stream(attempt);
+        let Some(address) = open.chain.first().map(|stage| stage.address) else {
+            return;
+        };
+        let call = self.open_call(Call::Stream {
+            attempt: attempt.id,
+            epoch: open.epoch,
+        });
+        attempt.evidence.sent(call);
+        if let Work::Completion(completion) = &mut attempt.work {
+            completion.open_call = Some(call);
+        }
+        self.note_routed(attempt, open.epoch, now_ms);
+        self.out.push(EntryEffect::OpenStream {
+            call,
+            address,
+            open,
+            fresh_connection,
+        });
+    }
+
+    /// Stops listening to the open stream of an attempt, if any.
+    pub(super) fn drop_stream(&mut self, attempt: &mut Attempt) {
+        let Work::Completion(completion) = &mut attempt.work else {
+            return;
+        };
+        if let Some(call) = completion.open_call.take()
+            && self.calls.swap_remove(&call).is_some()
+        {
+            self.out.push(EntryEffect::DropStream { call });
+        }
+    }
+
+    fn send_token(
+        &mut self,
+        attempt: &Attempt,
+        position: u32,
+        text: &str,
+        gap_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        if let (Some(stream), Some(gap_ms)) = (stream_of(attempt), gap_ms) {
+            self.router.observe_token(stream, gap_ms, now_ms);
+        }
+        self.admission
+            .charge(&attempt.service, attempt.account(), 1, now_ms);
+        self.counts.count("entry.tokens");
+        for caller in &attempt.callers {
+            self.out.push(EntryEffect::SendToken {
+                caller: *caller,
+                position,
+                text: text.to_owned(),
+            });
+        }
+    }
+
+    fn complete(&mut self, attempt: &mut Attempt, cut_by_length: bool, now_ms: u64) {
+        let Work::Completion(completion) = &mut attempt.work else {
+            return;
+        };
+        let tokens = completion.chain.take().map(Chain::into_tokens);
+        let tokens = tokens.unwrap_or_default();
+        let positions = super::arrival::position(tokens.len());
+        for caller in &attempt.callers {
+            self.out.push(EntryEffect::SendEnd {
+                caller: *caller,
+                positions,
+                cut_by_length,
+            });
+        }
+        let answer = Answer::Completion {
+            tokens,
+            cut_by_length,
+        };
+        self.note_completed(attempt, now_ms);
+        self.settle(attempt, Some(answer), now_ms);
+    }
+
+    /// Wakes the chains whose time has come.
+    pub(super) fn wake_chains(&mut self, now_ms: u64) {
+        let is_due = |attempt: &Attempt| match &attempt.work {
+            Work::Completion(completion) => {
+                let wake_at_ms = completion.chain.as_ref().and_then(Chain::wake_at_ms);
+                wake_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
+            }
+            Work::Application(_) => false,
+        };
+        let attempts = self.attempts.values().filter(|attempt| is_due(attempt));
+        let due: Vec<AttemptId> = attempts.map(|attempt| attempt.id).collect();
+        for id in due {
+            self.with_attempt(id, |entry, attempt| entry.wake_chain(attempt, now_ms));
+        }
+    }
+
+    fn wake_chain(&mut self, attempt: &mut Attempt, now_ms: u64) -> Flow {
+        let gap_ms = match chain_of(attempt) {
+            Some(chain) => self.router.expected_gap_ms(chain.stages()),
+            None => return Flow::GoesOn,
+        };
+        self.tell_chain(attempt, ChainMessage::Wake { gap_ms }, now_ms)
+    }
+}
+
+fn chain_of(attempt: &mut Attempt) -> Option<&mut Chain> {
+    completion_of(attempt)?.chain.as_mut()
+}
+
+fn completion_of(attempt: &mut Attempt) -> Option<&mut Completion> {
+    match &mut attempt.work {
+        Work::Completion(completion) => Some(completion),
+        Work::Application(_) => None,
+    }
+}
+
+fn stream_of(attempt: &Attempt) -> Option<crate::ids::StreamId> {
+    match &attempt.work {
+        Work::Completion(completion) => Some(completion.stream),
+        Work::Application(_) => None,
+    }
+}
+
+fn dropped_name(cause: DropCause) -> &'static str {
+    match cause {
+        DropCause::OtherEpoch => "entry.events.other_epoch",
+        DropCause::Repeated => "entry.events.repeated",
+        DropCause::Ahead => "entry.events.ahead",
+        DropCause::AfterEnd => "entry.events.after_end",
+    }
+}
--- /dev/null
+++ b/src/entry/locate.rs
@@ -0,0 +1,63 @@
+//! Which entries a caller should use for a service.
+//!
+//! Rendezvous hashing gives each caller its own stable order of the entries, so that callers spread
+//! over them without any state, and an entry that leaves moves only its own callers. Entries in the
+//! zone of the one that answers come first.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{InstanceId, ServiceName, ZoneName};
+use crate::wire::local::EntryRecord;
+use crate::wire::locate::{LocateAnswer, LocatedEntry};
+
+/// Most addresses in one answer.
+const MAX_ADDRESSES: usize = 4;
+/// Addresses taken from other zones, if there are any, so that the loss of a zone is survived.
+const MIN_OTHER_ZONES: usize = 2;
+/// How long callers keep an answer.
+const TTL_MS: u64 = 5_000;
+
+/// Orders the serving entries for one caller of a service. `caller` is any stable text that tells
+/// callers apart. `None` if no entry serves.
+pub(crate) fn pick_entries(
+    service: &ServiceName,
+    caller: &str,
+    zone: &ZoneName,
+    entries: &[EntryRecord],
+) -> Option<LocateAnswer> {
+    let mut ranked: Vec<&EntryRecord> = entries.iter().filter(|entry| entry.serving).collect();
+    ranked.sort_by_cached_key(|entry| std::cmp::Reverse(score(service, caller, &entry.instance)));
+    let (near, far): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|entry| entry.zone == *zone);
+    let near_count = near
+        .len()
+        .min(MAX_ADDRESSES - MIN_OTHER_ZONES.min(far.len()));
+    let picked: Vec<LocatedEntry> = near
+        .into_iter()
+        .take(near_count)
+        .chain(far)
+        .take(MAX_ADDRESSES)
+        .map(locate_entry)
+        .collect();
+    if picked.is_empty() {
+        return None;
+    }
+    Some(LocateAnswer {
+        service: service.clone(),
+        entries: picked,
+        ttl_ms: TTL_MS,
+    })
+}
+
+fn locate_entry(entry: &EntryRecord) -> LocatedEntry {
+    LocatedEntry {
+        instance: entry.instance.clone(),
+        zone: entry.zone.clone(),
+        address: entry.address,
+    }
+}
+
+/// Rendezvous score of an entry for a caller of a service.
+fn score(service: &ServiceName, caller: &str, instance: &InstanceId) -> u64 {
+    let text = format!("{service}\n{caller}\n{instance}");
+    xxh3_64(text.as_bytes())
+}
--- /dev/null
+++ b/src/entry/machine.rs
@@ -0,0 +1,400 @@
+//! The entry's state machine: its state, and the way of each message.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use indexmap::{IndexMap, IndexSet};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::attempt::{Attempt, AttemptId};
+use super::book::RequestBook;
+use super::claimed::OpenClaim;
+use super::config::EntryConfig;
+use super::counts::Counts;
+use super::directory::{Directory, DocumentChange};
+use super::locate::pick_entries;
+use crate::admission::Admission;
+use crate::chain::{ChainMessage, PrefillHistory, ProbeAnswer};
+use crate::ids::{EndpointId, ServiceName};
+use crate::instance::{CallId, CallerId, EntryEffect, EntryMessage, StreamFailure};
+use crate::outcome::{Refusal, RefusalCode};
+use crate::routing::{Policy, PollKind, Router};
+use crate::wire::engine::StreamProgress;
+use crate::wire::local::{DecisionRecord, EntryRecord, Snapshot};
+use crate::wire::locate::LocateAnswer;
+
+/// When a caller should come back to an instance that has no document yet.
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
+/// One call to the outside that has no last answer yet.
+#[derive(Clone, Debug)]
+pub(super) enum Call {
+    /// An open stream.
+    Stream { attempt: AttemptId, epoch: u32 },
+    /// A probe of a stage.
+    Probe {
+        attempt: AttemptId,
+        round: u32,
+        stage: usize,
+    },
+    /// A call to an application endpoint.
+    Application { attempt: AttemptId },
+    /// A call to the table service for a claim.
+    Table { attempt: AttemptId, reads: bool },
+    /// A question to the holder of a claim.
+    Holder { attempt: AttemptId },
+}
+
+/// The decisions of one entry process.
+pub struct Entry<P>
+where
+    P: Policy,
+{
+    pub(super) config: EntryConfig,
+    pub(super) directory: Directory,
+    pub(super) router: Router<P>,
+    pub(super) admission: Admission,
+    pub(super) rng: SmallRng,
+    pub(super) book: RequestBook,
+    /// Requests that wait or run, each in the book as running.
+    pub(super) attempts: IndexMap<AttemptId, Attempt>,
+    /// Callers that wait, each listed by its attempt.
+    pub(super) callers: IndexMap<CallerId, AttemptId>,
+    /// Calls that may still be answered.
+    pub(super) calls: IndexMap<CallId, Call>,
+    pub(super) next_call: u64,
+    /// Claims not settled yet; they may outlive their attempt.
+    pub(super) claims: IndexMap<AttemptId, OpenClaim>,
+    pub(super) prefill: IndexMap<String, PrefillHistory>,
+    /// Services whose endpoints were found full since something last changed.
+    pub(super) full: IndexSet<ServiceName>,
+    /// Whether a queued request may have become dispatchable.
+    pub(super) dispatch_due: bool,
+    /// Since when no living chain covers a service's layers.
+    pub(super) incomplete_since_ms: IndexMap<ServiceName, u64>,
+    entries: Vec<EntryRecord>,
+    /// Version of the last snapshot taken; only grows.
+    pub(super) snapshot_version: u64,
+    pub(super) stopping: bool,
+    stopped: bool,
+    pub(super) next_report_ms: u64,
+    pub(super) decisions: VecDeque<DecisionRecord>,
+    pub(super) counts: Counts,
+    /// Effects of the message at hand.
+    pub(super) out: Vec<EntryEffect>,
+}
+
+/// A model that an account may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModelView {
+    /// The service that offers it.
+    pub service: ServiceName,
+    /// Name.
+    pub model: String,
+    /// Adapters; a caller names one as `model:adapter`.
+    pub adapters: Vec<String>,
+}
+
+impl<P> Entry<P>
+where
+    P: Policy,
+{
+    /// An entry that has no snapshot yet.
+    pub fn new(config: EntryConfig, policy: P) -> Self {
+        let router = Router::new(policy, config.zone.clone(), config.seed);
+        Self {
+            router,
+            admission: Admission::new(config.seed.wrapping_add(1)),
+            rng: SmallRng::seed_from_u64(config.seed.wrapping_add(2)),
+            config,
+            directory: Directory::default(),
+            book: RequestBook::default(),
+            attempts: IndexMap::new(),
+            callers: IndexMap::new(),
+            calls: IndexMap::new(),
+            next_call: 0,
+            claims: IndexMap::new(),
+            prefill: IndexMap::new(),
+            full: IndexSet::new(),
+            dispatch_due: false,
+            incomplete_since_ms: IndexMap::new(),
+            entries: Vec::new(),
+            snapshot_version: 0,
+            stopping: false,
+            stopped: false,
+            next_report_ms: 0,
+            decisions: VecDeque::new(),
+            counts: Counts::default(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes a message and returns what is to be done, in order.
+    pub fn handle(&mut self, message: EntryMessage, now_ms: u64) -> Vec<EntryEffect> {
+        match message {
+            EntryMessage::Arrived { caller, request } => self.on_arrived(caller, request, now_ms),
+            EntryMessage::CallerGone { caller } => self.on_caller_gone(caller, now_ms),
+            EntryMessage::SnapshotChanged { snapshot } => self.on_snapshot(&snapshot, now_ms),
+            EntryMessage::EngineStateRead { endpoint, state } => {
+                self.router
+                    .set_engine_state(&endpoint, state.as_ref(), now_ms);
+                self.look_again();
+            }
+            EntryMessage::CacheEventsRead { endpoint, events } => {
+                self.router.add_cache_events(&endpoint, &events, now_ms);
+            }
+            EntryMessage::StreamEvent { call, event } => self.on_stream_event(call, event, now_ms),
+            EntryMessage::StreamFailed { call, failure } => {
+                self.on_stream_failed(call, failure, now_ms);
+            }
+            EntryMessage::StreamProbed {
+                call,
+                progress,
+                reachable,
+            } => self.on_probed(call, probe_answer(progress, reachable), now_ms),
+            EntryMessage::ApplicationAnswered { call, result } => {
+                self.on_application_answered(call, result, now_ms);
+            }
+            EntryMessage::TableAnswered { call, result } => {
+                self.on_table_answered(call, result, now_ms);
+            }
+            EntryMessage::HolderAnswered { call, working } => {
+                self.on_holder_answered(call, working, now_ms);
+            }
+            EntryMessage::HolderAsked {
+                call,
+                incarnation,
+                claim,
+            } => self.on_holder_asked(call, incarnation, &claim),
+            EntryMessage::Tick => self.on_tick(now_ms),
+            EntryMessage::Stop => self.on_stop(),
+        }
+        self.dispatch(now_ms);
+        self.check_stopped();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Entries to use for a service. `caller` is any stable text that tells callers apart: each
+    /// gets its own order.
+    pub fn locate(&self, service: &ServiceName, caller: &str) -> Result<LocateAnswer, Refusal> {
+        if self.directory.is_empty() {
+            return Err(not_ready());
+        }
+        if !self.directory.documents().contains_key(service) {
+            return Err(Refusal::not_run(RefusalCode::UnknownService, None));
+        }
+        let own = &self.config.instance;
+        let serving = |entry: &&EntryRecord| !self.stopping || entry.instance != *own;
+        let entries: Vec<EntryRecord> = self.entries.iter().filter(serving).cloned().collect();
+        pick_entries(service, caller, &self.config.zone, &entries).ok_or_else(not_ready)
+    }
+
+    /// Models that the account of a key may use.
+    pub fn models(&self, key: Option<&str>) -> Result<Vec<ModelView>, Refusal> {
+        if self.directory.is_empty() {
+            return Err(not_ready());
+        }
+        if self.directory.owners(key).is_empty() {
+            return Err(Refusal::not_run(RefusalCode::Unauthenticated, None));
+        }
+        let models = self.directory.models_of(key).into_iter();
+        Ok(models
+            .map(|(service, offer)| ModelView {
+                service: service.clone(),
+                model: offer.name.clone(),
+                adapters: offer.adapters.clone(),
+            })
+            .collect())
+    }
+
+    /// Whether new requests are taken.
+    pub fn ready(&self) -> bool {
+        !self.stopping && !self.directory.is_empty()
+    }
+
+    /// Requests that wait or run.
+    pub fn in_flight(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// What was counted since the last call, by counter name.
+    pub fn take_counts(&mut self) -> IndexMap<&'static str, u64> {
+        self.counts.take()
+    }
+
+    fn on_snapshot(&mut self, snapshot: &Snapshot, now_ms: u64) {
+        if snapshot.version < self.snapshot_version {
+            self.counts.count("entry.snapshots.older");
+            return;
+        }
+        self.snapshot_version = snapshot.version;
+        let changes = self.directory.update(&snapshot.documents);
+        self.count_changes(&changes);
+        if changes.contains(&DocumentChange::Accepted) {
+            self.router.set_documents(self.directory.documents());
+            self.admission.set_accounts(self.directory.documents());
+        }
+        self.entries.clone_from(&snapshot.entries);
+        let serving = self.entries.iter().filter(|entry| entry.serving).count();
+        self.router.set_entry_count(serving);
+        self.router.set_endpoints(&snapshot.endpoints, now_ms);
+        self.admission.set_shares(&snapshot.shares, now_ms);
+        self.look_again();
+    }
+
+    /// Notes that services found full may have room now.
+    pub(super) fn look_again(&mut self) {
+        self.full.clear();
+        self.dispatch_due = true;
+    }
+
+    fn count_changes(&mut self, changes: &[DocumentChange]) {
+        for change in changes {
+            match change {
+                DocumentChange::Accepted => self.counts.count("entry.documents.accepted"),
+                DocumentChange::Older => self.counts.count("entry.documents.older"),
+                DocumentChange::Faulty => self.counts.count("entry.documents.faulty"),
+                DocumentChange::Known => {}
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now_ms: u64) {
+        self.look_again();
+        self.book.expire(now_ms);
+        self.wake_chains(now_ms);
+        self.wake_claims(now_ms);
+        self.drop_orphans(now_ms);
+        self.refuse_expired(now_ms);
+        self.poll_engines(now_ms);
+        self.report_if_due(now_ms);
+    }
+
+    fn poll_engines(&mut self, now_ms: u64) {
+        for poll in self.router.polls(now_ms) {
+            let effect = poll_effect(poll.endpoint, poll.address, poll.kind);
+            self.out.push(effect);
+        }
+    }
+
+    fn on_stop(&mut self) {
+        self.stopping = true;
+        self.next_report_ms = 0;
+    }
+
+    fn check_stopped(&mut self) {
+        let idle = self.attempts.is_empty() && self.claims.is_empty();
+        if self.stopping && !self.stopped && idle {
+            self.stopped = true;
+            self.out.push(EntryEffect::Stopped);
+        }
+    }
+
+    /// Numbers a call and notes whose it is.
+    pub(super) fn open_call(&mut self, call: Call) -> CallId {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.calls.insert(id, call);
+        id
+    }
+
+    fn on_stream_event(
+        &mut self,
+        call: CallId,
+        event: crate::wire::engine::StreamEvent,
+        now_ms: u64,
+    ) {
+        let Some(Call::Stream { attempt, .. }) = self.calls.get(&call) else {
+            self.counts.count("entry.events.late");
+            return;
+        };
+        let attempt = *attempt;
+        self.with_attempt(attempt, |entry, attempt| {
+            attempt.evidence.may_have_run(call);
+            entry.tell_chain(attempt, ChainMessage::Event(event), now_ms)
+        });
+    }
+
+    fn on_stream_failed(&mut self, call: CallId, failure: StreamFailure, now_ms: u64) {
+        let Some(Call::Stream { attempt, epoch }) = self.calls.swap_remove(&call) else {
+            self.counts.count("entry.events.late");
+            return;
+        };
+        self.with_attempt(attempt, |entry, attempt| {
+            match failure {
+                StreamFailure::NotSent | StreamFailure::Refused { .. } => {
+                    attempt.evidence.ran_nothing(call);
+                }
+                StreamFailure::Broken => attempt.evidence.may_have_run(call),
+            }
+            let message = ChainMessage::StreamFailed { epoch, failure };
+            entry.tell_chain(attempt, message, now_ms)
+        });
+    }
+
+    fn on_probed(&mut self, call: CallId, answer: ProbeAnswer, now_ms: u64) {
+        let Some(Call::Probe {
+            attempt,
+            round,
+            stage,
+        }) = self.calls.swap_remove(&call)
+        else {
+            return;
+        };
+        let message = ChainMessage::Probed {
+            round,
+            stage,
+            answer,
+        };
+        self.with_attempt(attempt, |entry, attempt| {
+            entry.tell_chain(attempt, message, now_ms)
+        });
+    }
+
+    /// Takes an attempt out while `run` works on it, and puts it back unless it has ended.
+    pub(super) fn with_attempt<F>(&mut self, id: AttemptId, run: F)
+    where
+        F: FnOnce(&mut Self, &mut Attempt) -> Flow,
+    {
+        let Some(mut attempt) = self.attempts.swap_remove(&id) else {
+            return;
+        };
+        if run(self, &mut attempt) == Flow::GoesOn {
+            self.attempts.insert(id, attempt);
+        }
+    }
+}
+
+/// Whether an attempt has had its final word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Flow {
+    /// It waits or runs.
+    GoesOn,
+    /// It has ended and everything it held was given back.
+    Ended,
+}
+
+fn probe_answer(progress: Option<StreamProgress>, reachable: bool) -> ProbeAnswer {
+    match progress {
+        Some(progress) => ProbeAnswer::Progress(progress),
+        None if reachable => ProbeAnswer::NotKnown,
+        None => ProbeAnswer::Unreachable,
+    }
+}
+
+fn poll_effect(endpoint: EndpointId, address: SocketAddr, kind: PollKind) -> EntryEffect {
+    match kind {
+        PollKind::State => EntryEffect::ReadEngineState { endpoint, address },
+        PollKind::CacheEvents { after } => EntryEffect::ReadCacheEvents {
+            endpoint,
+            address,
+            after,
+        },
+    }
+}
+
+/// The refusal of an instance that has no document in force.
+pub(super) fn not_ready() -> Refusal {
+    Refusal::not_run(RefusalCode::NotReady, Some(NOT_READY_RETRY_MS))
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,24 @@
+//! The entry: authenticates, admits, routes and answers requests.
+//!
+//! [`Entry`] takes messages and the present time and returns effects; it does no I/O and holds no
+//! clock. A driver carries the messages in and the effects out.
+
+mod applications;
+mod arrival;
+mod attempt;
+mod book;
+mod claimed;
+mod completions;
+mod config;
+mod counts;
+mod directory;
+mod dispatch;
+mod locate;
+mod machine;
+mod report;
+#[cfg(test)]
+mod tests;
+mod verdict;
+
+pub use config::{EntryConfig, EntryLimits};
+pub use machine::{Entry, ModelView};
--- /dev/null
+++ b/src/entry/report.rs
@@ -0,0 +1,104 @@
+//! What the entry tells its control, and the decisions kept for people to read.
+
+use super::attempt::{Attempt, Work};
+use super::machine::Entry;
+use crate::ids::EndpointId;
+use crate::instance::EntryEffect;
+use crate::outcome::Refusal;
+use crate::routing::Policy;
+use crate::wire::WIRE_VERSION;
+use crate::wire::local::{Decision, DecisionRecord, EntryReport, ServiceCapacity};
+
+/// Time between two reports.
+const REPORT_MS: u64 = 250;
+/// Most decisions kept between two reports; the oldest go first.
+const MAX_DECISIONS: usize = 256;
+
+impl<P> Entry<P>
+where
+    P: Policy,
+{
+    /// Reports to the control if it is time.
+    pub(super) fn report_if_due(&mut self, now_ms: u64) {
+        if now_ms < self.next_report_ms {
+            return;
+        }
+        self.next_report_ms = now_ms + REPORT_MS;
+        let capacities = self.update_capacities();
+        let report = EntryReport {
+            wire_version: WIRE_VERSION,
+            incarnation: self.config.incarnation,
+            known_snapshot: self.snapshot_version,
+            stopping: self.stopping,
+            in_flight: super::arrival::position(self.attempts.len()),
+            demands: self.admission.demands(now_ms),
+            draining_endpoints: self.router.drained(),
+            decisions: std::mem::take(&mut self.decisions).into(),
+            revisions: self.directory.revisions().clone(),
+            capacities,
+        };
+        self.out.push(EntryEffect::Report { report });
+    }
+
+    fn update_capacities(&mut self) -> Vec<ServiceCapacity> {
+        let mut capacities = Vec::new();
+        for service in self.directory.documents().keys() {
+            let tokens_per_s = self.router.capacity_tokens_per_s(service);
+            self.admission.set_capacity(service, tokens_per_s);
+            capacities.push(ServiceCapacity {
+                service: service.clone(),
+                tokens_per_s,
+            });
+        }
+        capacities
+    }
+
+    /// Keeps the decision to send a request to its stages.
+    pub(super) fn note_routed(&mut self, attempt: &Attempt, epoch: u32, now_ms: u64) {
+        self.note(attempt, Decision::Routed { epoch }, now_ms);
+    }
+
+    /// Keeps the decision to refuse a request.
+    pub(super) fn note_refused(&mut self, attempt: &Attempt, refusal: Refusal, now_ms: u64) {
+        self.note(attempt, Decision::Refused { refusal }, now_ms);
+    }
+
+    /// Keeps the completion of a request.
+    pub(super) fn note_completed(&mut self, attempt: &Attempt, now_ms: u64) {
+        self.counts.count("entry.requests.completed");
+        self.note(attempt, Decision::Completed, now_ms);
+    }
+
+    fn note(&mut self, attempt: &Attempt, decision: Decision, now_ms: u64) {
+        if self.decisions.len() >= MAX_DECISIONS {
+            self.decisions.pop_front();
+            self.counts.count("entry.decisions.dropped");
+        }
+        self.decisions.push_back(DecisionRecord {
+            at_unix_ms: self.unix_ms(now_ms),
+            request: attempt.key.request.clone(),
+            account: attempt.key.account.clone(),
+            service: attempt.service.clone(),
+            endpoints: endpoints_of(attempt),
+            decision,
+        });
+    }
+
+    /// Unix time.
+    pub(super) fn unix_ms(&self, now_ms: u64) -> u64 {
+        self.config.unix_at_start_ms + now_ms
+    }
+}
+
+fn endpoints_of(attempt: &Attempt) -> Vec<EndpointId> {
+    match &attempt.work {
+        Work::Completion(completion) => {
+            let stages = completion.chain.iter().flat_map(|chain| chain.stages());
+            stages.map(|stage| stage.endpoint.clone()).collect()
+        }
+        Work::Application(call) => {
+            let replica = call.replica.iter();
+            replica.map(|replica| replica.endpoint.clone()).collect()
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of the entry's decisions, driven by plain messages.
+
+mod fixture;
+mod paths;
--- /dev/null
+++ b/src/entry/tests/paths.rs
@@ -0,0 +1,91 @@
+//! The plain ways of a request.
+
+use super::fixture::*;
+use crate::instance::{ApplicationReply, CallerId, EntryEffect, EntryMessage};
+use crate::outcome::RefusalCode;
+use crate::wire::engine::{EndReason, StreamEvent};
+
+#[test]
+fn a_completion_is_answered_token_by_token() {
+    let mut entry = entry();
+    let (call, open) = opened(&arrive(&mut entry, 1, completion(KEY, "r1", 2), 10)).unwrap();
+    assert_eq!(open.chain.len(), 2);
+    let first = entry.handle(token(call, 1, 0), 20);
+    assert_eq!(
+        first,
+        vec![EntryEffect::SendToken {
+            caller: CallerId(1),
+            position: 0,
+            text: "t0".to_owned()
+        }]
+    );
+    entry.handle(token(call, 1, 1), 30);
+    let event = StreamEvent::End {
+        epoch: 1,
+        positions: 2,
+        reason: EndReason::Length,
+    };
+    let last = entry.handle(EntryMessage::StreamEvent { call, event }, 31);
+    assert!(last.contains(&EntryEffect::SendEnd {
+        caller: CallerId(1),
+        positions: 2,
+        cut_by_length: true
+    }));
+    assert_eq!(entry.in_flight(), 0);
+}
+
+#[test]
+fn a_call_is_answered_by_a_replica() {
+    let mut entry = entry();
+    let effects = arrive(&mut entry, 1, call(KEY, "r1", "GET", "/prices/lamb"), 10);
+    let Some(EntryEffect::CallApplication { call, .. }) = effects.first() else {
+        panic!("not called: {effects:?}");
+    };
+    let reply = ApplicationReply {
+        status: 200,
+        content_type: None,
+        body: b"9".to_vec(),
+    };
+    let result = Ok(reply.clone());
+    let answered = entry.handle(
+        EntryMessage::ApplicationAnswered {
+            call: *call,
+            result,
+        },
+        12,
+    );
+    assert_eq!(
+        answered,
+        vec![EntryEffect::SendReply {
+            caller: CallerId(1),
+            reply,
+            replayed: false
+        }]
+    );
+}
+
+#[test]
+fn a_request_that_cannot_be_served_is_refused_with_its_reason() {
+    let mut entry = entry();
+    let mut code = |request| {
+        let effects = arrive(&mut entry, 1, request, 10);
+        match effects.as_slice() {
+            [EntryEffect::SendRefusal { refusal, .. }] => refusal.code,
+            other => panic!("not refused: {other:?}"),
+        }
+    };
+    let mut unknown_model = completion(KEY, "r", 2);
+    if let crate::instance::RequestBody::Completion { model, .. } = &mut unknown_model.body {
+        *model = "no-such-model".to_owned();
+    }
+    assert_eq!(code(unknown_model), RefusalCode::UnknownModel);
+    assert_eq!(
+        code(completion("wrong", "r", 2)),
+        RefusalCode::Unauthenticated
+    );
+    assert_eq!(
+        code(call(KEY, "r", "POST", "/stock-counts")),
+        RefusalCode::MissingHeader
+    );
+    assert_eq!(code(completion(KEY, "r", 0)), RefusalCode::MalformedBody);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,11 @@
 //! them out. [`instance`] shows every message and effect of one instance.
 
 pub mod admission;
+pub(crate) mod chain;
 mod checked_toml;
 pub mod claims;
 pub mod document;
+pub mod entry;
 pub mod exit_codes;
 pub mod fairness;
 pub mod ids;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim;
 pub mod engine;
 pub mod local;
+pub mod locate;
 pub mod operator;
 pub mod peer;
 pub mod platform;
