--- a/src/entry/tests/fixture.rs
+++ b/src/entry/tests/fixture.rs
@@ -14,9 +14,30 @@
 use crate::wire::local::{DocumentInForce, EndpointRecord, EntryRecord, Snapshot};
 use crate::wire::platform::{InstancePhase, InstanceRole};
 
-pub(super) const MENU_MIND: &str = include_str!("../../../examples/kammoun/menu-mind.toml");
-pub(super) const LEDGER_API: &str = include_str!("../../../examples/kammoun/ledger-api.toml");
-pub(super) const KEY: &str = "demo-key-grill-chain";
+const MENU_MIND: &str = r#"
+service = "menu-mind"
+kind = "model"
+
+[models.menu-mind-24b]
+version = "v1"
+layers = 24
+activation_bytes = 8192
+adapters = ["recipe-cost"]
+"#;
+const LEDGER_API: &str = r#"
+service = "ledger-api"
+kind = "application"
+
+[[non_idempotent]]
+method = "POST"
+path = "/stock-counts"
+
+[[non_idempotent]]
+method = "POST"
+path = "/deliveries"
+endpoint_deduplicates = true
+"#;
+pub(super) const KEY: &str = "key-grill-chain";
 
 pub(super) type TestEntry = Entry<FlowWeighted>;
 
@@ -36,6 +57,22 @@
     }
 }
 
+/// A document with two accounts and an operator.
+fn with_accounts(text: &str) -> String {
+    let digests = |key: &str| {
+        let digest = hex::encode(crate::keys::digest(key).0);
+        format!("key_digests = [\"sha256:{digest}\"]\n")
+    };
+    let grill_chain = digests(KEY);
+    let lac_bistro = digests("key-lac-bistro");
+    let amira = digests("key-amira");
+    format!(
+        "{text}\n[accounts.grill-chain]\nweight = 6\n{grill_chain}\n\
+        [accounts.lac-bistro]\nweight = 1\n{lac_bistro}\n\
+        [operators.amira]\nrole = \"editor\"\n{amira}"
+    )
+}
+
 /// Name, port and layers of each engine.
 pub(super) const ENGINES: [(&str, u16, u16, u16); 4] = [
     ("front-1", 8001, 0, 12),
@@ -85,8 +122,8 @@
     Snapshot {
         version,
         documents: vec![
-            document("menu-mind", 1, MENU_MIND),
-            document("ledger-api", 1, LEDGER_API),
+            document("menu-mind", 1, &with_accounts(MENU_MIND)),
+            document("ledger-api", 1, &with_accounts(LEDGER_API)),
         ],
         endpoints: engines.chain(replicas).collect(),
         entries: vec![
@@ -195,3 +232,9 @@
         },
     }
 }
+#[test]
+fn the_documents_check() {
+    for text in [MENU_MIND, LEDGER_API] {
+        crate::document::Document::parse(&with_accounts(text)).unwrap();
+    }
+}
