Entry process: HTTP server, actor and calls around the entry's state machine

HTTP workers read requests and write answers; one actor on a thread of its own owns the state machine and runs one task for each call it wants made. Each caller has a bounded channel: one that reads too slowly is dropped and the state machine told, so that no other caller waits. An engine's error reply that cannot be read is no longer taken for a refusal: it proves nothing about what the engine did. Not yet run against engines and a control: they are not there yet.

--- /dev/null
+++ b/src/gateway/pages.rs
@@ -0,0 +1,128 @@
+//! HTTP handlers other than callers' requests: addresses, models, health, counters, claims.
+
+use actix_web::web::{Data, Json, Query};
+use actix_web::{HttpRequest, HttpResponse};
+use serde::Deserialize;
+
+use super::messages::{AskClaim, IsReady, ListModels, Locate};
+use super::reply::{refuse, refuse_saying};
+use super::request::{draw_request_id, read_key};
+use super::state::Gateway;
+use crate::entry::ModelView;
+use crate::ids::ServiceName;
+use crate::outcome::{Refusal, RefusalCode};
+use crate::settings::Secret;
+use crate::wire::caller::{ModelItem, ModelsAnswer};
+use crate::wire::claim::{ClaimAnswer, ClaimQuestion};
+
+/// Query of `GET /v1/locate`.
+#[derive(Debug, Deserialize)]
+pub(crate) struct LocateQuery {
+    service: Option<ServiceName>,
+}
+
+/// `GET /v1/locate?service=S`.
+pub(crate) async fn locate(
+    gateway: Data<Gateway>,
+    http: HttpRequest,
+    query: Query<LocateQuery>,
+) -> HttpResponse {
+    let Some(service) = query.into_inner().service else {
+        let refusal = Refusal::not_run(RefusalCode::UnknownService, None);
+        let message = "name a service: /v1/locate?service=NAME";
+        return refuse_saying(&refusal, message, &draw_request_id());
+    };
+    let caller = caller_text(&http);
+    match gateway.actor.send(Locate { service, caller }).await {
+        Ok(Ok(answer)) => HttpResponse::Ok().json(answer),
+        Ok(Err(refusal)) => refuse(&refusal, &draw_request_id()),
+        Err(_) => refuse(&stopping(), &draw_request_id()),
+    }
+}
+
+/// `GET /v1/models`.
+pub(crate) async fn list_models(gateway: Data<Gateway>, http: HttpRequest) -> HttpResponse {
+    let key = read_key(http.headers());
+    match gateway.actor.send(ListModels { key }).await {
+        Ok(Ok(views)) => HttpResponse::Ok().json(ModelsAnswer {
+            object: "list".to_owned(),
+            data: views.iter().flat_map(model_items).collect(),
+        }),
+        Ok(Err(refusal)) => refuse(&refusal, &draw_request_id()),
+        Err(_) => refuse(&stopping(), &draw_request_id()),
+    }
+}
+
+/// `GET /healthz`.
+pub(crate) async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+/// `GET /readyz`.
+pub(crate) async fn readiness(gateway: Data<Gateway>) -> HttpResponse {
+    let ready = gateway.actor.send(IsReady).await.unwrap_or(false);
+    if ready && !gateway.is_stopping() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
+
+/// `GET /metrics`.
+pub(crate) async fn metrics(gateway: Data<Gateway>) -> HttpResponse {
+    gateway
+        .counters
+        .gauge("entry.callers.open", gateway.callers.open() as u64);
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(gateway.counters.page())
+}
+
+/// `POST /internal/claims`, for other entries only.
+pub(crate) async fn ask_claim(
+    gateway: Data<Gateway>,
+    http: HttpRequest,
+    question: Json<ClaimQuestion>,
+) -> HttpResponse {
+    let key = read_key(http.headers()).unwrap_or_default();
+    if gateway.peer_key != Secret::from(key) {
+        let refusal = Refusal::not_run(RefusalCode::Unauthenticated, None);
+        return refuse(&refusal, &draw_request_id());
+    }
+    match gateway.actor.send(AskClaim(question.into_inner())).await {
+        Ok(working) => HttpResponse::Ok().json(ClaimAnswer { working }),
+        Err(_) => refuse(&stopping(), &draw_request_id()),
+    }
+}
+
+/// Any other path.
+pub(crate) async fn unknown_path() -> HttpResponse {
+    let refusal = Refusal::not_run(RefusalCode::UnknownService, None);
+    let message = "there is no such path; docs/API.md lists the calls";
+    refuse_saying(&refusal, message, &draw_request_id())
+}
+
+/// Tells callers apart: by key, else by the address they come from.
+fn caller_text(http: &HttpRequest) -> String {
+    read_key(http.headers())
+        .or_else(|| http.peer_addr().map(|address| address.ip().to_string()))
+        .unwrap_or_default()
+}
+
+/// A model, and the model with each of its adapters.
+fn model_items(view: &ModelView) -> Vec<ModelItem> {
+    let with_adapter = |adapter| format!("{}:{adapter}", view.model);
+    let names = std::iter::once(view.model.clone());
+    names
+        .chain(view.adapters.iter().map(with_adapter))
+        .map(|id| ModelItem {
+            id,
+            object: "model".to_owned(),
+            owned_by: view.service.to_string(),
+        })
+        .collect()
+}
+
+fn stopping() -> Refusal {
+    Refusal::not_run(RefusalCode::Stopping, None)
+}
--- /dev/null
+++ b/src/gateway/tests.rs
@@ -0,0 +1,3 @@
+mod chunks;
+mod replies;
+mod requests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod exit_codes;
 pub mod fairness;
+pub mod gateway;
 pub mod ids;
 pub mod instance;
 pub mod invariant;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::de::DeserializeOwned;
 
@@ -9,11 +10,13 @@
 use super::http::{HttpCall, HttpPeer, HttpPeers, HttpReply, HttpStream};
 use crate::ids::StreamId;
 use crate::wire::engine::{
-    CacheEvents, CancelStream, EngineError, EngineErrorCode, EngineOrder, EngineState, OpenStream,
-    StreamProgress,
+    CacheEvents, CancelStream, EngineError, EngineOrder, EngineState, OpenStream, StreamProgress,
 };
 
 const REPLY_LIMIT_BYTES: usize = 4 << 20;
+/// Longest body of an error, and how long to wait for it behind its head.
+const ERROR_LIMIT_BYTES: usize = 64 << 10;
+const ERROR_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Calls of a model engine that end with one reply.
 pub trait EngineApi {
@@ -78,7 +81,6 @@
         self.peers.retain(keep);
     }
 
-    #[allow(dead_code)]
     /// Opens a stream and waits for the head of the reply, without timeout.
     pub(crate) async fn open(
         &self,
@@ -91,7 +93,16 @@
             peer.discard_connections();
         }
         let call = HttpCall::post_json("/v1/streams", open)?;
-        Ok(peer.open(call).await?)
+        let mut stream = peer.open(call).await?;
+        if stream.status().is_success() {
+            return Ok(stream);
+        }
+        let body = stream.body().limit(ERROR_LIMIT_BYTES);
+        let body = tokio::time::timeout(ERROR_TIMEOUT, body).await;
+        match body {
+            Ok(Ok(body)) => Err(read_refusal(&body)),
+            _ => Err(EngineCallFailure::ReplyLost),
+        }
     }
 }
 
@@ -169,19 +180,14 @@
 {
     match reply.status {
         200..=299 => serde_json::from_slice(&reply.body).map_err(|_| EngineCallFailure::ReplyLost),
-        status => Err(EngineCallFailure::Refused {
-            error: read_error(status, &reply.body),
-        }),
+        _ => Err(read_refusal(&reply.body)),
     }
 }
 
-/// Reads an engine's error reply; one that cannot be read is judged by its status.
-pub(crate) fn read_error(status: u16, body: &[u8]) -> EngineError {
-    serde_json::from_slice(body).unwrap_or(EngineError {
-        code: match status {
-            400..=499 => EngineErrorCode::Malformed,
-            _ => EngineErrorCode::Overloaded,
-        },
-        stage: None,
-    })
+/// Reads an engine's error reply. One that cannot be read proves nothing about what the engine did.
+fn read_refusal(body: &[u8]) -> EngineCallFailure {
+    match serde_json::from_slice::<EngineError>(body) {
+        Ok(error) => EngineCallFailure::Refused { error },
+        Err(_) => EngineCallFailure::ReplyLost,
+    }
 }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -76,7 +76,6 @@
 pub(crate) struct HttpReply {
     /// Status.
     pub(crate) status: u16,
-    #[allow(dead_code)]
     /// `Content-Type`, if any.
     pub(crate) content_type: Option<String>,
     /// Body.
@@ -111,6 +110,11 @@
         self.client.replace(new_client());
     }
 
+    #[cfg(test)]
+    pub(super) fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
     /// Calls and waits for the whole reply.
     pub(crate) async fn call(
         &self,
@@ -125,7 +129,6 @@
         self.within(timeout_ms, exchange).await
     }
 
-    #[allow(dead_code)]
     /// Calls and waits for the head of the reply. Without timeout: the caller watches progress.
     pub(crate) async fn open(&self, call: HttpCall<'_>) -> Result<HttpStream, HttpFailure> {
         let generation = self.generation.get();
@@ -151,7 +154,8 @@
         result
     }
 
-    fn discard_generation(&self, generation: u64) {
+    /// Throws the connections away unless a call that failed before has done so.
+    pub(super) fn discard_generation(&self, generation: u64) {
         if self.generation.get() == generation {
             self.discard_connections();
         }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,8 +15,7 @@
 
 pub use engine::{EngineApi, HttpEngines};
 pub use failure::{EngineCallFailure, InstanceListFailure, ObjectFailure, TableFailure};
-#[allow(unused_imports)]
-pub(crate) use http::{HttpCall, HttpFailure, HttpPeer, HttpPeers, HttpReply, HttpStream};
+pub(crate) use http::{HttpCall, HttpFailure, HttpPeers, HttpStream};
 pub use instances::{HttpInstances, InstanceSource};
 pub use objects::{HttpObjects, ObjectStore};
 pub use table::{HttpTable, TableService};
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,10 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod sse;
 
 /// Version carried by messages between this system's own processes.
 pub const WIRE_VERSION: u16 = 1;
+
+#[cfg(test)]
+mod tests;
