fescuectl: documents, status, audit, explain, settings and keys

Every remote command tries its control processes in turn. An acceptance carries a change id, so one whose reply was lost is sent again, to the next address, until its result is known; a test cuts the connection between the write and the reply and finds one revision, not two. One that stays unknown ends in an error that names the change id to repeat it with. The operator's key comes from a file or the environment: an argument is seen by every user of the machine.

jiff shows times; env_logger already brings it. Trait objects for output were ruled out: each command returns one report with its text, its JSON and its exit code.

--- a/src/checked_toml/mod.rs
+++ b/src/checked_toml/mod.rs
@@ -8,7 +8,7 @@
 mod readers;
 mod section;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use fault::{Fault, FaultKind, Faults};
 pub(crate) use readers::{
--- /dev/null
+++ b/src/ctl/commands/document_history.rs
@@ -0,0 +1,41 @@
+//! `fescuectl document history`
+
+use crate::ctl::call::Controls;
+use crate::ctl::fault::CtlError;
+use crate::ctl::report::{Report, render, show_time, table};
+use crate::ids::ServiceName;
+use crate::rpc::OperatorApiClient;
+use crate::wire::operator::HistoryEntry;
+
+/// Digits of a digest that are shown to people.
+const DIGEST_CHARS: usize = 12;
+
+pub(super) async fn run(
+    controls: &Controls,
+    service: &str,
+    limit: u32,
+) -> Result<Report, CtlError> {
+    let service = ServiceName::from(service);
+    let entries = controls
+        .call(async |client, key| client.history(key, service.clone(), limit).await)
+        .await?;
+    Report::success(history_table(&entries), &entries)
+}
+
+pub(super) fn history_table(entries: &[HistoryEntry]) -> String {
+    let mut table = table([
+        "SERVICE", "REVISION", "BASE", "ACCEPTED", "BY", "DIGEST", "NOTE",
+    ]);
+    for entry in entries {
+        table.add_row([
+            entry.service.to_string(),
+            entry.revision.to_string(),
+            entry.base_revision.to_string(),
+            show_time(entry.at_unix_ms),
+            entry.operator.clone(),
+            entry.digest.chars().take(DIGEST_CHARS).collect(),
+            entry.note.clone().unwrap_or_default(),
+        ]);
+    }
+    render(&table)
+}
--- /dev/null
+++ b/src/ctl/key.rs
@@ -0,0 +1,27 @@
+//! Where the operator's key comes from. Never an argument: those are seen by every user.
+
+use std::env;
+use std::fs;
+use std::path::Path;
+
+use super::fault::CtlError;
+use crate::keys::Secret;
+
+/// Environment variable that may hold the key.
+pub(crate) const KEY_VARIABLE: &str = "FESCUE_KEY";
+
+/// Reads the operator's key from a file, else from the environment.
+pub(super) fn read_key(file: Option<&Path>) -> Result<Secret, CtlError> {
+    let text = match file {
+        Some(path) => fs::read_to_string(path).map_err(|cause| CtlError::Unreadable {
+            path: path.to_owned(),
+            cause,
+        })?,
+        None => env::var(KEY_VARIABLE).map_err(|_| CtlError::NoKey)?,
+    };
+    let key = text.trim();
+    if key.is_empty() {
+        return Err(CtlError::NoKey);
+    }
+    Ok(Secret::from(key))
+}
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,40 @@
+//! The operators' command line tool.
+//!
+//! Local commands check files. The others call any control process; a command that changes
+//! something carries a change id, so that a lost reply is settled by calling again.
+
+mod call;
+mod cli;
+mod commands;
+mod fault;
+mod in_force;
+mod key;
+mod report;
+#[cfg(test)]
+mod tests;
+
+use std::ffi::OsString;
+
+use clap::Parser;
+
+pub use cli::Cli;
+pub use fault::CtlError;
+pub use report::Report;
+
+use crate::exit_codes::Exit;
+
+/// Runs one command line and prints its result; errors go to standard error.
+pub async fn run<I>(args: I) -> Exit
+where
+    I: IntoIterator<Item = OsString>,
+{
+    let cli = match Cli::try_parse_from(args) {
+        Ok(cli) => cli,
+        Err(error) => return report::print_usage(&error),
+    };
+    let json = cli.common.json;
+    match commands::run(cli).await {
+        Ok(report) => report.print(json),
+        Err(error) => report::print_error(&error, json),
+    }
+}
--- /dev/null
+++ b/src/ctl/tests/mod.rs
@@ -0,0 +1,17 @@
+mod local;
+mod remote;
+mod render;
+mod stub;
+
+use clap::Parser;
+
+use super::cli::Cli;
+use super::commands;
+use super::fault::CtlError;
+use super::report::Report;
+
+/// Runs a command line; words are separated by blanks.
+async fn run(line: &str) -> Result<Report, CtlError> {
+    let words = std::iter::once("fescuectl").chain(line.split_whitespace());
+    commands::run(Cli::try_parse_from(words).unwrap()).await
+}
--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -1,4 +1,7 @@
+use proptest::prelude::*;
+
 use super::{Document, OperatorRole, Priority, ServiceKind, digest};
+use crate::checked_toml::tests::mutations;
 
 const LEDGER: &str = include_str!("../../examples/kammoun/ledger-api.toml");
 const MENU_MIND: &str = include_str!("../../examples/kammoun/menu-mind.toml");
@@ -95,3 +98,30 @@
     assert_eq!(digest("a").to_string().len(), 64);
     assert_ne!(digest("a"), digest("a\n"));
 }
+
+proptest! {
+    #[test]
+    fn any_text_is_read_or_refused(text in "\\PC{0,200}") {
+        check_any(&text)?;
+    }
+
+    #[test]
+    fn a_damaged_document_is_read_or_refused(
+        text in prop_oneof![mutations(MENU_MIND), mutations(LEDGER)],
+    ) {
+        check_any(&text)?;
+    }
+}
+
+/// Whatever the text, there is a document or at least one fault on one of its lines.
+fn check_any(text: &str) -> Result<(), TestCaseError> {
+    match Document::parse(text) {
+        Ok(document) => prop_assert!(document.accounts.values().all(|a| a.weight > 0.0)),
+        Err(faults) => {
+            prop_assert!(!faults.faults.is_empty());
+            let lines = text.matches('\n').count() + 1;
+            prop_assert!(faults.faults.iter().all(|f| (1..=lines).contains(&f.line)));
+        }
+    }
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub(crate) mod chain;
 mod checked_toml;
 pub mod claims;
+pub mod ctl;
 pub mod document;
 pub mod entry;
 pub mod exit_codes;
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -1,8 +1,10 @@
 use std::path::Path;
 
 use log::LevelFilter;
+use proptest::prelude::*;
 
 use super::{LogFormat, SettingsError, parse, read};
+use crate::checked_toml::tests::mutations;
 
 const WHOLE: &str = include_str!("../../examples/settings.toml");
 
@@ -61,3 +63,14 @@
             .contains("short-key")
     );
 }
+
+proptest! {
+    #[test]
+    fn any_text_is_read_or_refused(text in prop_oneof!["\\PC{0,200}", mutations(WHOLE)]) {
+        if let Err(faults) = parse(&text) {
+            prop_assert!(!faults.faults.is_empty());
+            let lines = text.matches('\n').count() + 1;
+            prop_assert!(faults.faults.iter().all(|f| (1..=lines).contains(&f.line)));
+        }
+    }
+}
--- a/src/telemetry/log_lines.rs
+++ b/src/telemetry/log_lines.rs
@@ -21,6 +21,11 @@
 
 /// Starts the process's log. Lines of libraries below `warn` are left out.
 pub fn init_log(settings: &LogSettings) -> Result<(), TelemetryError> {
+    line_logger(settings).try_init()?;
+    Ok(())
+}
+
+pub(super) fn line_logger(settings: &LogSettings) -> Builder {
     let libraries = settings.level.min(LevelFilter::Warn);
     let mut builder = Builder::new();
     builder
@@ -30,8 +35,7 @@
             LogFormat::Text => write_text,
             LogFormat::Json => write_json,
         });
-    builder.try_init()?;
-    Ok(())
+    builder
 }
 
 fn write_text(f: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -1,4 +1,14 @@
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+
+use env_logger::Target;
+use log::kv::Value;
+use log::{Level, Log, Record};
+
 use super::Counters;
+use super::log_lines::line_logger;
+use crate::keys::Secret;
+use crate::settings::{LogFormat, LogSettings};
 
 #[test]
 fn counts_add_up_and_gauges_replace() {
@@ -22,3 +32,66 @@
     counters.gauge("entry.in_flight", 2);
     insta::assert_snapshot!(counters.page());
 }
+
+/// A place that log lines are written to.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The lines that one record gives, without their time.
+fn logged(format: LogFormat, target: &str, level: Level) -> String {
+    let lines = Lines::default();
+    let settings = LogSettings {
+        format,
+        ..LogSettings::default()
+    };
+    let logger = line_logger(&settings)
+        .target(Target::Pipe(Box::new(lines.clone())))
+        .build();
+    let secret = Secret::from("very-private");
+    let values: [(&str, Value<'_>); 3] = [
+        ("instance", Value::from("entry lac")),
+        ("revision", Value::from(4_u64)),
+        ("key", Value::from_debug(&secret)),
+    ];
+    logger.log(
+        &Record::builder()
+            .level(level)
+            .target(target)
+            .args(format_args!("document in force"))
+            .key_values(&values)
+            .build(),
+    );
+    let lines = lines.0.lock().unwrap().clone();
+    String::from_utf8(lines).unwrap()
+}
+
+#[test]
+fn a_text_line_has_its_values_and_hides_secrets() {
+    let line = logged(LogFormat::Text, "fescueshore::control", Level::Info);
+    let (_, rest) = line.split_once(' ').unwrap();
+    insta::assert_snapshot!(rest);
+}
+
+#[test]
+fn a_json_line_has_its_values_and_hides_secrets() {
+    let line = logged(LogFormat::Json, "fescueshore::control", Level::Info);
+    let mut line: serde_json::Value = serde_json::from_str(&line).unwrap();
+    line["at"] = "then".into();
+    insta::assert_json_snapshot!(line);
+}
+
+#[test]
+fn libraries_are_quiet_below_warnings() {
+    assert_eq!(logged(LogFormat::Text, "actix_server", Level::Info), "");
+    assert_ne!(logged(LogFormat::Text, "actix_server", Level::Warn), "");
+}
