--- /dev/null
+++ b/bench/tests/processes/env.rs
@@ -0,0 +1,190 @@
+//! The test environment: a small fleet, its callers, and what they saw.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fescue_bench::caller::{
+    Ask, Book, Caller, CallerOptions, FinalWord, ModelTarget, Request, Shape, SharedBook,
+};
+use fescue_bench::deployment::{self, Deployment};
+use fescue_bench::fleet::{Fleet, wait_until};
+use fescue_bench::mix::{Lengths, Mix, Parts};
+use fescue_bench::standin::faults::{Fault, FaultRequest};
+use fescue_bench::tally::{Findings, Tally};
+use fescueshore::ids::{AccountId, EndpointId};
+use tokio::sync::{Semaphore, SemaphorePermit};
+use uuid::Uuid;
+
+/// Fleets that run at once, so that a busy machine gives the same verdict.
+const FLEETS_AT_ONCE: usize = 3;
+/// How long anything that must happen may take on a busy machine.
+pub const LIMIT: Duration = Duration::from_secs(60);
+
+static FLEETS: Semaphore = Semaphore::const_new(FLEETS_AT_ONCE);
+
+/// A running small fleet.
+pub struct Env {
+    pub fleet: Fleet,
+    pub book: SharedBook,
+    pub tally: Tally,
+    /// Engines whose process was killed.
+    pub gone: Vec<EndpointId>,
+    _permit: SemaphorePermit<'static>,
+}
+
+pub fn small() -> Deployment {
+    deployment::read("small").expect("deployment")
+}
+
+impl Env {
+    /// Starts the small fleet.
+    pub async fn start() -> Self {
+        Self::start_with(small(), &[]).await
+    }
+
+    /// Starts the small fleet with some engines in processes of their own, by index.
+    pub async fn start_apart(engines: &[usize]) -> Self {
+        Self::start_with(small(), engines).await
+    }
+
+    /// Starts a fleet with some engines in processes of their own, by index.
+    pub async fn start_with(deployment: Deployment, engines: &[usize]) -> Self {
+        let permit = FLEETS.acquire().await.expect("never closed");
+        let mut fleet = Fleet::prepare(deployment).expect("fleet");
+        let nodes = &fleet.topology().engines;
+        let apart = engines
+            .iter()
+            .map(|index| nodes[*index].name.clone())
+            .collect();
+        fleet.run_apart(apart);
+        if let Err(error) = fleet.start().await {
+            panic!("{error}");
+        }
+        Self {
+            fleet,
+            book: Rc::new(RefCell::new(Book::default())),
+            tally: Tally::default(),
+            gone: Vec::new(),
+            _permit: permit,
+        }
+    }
+
+    /// A caller that asks any entry.
+    pub fn caller(&self) -> Caller {
+        self.caller_at(self.fleet.entry_addresses())
+    }
+
+    /// A caller that asks only these entries for addresses.
+    pub fn caller_at(&self, seeds: Vec<SocketAddr>) -> Caller {
+        Caller::new(seeds, CallerOptions::new(1, LIMIT), self.book.clone())
+    }
+
+    /// Draws requests of the fleet's accounts.
+    pub fn mix(&self, parts: Parts) -> Mix {
+        Mix::new(self.fleet.deployment(), parts, Lengths::default(), 7)
+    }
+
+    /// Address of an entry, by index.
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.fleet.topology().entries[index].address
+    }
+
+    /// Sets a fault at a stand-in.
+    pub async fn fault(&self, address: SocketAddr, fault: Fault) {
+        let request = FaultRequest::here(fault);
+        let set = self
+            .fleet
+            .standins()
+            .post(address, "/standin/faults", &request);
+        set.await.expect("fault");
+    }
+
+    /// What the stand-ins counted, beside what the callers saw.
+    pub async fn findings(&mut self) -> Findings {
+        let read = self.tally.read_all(&self.fleet, &self.gone).await;
+        if let Err(error) = read {
+            panic!("{error}");
+        }
+        self.tally.judge(&self.book.borrow())
+    }
+
+    /// Fails unless nothing was crossed, doubled, run twice or falsely called not-run.
+    pub async fn assert_clean(&mut self) {
+        let findings = self.findings().await;
+        let counts = self.book.borrow().counts();
+        assert_eq!(findings.crossed, 0, "{counts:?}");
+        assert_eq!(findings.layer_faults, 0);
+        assert_eq!(findings.double_runs, 0);
+        assert_eq!(findings.false_not_run, 0);
+        assert_eq!(counts.doubled + counts.incomplete, 0, "{counts:?}");
+        assert_eq!(counts.malformed, 0, "{counts:?}");
+    }
+}
+
+/// Waits until a condition holds; fails the test if it does not in time.
+pub async fn eventually<F>(what: &str, holds: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    assert!(wait_until(LIMIT, holds).await, "never happened: {what}");
+}
+
+/// Runs a task of the test beside it.
+pub fn spawn<F>(task: F) -> actix_rt::task::JoinHandle<F::Output>
+where
+    F: Future + 'static,
+{
+    actix_rt::spawn(task)
+}
+
+pub fn account() -> AccountId {
+    AccountId::from("lac-bistro")
+}
+
+/// A streamed completion of the small fleet's model.
+pub fn stream(prompt: &str, max_tokens: u32) -> Request {
+    let ask = Ask::Completion {
+        target: ModelTarget {
+            service: "menu-mind".into(),
+            model: "menu-mind-24b".to_owned(),
+            version: "2026-11".to_owned(),
+            adapter: None,
+        },
+        prompt: prompt.to_owned(),
+        max_tokens,
+        shape: Shape::Text,
+        streamed: true,
+    };
+    Request::new(&account(), ask)
+}
+
+/// A non-idempotent call under a key.
+pub fn write(key: Uuid) -> Request {
+    call("POST", "/stock-counts", Some(key))
+}
+
+/// An idempotent call.
+pub fn read() -> Request {
+    call("GET", "/prices", None)
+}
+
+fn call(method: &'static str, path: &str, key: Option<Uuid>) -> Request {
+    let ask = Ask::Call {
+        service: "ledger-api".into(),
+        method,
+        path: path.to_owned(),
+        body: key
+            .map(|key| format!("{{\"count\":\"{key}\"}}"))
+            .unwrap_or_default(),
+        key: key.map(|key| key.to_string()),
+    };
+    Request::new(&account(), ask)
+}
+
+/// Asks and fails the test unless the whole answer comes.
+pub async fn ask_answered(caller: &mut Caller, request: Request) {
+    assert_eq!(caller.ask(request).await, FinalWord::Answered);
+}
