--- a/bench/src/caller/attempt.rs
+++ b/bench/src/caller/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at one entry.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use awc::error::PayloadError;
 use awc::http::Method;
@@ -43,15 +43,6 @@
     }
 }
 
-/// What came of an attempt.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    /// How it ended.
-    pub end: AttemptEnd,
-    /// When each piece of text came.
-    pub tokens_at: Vec<Instant>,
-}
-
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -87,26 +78,25 @@
     pub retry_after_ms: Option<u64>,
 }
 
-/// Sends a request to an entry and reads what comes.
-pub async fn attempt(
+/// Sends a request to an entry and reads what comes; calls `on_token` at each piece of text.
+pub async fn attempt<F>(
     http: &awc::Client,
     entry: SocketAddr,
     request: &Request,
     patience: Patience,
-) -> Attempt {
-    let mut tokens_at = Vec::new();
+    mut on_token: F,
+) -> AttemptEnd
+where
+    F: FnMut(),
+{
     let Some(call) = build_call(http, entry, request) else {
-        return Attempt {
-            end: AttemptEnd::Malformed("the request's own method"),
-            tokens_at,
-        };
+        return AttemptEnd::Malformed("the request's own method");
     };
     let sending = call.send_body(request.body());
-    let end = match actix_rt::time::timeout(patience.head, sending).await {
-        Ok(Ok(response)) => read(request, response, patience, &mut tokens_at).await,
+    match actix_rt::time::timeout(patience.head, sending).await {
+        Ok(Ok(response)) => read(request, response, patience, &mut on_token).await,
         _ => AttemptEnd::Broken,
-    };
-    Attempt { end, tokens_at }
+    }
 }
 
 fn build_call(http: &awc::Client, entry: SocketAddr, request: &Request) -> Option<ClientRequest> {
@@ -125,14 +115,15 @@
     Some(call)
 }
 
-async fn read<S>(
+async fn read<S, F>(
     request: &Request,
     mut response: ClientResponse<S>,
     patience: Patience,
-    tokens_at: &mut Vec<Instant>,
+    on_token: &mut F,
 ) -> AttemptEnd
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+    F: FnMut(),
 {
     let status = response.status().as_u16();
     let Some(outcome) = outcome_of(response.headers()) else {
@@ -140,12 +131,12 @@
     };
     let streamed = matches!(&request.ask, Ask::Completion { streamed: true, .. });
     if streamed && outcome == Outcome::Done {
-        return read_events(request, response, patience, tokens_at).await;
+        return read_events(request, response, patience, on_token).await;
     }
     let Some(body) = read_body(&mut response, patience).await else {
         return AttemptEnd::Broken;
     };
-    tokens_at.push(Instant::now());
+    on_token();
     if outcome == Outcome::Done {
         read_answer(request, body)
     } else {
@@ -206,14 +197,15 @@
 }
 
 /// Reads a stream of events up to its explicit end.
-async fn read_events<S>(
+async fn read_events<S, F>(
     request: &Request,
     mut response: ClientResponse<S>,
     patience: Patience,
-    tokens_at: &mut Vec<Instant>,
+    on_token: &mut F,
 ) -> AttemptEnd
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+    F: FnMut(),
 {
     let mut events = SseReader::new(ANSWER_LIMIT_BYTES);
     let mut answer = Streamed::new(request);
@@ -222,7 +214,7 @@
         let Ok(Some(Ok(piece))) = next else {
             return AttemptEnd::Broken;
         };
-        let read = events.push(&piece, |event, data| answer.take(event, data, tokens_at));
+        let read = events.push(&piece, |event, data| answer.take(event, data, on_token));
         if read.is_err() {
             return AttemptEnd::Malformed("an event is too long");
         }
@@ -252,7 +244,10 @@
         }
     }
 
-    fn take(&mut self, event: &[u8], data: &[u8], tokens_at: &mut Vec<Instant>) {
+    fn take<F>(&mut self, event: &[u8], data: &[u8], on_token: &mut F)
+    where
+        F: FnMut(),
+    {
         if self.end.is_some() {
             self.end = Some(AttemptEnd::Malformed("an event after the end"));
         } else if event == ERROR_EVENT {
@@ -264,16 +259,19 @@
             let text = std::mem::take(&mut self.text);
             self.end = Some(AttemptEnd::Answered(AnswerBody::Text(text)));
         } else {
-            self.add(data, tokens_at);
+            self.add(data, on_token);
         }
     }
 
-    fn add(&mut self, data: &[u8], tokens_at: &mut Vec<Instant>) {
+    fn add<F>(&mut self, data: &[u8], on_token: &mut F)
+    where
+        F: FnMut(),
+    {
         match answer_text(self.shape, data) {
             Some(text) if text.is_empty() => {}
             Some(text) => {
                 self.text.push_str(&text);
-                tokens_at.push(Instant::now());
+                on_token();
             }
             None => self.end = Some(AttemptEnd::Malformed("not a chunk")),
         }
--- a/bench/src/caller/book.rs
+++ b/bench/src/caller/book.rs
@@ -86,6 +86,8 @@
     abandoned: IndexSet<String>,
     /// Non-idempotent requests between first attempt and final word.
     writes_in_flight: u64,
+    /// Pieces of text received.
+    tokens_seen: u64,
 }
 
 /// A book shared by the callers of one thread.
@@ -109,6 +111,16 @@
         self.abandoned.insert(id.to_owned());
     }
 
+    /// Notes a piece of text.
+    pub(super) fn note_token(&mut self) {
+        self.tokens_seen += 1;
+    }
+
+    /// Pieces of text received so far, by all callers.
+    pub fn tokens_seen(&self) -> u64 {
+        self.tokens_seen
+    }
+
     /// Non-idempotent requests between first attempt and final word.
     pub fn writes_in_flight(&self) -> u64 {
         self.writes_in_flight
--- a/bench/src/caller/locate.rs
+++ b/bench/src/caller/locate.rs
@@ -18,6 +18,8 @@
     /// Entries known from outside, to ask first.
     seeds: Vec<SocketAddr>,
     known: IndexMap<ServiceName, Located>,
+    /// Used before any other as long as it does not fail.
+    preferred: Option<SocketAddr>,
     avoided: IndexMap<SocketAddr, Instant>,
 }
 
@@ -32,13 +34,14 @@
         Self {
             seeds,
             known: IndexMap::new(),
+            preferred: None,
             avoided: IndexMap::new(),
         }
     }
 
     /// Returns the entry to use for a service; `None` if none answered.
     pub async fn find(&mut self, http: &awc::Client, service: &ServiceName) -> Option<SocketAddr> {
-        if let Some(address) = self.usable(service) {
+        if let Some(address) = self.preferred.or_else(|| self.usable(service)) {
             return Some(address);
         }
         self.ask(http, service).await;
@@ -46,8 +49,14 @@
         usable.or_else(|| Some(*self.known.get(service)?.entries.first()?))
     }
 
+    /// Uses an entry before any other until it fails.
+    pub fn prefer(&mut self, address: SocketAddr) {
+        self.preferred = Some(address);
+    }
+
     /// Leaves an entry alone for a while.
     pub fn avoid(&mut self, address: SocketAddr) {
+        self.preferred = self.preferred.filter(|preferred| *preferred != address);
         self.avoided.insert(address, Instant::now() + AVOID_FOR);
     }
 
--- a/bench/src/caller/mod.rs
+++ b/bench/src/caller/mod.rs
@@ -8,7 +8,7 @@
 mod retry;
 mod run;
 
-pub use attempt::{AnswerBody, Attempt, AttemptEnd, Patience, Refused, attempt};
+pub use attempt::{AnswerBody, AttemptEnd, Patience, Refused, attempt};
 pub use book::{Book, Counts, FinalWord, Report, SharedBook};
 pub use check::{AnswerFault, check_answer, check_echo, check_text};
 pub use locate::Locator;
--- a/bench/src/caller/run.rs
+++ b/bench/src/caller/run.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Uses this entry first, as if `locate` had named it.
+    pub fn prefer(&mut self, entry: SocketAddr) {
+        self.locator.prefer(entry);
+    }
+
     /// Asks until there is a final word, and writes down how it went.
     pub async fn ask(&mut self, mut request: Request) -> FinalWord {
         let write = request.idempotency_key().is_some();
@@ -112,9 +117,13 @@
             return None;
         };
         progress.attempts += 1;
-        let tried = attempt(&self.http, entry, request, self.options.patience).await;
-        progress.tokens_at = tried.tokens_at;
-        match tried.end {
+        progress.tokens_at.clear();
+        let on_token = || {
+            progress.tokens_at.push(Instant::now());
+            self.book.borrow_mut().note_token();
+        };
+        let patience = self.options.patience;
+        match attempt(&self.http, entry, request, patience, on_token).await {
             AttemptEnd::Answered(body) => Some(match check_answer(request, &body) {
                 Ok(()) => FinalWord::Answered,
                 Err(fault) => FinalWord::Wrong(fault),
--- /dev/null
+++ b/bench/tests/processes/deaths.rs
@@ -0,0 +1,126 @@
+//! Processes that die or freeze while streams run.
+
+use std::time::Duration;
+
+use fescue_bench::caller::{Caller, CallerOptions};
+use fescue_bench::fleet::{Fleet, ProcessName};
+use fescue_bench::standin::faults::Fault;
+use fescueshore::ids::EndpointId;
+use serde::Deserialize;
+
+use crate::env::{Env, LIMIT, ask_answered, eventually, spawn, stream};
+
+/// Tokens of the streams: they last a few seconds.
+const TOKENS: u32 = 200;
+
+#[derive(Deserialize)]
+struct Progress {
+    stages_begun: u64,
+    runs: u64,
+}
+
+/// Streams from one caller each, all at once, to the given entries.
+fn start_streams(env: &Env, count: usize) -> Vec<actix_rt::task::JoinHandle<()>> {
+    (0..count)
+        .map(|number| {
+            let mut caller = env.caller();
+            let request = stream(&format!("stream number {number}"), TOKENS);
+            spawn(async move { ask_answered(&mut caller, request).await })
+        })
+        .collect()
+}
+
+async fn all_answered(streams: Vec<actix_rt::task::JoinHandle<()>>) {
+    for stream in streams {
+        stream.await.expect("stream");
+    }
+}
+
+async fn progress(fleet: &Fleet, endpoint: &EndpointId) -> Progress {
+    let engine = fleet.engine(endpoint).expect("engine");
+    let page = fleet.standins().get(engine.address, "/standin/counters");
+    page.await.expect("counters")
+}
+
+/// Waits until an engine has run some steps of a stream.
+async fn until_engine_works(fleet: &Fleet, endpoint: &EndpointId) {
+    eventually("the engine works", async || {
+        let progress = progress(fleet, endpoint).await;
+        progress.stages_begun > 0 && progress.runs > 5
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn an_engine_killed_in_mid_stream_costs_no_token() {
+    let mut env = Env::start_apart(&[0]).await;
+    let victim = env.fleet.topology().engines[0].name.clone();
+    let streams = start_streams(&env, 8);
+    until_engine_works(&env.fleet, &victim).await;
+    env.tally
+        .keep_engine(&env.fleet, &victim)
+        .await
+        .expect("counters");
+    env.fleet
+        .process(&ProcessName::Engine(victim.clone()))
+        .expect("engine")
+        .kill();
+    env.gone.push(victim);
+    all_answered(streams).await;
+    assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn an_engine_frozen_in_mid_stream_costs_no_token() {
+    let mut env = Env::start_apart(&[0]).await;
+    let victim = env.fleet.topology().engines[0].name.clone();
+    let name = ProcessName::Engine(victim.clone());
+    let streams = start_streams(&env, 8);
+    until_engine_works(&env.fleet, &victim).await;
+    env.fleet.process(&name).expect("engine").freeze();
+    all_answered(streams).await;
+    assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
+    env.fleet.process(&name).expect("engine").wake();
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn an_engine_gone_silent_in_mid_stream_costs_no_token() {
+    let mut env = Env::start().await;
+    let victim = env.fleet.topology().engines[0].clone();
+    let streams = start_streams(&env, 8);
+    until_engine_works(&env.fleet, &victim.name).await;
+    env.fault(victim.address, Fault::Freeze { for_ms: None })
+        .await;
+    all_answered(streams).await;
+    assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
+    env.fault(victim.address, Fault::Clear).await;
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn an_entry_killed_in_mid_stream_costs_its_callers_a_retry_only() {
+    let mut env = Env::start().await;
+    let victim = env.fleet.topology().entries[0].clone();
+    // These callers know only the victim at first, so their streams run there.
+    let streams: Vec<_> = (0..4)
+        .map(|number| {
+            let options = CallerOptions::new(number, LIMIT);
+            let mut caller = Caller::new(env.fleet.entry_addresses(), options, env.book.clone());
+            caller.prefer(victim.address);
+            let request = stream(&format!("stream at the victim {number}"), TOKENS);
+            spawn(async move { ask_answered(&mut caller, request).await })
+        })
+        .collect();
+    eventually("streams run", async || env.book.borrow().tokens_seen() > 20).await;
+    env.fleet
+        .process(&ProcessName::Entry(victim.name.clone()))
+        .expect("entry")
+        .kill();
+    let killed_at = std::time::Instant::now();
+    all_answered(streams).await;
+    assert!(env.book.borrow().counts().broken >= 4, "no stream was cut");
+    assert!(killed_at.elapsed() < Duration::from_secs(30));
+    env.assert_clean().await;
+}
--- a/bench/tests/processes/main.rs
+++ b/bench/tests/processes/main.rs
@@ -1,6 +1,14 @@
 //! Tests with real processes on loopback.
 
+#[cfg(test)]
 mod bad_input;
+#[cfg(test)]
 mod broken_files;
+#[cfg(test)]
+mod deaths;
+#[cfg(test)]
 mod env;
+#[cfg(test)]
+mod store;
+#[cfg(test)]
 mod whole_path;
