Split the reader of checked TOML; a comparison that cannot be made says so

A diff against a text that this release cannot parse said that no value differs; it now says that the values cannot be compared.

--- a/src/checked_toml/mod.rs
+++ b/src/checked_toml/mod.rs
@@ -4,14 +4,16 @@
 //! is walked instead: a [`Section`] hands out its keys to readers, collects what they refuse, and
 //! at its end reports the keys that nobody asked for.
 
+mod checker;
 mod fault;
 mod readers;
 mod section;
 #[cfg(test)]
 pub(crate) mod tests;
 
+pub(crate) use checker::{Checker, Located, check};
 pub use fault::{Fault, FaultKind, Faults};
 pub(crate) use readers::{
     address, base_url, flag, key_digest, name, number, one_of, secret, text, whole_number,
 };
-pub(crate) use section::{Checker, Located, Section, check};
+pub(crate) use section::Section;
--- a/src/ctl/commands/document_accept.rs
+++ b/src/ctl/commands/document_accept.rs
@@ -33,7 +33,7 @@
         let revision = base.map_or(0, |reply| reply.entry.revision);
         return unchanged(&document.service, revision);
     }
-    let changes = base_text.map(|older| changes_between(older, &document));
+    let changes = base_text.and_then(|older| changes_between(older, &document));
     let request = AcceptRequest {
         service: document.service.clone(),
         base_revision: args
@@ -146,10 +146,7 @@
 
 impl Accepted<'_> {
     fn report(&self, in_force: Option<&InForce>) -> Result<Report, CtlError> {
-        let mut text = match self.changes {
-            Some(changes) => format!("{}\n", render_changes(changes)),
-            None => String::new(),
-        };
+        let mut text = render_changes(self.changes);
         let before = if self.repeated {
             ", as it was before"
         } else {
@@ -159,7 +156,7 @@
             request, revision, ..
         } = self;
         text.push_str(&format!(
-            "accepted {} revision {revision}, made from {}{before}",
+            "\naccepted {} revision {revision}, made from {}{before}",
             request.service, request.base_revision
         ));
         let mut json = json!({
@@ -220,7 +217,7 @@
         current.revision,
         request.base_revision,
         history_table(changes),
-        render_changes(&since),
+        render_changes(since.as_deref()),
         current.revision,
     );
     let json = json!({
@@ -229,7 +226,7 @@
         "base_revision": request.base_revision,
         "revision": current.revision,
         "accepted_meanwhile": changes,
-        "changes_meanwhile": change_lines(&since),
+        "changes_meanwhile": since.as_deref().map(change_lines),
     });
     Ok(Report {
         text,
@@ -238,9 +235,7 @@
     })
 }
 
-fn meanwhile(base_text: Option<&str>, current: &str) -> Vec<Change> {
-    match (base_text, Document::parse(current)) {
-        (Some(base), Ok(current)) => changes_between(base, &current),
-        _ => Vec::new(),
-    }
+fn meanwhile(base_text: Option<&str>, current: &str) -> Option<Vec<Change>> {
+    let current = Document::parse(current).ok()?;
+    changes_between(base_text?, &current)
 }
--- a/src/ctl/commands/document_diff.rs
+++ b/src/ctl/commands/document_diff.rs
@@ -31,11 +31,11 @@
     let changes = changes_between(&older, &document);
     let text = match args.text {
         true => line_diff(&older, &newer),
-        false => render_changes(&changes),
+        false => render_changes(changes.as_deref()),
     };
     let json = json!({
         "service": document.service,
-        "changes": change_lines(&changes),
+        "changes": changes.as_deref().map(change_lines),
         "text": line_diff(&older, &newer),
     });
     Report::success(text, &json)
@@ -68,20 +68,22 @@
     changes.iter().map(ChangeLine::from).collect()
 }
 
-/// Changes from an accepted text; none if it does not parse here, as one of a later release may not.
-pub(super) fn changes_between(older: &str, newer: &Document) -> Vec<Change> {
-    match Document::parse(older) {
-        Ok(older) => older.diff(newer),
-        Err(_) => Vec::new(),
-    }
+/// Changes from an accepted text; `None` if it does not parse here, as one of another release may
+/// not.
+pub(super) fn changes_between(older: &str, newer: &Document) -> Option<Vec<Change>> {
+    let older = Document::parse(older).ok()?;
+    Some(older.diff(newer))
 }
 
-pub(super) fn render_changes(changes: &[Change]) -> String {
-    if changes.is_empty() {
-        return "no value differs".to_owned();
+pub(super) fn render_changes(changes: Option<&[Change]>) -> String {
+    match changes {
+        None => "the values cannot be compared, as there is no older text to read".to_owned(),
+        Some([]) => "no value differs".to_owned(),
+        Some(changes) => {
+            let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+            lines.join("\n")
+        }
     }
-    let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
-    lines.join("\n")
 }
 
 fn line_diff(older: &str, newer: &str) -> String {
