Stand-in of the model engines

Cause: the router needs engines that run chains between themselves, over links with a delay and a bandwidth, and that can say whether each layer ran once and in order.

The engine is a state machine without I/O (calls and frames in, frames and events out); sockets and timers are a thin layer, so that it can be tested as such. Steps run on a simulated clock that late timers don't shift, so a rate is exact. Evidence of layers is kept twice: a ledger over all engines of the process that outlives a dying engine, and a rolling hash in each activation that every stage checks.

Links are one connection per direction, opened by the sender: the end that reads sees the other's death at once.

--- a/bench/src/engine/mod.rs
+++ b/bench/src/engine/mod.rs
@@ -1,10 +1,26 @@
-//! Stand-in of the model engines.
+//! Stand-in of the model engines, many in one process.
+//!
+//! [`core`] decides what an engine does, without I/O; [`host`] holds it between its sockets,
+//! [`server`] and [`tasks`] are the sockets, and [`lives`] begins and ends lifetimes.
 
-use crate::standin::{FleetArgs, StandinError};
-use crate::topology::Topology;
+mod begin;
+mod cache;
+mod core;
+mod counters;
+mod executor;
+mod fleet;
+mod frames;
+mod host;
+mod ledger;
+mod link;
+mod lives;
+mod orders;
+mod server;
+mod steps;
+mod stream;
+mod tasks;
+#[cfg(test)]
+mod tests;
 
-/// Runs the selected engines until the process is ended.
-pub(crate) async fn run(topology: Topology, args: &FleetArgs) -> Result<(), StandinError> {
-    let _ = (topology, args);
-    Err(StandinError::NothingSelected)
-}
+pub use counters::EngineCounters;
+pub(crate) use lives::run;
--- a/bench/src/standin/gate.rs
+++ b/bench/src/standin/gate.rs
@@ -54,6 +54,11 @@
         self.state.send_modify(|state| state.frozen = false);
     }
 
+    /// Whether the stand-in is frozen.
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.state.borrow().frozen
+    }
+
     /// Waits while frozen, and for ever if silent.
     pub(crate) async fn pass(&self) {
         let mut changes = self.state.subscribe();
--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use gate::{Gate, thaw_later};
 pub(crate) use limit::TokenBucket;
 pub use run::run;
+pub(crate) use run::say_ready;
 pub(crate) use serve::{cut_reply, serve};
 
 /// Milliseconds since the Unix epoch.
