--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod reply;
 mod request;
 mod server;
+mod signals;
 mod state;
 mod tally;
 #[cfg(test)]
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -1,7 +1,7 @@
 //! The entry process: starts its parts, waits for a stop, ends.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use actix_web::dev::ServerHandle;
 use rand::RngExt;
 use thiserror::Error;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::net::TcpSocket;
 use tokio::sync::{mpsc, watch};
 
 use super::actor::{EntryActor, EntryActorParts, ProductEntry};
@@ -19,6 +19,7 @@
 use super::control_link::{ControlLink, REPORTS_WAITING};
 use super::messages::Deliver;
 use super::server;
+use super::signals::StopSignals;
 use super::state::Gateway;
 use crate::entry::{EntryConfig, EntryLimits};
 use crate::exit_codes::Exit;
@@ -28,6 +29,7 @@
 use crate::routing::FlowWeighted;
 use crate::settings::Settings;
 use crate::telemetry::Counters;
+use crate::wire::local::EntryReport;
 
 /// Time between two looks at whether every answer has left.
 const FLUSH_CHECK: Duration = Duration::from_millis(5);
@@ -39,7 +41,7 @@
     #[error("cannot listen on {listen} ([entry] listen): {cause}")]
     Listen {
         /// The address.
-        listen: std::net::SocketAddr,
+        listen: SocketAddr,
         /// Why.
         cause: io::Error,
     },
@@ -48,45 +50,30 @@
     Signals(io::Error),
 }
 
+/// The parts of a started entry process.
+pub(crate) struct EntryProcess {
+    /// What its HTTP handlers share.
+    pub(crate) gateway: Gateway,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    server: ServerHandle,
+    stop_done: watch::Receiver<bool>,
+}
+
 /// Runs the entry process until it is told to stop.
 pub async fn run(settings: Settings) -> Result<Exit, StartError> {
-    let mut signals = Signals::catch().map_err(StartError::Signals)?;
-    let listen = settings.entry.listen;
-    let listener = bind(listen).map_err(|cause| StartError::Listen { listen, cause })?;
-    let counters = Counters::new();
-    let clock = Clock::start();
-    let (stopped, stop_done) = watch::channel(false);
-    let (reports, waiting_reports) = mpsc::channel(REPORTS_WAITING);
-    let actor = start_actor(&settings, clock, counters.clone(), reports, stopped);
-    let link = ControlLink::new(
-        settings.control.listen,
-        settings.peers.key.clone(),
-        counters.clone(),
-    );
-    actix_rt::spawn(link.run(waiting_reports, actor.clone()));
-    let gateway = Gateway {
-        actor,
-        clock,
-        callers: CallerCount::default(),
-        max_body_bytes: settings.entry.max_body_bytes,
-        peer_key: settings.peers.key.clone(),
-        counters,
-        stopping: Arc::default(),
-    };
-    let started = server::start(listener, gateway.clone());
-    let server = started.map_err(|cause| StartError::Listen { listen, cause })?;
-    let handle = server.handle();
-    actix_rt::spawn(server);
+    let mut signals = StopSignals::catch().map_err(StartError::Signals)?;
+    let mut process = EntryProcess::start(&settings)?;
     let instance = settings.instance.name.as_str();
-    log::info!(instance, listen:% = listen; "entry started");
+    log::info!(instance, listen:% = process.address; "entry started");
 
     signals.next().await;
-    log::info!(instance, in_flight = gateway.callers.open(); "entry stopping");
-    let graceful = stop_gracefully(&gateway, stop_done, &handle);
+    let callers = process.gateway.callers.clone();
+    log::info!(instance, in_flight = callers.open(); "entry stopping");
     let exit = tokio::select! {
-        () = graceful => Exit::Success,
+        () = process.stop() => Exit::Success,
         () = forced(&mut signals, settings.stop.limit_ms) => {
-            report_cut(&gateway, instance);
+            report_cut(callers.open(), instance);
             Exit::Forced
         }
     };
@@ -94,40 +81,81 @@
     Ok(exit)
 }
 
-fn bind(listen: std::net::SocketAddr) -> io::Result<TcpListener> {
+impl EntryProcess {
+    /// Starts to take requests.
+    pub(crate) fn start(settings: &Settings) -> Result<Self, StartError> {
+        let listen = settings.entry.listen;
+        let fault = |cause| StartError::Listen { listen, cause };
+        let listener = bind(listen).map_err(fault)?;
+        let address = listener.local_addr().map_err(fault)?;
+        let (stopped, stop_done) = watch::channel(false);
+        let gateway = start_actor(settings, stopped);
+        let server = server::start(listener, gateway.clone()).map_err(fault)?;
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Ok(Self {
+            gateway,
+            address,
+            server: handle,
+            stop_done,
+        })
+    }
+
+    /// Tells the entry to stop, and waits until everything in flight has ended and every answer
+    /// has been handed to its connection; then lets the last bytes leave.
+    pub(crate) async fn stop(&mut self) {
+        self.gateway.begin_stop();
+        self.gateway.actor.do_send(Deliver(EntryMessage::Stop));
+        let _ = self.stop_done.wait_for(|done| *done).await;
+        while self.gateway.callers.open() > 0 {
+            tokio::time::sleep(FLUSH_CHECK).await;
+        }
+        self.server.stop(true).await;
+    }
+}
+
+fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
     let socket = match listen {
-        std::net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-        std::net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
     socket.bind(listen)?;
     socket.listen(server::BACKLOG)?.into_std()
 }
 
-fn start_actor(
+/// Starts the actor on a thread of its own, and its exchange with the control on this one.
+fn start_actor(settings: &Settings, stopped: watch::Sender<bool>) -> Gateway {
+    let counters = Counters::new();
+    let clock = Clock::start();
+    let peer_key = settings.peers.key.clone();
+    let control = settings.control.listen;
+    let link = ControlLink::new(control, peer_key.clone(), counters.clone());
+    let (reports, waiting_reports) = mpsc::channel(REPORTS_WAITING);
+    let actor = spawn_actor(settings, clock, counters.clone(), reports, stopped);
+    actix_rt::spawn(link.run(waiting_reports, actor.clone()));
+    Gateway {
+        actor,
+        clock,
+        callers: CallerCount::default(),
+        max_body_bytes: settings.entry.max_body_bytes,
+        peer_key,
+        counters,
+        stopping: Arc::default(),
+    }
+}
+
+fn spawn_actor(
     settings: &Settings,
     clock: Clock,
     counters: Counters,
-    reports: mpsc::Sender<crate::wire::local::EntryReport>,
+    reports: mpsc::Sender<EntryReport>,
     stopped: watch::Sender<bool>,
 ) -> Addr<EntryActor> {
-    let mut rng = rand::rng();
-    let config = EntryConfig {
-        instance: settings.instance.name.clone(),
-        zone: settings.instance.zone.clone(),
-        advertise: settings.entry.advertise,
-        incarnation: Incarnation::draw(&mut rng),
-        seed: rng.random(),
-        unix_at_start_ms: clock.started_unix_ms(),
-        limits: EntryLimits {
-            max_body_bytes: settings.entry.max_body_bytes,
-            ..EntryLimits::default()
-        },
-    };
+    let config = entry_config(settings, clock);
     let table_url = settings.platform.table_url.clone();
     let peer_key = settings.peers.key.clone();
-    let arbiter = Arbiter::new();
-    EntryActor::start_in_arbiter(&arbiter.handle(), move |_| {
+    EntryActor::start_in_arbiter(&Arbiter::new().handle(), move |_| {
         EntryActor::new(EntryActorParts {
             entry: ProductEntry::new(config, FlowWeighted),
             clock,
@@ -145,24 +173,24 @@
     })
 }
 
-/// Tells the entry to stop, and waits until everything in flight has ended and every answer has
-/// been handed to its connection; then lets the last bytes leave.
-async fn stop_gracefully(
-    gateway: &Gateway,
-    mut stop_done: watch::Receiver<bool>,
-    server: &ServerHandle,
-) {
-    gateway.begin_stop();
-    gateway.actor.do_send(Deliver(EntryMessage::Stop));
-    let _ = stop_done.wait_for(|done| *done).await;
-    while gateway.callers.open() > 0 {
-        tokio::time::sleep(FLUSH_CHECK).await;
+fn entry_config(settings: &Settings, clock: Clock) -> EntryConfig {
+    let mut rng = rand::rng();
+    EntryConfig {
+        instance: settings.instance.name.clone(),
+        zone: settings.instance.zone.clone(),
+        advertise: settings.entry.advertise,
+        incarnation: Incarnation::draw(&mut rng),
+        seed: rng.random(),
+        unix_at_start_ms: clock.started_unix_ms(),
+        limits: EntryLimits {
+            max_body_bytes: settings.entry.max_body_bytes,
+            ..EntryLimits::default()
+        },
     }
-    server.stop(true).await;
 }
 
 /// Waits for what ends a planned stop by force: a second signal, or the settings' limit.
-async fn forced(signals: &mut Signals, limit_ms: Option<u64>) {
+async fn forced(signals: &mut StopSignals, limit_ms: Option<u64>) {
     let limit = async {
         match limit_ms {
             Some(limit_ms) => tokio::time::sleep(Duration::from_millis(limit_ms)).await,
@@ -175,30 +203,7 @@
     }
 }
 
-fn report_cut(gateway: &Gateway, instance: &str) {
-    let cut = gateway.callers.open();
+fn report_cut(cut: usize, instance: &str) {
     log::warn!(instance, cut_requests = cut; "stop forced");
     eprintln!("fescue-entry: stop forced: {cut} requests in flight were cut");
 }
-
-/// SIGTERM and SIGINT.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    fn catch() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,3 +1,5 @@
 mod chunks;
+mod fixture;
+mod paths;
 mod replies;
 mod requests;
--- /dev/null
+++ b/src/gateway/tests/fixture.rs
@@ -0,0 +1,259 @@
+//! An entry process in this one, with a model engine and an application endpoint beside it.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use actix_web::web::{self, Bytes, Data};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
+use awc::{Client, ClientRequest};
+use futures_util::stream;
+use indexmap::IndexMap;
+
+use crate::gateway::messages::{Deliver, IsReady};
+use crate::gateway::process::EntryProcess;
+use crate::ids::{Incarnation, ServiceName};
+use crate::instance::EntryMessage;
+use crate::settings;
+use crate::wire::engine::{EndReason, EngineState, LayerRange, OpenStream, StreamEvent};
+use crate::wire::local::{DocumentInForce, EndpointRecord, EntryRecord, Snapshot};
+use crate::wire::platform::{InstancePhase, InstanceRole};
+
+pub(super) const PEER_KEY: &str = "peer-key-of-this-test-fleet-0001";
+pub(super) const KEY: &str = "demo-key-lac-bistro";
+const MENU_MIND: &str = include_str!("../../../examples/kammoun/menu-mind.toml");
+const LEDGER_API: &str = include_str!("../../../examples/kammoun/ledger-api.toml");
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// What the endpoints beside the entry have seen.
+#[derive(Clone, Default)]
+pub(super) struct Seen {
+    pub(super) streams_open: Arc<AtomicUsize>,
+    pub(super) streams_cut: Arc<AtomicUsize>,
+    pub(super) calls: Arc<AtomicUsize>,
+}
+
+pub(super) struct TestEntry {
+    pub(super) process: EntryProcess,
+    pub(super) seen: Seen,
+}
+
+/// Starts everything; the engine waits `gap` before each token.
+pub(super) async fn start(gap: Duration) -> TestEntry {
+    let seen = Seen::default();
+    let endpoint = start_endpoint(gap, seen.clone());
+    let text = settings_text(nowhere());
+    let settings = settings::parse(&text).unwrap();
+    let process = EntryProcess::start(&settings).unwrap();
+    let snapshot = snapshot(endpoint, process.address);
+    let message = Deliver(EntryMessage::SnapshotChanged { snapshot });
+    process.gateway.actor.send(message).await.unwrap();
+    assert!(process.gateway.actor.send(IsReady).await.unwrap());
+    TestEntry { process, seen }
+}
+
+impl TestEntry {
+    pub(super) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.process.address)
+    }
+
+    pub(super) fn post(&self, path: &str) -> ClientRequest {
+        let client = Client::builder().timeout(DEADLINE).finish();
+        client.post(self.url(path)).bearer_auth(KEY)
+    }
+}
+
+/// Waits until a condition holds.
+pub(super) async fn wait_until<F>(condition: F)
+where
+    F: Fn() -> bool,
+{
+    let held = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(DEADLINE, held).await.unwrap();
+}
+
+/// An address where nothing listens.
+fn nowhere() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings_text(nowhere: SocketAddr) -> String {
+    format!(
+        r#"
+[instance]
+name = "entry-lac-1"
+zone = "Lac"
+[entry]
+listen = "127.0.0.1:0"
+advertise = "127.0.0.1:7001"
+max_body_bytes = 4096
+[control]
+listen = "{nowhere}"
+[platform]
+table = "http://{nowhere}"
+objects = "http://{nowhere}"
+instances = "http://{nowhere}"
+[peers]
+key = "{PEER_KEY}"
+"#
+    )
+}
+
+fn snapshot(endpoint: SocketAddr, entry: SocketAddr) -> Snapshot {
+    let document = |service: &str, text: &str| DocumentInForce {
+        service: service.into(),
+        revision: 1,
+        text: text.to_owned(),
+    };
+    let record = |role, name: &str, service: &str| EndpointRecord {
+        endpoint: name.into(),
+        role,
+        service: ServiceName::from(service),
+        zone: "Lac".into(),
+        address: endpoint,
+        phase: InstancePhase::Live,
+    };
+    Snapshot {
+        version: 1,
+        documents: vec![
+            document("menu-mind", MENU_MIND),
+            document("ledger-api", LEDGER_API),
+        ],
+        endpoints: vec![
+            record(InstanceRole::Engine, "engine-1", "menu-mind"),
+            record(InstanceRole::Application, "ledger-1", "ledger-api"),
+        ],
+        entries: vec![EntryRecord {
+            instance: "entry-lac-1".into(),
+            zone: "Lac".into(),
+            address: entry,
+            serving: true,
+        }],
+        shares: Vec::new(),
+    }
+}
+
+#[derive(Clone)]
+struct EndpointState {
+    gap: Duration,
+    seen: Seen,
+}
+
+/// Serves as an engine that holds every layer and as an application endpoint.
+fn start_endpoint(gap: Duration, seen: Seen) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = HttpServer::new(move || {
+        let state = EndpointState {
+            gap,
+            seen: seen.clone(),
+        };
+        App::new()
+            .app_data(Data::new(state))
+            .route("/v1/state", web::get().to(engine_state))
+            .route("/v1/streams", web::post().to(run_stream))
+            .route("/prices", web::to(answer_call))
+    });
+    let server = server.workers(1).disable_signals();
+    actix_rt::spawn(server.listen(listener).unwrap().run());
+    address
+}
+
+async fn engine_state() -> HttpResponse {
+    HttpResponse::Ok().json(EngineState {
+        endpoint: "engine-1".into(),
+        incarnation: Incarnation::draw(&mut rand::rng()),
+        accelerator: "small".to_owned(),
+        model: "menu-mind-24b".to_owned(),
+        version: "2026-11".to_owned(),
+        adapters: vec!["recipe-cost".to_owned(), "waste-notes".to_owned()],
+        layers: LayerRange { first: 0, end: 24 },
+        fence: 0,
+        draining: false,
+        layer_tokens_per_s: 1_000_000.0,
+        batch_limit: 1_000,
+        running: 0,
+        waiting: 0,
+        load_age_ms: 0,
+        links: IndexMap::new(),
+    })
+}
+
+/// Counts a stream as cut if it is dropped before its end.
+struct StreamGuard {
+    seen: Seen,
+    whole: bool,
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.seen.streams_open.fetch_sub(1, Ordering::SeqCst);
+        if !self.whole {
+            self.seen.streams_cut.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
+async fn run_stream(state: Data<EndpointState>, body: Bytes) -> HttpResponse {
+    let open: OpenStream = serde_json::from_slice(&body).unwrap();
+    state.seen.streams_open.fetch_add(1, Ordering::SeqCst);
+    let guard = StreamGuard {
+        seen: state.seen.clone(),
+        whole: false,
+    };
+    let gap = state.gap;
+    let events = stream::unfold((0, guard), move |(position, mut guard)| {
+        let event = event_at(&open, position);
+        async move {
+            let event = event?;
+            if position > 0 {
+                tokio::time::sleep(gap).await;
+            }
+            guard.whole = matches!(event, StreamEvent::End { .. });
+            let data = serde_json::to_string(&event).unwrap();
+            let piece = Bytes::from(format!("data: {data}\n\n"));
+            Some((Ok::<_, std::io::Error>(piece), (position + 1, guard)))
+        }
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .streaming(events)
+}
+
+fn event_at(open: &OpenStream, position: u32) -> Option<StreamEvent> {
+    let epoch = open.epoch;
+    let text = format!("t{position}");
+    match position {
+        _ if position < open.max_tokens => Some(StreamEvent::Token {
+            epoch,
+            position,
+            text,
+        }),
+        _ if position == open.max_tokens => Some(StreamEvent::End {
+            epoch,
+            positions: open.max_tokens,
+            reason: EndReason::Length,
+        }),
+        _ => None,
+    }
+}
+
+async fn answer_call(state: Data<EndpointState>, http: HttpRequest, body: Bytes) -> HttpResponse {
+    state.seen.calls.fetch_add(1, Ordering::SeqCst);
+    let request = http.headers().get("x-request-id").unwrap();
+    let request = request.to_str().unwrap();
+    let method = http.method();
+    let query = http.query_string();
+    HttpResponse::Created()
+        .content_type("text/plain")
+        .body(format!(
+            "{method} {query} {request} {}",
+            String::from_utf8_lossy(&body)
+        ))
+}
