Control: state machine and process, a first version

One state machine composes documents, membership, shares, audit trail and operators' calls; an actor, the JSON-RPC server and clients carry its messages. Documents are accepted in one transaction under a change id and only ever replaced by a higher revision. The raw bytes of every WebSocket connection are counted by a wrapper of the stream, since the RPC library does not report them. Leases and engine orders are still to come.

--- /dev/null
+++ b/src/control/shares.rs
@@ -0,0 +1,195 @@
+//! Fair shares of this entry, worked out from the demand at every entry of the cell.
+
+use indexmap::IndexMap;
+
+use super::Control;
+use crate::document::Document;
+use crate::fairness::{EntryDemand, split_shares};
+use crate::ids::{AccountId, InstanceId, ServiceName};
+use crate::wire::local::{AccountShare, EntryReport};
+use crate::wire::peer::{PeerDemand, ServiceDemand};
+
+/// Pause between two splits, and between two announcements of the own demand.
+const PERIOD_MS: u64 = 1_000;
+/// Time over which demand is averaged.
+const AVERAGE_MS: f64 = 1_000.0;
+/// Change of a figure, relative to what was told before, that is told again.
+const CHANGE_TOLD: f64 = 0.10;
+/// Demand below this is taken for none.
+const LEAST_TOKENS_PER_S: f64 = 0.5;
+
+/// Demand of the own entry and the shares in force.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Shares {
+    wanted: IndexMap<(ServiceName, AccountId), f64>,
+    capacities: IndexMap<ServiceName, f64>,
+    reported_ms: Option<u64>,
+    next_ms: u64,
+    current: Vec<AccountShare>,
+}
+
+impl Shares {
+    /// Takes the demand of a report into the average.
+    pub(super) fn reported(&mut self, report: &EntryReport, now_ms: u64) {
+        let since_ms = self
+            .reported_ms
+            .map_or(AVERAGE_MS, |at_ms| now_ms.saturating_sub(at_ms) as f64);
+        self.reported_ms = Some(now_ms);
+        let kept = (-since_ms / AVERAGE_MS).exp();
+        for wanted in self.wanted.values_mut() {
+            *wanted *= kept;
+        }
+        for demand in &report.demands {
+            let key = (demand.service.clone(), demand.account.clone());
+            let wanted = self.wanted.entry(key).or_insert(0.0);
+            *wanted += (1.0 - kept) * demand.wanted_tokens_per_s.max(0.0);
+        }
+        self.wanted
+            .retain(|_, wanted| *wanted >= LEAST_TOKENS_PER_S / 8.0);
+        for capacity in &report.capacities {
+            self.capacities
+                .insert(capacity.service.clone(), capacity.tokens_per_s);
+        }
+    }
+
+    /// The shares in force.
+    pub(super) fn current(&self) -> &[AccountShare] {
+        &self.current
+    }
+
+    /// The demand as peers are told of it.
+    fn demand(&self) -> IndexMap<ServiceName, ServiceDemand> {
+        let mut services: IndexMap<ServiceName, ServiceDemand> = IndexMap::new();
+        for (service, capacity) in &self.capacities {
+            let demand = services.entry(service.clone()).or_default();
+            demand.capacity_tokens_per_s = rounded(*capacity);
+        }
+        for ((service, account), wanted) in &self.wanted {
+            if *wanted >= LEAST_TOKENS_PER_S {
+                let demand = services.entry(service.clone()).or_default();
+                let wanted = rounded(*wanted).max(1);
+                demand.wanted_tokens_per_s.insert(account.clone(), wanted);
+            }
+        }
+        services
+    }
+}
+
+impl Control {
+    /// Tells peers of the own demand and works out the shares again, once a period.
+    pub(super) fn settle_shares(&mut self, now_ms: u64) {
+        if now_ms < self.shares.next_ms {
+            return;
+        }
+        self.shares.next_ms = now_ms + PERIOD_MS;
+        let demand = self.shares.demand();
+        if differs(&demand, &self.gossip.own_demand().services) {
+            self.gossip.set_demand(demand);
+        }
+        let shares = self.split(now_ms);
+        if shares_differ(&shares, &self.shares.current) {
+            self.shares.current = shares;
+        }
+    }
+
+    fn split(&self, now_ms: u64) -> Vec<AccountShare> {
+        let members = self.gossip.members().values();
+        let live = members.filter(|member| member.is_live(now_ms));
+        let peers = live.filter_map(|member| member.demand.as_ref());
+        let all: Vec<&PeerDemand> = std::iter::once(self.gossip.own_demand())
+            .chain(peers)
+            .collect();
+        let own = &self.config.instance;
+        self.documents
+            .iter()
+            .flat_map(|(service, held)| split_service(service, &held.document, &all, own))
+            .collect()
+    }
+}
+
+fn split_service(
+    service: &ServiceName,
+    document: &Document,
+    all: &[&PeerDemand],
+    own: &InstanceId,
+) -> Vec<AccountShare> {
+    let weights: IndexMap<AccountId, f64> = document
+        .accounts
+        .iter()
+        .map(|(account, terms)| (account.clone(), terms.weight))
+        .collect();
+    let mut demands = Vec::new();
+    let mut capacities = Vec::new();
+    for told in all {
+        let Some(demand) = told.services.get(service) else {
+            continue;
+        };
+        capacities.push(demand.capacity_tokens_per_s);
+        let wanted = demand.wanted_tokens_per_s.iter();
+        demands.extend(wanted.map(|(account, wanted)| EntryDemand {
+            entry: told.instance.clone(),
+            account: account.clone(),
+            wanted_tokens_per_s: *wanted as f64,
+        }));
+    }
+    split_shares(median(&mut capacities) as f64, &weights, &demands)
+        .into_iter()
+        .filter(|share| share.entry == *own)
+        .map(|share| AccountShare {
+            service: service.clone(),
+            account: share.account,
+            tokens_per_s: share.tokens_per_s,
+        })
+        .collect()
+}
+
+/// The middle of what the entries see; those that see nothing yet do not count.
+fn median(capacities: &mut Vec<u64>) -> u64 {
+    capacities.retain(|capacity| *capacity > 0);
+    capacities.sort_unstable();
+    capacities.get(capacities.len() / 2).copied().unwrap_or(0)
+}
+
+fn rounded(tokens_per_s: f64) -> u64 {
+    if tokens_per_s.is_finite() {
+        tokens_per_s.max(0.0).round() as u64
+    } else {
+        0
+    }
+}
+
+fn differs(
+    now: &IndexMap<ServiceName, ServiceDemand>,
+    told: &IndexMap<ServiceName, ServiceDemand>,
+) -> bool {
+    now.len() != told.len()
+        || now.iter().any(|(service, demand)| {
+            let Some(told) = told.get(service) else {
+                return true;
+            };
+            let wanted = &demand.wanted_tokens_per_s;
+            let told_wanted = &told.wanted_tokens_per_s;
+            is_far(
+                demand.capacity_tokens_per_s as f64,
+                told.capacity_tokens_per_s as f64,
+            ) || wanted.len() != told_wanted.len()
+                || wanted.iter().any(|(account, figure)| {
+                    let told = told_wanted.get(account).copied().unwrap_or(0);
+                    is_far(*figure as f64, told as f64)
+                })
+        })
+}
+
+fn shares_differ(now: &[AccountShare], before: &[AccountShare]) -> bool {
+    let same_account =
+        |a: &AccountShare, b: &AccountShare| a.service == b.service && a.account == b.account;
+    now.len() != before.len()
+        || now
+            .iter()
+            .zip(before)
+            .any(|(a, b)| !same_account(a, b) || is_far(a.tokens_per_s, b.tokens_per_s))
+}
+
+fn is_far(now: f64, told: f64) -> bool {
+    (now - told).abs() > CHANGE_TOLD * told.max(1.0)
+}
--- /dev/null
+++ b/src/control_server/run.rs
@@ -0,0 +1,151 @@
+//! Runs a control process from its settings to its end.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use actix::Actor;
+use jsonrpsee::Methods;
+use jsonrpsee::core::RegisterMethodError;
+use rand::RngExt;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+
+use super::actor::{ControlActor, StopControl};
+use super::handlers::Handlers;
+use super::peers::Peers;
+use super::platform::Platform;
+use super::server::serve;
+use super::traffic::Traffic;
+use crate::control::{Control, ControlConfig};
+use crate::exit_codes::Exit;
+use crate::ids::Incarnation;
+use crate::rpc::{LocalApiServer, OperatorApiServer, PeerApiServer};
+use crate::settings::Settings;
+use crate::telemetry::Counters;
+
+/// Why a control process cannot run.
+#[derive(Debug, Error)]
+pub enum ControlError {
+    /// The listen address cannot be used.
+    #[error("cannot listen on {address}: {source}; set control.listen to a free address")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Signals cannot be watched.
+    #[error("cannot watch for signals: {0}")]
+    Signals(#[from] io::Error),
+    /// Two methods have one name.
+    #[error("cannot register the methods: {0}")]
+    Methods(#[from] RegisterMethodError),
+}
+
+/// Runs until a planned stop has ended, or a second signal, or the limit of the settings.
+///
+/// # Errors
+/// Fails if the process cannot listen or watch for signals.
+pub async fn run(settings: &Settings) -> Result<Exit, ControlError> {
+    let address = settings.control.listen;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| ControlError::Listen { address, source })?;
+    let traffic = Traffic::default();
+    let counters = Counters::new();
+    let (stopped_sender, stopped) = oneshot::channel();
+    let actor = ControlActor::new(
+        Control::new(config(settings), 0),
+        Instant::now(),
+        Platform::new(settings, traffic.clone()),
+        Peers::new(settings.peers.key.clone(), traffic.clone()),
+        counters.clone(),
+        traffic.clone(),
+        stopped_sender,
+    )
+    .start();
+    let handlers = Handlers::new(actor.clone(), settings.peers.key.clone(), counters);
+    let methods = methods(&handlers)?;
+    let (end_sender, end) = oneshot::channel::<()>();
+    let server = actix::spawn(serve(listener, methods, traffic, async move {
+        let _ = end.await;
+    }));
+    log::info!(listen:% = address; "started");
+    let mut stop = Stop::watch(settings.stop.limit_ms)?;
+    stop.first_signal().await;
+    log::info!("stopping");
+    actor.do_send(StopControl);
+    let exit = tokio::select! {
+        _ = stopped => Exit::Success,
+        () = stop.forced() => Exit::Forced,
+    };
+    let _ = end_sender.send(());
+    server.abort();
+    log::info!(exit = exit.name(); "stopped");
+    Ok(exit)
+}
+
+fn config(settings: &Settings) -> ControlConfig {
+    let mut rng = rand::rng();
+    ControlConfig {
+        instance: settings.instance.name.clone(),
+        zone: settings.instance.zone.clone(),
+        address: settings.entry.advertise,
+        control_address: settings.control.listen,
+        incarnation: Incarnation::draw(&mut rng),
+        unix_offset_ms: unix_ms(),
+        seed: rng.random(),
+        peers_key: settings.peers.key.clone(),
+    }
+}
+
+fn methods(handlers: &Handlers) -> Result<Methods, RegisterMethodError> {
+    let mut methods = LocalApiServer::into_rpc(handlers.clone());
+    methods.merge(PeerApiServer::into_rpc(handlers.clone()))?;
+    methods.merge(OperatorApiServer::into_rpc(handlers.clone()))?;
+    Ok(methods.into())
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let since = since.unwrap_or_default().as_millis();
+    u64::try_from(since).unwrap_or(u64::MAX)
+}
+
+/// Signals that end the process.
+struct Stop {
+    terminate: tokio::signal::unix::Signal,
+    interrupt: tokio::signal::unix::Signal,
+    limit_ms: Option<u64>,
+}
+
+impl Stop {
+    fn watch(limit_ms: Option<u64>) -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            limit_ms,
+        })
+    }
+
+    async fn first_signal(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
+    /// Ends with a second signal or when the limit has passed.
+    async fn forced(&mut self) {
+        match self.limit_ms {
+            Some(limit_ms) => {
+                let limit = std::time::Duration::from_millis(limit_ms);
+                let _ = tokio::time::timeout(limit, self.first_signal()).await;
+            }
+            None => self.first_signal().await,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,13 @@
 //! them out. [`instance`] shows every message and effect of one instance.
 
 pub mod admission;
+mod audit;
 pub(crate) mod chain;
 mod checked_toml;
 pub mod claims;
 pub mod ctl;
+pub mod control;
+pub mod control_server;
 pub mod document;
 pub mod entry;
 pub mod exit_codes;
@@ -18,8 +21,10 @@
 pub mod instance;
 pub mod invariant;
 pub mod keys;
+mod membership;
 pub mod outcome;
 pub mod platform;
+mod revision;
 pub mod routing;
 pub mod rpc;
 pub mod settings;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::local::DocumentInForce;
+use super::operator::DocumentReply;
 use crate::ids::{AccountId, EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 
 /// What one control tells another.
@@ -92,7 +92,7 @@
     pub demands: Vec<PeerDemand>,
     /// Documents just accepted.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    pub documents: Vec<DocumentInForce>,
+    pub documents: Vec<DocumentReply>,
 }
 
 impl News {
@@ -188,5 +188,5 @@
     /// Whether the sender's documents come from the store, or from a peer that has heard from it.
     pub ready: bool,
     /// The documents.
-    pub documents: Vec<DocumentInForce>,
+    pub documents: Vec<DocumentReply>,
 }
