Chain: blame, rebuild and watching split up, tested over random orders of events

Found while testing and mended: - An engine that is cancelled as the first stage of an old epoch closes that epoch at the stages that stay and drops their KV state. Replaced stages are now cancelled only once the next epoch has delivered a token, which also leaves their state there for an import. - A stage that had not heard of an epoch counted as behind one still in its first step. - A rebuild waiting for stages forgot a KvMissing that came meanwhile. - A chain with all max_tokens rebuilt itself when only the end event was late.

Added: a stage that keeps naming others unreachable is excluded itself; a broken stream is opened again whatever its probes say; a false alarm without other stages lets the old epoch go on; at most two rebuilds of one chain because it is slow.

23 tests pass, two of them proptests of 1,000 orders each (tokens exactly once and in order, epochs only grow, nothing after the end, no stage goes on from KV state it does not hold).

--- a/src/chain/blame.rs
+++ b/src/chain/blame.rs
@@ -59,33 +59,39 @@
     }
 }
 
-/// Judges a round. `held` is the number of tokens the entry holds, `delivered` whether the epoch has
-/// delivered one, `before` the answers of the round before, if no token came since.
-pub(crate) fn judge(
-    answers: &[ProbeAnswer],
-    before: Option<&[ProbeAnswer]>,
-    epoch: u32,
-    held: u32,
-    delivered: bool,
-) -> Blame {
+/// What the entry knows of the epoch that is judged.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Known<'a> {
+    /// The epoch.
+    pub(crate) epoch: u32,
+    /// Tokens held when it was opened: positions that no stage has to finish.
+    pub(crate) start: u32,
+    /// Tokens held now.
+    pub(crate) held: u32,
+    /// Answers of the round before, if no token came since.
+    pub(crate) before: Option<&'a [ProbeAnswer]>,
+}
+
+/// Judges a round of probes.
+pub(crate) fn judge(answers: &[ProbeAnswer], known: Known<'_>) -> Blame {
     let dead = indexes(answers, |answer| answer == ProbeAnswer::Unreachable);
     if !dead.is_empty() {
         return Blame::Dead(dead);
     }
     let lost = indexes(answers, |answer| answer == ProbeAnswer::NotKnown);
-    if delivered && !lost.is_empty() {
+    if known.held > known.start && !lost.is_empty() {
         return Blame::Lost(lost);
     }
     if answers.first() == Some(&ProbeAnswer::NotKnown) {
         return Blame::Connection;
     }
-    let positions = positions(answers, epoch);
+    let positions = positions(answers, known);
     let behind = first_behind(&positions);
-    let moved = before.is_none_or(|before| before != answers);
+    let moved = known.before.is_none_or(|before| before != answers);
     if moved {
         return Blame::Behind(behind);
     }
-    if positions.iter().all(|position| *position > held) {
+    if positions.iter().all(|position| *position > known.held) {
         return Blame::Connection;
     }
     Blame::Stuck(behind)
@@ -101,11 +107,12 @@
         .collect()
 }
 
-/// Positions finished in an epoch; 0 for a stage that has not heard of it.
-fn positions(answers: &[ProbeAnswer], epoch: u32) -> Vec<u32> {
+/// Positions finished in the epoch; those before its start count for a stage that has not heard of
+/// it yet.
+fn positions(answers: &[ProbeAnswer], known: Known<'_>) -> Vec<u32> {
     let finished = |answer: &ProbeAnswer| match answer {
-        ProbeAnswer::Progress(progress) if progress.epoch == epoch => progress.position,
-        _ => 0,
+        ProbeAnswer::Progress(it) if it.epoch == known.epoch => it.position.max(known.start),
+        _ => known.start,
     };
     answers.iter().map(finished).collect()
 }
--- a/src/chain/machine.rs
+++ b/src/chain/machine.rs
@@ -1,39 +1,22 @@
 //! The state machine of one running completion.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexMap;
 
-use super::blame::{Blame, Round, judge};
+use super::blame::Round;
 use super::message::{ChainEffect, ChainMessage, ChainSpec, DropCause, Expected, ProbeAnswer};
 use super::pace::Pace;
 use crate::ids::EndpointId;
-use crate::instance::StreamFailure;
-use crate::outcome::RefusalCode;
-use crate::routing::{EndpointFault, NoRoute};
-use crate::wire::WIRE_VERSION;
-use crate::wire::engine::{EndReason, EngineErrorCode, LayerRange, OpenStream, Stage, StreamEvent};
+use crate::routing::NoRoute;
+use crate::wire::engine::{EndReason, LayerRange, Stage, StreamEvent};
 
-/// Longest time without a new token before the answer is given up.
-const GIVE_UP_MS: u64 = 30_000;
-/// Rebuilds without a token between them that are not charged to the retry budget.
-const FREE_REBUILDS: u32 = 2;
-/// How long to wait before stages are looked for again.
-const REPLAN_MS: u64 = 20;
-/// Longest such wait.
-const REPLAN_CEILING_MS: u64 = 1_000;
-/// Shortest time a stage has to answer a probe.
-const PROBE_MS: u64 = 60;
-/// Time after that before a probe whose answer the driver did not bring is taken for unanswered.
-const PROBE_MARGIN_MS: u64 = 20;
-/// Rounds of probes without any movement before a stage is held to be stuck.
-const STUCK_ROUNDS: u32 = 2;
-/// The same before the epoch's first token, which may wait in an engine's queue.
-const FIRST_STUCK_ROUNDS: u32 = 4;
-/// Rounds that must find the same stage behind before a slow chain is rebuilt without it.
-const SLOW_ROUNDS: u32 = 3;
+/// Most rebuilds of one chain because it is slow.
+const SLOW_REBUILDS: u32 = 2;
 
 /// Where a chain stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
+pub(super) enum State {
     /// Waits for stages; asks again at this time.
     Routing { retry_at_ms: u64 },
     /// The stream of the current epoch is open.
@@ -45,40 +28,51 @@
 /// A running completion.
 #[derive(Clone, Debug)]
 pub(crate) struct Chain {
-    spec: ChainSpec,
-    state: State,
+    pub(super) spec: ChainSpec,
+    pub(super) state: State,
     /// Only grows; 0 before the first stream was opened.
-    epoch: u32,
+    pub(super) epoch: u32,
     /// Stages of the current epoch.
-    stages: Vec<Stage>,
+    pub(super) stages: Vec<Stage>,
     /// Stages that surely hold the KV state of every position in `tokens`, with their layers.
-    holding: IndexMap<EndpointId, LayerRange>,
+    pub(super) holding: IndexMap<EndpointId, LayerRange>,
     /// Whether the next epoch may import KV state.
-    may_import: bool,
+    pub(super) may_import: bool,
+    /// Whether KV state was found missing since the last token.
+    pub(super) kv_missing: bool,
     /// Tokens handed out, in order; never more than `spec.max_tokens`.
-    tokens: Vec<String>,
-    /// Whether the current epoch has delivered a token.
-    delivered: bool,
-    pace: Pace,
-    opened_at_ms: u64,
+    pub(super) tokens: Vec<String>,
+    /// Tokens held when the current epoch was opened.
+    pub(super) start: u32,
+    /// Stages of earlier epochs still to be cancelled. That waits for the first token of the epoch
+    /// that replaced them: until then their KV state may be imported, and a cancelled first stage
+    /// would take the state of those that stay with it.
+    pub(super) to_cancel: Vec<(SocketAddr, u32)>,
+    /// Stages that named another as unreachable since the last token.
+    pub(super) accusers: Vec<EndpointId>,
+    pub(super) pace: Pace,
+    pub(super) opened_at_ms: u64,
     /// When the last token came, or the chain began.
-    progress_at_ms: u64,
+    pub(super) progress_at_ms: u64,
     /// When silence becomes suspicious.
-    suspect_at_ms: u64,
-    round: Option<Round>,
-    rounds: u32,
+    pub(super) suspect_at_ms: u64,
+    pub(super) round: Option<Round>,
+    pub(super) rounds: u32,
     /// Whether the current epoch's stream has surely ended without a last word, so that it must be
     /// opened again whatever the probes say.
-    broken: bool,
+    pub(super) broken: bool,
     /// Answers of the last round, if no token came since.
-    last_answers: Option<Vec<ProbeAnswer>>,
+    pub(super) last_answers: Option<Vec<ProbeAnswer>>,
     /// Rounds without movement since the last token.
-    unmoved_rounds: u32,
+    pub(super) unmoved_rounds: u32,
     /// The stage last found behind, and in how many rounds in a row.
-    behind: Option<(usize, u32)>,
+    pub(super) behind: Option<(usize, u32)>,
+    /// Times the chain may still be rebuilt because it is slow. Few, since recomputing adds to the
+    /// load that may be what slows it.
+    pub(super) slow_left: u32,
     /// Rebuilds since the last token.
-    rebuilds: u32,
-    excluded: Vec<EndpointId>,
+    pub(super) rebuilds: u32,
+    pub(super) excluded: Vec<EndpointId>,
 }
 
 impl Chain {
@@ -98,8 +92,11 @@
             stages: Vec::new(),
             holding: IndexMap::new(),
             may_import: true,
+            kv_missing: false,
             tokens: Vec::new(),
-            delivered: false,
+            start: 0,
+            to_cancel: Vec::new(),
+            accusers: Vec::new(),
             pace: Pace::new(expected),
             opened_at_ms: now_ms,
             progress_at_ms: now_ms,
@@ -110,6 +107,7 @@
             last_answers: None,
             unmoved_rounds: 0,
             behind: None,
+            slow_left: SLOW_REBUILDS,
             rebuilds: 0,
             excluded: Vec::new(),
         };
@@ -182,89 +180,12 @@
         effects
     }
 
-    fn open(
+    pub(super) fn on_event(
         &mut self,
-        stages: Vec<Stage>,
-        expected: Expected,
+        event: StreamEvent,
         now_ms: u64,
         effects: &mut Vec<ChainEffect>,
     ) {
-        let next = self.mark_recompute(stages);
-        let kept = |stage: &Stage| next.iter().any(|other| other.endpoint == stage.endpoint);
-        for stage in self.stages.iter().filter(|stage| !kept(stage)) {
-            effects.push(ChainEffect::Cancel {
-                address: stage.address,
-                epoch: self.epoch,
-            });
-        }
-        self.stages = next;
-        self.epoch += 1;
-        self.state = State::Open;
-        self.delivered = false;
-        self.broken = false;
-        self.opened_at_ms = now_ms;
-        self.pace = Pace::new(expected);
-        self.forget_silence();
-        let recomputes = self.stages.iter().any(|stage| stage.recompute);
-        self.suspect_at_ms = now_ms + self.pace.first_timeout_ms(recomputes);
-        effects.push(ChainEffect::Open {
-            open: self.open_stream(),
-            fresh_connection: self.epoch > 1,
-        });
-    }
-
-    fn open_stream(&self) -> OpenStream {
-        OpenStream {
-            wire_version: WIRE_VERSION,
-            stream: self.spec.stream,
-            epoch: self.epoch,
-            request: self.spec.request.clone(),
-            model: self.spec.model.clone(),
-            version: self.spec.version.clone(),
-            adapter: self.spec.adapter.clone(),
-            chain: self.stages.clone(),
-            prompt: self.spec.prompt.clone(),
-            generated: self.tokens.clone(),
-            max_tokens: self.spec.max_tokens,
-            priority: self.spec.priority,
-        }
-    }
-
-    /// Decides which stages run the earlier positions again: each one that does not surely hold
-    /// their KV state, and every stage before it, since it needs their activations.
-    fn mark_recompute(&mut self, mut stages: Vec<Stage>) -> Vec<Stage> {
-        let may_import = self.may_import;
-        let holding = &self.holding;
-        let ready = |stage: &Stage| {
-            let imports = may_import && !stage.recompute && stage.import_from.is_some();
-            imports || holding.get(&stage.endpoint) == Some(&stage.layers)
-        };
-        let first_kept = stages
-            .iter()
-            .rposition(|stage| !ready(stage))
-            .map_or(0, |last| last + 1);
-        for (index, stage) in stages.iter_mut().enumerate() {
-            stage.recompute = index < first_kept;
-            if stage.recompute {
-                stage.import_from = None;
-            }
-        }
-        let keeps = |endpoint: &EndpointId| {
-            let mut kept = stages.iter().filter(|stage| !stage.recompute);
-            kept.any(|stage| stage.endpoint == *endpoint && stage.import_from.is_none())
-        };
-        self.holding.retain(|endpoint, _| keeps(endpoint));
-        stages
-    }
-
-    fn forget_silence(&mut self) {
-        self.round = None;
-        self.last_answers = None;
-        self.unmoved_rounds = 0;
-        self.behind = None;
-    }
-
-    fn on_event(&mut self, event: StreamEvent, now_ms: u64, effects: &mut Vec<ChainEffect>) {
         if event_epoch(&event) != self.epoch {
             effects.push(ChainEffect::Dropped(DropCause::OtherEpoch));
             return;
@@ -284,7 +205,7 @@
         }
     }
 
-    fn on_token(
+    pub(super) fn on_token(
         &mut self,
         position: u32,
         text: String,
@@ -292,7 +213,7 @@
         effects: &mut Vec<ChainEffect>,
     ) {
         let next = self.held();
-        if position != next || next >= self.spec.max_tokens {
+        if position != next || self.is_whole() {
             let cause = if position > next {
                 DropCause::Ahead
             } else {
@@ -311,26 +232,33 @@
     }
 
     /// Notes the arrival of a token and returns the gap before it.
-    fn note_progress(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) -> Option<u64> {
-        let gap_ms = self
-            .delivered
-            .then(|| now_ms.saturating_sub(self.progress_at_ms));
-        match gap_ms {
-            Some(gap_ms) => self.pace.add_gap(gap_ms),
-            None => self.note_first(now_ms, effects),
-        }
+    pub(super) fn note_progress(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) -> u64 {
+        let gap_ms = if self.has_delivered() {
+            let gap_ms = now_ms.saturating_sub(self.progress_at_ms);
+            self.pace.add_gap(gap_ms);
+            gap_ms
+        } else {
+            self.note_first(now_ms, effects);
+            now_ms.saturating_sub(self.opened_at_ms)
+        };
         self.progress_at_ms = now_ms;
         self.rebuilds = 0;
-        let behind = self.behind.filter(|_| self.pace.is_slow());
+        self.accusers.clear();
+        if !self.broken {
+            // Also when stages for the next epoch are being looked for: this one goes on after all.
+            self.state = State::Open;
+        }
+        let behind = self.behind.filter(|_| self.pace.is_late());
         self.forget_silence();
         self.behind = behind;
         self.suspect_at_ms = now_ms + self.pace.next_probe_ms();
         gap_ms
     }
 
-    fn note_first(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        self.delivered = true;
+    pub(super) fn note_first(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) {
+        self.cancel_dropped(effects);
         self.may_import = true;
+        self.kv_missing = false;
         if self.stages.iter().all(|stage| stage.recompute) {
             effects.push(ChainEffect::Prefilled {
                 took_ms: now_ms.saturating_sub(self.opened_at_ms),
@@ -352,11 +280,21 @@
             .saturating_add(self.held())
     }
 
-    fn held(&self) -> u32 {
+    /// Whether the current epoch has delivered a token.
+    pub(super) fn has_delivered(&self) -> bool {
+        self.held() > self.start
+    }
+
+    /// Whether every token that may be generated is here, even if the end event is not.
+    pub(super) fn is_whole(&self) -> bool {
+        self.held() >= self.spec.max_tokens
+    }
+
+    pub(super) fn held(&self) -> u32 {
         u32::try_from(self.tokens.len()).unwrap_or(u32::MAX)
     }
 
-    fn on_end(
+    pub(super) fn on_end(
         &mut self,
         positions: u32,
         reason: EndReason,
@@ -366,312 +304,21 @@
         if positions != self.held() {
             // A token is missing on the way: the engines have it, the entry has not.
             effects.push(ChainEffect::Dropped(DropCause::Ahead));
+            self.broken = true;
             self.rebuild(&[], now_ms, effects);
             return;
         }
         self.finish(reason == EndReason::Length, effects);
     }
 
-    fn finish(&mut self, cut_by_length: bool, effects: &mut Vec<ChainEffect>) {
+    pub(super) fn finish(&mut self, cut_by_length: bool, effects: &mut Vec<ChainEffect>) {
         self.state = State::Ended;
+        self.cancel_dropped(effects);
         effects.push(ChainEffect::Done {
             positions: self.held(),
             cut_by_length,
         });
     }
-
-    fn on_failed(
-        &mut self,
-        stage: Option<EndpointId>,
-        cause: EngineErrorCode,
-        now_ms: u64,
-        effects: &mut Vec<ChainEffect>,
-    ) {
-        if self.state != State::Open {
-            return;
-        }
-        match (cause, stage) {
-            (EngineErrorCode::Malformed, _) => self.give_up(RefusalCode::EndpointFailed, effects),
-            (EngineErrorCode::KvMissing, _) => {
-                self.holding.clear();
-                self.may_import = false;
-                self.rebuild(&[], now_ms, effects);
-            }
-            (EngineErrorCode::StaleEpoch | EngineErrorCode::Cancelled, _) => {
-                self.rebuild(&[], now_ms, effects);
-            }
-            (EngineErrorCode::StageUnreachable, Some(stage)) => {
-                self.blame(&[stage], EndpointFault::Unreachable, now_ms, effects);
-            }
-            (EngineErrorCode::Draining, Some(stage)) => {
-                self.blame(&[stage], EndpointFault::Draining, now_ms, effects);
-            }
-            (_, Some(stage)) => self.blame(&[stage], EndpointFault::Refused, now_ms, effects),
-            (_, None) => self.probe_broken(now_ms, effects),
-        }
-    }
-
-    fn on_stream_failed(
-        &mut self,
-        epoch: u32,
-        failure: StreamFailure,
-        now_ms: u64,
-        effects: &mut Vec<ChainEffect>,
-    ) {
-        if epoch != self.epoch || self.state != State::Open {
-            return;
-        }
-        if self.held() == self.spec.max_tokens {
-            // Only the end event was lost.
-            self.finish(true, effects);
-            return;
-        }
-        let first = self.stages.first().map(|stage| stage.endpoint.clone());
-        match failure {
-            StreamFailure::NotSent => {
-                let first: Vec<EndpointId> = first.into_iter().collect();
-                self.blame(&first, EndpointFault::Unreachable, now_ms, effects);
-            }
-            StreamFailure::Refused { error } => {
-                self.on_failed(error.stage.or(first), error.code, now_ms, effects);
-            }
-            StreamFailure::Broken => self.probe_broken(now_ms, effects),
-        }
-    }
-
-    /// Reports stages at fault and rebuilds without them.
-    fn blame(
-        &mut self,
-        stages: &[EndpointId],
-        fault: EndpointFault,
-        now_ms: u64,
-        effects: &mut Vec<ChainEffect>,
-    ) {
-        for endpoint in stages {
-            effects.push(ChainEffect::Fault {
-                endpoint: endpoint.clone(),
-                fault,
-            });
-        }
-        self.rebuild(stages, now_ms, effects);
-    }
-
-    /// Gives the current epoch up and asks for stages for the next.
-    fn rebuild(&mut self, without: &[EndpointId], now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        for endpoint in without {
-            if !self.excluded.contains(endpoint) {
-                self.excluded.push(endpoint.clone());
-            }
-            self.holding.shift_remove(endpoint);
-        }
-        self.round = None;
-        self.rebuilds += 1;
-        self.ask_for_stages(now_ms, effects);
-    }
-
-    fn ask_for_stages(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        if self.is_out_of_time(now_ms) {
-            self.give_up(RefusalCode::EndpointFailed, effects);
-            return;
-        }
-        self.state = State::Routing {
-            retry_at_ms: now_ms + REPLAN_MS,
-        };
-        effects.push(ChainEffect::Plan {
-            exclude: self.excluded.clone(),
-            is_retry: self.rebuilds > FREE_REBUILDS,
-        });
-    }
-
-    fn is_out_of_time(&self, now_ms: u64) -> bool {
-        let late = self.spec.deadline.is_some_and(|it| now_ms >= it.at_ms);
-        late || now_ms.saturating_sub(self.progress_at_ms) >= GIVE_UP_MS
-    }
-
-    fn wait_for_route(&mut self, reason: NoRoute, now_ms: u64) {
-        if let State::Open = self.state {
-            // A slow chain could not be replaced: it goes on.
-            self.behind = None;
-            return;
-        }
-        if reason == NoRoute::Incomplete {
-            // Better a stage that failed once than none; the router still knows what it saw.
-            self.excluded.clear();
-        }
-        let wait_ms = REPLAN_MS << self.rebuilds.min(6);
-        self.state = State::Routing {
-            retry_at_ms: now_ms + wait_ms.min(REPLAN_CEILING_MS),
-        };
-    }
-
-    fn give_up(&mut self, code: RefusalCode, effects: &mut Vec<ChainEffect>) {
-        self.state = State::Ended;
-        self.cancel_stages(effects);
-        effects.push(ChainEffect::GiveUp { code });
-    }
-
-    fn cancel_stages(&self, effects: &mut Vec<ChainEffect>) {
-        for stage in &self.stages {
-            effects.push(ChainEffect::Cancel {
-                address: stage.address,
-                epoch: self.epoch,
-            });
-        }
-    }
-
-    fn on_wake(&mut self, gap_ms: f64, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        if self.wake_at_ms().is_none_or(|at_ms| now_ms < at_ms) {
-            return;
-        }
-        match self.state {
-            State::Routing { .. } => self.ask_for_stages(now_ms, effects),
-            State::Open if self.round.is_some() => self.conclude(now_ms, effects),
-            State::Open => self.suspect(gap_ms, now_ms, effects),
-            State::Ended => {}
-        }
-    }
-
-    /// Probes the stages, unless the engines' history now lets expect a longer silence.
-    fn suspect(&mut self, gap_ms: f64, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        if self.delivered && !self.pace.is_slow() {
-            let due_ms = self.progress_at_ms + self.pace.next_timeout_ms(gap_ms);
-            if now_ms < due_ms {
-                self.suspect_at_ms = due_ms;
-                return;
-            }
-        }
-        self.probe(now_ms, effects);
-    }
-
-    fn probe_broken(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        self.broken = true;
-        self.probe(now_ms, effects);
-    }
-
-    fn probe(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        if self.round.is_some() {
-            return;
-        }
-        self.rounds += 1;
-        let until_ms = now_ms + PROBE_MS + PROBE_MARGIN_MS;
-        self.round = Some(Round::new(self.rounds, self.stages.len(), until_ms));
-        for (index, stage) in self.stages.iter().enumerate() {
-            effects.push(ChainEffect::Probe {
-                round: self.rounds,
-                stage: index,
-                address: stage.address,
-                timeout_ms: PROBE_MS,
-            });
-        }
-    }
-
-    fn on_probed(
-        &mut self,
-        number: u32,
-        stage: usize,
-        answer: ProbeAnswer,
-        now_ms: u64,
-        effects: &mut Vec<ChainEffect>,
-    ) {
-        let Some(round) = &mut self.round else { return };
-        if round.number != number {
-            return;
-        }
-        round.add(stage, answer);
-        if round.is_complete() {
-            self.conclude(now_ms, effects);
-        }
-    }
-
-    fn conclude(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        let Some(round) = self.round.take() else {
-            return;
-        };
-        let answers = round.into_answers();
-        let blame = judge(
-            &answers,
-            self.last_answers.as_deref(),
-            self.epoch,
-            self.held(),
-            self.delivered,
-        );
-        self.last_answers = Some(answers);
-        match blame {
-            Blame::Dead(dead) => {
-                let dead = self.endpoints(&dead);
-                self.blame(&dead, EndpointFault::Silent, now_ms, effects);
-            }
-            Blame::Lost(lost) => {
-                for endpoint in self.endpoints(&lost) {
-                    self.holding.shift_remove(&endpoint);
-                }
-                self.rebuild(&[], now_ms, effects);
-            }
-            Blame::Connection => self.rebuild(&[], now_ms, effects),
-            Blame::Stuck(_) | Blame::Behind(_) if self.broken => {
-                self.rebuild(&[], now_ms, effects);
-            }
-            Blame::Stuck(stage) => self.on_stuck(stage, now_ms, effects),
-            Blame::Behind(stage) => self.on_behind(stage, now_ms, effects),
-        }
-    }
-
-    fn endpoints(&self, indexes: &[usize]) -> Vec<EndpointId> {
-        let stages = indexes.iter().filter_map(|index| self.stages.get(*index));
-        stages.map(|stage| stage.endpoint.clone()).collect()
-    }
-
-    fn on_stuck(&mut self, stage: usize, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        self.unmoved_rounds += 1;
-        let enough = if self.delivered {
-            STUCK_ROUNDS - 1
-        } else {
-            FIRST_STUCK_ROUNDS - 1
-        };
-        if self.unmoved_rounds >= enough {
-            let stuck = self.endpoints(&[stage]);
-            self.blame(&stuck, EndpointFault::Silent, now_ms, effects);
-            return;
-        }
-        self.wait_again(now_ms);
-    }
-
-    fn on_behind(&mut self, stage: usize, now_ms: u64, effects: &mut Vec<ChainEffect>) {
-        self.unmoved_rounds = 0;
-        let rounds = match self.behind {
-            Some((other, rounds)) if other == stage => rounds + 1,
-            _ => 1,
-        };
-        self.behind = Some((stage, rounds));
-        self.wait_again(now_ms);
-        if self.pace.is_slow() && rounds >= SLOW_ROUNDS {
-            self.replace_slow(stage, effects);
-        }
-    }
-
-    /// Asks for a chain without a stage that holds this one up. The present epoch stays open until
-    /// there is one.
-    fn replace_slow(&mut self, stage: usize, effects: &mut Vec<ChainEffect>) {
-        let mut exclude = self.excluded.clone();
-        for endpoint in self.endpoints(&[stage]) {
-            effects.push(ChainEffect::Fault {
-                endpoint: endpoint.clone(),
-                fault: EndpointFault::Slow,
-            });
-            exclude.push(endpoint);
-        }
-        effects.push(ChainEffect::Plan {
-            exclude,
-            is_retry: false,
-        });
-    }
-
-    /// Waits as long again as the silence has lasted, within bounds.
-    fn wait_again(&mut self, now_ms: u64) {
-        let since_ms = self.progress_at_ms.max(self.opened_at_ms);
-        let silent_ms = now_ms.saturating_sub(since_ms);
-        self.suspect_at_ms = now_ms + silent_ms.clamp(PROBE_MS, REPLAN_CEILING_MS);
-    }
 }
 
 fn event_epoch(event: &StreamEvent) -> u32 {
--- a/src/chain/message.rs
+++ b/src/chain/message.rs
@@ -154,8 +154,8 @@
         position: u32,
         /// Text.
         text: String,
-        /// Time since the token before; `None` for the first of an epoch.
-        gap_ms: Option<u64>,
+        /// Time since the token before; for the first of an epoch since that was opened.
+        gap_ms: u64,
     },
     /// The first token of an epoch that recomputed everything came.
     Prefilled {
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -8,8 +8,10 @@
 mod machine;
 mod message;
 mod pace;
+mod rebuild;
 #[cfg(test)]
 mod tests;
+mod watch;
 
 pub(crate) use machine::Chain;
 pub(crate) use message::{ChainEffect, ChainMessage, ChainSpec, DropCause, Expected, ProbeAnswer};
--- a/src/chain/pace.rs
+++ b/src/chain/pace.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Whether the last gap was far above what was planned.
+    pub(crate) fn is_late(&self) -> bool {
+        self.late_in_row > 0
+    }
+
     /// Whether the last few gaps were all far above what was planned.
     pub(crate) fn is_slow(&self) -> bool {
         self.late_in_row >= LATE_STREAK
--- /dev/null
+++ b/src/chain/tests/orders.rs
@@ -0,0 +1,163 @@
+//! Random orders of events.
+
+use proptest::prelude::*;
+
+use super::harness::{Harness, Routes};
+use crate::chain::{ChainMessage, ProbeAnswer};
+use crate::instance::StreamFailure;
+use crate::wire::engine::{EngineError, EngineErrorCode, StreamEvent, StreamProgress};
+
+const CAUSES: [EngineErrorCode; 6] = [
+    EngineErrorCode::StageUnreachable,
+    EngineErrorCode::KvMissing,
+    EngineErrorCode::Draining,
+    EngineErrorCode::StaleEpoch,
+    EngineErrorCode::Overloaded,
+    EngineErrorCode::Cancelled,
+];
+const STAGES: [&str; 6] = ["a0", "a1", "b0", "b1", "c0", "c1"];
+
+/// One thing that happens; offsets are relative to what is current.
+#[derive(Clone, Debug)]
+enum Act {
+    Token { epoch: i64, position: i64 },
+    End { epoch: i64, positions: i64 },
+    Heartbeat,
+    Failed { stage: Option<usize>, cause: usize },
+    Broken { epoch: i64 },
+    NotSent,
+    Refused { cause: usize },
+    Probes { answers: [u8; 3] },
+    Wake,
+    Pause { ms: u64 },
+    Routes(Routes),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        6 => Just(Act::Token { epoch: 0, position: 0 }),
+        3 => (-1..=1i64, -2..=2i64).prop_map(|(epoch, position)| Act::Token { epoch, position }),
+        1 => (-1..=0i64, -1..=1i64).prop_map(|(epoch, positions)| Act::End { epoch, positions }),
+        1 => Just(Act::Heartbeat),
+        2 => (proptest::option::of(0..6usize), 0..6usize)
+            .prop_map(|(stage, cause)| Act::Failed { stage, cause }),
+        1 => (-1..=0i64).prop_map(|epoch| Act::Broken { epoch }),
+        1 => Just(Act::NotSent),
+        1 => (0..6usize).prop_map(|cause| Act::Refused { cause }),
+        3 => proptest::array::uniform3(0..5u8).prop_map(|answers| Act::Probes { answers }),
+        4 => Just(Act::Wake),
+        1 => (0..3_000u64).prop_map(|ms| Act::Pause { ms }),
+        1 => prop_oneof![
+            3 => Just(Routes::Found),
+            1 => Just(Routes::Full),
+            1 => Just(Routes::Denied)
+        ]
+        .prop_map(Act::Routes),
+    ]
+}
+
+fn offset(base: u32, by: i64) -> u32 {
+    u32::try_from(i64::from(base) + by).unwrap_or(0)
+}
+
+fn run(harness: &mut Harness, act: &Act) {
+    let (now_epoch, held) = (harness.epoch(), harness.held());
+    match act {
+        Act::Token { epoch, position } => {
+            harness.token_of(offset(now_epoch, *epoch), offset(held, *position));
+        }
+        Act::End { epoch, positions } => {
+            harness.end_of(offset(now_epoch, *epoch), offset(held, *positions));
+        }
+        Act::Heartbeat => harness.send(ChainMessage::Event(StreamEvent::Heartbeat {
+            epoch: now_epoch,
+            position: held,
+        })),
+        Act::Failed { stage, cause } => {
+            harness.failed(stage.map(|index| STAGES[index]), CAUSES[*cause]);
+        }
+        Act::Broken { epoch } => {
+            stream_failed(harness, offset(now_epoch, *epoch), StreamFailure::Broken)
+        }
+        Act::NotSent => stream_failed(harness, now_epoch, StreamFailure::NotSent),
+        Act::Refused { cause } => {
+            let code = CAUSES[*cause];
+            let error = EngineError { code, stage: None };
+            stream_failed(harness, now_epoch, StreamFailure::Refused { error });
+        }
+        Act::Probes { answers } => {
+            let answers = answers.map(|answer| probe_answer(answer, now_epoch, held));
+            harness.answer_probes(&answers);
+        }
+        Act::Wake => harness.wake(),
+        Act::Pause { ms } => harness.now_ms += ms,
+        Act::Routes(routes) => harness.routes = *routes,
+    }
+}
+
+fn stream_failed(harness: &mut Harness, epoch: u32, failure: StreamFailure) {
+    harness.send(ChainMessage::StreamFailed { epoch, failure });
+}
+
+fn probe_answer(kind: u8, epoch: u32, held: u32) -> ProbeAnswer {
+    let position = match kind {
+        0 => return ProbeAnswer::Unreachable,
+        1 => return ProbeAnswer::NotKnown,
+        2 => held,
+        3 => held + 1,
+        _ => held + 2,
+    };
+    ProbeAnswer::Progress(StreamProgress { epoch, position })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    /// The harness checks the order of tokens, the growth of epochs, that nothing follows the end,
+    /// and that no stage is told to go on from KV state it does not hold.
+    #[test]
+    fn any_order_of_events_keeps_the_answer_whole(acts in prop::collection::vec(act(), 1..80)) {
+        let mut harness = Harness::new();
+        for act in &acts {
+            run(&mut harness, act);
+        }
+    }
+
+    /// Whatever happened before, a chain that finds stages and whose engines answer comes to an
+    /// end.
+    #[test]
+    fn a_chain_always_ends(acts in prop::collection::vec(act(), 1..60)) {
+        let mut harness = Harness::new();
+        for act in &acts {
+            run(&mut harness, act);
+        }
+        harness.routes = Routes::Found;
+        for _ in 0..400 {
+            if harness.ended.is_some() {
+                break;
+            }
+            harness.wake();
+            harness.answer_probes(&[ProbeAnswer::NotKnown; 3]);
+            let whole = harness.held() == super::harness::MAX_TOKENS;
+            if whole {
+                harness.end_of(harness.epoch(), harness.held());
+            } else {
+                harness.token();
+            }
+        }
+        prop_assert!(harness.ended.is_some());
+    }
+}
+
+#[test]
+fn silence_for_ever_is_given_up() {
+    for routes in [Routes::Found, Routes::Full] {
+        let mut harness = Harness::new();
+        harness.routes = routes;
+        for _ in 0..5_000 {
+            harness.wake();
+        }
+        assert!(harness.ended.is_some());
+        assert!(harness.now_ms < 60_000);
+    }
+}
--- /dev/null
+++ b/src/chain/tests/recovery.rs
@@ -0,0 +1,309 @@
+//! One fault at a time.
+
+use super::harness::{Harness, MAX_TOKENS, Routes};
+use crate::chain::{ChainEffect, ChainMessage, DropCause, ProbeAnswer};
+use crate::instance::StreamFailure;
+use crate::routing::EndpointFault;
+use crate::wire::engine::{EngineErrorCode, StreamEvent};
+
+fn running() -> Harness {
+    let mut harness = Harness::new();
+    harness.now_ms = 100;
+    harness.token();
+    harness.now_ms = 120;
+    harness.token();
+    harness
+}
+
+fn chain_names(harness: &Harness) -> Vec<(String, bool)> {
+    let stages = harness.opened.last().unwrap().chain.iter();
+    stages
+        .map(|stage| (stage.endpoint.to_string(), stage.recompute))
+        .collect()
+}
+
+fn named(stages: [(&str, bool); 3]) -> Vec<(String, bool)> {
+    stages
+        .map(|(name, recompute)| (name.to_owned(), recompute))
+        .to_vec()
+}
+
+fn faults(harness: &Harness) -> Vec<(String, EndpointFault)> {
+    let faults = harness.last.iter().filter_map(|effect| match effect {
+        ChainEffect::Fault { endpoint, fault } => Some((endpoint.to_string(), *fault)),
+        _ => None,
+    });
+    faults.collect()
+}
+
+fn probes(harness: &Harness) -> usize {
+    let probes = harness.last.iter();
+    probes
+        .filter(|effect| matches!(effect, ChainEffect::Probe { .. }))
+        .count()
+}
+
+#[test]
+fn a_dead_stage_is_replaced_and_those_behind_it_keep_their_state() {
+    let mut harness = running();
+    harness.failed(Some("b0"), EngineErrorCode::StageUnreachable);
+    assert_eq!(harness.epoch(), 2);
+    let expected = named([("a0", true), ("b1", true), ("c0", false)]);
+    assert_eq!(chain_names(&harness), expected);
+    assert_eq!(
+        faults(&harness),
+        [("b0".to_owned(), EndpointFault::Unreachable)]
+    );
+}
+
+#[test]
+fn events_of_an_earlier_epoch_are_dropped() {
+    let mut harness = running();
+    harness.failed(Some("b0"), EngineErrorCode::StageUnreachable);
+    harness.token_of(1, 2);
+    assert_eq!(harness.last, [ChainEffect::Dropped(DropCause::OtherEpoch)]);
+    harness.token_of(2, 2);
+    assert_eq!(harness.held(), 3);
+}
+
+#[test]
+fn repeated_and_early_positions_are_dropped() {
+    let mut harness = running();
+    harness.token_of(1, 1);
+    assert_eq!(harness.last, [ChainEffect::Dropped(DropCause::Repeated)]);
+    harness.token_of(1, 3);
+    assert_eq!(harness.last, [ChainEffect::Dropped(DropCause::Ahead)]);
+    assert_eq!(harness.held(), 2);
+}
+
+#[test]
+fn silence_is_probed_at_every_stage_and_the_mute_one_replaced() {
+    let mut harness = running();
+    harness.wake();
+    assert_eq!(probes(&harness), 3);
+    assert!(harness.now_ms < 120 + 150, "probed at {}", harness.now_ms);
+    let alive = harness.at(2);
+    harness.answer_probes(&[alive, alive, ProbeAnswer::Unreachable]);
+    assert_eq!(faults(&harness), [("c0".to_owned(), EndpointFault::Silent)]);
+    let expected = named([("a0", true), ("b0", true), ("c1", true)]);
+    assert_eq!(chain_names(&harness), expected);
+}
+
+#[test]
+fn a_stage_that_answers_nothing_is_found_by_time() {
+    let mut harness = running();
+    harness.wake();
+    let probe = harness.last[0].clone();
+    let ChainEffect::Probe { round, .. } = probe else {
+        panic!("no probe: {probe:?}");
+    };
+    let answer = harness.at(2);
+    for stage in [0, 2] {
+        harness.send(ChainMessage::Probed {
+            round,
+            stage,
+            answer,
+        });
+    }
+    harness.wake();
+    assert_eq!(faults(&harness), [("b0".to_owned(), EndpointFault::Silent)]);
+}
+
+#[test]
+fn heartbeats_are_no_progress() {
+    let mut harness = running();
+    let due_ms = harness.chain.wake_at_ms();
+    harness.now_ms += 50;
+    harness.send(ChainMessage::Event(StreamEvent::Heartbeat {
+        epoch: 1,
+        position: 2,
+    }));
+    assert_eq!(harness.chain.wake_at_ms(), due_ms);
+}
+
+#[test]
+fn a_stage_that_answers_but_stands_still_is_replaced() {
+    let mut harness = running();
+    harness.wake();
+    let (done, waits) = (harness.at(3), harness.at(2));
+    harness.answer_probes(&[done, waits, waits]);
+    assert_eq!(harness.epoch(), 1, "one round proves nothing");
+    harness.wake();
+    harness.answer_probes(&[done, waits, waits]);
+    assert_eq!(faults(&harness), [("b0".to_owned(), EndpointFault::Silent)]);
+}
+
+#[test]
+fn stages_that_move_are_left_alone() {
+    let mut harness = running();
+    for position in 3..6 {
+        harness.wake();
+        let at = harness.at(position);
+        harness.answer_probes(&[at, at, at]);
+    }
+    assert_eq!(harness.epoch(), 1);
+}
+
+#[test]
+fn a_silent_connection_is_opened_anew_on_the_same_stages() {
+    let mut harness = running();
+    for _ in 0..2 {
+        harness.wake();
+        let ahead = harness.at(5);
+        harness.answer_probes(&[ahead; 3]);
+    }
+    assert_eq!(faults(&harness), []);
+    let expected = named([("a0", false), ("b0", false), ("c0", false)]);
+    assert_eq!(chain_names(&harness), expected);
+    let opens = harness.last.iter();
+    let fresh = opens.filter(|effect| {
+        matches!(
+            effect,
+            ChainEffect::Open {
+                fresh_connection: true,
+                ..
+            }
+        )
+    });
+    assert_eq!(fresh.count(), 1);
+}
+
+#[test]
+fn a_restarted_stage_recomputes() {
+    let mut harness = running();
+    harness.wake();
+    let alive = harness.at(2);
+    harness.answer_probes(&[alive, ProbeAnswer::NotKnown, alive]);
+    assert_eq!(faults(&harness), []);
+    let expected = named([("a0", true), ("b0", true), ("c0", false)]);
+    assert_eq!(chain_names(&harness), expected);
+}
+
+#[test]
+fn missing_state_found_twice_makes_every_stage_recompute() {
+    let mut harness = running();
+    harness.failed(Some("a0"), EngineErrorCode::KvMissing);
+    let expected = named([("a0", true), ("b0", false), ("c0", false)]);
+    assert_eq!(chain_names(&harness), expected);
+    harness.failed(Some("b0"), EngineErrorCode::KvMissing);
+    let expected = named([("a0", true), ("b0", true), ("c0", true)]);
+    assert_eq!(chain_names(&harness), expected);
+}
+
+#[test]
+fn replaced_stages_are_cancelled_once_the_next_epoch_delivers() {
+    let mut harness = running();
+    let cancels = |harness: &Harness| {
+        let effects = harness.last.iter();
+        effects
+            .filter(|effect| matches!(effect, ChainEffect::Cancel { epoch: 1, .. }))
+            .count()
+    };
+    harness.failed(Some("b0"), EngineErrorCode::StageUnreachable);
+    assert_eq!(cancels(&harness), 0);
+    harness.token();
+    assert_eq!(cancels(&harness), 1);
+}
+
+#[test]
+fn a_stage_that_reaches_nobody_is_found_behind_its_accusations() {
+    let mut harness = running();
+    harness.failed(Some("b0"), EngineErrorCode::StageUnreachable);
+    harness.failed(Some("b1"), EngineErrorCode::StageUnreachable);
+    let expected = named([("a1", true), ("b2", true), ("c0", false)]);
+    assert_eq!(chain_names(&harness), expected);
+}
+
+#[test]
+fn a_lost_end_after_the_last_token_is_no_loss() {
+    let mut harness = Harness::new();
+    for _ in 0..MAX_TOKENS {
+        harness.token();
+    }
+    harness.send(ChainMessage::StreamFailed {
+        epoch: 1,
+        failure: StreamFailure::Broken,
+    });
+    let expected = ChainEffect::Done {
+        positions: MAX_TOKENS,
+        cut_by_length: true,
+    };
+    assert_eq!(harness.ended, Some(expected));
+}
+
+#[test]
+fn silence_after_the_last_token_needs_no_rebuild() {
+    let mut harness = Harness::new();
+    for _ in 0..MAX_TOKENS {
+        harness.now_ms += 20;
+        harness.token();
+    }
+    harness.wake();
+    harness.answer_probes(&[ProbeAnswer::Unreachable; 3]);
+    assert!(matches!(harness.ended, Some(ChainEffect::Done { .. })));
+    assert_eq!(harness.epoch(), 1);
+}
+
+#[test]
+fn an_end_that_claims_more_tokens_than_came_is_not_believed() {
+    let mut harness = running();
+    harness.end_of(1, 3);
+    assert_eq!(harness.ended, None);
+    assert_eq!(harness.epoch(), 2);
+}
+
+#[test]
+fn a_false_alarm_without_other_stages_lets_the_stream_go_on() {
+    let mut harness = running();
+    harness.routes = Routes::Full;
+    harness.wake();
+    let alive = harness.at(2);
+    harness.answer_probes(&[alive, alive, ProbeAnswer::Unreachable]);
+    assert_eq!(harness.epoch(), 1);
+    harness.token();
+    harness.routes = Routes::Found;
+    harness.wake();
+    assert_eq!((harness.epoch(), harness.held()), (1, 3));
+}
+
+/// Lets four tokens come 300 ms apart while the second stage is behind each time.
+fn slow_tokens(harness: &mut Harness) {
+    for _ in 0..4 {
+        harness.wake();
+        let (done, waits) = (harness.at(harness.held() + 1), harness.at(harness.held()));
+        harness.answer_probes(&[done, waits, waits]);
+        if harness.epoch() > 1 {
+            return;
+        }
+        harness.now_ms += 300;
+        harness.token();
+    }
+}
+
+#[test]
+fn a_slow_stage_is_replaced_when_there_is_another() {
+    let mut harness = running();
+    slow_tokens(&mut harness);
+    assert_eq!(faults(&harness), [("b0".to_owned(), EndpointFault::Slow)]);
+    let expected = named([("a0", true), ("b1", true), ("c0", false)]);
+    assert_eq!(chain_names(&harness), expected);
+}
+
+#[test]
+fn a_slow_chain_goes_on_when_there_is_no_other() {
+    let mut harness = running();
+    harness.routes = Routes::Full;
+    slow_tokens(&mut harness);
+    assert_eq!((harness.epoch(), harness.held()), (1, 6));
+}
+
+#[test]
+fn a_stage_may_take_long_before_the_first_token() {
+    let mut harness = Harness::new();
+    for _ in 0..3 {
+        harness.wake();
+        let queued = harness.at(0);
+        harness.answer_probes(&[queued, ProbeAnswer::NotKnown, ProbeAnswer::NotKnown]);
+    }
+    assert_eq!(harness.epoch(), 1);
+}
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -250,10 +250,10 @@
         attempt: &Attempt,
         position: u32,
         text: &str,
-        gap_ms: Option<u64>,
+        gap_ms: u64,
         now_ms: u64,
     ) {
-        if let (Some(stream), Some(gap_ms)) = (stream_of(attempt), gap_ms) {
+        if let Some(stream) = stream_of(attempt) {
             self.router.observe_token(stream, gap_ms, now_ms);
         }
         self.admission
