Claims: at most one run per key, tested over random interleavings

Three processes on one table make attempts under shared keys; replies are lost before and after the write takes effect, writes arrive late, the table goes down, processes freeze, wake and die.

Seen to fail with the mechanism off, each tried on a scratch copy: - a lost reply taken for a grant: a call ran 2 and 3 times - the claim written without its condition: a call ran about 200 times - takeover while the holder is silent, and once it seems gone: a call ran 2 times - a grant that comes after the refusal dispatches: dispatch after a refusal - a release that deletes the row, or none at all: a key that never ran stays taken

Ruled out: deleting the row on release, since a write still on its way would then make a row whose attempt has ended. The released row stays, and the next attempt writes over it at its version.

--- a/src/claims/claiming.rs
+++ b/src/claims/claiming.rs
@@ -8,6 +8,7 @@
 use super::message::ClaimEffect;
 use super::row::{ClaimRow, ClaimState, ROW_VERSION, RecordedReply};
 use crate::instance::ApplicationReply;
+use crate::invariant;
 use crate::outcome::{Refusal, RefusalCode};
 use crate::platform::TableFailure;
 use crate::wire::platform::{Condition, ReadRows, Row, Rows, TransactReply, Transaction, Write};
@@ -63,8 +64,7 @@
         if failure == TableFailure::Throttled && self.tries < THROTTLED_TRIES {
             return self.pause(PAUSE_LIMIT_MS, now_ms);
         }
-        let refusal = self.refusal(RefusalCode::StoreUnavailable);
-        self.close(refusal)
+        self.refuse(RefusalCode::StoreUnavailable)
     }
 
     /// The row was read after a lost reply.
@@ -105,8 +105,11 @@
         let Step::Claiming { basis, .. } = self.step else {
             return Vec::new();
         };
-        if self.dispatched || self.told {
-            debug_assert!(false, "a claim that dispatched or refused was granted");
+        let may_dispatch = !self.dispatched && !self.told;
+        invariant::check(may_dispatch, "claim_dispatches_once", || {
+            self.row_key.clone()
+        });
+        if !may_dispatch {
             return Vec::new();
         }
         self.step = Step::Dispatched { basis, version };
--- a/src/claims/machine.rs
+++ b/src/claims/machine.rs
@@ -3,6 +3,7 @@
 use super::key::{check_key, row_key};
 use super::message::{ClaimAsk, ClaimEffect, ClaimMessage};
 use super::row::{ClaimRow, ClaimState};
+use crate::invariant;
 use crate::outcome::{Refusal, RefusalCode};
 use crate::platform::TableFailure;
 use crate::wire::platform::TransactReply;
@@ -118,6 +119,7 @@
             told: false,
         };
         let effects = match check_key(claim.ask.key.as_str(), claim.ask.at_unix_ms) {
+            Ok(()) if claim.is_late(now_ms) => claim.refuse(RefusalCode::DeadlineTooShort),
             Ok(()) => claim.write_claim(),
             Err(code) => claim.close(Refusal::not_run(code, None)),
         };
@@ -232,8 +234,7 @@
                     false => RefusalCode::StoreUnavailable,
                 };
                 if lost_ms.is_none() && self.under_way.is_none() {
-                    let refusal = self.refusal(code);
-                    return self.close(refusal);
+                    return self.refuse(code);
                 }
                 self.give_up(code, now_ms)
             }
@@ -253,7 +254,9 @@
 
     /// Marks the call that the returned effect starts.
     pub(super) fn start(&mut self, call: Call, effect: ClaimEffect) -> Vec<ClaimEffect> {
-        debug_assert!(self.under_way.is_none(), "one call at a time");
+        invariant::check(self.under_way.is_none(), "claim_one_call_at_a_time", || {
+            format!("{} {call:?}", self.row_key)
+        });
         self.due_ms = None;
         self.under_way = Some(call);
         vec![effect]
@@ -273,7 +276,13 @@
         base_ms + base_ms * part / 256
     }
 
-    /// Ends with a refusal; nothing of this attempt is in the table.
+    /// Ends with a refusal of an attempt of which nothing is in the table.
+    pub(super) fn refuse(&mut self, code: RefusalCode) -> Vec<ClaimEffect> {
+        let refusal = self.refusal(code);
+        self.close(refusal)
+    }
+
+    /// Ends with a refusal.
     pub(super) fn close(&mut self, refusal: Refusal) -> Vec<ClaimEffect> {
         self.told = true;
         let mut effects = vec![ClaimEffect::Refuse(refusal)];
--- /dev/null
+++ b/src/claims/tests/mod.rs
@@ -0,0 +1,3 @@
+mod cases;
+mod interleavings;
+mod world;
