Admission: entitled accounts first, costs learnt, capacity in the unit of the charges

`entry_part` tells which part of the service this entry's shares come to; shares now add up to the capacity whenever there is demand. Ruled out: holding an account to its share in tokens a second at the entry, since a capacity taken for too low would then cap the throughput.

Entry: a claim granted after its attempt had ended was left open for good and its row with it; it is now told that nothing was dispatched, and releases its row.

--- a/src/admission/account.rs
+++ b/src/admission/account.rs
@@ -8,6 +8,7 @@
 use super::rate::RateMeter;
 use crate::document::Priority;
 use crate::instance::CallerId;
+use crate::outcome::RefusalCode;
 
 /// Time constant of what an account wants and spends.
 const DEMAND_WINDOW_MS: f64 = 1_000.0;
@@ -15,18 +16,23 @@
 const DEMAND_LEAST_MS: f64 = 250.0;
 /// A backlog counts as demand that wants to be served within this time.
 const BACKLOG_HORIZON_S: f64 = 1.0;
-/// Seconds of its share that an account may save up.
-const SAVED_SHARE_S: f64 = 0.5;
-/// How far above its share a limited account is let, so that a capacity taken for too low shows.
-const SHARE_SLACK: f64 = 1.1;
-/// Part of its document's weight that an account keeps, whatever its share.
-const LEAST_WEIGHT_PART: f64 = 0.02;
+/// Part of its document's weight that an account keeps, whatever its share: its demand may have
+/// moved here since the share was worked out.
+const LEAST_WEIGHT_PART: f64 = 0.1;
+/// Time constant of how expected costs compare with what is spent.
+const COST_WINDOW_MS: f64 = 20_000.0;
+/// Tokens for which expected costs are believed.
+const COST_PRIOR_TOKENS: f64 = 500.0;
+/// Bounds of what an expected cost is multiplied with.
+const COST_PARTS: (f64, f64) = (0.02, 1.0);
 
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiting {
     pub(crate) caller: CallerId,
-    /// What it is expected to cost; at least 1.
+    /// What it asked for; at least 1.
+    pub(crate) asked_tokens: f64,
+    /// What it is expected to cost, from what the account's requests cost before.
     pub(crate) cost_tokens: f64,
     /// When it is refused at the latest.
     pub(crate) until_ms: u64,
@@ -34,6 +40,20 @@
     pub(crate) has_deadline: bool,
 }
 
+impl Waiting {
+    /// Why it is refused if it has to wait for `wait_ms` more.
+    pub(crate) fn reason_to_refuse(&self, wait_ms: f64, now_ms: u64) -> Option<RefusalCode> {
+        let left_ms = self.until_ms.saturating_sub(now_ms) as f64;
+        if left_ms > 0.0 && wait_ms < left_ms {
+            return None;
+        }
+        Some(match self.has_deadline {
+            true => RefusalCode::DeadlineTooShort,
+            false => RefusalCode::AccountOverloaded,
+        })
+    }
+}
+
 /// One account at one service.
 #[derive(Debug)]
 pub(crate) struct AccountQueue {
@@ -53,15 +73,15 @@
     share_tokens_per_s: Option<f64>,
     /// Weight at this entry; greater than 0.
     local_weight: f64,
-    /// Share not spent yet; below 0 once the account is ahead of its share.
-    saved_tokens: f64,
-    saved_at_ms: u64,
-    /// Expected costs of the requests that run.
-    running: IndexMap<CallerId, f64>,
+    /// Requests that run.
+    running: IndexMap<CallerId, Waiting>,
     /// Part of the running costs charged ahead and not spent yet; at most their sum.
     ahead_tokens: f64,
     wanted: RateMeter,
     spent: RateMeter,
+    /// What the finished requests asked for, and what was spent, over a longer time.
+    finished: RateMeter,
+    cost: RateMeter,
 }
 
 impl AccountQueue {
@@ -76,12 +96,12 @@
             budget: RetryBudget::new(),
             share_tokens_per_s: None,
             local_weight: weight,
-            saved_tokens: 0.0,
-            saved_at_ms: now_ms,
             running: IndexMap::new(),
             ahead_tokens: 0.0,
             wanted: RateMeter::new(DEMAND_WINDOW_MS, now_ms),
             spent: RateMeter::new(DEMAND_WINDOW_MS, now_ms),
+            finished: RateMeter::new(COST_WINDOW_MS, now_ms),
+            cost: RateMeter::new(COST_WINDOW_MS, now_ms),
         }
     }
 
@@ -123,21 +143,24 @@
     }
 
     /// Takes the first request and charges its expected cost.
-    pub(crate) fn pop(&mut self, now_ms: u64) -> Option<CallerId> {
+    pub(crate) fn pop(&mut self) -> Option<CallerId> {
         let first = self.waiting.pop_front()?;
         self.drop_backlog(first.cost_tokens);
-        self.running.insert(first.caller, first.cost_tokens);
+        self.running.insert(first.caller, first);
         self.ahead_tokens += first.cost_tokens;
-        self.spend(first.cost_tokens, now_ms);
+        self.spend(first.cost_tokens);
         Some(first.caller)
     }
 
-    /// Undoes a [`AccountQueue::pop`]: the request waits again, before all others.
-    pub(crate) fn unpop(&mut self, waiting: Waiting, now_ms: u64) {
-        if self.finish(waiting.caller, now_ms) {
-            self.backlog_tokens += waiting.cost_tokens;
-            self.waiting.push_front(waiting);
-        }
+    /// Undoes a [`AccountQueue::pop`]: the request waits again, before all others. False if it
+    /// does not run.
+    pub(crate) fn unpop(&mut self, caller: CallerId) -> bool {
+        let Some(waiting) = self.stop(caller) else {
+            return false;
+        };
+        self.backlog_tokens += waiting.cost_tokens;
+        self.waiting.push_front(waiting);
+        true
     }
 
     /// Forgets a waiting request.
@@ -155,36 +178,48 @@
         true
     }
 
-    /// Ends a running request, and gives back what was charged ahead for it and not spent.
-    pub(crate) fn finish(&mut self, caller: CallerId, now_ms: u64) -> bool {
-        if self.running.swap_remove(&caller).is_none() {
-            return false;
+    /// Ends a running request.
+    pub(crate) fn finish(&mut self, caller: CallerId, now_ms: u64) {
+        if let Some(waiting) = self.stop(caller) {
+            self.finished.advance(now_ms);
+            self.finished.add(waiting.asked_tokens);
         }
-        let still_running: f64 = self.running.values().sum();
-        let unspent = self.ahead_tokens - still_running;
+    }
+
+    /// Takes a request out of those that run, and gives back what was charged ahead and not spent.
+    fn stop(&mut self, caller: CallerId) -> Option<Waiting> {
+        let waiting = self.running.swap_remove(&caller)?;
+        let still_ahead = self
+            .running
+            .values()
+            .map(|running| running.cost_tokens)
+            .sum();
+        let unspent = self.ahead_tokens - still_ahead;
         if unspent > 0.0 {
-            self.ahead_tokens = still_running;
-            self.spend(-unspent, now_ms);
+            self.ahead_tokens = still_ahead;
+            self.spend(-unspent);
         }
-        true
+        Some(waiting)
     }
 
     /// Charges tokens spent; those that were charged ahead are not charged again.
     pub(crate) fn charge(&mut self, tokens: f64, now_ms: u64) {
-        self.spent.advance(now_ms);
-        self.spent.add(tokens);
+        for meter in [&mut self.spent, &mut self.cost] {
+            meter.advance(now_ms);
+            meter.add(tokens);
+        }
         let charged_ahead = tokens.min(self.ahead_tokens);
         self.ahead_tokens -= charged_ahead;
-        self.spend(tokens - charged_ahead, now_ms);
+        self.spend(tokens - charged_ahead);
     }
 
-    /// Whether the account has used up its share here and wants more than that.
-    pub(crate) fn is_limited(&mut self, now_ms: u64) -> bool {
-        let Some(share) = self.share_tokens_per_s else {
-            return false;
-        };
-        self.save(now_ms);
-        self.saved_tokens < 0.0 && self.wanted_per_s(now_ms) > share
+    /// What a request that asks for so many tokens is expected to cost.
+    pub(crate) fn expected_cost(&mut self, asked_tokens: f64, now_ms: u64) -> f64 {
+        self.cost.advance(now_ms);
+        self.finished.advance(now_ms);
+        let spent = self.cost.amount() + COST_PRIOR_TOKENS;
+        let part = spent / (self.finished.amount() + COST_PRIOR_TOKENS);
+        (asked_tokens * part.clamp(COST_PARTS.0, COST_PARTS.1)).max(1.0)
     }
 
     /// Tokens a second asked for, the backlog included.
@@ -204,24 +239,10 @@
         self.waiting.is_empty() && self.running.is_empty()
     }
 
-    fn spend(&mut self, tokens: f64, now_ms: u64) {
-        self.save(now_ms);
-        self.saved_tokens -= tokens;
+    fn spend(&mut self, tokens: f64) {
         self.spent_level += tokens / self.local_weight;
     }
 
-    /// Adds the share of the time passed.
-    fn save(&mut self, now_ms: u64) {
-        let passed_s = now_ms.saturating_sub(self.saved_at_ms) as f64 / 1_000.0;
-        self.saved_at_ms = self.saved_at_ms.max(now_ms);
-        if let Some(share) = self.share_tokens_per_s {
-            let saved = self.saved_tokens + share * SHARE_SLACK * passed_s;
-            self.saved_tokens = saved.min(share * SAVED_SHARE_S);
-        } else {
-            self.saved_tokens = 0.0;
-        }
-    }
-
     fn drop_backlog(&mut self, cost_tokens: f64) {
         self.backlog_tokens = (self.backlog_tokens - cost_tokens).max(0.0);
         if self.waiting.is_empty() {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -4,6 +4,7 @@
 
 mod account;
 mod budget;
+mod overload;
 mod rate;
 mod service;
 #[cfg(test)]
@@ -60,13 +61,9 @@
     }
 
     /// Takes this entry's part of the fair shares; replaces all earlier ones.
-    pub fn set_shares(&mut self, shares: &[AccountShare], now_ms: u64) {
-        for queue in self.services.values_mut() {
-            queue.forget_shares(now_ms);
-        }
-        for share in shares {
-            let queue = self.queue(&share.service);
-            queue.set_share(&share.account, share.tokens_per_s);
+    pub fn set_shares(&mut self, shares: &[AccountShare], _now_ms: u64) {
+        for (service, queue) in &mut self.services {
+            queue.set_shares(shares.iter().filter(|share| share.service == *service));
         }
     }
 
@@ -88,9 +85,9 @@
     }
 
     /// Puts a request back where [`Admission::next`] took it from: it found no endpoint free.
-    pub fn requeue_front(&mut self, caller: CallerId, now_ms: u64) {
+    pub fn requeue_front(&mut self, caller: CallerId, _now_ms: u64) {
         if let Some(queue) = self.queue_of(caller) {
-            queue.requeue_front(caller, now_ms);
+            queue.requeue_front(caller);
         }
     }
 
@@ -114,11 +111,38 @@
         self.callers.swap_remove(&caller);
     }
 
-    /// Charges an account with tokens it has spent.
+    /// Charges an account with tokens that were generated for it.
     pub fn charge(&mut self, service: &ServiceName, account: &AccountId, tokens: u32, now_ms: u64) {
+        let queue = self.queue(service);
+        queue.charge(account, tokens, now_ms);
+        queue.count_generated(tokens);
+    }
+
+    /// Charges an account with the tokens of a prompt.
+    pub fn charge_prompt(
+        &mut self,
+        service: &ServiceName,
+        account: &AccountId,
+        tokens: u32,
+        now_ms: u64,
+    ) {
         self.queue(service).charge(account, tokens, now_ms);
     }
 
+    /// What the service's endpoints can do, in the unit of the charges, prompts included.
+    pub fn capacity_tokens_per_s(&self, service: &ServiceName) -> f64 {
+        let queue = self.services.get(service);
+        queue
+            .and_then(ServiceQueue::charged_capacity)
+            .unwrap_or(0.0)
+    }
+
+    /// The part of the service that this entry may use while there is contention; `None` while
+    /// there are no shares. Above 0, at most 1.
+    pub fn entry_part(&self, service: &ServiceName) -> Option<f64> {
+        self.services.get(service)?.entry_part()
+    }
+
     /// Whether a failed request may be sent once more; takes it from the retry budgets if so.
     pub fn allow_retry(&mut self, service: &ServiceName, account: &AccountId, now_ms: u64) -> bool {
         self.queue(service).allow_retry(account, now_ms)
@@ -139,7 +163,7 @@
         account: &AccountId,
         now_ms: u64,
     ) -> u64 {
-        self.queue(service).retry_after_ms(account, 1, now_ms)
+        self.queue(service).retry_after_ms(account, 1.0, now_ms)
     }
 
     /// Requests that wait for a service.
--- a/src/admission/rate.rs
+++ b/src/admission/rate.rs
@@ -41,6 +41,11 @@
         self.amount += amount;
     }
 
+    /// The faded sum of what was added.
+    pub(crate) fn amount(&self) -> f64 {
+        self.amount
+    }
+
     /// The rate a second, once at least `least_ms` have been watched.
     pub(crate) fn per_s(&self, least_ms: f64) -> Option<f64> {
         (self.watched_ms >= least_ms).then(|| self.amount * 1_000.0 / self.watched_ms)
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -1,1 +1,401 @@
+use indexmap::IndexMap;
+use proptest::prelude::*;
 
+use super::*;
+use crate::document::{Account, Priority, ServiceKind};
+use crate::outcome::{Outcome, RefusalCode};
+
+const SERVICE: &str = "menu-mind";
+
+/// An admission for one service, with callers numbered as they come.
+struct Bench {
+    admission: Admission,
+    service: ServiceName,
+    account_of: IndexMap<CallerId, &'static str>,
+    drawn: u64,
+    now_ms: u64,
+}
+
+impl Bench {
+    fn new(accounts: &[(&'static str, f64, Priority)]) -> Self {
+        let accounts = accounts.iter().map(|&(name, weight, priority)| {
+            let key_digests = Vec::new();
+            (
+                AccountId::from(name),
+                Account {
+                    weight,
+                    priority,
+                    key_digests,
+                },
+            )
+        });
+        let document = Document {
+            service: SERVICE.into(),
+            kind: ServiceKind::Application,
+            accounts: accounts.collect(),
+            operators: IndexMap::new(),
+            non_idempotent: Vec::new(),
+            leaving: Vec::new(),
+            engines_check_fence: true,
+        };
+        let mut admission = Admission::new(7);
+        admission.set_accounts(&IndexMap::from([(SERVICE.into(), document)]));
+        Self {
+            admission,
+            service: SERVICE.into(),
+            account_of: IndexMap::new(),
+            drawn: 0,
+            now_ms: 0,
+        }
+    }
+
+    fn equal(names: &[&'static str]) -> Self {
+        let accounts: Vec<_> = names
+            .iter()
+            .map(|&name| (name, 1.0, Priority::Standard))
+            .collect();
+        Self::new(&accounts)
+    }
+
+    fn offer_until(
+        &mut self,
+        account: &'static str,
+        cost_tokens: u32,
+        deadline_ms: Option<u64>,
+    ) -> Result<CallerId, Refusal> {
+        self.drawn += 1;
+        let caller = CallerId(self.drawn);
+        let ask = QueueAsk {
+            caller,
+            service: &self.service,
+            account: &account.into(),
+            cost_tokens,
+            deadline: deadline_ms.map(|at_ms| Deadline { at_ms }),
+        };
+        self.admission.offer(ask, self.now_ms)?;
+        self.account_of.insert(caller, account);
+        Ok(caller)
+    }
+
+    fn offer(&mut self, account: &'static str, cost_tokens: u32) -> CallerId {
+        self.offer_until(account, cost_tokens, None).unwrap()
+    }
+
+    fn next(&mut self) -> Option<CallerId> {
+        self.admission.next(&self.service, self.now_ms)
+    }
+
+    /// Serves one request to its end and returns its account.
+    fn serve(&mut self, tokens: u32) -> &'static str {
+        let caller = self.next().unwrap();
+        let account = self.account_of[&caller];
+        self.admission
+            .charge(&self.service, &account.into(), tokens, self.now_ms);
+        self.admission.withdraw(caller, self.now_ms);
+        account
+    }
+
+    /// Serves `rounds` requests of `tokens` each, every account always waiting, and counts them.
+    fn contend(&mut self, names: &[&'static str], tokens: u32, rounds: usize) -> Vec<usize> {
+        for &name in names {
+            self.offer(name, tokens);
+        }
+        let mut served = vec![0; names.len()];
+        for _ in 0..rounds {
+            let name = self.serve(tokens);
+            self.offer(name, tokens);
+            served[names.iter().position(|&other| other == name).unwrap()] += 1;
+        }
+        served
+    }
+
+    /// Lets the service get 100 tokens a second done for `s` seconds, with `account` waiting.
+    fn drain_100_a_second(&mut self, account: &'static str, s: u64) {
+        let waiting = self.offer(account, 1);
+        for _ in 0..s * 10 {
+            self.now_ms += 100;
+            self.admission
+                .charge(&self.service, &account.into(), 10, self.now_ms);
+        }
+        self.admission.withdraw(waiting, self.now_ms);
+    }
+}
+
+#[test]
+fn a_flood_does_not_delay_another_account() {
+    let mut bench = Bench::equal(&["grill-chain", "lac-bistro"]);
+    for _ in 0..400 {
+        bench.offer("grill-chain", 100);
+    }
+    for _ in 0..5 {
+        bench.serve(100);
+    }
+    bench.offer("lac-bistro", 100);
+    assert_eq!(bench.serve(100), "lac-bistro");
+}
+
+#[test]
+fn waiting_accounts_share_by_weight() {
+    let (standard, names) = (Priority::Standard, ["grill-chain", "lac-bistro"]);
+    let mut bench = Bench::new(&[(names[0], 6.0, standard), (names[1], 2.0, standard)]);
+    assert_eq!(bench.contend(&names, 50, 400), [300, 100]);
+}
+
+#[test]
+fn a_class_goes_first_and_starves_none() {
+    let names = ["lac-bistro", "grill-chain"];
+    let mut bench = Bench::new(&[
+        (names[0], 1.0, Priority::Batch),
+        (names[1], 1.0, Priority::Interactive),
+    ]);
+    bench.offer(names[0], 50);
+    bench.offer(names[1], 50);
+    assert_eq!(bench.serve(50), "grill-chain");
+    bench.serve(50);
+    assert_eq!(bench.contend(&names, 50, 400), [200, 200]);
+}
+
+#[test]
+fn an_idle_account_comes_back_without_a_hoard() {
+    let names = ["grill-chain", "lac-bistro"];
+    let mut bench = Bench::equal(&names);
+    bench.contend(&names[..1], 50, 1_000);
+    let served = bench.contend(&names, 50, 100);
+    assert!(served[1].abs_diff(50) <= 1, "{served:?}");
+}
+
+#[test]
+fn long_prompts_are_charged() {
+    let names = ["grill-chain", "lac-bistro"];
+    let mut bench = Bench::equal(&names);
+    let mut served = [0_u32, 0];
+    for _ in 0..2 {
+        bench.offer(names[0], 1_000);
+        bench.offer(names[1], 100);
+    }
+    for _ in 0..440 {
+        let caller = bench.next().unwrap();
+        let account = bench.account_of[&caller];
+        let long = account == names[0];
+        let (prompt, index) = if long { (990, 0) } else { (90, 1) };
+        bench
+            .admission
+            .charge_prompt(&bench.service, &account.into(), prompt, 0);
+        bench
+            .admission
+            .charge(&bench.service, &account.into(), 10, 0);
+        bench.admission.withdraw(caller, 0);
+        bench.offer(account, prompt + 10);
+        served[index] += 1;
+    }
+    assert!(served[0].abs_diff(40) <= 2, "{served:?}");
+}
+
+#[test]
+fn a_canceller_pays_only_for_what_was_spent() {
+    let names = ["grill-chain", "lac-bistro"];
+    let mut bench = Bench::equal(&names);
+    let mut spent = [0_u32, 0];
+    for &name in &names {
+        bench.offer(name, 200);
+    }
+    for _ in 0..600 {
+        let caller = bench.next().unwrap();
+        let account = bench.account_of[&caller];
+        let index = usize::from(account == names[1]);
+        // The first account cancels half of its streams early.
+        let tokens = if index == 0 && caller.0 % 2 == 0 {
+            20
+        } else {
+            200
+        };
+        bench
+            .admission
+            .charge(&bench.service, &account.into(), tokens, 0);
+        bench.admission.withdraw(caller, 0);
+        bench.offer(account, 200);
+        spent[index] += tokens;
+    }
+    let ratio = f64::from(spent[0]) / f64::from(spent[1]);
+    assert!((0.95..1.05).contains(&ratio), "{spent:?}");
+}
+
+#[test]
+fn a_request_put_back_goes_first_again() {
+    let mut bench = Bench::equal(&["grill-chain"]);
+    let first = bench.offer("grill-chain", 10);
+    bench.offer("grill-chain", 10);
+    assert_eq!(bench.next(), Some(first));
+    bench.admission.requeue_front(first, 0);
+    assert_eq!(bench.admission.queued(&bench.service), 2);
+    assert_eq!(bench.next(), Some(first));
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once() {
+    let mut bench = Bench::equal(&["grill-chain"]);
+    bench.drain_100_a_second("grill-chain", 10);
+    bench.offer("grill-chain", 400);
+    let deadline_ms = bench.now_ms + 2_000;
+    let refusal = bench
+        .offer_until("grill-chain", 10, Some(deadline_ms))
+        .unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::DeadlineTooShort);
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    assert!(refusal.retry_after_ms.is_some_and(|ms| ms >= 2_000));
+    bench
+        .offer_until("grill-chain", 10, Some(deadline_ms + 60_000))
+        .unwrap();
+}
+
+#[test]
+fn a_waiting_request_is_refused_as_soon_as_it_is_known_to_be_late() {
+    let mut bench = Bench::equal(&["grill-chain", "lac-bistro"]);
+    bench.drain_100_a_second("grill-chain", 10);
+    let deadline_ms = bench.now_ms + 4_000;
+    bench.offer("grill-chain", 250);
+    let late = bench
+        .offer_until("grill-chain", 10, Some(deadline_ms))
+        .unwrap();
+    assert_eq!(bench.admission.expire(bench.now_ms), []);
+    // Another account comes, and takes half of the rate from now on.
+    for _ in 0..6 {
+        bench.offer("lac-bistro", 100);
+    }
+    bench.now_ms += 1_000;
+    let refused = bench.admission.expire(bench.now_ms);
+    assert_eq!(
+        refused
+            .iter()
+            .map(|(caller, _)| *caller)
+            .collect::<Vec<_>>(),
+        [late]
+    );
+    assert!(bench.now_ms < deadline_ms);
+}
+
+#[test]
+fn times_to_come_back_grow_with_the_backlog_and_differ() {
+    let mut bench = Bench::equal(&["grill-chain"]);
+    bench.drain_100_a_second("grill-chain", 10);
+    let account = AccountId::from("grill-chain");
+    let mut after = || {
+        bench
+            .admission
+            .retry_after_ms(&bench.service, &account, bench.now_ms)
+    };
+    let (first, second) = (after(), after());
+    assert!(first >= 200 && first != second);
+    bench.offer("grill-chain", 900);
+    let account = AccountId::from("grill-chain");
+    let behind_ms = bench
+        .admission
+        .retry_after_ms(&bench.service, &account, bench.now_ms);
+    assert!((8_000..20_000).contains(&behind_ms), "{behind_ms}");
+}
+
+#[test]
+fn queues_are_bounded() {
+    let mut bench = Bench::equal(&["grill-chain"]);
+    for _ in 0..overload::ACCOUNT_QUEUE_LIMIT {
+        bench.offer("grill-chain", 1);
+    }
+    let refusal = bench.offer_until("grill-chain", 1, None).unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::AccountOverloaded);
+}
+
+#[test]
+fn retries_are_a_tenth_of_what_is_admitted() {
+    let mut bench = Bench::equal(&["grill-chain"]);
+    let account = AccountId::from("grill-chain");
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        bench.offer("grill-chain", 1);
+        bench.serve(1);
+        while bench.admission.allow_retry(&bench.service, &account, 0) {
+            retries += 1;
+        }
+    }
+    assert!((100..=110).contains(&retries), "{retries}");
+}
+
+#[test]
+fn demand_counts_what_waits() {
+    let mut bench = Bench::equal(&["grill-chain"]);
+    bench.drain_100_a_second("grill-chain", 10);
+    bench.offer("grill-chain", 500);
+    let demand = &bench.admission.demands(bench.now_ms)[0];
+    assert!(demand.wanted_tokens_per_s > 500.0);
+    assert!(
+        (90.0..110.0).contains(&demand.spent_tokens_per_s),
+        "{demand:?}"
+    );
+}
+
+proptest! {
+    #[test]
+    fn spending_follows_weights_for_any_costs(
+        weights in proptest::collection::vec(1_u32..10, 2..6),
+        costs in proptest::collection::vec(1_u32..400, 6),
+    ) {
+        const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+        let accounts: Vec<_> = weights
+            .iter()
+            .zip(NAMES)
+            .zip([Priority::Batch, Priority::Interactive].into_iter().cycle())
+            .map(|((&weight, name), priority)| (name, f64::from(weight), priority))
+            .collect();
+        let mut bench = Bench::new(&accounts);
+        let mut spent = vec![0.0; weights.len()];
+        for (index, (name, ..)) in accounts.iter().enumerate() {
+            bench.offer(name, costs[index]);
+        }
+        for _ in 0..600 {
+            let caller = bench.next().unwrap();
+            let name = bench.account_of[&caller];
+            let index = NAMES.iter().position(|&other| other == name).unwrap();
+            bench.admission.charge(&bench.service, &name.into(), costs[index], 0);
+            bench.admission.withdraw(caller, 0);
+            bench.offer(name, costs[index]);
+            spent[index] += f64::from(costs[index]) / f64::from(weights[index]);
+        }
+        let (least, most) = spent.iter().fold((f64::MAX, 0.0), |(least, most): (f64, f64), &level| {
+            (least.min(level), most.max(level))
+        });
+        // Never further apart than by the largest request of each account.
+        let slack: f64 = costs.iter().map(|&cost| f64::from(cost)).sum();
+        prop_assert!(most - least <= slack, "{spent:?}");
+    }
+
+    #[test]
+    fn each_request_leaves_the_queue_once(steps in proptest::collection::vec(0_u8..6, 0..300)) {
+        let mut bench = Bench::equal(&["a", "b"]);
+        let mut waiting: Vec<CallerId> = Vec::new();
+        let mut running: Vec<CallerId> = Vec::new();
+        for step in steps {
+            bench.now_ms += 40;
+            match step {
+                0 => waiting.extend(bench.offer_until("a", 30, None).ok()),
+                1 => waiting.extend(bench.offer_until("b", 70, Some(bench.now_ms + 900)).ok()),
+                2 => if let Some(caller) = bench.next() {
+                    let at = waiting.iter().position(|&other| other == caller);
+                    running.push(waiting.swap_remove(at.expect("popped twice")));
+                },
+                3 => if let Some(caller) = running.pop() {
+                    bench.admission.requeue_front(caller, bench.now_ms);
+                    waiting.push(caller);
+                },
+                4 => if let Some(caller) = running.pop().or_else(|| waiting.pop()) {
+                    bench.admission.charge(&bench.service, &"a".into(), 30, bench.now_ms);
+                    bench.admission.withdraw(caller, bench.now_ms);
+                },
+                _ => for (caller, refusal) in bench.admission.expire(bench.now_ms) {
+                    prop_assert_eq!(refusal.outcome, Outcome::NotRun);
+                    let at = waiting.iter().position(|&other| other == caller);
+                    waiting.swap_remove(at.expect("refused twice"));
+                },
+            }
+            prop_assert_eq!(bench.admission.queued(&bench.service), waiting.len());
+        }
+    }
+}
--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -136,8 +136,9 @@
                     claim,
                 } => {
                     if instance == self.config.instance {
-                        let working = self.holds(incarnation, &claim);
-                        effects.extend(self.step_claim(id, working, now_ms));
+                        let working = Some(self.holds(incarnation, &claim));
+                        let message = ClaimMessage::HolderAnswered(working);
+                        effects.extend(self.step_claim(id, message, now_ms));
                     } else {
                         let call = self.open_call(Call::Holder { attempt: id });
                         self.out.push(EntryEffect::AskHolder {
@@ -150,11 +151,11 @@
                         });
                     }
                 }
-                ClaimEffect::Dispatch => {
-                    if let Some(attempt) = attempt.as_deref_mut() {
-                        effects.extend(self.dispatch_claimed(attempt, now_ms));
-                    }
-                }
+                ClaimEffect::Dispatch => effects.extend(match attempt.as_deref_mut() {
+                    Some(attempt) => self.dispatch_claimed(attempt, now_ms),
+                    // The attempt ended before its claim was granted: the claim is released.
+                    None => self.step_claim(id, ClaimMessage::NotDispatched, now_ms),
+                }),
                 ClaimEffect::Replay(reply) => {
                     if let Some(attempt) = attempt.take() {
                         flow = self.send_reply(attempt, reply, true, now_ms);
@@ -174,13 +175,15 @@
         flow
     }
 
-    /// Answers a claim that asked for its holder when that is this instance.
-    fn step_claim(&mut self, id: AttemptId, working: bool, now_ms: u64) -> Vec<ClaimEffect> {
+    /// Hands a message to a claim; its effects are the caller's to carry out.
+    fn step_claim(
+        &mut self,
+        id: AttemptId,
+        message: ClaimMessage,
+        now_ms: u64,
+    ) -> Vec<ClaimEffect> {
         match self.claims.get_mut(&id) {
-            Some(open) => {
-                let message = ClaimMessage::HolderAnswered(Some(working));
-                open.claim.handle(message, now_ms)
-            }
+            Some(open) => open.claim.handle(message, now_ms),
             None => Vec::new(),
         }
     }
@@ -196,10 +199,7 @@
             return Vec::new();
         }
         if !self.take_replica(attempt, now_ms) {
-            return match self.claims.get_mut(&attempt.id) {
-                Some(open) => open.claim.handle(ClaimMessage::NotDispatched, now_ms),
-                None => Vec::new(),
-            };
+            return self.step_claim(attempt.id, ClaimMessage::NotDispatched, now_ms);
         }
         if let Some(open) = self.claims.get_mut(&attempt.id) {
             open.dispatched = true;
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -49,7 +49,7 @@
         let (chain, effects) = Chain::begin(spec, stages, expected, now_ms);
         let prompt_tokens = completion.prompt_tokens;
         completion.chain = Some(chain);
-        self.admission.charge(
+        self.admission.charge_prompt(
             &attempt.service,
             &attempt.key.account,
             prompt_tokens,
--- a/src/entry/report.rs
+++ b/src/entry/report.rs
@@ -43,8 +43,10 @@
     fn update_capacities(&mut self) -> Vec<ServiceCapacity> {
         let mut capacities = Vec::new();
         for service in self.directory.documents().keys() {
-            let tokens_per_s = self.router.capacity_tokens_per_s(service);
-            self.admission.set_capacity(service, tokens_per_s);
+            let generated_per_s = self.router.capacity_tokens_per_s(service);
+            self.admission.set_capacity(service, generated_per_s);
+            // Demands count prompts, so the capacity they are held against does too.
+            let tokens_per_s = self.admission.capacity_tokens_per_s(service);
             capacities.push(ServiceCapacity {
                 service: service.clone(),
                 tokens_per_s,
--- a/src/fairness/split.rs
+++ b/src/fairness/split.rs
@@ -27,9 +27,15 @@
     pub tokens_per_s: f64,
 }
 
+/// Room above its measured demand that an account is given before others get more than theirs.
+const HEADROOM: f64 = 1.25;
+
 /// Divides `capacity_tokens_per_s` of one service: weighted max-min over the accounts by their
 /// demand at all entries together, then each account's share over its entries by demand there.
 ///
+/// What no demand asks for is given away too, by weight, so that the shares add up to the capacity
+/// as long as there is any demand.
+///
 /// The result is in order of entry and account and depends on the demands only, not on their order:
 /// each node that knows the same demands finds the same shares. Accounts without a weight get none.
 pub fn split_shares(
@@ -43,10 +49,11 @@
         .iter()
         .map(|(account, demand)| ShareClaim {
             weight: weights.get(account).copied().unwrap_or(0.0),
-            demand: *demand,
+            demand: demand * HEADROOM,
         })
         .collect();
-    let shares = max_min(capacity_tokens_per_s, &claims);
+    let mut shares = max_min(capacity_tokens_per_s, &claims);
+    add_unasked(capacity_tokens_per_s, &claims, &mut shares);
     demands
         .into_iter()
         .map(|demand| {
@@ -94,6 +101,17 @@
     totals
 }
 
+/// Adds what is left of the capacity to the shares, by weight.
+fn add_unasked(capacity_tokens_per_s: f64, claims: &[ShareClaim], shares: &mut [f64]) {
+    let left = (capacity_tokens_per_s - shares.iter().sum::<f64>()).max(0.0);
+    let weights: f64 = claims.iter().map(|claim| claim.weight).sum();
+    if weights > 0.0 {
+        for (share, claim) in shares.iter_mut().zip(claims) {
+            *share += left * claim.weight / weights;
+        }
+    }
+}
+
 /// The part of its account's share that one entry's demand earns.
 fn part_of(totals: &IndexMap<AccountId, f64>, shares: &[f64], demand: &EntryDemand) -> f64 {
     let Some((index, _, total)) = totals.get_full(&demand.account) else {
