--- a/bench/src/fleet/running.rs
+++ b/bench/src/fleet/running.rs
@@ -18,7 +18,7 @@
 use super::standin::StandinClient;
 use super::wait::wait_until;
 use crate::deployment::{Deployment, build_topology};
-use crate::topology::{EngineNode, EntryNode, Topology};
+use crate::topology::{EngineNode, EntryNode, PlatformNodes, Topology};
 
 /// How long a process may take to come up.
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -28,6 +28,8 @@
     deployment: Deployment,
     topology: Topology,
     topology_path: PathBuf,
+    /// Where the instances find the platform: its stand-ins, or a relay before them.
+    platform: PlatformNodes,
     /// Engines that run in processes of their own.
     separate_engines: Vec<EndpointId>,
     processes: IndexMap<ProcessName, Process>,
@@ -53,6 +55,7 @@
         std::fs::write(&topology_path, toml::to_string(&topology)?)
             .map_err(|source| file_error(&topology_path, source))?;
         Ok(Self {
+            platform: topology.platform.clone(),
             deployment,
             topology,
             topology_path,
@@ -80,6 +83,11 @@
         self.separate_engines = engines;
     }
 
+    /// Has instances that start from now on find the platform at other addresses.
+    pub fn place_platform(&mut self, platform: PlatformNodes) {
+        self.platform = platform;
+    }
+
     /// Starts every process, accepts the documents and waits until every entry takes requests.
     ///
     /// # Errors
@@ -272,7 +280,7 @@
     }
 
     fn settings_args(&self, entry: &EntryNode) -> Result<Vec<String>, FleetError> {
-        let path = write_settings(entry, &self.topology.platform, self.dir.path())?;
+        let path = write_settings(entry, &self.platform, self.dir.path())?;
         Ok(vec!["--settings".to_owned(), path_text(&path)])
     }
 
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod instances;
 pub mod mix;
 pub mod objects;
+pub mod proxy;
 pub mod standin;
 pub mod table;
 pub mod tally;
