--- a/bench/src/proxy/mod.rs
+++ b/bench/src/proxy/mod.rs
@@ -63,7 +63,8 @@
     /// Makes every open connection silent for good; new ones work.
     pub fn silence(&self) {
         let opened = self.opened();
-        self.orders.send_modify(|orders| orders.silent_below = opened);
+        self.orders
+            .send_modify(|orders| orders.silent_below = opened);
     }
 
     /// Closes every open connection and refuses new ones until [`Self::restore`].
--- a/bench/tests/processes/broken_files.rs
+++ b/bench/tests/processes/broken_files.rs
@@ -4,14 +4,12 @@
 use std::process::{Command, Output};
 
 use fescue_bench::fleet::{accept_text, connect_control, operator_key, program, repository_root};
+use fescueshore::exit_codes::Exit;
 use fescueshore::rpc::OperatorApiClient;
 use fescueshore::wire::operator::AcceptReply;
 
 use crate::env::Env;
 
-const BAD_SETTINGS: i32 = 3;
-const BAD_DOCUMENT: i32 = 4;
-
 /// Settings with an unknown key, a bad address and a missing table.
 const BROKEN: &str = r#"[instance]
 name = "entry-lac-1"
@@ -33,6 +31,10 @@
     Command::new(path).args(args).output().expect("run")
 }
 
+fn code(exit: Exit) -> Option<i32> {
+    Some(i32::from(exit.code()))
+}
+
 fn stderr(output: &Output) -> String {
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
@@ -50,7 +52,7 @@
     for binary in ["fescue-entry", "fescue-control"] {
         let output = run(binary, &["--settings", &path]);
         let message = stderr(&output);
-        assert_eq!(output.status.code(), Some(BAD_SETTINGS), "{message}");
+        assert_eq!(output.status.code(), code(Exit::BadSettings), "{message}");
         for part in ["broken.toml", "colour", "listen", "platform"] {
             assert!(
                 message.contains(part),
@@ -65,7 +67,7 @@
 fn missing_settings_stop_both_daemons() {
     for binary in ["fescue-entry", "fescue-control"] {
         let output = run(binary, &["--settings", "no-such-file.toml"]);
-        assert_eq!(output.status.code(), Some(BAD_SETTINGS));
+        assert_eq!(output.status.code(), code(Exit::BadSettings));
         assert!(stderr(&output).contains("no-such-file.toml"));
     }
 }
@@ -80,7 +82,7 @@
     );
     let output = run("fescuectl", &["document", "check", &path]);
     let message = stderr(&output);
-    assert_eq!(output.status.code(), Some(BAD_DOCUMENT), "{message}");
+    assert_eq!(output.status.code(), code(Exit::BadDocument), "{message}");
     assert!(message.contains("document.toml"), "{message}");
 }
 
--- a/bench/tests/processes/deaths.rs
+++ b/bench/tests/processes/deaths.rs
@@ -8,7 +8,7 @@
 use fescueshore::ids::EndpointId;
 use serde::Deserialize;
 
-use crate::env::{Env, LIMIT, ask_answered, eventually, spawn, stream};
+use crate::env::{Env, LIMIT, Task, all_answered, ask_answered, eventually, spawn, stream};
 
 /// Tokens of the streams: they last a few seconds.
 const TOKENS: u32 = 200;
@@ -20,7 +20,7 @@
 }
 
 /// Streams from one caller each, all at once, to the given entries.
-fn start_streams(env: &Env, count: usize) -> Vec<actix_rt::task::JoinHandle<()>> {
+fn start_streams(env: &Env, count: usize) -> Vec<Task> {
     (0..count)
         .map(|number| {
             let mut caller = env.caller();
@@ -30,12 +30,6 @@
         .collect()
 }
 
-async fn all_answered(streams: Vec<actix_rt::task::JoinHandle<()>>) {
-    for stream in streams {
-        stream.await.expect("stream");
-    }
-}
-
 async fn progress(fleet: &Fleet, endpoint: &EndpointId) -> Progress {
     let engine = fleet.engine(endpoint).expect("engine");
     let page = fleet.standins().get(engine.address, "/standin/counters");
--- a/bench/tests/processes/env.rs
+++ b/bench/tests/processes/env.rs
@@ -132,6 +132,16 @@
     assert!(wait_until(LIMIT, holds).await, "never happened: {what}");
 }
 
+/// A caller's task that fails the test unless every answer is whole.
+pub type Task = actix_rt::task::JoinHandle<()>;
+
+/// Waits for callers and fails with them.
+pub async fn all_answered(tasks: Vec<Task>) {
+    for task in tasks {
+        task.await.expect("caller");
+    }
+}
+
 /// Runs a task of the test beside it.
 pub fn spawn<F>(task: F) -> actix_rt::task::JoinHandle<F::Output>
 where
--- a/bench/tests/processes/main.rs
+++ b/bench/tests/processes/main.rs
@@ -9,6 +9,10 @@
 #[cfg(test)]
 mod env;
 #[cfg(test)]
+mod stops;
+#[cfg(test)]
 mod store;
 #[cfg(test)]
 mod whole_path;
+#[cfg(test)]
+mod writes;
--- a/bench/tests/processes/whole_path.rs
+++ b/bench/tests/processes/whole_path.rs
@@ -4,7 +4,7 @@
 use fescue_bench::mix::Parts;
 use uuid::Uuid;
 
-use crate::env::{Env, ask_answered, eventually, read, small, spawn, stream, write};
+use crate::env::{Env, all_answered, ask_answered, eventually, read, small, spawn, stream, write};
 
 #[actix_rt::test]
 async fn every_kind_of_request_is_answered_whole() {
@@ -21,9 +21,7 @@
             })
         })
         .collect();
-    for task in tasks {
-        task.await.expect("caller");
-    }
+    all_answered(tasks).await;
     env.assert_clean().await;
 }
 
--- /dev/null
+++ b/bench/tests/processes/writes.rs
@@ -0,0 +1,210 @@
+//! Non-idempotent calls run at most once, whatever happens to who holds them.
+
+use std::time::Duration;
+
+use fescue_bench::application::ApplicationCounters;
+use fescue_bench::caller::{
+    Ask, AttemptEnd, Caller, CallerOptions, FinalWord, Patience, Refused, Request, attempt,
+};
+use fescue_bench::fleet::ProcessName;
+use fescue_bench::standin::faults::Fault;
+use fescueshore::ids::AccountId;
+use fescueshore::outcome::{Outcome, RefusalCode};
+use uuid::{Timestamp, Uuid};
+
+use crate::env::{Env, LIMIT, ask_answered, eventually, spawn, write};
+
+/// Callers with a write each.
+const WRITES: u64 = 6;
+/// Longer than every timeout of an entry, its control and its peers.
+const PAST_EVERY_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Runs of a key over all replicas.
+async fn runs(env: &Env, key: &str) -> u32 {
+    let mut sum = 0;
+    for replica in &env.fleet.topology().applications {
+        let page = env
+            .fleet
+            .standins()
+            .get(replica.address, "/standin/counters");
+        let counters: ApplicationCounters = page.await.expect("counters");
+        sum += counters.runs_by_key.get(key).copied().unwrap_or(0);
+    }
+    sum
+}
+
+/// Calls that reached any replica.
+async fn calls(env: &Env) -> u64 {
+    let mut sum = 0;
+    for replica in &env.fleet.topology().applications {
+        let page = env
+            .fleet
+            .standins()
+            .get(replica.address, "/standin/counters");
+        let counters: ApplicationCounters = page.await.expect("counters");
+        sum += counters.calls;
+    }
+    sum
+}
+
+async fn slow_replicas(env: &Env, extra_ms: u64) {
+    for replica in &env.fleet.topology().applications {
+        env.fault(replica.address, Fault::Slow { extra_ms }).await;
+    }
+}
+
+/// Writes of callers that use the first entry first and give up on it soon.
+fn start_writes(env: &Env) -> Vec<actix_rt::task::JoinHandle<FinalWord>> {
+    (0..WRITES)
+        .map(|number| {
+            let mut options = CallerOptions::new(number, LIMIT);
+            options.patience.head = Duration::from_secs(2);
+            let mut caller = Caller::new(env.fleet.entry_addresses(), options, env.book.clone());
+            caller.prefer(env.entry(0));
+            spawn(async move { caller.ask(write(Uuid::now_v7())).await })
+        })
+        .collect()
+}
+
+async fn refusal(env: &Env, entry: usize, request: &Request) -> Refused {
+    let http = awc::Client::default();
+    match attempt(&http, env.entry(entry), request, Patience::default(), || ()).await {
+        AttemptEnd::Refused(refused) => refused,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[actix_rt::test]
+async fn a_holder_frozen_past_every_timeout_and_woken_runs_nothing_twice() {
+    let mut env = Env::start().await;
+    slow_replicas(&env, 1_000).await;
+    let holder = ProcessName::Entry(env.fleet.topology().entries[0].name.clone());
+    let writes = start_writes(&env);
+    eventually("a write is out", async || calls(&env).await > 0).await;
+    env.fleet.process(&holder).expect("holder").freeze();
+    actix_rt::time::sleep(PAST_EVERY_TIMEOUT).await;
+    env.fleet.process(&holder).expect("holder").wake();
+    for write in writes {
+        let word = write.await.expect("caller");
+        assert!(
+            matches!(word, FinalWord::Answered | FinalWord::Unknown),
+            "{word:?}"
+        );
+    }
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn an_entry_killed_after_dispatch_leaves_unknown_and_no_second_run() {
+    let mut env = Env::start().await;
+    slow_replicas(&env, 1_000).await;
+    let holder = ProcessName::Entry(env.fleet.topology().entries[0].name.clone());
+    let writes = start_writes(&env);
+    eventually("a write is out", async || calls(&env).await > 0).await;
+    env.fleet.process(&holder).expect("holder").kill();
+    let mut unknown = 0;
+    for write in writes {
+        match write.await.expect("caller") {
+            FinalWord::Answered => {}
+            FinalWord::Unknown => unknown += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(unknown > 0, "no write was out when its holder died");
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn entries_that_race_for_a_key_run_it_once() {
+    let mut env = Env::start().await;
+    let request = write(Uuid::now_v7());
+    let racing: Vec<_> = (0..6)
+        .map(|number| {
+            let options = CallerOptions::new(number, LIMIT);
+            let mut caller = Caller::new(env.fleet.entry_addresses(), options, env.book.clone());
+            caller.prefer(env.entry(number as usize % 3));
+            let request = request.clone();
+            spawn(async move { ask_answered(&mut caller, request).await })
+        })
+        .collect();
+    for caller in racing {
+        caller.await.expect("caller");
+    }
+    let key = request.idempotency_key().expect("key");
+    assert_eq!(runs(&env, key).await, 1);
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn a_key_with_another_body_is_refused_at_every_entry() {
+    let mut env = Env::start().await;
+    let first = write(Uuid::now_v7());
+    ask_answered(&mut env.caller(), first.clone()).await;
+    let mut second = first.clone();
+    second.id = Uuid::now_v7().to_string();
+    if let Ask::Call { body, .. } = &mut second.ask {
+        body.push(' ');
+    }
+    for entry in 0..3 {
+        let refused = refusal(&env, entry, &second).await;
+        assert_eq!(refused.status, 422);
+        assert_eq!(refused.code, RefusalCode::KeyReused);
+        assert_eq!(refused.outcome, Outcome::NotRun);
+    }
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn a_key_of_another_account_is_another_key() {
+    let env = Env::start().await;
+    let first = write(Uuid::now_v7());
+    let mut second = first.clone();
+    second.id = Uuid::now_v7().to_string();
+    second.account = AccountId::from("grill-chain");
+    // Each answer carries its own request id, so neither account sees the other's.
+    ask_answered(&mut env.caller(), first.clone()).await;
+    ask_answered(&mut env.caller(), second).await;
+    let key = first.idempotency_key().expect("key");
+    assert_eq!(runs(&env, key).await, 2);
+}
+
+#[actix_rt::test]
+async fn a_key_older_than_what_is_remembered_is_refused() {
+    let env = Env::start().await;
+    let long_ago = Timestamp::from_unix(uuid::NoContext, 1_500_000_000, 0);
+    let old = write(Uuid::new_v7(long_ago));
+    let refused = refusal(&env, 0, &old).await;
+    assert_eq!(refused.status, 409);
+    assert_eq!(refused.code, RefusalCode::KeyTooOld);
+    assert_eq!(refused.outcome, Outcome::NotRun);
+    assert_eq!(calls(&env).await, 0);
+}
+
+#[actix_rt::test]
+async fn a_repeat_gets_the_recorded_answer_at_another_entry() {
+    let mut env = Env::start().await;
+    let request = write(Uuid::now_v7());
+    for entry in 0..3 {
+        let mut caller = env.caller();
+        caller.prefer(env.entry(entry));
+        ask_answered(&mut caller, request.clone()).await;
+    }
+    let key = request.idempotency_key().expect("key");
+    assert_eq!(runs(&env, key).await, 1);
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn a_reply_lost_by_the_endpoint_is_unknown_and_not_sent_again() {
+    let mut env = Env::start().await;
+    for replica in &env.fleet.topology().applications {
+        env.fault(replica.address, Fault::LoseReplies { count: 1 })
+            .await;
+    }
+    let request = write(Uuid::now_v7());
+    let word = env.caller().ask(request.clone()).await;
+    assert_eq!(word, FinalWord::Unknown);
+    let key = request.idempotency_key().expect("key");
+    assert_eq!(runs(&env, key).await, 1);
+    env.assert_clean().await;
+}
