--- a/bench/src/fleet/settings.rs
+++ b/bench/src/fleet/settings.rs
@@ -9,7 +9,7 @@
 use crate::topology::{EntryNode, PlatformNodes};
 
 /// Key shared by the fleet's own processes.
-const PEERS_KEY: &str = "bench-peers-key";
+const PEERS_KEY: &str = "bench-key-of-the-own-processes";
 
 #[derive(Serialize)]
 struct Settings<'a> {
