Engine stand-in: slots for four batches, a step takes half a batch

Ruled out: a shorter least step (an eighth or a sixteenth of a batch), which gives a single stream the whole rate; batches that move as one, which leave all stages but one idle.

--- a/bench/src/engine/begin.rs
+++ b/bench/src/engine/begin.rs
@@ -8,7 +8,7 @@
 };
 
 use super::core::{Core, refusal};
-use super::executor::Work;
+use super::executor::{SLOT_BATCHES, Work};
 use super::frames::{Activation, Frame};
 use super::stream::{Phase, Stream, recomputes, seed_of};
 
@@ -165,7 +165,7 @@
 
     fn next_to_admit(&self) -> Option<StreamId> {
         let (running, waiting) = self.occupancy();
-        if waiting == 0 || running >= self.node.batch_limit {
+        if waiting == 0 || running >= self.node.batch_limit * SLOT_BATCHES {
             return None;
         }
         let with_slot = self.streams.values().filter(|stream| stream.has_slot());
--- a/bench/src/engine/executor.rs
+++ b/bench/src/engine/executor.rs
@@ -1,11 +1,12 @@
 //! When an engine's steps are finished: a model of continuous batching.
 //!
 //! An engine is a server that works off `layer_tokens_per_s` units a second, a unit being one
-//! layer for one token, whatever streams they belong to. A step is never finished sooner than
-//! `batch_limit / MIN_STEP_PARTS` steps of its size would take, so that a single stream does not
-//! get the rate of a full batch, while `batch_limit` streams use it whole in chains of up to about
-//! [`MIN_STEP_PARTS`] stages. A prompt's tokens cost a part of a generated one's, and long
-//! prompts are cut into chunks between which other steps run. Urgent classes go first.
+//! layer for one token, whatever streams they belong to. A step takes at least as long as half a
+//! batch of its size, so that a single stream does not get the rate of a full batch. A stream is
+//! at one stage at a time: an engine holds [`SLOT_BATCHES`] batches' worth of streams, so that a
+//! batch is there while the others are at other stages. A prompt's tokens cost a part of a
+//! generated one's, and long prompts are cut into chunks between which other steps run. Urgent
+//! classes go first.
 //!
 //! Time is simulated: work starts when the work before it was finished, not when a timer fired
 //! late, so that the rate is exact.
@@ -15,10 +16,12 @@
 
 use fescueshore::ids::StreamId;
 
-/// Parts of a full batch's time that the shortest step takes.
-const MIN_STEP_PARTS: f64 = 16.0;
+/// Part of a full batch's time that the shortest step takes.
+const MIN_STEP_PART: f64 = 0.5;
+/// Streams that an engine holds at once, in batches.
+pub const SLOT_BATCHES: u32 = 4;
 /// Cost of a prompt's token against that of a generated one.
-const PREFILL_COST: f64 = 0.125;
+pub const PREFILL_COST: f64 = 1.0 / 16.0;
 /// Prompt tokens that run without a break.
 const CHUNK_TOKENS: u32 = 16;
 
@@ -87,7 +90,7 @@
     pub(crate) fn new(layer_tokens_per_s: f64, batch_limit: u32) -> Self {
         Self {
             unit_us: 1e6 / layer_tokens_per_s.max(1.0),
-            min_step_units: f64::from(batch_limit) / MIN_STEP_PARTS,
+            min_step_units: f64::from(batch_limit) * MIN_STEP_PART,
             slow_factor: 1.0,
             free_at_us: 0.0,
             busy_us: 0.0,
--- a/bench/src/engine/mod.rs
+++ b/bench/src/engine/mod.rs
@@ -23,4 +23,5 @@
 mod tests;
 
 pub use counters::EngineCounters;
+pub use executor::{PREFILL_COST, SLOT_BATCHES};
 pub(crate) use lives::run;
