Tests of the engine stand-in in simulated time

Cause: what stands in for engines judges the router's layers, so it must itself be shown to see a repeated, skipped or early layer, and to refuse what it should. The test that first expected the last of 100 steps at 100 ms was wrong: a step takes at least 2 ms, so it is finished at 101 ms.

--- a/bench/src/answer.rs
+++ b/bench/src/answer/mod.rs
@@ -1,5 +1,8 @@
 //! The answer a model gives: a function of what was asked, so that anyone can check one.
 
+#[cfg(test)]
+mod tests;
+
 use fescueshore::wire::engine::EndReason;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
