Control: leases with fencing numbers and convergent engine orders

A lease per model service is a row whose fencing number only grows. A holder counts its time from before the write was sent, a waiting instance from after it first read the row, and a margin for clocks that run apart, so two never hold it at once; a lost reply is settled by reading back.

What to order is a pure function of document and engines' states. It keeps, at any time, the capacity in use with some headroom as whole chains of one version, at most four engines load at once, and the engine whose layers have least of the new version goes first, so that whole chains of it come about early.

--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::{InstanceId, ServiceName};
+use crate::ids::{EndpointId, InstanceId, ServiceName};
 use crate::instance::{CallId, ControlEffect, PeerCall, TableCall};
 use crate::membership::GossipTo;
 use crate::wire::platform::ScanRows;
@@ -31,6 +31,12 @@
     Gossip(InstanceId),
     /// Fetches documents from a peer.
     Fetch(InstanceId),
+    /// Works on the lease of a service.
+    Lease(ServiceName),
+    /// Asks an engine of a service what it holds.
+    ReadEngine(ServiceName, EndpointId),
+    /// Sends an order to an engine of a service, under a fencing number.
+    Order(ServiceName, EndpointId, u64),
     /// Asks a peer to explain, for this operator's call.
     Explain(CallId, InstanceId),
 }
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -244,6 +244,7 @@
         match self.calls.finish(call) {
             Some(Purpose::Watch) => self.watch_answered(result),
             Some(Purpose::Accept(operator)) => self.accept_answered(operator, result, now_ms),
+            Some(Purpose::Lease(service)) => self.lease_answered(&service, result, now_ms),
             Some(Purpose::WriteAudit) => self.audit.answered(result.is_ok()),
             Some(Purpose::ReadAudit(operator, scan)) => self.audit_read(operator, &scan, result),
             Some(Purpose::ReadDocument(operator)) => self.document_read(operator, result),
--- a/src/control/explain.rs
+++ b/src/control/explain.rs
@@ -106,7 +106,11 @@
     fn present_state(&self, subject: &ExplainSubject, now_ms: u64) -> Vec<ExplainLine> {
         let texts = match subject {
             ExplainSubject::Request { .. } => Vec::new(),
-            ExplainSubject::Endpoint { endpoint } => vec![self.endpoint_sentence(endpoint)],
+            ExplainSubject::Endpoint { endpoint } => {
+                let order = self.order_sentence(endpoint);
+                let state = self.endpoint_sentence(endpoint);
+                order.into_iter().chain([state]).collect()
+            }
             ExplainSubject::Account { account } => self
                 .shares
                 .current()
@@ -129,6 +133,16 @@
         texts.into_iter().map(line).collect()
     }
 
+    fn order_sentence(&self, endpoint: &EndpointId) -> Option<String> {
+        let (unix_ms, desired) = self.orders.last_order(endpoint)?;
+        Some(format!(
+            "endpoint {endpoint} was ordered to hold version {} of {} with adapters [{}] at {unix_ms}",
+            desired.version,
+            desired.model,
+            desired.adapters.join(", ")
+        ))
+    }
+
     fn endpoint_sentence(&self, endpoint: &EndpointId) -> String {
         let Some(record) = self.listing.endpoint(endpoint) else {
             return format!("endpoint {endpoint} is not in the instance list");
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,8 @@
 mod cell;
 mod config;
 mod documents;
+mod engine_book;
+mod engines;
 mod entry_link;
 mod exchange;
 mod explain;
@@ -27,6 +29,7 @@
 use crate::revision::{Acceptance, Documents, Watch};
 use crate::wire::operator::{AuditActor, AuditEntry, AuditEvent};
 use calls::Calls;
+use engines::EngineOrders;
 use entry_link::EntryLink;
 use exchange::SnapshotKeeper;
 use explain::Gathering;
@@ -48,6 +51,7 @@
     entry: EntryLink,
     shares: Shares,
     snapshots: SnapshotKeeper,
+    orders: EngineOrders,
     /// Acceptances under way, by the operator's call.
     acceptances: IndexMap<CallId, Acceptance>,
     /// Explanations for which peers are being asked, by the operator's call.
@@ -84,6 +88,7 @@
             entry: EntryLink::default(),
             shares: Shares::default(),
             snapshots: SnapshotKeeper::new(unix_ms),
+            orders: EngineOrders::default(),
             acceptances: IndexMap::new(),
             gatherings: IndexMap::new(),
             audit: AuditQueue::new(config.instance.clone(), config.incarnation),
@@ -134,8 +139,8 @@
             ControlMessage::TableAnswered { call, result } => {
                 self.table_answered(call, result, now_ms);
             }
-            ControlMessage::EngineAnswered { call, .. } => {
-                self.calls.finish(call);
+            ControlMessage::EngineAnswered { call, result } => {
+                self.engine_answered(call, result, now_ms);
             }
             ControlMessage::Tick => {}
             ControlMessage::Stop => self.stop(now_ms),
@@ -163,6 +168,7 @@
         self.settle_readiness(now_ms);
         self.settle_leaving(now_ms);
         self.note_members(now_ms);
+        self.settle_orders(now_ms);
         self.settle_shares(now_ms);
         self.settle_snapshot(now_ms);
     }
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -179,6 +179,8 @@
     }
 
     fn status(&self, key: &PresentedKey, now_ms: u64) -> StatusReply {
+        let authority = self.authority(key);
+        let may_read = |document: &Document| authority.on(document, OperatorRole::Viewer).is_ok();
         let readable: Vec<&ServiceName> = self
             .readable(key)
             .map(|held| &held.document.service)
@@ -194,7 +196,7 @@
             endpoints: endpoints
                 .filter(|record| readable.contains(&&record.service))
                 .collect(),
-            leases: Vec::new(),
+            leases: self.lease_statuses(may_read, now_ms),
         }
     }
 
--- a/src/control/stopping.rs
+++ b/src/control/stopping.rs
@@ -40,7 +40,8 @@
             return;
         }
         let done_ms = *self.stopping.entry_done_ms.get_or_insert(now_ms);
-        if self.audit.is_empty() || now_ms >= done_ms + AUDIT_LIMIT_MS {
+        let handed_over = self.audit.is_empty() && !self.orders.holds_any(now_ms);
+        if handed_over || now_ms >= done_ms + AUDIT_LIMIT_MS {
             self.stopping.done = true;
             self.emit(ControlEffect::Stopped);
         }
--- /dev/null
+++ b/src/lease/mod.rs
@@ -0,0 +1,312 @@
+//! A lease on the orders to one service's engines, kept as a row of the table service.
+//!
+//! The row holds a fencing number that only grows. A holder counts its time from before it sent
+//! the write; another instance waits that time, and a margin for clocks that run apart, from after
+//! it first read the row as it stands. So the holder's time is always over first, unless the
+//! holder is paused between its last look at the clock and the send: for that there is the
+//! fencing number, and [`Lease::may_order`] for engines that ignore it.
+
+mod rows;
+
+use crate::ids::{Incarnation, InstanceId, ServiceName};
+use crate::instance::{TableCall, TableReply};
+use crate::invariant;
+use crate::platform::TableFailure;
+use crate::wire::platform::{ReadRows, TransactReply};
+use rows::{LeaseRow, ReadLease, lease_key, read_lease, write_lease};
+
+/// How long a lease holds without renewal.
+pub(crate) const LEASE_MS: u64 = 10_000;
+/// Added by those who wait for a lease to run out: two clocks may differ by a tenth.
+pub(crate) const MARGIN_MS: u64 = 1_000;
+/// Pause between two renewals.
+const RENEW_MS: u64 = 3_000;
+/// Pause between two looks at a lease that another holds.
+const WATCH_MS: u64 = 1_000;
+/// Pause after a call that failed.
+const RETRY_MS: u64 = 500;
+/// The longest time an order can be under way to an engine.
+pub(crate) const ORDER_LIMIT_MS: u64 = 5_000;
+
+/// What came of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseEvent {
+    /// This process holds the lease now, under this fencing number.
+    Taken {
+        /// Fencing number.
+        fence: u64,
+    },
+    /// This process holds it no more.
+    Lost,
+}
+
+/// A lease in force at this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HeldLease {
+    /// Fencing number.
+    pub(crate) fence: u64,
+    /// End, on the clock of `now_ms`.
+    pub(crate) valid_until_ms: u64,
+}
+
+/// The row as another instance left it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Seen {
+    version: u64,
+    row: LeaseRow,
+    /// When it was first read like this.
+    since_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Holding {
+    fence: u64,
+    version: u64,
+    valid_until_ms: u64,
+    /// When orders may begin at engines that ignore the fencing number.
+    unfenced_from_ms: u64,
+}
+
+/// A write without a reply that was understood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Sent {
+    fence: u64,
+    at_ms: u64,
+    unfenced_from_ms: u64,
+}
+
+/// The lease of one service, as one process works on it.
+#[derive(Clone, Debug)]
+pub(crate) struct Lease {
+    service: ServiceName,
+    instance: InstanceId,
+    incarnation: Incarnation,
+    wanted: bool,
+    seen: Option<Seen>,
+    holding: Option<Holding>,
+    /// The first write since the last reply that was understood.
+    sent: Option<Sent>,
+    /// When the last call was sent.
+    called_ms: u64,
+    under_way: bool,
+    next_ms: u64,
+    /// Highest fencing number seen; never falls.
+    highest_fence: u64,
+}
+
+impl Lease {
+    /// Nothing is known of the row, and nothing is wanted.
+    pub(crate) fn new(
+        service: ServiceName,
+        instance: InstanceId,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self {
+            service,
+            instance,
+            incarnation,
+            wanted: false,
+            seen: None,
+            holding: None,
+            sent: None,
+            called_ms: 0,
+            under_way: false,
+            next_ms: 0,
+            highest_fence: 0,
+        }
+    }
+
+    /// Says whether the lease is wanted. One that is held and not wanted is given back.
+    pub(crate) fn want(&mut self, wanted: bool) {
+        if self.wanted != wanted {
+            self.wanted = wanted;
+            self.next_ms = 0;
+        }
+    }
+
+    /// The lease, if it is in force at this process.
+    pub(crate) fn held(&self, now_ms: u64) -> Option<HeldLease> {
+        let holding = self.holding.filter(|it| now_ms < it.valid_until_ms)?;
+        Some(HeldLease {
+            fence: holding.fence,
+            valid_until_ms: holding.valid_until_ms,
+        })
+    }
+
+    /// The lease, if an order may be sent under it now. Where engines ignore the fencing number,
+    /// orders of the last holder may still be under way for a while.
+    pub(crate) fn may_order(&self, engines_check_fence: bool, now_ms: u64) -> Option<HeldLease> {
+        let unfenced_from_ms = self.holding?.unfenced_from_ms;
+        let waited = engines_check_fence || now_ms >= unfenced_from_ms;
+        self.held(now_ms).filter(|_| waited)
+    }
+
+    /// The call to make now, if one is due.
+    pub(crate) fn due(&mut self, now_ms: u64) -> Option<TableCall> {
+        if self.under_way || now_ms < self.next_ms {
+            return None;
+        }
+        let call = self.next_call(now_ms)?;
+        self.under_way = true;
+        self.called_ms = now_ms;
+        Some(call)
+    }
+
+    /// Takes the answer to the last call.
+    pub(crate) fn answered(
+        &mut self,
+        result: Result<TableReply, TableFailure>,
+        now_ms: u64,
+    ) -> Option<LeaseEvent> {
+        self.under_way = false;
+        self.next_ms = now_ms + RETRY_MS;
+        match result {
+            Ok(TableReply::Transacted(TransactReply::Committed { version })) => {
+                self.written(version, now_ms)
+            }
+            Ok(TableReply::Transacted(TransactReply::Conflict { rows })) => {
+                self.row_read(read_lease(&rows, &self.service), now_ms)
+            }
+            Ok(TableReply::Read(rows)) => {
+                self.row_read(read_lease(&rows.rows, &self.service), now_ms)
+            }
+            Err(failure) => {
+                self.failed(failure);
+                None
+            }
+        }
+    }
+
+    fn next_call(&mut self, now_ms: u64) -> Option<TableCall> {
+        match (self.holding, self.wanted) {
+            (Some(holding), true) => self.renew(holding, now_ms),
+            (Some(holding), false) => self.release(holding),
+            (None, true) if self.sent.is_none() && self.is_free(now_ms) => self.take(now_ms),
+            (None, true) => {
+                self.next_ms = now_ms + WATCH_MS;
+                Some(TableCall::Read(ReadRows {
+                    keys: vec![lease_key(&self.service)],
+                }))
+            }
+            (None, false) => None,
+        }
+    }
+
+    /// Whether the row as last read may be taken over now.
+    fn is_free(&self, now_ms: u64) -> bool {
+        self.seen
+            .as_ref()
+            .is_some_and(|seen| seen.row.released || now_ms >= seen.since_ms + LEASE_MS + MARGIN_MS)
+    }
+
+    fn take(&mut self, now_ms: u64) -> Option<TableCall> {
+        let last = self.seen.as_ref();
+        let fence = last.map_or(0, |seen| seen.row.fence) + 1;
+        let was_idle = last.is_none_or(|seen| seen.row.released || seen.row.fence == 0);
+        let wait_ms = if was_idle { 0 } else { ORDER_LIMIT_MS };
+        let version = last.map(|seen| seen.version).filter(|version| *version > 0);
+        self.sent = Some(Sent {
+            fence,
+            at_ms: now_ms,
+            unfenced_from_ms: now_ms + wait_ms,
+        });
+        self.write(fence, version, false)
+    }
+
+    fn renew(&mut self, holding: Holding, now_ms: u64) -> Option<TableCall> {
+        self.sent.get_or_insert(Sent {
+            fence: holding.fence,
+            at_ms: now_ms,
+            unfenced_from_ms: holding.unfenced_from_ms,
+        });
+        self.write(holding.fence, Some(holding.version), false)
+    }
+
+    /// Gives the lease back; from here on nothing is sent under it, whatever comes of the write.
+    fn release(&mut self, holding: Holding) -> Option<TableCall> {
+        self.holding = None;
+        self.sent = None;
+        self.seen = None;
+        self.write(holding.fence, Some(holding.version), true)
+    }
+
+    fn write(&self, fence: u64, version: Option<u64>, released: bool) -> Option<TableCall> {
+        let row = LeaseRow {
+            holder: self.instance.clone(),
+            incarnation: self.incarnation,
+            fence,
+            released,
+        };
+        let transaction = write_lease(&self.service, &row, version).ok()?;
+        Some(TableCall::Transact(transaction))
+    }
+
+    fn written(&mut self, version: u64, now_ms: u64) -> Option<LeaseEvent> {
+        // The condition held, so no earlier write took effect: the time is that of this one.
+        let sent = Sent {
+            at_ms: self.called_ms,
+            ..self.sent.take()?
+        };
+        self.next_ms = now_ms + RENEW_MS;
+        self.hold(sent, version)
+    }
+
+    fn failed(&mut self, failure: TableFailure) {
+        let is_last = |sent: &Sent| sent.at_ms == self.called_ms;
+        if !failure.may_have_applied() && self.sent.as_ref().is_some_and(is_last) {
+            self.sent = None;
+        }
+    }
+
+    fn hold(&mut self, sent: Sent, version: u64) -> Option<LeaseEvent> {
+        let was = self.holding;
+        invariant::check(
+            sent.fence >= self.highest_fence,
+            "fence_never_falls",
+            || format!("{} after {}", sent.fence, self.highest_fence),
+        );
+        self.highest_fence = self.highest_fence.max(sent.fence);
+        self.holding = Some(Holding {
+            fence: sent.fence,
+            version,
+            valid_until_ms: sent.at_ms + LEASE_MS,
+            unfenced_from_ms: sent.unfenced_from_ms,
+        });
+        let taken = was.is_none_or(|was| was.fence != sent.fence);
+        taken.then_some(LeaseEvent::Taken { fence: sent.fence })
+    }
+
+    fn row_read(&mut self, read: ReadLease, now_ms: u64) -> Option<LeaseEvent> {
+        let (version, row) = match read {
+            ReadLease::Row(version, row) => (version, row),
+            ReadLease::Absent => (0, LeaseRow::none(&self.instance, self.incarnation)),
+            ReadLease::Unreadable => return None,
+        };
+        self.highest_fence = self.highest_fence.max(row.fence);
+        if let Some(sent) = self.sent.take().filter(|sent| self.is_own(&row, sent)) {
+            // A write whose reply was lost took effect; of several the first one sets the time.
+            self.next_ms = now_ms + RENEW_MS;
+            return self.hold(sent, version);
+        }
+        let lost = self.holding.take().is_some();
+        self.see(version, row, now_ms);
+        lost.then_some(LeaseEvent::Lost)
+    }
+
+    fn is_own(&self, row: &LeaseRow, sent: &Sent) -> bool {
+        row.incarnation == self.incarnation && row.fence == sent.fence && !row.released
+    }
+
+    fn see(&mut self, version: u64, row: LeaseRow, now_ms: u64) {
+        let same = self.seen.as_ref().filter(|seen| seen.version == version);
+        let since_ms = same.map_or(now_ms, |seen| seen.since_ms);
+        if row.released {
+            self.next_ms = now_ms;
+        }
+        self.seen = Some(Seen {
+            version,
+            row,
+            since_ms,
+        });
+    }
+}
--- /dev/null
+++ b/src/orders/capacity.rs
@@ -0,0 +1,85 @@
+//! What a set of engines can generate, layer by layer.
+
+use indexmap::IndexMap;
+
+use crate::wire::engine::{EngineState, LayerRange};
+
+/// Token rates of one model by version and layer.
+#[derive(Clone, Debug)]
+pub(super) struct Capacity {
+    layers: usize,
+    versions: IndexMap<String, Vec<f64>>,
+}
+
+impl Capacity {
+    /// Nothing holds any of `layers` layers.
+    pub(super) fn new(layers: u16) -> Self {
+        Self {
+            layers: usize::from(layers),
+            versions: IndexMap::new(),
+        }
+    }
+
+    /// Adds an engine under a version.
+    pub(super) fn add(&mut self, state: &EngineState, version: &str, layers: LayerRange) {
+        self.change(version, layers, rate(state));
+    }
+
+    /// Takes an engine away.
+    pub(super) fn take(&mut self, state: &EngineState, version: &str, layers: LayerRange) {
+        self.change(version, layers, -rate(state));
+    }
+
+    /// Tokens a second over all versions. A token needs every layer in one version.
+    pub(super) fn usable(&self) -> f64 {
+        self.versions.values().map(|rates| lowest(rates)).sum()
+    }
+
+    /// Tokens a second if every engine held one version.
+    pub(super) fn full(&self) -> f64 {
+        let mut sums = vec![0.0; self.layers];
+        for rates in self.versions.values() {
+            for (sum, rate) in sums.iter_mut().zip(rates) {
+                *sum += rate;
+            }
+        }
+        lowest(&sums)
+    }
+
+    /// The least that a version has of these layers, as a part of all that hold them.
+    pub(super) fn part_of(&self, version: &str, layers: LayerRange) -> f64 {
+        let range = usize::from(layers.first)..usize::from(layers.end);
+        let part = |layer: usize| {
+            let total: f64 = self.versions.values().map(|rates| rates[layer]).sum();
+            let own = self.versions.get(version).map_or(0.0, |rates| rates[layer]);
+            if total > 0.0 { own / total } else { 0.0 }
+        };
+        range
+            .filter(|layer| *layer < self.layers)
+            .map(part)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    fn change(&mut self, version: &str, layers: LayerRange, by: f64) {
+        let count = self.layers;
+        let rates = self.versions.entry(version.to_owned());
+        let rates = rates.or_insert_with(|| vec![0.0; count]);
+        let range = usize::from(layers.first)..usize::from(layers.end);
+        for rate in rates.iter_mut().take(range.end).skip(range.start) {
+            // Sums of differences leave crumbs that must not count as capacity.
+            let sum = *rate + by;
+            *rate = if sum < 1e-9 { 0.0 } else { sum };
+        }
+    }
+}
+
+/// Tokens a second through the layers that the engine holds.
+fn rate(state: &EngineState) -> f64 {
+    let layers = f64::from(state.layers.len().max(1));
+    state.layer_tokens_per_s.max(0.0) / layers
+}
+
+fn lowest(rates: &[f64]) -> f64 {
+    let lowest = rates.iter().copied().fold(f64::INFINITY, f64::min);
+    if lowest.is_finite() { lowest } else { 0.0 }
+}
--- /dev/null
+++ b/src/orders/mod.rs
@@ -0,0 +1,10 @@
+//! Orders to engines: what each should hold, and which of them may change it now.
+//!
+//! The plan is a pure function of the documents and of what the engines say, so it is repeated
+//! until they agree; a stale order is repaired by the next look.
+
+mod capacity;
+mod desired;
+mod plan;
+
+pub(crate) use plan::{EngineView, plan};
--- /dev/null
+++ b/src/orders/plan.rs
@@ -0,0 +1,181 @@
+//! Which engines are ordered to change now.
+
+use indexmap::IndexMap;
+
+use crate::document::ModelOffer;
+use crate::ids::EndpointId;
+use crate::wire::engine::{EngineAssignment, EngineState};
+
+use super::capacity::Capacity;
+use super::desired::desired;
+
+/// Most engines that load weights for one service at once; the weight store limits its rate.
+const LOADS_AT_ONCE: usize = 4;
+/// Part of the full capacity that may be away at any load.
+const ALWAYS_AWAY: f64 = 0.25;
+/// Capacity kept over what is in use.
+const HEADROOM: f64 = 1.25;
+
+/// An engine as the lease's holder sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineView<'a> {
+    /// Engine.
+    pub(crate) endpoint: &'a EndpointId,
+    /// What it last said; `None` if it did not answer.
+    pub(crate) state: Option<&'a EngineState>,
+    /// Whether it gets no new work for good.
+    pub(crate) leaving: bool,
+    /// An order that it was sent and has not fulfilled.
+    pub(crate) ordered: Option<&'a EngineAssignment>,
+}
+
+/// What to order now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Plan {
+    /// Orders to send.
+    pub(crate) orders: Vec<(EndpointId, EngineAssignment)>,
+    /// Engines that do not hold what they should, those under order included.
+    pub(crate) unfinished: usize,
+}
+
+/// An engine that should change.
+struct Candidate<'a> {
+    engine: &'a EngineView<'a>,
+    state: &'a EngineState,
+    desired: EngineAssignment,
+}
+
+/// Works out the orders. `models` are those of one service.
+pub(crate) fn plan(models: &IndexMap<String, ModelOffer>, engines: &[EngineView<'_>]) -> Plan {
+    let mut plan = Plan::default();
+    let mut under_way = 0;
+    let mut candidates = Vec::new();
+    for engine in engines.iter().filter(|engine| !engine.leaving) {
+        let Some(state) = engine.state else {
+            continue;
+        };
+        let Some(desired) = desired(models, engines, state) else {
+            continue;
+        };
+        if desired.is_held_by(state) {
+            continue;
+        }
+        plan.unfinished += 1;
+        if engine.ordered == Some(&desired) {
+            under_way += 1;
+        } else {
+            candidates.push(Candidate {
+                engine,
+                state,
+                desired,
+            });
+        }
+    }
+    for offer in models.values() {
+        let own = candidates
+            .iter()
+            .filter(|it| it.desired.model == offer.name);
+        let own: Vec<&Candidate<'_>> = own.collect();
+        let free = LOADS_AT_ONCE.saturating_sub(under_way + plan.orders.len());
+        plan.orders.extend(choose(offer, engines, own, free));
+    }
+    plan
+}
+
+/// Chooses up to `free` engines of one model, one after the other, each time the one whose layers
+/// have least of the new version, so that whole chains of it come about early.
+fn choose(
+    offer: &ModelOffer,
+    engines: &[EngineView<'_>],
+    mut candidates: Vec<&Candidate<'_>>,
+    free: usize,
+) -> Vec<(EndpointId, EngineAssignment)> {
+    let mut now = working(offer, engines);
+    let mut then = planned(offer, engines);
+    let least = least_capacity(offer, engines);
+    let mut chosen = Vec::new();
+    while chosen.len() < free && !candidates.is_empty() {
+        let next = candidates
+            .iter()
+            .enumerate()
+            .map(|(index, candidate)| (index, urgency(offer, &then, candidate)))
+            .min_by(|(_, a), (_, b)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map_or(0, |(index, _)| index);
+        let candidate = candidates.remove(next);
+        let state = candidate.state;
+        if candidate.desired.disturbs(state) && state.model == offer.name {
+            let mut without = now.clone();
+            without.take(state, &state.version, state.layers);
+            if without.usable() < least {
+                continue;
+            }
+            now = without;
+        }
+        then.take(state, &state.version, state.layers);
+        then.add(state, &offer.version, candidate.desired.layers);
+        chosen.push((candidate.engine.endpoint.clone(), candidate.desired.clone()));
+    }
+    chosen
+}
+
+fn urgency<'a>(
+    offer: &ModelOffer,
+    then: &Capacity,
+    candidate: &Candidate<'a>,
+) -> (f64, (u32, &'a EndpointId)) {
+    let part = then.part_of(&offer.version, candidate.desired.layers);
+    let busy = candidate.state.running + candidate.state.waiting;
+    (part, (busy, candidate.engine.endpoint))
+}
+
+/// Capacity of the engines that take new work and are not about to stop.
+fn working(offer: &ModelOffer, engines: &[EngineView<'_>]) -> Capacity {
+    let mut capacity = Capacity::new(offer.layers);
+    for (engine, state) in of_model(offer, engines) {
+        let stops = engine.ordered.is_some_and(|order| order.disturbs(state));
+        if !stops && !state.draining {
+            capacity.add(state, &state.version, state.layers);
+        }
+    }
+    capacity
+}
+
+/// Capacity once every order under way is fulfilled.
+fn planned(offer: &ModelOffer, engines: &[EngineView<'_>]) -> Capacity {
+    let mut capacity = Capacity::new(offer.layers);
+    for (engine, state) in of_model(offer, engines) {
+        match engine.ordered {
+            Some(order) => capacity.add(state, &order.version, order.layers),
+            None => capacity.add(state, &state.version, state.layers),
+        }
+    }
+    capacity
+}
+
+/// Capacity that must stay: what is in use with some headroom, but not more than leaves
+/// [`ALWAYS_AWAY`]. Always more than nothing, so that no layer is left without an engine.
+fn least_capacity(offer: &ModelOffer, engines: &[EngineView<'_>]) -> f64 {
+    let mut all = Capacity::new(offer.layers);
+    let mut batch = 0;
+    let mut busy = 0;
+    for (_, state) in of_model(offer, engines) {
+        all.add(state, &state.version, state.layers);
+        batch += state.batch_limit;
+        busy += state.running + state.waiting;
+    }
+    let full = all.full();
+    let in_use = f64::from(busy) / f64::from(batch.max(1)) * full;
+    let kept = (in_use * HEADROOM).min(full * (1.0 - ALWAYS_AWAY));
+    kept.max(f64::MIN_POSITIVE)
+}
+
+fn of_model<'a>(
+    offer: &'a ModelOffer,
+    engines: &'a [EngineView<'a>],
+) -> impl Iterator<Item = (&'a EngineView<'a>, &'a EngineState)> {
+    engines
+        .iter()
+        .filter(|engine| !engine.leaving)
+        .filter_map(|engine| Some((engine, engine.state?)))
+        .filter(|(_, state)| state.model == offer.name)
+}
--- a/src/wire/engine.rs
+++ b/src/wire/engine.rs
@@ -293,3 +293,24 @@
     /// Layers.
     pub layers: LayerRange,
 }
+
+impl EngineAssignment {
+    /// Whether an engine holds exactly this, adapters in any order.
+    pub fn is_held_by(&self, state: &EngineState) -> bool {
+        let same_adapters = state.adapters.len() == self.adapters.len()
+            && self.adapters.iter().all(|it| state.adapters.contains(it));
+        state.model == self.model
+            && state.version == self.version
+            && state.layers == self.layers
+            && same_adapters
+    }
+
+    /// Whether an engine has to stop work to come to hold this.
+    pub fn disturbs(&self, state: &EngineState) -> bool {
+        let keeps_adapters = state.adapters.iter().all(|it| self.adapters.contains(it));
+        state.model != self.model
+            || state.version != self.version
+            || !self.layers.covers(state.layers)
+            || !keeps_adapters
+    }
+}
