Faults of one text are bounded in number and size

A document of 100,000 broken lines gave 299,999 faults and 33 MB of text, and the comparison of one unknown key of 250,000 characters with the known ones had not ended after two minutes, when the trial was stopped. Both are within the size limit of a document.

--- a/src/checked_toml/checker.rs
+++ b/src/checked_toml/checker.rs
@@ -1,6 +1,6 @@
 //! Collects the faults of one text, with their lines.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
@@ -8,6 +8,9 @@
 use super::fault::{Fault, FaultKind, Faults};
 use super::section::Section;
 
+/// Most faults that are reported of one text.
+const MAX_FAULTS: usize = 500;
+
 /// A value and its place.
 #[derive(Clone, Debug)]
 pub(crate) struct Located<T> {
@@ -48,7 +51,10 @@
     text: &'t str,
     /// Byte offset of each line's end, ascending.
     line_ends: Vec<usize>,
+    /// At most [`MAX_FAULTS`].
     faults: RefCell<Vec<Fault>>,
+    /// Faults found beyond those.
+    dropped: Cell<usize>,
 }
 
 impl<'t> Checker<'t> {
@@ -58,6 +64,7 @@
             text,
             line_ends,
             faults: RefCell::default(),
+            dropped: Cell::default(),
         }
     }
 
@@ -86,13 +93,29 @@
     }
 
     pub(crate) fn push(&self, line: usize, path: String, kind: FaultKind) {
+        if self.is_full() {
+            self.dropped.update(|dropped| dropped + 1);
+            return;
+        }
         self.faults.borrow_mut().push(Fault { line, path, kind });
     }
 
+    /// Whether no further fault is kept.
+    pub(super) fn is_full(&self) -> bool {
+        self.faults.borrow().len() >= MAX_FAULTS
+    }
+
     /// Every fault, by line.
     fn into_faults(self) -> Vec<Fault> {
         let mut faults = self.faults.into_inner();
         faults.sort_by_key(|fault| fault.line);
+        let count = self.dropped.get();
+        if let (true, Some(last)) = (count > 0, faults.last()) {
+            let line = last.line;
+            let kind = FaultKind::MoreFaults { count };
+            let path = String::new();
+            faults.push(Fault { line, path, kind });
+        }
         faults
     }
 
--- a/src/checked_toml/fault.rs
+++ b/src/checked_toml/fault.rs
@@ -154,6 +154,12 @@
         /// Kind of the service.
         kind: &'static str,
     },
+    /// More faults than are listed.
+    #[error("{count} further faults")]
+    MoreFaults {
+        /// How many are not listed.
+        count: usize,
+    },
     /// Nobody could accept the next document.
     #[error("no operator has the role `editor`")]
     NoEditor,
@@ -192,6 +198,7 @@
             Self::TooMany { limit, .. } => format!("keep at most {limit}"),
             Self::Repeated { .. } => "remove one, or make them differ".to_owned(),
             Self::NotForKind { .. } => "remove it, or change `kind`".to_owned(),
+            Self::MoreFaults { .. } => "mend those listed first".to_owned(),
             Self::NoEditor => {
                 "give one the role `editor`, or nobody can accept the next document".to_owned()
             }
--- a/src/checked_toml/section.rs
+++ b/src/checked_toml/section.rs
@@ -190,17 +190,19 @@
         for name in self.table.keys() {
             let key: &str = name.get_ref();
             if !self.known.contains(key) {
-                let line = self.checker.line_of(name.span().start);
-                let known = nearest_first(key, &self.known);
-                self.checker.push(
-                    line,
-                    join_path(&self.path, key),
-                    FaultKind::UnknownKey { known },
-                );
+                self.fault_at(key, self.unknown_key(key));
             }
         }
     }
 
+    fn unknown_key(&self, key: &str) -> FaultKind {
+        let known = match self.checker.is_full() {
+            true => Vec::new(),
+            false => nearest_first(key, &self.known),
+        };
+        FaultKind::UnknownKey { known }
+    }
+
     /// The first `limit` items of a list, with its path; reports another type and too many.
     fn items(
         &mut self,
@@ -253,17 +255,23 @@
     }
 }
 
+/// Longest part of a path that is shown, and longest key that is compared with known ones.
+const MAX_PART_CHARS: usize = 64;
+
 fn join_path(path: &str, key: &str) -> String {
+    let key: String = key.chars().take(MAX_PART_CHARS).collect();
     match path {
-        "" => key.to_owned(),
+        "" => key,
         _ => format!("{path}.{key}"),
     }
 }
 
 fn nearest_first(key: &str, known: &IndexSet<&'static str>) -> Vec<&'static str> {
     let mut known: Vec<&'static str> = known.iter().copied().collect();
-    // Stable, so that keys equally near stay in the order in which they are read.
-    known.sort_by(|a, b| ratio(key, b).total_cmp(&ratio(key, a)));
+    if key.len() <= MAX_PART_CHARS {
+        // Stable, so that keys equally near stay in the order in which they are read.
+        known.sort_by(|a, b| ratio(key, b).total_cmp(&ratio(key, a)));
+    }
     known
 }
 
--- a/src/ctl/commands/audit.rs
+++ b/src/ctl/commands/audit.rs
@@ -1,7 +1,5 @@
 //! `fescuectl audit`
 
-use std::collections::VecDeque;
-
 use serde_json::json;
 
 use super::status::state_word;
@@ -28,7 +26,7 @@
 }
 
 async fn read_newest(controls: &Controls, wanted: usize) -> Result<AuditPage, CtlError> {
-    let mut newest: VecDeque<AuditEntry> = VecDeque::new();
+    let mut newest: Vec<AuditEntry> = Vec::new();
     let mut cursor = None;
     loop {
         let page = read_page(controls, cursor, PAGE_ENTRIES).await?;
@@ -38,7 +36,7 @@
         cursor = page.next;
         if cursor.is_none() {
             return Ok(AuditPage {
-                entries: newest.into(),
+                entries: newest,
                 next: None,
             });
         }
--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -125,3 +125,62 @@
     }
     Ok(())
 }
+
+#[test]
+fn hostile_texts_are_refused_within_bounds() {
+    let keys = |count: usize| -> String { (0..count).map(|i| format!("k{i}=1\n")).collect() };
+    let hostile = [
+        "[".repeat(200_000),
+        "=\n".repeat(100_000),
+        format!("{}a = 1", "a.".repeat(120_000)),
+        format!("{} = 1", "a".repeat(250_000)),
+        keys(25_000),
+        format!("x = {}", "[".repeat(200_000)),
+        format!("x = {}", "{a=".repeat(80_000)),
+        format!("[accounts.\"{}\"]\n{}", "b".repeat(200_000), keys(5_000)),
+    ];
+    for text in &hostile {
+        let faults = Document::parse(text).unwrap_err();
+        assert!(faults.faults.len() <= 501, "{} faults", faults.faults.len());
+        assert!(faults.to_string().len() < 256 * 1024);
+    }
+}
+
+#[test]
+fn more_accounts_than_can_be_served_are_refused() {
+    let accounts = (0..1_025).map(|i| format!("[accounts.a{i}]\nweight = 1\n"));
+    let text: String = accounts.collect();
+    let faults = Document::parse(&text).unwrap_err().to_string();
+    assert!(faults.contains("accounts: 1025 of them; keep at most 1024"));
+}
+
+/// A document of which a few values vary.
+fn varied() -> impl Strategy<Value = Document> {
+    let values = (1..4_u32, any::<bool>(), any::<bool>(), 0..3_usize);
+    values.prop_map(|(weight, leaving, deduplicates, priority)| {
+        let priority = ["interactive", "standard", "batch"][priority];
+        let text = LEDGER
+            .replace("weight = 6", &format!("weight = {weight}"))
+            .replace(
+                "endpoint_deduplicates = false",
+                &format!("endpoint_deduplicates = {deduplicates}"),
+            )
+            .replace(
+                "priority = \"batch\"",
+                &format!("priority = \"{priority}\""),
+            );
+        let text = match leaving {
+            true => text.replace("leaving = []", "leaving = [\"ledger-api-1\"]"),
+            false => text,
+        };
+        Document::parse(&text).unwrap()
+    })
+}
+
+proptest! {
+    #[test]
+    fn a_diff_is_empty_for_equal_documents_only(before in varied(), after in varied()) {
+        prop_assert_eq!(before.diff(&after).is_empty(), before == after);
+        prop_assert_eq!(before.diff(&after).len(), after.diff(&before).len());
+    }
+}
