A non-idempotent call cannot escape its rule by another spelling of its path

The entry compared the start of the path as sent. A call to //stock-counts, /%73tock-counts or /prices/../stock-counts met no rule, needed no idempotency key and was sent without a claim, while an endpoint may well serve it as /stock-counts. The rule now holds if either the path as sent or its plain spelling has the prefix; a document's prefixes must be plain. Refusing such paths was ruled out: applications may use escapes in their own paths.

--- a/src/checked_toml/fault.rs
+++ b/src/checked_toml/fault.rs
@@ -192,7 +192,8 @@
             }
             Self::BadMethod { .. } => "write one of POST, PUT, PATCH, DELETE".to_owned(),
             Self::BadPath => {
-                "start it with a slash; no spaces, no `?` or `#`, at most 256 characters".to_owned()
+                "start it with a slash; no spaces, `?`, `#`, `%`, `//` or `..`, at most 256 characters"
+                    .to_owned()
             }
             Self::Empty => "write at least one".to_owned(),
             Self::TooMany { limit, .. } => format!("keep at most {limit}"),
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -4,6 +4,7 @@
 mod digest;
 mod model;
 mod parse;
+mod plain_path;
 mod queries;
 mod sections;
 #[cfg(test)]
--- a/src/document/queries.rs
+++ b/src/document/queries.rs
@@ -3,6 +3,7 @@
 use super::model::{
     Account, Document, ModelOffer, NonIdempotentRule, Operator, OperatorRole, ServiceKind,
 };
+use super::plain_path::plain_path;
 use crate::ids::AccountId;
 use crate::keys;
 
@@ -31,10 +32,15 @@
     }
 
     /// The rule under which a call runs at most once, if there is one. The longest prefix holds.
+    ///
+    /// An endpoint may take several spellings of a path for the same, so a rule holds if either
+    /// the path as given or its plain spelling starts with the rule's prefix.
     pub fn non_idempotent_rule(&self, method: &str, path: &str) -> Option<&NonIdempotentRule> {
+        let plain = plain_path(path);
+        let holds = |prefix: &str| path.starts_with(prefix) || plain.starts_with(prefix);
         self.non_idempotent
             .iter()
-            .filter(|rule| rule.method == method && path.starts_with(&rule.path_prefix))
+            .filter(|rule| rule.method == method && holds(&rule.path_prefix))
             .max_by_key(|rule| rule.path_prefix.len())
     }
 
--- a/src/document/sections.rs
+++ b/src/document/sections.rs
@@ -7,6 +7,7 @@
     Account, KeyDigest, ModelOffer, NonIdempotentRule, Operator, OperatorRole, Priority,
 };
 use super::parse::{SeenDigests, check_repeats};
+use super::plain_path::plain_path;
 use crate::checked_toml::{
     Checker, FaultKind, Located, Section, flag, key_digest, name, number, one_of, text,
     whole_number,
@@ -243,10 +244,8 @@
 
 fn path_prefix(value: &DeValue<'_>) -> Result<String, FaultKind> {
     let found = text(value)?;
-    let is_plain = found
-        .chars()
-        .all(|c| c.is_ascii_graphic() && c != '?' && c != '#');
-    if found.starts_with('/') && is_plain && found.len() <= MAX_PATH_CHARS {
+    let is_plain = found.chars().all(|c| c.is_ascii_graphic()) && plain_path(&found) == found;
+    if is_plain && found.len() <= MAX_PATH_CHARS {
         return Ok(found);
     }
     Err(FaultKind::BadPath)
--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -52,6 +52,39 @@
     assert!(!rule("POST", "/prices"));
 }
 
+#[test]
+fn no_spelling_of_a_path_escapes_its_rule() {
+    let document = Document::parse(LEDGER).unwrap();
+    for path in [
+        "//stock-counts",
+        "/./stock-counts",
+        "/prices/../stock-counts",
+        "/prices/%2e%2E/stock-counts",
+        "/%73tock-counts/7",
+        "/%2573tock-counts",
+        "/\\stock-counts?day=1",
+        "/stock-counts/../prices",
+        "/../..//%2Fstock-counts/",
+    ] {
+        let rule = document.non_idempotent_rule("POST", path);
+        assert!(rule.is_some(), "{path}");
+    }
+    assert!(
+        document
+            .non_idempotent_rule("POST", "/prices?like=/stock-counts")
+            .is_none()
+    );
+}
+
+#[test]
+fn a_rule_needs_a_plain_path() {
+    for path in ["/stock//counts", "/./stock-counts", "/%73tock", "/a/../b"] {
+        let text = LEDGER.replace("\"/stock-counts\"", &format!("\"{path}\""));
+        let faults = Document::parse(&text).unwrap_err().to_string();
+        assert!(faults.contains("not an absolute path"), "{path}: {faults}");
+    }
+}
+
 #[test]
 fn every_fault_has_its_line_and_remedy() {
     let faults = Document::parse(include_str!("faulty.toml")).unwrap_err();
--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -5,7 +5,7 @@
 use super::machine::{Entry, not_ready};
 use super::verdict::Evidence;
 use crate::admission::QueueAsk;
-use crate::document::{Document, NonIdempotentRule, Priority, ServiceKind};
+use crate::document::{Document, Priority, ServiceKind};
 use crate::ids::{AccountId, IdempotencyKey, StreamId};
 use crate::instance::{CallerId, CallerRequest, EntryEffect, RequestBody};
 use crate::outcome::{Refusal, RefusalCode};
@@ -273,10 +273,7 @@
     path: &str,
     key: Option<&IdempotencyKey>,
 ) -> Result<Repeat, Refusal> {
-    let matches = |rule: &&NonIdempotentRule| {
-        rule.method == method && path.starts_with(rule.path_prefix.as_str())
-    };
-    let Some(rule) = document.non_idempotent.iter().find(matches) else {
+    let Some(rule) = document.non_idempotent_rule(method, path) else {
         return Ok(Repeat::Anywhere);
     };
     if key.is_none() {
