--- a/src/chain/pace.rs
+++ b/src/chain/pace.rs
@@ -27,24 +27,31 @@
 
 /// Mean and mean deviation of a series, both exponentially weighted.
 #[derive(Clone, Copy, Debug)]
-struct Average {
+pub(crate) struct Average {
     mean: f64,
     deviation: f64,
 }
 
 impl Average {
-    fn new(mean: f64) -> Self {
+    /// Starts from a guess.
+    pub(crate) fn new(mean: f64) -> Self {
         Self {
             mean,
             deviation: mean / 4.0,
         }
     }
 
-    fn add(&mut self, sample: f64) {
+    /// Adds a sample.
+    pub(crate) fn add(&mut self, sample: f64) {
         let error = sample - self.mean;
         self.mean += MEAN_GAIN * error;
         self.deviation += DEVIATION_GAIN * (error.abs() - self.deviation);
     }
+
+    /// The mean times a factor, and [`DEVIATION_FACTOR`] deviations.
+    pub(crate) fn upper(&self, factor: f64) -> f64 {
+        self.mean * factor + self.deviation * DEVIATION_FACTOR
+    }
 }
 
 /// The pace of one epoch of one chain.
@@ -144,7 +151,6 @@
 
     /// Longest time to be expected for the first token after computing `tokens`.
     pub(crate) fn expected_ms(&self, tokens: u32) -> f64 {
-        let per_token = self.per_token_ms.mean + DEVIATION_FACTOR * self.per_token_ms.deviation;
-        per_token * (f64::from(tokens) + PREFILL_FIXED_TOKENS)
+        self.per_token_ms.upper(1.0) * (f64::from(tokens) + PREFILL_FIXED_TOKENS)
     }
 }
--- a/src/entry/applications.rs
+++ b/src/entry/applications.rs
@@ -3,14 +3,21 @@
 use super::attempt::{ApplicationCall, Attempt, Repeat, Replica, Work};
 use super::book::Answer;
 use super::machine::{Call, Entry, Flow};
+use crate::chain::Average;
 use crate::instance::{ApplicationFailure, ApplicationReply, CallId, EntryEffect};
-use crate::outcome::RefusalCode;
+use crate::outcome::{Outcome, RefusalCode};
 use crate::routing::{EndpointFault, NoRoute, Policy};
 
 /// Longest wait for a whole reply.
 const CALL_TIMEOUT_MS: u64 = 10_000;
-/// Shortest wait, however close the deadline.
-const CALL_FLOOR_MS: u64 = 100;
+/// Shortest wait of a call that may be sent again.
+const CALL_FLOOR_MS: u64 = 250;
+/// Time a call is taken for before any was measured.
+const CALL_GUESS_MS: f64 = 250.0;
+/// Mean call times to wait before a call that may be sent again is.
+const CALL_FACTOR: f64 = 4.0;
+/// Replies that say the replica could not serve the call: bad gateway, unavailable, timeout.
+const UNSERVED_STATUSES: [u16; 3] = [502, 503, 504];
 
 impl<P> Entry<P>
 where
@@ -35,7 +42,8 @@
         Ok(self.begin_claim(attempt, now_ms))
     }
 
-    /// Takes the slot of a replica that has not failed under this attempt.
+    /// Takes the slot of a replica that has not failed under this attempt, in place of the one
+    /// that it holds.
     pub(super) fn take_replica(&mut self, attempt: &mut Attempt, now_ms: u64) -> bool {
         let Work::Application(call) = &mut attempt.work else {
             return false;
@@ -53,7 +61,7 @@
     /// Sends a call to the replica whose slot it holds.
     pub(super) fn send_call(&mut self, attempt: &mut Attempt, now_ms: u64) {
         let id = attempt.id;
-        let timeout_ms = timeout_ms(attempt, now_ms);
+        let timeout_ms = self.timeout_ms(attempt, now_ms);
         let request = attempt.key.request.clone();
         let Work::Application(work) = &mut attempt.work else {
             return;
@@ -74,10 +82,30 @@
             request,
             idempotency_key: work.idempotency_key.clone(),
             timeout_ms,
+            // A pooled connection that broke would leave it unknown whether the call ran.
             fresh_connection: !work.tried.is_empty() || work.repeat != Repeat::Anywhere,
         });
     }
 
+    /// How long to wait for a whole reply. A call that is not sent again gets all the time there
+    /// is: its result would stay unknown.
+    fn timeout_ms(&self, attempt: &Attempt, now_ms: u64) -> u64 {
+        let Work::Application(work) = &attempt.work else {
+            return CALL_TIMEOUT_MS;
+        };
+        if work.repeat != Repeat::Anywhere {
+            return CALL_TIMEOUT_MS;
+        }
+        let times = self.call_times_ms.get(&attempt.service);
+        let usual = times
+            .copied()
+            .unwrap_or_else(|| Average::new(CALL_GUESS_MS));
+        let usual_ms = usual.upper(CALL_FACTOR) as u64;
+        let left_ms = attempt.deadline.map(|it| it.at_ms.saturating_sub(now_ms));
+        let wait_ms = usual_ms.min(left_ms.unwrap_or(CALL_TIMEOUT_MS));
+        wait_ms.clamp(CALL_FLOOR_MS, CALL_TIMEOUT_MS)
+    }
+
     /// Takes what became of a call.
     pub(super) fn on_application_answered(
         &mut self,
@@ -92,25 +120,41 @@
         self.with_attempt(attempt, |entry, attempt| match result {
             Ok(reply) => {
                 attempt.evidence.may_have_run(call);
-                entry.answer_call(attempt, reply, now_ms)
+                entry.on_reply(attempt, reply, now_ms)
             }
             Err(failure) => {
                 match failure {
                     ApplicationFailure::NotSent => attempt.evidence.ran_nothing(call),
                     ApplicationFailure::ReplyLost => attempt.evidence.may_have_run(call),
                 }
-                entry.retry_call(attempt, failure, now_ms)
+                entry.on_call_failed(attempt, failure, now_ms)
             }
         });
     }
 
-    fn answer_call(&mut self, attempt: &mut Attempt, reply: ApplicationReply, now_ms: u64) -> Flow {
+    fn on_reply(&mut self, attempt: &mut Attempt, reply: ApplicationReply, now_ms: u64) -> Flow {
+        let unserved = UNSERVED_STATUSES.contains(&reply.status);
+        if unserved && self.send_again(attempt, EndpointFault::Refused, now_ms) {
+            return Flow::GoesOn;
+        }
+        self.note_call_time(attempt, now_ms);
         self.admission
             .charge(&attempt.service, &attempt.key.account, 1, now_ms);
         self.claim_answered(attempt, &reply, now_ms);
         self.send_reply(attempt, reply, false, now_ms)
     }
 
+    fn note_call_time(&mut self, attempt: &Attempt, now_ms: u64) {
+        let Work::Application(work) = &attempt.work else {
+            return;
+        };
+        let took_ms = now_ms.saturating_sub(work.sent_at_ms) as f64;
+        let times = self.call_times_ms.entry(attempt.service.clone());
+        times
+            .or_insert_with(|| Average::new(CALL_GUESS_MS))
+            .add(took_ms);
+    }
+
     /// Ends an attempt with an application's answer.
     pub(super) fn send_reply(
         &mut self,
@@ -131,23 +175,13 @@
         Flow::Ended
     }
 
-    /// Sends a failed call again where that is safe and within the retry budget.
-    fn retry_call(
+    fn on_call_failed(
         &mut self,
         attempt: &mut Attempt,
         failure: ApplicationFailure,
         now_ms: u64,
     ) -> Flow {
-        let Work::Application(work) = &mut attempt.work else {
-            return Flow::GoesOn;
-        };
-        if let Some(replica) = &work.replica {
-            self.router
-                .observe_fault(&replica.endpoint, fault_of(failure), now_ms);
-        }
-        if may_repeat(work, failure) && self.find_again(attempt, failure, now_ms) {
-            self.counts.count("entry.calls.retried");
-            self.send_call(attempt, now_ms);
+        if self.send_again(attempt, fault_of(failure), now_ms) {
             return Flow::GoesOn;
         }
         self.claim_failed(attempt, failure, now_ms);
@@ -155,41 +189,36 @@
         Flow::Ended
     }
 
-    /// Finds a replica for a second send.
-    fn find_again(
-        &mut self,
-        attempt: &mut Attempt,
-        failure: ApplicationFailure,
-        now_ms: u64,
-    ) -> bool {
-        let late = attempt.deadline.is_some_and(|it| now_ms >= it.at_ms);
-        if late
-            || !self
-                .admission
-                .allow_retry(&attempt.service, &attempt.key.account, now_ms)
-        {
-            return false;
-        }
+    /// Sends a failed call to another replica, where that is safe and within the retry budget.
+    fn send_again(&mut self, attempt: &mut Attempt, fault: EndpointFault, now_ms: u64) -> bool {
+        let surely_not_run = attempt.evidence.outcome() == Outcome::NotRun;
         let Work::Application(work) = &mut attempt.work else {
             return false;
         };
-        if work.repeat == Repeat::SameReplica && failure == ApplicationFailure::ReplyLost {
-            return true;
-        }
         if let Some(replica) = &work.replica {
+            self.router.observe_fault(&replica.endpoint, fault, now_ms);
             work.tried.push(replica.endpoint.clone());
         }
-        self.take_replica(attempt, now_ms)
+        let in_time = attempt.deadline.is_none_or(|it| now_ms < it.at_ms);
+        let again = in_time
+            && may_repeat(work, surely_not_run)
+            && self
+                .admission
+                .allow_retry(&attempt.service, &attempt.key.account, now_ms)
+            && self.take_replica(attempt, now_ms);
+        if again {
+            self.counts.count("entry.calls.retried");
+            self.send_call(attempt, now_ms);
+        }
+        again
     }
 }
 
-/// Whether a failed call may be sent a second time: never where it may have run, unless it is
-/// idempotent or the endpoint deduplicates.
-fn may_repeat(work: &ApplicationCall, failure: ApplicationFailure) -> bool {
-    match (failure, work.repeat) {
-        (ApplicationFailure::NotSent, _) => true,
-        (ApplicationFailure::ReplyLost, Repeat::Anywhere | Repeat::SameReplica) => true,
-        (ApplicationFailure::ReplyLost, Repeat::Never) => false,
+/// Whether a failed call may be sent a second time.
+fn may_repeat(work: &ApplicationCall, surely_not_run: bool) -> bool {
+    match work.repeat {
+        Repeat::Anywhere | Repeat::Deduplicated => true,
+        Repeat::Never => surely_not_run,
     }
 }
 
@@ -199,11 +228,3 @@
         ApplicationFailure::ReplyLost => EndpointFault::Silent,
     }
 }
-
-/// How long to wait for a whole reply: until the deadline, within bounds.
-fn timeout_ms(attempt: &Attempt, now_ms: u64) -> u64 {
-    let left_ms = attempt.deadline.map(|it| it.at_ms.saturating_sub(now_ms));
-    left_ms.map_or(CALL_TIMEOUT_MS, |left_ms| {
-        left_ms.clamp(CALL_FLOOR_MS, CALL_TIMEOUT_MS)
-    })
-}
--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -141,6 +141,7 @@
             digest: request.digest,
             deadline: request.deadline,
             callers: vec![caller],
+            sent_tokens: 0,
             orphaned_at_ms: None,
             evidence: Evidence::default(),
             work,
@@ -280,7 +281,7 @@
         return Err(Refusal::not_run(RefusalCode::MissingHeader, None));
     }
     if rule.endpoint_deduplicates {
-        Ok(Repeat::SameReplica)
+        Ok(Repeat::Deduplicated)
     } else {
         Ok(Repeat::Never)
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -26,8 +26,10 @@
     pub(crate) digest: [u8; 32],
     /// When an answer is of no use any more.
     pub(crate) deadline: Option<Deadline>,
-    /// Callers that wait for the answer. All have been sent the same tokens.
+    /// Callers that wait for the answer. Each has been sent the first `sent_tokens` tokens.
     pub(crate) callers: Vec<CallerId>,
+    /// Tokens sent; the next one has this position.
+    pub(crate) sent_tokens: u32,
     /// When the last caller went, while there is none.
     pub(crate) orphaned_at_ms: Option<u64>,
     /// What was sent to endpoints for it.
@@ -96,9 +98,9 @@
 pub(crate) enum Repeat {
     /// Idempotent: to any replica.
     Anywhere,
-    /// Non-idempotent, but the endpoint deduplicates: to the same replica.
-    SameReplica,
-    /// Non-idempotent: never.
+    /// Non-idempotent, but the service deduplicates by idempotency key: to any replica.
+    Deduplicated,
+    /// Non-idempotent: only if it surely did not run.
     Never,
 }
 
--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -54,7 +54,7 @@
                 incarnation: self.config.incarnation,
             },
             at_unix_ms: self.unix_ms(now_ms),
-            endpoint_deduplicates: work.repeat == Repeat::SameReplica,
+            endpoint_deduplicates: work.repeat == Repeat::Deduplicated,
             deadline: attempt.deadline,
         };
         let (claim, effects) = Claim::begin(ask, now_ms);
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -247,7 +247,7 @@
 
     fn send_token(
         &mut self,
-        attempt: &Attempt,
+        attempt: &mut Attempt,
         position: u32,
         text: &str,
         gap_ms: u64,
@@ -259,6 +259,11 @@
         self.admission
             .charge(&attempt.service, attempt.account(), 1, now_ms);
         self.counts.count("entry.tokens");
+        let in_order = position == attempt.sent_tokens;
+        crate::invariant::check(in_order, "entry.tokens_in_order", || {
+            format!("{position} after {} tokens", attempt.sent_tokens)
+        });
+        attempt.sent_tokens += 1;
         for caller in &attempt.callers {
             self.out.push(EntryEffect::SendToken {
                 caller: *caller,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -74,8 +74,13 @@
         if document.service != offered.service {
             return DocumentChange::Faulty;
         }
-        self.revisions
+        let before = self
+            .revisions
             .insert(offered.service.clone(), offered.revision);
+        let grows = before.is_none_or(|before| before < offered.revision);
+        crate::invariant::check(grows, "entry.revisions_grow", || {
+            format!("{} after {before:?}: {}", offered.revision, offered.service)
+        });
         self.documents.insert(offered.service.clone(), document);
         DocumentChange::Accepted
     }
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -15,7 +15,7 @@
 use super::directory::{Directory, DocumentChange};
 use super::locate::pick_entries;
 use crate::admission::Admission;
-use crate::chain::{ChainMessage, PrefillHistory, ProbeAnswer};
+use crate::chain::{Average, ChainMessage, PrefillHistory, ProbeAnswer};
 use crate::ids::{EndpointId, ServiceName};
 use crate::instance::{CallId, CallerId, EntryEffect, EntryMessage, StreamFailure};
 use crate::outcome::{Refusal, RefusalCode};
@@ -67,6 +67,8 @@
     /// Claims not settled yet; they may outlive their attempt.
     pub(super) claims: IndexMap<AttemptId, OpenClaim>,
     pub(super) prefill: IndexMap<String, PrefillHistory>,
+    /// How long calls of application services take.
+    pub(super) call_times_ms: IndexMap<ServiceName, Average>,
     /// Services whose endpoints were found full since something last changed.
     pub(super) full: IndexSet<ServiceName>,
     /// Whether a queued request may have become dispatchable.
@@ -116,6 +118,7 @@
             next_call: 0,
             claims: IndexMap::new(),
             prefill: IndexMap::new(),
+            call_times_ms: IndexMap::new(),
             full: IndexSet::new(),
             dispatch_due: false,
             incomplete_since_ms: IndexMap::new(),
