Entry process: ends with its actor, and tests of slow and silent callers and controls

A process whose actor had ended would have answered its health page and nothing else: now the page says so and the process exits with a fault.

--- a/src/gateway/actor.rs
+++ b/src/gateway/actor.rs
@@ -86,7 +86,9 @@
 
     /// Hands a message to the state machine and carries out what it wants done.
     fn deliver(&mut self, message: EntryMessage, ctx: &mut Context<Self>) {
-        forget_absent(self, &message);
+        if let EntryMessage::SnapshotChanged { snapshot } = &message {
+            forget_absent(&self.outside, snapshot);
+        }
         self.echoes.push_back(message);
         while let Some(message) = self.echoes.pop_front() {
             for effect in self.entry.handle(message, self.clock.now_ms()) {
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -70,6 +70,7 @@
                 continue;
             };
             if let Some(snapshot) = reply.snapshot {
+                self.counters.count("gateway.snapshots");
                 actor.do_send(Deliver(EntryMessage::SnapshotChanged { snapshot }));
             }
         }
@@ -94,7 +95,7 @@
                 log::info!(control = self.url.as_str(); "control reached");
             }
             Err(failure) => {
-                self.counters.count("entry.exchanges.failed");
+                self.counters.count("gateway.exchanges.failed");
                 if self.reachable {
                     self.reachable = false;
                     let cause = failure.to_string();
--- a/src/gateway/effects.rs
+++ b/src/gateway/effects.rs
@@ -9,11 +9,11 @@
 
 use super::actor::EntryActor;
 use super::caller::CallerEvent;
-use super::calls::{self, ApplicationCall};
+use super::calls::{self, ApplicationCall, Outside};
 use super::messages::Deliver;
-use crate::instance::{CallId, EntryEffect, EntryMessage};
+use crate::instance::{CallId, EntryEffect};
 use crate::wire::engine::OpenStream;
-use crate::wire::local::EntryReport;
+use crate::wire::local::{EntryReport, Snapshot};
 
 impl EntryActor {
     /// Carries out one effect; never waits.
@@ -181,13 +181,13 @@
     });
 }
 
-/// Forgets connections to endpoints that a new snapshot does not name.
-pub(super) fn forget_absent(actor: &EntryActor, message: &EntryMessage) {
-    let EntryMessage::SnapshotChanged { snapshot } = message else {
-        return;
-    };
-    let endpoints = snapshot.endpoints.iter();
-    let known: IndexSet<SocketAddr> = endpoints.map(|record| record.address).collect();
-    actor.outside.engines.retain(|at| known.contains(&at));
-    actor.outside.applications.retain(|at| known.contains(&at));
+/// Forgets connections to what a new snapshot does not name.
+pub(super) fn forget_absent(outside: &Outside, snapshot: &Snapshot) {
+    let endpoints = snapshot.endpoints.iter().map(|record| record.address);
+    let endpoints: IndexSet<SocketAddr> = endpoints.collect();
+    let entries = snapshot.entries.iter().map(|record| record.address);
+    let entries: IndexSet<SocketAddr> = entries.collect();
+    outside.engines.retain(|at| endpoints.contains(&at));
+    outside.applications.retain(|at| endpoints.contains(&at));
+    outside.entries.retain(|at| entries.contains(&at));
 }
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -16,13 +16,10 @@
     AnswerShape, BadRequest, RequestHead, digest_request, draw_request_id, read_completion,
     read_content_type, read_head, split_service_path,
 };
-use super::state::Gateway;
+use super::state::{BodyLimits, Gateway};
 use crate::instance::{CallerRequest, Deadline, RequestBody};
 use crate::outcome::{Refusal, RefusalCode};
 
-/// Longest wait for a whole body: a caller that goes silent holds nothing for longer.
-const BODY_TIMEOUT_MS: u64 = 10_000;
-
 /// `POST /v1/chat/completions`.
 pub(crate) async fn complete_chat(
     gateway: Data<Gateway>,
@@ -103,29 +100,29 @@
         gateway.counters.count("entry.unreadable_requests");
         refuse_saying(&bad.refusal(), &bad.to_string(), &draw_request_id())
     })?;
-    match read_body(payload, gateway.max_body_bytes).await {
+    match read_body(payload, gateway.body_limits).await {
         Ok(body) => Ok((head, body)),
         Err(bad) => Err(refuse_bad(gateway, &bad, &head)),
     }
 }
 
-async fn read_body(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, BadRequest> {
-    let incomplete = BadRequest::BodyIncomplete {
-        timeout_ms: BODY_TIMEOUT_MS,
-    };
+async fn read_body(mut payload: Payload, limits: BodyLimits) -> Result<Bytes, BadRequest> {
+    let timeout_ms = limits.timeout_ms;
+    let incomplete = BadRequest::BodyIncomplete { timeout_ms };
     let whole = async {
         let mut body = BytesMut::new();
         while let Some(piece) = payload.next().await {
             let piece = piece.map_err(|_| incomplete.clone())?;
-            if body.len() + piece.len() > limit_bytes {
-                return Err(BadRequest::BodyTooLarge { limit_bytes });
+            if body.len() + piece.len() > limits.max_bytes {
+                return Err(BadRequest::BodyTooLarge {
+                    limit_bytes: limits.max_bytes,
+                });
             }
             body.extend_from_slice(&piece);
         }
         Ok(body.freeze())
     };
-    let limit = Duration::from_millis(BODY_TIMEOUT_MS);
-    let read = tokio::time::timeout(limit, whole).await;
+    let read = tokio::time::timeout(Duration::from_millis(timeout_ms), whole).await;
     read.unwrap_or_else(|_| Err(incomplete.clone()))
 }
 
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -54,8 +54,12 @@
 }
 
 /// `GET /healthz`.
-pub(crate) async fn health() -> HttpResponse {
-    HttpResponse::Ok().body("ok\n")
+pub(crate) async fn health(gateway: Data<Gateway>) -> HttpResponse {
+    if gateway.actor.connected() {
+        HttpResponse::Ok().body("ok\n")
+    } else {
+        HttpResponse::InternalServerError().body("the entry's actor ended\n")
+    }
 }
 
 /// `GET /readyz`.
@@ -72,7 +76,7 @@
 pub(crate) async fn metrics(gateway: Data<Gateway>) -> HttpResponse {
     gateway
         .counters
-        .gauge("entry.callers.open", gateway.callers.open() as u64);
+        .gauge("gateway.callers.open", gateway.callers.open() as u64);
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
         .body(gateway.counters.page())
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -20,7 +20,7 @@
 use super::messages::Deliver;
 use super::server;
 use super::signals::StopSignals;
-use super::state::Gateway;
+use super::state::{BodyLimits, Gateway};
 use crate::entry::{EntryConfig, EntryLimits};
 use crate::exit_codes::Exit;
 use crate::ids::Incarnation;
@@ -31,6 +31,8 @@
 use crate::telemetry::Counters;
 use crate::wire::local::EntryReport;
 
+/// Longest wait for a whole body.
+const BODY_TIMEOUT_MS: u64 = 10_000;
 /// Time between two looks at whether every answer has left.
 const FLUSH_CHECK: Duration = Duration::from_millis(5);
 
@@ -67,7 +69,14 @@
     let instance = settings.instance.name.as_str();
     log::info!(instance, listen:% = process.address; "entry started");
 
-    signals.next().await;
+    let mut alive = process.stop_done.clone();
+    tokio::select! {
+        () = signals.next() => {}
+        _ = alive.wait_for(|_| false) => {
+            log::error!(instance; "the entry's actor ended; its process ends too");
+            return Ok(Exit::Fault);
+        }
+    }
     let callers = process.gateway.callers.clone();
     log::info!(instance, in_flight = callers.open(); "entry stopping");
     let exit = tokio::select! {
@@ -84,12 +93,24 @@
 impl EntryProcess {
     /// Starts to take requests.
     pub(crate) fn start(settings: &Settings) -> Result<Self, StartError> {
+        let limits = BodyLimits {
+            max_bytes: settings.entry.max_body_bytes,
+            timeout_ms: BODY_TIMEOUT_MS,
+        };
+        Self::start_within(settings, limits)
+    }
+
+    /// Starts to take requests with bodies within the limits.
+    pub(crate) fn start_within(
+        settings: &Settings,
+        limits: BodyLimits,
+    ) -> Result<Self, StartError> {
         let listen = settings.entry.listen;
         let fault = |cause| StartError::Listen { listen, cause };
         let listener = bind(listen).map_err(fault)?;
         let address = listener.local_addr().map_err(fault)?;
         let (stopped, stop_done) = watch::channel(false);
-        let gateway = start_actor(settings, stopped);
+        let gateway = start_actor(settings, limits, stopped);
         let server = server::start(listener, gateway.clone()).map_err(fault)?;
         let handle = server.handle();
         actix_rt::spawn(server);
@@ -125,7 +146,11 @@
 }
 
 /// Starts the actor on a thread of its own, and its exchange with the control on this one.
-fn start_actor(settings: &Settings, stopped: watch::Sender<bool>) -> Gateway {
+fn start_actor(
+    settings: &Settings,
+    body_limits: BodyLimits,
+    stopped: watch::Sender<bool>,
+) -> Gateway {
     let counters = Counters::new();
     let clock = Clock::start();
     let peer_key = settings.peers.key.clone();
@@ -138,7 +163,7 @@
         actor,
         clock,
         callers: CallerCount::default(),
-        max_body_bytes: settings.entry.max_body_bytes,
+        body_limits,
         peer_key,
         counters,
         stopping: Arc::default(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,15 @@
 use crate::settings::Secret;
 use crate::telemetry::Counters;
 
+/// What a request's body may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyLimits {
+    /// Largest body.
+    pub(crate) max_bytes: usize,
+    /// Longest wait for the whole body: a caller that goes silent holds nothing for longer.
+    pub(crate) timeout_ms: u64,
+}
+
 /// Shared by the HTTP workers; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Gateway {
@@ -20,8 +29,8 @@
     pub(crate) clock: Clock,
     /// Callers without their whole answer.
     pub(crate) callers: CallerCount,
-    /// Largest body of a request.
-    pub(crate) max_body_bytes: usize,
+    /// What a request's body may take.
+    pub(crate) body_limits: BodyLimits,
     /// Key shared by the system's own processes.
     pub(crate) peer_key: Secret,
     /// The process's counters.
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,3 +3,4 @@
 mod paths;
 mod replies;
 mod requests;
+mod slow;
--- a/src/gateway/tests/fixture.rs
+++ b/src/gateway/tests/fixture.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::messages::{Deliver, IsReady};
 use crate::gateway::process::EntryProcess;
+use crate::gateway::state::BodyLimits;
 use crate::ids::{Incarnation, ServiceName};
 use crate::instance::EntryMessage;
 use crate::settings;
@@ -24,7 +25,8 @@
 pub(super) const KEY: &str = "demo-key-lac-bistro";
 const MENU_MIND: &str = include_str!("../../../examples/kammoun/menu-mind.toml");
 const LEDGER_API: &str = include_str!("../../../examples/kammoun/ledger-api.toml");
-const DEADLINE: Duration = Duration::from_secs(10);
+pub(super) const DEADLINE: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT_MS: u64 = 300;
 
 /// What the endpoints beside the entry have seen.
 #[derive(Clone, Default)]
@@ -43,9 +45,7 @@
 pub(super) async fn start(gap: Duration) -> TestEntry {
     let seen = Seen::default();
     let endpoint = start_endpoint(gap, seen.clone());
-    let text = settings_text(nowhere());
-    let settings = settings::parse(&text).unwrap();
-    let process = EntryProcess::start(&settings).unwrap();
+    let process = start_process(nowhere());
     let snapshot = snapshot(endpoint, process.address);
     let message = Deliver(EntryMessage::SnapshotChanged { snapshot });
     process.gateway.actor.send(message).await.unwrap();
@@ -53,6 +53,17 @@
     TestEntry { process, seen }
 }
 
+/// Starts an entry process whose control listens at an address, without a snapshot.
+pub(super) fn start_process(control: SocketAddr) -> EntryProcess {
+    let text = settings_text(control, nowhere());
+    let settings = settings::parse(&text).unwrap();
+    let limits = BodyLimits {
+        max_bytes: settings.entry.max_body_bytes,
+        timeout_ms: BODY_TIMEOUT_MS,
+    };
+    EntryProcess::start_within(&settings, limits).unwrap()
+}
+
 impl TestEntry {
     pub(super) fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.process.address)
@@ -78,12 +89,12 @@
 }
 
 /// An address where nothing listens.
-fn nowhere() -> SocketAddr {
+pub(super) fn nowhere() -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
-fn settings_text(nowhere: SocketAddr) -> String {
+fn settings_text(control: SocketAddr, nowhere: SocketAddr) -> String {
     format!(
         r#"
 [instance]
@@ -94,7 +105,7 @@
 advertise = "127.0.0.1:7001"
 max_body_bytes = 4096
 [control]
-listen = "{nowhere}"
+listen = "{control}"
 [platform]
 table = "http://{nowhere}"
 objects = "http://{nowhere}"
@@ -105,7 +116,7 @@
     )
 }
 
-fn snapshot(endpoint: SocketAddr, entry: SocketAddr) -> Snapshot {
+pub(super) fn snapshot(endpoint: SocketAddr, entry: SocketAddr) -> Snapshot {
     let document = |service: &str, text: &str| DocumentInForce {
         service: service.into(),
         revision: 1,
--- /dev/null
+++ b/src/gateway/tests/slow.rs
@@ -0,0 +1,144 @@
+//! Callers and controls that are slow, silent or gone.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jsonrpsee::server::{ServerBuilder, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::fixture::{
+    DEADLINE, KEY, TestEntry, nowhere, snapshot, start, start_process, wait_until,
+};
+use crate::gateway::caller::{EVENTS_LIMIT, WaitingCaller};
+use crate::gateway::messages::{CallerArrived, IsReady};
+use crate::gateway::process::EntryProcess;
+use crate::instance::{CallerRequest, RequestBody};
+use crate::rpc::LocalApiServer;
+use crate::wire::WIRE_VERSION;
+use crate::wire::local::{EntryReport, ExchangeReply};
+
+const AT_ONCE: Duration = Duration::ZERO;
+
+async fn send(entry: &TestEntry, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(entry.process.address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    let read = stream.read_to_string(&mut text);
+    tokio::time::timeout(DEADLINE, read).await.unwrap().unwrap();
+    text
+}
+
+#[actix_web::test]
+async fn a_caller_silent_in_the_middle_of_its_body_is_refused() {
+    let entry = start(AT_ONCE).await;
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{";
+    let answer = read_to_end(send(&entry, head).await).await;
+    assert!(answer.contains("malformed_body"), "{answer}");
+}
+
+#[actix_web::test]
+async fn a_caller_silent_in_the_middle_of_its_head_is_cut() {
+    let entry = start(AT_ONCE).await;
+    let answer = read_to_end(send(&entry, "POST /v1/comp").await).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+}
+
+#[actix_web::test]
+async fn a_caller_that_reads_nothing_is_dropped_and_its_stream_cut() {
+    let entry = start(AT_ONCE).await;
+    let gateway = &entry.process.gateway;
+    let (caller, events) = WaitingCaller::open(gateway.actor.clone(), gateway.callers.clone());
+    let request = CallerRequest {
+        key: Some(KEY.to_owned()),
+        request: "r-1".into(),
+        idempotency_key: None,
+        deadline: None,
+        digest: [0; 32],
+        body: RequestBody::Completion {
+            model: "menu-mind-24b".to_owned(),
+            prompt: "x".to_owned(),
+            max_tokens: 2 * EVENTS_LIMIT as u32,
+        },
+    };
+    gateway.actor.do_send(CallerArrived {
+        caller: caller.id(),
+        request,
+        events,
+    });
+    let cut = entry.seen.streams_cut.clone();
+    wait_until(|| cut.load(Ordering::SeqCst) == 1).await;
+}
+
+#[actix_web::test]
+async fn an_idle_connection_does_not_hold_up_a_stop() {
+    let mut entry = start(AT_ONCE).await;
+    let mut idle = send(&entry, "GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    let mut answer = [0; 512];
+    assert_ne!(idle.read(&mut answer).await.unwrap(), 0);
+    let stopped = tokio::time::timeout(DEADLINE, entry.process.stop()).await;
+    assert!(stopped.is_ok());
+}
+
+struct TestControl {
+    entry: SocketAddr,
+    version: u64,
+}
+
+#[jsonrpsee::core::async_trait]
+impl LocalApiServer for TestControl {
+    async fn exchange(
+        &self,
+        _: String,
+        report: EntryReport,
+    ) -> Result<ExchangeReply, ErrorObjectOwned> {
+        let mut snapshot = snapshot(nowhere(), self.entry);
+        snapshot.version = self.version;
+        Ok(ExchangeReply {
+            wire_version: WIRE_VERSION,
+            snapshot: (report.known_snapshot < self.version).then_some(snapshot),
+        })
+    }
+}
+
+async fn start_control(at: SocketAddr, entry: &EntryProcess, version: u64) -> ServerHandle {
+    let server = ServerBuilder::default().build(at).await.unwrap();
+    let entry = entry.address;
+    server.start(TestControl { entry, version }.into_rpc())
+}
+
+async fn wait_for_snapshots(entry: &EntryProcess, count: u64) {
+    let counters = entry.gateway.counters.clone();
+    wait_until(|| counters.value("gateway.snapshots") >= count).await;
+}
+
+#[actix_web::test]
+async fn a_control_that_restarts_is_reached_again() {
+    let control = nowhere();
+    let entry = start_process(control);
+    let first = start_control(control, &entry, 1).await;
+    wait_for_snapshots(&entry, 1).await;
+    first.stop().unwrap();
+    first.stopped().await;
+    let _second = start_control(control, &entry, 2).await;
+    wait_for_snapshots(&entry, 2).await;
+}
+
+#[actix_web::test]
+async fn a_control_that_falls_silent_is_left_and_reached_again() {
+    let control = nowhere();
+    let entry = start_process(control);
+    let silent = TcpListener::bind(control).await.unwrap();
+    let (kept, _) = silent.accept().await.unwrap();
+    drop(silent);
+    let _control = start_control(control, &entry, 1).await;
+    wait_for_snapshots(&entry, 1).await;
+    assert!(entry.gateway.actor.send(IsReady).await.unwrap());
+    drop(kept);
+}
