--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -204,7 +204,7 @@
         let account = bench.account_of[&caller];
         let index = usize::from(account == names[1]);
         // The first account cancels half of its streams early.
-        let tokens = if index == 0 && caller.0 % 2 == 0 {
+        let tokens = if index == 0 && caller.0.is_multiple_of(2) {
             20
         } else {
             200
