Control: several of them tested over a fake network in simulated time; ages in beats

Two faults that the tests found are mended. A dead instance was still named 2.5 s after its death: a beat at second hand counted from its arrival; beats now carry their age. And regular exchanges went to peers in random order, which made direct questions frequent; they now go to the live peer that was heard of least lately.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,8 @@
 mod readiness;
 mod shares;
 mod stopping;
+#[cfg(test)]
+mod tests;
 
 use indexmap::IndexMap;
 
--- /dev/null
+++ b/src/control/tests/mod.rs
@@ -0,0 +1,11 @@
+//! Several controls over a small fake of network and platform, in simulated time.
+
+mod cell;
+mod documents;
+mod fake_engine;
+mod fake_table;
+mod operators;
+mod orders;
+mod random;
+mod sim;
+mod texts;
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -83,7 +83,9 @@
             Some(known) if known.number >= beat.number => {}
             Some(_) => {
                 member.beat = Some(beat);
-                member.heard_ms = Some(now_ms);
+                // The sender's age may be wrong by what the message waited, never to the future.
+                let at_ms = now_ms.saturating_sub(beat.age_ms);
+                member.heard_ms = member.heard_ms.max(Some(at_ms));
             }
             None => {
                 member.beat = Some(beat);
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -62,8 +62,6 @@
     pub(super) own: PeerState,
     pub(super) own_demand: PeerDemand,
     pub(super) members: IndexMap<InstanceId, Member>,
-    /// Peers left for regular exchanges in this turn, in random order.
-    pub(super) turn: Vec<InstanceId>,
     pub(super) rng: StdRng,
     pub(super) next_round_ms: u64,
     /// Whether peers must hear of the own state at once.
@@ -79,6 +77,7 @@
                 number,
                 state: number,
                 demand: number,
+                age_ms: 0,
             },
             own_demand: PeerDemand {
                 instance: own.instance.clone(),
@@ -98,7 +97,6 @@
                 draining: Vec::new(),
             },
             members: IndexMap::new(),
-            turn: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
             next_round_ms: 0,
             push_due: false,
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -7,9 +7,9 @@
 use crate::wire::platform::{InstancePhase, InstanceRecord};
 
 /// How long a peer may be silent before it is no longer counted on.
-pub(crate) const SUSPECT_MS: u64 = 1_800;
+pub(crate) const SUSPECT_MS: u64 = 2_000;
 /// How long a peer may be silent before it is asked directly, on a fresh connection.
-pub(crate) const PROBE_MS: u64 = 1_100;
+pub(crate) const PROBE_MS: u64 = 1_300;
 
 /// What is known of one peer.
 #[derive(Clone, Debug, Default)]
--- a/src/membership/rounds.rs
+++ b/src/membership/rounds.rs
@@ -2,7 +2,6 @@
 
 use indexmap::IndexMap;
 use rand::RngExt;
-use rand::seq::SliceRandom;
 
 use crate::ids::InstanceId;
 use crate::wire::WIRE_VERSION;
@@ -58,14 +57,14 @@
         messages.collect()
     }
 
+    /// Asks the live peer that was heard of least lately.
     fn regular(&mut self, now_ms: u64) -> Option<GossipTo> {
-        if self.turn.is_empty() {
-            let live = self.members.iter().filter(|(_, it)| it.is_live(now_ms));
-            self.turn = live.map(|(instance, _)| instance.clone()).collect();
-            self.turn.shuffle(&mut self.rng);
-        }
-        let peer = self.turn.pop()?;
-        self.ask(&peer, now_ms)
+        let live = self
+            .members
+            .iter()
+            .filter(|(_, it)| it.is_live(now_ms) && !it.asked);
+        let (peer, _) = live.max_by_key(|(_, it)| it.silent_ms(now_ms))?;
+        self.ask(&peer.clone(), now_ms)
     }
 
     /// Direct questions to peers that have been silent for a while.
@@ -125,7 +124,10 @@
     /// nobody takes an old beat for a new one.
     pub(super) fn digest(&self, now_ms: u64) -> IndexMap<InstanceId, Beat> {
         let live = self.members.iter().filter(|(_, it)| it.is_live(now_ms));
-        let peers = live.filter_map(|(instance, it)| Some((instance.clone(), it.beat?)));
+        let peers = live.filter_map(|(instance, it)| {
+            let age_ms = it.silent_ms(now_ms)?;
+            Some((instance.clone(), Beat { age_ms, ..it.beat? }))
+        });
         std::iter::once((self.own.instance.clone(), self.beat))
             .chain(peers)
             .collect()
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -49,9 +49,10 @@
     pub want_demands: Vec<InstanceId>,
 }
 
-/// How recent the knowledge of one instance is. Written as `[number, state_age, demand_age]`.
+/// How recent the knowledge of one instance is. Written as
+/// `[number, state_age, demand_age, tenths of a second since it was heard]`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
+#[serde(from = "WireBeat", into = "WireBeat")]
 pub struct Beat {
     /// Grows while the instance's control runs, over restarts too.
     pub number: u64,
@@ -59,24 +60,33 @@
     pub state: u64,
     /// Number at which its demand last changed; never above `number`.
     pub demand: u64,
+    /// Time since the sender heard of this number; 0 for its own. Rounded on the wire.
+    pub age_ms: u64,
 }
 
-impl From<(u64, u64, u64)> for Beat {
-    fn from((number, state_age, demand_age): (u64, u64, u64)) -> Self {
+type WireBeat = (u64, u64, u64, u64);
+
+/// Unit of ages on the wire.
+const AGE_UNIT_MS: u64 = 100;
+
+impl From<WireBeat> for Beat {
+    fn from((number, state_age, demand_age, age): WireBeat) -> Self {
         Self {
             number,
             state: number.saturating_sub(state_age),
             demand: number.saturating_sub(demand_age),
+            age_ms: age.saturating_mul(AGE_UNIT_MS),
         }
     }
 }
 
-impl From<Beat> for (u64, u64, u64) {
+impl From<Beat> for WireBeat {
     fn from(beat: Beat) -> Self {
         (
             beat.number,
             beat.number.saturating_sub(beat.state),
             beat.number.saturating_sub(beat.demand),
+            beat.age_ms / AGE_UNIT_MS,
         )
     }
 }
