A caller's key is hidden in messages too

CallerRequest and two messages of the gateway derived Debug over the key's plain text, so that one debug print, or the evidence of an invariant, would have put it into the log. They carry a PresentedKey now, as the control's messages did; the serialised form is the same.

--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -7,7 +7,7 @@
 use crate::admission::QueueAsk;
 use crate::document::{Document, Priority, ServiceKind};
 use crate::ids::{AccountId, IdempotencyKey, StreamId};
-use crate::instance::{CallerId, CallerRequest, EntryEffect, RequestBody};
+use crate::instance::{CallerId, CallerRequest, EntryEffect, PresentedKey, RequestBody};
 use crate::outcome::{Refusal, RefusalCode};
 use crate::routing::Policy;
 
@@ -79,7 +79,7 @@
             return Err(not_ready());
         }
         let stream = StreamId::draw(&mut self.rng);
-        let key = request.key.as_deref();
+        let key = request.key.as_ref().map(PresentedKey::expose);
         let (document, account, work) = match request.body {
             RequestBody::Completion {
                 model,
--- a/src/entry/tests/fixture.rs
+++ b/src/entry/tests/fixture.rs
@@ -8,7 +8,9 @@
 
 use crate::entry::{Entry, EntryConfig, EntryLimits};
 use crate::ids::{Incarnation, RequestId, ServiceName};
-use crate::instance::{CallId, CallerId, CallerRequest, EntryEffect, EntryMessage, RequestBody};
+use crate::instance::{
+    CallId, CallerId, CallerRequest, EntryEffect, EntryMessage, PresentedKey, RequestBody,
+};
 use crate::routing::FlowWeighted;
 use crate::wire::engine::{EngineState, LayerRange, OpenStream, StreamEvent};
 use crate::wire::local::{DocumentInForce, EndpointRecord, EntryRecord, Snapshot};
@@ -174,7 +176,7 @@
 
 pub(super) fn completion(key: &str, request: &str, max_tokens: u32) -> CallerRequest {
     CallerRequest {
-        key: Some(key.to_owned()),
+        key: Some(PresentedKey::from(key.to_owned())),
         request: RequestId::from(request),
         idempotency_key: None,
         deadline: None,
@@ -189,7 +191,7 @@
 
 pub(super) fn call(key: &str, request: &str, method: &str, path: &str) -> CallerRequest {
     CallerRequest {
-        key: Some(key.to_owned()),
+        key: Some(PresentedKey::from(key.to_owned())),
         request: RequestId::from(request),
         idempotency_key: None,
         deadline: None,
--- a/src/gateway/actor.rs
+++ b/src/gateway/actor.rs
@@ -18,7 +18,7 @@
 };
 use super::tally::Tally;
 use crate::entry::Entry;
-use crate::instance::{CallId, CallerId, EntryMessage, TICK_MS};
+use crate::instance::{CallId, CallerId, EntryMessage, PresentedKey, TICK_MS};
 use crate::routing::FlowWeighted;
 use crate::telemetry::Counters;
 use crate::wire::local::EntryReport;
@@ -232,7 +232,10 @@
     type Result = MessageResult<ListModels>;
 
     fn handle(&mut self, list: ListModels, _: &mut Self::Context) -> Self::Result {
-        MessageResult(self.entry.models(list.key.as_deref()))
+        MessageResult(
+            self.entry
+                .models(list.key.as_ref().map(PresentedKey::expose)),
+        )
     }
 }
 
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -5,7 +5,7 @@
 use super::caller::CallerSender;
 use crate::entry::ModelView;
 use crate::ids::ServiceName;
-use crate::instance::{CallId, CallerId, CallerRequest, EntryMessage, StreamFailure};
+use crate::instance::{CallId, CallerId, CallerRequest, EntryMessage, PresentedKey, StreamFailure};
 use crate::outcome::Refusal;
 use crate::wire::claim::ClaimQuestion;
 use crate::wire::engine::StreamEvent;
@@ -68,7 +68,7 @@
 #[rtype(result = "Result<Vec<ModelView>, Refusal>")]
 pub(crate) struct ListModels {
     /// Key of the client account.
-    pub(crate) key: Option<String>,
+    pub(crate) key: Option<PresentedKey>,
 }
 
 /// Whether the instance takes new requests.
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -10,6 +10,7 @@
 use super::state::Gateway;
 use crate::entry::ModelView;
 use crate::ids::ServiceName;
+use crate::instance::PresentedKey;
 use crate::outcome::{Refusal, RefusalCode};
 use crate::settings::Secret;
 use crate::wire::caller::{ModelItem, ModelsAnswer};
@@ -88,7 +89,8 @@
     http: HttpRequest,
     question: Json<ClaimQuestion>,
 ) -> HttpResponse {
-    let key = read_key(http.headers()).unwrap_or_default();
+    let key = read_key(http.headers());
+    let key = key.as_ref().map_or("", PresentedKey::expose);
     if gateway.peer_key != Secret::from(key) {
         let refusal = Refusal::not_run(RefusalCode::Unauthenticated, None);
         return refuse(&refusal, &draw_request_id());
@@ -109,6 +111,7 @@
 /// Tells callers apart: by key, else by the address they come from.
 fn caller_text(http: &HttpRequest) -> String {
     read_key(http.headers())
+        .map(|key| key.expose().to_owned())
         .or_else(|| http.peer_addr().map(|address| address.ip().to_string()))
         .unwrap_or_default()
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -6,7 +6,7 @@
 use uuid::Uuid;
 
 use crate::ids::{IdempotencyKey, RequestId, ServiceName};
-use crate::instance::RequestBody;
+use crate::instance::{PresentedKey, RequestBody};
 use crate::outcome::{
     DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, Refusal, RefusalCode,
 };
@@ -77,7 +77,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RequestHead {
     /// Key of the client account.
-    pub(crate) key: Option<String>,
+    pub(crate) key: Option<PresentedKey>,
     /// Request id; drawn if the caller sent none.
     pub(crate) request: RequestId,
     /// Idempotency key.
@@ -131,11 +131,12 @@
 }
 
 /// The bearer token of the `Authorization` header.
-pub(crate) fn read_key(headers: &HeaderMap) -> Option<String> {
+pub(crate) fn read_key(headers: &HeaderMap) -> Option<PresentedKey> {
     let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
     let (scheme, key) = value.split_once(' ')?;
     let key = key.trim();
-    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then(|| key.to_owned())
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty())
+        .then(|| PresentedKey::from(key.to_owned()))
 }
 
 /// The `Content-Type` header.
--- a/src/gateway/tests/requests.rs
+++ b/src/gateway/tests/requests.rs
@@ -5,7 +5,7 @@
     AnswerShape, BadRequest, DEFAULT_MAX_TOKENS, digest_request, read_completion, read_head,
     read_key, split_service_path,
 };
-use crate::instance::RequestBody;
+use crate::instance::{PresentedKey, RequestBody};
 use crate::outcome::RefusalCode;
 
 fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
@@ -69,7 +69,7 @@
         ("x-fescue-deadline-ms", "250"),
     ]))
     .unwrap();
-    assert_eq!(head.key.as_deref(), Some("k1"));
+    assert_eq!(head.key.as_ref().map(PresentedKey::expose), Some("k1"));
     assert_eq!(head.request.as_str(), "r-1");
     assert_eq!(head.idempotency_key.unwrap().as_str(), "i-1");
     assert_eq!(head.deadline_ms, Some(250));
--- a/src/gateway/tests/slow.rs
+++ b/src/gateway/tests/slow.rs
@@ -15,7 +15,7 @@
 use crate::gateway::caller::{EVENTS_LIMIT, WaitingCaller};
 use crate::gateway::messages::{CallerArrived, IsReady};
 use crate::gateway::process::EntryProcess;
-use crate::instance::{CallerRequest, RequestBody};
+use crate::instance::{CallerRequest, PresentedKey, RequestBody};
 use crate::rpc::LocalApiServer;
 use crate::wire::WIRE_VERSION;
 use crate::wire::local::{EntryReport, ExchangeReply};
@@ -56,7 +56,7 @@
     let gateway = &entry.process.gateway;
     let (caller, events) = WaitingCaller::open(gateway.actor.clone(), gateway.callers.clone());
     let request = CallerRequest {
-        key: Some(KEY.to_owned()),
+        key: Some(PresentedKey::from(KEY.to_owned())),
         request: "r-1".into(),
         idempotency_key: None,
         deadline: None,
--- a/src/instance/control.rs
+++ b/src/instance/control.rs
@@ -1,12 +1,12 @@
 //! Messages and effects of the control's state machine.
 
-use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::entry::{CallId, TableCall, TableReply};
+use super::key::PresentedKey;
 use crate::ids::{EndpointId, ServiceName};
 use crate::platform::{EngineCallFailure, InstanceListFailure, TableFailure};
 use crate::wire::engine::{EngineOrder, EngineState};
@@ -18,30 +18,6 @@
 use crate::wire::peer::{FetchDocuments, FetchedDocuments, PeerMessage, PeerReply};
 use crate::wire::platform::InstanceList;
 
-/// A key as a caller presented it. Its text is in no debug output.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct PresentedKey(String);
-
-impl PresentedKey {
-    /// The text of the key.
-    pub fn expose(&self) -> &str {
-        &self.0
-    }
-}
-
-impl From<String> for PresentedKey {
-    fn from(text: String) -> Self {
-        Self(text)
-    }
-}
-
-impl fmt::Debug for PresentedKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("PresentedKey(..)")
-    }
-}
-
 /// A call between controls.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
--- a/src/instance/entry.rs
+++ b/src/instance/entry.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::key::PresentedKey;
 use crate::ids::{
     EndpointId, IdempotencyKey, Incarnation, InstanceId, RequestId, ServiceName, StreamId,
 };
@@ -36,8 +37,8 @@
 /// A caller's request, read but not yet checked against any document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerRequest {
-    /// The key from the `Authorization` header; never logged.
-    pub key: Option<String>,
+    /// The key from the `Authorization` header.
+    pub key: Option<PresentedKey>,
     /// Request id; drawn by the driver if the caller sent none.
     pub request: RequestId,
     /// Idempotency key, if the caller sent one.
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -6,12 +6,14 @@
 
 mod control;
 mod entry;
+mod key;
 
 pub use control::{
     CONTROL_TICK_MS, ControlEffect, ControlMessage, OperatorAnswer, OperatorCall, PeerAnswer,
-    PeerCall, PeerFailure, PresentedKey,
+    PeerCall, PeerFailure,
 };
 pub use entry::{
     ApplicationFailure, ApplicationReply, CallId, CallerId, CallerRequest, Deadline, EntryEffect,
     EntryMessage, RequestBody, StreamFailure, TICK_MS, TableCall, TableReply,
 };
+pub use key::PresentedKey;
