Stand-ins: described, split by duty; calls run without their caller

Behaviour changed in three places: a call of an application runs even if its connection is gone by then, as real ones do (a run that died with its caller would hide double runs); a dying engine is silent until its listener is closed, where it had answered 503 for 20 ms; epochs of streams that are gone are remembered for 20,000 streams, not 100,000, to bound memory with 40 engines in a process.

--- a/bench/src/application/server.rs
+++ b/bench/src/application/server.rs
@@ -63,6 +63,7 @@
             .app_data(web::Data::from(replica.clone()))
             .app_data(fleet.clone())
             .route("/standin/counters", web::get().to(counters))
+            .route("/standin/counters/all", web::get().to(all_counters))
             .route("/standin/faults", web::post().to(faults))
             .default_service(web::to(call));
     })
@@ -100,29 +101,28 @@
     }
 
     /// The answer of an earlier run, if this replica deduplicates.
-    fn deduplicate(&self, key: Option<&str>) -> Option<Echo> {
+    fn deduplicate(&self, call: &Call) -> Option<Echo> {
         if !self.node.deduplicates {
             return None;
         }
-        let echo = self.ledger().answer(&self.node.service, key?)?.clone();
+        let key = call.key.as_deref()?;
+        let echo = self.ledger().answer(&self.node.service, key)?.clone();
         self.lock().counters.deduplicated += 1;
         Some(echo)
     }
 
     /// Runs a call; from here on it has taken effect.
-    fn run(&self, request: &HttpRequest, key: Option<&str>, body: &[u8]) -> Echo {
+    fn run(&self, call: &Call) -> Echo {
         let mut state = self.lock();
         state.counters.runs += 1;
         let echo = Echo {
-            request: header(request, REQUEST_ID_HEADER)
-                .unwrap_or_default()
-                .into(),
-            body_digest: hex::encode(Sha256::digest(body)),
-            call: format!("{} {}", request.method(), request.uri()),
+            request: call.request.clone(),
+            body_digest: call.body_digest.clone(),
+            call: call.line.clone(),
             run: state.counters.runs,
             endpoint: self.node.name.to_string(),
         };
-        if let Some(key) = key {
+        if let Some(key) = &call.key {
             let runs = self.ledger().note(&self.node.service, key, &echo);
             state.counters.note_key(key, runs);
         }
@@ -155,34 +155,71 @@
     }
 }
 
+/// What is kept of a call.
+#[derive(Debug)]
+struct Call {
+    request: String,
+    key: Option<String>,
+    body_digest: String,
+    line: String,
+}
+
+impl Call {
+    fn read(request: &HttpRequest, body: &[u8]) -> Self {
+        Self {
+            request: header(request, REQUEST_ID_HEADER)
+                .unwrap_or_default()
+                .into(),
+            key: header(request, IDEMPOTENCY_KEY_HEADER).map(str::to_owned),
+            body_digest: hex::encode(Sha256::digest(body)),
+            line: format!("{} {}", request.method(), request.uri()),
+        }
+    }
+}
+
 fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
     request.headers().get(name)?.to_str().ok()
 }
 
-/// Any call of the service.
+/// Any call of the service. It runs even if its connection is gone by then.
 async fn call(replica: web::Data<Replica>, request: HttpRequest, body: Bytes) -> HttpResponse {
     if replica.fails_now() {
         return HttpResponse::ServiceUnavailable().finish();
     }
-    let Ok(_slot) = replica.slots.acquire().await else {
-        return HttpResponse::ServiceUnavailable().finish();
-    };
+    let call = Call::read(&request, &body);
+    let ran = actix_rt::spawn(run_in_slot(replica.into_inner(), call)).await;
+    match ran {
+        Ok(Some(echo)) => HttpResponse::Ok().json(echo),
+        _ => cut_reply(),
+    }
+}
+
+/// Runs a call; `None` if its reply is to be lost.
+async fn run_in_slot(replica: Arc<Replica>, call: Call) -> Option<Echo> {
+    let _slot = replica.slots.acquire().await.ok()?;
     actix_rt::time::sleep(Duration::from_millis(replica.node.call_ms)).await;
     replica.gate.wait_thawed().await;
-    let key = header(&request, IDEMPOTENCY_KEY_HEADER);
     let echo = replica
-        .deduplicate(key)
-        .unwrap_or_else(|| replica.run(&request, key, &body));
+        .deduplicate(&call)
+        .unwrap_or_else(|| replica.run(&call));
     if replica.loses_reply() {
-        return cut_reply();
+        return None;
     }
-    HttpResponse::Ok().json(echo)
+    Some(echo)
 }
 
 async fn counters(replica: web::Data<Replica>) -> HttpResponse {
     HttpResponse::Ok().json(&replica.lock().counters)
 }
 
+async fn all_counters(fleet: web::Data<Fleet>) -> HttpResponse {
+    let all: IndexMap<&EndpointId, ApplicationCounters> = fleet
+        .iter()
+        .map(|(name, replica)| (name, replica.lock().counters.clone()))
+        .collect();
+    HttpResponse::Ok().json(all)
+}
+
 async fn faults(
     replica: web::Data<Replica>,
     fleet: web::Data<Fleet>,
--- a/bench/src/engine/begin.rs
+++ b/bench/src/engine/begin.rs
@@ -3,18 +3,14 @@
 use std::sync::Arc;
 
 use fescueshore::ids::{EndpointId, StreamId};
-use fescueshore::wire::engine::{
-    EngineError, EngineErrorCode, LayerRange, OpenStream, Stage, StreamEvent,
-};
+use fescueshore::wire::engine::{EngineError, OpenStream, StreamEvent};
 
-use super::core::{Core, refusal};
+use super::core::Core;
 use super::executor::{SLOT_BATCHES, Work};
-use super::frames::{Activation, Frame};
+use super::frames::Activation;
+use super::kv::kept_positions;
 use super::stream::{Phase, Stream, recomputes, seed_of};
 
-/// Bytes of KV state for one token and layer, against those of an activation.
-const KV_PARTS: u64 = 4;
-
 impl Core {
     /// Opens a stream whose first stage this engine is, or attaches to it again.
     pub(crate) fn open(&mut self, open: OpenStream, now_us: u64) -> Result<(), EngineError> {
@@ -81,70 +77,6 @@
         }
     }
 
-    /// Checks everything that can be checked before anything runs.
-    fn check_begin(&mut self, open: &OpenStream, index: usize) -> Result<(), EngineError> {
-        if open.epoch < self.floor(open.stream) || self.knows(open.stream, open.epoch) {
-            self.counters.stale_epochs += 1;
-            return Err(refusal(EngineErrorCode::StaleEpoch));
-        }
-        let stage = open.chain.get(index);
-        let Some(stage) = stage.filter(|stage| stage.endpoint == self.node.name) else {
-            return Err(refusal(EngineErrorCode::Malformed));
-        };
-        if !self.holds(open, stage.layers) {
-            return Err(refusal(EngineErrorCode::NotHeld));
-        }
-        let model_layers = self.model_layers.get(&open.model).copied();
-        if !covers_model(&open.chain, model_layers) || !feeds_recomputing(open) {
-            return Err(refusal(EngineErrorCode::Malformed));
-        }
-        if self.is_draining() {
-            return Err(refusal(EngineErrorCode::Draining));
-        }
-        self.check_tokens(open)?;
-        self.check_room(open)
-    }
-
-    fn knows(&self, id: StreamId, epoch: u32) -> bool {
-        let stream = self.streams.get(&id);
-        stream.is_some_and(|stream| stream.open.epoch == epoch)
-    }
-
-    fn holds(&self, open: &OpenStream, layers: LayerRange) -> bool {
-        let adapter = open.adapter.as_ref();
-        open.model == self.held.model
-            && open.version == self.held.version
-            && adapter.is_none_or(|adapter| self.held.adapters.contains(adapter))
-            && !layers.is_empty()
-            && self.held.layers.covers(layers)
-    }
-
-    fn check_tokens(&mut self, open: &OpenStream) -> Result<(), EngineError> {
-        let seed = seed_of(open);
-        let own = (0..)
-            .zip(&open.generated)
-            .all(|(position, text)| seed.token(position) == *text);
-        if own {
-            return Ok(());
-        }
-        self.counters.foreign_tokens += 1;
-        Err(refusal(EngineErrorCode::Malformed))
-    }
-
-    fn check_room(&mut self, open: &OpenStream) -> Result<(), EngineError> {
-        let (_, waiting) = self.occupancy();
-        let replaces = self
-            .streams
-            .get(&open.stream)
-            .is_some_and(Stream::is_active);
-        let full = waiting >= self.node.queue_limit.max(1) && !replaces;
-        if full || self.faults.refuse {
-            self.counters.overloaded += 1;
-            return Err(refusal(EngineErrorCode::Overloaded));
-        }
-        Ok(())
-    }
-
     fn begin(&mut self, open: Arc<OpenStream>, index: usize, input: Activation, at_us: u64) {
         let id = open.stream;
         let before = self.streams.swap_remove(&id);
@@ -228,100 +160,4 @@
             prefill_tokens,
         });
     }
-
-    /// Asks another engine for the KV state of a stream.
-    fn import(&mut self, id: StreamId, at_us: u64) {
-        let Some(stream) = self.streams.get_mut(&id) else {
-            return;
-        };
-        let source = stream.stage().import_from.and_then(|address| {
-            let found = self.peers.iter().find(|(_, peer)| peer.address == address);
-            found.map(|(name, _)| name.clone())
-        });
-        let Some(source) = source else {
-            self.counters.kv_missing += 1;
-            return self.fail(id, None, EngineErrorCode::KvMissing, at_us);
-        };
-        stream.phase = Phase::Importing;
-        let ask = Frame::KvAsk {
-            stream: id,
-            epoch: stream.open.epoch,
-            layers: stream.layers(),
-            positions: stream.start_position(),
-        };
-        self.send(&source, ask, 0, at_us);
-    }
-
-    /// Another engine asks for the KV state of a stream.
-    pub(crate) fn export(
-        &mut self,
-        asker: &EndpointId,
-        id: StreamId,
-        epoch: u32,
-        layers: LayerRange,
-        positions: u32,
-        at_us: u64,
-    ) {
-        let held = self.streams.get(&id).filter(|stream| {
-            let enough = stream.kv_positions.is_some_and(|held| held >= positions);
-            enough && stream.layers().covers(layers)
-        });
-        let tokens = held.map(|stream| u64::from(stream.prompt_tokens + positions));
-        let token_bytes = u64::from(self.node.activation_bytes) / KV_PARTS;
-        let bytes = tokens.unwrap_or(0) * u64::from(layers.len()) * token_bytes;
-        let reply = Frame::KvReply {
-            stream: id,
-            epoch,
-            found: tokens.is_some(),
-        };
-        self.send(asker, reply, bytes, at_us);
-    }
-
-    /// KV state came, or is not there.
-    pub(crate) fn imported(&mut self, id: StreamId, epoch: u32, found: bool, at_us: u64) {
-        let Some(stream) = self.streams.get_mut(&id) else {
-            return;
-        };
-        if stream.open.epoch != epoch || stream.phase != Phase::Importing {
-            return;
-        }
-        if !found {
-            self.counters.kv_missing += 1;
-            return self.fail(id, None, EngineErrorCode::KvMissing, at_us);
-        }
-        stream.phase = Phase::Running;
-        stream.kv_positions = Some(stream.start_position());
-        self.counters.kv_imported += 1;
-        self.push_step(id, 0, at_us);
-    }
-}
-
-/// Positions in the KV state of an earlier epoch that a later one may go on with.
-fn kept_positions(before: &Stream, now: &Stream) -> Option<u32> {
-    let same_model = before.open.model == now.open.model
-        && before.open.version == now.open.version
-        && before.open.adapter == now.open.adapter
-        && before.open.prompt == now.open.prompt;
-    let kept = same_model && before.layers().covers(now.layers());
-    before.kv_positions.filter(|_| kept)
-}
-
-/// Whether the stages cover every layer of the model exactly once, in order.
-fn covers_model(chain: &[Stage], model_layers: Option<u16>) -> bool {
-    let mut reached = 0;
-    for stage in chain {
-        if stage.layers.first != reached || stage.layers.is_empty() {
-            return false;
-        }
-        reached = stage.layers.end;
-    }
-    Some(reached) == model_layers
-}
-
-/// Whether every stage that runs earlier positions again gets their activations from the stage
-/// before, which must then run them again too.
-fn feeds_recomputing(open: &OpenStream) -> bool {
-    let start = open.generated.len() as u32;
-    open.chain
-        .is_sorted_by_key(|stage| !recomputes(stage, start))
 }
--- a/bench/src/engine/core.rs
+++ b/bench/src/engine/core.rs
@@ -17,20 +17,16 @@
 use super::ledger::RunLedger;
 use super::link::Shaper;
 use super::orders::Orders;
-use super::stream::{Phase, Stream};
+use super::stream::Stream;
 use crate::standin::faults::Fault;
 use crate::topology::EngineNode;
 
 /// Part of the KV memory that the prefix cache may use: one part in this many.
 const CACHE_PARTS: u64 = 2;
-/// How long the KV state of a stopped stream is kept.
-const KEEP_STOPPED_US: u64 = 10_000_000;
-/// How long a later stage waits for the next step.
-const IDLE_US: u64 = 30_000_000;
 /// How often old streams are swept and the load figures taken.
 const SWEEP_US: u64 = 250_000;
 /// Streams whose epochs are remembered per generation; two generations are kept.
-const GENERATION_STREAMS: usize = 50_000;
+const GENERATION_STREAMS: usize = 10_000;
 
 /// What the engine wants done.
 #[derive(Clone, Debug)]
@@ -206,55 +202,6 @@
         self.cache.events(after, now_us)
     }
 
-    /// Cancels a stream up to and including an epoch; the KV state goes too.
-    pub(crate) fn cancel(&mut self, id: StreamId, epoch: u32, now_us: u64) {
-        self.raise_floor(id, epoch.saturating_add(1));
-        let Some(stream) = self.streams.get(&id) else {
-            return;
-        };
-        if stream.open.epoch > epoch {
-            return;
-        }
-        if stream.is_active() {
-            self.counters.cancelled += 1;
-            self.fail(id, None, EngineErrorCode::Cancelled, now_us);
-        }
-        self.close_others(id, false, now_us);
-        self.forget(id, now_us);
-    }
-
-    /// Whoever opened the stream at this engine does not listen any more.
-    pub(crate) fn opener_gone(&mut self, id: StreamId, epoch: u32, now_us: u64) {
-        let here = self.streams.get(&id).is_some_and(|stream| {
-            stream.open.epoch == epoch && stream.index == 0 && stream.is_active()
-        });
-        if here {
-            self.counters.cancelled += 1;
-            self.close_others(id, true, now_us);
-            self.stop(id, now_us);
-        }
-    }
-
-    /// The connection to another engine broke.
-    pub(crate) fn peer_lost(&mut self, peer: &EndpointId, now_us: u64) {
-        let concerned: Vec<StreamId> = self
-            .streams
-            .iter()
-            .filter(|(_, stream)| {
-                let in_chain = stream
-                    .open
-                    .chain
-                    .iter()
-                    .any(|stage| stage.endpoint == *peer);
-                stream.is_active() && in_chain
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in concerned {
-            self.fail(id, Some(peer), EngineErrorCode::StageUnreachable, now_us);
-        }
-    }
-
     /// Lowest epoch that may begin for a stream.
     pub(crate) fn floor(&self, id: StreamId) -> u32 {
         let held = self.streams.get(&id).map(|stream| stream.open.epoch);
@@ -292,27 +239,6 @@
         });
     }
 
-    /// Stops a stream; its KV state is kept for a while. Its slot goes to the next that waits.
-    pub(crate) fn stop(&mut self, id: StreamId, now_us: u64) {
-        let Some(stream) = self.streams.get_mut(&id) else {
-            return;
-        };
-        stream.phase = Phase::Stopped;
-        stream.touched_us = now_us;
-        self.executor.remove(id);
-        self.admit(now_us);
-    }
-
-    /// Forgets a stream but for its epoch.
-    pub(crate) fn forget(&mut self, id: StreamId, now_us: u64) {
-        let Some(stream) = self.streams.swap_remove(&id) else {
-            return;
-        };
-        self.raise_floor(id, stream.open.epoch.saturating_add(1));
-        self.executor.remove(id);
-        self.admit(now_us);
-    }
-
     /// Number of streams with a slot, and of those waiting for one.
     pub(crate) fn occupancy(&self) -> (u32, u32) {
         let count = |wanted: fn(&Stream) -> bool| {
@@ -324,34 +250,6 @@
         let running = count(Stream::has_slot);
         (running, count(Stream::is_active) - running)
     }
-
-    fn sweep(&mut self, now_us: u64) {
-        let (running, waiting) = self.occupancy();
-        self.load = Load {
-            running,
-            waiting,
-            at_us: now_us,
-        };
-        let old: Vec<(StreamId, Phase)> = self
-            .streams
-            .iter()
-            .filter(|(_, stream)| {
-                let idle_us = now_us.saturating_sub(stream.touched_us);
-                match stream.phase {
-                    Phase::Stopped => idle_us > KEEP_STOPPED_US,
-                    Phase::Running | Phase::Importing => idle_us > IDLE_US && stream.index > 0,
-                    Phase::Waiting { .. } => false,
-                }
-            })
-            .map(|(id, stream)| (*id, stream.phase))
-            .collect();
-        for (id, phase) in old {
-            match phase {
-                Phase::Stopped => self.forget(id, now_us),
-                _ => self.stop(id, now_us),
-            }
-        }
-    }
 }
 
 /// An engine's error about itself.
--- a/bench/src/engine/host.rs
+++ b/bench/src/engine/host.rs
@@ -90,6 +90,7 @@
         }
         let (sender, commands) = unbounded_channel();
         let over = CancellationToken::new();
+        self.gate.apply(&Fault::Clear);
         living.counters.lifetimes += 1;
         living.commands = Some(sender);
         living.over = over.clone();
@@ -118,7 +119,8 @@
             ..Living::default()
         };
         drop(living);
-        self.gate.apply(&Fault::Clear);
+        // What is still asked over open connections gets no answer.
+        self.gate.apply(&Fault::Silent);
     }
 
     /// Runs `f` on the engine and carries out what follows; `None` if it is dead.
--- a/bench/src/engine/mod.rs
+++ b/bench/src/engine/mod.rs
@@ -5,16 +5,20 @@
 
 mod begin;
 mod cache;
+mod checks;
 mod core;
 mod counters;
+mod endings;
 mod executor;
 mod fleet;
 mod frames;
 mod host;
+mod kv;
 mod ledger;
 mod link;
 mod lives;
 mod orders;
+mod receive;
 mod server;
 mod steps;
 mod stream;
--- a/bench/src/engine/steps.rs
+++ b/bench/src/engine/steps.rs
@@ -7,68 +7,14 @@
 use super::executor::Work;
 use super::frames::{Activation, Frame};
 use super::ledger::Run;
-use super::stream::{Phase, Stream, recomputes};
+use super::stream::{Phase, recomputes};
 
 /// Bytes of a token on a link.
 const TOKEN_BYTES: u64 = 16;
 
 impl Core {
-    /// A frame of another engine has arrived.
-    pub(crate) fn receive(&mut self, from: &EndpointId, frame: Frame, at_us: u64) {
-        match frame {
-            Frame::Hello { .. } => {}
-            Frame::Begin {
-                open,
-                index,
-                activation,
-            } => self.begin_later(from, *open, index, activation, at_us),
-            Frame::Step {
-                stream,
-                epoch,
-                activation,
-            } => self.take_step(from, stream, epoch, activation, at_us),
-            Frame::Token {
-                stream,
-                epoch,
-                activation,
-                text,
-            } => self.take_token(stream, epoch, activation, text, at_us),
-            Frame::Fault {
-                stream,
-                epoch,
-                stage,
-                cause,
-            } => {
-                if self.is_current(stream, epoch) {
-                    self.fail(stream, Some(&stage), cause, at_us);
-                }
-            }
-            Frame::Close {
-                stream,
-                epoch,
-                keep_kv,
-            } => self.close(stream, epoch, keep_kv, at_us),
-            Frame::KvAsk {
-                stream,
-                epoch,
-                layers,
-                positions,
-            } => self.export(from, stream, epoch, layers, positions, at_us),
-            Frame::KvReply {
-                stream,
-                epoch,
-                found,
-            } => self.imported(stream, epoch, found, at_us),
-        }
-    }
-
-    fn is_current(&self, id: StreamId, epoch: u32) -> bool {
-        let stream = self.streams.get(&id);
-        stream.is_some_and(|stream| stream.open.epoch == epoch && stream.is_active())
-    }
-
     /// One more position, from the stage before.
-    fn take_step(
+    pub(crate) fn take_step(
         &mut self,
         from: &EndpointId,
         id: StreamId,
@@ -229,7 +175,7 @@
     }
 
     /// The last stage hands a token back: report it and start the next position.
-    fn take_token(
+    pub(crate) fn take_token(
         &mut self,
         id: StreamId,
         epoch: u32,
@@ -289,97 +235,4 @@
             self.push_step(id, 0, at_us);
         }
     }
-
-    /// This stage cannot go on, or heard that another can't.
-    pub(crate) fn fail(
-        &mut self,
-        id: StreamId,
-        stage: Option<&EndpointId>,
-        cause: EngineErrorCode,
-        at_us: u64,
-    ) {
-        let Some(stream) = self.streams.get(&id) else {
-            return;
-        };
-        let stage = stage.unwrap_or(&self.node.name).clone();
-        let epoch = stream.open.epoch;
-        if stream.index == 0 {
-            let position = stream.start_position() + stream.tokens.len() as u32;
-            self.counters.failed += 1;
-            let event = StreamEvent::Failed {
-                epoch,
-                position,
-                stage: Some(stage),
-                cause,
-            };
-            self.emit(id, epoch, event);
-            self.close_others(id, true, at_us);
-        } else {
-            let first = stream.first_stage().endpoint.clone();
-            if first != stage {
-                let fault = Frame::Fault {
-                    stream: id,
-                    epoch,
-                    stage,
-                    cause,
-                };
-                self.send(&first, fault, 0, at_us);
-            }
-        }
-        self.stop(id, at_us);
-    }
-
-    /// Answers a frame with a fault of this stage.
-    pub(crate) fn send_fault(
-        &mut self,
-        to: &EndpointId,
-        stream: StreamId,
-        epoch: u32,
-        cause: EngineErrorCode,
-        at_us: u64,
-    ) {
-        let stage = self.node.name.clone();
-        let fault = Frame::Fault {
-            stream,
-            epoch,
-            stage,
-            cause,
-        };
-        self.send(to, fault, 0, at_us);
-    }
-
-    /// As the first stage, tells the others that nothing more is run in this epoch.
-    pub(crate) fn close_others(&mut self, id: StreamId, keep_kv: bool, at_us: u64) {
-        let Some(stream) = self.streams.get(&id).filter(|stream| stream.index == 0) else {
-            return;
-        };
-        let epoch = stream.open.epoch;
-        let others: Vec<EndpointId> = other_stages(stream, &self.node.name);
-        for other in others {
-            let close = Frame::Close {
-                stream: id,
-                epoch,
-                keep_kv,
-            };
-            self.send(&other, close, 0, at_us);
-        }
-    }
-
-    fn close(&mut self, id: StreamId, epoch: u32, keep_kv: bool, at_us: u64) {
-        let known = self.streams.get(&id).map(|stream| stream.open.epoch);
-        match known {
-            Some(known) if known > epoch => {}
-            Some(_) if keep_kv => self.stop(id, at_us),
-            Some(_) => self.forget(id, at_us),
-            None => self.raise_floor(id, epoch.saturating_add(1)),
-        }
-    }
-}
-
-fn other_stages(stream: &Stream, own: &EndpointId) -> Vec<EndpointId> {
-    let stages = stream.open.chain.iter().map(|stage| &stage.endpoint);
-    stages
-        .filter(|endpoint| *endpoint != own)
-        .cloned()
-        .collect()
 }
