Entry: a randomised world of entries, engines, replicas and a table that fail

Two entries in simulated time with engines and replicas that die, freeze, refuse, fall silent and lose replies, a table service with outages and lost replies, entries that freeze and are replaced, and callers that leave, come back and check every answer. Asserted: tokens exactly once and in order, answers whole and one's own, no non-idempotent run twice, no run after not-run, nothing left over at the end, and a stop that ends.

Retry-After of failures other than overload is a short spread pause: the queue's estimate told callers of an idle entry to stay away for 30 s and more after an outage.

Deferred cancel and epoch growth are caught by the chain's tests, not by this run.

--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -254,7 +254,7 @@
     }
 
     /// Whether this process is that incarnation and works on a claim.
-    fn holds(&self, incarnation: Incarnation, row_key: &str) -> bool {
+    pub(super) fn holds(&self, incarnation: Incarnation, row_key: &str) -> bool {
         let mut open = self.claims.values();
         incarnation == self.config.incarnation
             && open.any(|open| open.claim.row_key() == row_key && open.claim.holds())
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -185,7 +185,6 @@
             self.counts.count("entry.retries.denied");
             return ChainMessage::RetryDenied;
         }
-        self.counts.count("entry.rebuilds");
         let ask = RouteAsk {
             stream: completion.stream,
             service: &attempt.service,
@@ -197,6 +196,7 @@
         };
         match self.router.plan(&ask, now_ms) {
             Ok(stages) => {
+                self.counts.count("entry.rebuilds");
                 let tokens = chain.tokens_to_compute();
                 let expected = self.expected(&completion.model.name, &stages, tokens);
                 ChainMessage::Planned { stages, expected }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,5 +1,7 @@
 //! The queue's other end: dispatches while there is room, and ends attempts.
 
+use rand::RngExt;
+
 use super::attempt::{Attempt, AttemptId, Work};
 use super::book::Answer;
 use super::machine::{Entry, Flow};
@@ -11,6 +13,8 @@
 
 /// How long a caller that went may come back before its request is cancelled.
 const REJOIN_MS: u64 = 2_000;
+/// When to come back after endpoints failed or were missing; up to twice as long.
+const FAILED_RETRY_MS: u64 = 500;
 /// How long queued requests wait for a chain while no living engines cover the layers.
 const INCOMPLETE_WAIT_MS: u64 = 2_000;
 
@@ -82,9 +86,8 @@
 
     /// Ends an attempt without an answer. Whether it ran is decided by its evidence.
     pub(super) fn refuse(&mut self, attempt: &mut Attempt, code: RefusalCode, now_ms: u64) {
-        let retry_after_ms =
-            self.admission
-                .retry_after_ms(&attempt.service, &attempt.key.account, now_ms);
+        // Spread, so that the callers of one endpoint do not all come back at once.
+        let retry_after_ms = self.rng.random_range(FAILED_RETRY_MS..2 * FAILED_RETRY_MS);
         let refusal = attempt.evidence.refusal(code, Some(retry_after_ms));
         self.refuse_with(attempt, refusal, now_ms);
     }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of the entry's decisions, driven by plain messages.
 
 mod book;
+mod claimed;
 mod fixture;
 mod paths;
 mod verdicts;
 mod views;
+mod world;
--- a/src/entry/tests/fixture.rs
+++ b/src/entry/tests/fixture.rs
@@ -206,6 +206,14 @@
     }
 }
 
+/// A stock count under an idempotency key.
+pub(super) fn stock_count(request: &str, key: &str) -> CallerRequest {
+    CallerRequest {
+        idempotency_key: Some(key.into()),
+        ..call(KEY, request, "POST", "/stock-counts")
+    }
+}
+
 pub(super) fn arrive(
     entry: &mut TestEntry,
     caller: u64,
--- a/src/entry/tests/paths.rs
+++ b/src/entry/tests/paths.rs
@@ -89,3 +89,68 @@
     );
     assert_eq!(code(completion(KEY, "r", 0)), RefusalCode::MalformedBody);
 }
+
+#[test]
+fn slots_come_back_when_answers_end() {
+    let mut entry = entry();
+    for number in 0..300 {
+        let now_ms = number * 100;
+        let request = completion(KEY, &format!("r{number}"), 1);
+        let (call, _) = opened(&arrive(&mut entry, number, request, now_ms)).unwrap();
+        entry.handle(token(call, 1, 0), now_ms + 50);
+        let event = StreamEvent::End {
+            epoch: 1,
+            positions: 1,
+            reason: EndReason::Stop,
+        };
+        entry.handle(EntryMessage::StreamEvent { call, event }, now_ms + 51);
+        let request = call_of(number);
+        let caller = 1_000 + number;
+        let effects = arrive(&mut entry, caller, request, now_ms + 60);
+        answer_call(&mut entry, &effects, now_ms + 70);
+    }
+    assert_eq!(entry.in_flight(), 0);
+}
+
+fn call_of(number: u64) -> crate::instance::CallerRequest {
+    call(KEY, &format!("c{number}"), "GET", "/prices/lamb")
+}
+
+fn answer_call(entry: &mut TestEntry, effects: &[EntryEffect], now_ms: u64) {
+    let Some(EntryEffect::CallApplication { call, .. }) = effects.first() else {
+        panic!("not called: {effects:?}");
+    };
+    let reply = ApplicationReply {
+        status: 200,
+        content_type: None,
+        body: Vec::new(),
+    };
+    let (call, result) = (*call, Ok(reply));
+    entry.handle(EntryMessage::ApplicationAnswered { call, result }, now_ms);
+}
+
+#[test]
+fn a_stream_that_broke_before_its_first_token_may_have_run() {
+    let mut entry = entry();
+    let mut request = completion(KEY, "r1", 2);
+    request.deadline = Some(crate::instance::Deadline { at_ms: 3_000 });
+    let (call, _) = opened(&arrive(&mut entry, 1, request, 10)).unwrap();
+    let failure = crate::instance::StreamFailure::Broken;
+    let effects = entry.handle(EntryMessage::StreamFailed { call, failure }, 2_990);
+    let mut refused = None;
+    for effect in effects {
+        if let EntryEffect::ProbeStream { call, .. } = effect {
+            let probed = EntryMessage::StreamProbed {
+                call,
+                progress: None,
+                reachable: false,
+            };
+            let effects = entry.handle(probed, 3_010);
+            refused = effects.into_iter().find_map(|effect| match effect {
+                EntryEffect::SendRefusal { refusal, .. } => Some(refusal),
+                _ => None,
+            });
+        }
+    }
+    assert_eq!(refused.unwrap().outcome, crate::outcome::Outcome::Unknown);
+}
