Process tests of documents, leaving endpoints and silent connections; control.advertise

Relays stand between instances and the store, their peers, engines, replicas or callers, and go silent or cut connections. A relay before a control process needs peers to be told another address than the one listened on; settings had no key for it, and a control that listens on a wildcard told its peers the wildcard. control.advertise mends that; the fault's message no longer names entry.advertise only. A fleet now counts as started once every entry knows every service: a test met an entry that was ready without the document accepted a moment before, which the 5 s allow. The test of an entry killed after dispatch starts another process under its address: without one nothing shows that the holder is gone, and callers hear unknown with a time to come back. An instance that is never replaced is left open here.

--- a/bench/src/demo/mod.rs
+++ b/bench/src/demo/mod.rs
@@ -16,8 +16,8 @@
 
 /// Requests asked.
 const REQUESTS: u64 = 200;
-/// Callers of each account.
-const CALLERS_PER_ACCOUNT: usize = 2;
+/// Callers in all; each account has as many.
+const CALLERS: usize = 20;
 /// How long the requests may take in all.
 const ASK_LIMIT: Duration = Duration::from_secs(35);
 /// How long a pause between non-idempotent calls may be awaited.
@@ -120,8 +120,9 @@
     fn ask_all(self: &Rc<Self>, fleet: &Fleet) -> impl Future<Output = ()> + use<> {
         let seeds = fleet.entry_addresses();
         let mut asking = Vec::new();
-        for account in &fleet.deployment().load.accounts {
-            for number in 0..CALLERS_PER_ACCOUNT {
+        let accounts = &fleet.deployment().load.accounts;
+        for account in accounts {
+            for number in 0..CALLERS / accounts.len() {
                 let options = CallerOptions::new(SEED + number as u64, ASK_LIMIT);
                 let caller = Caller::new(seeds.clone(), options, self.book.clone());
                 asking.push(
--- a/bench/src/fleet/running.rs
+++ b/bench/src/fleet/running.rs
@@ -30,6 +30,8 @@
     topology_path: PathBuf,
     /// Where the instances find the platform: its stand-ins, or a relay before them.
     platform: PlatformNodes,
+    /// Where control processes listen, if not at the address that others are told.
+    control_listen: IndexMap<InstanceId, SocketAddr>,
     /// Engines that run in processes of their own.
     separate_engines: Vec<EndpointId>,
     processes: IndexMap<ProcessName, Process>,
@@ -52,13 +54,12 @@
             .tempdir()
             .map_err(|source| file_error(&std::env::temp_dir(), source))?;
         let topology_path = dir.path().join("topology.toml");
-        std::fs::write(&topology_path, toml::to_string(&topology)?)
-            .map_err(|source| file_error(&topology_path, source))?;
         Ok(Self {
             platform: topology.platform.clone(),
             deployment,
             topology,
             topology_path,
+            control_listen: IndexMap::new(),
             separate_engines: Vec::new(),
             processes: IndexMap::new(),
             standins: StandinClient::default(),
@@ -88,7 +89,27 @@
         self.platform = platform;
     }
 
-    /// Starts every process, accepts the documents and waits until every entry takes requests.
+    /// Has others be told another address of an instance's control process: one of a relay, which
+    /// is returned together with the address behind it. Only before the start.
+    pub fn place_control(&mut self, index: usize) -> (SocketAddr, SocketAddr) {
+        let relay = self.addresses.take();
+        let entry = &mut self.topology.entries[index];
+        let listen = std::mem::replace(&mut entry.control_address, relay);
+        self.control_listen.insert(entry.name.clone(), listen);
+        (relay, listen)
+    }
+
+    /// Where an instance's control process listens.
+    pub fn control_address(&self, index: usize) -> SocketAddr {
+        self.listen_of(&self.topology.entries[index])
+    }
+
+    fn listen_of(&self, entry: &EntryNode) -> SocketAddr {
+        let placed = self.control_listen.get(&entry.name);
+        placed.copied().unwrap_or(entry.control_address)
+    }
+
+    /// Starts every process, accepts the documents and waits until every entry serves them.
     ///
     /// # Errors
     /// Fails with the cause and the log of the process at fault.
@@ -114,6 +135,7 @@
     /// # Errors
     /// Fails if one does not come up.
     pub async fn start_standins(&mut self) -> Result<(), FleetError> {
+        self.write_topology()?;
         let mut names = vec![
             ProcessName::Table,
             ProcessName::Objects,
@@ -157,7 +179,7 @@
         self.await_control(&entry).await
     }
 
-    /// Starts the entry process of an instance and waits until it takes requests.
+    /// Starts the entry process of an instance and waits until it serves all services.
     ///
     /// # Errors
     /// Fails if it does not come up.
@@ -181,7 +203,7 @@
     /// # Errors
     /// Fails unless both are accepted.
     pub async fn accept_documents(&self) -> Result<(), FleetError> {
-        let control = self.topology.entries[0].control_address;
+        let control = self.control_address(0);
         for (service, path) in &self.deployment.documents {
             accept_file(control, &self.deployment.operator, service, path).await?;
         }
@@ -251,6 +273,12 @@
         })
     }
 
+    fn write_topology(&self) -> Result<(), FleetError> {
+        let text = toml::to_string(&self.topology)?;
+        std::fs::write(&self.topology_path, text)
+            .map_err(|source| file_error(&self.topology_path, source))
+    }
+
     fn spawn_standin(&mut self, name: &ProcessName) -> Result<(), FleetError> {
         let mut args = vec![standin_kind(name).to_owned()];
         args.extend(["--topology".to_owned(), path_text(&self.topology_path)]);
@@ -280,7 +308,12 @@
     }
 
     fn settings_args(&self, entry: &EntryNode) -> Result<Vec<String>, FleetError> {
-        let path = write_settings(entry, &self.platform, self.dir.path())?;
+        let path = write_settings(
+            entry,
+            self.listen_of(entry),
+            &self.platform,
+            self.dir.path(),
+        )?;
         Ok(vec!["--settings".to_owned(), path_text(&path)])
     }
 
@@ -307,8 +340,8 @@
 
     async fn await_control(&mut self, entry: &EntryNode) -> Result<(), FleetError> {
         let name = ProcessName::Control(entry.name.clone());
+        let address = self.listen_of(entry);
         let process = self.process(&name)?;
-        let address = entry.control_address;
         let ready = wait_until(START_LIMIT, async || {
             !process.is_running() || tokio::net::TcpStream::connect(address).await.is_ok()
         })
@@ -319,10 +352,15 @@
     async fn await_entry(&mut self, entry: &EntryNode) -> Result<(), FleetError> {
         let name = ProcessName::Entry(entry.name.clone());
         let standins = self.standins.clone();
+        let services = self.services();
         let process = self.process(&name)?;
         let address = entry.address;
+        let paths: Vec<String> = services
+            .iter()
+            .map(|service| format!("/v1/locate?service={service}"))
+            .collect();
         let ready = wait_until(START_LIMIT, async || {
-            !process.is_running() || standins.is_ok(address, "/readyz").await
+            !process.is_running() || serves(&standins, address, &paths).await
         })
         .await;
         self.require(&name, ready)
@@ -347,6 +385,16 @@
     }
 }
 
+/// Whether an entry takes requests and knows every service.
+async fn serves(standins: &StandinClient, entry: SocketAddr, paths: &[String]) -> bool {
+    for path in paths {
+        if !standins.is_ok(entry, path).await {
+            return false;
+        }
+    }
+    standins.is_ok(entry, "/readyz").await
+}
+
 fn standin_kind(name: &ProcessName) -> &'static str {
     match name {
         ProcessName::Table => "table",
--- a/bench/src/fleet/settings.rs
+++ b/bench/src/fleet/settings.rs
@@ -15,7 +15,7 @@
 struct Settings<'a> {
     instance: Instance<'a>,
     entry: Listener,
-    control: Listener,
+    control: Control,
     platform: Platform,
     peers: Peers,
 }
@@ -31,6 +31,12 @@
     listen: SocketAddr,
 }
 
+#[derive(Serialize)]
+struct Control {
+    listen: SocketAddr,
+    advertise: SocketAddr,
+}
+
 #[derive(Serialize)]
 struct Platform {
     table: String,
@@ -49,6 +55,7 @@
 /// Fails if the file cannot be written.
 pub(super) fn write_settings(
     entry: &EntryNode,
+    control_listen: SocketAddr,
     platform: &PlatformNodes,
     dir: &Path,
 ) -> Result<PathBuf, FleetError> {
@@ -60,8 +67,9 @@
         entry: Listener {
             listen: entry.address,
         },
-        control: Listener {
-            listen: entry.control_address,
+        control: Control {
+            listen: control_listen,
+            advertise: entry.control_address,
         },
         platform: Platform {
             table: format!("http://{}", platform.table),
--- a/bench/src/instances/mod.rs
+++ b/bench/src/instances/mod.rs
@@ -6,3 +6,4 @@
 mod tests;
 
 pub(crate) use server::listen;
+pub use server::{RemoveInstance, SetPhase};
--- a/bench/src/tally/mod.rs
+++ b/bench/src/tally/mod.rs
@@ -4,23 +4,15 @@
 
 use fescueshore::ids::EndpointId;
 use indexmap::{IndexMap, IndexSet};
-use serde::Deserialize;
 
 use crate::application::ApplicationCounters;
 use crate::caller::Book;
+use crate::engine::EngineCounters;
 use crate::fleet::{Fleet, FleetError, StandinClient};
 
 #[cfg(test)]
 mod tests;
 
-/// The part of an engine's counters that a run is judged by.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-struct EngineCounters {
-    layer_faults: u64,
-    foreign_tokens: u64,
-    tokens: u64,
-}
-
 /// Counters of all stand-ins, those of processes that were killed as of just before.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
--- a/bench/tests/processes/broken_files.rs
+++ b/bench/tests/processes/broken_files.rs
@@ -89,7 +89,7 @@
 #[actix_rt::test]
 async fn a_broken_document_is_not_accepted_and_what_was_in_force_stays() {
     let env = Env::start().await;
-    let control = env.fleet.topology().entries[0].control_address;
+    let control = env.fleet.control_address(0);
     let service = "ledger-api".into();
     let good = repository_root().join("examples/kammoun/ledger-api.toml");
     let text = std::fs::read_to_string(good).expect("document");
--- a/bench/tests/processes/env.rs
+++ b/bench/tests/processes/env.rs
@@ -12,9 +12,11 @@
 use fescue_bench::deployment::{self, Deployment};
 use fescue_bench::fleet::{Fleet, wait_until};
 use fescue_bench::mix::{Lengths, Mix, Parts};
+use fescue_bench::proxy::Proxy;
 use fescue_bench::standin::faults::{Fault, FaultRequest};
 use fescue_bench::tally::{Findings, Tally};
-use fescueshore::ids::{AccountId, EndpointId};
+use fescueshore::ids::{AccountId, EndpointId, ServiceName, ZoneName};
+use fescueshore::wire::platform::{InstancePhase, InstanceRecord, InstanceRole};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use uuid::Uuid;
 
@@ -60,6 +62,10 @@
             .map(|index| nodes[*index].name.clone())
             .collect();
         fleet.run_apart(apart);
+        Self::start_fleet(fleet, permit).await
+    }
+
+    async fn start_fleet(mut fleet: Fleet, permit: SemaphorePermit<'static>) -> Self {
         if let Err(error) = fleet.start().await {
             panic!("{error}");
         }
@@ -72,6 +78,23 @@
         }
     }
 
+    /// Starts the small fleet with a relay before every control process.
+    pub async fn start_with_peer_relays() -> (Self, Vec<Proxy>) {
+        let permit = FLEETS.acquire().await.expect("never closed");
+        let mut fleet = Fleet::prepare(small()).expect("fleet");
+        let mut relays = Vec::new();
+        for index in 0..fleet.topology().entries.len() {
+            let (relay, listen) = fleet.place_control(index);
+            relays.push(Proxy::start(relay, listen).await.expect("relay"));
+        }
+        let env = Self::start_fleet(fleet, permit).await;
+        eventually("the peers use the relays", async || {
+            relays.iter().all(|relay| relay.opened() > 0)
+        })
+        .await;
+        (env, relays)
+    }
+
     /// A caller that asks any entry.
     pub fn caller(&self) -> Caller {
         self.caller_at(self.fleet.entry_addresses())
@@ -92,6 +115,55 @@
         self.fleet.topology().entries[index].address
     }
 
+    /// Puts a relay before every engine and waits until the entries use one.
+    pub async fn relay_engines(&mut self) -> Vec<Proxy> {
+        let nodes = self.fleet.topology().engines.clone();
+        let mut relays = Vec::new();
+        for node in nodes {
+            let name = node.name.as_str();
+            let record = record(InstanceRole::Engine, name, Some(&node.service), &node.zone);
+            relays.push(self.relay(node.address, record).await);
+        }
+        eventually("the entries use the relays", async || {
+            relays.iter().all(|relay| relay.opened() > 0)
+        })
+        .await;
+        relays
+    }
+
+    /// Puts a relay before every replica of the application.
+    pub async fn relay_replicas(&mut self) -> Vec<Proxy> {
+        let nodes = self.fleet.topology().applications.clone();
+        let mut relays = Vec::new();
+        for node in nodes {
+            let name = node.name.as_str();
+            let record = record(
+                InstanceRole::Application,
+                name,
+                Some(&node.service),
+                &node.zone,
+            );
+            relays.push(self.relay(node.address, record).await);
+        }
+        relays
+    }
+
+    /// Puts a relay before an endpoint.
+    async fn relay(&mut self, target: SocketAddr, mut record: InstanceRecord) -> Proxy {
+        let address = self.fleet.spare_address();
+        let proxy = Proxy::start(address, target).await.expect("proxy");
+        record.address = address;
+        self.list(&record).await;
+        proxy
+    }
+
+    /// Adds an instance to the platform's list, or replaces it there.
+    pub async fn list(&self, record: &InstanceRecord) {
+        let list = self.fleet.topology().platform.instances;
+        let added = self.fleet.standins().post(list, "/standin/add", record);
+        added.await.expect("list");
+    }
+
     /// Sets a fault at a stand-in.
     pub async fn fault(&self, address: SocketAddr, fault: Fault) {
         let request = FaultRequest::here(fault);
@@ -150,6 +222,23 @@
     actix_rt::spawn(task)
 }
 
+fn record(
+    role: InstanceRole,
+    name: &str,
+    service: Option<&ServiceName>,
+    zone: &ZoneName,
+) -> InstanceRecord {
+    InstanceRecord {
+        name: name.to_owned(),
+        role,
+        service: service.cloned(),
+        zone: zone.clone(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        control_address: None,
+        phase: InstancePhase::Live,
+    }
+}
+
 pub fn account() -> AccountId {
     AccountId::from("lac-bistro")
 }
--- a/bench/tests/processes/main.rs
+++ b/bench/tests/processes/main.rs
@@ -7,8 +7,14 @@
 #[cfg(test)]
 mod deaths;
 #[cfg(test)]
+mod documents;
+#[cfg(test)]
 mod env;
 #[cfg(test)]
+mod leaving;
+#[cfg(test)]
+mod silence;
+#[cfg(test)]
 mod stops;
 #[cfg(test)]
 mod store;
--- a/bench/tests/processes/writes.rs
+++ b/bench/tests/processes/writes.rs
@@ -102,6 +102,9 @@
     let writes = start_writes(&env);
     eventually("a write is out", async || calls(&env).await > 0).await;
     env.fleet.process(&holder).expect("holder").kill();
+    // Only another incarnation under the holder's address shows that the first one is gone.
+    let instance = env.fleet.topology().entries[0].name.clone();
+    env.fleet.start_entry(&instance).await.expect("entry");
     let mut unknown = 0;
     for write in writes {
         match write.await.expect("caller") {
--- a/src/checked_toml/fault.rs
+++ b/src/checked_toml/fault.rs
@@ -111,7 +111,7 @@
     #[error("not an IP address with a port")]
     BadAddress,
     /// An address that nobody can connect to.
-    #[error("an address that callers cannot connect to")]
+    #[error("an address that others cannot connect to")]
     WildcardAddress,
     /// Not the address of an HTTP service.
     #[error("not the address of an HTTP service")]
@@ -181,7 +181,7 @@
                 .to_owned(),
             Self::BadAddress => "write it like \"127.0.0.1:7001\"".to_owned(),
             Self::WildcardAddress => {
-                "set entry.advertise to one address, with a port, that callers can reach".to_owned()
+                "write one address, with a port, that others can reach".to_owned()
             }
             Self::BadUrl => "write it like \"http://127.0.0.1:7100\", without a path".to_owned(),
             Self::BadSecretLength => {
--- a/src/control_server/run.rs
+++ b/src/control_server/run.rs
@@ -94,7 +94,7 @@
         instance: settings.instance.name.clone(),
         zone: settings.instance.zone.clone(),
         address: settings.entry.advertise,
-        control_address: settings.control.listen,
+        control_address: settings.control.advertise,
         incarnation: Incarnation::draw(&mut rng),
         unix_offset_ms: unix_ms(),
         seed: rng.random(),
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -51,6 +51,8 @@
 pub struct ControlSettings {
     /// Where its own entry, its peers and operators connect.
     pub listen: SocketAddr,
+    /// What peers are told. A single address, never a wildcard.
+    pub advertise: SocketAddr,
 }
 
 /// The platform's services. Each is `http://HOST:PORT`, without a path.
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -1,5 +1,7 @@
 //! Checks the text of a settings file.
 
+use std::net::SocketAddr;
+
 use log::LevelFilter;
 
 use super::model::{
@@ -76,7 +78,7 @@
 
 fn read_entry(section: &mut Section<'_, '_>) -> Option<EntrySettings> {
     let listen = section.required("listen", address);
-    let advertise = section.optional("advertise", address);
+    let advertise = section.optional("advertise", address).map(|it| it.value);
     let max_body = section.optional("max_body_bytes", |value| {
         in_range(
             whole_number(value)?,
@@ -86,10 +88,7 @@
         )
     });
     let listen = listen?.value;
-    let advertise = advertise.map_or(listen, |advertise| advertise.value);
-    if advertise.ip().is_unspecified() || (advertise.port() == 0 && listen.port() != 0) {
-        section.fault_at("advertise", FaultKind::WildcardAddress);
-    }
+    let advertise = advertised(section, advertise, listen);
     let max_body_bytes = max_body.and_then(|limit| usize::try_from(limit.value).ok());
     Some(EntrySettings {
         listen,
@@ -99,8 +98,26 @@
 }
 
 fn read_control(section: &mut Section<'_, '_>) -> Option<ControlSettings> {
-    let listen = section.required("listen", address)?.value;
-    Some(ControlSettings { listen })
+    let listen = section.required("listen", address);
+    let advertise = section.optional("advertise", address).map(|it| it.value);
+    let listen = listen?.value;
+    Some(ControlSettings {
+        listen,
+        advertise: advertised(section, advertise, listen),
+    })
+}
+
+/// What others are told: the address set for it, else the one listened on. A wildcard is a fault.
+fn advertised(
+    section: &mut Section<'_, '_>,
+    advertise: Option<SocketAddr>,
+    listen: SocketAddr,
+) -> SocketAddr {
+    let advertise = advertise.unwrap_or(listen);
+    if advertise.ip().is_unspecified() || (advertise.port() == 0 && listen.port() != 0) {
+        section.fault_at("advertise", FaultKind::WildcardAddress);
+    }
+    advertise
 }
 
 fn read_platform(section: &mut Section<'_, '_>) -> Option<PlatformSettings> {
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -43,6 +43,17 @@
     insta::assert_snapshot!(parse(&text).unwrap_err());
 }
 
+#[test]
+fn a_wildcard_needs_an_address_to_tell_peers() {
+    let listen = "listen = \"127.0.0.1:7002\"";
+    let wildcard = "listen = \"0.0.0.0:7002\"";
+    let faults = parse(&WHOLE.replace(listen, wildcard)).unwrap_err();
+    assert!(faults.to_string().contains("control.advertise"), "{faults}");
+    let both = format!("{wildcard}\nadvertise = \"10.0.0.1:7002\"");
+    let settings = parse(&WHOLE.replace(listen, &both)).unwrap();
+    assert_eq!(settings.control.advertise.to_string(), "10.0.0.1:7002");
+}
+
 #[test]
 fn a_missing_file_is_named() {
     let error = read(Path::new("no-such.toml")).unwrap_err();
