Control: property tests of leases, plans, audit queue, beats and documents

Thirty tests over the slices' own functions: three processes that want one lease, over random orders of calls, lost and late writes and passing time; rollouts over random fleets, which must end and keep a whole chain throughout; the audit queue with drops while a batch is under way; beats as written and read, also from nonsense; signs of leaving; documents offered in any order.

--- a/src/audit/mod.rs
+++ b/src/audit/mod.rs
@@ -2,6 +2,8 @@
 
 mod queue;
 mod rows;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use queue::AuditQueue;
 pub(crate) use rows::{accept_write, audit_page, audit_scan};
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,7 +18,7 @@
 mod shares;
 mod stopping;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use indexmap::IndexMap;
 
--- a/src/control/tests/fake_table.rs
+++ b/src/control/tests/fake_table.rs
@@ -7,16 +7,16 @@
 
 /// Rows and the version of the last write.
 #[derive(Debug, Default)]
-pub(super) struct FakeTable {
-    pub(super) rows: IndexMap<String, Row>,
+pub(crate) struct FakeTable {
+    pub(crate) rows: IndexMap<String, Row>,
     version: u64,
     /// Calls carried out.
-    pub(super) calls: u64,
+    pub(crate) calls: u64,
 }
 
 impl FakeTable {
     /// Carries out one call.
-    pub(super) fn call(&mut self, call: &TableCall) -> TableReply {
+    pub(crate) fn call(&mut self, call: &TableCall) -> TableReply {
         self.calls += 1;
         match call {
             TableCall::Transact(transaction) => TableReply::Transacted(self.transact(transaction)),
--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -3,7 +3,7 @@
 mod cell;
 mod documents;
 mod fake_engine;
-mod fake_table;
+pub(crate) mod fake_table;
 mod operators;
 mod orders;
 mod random;
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -7,6 +7,8 @@
 //! fencing number, and [`Lease::may_order`] for engines that ignore it.
 
 mod rows;
+#[cfg(test)]
+mod tests;
 
 use crate::ids::{Incarnation, InstanceId, ServiceName};
 use crate::instance::{TableCall, TableReply};
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,6 +11,8 @@
 mod member;
 mod rendezvous;
 mod rounds;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use gossip::{Gossip, GossipTo, Merged, OwnNode};
 pub(crate) use leaving::{LeavingSigns, SignSources};
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -6,5 +6,7 @@
 mod capacity;
 mod desired;
 mod plan;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use plan::{EngineView, plan};
--- a/src/revision/mod.rs
+++ b/src/revision/mod.rs
@@ -6,6 +6,8 @@
 mod check;
 mod held;
 mod rows;
+#[cfg(test)]
+mod tests;
 mod watch;
 
 pub(crate) use accept::{AcceptStep, Acceptance};
