Bench: slopes of cost over size

Ruled out: reading wall-clock load or the system's monitor; processor time of the process itself barely depends on what else the machine does, and bytes are counted by the process.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod mix;
 pub mod objects;
 pub mod proxy;
+pub mod slopes;
 pub mod standin;
 pub mod table;
 pub mod tally;
