--- a/src/admission/account.rs
+++ b/src/admission/account.rs
@@ -9,9 +9,10 @@
 use crate::document::Priority;
 use crate::instance::CallerId;
 use crate::outcome::RefusalCode;
+use crate::wire::local::AccountShare;
 
 /// Time constant of what an account wants and spends.
-const DEMAND_WINDOW_MS: f64 = 1_000.0;
+const DEMAND_WINDOW_MS: f64 = 2_000.0;
 /// Least time watched before a rate counts in full.
 const DEMAND_LEAST_MS: f64 = 250.0;
 /// A backlog counts as demand that wants to be served within this time.
@@ -26,6 +27,31 @@
 /// Bounds of what an expected cost is multiplied with.
 const COST_PARTS: (f64, f64) = (0.02, 1.0);
 
+/// An account's part of the service at this entry.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Share {
+    pub(crate) tokens_per_s: f64,
+    /// What it could have if it asked for more; at least its share.
+    pub(crate) entitled_tokens_per_s: f64,
+}
+
+impl From<&AccountShare> for Share {
+    fn from(told: &AccountShare) -> Self {
+        let tokens_per_s = finite(told.tokens_per_s);
+        Self {
+            tokens_per_s,
+            entitled_tokens_per_s: finite(told.entitled_tokens_per_s).max(tokens_per_s),
+        }
+    }
+}
+
+fn finite(tokens_per_s: f64) -> f64 {
+    match tokens_per_s.is_finite() {
+        true => tokens_per_s.max(0.0),
+        false => 0.0,
+    }
+}
+
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiting {
@@ -70,7 +96,7 @@
     pub(crate) promised_ms: f64,
     pub(crate) budget: RetryBudget,
     /// This entry's part of the fair share.
-    share_tokens_per_s: Option<f64>,
+    share: Option<Share>,
     /// Weight at this entry; greater than 0.
     local_weight: f64,
     /// Requests that run.
@@ -94,7 +120,7 @@
             spent_level: 0.0,
             promised_ms: 0.0,
             budget: RetryBudget::new(),
-            share_tokens_per_s: None,
+            share: None,
             local_weight: weight,
             running: IndexMap::new(),
             ahead_tokens: 0.0,
@@ -111,20 +137,25 @@
         self.priority = priority;
     }
 
-    pub(crate) fn share(&self) -> Option<f64> {
-        self.share_tokens_per_s
+    pub(crate) fn share(&self) -> Option<Share> {
+        self.share
     }
 
-    pub(crate) fn set_share(&mut self, tokens_per_s: Option<f64>) {
-        self.share_tokens_per_s = tokens_per_s;
+    pub(crate) fn set_share(&mut self, share: Option<Share>) {
+        self.share = share;
     }
 
-    /// Sets the weight at this entry: the share in units of the documents' weights.
-    pub(crate) fn set_local_weight(&mut self, weight_per_share: f64) {
-        self.local_weight = match self.share_tokens_per_s {
-            Some(share) => (share * weight_per_share).max(self.weight * LEAST_WEIGHT_PART),
+    /// Sets the weight at this entry: what the account is entitled to, in units of the documents'
+    /// weights. How far the account is from `level` stays the same in tokens.
+    pub(crate) fn set_local_weight(&mut self, weight_per_token: f64, level: f64) {
+        let least = self.weight * LEAST_WEIGHT_PART;
+        let weight = match self.share {
+            Some(share) => (share.entitled_tokens_per_s * weight_per_token).max(least),
             None => self.weight,
         };
+        let ahead_tokens = (self.spent_level - level) * self.local_weight;
+        self.spent_level = level + ahead_tokens / weight;
+        self.local_weight = weight;
     }
 
     pub(crate) fn local_weight(&self) -> f64 {
--- a/src/admission/overload.rs
+++ b/src/admission/overload.rs
@@ -10,15 +10,20 @@
 pub(crate) const ACCOUNT_QUEUE_LIMIT: usize = 512;
 /// Most requests of a service that wait.
 pub(crate) const SERVICE_QUEUE_LIMIT: usize = 4_096;
-/// Longest wait of a request without a deadline.
-pub(crate) const WAIT_LIMIT_MS: u64 = 10_000;
+/// A request without a deadline is queued if it is expected to wait less than this ...
+const WAIT_LIMIT_MS: f64 = 10_000.0;
+/// ... and then kept as long as its wait comes to less than this, also where the rate falls.
+pub(crate) const KEEP_LIMIT_MS: u64 = 30_000;
 /// A waiting request is refused only if it would be late at this many times the measured rate.
 const DOUBT: f64 = 1.25;
 /// Least time with a backlog before the drain rate counts.
 const DRAIN_LEAST_MS: f64 = 300.0;
 /// Shortest and longest time to come back, before jitter.
-const RETRY_FLOOR_MS: f64 = 200.0;
-const RETRY_LIMIT_MS: f64 = 30_000.0;
+const RETRY_FLOOR_MS: f64 = 300.0;
+const RETRY_LIMIT_MS: f64 = 15_000.0;
+/// Refused requests are called back at this many times the account's rate. One that comes too early
+/// is refused once more; while those called back come too late, the account's share is idle.
+const CALL_BACK_RATE: f64 = 2.0;
 /// Time to come back while no rate is known.
 const RETRY_BLIND_MS: f64 = 1_000.0;
 
@@ -61,6 +66,9 @@
         let wait_ms = self
             .pace(queue)
             .map_or(0.0, |pace| pace.wait_ms(queue.backlog_tokens));
+        if !waiting.has_deadline && wait_ms >= WAIT_LIMIT_MS {
+            return Some(RefusalCode::AccountOverloaded);
+        }
         waiting.reason_to_refuse(wait_ms, now_ms)
     }
 
@@ -140,7 +148,7 @@
         cost_tokens: f64,
         now_ms: u64,
     ) -> u64 {
-        let jitter = 1.0 + 0.5 * self.draw();
+        let jitter = 0.75 + 0.5 * self.draw();
         self.account(account, now_ms);
         let Some(queue) = self.accounts.get(account) else {
             return RETRY_BLIND_MS as u64;
@@ -148,8 +156,8 @@
         let Some(pace) = self.pace(queue) else {
             return (RETRY_BLIND_MS * jitter) as u64;
         };
-        let cost_ms = cost_tokens * 1_000.0 / pace.share_per_s;
-        let free_ms = now_ms as f64 + pace.wait_ms(queue.backlog_tokens);
+        let cost_ms = cost_tokens * 1_000.0 / (pace.share_per_s * CALL_BACK_RATE);
+        let free_ms = now_ms as f64 + pace.wait_ms(queue.backlog_tokens) / CALL_BACK_RATE;
         let promised_ms = queue.promised_ms.max(free_ms) + cost_ms;
         let limit_ms = now_ms as f64 + RETRY_LIMIT_MS;
         self.account(account, now_ms).promised_ms = promised_ms.min(limit_ms);
--- a/src/admission/service.rs
+++ b/src/admission/service.rs
@@ -3,9 +3,9 @@
 use indexmap::IndexMap;
 
 use super::QueueAsk;
-use super::account::{AccountQueue, Waiting};
+use super::account::{AccountQueue, Share, Waiting};
 use super::budget::RetryBudget;
-use super::overload::WAIT_LIMIT_MS;
+use super::overload::KEEP_LIMIT_MS;
 use super::rate::RateMeter;
 use crate::document::{Account, Priority};
 use crate::ids::{AccountId, ServiceName};
@@ -76,10 +76,8 @@
             queue.set_share(None);
         }
         for share in shares {
-            if let Some(queue) = self.accounts.get_mut(&share.account)
-                && share.tokens_per_s.is_finite()
-            {
-                queue.set_share(Some(share.tokens_per_s.max(0.0)));
+            if let Some(queue) = self.accounts.get_mut(&share.account) {
+                queue.set_share(Some(Share::from(share)));
             }
         }
         self.set_local_weights();
@@ -100,8 +98,8 @@
         let queue = self.account(ask.account, now_ms);
         let cost_tokens = queue.expected_cost(asked_tokens, now_ms);
         queue.ask(cost_tokens, now_ms);
-        if queue.is_idle() {
-            // What it did not use while it was idle is gone.
+        if queue.waiting.is_empty() {
+            // What it did not use while nothing of it waited is gone.
             queue.spent_level = queue.spent_level.max(level);
         }
         let waiting = Waiting {
@@ -110,7 +108,7 @@
             cost_tokens,
             until_ms: ask
                 .deadline
-                .map_or(now_ms + WAIT_LIMIT_MS, |deadline| deadline.at_ms),
+                .map_or(now_ms + KEEP_LIMIT_MS, |deadline| deadline.at_ms),
             has_deadline: ask.deadline.is_some(),
         };
         if let Some(code) = self.reason_to_refuse(ask.account, &waiting, now_ms) {
@@ -221,7 +219,7 @@
     /// The part of the service that this entry's shares come to.
     pub(crate) fn entry_part(&self) -> Option<f64> {
         let shares = self.accounts.values().filter_map(AccountQueue::share);
-        let shared: f64 = shares.sum();
+        let shared: f64 = shares.map(|share| share.tokens_per_s).sum();
         let part = shared / self.charged_capacity()?;
         (shared > 0.0).then(|| part.min(1.0))
     }
@@ -263,16 +261,20 @@
     }
 
     fn set_local_weights(&mut self) {
-        let shared = self
-            .accounts
-            .values()
-            .filter(|queue| queue.share().is_some());
-        let (weight, share) = shared.fold((0.0, 0.0), |(weight, share), queue| {
-            (weight + queue.weight, share + queue.share().unwrap_or(0.0))
-        });
-        let weight_per_share = if share > 0.0 { weight / share } else { 0.0 };
+        let (mut weight, mut entitled) = (0.0, 0.0);
+        for queue in self.accounts.values() {
+            if let Some(share) = queue.share() {
+                weight += queue.weight;
+                entitled += share.entitled_tokens_per_s;
+            }
+        }
+        let weight_per_token = if entitled > 0.0 {
+            weight / entitled
+        } else {
+            0.0
+        };
         for queue in self.accounts.values_mut() {
-            queue.set_local_weight(weight_per_share);
+            queue.set_local_weight(weight_per_token, self.level);
         }
     }
 }
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -151,6 +151,7 @@
             service: service.clone(),
             account: share.account,
             tokens_per_s: share.tokens_per_s,
+            entitled_tokens_per_s: share.entitled_tokens_per_s,
         })
         .collect()
 }
--- a/src/fairness/split.rs
+++ b/src/fairness/split.rs
@@ -25,6 +25,8 @@
     pub account: AccountId,
     /// Tokens a second.
     pub tokens_per_s: f64,
+    /// Tokens a second that it could have if it asked for more; at least its share.
+    pub entitled_tokens_per_s: f64,
 }
 
 /// Room above its measured demand that an account is given before others get more than theirs.
@@ -53,20 +55,29 @@
         })
         .collect();
     let mut shares = max_min(capacity_tokens_per_s, &claims);
+    let entitled = entitled(&claims, &shares);
     add_unasked(capacity_tokens_per_s, &claims, &mut shares);
     demands
         .into_iter()
-        .map(|demand| {
-            let part = part_of(&totals, &shares, &demand);
-            EntryShare {
-                entry: demand.entry,
-                account: demand.account,
-                tokens_per_s: part,
-            }
+        .map(|demand| EntryShare {
+            tokens_per_s: part_of(&totals, &shares, &demand),
+            entitled_tokens_per_s: part_of(&totals, &entitled, &demand),
+            entry: demand.entry,
+            account: demand.account,
         })
         .collect()
 }
 
+/// What each claim could have: as much for its weight as the claim that got the most for its own.
+fn entitled(claims: &[ShareClaim], shares: &[f64]) -> Vec<f64> {
+    let levels = shares.iter().zip(claims);
+    let level = levels
+        .filter(|(share, _)| **share > 0.0)
+        .map(|(share, claim)| share / claim.weight)
+        .fold(0.0, f64::max);
+    claims.iter().map(|claim| level * claim.weight).collect()
+}
+
 /// Usable demands, one for each entry and account, in that order.
 fn ordered(weights: &IndexMap<AccountId, f64>, demands: &[EntryDemand]) -> Vec<EntryDemand> {
     let mut sorted: Vec<EntryDemand> = demands
--- /dev/null
+++ b/src/fairness/tests/mod.rs
@@ -0,0 +1,2 @@
+mod properties;
+mod simulation;
--- /dev/null
+++ b/src/fairness/tests/properties.rs
@@ -0,0 +1,102 @@
+use indexmap::IndexMap;
+use proptest::prelude::*;
+
+use super::super::*;
+use crate::ids::{AccountId, InstanceId};
+
+const SLACK: f64 = 1e-6;
+
+fn claims() -> impl Strategy<Value = Vec<ShareClaim>> {
+    let claim = (0.1..10.0_f64, 0.0..1_000.0_f64);
+    let claim = claim.prop_map(|(weight, demand)| ShareClaim { weight, demand });
+    proptest::collection::vec(claim, 0..12)
+}
+
+#[test]
+fn unmet_claims_share_by_weight() {
+    let claims = [(1.0, 10.0), (1.0, 100.0), (3.0, 100.0)]
+        .map(|(weight, demand)| ShareClaim { weight, demand });
+    assert_eq!(max_min(90.0, &claims), vec![10.0, 20.0, 60.0]);
+}
+
+#[test]
+fn useless_claims_get_nothing() {
+    let claims = [
+        (0.0, 5.0),
+        (1.0, f64::NAN),
+        (f64::NAN, 5.0),
+        (-1.0, 5.0),
+        (1.0, 5.0),
+    ]
+    .map(|(weight, demand)| ShareClaim { weight, demand });
+    assert_eq!(max_min(10.0, &claims), vec![0.0, 0.0, 0.0, 0.0, 5.0]);
+    assert_eq!(max_min(f64::NAN, &claims[4..]), vec![0.0]);
+}
+
+proptest! {
+    #[test]
+    fn shares_are_feasible_and_leave_nothing(capacity in 0.0..3_000.0_f64, claims in claims()) {
+        let shares = max_min(capacity, &claims);
+        let given: f64 = shares.iter().sum();
+        let asked: f64 = claims.iter().map(|claim| claim.demand).sum();
+        prop_assert!(given <= capacity + SLACK);
+        prop_assert!((given - asked.min(capacity)).abs() < SLACK * (1.0 + capacity));
+        for (share, claim) in shares.iter().zip(&claims) {
+            prop_assert!(*share >= 0.0 && *share <= claim.demand + SLACK);
+        }
+    }
+
+    #[test]
+    fn nobody_gets_more_for_its_weight_than_an_unmet_claim(
+        capacity in 0.0..3_000.0_f64,
+        claims in claims(),
+    ) {
+        let shares = max_min(capacity, &claims);
+        for (unmet, claim) in shares.iter().zip(&claims) {
+            if *unmet < claim.demand - SLACK {
+                for (other, rival) in shares.iter().zip(&claims) {
+                    prop_assert!(other / rival.weight <= unmet / claim.weight + SLACK);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn shares_do_not_depend_on_the_order(
+        capacity in 0.0..3_000.0_f64,
+        claims in claims(),
+        turn in 0..12_usize,
+    ) {
+        let mut turned = claims.clone();
+        let turn = turn % claims.len().max(1);
+        turned.rotate_left(turn);
+        let mut shares = max_min(capacity, &claims);
+        shares.rotate_left(turn);
+        for (share, other) in shares.iter().zip(max_min(capacity, &turned)) {
+            prop_assert!((share - other).abs() < SLACK);
+        }
+    }
+
+    #[test]
+    fn every_node_finds_the_same_split(
+        capacity in 1.0..3_000.0_f64,
+        demands in proptest::collection::vec((0..4_u8, 0..4_u8, 0.0..500.0_f64), 0..20),
+    ) {
+        let names: Vec<AccountId> = (0..4).map(|n| format!("account-{n}").into()).collect();
+        let weights: IndexMap<AccountId, f64> = names.iter().cloned().zip([1.0, 2.0, 5.0, 1.0]).collect();
+        let mut demands: Vec<EntryDemand> = demands
+            .into_iter()
+            .map(|(entry, account, wanted_tokens_per_s)| EntryDemand {
+                entry: InstanceId::from(format!("entry-{entry}")),
+                account: names[usize::from(account)].clone(),
+                wanted_tokens_per_s,
+            })
+            .collect();
+        let shares = split_shares(capacity, &weights, &demands);
+        demands.reverse();
+        prop_assert_eq!(&shares, &split_shares(capacity, &weights, &demands));
+        let given: f64 = shares.iter().map(|share| share.tokens_per_s).sum();
+        let due = if shares.is_empty() { 0.0 } else { capacity };
+        prop_assert!((given - due).abs() < SLACK * (1.0 + capacity));
+    }
+}
--- a/src/wire/local.rs
+++ b/src/wire/local.rs
@@ -174,4 +174,7 @@
     pub account: AccountId,
     /// Tokens a second, of the service's capacity.
     pub tokens_per_s: f64,
+    /// Tokens a second that the account could have here if it asked for more; 0 if not told.
+    #[serde(default)]
+    pub entitled_tokens_per_s: f64,
 }
