A holder is gone where nothing listens

A retry that met the open claim of a killed entry was told unknown and to come back, for ever: no answer may mean a paused holder. A paused one still listens, though, so a refused connection proves that the process has ended. Then unknown is final.

--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -248,7 +248,7 @@
     Deliver(EntryMessage::ApplicationAnswered {
         call,
         result: result.map_err(|failure| match failure {
-            HttpFailure::NotSent => ApplicationFailure::NotSent,
+            HttpFailure::NotSent | HttpFailure::NoListener => ApplicationFailure::NotSent,
             HttpFailure::ReplyLost => ApplicationFailure::ReplyLost,
         }),
     })
@@ -344,6 +344,8 @@
     }
 }
 
+/// Asks over HTTP. A holder listens for as long as it lives, so where nothing listens it is gone;
+/// a paused one still listens, and gives no answer.
 async fn ask_claim(
     outside: &Outside,
     address: SocketAddr,
@@ -354,13 +356,14 @@
     let mut http_call = HttpCall::post_json(CLAIMS_PATH, question).ok()?;
     http_call.headers.push((AUTHORIZATION, &bearer));
     let peer = outside.entries.at(address);
-    let reply = peer
+    let called = peer
         .call(http_call, timeout_ms, CLAIM_REPLY_LIMIT_BYTES)
-        .await
-        .ok()?;
-    if reply.status != 200 {
-        return None;
-    }
+        .await;
+    let reply = match called {
+        Ok(reply) if reply.status == 200 => reply,
+        Err(HttpFailure::NoListener) => return Some(false),
+        _ => return None,
+    };
     let answer: ClaimAnswer = serde_json::from_slice(&reply.body).ok()?;
     Some(answer.working)
 }
--- a/src/gateway/tests/paths.rs
+++ b/src/gateway/tests/paths.rs
@@ -1,3 +1,5 @@
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -6,7 +8,11 @@
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 
-use super::fixture::{KEY, PEER_KEY, TestEntry, start, wait_until};
+use super::fixture::{KEY, PEER_KEY, TestEntry, nowhere, start, wait_until};
+use crate::gateway::calls::{Outside, ask_holder, claim_question};
+use crate::ids::Incarnation;
+use crate::instance::{CallId, EntryMessage};
+use crate::platform::{HttpEngines, HttpPeers, HttpTable};
 use crate::wire::caller::{ErrorAnswer, ModelsAnswer};
 use crate::wire::locate::LocateAnswer;
 
@@ -189,6 +195,32 @@
     assert_eq!(error(refused).await.1, "unauthenticated");
 }
 
+async fn working_at(address: SocketAddr) -> Option<bool> {
+    let outside = Outside {
+        table: HttpTable::new("http://127.0.0.1:1"),
+        engines: HttpEngines::new(),
+        applications: HttpPeers::default(),
+        entries: HttpPeers::default(),
+        peer_key: PEER_KEY.into(),
+    };
+    let incarnation = Incarnation::draw(&mut rand::rng());
+    let question = claim_question("entry-lac-1".into(), incarnation, "claims/x".to_owned());
+    let answer = ask_holder(Rc::new(outside), CallId(1), address, question, 300);
+    match answer.await.0 {
+        EntryMessage::HolderAnswered { working, .. } => working,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[actix_web::test]
+async fn a_holder_is_gone_where_nothing_listens_but_not_where_it_is_silent() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    assert_eq!(working_at(silent.local_addr().unwrap()).await, None);
+    assert_eq!(working_at(nowhere()).await, Some(false));
+    let entry = start(FAST).await;
+    assert_eq!(working_at(entry.process.address).await, Some(false));
+}
+
 #[actix_web::test]
 async fn a_planned_stop_cuts_off_nothing() {
     let mut entry = start(SLOW).await;
--- a/src/platform/failure.rs
+++ b/src/platform/failure.rs
@@ -31,7 +31,7 @@
 impl From<HttpFailure> for TableFailure {
     fn from(failure: HttpFailure) -> Self {
         match failure {
-            HttpFailure::NotSent => Self::NotSent,
+            HttpFailure::NotSent | HttpFailure::NoListener => Self::NotSent,
             HttpFailure::ReplyLost => Self::ReplyLost,
         }
     }
@@ -54,7 +54,7 @@
 impl From<HttpFailure> for ObjectFailure {
     fn from(failure: HttpFailure) -> Self {
         match failure {
-            HttpFailure::NotSent => Self::NotSent,
+            HttpFailure::NotSent | HttpFailure::NoListener => Self::NotSent,
             HttpFailure::ReplyLost => Self::ReplyLost,
         }
     }
@@ -93,7 +93,7 @@
 impl From<HttpFailure> for EngineCallFailure {
     fn from(failure: HttpFailure) -> Self {
         match failure {
-            HttpFailure::NotSent => Self::NotSent,
+            HttpFailure::NotSent | HttpFailure::NoListener => Self::NotSent,
             HttpFailure::ReplyLost => Self::ReplyLost,
         }
     }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,9 @@
     /// No byte of the request left.
     #[error("no connection could be made")]
     NotSent,
+    /// No byte of the request left: the peer's host says that no process listens there.
+    #[error("no process listens at the address")]
+    NoListener,
     /// Bytes may have left, and no whole reply came.
     #[error("no whole reply came")]
     ReplyLost,
@@ -226,6 +230,11 @@
         SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
             HttpFailure::ReplyLost
         }
+        SendRequestError::Connect(ConnectError::Io(cause))
+            if cause.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            HttpFailure::NoListener
+        }
         SendRequestError::Connect(_) => HttpFailure::NotSent,
         _ => HttpFailure::ReplyLost,
     }
