--- a/bench/src/caller/attempt.rs
+++ b/bench/src/caller/attempt.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::PayloadError;
+use awc::error::{PayloadError, SendRequestError};
 use awc::http::Method;
 use awc::http::header::HeaderMap;
 use awc::{ClientRequest, ClientResponse};
@@ -25,6 +25,9 @@
 /// Type of a stream's error event.
 const ERROR_EVENT: &[u8] = b"error";
 
+/// A body that ended before its end.
+const CUT: BrokenBy = BrokenBy::Closed { after_head: true };
+
 /// How long a caller waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -50,12 +53,26 @@
     Answered(AnswerBody),
     /// A final word other than an answer.
     Refused(Refused),
-    /// Neither: the connection failed, went silent or was cut short.
-    Broken,
+    /// Neither.
+    Broken(BrokenBy),
     /// The entry answered in a way that the API does not allow.
     Malformed(&'static str),
 }
 
+/// Why an attempt has no final word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BrokenBy {
+    /// No connection could be made; nothing was sent.
+    NotConnected,
+    /// The connection was closed or failed before the end of the answer.
+    Closed {
+        /// Whether the head of the answer had come.
+        after_head: bool,
+    },
+    /// Nothing came for longer than the caller waits.
+    Silent,
+}
+
 /// A complete answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerBody {
@@ -95,7 +112,9 @@
     let sending = call.send_body(request.body());
     match actix_rt::time::timeout(patience.head, sending).await {
         Ok(Ok(response)) => read(request, response, patience, &mut on_token).await,
-        _ => AttemptEnd::Broken,
+        Ok(Err(SendRequestError::Connect(_))) => AttemptEnd::Broken(BrokenBy::NotConnected),
+        Ok(Err(_)) => AttemptEnd::Broken(BrokenBy::Closed { after_head: false }),
+        Err(_) => AttemptEnd::Broken(BrokenBy::Silent),
     }
 }
 
@@ -133,8 +152,9 @@
     if streamed && outcome == Outcome::Done {
         return read_events(request, response, patience, on_token).await;
     }
-    let Some(body) = read_body(&mut response, patience).await else {
-        return AttemptEnd::Broken;
+    let body = match read_body(&mut response, patience).await {
+        Ok(body) => body,
+        Err(by) => return AttemptEnd::Broken(by),
     };
     on_token();
     if outcome == Outcome::Done {
@@ -150,23 +170,41 @@
     all.into_iter().find(|outcome| outcome.as_str() == text)
 }
 
-async fn read_body<S>(response: &mut ClientResponse<S>, patience: Patience) -> Option<Vec<u8>>
+async fn read_body<S>(
+    response: &mut ClientResponse<S>,
+    patience: Patience,
+) -> Result<Vec<u8>, BrokenBy>
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
     let mut body = Vec::new();
     loop {
-        let next = actix_rt::time::timeout(patience.silence, response.next()).await;
-        match next.ok()? {
-            None => return Some(body),
-            Some(piece) => body.extend_from_slice(&piece.ok()?),
+        match next_piece(response, patience).await? {
+            None => return Ok(body),
+            Some(piece) => body.extend_from_slice(&piece),
         }
         if body.len() > ANSWER_LIMIT_BYTES {
-            return None;
+            return Err(CUT);
         }
     }
 }
 
+/// The next piece of a body; `None` at its end.
+async fn next_piece<S>(
+    response: &mut ClientResponse<S>,
+    patience: Patience,
+) -> Result<Option<Bytes>, BrokenBy>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    match actix_rt::time::timeout(patience.silence, response.next()).await {
+        Err(_) => Err(BrokenBy::Silent),
+        Ok(Some(Err(_))) => Err(CUT),
+        Ok(Some(Ok(piece))) => Ok(Some(piece)),
+        Ok(None) => Ok(None),
+    }
+}
+
 fn read_answer(request: &Request, body: Vec<u8>) -> AttemptEnd {
     let Ask::Completion { shape, .. } = &request.ask else {
         return AttemptEnd::Answered(AnswerBody::Bytes(body));
@@ -210,9 +248,10 @@
     let mut events = SseReader::new(ANSWER_LIMIT_BYTES);
     let mut answer = Streamed::new(request);
     loop {
-        let next = actix_rt::time::timeout(patience.silence, response.next()).await;
-        let Ok(Some(Ok(piece))) = next else {
-            return AttemptEnd::Broken;
+        let piece = match next_piece(&mut response, patience).await {
+            Ok(Some(piece)) => piece,
+            Ok(None) => return AttemptEnd::Broken(CUT),
+            Err(by) => return AttemptEnd::Broken(by),
         };
         let read = events.push(&piece, |event, data| answer.take(event, data, on_token));
         if read.is_err() {
--- a/bench/src/caller/book.rs
+++ b/bench/src/caller/book.rs
@@ -1,6 +1,7 @@
 //! What the callers of one run saw.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use fescueshore::outcome::RefusalCode;
 use indexmap::{IndexMap, IndexSet};
 
+use super::attempt::BrokenBy;
 use super::check::AnswerFault;
 
 /// How a request ended for its caller.
@@ -88,6 +90,20 @@
     writes_in_flight: u64,
     /// Pieces of text received.
     tokens_seen: u64,
+    broken: Vec<BrokenAttempt>,
+}
+
+/// An attempt without a final word.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenAttempt {
+    /// The entry asked.
+    pub entry: SocketAddr,
+    /// When the attempt began.
+    pub began: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// Why.
+    pub by: BrokenBy,
 }
 
 /// A book shared by the callers of one thread.
@@ -116,6 +132,16 @@
         self.tokens_seen += 1;
     }
 
+    /// Notes an attempt without a final word.
+    pub(super) fn note_broken(&mut self, attempt: BrokenAttempt) {
+        self.broken.push(attempt);
+    }
+
+    /// Attempts without a final word.
+    pub fn broken(&self) -> &[BrokenAttempt] {
+        &self.broken
+    }
+
     /// Pieces of text received so far, by all callers.
     pub fn tokens_seen(&self) -> u64 {
         self.tokens_seen
--- a/bench/src/caller/run.rs
+++ b/bench/src/caller/run.rs
@@ -7,8 +7,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::attempt::{AttemptEnd, Patience, Refused, attempt};
-use super::book::{FinalWord, Report, SharedBook};
+use super::attempt::{AttemptEnd, BrokenBy, Patience, Refused, attempt};
+use super::book::{BrokenAttempt, FinalWord, Report, SharedBook};
 use super::check::check_answer;
 use super::locate::Locator;
 use super::request::Request;
@@ -123,6 +123,7 @@
             self.book.borrow_mut().note_token();
         };
         let patience = self.options.patience;
+        let began = Instant::now();
         match attempt(&self.http, entry, request, patience, on_token).await {
             AttemptEnd::Answered(body) => Some(match check_answer(request, &body) {
                 Ok(()) => FinalWord::Answered,
@@ -132,7 +133,8 @@
                 progress.broken_in_row = 0;
                 self.take_refusal(&refused, entry, request, progress).await
             }
-            AttemptEnd::Broken => {
+            AttemptEnd::Broken(by) => {
+                self.note_broken(entry, began, by);
                 self.locator.avoid(entry);
                 self.wait_broken(progress).await;
                 None
@@ -186,6 +188,15 @@
         }
     }
 
+    fn note_broken(&self, entry: SocketAddr, began: Instant, by: BrokenBy) {
+        self.book.borrow_mut().note_broken(BrokenAttempt {
+            entry,
+            began,
+            ended: Instant::now(),
+            by,
+        });
+    }
+
     async fn wait_broken(&mut self, progress: &mut Progress) {
         progress.broken += 1;
         progress.broken_in_row += 1;
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod objects;
 pub mod proxy;
 pub mod slopes;
+pub mod soak;
 pub mod standin;
 pub mod table;
 pub mod tally;
