Routing: lanes from a linear program, the flow bound, learnt limits, hints and rebuilds

A stream holds a slot of a batch at each engine of its chain for its whole life, so that slots are as scarce as rates. Lanes are picked together instead: a linear program over kinds of chains, rounded to slots, the best of several margins by mean value analysis, bettered by moving single slots.

The bound is a maximum flow by petgraph over engines merged where no link can hold them up.

--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -239,8 +239,11 @@
             self.admission.set_accounts(self.directory.documents());
         }
         self.entries.clone_from(&snapshot.entries);
-        let serving = self.entries.iter().filter(|entry| entry.serving).count();
-        self.router.set_entry_count(serving);
+        let serving = self.entries.iter().filter(|entry| entry.serving);
+        let names: Vec<&str> = serving.map(|entry| entry.instance.as_str()).collect();
+        let own = self.config.instance.as_str();
+        let rank = names.iter().filter(|name| **name < own).count();
+        self.router.set_entry_rank(rank, names.len());
         self.router.set_endpoints(&snapshot.endpoints, now_ms);
         self.admission.set_shares(&snapshot.shares, now_ms);
         self.look_again();
--- a/src/routing/chain.rs
+++ b/src/routing/chain.rs
@@ -1,66 +1,139 @@
-//! Search of a chain: one engine for each segment, by the policy's rank, with backtracking.
+//! Search of a chain: one holder for each segment, by the policy's rank, with backtracking.
 
 use crate::wire::engine::LayerRange;
 
 use super::graph::Graph;
 
 /// A run of layers at one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Run {
     /// Index of the engine in the endpoint table.
     pub(crate) engine: usize,
     pub(crate) layers: LayerRange,
 }
 
-/// Finds engines for all segments. `rank` gets (segment, previous engine, engine) and returns
-/// `None` for one that cannot be used. No engine is used for two runs apart.
-pub(crate) fn search<F>(graph: &Graph, mut rank: F) -> Option<Vec<Run>>
+/// A holder that may run the next segment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Step {
+    pub(crate) segment: usize,
+    /// Position among the holders of the segment before; `None` at the first.
+    pub(crate) previous: Option<usize>,
+    /// Position among the holders of the segment.
+    pub(crate) position: usize,
+    /// Whether both are the same engine.
+    pub(crate) same_engine: bool,
+    /// Index of the engine in the endpoint table.
+    pub(crate) engine: usize,
+}
+
+/// Finds holders for all segments, the lowest rank first; `rank` returns `None` for a holder that
+/// cannot be used. No engine is used for two runs apart.
+///
+/// A holder from which the end was not reached once is not tried again. With overlapping ranges
+/// that may miss a chain whose engine was taken by the earlier part of another attempt; it keeps
+/// the search linear in the number of links.
+pub(crate) fn search<F>(graph: &Graph, rank: F) -> Option<Vec<Run>>
 where
-    F: FnMut(usize, Option<usize>, usize) -> Option<f64>,
+    F: FnMut(Step) -> Option<f64>,
 {
-    let mut runs: Vec<Run> = Vec::new();
-    if graph.segments.is_empty() || !extend(graph, 0, &mut runs, &mut rank) {
+    if graph.segments.is_empty() {
         return None;
     }
-    Some(runs)
+    let mut search = Search {
+        graph,
+        rank,
+        path: Vec::with_capacity(graph.segments.len()),
+        dead: graph
+            .segments
+            .iter()
+            .map(|segment| vec![false; segment.holders.len()])
+            .collect(),
+    };
+    search.extend(0).then(|| runs(graph, &search.path))
+}
+
+struct Search<'a, F> {
+    graph: &'a Graph,
+    rank: F,
+    /// Position of the holder chosen in each segment so far.
+    path: Vec<usize>,
+    dead: Vec<Vec<bool>>,
 }
 
-fn extend<F>(graph: &Graph, at: usize, runs: &mut Vec<Run>, rank: &mut F) -> bool
+impl<F> Search<'_, F>
 where
-    F: FnMut(usize, Option<usize>, usize) -> Option<f64>,
+    F: FnMut(Step) -> Option<f64>,
 {
-    let Some(segment) = graph.segments.get(at) else {
-        return true;
-    };
-    let previous = runs.last().map(|run| run.engine);
-    let mut ranked: Vec<(f64, usize)> = Vec::with_capacity(segment.holders.len());
-    for &engine in &segment.holders {
-        let used_before = previous != Some(engine) && runs.iter().any(|run| run.engine == engine);
-        if used_before {
-            continue;
+    fn extend(&mut self, at: usize) -> bool {
+        if at == self.graph.segments.len() {
+            return true;
         }
-        if let Some(rank) = rank(at, previous, engine) {
-            ranked.push((rank, engine));
+        let mut ranked = self.ranked(at);
+        while let Some((_, position)) = take_lowest(&mut ranked) {
+            self.path.push(position);
+            if self.extend(at + 1) {
+                return true;
+            }
+            self.path.pop();
+            self.dead[at][position] = true;
         }
+        false
     }
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    for (_, engine) in ranked {
-        let before = runs.last().copied();
-        push(runs, engine, segment.layers);
-        if extend(graph, at + 1, runs, rank) {
-            return true;
-        }
-        runs.pop();
-        if before.is_some_and(|run| run.engine == engine) {
-            runs.extend(before);
+
+    fn ranked(&mut self, at: usize) -> Vec<(f64, usize)> {
+        let holders = &self.graph.segments[at].holders;
+        let previous = self.path.last().copied();
+        let previous_engine = previous.map(|position| self.engine(at - 1, position));
+        let mut ranked = Vec::with_capacity(holders.len());
+        for (position, &engine) in holders.iter().enumerate() {
+            let same_engine = previous_engine == Some(engine);
+            if self.dead[at][position] || (!same_engine && self.is_used(engine)) {
+                continue;
+            }
+            let step = Step {
+                segment: at,
+                previous,
+                position,
+                same_engine,
+                engine,
+            };
+            if let Some(rank) = (self.rank)(step) {
+                ranked.push((rank, position));
+            }
         }
+        ranked
     }
-    false
+
+    fn engine(&self, segment: usize, position: usize) -> usize {
+        self.graph.segments[segment].holders[position]
+    }
+
+    fn is_used(&self, engine: usize) -> bool {
+        let mut used = self.path.iter().enumerate();
+        used.any(|(segment, position)| self.engine(segment, *position) == engine)
+    }
+}
+
+fn take_lowest(ranked: &mut Vec<(f64, usize)>) -> Option<(f64, usize)> {
+    let lowest = ranked
+        .iter()
+        .enumerate()
+        .min_by(|(_, one), (_, other)| one.0.total_cmp(&other.0))
+        .map(|(index, _)| index)?;
+    Some(ranked.swap_remove(lowest))
 }
 
-fn push(runs: &mut Vec<Run>, engine: usize, layers: LayerRange) {
-    match runs.last_mut() {
-        Some(run) if run.engine == engine => run.layers.end = layers.end,
-        _ => runs.push(Run { engine, layers }),
+fn runs(graph: &Graph, path: &[usize]) -> Vec<Run> {
+    let mut runs: Vec<Run> = Vec::new();
+    for (segment, position) in graph.segments.iter().zip(path) {
+        let engine = segment.holders[*position];
+        match runs.last_mut() {
+            Some(run) if run.engine == engine => run.layers.end = segment.layers.end,
+            _ => runs.push(Run {
+                engine,
+                layers: segment.layers,
+            }),
+        }
     }
+    runs
 }
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -5,14 +5,10 @@
 pub struct Candidate {
     /// Whether it runs the layers before too, so that choosing it adds no stage.
     pub same_engine: bool,
-    /// Share of the maximum flow on the link from the previous engine; 0 or more.
-    pub weight: f64,
+    /// Rate of the engine, in layers times tokens a second.
+    pub layer_tokens_per_s: f64,
     /// Streams of this entry at the engine.
     pub outstanding: u32,
-    /// Streams of this entry on the link from the previous engine.
-    pub link_outstanding: u32,
-    /// Learnt limit of `outstanding`; at least 1.
-    pub limit: u32,
     /// Turn at which the engine was last chosen; grows.
     pub last_turn: u64,
     /// Whether the engine likely caches the start of the prompt.
@@ -21,11 +17,16 @@
 
 /// A way to choose. The candidate of the lowest rank is taken.
 pub trait Policy {
+    /// Whether new streams take lanes: chains made beforehand from the flow, with slots of their
+    /// own. Candidates are then ranked only where no lane can be used.
+    const USES_LANES: bool = false;
+
     /// Ranks a candidate; `draw` is uniform in `0.0..1.0`, drawn for each candidate anew.
     fn rank(&self, candidate: &Candidate, draw: f64) -> f64;
 }
 
-/// The product's policy: shares of the maximum flow, corrected by outstanding work.
+/// The product's policy: lanes made from the flow. Where none can be used, the engine with the
+/// least outstanding work for its rate.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FlowWeighted;
 
@@ -41,10 +42,17 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeastOutstanding;
 
+/// Part of the rank that a cached prefix leaves.
+const CACHED_FACTOR: f64 = 0.5;
+
 impl Policy for FlowWeighted {
+    const USES_LANES: bool = true;
+
     fn rank(&self, candidate: &Candidate, draw: f64) -> f64 {
-        let weight = candidate.weight.max(1e-9);
-        (f64::from(candidate.link_outstanding) + draw) / weight
+        let rate = candidate.layer_tokens_per_s.max(1e-3);
+        let load = (f64::from(candidate.outstanding) + draw) / rate;
+        let factor = if candidate.cached { CACHED_FACTOR } else { 1.0 };
+        stay_first(candidate, load * factor)
     }
 }
 
@@ -66,7 +74,8 @@
     }
 }
 
-/// A baseline runs every layer that an engine holds before it goes on to another.
+/// Runs every layer that an engine holds before the chain goes on to another: a stage less is a
+/// slot less.
 fn stay_first(candidate: &Candidate, rank: f64) -> f64 {
     if candidate.same_engine { -1.0 } else { rank }
 }
--- /dev/null
+++ b/src/routing/routes.rs
@@ -0,0 +1,95 @@
+//! The engines of one model and adapter as a graph, with the bound and the lanes made of it.
+
+use crate::document::ModelOffer;
+use crate::ids::ServiceName;
+
+use super::bound;
+use super::endpoints::EndpointTable;
+use super::graph::Graph;
+use super::lanes::{Lane, LaneSearch};
+use super::links::LinkTable;
+use super::streams::lane_key;
+
+/// What plans for one model and adapter are made from; built anew when structure changes.
+#[derive(Clone, Debug)]
+pub(crate) struct Routes {
+    pub(crate) service: ServiceName,
+    pub(crate) model: ModelOffer,
+    pub(crate) adapter: Option<String>,
+    pub(crate) graph: Graph,
+    links: LinkTable,
+    /// Most tokens a second that the engines could generate.
+    pub(crate) bound_tokens_per_s: f64,
+    /// Lanes, with the key of each under which its streams are counted.
+    pub(crate) lanes: Vec<(u64, Lane)>,
+    /// The search for better lanes; `None` when it is over.
+    search: Option<LaneSearch>,
+}
+
+impl Routes {
+    /// Builds the graph, its bound and the first lanes; endpoints that take no work have no part.
+    pub(crate) fn build(
+        table: &EndpointTable,
+        service: &ServiceName,
+        model: &ModelOffer,
+        adapter: Option<&str>,
+        now_ms: u64,
+    ) -> Self {
+        let graph = Graph::build(table, service, model, adapter, &[]);
+        let links = LinkTable::new(table, &graph, model.activation_bytes);
+        let search = LaneSearch::new(table, &graph, model, &links, now_ms);
+        let lanes = search.as_ref().map(LaneSearch::lanes).unwrap_or_default();
+        Self {
+            lanes: with_keys(table, lanes),
+            search,
+            service: service.clone(),
+            model: model.clone(),
+            adapter: adapter.map(str::to_owned),
+            bound_tokens_per_s: bound::tokens_per_s(table, &graph, &links, now_ms),
+            graph,
+            links,
+        }
+    }
+
+    /// Whether these are the routes of that model and adapter.
+    pub(crate) fn serve(
+        &self,
+        service: &ServiceName,
+        model: &ModelOffer,
+        adapter: Option<&str>,
+    ) -> bool {
+        self.service == *service && self.model == *model && self.adapter.as_deref() == adapter
+    }
+
+    /// Looks on for better lanes; whether it has just found the best it can. Not to be called
+    /// after the table changed.
+    pub(crate) fn improve(&mut self, table: &EndpointTable) -> bool {
+        let Some(search) = &mut self.search else {
+            return false;
+        };
+        if search.step(table, &self.links) {
+            return false;
+        }
+        self.lanes = with_keys(table, search.lanes());
+        self.search = None;
+        true
+    }
+
+    /// Indices of all engines that hold some layer.
+    pub(crate) fn holders(&self) -> Vec<usize> {
+        let segments = self.graph.segments.iter();
+        segments
+            .flat_map(|segment| segment.holders.iter().copied())
+            .collect()
+    }
+}
+
+fn with_keys(table: &EndpointTable, lanes: Vec<Lane>) -> Vec<(u64, Lane)> {
+    let key = |lane: &Lane| {
+        lane_key(lane.runs.iter().filter_map(|run| {
+            let (_, endpoint) = table.all.get_index(run.engine)?;
+            Some((endpoint.number, run.layers))
+        }))
+    };
+    lanes.into_iter().map(|lane| (key(&lane), lane)).collect()
+}
--- /dev/null
+++ b/src/routing/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of routing.
+
+mod fleet;
+mod speed;
+mod throughput;
