Control: refusals by cause and changed shares in the audit trail; tests of shares

Both come once a minute at most: refusals from each instance, shares from the one instance of the cell that rendezvous hashing names, since they are the same everywhere.

--- a/src/control/exchange.rs
+++ b/src/control/exchange.rs
@@ -56,6 +56,7 @@
         self.entry.reported(&report, now_ms);
         self.snapshots.rise_above(report.known_snapshot);
         self.shares.reported(&report, now_ms);
+        self.tallies.reported(&report.decisions);
         self.kept.reported(report.decisions);
         self.settle_phase(now_ms);
         self.settle_leaving(now_ms);
--- a/src/control/explain.rs
+++ b/src/control/explain.rs
@@ -189,7 +189,7 @@
         ),
         Decision::Refused { refusal } => format!(
             "request {request} of account {account} for service {service} ended with {} ({}){}",
-            code_text(refusal.code),
+            refusal.code.name(),
             refusal.outcome.as_str(),
             retry_text(refusal.retry_after_ms),
         ),
@@ -199,13 +199,6 @@
     }
 }
 
-fn code_text(code: crate::outcome::RefusalCode) -> String {
-    match serde_json::to_value(code) {
-        Ok(serde_json::Value::String(text)) => text,
-        _ => format!("{code:?}"),
-    }
-}
-
 fn retry_text(retry_after_ms: Option<u64>) -> String {
     match retry_after_ms {
         Some(ms) => format!("; the caller was told to come back in {ms} ms"),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod readiness;
 mod shares;
 mod stopping;
+mod tallies;
 #[cfg(test)]
 pub(crate) mod tests;
 
@@ -39,6 +40,7 @@
 use readiness::Readiness;
 use shares::Shares;
 use stopping::Stopping;
+use tallies::Tallies;
 
 /// The control of one instance.
 #[derive(Debug)]
@@ -60,6 +62,7 @@
     gatherings: IndexMap<CallId, Gathering>,
     audit: AuditQueue,
     kept: KeptDecisions,
+    tallies: Tallies,
     calls: Calls,
     stopping: Stopping,
     effects: Vec<ControlEffect>,
@@ -95,6 +98,7 @@
             gatherings: IndexMap::new(),
             audit: AuditQueue::new(config.instance.clone(), config.incarnation),
             kept: KeptDecisions::default(),
+            tallies: Tallies::default(),
             calls: Calls::default(),
             stopping: Stopping::default(),
             effects: Vec::new(),
@@ -172,6 +176,7 @@
         self.note_members(now_ms);
         self.settle_orders(now_ms);
         self.settle_shares(now_ms);
+        self.settle_tallies(now_ms);
         self.settle_snapshot(now_ms);
     }
 
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -4,8 +4,8 @@
 
 use super::Control;
 use crate::document::Document;
-use crate::fairness::{EntryDemand, split_shares};
-use crate::ids::{AccountId, InstanceId, ServiceName};
+use crate::fairness::{EntryDemand, EntryShare, split_shares};
+use crate::ids::{AccountId, ServiceName};
 use crate::wire::local::{AccountShare, EntryReport};
 use crate::wire::peer::{PeerDemand, ServiceDemand};
 
@@ -104,18 +104,45 @@
         }
     }
 
+    /// Shares of each service over all entries.
+    pub(super) fn share_totals(
+        &self,
+        now_ms: u64,
+    ) -> IndexMap<ServiceName, IndexMap<AccountId, f64>> {
+        let mut totals: IndexMap<ServiceName, IndexMap<AccountId, f64>> = IndexMap::new();
+        for (service, share) in self.split_all(now_ms) {
+            let total = totals.entry(service).or_default();
+            *total.entry(share.account).or_insert(0.0) += share.tokens_per_s;
+        }
+        totals
+    }
+
     fn split(&self, now_ms: u64) -> Vec<AccountShare> {
+        let own = &self.config.instance;
+        let all = self.split_all(now_ms).into_iter();
+        all.filter(|(_, share)| share.entry == *own)
+            .map(|(service, share)| AccountShare {
+                service,
+                account: share.account,
+                tokens_per_s: share.tokens_per_s,
+                entitled_tokens_per_s: share.entitled_tokens_per_s,
+            })
+            .collect()
+    }
+
+    fn split_all(&self, now_ms: u64) -> Vec<(ServiceName, EntryShare)> {
         let members = self.gossip.members().values();
         let live = members.filter(|member| member.is_live(now_ms));
         let peers = live.filter_map(|member| member.demand.as_ref());
         let all: Vec<&PeerDemand> = std::iter::once(self.gossip.own_demand())
             .chain(peers)
             .collect();
-        let own = &self.config.instance;
-        self.documents
-            .iter()
-            .flat_map(|(service, held)| split_service(service, &held.document, &all, own))
-            .collect()
+        let mut shares = Vec::new();
+        for (service, held) in self.documents.iter() {
+            let split = split_service(service, &held.document, &all);
+            shares.extend(split.into_iter().map(|share| (service.clone(), share)));
+        }
+        shares
     }
 }
 
@@ -123,8 +150,7 @@
     service: &ServiceName,
     document: &Document,
     all: &[&PeerDemand],
-    own: &InstanceId,
-) -> Vec<AccountShare> {
+) -> Vec<EntryShare> {
     let weights: IndexMap<AccountId, f64> = document
         .accounts
         .iter()
@@ -145,15 +171,6 @@
         }));
     }
     split_shares(median(&mut capacities) as f64, &weights, &demands)
-        .into_iter()
-        .filter(|share| share.entry == *own)
-        .map(|share| AccountShare {
-            service: service.clone(),
-            account: share.account,
-            tokens_per_s: share.tokens_per_s,
-            entitled_tokens_per_s: share.entitled_tokens_per_s,
-        })
-        .collect()
 }
 
 /// The middle of what the entries see; those that see nothing yet do not count.
--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -7,5 +7,6 @@
 mod operators;
 mod orders;
 mod random;
+mod shares;
 mod sim;
 mod texts;
--- a/src/control/tests/sim.rs
+++ b/src/control/tests/sim.rs
@@ -21,7 +21,7 @@
 use crate::platform::{EngineCallFailure, InstanceListFailure, TableFailure};
 use crate::wire::WIRE_VERSION;
 use crate::wire::engine::{EngineOrder, LayerRange};
-use crate::wire::local::{DecisionRecord, EntryReport, Snapshot};
+use crate::wire::local::{AccountDemand, DecisionRecord, EntryReport, ServiceCapacity, Snapshot};
 use crate::wire::operator::{AuditEntry, OperatorFault};
 use crate::wire::platform::{InstanceList, InstancePhase, InstanceRecord, InstanceRole};
 
@@ -45,6 +45,8 @@
     pub(super) entry_stopping: bool,
     pub(super) draining: Vec<EndpointId>,
     pub(super) decisions: Vec<DecisionRecord>,
+    pub(super) demands: Vec<AccountDemand>,
+    pub(super) capacities: Vec<ServiceCapacity>,
     pub(super) stopped: bool,
     pub(super) recorded: Vec<AuditEntry>,
 }
@@ -328,7 +330,7 @@
             known_snapshot: snapshot.map_or(0, |snapshot| snapshot.version),
             stopping: node.entry_stopping,
             in_flight: 0,
-            demands: Vec::new(),
+            demands: node.demands.clone(),
             draining_endpoints: node.draining.clone(),
             decisions,
             revisions: snapshot.map_or_else(IndexMap::new, |snapshot| {
@@ -336,7 +338,7 @@
                 let pairs = documents.map(|it| (it.service.clone(), it.revision));
                 pairs.collect()
             }),
-            capacities: Vec::new(),
+            capacities: node.capacities.clone(),
         };
         self.deliver(index, ControlMessage::EntryReported { call, report });
     }
@@ -529,6 +531,8 @@
             entry_stopping: false,
             draining: Vec::new(),
             decisions: Vec::new(),
+            demands: Vec::new(),
+            capacities: Vec::new(),
             stopped: false,
             recorded: Vec::new(),
         }
--- a/src/control/tests/texts.rs
+++ b/src/control/tests/texts.rs
@@ -39,6 +39,10 @@
 weight = 1
 key_digests = ["{account}"]
 
+[accounts.b]
+weight = 3
+key_digests = ["{other}"]
+
 [operators.erin]
 role = "editor"
 key_digests = ["{editor}"]
@@ -48,7 +52,8 @@
 key_digests = ["{viewer}"]
 "#,
         model = if service == SERVICE { "m" } else { service },
-        account = digest(&format!("account-{service}")),
+        account = digest(&format!("account-a-{service}")),
+        other = digest(&format!("account-b-{service}")),
         editor = digest(EDITOR),
         viewer = digest(VIEWER),
     )
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -78,6 +78,16 @@
     NotReady,
 }
 
+impl RefusalCode {
+    /// Returns the code as callers see it.
+    pub fn name(self) -> String {
+        match serde_json::to_value(self) {
+            Ok(serde_json::Value::String(name)) => name,
+            _ => String::new(),
+        }
+    }
+}
+
 /// A final word other than an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
