Bench: measure, with bounds, baselines and oracles

`fescue-load measure` runs experiments (bench/experiments) on whole fleets: throughput against the bound under the product's policy and three baselines, goodput at twice the fitting arrivals, shares under skewed demand with and without control's shares, pauses at a stage's death, time that the entry adds to a token, attempts around an outage, and what control takes.

- An entry process takes a variant (policy, source of shares).
- Engine stand-ins keep when they wrote their last tokens, so that a token's delay is taken token by token instead of from gaps.
- A book counts what each account was served, less what broke.

--- a/bench/src/caller/book.rs
+++ b/bench/src/caller/book.rs
@@ -77,6 +77,15 @@
     pub malformed: u64,
 }
 
+/// What one account was served so far, by attempts that may still come to a whole answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Served {
+    /// Pieces of text received.
+    pub tokens: u64,
+    /// Tokens of the prompts whose first piece of text was received.
+    pub prompt_tokens: u64,
+}
+
 /// What the callers of one run saw.
 #[derive(Debug, Default)]
 pub struct Book {
@@ -91,6 +100,8 @@
     /// Pieces of text received.
     tokens_seen: u64,
     broken: Vec<BrokenAttempt>,
+    /// By account; without attempts that ended other than whole.
+    served: IndexMap<AccountId, Served>,
 }
 
 /// An attempt without a final word.
@@ -127,9 +138,24 @@
         self.abandoned.insert(id.to_owned());
     }
 
-    /// Notes a piece of text.
-    pub(super) fn note_token(&mut self) {
+    /// Notes a piece of text; the first one of an attempt stands for the prompt too.
+    pub(super) fn note_token(&mut self, account: &AccountId, prompt_tokens: u64) {
         self.tokens_seen += 1;
+        let served = self.served.entry(account.clone()).or_default();
+        served.tokens += 1;
+        served.prompt_tokens += prompt_tokens;
+    }
+
+    /// Takes back what an attempt was served that did not come to a whole answer.
+    pub(super) fn forfeit(&mut self, account: &AccountId, lost: Served) {
+        let served = self.served.entry(account.clone()).or_default();
+        served.tokens -= lost.tokens;
+        served.prompt_tokens -= lost.prompt_tokens;
+    }
+
+    /// What each account was served so far.
+    pub fn served(&self) -> &IndexMap<AccountId, Served> {
+        &self.served
     }
 
     /// Notes an attempt without a final word.
--- a/bench/src/caller/mod.rs
+++ b/bench/src/caller/mod.rs
@@ -9,7 +9,7 @@
 mod run;
 
 pub use attempt::{AnswerBody, AttemptEnd, BrokenBy, Patience, Refused, attempt};
-pub use book::{Book, BrokenAttempt, Counts, FinalWord, Report, SharedBook};
+pub use book::{Book, BrokenAttempt, Counts, FinalWord, Report, Served, SharedBook};
 pub use check::{AnswerFault, check_answer, check_echo, check_text};
 pub use locate::Locator;
 pub use request::{Ask, ModelTarget, Request, Shape};
--- a/bench/src/caller/request.rs
+++ b/bench/src/caller/request.rs
@@ -116,6 +116,19 @@
         }
     }
 
+    /// Tokens of the prompt; 0 for calls.
+    pub fn prompt_tokens(&self) -> u64 {
+        match &self.ask {
+            Ask::Completion {
+                target,
+                prompt,
+                shape,
+                ..
+            } => target.prompt(prompt, *shape).split_whitespace().count() as u64,
+            Ask::Call { .. } => 0,
+        }
+    }
+
     /// HTTP method.
     pub fn method(&self) -> &'static str {
         match &self.ask {
@@ -159,12 +172,17 @@
         }
     }
 
-    /// Seed of the answer to a prompt.
-    pub fn answer(&self, prompt: &str, shape: Shape) -> AnswerSeed {
-        let prompt = match shape {
+    /// The prompt as the engines get it.
+    pub fn prompt(&self, prompt: &str, shape: Shape) -> String {
+        match shape {
             Shape::Chat => chat(self, prompt, CompletionOptions::default()).prompt(),
             Shape::Text => prompt.to_owned(),
-        };
+        }
+    }
+
+    /// Seed of the answer to a prompt.
+    pub fn answer(&self, prompt: &str, shape: Shape) -> AnswerSeed {
+        let prompt = self.prompt(prompt, shape);
         AnswerKey {
             model: &self.model,
             version: &self.version,
--- a/bench/src/caller/run.rs
+++ b/bench/src/caller/run.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::attempt::{AttemptEnd, BrokenBy, Patience, Refused, attempt};
-use super::book::{BrokenAttempt, FinalWord, Report, SharedBook};
+use super::book::{BrokenAttempt, FinalWord, Report, Served, SharedBook};
 use super::check::check_answer;
 use super::locate::Locator;
 use super::request::Request;
@@ -118,13 +118,24 @@
         };
         progress.attempts += 1;
         progress.tokens_at.clear();
+        let prompt_tokens = request.prompt_tokens();
         let on_token = || {
+            let prompt = if progress.tokens_at.is_empty() {
+                prompt_tokens
+            } else {
+                0
+            };
             progress.tokens_at.push(Instant::now());
-            self.book.borrow_mut().note_token();
+            let mut book = self.book.borrow_mut();
+            book.note_token(&request.account, prompt);
         };
         let patience = self.options.patience;
         let began = Instant::now();
-        match attempt(&self.http, entry, request, patience, on_token).await {
+        let end = attempt(&self.http, entry, request, patience, on_token).await;
+        if !matches!(end, AttemptEnd::Answered(_)) {
+            self.forfeit(request, progress);
+        }
+        match end {
             AttemptEnd::Answered(body) => Some(match check_answer(request, &body) {
                 Ok(()) => FinalWord::Answered,
                 Err(fault) => FinalWord::Wrong(fault),
@@ -179,6 +190,21 @@
         None
     }
 
+    /// The attempt's tokens are of no use: the next attempt brings all of them again.
+    fn forfeit(&self, request: &Request, progress: &Progress) {
+        let tokens = progress.tokens_at.len() as u64;
+        let prompt_tokens = if tokens > 0 {
+            request.prompt_tokens()
+        } else {
+            0
+        };
+        let lost = Served {
+            tokens,
+            prompt_tokens,
+        };
+        self.book.borrow_mut().forfeit(&request.account, lost);
+    }
+
     /// Nothing may run under the request's ids any more: every attempt was answered `not-run`.
     fn abandon(&mut self, request: &Request) {
         let mut book = self.book.borrow_mut();
--- a/bench/src/cli/mod.rs
+++ b/bench/src/cli/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::demo;
 use crate::deployment::{self, Deployment};
+use crate::measure::{self, MeasureArgs};
 use crate::slopes::{self, SlopeOptions};
 use crate::soak::{self, SoakOptions};
 
@@ -32,6 +33,8 @@
         #[command(flatten)]
         fleet: DeploymentArgs,
     },
+    /// Measures throughput, recovery, fairness and cost against bounds, baselines and oracles.
+    Measure(MeasureArgs),
     /// Prints what instances cost over the size of their cell and of their load.
     Slopes {
         /// The fleet.
@@ -66,6 +69,7 @@
 /// Runs a command; errors go to standard error.
 pub async fn run(args: LoadArgs) -> ExitCode {
     let fleet = match &args.command {
+        LoadCommand::Measure(args) => return run_measure(args).await,
         LoadCommand::Demo { fleet }
         | LoadCommand::Slopes { fleet, .. }
         | LoadCommand::Soak { fleet, .. } => fleet,
@@ -78,6 +82,8 @@
         LoadCommand::Demo { .. } => run_demo(deployment).await,
         LoadCommand::Slopes { seconds, .. } => run_slopes(&deployment, seconds).await,
         LoadCommand::Soak { seed, seconds, .. } => run_soak(deployment, seed, seconds).await,
+        // It may run more than one fleet, and was begun above.
+        LoadCommand::Measure(_) => ExitCode::SUCCESS,
     }
 }
 
@@ -93,6 +99,13 @@
     }
 }
 
+async fn run_measure(args: &MeasureArgs) -> ExitCode {
+    match measure::run(args).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 async fn run_slopes(deployment: &Deployment, seconds: u64) -> ExitCode {
     let options = SlopeOptions {
         settle: SETTLE,
--- a/bench/src/engine/host.rs
+++ b/bench/src/engine/host.rs
@@ -12,6 +12,7 @@
 
 use super::core::{Core, Output};
 use super::counters::EngineCounters;
+use super::emissions::Emissions;
 use super::fleet::Fleet;
 use super::frames::Envelope;
 use crate::standin::faults::Fault;
@@ -54,6 +55,8 @@
     pub(crate) fleet: Arc<Fleet>,
     /// Wakes the task that runs steps, when one is due before [`Self::sleeps_until_us`].
     pub(crate) wake: Notify,
+    /// When the last tokens were written to those who opened the streams.
+    pub(crate) emissions: Emissions,
     sleeps_until_us: AtomicU64,
     living: Mutex<Living>,
 }
@@ -77,6 +80,7 @@
             gate: Arc::new(Gate::new()),
             fleet: fleet.clone(),
             wake: Notify::new(),
+            emissions: Emissions::default(),
             sleeps_until_us: AtomicU64::new(0),
             living: Mutex::new(Living::default()),
         }
--- a/bench/src/engine/mod.rs
+++ b/bench/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod core;
 mod counters;
+mod emissions;
 mod endings;
 mod executor;
 mod fleet;
@@ -27,5 +28,6 @@
 mod tests;
 
 pub use counters::EngineCounters;
+pub use emissions::Emission;
 pub use executor::{PREFILL_COST, SLOT_BATCHES};
 pub(crate) use lives::run;
--- a/bench/src/engine/server.rs
+++ b/bench/src/engine/server.rs
@@ -7,7 +7,7 @@
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, HttpResponseBuilder, web};
 use bytes::Bytes;
-use fescueshore::ids::{EndpointId, StreamId};
+use fescueshore::ids::{EndpointId, RequestId, StreamId};
 use fescueshore::wire::engine::{
     CancelStream, EngineError, EngineErrorCode, EngineOrder, OpenStream, StreamEvent,
 };
@@ -53,6 +53,7 @@
         .route("/v1/orders", web::post().to(order))
         .route("/standin/counters", web::get().to(counters))
         .route("/standin/counters/all", web::get().to(all_counters))
+        .route("/standin/emissions", web::get().to(emissions))
         .route("/standin/faults", web::post().to(faults));
 }
 
@@ -74,12 +75,14 @@
 async fn open(host: web::Data<Host>, ask: web::Json<OpenStream>) -> HttpResponse {
     let ask = ask.into_inner();
     let (stream, epoch, position) = (ask.stream, ask.epoch, ask.generated.len() as u32);
+    let request = ask.request.clone();
     match host.open(ask) {
         None => HttpResponse::ServiceUnavailable().finish(),
         Some(Err(error)) => refuse(&error),
         Some(Ok(events)) => {
             let reporter = Reporter {
                 host: host.into_inner(),
+                request,
                 stream,
                 epoch,
                 position,
@@ -125,6 +128,10 @@
     HttpResponse::Ok().json(host.counters())
 }
 
+async fn emissions(host: web::Data<Host>) -> HttpResponse {
+    HttpResponse::Ok().json(host.emissions.list())
+}
+
 async fn all_counters(hosts: web::Data<Hosts>) -> HttpResponse {
     let all: IndexMap<&EndpointId, EngineCounters> = hosts
         .by_name
@@ -195,6 +202,7 @@
 /// Writes the events of one open stream; tells the engine if the reader goes.
 struct Reporter {
     host: Arc<Host>,
+    request: RequestId,
     stream: StreamId,
     epoch: u32,
     position: u32,
@@ -228,7 +236,10 @@
 
     fn write(&mut self, text: &mut String, event: &StreamEvent) {
         match event {
-            StreamEvent::Token { position, .. } => self.position = position + 1,
+            StreamEvent::Token { position, .. } => {
+                self.position = position + 1;
+                self.host.emissions.note(&self.request, *position);
+            }
             StreamEvent::End { .. } | StreamEvent::Failed { .. } => self.over = true,
             StreamEvent::Heartbeat { .. } => {}
         }
--- a/bench/src/fleet/mod.rs
+++ b/bench/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod address;
 mod documents;
+mod entry_program;
 mod error;
 mod name;
 mod process;
@@ -13,6 +14,7 @@
 
 pub use address::AddressBook;
 pub use documents::{accept_request, accept_text, connect_control, operator_key, repository_root};
+pub use entry_program::EntryProgram;
 pub use error::FleetError;
 pub use name::ProcessName;
 pub use process::Process;
--- a/bench/src/fleet/running.rs
+++ b/bench/src/fleet/running.rs
@@ -10,6 +10,7 @@
 
 use super::address::AddressBook;
 use super::documents::accept_file;
+use super::entry_program::EntryProgram;
 use super::error::FleetError;
 use super::name::ProcessName;
 use super::process::Process;
@@ -34,6 +35,8 @@
     control_listen: IndexMap<InstanceId, SocketAddr>,
     /// Engines that run in processes of their own.
     separate_engines: Vec<EndpointId>,
+    /// What entries that start from now on run.
+    entry_program: EntryProgram,
     processes: IndexMap<ProcessName, Process>,
     standins: StandinClient,
     addresses: AddressBook,
@@ -61,6 +64,7 @@
             topology_path,
             control_listen: IndexMap::new(),
             separate_engines: Vec::new(),
+            entry_program: EntryProgram::default(),
             processes: IndexMap::new(),
             standins: StandinClient::default(),
             addresses,
@@ -109,6 +113,26 @@
         placed.copied().unwrap_or(entry.control_address)
     }
 
+    /// Ends every entry process and starts all of them anew with this program.
+    ///
+    /// # Errors
+    /// Fails if one does not come up.
+    pub async fn replace_entries(&mut self, program: EntryProgram) -> Result<(), FleetError> {
+        self.entry_program = program;
+        let entries = self.topology.entries.clone();
+        for entry in &entries {
+            self.process(&ProcessName::Entry(entry.name.clone()))?
+                .kill();
+        }
+        for entry in &entries {
+            self.spawn_entry(entry)?;
+        }
+        for entry in &entries {
+            self.await_entry(entry).await?;
+        }
+        Ok(())
+    }
+
     /// Starts every process, accepts the documents and waits until every entry serves them.
     ///
     /// # Errors
@@ -302,9 +326,10 @@
     }
 
     fn spawn_entry(&mut self, entry: &EntryNode) -> Result<(), FleetError> {
-        let args = self.settings_args(entry)?;
+        let mut args = self.settings_args(entry)?;
+        args.extend(self.entry_program.args());
         let name = ProcessName::Entry(entry.name.clone());
-        self.spawn(&name, "fescue-entry", &args)
+        self.spawn(&name, self.entry_program.binary(), &args)
     }
 
     fn settings_args(&self, entry: &EntryNode) -> Result<Vec<String>, FleetError> {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod instances;
+pub mod measure;
 pub mod mix;
 pub mod objects;
 pub mod proxy;
--- a/bench/src/slopes/cell.rs
+++ b/bench/src/slopes/cell.rs
@@ -260,12 +260,20 @@
     Ok(reading)
 }
 
-fn both_ways(page: &str, side: &str) -> u64 {
+/// Bytes sent to one side and received from it, from a control's page of counters.
+pub(crate) fn both_ways(page: &str, side: &str) -> u64 {
     counter_of(page, &format!("fescue_control_bytes_sent_{side}"))
         + counter_of(page, &format!("fescue_control_bytes_received_{side}"))
 }
 
-async fn read_page(control: std::net::SocketAddr, key: &str) -> Result<String, FleetError> {
+/// A control's page of counters.
+///
+/// # Errors
+/// Fails if it does not answer.
+pub(crate) async fn read_page(
+    control: std::net::SocketAddr,
+    key: &str,
+) -> Result<String, FleetError> {
     let unanswered = |_| FleetError::Standin {
         address: control,
         path: "operator_metrics".to_owned(),
--- a/bench/src/slopes/mod.rs
+++ b/bench/src/slopes/mod.rs
@@ -14,7 +14,9 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use cell::{both_ways, read_page};
 pub use result::Figure;
+pub(crate) use usage::{Usage, read_usage};
 
 use std::time::Duration;
 
--- a/bench/src/slopes/usage.rs
+++ b/bench/src/slopes/usage.rs
@@ -9,16 +9,16 @@
 
 /// Time and memory of one process.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) struct Usage {
+pub(crate) struct Usage {
     /// Processor time since the process began.
-    pub(super) cpu_ms: f64,
+    pub(crate) cpu_ms: f64,
     /// Resident memory now.
-    pub(super) rss_mb: f64,
+    pub(crate) rss_mb: f64,
 }
 
 impl Usage {
     /// Share of one core spent since `earlier`.
-    pub(super) fn core_percent_since(self, earlier: Self, elapsed_s: f64) -> f64 {
+    pub(crate) fn core_percent_since(self, earlier: Self, elapsed_s: f64) -> f64 {
         (self.cpu_ms - earlier.cpu_ms) / (elapsed_s * 1_000.0) * 100.0
     }
 }
@@ -27,7 +27,7 @@
 ///
 /// # Errors
 /// Fails if the process is gone.
-pub(super) fn read_usage(process_id: u32) -> Result<Usage, FleetError> {
+pub(crate) fn read_usage(process_id: u32) -> Result<Usage, FleetError> {
     let stat = read_page(process_id, "stat")?;
     let status = read_page(process_id, "status")?;
     Ok(Usage {
@@ -57,7 +57,7 @@
 }
 
 /// Value of one counter on a metrics page; 0 if it is not there.
-pub(super) fn counter_of(page: &str, name: &str) -> u64 {
+pub(crate) fn counter_of(page: &str, name: &str) -> u64 {
     page.lines()
         .filter_map(|line| line.split_once(' '))
         .find(|(found, _)| *found == name)
--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -21,6 +21,18 @@
     pub unix_at_start_ms: u64,
     /// Limits.
     pub limits: EntryLimits,
+    /// Where the accounts' shares come from.
+    pub shares: ShareSource,
+}
+
+/// Where an entry takes the accounts' shares from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ShareSource {
+    /// From control, which knows the demand at every entry.
+    #[default]
+    Control,
+    /// From what is asked here alone: the baseline of measurements.
+    OwnDemand,
 }
 
 /// Limits that keep the entry's memory bounded whatever callers send.
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -10,7 +10,7 @@
 use super::attempt::{Attempt, AttemptId};
 use super::book::RequestBook;
 use super::claimed::OpenClaim;
-use super::config::EntryConfig;
+use super::config::{EntryConfig, ShareSource};
 use super::counts::Counts;
 use super::directory::{Directory, DocumentChange};
 use super::locate::pick_entries;
@@ -245,7 +245,9 @@
         let rank = names.iter().filter(|name| **name < own).count();
         self.router.set_entry_rank(rank, names.len());
         self.router.set_endpoints(&snapshot.endpoints, now_ms);
-        self.admission.set_shares(&snapshot.shares, now_ms);
+        if self.config.shares == ShareSource::Control {
+            self.admission.set_shares(&snapshot.shares, now_ms);
+        }
         self.look_again();
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,5 +20,5 @@
 mod tests;
 mod verdict;
 
-pub use config::{EntryConfig, EntryLimits};
+pub use config::{EntryConfig, EntryLimits, ShareSource};
 pub use machine::{Entry, ModelView};
--- a/src/entry/tests/fixture.rs
+++ b/src/entry/tests/fixture.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::entry::{Entry, EntryConfig, EntryLimits};
+use crate::entry::{Entry, EntryConfig, EntryLimits, ShareSource};
 use crate::ids::{Incarnation, RequestId, ServiceName};
 use crate::instance::{
     CallId, CallerId, CallerRequest, EntryEffect, EntryMessage, PresentedKey, RequestBody,
@@ -56,6 +56,7 @@
         seed,
         unix_at_start_ms: 1_800_000_000_000,
         limits: EntryLimits::default(),
+        shares: ShareSource::Control,
     }
 }
 
--- a/src/gateway/actor.rs
+++ b/src/gateway/actor.rs
@@ -19,19 +19,19 @@
 use super::tally::Tally;
 use crate::entry::Entry;
 use crate::instance::{CallId, CallerId, EntryMessage, PresentedKey, TICK_MS};
-use crate::routing::FlowWeighted;
+use crate::routing::PolicyKind;
 use crate::telemetry::Counters;
 use crate::wire::local::EntryReport;
 
-/// The state machine as it is run in production.
-pub(crate) type ProductEntry = Entry<FlowWeighted>;
+/// The state machine as a process runs it.
+pub(crate) type RunningEntry = Entry<PolicyKind>;
 
 /// Time between two updates of the counters.
 const TALLY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Owns the state machine of the entry and what its effects need.
 pub(crate) struct EntryActor {
-    entry: ProductEntry,
+    entry: RunningEntry,
     clock: Clock,
     pub(super) outside: Rc<Outside>,
     /// Callers without a final word.
@@ -52,7 +52,7 @@
 /// What the actor is made of.
 pub(crate) struct EntryActorParts {
     /// The state machine.
-    pub(crate) entry: ProductEntry,
+    pub(crate) entry: RunningEntry,
     /// The process's clock.
     pub(crate) clock: Clock,
     /// Connections to everything the entry calls.
--- a/src/gateway/cli.rs
+++ b/src/gateway/cli.rs
@@ -4,7 +4,7 @@
 
 use clap::Parser;
 
-use super::process;
+use super::process::{self, EntryVariant};
 use crate::exit_codes::Exit;
 use crate::settings::{self, LogFormat, Settings};
 use crate::telemetry;
@@ -26,17 +26,24 @@
 
 /// Runs `fescue-entry`.
 pub fn run_entry() -> Exit {
-    let args = match EntryArgs::try_parse() {
-        Ok(args) => args,
-        Err(error) => {
-            let _ = error.print();
-            return if error.use_stderr() {
-                Exit::Usage
-            } else {
-                Exit::Success
-            };
-        }
-    };
+    match EntryArgs::try_parse() {
+        Ok(args) => run_variant(args, EntryVariant::default()),
+        Err(error) => usage(&error),
+    }
+}
+
+/// Prints what is wrong with a command line, or the help that it asks for.
+pub fn usage(error: &clap::Error) -> Exit {
+    let _ = error.print();
+    if error.use_stderr() {
+        Exit::Usage
+    } else {
+        Exit::Success
+    }
+}
+
+/// Runs an entry process of a variant.
+pub fn run_variant(args: EntryArgs, variant: EntryVariant) -> Exit {
     let settings = match read_settings(&args) {
         Ok(settings) => settings,
         Err(error) => {
@@ -48,7 +55,7 @@
         println!("settings are valid: {}", args.settings.display());
         return Exit::Success;
     }
-    start(settings)
+    start(settings, variant)
 }
 
 fn read_settings(args: &EntryArgs) -> Result<Settings, settings::SettingsError> {
@@ -59,12 +66,12 @@
     Ok(settings)
 }
 
-fn start(settings: Settings) -> Exit {
+fn start(settings: Settings, variant: EntryVariant) -> Exit {
     if let Err(error) = telemetry::init_log(&settings.log) {
         eprintln!("fescue-entry: {error}");
         return Exit::Fault;
     }
-    match actix::System::new().block_on(process::run(settings)) {
+    match actix::System::new().block_on(process::run(settings, variant)) {
         Ok(exit) => exit,
         Err(error) => {
             eprintln!("fescue-entry: {error}");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,3 +24,5 @@
 mod tally;
 #[cfg(test)]
 mod tests;
+
+pub use process::EntryVariant;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpSocket;
 use tokio::sync::{mpsc, watch};
 
-use super::actor::{EntryActor, EntryActorParts, ProductEntry};
+use super::actor::{EntryActor, EntryActorParts, RunningEntry};
 use super::caller::CallerCount;
 use super::calls::Outside;
 use super::clock::Clock;
@@ -21,12 +21,12 @@
 use super::server;
 use super::signals::StopSignals;
 use super::state::{BodyLimits, Gateway};
-use crate::entry::{EntryConfig, EntryLimits};
+use crate::entry::{EntryConfig, EntryLimits, ShareSource};
 use crate::exit_codes::Exit;
 use crate::ids::Incarnation;
 use crate::instance::EntryMessage;
 use crate::platform::{HttpEngines, HttpPeers, HttpTable};
-use crate::routing::FlowWeighted;
+use crate::routing::PolicyKind;
 use crate::settings::Settings;
 use crate::telemetry::Counters;
 use crate::wire::local::EntryReport;
@@ -36,6 +36,16 @@
 /// Time between two looks at whether every answer has left.
 const FLUSH_CHECK: Duration = Duration::from_millis(5);
 
+/// What the decisions of an entry rest on. The product has one variant, the default; others are
+/// baselines of measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryVariant {
+    /// How engines are chosen.
+    pub policy: PolicyKind,
+    /// Where the accounts' shares come from.
+    pub shares: ShareSource,
+}
+
 /// Why the process could not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -63,9 +73,9 @@
 }
 
 /// Runs the entry process until it is told to stop.
-pub async fn run(settings: Settings) -> Result<Exit, StartError> {
+pub async fn run(settings: Settings, variant: EntryVariant) -> Result<Exit, StartError> {
     let mut signals = StopSignals::catch().map_err(StartError::Signals)?;
-    let mut process = EntryProcess::start(&settings)?;
+    let mut process = EntryProcess::start(&settings, variant)?;
     let instance = settings.instance.name.as_str();
     log::info!(instance, listen:% = process.address; "entry started");
 
@@ -92,25 +102,26 @@
 
 impl EntryProcess {
     /// Starts to take requests.
-    pub(crate) fn start(settings: &Settings) -> Result<Self, StartError> {
+    pub(crate) fn start(settings: &Settings, variant: EntryVariant) -> Result<Self, StartError> {
         let limits = BodyLimits {
             max_bytes: settings.entry.max_body_bytes,
             timeout_ms: BODY_TIMEOUT_MS,
         };
-        Self::start_within(settings, limits)
+        Self::start_within(settings, limits, variant)
     }
 
     /// Starts to take requests with bodies within the limits.
     pub(crate) fn start_within(
         settings: &Settings,
         limits: BodyLimits,
+        variant: EntryVariant,
     ) -> Result<Self, StartError> {
         let listen = settings.entry.listen;
         let fault = |cause| StartError::Listen { listen, cause };
         let listener = bind(listen).map_err(fault)?;
         let address = listener.local_addr().map_err(fault)?;
         let (stopped, stop_done) = watch::channel(false);
-        let gateway = start_actor(settings, limits, stopped);
+        let gateway = start_actor(settings, limits, variant, stopped);
         let server = server::start(listener, gateway.clone()).map_err(fault)?;
         let handle = server.handle();
         actix_rt::spawn(server);
@@ -149,6 +160,7 @@
 fn start_actor(
     settings: &Settings,
     body_limits: BodyLimits,
+    variant: EntryVariant,
     stopped: watch::Sender<bool>,
 ) -> Gateway {
     let counters = Counters::new();
@@ -157,7 +169,7 @@
     let control = settings.control.listen;
     let link = ControlLink::new(control, peer_key.clone(), counters.clone());
     let (reports, waiting_reports) = mpsc::channel(REPORTS_WAITING);
-    let actor = spawn_actor(settings, clock, counters.clone(), reports, stopped);
+    let actor = spawn_actor(settings, variant, clock, counters.clone(), reports, stopped);
     actix_rt::spawn(link.run(waiting_reports, actor.clone()));
     Gateway {
         actor,
@@ -172,17 +184,18 @@
 
 fn spawn_actor(
     settings: &Settings,
+    variant: EntryVariant,
     clock: Clock,
     counters: Counters,
     reports: mpsc::Sender<EntryReport>,
     stopped: watch::Sender<bool>,
 ) -> Addr<EntryActor> {
-    let config = entry_config(settings, clock);
+    let config = entry_config(settings, variant, clock);
     let table_url = settings.platform.table_url.clone();
     let peer_key = settings.peers.key.clone();
     EntryActor::start_in_arbiter(&Arbiter::new().handle(), move |_| {
         EntryActor::new(EntryActorParts {
-            entry: ProductEntry::new(config, FlowWeighted),
+            entry: RunningEntry::new(config, variant.policy),
             clock,
             outside: Outside {
                 table: HttpTable::new(&table_url),
@@ -198,7 +211,7 @@
     })
 }
 
-fn entry_config(settings: &Settings, clock: Clock) -> EntryConfig {
+fn entry_config(settings: &Settings, variant: EntryVariant, clock: Clock) -> EntryConfig {
     let mut rng = rand::rng();
     EntryConfig {
         instance: settings.instance.name.clone(),
@@ -211,6 +224,7 @@
             max_body_bytes: settings.entry.max_body_bytes,
             ..EntryLimits::default()
         },
+        shares: variant.shares,
     }
 }
 
--- a/src/gateway/tests/fixture.rs
+++ b/src/gateway/tests/fixture.rs
@@ -12,7 +12,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::messages::{Deliver, IsReady};
-use crate::gateway::process::EntryProcess;
+use crate::gateway::process::{EntryProcess, EntryVariant};
 use crate::gateway::state::BodyLimits;
 use crate::ids::{Incarnation, ServiceName};
 use crate::instance::EntryMessage;
@@ -61,7 +61,7 @@
         max_bytes: settings.entry.max_body_bytes,
         timeout_ms: BODY_TIMEOUT_MS,
     };
-    EntryProcess::start_within(&settings, limits).unwrap()
+    EntryProcess::start_within(&settings, limits, EntryVariant::default()).unwrap()
 }
 
 impl TestEntry {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -29,7 +29,9 @@
 mod streams;
 
 pub use endpoints::EndpointFault;
-pub use policy::{Candidate, FlowWeighted, LeastOutstanding, Policy, RandomChoice, RoundRobin};
+pub use policy::{
+    Candidate, FlowWeighted, LeastOutstanding, Policy, PolicyKind, RandomChoice, RoundRobin,
+};
 pub use polls::{Poll, PollKind};
 pub use router::{NoRoute, RouteAsk, Router};
 
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -19,7 +19,9 @@
 pub trait Policy {
     /// Whether new streams take lanes: chains made beforehand from the flow, with slots of their
     /// own. Candidates are then ranked only where no lane can be used.
-    const USES_LANES: bool = false;
+    fn uses_lanes(&self) -> bool {
+        false
+    }
 
     /// Ranks a candidate; `draw` is uniform in `0.0..1.0`, drawn for each candidate anew.
     fn rank(&self, candidate: &Candidate, draw: f64) -> f64;
@@ -46,7 +48,9 @@
 const CACHED_FACTOR: f64 = 0.5;
 
 impl Policy for FlowWeighted {
-    const USES_LANES: bool = true;
+    fn uses_lanes(&self) -> bool {
+        true
+    }
 
     fn rank(&self, candidate: &Candidate, draw: f64) -> f64 {
         let rate = candidate.layer_tokens_per_s.max(1e-3);
@@ -74,6 +78,40 @@
     }
 }
 
+/// One of the policies above, as a value.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PolicyKind {
+    /// [`FlowWeighted`].
+    #[default]
+    FlowWeighted,
+    /// [`RandomChoice`].
+    Random,
+    /// [`RoundRobin`].
+    RoundRobin,
+    /// [`LeastOutstanding`].
+    LeastOutstanding,
+}
+
+impl Policy for PolicyKind {
+    fn uses_lanes(&self) -> bool {
+        match self {
+            Self::FlowWeighted => FlowWeighted.uses_lanes(),
+            Self::Random => RandomChoice.uses_lanes(),
+            Self::RoundRobin => RoundRobin.uses_lanes(),
+            Self::LeastOutstanding => LeastOutstanding.uses_lanes(),
+        }
+    }
+
+    fn rank(&self, candidate: &Candidate, draw: f64) -> f64 {
+        match self {
+            Self::FlowWeighted => FlowWeighted.rank(candidate, draw),
+            Self::Random => RandomChoice.rank(candidate, draw),
+            Self::RoundRobin => RoundRobin.rank(candidate, draw),
+            Self::LeastOutstanding => LeastOutstanding.rank(candidate, draw),
+        }
+    }
+}
+
 /// Runs every layer that an engine holds before the chain goes on to another: a stage less is a
 /// slot less.
 fn stay_first(candidate: &Candidate, rank: f64) -> f64 {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -207,7 +207,7 @@
     }
 
     fn plan_new(&mut self, ask: &RouteAsk<'_>, now_ms: u64) -> Result<Vec<Stage>, NoRoute> {
-        if P::USES_LANES
+        if self.policy.uses_lanes()
             && let Some(runs) = self.choose_lane(ask, now_ms)
         {
             return Ok(self.stages(&runs));
@@ -298,7 +298,7 @@
 
     /// Whether chains may be searched beside the lanes: some lane has lost an engine.
     fn may_search(&mut self, ask: &RouteAsk<'_>, now_ms: u64) -> bool {
-        if !P::USES_LANES {
+        if !self.policy.uses_lanes() {
             return true;
         }
         let at = self.routes_for(ask.service, ask.model, ask.adapter, now_ms);
@@ -390,7 +390,7 @@
     fn deal(&mut self, at: usize) {
         let (rank, entries) = (self.entry_rank, self.entry_count);
         let routes = &self.routes[at];
-        if !P::USES_LANES || routes.lanes.is_empty() {
+        if !self.policy.uses_lanes() || routes.lanes.is_empty() {
             return deal::slots(&mut self.table, rank, entries);
         }
         let holders = routes.holders();
