Bench: a settings file is put in place whole

Cause: an instance's control starts right before its settings file is written again for its entry; on a busy machine the control read the file between truncation and write, and did not come up (documents::an_instance_cut_from_store_and_peers_keeps_what_it_has_and_catches_up, 1 of 43 failed in one run of scripts/test.sh at load 50). Ruled out: a slow start; the process's own message named the missing tables. The new test failed first (an empty file was read), and passes with the file renamed into place. The ignored test of 16 instances in bench/tests/control asserted nothing and printed a slope that scripts/slopes.sh prints; it is gone. Conclusion: the race was the runner's; no product code changes.

--- a/bench/src/fleet/mod.rs
+++ b/bench/src/fleet/mod.rs
@@ -10,6 +10,8 @@
 mod running;
 mod settings;
 mod standin;
+#[cfg(test)]
+mod tests;
 mod wait;
 
 pub use address::AddressBook;
--- a/bench/src/fleet/settings.rs
+++ b/bench/src/fleet/settings.rs
@@ -1,9 +1,11 @@
 //! Settings files of the instances.
 
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use serde::Serialize;
+use tempfile::NamedTempFile;
 
 use super::FleetError;
 use crate::topology::{EntryNode, PlatformNodes};
@@ -80,9 +82,17 @@
     };
     let path = dir.join(format!("{}.toml", entry.name));
     let text = toml::to_string(&settings)?;
-    std::fs::write(&path, text).map_err(|source| FleetError::File {
+    replace_file(dir, &path, &text).map_err(|source| FleetError::File {
         path: path.clone(),
         source,
     })?;
     Ok(path)
 }
+
+/// Puts a whole file in place at once: a process that has just started may be reading the old one.
+fn replace_file(dir: &Path, path: &Path, text: &str) -> io::Result<()> {
+    let mut file = NamedTempFile::new_in(dir)?;
+    file.write_all(text.as_bytes())?;
+    file.persist(path)?;
+    Ok(())
+}
--- a/bench/tests/control/cost.rs
+++ b/bench/tests/control/cost.rs
@@ -72,10 +72,3 @@
         assert!(cfg!(debug_assertions) || cost.core_percent <= BUDGET_CORE_PERCENT);
     }
 }
-
-#[actix_rt::test]
-#[ignore = "a slope, printed for the capacity page; 16 instances crowd a small machine"]
-async fn control_at_sixteen_instances() {
-    let costs = measure(16).await;
-    show(16, &costs);
-}
