Stand-ins: silent links, requests that ran, one set of store limits

A link given up is numbered, so that the end of an old connection cannot fail streams on the new one after a quick revival. GET /standin/ran names requests of which a step ran, so that a false not-run of a completion can be found. Table and objects had their limits twice; one now.

--- a/bench/src/engine/host.rs
+++ b/bench/src/engine/host.rs
@@ -6,8 +6,8 @@
 use fescueshore::ids::{EndpointId, Incarnation, StreamId};
 use fescueshore::wire::engine::{EngineAssignment, EngineError, OpenStream, StreamEvent};
 use indexmap::IndexMap;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::core::{Core, Output};
@@ -26,6 +26,8 @@
     Connect {
         /// The engine.
         peer: EndpointId,
+        /// The connection.
+        link: LinkId,
         /// The frames.
         frames: UnboundedReceiver<Envelope>,
     },
@@ -38,6 +40,10 @@
     },
 }
 
+/// A connection to another engine; numbers are never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LinkId(u64);
+
 /// A lifetime that begins.
 #[derive(Debug)]
 pub(crate) struct Life {
@@ -58,6 +64,8 @@
     /// When the last tokens were written to those who opened the streams.
     pub(crate) emissions: Emissions,
     sleeps_until_us: AtomicU64,
+    /// The last order that open links be silent, and to whom; all if absent.
+    pub(crate) silence: watch::Sender<Option<EndpointId>>,
     living: Mutex<Living>,
 }
 
@@ -67,7 +75,8 @@
     core: Option<Core>,
     counters: EngineCounters,
     openers: IndexMap<(StreamId, u32), UnboundedSender<StreamEvent>>,
-    links: IndexMap<EndpointId, UnboundedSender<Envelope>>,
+    links: IndexMap<EndpointId, (LinkId, UnboundedSender<Envelope>)>,
+    links_made: u64,
     commands: Option<UnboundedSender<Command>>,
     over: CancellationToken,
 }
@@ -82,6 +91,7 @@
             wake: Notify::new(),
             emissions: Emissions::default(),
             sleeps_until_us: AtomicU64::new(0),
+            silence: watch::Sender::new(None),
             living: Mutex::new(Living::default()),
         }
     }
@@ -115,6 +125,7 @@
         let counters = living.counters_now();
         living.over.cancel();
         *living = Living {
+            links_made: living.links_made,
             counters: EngineCounters {
                 running: 0,
                 waiting: 0,
@@ -190,8 +201,17 @@
         self.with_core(|core, now_us| core.opener_gone(stream, epoch, now_us));
     }
 
-    /// The connection to another engine broke, or could not be made.
-    pub(crate) fn link_lost(&self, peer: &EndpointId) {
+    /// The connection to another engine broke, or could not be made. One that was given up
+    /// before does not matter.
+    pub(crate) fn link_lost(&self, peer: &EndpointId, link: LinkId) {
+        let current = self.lock().links.get(peer).map(|(current, _)| *current);
+        if current == Some(link) {
+            self.peer_gone(peer);
+        }
+    }
+
+    /// Another engine's connection to this one ended: it died or gave the link up.
+    pub(crate) fn peer_gone(&self, peer: &EndpointId) {
         self.lock().links.swap_remove(peer);
         self.with_core(|core, now_us| core.peer_lost(peer, now_us));
     }
@@ -233,15 +253,21 @@
     }
 
     fn send(&mut self, to: EndpointId, envelope: Envelope) {
-        if let Some(link) = self.links.get(&to) {
+        if let Some((_, link)) = self.links.get(&to) {
             // A link whose task has ended is about to be reported as lost.
             let _ = link.send(envelope);
             return;
         }
-        let (link, frames) = unbounded_channel();
-        let _ = link.send(envelope);
-        self.links.insert(to.clone(), link);
-        self.command(Command::Connect { peer: to, frames });
+        let (sender, frames) = unbounded_channel();
+        let _ = sender.send(envelope);
+        self.links_made += 1;
+        let link = LinkId(self.links_made);
+        self.links.insert(to.clone(), (link, sender));
+        self.command(Command::Connect {
+            peer: to,
+            link,
+            frames,
+        });
     }
 
     fn report(&mut self, key: (StreamId, u32), event: StreamEvent) {
--- a/bench/src/engine/ledger.rs
+++ b/bench/src/engine/ledger.rs
@@ -5,14 +5,17 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use fescueshore::ids::{EndpointId, StreamId};
+use fescueshore::ids::{EndpointId, RequestId, StreamId};
 use fescueshore::wire::engine::LayerRange;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use thiserror::Error;
 
 /// Chains remembered per generation; two generations are kept.
 const GENERATION_CHAINS: usize = 100_000;
 
+/// Most request ids remembered.
+const MAX_REQUESTS: usize = 200_000;
+
 /// What a run breaks.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum LayerFault {
@@ -65,6 +68,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RunLedger {
     generations: Mutex<Generations>,
+    requests: Mutex<IndexSet<RequestId>>,
 }
 
 #[derive(Debug, Default)]
@@ -82,6 +86,20 @@
             .unwrap_or_else(PoisonError::into_inner);
         note_in(generations.chain(run.stream, run.epoch), run)
     }
+
+    /// Notes that a step of a request ran.
+    pub(crate) fn note_request(&self, request: &RequestId) {
+        let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        if requests.len() < MAX_REQUESTS && !requests.contains(request) {
+            requests.insert(request.clone());
+        }
+    }
+
+    /// Requests of which a step ran, in order of their first one.
+    pub(crate) fn requests(&self) -> Vec<RequestId> {
+        let requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        requests.iter().cloned().collect()
+    }
 }
 
 impl Generations {
--- a/bench/src/engine/server.rs
+++ b/bench/src/engine/server.rs
@@ -54,6 +54,7 @@
         .route("/standin/counters", web::get().to(counters))
         .route("/standin/counters/all", web::get().to(all_counters))
         .route("/standin/emissions", web::get().to(emissions))
+        .route("/standin/ran", web::get().to(ran))
         .route("/standin/faults", web::post().to(faults));
 }
 
@@ -141,6 +142,10 @@
     HttpResponse::Ok().json(all)
 }
 
+async fn ran(host: web::Data<Host>) -> HttpResponse {
+    HttpResponse::Ok().json(host.fleet.ledger.requests())
+}
+
 async fn faults(
     host: web::Data<Host>,
     hosts: web::Data<Hosts>,
@@ -168,6 +173,9 @@
         Fault::Revive => {
             let _ = hosts.changes.send(LifeChange::Revive(name));
         }
+        Fault::SilenceLinks { peer } => {
+            host.silence.send_replace(peer.clone());
+        }
         _ => {
             host.gate.apply(fault);
             host.with_core(|core, _| core.apply_fault(fault));
--- a/bench/src/engine/steps.rs
+++ b/bench/src/engine/steps.rs
@@ -103,6 +103,9 @@
         };
         let passed = input.has_passed(work.stream, work.epoch, run.layers.first);
         let noted = self.ledger.note(&run);
+        if input.position == stream.start_position() {
+            self.ledger.note_request(&stream.open.request);
+        }
         if let Err(fault) = &noted {
             log::error!(endpoint:% = self.node.name, stream:% = work.stream, epoch = work.epoch,
                 position = input.position; "layer fault: {fault}");
--- a/bench/src/objects/mod.rs
+++ b/bench/src/objects/mod.rs
@@ -8,15 +8,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::standin::faults::{Fault, FaultRequest};
-use crate::standin::{Gate, StandinError, TokenBucket, cut_reply, serve, thaw_later, unix_us};
+use crate::standin::faults::FaultRequest;
+use crate::standin::{Gate, StandinError, StoreLimits, cut_reply, serve, thaw_later};
 use crate::topology::Topology;
 
-/// Objects written a second unless a fault says otherwise.
-const WRITES_PER_S: u32 = 300;
-/// Objects read a second unless a fault says otherwise.
-const READS_PER_S: u32 = 2000;
-
 /// What the object store did.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 struct Counters {
@@ -34,9 +29,7 @@
     /// In key order, since listings need it.
     objects: BTreeMap<String, Bytes>,
     counters: Counters,
-    writes: TokenBucket,
-    reads: TokenBucket,
-    replies_to_lose: u32,
+    limits: StoreLimits,
 }
 
 type SharedObjects = web::Data<Mutex<Objects>>;
@@ -49,70 +42,40 @@
 }
 
 impl Objects {
-    fn new(now_us: u64) -> Self {
+    fn new() -> Self {
         Self {
             objects: BTreeMap::new(),
             counters: Counters::default(),
-            writes: TokenBucket::new(WRITES_PER_S, now_us),
-            reads: TokenBucket::new(READS_PER_S, now_us),
-            replies_to_lose: 0,
-        }
-    }
-
-    fn apply(&mut self, fault: &Fault, now_us: u64) {
-        match *fault {
-            Fault::Clear => {
-                self.replies_to_lose = 0;
-                self.writes = TokenBucket::new(WRITES_PER_S, now_us);
-                self.reads = TokenBucket::new(READS_PER_S, now_us);
-            }
-            Fault::LoseReplies { count } => self.replies_to_lose = count,
-            Fault::Limits {
-                writes_per_s,
-                reads_per_s,
-            } => {
-                self.writes = TokenBucket::new(writes_per_s, now_us);
-                self.reads = TokenBucket::new(reads_per_s, now_us);
-            }
-            _ => {}
+            limits: StoreLimits::new(),
         }
     }
 
     fn may_write(&mut self) -> bool {
-        let free = self.writes.take(1, unix_us());
-        if free {
-            self.counters.writes += 1;
-        } else {
-            self.counters.throttled += 1;
-        }
+        let free = self.limits.may_write(1);
+        self.counters.writes += u64::from(free);
         free
     }
 
     fn may_read(&mut self) -> bool {
-        let free = self.reads.take(1, unix_us());
-        if free {
-            self.counters.reads += 1;
-        } else {
-            self.counters.throttled += 1;
-        }
+        let free = self.limits.may_read(1);
+        self.counters.reads += u64::from(free);
         free
     }
 
     /// The reply to a write that took effect, or a cut one.
     fn written(&mut self) -> HttpResponse {
-        if self.replies_to_lose == 0 {
-            return HttpResponse::Ok().finish();
+        if self.limits.loses_reply() {
+            cut_reply()
+        } else {
+            HttpResponse::Ok().finish()
         }
-        self.replies_to_lose -= 1;
-        self.counters.lost_replies += 1;
-        cut_reply()
     }
 }
 
 /// Listens on the topology's address.
 pub(crate) fn listen(topology: &Topology) -> Result<Server, StandinError> {
     let gate = web::Data::new(Gate::new());
-    let objects: SharedObjects = web::Data::new(Mutex::new(Objects::new(unix_us())));
+    let objects: SharedObjects = web::Data::new(Mutex::new(Objects::new()));
     serve(topology.platform.objects, gate, move |config| {
         config
             .app_data(objects.clone())
@@ -176,9 +139,10 @@
 
 async fn counters(objects: SharedObjects) -> HttpResponse {
     let objects = lock(&objects);
-    let held = objects.objects.len() as u64;
     HttpResponse::Ok().json(Counters {
-        objects: held,
+        throttled: objects.limits.throttled,
+        lost_replies: objects.limits.lost_replies,
+        objects: objects.objects.len() as u64,
         ..objects.counters
     })
 }
@@ -189,7 +153,7 @@
     ask: web::Json<FaultRequest>,
 ) -> HttpResponse {
     gate.apply(&ask.fault);
-    lock(&objects).apply(&ask.fault, unix_us());
+    lock(&objects).limits.apply(&ask.fault);
     thaw_later(gate, &ask.fault);
     HttpResponse::NoContent().finish()
 }
--- a/bench/src/standin/faults.rs
+++ b/bench/src/standin/faults.rs
@@ -100,6 +100,13 @@
         #[serde(default)]
         peer: Option<EndpointId>,
     },
+    /// Engines: the links that are open now pass nothing more, without closing; new ones do. The
+    /// engine notices after [`LINK_SILENCE_MS`](crate::engine::LINK_SILENCE_MS).
+    SilenceLinks {
+        /// Only the link to this engine; all outgoing links if absent.
+        #[serde(default)]
+        peer: Option<EndpointId>,
+    },
     /// Engines: takes no new streams and says so; streams in flight go on.
     Drain,
     /// Engines: refuses every new stream as overloaded.
--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -11,7 +11,7 @@
 pub use cli::{FleetArgs, StandinArgs, StandinKind};
 pub use error::StandinError;
 pub(crate) use gate::{Gate, thaw_later};
-pub(crate) use limit::TokenBucket;
+pub(crate) use limit::StoreLimits;
 pub use run::run;
 pub(crate) use run::say_ready;
 pub(crate) use serve::{cut_reply, serve};
--- a/bench/src/table/server.rs
+++ b/bench/src/table/server.rs
@@ -4,19 +4,14 @@
 
 use actix_web::dev::Server;
 use actix_web::{HttpResponse, web};
-use fescueshore::wire::platform::{ReadRows, ScanRows, Transaction};
+use fescueshore::wire::platform::{ReadRows, ScanRows, TransactReply, Transaction};
 use serde::Serialize;
 
 use super::store::Store;
-use crate::standin::faults::{Fault, FaultRequest};
-use crate::standin::{Gate, StandinError, TokenBucket, cut_reply, serve, thaw_later, unix_us};
+use crate::standin::faults::FaultRequest;
+use crate::standin::{Gate, StandinError, StoreLimits, cut_reply, serve, thaw_later};
 use crate::topology::Topology;
 
-/// Rows written a second unless a fault says otherwise.
-const WRITES_PER_S: u32 = 300;
-/// Rows read a second unless a fault says otherwise.
-const READS_PER_S: u32 = 2000;
-
 /// What the table service did.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 struct Counters {
@@ -41,57 +36,25 @@
 struct Table {
     store: Store,
     counters: Counters,
-    writes: TokenBucket,
-    reads: TokenBucket,
-    replies_to_lose: u32,
+    limits: StoreLimits,
 }
 
 type SharedTable = web::Data<Mutex<Table>>;
 
 impl Table {
-    fn new(now_us: u64) -> Self {
+    fn new() -> Self {
         Self {
             store: Store::default(),
             counters: Counters::default(),
-            writes: TokenBucket::new(WRITES_PER_S, now_us),
-            reads: TokenBucket::new(READS_PER_S, now_us),
-            replies_to_lose: 0,
-        }
-    }
-
-    fn apply(&mut self, fault: &Fault, now_us: u64) {
-        match *fault {
-            Fault::Clear => {
-                self.replies_to_lose = 0;
-                self.writes = TokenBucket::new(WRITES_PER_S, now_us);
-                self.reads = TokenBucket::new(READS_PER_S, now_us);
-            }
-            Fault::LoseReplies { count } => self.replies_to_lose = count,
-            Fault::Limits {
-                writes_per_s,
-                reads_per_s,
-            } => {
-                self.writes = TokenBucket::new(writes_per_s, now_us);
-                self.reads = TokenBucket::new(reads_per_s, now_us);
-            }
-            _ => {}
+            limits: StoreLimits::new(),
         }
     }
 
     fn may_read(&mut self, rows: usize) -> bool {
-        let free = self.reads.take(rows.max(1), unix_us());
+        let rows = rows.max(1);
+        let free = self.limits.may_read(rows);
         if free {
-            self.counters.reads += rows.max(1) as u64;
-        } else {
-            self.counters.throttled += 1;
-        }
-        free
-    }
-
-    fn may_write(&mut self, rows: usize) -> bool {
-        let free = self.writes.take(rows.max(1), unix_us());
-        if !free {
-            self.counters.throttled += 1;
+            self.counters.reads += rows as u64;
         }
         free
     }
@@ -100,7 +63,7 @@
 /// Listens on the topology's address.
 pub(crate) fn listen(topology: &Topology) -> Result<Server, StandinError> {
     let gate = web::Data::new(Gate::new());
-    let table: SharedTable = web::Data::new(Mutex::new(Table::new(unix_us())));
+    let table: SharedTable = web::Data::new(Mutex::new(Table::new()));
     serve(topology.platform.table, gate, move |config| {
         config
             .app_data(table.clone())
@@ -117,10 +80,9 @@
 }
 
 async fn transact(table: SharedTable, ask: web::Json<Transaction>) -> HttpResponse {
-    use fescueshore::wire::platform::TransactReply;
     let mut table = lock(&table);
     let rows = ask.writes.len();
-    if !table.may_write(rows) {
+    if !table.limits.may_write(rows.max(1)) {
         return HttpResponse::TooManyRequests().finish();
     }
     let reply = table.store.transact(ask.into_inner());
@@ -129,9 +91,7 @@
         TransactReply::Committed { .. } => table.counters.writes += rows as u64,
         TransactReply::Conflict { .. } => table.counters.conflicts += 1,
     }
-    if table.replies_to_lose > 0 {
-        table.replies_to_lose -= 1;
-        table.counters.lost_replies += 1;
+    if table.limits.loses_reply() {
         return cut_reply();
     }
     HttpResponse::Ok().json(reply)
@@ -156,9 +116,10 @@
 
 async fn counters(table: SharedTable) -> HttpResponse {
     let table = lock(&table);
-    let rows = table.store.len() as u64;
     HttpResponse::Ok().json(Counters {
-        rows,
+        throttled: table.limits.throttled,
+        lost_replies: table.limits.lost_replies,
+        rows: table.store.len() as u64,
         ..table.counters
     })
 }
@@ -169,7 +130,7 @@
     ask: web::Json<FaultRequest>,
 ) -> HttpResponse {
     gate.apply(&ask.fault);
-    lock(&table).apply(&ask.fault, unix_us());
+    lock(&table).limits.apply(&ask.fault);
     thaw_later(gate, &ask.fault);
     HttpResponse::NoContent().finish()
 }
