--- a/bench/src/engine/mod.rs
+++ b/bench/src/engine/mod.rs
@@ -21,6 +21,7 @@
 mod lives;
 mod orders;
 mod receive;
+mod reporter;
 mod server;
 mod steps;
 mod stream;
--- a/bench/src/engine/server.rs
+++ b/bench/src/engine/server.rs
@@ -1,29 +1,24 @@
 //! HTTP of the engines.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use actix_rt::time::{Interval, interval};
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, HttpResponseBuilder, web};
-use bytes::Bytes;
-use fescueshore::ids::{EndpointId, RequestId, StreamId};
+use fescueshore::ids::{EndpointId, StreamId};
 use fescueshore::wire::engine::{
-    CancelStream, EngineError, EngineErrorCode, EngineOrder, OpenStream, StreamEvent,
+    CancelStream, EngineError, EngineErrorCode, EngineOrder, OpenStream,
 };
 use futures_util::stream;
 use indexmap::IndexMap;
 use serde::Deserialize;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::UnboundedSender;
 
 use super::counters::EngineCounters;
 use super::host::Host;
+use super::reporter::Reporter;
 use crate::standin::faults::{Fault, FaultRequest};
 use crate::standin::thaw_later;
 
-/// Time between two heartbeats of an open stream.
-const HEARTBEAT: Duration = Duration::from_millis(100);
-
 /// What ends or begins a lifetime.
 #[derive(Clone, Debug)]
 pub(crate) enum LifeChange {
@@ -75,22 +70,11 @@
 
 async fn open(host: web::Data<Host>, ask: web::Json<OpenStream>) -> HttpResponse {
     let ask = ask.into_inner();
-    let (stream, epoch, position) = (ask.stream, ask.epoch, ask.generated.len() as u32);
-    let request = ask.request.clone();
-    match host.open(ask) {
+    match host.open(ask.clone()) {
         None => HttpResponse::ServiceUnavailable().finish(),
         Some(Err(error)) => refuse(&error),
         Some(Ok(events)) => {
-            let reporter = Reporter {
-                host: host.into_inner(),
-                request,
-                stream,
-                epoch,
-                position,
-                events,
-                heartbeats: interval(HEARTBEAT),
-                over: false,
-            };
+            let reporter = Reporter::new(host.into_inner(), &ask, events);
             HttpResponse::Ok()
                 .content_type("text/event-stream")
                 .streaming(stream::unfold(reporter, Reporter::next))
@@ -206,63 +190,3 @@
     };
     HttpResponseBuilder::new(status).json(error)
 }
-
-/// Writes the events of one open stream; tells the engine if the reader goes.
-struct Reporter {
-    host: Arc<Host>,
-    request: RequestId,
-    stream: StreamId,
-    epoch: u32,
-    position: u32,
-    events: UnboundedReceiver<StreamEvent>,
-    heartbeats: Interval,
-    over: bool,
-}
-
-impl Reporter {
-    /// The next bytes of the stream.
-    async fn next(mut self) -> Option<(Result<Bytes, std::io::Error>, Self)> {
-        if self.over {
-            return None;
-        }
-        let event = tokio::select! {
-            event = self.events.recv() => event,
-            _ = self.heartbeats.tick() => Some(StreamEvent::Heartbeat {
-                epoch: self.epoch,
-                position: self.position,
-            }),
-        };
-        self.host.gate.pass().await;
-        // The channel closes without a last event when the engine dies or the call is replaced.
-        let mut text = String::new();
-        self.write(&mut text, &event?);
-        while let Ok(event) = self.events.try_recv() {
-            self.write(&mut text, &event);
-        }
-        Some((Ok(Bytes::from(text)), self))
-    }
-
-    fn write(&mut self, text: &mut String, event: &StreamEvent) {
-        match event {
-            StreamEvent::Token { position, .. } => {
-                self.position = position + 1;
-                self.host.emissions.note(&self.request, *position);
-            }
-            StreamEvent::End { .. } | StreamEvent::Failed { .. } => self.over = true,
-            StreamEvent::Heartbeat { .. } => {}
-        }
-        let json = serde_json::to_string(event).unwrap_or_default();
-        text.push_str("data: ");
-        text.push_str(&json);
-        text.push_str("\n\n");
-    }
-}
-
-impl Drop for Reporter {
-    fn drop(&mut self) {
-        let (stream, epoch) = (self.stream, self.epoch);
-        if !self.over && !self.events.is_closed() {
-            self.host.opener_gone(stream, epoch);
-        }
-    }
-}
