--- a/bench/src/caller/book.rs
+++ b/bench/src/caller/book.rs
@@ -46,6 +46,8 @@
     pub began: Instant,
     /// How long the request took in all.
     pub took: Duration,
+    /// Longest time between two tokens, over all attempts.
+    pub longest_pause: Duration,
     /// When each token of the last attempt came.
     pub tokens_at: Vec<Instant>,
 }
--- a/bench/src/caller/run.rs
+++ b/bench/src/caller/run.rs
@@ -62,6 +62,8 @@
     malformed: Vec<&'static str>,
     /// Whether every attempt under the present id was answered `not-run`.
     all_not_run: bool,
+    last_token_at: Option<Instant>,
+    longest_pause: Duration,
     tokens_at: Vec<Instant>,
 }
 
@@ -125,7 +127,7 @@
             } else {
                 0
             };
-            progress.tokens_at.push(Instant::now());
+            progress.note_token(Instant::now());
             let mut book = self.book.borrow_mut();
             book.note_token(&request.account, prompt);
         };
@@ -248,10 +250,19 @@
             broken_in_row: 0,
             malformed: Vec::new(),
             all_not_run: true,
+            last_token_at: None,
+            longest_pause: Duration::ZERO,
             tokens_at: Vec::new(),
         }
     }
 
+    fn note_token(&mut self, now: Instant) {
+        if let Some(before) = self.last_token_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - before);
+        }
+        self.tokens_at.push(now);
+    }
+
     fn report(self, request: &Request, word: FinalWord) -> Report {
         Report {
             account: request.account.clone(),
@@ -262,6 +273,7 @@
             malformed: self.malformed,
             began: self.began,
             took: self.began.elapsed(),
+            longest_pause: self.longest_pause,
             tokens_at: self.tokens_at,
         }
     }
--- a/bench/tests/processes/bad_input.rs
+++ b/bench/tests/processes/bad_input.rs
@@ -3,7 +3,6 @@
 use awc::http::Method;
 use fescueshore::outcome::{OUTCOME_HEADER, RefusalCode};
 use fescueshore::wire::caller::ErrorAnswer;
-use serde::Deserialize;
 
 use crate::env::Env;
 
@@ -131,24 +130,5 @@
         assert_eq!(answer.error.code, case.code, "{}", case.name);
     }
     assert_eq!(env.findings().await.tokens, 0);
-    assert_eq!(calls(&env).await, 0);
-}
-
-#[derive(Deserialize)]
-struct Calls {
-    calls: u64,
-}
-
-/// Calls that reached the application's replicas.
-async fn calls(env: &Env) -> u64 {
-    let mut sum = 0;
-    for replica in &env.fleet.topology().applications {
-        let page = env
-            .fleet
-            .standins()
-            .get(replica.address, "/standin/counters");
-        let counters: Calls = page.await.expect("counters");
-        sum += counters.calls;
-    }
-    sum
+    assert_eq!(env.calls().await, 0);
 }
--- a/bench/tests/processes/deaths.rs
+++ b/bench/tests/processes/deaths.rs
@@ -8,7 +8,9 @@
 use fescueshore::ids::EndpointId;
 use serde::Deserialize;
 
-use crate::env::{Env, LIMIT, Task, all_answered, ask_answered, eventually, spawn, stream};
+use crate::env::{
+    Env, LIMIT, Task, all_answered, ask_answered, eventually, print_recovery, spawn, stream,
+};
 
 /// Tokens of the streams: they last a few seconds.
 const TOKENS: u32 = 200;
@@ -61,6 +63,7 @@
         .kill();
     env.gone.push(victim);
     all_answered(streams).await;
+    print_recovery(&env, "engine killed");
     assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
     env.assert_clean().await;
 }
@@ -74,6 +77,7 @@
     until_engine_works(&env.fleet, &victim).await;
     env.fleet.process(&name).expect("engine").freeze();
     all_answered(streams).await;
+    print_recovery(&env, "engine frozen");
     assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
     env.fleet.process(&name).expect("engine").wake();
     env.assert_clean().await;
@@ -88,6 +92,7 @@
     env.fault(victim.address, Fault::Freeze { for_ms: None })
         .await;
     all_answered(streams).await;
+    print_recovery(&env, "engine answers nothing");
     assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
     env.fault(victim.address, Fault::Clear).await;
     env.assert_clean().await;
@@ -114,7 +119,120 @@
         .kill();
     let killed_at = std::time::Instant::now();
     all_answered(streams).await;
+    print_recovery(&env, "entry killed");
     assert!(env.book.borrow().counts().broken >= 4, "no stream was cut");
     assert!(killed_at.elapsed() < Duration::from_secs(30));
     env.assert_clean().await;
 }
+
+#[actix_rt::test]
+async fn an_entry_frozen_in_mid_stream_costs_its_callers_a_retry_only() {
+    let mut env = Env::start().await;
+    let victim = env.fleet.topology().entries[0].clone();
+    let name = ProcessName::Entry(victim.name.clone());
+    let streams: Vec<_> = (0..4)
+        .map(|number| {
+            let mut options = CallerOptions::new(number, LIMIT);
+            options.patience.silence = Duration::from_secs(2);
+            let mut caller = Caller::new(env.fleet.entry_addresses(), options, env.book.clone());
+            caller.prefer(victim.address);
+            let request = stream(&format!("stream at the victim {number}"), TOKENS);
+            spawn(async move { ask_answered(&mut caller, request).await })
+        })
+        .collect();
+    eventually("streams run", async || env.book.borrow().tokens_seen() > 20).await;
+    env.fleet.process(&name).expect("entry").freeze();
+    all_answered(streams).await;
+    print_recovery(&env, "entry frozen, callers wait 2 s");
+    env.fleet.process(&name).expect("entry").wake();
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn an_engine_replaced_under_its_address_in_mid_stream_costs_no_token() {
+    let mut env = Env::start_apart(&[0]).await;
+    let victim = env.fleet.topology().engines[0].name.clone();
+    let name = ProcessName::Engine(victim.clone());
+    let streams = start_streams(&env, 8);
+    until_engine_works(&env.fleet, &victim).await;
+    let kept = env.tally.keep_engine(&env.fleet, &victim).await;
+    kept.expect("counters");
+    env.fleet.process(&name).expect("engine").kill();
+    env.fleet.start_standin(&name).await.expect("engine");
+    all_answered(streams).await;
+    print_recovery(&env, "engine replaced under its address");
+    assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
+    // The new process gets work like any other.
+    let more = start_streams(&env, 8);
+    until_engine_works(&env.fleet, &victim).await;
+    all_answered(more).await;
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn an_engine_that_joins_while_streams_run_gets_work_and_disturbs_none() {
+    let mut env = Env::start_apart(&[0]).await;
+    let joining = env.fleet.topology().engines[0].name.clone();
+    let name = ProcessName::Engine(joining.clone());
+    env.fleet.process(&name).expect("engine").kill();
+    let streams = start_streams(&env, 8);
+    eventually("streams run", async || env.book.borrow().tokens_seen() > 20).await;
+    env.fleet.start_standin(&name).await.expect("engine");
+    all_answered(streams).await;
+    let more = start_streams(&env, 8);
+    until_engine_works(&env.fleet, &joining).await;
+    all_answered(more).await;
+    assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn engines_that_grow_slow_and_links_that_degrade_cost_no_token() {
+    let faults = [
+        ("engine 50 times slower", Fault::SlowSteps { factor: 50.0 }),
+        (
+            "links of an engine 100 times worse",
+            Fault::DegradeLinks {
+                factor: 100.0,
+                peer: None,
+            },
+        ),
+    ];
+    for (what, fault) in faults {
+        let mut env = Env::start().await;
+        let victim = env.fleet.topology().engines[0].clone();
+        let streams = start_streams(&env, 8);
+        until_engine_works(&env.fleet, &victim.name).await;
+        env.fault(victim.address, fault).await;
+        all_answered(streams).await;
+        print_recovery(&env, what);
+        assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
+        env.assert_clean().await;
+    }
+}
+
+#[actix_rt::test]
+async fn an_availability_zone_lost_at_once_costs_a_retry_at_its_entry_only() {
+    let mut env = Env::start_apart(&[4, 5, 6, 7]).await;
+    let lost = env.fleet.topology().entries[2].clone();
+    let streams = start_streams(&env, 8);
+    eventually("streams run", async || env.book.borrow().tokens_seen() > 40).await;
+    let engines: Vec<_> = env.fleet.topology().engines[4..].to_vec();
+    assert!(engines.iter().all(|engine| engine.zone == lost.zone));
+    for engine in engines {
+        let kept = env.tally.keep_engine(&env.fleet, &engine.name).await;
+        kept.expect("counters");
+        let name = ProcessName::Engine(engine.name.clone());
+        env.fleet.process(&name).expect("engine").kill();
+        env.gone.push(engine.name);
+    }
+    for name in [
+        ProcessName::Entry(lost.name.clone()),
+        ProcessName::Control(lost.name),
+    ] {
+        env.fleet.process(&name).expect("process").kill();
+    }
+    all_answered(streams).await;
+    print_recovery(&env, "availability zone lost");
+    env.assert_clean().await;
+}
--- a/bench/tests/processes/env.rs
+++ b/bench/tests/processes/env.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fescue_bench::application::ApplicationCounters;
 use fescue_bench::caller::{
     Ask, Book, Caller, CallerOptions, FinalWord, ModelTarget, Request, Shape, SharedBook,
 };
@@ -164,6 +165,20 @@
         added.await.expect("list");
     }
 
+    /// Calls that reached the application's replicas.
+    pub async fn calls(&self) -> u64 {
+        let mut sum = 0;
+        for replica in &self.fleet.topology().applications {
+            let page = self
+                .fleet
+                .standins()
+                .get(replica.address, "/standin/counters");
+            let counters: ApplicationCounters = page.await.expect("counters");
+            sum += counters.calls;
+        }
+        sum
+    }
+
     /// Sets a fault at a stand-in.
     pub async fn fault(&self, address: SocketAddr, fault: Fault) {
         let request = FaultRequest::here(fault);
@@ -196,6 +211,14 @@
     }
 }
 
+/// Prints how long the worst stream paused; `cargo test -- --nocapture` shows it.
+pub fn print_recovery(env: &Env, fault: &str) {
+    let book = env.book.borrow();
+    let pauses = book.reports().iter().map(|report| report.longest_pause);
+    let worst_ms = pauses.max().unwrap_or_default().as_millis();
+    println!("recovery: {fault}: longest pause of a stream {worst_ms} ms");
+}
+
 /// Waits until a condition holds; fails the test if it does not in time.
 pub async fn eventually<F>(what: &str, holds: F)
 where
--- a/bench/tests/processes/writes.rs
+++ b/bench/tests/processes/writes.rs
@@ -33,20 +33,6 @@
     sum
 }
 
-/// Calls that reached any replica.
-async fn calls(env: &Env) -> u64 {
-    let mut sum = 0;
-    for replica in &env.fleet.topology().applications {
-        let page = env
-            .fleet
-            .standins()
-            .get(replica.address, "/standin/counters");
-        let counters: ApplicationCounters = page.await.expect("counters");
-        sum += counters.calls;
-    }
-    sum
-}
-
 async fn slow_replicas(env: &Env, extra_ms: u64) {
     for replica in &env.fleet.topology().applications {
         env.fault(replica.address, Fault::Slow { extra_ms }).await;
@@ -80,7 +66,7 @@
     slow_replicas(&env, 1_000).await;
     let holder = ProcessName::Entry(env.fleet.topology().entries[0].name.clone());
     let writes = start_writes(&env);
-    eventually("a write is out", async || calls(&env).await > 0).await;
+    eventually("a write is out", async || env.calls().await > 0).await;
     env.fleet.process(&holder).expect("holder").freeze();
     actix_rt::time::sleep(PAST_EVERY_TIMEOUT).await;
     env.fleet.process(&holder).expect("holder").wake();
@@ -100,7 +86,7 @@
     slow_replicas(&env, 1_000).await;
     let holder = ProcessName::Entry(env.fleet.topology().entries[0].name.clone());
     let writes = start_writes(&env);
-    eventually("a write is out", async || calls(&env).await > 0).await;
+    eventually("a write is out", async || env.calls().await > 0).await;
     env.fleet.process(&holder).expect("holder").kill();
     // Only another incarnation under the holder's address shows that the first one is gone.
     let instance = env.fleet.topology().entries[0].name.clone();
@@ -180,7 +166,7 @@
     assert_eq!(refused.status, 409);
     assert_eq!(refused.code, RefusalCode::KeyTooOld);
     assert_eq!(refused.outcome, Outcome::NotRun);
-    assert_eq!(calls(&env).await, 0);
+    assert_eq!(env.calls().await, 0);
 }
 
 #[actix_rt::test]
