Entry: waits from own history, bounds on hopeless answers and on a stop

- The wait for the next token follows the stream's own gaps, times how much the engines' history has slowed since the chain was planned.
It took the larger of the two before, so that a router's high estimate delayed the probe.
- An answer that has not begun by its deadline is given up and cancelled; so is any after 30 s without a token.
One that has begun goes on.
- A stop waits 30 s at most for sent answers to be recorded; with the table service out it would have waited half an hour.
- Calls of application services and refusals at the queue are in the decisions that the control keeps.
A document that does not check is read once per revision.

Switched off in turn, each failing a test: the give-up, its exception, the slowdown factor, both parts of the stop.

--- a/src/chain/pace.rs
+++ b/src/chain/pace.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Average {
     mean: f64,
     deviation: f64,
+    /// Whether it is still the guess it started from.
+    guessed: bool,
 }
 
 impl Average {
@@ -38,11 +40,20 @@
         Self {
             mean,
             deviation: mean / 4.0,
+            guessed: true,
         }
     }
 
-    /// Adds a sample.
+    /// Adds a sample; the first one takes the place of the guess.
     pub(crate) fn add(&mut self, sample: f64) {
+        if self.guessed {
+            *self = Self {
+                mean: sample,
+                deviation: sample / 2.0,
+                guessed: false,
+            };
+            return;
+        }
         let error = sample - self.mean;
         self.mean += MEAN_GAIN * error;
         self.deviation += DEVIATION_GAIN * (error.abs() - self.deviation);
@@ -95,10 +106,11 @@
     }
 
     /// How long to wait for the next token of an epoch that has delivered one. `gap_ms` is what the
-    /// engines' history lets expect by now: when all their streams slow down, so does this wait.
+    /// engines' history lets expect by now: when their other streams slow down, this wait grows by
+    /// the same factor.
     pub(crate) fn next_timeout_ms(&self, gap_ms: f64) -> u64 {
-        let expected = self.gap.mean.max(gap_ms);
-        let wait = expected * GAP_FACTOR + self.gap.deviation * DEVIATION_FACTOR;
+        let slower = (gap_ms / self.planned.gap_ms.max(1.0)).max(1.0);
+        let wait = self.gap.upper(GAP_FACTOR) * slower;
         wait.clamp(FLOOR_MS, CEILING_MS) as u64
     }
 
--- a/src/chain/rebuild.rs
+++ b/src/chain/rebuild.rs
@@ -250,11 +250,22 @@
         });
     }
 
+    /// Whether no further epoch is worth opening.
     pub(super) fn is_out_of_time(&self, now_ms: u64) -> bool {
-        let late = self.spec.deadline.is_some_and(|it| now_ms >= it.at_ms);
+        self.is_late(now_ms) || now_ms.saturating_sub(self.progress_at_ms) >= GIVE_UP_MS
+    }
+
+    /// Whether the present epoch is not worth waiting for. An answer that has begun goes on after
+    /// its deadline: its caller reads it and can leave.
+    pub(super) fn is_hopeless(&self, now_ms: u64) -> bool {
+        let late = self.is_late(now_ms) && self.tokens.is_empty();
         late || now_ms.saturating_sub(self.progress_at_ms) >= GIVE_UP_MS
     }
 
+    fn is_late(&self, now_ms: u64) -> bool {
+        self.spec.deadline.is_some_and(|it| now_ms >= it.at_ms)
+    }
+
     pub(super) fn wait_for_route(&mut self, reason: NoRoute, now_ms: u64) {
         if let State::Open = self.state {
             // A slow chain could not be replaced: it goes on.
--- a/src/chain/tests/harness.rs
+++ b/src/chain/tests/harness.rs
@@ -6,6 +6,7 @@
 
 use crate::chain::{Chain, ChainEffect, ChainMessage, ChainSpec, Expected, ProbeAnswer};
 use crate::ids::{EndpointId, StreamId};
+use crate::instance::Deadline;
 use crate::routing::NoRoute;
 use crate::wire::engine::{
     EndReason, EngineErrorCode, LayerRange, OpenStream, Stage, StreamEvent, StreamProgress,
@@ -70,6 +71,10 @@
 
 impl Harness {
     pub(super) fn new() -> Self {
+        Self::with_deadline(None)
+    }
+
+    pub(super) fn with_deadline(deadline: Option<Deadline>) -> Self {
         let spec = ChainSpec {
             stream: StreamId::draw(&mut SmallRng::seed_from_u64(1)),
             request: "r".into(),
@@ -79,7 +84,7 @@
             prompt: "one two three".to_owned(),
             max_tokens: MAX_TOKENS,
             priority: 1,
-            deadline: None,
+            deadline,
         };
         let (chain, effects) = Chain::begin(spec, stages(&[]).unwrap(), EXPECTED, 0);
         let mut harness = Self {
--- a/src/chain/tests/recovery.rs
+++ b/src/chain/tests/recovery.rs
@@ -2,7 +2,7 @@
 
 use super::harness::{Harness, MAX_TOKENS, Routes};
 use crate::chain::{ChainEffect, ChainMessage, DropCause, ProbeAnswer};
-use crate::instance::StreamFailure;
+use crate::instance::{Deadline, StreamFailure};
 use crate::routing::EndpointFault;
 use crate::wire::engine::{EngineErrorCode, StreamEvent};
 
@@ -307,3 +307,32 @@
     }
     assert_eq!(harness.epoch(), 1);
 }
+
+#[test]
+fn after_its_deadline_only_an_answer_that_has_begun_goes_on() {
+    for begun in [false, true] {
+        let mut harness = Harness::with_deadline(Some(Deadline { at_ms: 200 }));
+        if begun {
+            harness.token();
+        }
+        harness.now_ms = 300;
+        harness.wake();
+        let queued = harness.at(0);
+        harness.answer_probes(&[queued; 3]);
+        assert_eq!(harness.ended.is_none(), begun);
+    }
+}
+
+#[test]
+fn the_wait_grows_when_the_engines_slow_down_for_all() {
+    let mut harness = running();
+    for _ in 0..3 {
+        harness.now_ms += 20;
+        harness.token();
+    }
+    let due_ms = harness.chain.wake_at_ms().unwrap();
+    harness.now_ms = due_ms;
+    harness.send(ChainMessage::Wake { gap_ms: 80.0 });
+    assert_eq!(probes(&harness), 0);
+    assert!(harness.chain.wake_at_ms().unwrap() > due_ms + 50);
+}
--- a/src/chain/watch.rs
+++ b/src/chain/watch.rs
@@ -4,6 +4,7 @@
 use super::machine::{Chain, State};
 use super::message::{ChainEffect, ProbeAnswer};
 use crate::ids::EndpointId;
+use crate::outcome::RefusalCode;
 use crate::routing::EndpointFault;
 
 /// Longest such wait.
@@ -99,6 +100,10 @@
         };
         let blame = judge(&answers, known);
         self.last_answers = Some(answers);
+        if self.is_hopeless(now_ms) {
+            self.give_up(RefusalCode::EndpointFailed, effects);
+            return;
+        }
         match blame {
             Blame::Dead(dead) => {
                 let dead = self.endpoints(&dead);
--- a/src/entry/applications.rs
+++ b/src/entry/applications.rs
@@ -61,6 +61,7 @@
     /// Sends a call to the replica whose slot it holds.
     pub(super) fn send_call(&mut self, attempt: &mut Attempt, now_ms: u64) {
         let id = attempt.id;
+        self.note_routed(attempt, 0, now_ms);
         let timeout_ms = self.timeout_ms(attempt, now_ms);
         let request = attempt.key.request.clone();
         let Work::Application(work) = &mut attempt.work else {
--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -221,7 +221,10 @@
             cost_tokens: cost_tokens(&attempt.work),
             deadline: attempt.deadline,
         };
-        self.admission.offer(ask, now_ms)?;
+        if let Err(refusal) = self.admission.offer(ask, now_ms) {
+            self.note_refused(&attempt, refusal, now_ms);
+            return Err(refusal);
+        }
         self.dispatch_due = true;
         self.book
             .open(attempt.key.clone(), attempt.digest, attempt.id);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -119,11 +119,11 @@
         &self.key.account
     }
 
-    /// Whether it goes on without callers: a call that may not be repeated ends and is recorded.
+    /// Whether it goes on without callers: a call that was begun ends and is recorded.
     pub(crate) fn outlives_callers(&self) -> bool {
         match &self.work {
             Work::Completion(_) => false,
-            Work::Application(call) => call.replica.is_some() || call.repeat != Repeat::Anywhere,
+            Work::Application(call) => call.replica.is_some(),
         }
     }
 }
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -14,6 +14,8 @@
     /// Revisions only grow.
     revisions: IndexMap<ServiceName, u64>,
     documents: IndexMap<ServiceName, Document>,
+    /// Revisions that did not check; they are not read again.
+    faulty: IndexMap<ServiceName, u64>,
     /// Which accounts a key belongs to. Looking a digest up takes a time that depends on the digest
     /// alone: it tells nothing of the key, since SHA-256 cannot be steered towards a listed digest.
     keys: IndexMap<KeyDigest, Vec<(ServiceName, AccountId)>>,
@@ -26,7 +28,7 @@
 pub(crate) enum DocumentChange {
     /// It is in force now.
     Accepted,
-    /// It was in force already.
+    /// It was in force, or refused, already.
     Known,
     /// A higher revision is in force; it was left out.
     Older,
@@ -68,12 +70,15 @@
         if offered.revision == known && known > 0 {
             return DocumentChange::Known;
         }
-        let Ok(document) = Document::parse(&offered.text) else {
+        if self.faulty.get(&offered.service) == Some(&offered.revision) {
+            return DocumentChange::Known;
+        }
+        let parsed = Document::parse(&offered.text).ok();
+        let Some(document) = parsed.filter(|it| it.service == offered.service) else {
+            self.faulty
+                .insert(offered.service.clone(), offered.revision);
             return DocumentChange::Faulty;
         };
-        if document.service != offered.service {
-            return DocumentChange::Faulty;
-        }
         let before = self
             .revisions
             .insert(offered.service.clone(), offered.revision);
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -27,6 +27,9 @@
 /// When a caller should come back to an instance that has no document yet.
 const NOT_READY_RETRY_MS: u64 = 1_000;
 
+/// How long a stop waits for sent answers to be recorded.
+const RECORDING_LIMIT_MS: u64 = 30_000;
+
 /// One call to the outside that has no last answer yet.
 #[derive(Clone, Debug)]
 pub(super) enum Call {
@@ -79,6 +82,7 @@
     /// Version of the last snapshot taken; only grows.
     pub(super) snapshot_version: u64,
     pub(super) stopping: bool,
+    stop_at_ms: u64,
     stopped: bool,
     pub(super) next_report_ms: u64,
     pub(super) decisions: VecDeque<DecisionRecord>,
@@ -125,6 +129,7 @@
             entries: Vec::new(),
             snapshot_version: 0,
             stopping: false,
+            stop_at_ms: 0,
             stopped: false,
             next_report_ms: 0,
             decisions: VecDeque::new(),
@@ -171,10 +176,10 @@
                 claim,
             } => self.on_holder_asked(call, incarnation, &claim),
             EntryMessage::Tick => self.on_tick(now_ms),
-            EntryMessage::Stop => self.on_stop(),
+            EntryMessage::Stop => self.on_stop(now_ms),
         }
         self.dispatch(now_ms);
-        self.check_stopped();
+        self.check_stopped(now_ms);
         std::mem::take(&mut self.out)
     }
 
@@ -286,14 +291,22 @@
         }
     }
 
-    fn on_stop(&mut self) {
-        self.stopping = true;
-        self.next_report_ms = 0;
+    fn on_stop(&mut self, now_ms: u64) {
+        if !self.stopping {
+            self.stopping = true;
+            self.stop_at_ms = now_ms;
+        }
+        self.report(now_ms);
     }
 
-    fn check_stopped(&mut self) {
-        let idle = self.attempts.is_empty() && self.claims.is_empty();
-        if self.stopping && !self.stopped && idle {
+    /// Says when nothing is in flight any more. Answers that were sent but not yet recorded are
+    /// waited for too, but not through a long outage of the table service.
+    fn check_stopped(&mut self, now_ms: u64) {
+        if !self.stopping || self.stopped || !self.attempts.is_empty() {
+            return;
+        }
+        let waited_ms = now_ms.saturating_sub(self.stop_at_ms);
+        if self.claims.is_empty() || waited_ms >= RECORDING_LIMIT_MS {
             self.stopped = true;
             self.out.push(EntryEffect::Stopped);
         }
--- a/src/entry/report.rs
+++ b/src/entry/report.rs
@@ -20,9 +20,13 @@
 {
     /// Reports to the control if it is time.
     pub(super) fn report_if_due(&mut self, now_ms: u64) {
-        if now_ms < self.next_report_ms {
-            return;
+        if now_ms >= self.next_report_ms {
+            self.report(now_ms);
         }
+    }
+
+    /// Reports to the control.
+    pub(super) fn report(&mut self, now_ms: u64) {
         self.next_report_ms = now_ms + REPORT_MS;
         let capacities = self.update_capacities();
         let report = EntryReport {
--- a/src/entry/tests/claimed.rs
+++ b/src/entry/tests/claimed.rs
@@ -105,3 +105,22 @@
     assert!(working(config(7).incarnation));
     assert!(!working(config(8).incarnation));
 }
+
+#[test]
+fn a_stop_waits_for_the_record_of_an_answer_but_not_for_ever() {
+    let mut entry = entry();
+    let effects = arrive(&mut entry, 1, stock_count("r1", "k1"), 10);
+    let (claim, _) = table_call(&effects).unwrap();
+    let call = sent(&entry.handle(committed(claim), 20)).unwrap();
+    let result = Ok(crate::instance::ApplicationReply {
+        status: 200,
+        content_type: None,
+        body: Vec::new(),
+    });
+    entry.handle(EntryMessage::ApplicationAnswered { call, result }, 30);
+    assert_eq!(entry.in_flight(), 0);
+    let early = entry.handle(EntryMessage::Stop, 40);
+    assert!(!early.contains(&EntryEffect::Stopped));
+    let late = entry.handle(EntryMessage::Tick, 40_000);
+    assert!(late.contains(&EntryEffect::Stopped));
+}
--- a/src/wire/local.rs
+++ b/src/wire/local.rs
@@ -87,7 +87,7 @@
 pub enum Decision {
     /// The request was sent to the endpoints.
     Routed {
-        /// Chain epoch.
+        /// Chain epoch; 0 for a call of an application service.
         epoch: u32,
     },
     /// The request was refused or given up on.
