--- a/src/gateway/actor.rs
+++ b/src/gateway/actor.rs
@@ -21,6 +21,7 @@
 use crate::instance::{CallId, CallerId, EntryMessage, PresentedKey, TICK_MS};
 use crate::routing::PolicyKind;
 use crate::telemetry::Counters;
+use crate::wire::engine::StreamEvent;
 use crate::wire::local::EntryReport;
 
 /// The state machine as a process runs it.
@@ -116,6 +117,16 @@
         }
     }
 
+    /// Whether an event's stream is open. After its last event a stream is not open any more, but
+    /// its task goes on, to give the connection back.
+    fn is_wanted(&mut self, call: CallId, event: &StreamEvent) -> bool {
+        if event.is_last() {
+            self.streams.swap_remove(&call).is_some()
+        } else {
+            self.streams.contains_key(&call)
+        }
+    }
+
     /// Sends an event to a caller. One that reads too slowly is dropped.
     pub(super) fn send_to_caller(&mut self, caller: CallerId, event: CallerEvent) {
         let Some(events) = self.callers.get(&caller) else {
@@ -188,7 +199,7 @@
     fn handle(&mut self, read: StreamRead, ctx: &mut Self::Context) {
         let call = read.call;
         for event in read.events {
-            if !self.streams.contains_key(&call) {
+            if !self.is_wanted(call, &event) {
                 return;
             }
             self.deliver(EntryMessage::StreamEvent { call, event }, ctx);
--- a/src/gateway/effects.rs
+++ b/src/gateway/effects.rs
@@ -8,9 +8,12 @@
 use indexmap::IndexSet;
 
 use super::actor::EntryActor;
+use super::application_call::{ApplicationCall, call_application};
 use super::caller::CallerEvent;
-use super::calls::{self, ApplicationCall, Outside};
+use super::calls::{self, Outside};
+use super::claim_call::{ask_holder, claim_question};
 use super::messages::Deliver;
+use super::stream_call::run_stream;
 use crate::instance::{CallId, EntryEffect};
 use crate::wire::engine::OpenStream;
 use crate::wire::local::{EntryReport, Snapshot};
@@ -38,9 +41,7 @@
                 caller,
                 reply,
                 replayed,
-            } => {
-                self.send_to_caller(caller, CallerEvent::Reply { reply, replayed });
-            }
+            } => self.send_to_caller(caller, CallerEvent::Reply { reply, replayed }),
             EntryEffect::SendRefusal { caller, refusal } => {
                 self.tally.refuse(refusal.code);
                 self.send_to_caller(caller, CallerEvent::Refusal(refusal));
@@ -80,15 +81,10 @@
                 endpoint,
                 address,
                 after,
-            } => {
-                let actor = ctx.address();
-                let read = calls::read_cache_events(outside, endpoint, address, after);
-                actix_rt::spawn(async move {
-                    if let Some(message) = read.await {
-                        actor.do_send(message);
-                    }
-                });
-            }
+            } => run_call(
+                calls::read_cache_events(outside, endpoint, address, after),
+                ctx,
+            ),
             EntryEffect::CallApplication {
                 call,
                 address,
@@ -111,7 +107,7 @@
                     timeout_ms,
                     fresh_connection,
                 };
-                run_call(calls::call_application(outside, call, address, ask), ctx);
+                run_call(call_application(outside, call, address, ask), ctx);
             }
             EntryEffect::CallTable {
                 call,
@@ -129,8 +125,8 @@
                 claim,
                 timeout_ms,
             } => {
-                let question = calls::claim_question(instance, incarnation, claim);
-                let ask = calls::ask_holder(outside, call, address, question, timeout_ms);
+                let question = claim_question(instance, incarnation, claim);
+                let ask = ask_holder(outside, call, address, question, timeout_ms);
                 run_call(ask, ctx);
             }
             EntryEffect::AnswerHolder { call, working } => {
@@ -156,7 +152,7 @@
         self.tally.streams += 1;
         let outside = Rc::clone(&self.outside);
         let actor = ctx.address();
-        let stream = calls::run_stream(outside, actor, call, address, open, fresh_connection);
+        let stream = run_stream(outside, actor, call, address, open, fresh_connection);
         let task = actix_rt::spawn(stream);
         self.streams.insert(call, task.abort_handle());
     }
@@ -169,15 +165,17 @@
     }
 }
 
-/// Runs a call beside the actor; its message comes back through the mailbox.
-fn run_call<F>(call: F, ctx: &mut Context<EntryActor>)
+/// Runs a call beside the actor; its message, if it has one, comes back through the mailbox.
+fn run_call<F, M>(call: F, ctx: &mut Context<EntryActor>)
 where
-    F: Future<Output = Deliver> + 'static,
+    F: Future<Output = M> + 'static,
+    M: Into<Option<Deliver>>,
 {
     let actor = ctx.address();
     actix_rt::spawn(async move {
-        let message = call.await;
-        actor.do_send(message);
+        if let Some(message) = call.await.into() {
+            actor.do_send(message);
+        }
     });
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,9 +5,11 @@
 
 mod actor;
 mod answer;
+mod application_call;
 mod caller;
 mod calls;
 mod chunk;
+mod claim_call;
 pub mod cli;
 mod clock;
 mod control_link;
@@ -21,6 +23,7 @@
 mod server;
 mod signals;
 mod state;
+mod stream_call;
 mod tally;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/gateway/stream_call.rs
@@ -0,0 +1,100 @@
+//! Open streams of engines: one task each, which passes on what it reads.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Addr;
+use futures_util::StreamExt;
+
+use super::actor::EntryActor;
+use super::calls::Outside;
+use super::messages::StreamRead;
+use crate::instance::{CallId, StreamFailure};
+use crate::platform::{EngineCallFailure, HttpStream};
+use crate::wire::engine::{OpenStream, StreamEvent};
+use crate::wire::sse::SseReader;
+
+/// Longest event of an engine's stream.
+const EVENT_LIMIT_BYTES: usize = 64 << 10;
+/// How long a stream that has ended may take to close, so that its connection is used again.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Opens a stream and passes on its events until it ends.
+pub(crate) async fn run_stream(
+    outside: Rc<Outside>,
+    actor: Addr<EntryActor>,
+    call: CallId,
+    address: SocketAddr,
+    open: OpenStream,
+    fresh_connection: bool,
+) {
+    let opened = outside.engines.open(address, &open, fresh_connection).await;
+    let failure = match opened {
+        Ok(stream) => follow_stream(stream, &actor, call).await,
+        Err(EngineCallFailure::NotSent) => Some(StreamFailure::NotSent),
+        Err(EngineCallFailure::Refused { error }) => Some(StreamFailure::Refused { error }),
+        Err(EngineCallFailure::ReplyLost) => Some(StreamFailure::Broken),
+    };
+    if failure.is_some() {
+        let events = Vec::new();
+        actor.do_send(StreamRead {
+            call,
+            events,
+            failure,
+        });
+    }
+}
+
+/// Returns why the stream broke, or `None` after its last event.
+async fn follow_stream(
+    mut stream: HttpStream,
+    actor: &Addr<EntryActor>,
+    call: CallId,
+) -> Option<StreamFailure> {
+    let mut reader = SseReader::new(EVENT_LIMIT_BYTES);
+    while let Some(Ok(piece)) = stream.next().await {
+        let read = read_events(&mut reader, &piece);
+        let ended = read.events.last().is_some_and(StreamEvent::is_last);
+        if !read.events.is_empty() {
+            actor.do_send(StreamRead {
+                call,
+                events: read.events,
+                failure: None,
+            });
+        }
+        if ended {
+            close_stream(stream).await;
+            return None;
+        }
+        if read.broken {
+            break;
+        }
+    }
+    Some(StreamFailure::Broken)
+}
+
+struct EventsRead {
+    events: Vec<StreamEvent>,
+    broken: bool,
+}
+
+fn read_events(reader: &mut SseReader, piece: &[u8]) -> EventsRead {
+    let mut events = Vec::new();
+    let mut broken = false;
+    let pushed = reader.push(piece, |_, data| match serde_json::from_slice(data) {
+        Ok(event) if !broken && !events.last().is_some_and(StreamEvent::is_last) => {
+            events.push(event)
+        }
+        Ok(_) => {}
+        Err(_) => broken = true,
+    });
+    broken |= pushed.is_err();
+    EventsRead { events, broken }
+}
+
+/// Reads to the end of the body, which gives the connection back to the pool.
+async fn close_stream(mut stream: HttpStream) {
+    let rest = async { while let Some(Ok(_)) = stream.next().await {} };
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, rest).await;
+}
--- a/src/gateway/tests/fixture.rs
+++ b/src/gateway/tests/fixture.rs
@@ -1,15 +1,15 @@
 //! An entry process in this one, with a model engine and an application endpoint beside it.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use actix_web::web::{self, Bytes, Data};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
 use awc::{Client, ClientRequest};
 use futures_util::stream;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::gateway::messages::{Deliver, IsReady};
 use crate::gateway::process::{EntryProcess, EntryVariant};
@@ -34,6 +34,8 @@
     pub(super) streams_open: Arc<AtomicUsize>,
     pub(super) streams_cut: Arc<AtomicUsize>,
     pub(super) calls: Arc<AtomicUsize>,
+    /// Ends of the connections that streams came on.
+    pub(super) stream_peers: Arc<Mutex<IndexSet<SocketAddr>>>,
 }
 
 pub(super) struct TestEntry {
@@ -211,7 +213,9 @@
     }
 }
 
-async fn run_stream(state: Data<EndpointState>, body: Bytes) -> HttpResponse {
+async fn run_stream(state: Data<EndpointState>, http: HttpRequest, body: Bytes) -> HttpResponse {
+    let peer = http.peer_addr().unwrap();
+    state.seen.stream_peers.lock().unwrap().insert(peer);
     let open: OpenStream = serde_json::from_slice(&body).unwrap();
     state.seen.streams_open.fetch_add(1, Ordering::SeqCst);
     let guard = StreamGuard {
@@ -222,10 +226,10 @@
     let events = stream::unfold((0, guard), move |(position, mut guard)| {
         let event = event_at(&open, position);
         async move {
-            let event = event?;
             if position > 0 {
                 tokio::time::sleep(gap).await;
             }
+            let event = event?;
             guard.whole = matches!(event, StreamEvent::End { .. });
             let data = serde_json::to_string(&event).unwrap();
             let piece = Bytes::from(format!("data: {data}\n\n"));
--- a/src/gateway/tests/paths.rs
+++ b/src/gateway/tests/paths.rs
@@ -9,7 +9,8 @@
 use serde_json::{Value, json};
 
 use super::fixture::{KEY, PEER_KEY, TestEntry, nowhere, start, wait_until};
-use crate::gateway::calls::{Outside, ask_holder, claim_question};
+use crate::gateway::calls::Outside;
+use crate::gateway::claim_call::{ask_holder, claim_question};
 use crate::ids::Incarnation;
 use crate::instance::{CallId, EntryMessage};
 use crate::platform::{HttpEngines, HttpPeers, HttpTable};
@@ -65,6 +66,18 @@
     assert!(stream.ends_with("data: [DONE]\n\n"));
 }
 
+#[actix_web::test]
+async fn connections_to_an_engine_are_used_again() {
+    let entry = start(SLOW).await;
+    for _ in 0..6 {
+        let mut response = entry.post(CHAT).send_json(&chat(2, false)).await.unwrap();
+        text(&mut response).await;
+        tokio::time::sleep(2 * SLOW).await;
+    }
+    // A stream takes another one while the first is busy with a question about the engine's state.
+    assert!(entry.seen.stream_peers.lock().unwrap().len() <= 3);
+}
+
 #[actix_web::test]
 async fn a_caller_that_leaves_cancels_its_stream() {
     let entry = start(SLOW).await;
--- a/src/wire/engine.rs
+++ b/src/wire/engine.rs
@@ -142,6 +142,13 @@
     },
 }
 
+impl StreamEvent {
+    /// Whether no event follows.
+    pub fn is_last(&self) -> bool {
+        matches!(self, Self::End { .. } | Self::Failed { .. })
+    }
+}
+
 /// Why a stream is whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
