Soak: an endpoint's own error is an answer, and a wrong answer is shown

Callers count such answers apart (endpoint_errors); an echo that lacks anything under a good status is still incomplete.

--- a/bench/src/caller/book.rs
+++ b/bench/src/caller/book.rs
@@ -17,6 +17,8 @@
 pub enum FinalWord {
     /// A whole answer of its own.
     Answered,
+    /// The endpoint's own error, by HTTP status, passed on as its answer.
+    EndpointError(u16),
     /// The system said that the result is not known and never will be.
     Unknown,
     /// Refused, and coming back cannot help.
@@ -59,6 +61,8 @@
     pub asked: u64,
     /// Requests with a whole answer of their own.
     pub answered: u64,
+    /// Requests answered with the endpoint's own error.
+    pub endpoint_errors: u64,
     /// Requests whose result is not known and never will be.
     pub unknown: u64,
     /// Requests refused for good, by code.
@@ -221,6 +225,7 @@
         self.malformed += report.malformed.len() as u64;
         match report.word {
             FinalWord::Answered => self.answered += 1,
+            FinalWord::EndpointError(_) => self.endpoint_errors += 1,
             FinalWord::Unknown => self.unknown += 1,
             FinalWord::Refused(code) => *self.refused.entry(code).or_default() += 1,
             FinalWord::Wrong(AnswerFault::Crossed) => self.crossed += 1,
--- a/bench/src/caller/run.rs
+++ b/bench/src/caller/run.rs
@@ -7,9 +7,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::attempt::{AttemptEnd, BrokenBy, Patience, Refused, attempt};
+use super::attempt::{AnswerBody, AttemptEnd, BrokenBy, Patience, Refused, attempt};
 use super::book::{BrokenAttempt, FinalWord, Report, Served, SharedBook};
-use super::check::check_answer;
+use super::check::{AnswerFault, check_answer};
 use super::locate::Locator;
 use super::request::Request;
 use super::retry::{NextStep, after_broken, after_refusal};
@@ -138,9 +138,15 @@
             self.forfeit(request, progress);
         }
         match end {
+            AttemptEnd::Answered(AnswerBody::Reply { status, .. }) if status >= 400 => {
+                Some(FinalWord::EndpointError(status))
+            }
             AttemptEnd::Answered(body) => Some(match check_answer(request, &body) {
                 Ok(()) => FinalWord::Answered,
-                Err(fault) => FinalWord::Wrong(fault),
+                Err(fault) => {
+                    report_wrong(request, &body, fault, entry);
+                    FinalWord::Wrong(fault)
+                }
             }),
             AttemptEnd::Refused(refused) => {
                 progress.broken_in_row = 0;
@@ -278,3 +284,12 @@
         }
     }
 }
+
+/// Says which answer was wrong: the evidence is gone once the run ends.
+fn report_wrong(request: &Request, body: &AnswerBody, fault: AnswerFault, entry: SocketAddr) {
+    let call = format!("{} {}", request.method(), request.path());
+    eprintln!(
+        "fescue-load: wrong answer ({fault}) to {call} {} of {} from {entry}: {body:?}",
+        request.id, request.account
+    );
+}
--- a/bench/src/soak/result.rs
+++ b/bench/src/soak/result.rs
@@ -28,10 +28,10 @@
 }
 
 impl SoakResult {
-    /// Requests with a final word: a whole answer, or `unknown` where nobody knows the result of
-    /// a non-idempotent call.
+    /// Requests with a final word: a whole answer, the endpoint's own error, or `unknown` where
+    /// nobody knows the result of a non-idempotent call.
     pub fn answered(&self) -> u64 {
-        self.counts.answered + self.counts.unknown
+        self.counts.answered + self.counts.endpoint_errors + self.counts.unknown
     }
 
     /// Whether every count is as it should be.
@@ -63,15 +63,17 @@
             .map(|(kind, count)| format!("{kind:?}={count}"))
             .collect();
         format!(
-            "faults: {}\nwords: whole={} unknown={} refused={:?} unfinished={} wrong={}\n\
+            "faults: {}\nwords: whole={} endpoint_errors={} unknown={} refused={:?} unfinished={} doubled={} incomplete={}\n\
              attempts: all={} broken={} malformed={}\ntokens: {}\n\
              more: double_accepts={} stuck_stops={}",
             faults.join(" "),
             self.counts.answered,
+            self.counts.endpoint_errors,
             self.counts.unknown,
             self.counts.refused,
             self.counts.unfinished,
-            self.counts.doubled + self.counts.incomplete + self.counts.crossed,
+            self.counts.doubled,
+            self.counts.incomplete,
             self.counts.attempts,
             self.counts.broken,
             self.counts.malformed,
