--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -155,13 +155,14 @@
         if self.readiness.is_ready() {
             return;
         }
-        let members = self.gossip.members();
-        let live = members.iter().filter(|(_, it)| it.is_live(now_ms));
-        let live: IndexMap<&InstanceId, bool> = live
+        // Peers that may still answer, heard of or only listed: the first one to answer may lag.
+        let members = self.gossip.members().iter();
+        let awaited = members.filter(|(_, member)| !member.failed);
+        let awaited: IndexMap<&InstanceId, bool> = awaited
             .map(|(peer, _)| (peer, !self.higher_at(peer).is_empty()))
             .collect();
-        let behind = live.values().any(|higher| *higher);
-        let peers = live.keys().copied();
+        let behind = awaited.values().any(|higher| *higher);
+        let peers = awaited.keys().copied();
         self.readiness.settle(peers, behind, now_ms);
     }
 
--- a/src/control/tests/cell.rs
+++ b/src/control/tests/cell.rs
@@ -58,7 +58,7 @@
             node.recorded.clear();
         }
         sim.run(60_000);
-        let lost = |node: &super::sim::Node| {
+        let lost = |node: &super::node::Node| {
             let mut recorded = node.recorded.iter();
             recorded.any(|it| matches!(it.event, AuditEvent::InstanceLost { .. }))
         };
--- a/src/control/tests/documents.rs
+++ b/src/control/tests/documents.rs
@@ -166,6 +166,7 @@
         assert_eq!(sim.in_force(3), 1, "it has missed the change");
         sim.faults.store_down = true;
         sim.faults.peers_cut.clear();
+        sim.faults.slow_percent = 40;
         sim.kill(0);
         sim.start(0);
         // The sim asserts that no instance goes back, this one over its replacement included.
--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -4,6 +4,8 @@
 mod documents;
 mod fake_engine;
 pub(crate) mod fake_table;
+mod network;
+mod node;
 mod operators;
 mod orders;
 mod random;
--- a/src/control/tests/sim.rs
+++ b/src/control/tests/sim.rs
@@ -11,45 +11,17 @@
 
 use super::fake_engine::FakeEngine;
 use super::fake_table::FakeTable;
+use super::network::{Event, Outside};
+use super::node::Node;
 use crate::control::{Control, ControlConfig};
-use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
-use crate::instance::{
-    CONTROL_TICK_MS, CallId, ControlEffect, ControlMessage, OperatorAnswer, OperatorCall, PeerCall,
-    PeerFailure, PresentedKey, TableCall,
-};
+use crate::ids::{Incarnation, ServiceName, ZoneName};
+use crate::instance::{CallId, ControlMessage, OperatorAnswer, OperatorCall, PresentedKey};
 use crate::keys::Secret;
-use crate::platform::{EngineCallFailure, InstanceListFailure, TableFailure};
-use crate::wire::WIRE_VERSION;
-use crate::wire::engine::{EngineOrder, LayerRange};
-use crate::wire::local::{AccountDemand, DecisionRecord, EntryReport, ServiceCapacity, Snapshot};
-use crate::wire::operator::{AuditEntry, OperatorFault};
+use crate::wire::engine::LayerRange;
+use crate::wire::operator::OperatorFault;
 use crate::wire::platform::{InstanceList, InstancePhase, InstanceRecord, InstanceRole};
 
 const UNIX_MS: u64 = 1_800_000_000_000;
-const REPORT_MS: u64 = 250;
-
-/// One instance.
-pub(super) struct Node {
-    pub(super) instance: InstanceId,
-    pub(super) control_address: SocketAddr,
-    address: SocketAddr,
-    pub(super) control: Option<Control>,
-    /// Grows with each process.
-    pub(super) life: u64,
-    pub(super) started_ms: u64,
-    pub(super) frozen: bool,
-    inbox: Vec<ControlMessage>,
-    pub(super) snapshot: Option<Snapshot>,
-    /// The highest revision that the entry ever had, over all lives of the instance.
-    pub(super) highest: IndexMap<ServiceName, u64>,
-    pub(super) entry_stopping: bool,
-    pub(super) draining: Vec<EndpointId>,
-    pub(super) decisions: Vec<DecisionRecord>,
-    pub(super) demands: Vec<AccountDemand>,
-    pub(super) capacities: Vec<ServiceCapacity>,
-    pub(super) stopped: bool,
-    pub(super) recorded: Vec<AuditEntry>,
-}
 
 /// Faults in force.
 #[derive(Default)]
@@ -59,29 +31,11 @@
     pub(super) peers_cut: IndexSet<usize>,
     /// Of a hundred table calls, how many lose their reply.
     pub(super) lost_percent: u32,
+    /// Of a hundred messages, how many take half a second.
+    pub(super) slow_percent: u32,
     pub(super) list_lag_ms: IndexMap<usize, u64>,
 }
 
-enum Event {
-    Tick(usize, u64),
-    Report(usize, u64),
-    Deliver(usize, u64, ControlMessage),
-    TableAt(usize, u64, CallId, TableCall, Fate),
-    OrderAt(usize, u64, CallId, SocketAddr, Box<EngineOrder>),
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Whole,
-    ReplyLost,
-}
-
-enum Outside {
-    Entry,
-    Peer(usize, u64, CallId),
-    Operator,
-}
-
 pub(super) struct Sim {
     pub(super) now_ms: u64,
     pub(super) nodes: Vec<Node>,
@@ -94,11 +48,11 @@
     pub(super) peer_calls: u64,
     /// Fencing numbers and the processes that sent orders under them.
     pub(super) fences: IndexMap<u64, (usize, u64)>,
-    list: Vec<(u64, InstanceList)>,
-    events: BinaryHeap<Reverse<(u64, u64)>>,
-    bodies: IndexMap<u64, Event>,
-    outside: IndexMap<CallId, Outside>,
-    last: u64,
+    pub(super) list: Vec<(u64, InstanceList)>,
+    pub(super) events: BinaryHeap<Reverse<(u64, u64)>>,
+    pub(super) bodies: IndexMap<u64, Event>,
+    pub(super) outside: IndexMap<CallId, Outside>,
+    pub(super) last: u64,
 }
 
 impl Sim {
@@ -273,76 +227,10 @@
         self.faults.store_down || self.faults.store_cut.contains(&index)
     }
 
-    fn happen(&mut self, event: Event) {
-        match event {
-            Event::Tick(index, life) if self.lives(index, life) => {
-                self.at(CONTROL_TICK_MS, Event::Tick(index, life));
-                if !self.nodes[index].frozen {
-                    self.deliver(index, ControlMessage::Tick);
-                }
-            }
-            Event::Report(index, life) if self.lives(index, life) => {
-                self.at(REPORT_MS, Event::Report(index, life));
-                self.report(index);
-            }
-            Event::Deliver(index, life, message) if self.lives(index, life) => {
-                self.deliver(index, message);
-            }
-            Event::TableAt(index, life, call, table, fate) => {
-                let reply = self.table.call(&table);
-                let result = match fate {
-                    Fate::Whole => Ok(reply),
-                    Fate::ReplyLost => Err(TableFailure::ReplyLost),
-                };
-                let delay_ms = self.delay();
-                let message = ControlMessage::TableAnswered { call, result };
-                self.at(delay_ms, Event::Deliver(index, life, message));
-            }
-            Event::OrderAt(index, life, call, address, order) => {
-                let now_ms = self.now_ms;
-                let result = match self.engines.get_mut(&address) {
-                    Some(engine) => engine.order(&order, now_ms),
-                    None => Err(EngineCallFailure::NotSent),
-                };
-                let message = ControlMessage::EngineAnswered { call, result };
-                let delay_ms = self.delay();
-                self.at(delay_ms, Event::Deliver(index, life, message));
-            }
-            _ => {}
-        }
-    }
-
-    fn lives(&self, index: usize, life: u64) -> bool {
+    pub(super) fn lives(&self, index: usize, life: u64) -> bool {
         self.nodes[index].life == life && self.nodes[index].control.is_some()
     }
 
-    fn report(&mut self, index: usize) {
-        if self.nodes[index].frozen {
-            return;
-        }
-        let call = self.outside(Outside::Entry);
-        let decisions = std::mem::take(&mut self.nodes[index].decisions);
-        let node = &self.nodes[index];
-        let snapshot = node.snapshot.as_ref();
-        let report = EntryReport {
-            wire_version: WIRE_VERSION,
-            incarnation: Incarnation::draw(&mut StdRng::seed_from_u64(node.life)),
-            known_snapshot: snapshot.map_or(0, |snapshot| snapshot.version),
-            stopping: node.entry_stopping,
-            in_flight: 0,
-            demands: node.demands.clone(),
-            draining_endpoints: node.draining.clone(),
-            decisions,
-            revisions: snapshot.map_or_else(IndexMap::new, |snapshot| {
-                let documents = snapshot.documents.iter();
-                let pairs = documents.map(|it| (it.service.clone(), it.revision));
-                pairs.collect()
-            }),
-            capacities: node.capacities.clone(),
-        };
-        self.deliver(index, ControlMessage::EntryReported { call, report });
-    }
-
     pub(super) fn deliver(&mut self, index: usize, message: ControlMessage) {
         let now_ms = self.now_ms;
         let node = &mut self.nodes[index];
@@ -358,210 +246,23 @@
         }
     }
 
-    fn carry_out(&mut self, index: usize, effect: ControlEffect) {
-        let life = self.nodes[index].life;
-        match effect {
-            ControlEffect::AnswerEntry { reply, .. } => {
-                if let Some(snapshot) = reply.snapshot {
-                    self.nodes[index].take(snapshot);
-                }
-            }
-            ControlEffect::AnswerPeer { call, answer } => {
-                if let Some(Outside::Peer(to, to_life, inner)) = self.outside.swap_remove(&call) {
-                    if self.is_cut(index, to) {
-                        return;
-                    }
-                    let message = ControlMessage::PeerAnswered {
-                        call: inner,
-                        result: Ok(answer),
-                    };
-                    let delay_ms = self.delay();
-                    self.at(delay_ms, Event::Deliver(to, to_life, message));
-                }
-            }
-            ControlEffect::AnswerOperator { call, result } => {
-                self.answers.insert(call, result);
-            }
-            ControlEffect::CallPeer {
-                call,
-                address,
-                ask,
-                timeout_ms,
-                ..
-            } => self.call_peer(index, call, address, ask, timeout_ms),
-            ControlEffect::ReadInstances { call, .. } => {
-                let lag_ms = self.faults.list_lag_ms.get(&index).copied().unwrap_or(0);
-                let as_of_ms = self.now_ms.saturating_sub(lag_ms);
-                let list = self.list.iter().rfind(|(at_ms, _)| *at_ms <= as_of_ms);
-                let result = list.map(|(_, list)| Some(list.clone()));
-                let message = ControlMessage::InstancesRead {
-                    call,
-                    result: result.ok_or(InstanceListFailure::NoReply),
-                };
-                let delay_ms = self.delay();
-                self.at(delay_ms, Event::Deliver(index, life, message));
-            }
-            ControlEffect::CallTable { call, table, .. } => self.call_table(index, call, table),
-            ControlEffect::ReadEngine { call, address, .. } => {
-                let now_ms = self.now_ms;
-                let engine = self.engines.get_mut(&address);
-                let state = engine.map(|engine| engine.read(now_ms));
-                let message = ControlMessage::EngineAnswered {
-                    call,
-                    result: state.ok_or(EngineCallFailure::NotSent),
-                };
-                let delay_ms = self.delay();
-                self.at(delay_ms, Event::Deliver(index, life, message));
-            }
-            ControlEffect::SendOrder {
-                call,
-                address,
-                order,
-                valid_until_ms,
-                ..
-            } => {
-                assert!(self.now_ms < valid_until_ms, "an order after its lease");
-                let sender = self.fences.entry(order.fence).or_insert((index, life));
-                assert_eq!(*sender, (index, life), "two holders under one fence");
-                let delay_ms = self.delay();
-                let order = Box::new(order);
-                self.at(delay_ms, Event::OrderAt(index, life, call, address, order));
-            }
-            ControlEffect::Recorded { entry } => self.nodes[index].recorded.push(entry),
-            ControlEffect::Stopped => self.nodes[index].stopped = true,
-        }
-    }
-
-    fn call_table(&mut self, index: usize, call: CallId, table: TableCall) {
-        let life = self.nodes[index].life;
-        let delay_ms = self.delay();
-        if self.is_store_cut(index) {
-            let message = ControlMessage::TableAnswered {
-                call,
-                result: Err(TableFailure::NotSent),
-            };
-            self.at(delay_ms, Event::Deliver(index, life, message));
-            return;
-        }
-        let lost = self.rng.random_range(0..100) < self.faults.lost_percent;
-        let (fate, delay_ms) = match lost {
-            // A call whose reply is lost may take effect much later.
-            true => (Fate::ReplyLost, delay_ms * self.rng.random_range(1..200)),
-            false => (Fate::Whole, delay_ms),
-        };
-        if lost && self.rng.random() {
-            let message = ControlMessage::TableAnswered {
-                call,
-                result: Err(TableFailure::ReplyLost),
-            };
-            self.at(delay_ms, Event::Deliver(index, life, message));
-            return;
-        }
-        self.at(delay_ms, Event::TableAt(index, life, call, table, fate));
-    }
-
-    fn call_peer(
-        &mut self,
-        index: usize,
-        call: CallId,
-        address: SocketAddr,
-        ask: PeerCall,
-        timeout_ms: u64,
-    ) {
-        self.peer_calls += 1;
-        let life = self.nodes[index].life;
-        let failure = ControlMessage::PeerAnswered {
-            call,
-            result: Err(PeerFailure::NoReply),
-        };
-        let mut nodes = self.nodes.iter();
-        let to = nodes.position(|node| node.control_address == address);
-        let to = to.filter(|to| self.nodes[*to].control.is_some());
-        let Some(to) = to else {
-            self.at(1, Event::Deliver(index, life, failure));
-            return;
-        };
-        self.at(timeout_ms, Event::Deliver(index, life, failure));
-        if !self.is_cut(index, to) {
-            let outer = self.outside(Outside::Peer(index, life, call));
-            let message = ControlMessage::PeerAsked { call: outer, ask };
-            let delay_ms = self.delay();
-            let to_life = self.nodes[to].life;
-            self.at(delay_ms, Event::Deliver(to, to_life, message));
-        }
-    }
-
-    /// Whether no byte passes between two instances.
-    pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.faults.peers_cut.contains(&a) != self.faults.peers_cut.contains(&b)
-    }
-
-    fn outside(&mut self, outside: Outside) -> CallId {
+    pub(super) fn outside(&mut self, outside: Outside) -> CallId {
         self.last += 1;
         let call = CallId(self.last);
         self.outside.insert(call, outside);
         call
     }
 
-    fn delay(&mut self) -> u64 {
-        self.rng.random_range(1..15)
+    pub(super) fn delay(&mut self) -> u64 {
+        match self.rng.random_range(0..100) < self.faults.slow_percent {
+            true => self.rng.random_range(400..600),
+            false => self.rng.random_range(1..15),
+        }
     }
 
-    fn at(&mut self, in_ms: u64, event: Event) {
+    pub(super) fn at(&mut self, in_ms: u64, event: Event) {
         self.last += 1;
         self.events.push(Reverse((self.now_ms + in_ms, self.last)));
         self.bodies.insert(self.last, event);
     }
 }
-
-impl Node {
-    fn new(index: usize) -> Self {
-        let host = [10, 0, 0, index as u8];
-        Self {
-            instance: InstanceId::from(format!("entry-{index}")),
-            control_address: SocketAddr::from((host, 2)),
-            address: SocketAddr::from((host, 1)),
-            control: None,
-            life: 0,
-            started_ms: 0,
-            frozen: false,
-            inbox: Vec::new(),
-            snapshot: None,
-            highest: IndexMap::new(),
-            entry_stopping: false,
-            draining: Vec::new(),
-            decisions: Vec::new(),
-            demands: Vec::new(),
-            capacities: Vec::new(),
-            stopped: false,
-            recorded: Vec::new(),
-        }
-    }
-
-    fn record(&self) -> InstanceRecord {
-        InstanceRecord {
-            name: self.instance.to_string(),
-            role: InstanceRole::Entry,
-            service: None,
-            zone: ZoneName::from("z"),
-            address: self.address,
-            control_address: Some(self.control_address),
-            phase: InstancePhase::Live,
-        }
-    }
-
-    /// The entry takes a snapshot; no revision may fall below any that this instance ever had.
-    fn take(&mut self, snapshot: Snapshot) {
-        for document in &snapshot.documents {
-            let highest = self.highest.entry(document.service.clone()).or_insert(0);
-            assert!(
-                *highest <= document.revision,
-                "{} goes back from revision {highest} to {}",
-                self.instance,
-                document.revision
-            );
-            *highest = document.revision;
-        }
-        self.snapshot = Some(snapshot);
-    }
-}
--- a/src/revision/watch.rs
+++ b/src/revision/watch.rs
@@ -11,6 +11,8 @@
 
 /// Head rows read in one scan; more services are read in further scans.
 const HEADS_PER_SCAN: u32 = 256;
+/// Pause after a first failure; it doubles up to the usual pause between polls.
+const RETRY_MS: u64 = 200;
 /// Documents read in one call, so that a reply stays far below any limit.
 const DOCUMENTS_PER_READ: usize = 8;
 
@@ -46,14 +48,21 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Watch {
     step: Step,
-    /// Time of the next poll.
+    /// Time of the next poll, or of the repetition of a call that failed.
     next_ms: u64,
+    /// When the next poll is due if this one ends well.
+    next_poll_ms: u64,
     /// Version of the changes row as of the last whole poll; `None` before the first.
     seen: Option<u64>,
     /// Version of the changes row as of this poll.
     reading: u64,
     /// Whether the last call succeeded.
     reachable: bool,
+    /// The call that is under way, or failed and is to be repeated.
+    call: Option<TableCall>,
+    under_way: bool,
+    /// Failures since the last call that succeeded.
+    failures: u32,
 }
 
 impl Watch {
@@ -62,9 +71,13 @@
         Self {
             step: Step::Idle,
             next_ms: now_ms,
+            next_poll_ms: now_ms,
             seen: None,
             reading: 0,
             reachable: false,
+            call: None,
+            under_way: false,
+            failures: 0,
         }
     }
 
@@ -78,17 +91,29 @@
         self.reachable
     }
 
-    /// Starts a poll if one is due.
+    /// Starts a poll, or repeats a call that failed, if that is due.
     pub(crate) fn poll(&mut self, period_ms: u64, now_ms: u64) -> Option<TableCall> {
         self.next_ms = self.next_ms.min(now_ms + period_ms);
-        if self.step != Step::Idle || now_ms < self.next_ms {
+        if self.under_way || now_ms < self.next_ms {
             return None;
         }
-        self.next_ms = now_ms + period_ms;
-        self.step = Step::Changes;
-        Some(TableCall::Read(ReadRows {
-            keys: vec![CHANGES_KEY.to_owned()],
-        }))
+        self.next_ms = now_ms + self.pause_ms(period_ms);
+        self.under_way = true;
+        if self.call.is_none() {
+            self.next_poll_ms = now_ms + period_ms;
+            self.step = Step::Changes;
+            self.call = Some(TableCall::Read(ReadRows {
+                keys: vec![CHANGES_KEY.to_owned()],
+            }));
+        }
+        self.call.clone()
+    }
+
+    /// How long to wait if the next call fails. A store that fails often is left alone for as
+    /// long as between two polls.
+    fn pause_ms(&self, period_ms: u64) -> u64 {
+        let doubled = RETRY_MS.saturating_mul(1 << self.failures.min(10));
+        doubled.min(period_ms)
     }
 
     /// Takes the answer to the poll's last call.
@@ -97,18 +122,29 @@
         result: Result<TableReply, TableFailure>,
         documents: &Documents,
     ) -> WatchStep {
-        let step = std::mem::replace(&mut self.step, Step::Idle);
         let Ok(TableReply::Read(rows)) = result else {
             self.reachable = false;
+            self.under_way = false;
+            self.failures = self.failures.saturating_add(1);
             return WatchStep::Failed;
         };
         self.reachable = true;
-        match step {
+        self.failures = 0;
+        let next = match std::mem::replace(&mut self.step, Step::Idle) {
             Step::Idle => WatchStep::Failed,
             Step::Changes => self.changes_read(&rows.rows),
             Step::Heads { newer } => self.heads_read(&rows.rows, newer, documents),
             Step::Documents { rest } => self.documents_read(&rows.rows, rest),
+        };
+        self.call = match &next {
+            WatchStep::Call(call) | WatchStep::ReadAndCall(_, call) => Some(call.clone()),
+            WatchStep::Read(_) | WatchStep::Failed => None,
+        };
+        self.under_way = self.call.is_some();
+        if !self.under_way {
+            self.next_ms = self.next_poll_ms;
         }
+        next
     }
 
     fn changes_read(&mut self, rows: &[Row]) -> WatchStep {
