--- a/bench/src/slopes/cell.rs
+++ b/bench/src/slopes/cell.rs
@@ -66,6 +66,8 @@
     rss_mb: f64,
     peer_bytes_per_s: f64,
     platform_bytes_per_s: f64,
+    /// Peers and platform together, of the instance with the most.
+    most_bytes_per_s: f64,
     table_reads_per_s: f64,
     table_writes_per_s: f64,
 }
@@ -73,11 +75,12 @@
 /// Name of a figure, its unit, and how it is read off a cost.
 type Column = (&'static str, &'static str, fn(&Cost) -> f64);
 
-const COLUMNS: [Column; 6] = [
+const COLUMNS: [Column; 7] = [
     ("control_core", "percent", |c| c.core_percent),
     ("control_rss", "MB", |c| c.rss_mb),
     ("control_peer", "bytes/s", |c| c.peer_bytes_per_s),
     ("control_platform", "bytes/s", |c| c.platform_bytes_per_s),
+    ("control_most_bytes", "bytes/s", |c| c.most_bytes_per_s),
     ("cell_table_reads", "reads/s", |c| c.table_reads_per_s),
     ("cell_table_writes", "writes/s", |c| c.table_writes_per_s),
 ];
@@ -201,12 +204,19 @@
     })
 }
 
+/// What one control had spent by then.
+#[derive(Clone, Copy, Debug)]
+struct ControlReading {
+    usage: Usage,
+    peer_bytes: u64,
+    platform_bytes: u64,
+}
+
 /// What was counted at one moment.
 struct Reading {
     at: Instant,
-    usages: Vec<Usage>,
-    peer_bytes: u64,
-    platform_bytes: u64,
+    /// One for each instance.
+    controls: Vec<ControlReading>,
     table: TableCounters,
 }
 
@@ -215,31 +225,37 @@
     actix_rt::time::sleep(time).await;
     let after = read(fleet).await?;
     let elapsed_s = after.at.duration_since(before.at).as_secs_f64();
-    let instances = after.usages.len() as f64;
-    let core_percent: f64 = before
-        .usages
-        .iter()
-        .zip(&after.usages)
-        .map(|(earlier, later)| later.core_percent_since(*earlier, elapsed_s))
-        .sum();
-    let rss_mb: f64 = after.usages.iter().map(|usage| usage.rss_mb).sum();
+    let pairs: Vec<_> = before.controls.iter().zip(&after.controls).collect();
     let rate = |earlier: u64, later: u64| later.saturating_sub(earlier) as f64 / elapsed_s;
+    let peer = |a: &ControlReading, b: &ControlReading| rate(a.peer_bytes, b.peer_bytes);
+    let platform =
+        |a: &ControlReading, b: &ControlReading| rate(a.platform_bytes, b.platform_bytes);
+    let both = pairs.iter().map(|(a, b)| peer(a, b) + platform(a, b));
     Ok(Cost {
-        core_percent: core_percent / instances,
-        rss_mb: rss_mb / instances,
-        peer_bytes_per_s: rate(before.peer_bytes, after.peer_bytes) / instances,
-        platform_bytes_per_s: rate(before.platform_bytes, after.platform_bytes) / instances,
+        core_percent: mean(&pairs, |a, b| {
+            b.usage.core_percent_since(a.usage, elapsed_s)
+        }),
+        rss_mb: mean(&pairs, |_, b| b.usage.rss_mb),
+        peer_bytes_per_s: mean(&pairs, peer),
+        platform_bytes_per_s: mean(&pairs, platform),
+        most_bytes_per_s: both.fold(0.0, f64::max),
         table_reads_per_s: rate(before.table.reads, after.table.reads),
         table_writes_per_s: rate(before.table.writes, after.table.writes),
     })
 }
 
+/// Mean of a figure over the instances, each read twice.
+fn mean<F>(pairs: &[(&ControlReading, &ControlReading)], figure: F) -> f64
+where
+    F: Fn(&ControlReading, &ControlReading) -> f64,
+{
+    pairs.iter().map(|(a, b)| figure(a, b)).sum::<f64>() / pairs.len() as f64
+}
+
 async fn read(fleet: &Fleet) -> Result<Reading, FleetError> {
     let mut reading = Reading {
         at: Instant::now(),
-        usages: Vec::new(),
-        peer_bytes: 0,
-        platform_bytes: 0,
+        controls: Vec::new(),
         table: fleet
             .standins()
             .get(fleet.topology().platform.table, "/standin/counters")
@@ -252,10 +268,13 @@
         let (_, process) = process.ok_or_else(|| FleetError::NoSuchProcess {
             name: name.to_string(),
         })?;
-        reading.usages.push(read_usage(process.id())?);
+        let usage = read_usage(process.id())?;
         let page = read_page(entry.control_address, &key).await?;
-        reading.peer_bytes += both_ways(&page, "peer");
-        reading.platform_bytes += both_ways(&page, "platform");
+        reading.controls.push(ControlReading {
+            usage,
+            peer_bytes: both_ways(&page, "peer"),
+            platform_bytes: both_ways(&page, "platform"),
+        });
     }
     Ok(reading)
 }
