Process test: a caller that comes back under its request id joins the running answer

The engines count one stream opened; the test beside it passes also when the answer is generated again at another entry, since answers are a function of the prompt.

--- a/bench/tests/processes/env.rs
+++ b/bench/tests/processes/env.rs
@@ -11,6 +11,7 @@
     Ask, Book, Caller, CallerOptions, FinalWord, ModelTarget, Request, Shape, SharedBook,
 };
 use fescue_bench::deployment::{self, Deployment};
+use fescue_bench::engine::EngineCounters;
 use fescue_bench::fleet::{Fleet, wait_until};
 use fescue_bench::mix::{Lengths, Mix, Parts};
 use fescue_bench::proxy::Proxy;
@@ -179,6 +180,20 @@
         sum
     }
 
+    /// Streams opened at the engines, rebuilt ones included.
+    pub async fn streams_opened(&self) -> u64 {
+        let mut sum = 0;
+        for engine in &self.fleet.topology().engines {
+            let page = self
+                .fleet
+                .standins()
+                .get(engine.address, "/standin/counters");
+            let counters: EngineCounters = page.await.expect("counters");
+            sum += counters.streams_opened;
+        }
+        sum
+    }
+
     /// Sets a fault at a stand-in.
     pub async fn fault(&self, address: SocketAddr, fault: Fault) {
         let request = FaultRequest::here(fault);
--- a/bench/tests/processes/silence.rs
+++ b/bench/tests/processes/silence.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use fescue_bench::caller::{Caller, CallerOptions, FinalWord};
+use fescue_bench::caller::{
+    AttemptEnd, BrokenBy, Caller, CallerOptions, FinalWord, Patience, attempt, check_answer,
+};
 use fescue_bench::proxy::Proxy;
 use uuid::Uuid;
 
@@ -74,3 +76,35 @@
     assert!(env.book.borrow().counts().broken > 0, "nothing went silent");
     env.assert_clean().await;
 }
+
+#[actix_rt::test]
+async fn a_caller_that_comes_back_under_its_request_id_joins_the_running_answer() {
+    let mut env = Env::start().await;
+    let address = env.fleet.spare_address();
+    let relay = Proxy::start(address, env.entry(0)).await.expect("proxy");
+    let http = awc::Client::default();
+    let request = stream("a stream to come back to", TOKENS);
+    let mut tokens = 0;
+    let patience = Patience {
+        silence: Duration::from_secs(1),
+        ..Patience::default()
+    };
+    let first = attempt(&http, address, &request, patience, || {
+        tokens += 1;
+        if tokens == 5 {
+            relay.silence();
+        }
+    });
+    assert_eq!(first.await, AttemptEnd::Broken(BrokenBy::Silent));
+    let second = attempt(&http, env.entry(0), &request, Patience::default(), || ());
+    let AttemptEnd::Answered(answer) = second.await else {
+        panic!("no whole answer");
+    };
+    assert_eq!(check_answer(&request, &answer), Ok(()));
+    assert_eq!(
+        env.streams_opened().await,
+        1,
+        "the answer was generated twice"
+    );
+    env.assert_clean().await;
+}
