--- a/src/admission/overload.rs
+++ b/src/admission/overload.rs
@@ -18,12 +18,11 @@
 const DOUBT: f64 = 1.25;
 /// Least time with a backlog before the drain rate counts.
 const DRAIN_LEAST_MS: f64 = 300.0;
+/// Part of what this entry's shares come to that is taken for granted.
+const EXPECTED_PART: f64 = 0.5;
 /// Shortest and longest time to come back, before jitter.
 const RETRY_FLOOR_MS: f64 = 300.0;
 const RETRY_LIMIT_MS: f64 = 15_000.0;
-/// Refused requests are called back at this many times the account's rate. One that comes too early
-/// is refused once more; while those called back come too late, the account's share is idle.
-const CALL_BACK_RATE: f64 = 2.0;
 /// Time to come back while no rate is known.
 const RETRY_BLIND_MS: f64 = 1_000.0;
 
@@ -101,11 +100,18 @@
         }
     }
 
-    /// Tokens a second that the service gets done, if known.
+    /// Tokens a second that the service gets done for this entry, if known. Where measurements and
+    /// shares differ the higher counts: a rate taken for too low refuses what could be served.
     fn drain_per_s(&self) -> Option<f64> {
-        self.drain
-            .per_s(DRAIN_LEAST_MS)
-            .or_else(|| self.charged_capacity())
+        let measured = self.drain.per_s(DRAIN_LEAST_MS);
+        let now = self.drain_now.per_s(DRAIN_LEAST_MS);
+        let capacity = self.charged_capacity();
+        let shared = self.entry_part().zip(capacity);
+        let expected = shared.map(|(part, capacity)| part * capacity * EXPECTED_PART);
+        let known = [measured, now, expected].into_iter().flatten();
+        known
+            .reduce(f64::max)
+            .or(capacity)
             .map(|rate| rate.max(1.0))
     }
 
@@ -156,8 +162,8 @@
         let Some(pace) = self.pace(queue) else {
             return (RETRY_BLIND_MS * jitter) as u64;
         };
-        let cost_ms = cost_tokens * 1_000.0 / (pace.share_per_s * CALL_BACK_RATE);
-        let free_ms = now_ms as f64 + pace.wait_ms(queue.backlog_tokens) / CALL_BACK_RATE;
+        let cost_ms = cost_tokens * 1_000.0 / pace.share_per_s;
+        let free_ms = now_ms as f64 + pace.wait_ms(queue.backlog_tokens);
         let promised_ms = queue.promised_ms.max(free_ms) + cost_ms;
         let limit_ms = now_ms as f64 + RETRY_LIMIT_MS;
         self.account(account, now_ms).promised_ms = promised_ms.min(limit_ms);
--- a/src/admission/service.rs
+++ b/src/admission/service.rs
@@ -15,6 +15,8 @@
 
 /// Time constant of the measured drain rate.
 const DRAIN_WINDOW_MS: f64 = 5_000.0;
+/// The same for the present rate, which counts where it is higher: after an outage.
+const DRAIN_NOW_WINDOW_MS: f64 = 1_000.0;
 /// Time constant of how much of what is charged is generated.
 const PROMPT_WINDOW_MS: f64 = 20_000.0;
 /// Generated tokens below which prompts are not counted into the capacity.
@@ -34,8 +36,9 @@
     /// What is charged, prompts included, and the part of it that was generated.
     charged: RateMeter,
     generated: RateMeter,
-    /// What is spent while something waits.
+    /// What is spent while something waits and something runs, over a long and a short time.
     pub(super) drain: RateMeter,
+    pub(super) drain_now: RateMeter,
     pub(super) budget: RetryBudget,
     /// State of the jitter.
     pub(super) draws: u64,
@@ -52,6 +55,7 @@
             charged: RateMeter::new(PROMPT_WINDOW_MS, 0),
             generated: RateMeter::new(PROMPT_WINDOW_MS, 0),
             drain: RateMeter::new(DRAIN_WINDOW_MS, 0),
+            drain_now: RateMeter::new(DRAIN_NOW_WINDOW_MS, 0),
             budget: RetryBudget::new(),
             draws: seed,
         }
@@ -194,8 +198,9 @@
             meter.advance(now_ms);
         }
         self.charged.add(f64::from(tokens));
-        if self.queued > 0 {
+        if self.is_draining() {
             self.drain.add(f64::from(tokens));
+            self.drain_now.add(f64::from(tokens));
         }
         self.account(account, now_ms)
             .charge(f64::from(tokens), now_ms);
@@ -252,14 +257,23 @@
             .or_insert_with(|| AccountQueue::new(1.0, Priority::Standard, now_ms))
     }
 
-    /// Lets time pass; the drain rate is watched only while something waits.
+    /// Lets time pass; the drain rate is watched only while the service drains.
     pub(super) fn watch(&mut self, now_ms: u64) {
-        match self.queued {
-            0 => self.drain.skip(now_ms),
-            _ => self.drain.advance(now_ms),
+        let draining = self.is_draining();
+        for meter in [&mut self.drain, &mut self.drain_now] {
+            match draining {
+                true => meter.advance(now_ms),
+                false => meter.skip(now_ms),
+            }
         }
     }
 
+    /// Whether something waits and something runs. While nothing runs, as in an outage, nothing is
+    /// learnt of how fast the service is.
+    fn is_draining(&self) -> bool {
+        self.queued > 0 && self.callers.len() > self.queued
+    }
+
     fn set_local_weights(&mut self) {
         let (mut weight, mut entitled) = (0.0, 0.0);
         for queue in self.accounts.values() {
