A version change under load loses no request: chains of both versions serve meanwhile

Engines are brought to an accepted version a few at a time, but an entry only planned chains of the version offered, so nothing was served from the acceptance until the first whole chain of it. The router now names the other versions that engines of the service hold, counts them in the capacity, and the entry plans one of them where the offered one has no room.

--- a/bench/tests/control/main.rs
+++ b/bench/tests/control/main.rs
@@ -4,3 +4,5 @@
 mod cost;
 #[cfg(test)]
 mod env;
+#[cfg(test)]
+mod rollout;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -52,7 +52,7 @@
 pub(crate) struct Completion {
     /// The stream; one for all epochs.
     pub(crate) stream: StreamId,
-    /// The model as offered when the request arrived.
+    /// The model as offered when the request arrived; once a chain is planned, in its version.
     pub(crate) model: ModelOffer,
     /// Adapter, if any.
     pub(crate) adapter: Option<String>,
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -6,7 +6,8 @@
 use super::book::Answer;
 use super::machine::{Call, Entry, Flow};
 use crate::chain::{Chain, ChainEffect, ChainMessage, ChainSpec, DropCause, Expected};
-use crate::ids::EndpointId;
+use crate::document::ModelOffer;
+use crate::ids::{EndpointId, ServiceName};
 use crate::instance::EntryEffect;
 use crate::routing::{NoRoute, Policy, RouteAsk};
 use crate::wire::engine::{OpenStream, Stage};
@@ -24,16 +25,8 @@
         let Work::Completion(completion) = &mut attempt.work else {
             return Ok(Flow::GoesOn);
         };
-        let ask = RouteAsk {
-            stream: completion.stream,
-            service: &attempt.service,
-            model: &completion.model,
-            adapter: completion.adapter.as_deref(),
-            prompt: &completion.prompt,
-            previous: &[],
-            exclude: &[],
-        };
-        let stages = self.router.plan(&ask, now_ms)?;
+        let (offer, stages) = self.plan_any_version(&attempt.service, completion, now_ms)?;
+        completion.model = offer;
         let expected = self.expected(&completion.model.name, &stages, completion.prompt_tokens);
         let spec = ChainSpec {
             stream: completion.stream,
@@ -58,6 +51,34 @@
         Ok(self.carry_out(attempt, effects, now_ms))
     }
 
+    /// Plans a chain of the version offered or, while engines change, of one that others still
+    /// hold. The answer then comes from that version as a whole.
+    fn plan_any_version(
+        &mut self,
+        service: &ServiceName,
+        completion: &Completion,
+        now_ms: u64,
+    ) -> Result<(ModelOffer, Vec<Stage>), NoRoute> {
+        let mut failure = NoRoute::Incomplete;
+        for offer in self.router.offers_held(service, &completion.model) {
+            let ask = RouteAsk {
+                stream: completion.stream,
+                service,
+                model: &offer,
+                adapter: completion.adapter.as_deref(),
+                prompt: &completion.prompt,
+                previous: &[],
+                exclude: &[],
+            };
+            match self.router.plan(&ask, now_ms) {
+                Ok(stages) => return Ok((offer, stages)),
+                Err(NoRoute::Full) => failure = NoRoute::Full,
+                Err(NoRoute::Incomplete) => {}
+            }
+        }
+        Err(failure)
+    }
+
     fn expected(&self, model: &str, stages: &[Stage], tokens: u32) -> Expected {
         let history = self.prefill.get(model).copied().unwrap_or_default();
         Expected {
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -5,5 +5,6 @@
 mod fixture;
 mod paths;
 mod verdicts;
+mod versions;
 mod views;
 mod world;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -594,14 +594,35 @@
         self.capacities.get(service).copied().unwrap_or(0.0)
     }
 
+    /// The offer, and behind it the same offer under each other version that an engine of the
+    /// service holds. While engines change from one version to another, chains of both serve.
+    pub fn offers_held(&self, service: &ServiceName, model: &ModelOffer) -> Vec<ModelOffer> {
+        let mut offers = vec![model.clone()];
+        let engines = self.table.all.values().filter(|it| it.service == *service);
+        for state in engines.filter_map(|engine| engine.state.as_ref()) {
+            let known = offers.iter().any(|offer| offer.version == state.version);
+            if state.model == model.name && !known {
+                offers.push(ModelOffer {
+                    version: state.version.clone(),
+                    ..model.clone()
+                });
+            }
+        }
+        offers
+    }
+
     fn update_capacities(&mut self, now_ms: u64) {
         let mut capacities = IndexMap::new();
         for (service, document) in &self.documents.clone() {
             let ServiceKind::Model(models) = &document.kind else {
                 continue;
             };
-            let bounds = models.values().map(|model| {
-                let at = self.routes_for(service, model, None, now_ms);
+            let offers = models
+                .values()
+                .flat_map(|model| self.offers_held(service, model));
+            let offers: Vec<ModelOffer> = offers.collect();
+            let bounds = offers.iter().map(|offer| {
+                let at = self.routes_for(service, offer, None, now_ms);
                 self.routes[at].bound_tokens_per_s
             });
             capacities.insert(service.clone(), bounds.sum());
