A caller gone silent does not hold up a planned stop for ever

A connection that takes no more bytes keeps the rest of its answer waiting for as long as the kernel tries, a quarter of an hour and more, and the stop with it. Once every answer is there and no caller has taken anything for a minute, those left count as gone and are logged. The new test hung before.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -44,11 +44,13 @@
 /// Sending half, kept by the actor.
 pub(crate) type CallerSender = mpsc::Sender<CallerEvent>;
 
-/// Numbers of callers, and how many have not got their whole answer yet.
+/// Numbers of callers, how many have not got their whole answer yet, and whether they read.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CallerCount {
     next: Arc<AtomicU64>,
     open: Arc<AtomicUsize>,
+    /// Times that any caller's connection took something; only grows.
+    taken: Arc<AtomicU64>,
 }
 
 impl CallerCount {
@@ -57,6 +59,11 @@
         self.open.load(Ordering::Acquire)
     }
 
+    /// Times that any caller's connection took something.
+    pub(crate) fn taken(&self) -> u64 {
+        self.taken.load(Ordering::Relaxed)
+    }
+
     fn enter(&self) -> CallerId {
         self.open.fetch_add(1, Ordering::AcqRel);
         CallerId(self.next.fetch_add(1, Ordering::Relaxed))
@@ -110,6 +117,7 @@
 
     fn note(&mut self, last: Option<&CallerEvent>) {
         self.finished |= !matches!(last, Some(CallerEvent::Token { .. }));
+        self.count.taken.fetch_add(1, Ordering::Relaxed);
     }
 }
 
@@ -119,5 +127,6 @@
             self.actor.do_send(CallerLeft { caller: self.id });
         }
         self.count.open.fetch_sub(1, Ordering::AcqRel);
+        self.count.taken.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, Addr, Arbiter};
 use actix_web::dev::ServerHandle;
@@ -35,6 +35,9 @@
 const BODY_TIMEOUT_MS: u64 = 10_000;
 /// Time between two looks at whether every answer has left.
 const FLUSH_CHECK: Duration = Duration::from_millis(5);
+/// Once every answer is there, callers that take nothing of theirs for so long are gone: their
+/// connections have gone silent, and would hold up a planned stop for as long as the kernel tries.
+const FLUSH_STALL: Duration = Duration::from_secs(60);
 
 /// What the decisions of an entry rest on. The product has one variant, the default; others are
 /// baselines of measurements.
@@ -90,7 +93,12 @@
     let callers = process.gateway.callers.clone();
     log::info!(instance, in_flight = callers.open(); "entry stopping");
     let exit = tokio::select! {
-        () = process.stop() => Exit::Success,
+        left = process.stop() => {
+            if left > 0 {
+                log::warn!(instance, callers = left; "callers gone silent; their answers were dropped");
+            }
+            Exit::Success
+        }
         () = forced(&mut signals, settings.stop.limit_ms) => {
             report_cut(callers.open(), instance);
             Exit::Forced
@@ -134,16 +142,35 @@
     }
 
     /// Tells the entry to stop, and waits until everything in flight has ended and every answer
-    /// has been handed to its connection; then lets the last bytes leave.
-    pub(crate) async fn stop(&mut self) {
+    /// has been handed to its connection; then lets the last bytes leave. Returns how many callers
+    /// took nothing any more and were left with a part of their answer.
+    pub(crate) async fn stop(&mut self) -> usize {
+        self.stop_stalled_after(FLUSH_STALL).await
+    }
+
+    pub(super) async fn stop_stalled_after(&mut self, stall: Duration) -> usize {
         self.gateway.begin_stop();
         self.gateway.actor.do_send(Deliver(EntryMessage::Stop));
         let _ = self.stop_done.wait_for(|done| *done).await;
-        while self.gateway.callers.open() > 0 {
-            tokio::time::sleep(FLUSH_CHECK).await;
+        let left = flush(&self.gateway.callers, stall).await;
+        self.server.stop(left == 0).await;
+        left
+    }
+}
+
+/// Waits until no caller is left without its whole answer, or those left take nothing any more.
+/// Returns how many are left.
+async fn flush(callers: &CallerCount, stall: Duration) -> usize {
+    let mut taken = callers.taken();
+    let mut since = Instant::now();
+    while callers.open() > 0 && since.elapsed() < stall {
+        tokio::time::sleep(FLUSH_CHECK).await;
+        if callers.taken() != taken {
+            taken = callers.taken();
+            since = Instant::now();
         }
-        self.server.stop(true).await;
     }
+    callers.open()
 }
 
 fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
--- a/src/gateway/tests/slow.rs
+++ b/src/gateway/tests/slow.rs
@@ -21,6 +21,7 @@
 use crate::wire::local::{EntryReport, ExchangeReply};
 
 const AT_ONCE: Duration = Duration::ZERO;
+const SHORT: Duration = Duration::from_millis(100);
 
 async fn send(entry: &TestEntry, text: &str) -> TcpStream {
     let mut stream = TcpStream::connect(entry.process.address).await.unwrap();
@@ -50,9 +51,8 @@
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
 }
 
-#[actix_web::test]
-async fn a_caller_that_reads_nothing_is_dropped_and_its_stream_cut() {
-    let entry = start(AT_ONCE).await;
+/// A caller that asks for tokens and reads none of them.
+fn ask_unread(entry: &TestEntry, max_tokens: u32) -> WaitingCaller {
     let gateway = &entry.process.gateway;
     let (caller, events) = WaitingCaller::open(gateway.actor.clone(), gateway.callers.clone());
     let request = CallerRequest {
@@ -64,7 +64,7 @@
         body: RequestBody::Completion {
             model: "menu-mind-24b".to_owned(),
             prompt: "x".to_owned(),
-            max_tokens: 2 * EVENTS_LIMIT as u32,
+            max_tokens,
         },
     };
     gateway.actor.do_send(CallerArrived {
@@ -72,10 +72,26 @@
         request,
         events,
     });
+    caller
+}
+
+#[actix_web::test]
+async fn a_caller_that_reads_nothing_is_dropped_and_its_stream_cut() {
+    let entry = start(AT_ONCE).await;
+    let _unread = ask_unread(&entry, 2 * EVENTS_LIMIT as u32);
     let cut = entry.seen.streams_cut.clone();
     wait_until(|| cut.load(Ordering::SeqCst) == 1).await;
 }
 
+#[actix_web::test]
+async fn a_caller_gone_silent_does_not_hold_up_a_stop() {
+    let mut entry = start(AT_ONCE).await;
+    let _unread = ask_unread(&entry, 3);
+    let stop = entry.process.stop_stalled_after(SHORT);
+    let left = tokio::time::timeout(DEADLINE, stop).await;
+    assert_eq!(left, Ok(1));
+}
+
 #[actix_web::test]
 async fn an_idle_connection_does_not_hold_up_a_stop() {
     let mut entry = start(AT_ONCE).await;
@@ -83,7 +99,7 @@
     let mut answer = [0; 512];
     assert_ne!(idle.read(&mut answer).await.unwrap(), 0);
     let stopped = tokio::time::timeout(DEADLINE, entry.process.stop()).await;
-    assert!(stopped.is_ok());
+    assert_eq!(stopped, Ok(0));
 }
 
 struct TestControl {
