Control tells each entry its part of a service's slots

Cause: shares weigh accounts at each entry, while every entry owns the same part of the engines' slots.

Routing doesn't use them yet.

--- a/src/control/exchange.rs
+++ b/src/control/exchange.rs
@@ -4,8 +4,7 @@
 use crate::instance::{CallId, ControlEffect};
 use crate::wire::WIRE_VERSION;
 use crate::wire::local::{
-    AccountShare, DocumentInForce, EndpointRecord, EntryRecord, EntryReport, ExchangeReply,
-    Snapshot,
+    DocumentInForce, EndpointRecord, EntryRecord, EntryReport, ExchangeReply, Snapshot,
 };
 use crate::wire::peer::PeerPhase;
 use crate::wire::platform::InstancePhase;
@@ -94,18 +93,14 @@
         let changed = keeper.documents_changed
             || known.endpoints != endpoints
             || known.entries != entries
-            || known.shares != shares;
+            || known.shares != shares
+            || known.parts != self.shares.parts();
         if changed {
-            self.replace_snapshot(endpoints, entries, shares.to_vec());
+            self.replace_snapshot(endpoints, entries);
         }
     }
 
-    fn replace_snapshot(
-        &mut self,
-        endpoints: Vec<EndpointRecord>,
-        entries: Vec<EntryRecord>,
-        shares: Vec<AccountShare>,
-    ) {
+    fn replace_snapshot(&mut self, endpoints: Vec<EndpointRecord>, entries: Vec<EntryRecord>) {
         let documents = self
             .documents
             .iter()
@@ -122,7 +117,8 @@
             documents,
             endpoints,
             entries,
-            shares,
+            shares: self.shares.current().to_vec(),
+            parts: self.shares.parts().to_vec(),
         };
     }
 
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -4,9 +4,9 @@
 
 use super::Control;
 use crate::document::Document;
-use crate::fairness::{EntryDemand, EntryShare, split_shares};
-use crate::ids::{AccountId, ServiceName};
-use crate::wire::local::{AccountShare, EntryReport};
+use crate::fairness::{EntryDemand, EntryShare, entry_pieces, split_shares};
+use crate::ids::{AccountId, InstanceId, ServiceName};
+use crate::wire::local::{AccountShare, EntryPart, EntryReport};
 use crate::wire::peer::{PeerDemand, ServiceDemand};
 
 /// Pause between two splits.
@@ -31,6 +31,7 @@
     next_ms: u64,
     next_tell_ms: u64,
     current: Vec<AccountShare>,
+    parts: Vec<EntryPart>,
 }
 
 impl Shares {
@@ -62,6 +63,11 @@
         &self.current
     }
 
+    /// The own entry's parts in force.
+    pub(super) fn parts(&self) -> &[EntryPart] {
+        &self.parts
+    }
+
     /// The demand as peers are told of it.
     fn demand(&self) -> IndexMap<ServiceName, ServiceDemand> {
         let mut services: IndexMap<ServiceName, ServiceDemand> = IndexMap::new();
@@ -88,7 +94,9 @@
         }
         self.shares.next_ms = now_ms + PERIOD_MS;
         self.tell_demand(now_ms);
-        let shares = self.split(now_ms);
+        let all = self.split_all(now_ms);
+        self.shares.parts = self.own_parts(&all, now_ms);
+        let shares = self.own_shares(all);
         if shares_differ(&shares, &self.shares.current) {
             self.shares.current = shares;
         }
@@ -117,10 +125,10 @@
         totals
     }
 
-    fn split(&self, now_ms: u64) -> Vec<AccountShare> {
+    fn own_shares(&self, all: Vec<(ServiceName, EntryShare)>) -> Vec<AccountShare> {
         let own = &self.config.instance;
-        let all = self.split_all(now_ms).into_iter();
-        all.filter(|(_, share)| share.entry == *own)
+        all.into_iter()
+            .filter(|(_, share)| share.entry == *own)
             .map(|(service, share)| AccountShare {
                 service,
                 account: share.account,
@@ -130,13 +138,37 @@
             .collect()
     }
 
-    fn split_all(&self, now_ms: u64) -> Vec<(ServiceName, EntryShare)> {
+    /// The own entry's part of each service that has shares.
+    fn own_parts(&self, all: &[(ServiceName, EntryShare)], now_ms: u64) -> Vec<EntryPart> {
+        let told = self.told_demands(now_ms);
+        let entries: Vec<InstanceId> = told.iter().map(|told| told.instance.clone()).collect();
+        let mut services: IndexMap<&ServiceName, Vec<EntryShare>> = IndexMap::new();
+        for (service, share) in all {
+            services.entry(service).or_default().push(share.clone());
+        }
+        let parts = services.into_iter().filter_map(|(service, shares)| {
+            let pieces = *entry_pieces(&shares, &entries).get(&self.config.instance)?;
+            Some(EntryPart {
+                service: service.clone(),
+                first_piece: pieces.first,
+                end_piece: pieces.end,
+            })
+        });
+        parts.collect()
+    }
+
+    /// The demands of the own entry and of all live peers.
+    fn told_demands(&self, now_ms: u64) -> Vec<&PeerDemand> {
         let members = self.gossip.members().values();
         let live = members.filter(|member| member.is_live(now_ms));
         let peers = live.filter_map(|member| member.demand.as_ref());
-        let all: Vec<&PeerDemand> = std::iter::once(self.gossip.own_demand())
+        std::iter::once(self.gossip.own_demand())
             .chain(peers)
-            .collect();
+            .collect()
+    }
+
+    fn split_all(&self, now_ms: u64) -> Vec<(ServiceName, EntryShare)> {
+        let all = self.told_demands(now_ms);
         let mut shares = Vec::new();
         for (service, held) in self.documents.iter() {
             let split = split_service(service, &held.document, &all);
--- a/src/entry/tests/fixture.rs
+++ b/src/entry/tests/fixture.rs
@@ -135,6 +135,7 @@
             entry_record("entry-marsa-1", "Marsa", 7003, true),
         ],
         shares: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -1,9 +1,11 @@
 //! Fair shares: weighted max-min, worked out alike on every node.
 
 mod max_min;
+mod parts;
 mod split;
 #[cfg(test)]
 mod tests;
 
 pub use max_min::{ShareClaim, max_min};
+pub use parts::{EntryPieces, PIECES, entry_pieces};
 pub use split::{EntryDemand, EntryShare, split_shares};
--- a/src/fairness/tests/properties.rs
+++ b/src/fairness/tests/properties.rs
@@ -99,4 +99,39 @@
         let due = if shares.is_empty() { 0.0 } else { capacity };
         prop_assert!((given - due).abs() < SLACK * (1.0 + capacity));
     }
+
+    #[test]
+    fn pieces_are_dealt_once_and_by_share(wanted in proptest::collection::vec(0.0..900.0_f64, 1..16)) {
+        let entry = |at: usize| InstanceId::from(format!("entry-{at:02}"));
+        let mut shares: Vec<EntryShare> = wanted
+            .iter()
+            .enumerate()
+            .map(|(at, &tokens_per_s)| EntryShare {
+                entry: entry(at),
+                account: "grill-chain".into(),
+                tokens_per_s,
+                entitled_tokens_per_s: tokens_per_s,
+            })
+            .collect();
+        let mut entries: Vec<InstanceId> = (0..wanted.len()).map(entry).collect();
+        let pieces = entry_pieces(&shares, &entries);
+        let mut next = 0;
+        for at in 0..wanted.len() {
+            let dealt = pieces[&entry(at)];
+            prop_assert_eq!(dealt.first, next);
+            next = dealt.end;
+        }
+        prop_assert_eq!(next, PIECES);
+        let equal = wanted.iter().sum::<f64>() / wanted.len() as f64;
+        for (one, other) in (1..wanted.len()).map(|at| (at - 1, at)) {
+            if wanted[one] >= equal && wanted[other] >= equal {
+                let length = |at| f64::from(pieces[&entry(at)].end - pieces[&entry(at)].first);
+                let ratio = wanted[one] / wanted[other] * length(other);
+                prop_assert!((length(one) - ratio).abs() <= 2.0 + 2.0 * wanted[one] / wanted[other]);
+            }
+        }
+        shares.reverse();
+        entries.reverse();
+        prop_assert_eq!(pieces, entry_pieces(&shares, &entries));
+    }
 }
--- a/src/gateway/tests/fixture.rs
+++ b/src/gateway/tests/fixture.rs
@@ -149,6 +149,7 @@
             serving: true,
         }],
         shares: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
--- a/src/wire/local.rs
+++ b/src/wire/local.rs
@@ -122,6 +122,10 @@
     /// This entry's part of each account's fair share.
     #[serde(default)]
     pub shares: Vec<AccountShare>,
+    /// This entry's part of the slots of each service; all entries' parts are equal where none is
+    /// told.
+    #[serde(default)]
+    pub parts: Vec<EntryPart>,
 }
 
 /// A document in force at this instance.
@@ -178,3 +182,15 @@
     #[serde(default)]
     pub entitled_tokens_per_s: f64,
 }
+
+/// The part of a service's slots that this entry uses while there is contention: the pieces from
+/// `first_piece` up to `end_piece`, of [`crate::fairness::PIECES`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryPart {
+    /// Service.
+    pub service: ServiceName,
+    /// First piece.
+    pub first_piece: u32,
+    /// One past the last piece.
+    pub end_piece: u32,
+}
