--- a/bench/src/cli/mod.rs
+++ b/bench/src/cli/mod.rs
@@ -11,6 +11,7 @@
 use crate::measure::{self, MeasureArgs};
 use crate::slopes::{self, SlopeOptions};
 use crate::soak::{self, SoakOptions};
+use crate::up::{self, UpOptions};
 
 /// Time that a fleet is left alone before its cost is observed.
 const SETTLE: Duration = Duration::from_secs(4);
@@ -56,6 +57,15 @@
         #[arg(long, value_name = "S", default_value_t = 60)]
         seconds: u64,
     },
+    /// Runs a fleet until it is interrupted and prints where it listens.
+    Up {
+        /// The fleet.
+        #[command(flatten)]
+        fleet: DeploymentArgs,
+        /// Accept no document at the start.
+        #[arg(long)]
+        bare: bool,
+    },
 }
 
 /// Which fleet to run.
@@ -72,7 +82,8 @@
         LoadCommand::Measure(args) => return run_measure(args).await,
         LoadCommand::Demo { fleet }
         | LoadCommand::Slopes { fleet, .. }
-        | LoadCommand::Soak { fleet, .. } => fleet,
+        | LoadCommand::Soak { fleet, .. }
+        | LoadCommand::Up { fleet, .. } => fleet,
     };
     let deployment = match deployment::read(&fleet.deployment) {
         Ok(deployment) => deployment,
@@ -82,6 +93,7 @@
         LoadCommand::Demo { .. } => run_demo(deployment).await,
         LoadCommand::Slopes { seconds, .. } => run_slopes(&deployment, seconds).await,
         LoadCommand::Soak { seed, seconds, .. } => run_soak(deployment, seed, seconds).await,
+        LoadCommand::Up { bare, .. } => run_up(deployment, UpOptions { bare }).await,
         // It may run more than one fleet, and was begun above.
         LoadCommand::Measure(_) => ExitCode::SUCCESS,
     }
@@ -134,6 +146,13 @@
     }
 }
 
+async fn run_up(deployment: Deployment, options: UpOptions) -> ExitCode {
+    match up::run(deployment, options).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 /// Prints the last line of a run.
 fn say_last<R>(result: &R, good: bool) -> ExitCode
 where
--- a/bench/src/fleet/error.rs
+++ b/bench/src/fleet/error.rs
@@ -60,6 +60,12 @@
         /// What was asked.
         path: String,
     },
+    /// The interrupt that ends a fleet cannot be awaited.
+    #[error("cannot wait for an interrupt: {source}")]
+    Interrupt {
+        /// The cause.
+        source: std::io::Error,
+    },
     /// A document was not accepted.
     #[error("the document {path} was not accepted: {cause}")]
     NotAccepted {
--- a/bench/src/fleet/running.rs
+++ b/bench/src/fleet/running.rs
@@ -138,6 +138,20 @@
     /// # Errors
     /// Fails with the cause and the log of the process at fault.
     pub async fn start(&mut self) -> Result<(), FleetError> {
+        self.start_bare().await?;
+        self.accept_documents().await?;
+        for entry in &self.topology.entries.clone() {
+            self.await_entry(entry).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts every process and waits until every control listens; no document is accepted, so no
+    /// entry takes requests yet.
+    ///
+    /// # Errors
+    /// Fails with the cause and the log of the process at fault.
+    pub async fn start_bare(&mut self) -> Result<(), FleetError> {
         self.start_standins().await?;
         let entries = self.topology.entries.clone();
         for entry in &entries {
@@ -147,10 +161,6 @@
         for entry in &entries {
             self.await_control(entry).await?;
         }
-        self.accept_documents().await?;
-        for entry in &entries {
-            self.await_entry(entry).await?;
-        }
         Ok(())
     }
 
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod table;
 pub mod tally;
 pub mod topology;
+pub mod up;
 pub mod weights;
