--- a/src/gateway/tests/fixture.rs
+++ b/src/gateway/tests/fixture.rs
@@ -11,11 +11,13 @@
 use futures_util::stream;
 use indexmap::{IndexMap, IndexSet};
 
+use crate::gateway::calls::Outside;
 use crate::gateway::messages::{Deliver, IsReady};
 use crate::gateway::process::{EntryProcess, EntryVariant};
 use crate::gateway::state::BodyLimits;
 use crate::ids::{Incarnation, ServiceName};
 use crate::instance::EntryMessage;
+use crate::platform::{HttpEngines, HttpPeers, HttpTable};
 use crate::settings;
 use crate::wire::engine::{EndReason, EngineState, LayerRange, OpenStream, StreamEvent};
 use crate::wire::local::{DocumentInForce, EndpointRecord, EntryRecord, Snapshot};
@@ -55,6 +57,17 @@
     TestEntry { process, seen }
 }
 
+/// Connections of an entry without a table service.
+pub(super) fn outside() -> Outside {
+    Outside {
+        table: HttpTable::new(&format!("http://{}", nowhere())),
+        engines: HttpEngines::new(),
+        applications: HttpPeers::default(),
+        entries: HttpPeers::default(),
+        peer_key: PEER_KEY.into(),
+    }
+}
+
 /// Starts an entry process whose control listens at an address, without a snapshot.
 pub(super) fn start_process(control: SocketAddr) -> EntryProcess {
     let text = settings_text(control, nowhere());
--- a/src/gateway/tests/paths.rs
+++ b/src/gateway/tests/paths.rs
@@ -8,12 +8,10 @@
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 
-use super::fixture::{KEY, PEER_KEY, TestEntry, nowhere, start, wait_until};
-use crate::gateway::calls::Outside;
+use super::fixture::{KEY, PEER_KEY, TestEntry, nowhere, outside, start, wait_until};
 use crate::gateway::claim_call::{ask_holder, claim_question};
 use crate::ids::Incarnation;
 use crate::instance::{CallId, EntryMessage};
-use crate::platform::{HttpEngines, HttpPeers, HttpTable};
 use crate::wire::caller::{ErrorAnswer, ModelsAnswer};
 use crate::wire::locate::LocateAnswer;
 
@@ -209,16 +207,9 @@
 }
 
 async fn working_at(address: SocketAddr) -> Option<bool> {
-    let outside = Outside {
-        table: HttpTable::new("http://127.0.0.1:1"),
-        engines: HttpEngines::new(),
-        applications: HttpPeers::default(),
-        entries: HttpPeers::default(),
-        peer_key: PEER_KEY.into(),
-    };
     let incarnation = Incarnation::draw(&mut rand::rng());
     let question = claim_question("entry-lac-1".into(), incarnation, "claims/x".to_owned());
-    let answer = ask_holder(Rc::new(outside), CallId(1), address, question, 300);
+    let answer = ask_holder(Rc::new(outside()), CallId(1), address, question, 300);
     match answer.await.0 {
         EntryMessage::HolderAnswered { working, .. } => working,
         other => panic!("{other:?}"),
--- a/src/gateway/tests/slow.rs
+++ b/src/gateway/tests/slow.rs
@@ -1,6 +1,7 @@
 //! Callers and controls that are slow, silent or gone.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -10,11 +11,14 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::fixture::{
-    DEADLINE, KEY, TestEntry, nowhere, snapshot, start, start_process, wait_until,
+    DEADLINE, KEY, TestEntry, nowhere, outside, snapshot, start, start_process, wait_until,
 };
 use crate::gateway::caller::{EVENTS_LIMIT, WaitingCaller};
+use crate::gateway::calls::cancel_stream;
+
 use crate::gateway::messages::{CallerArrived, IsReady};
 use crate::gateway::process::EntryProcess;
+use crate::ids::StreamId;
 use crate::instance::{CallerRequest, PresentedKey, RequestBody};
 use crate::rpc::LocalApiServer;
 use crate::wire::WIRE_VERSION;
@@ -102,6 +106,26 @@
     assert_eq!(stopped, Ok(0));
 }
 
+#[actix_web::test]
+async fn a_cancellation_lost_to_silence_is_sent_again() {
+    let engine = TcpListener::bind(nowhere()).await.unwrap();
+    let address = engine.local_addr().unwrap();
+    let stream = StreamId::draw(&mut rand::rng());
+    let cancel = cancel_stream(Rc::new(outside()), address, stream, 1);
+    let tries = async {
+        let (_silent, _) = engine.accept().await.unwrap();
+        let (mut again, _) = engine.accept().await.unwrap();
+        let mut head = [0; 512];
+        let length = again.read(&mut head).await.unwrap();
+        let answer = b"HTTP/1.1 204 No Content\r\n\r\n";
+        again.write_all(answer).await.unwrap();
+        String::from_utf8(head[..length].to_vec()).unwrap()
+    };
+    let both = futures_util::future::join(cancel, tries);
+    let ((), sent) = tokio::time::timeout(DEADLINE, both).await.unwrap();
+    assert!(sent.starts_with(&format!("POST /v1/streams/{stream}/cancel")));
+}
+
 struct TestControl {
     entry: SocketAddr,
     version: u64,
