--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -19,18 +19,15 @@
 /// Query of `GET /v1/locate`.
 #[derive(Debug, Deserialize)]
 pub(crate) struct LocateQuery {
-    service: Option<ServiceName>,
+    service: ServiceName,
 }
 
 /// `GET /v1/locate?service=S`.
-pub(crate) async fn locate(
-    gateway: Data<Gateway>,
-    http: HttpRequest,
-    query: Query<LocateQuery>,
-) -> HttpResponse {
-    let Some(service) = query.into_inner().service else {
+pub(crate) async fn locate(gateway: Data<Gateway>, http: HttpRequest) -> HttpResponse {
+    let query = Query::<LocateQuery>::from_query(http.query_string());
+    let Ok(Query(LocateQuery { service })) = query else {
         let refusal = Refusal::not_run(RefusalCode::UnknownService, None);
-        let message = "name a service: /v1/locate?service=NAME";
+        let message = "name one service: /v1/locate?service=NAME";
         return refuse_saying(&refusal, message, &draw_request_id());
     };
     let caller = caller_text(&http);
--- a/src/gateway/tests/paths.rs
+++ b/src/gateway/tests/paths.rs
@@ -162,6 +162,7 @@
         ("/readyz", 200),
         ("/metrics", 200),
         ("/v1/locate", 404),
+        ("/v1/locate?service=a&service=b", 404),
         ("/v1/locate?service=no-such", 404),
         ("/v1/nothing", 404),
     ] {
