Routing: lanes found beside those in use; the bound exact; tests by a second method

Lanes were built anew at once at every change, so that a fault moved streams of all entries to other engines for seconds. Now the lanes in use stay, those that lost an engine are skipped, and better ones replace them once found. When entries come or go slots are only dealt anew.

Found by the new property tests: with overlapping ranges and links that bind, moving idle rate round by round stopped at 0.78 of the bound; such networks are now solved as a linear program over links.

Streams follow lanes' expected rates rather than their slots. Call limits forgot the shortest time under lasting load and crept from 4 to 245; it now drifts only below the limit.

--- a/src/routing/assembly.rs
+++ b/src/routing/assembly.rs
@@ -6,9 +6,6 @@
 use super::classes::{ChainKind, Class};
 use super::links::LinkTable;
 
-/// Slots a kind of chain gets at most, against those that would do without any queue.
-const SLOT_FACTOR: f64 = 3.0;
-
 /// Lanes under construction, and the slots that are still free.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Assembly {
@@ -30,8 +27,9 @@
         }
     }
 
-    /// Gives slots one by one to the kind that is furthest behind its need, until each has
-    /// [`SLOT_FACTOR`] times its need or some class of it has no slot left.
+    /// Gives slots one by one to the kind that is furthest behind its need, until some class of
+    /// each kind has no slot left. More slots than needed do not harm: a queue at the slowest
+    /// engine keeps it busy.
     pub(crate) fn fill(
         &mut self,
         classes: &[Class],
@@ -44,8 +42,7 @@
             .filter(|kind| needs[*kind] > 1e-6)
             .collect();
         while let Some(kind) = furthest_behind(&open, &given, needs) {
-            let enough = f64::from(given[kind]) >= (needs[kind] * SLOT_FACTOR).ceil();
-            if enough || !self.give(classes, kinds, kind, links) {
+            if !self.give(classes, kinds, kind, links) {
                 open.retain(|other| *other != kind);
                 continue;
             }
--- a/src/routing/calls.rs
+++ b/src/routing/calls.rs
@@ -5,18 +5,21 @@
 //! grows; when calls take far longer, they queue at the replica and the limit shrinks.
 
 /// First limit.
-const START: f64 = 8.0;
+const START: f64 = 4.0;
 /// Most calls at one replica.
 const MOST: f64 = 1_024.0;
-/// Calls after which the limit is judged.
+/// Calls after which the limit is judged at the earliest.
 const WINDOW_CALLS: u32 = 16;
+/// Calls after which the limit is judged, in limits: calls that end together must not count as
+/// short ones.
+const WINDOW_LIMITS: u32 = 4;
 /// Times above the shortest, as a factor, up to which the limit may grow.
 const GROW_BELOW: f64 = 1.5;
 /// Times above the shortest, as a factor, from which the limit shrinks.
 const SHRINK_ABOVE: f64 = 2.5;
 /// Part of the limit that stays when it shrinks.
 const SHRINK_TO: f64 = 0.85;
-/// Growth of the shortest time in each window, so that an old one is forgotten.
+/// Growth of the shortest time in each window below the limit.
 const SHORTEST_DRIFT: f64 = 1.005;
 
 /// Calls in flight at one replica, and their limit.
@@ -62,7 +65,7 @@
     pub(crate) fn end(&mut self, outstanding: u32, now_ms: u64) {
         self.advance(outstanding, now_ms);
         self.ended += 1;
-        if self.ended >= WINDOW_CALLS {
+        if self.ended >= WINDOW_CALLS.max(WINDOW_LIMITS * self.calls()) {
             self.judge();
         }
     }
@@ -81,7 +84,7 @@
     fn judge(&mut self) {
         // Times below a millisecond cannot be told apart.
         let mean_ms = (self.area_ms / f64::from(self.ended)).max(1.0);
-        self.shortest_ms = (self.shortest_ms * SHORTEST_DRIFT).min(mean_ms);
+        self.shortest_ms = self.shortest(mean_ms);
         if mean_ms > self.shortest_ms * SHRINK_ABOVE {
             self.limit = (self.limit * SHRINK_TO).max(1.0);
         } else if self.reached && mean_ms < self.shortest_ms * GROW_BELOW {
@@ -91,4 +94,14 @@
         self.ended = 0;
         self.reached = false;
     }
+
+    /// The shortest time is only forgotten while it can be seen anew: below the limit, or with one
+    /// call at a time. Under lasting load it would creep up with the limit.
+    fn shortest(&self, mean_ms: f64) -> f64 {
+        if self.limit <= 1.0 {
+            return mean_ms;
+        }
+        let drift = if self.reached { 1.0 } else { SHORTEST_DRIFT };
+        (self.shortest_ms * drift).min(mean_ms)
+    }
 }
--- a/src/routing/classes.rs
+++ b/src/routing/classes.rs
@@ -45,7 +45,7 @@
         .collect();
     holders.sort_by(|one, other| id(table, *one).cmp(&id(table, *other)));
     holders.dedup();
-    let mut classes: IndexMap<(LayerRange, String, String, u32, u64), Class> = IndexMap::new();
+    let mut classes: IndexMap<(LayerRange, String, String, u32, u32, u64), Class> = IndexMap::new();
     for engine in holders {
         let Some((_, endpoint)) = table.all.get_index(engine) else {
             continue;
@@ -65,6 +65,7 @@
             layers,
             state.accelerator.clone(),
             endpoint.zone.to_string(),
+            state.slots(),
             state.batch_limit,
             rate_step(state.layer_tokens_per_s),
         );
--- a/src/routing/endpoints.rs
+++ b/src/routing/endpoints.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::ids::{EndpointId, ServiceName, ZoneName};
-use crate::wire::engine::EngineState;
+use crate::wire::engine::{EngineState, LinkState};
 use crate::wire::local::EndpointRecord;
 use crate::wire::platform::{InstancePhase, InstanceRole};
 
@@ -41,8 +41,10 @@
 const MISSES_OF_FAULT: u32 = 2;
 /// Tokens in a row after which old faults are forgotten.
 const TOKENS_OF_TRUST: u32 = 16;
-/// Relative change of a rate or link below which the flow is not solved again.
-const SAME_WITHIN: f64 = 0.1;
+/// Relative change of a rate below which nothing is worked out again.
+const SAME_RATE_WITHIN: f64 = 0.1;
+/// Relative change of a link below which nothing is worked out again.
+const SAME_LINK_WITHIN: f64 = 0.3;
 
 /// Whether an endpoint is trusted, and if not, until when it is avoided.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -324,12 +326,10 @@
         if same { Change::None } else { Change::Trust }
     }
 
-    /// Earliest time at which an endpoint's avoidance ends.
+    /// Earliest time at which an endpoint takes work again by itself.
     pub(crate) fn next_return_ms(&self, now_ms: u64) -> Option<u64> {
-        let ends = self
-            .all
-            .values()
-            .map(|endpoint| endpoint.trust.avoid_until_ms);
+        let returning = self.all.values().filter(|e| !e.trust.must_answer);
+        let ends = returning.map(|endpoint| endpoint.trust.avoid_until_ms);
         ends.filter(|at_ms| *at_ms > now_ms).min()
     }
 
@@ -358,22 +358,28 @@
 
 /// Whether two states lead to almost the same flow.
 fn serves_alike(one: &EngineState, other: &EngineState) -> bool {
-    let links_alike = one.links.len() == other.links.len()
+    let all_alike = one.links.len() == other.links.len()
         && one.links.iter().all(|(to, link)| {
-            other.links.get(to).is_some_and(|new| {
-                near(
-                    link.bandwidth_bytes_per_s as f64,
-                    new.bandwidth_bytes_per_s as f64,
-                ) && near(link.delay_us as f64, new.delay_us as f64)
-            })
+            let new = other.links.get(to);
+            new.is_some_and(|new| links_alike(link, new))
         });
     one.draining == other.draining
         && one.batch_limit == other.batch_limit
         && one.slots() == other.slots()
-        && near(one.layer_tokens_per_s, other.layer_tokens_per_s)
-        && links_alike
+        && near(
+            one.layer_tokens_per_s,
+            other.layer_tokens_per_s,
+            SAME_RATE_WITHIN,
+        )
+        && all_alike
 }
 
-fn near(one: f64, other: f64) -> bool {
-    (one - other).abs() <= SAME_WITHIN * one.abs().max(other.abs())
+fn links_alike(one: &LinkState, other: &LinkState) -> bool {
+    let (bytes, other_bytes) = (one.bandwidth_bytes_per_s, other.bandwidth_bytes_per_s);
+    near(bytes as f64, other_bytes as f64, SAME_LINK_WITHIN)
+        && near(one.delay_us as f64, other.delay_us as f64, SAME_LINK_WITHIN)
+}
+
+fn near(one: f64, other: f64, within: f64) -> bool {
+    (one - other).abs() <= within * one.abs().max(other.abs())
 }
--- a/src/routing/flow.rs
+++ b/src/routing/flow.rs
@@ -8,17 +8,22 @@
 //! exactly for unlimited links (a bisection over transport flows from engines to segments);
 //! [`grow`] then gives rate left idle where links bind to the segments of the same engine. Without
 //! overlap both are no-ops and the maximum flow is exact. With overlap and scarce links together
-//! the result is a flow that exists, and may be a little below the bound.
+//! a flow found so may be below the bound; networks that are not too large are then solved as a
+//! linear program over the flows of their links ([`by_program`]), which is exact again.
 
 use petgraph::algo::dinics;
 use petgraph::graph::{DiGraph, NodeIndex};
 
+use super::simplex::{Column, maximise};
+
 /// Capacities are integers of a thousandth of a token a second.
 const MILLI: f64 = 1_000.0;
 /// No capacity is above this, so that sums cannot overflow.
 const UNLIMITED: u64 = 1 << 50;
 /// Steps of each bisection.
 const BISECTIONS: usize = 24;
+/// Links of the largest network that is solved as a linear program.
+const PROGRAM_LINKS: usize = 1_000;
 /// Rounds in which idle rate is moved.
 const GROW_ROUNDS: usize = 8;
 /// The engines of one model as a network. Engines are numbered from 0.
@@ -42,10 +47,62 @@
     }
     let capacities = divide_rates(network);
     let routed = route(network, &capacities);
-    if network.overlaps() {
-        return grow(network, routed).tokens_per_s;
+    if !network.overlaps() {
+        return routed.tokens_per_s;
+    }
+    let grown = grow(network, routed).tokens_per_s;
+    let links: usize = network.links.iter().map(Vec::len).sum();
+    let sums = capacities.iter().map(|holders| holders.iter().sum());
+    let without_links = sums.fold(f64::INFINITY, f64::min);
+    if grown >= without_links * (1.0 - 1e-6) || links > PROGRAM_LINKS {
+        return grown;
+    }
+    grown.max(by_program(network))
+}
+
+/// The flow as a linear program: a variable for each way into a holder, limited by what comes into
+/// the holder before, by the engine's rate and by the link.
+fn by_program(network: &Network) -> f64 {
+    let mut limits = network.rates.clone();
+    let mut node_rows = Vec::with_capacity(network.holders.len());
+    for holders in &network.holders {
+        node_rows.push(limits.len());
+        limits.resize(limits.len() + holders.len(), 0.0);
+    }
+    let mut columns = Vec::new();
+    for (segment, holders) in network.holders.iter().enumerate() {
+        let is_last = segment + 1 == network.holders.len();
+        let sources = match segment {
+            0 => 1,
+            _ => network.holders[segment - 1].len(),
+        };
+        for (number, (from, to)) in pairs(sources, holders.len()).enumerate() {
+            let mut uses = vec![(holders[to], network.segment_layers[segment])];
+            if !is_last {
+                uses.push((node_rows[segment] + to, -1.0));
+            }
+            if segment > 0 {
+                uses.push((node_rows[segment - 1] + from, 1.0));
+                let link = network.links[segment - 1][number];
+                if link.is_finite() {
+                    uses.push((limits.len(), 1.0));
+                    limits.push(link);
+                }
+            }
+            let gain = if is_last { 1.0 } else { 0.0 };
+            columns.push(Column { gain, uses });
+        }
     }
-    routed.tokens_per_s
+    let flows = maximise(&columns, &limits);
+    columns
+        .iter()
+        .zip(flows)
+        .map(|(column, flow)| column.gain * flow)
+        .sum()
+}
+
+fn pairs(rows: usize, columns: usize) -> impl Iterator<Item = (usize, usize)> {
+    (0..rows).flat_map(move |row| (0..columns).map(move |column| (row, column)))
 }
 
 impl Network {
--- a/src/routing/lanes.rs
+++ b/src/routing/lanes.rs
@@ -29,13 +29,15 @@
 const BETTER_BY: f64 = 1e-4;
 
 /// A chain of engines with slots of its own.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Lane {
     pub(crate) runs: Vec<Run>,
     /// Slots of all entries.
     pub(crate) slots: u32,
     /// Number of the first slot, over all lanes.
     pub(crate) first_slot: u64,
+    /// Tokens a second to expect of all its slots.
+    pub(crate) tokens_per_s: f64,
 }
 
 impl Lane {
@@ -120,18 +122,23 @@
     }
 
     /// The best lanes so far.
-    pub(crate) fn lanes(&self) -> Vec<Lane> {
+    pub(crate) fn lanes(&self, table: &EndpointTable, links: &LinkTable) -> Vec<Lane> {
         let mut first_slot = 0;
-        let numbered = |(runs, (_, slots)): (&Vec<Run>, &(usize, u32))| {
-            let lane = Lane {
-                runs: runs.clone(),
-                slots: *slots,
-                first_slot,
-            };
-            first_slot += u64::from(*slots);
-            lane
-        };
-        self.best.lanes.iter().map(numbered).collect()
+        self.best
+            .lanes
+            .iter()
+            .zip(expected(table, &self.best, links))
+            .map(|((runs, (_, slots)), tokens_per_s)| {
+                let lane = Lane {
+                    runs: runs.clone(),
+                    slots: *slots,
+                    first_slot,
+                    tokens_per_s,
+                };
+                first_slot += u64::from(*slots);
+                lane
+            })
+            .collect()
     }
 
     fn try_margin(&mut self, table: &EndpointTable, links: &LinkTable) {
@@ -166,7 +173,7 @@
     }
 
     fn take_if_better(&mut self, assembly: Assembly, table: &EndpointTable, links: &LinkTable) {
-        let expected = expected(table, &assembly, links);
+        let expected = expected(table, &assembly, links).iter().sum::<f64>();
         if expected > self.most * (1.0 + BETTER_BY) {
             (self.best, self.most) = (assembly, expected);
             self.in_vain = 0;
@@ -174,14 +181,14 @@
     }
 }
 
-/// Tokens a second to expect when every slot is used.
-fn expected(table: &EndpointTable, assembly: &Assembly, links: &LinkTable) -> f64 {
+/// Tokens a second to expect of each lane when every slot is used.
+fn expected(table: &EndpointTable, assembly: &Assembly, links: &LinkTable) -> Vec<f64> {
     let loads: Vec<LaneLoad> = assembly
         .lanes
         .iter()
         .map(|(runs, (_, slots))| load(table, runs, *slots, links))
         .collect();
-    tokens_per_s(&loads, table.all.len()).iter().sum()
+    tokens_per_s(&loads, table.all.len())
 }
 
 fn load(table: &EndpointTable, runs: &[Run], slots: u32, links: &LinkTable) -> LaneLoad {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -19,6 +19,8 @@
 mod lanes;
 mod limits;
 mod links;
+mod observing;
+mod planning;
 mod policy;
 mod polls;
 mod program;
@@ -27,6 +29,7 @@
 mod routes;
 mod simplex;
 mod streams;
+mod upkeep;
 
 pub use endpoints::EndpointFault;
 pub use policy::{
--- a/src/routing/routes.rs
+++ b/src/routing/routes.rs
@@ -38,9 +38,9 @@
         let graph = Graph::build(table, service, model, adapter, &[]);
         let links = LinkTable::new(table, &graph, model.activation_bytes);
         let search = LaneSearch::new(table, &graph, model, &links, now_ms);
-        let lanes = search.as_ref().map(LaneSearch::lanes).unwrap_or_default();
+        let lanes = search.as_ref().map(|search| search.lanes(table, &links));
         Self {
-            lanes: with_keys(table, lanes),
+            lanes: with_keys(table, lanes.unwrap_or_default()),
             search,
             service: service.clone(),
             model: model.clone(),
@@ -61,16 +61,16 @@
         self.service == *service && self.model == *model && self.adapter.as_deref() == adapter
     }
 
-    /// Looks on for better lanes; whether it has just found the best it can. Not to be called
-    /// after the table changed.
+    /// Looks on for better lanes; whether the search is over. Not to be called after the list or
+    /// what an engine holds changed.
     pub(crate) fn improve(&mut self, table: &EndpointTable) -> bool {
         let Some(search) = &mut self.search else {
-            return false;
+            return true;
         };
         if search.step(table, &self.links) {
             return false;
         }
-        self.lanes = with_keys(table, search.lanes());
+        self.lanes = with_keys(table, search.lanes(table, &self.links));
         self.search = None;
         true
     }
--- a/src/routing/tests/fleet.rs
+++ b/src/routing/tests/fleet.rs
@@ -503,7 +503,7 @@
     engines
 }
 
-fn record(id: &EndpointId, kind: &Kind, number: usize) -> EndpointRecord {
+pub(super) fn record(id: &EndpointId, kind: &Kind, number: usize) -> EndpointRecord {
     EndpointRecord {
         endpoint: id.clone(),
         role: InstanceRole::Engine,
@@ -514,7 +514,7 @@
     }
 }
 
-fn state(
+pub(super) fn state(
     id: &EndpointId,
     kind: &Kind,
     layers: LayerRange,
