Chain: probes wait as long as answers take, silence is looked into earlier

A stage had 60 ms to answer a probe whatever the machine: on an overloaded instance living stages would count as dead and be rebuilt, which adds load. The wait is now four mean answer times plus four deviations, 40 to 250 ms, and missing answers count. Silence is probed after 2 instead of 2.5 expected gaps, from 40 ms on, with the deviation that the router has learnt.

--- a/src/chain/message.rs
+++ b/src/chain/message.rs
@@ -36,8 +36,12 @@
 pub(crate) struct Expected {
     /// Time between two tokens.
     pub(crate) gap_ms: f64,
+    /// Mean deviation of that.
+    pub(crate) deviation_ms: f64,
     /// Time to the first token of an epoch, if every stage recomputes; longest to be expected.
     pub(crate) first_ms: f64,
+    /// Longest time a living stage is expected to take to answer a probe.
+    pub(crate) probe_ms: f64,
 }
 
 /// What a stage said when it was probed.
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -15,4 +15,4 @@
 
 pub(crate) use machine::Chain;
 pub(crate) use message::{ChainEffect, ChainMessage, ChainSpec, DropCause, Expected, ProbeAnswer};
-pub(crate) use pace::{Average, PrefillHistory};
+pub(crate) use pace::{Average, PrefillHistory, ProbeHistory};
--- a/src/chain/pace.rs
+++ b/src/chain/pace.rs
@@ -7,13 +7,21 @@
 use super::message::Expected;
 
 /// Shortest wait; below it the scheduling noise of small instances would be probed.
-const FLOOR_MS: f64 = 60.0;
+const FLOOR_MS: f64 = 40.0;
 /// Longest wait.
 const CEILING_MS: f64 = 2_000.0;
 /// Expected gaps without a token before a probe.
-const GAP_FACTOR: f64 = 2.5;
+const GAP_FACTOR: f64 = 2.0;
 /// Mean deviations added.
 const DEVIATION_FACTOR: f64 = 4.0;
+/// Shortest time a stage has to answer a probe.
+const PROBE_FLOOR_MS: f64 = 40.0;
+/// Longest time a stage has to answer a probe.
+const PROBE_CEILING_MS: f64 = 250.0;
+/// Time an answer to a probe is taken for before any was measured.
+const PROBE_GUESS_MS: f64 = 10.0;
+/// Mean times of answers to wait before a stage counts as unreachable.
+const PROBE_FACTOR: f64 = 4.0;
 /// Weight of a new sample in the mean.
 const MEAN_GAIN: f64 = 0.125;
 /// Weight of a new sample in the deviation.
@@ -79,7 +87,11 @@
     pub(crate) fn new(planned: Expected) -> Self {
         Self {
             planned,
-            gap: Average::new(planned.gap_ms),
+            gap: Average {
+                mean: planned.gap_ms,
+                deviation: planned.deviation_ms,
+                guessed: true,
+            },
             late_in_row: 0,
         }
     }
@@ -123,6 +135,12 @@
         self.next_timeout_ms(0.0)
     }
 
+    /// How long a stage has to answer a probe.
+    pub(crate) fn probe_timeout_ms(&self) -> u64 {
+        let wait = self.planned.probe_ms;
+        wait.clamp(PROBE_FLOOR_MS, PROBE_CEILING_MS) as u64
+    }
+
     /// How long to wait for the first token of an epoch.
     pub(crate) fn first_timeout_ms(&self, recomputes: bool) -> u64 {
         let first = if recomputes {
@@ -166,3 +184,30 @@
         self.per_token_ms.upper(1.0) * (f64::from(tokens) + PREFILL_FIXED_TOKENS)
     }
 }
+
+/// How long living stages took to answer probes. Where everything is slow, as on an overloaded
+/// instance, a stage is not taken for dead because its answer is slow too.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProbeHistory {
+    took_ms: Average,
+}
+
+impl Default for ProbeHistory {
+    fn default() -> Self {
+        Self {
+            took_ms: Average::new(PROBE_GUESS_MS),
+        }
+    }
+}
+
+impl ProbeHistory {
+    /// Notes how long an answer took.
+    pub(crate) fn add(&mut self, took_ms: u64) {
+        self.took_ms.add(took_ms as f64);
+    }
+
+    /// Longest time to be expected.
+    pub(crate) fn expected_ms(&self) -> f64 {
+        self.took_ms.upper(PROBE_FACTOR)
+    }
+}
--- a/src/chain/tests/harness.rs
+++ b/src/chain/tests/harness.rs
@@ -15,7 +15,9 @@
 pub(super) const MAX_TOKENS: u32 = 8;
 const EXPECTED: Expected = Expected {
     gap_ms: 20.0,
+    deviation_ms: 5.0,
     first_ms: 100.0,
+    probe_ms: 60.0,
 };
 
 /// Three layer ranges with three engines each; `x2` is the third engine of range `x`.
--- a/src/chain/watch.rs
+++ b/src/chain/watch.rs
@@ -7,11 +7,11 @@
 use crate::outcome::RefusalCode;
 use crate::routing::EndpointFault;
 
-/// Longest such wait.
-const REPLAN_CEILING_MS: u64 = 1_000;
-/// Shortest time a stage has to answer a probe.
-const PROBE_MS: u64 = 60;
-/// Time after that before a probe whose answer the driver did not bring is taken for unanswered.
+/// Shortest time between two rounds of probes.
+const WAIT_FLOOR_MS: u64 = 60;
+/// Longest time between two rounds of probes.
+const WAIT_CEILING_MS: u64 = 1_000;
+/// Time after its timeout before a probe that the driver did not answer counts as unanswered.
 const PROBE_MARGIN_MS: u64 = 20;
 /// Rounds of probes without any movement before a stage is held to be stuck.
 const STUCK_ROUNDS: u32 = 2;
@@ -57,14 +57,15 @@
             return;
         }
         self.rounds += 1;
-        let until_ms = now_ms + PROBE_MS + PROBE_MARGIN_MS;
+        let timeout_ms = self.pace.probe_timeout_ms();
+        let until_ms = now_ms + timeout_ms + PROBE_MARGIN_MS;
         self.round = Some(Round::new(self.rounds, self.stages.len(), until_ms));
         for (index, stage) in self.stages.iter().enumerate() {
             effects.push(ChainEffect::Probe {
                 round: self.rounds,
                 stage: index,
                 address: stage.address,
-                timeout_ms: PROBE_MS,
+                timeout_ms,
             });
         }
     }
@@ -179,6 +180,6 @@
     pub(super) fn wait_again(&mut self, now_ms: u64) {
         let since_ms = self.progress_at_ms.max(self.opened_at_ms);
         let silent_ms = now_ms.saturating_sub(since_ms);
-        self.suspect_at_ms = now_ms + silent_ms.clamp(PROBE_MS, REPLAN_CEILING_MS);
+        self.suspect_at_ms = now_ms + silent_ms.clamp(WAIT_FLOOR_MS, WAIT_CEILING_MS);
     }
 }
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -83,7 +83,9 @@
         let history = self.prefill.get(model).copied().unwrap_or_default();
         Expected {
             gap_ms: self.router.expected_gap_ms(stages),
+            deviation_ms: self.router.gap_deviation_ms(stages),
             first_ms: history.expected_ms(tokens),
+            probe_ms: self.probe_times.expected_ms(),
         }
     }
 
@@ -154,6 +156,7 @@
                     attempt: attempt.id,
                     round,
                     stage,
+                    sent_at_ms: now_ms,
                 });
                 self.out.push(EntryEffect::ProbeStream {
                     call,
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -15,7 +15,7 @@
 use super::directory::{Directory, DocumentChange};
 use super::locate::pick_entries;
 use crate::admission::Admission;
-use crate::chain::{Average, ChainMessage, PrefillHistory, ProbeAnswer};
+use crate::chain::{Average, ChainMessage, PrefillHistory, ProbeAnswer, ProbeHistory};
 use crate::ids::{EndpointId, ServiceName};
 use crate::instance::{CallId, CallerId, EntryEffect, EntryMessage, StreamFailure};
 use crate::outcome::{Refusal, RefusalCode};
@@ -40,6 +40,7 @@
         attempt: AttemptId,
         round: u32,
         stage: usize,
+        sent_at_ms: u64,
     },
     /// A call to an application endpoint.
     Application { attempt: AttemptId },
@@ -70,6 +71,7 @@
     /// Claims not settled yet; they may outlive their attempt.
     pub(super) claims: IndexMap<AttemptId, OpenClaim>,
     pub(super) prefill: IndexMap<String, PrefillHistory>,
+    pub(super) probe_times: ProbeHistory,
     /// How long calls of application services take.
     pub(super) call_times_ms: IndexMap<ServiceName, Average>,
     /// Services whose endpoints were found full since something last changed.
@@ -122,6 +124,7 @@
             next_call: 0,
             claims: IndexMap::new(),
             prefill: IndexMap::new(),
+            probe_times: ProbeHistory::default(),
             call_times_ms: IndexMap::new(),
             full: IndexSet::new(),
             dispatch_due: false,
@@ -359,10 +362,14 @@
             attempt,
             round,
             stage,
+            sent_at_ms,
         }) = self.calls.swap_remove(&call)
         else {
             return;
         };
+        // A missing answer counts too: else an instance on which all answers are late would never
+        // learn to wait for them.
+        self.probe_times.add(now_ms.saturating_sub(sent_at_ms));
         let message = ChainMessage::Probed {
             round,
             stage,
--- a/src/entry/tests/paths.rs
+++ b/src/entry/tests/paths.rs
@@ -154,3 +154,43 @@
     }
     assert_eq!(refused.unwrap().outcome, crate::outcome::Outcome::Unknown);
 }
+
+/// Lets time pass until a round of probes; returns the probes with their timeouts.
+fn until_probed(entry: &mut TestEntry, now_ms: &mut u64) -> Vec<(crate::instance::CallId, u64)> {
+    for _ in 0..200 {
+        *now_ms += 20;
+        let effects = entry.handle(EntryMessage::Tick, *now_ms);
+        let probes = effects.iter().filter_map(|effect| match effect {
+            EntryEffect::ProbeStream {
+                call, timeout_ms, ..
+            } => Some((*call, *timeout_ms)),
+            _ => None,
+        });
+        let probes: Vec<_> = probes.collect();
+        if !probes.is_empty() {
+            return probes;
+        }
+    }
+    panic!("never probed");
+}
+
+#[test]
+fn stages_get_longer_to_answer_probes_where_all_answers_are_late() {
+    let mut entry = entry();
+    arrive(&mut entry, 1, completion(KEY, "r1", 2), 10);
+    let mut now_ms = 10;
+    let first = until_probed(&mut entry, &mut now_ms);
+    now_ms += 120;
+    for (call, _) in &first {
+        let probed = EntryMessage::StreamProbed {
+            call: *call,
+            progress: None,
+            reachable: true,
+        };
+        entry.handle(probed, now_ms);
+    }
+    arrive(&mut entry, 2, completion(KEY, "r2", 2), now_ms);
+    let second = until_probed(&mut entry, &mut now_ms);
+    assert!(first[0].1 < 120, "{first:?}");
+    assert!(second[0].1 > 120, "{second:?}");
+}
