Routing: an entry's own slots follow the shares of the accounts behind it

Slots are numbered as before; a slot belongs to the entry whose range of pieces its number falls in, and numbers are spread (a step near the golden ratio) so that each range has its part of any few slots in a row. Every slot is owned once as long as entries know the same shares. Without parts from control, entries own equal parts as before. When only the own part changes, what was lent stays lent until the next report.

Ruled out: limits in tokens a second at the entries, and building the lanes anew for each change.

--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -252,6 +252,9 @@
         let own = self.config.instance.as_str();
         let rank = names.iter().filter(|name| **name < own).count();
         self.router.set_entry_rank(rank, names.len());
+        if self.config.shares == ShareSource::Control {
+            self.router.set_entry_parts(&snapshot.parts);
+        }
         self.router.set_endpoints(&snapshot.endpoints, now_ms);
         if self.config.shares == ShareSource::Control {
             self.admission.set_shares(&snapshot.shares, now_ms);
--- a/src/routing/deal.rs
+++ b/src/routing/deal.rs
@@ -8,23 +8,21 @@
 
 use super::endpoints::{Endpoint, EndpointTable};
 use super::lanes::Lane;
-use super::limits::dealt_part;
+use super::limits::{EntrySlots, OwnSlots};
 
-/// Takes the slots of the lanes that entry `rank` of `entries` owns. Engines of the service that
-/// are in no lane get none.
+/// Takes the own slots of the lanes. Engines of the service that are in no lane get none.
 pub(crate) fn lane_slots(
     table: &mut EndpointTable,
     holders: &[usize],
     lanes: &[Lane],
-    rank: u64,
-    entries: u64,
+    own: OwnSlots,
 ) {
     let mut slots: IndexMap<usize, (u32, u32)> =
         holders.iter().map(|engine| (*engine, (0, 0))).collect();
     for lane in lanes {
         for run in &lane.runs {
             let (owned, dealt) = slots.entry(run.engine).or_default();
-            *owned += lane.owned(rank, entries);
+            *owned += lane.owned(own);
             *dealt += lane.slots;
         }
     }
@@ -35,10 +33,10 @@
     }
 }
 
-/// Deals the slots of all engines to `entries`, and takes those of entry `rank`. Engines that hold
-/// the same layers are dealt one after the other, so that an entry owns about as many slots for
+/// Deals the slots of all engines to the entries, and takes the own ones. Engines that hold the
+/// same layers are dealt one after the other, so that an entry owns about as many slots for
 /// each range of layers and can make whole chains of them.
-pub(crate) fn slots(table: &mut EndpointTable, rank: u64, entries: u64) {
+pub(crate) fn slots(table: &mut EndpointTable, own: &EntrySlots) {
     let mut classes: IndexMap<(ServiceName, LayerRange), Vec<usize>> = IndexMap::new();
     for (index, endpoint) in table.all.values().enumerate() {
         if let (InstanceRole::Engine, Some(state)) = (endpoint.role, &endpoint.state) {
@@ -54,7 +52,7 @@
                 continue;
             };
             let slots = slot_count(endpoint);
-            let owned = dealt_part(dealt, slots, rank, entries);
+            let owned = own.at(&endpoint.service).count(dealt, slots);
             endpoint.limit.set_dealt(owned, slots);
             dealt += u64::from(slots);
         }
--- a/src/routing/lanes.rs
+++ b/src/routing/lanes.rs
@@ -6,7 +6,7 @@
 //! tokens a second under rates and slots, and its solution is rounded to slots of engines. How many
 //! slots a token's queueing takes is not known beforehand, so several margins are tried; the set of
 //! lanes from which mean value analysis expects most is taken, and bettered by moving single slots.
-//! Every entry does this alike and owns every n-th slot.
+//! Every entry does this alike and owns its part of the slots.
 
 use crate::document::ModelOffer;
 
@@ -16,6 +16,7 @@
 use super::endpoints::EndpointTable;
 use super::estimate::{LaneLoad, tokens_per_s};
 use super::graph::Graph;
+use super::limits::OwnSlots;
 use super::links::LinkTable;
 use super::program::{Program, STEP_PART};
 
@@ -41,9 +42,9 @@
 }
 
 impl Lane {
-    /// Slots that entry `rank` of `entries` owns.
-    pub(crate) fn owned(&self, rank: u64, entries: u64) -> u32 {
-        super::limits::dealt_part(self.first_slot, self.slots, rank, entries)
+    /// Slots that are an entry's own.
+    pub(crate) fn owned(&self, own: OwnSlots) -> u32 {
+        own.count(self.first_slot, self.slots)
     }
 }
 
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -4,6 +4,10 @@
 //! Each entry owns a part of the batch, dealt so that the parts add up ([`dealt_part`]); slots that
 //! stay free over several reports are lent, a part of them to each entry.
 
+use crate::fairness::PIECES;
+use crate::ids::ServiceName;
+use crate::wire::local::EntryPart;
+
 /// Reports over which a slot must have been free to be lent.
 const REPORTS: usize = 3;
 
@@ -50,11 +54,15 @@
 
     /// Sets how many slots are this entry's own, and how many are dealt to all entries.
     pub(crate) fn set_dealt(&mut self, owned: u32, dealt: u32) {
-        if (owned, dealt) != (self.owned, self.dealt) {
-            self.owned = owned;
-            self.dealt = dealt;
+        if dealt == self.dealt {
+            // What is lent to it stays lent until the next report.
+            let lent = (self.limit - f64::from(self.owned)).max(0.0);
+            self.limit = f64::from(owned) + lent;
+        } else {
             self.limit = f64::from(owned);
         }
+        self.owned = owned;
+        self.dealt = dealt;
     }
 
     /// The endpoint refused: its queue is full.
@@ -85,3 +93,58 @@
     let owned_below = |slots: u64| (slots + entries - 1 - rank % entries) / entries;
     (owned_below(dealt_before + u64::from(batch_limit)) - owned_below(dealt_before)) as u32
 }
+
+/// Which slots of a service are this entry's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OwnSlots {
+    /// Every `entries`-th, from slot `rank` on.
+    Equal { rank: u64, entries: u64 },
+    /// Those in the pieces from `first` up to `end`.
+    Pieces { first: u32, end: u32 },
+}
+
+impl OwnSlots {
+    /// How many of `slots` slots are own, when `dealt_before` slots come before them.
+    pub(crate) fn count(self, dealt_before: u64, slots: u32) -> u32 {
+        match self {
+            Self::Equal { rank, entries } => dealt_part(dealt_before, slots, rank, entries),
+            Self::Pieces { first, end } => (dealt_before..dealt_before + u64::from(slots))
+                .filter(|slot| (first..end).contains(&piece_of(*slot)))
+                .count() as u32,
+        }
+    }
+}
+
+/// The piece that a slot lies in. Slots that follow one another lie far apart, so that each range of
+/// pieces has about its part of any few slots in a row.
+fn piece_of(slot: u64) -> u32 {
+    /// About [`PIECES`] over the golden ratio, and odd: each piece has its turn.
+    const STEP: u64 = 633;
+    (slot * STEP % u64::from(PIECES)) as u32
+}
+
+/// This entry's own slots at each service.
+#[derive(Clone, Debug)]
+pub(crate) struct EntrySlots {
+    pub(crate) rank: u64,
+    /// Entries that serve; at least 1.
+    pub(crate) entries: u64,
+    /// Pieces told by control; all entries have the same part of the other services.
+    pub(crate) parts: Vec<EntryPart>,
+}
+
+impl EntrySlots {
+    /// The own slots at a service.
+    pub(crate) fn at(&self, service: &ServiceName) -> OwnSlots {
+        match self.parts.iter().find(|part| part.service == *service) {
+            Some(part) => OwnSlots::Pieces {
+                first: part.first_piece,
+                end: part.end_piece,
+            },
+            None => OwnSlots::Equal {
+                rank: self.rank,
+                entries: self.entries,
+            },
+        }
+    }
+}
--- a/src/routing/planning.rs
+++ b/src/routing/planning.rs
@@ -93,13 +93,14 @@
         let lanes = &self.routes[at].lanes;
         let rates = lanes.iter().map(|(_, lane)| lane.tokens_per_s);
         let mean_rate = rates.sum::<f64>() / lanes.len().max(1) as f64;
+        let own = self.own_slots.at(ask.service);
         let mut best: Option<(f64, usize)> = None;
         for (number, (key, lane)) in self.routes[at].lanes.iter().enumerate() {
             let Some(warm) = self.lane_warmth(ask, lane, &cached, now_ms) else {
                 continue;
             };
             let used = f64::from(self.reservations.on_lane(*key));
-            let owned = f64::from(lane.owned(self.entry_rank, self.entry_count));
+            let owned = f64::from(lane.owned(own));
             let draw: f64 = self.rng.random();
             let lent = if used < owned { 0.0 } else { LENT_RANK };
             let load = (used + draw) * mean_rate / lane.tokens_per_s.max(1e-6);
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -9,12 +9,12 @@
 use crate::document::{Document, ModelOffer};
 use crate::ids::{EndpointId, ServiceName, StreamId, ZoneName};
 use crate::wire::engine::{CacheEvents, EngineState, Stage};
-use crate::wire::local::EndpointRecord;
+use crate::wire::local::{EndpointRecord, EntryPart};
 
 use super::affinity::PrefixHints;
 use super::applications;
 use super::endpoints::{Change, EndpointTable, Trust};
-use super::limits::Report;
+use super::limits::{EntrySlots, Report};
 use super::policy::Policy;
 use super::polls::{self, Poll};
 use super::routes::Routes;
@@ -74,8 +74,7 @@
     /// Bound of each model service, in tokens a second.
     pub(super) capacities: IndexMap<ServiceName, f64>,
     pub(super) turn: u64,
-    pub(super) entry_rank: u64,
-    pub(super) entry_count: u64,
+    pub(super) own_slots: EntrySlots,
 }
 
 impl<P> Router<P>
@@ -98,8 +97,11 @@
             next: Vec::new(),
             capacities: IndexMap::new(),
             turn: 0,
-            entry_rank: seed,
-            entry_count: 1,
+            own_slots: EntrySlots {
+                rank: seed,
+                entries: 1,
+                parts: Vec::new(),
+            },
         }
     }
 
@@ -113,15 +115,24 @@
 
     /// Takes the number of entries that serve; each owns a part of every engine's batch.
     pub fn set_entry_count(&mut self, entries: usize) {
-        self.set_entry_rank(self.entry_rank as usize, entries);
+        self.set_entry_rank(self.own_slots.rank as usize, entries);
     }
 
     /// Takes this entry's place in the sorted list of entries that serve, and their number. With
     /// different places at all entries their parts of each batch add up to it exactly.
     pub fn set_entry_rank(&mut self, rank: usize, entries: usize) {
         let (rank, entries) = (rank as u64, entries.max(1) as u64);
-        if (rank, entries) != (self.entry_rank, self.entry_count) {
-            (self.entry_rank, self.entry_count) = (rank, entries);
+        if (rank, entries) != (self.own_slots.rank, self.own_slots.entries) {
+            (self.own_slots.rank, self.own_slots.entries) = (rank, entries);
+            (0..self.routes.len()).for_each(|at| self.deal(at));
+        }
+    }
+
+    /// Takes this entry's parts of the slots as control deals them by the shares of accounts; the
+    /// parts of a service that is not named are equal.
+    pub fn set_entry_parts(&mut self, parts: &[EntryPart]) {
+        if parts != self.own_slots.parts {
+            self.own_slots.parts = parts.to_vec();
             (0..self.routes.len()).for_each(|at| self.deal(at));
         }
     }
@@ -141,7 +152,7 @@
     ) {
         let change = self.table.set_state(endpoint, state, now_ms);
         self.changed(change);
-        let entries = self.entry_count as u32;
+        let entries = self.own_slots.entries as u32;
         let draw = self.rng.random();
         let Some((known, state)) = self.table.all.get_mut(endpoint).zip(state) else {
             return;
--- a/src/routing/tests/limits.rs
+++ b/src/routing/tests/limits.rs
@@ -2,8 +2,9 @@
 
 use proptest::prelude::*;
 
+use crate::fairness::PIECES;
 use crate::routing::calls::CallLimit;
-use crate::routing::limits::{Report, SlotLimit, dealt_part};
+use crate::routing::limits::{OwnSlots, Report, SlotLimit, dealt_part};
 
 proptest! {
     #[test]
@@ -15,6 +16,39 @@
     }
 }
 
+proptest! {
+    #[test]
+    fn every_slot_is_in_one_range_of_pieces(
+        before in 0..1_000_u64,
+        slots in 0..200_u32,
+        cuts in proptest::collection::vec(0..=PIECES, 0..8),
+    ) {
+        let mut cuts = cuts;
+        cuts.extend([0, PIECES]);
+        cuts.sort_unstable();
+        let mut dealt = 0;
+        for cut in cuts.windows(2) {
+            let owned = OwnSlots::Pieces { first: cut[0], end: cut[1] }.count(before, slots);
+            let due = f64::from(slots) * f64::from(cut[1] - cut[0]) / f64::from(PIECES);
+            prop_assert!((f64::from(owned) - due).abs() <= 4.0, "{owned} of {due}");
+            dealt += owned;
+        }
+        prop_assert_eq!(dealt, slots);
+    }
+}
+
+#[test]
+fn what_is_lent_stays_when_the_own_part_changes() {
+    let mut limit = SlotLimit::default();
+    limit.set_dealt(4, 16);
+    for _ in 0..3 {
+        limit.learn(report(4, 0, 4), 0.0);
+    }
+    assert_eq!(limit.slots(), 7);
+    limit.set_dealt(2, 16);
+    assert_eq!(limit.slots(), 5);
+}
+
 fn report(running: u32, waiting: u32, outstanding: u32) -> Report {
     Report {
         running,
--- a/src/routing/upkeep.rs
+++ b/src/routing/upkeep.rs
@@ -49,10 +49,9 @@
         if self.routes[at].adapter.is_some() {
             return;
         }
-        let (rank, entries) = (self.entry_rank, self.entry_count);
         let routes = &self.routes[at];
         if !self.policy.uses_lanes() {
-            return deal::slots(&mut self.table, rank, entries);
+            return deal::slots(&mut self.table, &self.own_slots);
         }
         // Nothing is served from a model or version whose layers are not all held.
         if routes.lanes.is_empty() {
@@ -60,7 +59,8 @@
         }
         let holders = routes.holders();
         let lanes: Vec<Lane> = routes.lanes.iter().map(|(_, lane)| lane.clone()).collect();
-        deal::lane_slots(&mut self.table, &holders, &lanes, rank, entries);
+        let own = self.own_slots.at(&routes.service);
+        deal::lane_slots(&mut self.table, &holders, &lanes, own);
     }
 
     /// Brings routes up to date after a change. Better lanes are looked for while nothing changes,
