Control: one instance writes what all see to the trail; a stop answers operators first; sizes of calls

Every instance wrote an entry for each endpoint that left, seven for one event in today's cells; the one that rendezvous hashing names does now, as for peers. A stopping control takes no new document, and waits for acceptances and explanations under way, and for their answers to leave.

--- a/bench/tests/control/env.rs
+++ b/bench/tests/control/env.rs
@@ -6,8 +6,13 @@
 use fescue_bench::deployment::{self, Deployment};
 use fescue_bench::fleet::{Fleet, ProcessName, connect_control, operator_key, wait_until};
 use fescueshore::rpc::OperatorApiClient;
+use fescueshore::wire::caller::{CompletionOptions, CompletionRequest};
 use fescueshore::wire::operator::{InstanceState, StatusReply};
 
+/// The model of the deployments under test.
+pub const MODEL: &str = "menu-mind-24b";
+/// Tokens asked of it.
+pub const MAX_TOKENS: u32 = 12;
 /// How long anything that must happen may take on a busy machine.
 pub const LIMIT: Duration = Duration::from_secs(60);
 
@@ -90,3 +95,27 @@
 fn key(fleet: &Fleet) -> String {
     operator_key(&fleet.deployment().operator)
 }
+
+/// Asks for a completion; returns the body of the answer, whatever it is.
+pub async fn complete(
+    http: &awc::Client,
+    entry: SocketAddr,
+    account: &str,
+    prompt: &str,
+) -> Vec<u8> {
+    let request = CompletionRequest {
+        model: MODEL.to_owned(),
+        prompt: prompt.to_owned(),
+        options: CompletionOptions {
+            max_tokens: Some(MAX_TOKENS),
+            ..CompletionOptions::default()
+        },
+    };
+    let sent = http
+        .post(format!("http://{entry}/v1/completions"))
+        .bearer_auth(format!("demo-key-{account}"))
+        .send_json(&request)
+        .await;
+    let mut response = sent.expect("an answer");
+    response.body().await.expect("a whole body").to_vec()
+}
--- a/bench/tests/control/rollout.rs
+++ b/bench/tests/control/rollout.rs
@@ -8,17 +8,15 @@
 use fescue_bench::answer::AnswerKey;
 use fescue_bench::deployment;
 use fescue_bench::fleet::{Fleet, accept_text, repository_root, wait_until};
-use fescueshore::wire::caller::{CompletionOptions, CompletionRequest, ErrorAnswer, TextAnswer};
+use fescueshore::wire::caller::{ErrorAnswer, TextAnswer};
 use fescueshore::wire::engine::EngineState;
 use fescueshore::wire::operator::AcceptReply;
 
-use crate::env::{LIMIT, start};
+use crate::env::{LIMIT, MAX_TOKENS, MODEL, complete, start};
 
 const SERVICE: &str = "menu-mind";
-const MODEL: &str = "menu-mind-24b";
 const OLD: &str = "2026-11";
 const NEW: &str = "2026-12";
-const MAX_TOKENS: u32 = 12;
 const CALLERS: usize = 6;
 
 /// What the callers saw.
@@ -39,21 +37,7 @@
         asked += 1;
         let entry = entries[(caller + asked) % entries.len()];
         let prompt = format!("prompt {asked} of caller {caller}");
-        let request = CompletionRequest {
-            model: MODEL.to_owned(),
-            prompt: prompt.clone(),
-            options: CompletionOptions {
-                max_tokens: Some(MAX_TOKENS),
-                ..CompletionOptions::default()
-            },
-        };
-        let sent = http
-            .post(format!("http://{entry}/v1/completions"))
-            .bearer_auth("demo-key-grill-chain")
-            .send_json(&request)
-            .await;
-        let mut response = sent.expect("an answer");
-        let body = response.body().await.expect("a whole body");
+        let body = complete(&http, entry, "grill-chain", &prompt).await;
         match serde_json::from_slice::<TextAnswer>(&body) {
             Ok(answer) => judge(&answer, &prompt, &seen),
             Err(_) => {
--- a/src/control/cell.rs
+++ b/src/control/cell.rs
@@ -9,7 +9,7 @@
 use crate::membership::{Merged, SignSources, highest};
 use crate::platform::InstanceListFailure;
 use crate::wire::WIRE_VERSION;
-use crate::wire::operator::{AuditEvent, InstanceState, LeavingSource};
+use crate::wire::operator::{AuditEvent, InstanceState};
 use crate::wire::peer::{PeerMessage, PeerPhase, PeerReply};
 use crate::wire::platform::InstanceList;
 
@@ -141,12 +141,7 @@
                 endpoint: sign.endpoint,
                 source: sign.source,
             };
-            // What a peer has seen, the peer writes down.
-            if sign.source == LeavingSource::Peer {
-                self.log_only(event, now_ms);
-            } else {
-                self.record(event, now_ms);
-            }
+            self.note(event, now_ms);
         }
     }
 
@@ -171,23 +166,28 @@
             });
         }
         for event in changes {
-            if self.writes_down(&event, now_ms) {
-                self.record(event, now_ms);
-            } else {
-                self.log_only(event, now_ms);
-            }
+            self.note(event, now_ms);
+        }
+    }
+
+    /// Notes what every instance of the cell sees: one of them writes it to the trail.
+    fn note(&mut self, event: AuditEvent, now_ms: u64) {
+        if self.writes_down(&event, now_ms) {
+            self.record(event, now_ms);
+        } else {
+            self.log_only(event, now_ms);
         }
     }
 
-    /// Whether this instance is the one of the cell that writes a peer's change to the trail.
     fn writes_down(&self, event: &AuditEvent, now_ms: u64) -> bool {
-        let (AuditEvent::InstanceJoined { instance } | AuditEvent::InstanceLost { instance, .. }) =
-            event
-        else {
-            return true;
+        let subject = match event {
+            AuditEvent::InstanceJoined { instance } => instance.as_str(),
+            AuditEvent::InstanceLost { instance, .. } => instance.as_str(),
+            AuditEvent::EndpointLeaving { endpoint, .. } => endpoint.as_str(),
+            _ => return true,
         };
-        let witnesses = self.gossip.live(now_ms).filter(|it| *it != instance);
-        highest(instance.as_str(), witnesses) == Some(&self.config.instance)
+        let witnesses = self.gossip.live(now_ms).filter(|it| it.as_str() != subject);
+        highest(subject, witnesses) == Some(&self.config.instance)
     }
 
     /// What this instance does now, as far as peers and callers are concerned.
--- a/src/control/documents.rs
+++ b/src/control/documents.rs
@@ -173,6 +173,10 @@
         request: AcceptRequest,
         now_ms: u64,
     ) {
+        if self.stopping.has_begun() {
+            self.answer_operator(operator, Err(OperatorFault::Stopping));
+            return;
+        }
         if !self.watch.has_read() {
             self.answer_operator(operator, Err(OperatorFault::StoreUnavailable));
             return;
--- a/src/control/stopping.rs
+++ b/src/control/stopping.rs
@@ -6,8 +6,9 @@
 /// How long a control that stops alone waits before it goes: time for peers and its entry to
 /// hear of it.
 const GRACE_MS: u64 = 1_000;
-/// How long the audit trail may take to be written once the entry has finished.
-const AUDIT_LIMIT_MS: u64 = 5_000;
+/// How long operators' calls, the audit trail and leases may take to be settled once the entry has
+/// finished.
+const SETTLE_LIMIT_MS: u64 = 5_000;
 
 /// How far a planned stop has got.
 #[derive(Clone, Debug, Default)]
@@ -40,8 +41,9 @@
             return;
         }
         let done_ms = *self.stopping.entry_done_ms.get_or_insert(now_ms);
-        let handed_over = self.audit.is_empty() && !self.orders.holds_any(now_ms);
-        if handed_over || now_ms >= done_ms + AUDIT_LIMIT_MS {
+        let answered = self.acceptances.is_empty() && self.gatherings.is_empty();
+        let handed_over = answered && self.audit.is_empty() && !self.orders.holds_any(now_ms);
+        if handed_over || now_ms >= done_ms + SETTLE_LIMIT_MS {
             self.stopping.done = true;
             self.emit(ControlEffect::Stopped);
         }
--- a/src/control_server/run.rs
+++ b/src/control_server/run.rs
@@ -83,7 +83,7 @@
         () = stop.forced() => Exit::Forced,
     };
     let _ = end_sender.send(());
-    server.abort();
+    let _ = server.await;
     log::info!(exit = exit.name(); "stopped");
     Ok(exit)
 }
--- a/src/control_server/server.rs
+++ b/src/control_server/server.rs
@@ -1,6 +1,7 @@
 //! The JSON-RPC listener.
 
 use std::future::Future;
+use std::time::Duration;
 
 use jsonrpsee::Methods;
 use jsonrpsee::core::middleware::{Batch, Notification, RpcServiceBuilder, RpcServiceT};
@@ -12,10 +13,12 @@
 
 use super::counted::CountedStream;
 use super::traffic::{OtherSide, Side, Traffic};
-use crate::rpc::MAX_MESSAGE_BYTES;
+use crate::rpc::{MAX_MESSAGE_BYTES, MAX_REQUEST_BYTES};
 
 /// Most connections at once: entry, peers and operators.
 const MAX_CONNECTIONS: u32 = 256;
+/// How long open connections may take to end.
+const STOP_GRACE_MS: u64 = 300;
 /// Pause after a connection could not be accepted.
 const ACCEPT_RETRY_MS: u64 = 50;
 
@@ -30,12 +33,16 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => serve_one(stream, &methods, &traffic, stop_handle.clone()),
-                Err(_) => tokio::time::sleep(std::time::Duration::from_millis(ACCEPT_RETRY_MS)).await,
+                Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await,
             },
             () = &mut stopped => break,
         }
     }
     let _ = server_handle.stop();
+    drop(stop_handle);
+    // Answers that are already given still leave.
+    let grace = Duration::from_millis(STOP_GRACE_MS);
+    let _ = tokio::time::timeout(grace, server_handle.stopped()).await;
 }
 
 fn serve_one(stream: TcpStream, methods: &Methods, traffic: &Traffic, stop: StopHandle) {
@@ -44,7 +51,7 @@
     let stream = CountedStream::new(stream, side.clone(), traffic.clone());
     let config = ServerConfig::builder()
         .max_connections(MAX_CONNECTIONS)
-        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_request_body_size(MAX_REQUEST_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
         .ws_only()
         .build();
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -18,8 +18,11 @@
 };
 use crate::wire::peer::{FetchDocuments, FetchedDocuments, PeerMessage, PeerReply};
 
-/// Largest request or response of any call, in bytes.
-pub const MAX_MESSAGE_BYTES: u32 = 4 * 1024 * 1024;
+/// Largest response of any call, in bytes: a snapshot, or the documents of a whole cell.
+pub const MAX_MESSAGE_BYTES: u32 = 32 * 1024 * 1024;
+/// Largest request that a control takes, in bytes: one document, or a report. It is read before
+/// its key is looked at.
+pub const MAX_REQUEST_BYTES: u32 = 1024 * 1024;
 
 /// Calls of an entry to the control of its own instance.
 #[rpc(client, server, namespace = "local")]
