--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -1,13 +1,11 @@
 //! From a caller's request to a place in the queue, a running or recorded answer, or a refusal.
 
-use super::attempt::{ApplicationCall, Attempt, AttemptId, Completion, Repeat, Work};
-use super::book::{Answer, BookKey, Known, OtherDigest};
-use super::machine::{Entry, not_ready};
-use super::verdict::Evidence;
+use super::attempt::{Attempt, AttemptId, Work};
+use super::book::{Answer, Known, OtherDigest};
+use super::machine::Entry;
+use super::views::not_ready;
 use crate::admission::QueueAsk;
-use crate::document::{Document, Priority, ServiceKind};
-use crate::ids::{AccountId, IdempotencyKey, StreamId};
-use crate::instance::{CallerId, CallerRequest, EntryEffect, PresentedKey, RequestBody};
+use crate::instance::{CallerId, CallerRequest, EntryEffect};
 use crate::outcome::{Refusal, RefusalCode};
 use crate::routing::Policy;
 
@@ -57,97 +55,6 @@
         }
     }
 
-    fn check_size(&self, body: &RequestBody) -> Result<(), Refusal> {
-        let (size_bytes, max_tokens) = match body {
-            RequestBody::Completion {
-                prompt, max_tokens, ..
-            } => (prompt.len(), *max_tokens),
-            RequestBody::Application { body, .. } => (body.len(), 1),
-        };
-        if size_bytes > self.config.limits.max_body_bytes {
-            return Err(Refusal::not_run(RefusalCode::BodyTooLarge, None));
-        }
-        if max_tokens == 0 || max_tokens > self.config.limits.max_tokens {
-            return Err(Refusal::not_run(RefusalCode::MalformedBody, None));
-        }
-        Ok(())
-    }
-
-    /// Checks a request against the documents in force.
-    fn resolve(&mut self, caller: CallerId, request: CallerRequest) -> Result<Attempt, Refusal> {
-        if self.directory.is_empty() {
-            return Err(not_ready());
-        }
-        let stream = StreamId::draw(&mut self.rng);
-        let key = request.key.as_ref().map(PresentedKey::expose);
-        let (document, account, work) = match request.body {
-            RequestBody::Completion {
-                model,
-                prompt,
-                max_tokens,
-            } => {
-                let (name, adapter) = split_model(&model);
-                let service = self.directory.service_of_model(name);
-                let missing = RefusalCode::UnknownModel;
-                let (document, account) = self.directory.authenticate(key, service, missing)?;
-                let completion = Completion {
-                    stream,
-                    model: offered(document, name, adapter)?,
-                    adapter: adapter.map(str::to_owned),
-                    prompt_tokens: count_tokens(&prompt),
-                    prompt,
-                    max_tokens,
-                    priority: priority_of(document, account),
-                    chain: None,
-                    open_call: None,
-                };
-                (document, account, Work::Completion(Box::new(completion)))
-            }
-            RequestBody::Application {
-                service,
-                method,
-                path,
-                content_type,
-                body,
-            } => {
-                let missing = RefusalCode::UnknownService;
-                let (document, account) =
-                    self.directory.authenticate(key, Some(&service), missing)?;
-                if document.kind != ServiceKind::Application {
-                    return Err(Refusal::not_run(missing, None));
-                }
-                let idempotency_key = request.idempotency_key;
-                let call = ApplicationCall {
-                    repeat: repeat_of(document, &method, &path, idempotency_key.as_ref())?,
-                    method,
-                    path,
-                    content_type,
-                    body,
-                    idempotency_key,
-                    replica: None,
-                    tried: Vec::new(),
-                    sent_at_ms: 0,
-                };
-                (document, account, Work::Application(Box::new(call)))
-            }
-        };
-        Ok(Attempt {
-            id: AttemptId(caller),
-            key: BookKey {
-                account: account.clone(),
-                request: request.request,
-            },
-            service: document.service.clone(),
-            digest: request.digest,
-            deadline: request.deadline,
-            callers: vec![caller],
-            sent_tokens: 0,
-            orphaned_at_ms: None,
-            evidence: Evidence::default(),
-            work,
-        })
-    }
-
     /// Lets a caller share a running answer: it gets every token from the first.
     fn join(&mut self, caller: CallerId, running: AttemptId) -> Result<(), Refusal> {
         let Some(attempt) = self.attempts.get_mut(&running) else {
@@ -234,67 +141,6 @@
     }
 }
 
-/// Splits `model:adapter`.
-fn split_model(text: &str) -> (&str, Option<&str>) {
-    match text.split_once(':') {
-        Some((model, adapter)) => (model, Some(adapter)),
-        None => (text, None),
-    }
-}
-
-fn offered(
-    document: &Document,
-    name: &str,
-    adapter: Option<&str>,
-) -> Result<crate::document::ModelOffer, Refusal> {
-    let unknown = Refusal::not_run(RefusalCode::UnknownModel, None);
-    let ServiceKind::Model(models) = &document.kind else {
-        return Err(unknown);
-    };
-    let Some(offer) = models.get(name) else {
-        return Err(unknown);
-    };
-    let has_adapter = |adapter: &str| offer.adapters.iter().any(|known| known == adapter);
-    if adapter.is_some_and(|adapter| !has_adapter(adapter)) {
-        return Err(unknown);
-    }
-    Ok(offer.clone())
-}
-
-fn priority_of(document: &Document, account: &AccountId) -> u8 {
-    let settings = document.accounts.get(account);
-    match settings.map(|settings| settings.priority) {
-        Some(Priority::Interactive) => 0,
-        Some(Priority::Standard) | None => 1,
-        Some(Priority::Batch) => 2,
-    }
-}
-
-/// Whether a call may be sent again. A non-idempotent one needs an idempotency key.
-fn repeat_of(
-    document: &Document,
-    method: &str,
-    path: &str,
-    key: Option<&IdempotencyKey>,
-) -> Result<Repeat, Refusal> {
-    let Some(rule) = document.non_idempotent_rule(method, path) else {
-        return Ok(Repeat::Anywhere);
-    };
-    if key.is_none() {
-        return Err(Refusal::not_run(RefusalCode::MissingHeader, None));
-    }
-    if rule.endpoint_deduplicates {
-        Ok(Repeat::Deduplicated)
-    } else {
-        Ok(Repeat::Never)
-    }
-}
-
-/// Tokens of a text: engines split it by white space.
-fn count_tokens(text: &str) -> u32 {
-    position(text.split_whitespace().count())
-}
-
 /// A count as a position.
 pub(super) fn position(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -10,7 +10,7 @@
 use crate::ids::{EndpointId, ServiceName};
 use crate::instance::EntryEffect;
 use crate::routing::{NoRoute, Policy, RouteAsk};
-use crate::wire::engine::{OpenStream, Stage};
+use crate::wire::engine::Stage;
 
 impl<P> Entry<P>
 where
@@ -229,74 +229,6 @@
         }
     }
 
-    fn open_stream(
-        &mut self,
-        attempt: &mut Attempt,
-        open: OpenStream,
-        fresh_connection: bool,
-        now_ms: u64,
-    ) {
-        self.drop_stream(attempt);
-        let Some(address) = open.chain.first().map(|stage| stage.address) else {
-            return;
-        };
-        let call = self.open_call(Call::Stream {
-            attempt: attempt.id,
-            epoch: open.epoch,
-        });
-        attempt.evidence.sent(call);
-        if let Work::Completion(completion) = &mut attempt.work {
-            completion.open_call = Some(call);
-        }
-        self.note_routed(attempt, open.epoch, now_ms);
-        self.out.push(EntryEffect::OpenStream {
-            call,
-            address,
-            open,
-            fresh_connection,
-        });
-    }
-
-    /// Stops listening to the open stream of an attempt, if any.
-    pub(super) fn drop_stream(&mut self, attempt: &mut Attempt) {
-        let Work::Completion(completion) = &mut attempt.work else {
-            return;
-        };
-        if let Some(call) = completion.open_call.take()
-            && self.calls.swap_remove(&call).is_some()
-        {
-            self.out.push(EntryEffect::DropStream { call });
-        }
-    }
-
-    fn send_token(
-        &mut self,
-        attempt: &mut Attempt,
-        position: u32,
-        text: &str,
-        gap_ms: u64,
-        now_ms: u64,
-    ) {
-        if let Some(stream) = stream_of(attempt) {
-            self.router.observe_token(stream, gap_ms, now_ms);
-        }
-        self.admission
-            .charge(&attempt.service, attempt.account(), 1, now_ms);
-        self.counts.count("entry.tokens");
-        let in_order = position == attempt.sent_tokens;
-        crate::invariant::check(in_order, "entry.tokens_in_order", || {
-            format!("{position} after {} tokens", attempt.sent_tokens)
-        });
-        attempt.sent_tokens += 1;
-        for caller in &attempt.callers {
-            self.out.push(EntryEffect::SendToken {
-                caller: *caller,
-                position,
-                text: text.to_owned(),
-            });
-        }
-    }
-
     fn complete(&mut self, attempt: &mut Attempt, cut_by_length: bool, now_ms: u64) {
         let Work::Completion(completion) = &mut attempt.work else {
             return;
@@ -355,7 +287,7 @@
     }
 }
 
-fn stream_of(attempt: &Attempt) -> Option<crate::ids::StreamId> {
+pub(super) fn stream_of(attempt: &Attempt) -> Option<crate::ids::StreamId> {
     match &attempt.work {
         Work::Completion(completion) => Some(completion.stream),
         Work::Application(_) => None,
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -10,22 +10,16 @@
 use super::attempt::{Attempt, AttemptId};
 use super::book::RequestBook;
 use super::claimed::OpenClaim;
-use super::config::{EntryConfig, ShareSource};
+use super::config::EntryConfig;
 use super::counts::Counts;
-use super::directory::{Directory, DocumentChange};
-use super::locate::pick_entries;
+use super::directory::Directory;
+use super::streams::probe_answer;
 use crate::admission::Admission;
-use crate::chain::{Average, ChainMessage, PrefillHistory, ProbeAnswer, ProbeHistory};
+use crate::chain::{Average, PrefillHistory, ProbeHistory};
 use crate::ids::{EndpointId, ServiceName};
-use crate::instance::{CallId, CallerId, EntryEffect, EntryMessage, StreamFailure};
-use crate::outcome::{Refusal, RefusalCode};
+use crate::instance::{CallId, CallerId, EntryEffect, EntryMessage};
 use crate::routing::{Policy, PollKind, Router};
-use crate::wire::engine::StreamProgress;
-use crate::wire::local::{DecisionRecord, EntryRecord, Snapshot};
-use crate::wire::locate::LocateAnswer;
-
-/// When a caller should come back to an instance that has no document yet.
-const NOT_READY_RETRY_MS: u64 = 1_000;
+use crate::wire::local::{DecisionRecord, EntryRecord};
 
 /// How long a stop waits for sent answers to be recorded.
 const RECORDING_LIMIT_MS: u64 = 30_000;
@@ -80,7 +74,7 @@
     pub(super) dispatch_due: bool,
     /// Since when no living chain covers a service's layers.
     pub(super) incomplete_since_ms: IndexMap<ServiceName, u64>,
-    entries: Vec<EntryRecord>,
+    pub(super) entries: Vec<EntryRecord>,
     /// Version of the last snapshot taken; only grows.
     pub(super) snapshot_version: u64,
     pub(super) stopping: bool,
@@ -93,17 +87,6 @@
     pub(super) out: Vec<EntryEffect>,
 }
 
-/// A model that an account may use.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ModelView {
-    /// The service that offers it.
-    pub service: ServiceName,
-    /// Name.
-    pub model: String,
-    /// Adapters; a caller names one as `model:adapter`.
-    pub adapters: Vec<String>,
-}
-
 impl<P> Entry<P>
 where
     P: Policy,
@@ -186,44 +169,6 @@
         std::mem::take(&mut self.out)
     }
 
-    /// Entries to use for a service. `caller` is any stable text that tells callers apart: each
-    /// gets its own order.
-    pub fn locate(&self, service: &ServiceName, caller: &str) -> Result<LocateAnswer, Refusal> {
-        if self.directory.is_empty() {
-            return Err(not_ready());
-        }
-        if !self.directory.documents().contains_key(service) {
-            return Err(Refusal::not_run(RefusalCode::UnknownService, None));
-        }
-        let own = &self.config.instance;
-        let serving = |entry: &&EntryRecord| !self.stopping || entry.instance != *own;
-        let entries: Vec<EntryRecord> = self.entries.iter().filter(serving).cloned().collect();
-        pick_entries(service, caller, &self.config.zone, &entries).ok_or_else(not_ready)
-    }
-
-    /// Models that the account of a key may use.
-    pub fn models(&self, key: Option<&str>) -> Result<Vec<ModelView>, Refusal> {
-        if self.directory.is_empty() {
-            return Err(not_ready());
-        }
-        if self.directory.owners(key).is_empty() {
-            return Err(Refusal::not_run(RefusalCode::Unauthenticated, None));
-        }
-        let models = self.directory.models_of(key).into_iter();
-        Ok(models
-            .map(|(service, offer)| ModelView {
-                service: service.clone(),
-                model: offer.name.clone(),
-                adapters: offer.adapters.clone(),
-            })
-            .collect())
-    }
-
-    /// Whether new requests are taken.
-    pub fn ready(&self) -> bool {
-        !self.stopping && !self.directory.is_empty()
-    }
-
     /// Requests that wait or run.
     pub fn in_flight(&self) -> usize {
         self.attempts.len()
@@ -234,51 +179,12 @@
         self.counts.take()
     }
 
-    fn on_snapshot(&mut self, snapshot: &Snapshot, now_ms: u64) {
-        if snapshot.version < self.snapshot_version {
-            self.counts.count("entry.snapshots.older");
-            return;
-        }
-        self.snapshot_version = snapshot.version;
-        let changes = self.directory.update(&snapshot.documents);
-        self.count_changes(&changes);
-        if changes.contains(&DocumentChange::Accepted) {
-            self.router.set_documents(self.directory.documents());
-            self.admission.set_accounts(self.directory.documents());
-        }
-        self.entries.clone_from(&snapshot.entries);
-        let serving = self.entries.iter().filter(|entry| entry.serving);
-        let names: Vec<&str> = serving.map(|entry| entry.instance.as_str()).collect();
-        let own = self.config.instance.as_str();
-        let rank = names.iter().filter(|name| **name < own).count();
-        self.router.set_entry_rank(rank, names.len());
-        if self.config.shares == ShareSource::Control {
-            self.router.set_entry_parts(&snapshot.parts);
-        }
-        self.router.set_endpoints(&snapshot.endpoints, now_ms);
-        if self.config.shares == ShareSource::Control {
-            self.admission.set_shares(&snapshot.shares, now_ms);
-        }
-        self.look_again();
-    }
-
     /// Notes that services found full may have room now.
     pub(super) fn look_again(&mut self) {
         self.full.clear();
         self.dispatch_due = true;
     }
 
-    fn count_changes(&mut self, changes: &[DocumentChange]) {
-        for change in changes {
-            match change {
-                DocumentChange::Accepted => self.counts.count("entry.documents.accepted"),
-                DocumentChange::Older => self.counts.count("entry.documents.older"),
-                DocumentChange::Faulty => self.counts.count("entry.documents.faulty"),
-                DocumentChange::Known => {}
-            }
-        }
-    }
-
     fn on_tick(&mut self, now_ms: u64) {
         self.look_again();
         self.book.expire(now_ms);
@@ -307,7 +213,7 @@
 
     /// Says when nothing is in flight any more. Answers that were sent but not yet recorded are
     /// waited for too, but not through a long outage of the table service.
-    fn check_stopped(&mut self, now_ms: u64) {
+    pub(super) fn check_stopped(&mut self, now_ms: u64) {
         if !self.stopping || self.stopped || !self.attempts.is_empty() {
             return;
         }
@@ -326,63 +232,6 @@
         id
     }
 
-    fn on_stream_event(
-        &mut self,
-        call: CallId,
-        event: crate::wire::engine::StreamEvent,
-        now_ms: u64,
-    ) {
-        let Some(Call::Stream { attempt, .. }) = self.calls.get(&call) else {
-            self.counts.count("entry.events.late");
-            return;
-        };
-        let attempt = *attempt;
-        self.with_attempt(attempt, |entry, attempt| {
-            attempt.evidence.may_have_run(call);
-            entry.tell_chain(attempt, ChainMessage::Event(event), now_ms)
-        });
-    }
-
-    fn on_stream_failed(&mut self, call: CallId, failure: StreamFailure, now_ms: u64) {
-        let Some(Call::Stream { attempt, epoch }) = self.calls.swap_remove(&call) else {
-            self.counts.count("entry.events.late");
-            return;
-        };
-        self.with_attempt(attempt, |entry, attempt| {
-            match failure {
-                StreamFailure::NotSent | StreamFailure::Refused { .. } => {
-                    attempt.evidence.ran_nothing(call);
-                }
-                StreamFailure::Broken => attempt.evidence.may_have_run(call),
-            }
-            let message = ChainMessage::StreamFailed { epoch, failure };
-            entry.tell_chain(attempt, message, now_ms)
-        });
-    }
-
-    fn on_probed(&mut self, call: CallId, answer: ProbeAnswer, now_ms: u64) {
-        let Some(Call::Probe {
-            attempt,
-            round,
-            stage,
-            sent_at_ms,
-        }) = self.calls.swap_remove(&call)
-        else {
-            return;
-        };
-        // A missing answer counts too: else an instance on which all answers are late would never
-        // learn to wait for them.
-        self.probe_times.add(now_ms.saturating_sub(sent_at_ms));
-        let message = ChainMessage::Probed {
-            round,
-            stage,
-            answer,
-        };
-        self.with_attempt(attempt, |entry, attempt| {
-            entry.tell_chain(attempt, message, now_ms)
-        });
-    }
-
     /// Takes an attempt out while `run` works on it, and puts it back unless it has ended.
     pub(super) fn with_attempt<F>(&mut self, id: AttemptId, run: F)
     where
@@ -406,14 +255,6 @@
     Ended,
 }
 
-fn probe_answer(progress: Option<StreamProgress>, reachable: bool) -> ProbeAnswer {
-    match progress {
-        Some(progress) => ProbeAnswer::Progress(progress),
-        None if reachable => ProbeAnswer::NotKnown,
-        None => ProbeAnswer::Unreachable,
-    }
-}
-
 fn poll_effect(endpoint: EndpointId, address: SocketAddr, kind: PollKind) -> EntryEffect {
     match kind {
         PollKind::State => EntryEffect::ReadEngineState { endpoint, address },
@@ -424,8 +265,3 @@
         },
     }
 }
-
-/// The refusal of an instance that has no document in force.
-pub(super) fn not_ready() -> Refusal {
-    Refusal::not_run(RefusalCode::NotReady, Some(NOT_READY_RETRY_MS))
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,9 +16,13 @@
 mod locate;
 mod machine;
 mod report;
+mod resolve;
+mod streams;
 #[cfg(test)]
 mod tests;
 mod verdict;
+mod views;
 
 pub use config::{EntryConfig, EntryLimits, ShareSource};
-pub use machine::{Entry, ModelView};
+pub use machine::Entry;
+pub use views::ModelView;
--- a/src/entry/tests/world/table.rs
+++ b/src/entry/tests/world/table.rs
@@ -1,66 +1,17 @@
 //! The table service: conditional transactions, whose replies may be lost.
 
-use indexmap::IndexMap;
-
 use super::{Lifetime, World};
-use crate::instance::{CallId, EntryMessage, TableCall, TableReply};
+use crate::control::tests::fake_table::FakeTable;
+use crate::instance::{CallId, EntryMessage, TableCall};
 use crate::platform::TableFailure;
-use crate::wire::platform::{Condition, Row, Rows, TransactReply, Transaction, Write};
 
+/// The table and when it is out.
 #[derive(Debug, Default)]
 pub(super) struct Table {
-    rows: IndexMap<String, Row>,
-    version: u64,
+    rows: FakeTable,
     pub(super) outage_until_ms: u64,
 }
 
-impl Table {
-    fn transact(&mut self, transaction: &Transaction) -> TransactReply {
-        let unmet = |condition: &&Condition| match condition {
-            Condition::BeAbsent { key } => self.rows.contains_key(key),
-            Condition::BeAtVersion { key, version } => {
-                self.rows.get(key).is_none_or(|row| row.version != *version)
-            }
-        };
-        let unmet: Vec<&Condition> = transaction.conditions.iter().filter(unmet).collect();
-        if !unmet.is_empty() {
-            let rows = unmet.iter().filter_map(|condition| match condition {
-                Condition::BeAbsent { key } | Condition::BeAtVersion { key, .. } => {
-                    self.rows.get(key).cloned()
-                }
-            });
-            let rows = rows.collect();
-            return TransactReply::Conflict { rows };
-        }
-        self.version += 1;
-        for write in &transaction.writes {
-            match write {
-                Write::Put { key, value } => {
-                    let row = Row {
-                        key: key.clone(),
-                        version: self.version,
-                        value: value.clone(),
-                    };
-                    self.rows.insert(key.clone(), row);
-                }
-                Write::Delete { key } => {
-                    self.rows.swap_remove(key);
-                }
-            }
-        }
-        TransactReply::Committed {
-            version: self.version,
-        }
-    }
-
-    fn read(&self, keys: &[String]) -> Rows {
-        let rows = keys.iter().filter_map(|key| self.rows.get(key).cloned());
-        Rows {
-            rows: rows.collect(),
-        }
-    }
-}
-
 impl World {
     pub(super) fn call_table(&mut self, by: Lifetime, call: CallId, table: TableCall) {
         let failure = self.table_failure();
@@ -69,11 +20,7 @@
             Some(_) => false,
             None => true,
         };
-        let reply = takes_effect.then(|| match &table {
-            TableCall::Transact(it) => TableReply::Transacted(self.table.transact(it)),
-            TableCall::Read(it) => TableReply::Read(self.table.read(&it.keys)),
-            TableCall::Scan(_) => TableReply::Read(Rows::default()),
-        });
+        let reply = takes_effect.then(|| self.table.rows.call(&table));
         let result = match (failure, reply) {
             (None, Some(reply)) => Ok(reply),
             (failure, _) => Err(failure.unwrap_or(TableFailure::NotSent)),
