--- a/bench/src/measure/report.rs
+++ b/bench/src/measure/report.rs
@@ -189,8 +189,8 @@
     for repeat in &result.retries {
         let _ = writeln!(
             text,
-            "\nOutage: {} requests, {} attempts, {} unfinished.",
-            repeat.requests, repeat.attempts, repeat.unfinished
+            "\nOutage: {} requests, {} attempts, {} refused, {} broken; {} requests unfinished.",
+            repeat.requests, repeat.attempts, repeat.refusals, repeat.broken, repeat.unfinished
         );
     }
     text.push('\n');
--- a/bench/src/measure/retries.rs
+++ b/bench/src/measure/retries.rs
@@ -21,6 +21,10 @@
     pub requests: u64,
     /// Their attempts.
     pub attempts: u64,
+    /// Attempts answered `not-run`.
+    pub refusals: u64,
+    /// Attempts without a final word.
+    pub broken: u64,
     /// Requests without a final word at the end.
     pub unfinished: u64,
 }
@@ -62,8 +66,8 @@
         let amplification = found.attempts as f64 / found.requests.max(1) as f64;
         bench.say(&format!(
             "retries: {} attempts for {} requests around an outage, {amplification:.3} each; {} \
-             unfinished",
-            found.attempts, found.requests, found.unfinished
+             refused, {} broken, {} unfinished",
+            found.attempts, found.requests, found.refusals, found.broken, found.unfinished
         ));
         bench
             .figures
@@ -99,6 +103,8 @@
     for report in book.reports().iter().skip(ended_before) {
         found.requests += 1;
         found.attempts += u64::from(report.attempts);
+        found.refusals += u64::from(report.refusals);
+        found.broken += u64::from(report.broken);
     }
     found
 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -15,8 +15,11 @@
 const REJOIN_MS: u64 = 2_000;
 /// When to come back after endpoints failed or were missing; up to twice as long.
 const FAILED_RETRY_MS: u64 = 500;
-/// How long queued requests wait for a chain while no living engines cover the layers.
-const INCOMPLETE_WAIT_MS: u64 = 2_000;
+/// How long queued requests wait for a chain while no living engines cover the layers: longer than
+/// an engine takes to be replaced, since a refusal costs another attempt.
+const INCOMPLETE_WAIT_MS: u64 = 5_000;
+/// Longest time to come back, before jitter, while no living engines cover the layers.
+const INCOMPLETE_RETRY_LIMIT_MS: u64 = 15_000;
 
 impl<P> Entry<P>
 where
@@ -65,8 +68,11 @@
         if reason == NoRoute::Incomplete {
             let since = self.incomplete_since_ms.entry(attempt.service.clone());
             let since_ms = *since.or_insert(now_ms);
-            if now_ms.saturating_sub(since_ms) >= INCOMPLETE_WAIT_MS {
-                self.refuse(attempt, RefusalCode::NoEndpoint, now_ms);
+            let age_ms = now_ms.saturating_sub(since_ms);
+            if age_ms >= INCOMPLETE_WAIT_MS {
+                // An outage that has lasted long will likely last as long again.
+                let least_ms = age_ms.min(INCOMPLETE_RETRY_LIMIT_MS);
+                self.refuse_for(attempt, RefusalCode::NoEndpoint, least_ms, now_ms);
                 return Flow::Ended;
             }
         }
@@ -86,8 +92,13 @@
 
     /// Ends an attempt without an answer. Whether it ran is decided by its evidence.
     pub(super) fn refuse(&mut self, attempt: &mut Attempt, code: RefusalCode, now_ms: u64) {
+        self.refuse_for(attempt, code, FAILED_RETRY_MS, now_ms);
+    }
+
+    /// Ends an attempt without an answer; its caller is to come back after `least_ms` or more.
+    fn refuse_for(&mut self, attempt: &mut Attempt, code: RefusalCode, least_ms: u64, now_ms: u64) {
         // Spread, so that the callers of one endpoint do not all come back at once.
-        let retry_after_ms = self.rng.random_range(FAILED_RETRY_MS..2 * FAILED_RETRY_MS);
+        let retry_after_ms = self.rng.random_range(least_ms..2 * least_ms);
         let refusal = attempt.evidence.refusal(code, Some(retry_after_ms));
         self.refuse_with(attempt, refusal, now_ms);
     }
--- a/src/routing/endpoints.rs
+++ b/src/routing/endpoints.rs
@@ -35,6 +35,9 @@
 pub(crate) const BACKOFF_LAST_MS: u64 = 16_000;
 /// How long an endpoint that refused work gets nothing more.
 pub(crate) const REFUSED_MS: u64 = 100;
+/// Longest time between two questions for the state of an engine under suspicion: a new
+/// incarnation in its place is trusted at once.
+const SUSPECT_POLL_MS: u64 = 250;
 /// How long a word that it drains outweighs a state that says otherwise, which may be older.
 const DRAINING_HOLDS_MS: u64 = 2_000;
 /// Unanswered polls in a row that make a fault.
@@ -171,7 +174,7 @@
                 // Only engines are polled.
                 let is_polled = self.role == InstanceRole::Engine;
                 self.trust.suspect(fault, is_polled, now_ms);
-                self.poll_state_at_ms = self.trust.avoid_until_ms;
+                self.poll_state_at_ms = self.trust.avoid_until_ms.min(now_ms + SUSPECT_POLL_MS);
             }
         }
     }
@@ -307,6 +310,10 @@
             endpoint.forget_incarnation();
         }
         endpoint.trust.answered(now_ms);
+        if now_ms < endpoint.trust.avoid_until_ms {
+            let backoff_ends_ms = endpoint.trust.avoid_until_ms;
+            endpoint.poll_state_at_ms = endpoint.poll_state_at_ms.min(backoff_ends_ms);
+        }
         endpoint.draining_since_ms = match endpoint.draining_since_ms {
             Some(since_ms) if now_ms < since_ms + DRAINING_HOLDS_MS => Some(since_ms),
             _ => state.draining.then_some(now_ms),
--- a/src/routing/polls.rs
+++ b/src/routing/polls.rs
@@ -40,8 +40,8 @@
     },
 }
 
-/// Questions that are due; each is returned once. A suspected engine is asked for its state when
-/// its backoff ends, and not for cache events.
+/// Questions that are due; each is returned once. A suspected engine is asked for its state more
+/// often than others and when its backoff ends, and not for cache events.
 pub(crate) fn due(table: &mut EndpointTable, rng: &mut SmallRng, now_ms: u64) -> Vec<Poll> {
     let mut due = Vec::new();
     for endpoint in table.all.values_mut() {
