Process tests: faults of the store and of a holder land while a call is under way

Cause: a review of the process tests. `slow` holds a call back before the replica counts it, so that a test which waited for a counted call had about 5 ms left before the answer and the freeze, kill or outage could come after it. `lose_replies` at the table was used up by whichever write came next, perhaps an audit or lease row. The freeze of the table came while perhaps no claim was under way. A document had 5 s per instance, one after the other.

Now: `slow_reply` holds the answer of a call that ran and is counted, and the tests fail if any answer went out before the fault. `lose_replies` takes the prefix of a row's key; the tests of a claim and of an acceptance name the row and read `lost_replies`. The table counts written rows by kind; the freeze comes while calls of the table take 700 ms each, and the test fails unless a claim's row is written after the freeze began. The frozen holder stays frozen until every caller has given up on it and 12 s have passed; the constant names the timeouts that this is past (a call's 10 s is the longest). A document must be in force at all instances within one limit of 5 s.

--- a/bench/src/application/replica.rs
+++ b/bench/src/application/replica.rs
@@ -12,6 +12,9 @@
 pub struct ApplicationCounters {
     /// Calls that arrived, those that failed before they ran included.
     pub calls: u64,
+    /// Calls answered, or whose reply was cut off, after they ran.
+    #[serde(default)]
+    pub replies: u64,
     /// Calls that ran.
     pub runs: u64,
     /// Runs at this replica by idempotency key.
--- a/bench/src/application/server.rs
+++ b/bench/src/application/server.rs
@@ -33,6 +33,8 @@
     counters: ApplicationCounters,
     calls_to_fail: u32,
     replies_to_lose: u32,
+    /// How much later a call that ran is answered.
+    extra_reply_ms: u64,
 }
 
 /// All replicas of the process, by name.
@@ -133,6 +135,7 @@
     /// Whether the reply to a call that ran is to be cut off.
     fn loses_reply(&self) -> bool {
         let mut state = self.lock();
+        state.counters.replies += 1;
         if state.replies_to_lose == 0 {
             return false;
         }
@@ -147,9 +150,11 @@
             Fault::Clear => {
                 state.calls_to_fail = 0;
                 state.replies_to_lose = 0;
+                state.extra_reply_ms = 0;
             }
             Fault::FailCalls { count } => state.calls_to_fail = count,
-            Fault::LoseReplies { count } => state.replies_to_lose = count,
+            Fault::LoseReplies { count, .. } => state.replies_to_lose = count,
+            Fault::SlowReply { extra_ms } => state.extra_reply_ms = extra_ms,
             _ => {}
         }
     }
@@ -202,6 +207,8 @@
     let echo = replica
         .deduplicate(&call)
         .unwrap_or_else(|| replica.run(&call));
+    let extra_ms = replica.lock().extra_reply_ms;
+    actix_rt::time::sleep(Duration::from_millis(extra_ms)).await;
     if replica.loses_reply() {
         return None;
     }
--- a/bench/src/objects/mod.rs
+++ b/bench/src/objects/mod.rs
@@ -64,7 +64,7 @@
 
     /// The reply to a write that took effect, or a cut one.
     fn written(&mut self) -> HttpResponse {
-        if self.limits.loses_reply() {
+        if self.limits.loses_reply(&[]) {
             cut_reply()
         } else {
             HttpResponse::Ok().finish()
--- a/bench/src/soak/inject.rs
+++ b/bench/src/soak/inject.rs
@@ -311,9 +311,7 @@
         FaultKind::TableSlow => Fault::Slow {
             extra_ms: TABLE_SLOW_MS,
         },
-        FaultKind::TableLosesReplies | FaultKind::ReplicaLosesReplies => {
-            Fault::LoseReplies { count }
-        }
+        FaultKind::TableLosesReplies | FaultKind::ReplicaLosesReplies => Fault::lose_replies(count),
         FaultKind::ReplicaFailsCalls => Fault::FailCalls { count },
         FaultKind::ListLags => Fault::Lag {
             lag_ms: LAG_MS,
--- a/bench/src/standin/faults.rs
+++ b/bench/src/standin/faults.rs
@@ -32,6 +32,24 @@
     }
 }
 
+impl Fault {
+    /// The next replies of any kind get lost.
+    pub fn lose_replies(count: u32) -> Self {
+        Self::LoseReplies {
+            count,
+            prefix: None,
+        }
+    }
+
+    /// The next replies to writes of a row whose key starts with `prefix` get lost.
+    pub fn lose_replies_of(prefix: &str, count: u32) -> Self {
+        Self::LoseReplies {
+            count,
+            prefix: Some(prefix.to_owned()),
+        }
+    }
+}
+
 /// A fault. Each holds until it is cleared; faults of other kinds stay as they are.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "fault", rename_all = "snake_case")]
@@ -57,6 +75,14 @@
     LoseReplies {
         /// How many.
         count: u32,
+        /// Table service: only writes of a row whose key starts so; every write if absent.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        prefix: Option<String>,
+    },
+    /// Services: a call that ran is answered later. The delay begins once the call is counted.
+    SlowReply {
+        /// By this much.
+        extra_ms: u64,
     },
     /// Services: the next calls fail with 503 before they run.
     FailCalls {
--- a/bench/src/standin/limit.rs
+++ b/bench/src/standin/limit.rs
@@ -46,6 +46,8 @@
     writes: TokenBucket,
     reads: TokenBucket,
     replies_to_lose: u32,
+    /// Only replies to writes of a key that starts so get lost.
+    lost_prefix: Option<String>,
     /// Calls over the rate limit.
     pub(crate) throttled: u64,
     /// Replies cut off after their write took effect.
@@ -60,6 +62,7 @@
             writes: TokenBucket::new(WRITES_PER_S, now_us),
             reads: TokenBucket::new(READS_PER_S, now_us),
             replies_to_lose: 0,
+            lost_prefix: None,
             throttled: 0,
             lost_replies: 0,
         }
@@ -67,16 +70,19 @@
 
     /// Applies a fault; leaves faults of other kinds alone.
     pub(crate) fn apply(&mut self, fault: &Fault) {
-        match *fault {
+        match fault {
             Fault::Clear => {
                 self.replies_to_lose = 0;
                 self.set_rates(WRITES_PER_S, READS_PER_S);
             }
-            Fault::LoseReplies { count } => self.replies_to_lose = count,
+            Fault::LoseReplies { count, prefix } => {
+                self.replies_to_lose = *count;
+                self.lost_prefix.clone_from(prefix);
+            }
             Fault::Limits {
                 writes_per_s,
                 reads_per_s,
-            } => self.set_rates(writes_per_s, reads_per_s),
+            } => self.set_rates(*writes_per_s, *reads_per_s),
             _ => {}
         }
     }
@@ -101,9 +107,13 @@
         free
     }
 
-    /// Whether the reply to a write that took effect gets lost.
-    pub(crate) fn loses_reply(&mut self) -> bool {
-        let loses = self.replies_to_lose > 0;
+    /// Whether the reply to a write of these keys that took effect gets lost.
+    pub(crate) fn loses_reply(&mut self, keys: &[String]) -> bool {
+        let meant = match &self.lost_prefix {
+            Some(prefix) => keys.iter().any(|key| key.starts_with(prefix)),
+            None => true,
+        };
+        let loses = meant && self.replies_to_lose > 0;
         if loses {
             self.replies_to_lose -= 1;
             self.lost_replies += 1;
--- a/bench/src/table/server.rs
+++ b/bench/src/table/server.rs
@@ -4,7 +4,8 @@
 
 use actix_web::dev::Server;
 use actix_web::{HttpResponse, web};
-use fescueshore::wire::platform::{ReadRows, ScanRows, TransactReply, Transaction};
+use fescueshore::wire::platform::{ReadRows, ScanRows, TransactReply, Transaction, Write};
+use indexmap::IndexMap;
 use serde::Serialize;
 
 use super::store::Store;
@@ -13,7 +14,7 @@
 use crate::topology::Topology;
 
 /// What the table service did.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 struct Counters {
     /// Transactions asked for, refused ones left out.
     transactions: u64,
@@ -21,6 +22,8 @@
     conflicts: u64,
     /// Rows written.
     writes: u64,
+    /// Rows written, by the part of their key before its first `/`.
+    writes_by_kind: IndexMap<String, u64>,
     /// Rows read or scanned; a key that does not exist counts too.
     reads: u64,
     /// Calls over the rate limit.
@@ -31,6 +34,16 @@
     rows: u64,
 }
 
+impl Counters {
+    fn note_written(&mut self, keys: &[String]) {
+        self.writes += keys.len() as u64;
+        for key in keys {
+            let kind = key.split('/').next().unwrap_or_default();
+            *self.writes_by_kind.entry(kind.to_owned()).or_default() += 1;
+        }
+    }
+}
+
 /// The table service.
 #[derive(Debug)]
 struct Table {
@@ -79,19 +92,30 @@
     table.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn key_of(write: &Write) -> &str {
+    match write {
+        Write::Put { key, .. } | Write::Delete { key } => key,
+    }
+}
+
 async fn transact(table: SharedTable, ask: web::Json<Transaction>) -> HttpResponse {
     let mut table = lock(&table);
     let rows = ask.writes.len();
+    let keys: Vec<String> = ask
+        .writes
+        .iter()
+        .map(|write| key_of(write).into())
+        .collect();
     if !table.limits.may_write(rows.max(1)) {
         return HttpResponse::TooManyRequests().finish();
     }
     let reply = table.store.transact(ask.into_inner());
     table.counters.transactions += 1;
     match reply {
-        TransactReply::Committed { .. } => table.counters.writes += rows as u64,
+        TransactReply::Committed { .. } => table.counters.note_written(&keys),
         TransactReply::Conflict { .. } => table.counters.conflicts += 1,
     }
-    if table.limits.loses_reply() {
+    if table.limits.loses_reply(&keys) {
         return cut_reply();
     }
     HttpResponse::Ok().json(reply)
@@ -120,7 +144,7 @@
         throttled: table.limits.throttled,
         lost_replies: table.limits.lost_replies,
         rows: table.store.len() as u64,
-        ..table.counters
+        ..table.counters.clone()
     })
 }
 
--- a/bench/tests/processes/documents.rs
+++ b/bench/tests/processes/documents.rs
@@ -11,6 +11,7 @@
 use fescueshore::ids::ServiceName;
 use fescueshore::rpc::OperatorApiClient;
 use fescueshore::wire::operator::{AcceptReply, AcceptRequest};
+use futures_util::future::join_all;
 use uuid::Uuid;
 
 use crate::env::{Env, ask_answered, eventually, read};
@@ -50,16 +51,19 @@
     Some(entry.revision)
 }
 
-/// Fails the test unless a revision is in force at these instances in time.
+/// Fails the test unless a revision is in force at all of these instances within one limit from now.
 async fn assert_in_force(env: &Env, instances: &[usize], revision: u64) {
-    for &index in instances {
-        let held = wait_until(IN_FORCE_LIMIT, async || {
-            revision_at(env, index).await == Some(revision)
+    let waits = instances.iter().map(|index| async move {
+        wait_until(IN_FORCE_LIMIT, async || {
+            revision_at(env, *index).await == Some(revision)
         })
-        .await;
-        let has = revision_at(env, index).await;
-        assert!(held, "instance {index} has {has:?}, not {revision}");
-    }
+        .await
+    });
+    let held = join_all(waits).await;
+    assert!(
+        held.iter().all(|held| *held),
+        "revision {revision} at {instances:?}: {held:?}"
+    );
 }
 
 async fn restart_instance(env: &mut Env, index: usize) {
@@ -116,7 +120,8 @@
         change_id: Uuid::now_v7(),
         note: None,
     };
-    env.fault(table, Fault::LoseReplies { count: 2 }).await;
+    let row = format!("document/{LEDGER}");
+    env.fault(table, Fault::lose_replies_of(&row, 2)).await;
     let mut revision = 0;
     eventually("the change is accepted", async || {
         let reply = accept_request(control, "amira", request.clone()).await;
@@ -129,6 +134,8 @@
     })
     .await;
     assert_eq!(revision, 2);
+    let lost = env.table().await.lost_replies;
+    assert!(lost > 0, "no reply of the acceptance was lost");
     assert_in_force(&env, &[0, 1, 2], 2).await;
     let client = connect_control(control).await.expect("control");
     let history = client.history(operator_key("amira"), LEDGER.into(), 10);
--- a/bench/tests/processes/env.rs
+++ b/bench/tests/processes/env.rs
@@ -19,6 +19,8 @@
 use fescue_bench::tally::{Findings, Tally};
 use fescueshore::ids::{AccountId, EndpointId, ServiceName, ZoneName};
 use fescueshore::wire::platform::{InstancePhase, InstanceRecord, InstanceRole};
+use indexmap::IndexMap;
+use serde::Deserialize;
 use tokio::sync::{Semaphore, SemaphorePermit};
 use uuid::Uuid;
 
@@ -27,8 +29,20 @@
 /// How long anything that must happen may take on a busy machine.
 pub const LIMIT: Duration = Duration::from_secs(60);
 
+/// Longest time between two tokens at a caller, whatever failed, on a busy machine.
+const PAUSE_LIMIT: Duration = Duration::from_secs(5);
+
 static FLEETS: Semaphore = Semaphore::const_new(FLEETS_AT_ONCE);
 
+/// What the table service counted.
+#[derive(Deserialize)]
+pub struct TableCounters {
+    /// Replies cut off after their transaction took effect.
+    pub lost_replies: u64,
+    /// Rows written, by the first part of their key.
+    writes_by_kind: IndexMap<String, u64>,
+}
+
 /// A running small fleet.
 pub struct Env {
     pub fleet: Fleet,
@@ -166,18 +180,61 @@
         added.await.expect("list");
     }
 
-    /// Calls that reached the application's replicas.
-    pub async fn calls(&self) -> u64 {
-        let mut sum = 0;
+    /// Counters of the application's replicas.
+    pub async fn replicas(&self) -> Vec<ApplicationCounters> {
+        let mut all = Vec::new();
         for replica in &self.fleet.topology().applications {
             let page = self
                 .fleet
                 .standins()
                 .get(replica.address, "/standin/counters");
-            let counters: ApplicationCounters = page.await.expect("counters");
-            sum += counters.calls;
+            all.push(page.await.expect("counters"));
         }
-        sum
+        all
+    }
+
+    /// Calls that reached the application's replicas.
+    pub async fn calls(&self) -> u64 {
+        self.replicas().await.iter().map(|one| one.calls).sum()
+    }
+
+    /// Makes every replica answer this long after a call ran.
+    pub async fn slow_replies(&self, extra_ms: u64) {
+        for replica in &self.fleet.topology().applications {
+            self.fault(replica.address, Fault::SlowReply { extra_ms })
+                .await;
+        }
+    }
+
+    /// Waits until a call has run. Only with [`Env::slow_replies`] its answer is not out then.
+    pub async fn until_a_call_ran(&self) {
+        eventually("a call has run", async || {
+            self.replicas().await.iter().any(|one| one.runs > 0)
+        })
+        .await;
+    }
+
+    /// Fails if a replica has answered any call: the ones that ran before were then under way.
+    pub async fn assert_no_reply_yet(&self) {
+        let replies: u64 = self.replicas().await.iter().map(|one| one.replies).sum();
+        assert_eq!(replies, 0, "the fault came after an answer");
+    }
+
+    /// Counters of the table service.
+    pub async fn table(&self) -> TableCounters {
+        let table = self.fleet.topology().platform.table;
+        let page = self.fleet.standins().get(table, "/standin/counters");
+        page.await.expect("counters")
+    }
+
+    /// Writes of claims' rows that took effect: claims, releases and records.
+    pub async fn claims_written(&self) -> u64 {
+        let counters = self.table().await;
+        counters
+            .writes_by_kind
+            .get("claim")
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Streams opened at the engines, rebuilt ones included.
@@ -226,12 +283,15 @@
     }
 }
 
-/// Prints how long the worst stream paused; `cargo test -- --nocapture` shows it.
-pub fn print_recovery(env: &Env, fault: &str) {
+/// Prints how long the worst stream paused, and fails if that was longer than [`PAUSE_LIMIT`];
+/// `cargo test -- --nocapture` shows it.
+pub fn assert_recovery(env: &Env, fault: &str) {
     let book = env.book.borrow();
     let pauses = book.reports().iter().map(|report| report.longest_pause);
-    let worst_ms = pauses.max().unwrap_or_default().as_millis();
+    let worst = pauses.max().unwrap_or_default();
+    let worst_ms = worst.as_millis();
     println!("recovery: {fault}: longest pause of a stream {worst_ms} ms");
+    assert!(worst <= PAUSE_LIMIT, "{fault}: {worst_ms} ms");
 }
 
 /// Waits until a condition holds; fails the test if it does not in time.
--- a/bench/tests/processes/store.rs
+++ b/bench/tests/processes/store.rs
@@ -1,12 +1,24 @@
 //! The table service fails; work that does not need it goes on.
 
-use fescue_bench::caller::{AttemptEnd, FinalWord, Patience, attempt};
+use std::time::Duration;
+
+use fescue_bench::caller::{AttemptEnd, Caller, FinalWord, Patience, Request, attempt};
+use fescue_bench::fleet::wait_until;
 use fescue_bench::standin::faults::Fault;
 use fescueshore::outcome::{Outcome, RefusalCode};
 use uuid::Uuid;
 
 use crate::env::{Env, all_answered, ask_answered, eventually, read, spawn, stream, write};
 
+/// How long the table stays frozen once a claim is known to be under way in it.
+const FROZEN: Duration = Duration::from_secs(6);
+
+/// Key of the row that holds the claim of a write.
+fn claim_row(request: &Request) -> String {
+    let key = request.idempotency_key().expect("key");
+    format!("claim/ledger-api/{}/{key}", request.account)
+}
+
 #[actix_rt::test]
 async fn in_a_table_outage_idempotent_work_goes_on_and_the_rest_is_refused_not_run() {
     let mut env = Env::start().await;
@@ -34,9 +46,13 @@
     let mut env = Env::start().await;
     let table = env.fleet.topology().platform.table;
     let mut caller = env.caller();
-    for _ in 0..5 {
-        env.fault(table, Fault::LoseReplies { count: 1 }).await;
-        ask_answered(&mut caller, write(Uuid::now_v7())).await;
+    for round in 1..=5 {
+        let request = write(Uuid::now_v7());
+        // The first write to this row is the claim.
+        let row = claim_row(&request);
+        env.fault(table, Fault::lose_replies_of(&row, 1)).await;
+        ask_answered(&mut caller, request).await;
+        assert_eq!(env.table().await.lost_replies, round);
     }
     env.assert_clean().await;
 }
@@ -45,17 +61,15 @@
 async fn an_answer_that_cannot_be_recorded_reaches_its_caller_and_runs_once() {
     let mut env = Env::start().await;
     let table = env.fleet.topology().platform.table;
-    for replica in &env.fleet.topology().applications {
-        env.fault(replica.address, Fault::Slow { extra_ms: 1_500 })
-            .await;
-    }
+    env.slow_replies(2_000).await;
     let request = write(Uuid::now_v7());
     let mut caller = env.caller();
     let asked = request.clone();
     let asking = spawn(async move { ask_answered(&mut caller, asked).await });
-    // The claim is written and the call is out; then the store goes down.
-    eventually("the call is out", async || env.calls().await > 0).await;
+    // The claim is written and the call has run; then the store goes down.
+    env.until_a_call_ran().await;
     env.fault(table, Fault::Outage).await;
+    env.assert_no_reply_yet().await;
     all_answered(vec![asking]).await;
     env.fault(table, Fault::Clear).await;
     let word = env.caller().ask(request).await;
@@ -85,25 +99,35 @@
 async fn a_store_that_freezes_under_claims_doubles_none() {
     let mut env = Env::start().await;
     let table = env.fleet.topology().platform.table;
-    let writes: Vec<_> = (0..6)
-        .map(|_| {
-            let mut caller = env.caller();
-            spawn(async move { caller.ask(write(Uuid::now_v7())).await })
-        })
-        .collect();
-    env.fault(
-        table,
-        Fault::Freeze {
-            for_ms: Some(6_000),
-        },
-    )
+    // Each call of the table takes so long that the callers are nearly always in one.
+    env.fault(table, Fault::Slow { extra_ms: 700 }).await;
+    let callers: Vec<_> = (0..6).map(|_| spawn(write_thrice(env.caller()))).collect();
+    eventually("a claim is written", async || {
+        env.claims_written().await > 0
+    })
     .await;
-    for write in writes {
-        let word = write.await.expect("caller");
+    env.fault(table, Fault::Freeze { for_ms: None }).await;
+    let before = env.claims_written().await;
+    // Whatever is written now was sent before the freeze, and its reply waits for the end of it.
+    let under_way = wait_until(Duration::from_secs(3), async || {
+        env.claims_written().await > before
+    });
+    assert!(under_way.await, "no claim was under way");
+    actix_rt::time::sleep(FROZEN).await;
+    env.fault(table, Fault::Clear).await;
+    for caller in callers {
+        caller.await.expect("caller");
+    }
+    env.assert_clean().await;
+}
+
+/// Asks for three writes; each is answered or its result not known.
+async fn write_thrice(mut caller: Caller) {
+    for _ in 0..3 {
+        let word = caller.ask(write(Uuid::now_v7())).await;
         assert!(
             matches!(word, FinalWord::Answered | FinalWord::Unknown),
             "{word:?}"
         );
     }
-    env.assert_clean().await;
 }
--- a/bench/tests/processes/writes.rs
+++ b/bench/tests/processes/writes.rs
@@ -1,8 +1,8 @@
 //! Non-idempotent calls run at most once, whatever happens to who holds them.
 
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
-use fescue_bench::application::ApplicationCounters;
 use fescue_bench::caller::{
     Ask, AttemptEnd, Caller, CallerOptions, FinalWord, Patience, Refused, Request, attempt,
 };
@@ -16,27 +16,25 @@
 
 /// Callers with a write each.
 const WRITES: u64 = 6;
-/// Longer than every timeout of an entry, its control and its peers.
-const PAST_EVERY_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a replica takes to answer a call that ran.
+const REPLY_MS: u64 = 3_000;
+/// Past every timeout that the claim and its call have: the call's 10 s at the holder, the second
+/// that the holder waits for the table, the half second that others wait for the holder, the 5 s
+/// after which its peers take it for gone. Records of answers are repeated for longer than that.
+const PAST_EVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Runs of a key over all replicas.
 async fn runs(env: &Env, key: &str) -> u32 {
-    let mut sum = 0;
-    for replica in &env.fleet.topology().applications {
-        let page = env
-            .fleet
-            .standins()
-            .get(replica.address, "/standin/counters");
-        let counters: ApplicationCounters = page.await.expect("counters");
-        sum += counters.runs_by_key.get(key).copied().unwrap_or(0);
-    }
-    sum
+    let replicas = env.replicas().await;
+    let runs = replicas.iter().filter_map(|one| one.runs_by_key.get(key));
+    runs.sum()
 }
 
-async fn slow_replicas(env: &Env, extra_ms: u64) {
-    for replica in &env.fleet.topology().applications {
-        env.fault(replica.address, Fault::Slow { extra_ms }).await;
-    }
+/// Callers' attempts that the holder gave no answer to.
+fn attempts_lost(env: &Env, holder: SocketAddr) -> u64 {
+    let book = env.book.borrow();
+    let lost = book.broken().iter().filter(|one| one.entry == holder);
+    lost.count() as u64
 }
 
 /// Writes of callers that use the first entry first and give up on it soon.
@@ -63,12 +61,21 @@
 #[actix_rt::test]
 async fn a_holder_frozen_past_every_timeout_and_woken_runs_nothing_twice() {
     let mut env = Env::start().await;
-    slow_replicas(&env, 1_000).await;
+    env.slow_replies(REPLY_MS).await;
     let holder = ProcessName::Entry(env.fleet.topology().entries[0].name.clone());
     let writes = start_writes(&env);
-    eventually("a write is out", async || env.calls().await > 0).await;
+    env.until_a_call_ran().await;
     env.fleet.process(&holder).expect("holder").freeze();
-    actix_rt::time::sleep(PAST_EVERY_TIMEOUT).await;
+    let frozen_at = Instant::now();
+    env.assert_no_reply_yet().await;
+    let address = env.entry(0);
+    eventually(
+        "every caller went elsewhere, past the timeouts",
+        async || {
+            attempts_lost(&env, address) >= WRITES && frozen_at.elapsed() >= PAST_EVERY_TIMEOUT
+        },
+    )
+    .await;
     env.fleet.process(&holder).expect("holder").wake();
     for write in writes {
         let word = write.await.expect("caller");
@@ -83,11 +90,12 @@
 #[actix_rt::test]
 async fn an_entry_killed_after_dispatch_leaves_unknown_and_no_second_run() {
     let mut env = Env::start().await;
-    slow_replicas(&env, 1_000).await;
+    env.slow_replies(REPLY_MS).await;
     let holder = ProcessName::Entry(env.fleet.topology().entries[0].name.clone());
     let writes = start_writes(&env);
-    eventually("a write is out", async || env.calls().await > 0).await;
+    env.until_a_call_ran().await;
     env.fleet.process(&holder).expect("holder").kill();
+    env.assert_no_reply_yet().await;
     // Only another incarnation under the holder's address shows that the first one is gone.
     let instance = env.fleet.topology().entries[0].name.clone();
     env.fleet.start_entry(&instance).await.expect("entry");
@@ -187,8 +195,7 @@
 async fn a_reply_lost_by_the_endpoint_is_unknown_and_not_sent_again() {
     let mut env = Env::start().await;
     for replica in &env.fleet.topology().applications {
-        env.fault(replica.address, Fault::LoseReplies { count: 1 })
-            .await;
+        env.fault(replica.address, Fault::lose_replies(1)).await;
     }
     let request = write(Uuid::now_v7());
     let word = env.caller().ask(request.clone()).await;
--- a/bench/tests/standins/platform.rs
+++ b/bench/tests/standins/platform.rs
@@ -17,7 +17,7 @@
 async fn a_write_whose_reply_is_lost_took_effect() {
     let fleet = start().await;
     let table = fleet.topology().platform.table;
-    apply_here(&fleet, table, Fault::LoseReplies { count: 1 }).await;
+    apply_here(&fleet, table, Fault::lose_replies(1)).await;
     let lost: Option<TransactReply> = post(table, "/v1/transact", &put("1")).await;
     assert_eq!(lost, None);
     let keys = vec!["k".into()];
