--- a/bench/src/fleet/standin.rs
+++ b/bench/src/fleet/standin.rs
@@ -11,6 +11,9 @@
 /// How long a stand-in may take to answer.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest page that is read: ids of all requests of a long run.
+const PAGE_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
 /// Talks to the stand-ins' own pages, beside what the product asks of them.
 #[derive(Clone)]
 pub struct StandinClient {
@@ -41,7 +44,11 @@
             .send()
             .await
             .map_err(|_| error())?;
-        response.json().await.map_err(|_| error())
+        response
+            .json()
+            .limit(PAGE_LIMIT_BYTES)
+            .await
+            .map_err(|_| error())
     }
 
     /// Posts a JSON body.
--- a/bench/tests/processes/stops.rs
+++ b/bench/tests/processes/stops.rs
@@ -1,9 +1,10 @@
 //! Planned stops: nothing in flight is cut.
 
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use awc::http::StatusCode;
-use fescue_bench::caller::{AttemptEnd, Caller, CallerOptions, Patience, attempt};
+use fescue_bench::caller::{AttemptEnd, BrokenBy, Caller, CallerOptions, Patience, attempt};
 use fescue_bench::fleet::ProcessName;
 use fescueshore::exit_codes::Exit;
 use fescueshore::ids::InstanceId;
@@ -43,6 +44,21 @@
     assert_eq!(counts.attempts, counts.asked, "{counts:?}");
 }
 
+/// Fails if an entry told to stop closed an attempt that it had begun to answer, or that was on
+/// its way before.
+fn assert_none_cut(env: &Env, entry: SocketAddr, told: Instant) {
+    let book = env.book.borrow();
+    let cut = book.broken().iter().find(|attempt| {
+        let cut = match attempt.by {
+            BrokenBy::Closed { after_head } => after_head || attempt.began < told,
+            BrokenBy::Silent => true,
+            BrokenBy::NotConnected => false,
+        };
+        attempt.entry == entry && cut
+    });
+    assert!(cut.is_none(), "{cut:?}");
+}
+
 #[actix_rt::test]
 async fn a_stopped_entry_ends_its_streams_and_then_itself() {
     let mut env = Env::start().await;
@@ -183,8 +199,10 @@
             })
         })
         .collect();
+    let mut stops = Vec::new();
     for index in 0..env.fleet.topology().entries.len() {
         let name = instance(&env, index);
+        stops.push((env.entry(index), Instant::now()));
         for process in [
             ProcessName::Control(name.clone()),
             ProcessName::Entry(name.clone()),
@@ -205,5 +223,8 @@
     all_answered(load).await;
     let counts = env.book.borrow().counts();
     assert!(counts.answered > 10, "{counts:?}");
+    for (entry, told) in stops {
+        assert_none_cut(&env, entry, told);
+    }
     env.assert_clean().await;
 }
