--- a/bench/tests/processes/store.rs
+++ b/bench/tests/processes/store.rs
@@ -99,9 +99,18 @@
 async fn a_store_that_freezes_under_claims_doubles_none() {
     let mut env = Env::start().await;
     let table = env.fleet.topology().platform.table;
-    // Each call of the table takes so long that the callers are nearly always in one.
+    // The callers begin one after another, all within one call of the table: when the first claim is
+    // written, those of the others have been sent and wait.
     env.fault(table, Fault::Slow { extra_ms: 700 }).await;
-    let callers: Vec<_> = (0..6).map(|_| spawn(write_thrice(env.caller()))).collect();
+    let callers: Vec<_> = (0..6)
+        .map(|number| {
+            let caller = env.caller();
+            spawn(async move {
+                actix_rt::time::sleep(number * Duration::from_millis(100)).await;
+                write_thrice(caller).await;
+            })
+        })
+        .collect();
     eventually("a claim is written", async || {
         env.claims_written().await > 0
     })
