Control: demand is told in a rhythm that does not grow with the cell

Every instance told its demand each two seconds, or each second where an account came and went.

The pause between two announcements is now 0.3 s for each instance of the cell, small demands do not come and go, and a change below a two hundredth of the capacity is no news.

--- a/bench/tests/control/cost.rs
+++ b/bench/tests/control/cost.rs
@@ -36,10 +36,12 @@
 async fn measure(entries: usize, load: Load) -> Vec<Cost> {
     let fleet = start(kammoun(entries)).await;
     let stop = Rc::new(Cell::new(false));
+    let mut callers = Vec::new();
     if load == Load::EveryAccount {
         for account in &fleet.deployment().load.accounts {
             let name = account.name.to_string();
-            actix_rt::spawn(call(fleet.entry_addresses(), name, stop.clone()));
+            let call = call(fleet.entry_addresses(), name, stop.clone());
+            callers.push(actix_rt::spawn(call));
         }
     }
     actix_rt::time::sleep(SETTLE).await;
@@ -48,6 +50,9 @@
     actix_rt::time::sleep(MEASURE).await;
     let last = read(&fleet).await;
     stop.set(true);
+    for caller in callers {
+        caller.await.expect("a caller that ended well");
+    }
     let passed_s = before.elapsed().as_secs_f64();
     let costs = first.iter().zip(&last).map(|(first, last)| Cost {
         bytes_per_s: (last.0 - first.0) / passed_s,
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -11,16 +11,21 @@
 
 /// Pause between two splits.
 const PERIOD_MS: u64 = 1_000;
-/// Pause between two announcements of the own demand, unless an account is new in it.
-const TELL_PERIOD_MS: u64 = 2_000;
+/// Pause between two announcements of the own demand for each instance of the cell, unless an
+/// account is new in it: what an instance hears of demand in a second does not grow with the cell.
+const TELL_PERIOD_MS_PER_INSTANCE: u64 = 300;
 /// Time over which demand is averaged.
 const AVERAGE_MS: f64 = 1_000.0;
 /// Change of a demand, relative to what was told before, that is told again.
 const CHANGE_TOLD: f64 = 0.10;
+/// Change of a demand, relative to the capacity, below which it is not told again: small demands
+/// are mostly noise.
+const LEAST_CHANGE_TOLD: f64 = 0.005;
 /// Change of a share, relative to what was handed out before, that is handed out.
 const CHANGE_HANDED_OUT: f64 = 0.02;
-/// Demand below this is taken for none.
-const LEAST_TOKENS_PER_S: f64 = 0.5;
+/// Averaged demand below this is taken for none; low, so that an account that asks now and then
+/// does not come and go in what peers are told.
+const LEAST_TOKENS_PER_S: f64 = 0.05;
 
 /// Demand of the own entry and the shares in force.
 #[derive(Clone, Debug, Default)]
@@ -51,7 +56,7 @@
             *wanted += (1.0 - kept) * demand.wanted_tokens_per_s.max(0.0);
         }
         self.wanted
-            .retain(|_, wanted| *wanted >= LEAST_TOKENS_PER_S / 8.0);
+            .retain(|_, wanted| *wanted >= LEAST_TOKENS_PER_S);
         for capacity in &report.capacities {
             self.capacities
                 .insert(capacity.service.clone(), capacity.tokens_per_s);
@@ -76,11 +81,9 @@
             demand.capacity_tokens_per_s = rounded(*capacity);
         }
         for ((service, account), wanted) in &self.wanted {
-            if *wanted >= LEAST_TOKENS_PER_S {
-                let demand = services.entry(service.clone()).or_default();
-                let wanted = rounded(*wanted).max(1);
-                demand.wanted_tokens_per_s.insert(account.clone(), wanted);
-            }
+            let demand = services.entry(service.clone()).or_default();
+            let wanted = rounded(*wanted).max(1);
+            demand.wanted_tokens_per_s.insert(account.clone(), wanted);
         }
         services
     }
@@ -107,7 +110,8 @@
         let told = &self.gossip.own_demand().services;
         let due = now_ms >= self.shares.next_tell_ms && differs(&demand, told);
         if due || names_more(&demand, told) {
-            self.shares.next_tell_ms = now_ms + TELL_PERIOD_MS;
+            let instances = self.gossip.live(now_ms).count() as u64;
+            self.shares.next_tell_ms = now_ms + instances * TELL_PERIOD_MS_PER_INSTANCE;
             self.gossip.set_demand(demand);
         }
     }
@@ -244,14 +248,16 @@
             };
             let wanted = &demand.wanted_tokens_per_s;
             let told_wanted = &told.wanted_tokens_per_s;
-            is_far(
-                demand.capacity_tokens_per_s as f64,
-                told.capacity_tokens_per_s as f64,
-                CHANGE_TOLD,
-            ) || wanted.len() != told_wanted.len()
+            let capacity = demand.capacity_tokens_per_s as f64;
+            let least = capacity * LEAST_CHANGE_TOLD;
+            let is_news = |now: u64, told: u64| {
+                let (now, told) = (now as f64, told as f64);
+                is_far(now, told, CHANGE_TOLD) && (now - told).abs() > least
+            };
+            is_news(demand.capacity_tokens_per_s, told.capacity_tokens_per_s)
+                || wanted.len() != told_wanted.len()
                 || wanted.iter().any(|(account, figure)| {
-                    let told = told_wanted.get(account).copied().unwrap_or(0);
-                    is_far(*figure as f64, told as f64, CHANGE_TOLD)
+                    is_news(*figure, told_wanted.get(account).copied().unwrap_or(0))
                 })
         })
 }
--- a/src/control/tests/network.rs
+++ b/src/control/tests/network.rs
@@ -19,6 +19,18 @@
 /// Pause between two reports of an entry.
 const REPORT_MS: u64 = 250;
 
+/// What a call takes beside its message: method, id, key and frame.
+const CALL_BYTES: u64 = 120;
+/// What an answer takes beside its message.
+const ANSWER_BYTES: u64 = 40;
+
+fn json_bytes<T>(message: &T) -> u64
+where
+    T: serde::Serialize,
+{
+    serde_json::to_string(message).unwrap().len() as u64
+}
+
 /// What happens at a stated time.
 pub(super) enum Event {
     Tick(usize, u64),
@@ -85,6 +97,7 @@
             }
             ControlEffect::AnswerPeer { call, answer } => {
                 if let Some(Outside::Peer(to, to_life, inner)) = self.outside.swap_remove(&call) {
+                    self.peer_bytes += ANSWER_BYTES + json_bytes(&answer);
                     if self.is_cut(index, to) {
                         return;
                     }
@@ -186,6 +199,7 @@
         timeout_ms: u64,
     ) {
         self.peer_calls += 1;
+        self.peer_bytes += CALL_BYTES + json_bytes(&ask);
         let life = self.nodes[index].life;
         let failure = ControlMessage::PeerAnswered {
             call,
--- a/src/control/tests/shares.rs
+++ b/src/control/tests/shares.rs
@@ -1,5 +1,7 @@
 //! Shares worked out alike everywhere from the demand at every entry.
 
+use rand::RngExt;
+
 use super::documents::cell;
 use super::sim::Sim;
 use super::texts::SERVICE;
@@ -74,6 +76,38 @@
     assert_near(share(&sim, 0, "b"), 400.0);
 }
 
+/// Every entry is asked by every account, with bursts and pauses.
+fn bytes_per_s(count: usize) -> f64 {
+    let mut sim = cell(count, 5);
+    let seconds = 60;
+    for second in 0..2 * seconds {
+        if second == seconds {
+            sim.peer_bytes = 0;
+        }
+        for node in 0..count {
+            let noise = sim.rng.random_range(0.0..60.0);
+            let pause = sim.rng.random_range(0..3) == 0;
+            let accounts = (0..10).map(|account| (format!("a{account}"), noise));
+            let demands: Vec<(String, f64)> = accounts.filter(|_| !pause).collect();
+            let demands: Vec<(&str, f64)> = demands
+                .iter()
+                .map(|(name, it)| (name.as_str(), *it))
+                .collect();
+            wants(&mut sim, node, &demands);
+        }
+        sim.run(1_000);
+    }
+    // Each byte is sent by one and received by another.
+    2.0 * sim.peer_bytes as f64 / seconds as f64 / count as f64
+}
+
+#[test]
+fn telling_of_noisy_demand_keeps_within_the_budget() {
+    let (small, large) = (bytes_per_s(7), bytes_per_s(16));
+    println!("{small:.0} and {large:.0} bytes a second");
+    assert!(small < 4_000.0 && large < 6_000.0);
+}
+
 #[test]
 fn shares_and_refusals_come_into_the_trail_as_counts() {
     let mut sim = cell(2, 1);
--- a/src/control/tests/sim.rs
+++ b/src/control/tests/sim.rs
@@ -46,6 +46,8 @@
     pub(super) rng: StdRng,
     /// Peers' calls made.
     pub(super) peer_calls: u64,
+    /// Bytes of their messages and answers, with what JSON-RPC and WebSocket add.
+    pub(super) peer_bytes: u64,
     /// Fencing numbers and the processes that sent orders under them.
     pub(super) fences: IndexMap<u64, (usize, u64)>,
     pub(super) list: Vec<(u64, InstanceList)>,
@@ -67,6 +69,7 @@
             answers: IndexMap::new(),
             rng: StdRng::seed_from_u64(seed),
             peer_calls: 0,
+            peer_bytes: 0,
             fences: IndexMap::new(),
             list: Vec::new(),
             events: BinaryHeap::new(),
