Control: tests of its listener over real sockets

The processes' key at each call, an instance without store and peers, the page of counters, a request over the limit, and a planned stop that ends by itself. Starting the actor and the server is a function of its own for them.

--- a/src/control_server/mod.rs
+++ b/src/control_server/mod.rs
@@ -10,6 +10,8 @@
 mod platform;
 mod run;
 mod server;
+#[cfg(test)]
+mod tests;
 mod traffic;
 
 pub use cli::ControlCli;
--- a/src/control_server/run.rs
+++ b/src/control_server/run.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use actix::Actor;
+use actix::{Actor, Addr};
 use jsonrpsee::Methods;
 use jsonrpsee::core::RegisterMethodError;
 use rand::RngExt;
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use super::actor::{ControlActor, StopControl};
 use super::handlers::Handlers;
@@ -54,6 +55,43 @@
     let listener = TcpListener::bind(address)
         .await
         .map_err(|source| ControlError::Listen { address, source })?;
+    let mut running = start(settings, listener)?;
+    log::info!(listen:% = address; "started");
+    let mut stop = Stop::watch(settings.stop.limit_ms)?;
+    stop.first_signal().await;
+    log::info!("stopping");
+    running.actor.do_send(StopControl);
+    let exit = tokio::select! {
+        _ = &mut running.stopped => Exit::Success,
+        () = stop.forced() => Exit::Forced,
+    };
+    running.end().await;
+    log::info!(exit = exit.name(); "stopped");
+    Ok(exit)
+}
+
+/// A control that listens.
+pub(super) struct Running {
+    pub(super) actor: Addr<ControlActor>,
+    /// Comes when the process may exit.
+    pub(super) stopped: oneshot::Receiver<()>,
+    end: oneshot::Sender<()>,
+    server: JoinHandle<()>,
+}
+
+impl Running {
+    /// Closes the listener and lets answers under way leave.
+    pub(super) async fn end(self) {
+        let _ = self.end.send(());
+        let _ = self.server.await;
+    }
+}
+
+/// Starts the actor and the server.
+pub(super) fn start(
+    settings: &Settings,
+    listener: TcpListener,
+) -> Result<Running, RegisterMethodError> {
     let traffic = Traffic::default();
     let counters = Counters::new();
     let (stopped_sender, stopped) = oneshot::channel();
@@ -69,23 +107,16 @@
     .start();
     let handlers = Handlers::new(actor.clone(), settings.peers.key.clone(), counters);
     let methods = methods(&handlers)?;
-    let (end_sender, end) = oneshot::channel::<()>();
+    let (end, ended) = oneshot::channel::<()>();
     let server = actix::spawn(serve(listener, methods, traffic, async move {
-        let _ = end.await;
+        let _ = ended.await;
     }));
-    log::info!(listen:% = address; "started");
-    let mut stop = Stop::watch(settings.stop.limit_ms)?;
-    stop.first_signal().await;
-    log::info!("stopping");
-    actor.do_send(StopControl);
-    let exit = tokio::select! {
-        _ = stopped => Exit::Success,
-        () = stop.forced() => Exit::Forced,
-    };
-    let _ = end_sender.send(());
-    let _ = server.await;
-    log::info!(exit = exit.name(); "stopped");
-    Ok(exit)
+    Ok(Running {
+        actor,
+        stopped,
+        end,
+        server,
+    })
 }
 
 fn config(settings: &Settings) -> ControlConfig {
