Engines run all streams in one class

Cause: streams carried their account's class to the engines, which run a more urgent class strictly first; so the share that admission gave a standard or batch account was taken back at the engine. Ruled out: the order of classes in the entry's queue (its test passed at once). Conclusion: classes are ordered in the entry's queue alone.

--- a/src/chain/message.rs
+++ b/src/chain/message.rs
@@ -25,8 +25,6 @@
     pub(crate) prompt: String,
     /// Most tokens to generate; greater than 0.
     pub(crate) max_tokens: u32,
-    /// Scheduling class; 0 is the most urgent.
-    pub(crate) priority: u8,
     /// When the answer is of no use any more.
     pub(crate) deadline: Option<Deadline>,
 }
--- a/src/chain/rebuild.rs
+++ b/src/chain/rebuild.rs
@@ -14,6 +14,10 @@
 const GIVE_UP_MS: u64 = 30_000;
 /// Rebuilds without a token between them that are not charged to the retry budget.
 const FREE_REBUILDS: u32 = 2;
+/// Scheduling class of every stream at the engines. An engine runs a more urgent class strictly
+/// first, which would take back the share that admission gave an account of a later class; classes
+/// are ordered in the queue of the entry alone.
+const STREAM_PRIORITY: u8 = 0;
 /// How long to wait before stages are looked for again.
 const REPLAN_MS: u64 = 20;
 /// Longest such wait.
@@ -63,7 +67,7 @@
             prompt: self.spec.prompt.clone(),
             generated: self.tokens.clone(),
             max_tokens: self.spec.max_tokens,
-            priority: self.spec.priority,
+            priority: STREAM_PRIORITY,
         }
     }
 
--- a/src/chain/tests/harness.rs
+++ b/src/chain/tests/harness.rs
@@ -85,7 +85,6 @@
             adapter: None,
             prompt: "one two three".to_owned(),
             max_tokens: MAX_TOKENS,
-            priority: 1,
             deadline,
         };
         let (chain, effects) = Chain::begin(spec, stages(&[]).unwrap(), EXPECTED, 0);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -62,8 +62,6 @@
     pub(crate) prompt_tokens: u32,
     /// Most tokens to generate; greater than 0.
     pub(crate) max_tokens: u32,
-    /// Scheduling class; 0 is the most urgent.
-    pub(crate) priority: u8,
     /// The chain, once the request was dispatched.
     pub(crate) chain: Option<Chain>,
     /// The open stream. At most one: a new epoch drops the one before.
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -36,7 +36,6 @@
             adapter: completion.adapter.clone(),
             prompt: completion.prompt.clone(),
             max_tokens: completion.max_tokens,
-            priority: completion.priority,
             deadline: attempt.deadline,
         };
         let (chain, effects) = Chain::begin(spec, stages, expected, now_ms);
--- a/src/entry/resolve.rs
+++ b/src/entry/resolve.rs
@@ -6,7 +6,7 @@
 use super::machine::Entry;
 use super::verdict::Evidence;
 use super::views::not_ready;
-use crate::document::{Document, ModelOffer, Priority, ServiceKind};
+use crate::document::{Document, ModelOffer, ServiceKind};
 use crate::ids::{AccountId, IdempotencyKey, ServiceName, StreamId};
 use crate::instance::{CallerId, CallerRequest, PresentedKey, RequestBody};
 use crate::outcome::{Refusal, RefusalCode};
@@ -99,7 +99,6 @@
             prompt_tokens: count_tokens(&prompt),
             prompt,
             max_tokens,
-            priority: priority_of(document, account),
             chain: None,
             open_call: None,
         };
@@ -184,15 +183,6 @@
     Ok(offer.clone())
 }
 
-fn priority_of(document: &Document, account: &AccountId) -> u8 {
-    let settings = document.accounts.get(account);
-    match settings.map(|settings| settings.priority) {
-        Some(Priority::Interactive) => 0,
-        Some(Priority::Standard) | None => 1,
-        Some(Priority::Batch) => 2,
-    }
-}
-
 /// Whether a call may be sent again. A non-idempotent one needs an idempotency key.
 fn repeat_of(
     document: &Document,
