--- a/bench/src/caller/run.rs
+++ b/bench/src/caller/run.rs
@@ -133,7 +133,11 @@
         };
         let patience = self.options.patience;
         let began = Instant::now();
-        let end = attempt(&self.http, entry, request, patience, on_token).await;
+        // An entry that says that it is at work keeps a caller waiting, but not past the run.
+        let left = self.options.until.saturating_duration_since(began);
+        let trying = attempt(&self.http, entry, request, patience, on_token);
+        let tried = actix_rt::time::timeout(left, trying).await;
+        let end = tried.unwrap_or(AttemptEnd::Broken(BrokenBy::Silent));
         if !matches!(end, AttemptEnd::Answered(_)) {
             self.forfeit(request, progress);
         }
--- a/bench/src/fleet/running.rs
+++ b/bench/src/fleet/running.rs
@@ -15,7 +15,7 @@
 use super::name::ProcessName;
 use super::process::Process;
 use super::program::program;
-use super::settings::write_settings;
+use super::settings::{Placed, write_settings};
 use super::standin::StandinClient;
 use super::wait::wait_until;
 use crate::deployment::{Deployment, build_topology};
@@ -33,6 +33,8 @@
     platform: PlatformNodes,
     /// Where control processes listen, if not at the address that others are told.
     control_listen: IndexMap<InstanceId, SocketAddr>,
+    /// Longest planned stop of instances that start from now on; 0 for no limit.
+    stop_limit_s: u64,
     /// Engines that run in processes of their own.
     separate_engines: Vec<EndpointId>,
     /// What entries that start from now on run.
@@ -63,6 +65,7 @@
             topology,
             topology_path,
             control_listen: IndexMap::new(),
+            stop_limit_s: 0,
             separate_engines: Vec::new(),
             entry_program: EntryProgram::default(),
             processes: IndexMap::new(),
@@ -88,6 +91,11 @@
         self.separate_engines = engines;
     }
 
+    /// Limits the planned stops of instances that start from now on.
+    pub fn limit_stops(&mut self, limit_s: u64) {
+        self.stop_limit_s = limit_s;
+    }
+
     /// Has instances that start from now on find the platform at other addresses.
     pub fn place_platform(&mut self, platform: PlatformNodes) {
         self.platform = platform;
@@ -343,12 +351,13 @@
     }
 
     fn settings_args(&self, entry: &EntryNode) -> Result<Vec<String>, FleetError> {
-        let path = write_settings(
+        let placed = Placed {
             entry,
-            self.listen_of(entry),
-            &self.platform,
-            self.dir.path(),
-        )?;
+            control_listen: self.listen_of(entry),
+            platform: &self.platform,
+            stop_limit_s: self.stop_limit_s,
+        };
+        let path = write_settings(&placed, self.dir.path())?;
         Ok(vec!["--settings".to_owned(), path_text(&path)])
     }
 
--- a/bench/src/fleet/settings.rs
+++ b/bench/src/fleet/settings.rs
@@ -20,6 +20,7 @@
     control: Control,
     platform: Platform,
     peers: Peers,
+    stop: Stop,
 }
 
 #[derive(Serialize)]
@@ -46,21 +47,34 @@
     instances: String,
 }
 
+#[derive(Serialize)]
+struct Stop {
+    limit_s: u64,
+}
+
 #[derive(Serialize)]
 struct Peers {
     key: &'static str,
 }
 
+/// What an instance is set to.
+pub(super) struct Placed<'a> {
+    /// Its names and addresses.
+    pub(super) entry: &'a EntryNode,
+    /// Where its control listens.
+    pub(super) control_listen: SocketAddr,
+    /// Where it finds the platform.
+    pub(super) platform: &'a PlatformNodes,
+    /// Longest planned stop; 0 for no limit.
+    pub(super) stop_limit_s: u64,
+}
+
 /// Writes the settings file of one instance and returns its path.
 ///
 /// # Errors
 /// Fails if the file cannot be written.
-pub(super) fn write_settings(
-    entry: &EntryNode,
-    control_listen: SocketAddr,
-    platform: &PlatformNodes,
-    dir: &Path,
-) -> Result<PathBuf, FleetError> {
+pub(super) fn write_settings(placed: &Placed<'_>, dir: &Path) -> Result<PathBuf, FleetError> {
+    let (entry, platform) = (placed.entry, placed.platform);
     let settings = Settings {
         instance: Instance {
             name: entry.name.as_str(),
@@ -70,7 +84,7 @@
             listen: entry.address,
         },
         control: Control {
-            listen: control_listen,
+            listen: placed.control_listen,
             advertise: entry.control_address,
         },
         platform: Platform {
@@ -79,6 +93,9 @@
             instances: format!("http://{}", platform.instances),
         },
         peers: Peers { key: PEERS_KEY },
+        stop: Stop {
+            limit_s: placed.stop_limit_s,
+        },
     };
     let path = dir.join(format!("{}.toml", entry.name));
     let text = toml::to_string(&settings)?;
--- a/bench/src/fleet/tests.rs
+++ b/bench/src/fleet/tests.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use super::settings::write_settings;
+use super::settings::{Placed, write_settings};
 use crate::deployment;
 use crate::topology::Topology;
 
@@ -16,7 +16,13 @@
     let topology = small_topology();
     let entry = &topology.entries[0];
     let dir = tempfile::tempdir().expect("directory");
-    let write = || write_settings(entry, entry.control_address, &topology.platform, dir.path());
+    let placed = Placed {
+        entry,
+        control_listen: entry.control_address,
+        platform: &topology.platform,
+        stop_limit_s: 0,
+    };
+    let write = || write_settings(&placed, dir.path());
     let path = write().expect("written");
     let whole = std::fs::read_to_string(&path).expect("read");
     let done = AtomicBool::new(false);
--- a/bench/tests/processes/documents.rs
+++ b/bench/tests/processes/documents.rs
@@ -1,7 +1,8 @@
 //! Accepted documents: in force everywhere within 5 s, and never an older one again.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use fescue_bench::caller::{AttemptEnd, Patience, attempt};
 use fescue_bench::fleet::{
     ProcessName, accept_request, accept_text, connect_control, operator_key, repository_root,
     wait_until,
@@ -9,12 +10,13 @@
 use fescue_bench::proxy::Proxy;
 use fescue_bench::standin::faults::Fault;
 use fescueshore::ids::ServiceName;
+use fescueshore::outcome::{Outcome, RefusalCode};
 use fescueshore::rpc::OperatorApiClient;
 use fescueshore::wire::operator::{AcceptReply, AcceptRequest};
 use futures_util::future::join_all;
 use uuid::Uuid;
 
-use crate::env::{Env, ask_answered, eventually, read};
+use crate::env::{Env, ask_answered, eventually, print_time, read};
 
 /// How long a document may take to be in force everywhere.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
@@ -59,11 +61,13 @@
         })
         .await
     });
+    let began = Instant::now();
     let held = join_all(waits).await;
     assert!(
         held.iter().all(|held| *held),
         "revision {revision} at {instances:?}: {held:?}"
     );
+    print_time("document in force", began.elapsed());
 }
 
 async fn restart_instance(env: &mut Env, index: usize) {
@@ -212,6 +216,62 @@
     assert_in_force(&env, &[0, 1, 2], revision).await;
 }
 
+#[actix_rt::test]
+async fn all_instances_replaced_in_turn_while_the_store_is_down_keep_the_document() {
+    let mut env = Env::start().await;
+    let table = env.fleet.topology().platform.table;
+    let revision = accept_change(&env, 0, LEDGER, 1, &remarked("before the outage")).await;
+    assert_in_force(&env, &[0, 1, 2], revision).await;
+    env.fault(table, Fault::Outage).await;
+    for index in 0..3 {
+        restart_instance(&mut env, index).await;
+        assert_eq!(revision_at(&env, index).await, Some(revision));
+    }
+    ask_answered(&mut env.caller(), read()).await;
+    env.fault(table, Fault::Clear).await;
+    assert_in_force(&env, &[0, 1, 2], revision).await;
+}
+
+#[actix_rt::test]
+async fn a_new_instance_that_reaches_nothing_serves_nothing() {
+    let (mut env, peers) = Env::start_with_peer_relays().await;
+    let table = relay_table(&mut env, 2).await;
+    table.cut();
+    for proxy in &peers {
+        proxy.cut();
+    }
+    let name = env.fleet.topology().entries[2].name.clone();
+    for process in [
+        ProcessName::Control(name.clone()),
+        ProcessName::Entry(name.clone()),
+    ] {
+        env.fleet.process(&process).expect("process").kill();
+    }
+    env.fleet.start_control(&name).await.expect("control");
+    env.fleet.launch_entry(&name).expect("entry");
+    eventually("the entry answers", async || {
+        env.fleet.standins().is_ok(env.entry(2), "/healthz").await
+    })
+    .await;
+    let http = awc::Client::default();
+    let answers = Instant::now();
+    while answers.elapsed() < IN_FORCE_LIMIT {
+        let end = attempt(&http, env.entry(2), &read(), Patience::default(), || ()).await;
+        let AttemptEnd::Refused(refused) = end else {
+            panic!("{end:?}");
+        };
+        assert_eq!(refused.code, RefusalCode::NotReady);
+        assert_eq!(refused.outcome, Outcome::NotRun);
+        assert!(!env.fleet.standins().is_ok(env.entry(2), "/readyz").await);
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    table.restore();
+    assert_in_force(&env, &[2], 1).await;
+    let mut caller = env.caller();
+    caller.prefer(env.entry(2));
+    ask_answered(&mut caller, read()).await;
+}
+
 /// Puts a relay between one instance and the table service.
 async fn relay_table(env: &mut Env, index: usize) -> Proxy {
     let mut platform = env.fleet.topology().platform.clone();
--- a/bench/tests/processes/env.rs
+++ b/bench/tests/processes/env.rs
@@ -116,6 +116,12 @@
         self.caller_at(self.fleet.entry_addresses())
     }
 
+    /// A caller that asks any entry for longer than usual.
+    pub fn caller_for(&self, limit: Duration) -> Caller {
+        let options = CallerOptions::new(1, limit);
+        Caller::new(self.fleet.entry_addresses(), options, self.book.clone())
+    }
+
     /// A caller that asks only these entries for addresses.
     pub fn caller_at(&self, seeds: Vec<SocketAddr>) -> Caller {
         Caller::new(seeds, CallerOptions::new(1, LIMIT), self.book.clone())
@@ -283,17 +289,27 @@
     }
 }
 
+/// Longest pause of any stream, over all attempts.
+pub fn worst_pause(env: &Env) -> Duration {
+    let book = env.book.borrow();
+    let pauses = book.reports().iter().map(|report| report.longest_pause);
+    pauses.max().unwrap_or_default()
+}
+
 /// Prints how long the worst stream paused, and fails if that was longer than [`PAUSE_LIMIT`];
 /// `cargo test -- --nocapture` shows it.
 pub fn assert_recovery(env: &Env, fault: &str) {
-    let book = env.book.borrow();
-    let pauses = book.reports().iter().map(|report| report.longest_pause);
-    let worst = pauses.max().unwrap_or_default();
+    let worst = worst_pause(env);
     let worst_ms = worst.as_millis();
     println!("recovery: {fault}: longest pause of a stream {worst_ms} ms");
     assert!(worst <= PAUSE_LIMIT, "{fault}: {worst_ms} ms");
 }
 
+/// Prints how long something took; `cargo test -- --nocapture` shows it.
+pub fn print_time(what: &str, took: Duration) {
+    println!("recovery: {what}: {} ms", took.as_millis());
+}
+
 /// Waits until a condition holds; fails the test if it does not in time.
 pub async fn eventually<F>(what: &str, holds: F)
 where
--- a/bench/tests/processes/leaving.rs
+++ b/bench/tests/processes/leaving.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fescue_bench::application::ApplicationCounters;
 use fescue_bench::engine::EngineCounters;
 use fescue_bench::fleet::{connect_control, operator_key};
 use fescue_bench::instances::SetPhase;
@@ -158,3 +159,38 @@
     assert_eq!(env.book.borrow().counts().broken, 0);
     env.assert_clean().await;
 }
+
+#[actix_rt::test]
+async fn a_leaving_replica_of_an_application_gets_no_new_work() {
+    let mut env = Env::start().await;
+    let replica = env.fleet.topology().applications[0].clone();
+    let list = env.fleet.topology().platform.instances;
+    let load = Load::start(&env);
+    eventually("the replica is used", async || {
+        calls_at(&env, replica.address).await > 3
+    })
+    .await;
+    let phase = SetPhase {
+        name: replica.name.to_string(),
+        phase: InstancePhase::Leaving,
+    };
+    let set = env.fleet.standins().post(list, "/standin/phase", &phase);
+    set.await.expect("phase");
+    until_known(&env, 0, &replica.name).await;
+    actix_rt::time::sleep(LEAVING_LIMIT).await;
+    let calls = calls_at(&env, replica.address).await;
+    actix_rt::time::sleep(WATCH).await;
+    assert_eq!(
+        calls_at(&env, replica.address).await,
+        calls,
+        "it got new work"
+    );
+    load.end().await;
+    env.assert_clean().await;
+}
+
+async fn calls_at(env: &Env, address: SocketAddr) -> u64 {
+    let page = env.fleet.standins().get(address, "/standin/counters");
+    let counters: ApplicationCounters = page.await.expect("counters");
+    counters.calls
+}
--- a/bench/tests/processes/silence.rs
+++ b/bench/tests/processes/silence.rs
@@ -6,9 +6,13 @@
     AttemptEnd, BrokenBy, Caller, CallerOptions, FinalWord, Patience, attempt, check_answer,
 };
 use fescue_bench::proxy::Proxy;
+use fescue_bench::standin::faults::Fault;
 use uuid::Uuid;
 
-use crate::env::{Env, LIMIT, all_answered, ask_answered, eventually, read, spawn, stream, write};
+use crate::env::{
+    Env, LIMIT, all_answered, ask_answered, assert_recovery, eventually, print_time, read, spawn,
+    stream, worst_pause, write,
+};
 
 const TOKENS: u32 = 120;
 
@@ -27,6 +31,10 @@
     assert!(relays.iter().any(|relay| relay.opened() > 0));
     relays.iter().for_each(Proxy::silence);
     all_answered(streams).await;
+    print_time(
+        "connections of all entries to all engines silent",
+        worst_pause(&env),
+    );
     assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
     env.assert_clean().await;
 }
@@ -108,3 +116,25 @@
     );
     env.assert_clean().await;
 }
+
+#[actix_rt::test]
+async fn silent_links_between_engines_cost_no_token() {
+    let mut env = Env::start().await;
+    let engines = env.fleet.topology().engines.clone();
+    let streams = (0..6)
+        .map(|number| {
+            let mut caller = env.caller();
+            let request = stream(&format!("stream number {number}"), TOKENS);
+            spawn(async move { ask_answered(&mut caller, request).await })
+        })
+        .collect();
+    eventually("streams run", async || env.book.borrow().tokens_seen() > 30).await;
+    for engine in &engines[..4] {
+        env.fault(engine.address, Fault::SilenceLinks { peer: None })
+            .await;
+    }
+    all_answered(streams).await;
+    assert_recovery(&env, "links of four engines silent");
+    assert_eq!(env.book.borrow().counts().broken, 0, "a stream was cut");
+    env.assert_clean().await;
+}
--- a/bench/tests/processes/stops.rs
+++ b/bench/tests/processes/stops.rs
@@ -180,6 +180,68 @@
     env.assert_clean().await;
 }
 
+#[actix_rt::test]
+async fn a_stated_limit_forces_the_stop_and_says_what_it_cut() {
+    let mut env = Env::start().await;
+    env.fleet.limit_stops(1);
+    let name = instance(&env, 0);
+    let entry = ProcessName::Entry(name.clone());
+    env.fleet.process(&entry).expect("entry").kill();
+    env.fleet.start_entry(&name).await.expect("entry");
+    let streams = streams_at(&env, 0).await;
+    let told = Instant::now();
+    let process = env.fleet.process(&entry).expect("entry");
+    process.terminate();
+    let ended = process.wait_end(Duration::from_secs(10)).await;
+    let forced = i32::from(Exit::Forced.code());
+    assert_eq!(ended.expect("end").code(), Some(forced));
+    assert!(told.elapsed() >= Duration::from_secs(1));
+    assert!(process.log().contains("cut"), "{}", process.log());
+    all_answered(streams).await;
+    env.assert_clean().await;
+}
+
+#[actix_rt::test]
+async fn callers_that_go_on_asking_a_stopping_entry_are_cut_in_no_answer() {
+    let mut env = Env::start().await;
+    let streams = streams_at(&env, 0).await;
+    let stopping = env.entry(0);
+    let asking: Vec<_> = (0..4).map(|_| spawn(ask_until_gone(stopping))).collect();
+    let name = ProcessName::Entry(instance(&env, 0));
+    env.fleet.process(&name).expect("entry").terminate();
+    all_answered(streams).await;
+    assert_uncut(&env);
+    let process = env.fleet.process(&name).expect("entry");
+    assert!(process.wait_end(LIMIT).await.expect("end").success());
+    let mut refused = 0;
+    for caller in asking {
+        refused += caller.await.expect("caller");
+    }
+    assert!(refused > 0, "nobody was told that the entry stops");
+    env.assert_clean().await;
+}
+
+/// Asks one entry over kept connections until it is gone; returns how often it said that it stops.
+async fn ask_until_gone(entry: SocketAddr) -> u32 {
+    let http = awc::Client::default();
+    let mut stopping = 0;
+    loop {
+        match attempt(&http, entry, &read(), Patience::default(), || ()).await {
+            AttemptEnd::Answered(_) => {}
+            AttemptEnd::Refused(refused) => {
+                assert_eq!(refused.code, RefusalCode::Stopping);
+                assert_eq!(refused.outcome, Outcome::NotRun);
+                stopping += 1;
+            }
+            AttemptEnd::Broken(BrokenBy::NotConnected) => return stopping,
+            // The connection was closed before it brought any answer: nothing was begun.
+            AttemptEnd::Broken(BrokenBy::Closed { after_head: false }) => {}
+            other => panic!("{other:?}"),
+        }
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[actix_rt::test]
 async fn every_instance_is_replaced_in_turn_under_load() {
     let mut env = Env::start().await;
--- a/bench/tests/processes/store.rs
+++ b/bench/tests/processes/store.rs
@@ -1,6 +1,6 @@
 //! The table service fails; work that does not need it goes on.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fescue_bench::caller::{AttemptEnd, Caller, FinalWord, Patience, Request, attempt};
 use fescue_bench::fleet::wait_until;
@@ -8,7 +8,12 @@
 use fescueshore::outcome::{Outcome, RefusalCode};
 use uuid::Uuid;
 
-use crate::env::{Env, all_answered, ask_answered, eventually, read, spawn, stream, write};
+use crate::env::{
+    Env, LIMIT, all_answered, ask_answered, eventually, print_time, read, spawn, stream, write,
+};
+
+/// An outage of more than a minute.
+const OUTAGE: Duration = Duration::from_secs(75);
 
 /// How long the table stays frozen once a claim is known to be under way in it.
 const FROZEN: Duration = Duration::from_secs(6);
@@ -140,3 +145,34 @@
         );
     }
 }
+
+#[actix_rt::test]
+async fn a_table_outage_of_more_than_a_minute_stops_no_idempotent_work() {
+    let mut env = Env::start().await;
+    let table = env.fleet.topology().platform.table;
+    env.fault(table, Fault::Outage).await;
+    let end = Instant::now() + OUTAGE;
+    let mut caller = env.caller_for(OUTAGE + LIMIT);
+    let mut count = 0;
+    while Instant::now() < end {
+        count += 1;
+        ask_answered(&mut caller, stream(&format!("stream {count}"), 24)).await;
+        ask_answered(&mut caller, read()).await;
+    }
+    let worst = worst_time(&env);
+    assert!(
+        worst < Duration::from_secs(10),
+        "one request took {worst:?}"
+    );
+    env.fault(table, Fault::Clear).await;
+    let back = Instant::now();
+    ask_answered(&mut caller, write(Uuid::now_v7())).await;
+    print_time("first write after a table outage of 75 s", back.elapsed());
+    env.assert_clean().await;
+}
+
+fn worst_time(env: &Env) -> Duration {
+    let book = env.book.borrow();
+    let times = book.reports().iter().map(|report| report.took);
+    times.max().unwrap_or_default()
+}
--- a/bench/tests/processes/writes.rs
+++ b/bench/tests/processes/writes.rs
@@ -89,6 +89,15 @@
 
 #[actix_rt::test]
 async fn an_entry_killed_after_dispatch_leaves_unknown_and_no_second_run() {
+    kill_after_dispatch(true).await;
+}
+
+#[actix_rt::test]
+async fn an_entry_killed_after_dispatch_and_never_replaced_leaves_unknown_too() {
+    kill_after_dispatch(false).await;
+}
+
+async fn kill_after_dispatch(replaced: bool) {
     let mut env = Env::start().await;
     env.slow_replies(REPLY_MS).await;
     let holder = ProcessName::Entry(env.fleet.topology().entries[0].name.clone());
@@ -96,9 +105,10 @@
     env.until_a_call_ran().await;
     env.fleet.process(&holder).expect("holder").kill();
     env.assert_no_reply_yet().await;
-    // Only another incarnation under the holder's address shows that the first one is gone.
-    let instance = env.fleet.topology().entries[0].name.clone();
-    env.fleet.start_entry(&instance).await.expect("entry");
+    if replaced {
+        let instance = env.fleet.topology().entries[0].name.clone();
+        env.fleet.start_entry(&instance).await.expect("entry");
+    }
     let mut unknown = 0;
     for write in writes {
         match write.await.expect("caller") {
