--- a/bench/tests/control/cost.rs
+++ b/bench/tests/control/cost.rs
@@ -34,7 +34,7 @@
 }
 
 async fn measure(entries: usize, load: Load) -> Vec<Cost> {
-    let fleet = start(kammoun(entries)).await;
+    let (fleet, _permit) = start(kammoun(entries)).await;
     let stop = Rc::new(Cell::new(false));
     let mut callers = Vec::new();
     if load == Load::EveryAccount {
--- a/bench/tests/control/env.rs
+++ b/bench/tests/control/env.rs
@@ -8,6 +8,7 @@
 use fescueshore::rpc::OperatorApiClient;
 use fescueshore::wire::caller::{CompletionOptions, CompletionRequest};
 use fescueshore::wire::operator::{InstanceState, StatusReply};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// The model of the deployments under test.
 pub const MODEL: &str = "menu-mind-24b";
@@ -26,15 +27,20 @@
     deployment
 }
 
-/// Starts a fleet and waits until every instance serves in the eyes of every other.
-pub async fn start(deployment: Deployment) -> Fleet {
+/// One fleet at a time, so that a busy machine gives the same verdict.
+static FLEETS: Semaphore = Semaphore::const_new(1);
+
+/// Starts a fleet and waits until every instance serves in the eyes of every other. The permit is
+/// to be kept as long as the fleet.
+pub async fn start(deployment: Deployment) -> (Fleet, SemaphorePermit<'static>) {
+    let permit = FLEETS.acquire().await.expect("never closed");
     let mut fleet = Fleet::prepare(deployment).expect("fleet");
     if let Err(error) = fleet.start().await {
         panic!("{error}");
     }
     let whole = wait_until(LIMIT, async || all_serve(&fleet).await).await;
     assert!(whole, "not every instance serves");
-    fleet
+    (fleet, permit)
 }
 
 async fn all_serve(fleet: &Fleet) -> bool {
--- a/bench/tests/control/rollout.rs
+++ b/bench/tests/control/rollout.rs
@@ -83,7 +83,7 @@
 
 #[actix_rt::test]
 async fn a_version_change_under_load_loses_no_request() {
-    let fleet = start(deployment::read("small").expect("deployment")).await;
+    let (fleet, _permit) = start(deployment::read("small").expect("deployment")).await;
     let seen = Rc::new(Seen::default());
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| actix_rt::spawn(call(fleet.entry_addresses(), caller, seen.clone())))
--- a/src/control/engine_book.rs
+++ b/src/control/engine_book.rs
@@ -13,7 +13,7 @@
 /// Pause between two reads of engines while some differ from their document.
 const BUSY_PERIOD_MS: u64 = 200;
 /// Pause between two reads of engines otherwise.
-const IDLE_PERIOD_MS: u64 = 5_000;
+const IDLE_PERIOD_MS: u64 = 10_000;
 /// Pause between two reads of an engine under order.
 const ORDERED_PERIOD_MS: u64 = 1_000;
 /// How long an engine may take to fulfil an order before it gets the order again.
