Dead engines are told from full ones; runs are counted by engine

Ruled out: detection is not late (14 ms after a crash). Now a refused request has its engine asked; only one that does not answer counts as dead, a peer's word is checked, a request goes back to engines it ran on. Room for 120 requests.

--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -88,6 +88,8 @@
     pub tokens: u64,
     /// Engines that must not be used.
     pub excluded: &'a IndexSet<EndpointId>,
+    /// Engines of which one must take the request, if any.
+    pub first_among: Option<&'a IndexSet<EndpointId>>,
     /// Engine that must take the request and the layers that it must run at least, if any.
     pub first: Option<&'a ChainStage>,
 }
@@ -172,7 +174,9 @@
             let is_first = ask
                 .first
                 .is_some_and(|it| it.endpoint == holder.known.listed.id);
-            if !can_start || is_first || here.holders.contains(&index) {
+            let id = &holder.known.listed.id;
+            let is_barred = bounds[at] == 0 && ask.first_among.is_some_and(|it| !it.contains(id));
+            if !can_start || is_first || is_barred || here.holders.contains(&index) {
                 continue;
             }
             for to in at + 1..bounds.len() {
--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -55,6 +55,8 @@
     troubles_in_row: u32,
     pauses_in_row: u32,
     paused_until_ms: Option<u64>,
+    /// It does not answer fresh connections.
+    is_dead: bool,
     latency_ms: Option<f64>,
 }
 
@@ -69,6 +71,11 @@
         self.paused_until_ms.is_some()
     }
 
+    /// Whether it did not answer when it was asked last: what runs there is lost.
+    pub fn is_dead(&self) -> bool {
+        self.is_dead
+    }
+
     /// Whether a pause has ended and nothing has shown since that the endpoint is sound.
     pub fn needs_check(&self, now_ms: u64) -> bool {
         self.paused_until_ms.is_some_and(|until| now_ms >= until)
@@ -92,11 +99,13 @@
         self.troubles_in_row = 0;
         self.pauses_in_row = 0;
         self.paused_until_ms = None;
+        self.is_dead = false;
     }
 
     /// Takes a trouble; returns whether the endpoint is on pause from now on and was not before.
     pub fn troubled(&mut self, trouble: Trouble, now_ms: u64) -> bool {
         self.troubles_in_row += 1;
+        self.is_dead |= trouble == Trouble::Unreachable;
         if self.troubles_in_row < trouble.tolerated() || self.is_paused(now_ms) {
             return false;
         }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -61,6 +61,7 @@
         own_zone: &ZoneName::from("lac"),
         tokens: 900,
         excluded: &excluded,
+        first_among: None,
         first: None,
     };
     let chain = plan_chain(fleet, ask)?;
--- a/src/placement/sizing.rs
+++ b/src/placement/sizing.rs
@@ -8,9 +8,9 @@
 use super::PlacedEngine;
 
 /// Usual requests for which every engine keeps room beside its layers. A zone with traffic of 24
-/// requests a second, each about 3 s long, has 72 under way; spread over 1.2 to 1.8 copies of the
-/// layers that is 40 to 60 for each engine.
-const ROOM_REQUESTS: f64 = 60.0;
+/// requests a second, each about 3 s long, has 72 under way at every layer; when an engine is
+/// lost, another one that holds its layers gets up to twice that.
+const ROOM_REQUESTS: f64 = 120.0;
 /// The least room, in usual requests, where a zone could not hold every layer otherwise.
 const LEAST_ROOM_REQUESTS: f64 = 8.0;
 
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -10,6 +10,8 @@
 /// Sends that endpoints turned away unrun, after which a request is refused. Enough to get past
 /// a few endpoints that have just gone; each one uses up some of the budget for repeats.
 const MOST_TURNED_AWAY: u32 = 4;
+/// Sends of one request in all.
+const MOST_SENDS: u32 = 8;
 
 /// How an attempt ended that gave no answer to pass on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +31,7 @@
 /// What follows an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
-    /// Send it once more, to an endpoint not tried yet.
+    /// Send it once more.
     TryAgain,
     /// Pass on the failure that the endpoint answered with.
     PassOn,
@@ -37,19 +39,21 @@
     GiveUp(FinalWord),
 }
 
-/// The attempts of one request. Invariant: once it may have run, a request that must run at most
-/// once is not sent again and its final word is not [`FinalWord::NotRun`].
+/// The attempts of one request. Invariants: once it may have run, a request that must run at most
+/// once is not sent again and its final word is not [`FinalWord::NotRun`]; it may have run on no
+/// more than `max_endpoints` endpoints that live.
 #[derive(Clone, Debug)]
 pub struct Attempts {
     repeat: Repeat,
-    max_endpoints: u32,
-    tried: IndexSet<EndpointId>,
+    max_endpoints: usize,
+    /// Endpoints that must not be used for this request.
+    excluded: IndexSet<EndpointId>,
+    /// Endpoints on which it may have run and that have not ended since.
+    ran_on: IndexSet<EndpointId>,
+    /// The endpoint of a send whose end is not known yet.
+    under_way: Option<EndpointId>,
     turned_away: u32,
-    /// Endpoints on which it may have run and that were sound as far as is known.
-    runs: u32,
     may_have_run: bool,
-    /// A send whose end is not known yet.
-    is_under_way: bool,
     sends: u32,
 }
 
@@ -58,42 +62,50 @@
     pub fn new(repeat: Repeat, max_endpoints: u32) -> Self {
         Self {
             repeat,
-            max_endpoints: max_endpoints.max(1),
-            tried: IndexSet::new(),
+            max_endpoints: max_endpoints.max(1) as usize,
+            excluded: IndexSet::new(),
+            ran_on: IndexSet::new(),
+            under_way: None,
             turned_away: 0,
-            runs: 0,
             may_have_run: false,
-            is_under_way: false,
             sends: 0,
         }
     }
 
-    /// Endpoints that were tried or are known to be unfit for this request.
-    pub fn tried(&self) -> &IndexSet<EndpointId> {
-        &self.tried
+    /// Endpoints that must not be used.
+    pub fn excluded(&self) -> &IndexSet<EndpointId> {
+        &self.excluded
     }
 
-    /// Whether another endpoint may be tried if this one fails after it began.
-    pub fn may_try_another(&self) -> bool {
-        self.repeat.may_run_again() && self.runs + 1 < self.max_endpoints
+    /// The only endpoints that may still take the request, if there is such a bound: it has run on
+    /// as many as it may, and may only go back to one of these.
+    pub fn only_on(&self) -> Option<&IndexSet<EndpointId>> {
+        (self.ran_on.len() >= self.max_endpoints).then_some(&self.ran_on)
     }
 
-    /// Whether the next send is a repeat, which draws on the budget.
-    pub fn next_is_repeat(&self) -> bool {
-        self.sends > 0
+    /// Whether another endpoint may be tried if the present one fails after it began.
+    pub fn may_try_another(&self) -> bool {
+        self.repeat.may_run_again() && self.ran_on.len() + 1 < self.max_endpoints
     }
 
     /// Leaves an endpoint out of further attempts.
     pub fn exclude(&mut self, endpoint: &EndpointId) {
-        self.tried.insert(endpoint.clone());
+        self.excluded.insert(endpoint.clone());
+    }
+
+    /// Forgets the endpoints that have ended: nothing runs there any more.
+    pub fn forget_ended<F>(&mut self, has_ended: F)
+    where
+        F: Fn(&EndpointId) -> bool,
+    {
+        self.ran_on.retain(|endpoint| !has_ended(endpoint));
     }
 
     /// Notes that the request is about to be sent.
     pub fn sending(&mut self, endpoint: &EndpointId) {
         let may_send = !self.may_have_run || self.repeat.may_run_again();
         invariant::check(may_send, "runs_at_most_once", || endpoint.clone());
-        self.exclude(endpoint);
-        self.is_under_way = true;
+        self.under_way = Some(endpoint.clone());
         self.sends += 1;
     }
 
@@ -103,17 +115,16 @@
     where
         F: FnOnce() -> bool,
     {
-        self.is_under_way = false;
+        let endpoint = self.under_way.take();
         match end {
             AttemptEnd::NotSent => {
                 self.sends = self.sends.saturating_sub(1);
                 self.turned_away += 1;
             }
             AttemptEnd::TurnedAway => self.turned_away += 1,
-            AttemptEnd::Lost => self.may_have_run = true,
-            AttemptEnd::Failed | AttemptEnd::Abandoned => {
+            AttemptEnd::Lost | AttemptEnd::Failed | AttemptEnd::Abandoned => {
                 self.may_have_run = true;
-                self.runs += 1;
+                self.ran_on.extend(endpoint);
             }
         }
         let next = self.allowed(has_budget);
@@ -125,7 +136,7 @@
 
     /// What to tell the caller if nothing more can be tried, for `cause`.
     pub fn give_up(&self, cause: RefusalCause) -> FinalWord {
-        match (self.may_have_run || self.is_under_way, cause) {
+        match (self.may_have_run || self.under_way.is_some(), cause) {
             (false, cause) => FinalWord::NotRun(cause),
             (true, RefusalCause::TooLate) => FinalWord::TimedOut,
             (true, _) => FinalWord::Unknown,
@@ -139,10 +150,12 @@
         if self.may_have_run && !self.repeat.may_run_again() {
             return NextStep::GiveUp(FinalWord::Unknown);
         }
-        if self.runs >= self.max_endpoints || self.turned_away >= MOST_TURNED_AWAY {
+        // A stream may go back to an engine on which it ran, with other stages behind it.
+        let is_spent = self.only_on().is_some() && !self.repeat.is_stream();
+        if is_spent || self.turned_away >= MOST_TURNED_AWAY || self.sends >= MOST_SENDS {
             return NextStep::GiveUp(self.give_up(RefusalCause::Full));
         }
-        if self.next_is_repeat() && !has_budget() {
+        if self.sends > 0 && !has_budget() {
             return NextStep::GiveUp(self.give_up(RefusalCause::NoBudget));
         }
         NextStep::TryAgain
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -142,9 +142,12 @@
     /// It cannot be reached, or no whole reply came: the order may be carried out.
     #[error("no reply")]
     NoReply,
-    /// The order does not fit its state.
-    #[error("the engine's state does not allow it")]
-    Conflict,
+    /// No process listens at its address.
+    #[error("no process listens there")]
+    NoListener,
+    /// The order does not fit its state, or that of the engine at this address.
+    #[error("an engine's state does not allow it")]
+    Conflict(Option<SocketAddr>),
     /// Another process has given orders under a newer fencing number.
     #[error("the fencing number is out of date")]
     Fenced,
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -6,14 +6,18 @@
 use futures_util::future::join_all;
 use indexmap::IndexMap;
 
-use super::adapter::{Adapter, EngineControl, EngineReport};
+use super::adapter::{Adapter, EngineControl, EngineReport, OrderFailure};
 use super::node::Node;
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, Trouble};
 use crate::ids::EndpointId;
 
-/// Longest wait for an engine's report. A round trip takes a few milliseconds at most.
-const REPORT_TIMEOUT_MS: u64 = 90;
+/// Longest waits for an engine's report, one after the other. A round trip takes a few
+/// milliseconds at most; the second question is for links that lose packets.
+const REPORT_TIMEOUTS_MS: [u64; 2] = [50, 60];
+/// A check that took this much longer than its timeouts says nothing of the engine: this process
+/// did not get to run.
+const OWN_DELAY_MS: u64 = 40;
 /// A report that is newer than this is taken for all streams.
 const FRESH_MS: u64 = 120;
 
@@ -34,7 +38,7 @@
         let is_under_way = self
             .begun_at_ms
             .get(id)
-            .is_some_and(|at_ms| now_ms < at_ms + REPORT_TIMEOUT_MS);
+            .is_some_and(|at_ms| now_ms < at_ms + FRESH_MS);
         !is_fresh && !is_under_way
     }
 
@@ -43,10 +47,18 @@
         self.sound_at_ms
             .retain(|_, at_ms| now_ms < *at_ms + FRESH_MS);
         self.begun_at_ms
-            .retain(|_, at_ms| now_ms < *at_ms + REPORT_TIMEOUT_MS);
+            .retain(|_, at_ms| now_ms < *at_ms + FRESH_MS);
     }
 }
 
+/// What a question to an engine has shown.
+enum Finding {
+    Sound(EngineReport),
+    Dead,
+    /// This process was held up itself.
+    Nothing,
+}
+
 /// Asks every stage of a chain how it is. Engines that do not answer, or no longer hold their
 /// layers, are left out from here on. Returns an engine that the first stage waits for.
 pub(crate) async fn check_chain<A>(
@@ -63,6 +75,18 @@
     waits.map(|(_, address)| address)
 }
 
+/// Checks one stage beside whatever else goes on.
+pub(crate) fn check_beside<A>(node: &Rc<Node<A>>, stage: &ChainStage)
+where
+    A: Adapter,
+{
+    let node = Rc::clone(node);
+    let stage = stage.clone();
+    actix_rt::spawn(async move {
+        check(&node, &stage).await;
+    });
+}
+
 async fn check<A>(node: &Rc<Node<A>>, stage: &ChainStage) -> Option<EngineReport>
 where
     A: Adapter,
@@ -75,30 +99,42 @@
         .borrow_mut()
         .begun_at_ms
         .insert(id.clone(), boot_ms());
-    let engines = node.adapter.engines();
-    let report = engines.report(stage.address, REPORT_TIMEOUT_MS).await.ok();
+    let finding = ask(node, stage.address).await;
     node.checks.borrow_mut().begun_at_ms.swap_remove(id);
-    node.counters.count("relay.checks");
-    let holds = |report: &EngineReport| {
-        let held = report.layers;
-        held.is_some_and(|held| held.covers(stage.layers))
-    };
-    match report {
-        Some(report) if holds(&report) => {
-            let mut checks = node.checks.borrow_mut();
-            checks.sound_at_ms.insert(id.clone(), boot_ms());
-            Some(report)
-        }
-        Some(_) => {
-            log::warn!(endpoint = id.as_str(); "engine does not hold its layers any more");
+    let report = match finding {
+        Finding::Sound(report) => report,
+        Finding::Dead => {
             node.troubled(id, Trouble::Unreachable);
-            None
+            return None;
         }
-        None => {
-            node.troubled(id, Trouble::Unreachable);
-            None
+        Finding::Nothing => return None,
+    };
+    if !report.layers.is_some_and(|held| held.covers(stage.layers)) {
+        log::warn!(endpoint = id.as_str(); "engine does not hold its layers any more");
+        node.troubled(id, Trouble::Unreachable);
+        return None;
+    }
+    let mut checks = node.checks.borrow_mut();
+    checks.sound_at_ms.insert(id.clone(), boot_ms());
+    Some(report)
+}
+
+async fn ask<A>(node: &Rc<Node<A>>, address: SocketAddr) -> Finding
+where
+    A: Adapter,
+{
+    for timeout_ms in REPORT_TIMEOUTS_MS {
+        let begun_ms = boot_ms();
+        node.counters.count("relay.checks");
+        let report = node.adapter.engines().report(address, timeout_ms).await;
+        match report {
+            Ok(report) => return Finding::Sound(report),
+            Err(OrderFailure::NoListener) => return Finding::Dead,
+            Err(_) if boot_ms() > begun_ms + timeout_ms + OWN_DELAY_MS => return Finding::Nothing,
+            Err(_) => {}
         }
     }
+    Finding::Dead
 }
 
 /// Asks the endpoints whose pause is over, and lets those that are sound take work again.
@@ -119,22 +155,16 @@
         .collect();
     let checks = due.into_iter().map(|(id, address, is_engine)| async move {
         // Replicas without layers make no report; a request will show whether one is sound.
-        let is_sound = !is_engine
-            || node
-                .adapter
-                .engines()
-                .report(address, REPORT_TIMEOUT_MS)
-                .await
-                .is_ok();
+        let is_dead = is_engine && matches!(ask(node, address).await, Finding::Dead);
         let mut fleet = node.fleet.borrow_mut();
         let Some(known) = fleet.get_mut(&id) else {
             return;
         };
-        if is_sound {
+        if is_dead {
+            known.standing.pause(boot_ms());
+        } else {
             log::info!(endpoint = id.as_str(); "endpoint takes work again");
             known.standing.clear();
-        } else {
-            known.standing.pause(boot_ms());
         }
     });
     join_all(checks).await;
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -147,9 +147,7 @@
             match result {
                 // An order without reply may be carried out; it is looked for in the list.
                 Ok(()) | Err(OrderFailure::NoReply) => {}
-                Err(OrderFailure::Conflict | OrderFailure::Fenced | OrderFailure::Unknown) => {
-                    self.placement.refused(&order.endpoint);
-                }
+                Err(_) => self.placement.refused(&order.endpoint),
             }
         }
     }
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -12,7 +12,7 @@
 use super::settings::RelaySettings;
 use super::upstream::Upstreams;
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, Fleet, FleetChange, Trouble};
+use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::relay::{BudgetShare, RetryBudget};
 use crate::route_table::{HeldTable, RouteTable};
@@ -107,6 +107,8 @@
         if is_out {
             log::warn!(endpoint = endpoint.as_str(), cause = trouble.name(); "endpoint is left out");
             self.counters.count("relay.endpoints.left_out");
+        }
+        if is_out && trouble == Trouble::Unreachable {
             self.unsound(endpoint);
         }
     }
@@ -120,22 +122,18 @@
         self.peers.borrow_mut().tell_unsound(endpoint);
     }
 
-    /// Takes a peer's word that an endpoint is unsound.
-    pub(crate) fn told_unsound(&self, endpoint: &EndpointId, peer: &str) {
-        let now_ms = boot_ms();
-        let mut fleet = self.fleet.borrow_mut();
-        let Some(known) = fleet.get_mut(endpoint) else {
-            return;
-        };
-        if known.standing.is_doubtful() {
-            return;
-        }
-        known.standing.pause(now_ms);
-        let address = known.listed.address;
-        drop(fleet);
-        log::warn!(endpoint = endpoint.as_str(), peer; "endpoint is left out on a peer's word");
-        self.upstreams.discard(address);
-        self.news.send_modify(|count| *count += 1);
+    /// The engine that a peer says is unsound, as a stage to be checked: the peer may be cut off
+    /// from it while this instance is not.
+    pub(crate) fn told_unsound(&self, endpoint: &EndpointId) -> Option<ChainStage> {
+        let fleet = self.fleet.borrow();
+        let known = fleet.get(endpoint)?;
+        let layers = known.listed.layers?;
+        let is_news = !known.standing.is_doubtful();
+        is_news.then(|| ChainStage {
+            endpoint: endpoint.clone(),
+            address: known.listed.address,
+            layers,
+        })
     }
 
     /// Acts on what a read of the endpoint list has changed.
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 
 use super::adapter::Adapter;
+use super::checks::check_beside;
 use super::node::Node;
 use super::settings::RelaySettings;
 use crate::clock::boot_ms;
@@ -336,7 +337,9 @@
         peers.held_by_peers(now_ms)
     };
     for id in &heartbeat.unsound {
-        node.told_unsound(id, heartbeat.instance.as_str());
+        if let Some(stage) = node.told_unsound(id) {
+            check_beside(node, &stage);
+        }
     }
     let mut fleet = node.fleet.borrow_mut();
     for id in &heartbeat.leaving {
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -78,7 +78,7 @@
             &node.fleet.borrow(),
             &request.service,
             &node.settings.zone,
-            attempts.tried(),
+            attempts.excluded(),
             boot_ms(),
         );
         let Some(endpoint) = picked else {
@@ -100,6 +100,7 @@
             cause = trouble.name();
             "attempt failed"
         );
+        attempts.exclude(&endpoint);
         node.troubled(&endpoint, trouble);
         if end == AttemptEnd::TurnedAway {
             cause = RefusalCause::Full;
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -1,6 +1,7 @@
 //! Streams of model engines: chosen chain, events passed on as they come, repair while they run.
 
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -14,14 +15,14 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout_at};
 
-use super::adapter::{Adapter, EngineControl};
-use super::checks::check_chain;
+use super::adapter::{Adapter, EngineControl, OrderFailure};
+use super::checks::{check_beside, check_chain};
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, finish, instant_at, word_response};
 use super::upstream::{AnswerBody, Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, ChainAsk, Trouble, plan_chain};
+use crate::fleet::{Chain, ChainAsk, ChainStage, Trouble, plan_chain};
 use crate::ids::EndpointId;
 use crate::relay::{
     AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, StallStep, StallWatch,
@@ -31,6 +32,8 @@
 const WAITING_PIECES: usize = 64;
 /// Longest wait for the answer to an order that changes a chain. Callers notice a pause of 200 ms.
 const REROUTE_TIMEOUT_MS: u64 = 150;
+/// Orders to change a chain at one engine's loss, each around another engine without room.
+const MOST_REROUTES: u32 = 3;
 /// Longest failure of an engine that is held to be passed on.
 const FAILURE_LIMIT_BYTES: usize = 1 << 20;
 
@@ -192,6 +195,7 @@
     async fn serve(&mut self) -> Finish {
         let mut cause = RefusalCause::NoChain;
         loop {
+            self.forget_ended();
             let Some(chain) = self.plan(None) else {
                 return Finish::Word(self.attempts.give_up(cause));
             };
@@ -201,9 +205,9 @@
             let first = chain.first().endpoint.clone();
             self.attempts.sending(&first);
             self.runs += 1;
-            let (end, trouble, at_fault) = match self.run_once(chain).await {
+            let (end, cause_name, at_fault) = match self.run_once(chain).await {
                 RunEnd::Whole => return Finish::Whole,
-                RunEnd::Failed(end, trouble, at_fault) => (end, trouble, at_fault),
+                RunEnd::Failed(end, trouble, at_fault) => (end, trouble.name(), at_fault),
             };
             self.splitter.drop_partial();
             log::info!(
@@ -211,12 +215,11 @@
                 first = first.as_str(),
                 at_fault = at_fault.as_str(),
                 end:? = end,
-                cause = trouble.name(),
+                cause = cause_name,
                 last_event = self.splitter.last_id();
                 "run failed"
             );
             self.attempts.exclude(&at_fault);
-            self.node.troubled(&at_fault, trouble);
             if end == AttemptEnd::TurnedAway {
                 cause = RefusalCause::Full;
             }
@@ -238,7 +241,8 @@
             model: model.model.as_ref()?,
             own_zone: &self.node.settings.zone,
             tokens: self.request.held_tokens(),
-            excluded: self.attempts.tried(),
+            excluded: self.attempts.excluded(),
+            first_among: self.attempts.only_on(),
             first: present.map(Chain::first),
         };
         plan_chain(&self.node.fleet.borrow(), ask)
@@ -262,9 +266,11 @@
         if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             let at_fault = facts
                 .at_fault
-                .and_then(|address| self.stage_at(held.chain(), address));
-            let at_fault = at_fault.unwrap_or_else(|| held.chain().first().endpoint.clone());
-            return RunEnd::Failed(AttemptEnd::TurnedAway, Trouble::Full, at_fault);
+                .and_then(|address| stage_at(held.chain(), address));
+            let at_fault = at_fault.unwrap_or_else(|| held.chain().first().clone());
+            // It may be full, leaving, or dead; the answer does not say which.
+            check_beside(&self.node, &at_fault);
+            return RunEnd::Failed(AttemptEnd::TurnedAway, Trouble::Full, at_fault.endpoint);
         }
         if !head.status.is_success() || !facts.is_sealed {
             let first = held.chain().first().endpoint.clone();
@@ -411,8 +417,8 @@
             }
             StallStep::Look => {
                 let waits_for = check_chain(&self.node, &self.request.ask.id, held.chain()).await;
-                if let Some(id) = waits_for.and_then(|it| self.stage_at(held.chain(), it)) {
-                    self.attempts.exclude(&id);
+                if let Some(stage) = waits_for.and_then(|it| stage_at(held.chain(), it)) {
+                    self.attempts.exclude(&stage.endpoint);
                 }
                 self.act_on_news(held).await
             }
@@ -428,28 +434,48 @@
         if unsound == first {
             return Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, first));
         }
-        let Some(chain) = self.plan(Some(held.chain())) else {
-            return Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, unsound));
-        };
+        for _ in 0..MOST_REROUTES {
+            let Some(chain) = self.plan(Some(held.chain())) else {
+                break;
+            };
+            match self.reroute(&chain, &unsound).await {
+                Ok(()) => {
+                    self.repairs += 1;
+                    self.stall.repaired(boot_ms());
+                    held.change(chain);
+                    return Ok(());
+                }
+                // Another engine may have the room or the layers that this one has not.
+                Err(OrderFailure::Conflict(Some(address))) => {
+                    if let Some(stage) = stage_at(&chain, address) {
+                        self.attempts.exclude(&stage.endpoint);
+                    }
+                }
+                Err(_) => break,
+            }
+        }
+        Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, unsound))
+    }
+
+    async fn reroute(&self, chain: &Chain, unsound: &EndpointId) -> Result<(), OrderFailure> {
         let id = self.request.ask.id.as_str();
         let engines = self.node.adapter.engines();
-        let rerouted = engines.reroute(id, &chain, REROUTE_TIMEOUT_MS).await;
+        let rerouted = engines.reroute(id, chain, REROUTE_TIMEOUT_MS).await;
+        let outcome = match &rerouted {
+            Ok(()) => "taken".to_owned(),
+            Err(failure) => failure.to_string(),
+        };
         log::info!(
             request = id,
             unsound = unsound.as_str(),
-            first = first.as_str(),
+            first = chain.first().endpoint.as_str(),
+            stages = chain.stages().len(),
             silent_ms = self.stall.silence_ms(boot_ms()),
-            done = rerouted.is_ok();
+            outcome = outcome.as_str();
             "chain is changed while the stream runs"
         );
         self.node.counters.count("relay.reroutes");
-        if rerouted.is_err() {
-            return Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, unsound));
-        }
-        self.repairs += 1;
-        self.stall.repaired(boot_ms());
-        held.change(chain);
-        Ok(())
+        rerouted
     }
 
     /// A stage that is left out by now, or excluded for this request.
@@ -457,11 +483,9 @@
         let fleet = self.node.fleet.borrow();
         let first = &chain.first().endpoint;
         let is_unsound = |id: &EndpointId| {
-            let is_excluded = id != first && self.attempts.tried().contains(id);
-            let is_doubtful = fleet
-                .get(id)
-                .is_none_or(|known| known.standing.is_doubtful());
-            is_excluded || is_doubtful
+            let is_excluded = id != first && self.attempts.excluded().contains(id);
+            let is_dead = fleet.get(id).is_some_and(|it| it.standing.is_dead());
+            is_excluded || is_dead
         };
         let mut stages = chain.stages().iter();
         stages
@@ -469,11 +493,13 @@
             .map(|stage| stage.endpoint.clone())
     }
 
-    fn stage_at(&self, chain: &Chain, address: std::net::SocketAddr) -> Option<EndpointId> {
-        let mut stages = chain.stages().iter();
-        stages
-            .find(|stage| stage.address == address)
-            .map(|stage| stage.endpoint.clone())
+    /// Engines that have ended do not count among those on which the request ran.
+    fn forget_ended(&mut self) {
+        let fleet = self.node.fleet.borrow();
+        self.attempts.forget_ended(|id| {
+            let known = fleet.get(id);
+            known.is_none_or(|known| known.standing.is_dead())
+        });
     }
 
     fn broken(&self, failure: UpstreamFailure, chain: &Chain) -> RunEnd {
@@ -522,6 +548,11 @@
     }
 }
 
+fn stage_at(chain: &Chain, address: SocketAddr) -> Option<ChainStage> {
+    let mut stages = chain.stages().iter();
+    stages.find(|stage| stage.address == address).cloned()
+}
+
 /// Counts a stream's tokens at the engines of its chain while it runs.
 struct HeldTokens<A>
 where
--- a/src/telemetry/log_lines.rs
+++ b/src/telemetry/log_lines.rs
@@ -31,6 +31,9 @@
     builder
         .filter_level(libraries)
         .filter_module("fescue", settings.level)
+        // An answer that is broken off on purpose is an error to the server library; the relay has
+        // its own line for it.
+        .filter_module("actix_http::h1::dispatcher", LevelFilter::Off)
         .format(match settings.format {
             LogFormat::Text => write_text,
             LogFormat::Json => write_json,
@@ -82,7 +85,10 @@
         let value = match (value.to_u64(), value.to_bool()) {
             (Some(number), _) => json!(number),
             (None, Some(flag)) => json!(flag),
-            (None, None) => json!(value.to_string()),
+            (None, None) => match value.to_string() {
+                text if text == "None" => serde_json::Value::Null,
+                text => json!(text),
+            },
         };
         self.0.insert(key.to_string(), value);
         Ok(())
