Chains stay in one availability zone, whichever it is; silent starts are not given up

Cause: after the loss of an engine whose layers had no second holder in its zone, all streams of the zone were bridged over the link between zones: 70 streams x 900 tokens x 21 KB are 1.2 s of that link, and each was given up after 1.1 s. Ruled out: late detection (30 ms), memory (26 of 263 orders refused). Now the request goes whole to another zone; a run without event is not given up; placement does not wait for the list to drop a dead engine.

--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -16,9 +16,12 @@
 /// Cost of a hop, in milliseconds a token: an engine's pass and the link, both of the order of a
 /// millisecond. Keeps chains short.
 const HOP_MS: f64 = 1.0;
-/// Cost of a hop into another availability zone. Far above the link's delay: activations of a
-/// prompt share the link between zones with everybody else's.
+/// Cost of a hop between engines of two availability zones. Far above the link's delay:
+/// activations of a usual prompt take 14 ms of the link that everybody shares.
 const OTHER_ZONE_MS: f64 = 30.0;
+/// Cost of a chain in another availability zone than this instance's: the delay of requests and
+/// events, and some more so that zones keep to themselves while they are about equally busy.
+const AWAY_MS: f64 = 12.0;
 /// Factor on an engine's cost when its memory would be full; quadratic below, so that chains
 /// spread before anything is full.
 const FULL_FACTOR: f64 = 12.0;
@@ -95,22 +98,43 @@
 }
 
 /// Finds the cheapest chain, or `None` where some layer has no usable holder.
+///
+/// Chains inside one availability zone go before all others, whichever zone it is: a request and
+/// its events are small, while the activations of a prompt take 21 KB a token and stage, and
+/// everybody shares the link between two zones.
 pub fn plan_chain(fleet: &Fleet, ask: ChainAsk<'_>) -> Option<Chain> {
-    let holders: Vec<Holder<'_>> = fleet
-        .of_service(ask.service)
-        .filter(|known| known.takes_work() && !ask.excluded.contains(&known.listed.id))
-        .filter_map(|known| Holder::new(known, ask))
-        .collect();
-    let start = match ask.first {
-        Some(first) => first.layers.end,
-        None => 0,
+    let holders = usable_holders(fleet, ask);
+    let zones: IndexSet<&ZoneName> = holders.iter().map(|it| &it.known.listed.zone).collect();
+    let in_zones = zones.into_iter().filter_map(|zone| {
+        let of_zone: Vec<&Holder<'_>> = holders
+            .iter()
+            .filter(|holder| holder.known.listed.zone == *zone)
+            .collect();
+        cheapest(&of_zone, ask)
+    });
+    let in_one_zone = in_zones.min_by(|a, b| a.cost.total_cmp(&b.cost));
+    let path = match in_one_zone {
+        Some(path) => path,
+        None if ask.first.is_some() => return None,
+        None => cheapest(&holders.iter().collect::<Vec<_>>(), ask)?,
     };
-    let path = cheapest(&holders, start, ask)?;
     let mut stages: Vec<ChainStage> = ask.first.into_iter().cloned().collect();
-    stages.extend(path);
+    stages.extend(path.stages);
     Chain::checked(stages, ask.model.layers)
 }
 
+fn usable_holders<'a>(fleet: &'a Fleet, ask: ChainAsk<'a>) -> Vec<Holder<'a>> {
+    let first = ask.first.and_then(|first| fleet.get(&first.endpoint));
+    let first_zone = first.map(|known| &known.listed.zone);
+    fleet
+        .of_service(ask.service)
+        .filter(|known| known.takes_work() && !ask.excluded.contains(&known.listed.id))
+        // The stages behind a running first one stay in its zone: all tokens so far are read again.
+        .filter(|known| first_zone.is_none_or(|zone| known.listed.zone == *zone))
+        .filter_map(|known| Holder::new(known, ask))
+        .collect()
+}
+
 /// An engine that may run some layers, with its cost.
 struct Holder<'a> {
     known: &'a KnownEndpoint,
@@ -127,16 +151,11 @@
         let fullness = fullness(known, layers, ask.model, kind.memory_mb, ask.tokens);
         let crowding = 1.0 + FULL_FACTOR * fullness * fullness;
         let no_room_ms = if fullness > 1.0 { NO_ROOM_MS } else { 0.0 };
-        let zone_ms = if known.listed.zone == *ask.own_zone {
-            0.0
-        } else {
-            OTHER_ZONE_MS
-        };
         Some(Self {
             known,
             layers,
             ms_per_layer: step_ms * crowding,
-            hop_ms: HOP_MS * crowding + zone_ms + no_room_ms,
+            hop_ms: HOP_MS * crowding + no_room_ms,
         })
     }
 }
@@ -158,11 +177,17 @@
     (held as f64 + tokens as f64 * count) / room
 }
 
-/// Shortest path from layer `start` to the last one. Layer boundaries are visited in order, since
-/// every edge leads to a higher one.
-fn cheapest(holders: &[Holder<'_>], start: u16, ask: ChainAsk<'_>) -> Option<Vec<ChainStage>> {
-    let end = ask.model.layers;
-    let bounds = boundaries(holders, start, end);
+/// A path and its cost.
+struct Path {
+    cost: f64,
+    stages: Vec<ChainStage>,
+}
+
+/// Shortest path to the last layer. Layer boundaries are visited in order, since every edge leads
+/// to a higher one.
+fn cheapest(holders: &[&Holder<'_>], ask: ChainAsk<'_>) -> Option<Path> {
+    let start = ask.first.map_or(0, |first| first.layers.end);
+    let bounds = boundaries(holders, start, ask.model.layers);
     let mut best: Vec<Option<Arrival>> = vec![None; bounds.len()];
     best[0] = Some(Arrival::default());
     for at in 0..bounds.len() {
@@ -170,21 +195,16 @@
             continue;
         };
         for (index, holder) in holders.iter().enumerate() {
-            let can_start = holder.layers.first <= bounds[at] && bounds[at] < holder.layers.end;
-            let is_first = ask
-                .first
-                .is_some_and(|it| it.endpoint == holder.known.listed.id);
-            let id = &holder.known.listed.id;
-            let is_barred = bounds[at] == 0 && ask.first_among.is_some_and(|it| !it.contains(id));
-            if !can_start || is_first || is_barred || here.holders.contains(&index) {
+            if !may_run_next(holder, &here, index, bounds[at], ask) {
                 continue;
             }
+            let hop_ms = holder.hop_ms + crossing_ms(holder, &here, holders, ask);
             for to in at + 1..bounds.len() {
                 if bounds[to] > holder.layers.end {
                     break;
                 }
                 let layers = f64::from(bounds[to] - bounds[at]);
-                let cost = here.cost + holder.hop_ms + holder.ms_per_layer * layers;
+                let cost = here.cost + hop_ms + holder.ms_per_layer * layers;
                 if best[to].as_ref().is_none_or(|known| cost < known.cost) {
                     best[to] = Some(here.extended(index, bounds[to], cost));
                 }
@@ -192,22 +212,39 @@
         }
     }
     let arrival = best.pop()??;
-    let mut first = start;
-    let stages = arrival
-        .holders
-        .iter()
-        .zip(&arrival.ends)
-        .map(|(index, end)| {
-            let listed = &holders[*index].known.listed;
-            let layers = LayerRange { first, end: *end };
-            first = *end;
-            ChainStage {
-                endpoint: listed.id.clone(),
-                address: listed.address,
-                layers,
-            }
-        });
-    Some(stages.collect())
+    Some(Path {
+        cost: arrival.cost,
+        stages: arrival.stages(holders, start),
+    })
+}
+
+fn may_run_next(
+    holder: &Holder<'_>,
+    here: &Arrival,
+    index: usize,
+    bound: u16,
+    ask: ChainAsk<'_>,
+) -> bool {
+    let id = &holder.known.listed.id;
+    let can_start = holder.layers.first <= bound && bound < holder.layers.end;
+    let is_first = ask.first.is_some_and(|first| first.endpoint == *id);
+    let is_barred = bound == 0 && ask.first_among.is_some_and(|among| !among.contains(id));
+    can_start && !is_first && !is_barred && !here.holders.contains(&index)
+}
+
+/// Cost of the link to an engine: from this instance for the first, from the last engine else.
+fn crossing_ms(
+    holder: &Holder<'_>,
+    here: &Arrival,
+    holders: &[&Holder<'_>],
+    ask: ChainAsk<'_>,
+) -> f64 {
+    let zone = &holder.known.listed.zone;
+    match here.holders.last() {
+        Some(last) if holders[*last].known.listed.zone != *zone => OTHER_ZONE_MS,
+        None if ask.first.is_none() && zone != ask.own_zone => AWAY_MS,
+        _ => 0.0,
+    }
 }
 
 /// The cheapest known way to a boundary: engines and where each one's run ends.
@@ -226,9 +263,23 @@
         next.ends.push(end);
         next
     }
+
+    fn stages(&self, holders: &[&Holder<'_>], start: u16) -> Vec<ChainStage> {
+        let firsts = std::iter::once(start).chain(self.ends.iter().copied());
+        let runs = self.holders.iter().zip(firsts).zip(&self.ends);
+        let stage = |((index, first), end): ((&usize, u16), &u16)| {
+            let listed = &holders[*index].known.listed;
+            ChainStage {
+                endpoint: listed.id.clone(),
+                address: listed.address,
+                layers: LayerRange { first, end: *end },
+            }
+        };
+        runs.map(stage).collect()
+    }
 }
 
-fn boundaries(holders: &[Holder<'_>], start: u16, end: u16) -> Vec<u16> {
+fn boundaries(holders: &[&Holder<'_>], start: u16, end: u16) -> Vec<u16> {
     let mut bounds: Vec<u16> = holders
         .iter()
         .flat_map(|holder| [holder.layers.first, holder.layers.end])
--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -11,7 +11,9 @@
 /// What went wrong at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
-    /// It does not answer a fresh connection, or refuses it.
+    /// No process listens at its address: whatever ran there has ended.
+    Ended,
+    /// It does not answer a fresh connection.
     Unreachable,
     /// A connection to it broke before the answer was whole.
     Broken,
@@ -29,6 +31,7 @@
     /// Name in log lines.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Ended => "ended",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
             Self::Garbled => "garbled",
@@ -38,11 +41,16 @@
         }
     }
 
+    /// Whether what runs at the endpoint is lost.
+    pub fn is_death(self) -> bool {
+        matches!(self, Self::Ended | Self::Unreachable)
+    }
+
     /// How many troubles in a row of this sort put the endpoint on pause. A single failure or
     /// broken answer may be the request's own; a refused connection is the endpoint's.
     fn tolerated(self) -> u32 {
         match self {
-            Self::Unreachable => 1,
+            Self::Ended | Self::Unreachable => 1,
             Self::Silent | Self::Full => 2,
             Self::Broken | Self::Garbled | Self::Failed => 3,
         }
@@ -57,6 +65,8 @@
     paused_until_ms: Option<u64>,
     /// It does not answer fresh connections.
     is_dead: bool,
+    /// No process listens at its address.
+    has_ended: bool,
     latency_ms: Option<f64>,
 }
 
@@ -76,6 +86,12 @@
         self.is_dead
     }
 
+    /// Whether no process listened at its address when it was asked last. One that only does not
+    /// answer may be slow, or out of reach, and go on running what it has.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Whether a pause has ended and nothing has shown since that the endpoint is sound.
     pub fn needs_check(&self, now_ms: u64) -> bool {
         self.paused_until_ms.is_some_and(|until| now_ms >= until)
@@ -100,12 +116,14 @@
         self.pauses_in_row = 0;
         self.paused_until_ms = None;
         self.is_dead = false;
+        self.has_ended = false;
     }
 
     /// Takes a trouble; returns whether the endpoint is on pause from now on and was not before.
     pub fn troubled(&mut self, trouble: Trouble, now_ms: u64) -> bool {
         self.troubles_in_row += 1;
-        self.is_dead |= trouble == Trouble::Unreachable;
+        self.is_dead |= trouble.is_death();
+        self.has_ended |= trouble == Trouble::Ended;
         if self.troubles_in_row < trouble.tolerated() || self.is_paused(now_ms) {
             return false;
         }
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -10,10 +10,11 @@
 /// 50 to 150 ms through all stages.
 const FIRST_SILENCE_MS: u64 = 350;
 /// Pause between two looks at one silence.
-const LOOK_AGAIN_MS: u64 = 120;
-/// Silence after which a run is given up though every stage answers. Callers leave after two
-/// seconds without an event.
-const GIVE_UP_MS: u64 = 1_100;
+const LOOK_AGAIN_MS: u64 = 250;
+/// Silence between events after which a run is given up though every stage answers. Callers leave
+/// after two seconds without an event. A run that has brought nothing yet is not given up: it
+/// waits behind others, and would wait again elsewhere.
+const GIVE_UP_MS: u64 = 1_300;
 /// Weight of the newest gap in the running mean.
 const GAP_WEIGHT: f64 = 0.1;
 
@@ -77,7 +78,11 @@
 
     /// When the next step is due.
     pub fn due_ms(&self) -> u64 {
-        self.look_ms.min(self.progress_ms + GIVE_UP_MS)
+        if self.has_event {
+            self.look_ms.min(self.progress_ms + GIVE_UP_MS)
+        } else {
+            self.look_ms
+        }
     }
 
     /// How long nothing has come.
@@ -87,7 +92,7 @@
 
     /// The step that is due now.
     pub fn step(&mut self, now_ms: u64) -> StallStep {
-        if self.silence_ms(now_ms) >= GIVE_UP_MS {
+        if self.has_event && self.silence_ms(now_ms) >= GIVE_UP_MS {
             return StallStep::GiveUp;
         }
         if now_ms < self.look_ms {
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -19,7 +19,7 @@
 /// did not get to run.
 const OWN_DELAY_MS: u64 = 40;
 /// A report that is newer than this is taken for all streams.
-const FRESH_MS: u64 = 120;
+const FRESH_MS: u64 = 250;
 
 /// What the newest checks have shown.
 #[derive(Debug, Default)]
@@ -54,7 +54,7 @@
 /// What a question to an engine has shown.
 enum Finding {
     Sound(EngineReport),
-    Dead,
+    Dead(Trouble),
     /// This process was held up itself.
     Nothing,
 }
@@ -103,16 +103,20 @@
     node.checks.borrow_mut().begun_at_ms.swap_remove(id);
     let report = match finding {
         Finding::Sound(report) => report,
-        Finding::Dead => {
-            node.troubled(id, Trouble::Unreachable);
+        Finding::Dead(trouble) => {
+            node.troubled(id, trouble);
             return None;
         }
         Finding::Nothing => return None,
     };
-    if !report.layers.is_some_and(|held| held.covers(stage.layers)) {
-        log::warn!(endpoint = id.as_str(); "engine does not hold its layers any more");
-        node.troubled(id, Trouble::Unreachable);
+    let Some(held) = report.layers else {
+        log::warn!(endpoint = id.as_str(); "engine has started anew and holds no layers");
+        node.troubled(id, Trouble::Ended);
         return None;
+    };
+    if let Some(known) = node.fleet.borrow_mut().get_mut(id) {
+        // Newer than the list, which shows layers with a lag.
+        known.listed.layers = Some(held);
     }
     let mut checks = node.checks.borrow_mut();
     checks.sound_at_ms.insert(id.clone(), boot_ms());
@@ -129,12 +133,12 @@
         let report = node.adapter.engines().report(address, timeout_ms).await;
         match report {
             Ok(report) => return Finding::Sound(report),
-            Err(OrderFailure::NoListener) => return Finding::Dead,
+            Err(OrderFailure::NoListener) => return Finding::Dead(Trouble::Ended),
             Err(_) if boot_ms() > begun_ms + timeout_ms + OWN_DELAY_MS => return Finding::Nothing,
             Err(_) => {}
         }
     }
-    Finding::Dead
+    Finding::Dead(Trouble::Unreachable)
 }
 
 /// Asks the endpoints whose pause is over, and lets those that are sound take work again.
@@ -155,7 +159,7 @@
         .collect();
     let checks = due.into_iter().map(|(id, address, is_engine)| async move {
         // Replicas without layers make no report; a request will show whether one is sound.
-        let is_dead = is_engine && matches!(ask(node, address).await, Finding::Dead);
+        let is_dead = is_engine && matches!(ask(node, address).await, Finding::Dead(_));
         let mut fleet = node.fleet.borrow_mut();
         let Some(known) = fleet.get_mut(&id) else {
             return;
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -199,7 +199,8 @@
     let fleet = node.fleet.borrow();
     fleet
         .of_service(service)
-        .filter(|known| known.listed.phase == Phase::Live)
+        // An engine that does not answer is listed for another three heartbeats.
+        .filter(|known| known.listed.phase == Phase::Live && !known.standing.is_dead())
         .filter_map(|known| {
             let listed = &known.listed;
             Some(PlacedEngine {
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -108,7 +108,7 @@
             log::warn!(endpoint = endpoint.as_str(), cause = trouble.name(); "endpoint is left out");
             self.counters.count("relay.endpoints.left_out");
         }
-        if is_out && trouble == Trouble::Unreachable {
+        if is_out && trouble.is_death() {
             self.unsound(endpoint);
         }
     }
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -498,7 +498,7 @@
         let fleet = self.node.fleet.borrow();
         self.attempts.forget_ended(|id| {
             let known = fleet.get(id);
-            known.is_none_or(|known| known.standing.is_dead())
+            known.is_none_or(|known| known.standing.has_ended())
         });
     }
 
