Slow engines are found by their reports; their layers get another holder

Cause: with 5 engines 12 times slower for 9 s every zone's only chain ran through one of them; first events took 1 s. Now reports taken at a silence carry the slowness, new chains avoid slow engines, and the placement counts them as no holder.

--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -186,13 +186,13 @@
 
 /// Peers by address, made when first used.
 #[derive(Default)]
-pub(crate) struct HttpPeers {
+pub struct HttpPeers {
     peers: RefCell<IndexMap<SocketAddr, Rc<HttpPeer>>>,
 }
 
 impl HttpPeers {
     /// Returns the peer at an address.
-    pub(crate) fn at(&self, address: SocketAddr) -> Rc<HttpPeer> {
+    pub fn at(&self, address: SocketAddr) -> Rc<HttpPeer> {
         let mut peers = self.peers.borrow_mut();
         let peer = peers
             .entry(address)
@@ -201,7 +201,7 @@
     }
 
     /// Forgets the peers for which `keep` is false.
-    pub(crate) fn retain<F>(&self, mut keep: F)
+    pub fn retain<F>(&self, mut keep: F)
     where
         F: FnMut(SocketAddr) -> bool,
     {
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -15,8 +15,8 @@
 
 pub use engine::{EngineApi, HttpEngines};
 pub use failure::{EngineCallFailure, InstanceListFailure, ObjectFailure, TableFailure};
-pub use http::{HttpCall, HttpFailure, HttpPeer, HttpReply};
-pub(crate) use http::{HttpPeers, HttpStream};
+pub(crate) use http::HttpStream;
+pub use http::{HttpCall, HttpFailure, HttpPeer, HttpPeers, HttpReply};
 pub use instances::{HttpInstances, InstanceSource};
 pub use objects::{HttpObjects, ObjectStore};
 pub use table::{HttpTable, TableService};
--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -102,8 +102,8 @@
 /// Chains inside one availability zone go before all others, whichever zone it is: a request and
 /// its events are small, while the activations of a prompt take 21 KB a token and stage, and
 /// everybody shares the link between two zones.
-pub fn plan_chain(fleet: &Fleet, ask: ChainAsk<'_>) -> Option<Chain> {
-    let holders = usable_holders(fleet, ask);
+pub fn plan_chain(fleet: &Fleet, ask: ChainAsk<'_>, now_ms: u64) -> Option<Chain> {
+    let holders = usable_holders(fleet, ask, now_ms);
     let zones: IndexSet<&ZoneName> = holders.iter().map(|it| &it.known.listed.zone).collect();
     let in_zones = zones.into_iter().filter_map(|zone| {
         let of_zone: Vec<&Holder<'_>> = holders
@@ -123,7 +123,7 @@
     Chain::checked(stages, ask.model.layers)
 }
 
-fn usable_holders<'a>(fleet: &'a Fleet, ask: ChainAsk<'a>) -> Vec<Holder<'a>> {
+fn usable_holders<'a>(fleet: &'a Fleet, ask: ChainAsk<'a>, now_ms: u64) -> Vec<Holder<'a>> {
     let first = ask.first.and_then(|first| fleet.get(&first.endpoint));
     let first_zone = first.map(|known| &known.listed.zone);
     fleet
@@ -131,7 +131,7 @@
         .filter(|known| known.takes_work() && !ask.excluded.contains(&known.listed.id))
         // The stages behind a running first one stay in its zone: all tokens so far are read again.
         .filter(|known| first_zone.is_none_or(|zone| known.listed.zone == *zone))
-        .filter_map(|known| Holder::new(known, ask))
+        .filter_map(|known| Holder::new(known, ask, now_ms))
         .collect()
 }
 
@@ -144,12 +144,13 @@
 }
 
 impl<'a> Holder<'a> {
-    fn new(known: &'a KnownEndpoint, ask: ChainAsk<'_>) -> Option<Self> {
+    fn new(known: &'a KnownEndpoint, ask: ChainAsk<'_>, now_ms: u64) -> Option<Self> {
         let layers = known.listed.layers.filter(|layers| !layers.is_empty())?;
         let kind = ask.model.kinds.get(known.listed.kind.as_deref()?)?;
         let step_ms = ask.model.step_ms * kind.step_factor / f64::from(ask.model.layers.max(1));
         let fullness = fullness(known, layers, ask.model, kind.memory_mb, ask.tokens);
-        let crowding = 1.0 + FULL_FACTOR * fullness * fullness;
+        let slowness = known.standing.slowness(now_ms);
+        let crowding = slowness * (1.0 + FULL_FACTOR * fullness * fullness);
         let no_room_ms = if fullness > 1.0 { NO_ROOM_MS } else { 0.0 };
         Some(Self {
             known,
--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -5,6 +5,14 @@
 const FIRST_PAUSE_MS: u64 = 1_000;
 /// Longest pause, so that an endpoint that came back is found soon.
 const LONGEST_PAUSE_MS: u64 = 8_000;
+/// How long a report of slowness is taken for true: reports are asked for again every second.
+const SLOWNESS_MS: u64 = 2_500;
+/// Slowness at which what runs on an engine is moved elsewhere. At four times its usual step an
+/// engine of a chain of ten still brings an event within the pause that callers accept; above, its
+/// prompts pile up.
+const MOVE_SLOWNESS: f64 = 4.0;
+/// Slowness below which an engine counts as usual.
+const USUAL_SLOWNESS: f64 = 1.4;
 /// Weight of the newest answer time in the running mean.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -57,6 +65,13 @@
     }
 }
 
+/// A report of how slow an engine is.
+#[derive(Clone, Copy, Debug)]
+struct Slowness {
+    factor: f64,
+    reported_ms: u64,
+}
+
 /// The endpoint's record with this process.
 #[derive(Clone, Debug, Default)]
 pub struct Standing {
@@ -67,6 +82,7 @@
     is_dead: bool,
     /// No process listens at its address.
     has_ended: bool,
+    slowness: Option<Slowness>,
     latency_ms: Option<f64>,
 }
 
@@ -92,6 +108,29 @@
         self.has_ended
     }
 
+    /// Factor on the engine's usual time for a step, as last reported; 1 if nothing is known.
+    pub fn slowness(&self, now_ms: u64) -> f64 {
+        self.slowness
+            .filter(|it| now_ms < it.reported_ms + SLOWNESS_MS)
+            .map_or(1.0, |it| it.factor)
+    }
+
+    /// Whether it is so slow that what runs there is better moved.
+    pub fn is_crawling(&self, now_ms: u64) -> bool {
+        self.slowness(now_ms) >= MOVE_SLOWNESS
+    }
+
+    /// Takes a report of slowness; returns whether the engine is slow now and was not before.
+    pub fn reported_slowness(&mut self, factor: f64, now_ms: u64) -> bool {
+        let was_slow = self.slowness(now_ms) > USUAL_SLOWNESS;
+        let is_slow = factor > USUAL_SLOWNESS;
+        self.slowness = is_slow.then_some(Slowness {
+            factor,
+            reported_ms: now_ms,
+        });
+        is_slow && !was_slow
+    }
+
     /// Whether a pause has ended and nothing has shown since that the endpoint is sound.
     pub fn needs_check(&self, now_ms: u64) -> bool {
         self.paused_until_ms.is_some_and(|until| now_ms >= until)
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -64,7 +64,7 @@
         first_among: None,
         first: None,
     };
-    let chain = plan_chain(fleet, ask)?;
+    let chain = plan_chain(fleet, ask, 0)?;
     let stage = |it: &ChainStage| format!("{} {}-{}", it.endpoint, it.layers.first, it.layers.end);
     Some(chain.stages().iter().map(stage).collect())
 }
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -100,7 +100,8 @@
 
     fn due_in_zone(&self, engines: &[&PlacedEngine], model: &EngineModel) -> Vec<PlaceOrder> {
         let counts = layer_counts(engines, model);
-        let held: Vec<LayerRange> = engines.iter().filter_map(|it| self.future(it)).collect();
+        let sound = engines.iter().filter(|engine| !engine.is_crawling);
+        let held: Vec<LayerRange> = sound.filter_map(|it| self.future(it)).collect();
         let mut coverage = Coverage::of(model.layers, &held);
         let mut orders = Vec::new();
         let mut empty: Vec<&&PlacedEngine> = engines
@@ -140,7 +141,7 @@
         };
         let before = coverage.holes(whole);
         let mut best: Option<(u32, PlaceOrder)> = None;
-        for engine in engines {
+        for engine in engines.iter().filter(|engine| !engine.is_crawling) {
             let (Some(layers), Some(count)) = (self.future(engine), counts.get(&engine.id)) else {
                 continue;
             };
--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -14,6 +14,8 @@
     pub kind: String,
     /// Layers that it holds or was ordered to hold.
     pub layers: Option<LayerRange>,
+    /// Whether it is so slow that its layers need another holder as if it held none.
+    pub is_crawling: bool,
 }
 
 /// Number of holders of each layer.
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -40,6 +40,7 @@
                 zone: ZoneName::from(zone),
                 kind: kind.to_owned(),
                 layers: None,
+                is_crawling: false,
             });
         }
     }
@@ -96,6 +97,25 @@
     assert!((0..80).all(|layer| holders(&engines, layer) >= 1));
 }
 
+#[test]
+fn layers_of_an_engine_that_crawls_get_another_holder() {
+    let mut engines = engines("lac", 2, 5, 8);
+    carry_out(&mut engines, 0);
+    let only = |it: &PlacedEngine, engines: &[PlacedEngine]| {
+        let layers = it.layers.expect("placed");
+        (layers.first..layers.end).any(|layer| holders(engines, layer) == 1)
+    };
+    let slow = engines
+        .iter()
+        .position(|it| only(it, &engines))
+        .expect("single holders");
+    engines[slow].is_crawling = true;
+    carry_out(&mut engines, 0);
+    let slow = engines.remove(slow);
+    assert!(slow.layers.is_some(), "it keeps what it holds");
+    assert!((0..80).all(|layer| holders(&engines, layer) >= 1));
+}
+
 #[test]
 fn an_order_under_way_is_not_given_again_until_it_seems_lost() {
     let engines = engines("lac", 2, 5, 8);
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -9,7 +9,7 @@
 /// Silence before the first event after which a run is looked into: reading a usual prompt takes
 /// 50 to 150 ms through all stages.
 const FIRST_SILENCE_MS: u64 = 350;
-/// Pause between two looks at one silence.
+/// Pause between the first two looks at one silence; each further one is twice as long.
 const LOOK_AGAIN_MS: u64 = 250;
 /// Silence between events after which a run is given up though every stage answers. Callers leave
 /// after two seconds without an event. A run that has brought nothing yet is not given up: it
@@ -37,6 +37,8 @@
     progress_ms: u64,
     has_event: bool,
     look_ms: u64,
+    /// Looks at the present silence.
+    looks: u32,
 }
 
 impl StallWatch {
@@ -47,6 +49,7 @@
             progress_ms: now_ms,
             has_event: false,
             look_ms: now_ms + FIRST_SILENCE_MS,
+            looks: 0,
         }
     }
 
@@ -65,6 +68,7 @@
             self.mean_gap_ms = Some(mean + GAP_WEIGHT * (gap_ms - mean));
         }
         self.has_event = true;
+        self.looks = 0;
         self.progress_ms = now_ms;
         let gaps_ms = (self.mean_gap_ms.unwrap_or(0.0) * SILENCE_GAPS) as u64;
         self.look_ms = now_ms + gaps_ms.max(LEAST_SILENCE_MS);
@@ -98,7 +102,8 @@
         if now_ms < self.look_ms {
             return StallStep::Wait;
         }
-        self.look_ms = now_ms + LOOK_AGAIN_MS;
+        self.look_ms = now_ms + (LOOK_AGAIN_MS << self.looks.min(3));
+        self.looks += 1;
         StallStep::Look
     }
 }
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -158,8 +158,8 @@
 
 /// Calls to engines beside requests.
 pub trait EngineControl {
-    /// Asks an engine how it is, on a connection of its own, so that no pooled connection that
-    /// has gone silent makes a sound engine look dead.
+    /// Asks an engine how it is. A call behind one that failed uses a fresh connection, so that a
+    /// kept one that has gone silent does not make a sound engine look dead.
     fn report(
         &self,
         engine: SocketAddr,
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -19,7 +19,7 @@
 /// did not get to run.
 const OWN_DELAY_MS: u64 = 40;
 /// A report that is newer than this is taken for all streams.
-const FRESH_MS: u64 = 250;
+const FRESH_MS: u64 = 400;
 
 /// What the newest checks have shown.
 #[derive(Debug, Default)]
@@ -110,14 +110,15 @@
         Finding::Nothing => return None,
     };
     let Some(held) = report.layers else {
-        log::warn!(endpoint = id.as_str(); "engine has started anew and holds no layers");
-        node.troubled(id, Trouble::Ended);
+        log::warn!(endpoint = id.as_str(); "engine holds no layers any more");
+        node.troubled(id, Trouble::Unreachable);
         return None;
     };
     if let Some(known) = node.fleet.borrow_mut().get_mut(id) {
         // Newer than the list, which shows layers with a lag.
         known.listed.layers = Some(held);
     }
+    node.reported_slowness(id, report.slowness);
     let mut checks = node.checks.borrow_mut();
     checks.sound_at_ms.insert(id.clone(), boot_ms());
     Some(report)
@@ -141,6 +142,28 @@
     Finding::Dead(Trouble::Unreachable)
 }
 
+/// Asks the engines that were slow again.
+pub(crate) async fn check_slow<A>(node: &Rc<Node<A>>)
+where
+    A: Adapter,
+{
+    let now_ms = boot_ms();
+    let slow: Vec<ChainStage> = node
+        .fleet
+        .borrow()
+        .iter()
+        .filter(|known| known.standing.slowness(now_ms) > 1.0)
+        .filter_map(|known| {
+            Some(ChainStage {
+                endpoint: known.listed.id.clone(),
+                address: known.listed.address,
+                layers: known.listed.layers?,
+            })
+        })
+        .collect();
+    join_all(slow.iter().map(|stage| check(node, stage))).await;
+}
+
 /// Asks the endpoints whose pause is over, and lets those that are sound take work again.
 pub(crate) async fn check_paused<A>(node: &Rc<Node<A>>)
 where
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -196,6 +196,7 @@
 }
 
 fn engines<A>(node: &Rc<Node<A>>, service: &ServiceName) -> Vec<PlacedEngine> {
+    let now_ms = boot_ms();
     let fleet = node.fleet.borrow();
     fleet
         .of_service(service)
@@ -208,6 +209,7 @@
                 zone: listed.zone.clone(),
                 kind: listed.kind.clone()?,
                 layers: listed.layers,
+                is_crawling: known.standing.is_crawling(now_ms),
             })
         })
         .collect()
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -113,6 +113,20 @@
         }
     }
 
+    /// Takes an engine's report of how slow it is.
+    pub(crate) fn reported_slowness(&self, endpoint: &EndpointId, factor: f64) {
+        let now_ms = boot_ms();
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(known) = fleet.get_mut(endpoint) else {
+            return;
+        };
+        if known.standing.reported_slowness(factor, now_ms) {
+            drop(fleet);
+            log::warn!(endpoint = endpoint.as_str(), factor; "engine is slow");
+            self.news.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Tells streams and peers that an endpoint is unsound.
     fn unsound(&self, endpoint: &EndpointId) {
         if let Some(known) = self.fleet.borrow().get(endpoint) {
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -33,6 +33,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause between two sweeps of idle connections and pauses of endpoints.
 const SWEEP_MS: u64 = 200;
+/// Pause between two questions to an engine that was slow.
+const SLOW_CHECK_MS: u64 = 1_000;
 /// Longest wait for the store's answer to the calls that make instances known to one another.
 const REGISTER_TIMEOUT_MS: u64 = 800;
 /// Pause between two reads of the instances' records, which only find what no datagram has told.
@@ -292,9 +294,14 @@
 where
     A: Adapter,
 {
+    let mut slow_checked_ms = 0;
     loop {
         sleep(Duration::from_millis(SWEEP_MS)).await;
         let now_ms = boot_ms();
+        if now_ms >= slow_checked_ms + SLOW_CHECK_MS {
+            slow_checked_ms = now_ms;
+            checks::check_slow(&node).await;
+        }
         node.upstreams.sweep(now_ms);
         node.checks.borrow_mut().sweep(now_ms);
         checks::check_paused(&node).await;
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -245,7 +245,7 @@
             first_among: self.attempts.only_on(),
             first: present.map(Chain::first),
         };
-        plan_chain(&self.node.fleet.borrow(), ask)
+        plan_chain(&self.node.fleet.borrow(), ask, boot_ms())
     }
 
     async fn run_once(&mut self, chain: Chain) -> RunEnd {
@@ -484,8 +484,8 @@
         let first = &chain.first().endpoint;
         let is_unsound = |id: &EndpointId| {
             let is_excluded = id != first && self.attempts.excluded().contains(id);
-            let is_dead = fleet.get(id).is_some_and(|it| it.standing.is_dead());
-            is_excluded || is_dead
+            let is_lost = fleet.get(id).is_some_and(|it| it.standing.is_dead());
+            is_excluded || is_lost
         };
         let mut stages = chain.stages().iter();
         stages
@@ -498,7 +498,8 @@
         let fleet = self.node.fleet.borrow();
         self.attempts.forget_ended(|id| {
             let known = fleet.get(id);
-            known.is_none_or(|known| known.standing.has_ended())
+            // One that has left the list may go on with what it has.
+            known.is_some_and(|known| known.standing.has_ended())
         });
     }
 
