--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -12,6 +12,9 @@
 /// Added to the time a load should take before an order counts as lost: the list shows an engine's
 /// layers with a lag of about two seconds.
 const ORDER_SLACK_MS: u64 = 4_000;
+/// Pause before an engine that did not take an order is given one again; until then the plan does
+/// without it. Of the order of the time that an engine needs to carry out the order before.
+const REFUSED_PAUSE_MS: u64 = 1_500;
 
 /// An order to one engine to hold a range of layers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +35,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PlacementDuty {
     ordered: IndexMap<EndpointId, Ordered>,
+    /// Engines that did not take an order, and when they may be given one again.
+    refused_until_ms: IndexMap<EndpointId, u64>,
 }
 
 impl PlacementDuty {
@@ -49,6 +54,12 @@
         now_ms: u64,
     ) -> Vec<PlaceOrder> {
         self.settle(engines, now_ms);
+        let engines: Vec<PlacedEngine> = engines
+            .iter()
+            .filter(|engine| !self.refused_until_ms.contains_key(&engine.id))
+            .cloned()
+            .collect();
+        let engines = engines.as_slice();
         let zones: IndexSet<&ZoneName> = engines.iter().map(|engine| &engine.zone).collect();
         let mut orders = Vec::new();
         for zone in zones {
@@ -72,8 +83,10 @@
     }
 
     /// Notes that an engine did not take an order.
-    pub fn refused(&mut self, endpoint: &EndpointId) {
+    pub fn refused(&mut self, endpoint: &EndpointId, now_ms: u64) {
         self.ordered.shift_remove(endpoint);
+        let until_ms = now_ms + REFUSED_PAUSE_MS;
+        self.refused_until_ms.insert(endpoint.clone(), until_ms);
     }
 
     /// Forgets every order under way: another process may have ordered since.
@@ -83,6 +96,8 @@
 
     /// Drops orders that were carried out, whose engine is gone, or that seem lost.
     fn settle(&mut self, engines: &[PlacedEngine], now_ms: u64) {
+        self.refused_until_ms
+            .retain(|_, until_ms| now_ms < *until_ms);
         self.ordered.retain(|id, ordered| {
             let engine = engines.iter().find(|engine| engine.id == *id);
             engine.is_some_and(|it| it.layers != Some(ordered.layers))
@@ -120,7 +135,14 @@
                 });
             }
         }
-        orders.extend(self.fill_hole(engines, &counts, &mut coverage, model));
+        if !coverage.has_hole() || self.is_moving(engines) {
+            return orders;
+        }
+        match self.fill_hole(engines, &counts, &coverage, model) {
+            Some(order) => orders.push(order),
+            None if orders.is_empty() => orders = self.lay_out(engines, &counts, model),
+            None => {}
+        }
         orders
     }
 
@@ -129,12 +151,9 @@
         &self,
         engines: &[&PlacedEngine],
         counts: &IndexMap<EndpointId, u16>,
-        coverage: &mut Coverage,
+        coverage: &Coverage,
         model: &EngineModel,
     ) -> Option<PlaceOrder> {
-        if !coverage.has_hole() || self.is_moving(engines) {
-            return None;
-        }
         let whole = LayerRange {
             first: 0,
             end: model.layers,
@@ -163,6 +182,45 @@
         best.map(|(_, order)| order)
     }
 
+    /// Lays the engines of a zone out anew, where no single move closes a hole: each keeps about
+    /// its place, and only boundaries shift.
+    fn lay_out(
+        &self,
+        engines: &[&PlacedEngine],
+        counts: &IndexMap<EndpointId, u16>,
+        model: &EngineModel,
+    ) -> Vec<PlaceOrder> {
+        let mut left: Vec<&&PlacedEngine> = engines
+            .iter()
+            .filter(|engine| !engine.is_crawling)
+            .collect();
+        let mut orders = Vec::new();
+        let mut next = 0;
+        while next < model.layers {
+            let overlap = |engine: &&&PlacedEngine| {
+                let count = counts.get(&engine.id).copied().unwrap_or(0);
+                let window = window_from(next, count, model.layers);
+                let held = self.future(engine);
+                (held.map_or(0, |held| overlap(held, window)), count)
+            };
+            let Some(best) = left.iter().enumerate().max_by_key(|(_, it)| overlap(it)) else {
+                // The engines are too few to hold every layer.
+                return Vec::new();
+            };
+            let engine = left.swap_remove(best.0);
+            let count = counts.get(&engine.id).copied().unwrap_or(0);
+            let layers = window_from(next, count, model.layers);
+            next = layers.end.max(next + u16::from(count == 0));
+            if self.future(engine) != Some(layers) && count > 0 {
+                orders.push(PlaceOrder {
+                    endpoint: engine.id.clone(),
+                    layers,
+                });
+            }
+        }
+        orders
+    }
+
     fn is_moving(&self, engines: &[&PlacedEngine]) -> bool {
         let moves = |engine: &&&PlacedEngine| {
             engine.layers.is_some() && self.ordered.contains_key(&engine.id)
@@ -171,6 +229,19 @@
     }
 }
 
+/// The window of `count` layers from `first`, moved back where it would end behind the last layer.
+fn window_from(first: u16, count: u16, layers: u16) -> LayerRange {
+    let end = (first + count).min(layers);
+    LayerRange {
+        first: end.saturating_sub(count),
+        end,
+    }
+}
+
+fn overlap(a: LayerRange, b: LayerRange) -> u16 {
+    a.end.min(b.end).saturating_sub(a.first.max(b.first))
+}
+
 fn check_memory(order: &PlaceOrder, engines: &[PlacedEngine], model: &EngineModel) {
     let kind = engines
         .iter()
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -97,6 +97,43 @@
     assert!((0..80).all(|layer| holders(&engines, layer) >= 1));
 }
 
+#[test]
+fn engines_that_are_barely_enough_are_laid_out_anew_with_less_room() {
+    let mut engines = engines("marsa", 2, 3, 5);
+    carry_out(&mut engines, 0);
+    for kind in ["middle", "small"] {
+        let lost = engines
+            .iter()
+            .position(|it| it.kind == kind)
+            .expect("placed");
+        engines.remove(lost);
+        carry_out(&mut engines, 0);
+        assert!(
+            (0..80).all(|layer| holders(&engines, layer) >= 1),
+            "after a {kind} one"
+        );
+    }
+}
+
+#[test]
+fn an_engine_that_refuses_an_order_is_done_without_for_a_while() {
+    let mut engines = engines("lac", 2, 5, 8);
+    carry_out(&mut engines, 0);
+    let last = LayerRange { first: 79, end: 80 };
+    let holds_last = |it: &PlacedEngine| it.layers.is_some_and(|layers| layers.covers(last));
+    engines.retain(|engine| !holds_last(engine));
+    let mut duty = PlacementDuty::default();
+    let first = duty.due(&engines, &model(), 0);
+    duty.refused(&first[0].endpoint, 0);
+    let second = duty.due(&engines, &model(), 300);
+    assert!(!second.is_empty());
+    assert!(
+        second
+            .iter()
+            .all(|order| order.endpoint != first[0].endpoint)
+    );
+}
+
 #[test]
 fn layers_of_an_engine_that_crawls_get_another_holder() {
     let mut engines = engines("lac", 2, 5, 8);
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -46,13 +46,19 @@
         window.requests_ms.push_back(now_ms);
     }
 
-    /// Takes one repeat out of the budget, if it has one left.
-    pub fn take(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> bool {
+    /// Whether one more repeat is within the budget.
+    pub fn has_left(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> bool {
         let window = self.window(service, share, now_ms);
         let own_slack = share.slack / f64::from(share.instances.max(1));
         let allowed = (share.ratio * window.requests_ms.len() as f64 + own_slack) * USED_PART;
-        let is_left = ((window.repeats_ms.len() + 1) as f64) <= allowed;
+        ((window.repeats_ms.len() + 1) as f64) <= allowed
+    }
+
+    /// Takes one repeat out of the budget, if it has one left.
+    pub fn take(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> bool {
+        let is_left = self.has_left(service, share, now_ms);
         if is_left {
+            let window = self.window(service, share, now_ms);
             window.repeats_ms.push_back(now_ms);
         }
         is_left
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -128,8 +128,11 @@
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
-    /// Layers that it holds.
+    /// Layers that it holds; none while it is being moved to others.
     pub layers: Option<LayerRange>,
+    /// Whether it has taken no order since its start: whatever an earlier process ran at its
+    /// address is lost.
+    pub is_fresh: bool,
     /// Factor on its usual time for a step; above 1 it is slow.
     pub slowness: f64,
     /// Requests whose work waits for an engine that does not answer: id and that engine.
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -109,14 +109,15 @@
         }
         Finding::Nothing => return None,
     };
-    let Some(held) = report.layers else {
-        log::warn!(endpoint = id.as_str(); "engine holds no layers any more");
-        node.troubled(id, Trouble::Unreachable);
+    if report.is_fresh {
+        log::warn!(endpoint = id.as_str(); "engine has started anew");
+        node.troubled(id, Trouble::Ended);
         return None;
-    };
+    }
     if let Some(known) = node.fleet.borrow_mut().get_mut(id) {
-        // Newer than the list, which shows layers with a lag.
-        known.listed.layers = Some(held);
+        // Newer than the list, which shows layers with a lag. An engine that is being moved still
+        // runs what it has begun.
+        known.listed.layers = report.layers;
     }
     node.reported_slowness(id, report.slowness);
     let mut checks = node.checks.borrow_mut();
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -11,7 +11,7 @@
 use super::node::Node;
 use crate::clients::{TableFailure, TableService};
 use crate::clock::boot_ms;
-use crate::fleet::Phase;
+use crate::fleet::{Phase, Trouble};
 use crate::ids::ServiceName;
 use crate::instance::{TableCall, TableReply};
 use crate::lease::{Lease, LeaseEvent, LeaseTimes};
@@ -147,7 +147,12 @@
             match result {
                 // An order without reply may be carried out; it is looked for in the list.
                 Ok(()) | Err(OrderFailure::NoReply) => {}
-                Err(_) => self.placement.refused(&order.endpoint),
+                Err(failure) => {
+                    self.placement.refused(&order.endpoint, boot_ms());
+                    if failure == OrderFailure::NoListener {
+                        node.troubled(&order.endpoint, Trouble::Ended);
+                    }
+                }
             }
         }
     }
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -93,6 +93,12 @@
         is_left
     }
 
+    /// Whether one more repeat is within the budget.
+    pub(crate) fn has_repeat(&self, service: &ServiceName) -> bool {
+        let share = self.budget_share();
+        self.budget.borrow_mut().has_left(service, share, boot_ms())
+    }
+
     /// A number drawn evenly from all of `u64`.
     pub(crate) fn draw(&self) -> u64 {
         rand::rng().random()
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -235,14 +235,18 @@
 
     /// The chain for a run, or another one behind the first stage of the present run.
     fn plan(&self, present: Option<&Chain>) -> Option<Chain> {
+        self.plan_with(&self.attempts, present)
+    }
+
+    fn plan_with(&self, attempts: &Attempts, present: Option<&Chain>) -> Option<Chain> {
         let model = self.request.table.services.get(&self.request.service)?;
         let ask = ChainAsk {
             service: &self.request.service,
             model: model.model.as_ref()?,
             own_zone: &self.node.settings.zone,
             tokens: self.request.held_tokens(),
-            excluded: self.attempts.excluded(),
-            first_among: self.attempts.only_on(),
+            excluded: attempts.excluded(),
+            first_among: attempts.only_on(),
             first: present.map(Chain::first),
         };
         plan_chain(&self.node.fleet.borrow(), ask, boot_ms())
@@ -407,6 +411,10 @@
     async fn look(&mut self, held: &mut HeldTokens<A>) -> Result<(), RunEnd> {
         match self.stall.step(boot_ms()) {
             StallStep::Wait => Ok(()),
+            StallStep::GiveUp if !self.can_resume(held.chain()) => {
+                self.stall.repaired(boot_ms());
+                Ok(())
+            }
             StallStep::GiveUp => {
                 let first = held.chain().first().endpoint.clone();
                 Err(RunEnd::Failed(
@@ -431,6 +439,9 @@
             return Ok(());
         };
         let first = held.chain().first().endpoint.clone();
+        if unsound == first && !self.can_resume(held.chain()) {
+            return Ok(());
+        }
         if unsound == first {
             return Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, first));
         }
@@ -454,9 +465,23 @@
                 Err(_) => break,
             }
         }
+        // Silence alone is no reason to end an answer that cannot be gone on with elsewhere.
+        if !self.can_resume(held.chain()) {
+            return Ok(());
+        }
         Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, unsound))
     }
 
+    /// Whether another run could go on where the present one stands.
+    fn can_resume(&self, present: &Chain) -> bool {
+        let mut trial = self.attempts.clone();
+        trial.exclude(&present.first().endpoint);
+        let may_repeat = self.request.route.repeat.may_run_again();
+        may_repeat
+            && self.node.has_repeat(&self.request.service)
+            && self.plan_with(&trial, None).is_some()
+    }
+
     async fn reroute(&self, chain: &Chain, unsound: &EndpointId) -> Result<(), OrderFailure> {
         let id = self.request.ask.id.as_str();
         let engines = self.node.adapter.engines();
