--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -46,6 +46,17 @@
     stages: Vec<ChainStage>,
 }
 
+impl std::fmt::Display for Chain {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (index, stage) in self.stages.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            let LayerRange { first, end } = stage.layers;
+            write!(f, "{comma}{}={first}-{end}", stage.endpoint)?;
+        }
+        Ok(())
+    }
+}
+
 impl Chain {
     /// Checks that the stages run each layer of `0..layers` once and in order, each at an engine
     /// of its own.
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -15,6 +15,9 @@
 /// Pause before an engine that did not take an order is given one again; until then the plan does
 /// without it. Of the order of the time that an engine needs to carry out the order before.
 const REFUSED_PAUSE_MS: u64 = 1_500;
+/// How long a zone must have lacked a layer before its engines are laid out anew. Engines that died
+/// or crawl are back after two to five seconds as a rule; until then other zones do its work.
+const LAY_OUT_AFTER_MS: u64 = 6_000;
 
 /// An order to one engine to hold a range of layers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,6 +40,8 @@
     ordered: IndexMap<EndpointId, Ordered>,
     /// Engines that did not take an order, and when they may be given one again.
     refused_until_ms: IndexMap<EndpointId, u64>,
+    /// Since when each availability zone has had a layer that no engine holds.
+    hole_since_ms: IndexMap<ZoneName, u64>,
 }
 
 impl PlacementDuty {
@@ -67,7 +72,7 @@
                 .iter()
                 .filter(|engine| engine.zone == *zone)
                 .collect();
-            orders.extend(self.due_in_zone(&of_zone, model));
+            orders.extend(self.due_in_zone(zone, &of_zone, model, now_ms));
         }
         for order in &orders {
             check_memory(order, engines, model);
@@ -113,7 +118,13 @@
             .filter(|layers| !layers.is_empty())
     }
 
-    fn due_in_zone(&self, engines: &[&PlacedEngine], model: &EngineModel) -> Vec<PlaceOrder> {
+    fn due_in_zone(
+        &mut self,
+        zone: &ZoneName,
+        engines: &[&PlacedEngine],
+        model: &EngineModel,
+        now_ms: u64,
+    ) -> Vec<PlaceOrder> {
         let counts = layer_counts(engines, model);
         let sound = engines.iter().filter(|engine| !engine.is_crawling);
         let held: Vec<LayerRange> = sound.filter_map(|it| self.future(it)).collect();
@@ -135,14 +146,17 @@
                 });
             }
         }
-        if !coverage.has_hole() || self.is_moving(engines) {
+        if !coverage.has_hole() {
+            self.hole_since_ms.shift_remove(zone);
+            return orders;
+        }
+        let since_ms = *self.hole_since_ms.entry(zone.clone()).or_insert(now_ms);
+        if self.is_moving(engines) {
             return orders;
         }
         match self.fill_hole(engines, &counts, &coverage, model) {
             Some(order) => orders.push(order),
-            // Engines that crawl recover as a rule; until then other zones do better than a zone
-            // whose engines all move.
-            None if orders.is_empty() && !engines.iter().any(|it| it.is_crawling) => {
+            None if orders.is_empty() && now_ms >= since_ms + LAY_OUT_AFTER_MS => {
                 orders = self.lay_out(engines, &counts, model);
             }
             None => {}
@@ -163,7 +177,7 @@
             end: model.layers,
         };
         let before = coverage.holes(whole);
-        let mut best: Option<(u32, PlaceOrder)> = None;
+        let mut best: Option<((u32, u64), PlaceOrder)> = None;
         for engine in engines.iter().filter(|engine| !engine.is_crawling) {
             let (Some(layers), Some(count)) = (self.future(engine), counts.get(&engine.id)) else {
                 continue;
@@ -175,12 +189,13 @@
             };
             without.add(target);
             let after = without.holes(whole);
-            if after < before && best.as_ref().is_none_or(|(least, _)| after < *least) {
+            let rank = (after, engine.held_token_layers);
+            if after < before && best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 let order = PlaceOrder {
                     endpoint: engine.id.clone(),
                     layers: target,
                 };
-                best = Some((after, order));
+                best = Some((rank, order));
             }
         }
         best.map(|(_, order)| order)
--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -14,6 +14,8 @@
     pub kind: String,
     /// Layers that it holds or was ordered to hold.
     pub layers: Option<LayerRange>,
+    /// Tokens times layers of requests that it has in memory. A move waits for them to end.
+    pub held_token_layers: u64,
     /// Whether it is so slow that its layers need another holder as if it held none.
     pub is_crawling: bool,
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -40,6 +40,7 @@
                 zone: ZoneName::from(zone),
                 kind: kind.to_owned(),
                 layers: None,
+                held_token_layers: 0,
                 is_crawling: false,
             });
         }
@@ -51,9 +52,9 @@
 fn carry_out(engines: &mut [PlacedEngine], now_ms: u64) -> usize {
     let mut duty = PlacementDuty::default();
     let mut carried_out = 0;
-    for _ in 0..50 {
-        let orders = duty.due(engines, &model(), now_ms);
-        if orders.is_empty() {
+    for round in 0..50 {
+        let orders = duty.due(engines, &model(), now_ms + round * 10_000);
+        if orders.is_empty() && round > 1 {
             return carried_out;
         }
         carried_out += orders.len();
@@ -115,6 +116,29 @@
     }
 }
 
+#[test]
+fn the_idlest_of_equal_engines_is_moved() {
+    let mut engines = engines("lac", 2, 5, 8);
+    carry_out(&mut engines, 0);
+    let last = LayerRange { first: 79, end: 80 };
+    let holds_last = |it: &PlacedEngine| it.layers.is_some_and(|layers| layers.covers(last));
+    engines.retain(|engine| !holds_last(engine));
+    for engine in &mut engines {
+        engine.held_token_layers = 1_000;
+    }
+    let moved = |engines: &[PlacedEngine]| {
+        let orders = PlacementDuty::default().due(engines, &model(), 0);
+        orders[0].endpoint.clone()
+    };
+    let busy = moved(&engines);
+    let place = engines
+        .iter()
+        .position(|it| it.id == busy)
+        .expect("it is one of them");
+    engines[place].held_token_layers = 50_000;
+    assert_ne!(moved(&engines), busy);
+}
+
 #[test]
 fn an_engine_that_refuses_an_order_is_done_without_for_a_while() {
     let mut engines = engines("lac", 2, 5, 8);
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -12,7 +12,7 @@
 
 /// Part of the allowance that is used. The rest covers requests that are counted in the window
 /// of another instance, and instances that start with a fresh window.
-const USED_PART: f64 = 0.85;
+const USED_PART: f64 = 0.7;
 
 /// What all instances together may repeat in a window, and among how many it is shared.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -132,6 +132,8 @@
 pub struct EngineReport {
     /// Layers that it holds; none while it is being moved to others.
     pub layers: Option<LayerRange>,
+    /// Whether an order is being carried out.
+    pub is_busy: bool,
     /// Whether it has taken no order since its start: whatever an earlier process ran at its
     /// address is lost.
     pub is_fresh: bool,
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -1,5 +1,6 @@
 //! The duty to give engines their layers: one instance at a time, under a lease.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use crate::clients::{TableFailure, TableService};
 use crate::clock::boot_ms;
 use crate::fleet::{Phase, Trouble};
-use crate::ids::ServiceName;
+use crate::ids::{EndpointId, ServiceName};
 use crate::instance::{TableCall, TableReply};
 use crate::lease::{Lease, LeaseEvent, LeaseTimes};
 use crate::placement::{PlaceOrder, PlacedEngine, PlacementDuty};
@@ -25,6 +26,8 @@
 const SETTLE_MS: u64 = 900;
 /// Longest wait for the store's answer to a call about the lease.
 const LEASE_CALL_MS: u64 = 600;
+/// Longest wait for the report of an engine that is about to be moved.
+const REPORT_TIMEOUT_MS: u64 = 200;
 /// Times of the lease: short, since while nobody holds it no engine gets layers. The holder keeps
 /// it only while there is something to order.
 const LEASE_TIMES: LeaseTimes = LeaseTimes {
@@ -164,6 +167,14 @@
 {
     let address = super::plain::address_of(node, &order.endpoint);
     let address = address.ok_or(OrderFailure::Unknown)?;
+    let holds_layers = node
+        .fleet
+        .borrow()
+        .get(&order.endpoint)
+        .is_some_and(|known| known.listed.layers.is_some());
+    if holds_layers {
+        may_move(node, &order.endpoint, address).await?;
+    }
     let result = node
         .adapter
         .engines()
@@ -185,6 +196,36 @@
     result
 }
 
+/// Asks an engine that is about to be moved how it is: one that nothing ran through lately may be
+/// slow without anybody knowing, or have an order under way that another process gave.
+async fn may_move<A>(
+    node: &Rc<Node<A>>,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+) -> Result<(), OrderFailure>
+where
+    A: Adapter,
+{
+    let engines = node.adapter.engines();
+    let report = engines.report(address, REPORT_TIMEOUT_MS).await?;
+    node.reported_slowness(endpoint, report.slowness);
+    let is_crawling = node
+        .fleet
+        .borrow()
+        .get(endpoint)
+        .is_some_and(|known| known.standing.is_crawling(boot_ms()));
+    if report.is_busy || is_crawling {
+        log::info!(
+            endpoint = endpoint.as_str(),
+            busy = report.is_busy,
+            slowness = report.slowness;
+            "engine is not moved"
+        );
+        return Err(OrderFailure::Conflict(Some(address)));
+    }
+    Ok(())
+}
+
 async fn table_call<A>(node: &Rc<Node<A>>, call: &TableCall) -> Result<TableReply, TableFailure>
 where
     A: Adapter,
@@ -214,6 +255,7 @@
                 zone: listed.zone.clone(),
                 kind: listed.kind.clone()?,
                 layers: listed.layers,
+                held_token_layers: known.held_token_layers + known.peers_token_layers,
                 is_crawling: known.standing.is_crawling(now_ms),
             })
         })
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -22,9 +22,6 @@
 const SILENT_MS: u64 = 900;
 /// Silence after which a peer is forgotten.
 const FORGET_MS: u64 = 60_000;
-/// Silence after which a peer does not count among those that share a budget. Long, since one that
-/// is only cut off goes on repeating.
-const SHARES_MS: u64 = 15_000;
 /// How often news of an endpoint is told, in heartbeats.
 const TELLINGS: u8 = 4;
 /// Longest datagram that arrives in one piece on any usual link is about 1,400 bytes; longer ones
@@ -148,14 +145,10 @@
         self.peers.values().map(|peer| peer.address).collect()
     }
 
-    /// Instances that share a budget, this one included.
+    /// Instances that share a budget, this one included. All that are on record count, since one
+    /// that is only cut off goes on repeating, and a process that has just started has heard nobody.
     pub(crate) fn known_instances(&self) -> u32 {
-        let now_ms = boot_ms();
-        let heard = self
-            .peers
-            .values()
-            .filter(|it| it.is_heard(SHARES_MS, now_ms));
-        1 + u32::try_from(heard.count()).unwrap_or(u32::MAX - 1)
+        1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1)
     }
 
     /// Whether this instance comes first among those that are ready, by name.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -138,6 +138,8 @@
     pieces: mpsc::Sender<Result<Bytes, io::Error>>,
     /// The newest failure that an engine answered with, whole.
     failure: Option<Opening>,
+    /// The chain of the newest run, for the log.
+    chain: Option<Chain>,
     runs: u32,
     repairs: u32,
     /// Longest time without an event.
@@ -164,6 +166,7 @@
             opening: Some(opening),
             pieces,
             failure: None,
+            chain: None,
             runs: 0,
             repairs: 0,
             longest_gap_ms: 0,
@@ -204,6 +207,7 @@
             }
             let first = chain.first().endpoint.clone();
             self.attempts.sending(&first);
+            self.chain = Some(chain.clone());
             self.runs += 1;
             let (end, cause_name, at_fault) = match self.run_once(chain).await {
                 RunEnd::Whole => return Finish::Whole,
@@ -453,6 +457,7 @@
                 Ok(()) => {
                     self.repairs += 1;
                     self.stall.repaired(boot_ms());
+                    self.chain = Some(chain.clone());
                     held.change(chain);
                     return Ok(());
                 }
@@ -558,9 +563,11 @@
         self.node
             .counters
             .count(&format!("relay.streams.{outcome}"));
+        let chain = self.chain.as_ref().map(ToString::to_string);
         log::info!(
             request = self.request.ask.id.as_str(),
             route = self.request.route.name.as_str(),
+            chain = chain.as_deref().unwrap_or(""),
             outcome,
             took_ms,
             first_event_ms,
