--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -162,7 +162,11 @@
         let fullness = fullness(known, layers, ask.model, kind.memory_mb, ask.tokens);
         let slowness = known.standing.slowness(now_ms);
         let crowding = slowness * (1.0 + FULL_FACTOR * fullness * fullness);
-        let no_room_ms = if fullness > 1.0 { NO_ROOM_MS } else { 0.0 };
+        let no_room_ms = if fullness > 1.0 || known.standing.is_full(now_ms) {
+            NO_ROOM_MS
+        } else {
+            0.0
+        };
         Some(Self {
             known,
             layers,
--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -13,6 +13,9 @@
 const MOVE_SLOWNESS: f64 = 4.0;
 /// Slowness below which an engine counts as usual.
 const USUAL_SLOWNESS: f64 = 1.4;
+/// How long an engine counts as full after it turned a request away for want of room. A tenth of a
+/// usual stream: by then some of those that it holds have ended.
+const FULL_MS: u64 = 300;
 /// Weight of the newest answer time in the running mean.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -83,6 +86,7 @@
     /// No process listens at its address.
     has_ended: bool,
     slowness: Option<Slowness>,
+    full_until_ms: u64,
     latency_ms: Option<f64>,
 }
 
@@ -120,6 +124,16 @@
         self.slowness(now_ms) >= MOVE_SLOWNESS
     }
 
+    /// Notes that it turned a request away for want of room.
+    pub fn was_full(&mut self, now_ms: u64) {
+        self.full_until_ms = now_ms + FULL_MS;
+    }
+
+    /// Whether it turned a request away for want of room just now.
+    pub fn is_full(&self, now_ms: u64) -> bool {
+        now_ms < self.full_until_ms
+    }
+
     /// Takes a report of slowness; returns whether the engine is slow now and was not before.
     pub fn reported_slowness(&mut self, factor: f64, now_ms: u64) -> bool {
         let was_slow = self.slowness(now_ms) > USUAL_SLOWNESS;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -140,6 +140,28 @@
     assert_eq!(chain[0], "b 0-10");
 }
 
+#[test]
+fn an_engine_that_had_no_room_is_avoided_for_a_while() {
+    let mut fleet = fleet(vec![
+        listed("a", "lac", Some(range(0, 14))),
+        listed("b", "lac", Some(range(14, 20))),
+        listed("c", "marsa", Some(range(0, 14))),
+        listed("d", "marsa", Some(range(14, 20))),
+    ]);
+    let first = |fleet: &Fleet| plan(fleet, &[]).map(|stages| stages[0].clone());
+    assert_eq!(first(&fleet).as_deref(), Some("a 0-14"));
+    let b = fleet.get_mut(&EndpointId::from("b")).expect("listed");
+    b.standing.was_full(0);
+    assert_eq!(first(&fleet).as_deref(), Some("c 0-14"));
+    assert!(
+        !fleet
+            .get(&EndpointId::from("b"))
+            .expect("listed")
+            .standing
+            .is_full(400)
+    );
+}
+
 #[test]
 fn stages_with_a_gap_or_an_engine_twice_are_no_chain() {
     let stage = |id: &str, first, end| ChainStage {
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -76,13 +76,7 @@
         }
         for order in &orders {
             check_memory(order, engines, model);
-            let share = u64::from(order.layers.len()) * model.load_ms;
-            let load_ms = share / u64::from(model.layers.max(1));
-            let ordered = Ordered {
-                layers: order.layers,
-                lost_at_ms: now_ms + 2 * load_ms + ORDER_SLACK_MS,
-            };
-            self.ordered.insert(order.endpoint.clone(), ordered);
+            self.note(order.clone(), model, now_ms);
         }
         orders
     }
@@ -94,9 +88,19 @@
         self.refused_until_ms.insert(endpoint.clone(), until_ms);
     }
 
-    /// Forgets every order under way: another process may have ordered since.
-    pub fn reset(&mut self) {
-        self.ordered.clear();
+    /// Takes word of an order that another process gave.
+    pub fn heard(&mut self, order: PlaceOrder, model: &EngineModel, now_ms: u64) {
+        self.note(order, model, now_ms);
+    }
+
+    fn note(&mut self, order: PlaceOrder, model: &EngineModel, now_ms: u64) {
+        let share = u64::from(order.layers.len()) * model.load_ms;
+        let load_ms = share / u64::from(model.layers.max(1));
+        let ordered = Ordered {
+            layers: order.layers,
+            lost_at_ms: now_ms + 2 * load_ms + ORDER_SLACK_MS,
+        };
+        self.ordered.insert(order.endpoint, ordered);
     }
 
     /// Drops orders that were carried out, whose engine is gone, or that seem lost.
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -89,6 +89,9 @@
     {
         let now_ms = boot_ms();
         let engines = engines(node, service);
+        for order in node.orders_heard.take() {
+            self.placement.heard(order, model, now_ms);
+        }
         if engines.len() != self.seen_engines {
             self.seen_engines = engines.len();
             self.changed_ms = now_ms;
@@ -124,11 +127,9 @@
             match self.lease.answered(result, boot_ms()) {
                 Some(LeaseEvent::Taken { fence }) => {
                     log::info!(service = service.as_str(), fence; "lease taken");
-                    self.placement.reset();
                 }
                 Some(LeaseEvent::Lost) => {
                     log::warn!(service = service.as_str(); "lease lost");
-                    self.placement.reset();
                 }
                 None => {}
             }
@@ -149,7 +150,7 @@
         for (order, result) in join_all(given).await {
             match result {
                 // An order without reply may be carried out; it is looked for in the list.
-                Ok(()) | Err(OrderFailure::NoReply) => node.moving(&order.endpoint),
+                Ok(()) | Err(OrderFailure::NoReply) => node.moving(&order),
                 Err(failure) => {
                     self.placement.refused(&order.endpoint, boot_ms());
                     if failure == OrderFailure::NoListener {
@@ -167,14 +168,7 @@
 {
     let address = super::plain::address_of(node, &order.endpoint);
     let address = address.ok_or(OrderFailure::Unknown)?;
-    let holds_layers = node
-        .fleet
-        .borrow()
-        .get(&order.endpoint)
-        .is_some_and(|known| known.listed.layers.is_some());
-    if holds_layers {
-        may_move(node, &order.endpoint, address).await?;
-    }
+    may_move(node, &order.endpoint, address).await?;
     let result = node
         .adapter
         .engines()
@@ -196,7 +190,7 @@
     result
 }
 
-/// Asks an engine that is about to be moved how it is: one that nothing ran through lately may be
+/// Asks an engine that is about to get an order how it is: one that nothing ran through lately may be
 /// slow without anybody knowing, or have an order under way that another process gave.
 async fn may_move<A>(
     node: &Rc<Node<A>>,
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -14,6 +14,7 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
+use crate::placement::PlaceOrder;
 use crate::relay::{BudgetShare, RetryBudget};
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
@@ -30,6 +31,8 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) checks: RefCell<CheckBook>,
     pub(crate) peers: RefCell<PeerBook>,
+    /// Orders that peers gave to engines, not yet taken up by the duty of this instance.
+    pub(crate) orders_heard: RefCell<Vec<PlaceOrder>>,
     /// When the store last failed a call.
     pub(crate) store_failed_ms: Cell<Option<u64>>,
     /// Grows whenever endpoints were found unsound; streams look at their chains then.
@@ -57,6 +60,7 @@
             budget: RefCell::default(),
             upstreams: Upstreams::new(),
             checks: RefCell::default(),
+            orders_heard: RefCell::default(),
             store_failed_ms: Cell::new(None),
             news: watch::Sender::new(0),
             stopping_since_ms: Cell::new(None),
@@ -128,11 +132,11 @@
 
     /// Notes that an engine was ordered to hold other layers: nothing new is sent to it until it has
     /// them.
-    pub(crate) fn moving(&self, endpoint: &EndpointId) {
-        if let Some(known) = self.fleet.borrow_mut().get_mut(endpoint) {
+    pub(crate) fn moving(&self, order: &PlaceOrder) {
+        if let Some(known) = self.fleet.borrow_mut().get_mut(&order.endpoint) {
             known.said_layers(None, boot_ms());
         }
-        self.peers.borrow_mut().tell_moving(endpoint);
+        self.peers.borrow_mut().tell_moving(order);
         self.news.send_modify(|count| *count += 1);
     }
 
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -15,6 +15,8 @@
 use super::settings::RelaySettings;
 use crate::clock::boot_ms;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
+use crate::placement::PlaceOrder;
+use crate::wire::engine::LayerRange;
 
 /// Pause between two heartbeats.
 const HEARTBEAT_MS: u64 = 250;
@@ -59,7 +61,7 @@
     leaving: Vec<EndpointId>,
     /// Engines that were ordered to hold other layers.
     #[serde(default)]
-    moving: Vec<EndpointId>,
+    moving: Vec<(EndpointId, LayerRange)>,
     /// Tokens times layers of this instance's streams by engine.
     #[serde(default)]
     held: Vec<(EndpointId, u64)>,
@@ -97,7 +99,7 @@
     peers: IndexMap<InstanceId, Peer>,
     unsound: IndexMap<EndpointId, u8>,
     leaving: IndexMap<EndpointId, u8>,
-    moving: IndexMap<EndpointId, u8>,
+    moving: Vec<(EndpointId, LayerRange)>,
     has_news: bool,
 }
 
@@ -111,7 +113,7 @@
             peers: IndexMap::new(),
             unsound: IndexMap::new(),
             leaving: IndexMap::new(),
-            moving: IndexMap::new(),
+            moving: Vec::new(),
             has_news: false,
         }
     }
@@ -197,8 +199,8 @@
     }
 
     /// Has peers told that an engine is about to hold other layers.
-    pub(crate) fn tell_moving(&mut self, endpoint: &EndpointId) {
-        self.moving.insert(endpoint.clone(), 1);
+    pub(crate) fn tell_moving(&mut self, order: &PlaceOrder) {
+        self.moving.push((order.endpoint.clone(), order.layers));
         self.has_news = true;
     }
 
@@ -369,7 +371,7 @@
             .collect(),
         unsound: PeerBook::take_news(&mut peers.unsound),
         leaving: PeerBook::take_news(&mut peers.leaving),
-        moving: PeerBook::take_news(&mut peers.moving),
+        moving: std::mem::take(&mut peers.moving),
         held,
     }
 }
@@ -422,10 +424,14 @@
             log::info!(endpoint = id.as_str(), peer; "endpoint is leaving, a peer says");
         }
     }
-    for id in &heartbeat.moving {
-        if let Some(known) = fleet.get_mut(id) {
+    for (id, layers) in heartbeat.moving {
+        if let Some(known) = fleet.get_mut(&id) {
             known.said_layers(None, now_ms);
         }
+        node.orders_heard.borrow_mut().push(PlaceOrder {
+            endpoint: id,
+            layers,
+        });
     }
     fleet.set_peers_load(&held);
 }
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -276,6 +276,7 @@
                 .at_fault
                 .and_then(|address| stage_at(held.chain(), address));
             let at_fault = at_fault.unwrap_or_else(|| held.chain().first().clone());
+            self.note_full(&at_fault.endpoint);
             // It may be full, leaving, or dead; the answer does not say which.
             check_beside(&self.node, &at_fault);
             return RunEnd::Failed(AttemptEnd::TurnedAway, Trouble::Full, at_fault.endpoint);
@@ -523,6 +524,12 @@
             .map(|stage| stage.endpoint.clone())
     }
 
+    fn note_full(&self, endpoint: &EndpointId) {
+        if let Some(known) = self.node.fleet.borrow_mut().get_mut(endpoint) {
+            known.standing.was_full(boot_ms());
+        }
+    }
+
     /// Engines that have ended do not count among those on which the request ran.
     fn forget_ended(&mut self) {
         let fleet = self.node.fleet.borrow();
