--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -240,7 +240,16 @@
 where
     A: Adapter,
 {
-    log::info!(request = id, cause = cause.name(); "request is refused");
+    let table = node.table.borrow();
+    log::info!(
+        request = id,
+        cause = cause.name(),
+        retry_after_ms = cause.retry_after_ms(),
+        table = table.table().map(|table| table.version),
+        table_age_ms = table.age_ms(boot_ms());
+        "request is refused"
+    );
+    drop(table);
     word_response(node, FinalWord::NotRun(cause))
 }
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -16,6 +16,8 @@
 mod run;
 mod settings;
 mod stream;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 pub use adapter::{
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -582,7 +582,8 @@
             last_event = self.splitter.last_id(),
             runs = self.runs,
             repairs = self.repairs,
-            table = self.request.table.version;
+            table = self.request.table.version,
+            endpoints = self.node.fleet.borrow().iter().count();
             "stream ended"
         );
     }
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -153,6 +153,15 @@
         });
     }
 
+    /// Whether a connection to an endpoint is kept.
+    #[cfg(test)]
+    pub(super) fn has_idle(&self, address: SocketAddr) -> bool {
+        self.idle
+            .borrow()
+            .get(&address)
+            .is_some_and(|idle| !idle.is_empty())
+    }
+
     fn take_idle(
         &self,
         address: SocketAddr,
@@ -239,7 +248,9 @@
                     self.become_whole();
                     Ok(None)
                 }
-                None | Some(Err(PayloadError::Io(_))) => Err(UpstreamFailure::Broken),
+                None | Some(Err(PayloadError::Io(_) | PayloadError::Incomplete(_))) => {
+                    Err(UpstreamFailure::Broken)
+                }
                 Some(Err(_)) => Err(UpstreamFailure::Garbled),
             },
             BodyState::UntilClose(stream, buffer) => {
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -7,6 +7,7 @@
 
 use super::Counters;
 use super::log_lines::line_logger;
+use super::stdout::LineQueue;
 use crate::keys::Secret;
 use crate::settings::{LogFormat, LogSettings};
 
@@ -95,3 +96,67 @@
     assert_eq!(logged(LogFormat::Text, "actix_server", Level::Info), "");
     assert_ne!(logged(LogFormat::Text, "actix_server", Level::Warn), "");
 }
+
+#[test]
+fn a_reader_that_takes_nothing_does_not_hold_up_the_writer() {
+    struct Stuck;
+    impl Write for Stuck {
+        fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+            loop {
+                std::thread::park();
+            }
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut queue = LineQueue::start(Stuck);
+    let begun = std::time::Instant::now();
+    for _ in 0..10_000 {
+        queue
+            .write_all(b"a line\n")
+            .expect("lines are dropped, not refused");
+    }
+    assert!(begun.elapsed() < std::time::Duration::from_secs(1));
+}
+
+#[test]
+fn dropped_lines_are_counted_in_the_next_that_fits() {
+    let (sender, lines) = std::sync::mpsc::channel::<Vec<u8>>();
+    let (open, gate) = std::sync::mpsc::channel::<()>();
+    struct Gated(
+        std::sync::mpsc::Sender<Vec<u8>>,
+        std::sync::mpsc::Receiver<()>,
+        bool,
+    );
+    impl Write for Gated {
+        fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+            if !self.2 {
+                self.2 = self.1.recv().is_ok();
+            }
+            self.0.send(line.to_vec()).map_err(io::Error::other)?;
+            Ok(line.len())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut queue = LineQueue::start(Gated(sender, gate, false));
+    for _ in 0..5_000 {
+        queue
+            .write_all(b"a line\n")
+            .expect("lines are dropped, not refused");
+    }
+    open.send(()).expect("the writer waits for it");
+    // One is with the writer at most, so the queue has room once the first has been written.
+    lines.recv().expect("the writer goes on");
+    std::thread::sleep(std::time::Duration::from_millis(50));
+    queue.write_all(b"the next\n").expect("there is room");
+    let text: Vec<String> = lines
+        .iter()
+        .map(|line| String::from_utf8_lossy(&line).into_owned())
+        .take_while(|line| line != "the next\n")
+        .collect();
+    let note = text.last().expect("the note comes before the next line");
+    assert!(note.contains("log lines were dropped"), "{note}");
+}
