--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -24,9 +24,10 @@
 
 /// Longest wait for a whole body. Callers send bodies of a few kilobytes at once.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Part of a planned stop's time in which streams are still taken: a stream lasts 3 s as a rule and
-/// 7 s at most, and callers that were told of this instance come for some seconds yet.
-const STREAMS_OPEN_PERCENT: u64 = 30;
+/// Part of a planned stop's time in which every request is still taken: a stream lasts 3 s as a rule
+/// and 7 s at most, and callers that were told of this instance come for some seconds yet. Plain
+/// requests are taken for as long as their route's timeout fits.
+const OPEN_PERCENT: u64 = 30;
 /// Time of a planned stop kept in hand behind the last request that is taken.
 const STOP_RESERVE_MS: u64 = 800;
 /// Patience of a caller that does not say how long it will wait: no shorter than any route's.
@@ -199,10 +200,11 @@
         return false;
     };
     let limit_ms = node.settings.bounds.stop_limit_ms;
+    let any_ms = limit_ms * OPEN_PERCENT / 100;
     let open_ms = if route.repeat.is_stream() {
-        limit_ms * STREAMS_OPEN_PERCENT / 100
+        any_ms
     } else {
-        limit_ms.saturating_sub(route.timeout_ms + STOP_RESERVE_MS)
+        any_ms.max(limit_ms.saturating_sub(route.timeout_ms + STOP_RESERVE_MS))
     };
     now_ms > since_ms + open_ms
 }
