--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -134,6 +134,15 @@
     Chain::checked(stages, ask.model.layers)
 }
 
+/// The first layer that no usable engine holds, for the log of a request that got no chain.
+pub fn first_gap(fleet: &Fleet, ask: ChainAsk<'_>, now_ms: u64) -> Option<u16> {
+    let holders = usable_holders(fleet, ask, now_ms);
+    (0..ask.model.layers).find(|layer| {
+        let holds = |it: &Holder<'_>| it.layers.first <= *layer && *layer < it.layers.end;
+        !holders.iter().any(holds)
+    })
+}
+
 fn usable_holders<'a>(fleet: &'a Fleet, ask: ChainAsk<'a>, now_ms: u64) -> Vec<Holder<'a>> {
     let first = ask.first.and_then(|first| fleet.get(&first.endpoint));
     let first_zone = first.map(|known| &known.listed.zone);
--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -186,7 +186,11 @@
 
     /// Leaves the endpoint out from now on, twice as long as the last time.
     pub fn pause(&mut self, now_ms: u64) {
-        let pause_ms = FIRST_PAUSE_MS << self.pauses_in_row.min(3);
+        let pause_ms = if self.has_ended {
+            LONGEST_PAUSE_MS
+        } else {
+            FIRST_PAUSE_MS << self.pauses_in_row.min(3)
+        };
         self.pauses_in_row += 1;
         self.paused_until_ms = Some(now_ms + pause_ms.min(LONGEST_PAUSE_MS));
     }
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -20,8 +20,8 @@
 
 /// Pause between two heartbeats.
 const HEARTBEAT_MS: u64 = 250;
-/// Silence after which a peer is not named to callers any more: three heartbeats and some delay.
-const SILENT_MS: u64 = 900;
+/// Silence after which a peer is not named to callers any more: two heartbeats may be lost.
+const SILENT_MS: u64 = 800;
 /// Silence after which a peer is forgotten.
 const FORGET_MS: u64 = 60_000;
 /// How often news of an endpoint is told, in heartbeats.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -22,7 +22,7 @@
 use super::request::{RelayedRequest, finish, instant_at, word_response};
 use super::upstream::{AnswerBody, Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, ChainAsk, ChainStage, Trouble, plan_chain};
+use crate::fleet::{Chain, ChainAsk, ChainStage, Trouble, first_gap, plan_chain};
 use crate::ids::EndpointId;
 use crate::relay::{
     AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, StallStep, StallWatch,
@@ -118,6 +118,8 @@
 enum RunEnd {
     /// The stream is whole.
     Whole,
+    /// Nobody takes the events; dropping the connection ends the engines' work.
+    CallerLeft,
     /// The run is over before its end.
     Failed(AttemptEnd, Trouble, EndpointId),
 }
@@ -126,6 +128,24 @@
 enum Finish {
     Whole,
     Word(FinalWord),
+    /// Nobody is there any more to hear it.
+    CallerLeft,
+}
+
+/// Writes the line on a stream whose task is dropped because its caller has left.
+struct EndOfRelay<A>(StreamRelay<A>)
+where
+    A: Adapter;
+
+impl<A> Drop for EndOfRelay<A>
+where
+    A: Adapter,
+{
+    fn drop(&mut self) {
+        if !self.0.is_logged {
+            self.0.log_end(&Finish::CallerLeft);
+        }
+    }
 }
 
 struct StreamRelay<A> {
@@ -138,6 +158,8 @@
     pieces: mpsc::Sender<Result<Bytes, io::Error>>,
     /// The newest failure that an engine answered with, whole.
     failure: Option<Opening>,
+    /// The line on the end has been written.
+    is_logged: bool,
     /// The chain of the newest run, for the log.
     chain: Option<Chain>,
     runs: u32,
@@ -166,6 +188,7 @@
             opening: Some(opening),
             pieces,
             failure: None,
+            is_logged: false,
             chain: None,
             runs: 0,
             repairs: 0,
@@ -174,12 +197,18 @@
         }
     }
 
-    async fn run(mut self) {
+    async fn run(self) {
+        let mut end = EndOfRelay(self);
+        end.0.relay().await;
+    }
+
+    async fn relay(&mut self) {
         let until = instant_at(self.request.final_ms, boot_ms());
         let finish = match timeout_at(until, self.serve()).await {
             Ok(finish) => finish,
             Err(_) => Finish::Word(self.attempts.give_up(RefusalCause::TooLate)),
         };
+        self.is_logged = true;
         self.log_end(&finish);
         if let Finish::Word(word) = finish {
             // A failure that an engine answered with says more than a word of our own.
@@ -200,6 +229,7 @@
         loop {
             self.forget_ended();
             let Some(chain) = self.plan(None) else {
+                self.log_no_chain();
                 return Finish::Word(self.attempts.give_up(cause));
             };
             if !self.request.has_time(boot_ms()) {
@@ -211,6 +241,7 @@
             self.runs += 1;
             let (end, cause_name, at_fault) = match self.run_once(chain).await {
                 RunEnd::Whole => return Finish::Whole,
+                RunEnd::CallerLeft => return Finish::CallerLeft,
                 RunEnd::Failed(end, trouble, at_fault) => (end, trouble.name(), at_fault),
             };
             self.splitter.drop_partial();
@@ -243,17 +274,41 @@
     }
 
     fn plan_with(&self, attempts: &Attempts, present: Option<&Chain>) -> Option<Chain> {
-        let model = self.request.table.services.get(&self.request.service)?;
-        let ask = ChainAsk {
+        let fleet = self.node.fleet.borrow();
+        let ask = self.chain_ask(attempts, present)?;
+        plan_chain(&fleet, ask, boot_ms())
+    }
+
+    fn chain_ask<'a>(
+        &'a self,
+        attempts: &'a Attempts,
+        present: Option<&'a Chain>,
+    ) -> Option<ChainAsk<'a>> {
+        let service = self.request.table.services.get(&self.request.service)?;
+        Some(ChainAsk {
             service: &self.request.service,
-            model: model.model.as_ref()?,
+            model: service.model.as_ref()?,
             own_zone: &self.node.settings.zone,
             tokens: self.request.held_tokens(),
             excluded: attempts.excluded(),
             first_among: attempts.only_on(),
             first: present.map(Chain::first),
-        };
-        plan_chain(&self.node.fleet.borrow(), ask, boot_ms())
+        })
+    }
+
+    /// Says why no chain was found.
+    fn log_no_chain(&self) {
+        let fleet = self.node.fleet.borrow();
+        let ask = self.chain_ask(&self.attempts, None);
+        let gap = ask.and_then(|ask| first_gap(&fleet, ask, boot_ms()));
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            layer_without_holder = gap,
+            excluded = self.attempts.excluded().len(),
+            bound_to = self.attempts.only_on().map_or(0, indexmap::IndexSet::len),
+            endpoints = fleet.iter().count();
+            "no chain was found"
+        );
     }
 
     async fn run_once(&mut self, chain: Chain) -> RunEnd {
@@ -293,8 +348,7 @@
                 body: None,
             }));
             if sent.is_err() {
-                // The caller is gone; dropping the connection ends the engines' work.
-                return RunEnd::Whole;
+                return RunEnd::CallerLeft;
             }
         }
         let keep_alive_ms = headers::keep_alive_ms(&head);
@@ -398,7 +452,7 @@
         let now_ms = boot_ms();
         self.note_event(now_ms);
         if self.pieces.send(Ok(whole.bytes)).await.is_err() {
-            return Err(RunEnd::Whole);
+            return Err(RunEnd::CallerLeft);
         }
         Ok(())
     }
@@ -542,8 +596,16 @@
 
     fn broken(&self, failure: UpstreamFailure, chain: &Chain) -> RunEnd {
         let first = chain.first().endpoint.clone();
+        match failure {
+            UpstreamFailure::NoListener => self.node.troubled(&first, Trouble::Ended),
+            UpstreamFailure::NoConnection | UpstreamFailure::Broken => {
+                check_beside(&self.node, chain.first());
+            }
+            UpstreamFailure::Garbled => {}
+        }
         let (end, trouble) = match failure {
             UpstreamFailure::NoConnection => (AttemptEnd::NotSent, Trouble::Unreachable),
+            UpstreamFailure::NoListener => (AttemptEnd::NotSent, Trouble::Ended),
             UpstreamFailure::Broken => (AttemptEnd::Lost, Trouble::Broken),
             UpstreamFailure::Garbled => (AttemptEnd::Lost, Trouble::Garbled),
         };
@@ -558,6 +620,7 @@
         let outcome = match finish {
             Finish::Whole => "whole",
             Finish::Word(word) => word.name(),
+            Finish::CallerLeft => "caller_left",
         };
         if let Some(first_event_ms) = first_event_ms {
             self.node
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -5,6 +5,7 @@
 //! broken, and bytes behind a whole answer belong to no request.
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,6 +40,9 @@
     /// No connection; no byte of the request left.
     #[error("no connection")]
     NoConnection,
+    /// The same: nothing listens at the address.
+    #[error("no process listens there")]
+    NoListener,
     /// The connection broke or ended before the answer was whole.
     #[error("the connection ended before the answer was whole")]
     Broken,
@@ -184,9 +188,13 @@
         address: SocketAddr,
     ) -> Result<Framed<TcpStream, ClientCodec>, UpstreamFailure> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = stream
-            .map_err(|_| UpstreamFailure::NoConnection)?
-            .map_err(|_| UpstreamFailure::NoConnection)?;
+        let stream =
+            stream
+                .map_err(|_| UpstreamFailure::NoConnection)?
+                .map_err(|error| match error.kind() {
+                    io::ErrorKind::ConnectionRefused => UpstreamFailure::NoListener,
+                    _ => UpstreamFailure::NoConnection,
+                })?;
         // Without it a body behind its head waits for an acknowledgement. A refusal costs time only.
         let _ = stream.set_nodelay(true);
         Ok(Framed::new(stream, ClientCodec::new(self.config.clone())))
