--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -14,6 +14,9 @@
 
 /// How long the list may still show the layers that an engine held before.
 const LAYERS_LAG_MS: u64 = 1_500;
+/// How long a peer's word on a leaving endpoint goes before what the list shows: a read that was
+/// under way may still show it in service.
+const TOLD_LAG_MS: u64 = 1_500;
 
 /// Whether an endpoint is there to stay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,12 +123,20 @@
     }
 }
 
+/// A peer's word that an endpoint is leaving or gone.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    at_ms: u64,
+    /// The list has shown it in service since: it was only out of the list's reach.
+    is_live_again: bool,
+}
+
 /// All endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     endpoints: IndexMap<EndpointId, KnownEndpoint>,
-    /// Told to be leaving by a peer before the list said so here.
-    told_leaving: IndexSet<EndpointId>,
+    /// Told to be leaving or gone by a peer before the list said so here.
+    told_leaving: IndexMap<EndpointId, Told>,
     is_known: bool,
 }
 
@@ -191,15 +202,18 @@
                 self.remove(&removed, was_away, now_ms, &mut changes);
             }
         }
-        self.settle_layers(now_ms);
+        self.settle(now_ms);
         self.is_known = true;
         self.drop_overdue(now_ms, &mut changes);
         changes
     }
 
     /// Takes a peer's word that an endpoint is leaving or gone. Returns whether that is news.
-    pub fn told_leaving(&mut self, id: &EndpointId) -> bool {
-        self.told_leaving.insert(id.clone());
+    pub fn told_leaving(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+        self.told_leaving.entry(id.clone()).or_insert(Told {
+            at_ms: now_ms,
+            is_live_again: false,
+        });
         let Some(known) = self.endpoints.get_mut(id) else {
             return false;
         };
@@ -208,8 +222,16 @@
         is_news
     }
 
-    /// Goes by the list again where engines' own words on their layers are old by now.
-    pub fn settle_layers(&mut self, now_ms: u64) {
+    /// Goes by the list again where engines' own words on their layers, or peers' words on leaving
+    /// endpoints, are old by now.
+    pub fn settle(&mut self, now_ms: u64) {
+        self.told_leaving.retain(|id, told| {
+            let is_over = told.is_live_again && now_ms >= told.at_ms + TOLD_LAG_MS;
+            if is_over && let Some(known) = self.endpoints.get_mut(id) {
+                known.listed.phase = Phase::Live;
+            }
+            !is_over
+        });
         for known in self.endpoints.values_mut() {
             if known
                 .layers_said_until_ms
@@ -236,7 +258,8 @@
 
     fn write(&mut self, mut entry: ListedEndpoint, changes: &mut Vec<FleetChange>) {
         let id = entry.id.clone();
-        if self.told_leaving.contains(&id) {
+        if let Some(told) = self.told_leaving.get_mut(&id) {
+            told.is_live_again = entry.phase == Phase::Live;
             entry.phase = Phase::Leaving;
         }
         let Some(known) = self.endpoints.get_mut(&id) else {
@@ -266,6 +289,9 @@
         changes: &mut Vec<FleetChange>,
     ) {
         for id in ids {
+            if let Some(told) = self.told_leaving.get_mut(id) {
+                told.is_live_again = false;
+            }
             let Some(known) = self.endpoints.get_mut(id) else {
                 continue;
             };
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
     layers: LayerRange,
+    /// The engine held other layers before.
+    is_move: bool,
     lost_at_ms: u64,
 }
 
@@ -59,12 +61,6 @@
         now_ms: u64,
     ) -> Vec<PlaceOrder> {
         self.settle(engines, now_ms);
-        let engines: Vec<PlacedEngine> = engines
-            .iter()
-            .filter(|engine| !self.refused_until_ms.contains_key(&engine.id))
-            .cloned()
-            .collect();
-        let engines = engines.as_slice();
         let zones: IndexSet<&ZoneName> = engines.iter().map(|engine| &engine.zone).collect();
         let mut orders = Vec::new();
         for zone in zones {
@@ -76,7 +72,9 @@
         }
         for order in &orders {
             check_memory(order, engines, model);
-            self.note(order.clone(), model, now_ms);
+            let engine = engines.iter().find(|engine| engine.id == order.endpoint);
+            let is_move = engine.is_some_and(|engine| engine.layers.is_some());
+            self.note(order.clone(), is_move, model, now_ms);
         }
         orders
     }
@@ -90,14 +88,15 @@
 
     /// Takes word of an order that another process gave.
     pub fn heard(&mut self, order: PlaceOrder, model: &EngineModel, now_ms: u64) {
-        self.note(order, model, now_ms);
+        self.note(order, true, model, now_ms);
     }
 
-    fn note(&mut self, order: PlaceOrder, model: &EngineModel, now_ms: u64) {
+    fn note(&mut self, order: PlaceOrder, is_move: bool, model: &EngineModel, now_ms: u64) {
         let share = u64::from(order.layers.len()) * model.load_ms;
         let load_ms = share / u64::from(model.layers.max(1));
         let ordered = Ordered {
             layers: order.layers,
+            is_move,
             lost_at_ms: now_ms + 2 * load_ms + ORDER_SLACK_MS,
         };
         self.ordered.insert(order.endpoint, ordered);
@@ -136,7 +135,7 @@
         let mut orders = Vec::new();
         let mut empty: Vec<&&PlacedEngine> = engines
             .iter()
-            .filter(|it| self.future(it).is_none())
+            .filter(|it| self.future(it).is_none() && self.may_order(it))
             .collect();
         // Large engines first: they make chains short.
         empty.sort_by_key(|engine| std::cmp::Reverse(counts.get(&engine.id).copied()));
@@ -182,7 +181,8 @@
         };
         let before = coverage.holes(whole);
         let mut best: Option<((u32, u64), PlaceOrder)> = None;
-        for engine in engines.iter().filter(|engine| !engine.is_crawling) {
+        let fit = |engine: &&&PlacedEngine| !engine.is_crawling && self.may_order(engine);
+        for engine in engines.iter().filter(fit) {
             let (Some(layers), Some(count)) = (self.future(engine), counts.get(&engine.id)) else {
                 continue;
             };
@@ -215,7 +215,7 @@
     ) -> Vec<PlaceOrder> {
         let mut left: Vec<&&PlacedEngine> = engines
             .iter()
-            .filter(|engine| !engine.is_crawling)
+            .filter(|engine| !engine.is_crawling && self.may_order(engine))
             .collect();
         let mut orders = Vec::new();
         let mut next = 0;
@@ -244,12 +244,20 @@
         orders
     }
 
+    /// Whether an engine of these gives up layers for others now. One move at a time: each takes
+    /// layers out of service until it is done.
     fn is_moving(&self, engines: &[&PlacedEngine]) -> bool {
         let moves = |engine: &&&PlacedEngine| {
-            engine.layers.is_some() && self.ordered.contains_key(&engine.id)
+            let ordered = self.ordered.get(&engine.id);
+            ordered.is_some_and(|it| it.is_move)
         };
         engines.iter().any(|engine| moves(&engine))
     }
+
+    /// Whether an engine may be given an order.
+    fn may_order(&self, engine: &PlacedEngine) -> bool {
+        !self.refused_until_ms.contains_key(&engine.id)
+    }
 }
 
 /// The window of `count` layers from `first`, moved back where it would end behind the last layer.
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -116,6 +116,32 @@
     }
 }
 
+#[test]
+fn one_engine_of_a_zone_is_moved_at_a_time() {
+    let mut engines = engines("lac", 2, 5, 8);
+    carry_out(&mut engines, 0);
+    let lost = LayerRange { first: 66, end: 80 };
+    engines.retain(|it| it.layers.is_none_or(|layers| !lost.covers(layers)));
+    let mut duty = PlacementDuty::default();
+    let first = duty.due(&engines, &model(), 0);
+    assert_eq!(first.len(), 1);
+    // While it is moved it reports no layers.
+    let moved = engines.iter_mut().find(|it| it.id == first[0].endpoint);
+    moved.expect("it is one of them").layers = None;
+    assert_eq!(duty.due(&engines, &model(), 300), vec![]);
+}
+
+#[test]
+fn an_engine_that_refused_still_counts_as_a_holder() {
+    let mut engines = engines("lac", 2, 5, 8);
+    carry_out(&mut engines, 0);
+    let mut duty = PlacementDuty::default();
+    for engine in &engines {
+        duty.refused(&engine.id, 0);
+    }
+    assert_eq!(duty.due(&engines, &model(), 300), vec![]);
+}
+
 #[test]
 fn the_idlest_of_equal_engines_is_moved() {
     let mut engines = engines("lac", 2, 5, 8);
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -419,7 +419,7 @@
     }
     let mut fleet = node.fleet.borrow_mut();
     for id in &heartbeat.leaving {
-        if fleet.told_leaving(id) {
+        if fleet.told_leaving(id, now_ms) {
             let peer = heartbeat.instance.as_str();
             log::info!(endpoint = id.as_str(), peer; "endpoint is leaving, a peer says");
         }
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -304,7 +304,7 @@
         }
         node.upstreams.sweep(now_ms);
         node.checks.borrow_mut().sweep(now_ms);
-        node.fleet.borrow_mut().settle_layers(now_ms);
+        node.fleet.borrow_mut().settle(now_ms);
         checks::check_paused(&node).await;
     }
 }
