--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::HeaderMap;
@@ -13,7 +14,7 @@
 use futures_util::Stream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::{sleep, sleep_until, timeout_at};
 
 use super::adapter::{Adapter, EngineControl, OrderFailure};
 use super::checks::{check_beside, check_chain};
@@ -34,6 +35,11 @@
 const REROUTE_TIMEOUT_MS: u64 = 150;
 /// Orders to change a chain at one engine's loss, each around another engine without room.
 const MOST_REROUTES: u32 = 3;
+/// Longest wait for a chain with room. A third of the time within which a first event is of full
+/// use; requests end, and engines come back, many times a second.
+const ROOM_WAIT_MS: u64 = 160;
+/// Pause between two looks for a chain with room.
+const ROOM_LOOK_MS: u64 = 40;
 /// Longest failure of an engine that is held to be passed on.
 const FAILURE_LIMIT_BYTES: usize = 1 << 20;
 
@@ -228,7 +234,7 @@
         let mut cause = RefusalCause::NoChain;
         loop {
             self.forget_ended();
-            let Some(chain) = self.plan(None) else {
+            let Some(chain) = self.plan_with_room().await else {
                 self.log_no_chain();
                 return Finish::Word(self.attempts.give_up(cause));
             };
@@ -273,6 +279,33 @@
         self.plan_with(&self.attempts, present)
     }
 
+    /// A chain whose engines have not just turned others away, if there is one soon. Sending to a
+    /// full engine would cost a repeat that another request could use.
+    async fn plan_with_room(&self) -> Option<Chain> {
+        let until_ms = boot_ms() + ROOM_WAIT_MS;
+        loop {
+            let chain = self.plan(None);
+            let has_room = chain.as_ref().is_some_and(|chain| self.has_room(chain));
+            if has_room {
+                return chain;
+            }
+            if boot_ms() >= until_ms {
+                return None;
+            }
+            sleep(Duration::from_millis(ROOM_LOOK_MS)).await;
+        }
+    }
+
+    fn has_room(&self, chain: &Chain) -> bool {
+        let now_ms = boot_ms();
+        let fleet = self.node.fleet.borrow();
+        let is_full = |id: &EndpointId| {
+            let known = fleet.get(id);
+            known.is_some_and(|known| known.standing.is_full(now_ms))
+        };
+        !chain.stages().iter().any(|stage| is_full(&stage.endpoint))
+    }
+
     fn plan_with(&self, attempts: &Attempts, present: Option<&Chain>) -> Option<Chain> {
         let fleet = self.node.fleet.borrow();
         let ask = self.chain_ask(attempts, present)?;
