Relay server split by duty; a peer's word on our table counts for this process only

What peers know stands in peer_book.rs, apart from sockets, with tests of its own; the caller's side of a stream and the tokens it holds are files of their own. Found while splitting: a heartbeat could name a sending time of an earlier process of the instance, whose clock may be ahead after a loss of power, and so make an old table look fresh.

--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -9,13 +9,18 @@
 mod feeds;
 mod front;
 mod headers;
+mod held_tokens;
 mod node;
+mod peer_book;
+#[cfg(test)]
+mod peer_book_tests;
 mod peers;
 mod plain;
 mod request;
 mod run;
 mod settings;
 mod stream;
+mod stream_answer;
 #[cfg(test)]
 mod tests;
 mod upstream;
--- /dev/null
+++ b/src/relay_server/peer_book.rs
@@ -0,0 +1,340 @@
+//! What is known of the other instances, and what they must be told.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::settings::RelaySettings;
+use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
+use crate::placement::PlaceOrder;
+use crate::wire::engine::LayerRange;
+
+/// Silence after which a peer is forgotten.
+const FORGET_MS: u64 = 60_000;
+/// Silence after which a peer is not named to callers any more: two heartbeats may be lost.
+const SILENT_MS: u64 = 800;
+/// How often news of an endpoint is told, in heartbeats.
+const TELLINGS: u8 = 4;
+/// Most addresses named to a caller.
+const MOST_ADDRESSES: usize = 8;
+/// Instances of the caller's zone that are enough for it; with fewer, all are named.
+const ENOUGH_NEAR: usize = 2;
+
+/// One datagram.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Heartbeat {
+    pub(super) instance: InstanceId,
+    pub(super) incarnation: Incarnation,
+    pub(super) zone: ZoneName,
+    /// Where callers connect.
+    pub(super) front: SocketAddr,
+    #[serde(flatten)]
+    pub(super) availability: Availability,
+    /// Version of the table of routes in force.
+    pub(super) table: u64,
+    /// Age of that table.
+    pub(super) table_age_ms: u64,
+    /// When it was sent, on the sender's clock.
+    pub(super) sent_ms: u64,
+    /// The newest sending time heard from each peer, on that peer's clock.
+    #[serde(default)]
+    pub(super) heard: Vec<HeardFrom>,
+    /// Endpoints that do not answer.
+    #[serde(default)]
+    pub(super) unsound: Vec<EndpointId>,
+    /// Endpoints that are leaving or gone.
+    #[serde(default)]
+    pub(super) leaving: Vec<EndpointId>,
+    /// Engines that were ordered to hold other layers.
+    #[serde(default)]
+    pub(super) moving: Vec<(EndpointId, LayerRange)>,
+    /// Tokens times layers of this instance's streams by engine.
+    #[serde(default)]
+    pub(super) held: Vec<(EndpointId, u64)>,
+}
+
+/// The newest heartbeat that an instance has from another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct HeardFrom {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    /// When it was sent, on its sender's clock.
+    sent_ms: u64,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnState {
+    /// Whether callers should come here.
+    pub(crate) availability: Availability,
+    /// Version of the table of routes in force.
+    pub(crate) table: u64,
+    /// Age of that table.
+    pub(crate) table_age_ms: u64,
+    /// Tokens times layers of this instance's streams by engine.
+    pub(crate) held: Vec<(EndpointId, u64)>,
+}
+
+/// Whether callers should come to an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Availability {
+    /// It serves everybody.
+    pub(crate) is_ready: bool,
+    /// It serves, though it may have to refuse requests with keys.
+    pub(crate) is_open: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    incarnation: Incarnation,
+    zone: ZoneName,
+    front: SocketAddr,
+    availability: Availability,
+    heard_ms: Option<u64>,
+    /// When its newest heartbeat was sent, on its own clock.
+    sent_ms: u64,
+    held: Vec<(EndpointId, u64)>,
+}
+
+/// The other instances.
+#[derive(Debug)]
+pub(crate) struct PeerBook {
+    own_zone: ZoneName,
+    own_front: SocketAddr,
+    own_instance: InstanceId,
+    own_incarnation: Incarnation,
+    peers: IndexMap<InstanceId, Peer>,
+    unsound: IndexMap<EndpointId, u8>,
+    leaving: IndexMap<EndpointId, u8>,
+    moving: Vec<(EndpointId, LayerRange)>,
+    has_news: bool,
+}
+
+impl PeerBook {
+    pub(crate) fn new(settings: &RelaySettings, incarnation: Incarnation) -> Self {
+        Self {
+            own_zone: settings.zone.clone(),
+            own_front: settings.front,
+            own_instance: settings.instance.clone(),
+            own_incarnation: incarnation,
+            peers: IndexMap::new(),
+            unsound: IndexMap::new(),
+            leaving: IndexMap::new(),
+            moving: Vec::new(),
+            has_news: false,
+        }
+    }
+
+    /// Takes a peer's record from the store; what the peer tells by itself goes before it.
+    pub(crate) fn learn(
+        &mut self,
+        instance: InstanceId,
+        address: SocketAddr,
+        front: SocketAddr,
+        zone: ZoneName,
+        incarnation: Incarnation,
+    ) {
+        if instance == self.own_instance {
+            return;
+        }
+        self.peers.entry(instance).or_insert(Peer {
+            address,
+            incarnation,
+            zone,
+            front,
+            availability: Availability::default(),
+            heard_ms: None,
+            sent_ms: 0,
+            held: Vec::new(),
+        });
+    }
+
+    /// Whom to send heartbeats to.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
+    }
+
+    /// Instances that share a budget, this one included. All that are on record count, since one
+    /// that is only cut off goes on repeating, and a process that has just started has heard nobody.
+    pub(crate) fn known_instances(&self) -> u32 {
+        1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1)
+    }
+
+    /// Whether this instance comes first among those that are ready, by name.
+    pub(crate) fn is_first(&self, now_ms: u64) -> bool {
+        self.peers.iter().all(|(name, peer)| {
+            !peer.availability.is_ready
+                || !peer.is_heard(SILENT_MS, now_ms)
+                || *name > self.own_instance
+        })
+    }
+
+    /// Addresses for a caller of a zone: instances that serve everybody, or, if there are none,
+    /// those that are open at all.
+    pub(crate) fn addresses_for(
+        &self,
+        zone: &ZoneName,
+        own: Availability,
+        now_ms: u64,
+    ) -> Vec<SocketAddr> {
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(SILENT_MS, now_ms))
+            .map(|peer| (&peer.zone, peer.front, peer.availability));
+        let own = (&self.own_zone, self.own_front, own);
+        let all: Vec<(&ZoneName, SocketAddr, Availability)> =
+            std::iter::once(own).chain(heard).collect();
+        let named = nearest(zone, all.iter().filter(|it| it.2.is_ready));
+        if named.is_empty() {
+            nearest(zone, all.iter().filter(|it| it.2.is_open))
+        } else {
+            named
+        }
+    }
+
+    /// Has peers told that an endpoint does not answer.
+    pub(crate) fn tell_unsound(&mut self, endpoint: &EndpointId) {
+        self.unsound.insert(endpoint.clone(), TELLINGS);
+        self.has_news = true;
+    }
+
+    /// Has peers told that an endpoint is leaving.
+    pub(crate) fn tell_leaving(&mut self, endpoint: &EndpointId) {
+        self.leaving.insert(endpoint.clone(), TELLINGS);
+        self.has_news = true;
+    }
+
+    /// Has peers told that an engine is about to hold other layers.
+    pub(crate) fn tell_moving(&mut self, order: &PlaceOrder) {
+        self.moving.push((order.endpoint.clone(), order.layers));
+        self.has_news = true;
+    }
+
+    /// Takes a peer's heartbeat.
+    pub(super) fn hear(&mut self, heartbeat: &Heartbeat, address: SocketAddr, now_ms: u64) {
+        let own = (&self.own_instance, &self.own_incarnation);
+        if (&heartbeat.instance, &heartbeat.incarnation) == own {
+            return;
+        }
+        let peer = Peer {
+            address,
+            incarnation: heartbeat.incarnation,
+            zone: heartbeat.zone.clone(),
+            front: heartbeat.front,
+            availability: heartbeat.availability,
+            heard_ms: Some(now_ms),
+            sent_ms: heartbeat.sent_ms,
+            held: heartbeat.held.clone(),
+        };
+        let known = self.peers.get(&heartbeat.instance);
+        if known.is_none_or(|it| it.incarnation != peer.incarnation || it.heard_ms.is_none()) {
+            log::info!(peer = heartbeat.instance.as_str(), address:% = address; "peer is heard");
+        }
+        self.peers.insert(heartbeat.instance.clone(), peer);
+    }
+
+    /// Tokens times layers that peers hold at each engine.
+    pub(super) fn held_by_peers(&self, now_ms: u64) -> IndexMap<EndpointId, u64> {
+        let mut sums = IndexMap::new();
+        for peer in self
+            .peers
+            .values()
+            .filter(|it| it.is_heard(SILENT_MS, now_ms))
+        {
+            for (id, amount) in &peer.held {
+                *sums.entry(id.clone()).or_insert(0) += amount;
+            }
+        }
+        sums
+    }
+
+    /// Whether something must be told at once; asks once for each piece of news.
+    pub(super) fn take_has_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// The next heartbeat; news of endpoints are told a few times and then dropped.
+    pub(super) fn heartbeat(&mut self, own: OwnState, now_ms: u64) -> Heartbeat {
+        let heard = self.peers.iter();
+        let heard = heard.filter(|(_, peer)| peer.is_heard(SILENT_MS, now_ms));
+        Heartbeat {
+            instance: self.own_instance.clone(),
+            incarnation: self.own_incarnation,
+            zone: self.own_zone.clone(),
+            front: self.own_front,
+            availability: own.availability,
+            table: own.table,
+            table_age_ms: own.table_age_ms,
+            sent_ms: now_ms,
+            heard: heard
+                .map(|(name, peer)| HeardFrom {
+                    instance: name.clone(),
+                    incarnation: peer.incarnation,
+                    sent_ms: peer.sent_ms,
+                })
+                .collect(),
+            unsound: Self::take_news(&mut self.unsound),
+            leaving: Self::take_news(&mut self.leaving),
+            moving: std::mem::take(&mut self.moving),
+            held: own.held,
+        }
+    }
+
+    /// When the newest heartbeat of this process that a peer has heard was sent. One of an earlier
+    /// process of this instance does not count: its clock may have been another.
+    pub(super) fn own_sending_heard(&self, heartbeat: &Heartbeat) -> Option<u64> {
+        let own = |it: &&HeardFrom| {
+            it.instance == self.own_instance && it.incarnation == self.own_incarnation
+        };
+        heartbeat.heard.iter().find(own).map(|it| it.sent_ms)
+    }
+
+    /// Forgets peers that have long been silent.
+    pub(super) fn forget_silent(&mut self, now_ms: u64) {
+        self.peers.retain(|_, peer| {
+            let last_ms = peer
+                .heard_ms
+                .get_or_insert(now_ms.saturating_sub(SILENT_MS));
+            now_ms < *last_ms + FORGET_MS
+        });
+    }
+
+    fn take_news(list: &mut IndexMap<EndpointId, u8>) -> Vec<EndpointId> {
+        let told = list.keys().cloned().collect();
+        list.retain(|_, left| {
+            *left -= 1;
+            *left > 0
+        });
+        told
+    }
+}
+
+/// Instances of the zone, if they are enough for its callers, or else all.
+fn nearest<'a, I>(zone: &ZoneName, fit: I) -> Vec<SocketAddr>
+where
+    I: Iterator<Item = &'a (&'a ZoneName, SocketAddr, Availability)>,
+{
+    let fit: Vec<_> = fit.collect();
+    let near: Vec<SocketAddr> = fit
+        .iter()
+        .filter(|it| it.0 == zone)
+        .map(|it| it.1)
+        .collect();
+    let mut named = if near.len() >= ENOUGH_NEAR {
+        near
+    } else {
+        fit.into_iter().map(|it| it.1).collect()
+    };
+    named.truncate(MOST_ADDRESSES);
+    named
+}
+
+impl Peer {
+    fn is_heard(&self, within_ms: u64, now_ms: u64) -> bool {
+        self.heard_ms
+            .is_some_and(|at_ms| now_ms < at_ms + within_ms)
+    }
+}
--- /dev/null
+++ b/src/relay_server/peer_book_tests.rs
@@ -0,0 +1,143 @@
+use std::net::SocketAddr;
+
+use super::peer_book::{Availability, Heartbeat, OwnState, PeerBook};
+use super::settings::{RelayBounds, RelaySettings};
+use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
+
+const READY: Availability = Availability {
+    is_ready: true,
+    is_open: true,
+};
+const OPEN: Availability = Availability {
+    is_ready: false,
+    is_open: true,
+};
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn book(name: &str, zone: &str, port: u16) -> PeerBook {
+    let settings = RelaySettings {
+        instance: InstanceId::from(name),
+        zone: ZoneName::from(zone),
+        front: address(port),
+        own_pages: Vec::new(),
+        metrics: None,
+        peers: address(port + 1),
+        bounds: RelayBounds {
+            key_trust_ms: 4_900,
+            stop_limit_ms: 8_000,
+            locate_lifetime_ms: 1_000,
+            retry_ratio: 0.2,
+            retry_slack: 200.0,
+            retry_window_ms: 10_000,
+            engines_check_fence: true,
+        },
+    };
+    PeerBook::new(&settings, Incarnation::draw(&mut rand::rng()))
+}
+
+fn heartbeat(book: &mut PeerBook, availability: Availability, now_ms: u64) -> Heartbeat {
+    let own = OwnState {
+        availability,
+        table: 3,
+        table_age_ms: 100,
+        held: Vec::new(),
+    };
+    book.heartbeat(own, now_ms)
+}
+
+/// The book of `a`, which has heard `b` and `c` at these times.
+fn heard(b: (Availability, u64), c: (Availability, u64)) -> PeerBook {
+    let mut a = book("a", "lac", 1_000);
+    let others = [("b", "lac", 2_000, b), ("c", "marsa", 3_000, c)];
+    for (name, zone, port, (availability, at_ms)) in others {
+        let beat = heartbeat(&mut book(name, zone, port), availability, at_ms);
+        a.hear(&beat, address(port + 1), at_ms);
+    }
+    a
+}
+
+fn ports(book: &PeerBook, own: Availability, now_ms: u64) -> Vec<u16> {
+    let named = book.addresses_for(&ZoneName::from("lac"), own, now_ms);
+    named.iter().map(SocketAddr::port).collect()
+}
+
+#[test]
+fn callers_are_sent_to_instances_of_their_zone_if_they_are_enough() {
+    let a = heard((READY, 500), (READY, 500));
+    assert_eq!(ports(&a, READY, 600), [1_000, 2_000]);
+    assert_eq!(
+        ports(&a, OPEN, 600),
+        [2_000, 3_000],
+        "one in the zone is not enough"
+    );
+}
+
+#[test]
+fn silent_instances_are_not_named() {
+    let a = heard((READY, 100), (READY, 900));
+    assert_eq!(ports(&a, READY, 1_000), [1_000, 3_000]);
+}
+
+#[test]
+fn instances_that_may_refuse_are_named_if_there_are_no_others() {
+    let a = heard((OPEN, 500), (OPEN, 500));
+    assert_eq!(ports(&a, OPEN, 600), [1_000, 2_000]);
+    assert_eq!(ports(&a, READY, 600), [1_000]);
+}
+
+#[test]
+fn the_first_ready_instance_by_name_has_the_duty() {
+    let a = heard((READY, 500), (READY, 500));
+    assert!(a.is_first(600));
+    let mut b = book("b", "lac", 2_000);
+    b.hear(
+        &heartbeat(&mut book("a", "lac", 1_000), READY, 500),
+        address(1_001),
+        500,
+    );
+    assert!(!b.is_first(600));
+    assert!(b.is_first(2_000), "the other has fallen silent");
+}
+
+#[test]
+fn a_heartbeat_names_what_was_heard_of_this_process_only() {
+    let mut a = book("a", "lac", 1_000);
+    let mut b = book("b", "lac", 2_000);
+    b.hear(&heartbeat(&mut a, READY, 400), address(1_001), 450);
+    let beat = heartbeat(&mut b, READY, 500);
+    assert_eq!(a.own_sending_heard(&beat), Some(400));
+    let restarted = book("a", "lac", 1_000);
+    assert_eq!(restarted.own_sending_heard(&beat), None);
+}
+
+#[test]
+fn news_are_told_a_few_times() {
+    let mut a = book("a", "lac", 1_000);
+    a.tell_leaving(&EndpointId::from("e"));
+    assert!(a.take_has_news());
+    assert!(!a.take_has_news());
+    let told = (0..10).filter(|_| !heartbeat(&mut a, READY, 0).leaving.is_empty());
+    assert_eq!(told.count(), 4);
+}
+
+#[test]
+fn every_instance_on_record_shares_the_budget() {
+    let mut a = book("a", "lac", 1_000);
+    assert_eq!(a.known_instances(), 1);
+    let unheard = Incarnation::draw(&mut rand::rng());
+    let zone = ZoneName::from("marsa");
+    a.learn(
+        InstanceId::from("d"),
+        address(4_001),
+        address(4_000),
+        zone,
+        unheard,
+    );
+    assert_eq!(a.known_instances(), 2);
+    a.forget_silent(1_000);
+    a.forget_silent(70_000);
+    assert_eq!(a.known_instances(), 1);
+}
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -2,25 +2,21 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::body::{BodyStream, BoxBody};
-use actix_http::header::HeaderMap;
-use actix_http::{Response, ResponseHead, StatusCode};
+use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use futures_util::Stream;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::JoinHandle;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
 use super::adapter::{Adapter, EngineControl, OrderFailure};
 use super::checks::{check_beside, check_chain};
 use super::headers;
+use super::held_tokens::HeldTokens;
 use super::node::Node;
-use super::request::{RelayedRequest, finish, instant_at, word_response};
+use super::request::{RelayedRequest, instant_at};
+use super::stream_answer::Opening;
 use super::upstream::{AnswerBody, Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainAsk, ChainStage, Trouble, first_gap, plan_chain};
@@ -29,8 +25,6 @@
     AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, StallStep, StallWatch,
 };
 
-/// Pieces that wait for a caller who reads slowly.
-const WAITING_PIECES: usize = 64;
 /// Longest wait for the answer to an order that changes a chain. Callers notice a pause of 200 ms.
 const REROUTE_TIMEOUT_MS: u64 = 150;
 /// Orders to change a chain at one engine's loss, each around another engine without room.
@@ -43,83 +37,6 @@
 /// Longest failure of an engine that is held to be passed on.
 const FAILURE_LIMIT_BYTES: usize = 1 << 20;
 
-/// The head of the answer, once it is known.
-struct Opening {
-    status: StatusCode,
-    headers: HeaderMap,
-    /// The whole body, for an answer that is no stream.
-    body: Option<Bytes>,
-}
-
-/// Relays a stream. The answer's body goes on for as long as the caller reads it.
-pub(crate) async fn relay_stream<A>(
-    node: &Rc<Node<A>>,
-    request: RelayedRequest,
-) -> Response<BoxBody>
-where
-    A: Adapter,
-{
-    let (opening_sender, opening) = oneshot::channel();
-    let (pieces_sender, pieces) = mpsc::channel(WAITING_PIECES);
-    let relay = StreamRelay::new(node, request, opening_sender, pieces_sender);
-    let mut body = RelayBody {
-        pieces,
-        task: actix_rt::spawn(relay.run()),
-    };
-    match (&mut PendingOpening(opening)).await {
-        Some(Ok(Opening {
-            status,
-            headers,
-            body: whole,
-        })) => {
-            let body = match whole {
-                Some(bytes) => BoxBody::new(bytes),
-                None => BoxBody::new(BodyStream::new(body)),
-            };
-            let mut response = Response::with_body(status, body);
-            *response.headers_mut() = headers;
-            finish(node, response)
-        }
-        Some(Err(word)) => word_response(node, word),
-        None => {
-            body.pieces.close();
-            word_response(node, FinalWord::Unknown)
-        }
-    }
-}
-
-/// Waits for the opening; `None` if the task ended without one.
-struct PendingOpening(oneshot::Receiver<Result<Opening, FinalWord>>);
-
-impl Future for &mut PendingOpening {
-    type Output = Option<Result<Opening, FinalWord>>;
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
-        Pin::new(&mut self.0).poll(cx).map(Result::ok)
-    }
-}
-
-/// The body of a relayed stream. Dropping it, as the server does when the caller leaves, ends the
-/// relay and with it the engines' work.
-struct RelayBody {
-    pieces: mpsc::Receiver<Result<Bytes, io::Error>>,
-    task: JoinHandle<()>,
-}
-
-impl Stream for RelayBody {
-    type Item = Result<Bytes, io::Error>;
-
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.pieces.poll_recv(cx)
-    }
-}
-
-impl Drop for RelayBody {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// How a run of the request ended.
 enum RunEnd {
     /// The stream is whole.
@@ -154,7 +71,8 @@
     }
 }
 
-struct StreamRelay<A> {
+/// One stream, over all its runs.
+pub(super) struct StreamRelay<A> {
     node: Rc<Node<A>>,
     request: RelayedRequest,
     attempts: Attempts,
@@ -179,7 +97,8 @@
 where
     A: Adapter,
 {
-    fn new(
+    /// A stream that is about to begin.
+    pub(super) fn new(
         node: &Rc<Node<A>>,
         request: RelayedRequest,
         opening: oneshot::Sender<Result<Opening, FinalWord>>,
@@ -203,7 +122,8 @@
         }
     }
 
-    async fn run(self) {
+    /// Relays the stream to its end.
+    pub(super) async fn run(self) {
         let mut end = EndOfRelay(self);
         end.0.relay().await;
     }
@@ -689,46 +609,3 @@
     let mut stages = chain.stages().iter();
     stages.find(|stage| stage.address == address).cloned()
 }
-
-/// Counts a stream's tokens at the engines of its chain while it runs.
-struct HeldTokens<A>
-where
-    A: Adapter,
-{
-    node: Rc<Node<A>>,
-    chain: Chain,
-    tokens: u64,
-}
-
-impl<A> HeldTokens<A>
-where
-    A: Adapter,
-{
-    fn begin(node: &Rc<Node<A>>, chain: Chain, tokens: u64) -> Self {
-        node.hold_tokens(&chain, tokens, true);
-        Self {
-            node: Rc::clone(node),
-            chain,
-            tokens,
-        }
-    }
-
-    fn chain(&self) -> &Chain {
-        &self.chain
-    }
-
-    fn change(&mut self, chain: Chain) {
-        self.node.hold_tokens(&self.chain, self.tokens, false);
-        self.node.hold_tokens(&chain, self.tokens, true);
-        self.chain = chain;
-    }
-}
-
-impl<A> Drop for HeldTokens<A>
-where
-    A: Adapter,
-{
-    fn drop(&mut self) {
-        self.node.hold_tokens(&self.chain, self.tokens, false);
-    }
-}
