--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -61,6 +61,14 @@
     /// Explain what was decided, and why.
     #[command(subcommand)]
     Explain(ExplainCommand),
+    /// Show what logs of relaying instances say of a request, without asking anyone.
+    Trace {
+        /// The request's id.
+        request: String,
+        /// Logs of the instances.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Work with an instance's settings.
     #[command(subcommand)]
     Settings(SettingsCommand),
--- a/src/ctl/commands/mod.rs
+++ b/src/ctl/commands/mod.rs
@@ -11,6 +11,7 @@
 mod key_new;
 mod settings_check;
 mod status;
+mod trace;
 
 use std::io::{self, Read};
 use std::path::Path;
@@ -51,6 +52,7 @@
         Command::Status(args) => status::run(&Controls::new(&common)?, &args).await,
         Command::Audit(args) => audit::run(&Controls::new(&common)?, &args).await,
         Command::Explain(command) => explain::run(&Controls::new(&common)?, &command).await,
+        Command::Trace { request, files } => trace::run(&request, &files),
         Command::Settings(SettingsCommand::Check { file }) => settings_check::run(&file),
         Command::Key(KeyCommand::New) => key_new::run(),
         Command::Completions { shell } => completions(shell),
--- a/src/ctl/tests/local.rs
+++ b/src/ctl/tests/local.rs
@@ -113,3 +113,54 @@
             .contains("fescuectl__subcmd__document__subcmd__accept")
     );
 }
+
+#[tokio::test]
+async fn a_trace_has_the_request_and_what_befell_its_endpoints_before() {
+    let folder = tempfile::tempdir().expect("the temporary folder can be written");
+    let line = |at: &str, message: &str, values: &str| {
+        format!(r#"{{"at":"{at}","level":"INFO","message":"{message}","values":{values}}}"#)
+    };
+    let one = [
+        line(
+            "10:00:01",
+            "endpoint is left out",
+            r#"{"cause":"ended","endpoint":"e-7"}"#,
+        ),
+        line(
+            "10:00:01",
+            "endpoint is left out",
+            r#"{"cause":"ended","endpoint":"e-9"}"#,
+        ),
+        line(
+            "10:00:03",
+            "stream ended",
+            r#"{"request":"r-1","chain":"e-1=0-4,e-7=4-8"}"#,
+        ),
+        line("10:00:04", "endpoint is gone", r#"{"endpoint":"e-7"}"#),
+    ];
+    let two = [
+        "not a line of ours".to_owned(),
+        line(
+            "10:00:02",
+            "run failed",
+            r#"{"request":"r-1","at_fault":"e-7"}"#,
+        ),
+        line(
+            "10:00:02",
+            "run failed",
+            r#"{"request":"r-2","at_fault":"e-7"}"#,
+        ),
+    ];
+    let files = [("a.log", one.join("\n")), ("b.log", two.join("\n"))];
+    let mut words = vec!["fescuectl".to_owned(), "trace".to_owned(), "r-1".to_owned()];
+    for (name, text) in files {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).expect("the temporary folder can be written");
+        words.push(path.display().to_string());
+    }
+    let cli = Cli::try_parse_from(words).expect("the words are a command");
+    let report = crate::ctl::commands::run(cli)
+        .await
+        .expect("the files can be read");
+    insta::assert_snapshot!(report.text);
+}
