--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -19,4 +19,5 @@
 pub use http::{HttpCall, HttpFailure, HttpPeer, HttpPeers, HttpReply};
 pub use instances::{HttpInstances, InstanceSource};
 pub use objects::{HttpObjects, ObjectStore};
+pub(crate) use table::call_table;
 pub use table::{HttpTable, TableService};
--- a/src/clients/table.rs
+++ b/src/clients/table.rs
@@ -7,6 +7,7 @@
 
 use super::TableFailure;
 use super::http::{HttpCall, HttpPeer};
+use crate::instance::{TableCall, TableReply};
 use crate::wire::platform::{ReadRows, Rows, ScanRows, TransactReply, Transaction};
 
 const REPLY_LIMIT_BYTES: usize = 16 << 20;
@@ -35,6 +36,31 @@
     ) -> impl Future<Output = Result<Rows, TableFailure>>;
 }
 
+/// Makes one call, whichever it is.
+pub(crate) async fn call_table<T>(
+    table: &T,
+    ask: &TableCall,
+    timeout_ms: u64,
+) -> Result<TableReply, TableFailure>
+where
+    T: TableService,
+{
+    match ask {
+        TableCall::Transact(transaction) => {
+            let reply = table.transact(transaction, timeout_ms).await?;
+            Ok(TableReply::Transacted(reply))
+        }
+        TableCall::Read(rows) => {
+            let rows = table.read(rows, timeout_ms).await?;
+            Ok(TableReply::Read(rows))
+        }
+        TableCall::Scan(rows) => {
+            let rows = table.scan(rows, timeout_ms).await?;
+            Ok(TableReply::Read(rows))
+        }
+    }
+}
+
 /// The table service over HTTP.
 pub struct HttpTable {
     peer: HttpPeer,
--- a/src/control_server/platform.rs
+++ b/src/control_server/platform.rs
@@ -7,7 +7,7 @@
 use super::traffic::{OtherSide, Traffic};
 use crate::clients::{
     EngineApi, EngineCallFailure, HttpEngines, HttpInstances, HttpTable, InstanceListFailure,
-    InstanceSource, TableFailure, TableService,
+    InstanceSource, TableFailure, call_table,
 };
 use crate::instance::{TableCall, TableReply};
 use crate::settings::Settings;
@@ -45,14 +45,7 @@
         timeout_ms: u64,
     ) -> Result<TableReply, TableFailure> {
         self.sent(&call);
-        let result = match &call {
-            TableCall::Transact(transaction) => {
-                let reply = self.table.transact(transaction, timeout_ms).await;
-                reply.map(TableReply::Transacted)
-            }
-            TableCall::Read(ask) => self.table.read(ask, timeout_ms).await.map(TableReply::Read),
-            TableCall::Scan(ask) => self.table.scan(ask, timeout_ms).await.map(TableReply::Read),
-        };
+        let result = call_table(&self.table, &call, timeout_ms).await;
         self.received(&result);
         result
     }
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -4,11 +4,9 @@
 use std::rc::Rc;
 
 use super::messages::Deliver;
-use crate::clients::{
-    EngineApi, EngineCallFailure, HttpEngines, HttpPeers, HttpTable, TableFailure, TableService,
-};
+use crate::clients::{self, EngineApi, EngineCallFailure, HttpEngines, HttpPeers, HttpTable};
 use crate::ids::{EndpointId, StreamId};
-use crate::instance::{CallId, EntryMessage, TableCall, TableReply};
+use crate::instance::{CallId, EntryMessage, TableCall};
 use crate::settings::Secret;
 
 /// Longest wait for an engine's state or cache events.
@@ -103,30 +101,6 @@
     ask: TableCall,
     timeout_ms: u64,
 ) -> Deliver {
-    let result = ask_table(&outside.table, &ask, timeout_ms).await;
+    let result = clients::call_table(&outside.table, &ask, timeout_ms).await;
     Deliver(EntryMessage::TableAnswered { call, result })
 }
-
-async fn ask_table<T>(
-    table: &T,
-    ask: &TableCall,
-    timeout_ms: u64,
-) -> Result<TableReply, TableFailure>
-where
-    T: TableService,
-{
-    match ask {
-        TableCall::Transact(transaction) => {
-            let reply = table.transact(transaction, timeout_ms).await?;
-            Ok(TableReply::Transacted(reply))
-        }
-        TableCall::Read(rows) => {
-            let rows = table.read(rows, timeout_ms).await?;
-            Ok(TableReply::Read(rows))
-        }
-        TableCall::Scan(rows) => {
-            let rows = table.scan(rows, timeout_ms).await?;
-            Ok(TableReply::Read(rows))
-        }
-    }
-}
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -10,11 +10,10 @@
 
 use super::adapter::{Adapter, EngineControl, OrderFailure};
 use super::node::Node;
-use crate::clients::{TableFailure, TableService};
+use crate::clients::call_table;
 use crate::clock::boot_ms;
 use crate::fleet::{Phase, Trouble};
 use crate::ids::{EndpointId, ServiceName};
-use crate::instance::{TableCall, TableReply};
 use crate::lease::{Lease, LeaseEvent, LeaseTimes};
 use crate::placement::{PlaceOrder, PlacedEngine, PlacementDuty};
 use crate::route_table::EngineModel;
@@ -122,7 +121,7 @@
         A: Adapter,
     {
         while let Some(call) = self.lease.due(boot_ms()) {
-            let result = table_call(node, &call).await;
+            let result = call_table(node.adapter.store(), &call, LEASE_CALL_MS).await;
             let is_ok = result.is_ok();
             match self.lease.answered(result, boot_ms()) {
                 Some(LeaseEvent::Taken { fence }) => {
@@ -220,21 +219,6 @@
     Ok(())
 }
 
-async fn table_call<A>(node: &Rc<Node<A>>, call: &TableCall) -> Result<TableReply, TableFailure>
-where
-    A: Adapter,
-{
-    let store = node.adapter.store();
-    match call {
-        TableCall::Transact(transaction) => {
-            let reply = store.transact(transaction, LEASE_CALL_MS).await;
-            reply.map(TableReply::Transacted)
-        }
-        TableCall::Read(ask) => store.read(ask, LEASE_CALL_MS).await.map(TableReply::Read),
-        TableCall::Scan(ask) => store.scan(ask, LEASE_CALL_MS).await.map(TableReply::Read),
-    }
-}
-
 fn engines<A>(node: &Rc<Node<A>>, service: &ServiceName) -> Vec<PlacedEngine> {
     let now_ms = boot_ms();
     let fleet = node.fleet.borrow();
