Placement: a hole is remembered between looks; orders that peers told of reach every model

Cause: each look asked a copy of the duty whether something was due, and only then the duty itself. Since when a zone had lacked a layer was noted on the copy and lost, so the zone was laid out anew after 6 s only where another order was due beside it; the plan was also worked out twice. And the list of orders heard from peers was taken by the first model's duty, which left none for the others. Ruled out: the pause itself; with one look a duty the same zone is laid out at 6.0 s (test, which fails with the copy). Now: due() plans once and marks nothing, given() marks the orders that were taken, rest() forgets holes while another process looks after the layers. Two models with engines are driven by no test.

--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -47,13 +47,7 @@
 }
 
 impl PlacementDuty {
-    /// Whether some engine should hold other layers than it does.
-    pub fn has_work(&self, engines: &[PlacedEngine], model: &EngineModel, now_ms: u64) -> bool {
-        let mut trial = self.clone();
-        !trial.due(engines, model, now_ms).is_empty()
-    }
-
-    /// The orders that are due now. Each is taken to be under way from here on.
+    /// The orders that are due now; [`Self::given`] says which of them were given.
     pub fn due(
         &mut self,
         engines: &[PlacedEngine],
@@ -72,13 +66,24 @@
         }
         for order in &orders {
             check_memory(order, engines, model);
-            let engine = engines.iter().find(|engine| engine.id == order.endpoint);
-            let is_move = engine.is_some_and(|engine| engine.layers.is_some());
-            self.note(order.clone(), is_move, model, now_ms);
         }
         orders
     }
 
+    /// Notes that an order was given: it is under way from here on. `engines` are those that it was
+    /// worked out from.
+    pub fn given(
+        &mut self,
+        order: PlaceOrder,
+        engines: &[PlacedEngine],
+        model: &EngineModel,
+        now_ms: u64,
+    ) {
+        let engine = engines.iter().find(|engine| engine.id == order.endpoint);
+        let is_move = engine.is_some_and(|engine| engine.layers.is_some());
+        self.note(order, is_move, model, now_ms);
+    }
+
     /// Notes that an engine did not take an order.
     pub fn refused(&mut self, endpoint: &EndpointId, now_ms: u64) {
         self.ordered.shift_remove(endpoint);
@@ -86,6 +91,12 @@
         self.refused_until_ms.insert(endpoint.clone(), until_ms);
     }
 
+    /// Forgets since when layers have had no holder: another process looks after them now, and what
+    /// becomes of them is not seen here.
+    pub fn rest(&mut self) {
+        self.hole_since_ms.clear();
+    }
+
     /// Takes word of an order that another process gave.
     pub fn heard(&mut self, order: PlaceOrder, model: &EngineModel, now_ms: u64) {
         self.note(order, true, model, now_ms);
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -48,24 +48,37 @@
     engines
 }
 
+/// Gives the orders that are due.
+fn give(duty: &mut PlacementDuty, engines: &[PlacedEngine], now_ms: u64) -> Vec<PlaceOrder> {
+    let orders = duty.due(engines, &model(), now_ms);
+    for order in &orders {
+        duty.given(order.clone(), engines, &model(), now_ms);
+    }
+    orders
+}
+
 /// Carries out all orders until none is due.
 fn carry_out(engines: &mut [PlacedEngine], now_ms: u64) -> usize {
     let mut duty = PlacementDuty::default();
     let mut carried_out = 0;
     for round in 0..50 {
-        let orders = duty.due(engines, &model(), now_ms + round * 10_000);
+        let orders = give(&mut duty, engines, now_ms + round * 10_000);
         if orders.is_empty() && round > 1 {
             return carried_out;
         }
         carried_out += orders.len();
-        for order in orders {
-            let engine = engines.iter_mut().find(|it| it.id == order.endpoint);
-            engine.expect("an order names an engine").layers = Some(order.layers);
-        }
+        place(engines, &orders);
     }
     panic!("orders never end");
 }
 
+fn place(engines: &mut [PlacedEngine], orders: &[PlaceOrder]) {
+    for order in orders {
+        let engine = engines.iter_mut().find(|it| it.id == order.endpoint);
+        engine.expect("an order names an engine").layers = Some(order.layers);
+    }
+}
+
 fn holders(engines: &[PlacedEngine], layer: u16) -> usize {
     let one = LayerRange {
         first: layer,
@@ -123,12 +136,12 @@
     let lost = LayerRange { first: 66, end: 80 };
     engines.retain(|it| it.layers.is_none_or(|layers| !lost.covers(layers)));
     let mut duty = PlacementDuty::default();
-    let first = duty.due(&engines, &model(), 0);
+    let first = give(&mut duty, &engines, 0);
     assert_eq!(first.len(), 1);
     // While it is moved it reports no layers.
     let moved = engines.iter_mut().find(|it| it.id == first[0].endpoint);
     moved.expect("it is one of them").layers = None;
-    assert_eq!(duty.due(&engines, &model(), 300), vec![]);
+    assert_eq!(give(&mut duty, &engines, 300), vec![]);
 }
 
 #[test]
@@ -139,7 +152,24 @@
     for engine in &engines {
         duty.refused(&engine.id, 0);
     }
-    assert_eq!(duty.due(&engines, &model(), 300), vec![]);
+    assert_eq!(give(&mut duty, &engines, 300), vec![]);
+}
+
+#[test]
+fn a_hole_is_remembered_while_nothing_can_be_ordered() {
+    let mut engines = engines("marsa", 0, 3, 8);
+    carry_out(&mut engines, 0);
+    // No single move makes up for this one.
+    engines.remove(9);
+    let mut duty = PlacementDuty::default();
+    let mut looks_ms = (0..100).map(|round| round * 300);
+    let first_ms = looks_ms.find(|now_ms| {
+        let orders = give(&mut duty, &engines, *now_ms);
+        place(&mut engines, &orders);
+        !orders.is_empty()
+    });
+    assert_eq!(first_ms, Some(6_000));
+    assert!((0..80).all(|layer| holders(&engines, layer) >= 1));
 }
 
 #[test]
@@ -173,9 +203,9 @@
     let holds_last = |it: &PlacedEngine| it.layers.is_some_and(|layers| layers.covers(last));
     engines.retain(|engine| !holds_last(engine));
     let mut duty = PlacementDuty::default();
-    let first = duty.due(&engines, &model(), 0);
+    let first = give(&mut duty, &engines, 0);
     duty.refused(&first[0].endpoint, 0);
-    let second = duty.due(&engines, &model(), 300);
+    let second = give(&mut duty, &engines, 300);
     assert!(!second.is_empty());
     assert!(
         second
@@ -207,9 +237,9 @@
 fn an_order_under_way_is_not_given_again_until_it_seems_lost() {
     let engines = engines("lac", 2, 5, 8);
     let mut duty = PlacementDuty::default();
-    assert_eq!(duty.due(&engines, &model(), 0).len(), 15);
-    assert_eq!(duty.due(&engines, &model(), 3_000).len(), 0);
-    assert_eq!(duty.due(&engines, &model(), 12_000).len(), 15);
+    assert_eq!(give(&mut duty, &engines, 0).len(), 15);
+    assert_eq!(give(&mut duty, &engines, 3_000).len(), 0);
+    assert_eq!(give(&mut duty, &engines, 12_000).len(), 15);
 }
 
 proptest! {
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -58,6 +58,7 @@
         let Some(table) = node.routes() else {
             continue;
         };
+        let heard = node.orders_heard.take();
         for (service, spec) in &table.services {
             let Some(model) = &spec.model else {
                 continue;
@@ -65,7 +66,7 @@
             if !duties.contains_key(service) {
                 duties.insert(service.clone(), Duty::new(&node, service));
             }
-            duties[service].look(&node, service, model).await;
+            duties[service].look(&node, service, model, &heard).await;
         }
     }
 }
@@ -82,14 +83,22 @@
         }
     }
 
-    async fn look<A>(&mut self, node: &Rc<Node<A>>, service: &ServiceName, model: &EngineModel)
-    where
+    /// Looks once at what is to be ordered. `heard` are the orders that other processes told of since
+    /// the look before, for the engines of any service.
+    async fn look<A>(
+        &mut self,
+        node: &Rc<Node<A>>,
+        service: &ServiceName,
+        model: &EngineModel,
+        heard: &[PlaceOrder],
+    ) where
         A: Adapter,
     {
         let now_ms = boot_ms();
         let engines = engines(node, service);
-        for order in node.orders_heard.take() {
-            self.placement.heard(order, model, now_ms);
+        let is_ours = |order: &&PlaceOrder| engines.iter().any(|it| it.id == order.endpoint);
+        for order in heard.iter().filter(is_ours) {
+            self.placement.heard(order.clone(), model, now_ms);
         }
         if engines.len() != self.seen_engines {
             self.seen_engines = engines.len();
@@ -98,8 +107,13 @@
         let is_start = engines.iter().all(|engine| engine.layers.is_none());
         let is_settled = !is_start || now_ms >= self.changed_ms + SETTLE_MS;
         let is_first = node.is_ready() && node.peers.borrow().is_first(now_ms);
-        let has_work = is_first && is_settled && self.placement.has_work(&engines, model, now_ms);
-        if has_work {
+        let orders = if is_first && is_settled {
+            self.placement.due(&engines, model, now_ms)
+        } else {
+            self.placement.rest();
+            Vec::new()
+        };
+        if !orders.is_empty() {
             self.work_ms = Some(now_ms);
         }
         let is_recent = self.work_ms.is_some_and(|at_ms| now_ms < at_ms + KEEP_MS);
@@ -108,11 +122,10 @@
         let held = self
             .lease
             .may_order(node.settings.bounds.engines_check_fence, boot_ms());
-        if let Some(held) = held
-            && has_work
-        {
-            let orders = self.placement.due(&engines, model, boot_ms());
-            self.give(node, orders, held.fence).await;
+        if let Some(held) = held {
+            for (order, result) in give(node, orders, held.fence).await {
+                self.gave(node, order, &result, &engines, model);
+            }
         }
     }
 
@@ -138,29 +151,49 @@
         }
     }
 
-    async fn give<A>(&mut self, node: &Rc<Node<A>>, orders: Vec<PlaceOrder>, fence: u64)
-    where
+    /// Takes what came of an order.
+    fn gave<A>(
+        &mut self,
+        node: &Rc<Node<A>>,
+        order: PlaceOrder,
+        result: &Result<(), OrderFailure>,
+        engines: &[PlacedEngine],
+        model: &EngineModel,
+    ) where
         A: Adapter,
     {
-        let given = orders.into_iter().map(|order| async move {
-            let result = give_one(node, &order, fence).await;
-            (order, result)
-        });
-        for (order, result) in join_all(given).await {
-            match result {
-                // An order without reply may be carried out; it is looked for in the list.
-                Ok(()) | Err(OrderFailure::NoReply) => node.moving(&order),
-                Err(failure) => {
-                    self.placement.refused(&order.endpoint, boot_ms());
-                    if failure == OrderFailure::NoListener {
-                        node.troubled(&order.endpoint, Trouble::Ended);
-                    }
+        match result {
+            // An order without reply may be carried out; it is looked for in the list.
+            Ok(()) | Err(OrderFailure::NoReply) => {
+                node.moving(&order);
+                self.placement.given(order, engines, model, boot_ms());
+            }
+            Err(failure) => {
+                self.placement.refused(&order.endpoint, boot_ms());
+                if *failure == OrderFailure::NoListener {
+                    node.troubled(&order.endpoint, Trouble::Ended);
                 }
             }
         }
     }
 }
 
+/// Gives orders side by side.
+async fn give<A>(
+    node: &Rc<Node<A>>,
+    orders: Vec<PlaceOrder>,
+    fence: u64,
+) -> Vec<(PlaceOrder, Result<(), OrderFailure>)>
+where
+    A: Adapter,
+{
+    let given = orders.into_iter().map(|order| async move {
+        let result = give_one(node, &order, fence).await;
+        (order, result)
+    });
+    join_all(given).await
+}
+
 async fn give_one<A>(node: &Rc<Node<A>>, order: &PlaceOrder, fence: u64) -> Result<(), OrderFailure>
 where
     A: Adapter,
