Chains: waiting for stages takes nothing of the retry budget; one rebuild a second is free

Cause of the pauses of 31 s in silent_links_between_engines_cost_no_token: a chain with more than two rebuilds since its last token asks for stages at the cost of the retry budget, and each ask took a retry out of it though no stages were found. Ten asks, a quarter of a second, emptied the budget; it fills only with new requests, so the answer stood still until it was given up after 30 s.

Ruled out: silence of the entry's own connection (rebuilds use fresh ones); the stand-in's links, which break after 10 s and would have ended the pause then.

Two tests, both failed first: the budget is taken only when there are stages, and a rebuild a second after the last epoch is free, which cannot multiply the load.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -148,6 +148,11 @@
         self.queue(service).allow_retry(account, now_ms)
     }
 
+    /// Whether one more retry is within the budgets; takes none.
+    pub fn has_retry(&mut self, service: &ServiceName, account: &AccountId, now_ms: u64) -> bool {
+        self.queue(service).has_retry(account, now_ms)
+    }
+
     /// What each account asks here, for the report to control.
     pub fn demands(&mut self, now_ms: u64) -> Vec<AccountDemand> {
         self.services
--- a/src/admission/service.rs
+++ b/src/admission/service.rs
@@ -244,8 +244,12 @@
         (shared > 0.0).then(|| part.min(1.0))
     }
 
+    pub(crate) fn has_retry(&mut self, account: &AccountId, now_ms: u64) -> bool {
+        self.budget.has_one() && self.account(account, now_ms).budget.has_one()
+    }
+
     pub(crate) fn allow_retry(&mut self, account: &AccountId, now_ms: u64) -> bool {
-        if !self.budget.has_one() || !self.account(account, now_ms).budget.has_one() {
+        if !self.has_retry(account, now_ms) {
             return false;
         }
         self.budget.take();
--- a/src/chain/rebuild.rs
+++ b/src/chain/rebuild.rs
@@ -14,6 +14,10 @@
 const GIVE_UP_MS: u64 = 30_000;
 /// Rebuilds without a token between them that are not charged to the retry budget.
 const FREE_REBUILDS: u32 = 2;
+/// Age of the last epoch from which a rebuild is not charged either. The budget keeps rebuilds from
+/// multiplying the load; one a second for each running answer cannot, and without it an answer
+/// that met a few faults in a row stood still until it was given up (pauses of 31 s).
+const UNCHARGED_AFTER_MS: u64 = 1_000;
 /// Scheduling class of every stream at the engines. An engine runs a more urgent class strictly
 /// first, which would take back the share that admission gave an account of a later class; classes
 /// are ordered in the queue of the entry alone.
@@ -250,7 +254,8 @@
         };
         effects.push(ChainEffect::Plan {
             exclude: self.excluded.clone(),
-            is_retry: self.rebuilds > FREE_REBUILDS,
+            is_retry: self.rebuilds > FREE_REBUILDS
+                && now_ms < self.opened_at_ms + UNCHARGED_AFTER_MS,
         });
     }
 
--- a/src/chain/tests/recovery.rs
+++ b/src/chain/tests/recovery.rs
@@ -336,3 +336,31 @@
     assert_eq!(probes(&harness), 0);
     assert!(harness.chain.wake_at_ms().unwrap() > due_ms + 50);
 }
+
+/// Whether the last message asked for stages, and if so whether at the cost of the retry budget.
+fn asked_at_cost(harness: &Harness) -> Option<bool> {
+    harness.last.iter().find_map(|effect| match effect {
+        ChainEffect::Plan { is_retry, .. } => Some(*is_retry),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_chain_without_budget_is_rebuilt_a_second_after_its_last_epoch() {
+    let mut harness = running();
+    for stage in ["b0", "b1"] {
+        harness.failed(Some(stage), EngineErrorCode::StageUnreachable);
+    }
+    let opened_ms = harness.now_ms;
+    harness.routes = Routes::Denied;
+    harness.failed(Some("c0"), EngineErrorCode::StageUnreachable);
+    assert_eq!(asked_at_cost(&harness), Some(true));
+    while asked_at_cost(&harness) == Some(true) {
+        harness.wake();
+    }
+    let waited_ms = harness.now_ms - opened_ms;
+    assert!((1_000..1_500).contains(&waited_ms), "{waited_ms} ms");
+    harness.routes = Routes::Found;
+    harness.wake();
+    assert_eq!(harness.epoch(), 4);
+}
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -200,11 +200,7 @@
             return ChainMessage::RetryDenied;
         };
         let account = &attempt.key.account;
-        if is_retry
-            && !self
-                .admission
-                .allow_retry(&attempt.service, account, now_ms)
-        {
+        if is_retry && !self.admission.has_retry(&attempt.service, account, now_ms) {
             self.counts.count("entry.retries.denied");
             return ChainMessage::RetryDenied;
         }
@@ -219,6 +215,11 @@
         };
         match self.router.plan(&ask, now_ms) {
             Ok(stages) => {
+                if is_retry {
+                    // Only now: asking again while there are no stages costs nobody anything.
+                    self.admission
+                        .allow_retry(&attempt.service, account, now_ms);
+                }
                 self.counts.count("entry.rebuilds");
                 let tokens = chain.tokens_to_compute();
                 let expected = self.expected(&completion.model.name, &stages, tokens);
--- a/src/entry/tests/paths.rs
+++ b/src/entry/tests/paths.rs
@@ -3,7 +3,7 @@
 use super::fixture::*;
 use crate::instance::{ApplicationReply, CallerId, EntryEffect, EntryMessage};
 use crate::outcome::RefusalCode;
-use crate::wire::engine::{EndReason, StreamEvent};
+use crate::wire::engine::{EndReason, EngineErrorCode, StreamEvent};
 
 #[test]
 fn a_completion_is_answered_token_by_token() {
@@ -194,3 +194,25 @@
     assert!(first[0].1 < 120, "{first:?}");
     assert!(second[0].1 > 120, "{second:?}");
 }
+
+#[test]
+fn a_stream_that_waits_for_stages_takes_nothing_of_the_retry_budget() {
+    let mut entry = entry();
+    let mut effects = arrive(&mut entry, 1, completion(KEY, "r1", 8), 10);
+    for (epoch, stage) in (1..).zip(["back-1", "front-1", "back-2"]) {
+        let (call, _) = opened(&effects).expect("an epoch");
+        let event = StreamEvent::Failed {
+            epoch,
+            position: 0,
+            stage: Some(stage.into()),
+            cause: EngineErrorCode::StageUnreachable,
+        };
+        effects = entry.handle(EntryMessage::StreamEvent { call, event }, 20);
+    }
+    assert!(opened(&effects).is_none(), "there are stages left");
+    for now_ms in (40..1_000).step_by(20) {
+        entry.handle(EntryMessage::Tick, now_ms);
+    }
+    let counts = entry.take_counts();
+    assert_eq!(counts.get("entry.retries.denied"), None, "{counts:?}");
+}
