Peers: table and endpoint list are taken from them; orders are left to who reaches the store

An instance that the store does not answer now fetches the operator's document and the list, each with its age, over HTTP at the address of its heartbeats. Age counts from when the question was sent.

Found on the way: - The first instance by name had the duty to give orders also while the store turned it away, so that nobody did. Heartbeats say whether the store answers. - A peer's word that an endpoint is leaving could outlive a moment's lapse that this instance never saw: nothing but a new entry of the endpoint ended it. A read sent 1.5 s later that still has it does.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 
 use super::{ChainStage, Standing, Trouble};
 use crate::ids::{EndpointId, ServiceName, ZoneName};
@@ -19,7 +20,7 @@
 const TOLD_LAG_MS: u64 = 1_500;
 
 /// Whether an endpoint is there to stay.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// In service.
     Live,
@@ -28,7 +29,7 @@
 }
 
 /// An endpoint as the platform lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListedEndpoint {
     /// Names one lifetime of the endpoint's process.
     pub id: EndpointId,
@@ -92,6 +93,8 @@
     layers_said_until_ms: Option<u64>,
     /// Layers as the list has them.
     layers_in_list: Option<LayerRange>,
+    /// Phase as the list has it, whatever peers say.
+    phase_in_list: Phase,
     /// When the entry was found missing, where the list was away before.
     missing_since_ms: Option<u64>,
 }
@@ -99,6 +102,7 @@
 impl KnownEndpoint {
     fn new(listed: ListedEndpoint) -> Self {
         let layers_in_list = listed.layers;
+        let phase_in_list = listed.phase;
         Self {
             listed,
             standing: Standing::default(),
@@ -107,6 +111,7 @@
             peers_token_layers: 0,
             layers_said_until_ms: None,
             layers_in_list,
+            phase_in_list,
             missing_since_ms: None,
         }
     }
@@ -147,6 +152,8 @@
     /// Told to be leaving or gone by a peer before the list said so here.
     told_leaving: IndexMap<EndpointId, Told>,
     is_known: bool,
+    /// When the list was surely the newest. Never falls.
+    newest_at_ms: u64,
 }
 
 impl Fleet {
@@ -155,6 +162,21 @@
         self.is_known
     }
 
+    /// Notes that a read of the list was sent at `sent_ms`: the list is as new as that.
+    pub fn confirm(&mut self, sent_ms: u64) {
+        self.newest_at_ms = self.newest_at_ms.max(sent_ms);
+    }
+
+    /// Time since the list was last known to be the newest.
+    pub fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.newest_at_ms)
+    }
+
+    /// The list as it is known here, for a peer that cannot read it.
+    pub fn listing(&self) -> Vec<ListedEndpoint> {
+        self.iter().map(|known| known.listed.clone()).collect()
+    }
+
     /// The endpoint of this id.
     pub fn get(&self, id: &EndpointId) -> Option<&KnownEndpoint> {
         self.endpoints.get(id)
@@ -209,6 +231,22 @@
         changes
     }
 
+    /// Takes the list as a peer knows it, while it cannot be read here. Endpoints that the list has
+    /// shown leaving here stay so: the peer may not have read that yet.
+    pub fn take_from_peer(
+        &mut self,
+        mut entries: Vec<ListedEndpoint>,
+        now_ms: u64,
+    ) -> Vec<FleetChange> {
+        for entry in &mut entries {
+            let known = self.endpoints.get(&entry.id);
+            if known.is_some_and(|it| it.phase_in_list == Phase::Leaving) {
+                entry.phase = Phase::Leaving;
+            }
+        }
+        self.take(ListingRead::Whole(entries), true, now_ms)
+    }
+
     /// Takes a peer's word that an endpoint is leaving or gone. Returns whether that is news.
     pub fn told_leaving(&mut self, id: &EndpointId, now_ms: u64) -> bool {
         self.told_leaving.entry(id.clone()).or_insert(Told {
@@ -226,9 +264,19 @@
     /// Goes by the list again where engines' own words on their layers, or peers' words on leaving
     /// endpoints, are old by now.
     pub fn settle(&mut self, now_ms: u64) {
+        let newest_at_ms = self.newest_at_ms;
         self.told_leaving.retain(|id, told| {
-            let is_over = told.is_live_again && now_ms >= told.at_ms + TOLD_LAG_MS;
-            if is_over && let Some(known) = self.endpoints.get_mut(id) {
+            let over_ms = told.at_ms + TOLD_LAG_MS;
+            let known = self.endpoints.get_mut(id);
+            // Shown in service since, or never shown otherwise: the peer may have seen it missing
+            // for a moment that had passed here.
+            let is_live = told.is_live_again && now_ms >= over_ms;
+            let is_never_gone = newest_at_ms >= over_ms
+                && known
+                    .as_ref()
+                    .is_some_and(|it| it.phase_in_list == Phase::Live);
+            let is_over = is_live || is_never_gone;
+            if is_over && let Some(known) = known {
                 known.listed.phase = Phase::Live;
             }
             !is_over
@@ -259,13 +307,16 @@
 
     fn write(&mut self, mut entry: ListedEndpoint, changes: &mut Vec<FleetChange>) {
         let id = entry.id.clone();
+        let phase_in_list = entry.phase;
         if let Some(told) = self.told_leaving.get_mut(&id) {
             told.is_live_again = entry.phase == Phase::Live;
             entry.phase = Phase::Leaving;
         }
         let Some(known) = self.endpoints.get_mut(&id) else {
             changes.push(FleetChange::Joined(id.clone()));
-            self.endpoints.insert(id, KnownEndpoint::new(entry));
+            let mut known = KnownEndpoint::new(entry);
+            known.phase_in_list = phase_in_list;
+            self.endpoints.insert(id, known);
             return;
         };
         known.missing_since_ms = None;
@@ -273,6 +324,7 @@
             changes.push(FleetChange::Leaving(id.clone()));
         }
         known.layers_in_list = entry.layers;
+        known.phase_in_list = phase_in_list;
         if known.layers_said_until_ms.is_some() {
             entry.layers = known.listed.layers;
         }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -281,3 +281,43 @@
         .in_flight = 2;
     assert_eq!(pick(&fleet, &[]).as_deref(), Some("b"));
 }
+
+#[test]
+fn a_peers_word_on_a_leaving_endpoint_ends_when_a_later_read_still_has_it() {
+    let phase = |fleet: &Fleet| fleet.iter().next().map(|known| known.listed.phase);
+    let mut fleet = fleet(vec![listed("a", "lac", None)]);
+    // The peer has seen it missing for a moment that this instance's read never showed.
+    fleet.told_leaving(&EndpointId::from("a"), 100);
+    let nothing = ListingRead::Changes {
+        written: vec![],
+        removed: vec![],
+    };
+    fleet.take(nothing.clone(), false, 1_500);
+    fleet.confirm(1_400);
+    fleet.settle(1_700);
+    assert_eq!(phase(&fleet), Some(Phase::Leaving));
+    fleet.take(nothing, false, 1_900);
+    fleet.confirm(1_800);
+    fleet.settle(1_900);
+    assert_eq!(phase(&fleet), Some(Phase::Live));
+}
+
+#[test]
+fn a_peers_list_brings_new_endpoints_and_revives_none_that_are_leaving() {
+    let phase = |fleet: &Fleet, id: &str| {
+        let known = fleet.get(&EndpointId::from(id));
+        known.map(|known| known.listed.phase)
+    };
+    let leaving = ListedEndpoint {
+        phase: Phase::Leaving,
+        ..listed("a", "lac", None)
+    };
+    let mut fleet = fleet(vec![leaving, listed("b", "lac", None)]);
+    let of_peer = || vec![listed("a", "lac", None), listed("c", "lac", None)];
+    fleet.take_from_peer(of_peer(), 100);
+    assert_eq!(phase(&fleet, "a"), Some(Phase::Leaving));
+    assert_eq!(phase(&fleet, "b"), Some(Phase::Live), "held for a while");
+    assert_eq!(phase(&fleet, "c"), Some(Phase::Live));
+    fleet.take_from_peer(of_peer(), 2_500);
+    assert_eq!(phase(&fleet, "b"), None);
+}
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -10,7 +10,7 @@
 use crate::clients::TableService;
 use crate::fleet::{Chain, ListingRead};
 use crate::ids::{AccountId, EndpointId, ZoneName};
-use crate::route_table::RouteTable;
+use crate::route_table::{RouteTable, SourcedTable};
 use crate::wire::engine::LayerRange;
 
 /// A page that the instance answers by itself.
@@ -116,7 +116,7 @@
         &self,
         since: Option<u64>,
         wait_ms: u64,
-    ) -> impl Future<Output = Result<FeedRead<Option<RouteTable>>, FeedFailure>>;
+    ) -> impl Future<Output = Result<FeedRead<Option<SourcedTable>>, FeedFailure>>;
 
     /// The list of endpoints: whole, or what has changed since a position, waiting up to `wait_ms`
     /// for a change.
@@ -209,6 +209,9 @@
     /// Body of the answer to [`OwnPage::Locate`].
     fn locate_body(&self, addresses: &[SocketAddr], lifetime_ms: u64) -> Vec<u8>;
 
+    /// Makes a table of routes from the operator's document.
+    fn read_table(&self, document: &str) -> Result<RouteTable, FeedFailure>;
+
     /// Reads a request's head.
     fn read_ask(&self, head: &RequestHead) -> Result<Ask, AskFault>;
 
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -106,7 +106,8 @@
         }
         let is_start = engines.iter().all(|engine| engine.layers.is_none());
         let is_settled = !is_start || now_ms >= self.changed_ms + SETTLE_MS;
-        let is_first = node.is_ready() && node.peers.borrow().is_first(now_ms);
+        let may_lead = node.availability().may_lead();
+        let is_first = may_lead && node.peers.borrow().is_first(now_ms);
         let orders = if is_first && is_settled {
             self.placement.due(&engines, model, now_ms)
         } else {
--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -8,7 +8,7 @@
 use super::adapter::{Adapter, DeploymentFeeds, FeedFailure};
 use super::node::Node;
 use crate::clock::boot_ms;
-use crate::route_table::TableChange;
+use crate::route_table::{SourcedTable, TableChange};
 
 /// How long a watch waits in the store for a change. The table is at most this old when the store
 /// goes away, so that keys are still trusted for as long as possible: 3.2 s of the 4.9 s after which
@@ -20,8 +20,6 @@
 const ENDPOINTS_PAUSE_MS: u64 = 250;
 /// Pause after a call that failed.
 const RETRY_MS: u64 = 250;
-/// How long after a failed call entries that are missing from the list are still held.
-const AWAY_MS: u64 = 3_000;
 
 /// Keeps the table of routes up to date, for as long as the process runs.
 pub(crate) async fn follow_table<A>(node: Rc<Node<A>>)
@@ -53,13 +51,14 @@
     }
 }
 
-fn take_table<A>(node: &Node<A>, table: Option<crate::route_table::RouteTable>, sent_ms: u64) {
-    let Some(table) = table else {
+/// Takes the table that a call sent at `sent_ms` has read, or that there is no newer one.
+pub(super) fn take_table<A>(node: &Node<A>, read: Option<SourcedTable>, sent_ms: u64) {
+    let Some(sourced) = read else {
         node.table.borrow_mut().confirm(sent_ms);
         return;
     };
-    let version = table.version;
-    let change = node.table.borrow_mut().offer(table, sent_ms);
+    let version = sourced.table.version;
+    let change = node.table.borrow_mut().offer(sourced, sent_ms);
     match change {
         TableChange::InForce => {
             log::info!(table = version, read_sent_ms = sent_ms; "table of routes is in force");
@@ -77,6 +76,7 @@
 {
     let mut position = None;
     loop {
+        let sent_ms = boot_ms();
         let read = node
             .adapter
             .store()
@@ -87,8 +87,11 @@
                 store_answered(&node);
                 position = Some(read.position);
                 let now_ms = boot_ms();
-                let was_away = was_away(&node, now_ms);
-                let changes = node.fleet.borrow_mut().take(read.content, was_away, now_ms);
+                let was_away = node.is_store_away(now_ms);
+                let mut fleet = node.fleet.borrow_mut();
+                let changes = fleet.take(read.content, was_away, now_ms);
+                fleet.confirm(sent_ms);
+                drop(fleet);
                 node.fleet_changed(&changes);
                 ENDPOINTS_PAUSE_MS
             }
@@ -109,26 +112,29 @@
     }
 }
 
-fn was_away<A>(node: &Node<A>, now_ms: u64) -> bool {
-    let failed_ms = node.store_failed_ms.get();
-    failed_ms.is_some_and(|at_ms| now_ms < at_ms + AWAY_MS)
-}
-
-fn store_failed<A>(node: &Node<A>, failure: &FeedFailure, feed: &str) {
+fn store_failed<A>(node: &Node<A>, failure: &FeedFailure, feed: &str)
+where
+    A: Adapter,
+{
     let now_ms = boot_ms();
-    if !was_away(node, now_ms) {
+    if !node.is_store_away(now_ms) {
         log::warn!(feed, failure:% = failure; "store is lost");
     }
     node.counters.count("relay.store.failures");
     node.store_failed_ms.set(Some(now_ms));
+    node.store_answers.set(false);
 }
 
-fn store_answered<A>(node: &Node<A>) {
+fn store_answered<A>(node: &Node<A>)
+where
+    A: Adapter,
+{
     node.counters.count("relay.store.answers");
+    node.store_answers.set(true);
     let now_ms = boot_ms();
     let failed_ms = node.store_failed_ms.get();
     if let Some(at_ms) = failed_ms
-        && now_ms >= at_ms + AWAY_MS
+        && !node.is_store_away(now_ms)
     {
         log::info!(since_ms = now_ms - at_ms; "store is back");
         node.store_failed_ms.set(None);
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -14,7 +14,6 @@
 use super::adapter::{Adapter, OwnPage};
 use super::headers;
 use super::node::Node;
-use super::peer_book::Availability;
 use super::plain::relay_plain;
 use super::request::{RelayedRequest, status_response, word_response};
 use super::stream_answer::relay_stream;
@@ -91,10 +90,7 @@
         OwnPage::Ready => status_response(node, StatusCode::SERVICE_UNAVAILABLE),
         OwnPage::Locate { zone } => {
             let zone = zone.as_ref().unwrap_or(&node.settings.zone);
-            let own = Availability {
-                is_ready: node.is_ready(),
-                is_open: node.is_open(),
-            };
+            let own = node.availability();
             let addresses = node.peers.borrow().addresses_for(zone, own, boot_ms());
             let lifetime_ms = node.settings.bounds.locate_lifetime_ms;
             let body = node.adapter.locate_body(&addresses, lifetime_ms);
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -19,6 +19,7 @@
 mod request;
 mod run;
 mod settings;
+mod snapshot;
 mod stream;
 mod stream_answer;
 #[cfg(test)]
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -8,7 +8,7 @@
 
 use super::adapter::Adapter;
 use super::checks::CheckBook;
-use super::peer_book::PeerBook;
+use super::peer_book::{Availability, PeerBook};
 use super::settings::RelaySettings;
 use super::upstream::Upstreams;
 use crate::clock::boot_ms;
@@ -19,6 +19,10 @@
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
+/// How long after a failed call the store counts as away: entries that are missing from the endpoint
+/// list are still held.
+const STORE_AWAY_MS: u64 = 3_000;
+
 /// Shared state of one instance.
 pub(crate) struct Node<A> {
     pub(crate) adapter: A,
@@ -35,6 +39,8 @@
     pub(crate) orders_heard: RefCell<Vec<PlaceOrder>>,
     /// When the store last failed a call.
     pub(crate) store_failed_ms: Cell<Option<u64>>,
+    /// Whether the store answered the newest call that has ended.
+    pub(crate) store_answers: Cell<bool>,
     /// Grows whenever endpoints were found unsound; streams look at their chains then.
     pub(crate) news: watch::Sender<u64>,
     pub(crate) stopping_since_ms: Cell<Option<u64>>,
@@ -62,6 +68,7 @@
             checks: RefCell::default(),
             orders_heard: RefCell::default(),
             store_failed_ms: Cell::new(None),
+            store_answers: Cell::new(false),
             news: watch::Sender::new(0),
             stopping_since_ms: Cell::new(None),
             open_requests: Cell::new(0),
@@ -86,6 +93,21 @@
         self.is_open() && age_ms <= self.settings.bounds.key_trust_ms
     }
 
+    /// Whether callers should come here, and what it can do for the others.
+    pub(crate) fn availability(&self) -> Availability {
+        Availability {
+            is_ready: self.is_ready(),
+            is_open: self.is_open(),
+            reaches_store: self.store_answers.get(),
+        }
+    }
+
+    /// Whether the store failed a call shortly before: what it tells may be missing something.
+    pub(crate) fn is_store_away(&self, now_ms: u64) -> bool {
+        let failed_ms = self.store_failed_ms.get();
+        failed_ms.is_some_and(|at_ms| now_ms < at_ms + STORE_AWAY_MS)
+    }
+
     /// Notes a caller's request for a service.
     pub(crate) fn count_request(&self, service: &ServiceName) {
         let share = self.budget_share();
@@ -179,6 +201,17 @@
 
     /// Acts on what a read of the endpoint list has changed.
     pub(crate) fn fleet_changed(&self, changes: &[FleetChange]) {
+        self.log_changes(changes);
+        let mut peers = self.peers.borrow_mut();
+        for change in changes {
+            if let FleetChange::Leaving(id) | FleetChange::Gone(id) = change {
+                peers.tell_leaving(id);
+            }
+        }
+    }
+
+    /// Writes a line on each change of the endpoint list.
+    pub(crate) fn log_changes(&self, changes: &[FleetChange]) {
         for change in changes {
             match change {
                 FleetChange::Joined(id) => {
@@ -186,11 +219,9 @@
                 }
                 FleetChange::Leaving(id) => {
                     log::info!(endpoint = id.as_str(); "endpoint is leaving");
-                    self.peers.borrow_mut().tell_leaving(id);
                 }
                 FleetChange::Gone(id) => {
                     log::info!(endpoint = id.as_str(); "endpoint is gone");
-                    self.peers.borrow_mut().tell_leaving(id);
                 }
                 FleetChange::Layers(id, layers) => {
                     let (first, end) = layers.map_or((0, 0), |it| (it.first, it.end));
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -77,6 +77,26 @@
     pub(crate) is_ready: bool,
     /// It serves, though it may have to refuse requests with keys.
     pub(crate) is_open: bool,
+    /// The store answers it, so that it can take the lease on orders to engines.
+    pub(crate) reaches_store: bool,
+}
+
+impl Availability {
+    /// Whether the instance can give orders to engines.
+    pub(crate) fn may_lead(self) -> bool {
+        self.is_ready && self.reaches_store
+    }
+}
+
+/// A peer that may know what the store does not tell here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Informant {
+    /// Where it is asked.
+    pub(crate) address: SocketAddr,
+    /// Version of its table of routes.
+    pub(crate) table: u64,
+    /// Whether the store answers it.
+    pub(crate) reaches_store: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -86,6 +106,8 @@
     zone: ZoneName,
     front: SocketAddr,
     availability: Availability,
+    /// Version of its table of routes.
+    table: u64,
     heard_ms: Option<u64>,
     /// When its newest heartbeat was sent, on its own clock.
     sent_ms: u64,
@@ -139,6 +161,7 @@
             zone,
             front,
             availability: Availability::default(),
+            table: 0,
             heard_ms: None,
             sent_ms: 0,
             held: Vec::new(),
@@ -156,17 +179,36 @@
         1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1)
     }
 
-    /// Whether this instance comes first among those that are ready, by name.
+    /// Whether this instance comes first, by name, among those that can give orders: they are ready,
+    /// and the store, which keeps the lease, answers them.
     pub(crate) fn is_first(&self, now_ms: u64) -> bool {
         self.peers.iter().all(|(name, peer)| {
-            !peer.availability.is_ready
+            !peer.availability.may_lead()
                 || !peer.is_heard(SILENT_MS, now_ms)
                 || *name > self.own_instance
         })
     }
 
-    /// Addresses for a caller of a zone: instances that serve everybody, or, if there are none,
-    /// those that are open at all.
+    /// Peers to ask for what the store does not tell here, the one with the freshest table first.
+    /// Those that the store answers go before others.
+    pub(crate) fn informants(&self, now_ms: u64) -> Vec<Informant> {
+        let mut heard: Vec<Informant> = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(SILENT_MS, now_ms) && peer.availability.is_open)
+            .map(|peer| Informant {
+                address: peer.address,
+                table: peer.table,
+                reaches_store: peer.availability.reaches_store,
+            })
+            .collect();
+        heard.sort_by_key(|it| std::cmp::Reverse((it.reaches_store, it.table)));
+        heard
+    }
+
+    /// Addresses for a caller of a zone: instances that serve everybody and that the store answers; if
+    /// there are none, those that serve everybody; if there are none, those that are open at all.
+    /// One that the store turns away learns of changes a second later than the others.
     pub(crate) fn addresses_for(
         &self,
         zone: &ZoneName,
@@ -181,12 +223,12 @@
         let own = (&self.own_zone, self.own_front, own);
         let all: Vec<(&ZoneName, SocketAddr, Availability)> =
             std::iter::once(own).chain(heard).collect();
-        let named = nearest(zone, all.iter().filter(|it| it.2.is_ready));
-        if named.is_empty() {
-            nearest(zone, all.iter().filter(|it| it.2.is_open))
-        } else {
-            named
-        }
+        let fit: [fn(Availability) -> bool; 3] =
+            [Availability::may_lead, |it| it.is_ready, |it| it.is_open];
+        let mut named = fit
+            .into_iter()
+            .map(|is_fit| nearest(zone, all.iter().filter(|it| is_fit(it.2))));
+        named.find(|it| !it.is_empty()).unwrap_or_default()
     }
 
     /// Has peers told that an endpoint does not answer.
@@ -219,6 +261,7 @@
             zone: heartbeat.zone.clone(),
             front: heartbeat.front,
             availability: heartbeat.availability,
+            table: heartbeat.table,
             heard_ms: Some(now_ms),
             sent_ms: heartbeat.sent_ms,
             held: heartbeat.held.clone(),
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -7,10 +7,18 @@
 const READY: Availability = Availability {
     is_ready: true,
     is_open: true,
+    reaches_store: true,
 };
 const OPEN: Availability = Availability {
     is_ready: false,
     is_open: true,
+    reaches_store: true,
+};
+/// Ready, but the store does not answer it.
+const CUT_OFF: Availability = Availability {
+    is_ready: true,
+    is_open: true,
+    reaches_store: false,
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -169,3 +177,31 @@
     assert_eq!(read.held, beat.held);
     println!("heartbeat: {} bytes, {text} as text", binary.len());
 }
+
+#[test]
+fn an_instance_that_the_store_does_not_answer_gives_no_orders() {
+    let heard_at = |availability| heard((availability, 500), (READY, 500));
+    let mut b = book("b", "lac", 2_000);
+    let own = heartbeat(&mut book("a", "lac", 1_000), CUT_OFF, 500);
+    b.hear(&own, address(1_001), 500);
+    assert!(b.is_first(600), "the one before it cannot take the lease");
+    assert!(heard_at(READY).is_first(600));
+}
+
+#[test]
+fn callers_are_sent_to_instances_that_the_store_answers() {
+    let a = heard((READY, 500), (CUT_OFF, 500));
+    let zone = ZoneName::from("marsa");
+    assert_eq!(a.addresses_for(&zone, CUT_OFF, 600), [address(2_000)]);
+    let a = heard((CUT_OFF, 500), (OPEN, 500));
+    let all = [address(1_000), address(2_000)];
+    assert_eq!(a.addresses_for(&zone, CUT_OFF, 600), all);
+}
+
+#[test]
+fn peers_that_the_store_answers_are_asked_first() {
+    let a = heard((CUT_OFF, 500), (OPEN, 500));
+    let order: Vec<SocketAddr> = a.informants(600).iter().map(|it| it.address).collect();
+    assert_eq!(order, [address(3_001), address(2_001)]);
+    assert!(a.informants(5_000).is_empty(), "they have fallen silent");
+}
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -14,7 +14,7 @@
 use super::adapter::Adapter;
 use super::checks::check_beside;
 use super::node::Node;
-use super::peer_book::{Availability, Heartbeat, OwnState};
+use super::peer_book::{Heartbeat, OwnState};
 use crate::clock::boot_ms;
 use crate::placement::PlaceOrder;
 
@@ -90,10 +90,7 @@
         .map(|known| (known.listed.id.clone(), known.held_token_layers))
         .collect();
     let own = OwnState {
-        availability: Availability {
-            is_ready: node.is_ready(),
-            is_open: node.is_open(),
-        },
+        availability: node.availability(),
         table: node.routes().map_or(0, |table| table.version),
         table_age_ms: node.table.borrow().age_ms(now_ms),
         held,
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -17,7 +17,7 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::settings::RelaySettings;
-use super::{checks, duty, feeds, front, peers};
+use super::{checks, duty, feeds, front, peers, snapshot};
 use crate::clients::TableService;
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
@@ -134,6 +134,8 @@
         let listener = listen(address)?;
         actix_rt::spawn(serve(Rc::clone(node), listener, Page::Metrics));
     }
+    let listener = listen(settings.peers)?;
+    actix_rt::spawn(serve(Rc::clone(node), listener, Page::Peers));
     let socket = UdpSocket::bind(settings.peers).await;
     let socket = socket.map_err(|cause| RelayStartError::Listen {
         address: settings.peers,
@@ -142,6 +144,7 @@
     actix_rt::spawn(peers::exchange(Rc::clone(node), socket));
     actix_rt::spawn(feeds::follow_table(Rc::clone(node)));
     actix_rt::spawn(feeds::follow_endpoints(Rc::clone(node)));
+    actix_rt::spawn(snapshot::follow_peers(Rc::clone(node)));
     actix_rt::spawn(duty::place_layers(Rc::clone(node)));
     actix_rt::spawn(follow_records(Rc::clone(node)));
     actix_rt::spawn(sweep(Rc::clone(node)));
@@ -153,6 +156,7 @@
 enum Page {
     Front,
     Metrics,
+    Peers,
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, RelayStartError> {
@@ -175,6 +179,7 @@
             let response = match page {
                 Page::Front => front::answer(node, request).await,
                 Page::Metrics => front::metrics(&node),
+                Page::Peers => snapshot::answer(&node),
             };
             Ok::<_, Infallible>(response)
         }
--- a/src/relay_server/settings.rs
+++ b/src/relay_server/settings.rs
@@ -17,7 +17,7 @@
     pub own_pages: Vec<SocketAddr>,
     /// Where counters are read.
     pub metrics: Option<SocketAddr>,
-    /// Where datagrams of peers arrive.
+    /// Where datagrams of peers arrive, and where they ask for a snapshot.
     pub peers: SocketAddr,
     /// Bounds that the deployment promises.
     pub bounds: RelayBounds,
--- a/src/route_table/held.rs
+++ b/src/route_table/held.rs
@@ -4,6 +4,15 @@
 
 use super::RouteTable;
 
+/// A version and the operator's document that it was made from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SourcedTable {
+    /// The version.
+    pub table: RouteTable,
+    /// The document as the operator wrote it, for peers that cannot read it themselves.
+    pub source: String,
+}
+
 /// What came of a version that was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TableChange {
@@ -19,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct HeldTable {
     table: Option<Rc<RouteTable>>,
+    /// The document of that table; empty while there is none.
+    source: String,
     /// When the table was surely the newest one. Never falls.
     newest_at_ms: u64,
 }
@@ -29,15 +40,22 @@
         self.table.as_ref()
     }
 
+    /// The operator's document that the table in force was made from, if any is known.
+    pub fn source(&self) -> Option<&str> {
+        self.table.is_some().then_some(self.source.as_str())
+    }
+
     /// Takes a version that was read by a call sent at `sent_ms`. A process never goes back to an
     /// older version.
-    pub fn offer(&mut self, table: RouteTable, sent_ms: u64) -> TableChange {
+    pub fn offer(&mut self, offered: SourcedTable, sent_ms: u64) -> TableChange {
+        let SourcedTable { table, source } = offered;
         let held = self.table.as_ref().map(|held| held.version);
         let change = match held {
             Some(version) if table.version < version => return TableChange::Older,
             Some(version) if table.version == version => TableChange::Confirmed,
             _ => {
                 self.table = Some(Rc::new(table));
+                self.source = source;
                 TableChange::InForce
             }
         };
--- a/src/route_table/mod.rs
+++ b/src/route_table/mod.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use held::{HeldTable, TableChange};
+pub use held::{HeldTable, SourcedTable, TableChange};
 pub use table::{
     Account, EngineKind, EngineModel, Limits, Rejection, Repeat, Resolved, Route, RouteTable,
     ServiceSpec, WeightedService,
--- a/src/route_table/tests.rs
+++ b/src/route_table/tests.rs
@@ -81,11 +81,16 @@
 
 #[test]
 fn a_held_table_never_goes_back() {
+    let sourced = |version| SourcedTable {
+        table: table(version, vec![]),
+        source: format!("document {version}"),
+    };
     let mut held = HeldTable::default();
-    assert_eq!(held.offer(table(5, vec![]), 100), TableChange::InForce);
-    assert_eq!(held.offer(table(3, vec![]), 200), TableChange::Older);
+    assert_eq!(held.source(), None);
+    assert_eq!(held.offer(sourced(5), 100), TableChange::InForce);
+    assert_eq!(held.offer(sourced(3), 200), TableChange::Older);
     assert_eq!(held.age_ms(250), 150);
-    assert_eq!(held.offer(table(5, vec![]), 220), TableChange::Confirmed);
+    assert_eq!(held.offer(sourced(5), 220), TableChange::Confirmed);
     assert_eq!(held.age_ms(250), 30);
     held.confirm(90);
     assert_eq!(held.age_ms(250), 30);
