Lease: taken over at once where its holder has ended

After a loss of all instances the first order came 3.7 s after the start: the row of the process that had died was waited out. A taker counted the lease's time from its own first read.

A holder that stops wanting the lease tells peers so; a new process of the same instance does not wait for the old one; where engines check fencing numbers, a holder that has been silent for four heartbeats and was not seen to renew is not waited for. Orders that it still gives are turned away.

Tests failed first (no way to say that a holder has ended).

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -72,6 +72,19 @@
     pub(crate) valid_until_ms: u64,
 }
 
+/// The process that holds the lease, as the row was last read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LeaseHolder {
+    /// Its instance.
+    pub(crate) instance: InstanceId,
+    /// The process.
+    pub(crate) incarnation: Incarnation,
+    /// Fencing number.
+    pub(crate) fence: u64,
+    /// Whether it was seen to renew the lease: it lives, whatever else seems so.
+    pub(crate) has_renewed: bool,
+}
+
 /// The row as another instance left it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Seen {
@@ -79,6 +92,8 @@
     row: LeaseRow,
     /// When it was first read like this.
     since_ms: u64,
+    /// It was read before under the same fencing number and another version.
+    has_renewed: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,6 +131,8 @@
     next_ms: u64,
     /// Highest fencing number seen; never falls.
     highest_fence: u64,
+    /// Highest fencing number whose holder is known to have ended.
+    ended_fence: u64,
 }
 
 impl Lease {
@@ -148,6 +165,7 @@
             under_way: false,
             next_ms: 0,
             highest_fence: 0,
+            ended_fence: 0,
         }
     }
 
@@ -159,6 +177,29 @@
         }
     }
 
+    /// The process that holds the lease, if the row was read and is another's.
+    pub(crate) fn holder(&self) -> Option<LeaseHolder> {
+        let seen = self.seen.as_ref().filter(|seen| !seen.row.released)?;
+        Some(LeaseHolder {
+            instance: seen.row.holder.clone(),
+            incarnation: seen.row.incarnation,
+            fence: seen.row.fence,
+            has_renewed: seen.has_renewed,
+        })
+    }
+
+    /// Takes word that the holder under this fencing number gives no more orders, or that engines
+    /// turn away those that it may still give: its time is not waited out. At engines that ignore
+    /// fencing numbers its orders under way are. Returns whether that is news.
+    pub(crate) fn ended(&mut self, fence: u64) -> bool {
+        let is_news = fence > self.ended_fence;
+        if is_news {
+            self.ended_fence = fence;
+            self.next_ms = 0;
+        }
+        is_news
+    }
+
     /// The lease, if it is in force at this process.
     pub(crate) fn held(&self, now_ms: u64) -> Option<HeldLease> {
         let holding = self.holding.filter(|it| now_ms < it.valid_until_ms)?;
@@ -230,7 +271,11 @@
     /// Whether the row as last read may be taken over now.
     fn is_free(&self, now_ms: u64) -> bool {
         self.seen.as_ref().is_some_and(|seen| {
+            // An instance runs one process at a time.
+            let is_own = seen.row.holder == self.instance;
             seen.row.released
+                || is_own
+                || seen.row.fence <= self.ended_fence
                 || now_ms >= seen.since_ms + self.times.lease_ms + self.times.margin_ms
         })
     }
@@ -334,15 +379,21 @@
     }
 
     fn see(&mut self, version: u64, row: LeaseRow, now_ms: u64) {
-        let same = self.seen.as_ref().filter(|seen| seen.version == version);
+        let before = self.seen.as_ref();
+        let same = before.filter(|seen| seen.version == version);
         let since_ms = same.map_or(now_ms, |seen| seen.since_ms);
-        if row.released {
-            self.next_ms = now_ms;
-        }
+        let has_renewed = before.is_some_and(|seen| {
+            let is_renewal = seen.version != version && seen.row.fence == row.fence;
+            seen.has_renewed && seen.row.fence == row.fence || is_renewal
+        });
         self.seen = Some(Seen {
             version,
             row,
             since_ms,
+            has_renewed,
         });
+        if self.is_free(now_ms) {
+            self.next_ms = now_ms;
+        }
     }
 }
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -181,6 +181,45 @@
     assert_eq!(world.taken, [(1, 0), (2, 1)]);
 }
 
+/// The second process reads the row that the first one holds.
+fn held_by_the_first() -> World {
+    let mut world = World::new();
+    drive(&mut world, 0, 2_000);
+    drive(&mut world, 1, 200);
+    world
+}
+
+#[test]
+fn a_lease_whose_holder_has_ended_is_taken_at_once() {
+    let mut world = held_by_the_first();
+    let holder = world.leases[1].holder().expect("it was read");
+    assert_eq!((holder.fence, holder.has_renewed), (1, false));
+    assert!(world.leases[1].ended(holder.fence));
+    assert!(!world.leases[1].ended(holder.fence), "that is known");
+    drive(&mut world, 1, 300);
+    assert_eq!(world.taken, [(1, 0), (2, 1)]);
+}
+
+#[test]
+fn a_holder_that_renews_is_seen_to_live() {
+    let mut world = held_by_the_first();
+    drive(&mut world, 0, 4_000);
+    drive(&mut world, 1, 1_500);
+    let holder = world.leases[1].holder().expect("it was read");
+    assert!(holder.has_renewed);
+}
+
+#[test]
+fn a_new_process_of_the_holders_instance_takes_the_lease_at_once() {
+    let mut world = held_by_the_first();
+    let service = ServiceName::from("s");
+    let instance = InstanceId::from("entry-0");
+    world.leases[2] = Lease::new(service, instance, incarnation(9));
+    world.leases[2].want(true);
+    drive(&mut world, 2, 300);
+    assert_eq!(world.taken, [(1, 0), (2, 2)]);
+}
+
 #[test]
 fn without_fences_orders_of_the_last_holder_are_waited_out() {
     let mut world = World::new();
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -10,6 +10,7 @@
 
 use super::adapter::{Adapter, EngineControl, OrderFailure};
 use super::node::Node;
+use super::peer_book::HolderEnd;
 use crate::clients::call_table;
 use crate::clock::boot_ms;
 use crate::fleet::{Phase, Trouble};
@@ -118,7 +119,7 @@
             self.work_ms = Some(now_ms);
         }
         let is_recent = self.work_ms.is_some_and(|at_ms| now_ms < at_ms + KEEP_MS);
-        self.lease.want(is_first && is_recent);
+        self.want_lease(node, service, is_first && is_recent);
         self.keep_lease(node, service).await;
         let held = self
             .lease
@@ -130,10 +131,47 @@
         }
     }
 
+    /// Says whether the lease is wanted. Peers hear at once that it is given up: the store, which they
+    /// would read it from, may be what this instance has lost.
+    fn want_lease<A>(&mut self, node: &Node<A>, service: &ServiceName, is_wanted: bool)
+    where
+        A: Adapter,
+    {
+        self.lease.want(is_wanted);
+        if is_wanted {
+            return;
+        }
+        if let Some(held) = self.lease.held(boot_ms()) {
+            log::info!(service = service.as_str(), fence = held.fence; "lease is given up");
+            node.peers.borrow_mut().tell_given_up(service, held.fence);
+            node.wake_streams();
+        }
+    }
+
+    /// Looks whether the holder of the lease has ended.
+    fn note_holder<A>(&mut self, node: &Node<A>, service: &ServiceName) {
+        let Some(holder) = self.lease.holder() else {
+            return;
+        };
+        let end = node.peers.borrow().has_ended(service, &holder, boot_ms());
+        let are_fenced = node.settings.bounds.engines_check_fence;
+        let has_ended = end == HolderEnd::Surely || (end == HolderEnd::Perhaps && are_fenced);
+        if has_ended && self.lease.ended(holder.fence) {
+            log::info!(
+                service = service.as_str(),
+                holder = holder.instance.as_str(),
+                fence = holder.fence,
+                evidence:? = end;
+                "holder of the lease has ended"
+            );
+        }
+    }
+
     async fn keep_lease<A>(&mut self, node: &Rc<Node<A>>, service: &ServiceName)
     where
         A: Adapter,
     {
+        self.note_holder(node, service);
         while let Some(call) = self.lease.due(boot_ms()) {
             let result = call_table(node.adapter.store(), &call, LEASE_CALL_MS).await;
             let is_ok = result.is_ok();
@@ -146,6 +184,7 @@
                 }
                 None => {}
             }
+            self.note_holder(node, service);
             if !is_ok {
                 return;
             }
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -56,7 +56,7 @@
     pub(crate) fn new(adapter: A, settings: RelaySettings) -> Self {
         let incarnation = Incarnation::draw(&mut rand::rng());
         Self {
-            peers: RefCell::new(PeerBook::new(&settings, incarnation)),
+            peers: RefCell::new(PeerBook::new(&settings, incarnation, boot_ms())),
             adapter,
             settings,
             incarnation,
@@ -177,7 +177,7 @@
     }
 
     /// Has running streams look at their chains.
-    fn wake_streams(&self) {
+    pub(crate) fn wake_streams(&self) {
         self.news.send_modify(|count| *count += 1);
     }
 
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::settings::RelaySettings;
-use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
+use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
+use crate::lease::LeaseHolder;
 use crate::placement::PlaceOrder;
 use crate::wire::engine::LayerRange;
 
@@ -14,6 +15,9 @@
 const FORGET_MS: u64 = 60_000;
 /// Silence after which a peer is not named to callers any more: two heartbeats may be lost.
 const SILENT_MS: u64 = 800;
+/// Silence after which the holder of a lease is taken for ended: four heartbeats. It costs nothing but a
+/// change of the holder if it lives, and a zone without a layer waits for nobody longer.
+const HOLDER_SILENT_MS: u64 = 1_000;
 /// How often news of an endpoint is told, in heartbeats.
 const TELLINGS: u8 = 4;
 /// Most addresses named to a caller.
@@ -46,6 +50,9 @@
     pub(super) moving: Vec<(EndpointId, LayerRange)>,
     /// Tokens times layers of this instance's streams by engine.
     pub(super) held: Vec<(EndpointId, u64)>,
+    /// Leases on the orders to engines that this instance gave up, by service, and the highest
+    /// fencing number it gave orders under.
+    pub(super) given_up: Vec<(ServiceName, u64)>,
 }
 
 /// The newest heartbeat that an instance has from another.
@@ -88,6 +95,17 @@
     }
 }
 
+/// Whether the holder of a lease has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HolderEnd {
+    /// It gives no more orders.
+    Surely,
+    /// It seems so; orders that it gives after all must be turned away by the engines.
+    Perhaps,
+    /// It may be at work.
+    No,
+}
+
 /// A peer that may know what the store does not tell here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Informant {
@@ -125,11 +143,17 @@
     unsound: IndexMap<EndpointId, u8>,
     leaving: IndexMap<EndpointId, u8>,
     moving: Vec<(EndpointId, LayerRange)>,
+    /// Highest fencing number under which this instance gives no more orders.
+    given_up: IndexMap<ServiceName, u64>,
+    /// The same of peers.
+    given_up_by_peers: IndexMap<ServiceName, u64>,
+    /// Since when heartbeats are listened for.
+    listening_since_ms: u64,
     has_news: bool,
 }
 
 impl PeerBook {
-    pub(crate) fn new(settings: &RelaySettings, incarnation: Incarnation) -> Self {
+    pub(crate) fn new(settings: &RelaySettings, incarnation: Incarnation, now_ms: u64) -> Self {
         Self {
             own_zone: settings.zone.clone(),
             own_front: settings.front,
@@ -139,6 +163,9 @@
             unsound: IndexMap::new(),
             leaving: IndexMap::new(),
             moving: Vec::new(),
+            given_up: IndexMap::new(),
+            given_up_by_peers: IndexMap::new(),
+            listening_since_ms: now_ms,
             has_news: false,
         }
     }
@@ -249,6 +276,37 @@
         self.has_news = true;
     }
 
+    /// Has peers told that this instance gives no more orders under this fencing number.
+    pub(crate) fn tell_given_up(&mut self, service: &ServiceName, fence: u64) {
+        self.given_up.insert(service.clone(), fence);
+        self.has_news = true;
+    }
+
+    /// Whether the holder of a lease gives no more orders under it: it says so, another process runs
+    /// in its place, or nothing has been heard of it for some heartbeats. The last may be wrong.
+    pub(crate) fn has_ended(
+        &self,
+        service: &ServiceName,
+        holder: &LeaseHolder,
+        now_ms: u64,
+    ) -> HolderEnd {
+        let given_up = self.given_up_by_peers.get(service);
+        if given_up.is_some_and(|fence| *fence >= holder.fence) {
+            return HolderEnd::Surely;
+        }
+        let peer = self.peers.get(&holder.instance);
+        let heard_ms = peer.and_then(|peer| peer.heard_ms);
+        let is_replaced = peer.is_some_and(|peer| peer.incarnation != holder.incarnation);
+        if is_replaced && heard_ms.is_some() {
+            return HolderEnd::Surely;
+        }
+        let heard_ms = heard_ms.unwrap_or(0).max(self.listening_since_ms);
+        if now_ms >= heard_ms + HOLDER_SILENT_MS && !holder.has_renewed {
+            return HolderEnd::Perhaps;
+        }
+        HolderEnd::No
+    }
+
     /// Takes a peer's heartbeat.
     pub(super) fn hear(&mut self, heartbeat: &Heartbeat, address: SocketAddr, now_ms: u64) {
         let own = (&self.own_instance, &self.own_incarnation);
@@ -266,6 +324,10 @@
             sent_ms: heartbeat.sent_ms,
             held: heartbeat.held.clone(),
         };
+        for (service, fence) in &heartbeat.given_up {
+            let highest = self.given_up_by_peers.entry(service.clone()).or_insert(0);
+            *highest = (*highest).max(*fence);
+        }
         let known = self.peers.get(&heartbeat.instance);
         if known.is_none_or(|it| it.incarnation != peer.incarnation || it.heard_ms.is_none()) {
             log::info!(peer = heartbeat.instance.as_str(), address:% = address; "peer is heard");
@@ -317,6 +379,7 @@
             leaving: Self::take_news(&mut self.leaving),
             moving: std::mem::take(&mut self.moving),
             held: own.held,
+            given_up: self.given_up.clone().into_iter().collect(),
         }
     }
 
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 
-use super::peer_book::{Availability, Heartbeat, OwnState, PeerBook};
+use super::peer_book::{Availability, Heartbeat, HolderEnd, OwnState, PeerBook};
 use super::settings::{RelayBounds, RelaySettings};
-use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
+use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
+use crate::lease::LeaseHolder;
 
 const READY: Availability = Availability {
     is_ready: true,
@@ -43,7 +44,7 @@
             engines_check_fence: true,
         },
     };
-    PeerBook::new(&settings, Incarnation::draw(&mut rand::rng()))
+    PeerBook::new(&settings, Incarnation::draw(&mut rand::rng()), 0)
 }
 
 fn heartbeat(book: &mut PeerBook, availability: Availability, now_ms: u64) -> Heartbeat {
@@ -198,6 +199,36 @@
     assert_eq!(a.addresses_for(&zone, CUT_OFF, 600), all);
 }
 
+#[test]
+fn the_end_of_a_leases_holder_is_told_or_seen() {
+    let service = ServiceName::from("menu-mind");
+    let mut b = book("b", "lac", 2_000);
+    let beat = heartbeat(&mut b, READY, 500);
+    let holder = LeaseHolder {
+        instance: InstanceId::from("b"),
+        incarnation: beat.incarnation,
+        fence: 4,
+        has_renewed: false,
+    };
+    let mut a = book("a", "lac", 1_000);
+    a.hear(&beat, address(2_001), 500);
+    assert_eq!(a.has_ended(&service, &holder, 1_400), HolderEnd::No);
+    assert_eq!(a.has_ended(&service, &holder, 1_500), HolderEnd::Perhaps);
+    let renewed = LeaseHolder {
+        has_renewed: true,
+        ..holder.clone()
+    };
+    assert_eq!(a.has_ended(&service, &renewed, 1_500), HolderEnd::No);
+    b.tell_given_up(&service, 4);
+    a.hear(&heartbeat(&mut b, READY, 600), address(2_001), 600);
+    assert_eq!(a.has_ended(&service, &holder, 700), HolderEnd::Surely);
+    let next = LeaseHolder { fence: 5, ..holder };
+    assert_eq!(a.has_ended(&service, &next, 700), HolderEnd::No);
+    let again = heartbeat(&mut book("b", "lac", 2_000), READY, 800);
+    a.hear(&again, address(2_001), 800);
+    assert_eq!(a.has_ended(&service, &next, 900), HolderEnd::Surely);
+}
+
 #[test]
 fn peers_that_the_store_answers_are_asked_first() {
     let a = heard((CUT_OFF, 500), (OPEN, 500));
