Repairs keep the stages that are sound; refused streams are told when to come back

A stream refused for want of a layer came back after a second, when the layer needs 2.5 s and more, and was lost. A stream that had run was broken off 160 ms after its chain, though its caller waits for two seconds. A repair planned the whole chain anew and refused where any layer had no holder for new work, also where the present stage still had it.

- replace_stage bridges lost stages only; whole plans are the fallback.
- Retry-After follows the cause: order and load of a layer, half a run where places are taken, at once where another instance serves; spread by 30 in 100.
- A layer without holder is refused at once; a stream that has run waits until 1.5 s after its last event.
- An engine that turned a request away counts as fuller than any estimate.

--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -25,8 +25,11 @@
 /// Factor on an engine's cost when its memory would be full; quadratic below, so that chains
 /// spread before anything is full.
 const FULL_FACTOR: f64 = 12.0;
-/// Cost of an engine whose memory cannot take the request, which then would be preempted.
+/// Cost of an engine whose memory cannot take the request by what is known of it here. That is an
+/// estimate from above: answers count at their expected length from the start.
 const NO_ROOM_MS: f64 = 1_000.0;
+/// Cost of an engine that turned a request away just now: it goes before no estimate.
+const TURNED_AWAY_MS: f64 = 10_000.0;
 
 /// One stage of a chain.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -116,19 +119,44 @@
             .iter()
             .filter(|holder| holder.known.listed.zone == *zone)
             .collect();
-        cheapest(&of_zone, ask)
+        cheapest(&of_zone, rest_of(ask), ask)
     });
     let in_one_zone = in_zones.min_by(|a, b| a.cost.total_cmp(&b.cost));
     let path = match in_one_zone {
         Some(path) => path,
         None if ask.first.is_some() => return None,
-        None => cheapest(&holders.iter().collect::<Vec<_>>(), ask)?,
+        None => cheapest(&holders.iter().collect::<Vec<_>>(), rest_of(ask), ask)?,
     };
     let mut stages: Vec<ChainStage> = ask.first.into_iter().cloned().collect();
     stages.extend(path.stages);
     Chain::checked(stages, ask.model.layers)
 }
 
+/// Replaces one stage behind the first by engines of the first one's zone; every other stage stays,
+/// with the tokens that it has in memory, also where it would not get new work. `None` where no
+/// usable engine outside the chain holds the stage's layers.
+pub fn replace_stage(
+    fleet: &Fleet,
+    ask: ChainAsk<'_>,
+    chain: &Chain,
+    lost: &EndpointId,
+    now_ms: u64,
+) -> Option<Chain> {
+    let at = chain.stages.iter().position(|it| it.endpoint == *lost)?;
+    let in_chain = |id: &EndpointId| chain.stages.iter().any(|it| it.endpoint == *id);
+    let ask = ChainAsk {
+        first: Some(chain.first()),
+        ..ask
+    };
+    let mut holders = usable_holders(fleet, ask, now_ms);
+    holders.retain(|holder| !in_chain(&holder.known.listed.id));
+    let holders: Vec<&Holder<'_>> = holders.iter().collect();
+    let path = cheapest(&holders, chain.stages[at].layers, ask)?;
+    let mut stages = chain.stages.clone();
+    stages.splice(at..=at, path.stages);
+    Chain::checked(stages, ask.model.layers)
+}
+
 /// The first layer that no usable engine holds, for the log of a request that got no chain.
 pub fn first_gap(fleet: &Fleet, ask: ChainAsk<'_>, now_ms: u64) -> Option<u16> {
     let holders = usable_holders(fleet, ask, now_ms);
@@ -166,7 +194,9 @@
         let fullness = fullness(known, layers, ask.model, kind.memory_mb, ask.tokens);
         let slowness = known.standing.slowness(now_ms);
         let crowding = slowness * (1.0 + FULL_FACTOR * fullness * fullness);
-        let no_room_ms = if fullness > 1.0 || known.standing.is_full(now_ms) {
+        let no_room_ms = if known.standing.is_full(now_ms) {
+            TURNED_AWAY_MS
+        } else if fullness > 1.0 {
             NO_ROOM_MS
         } else {
             0.0
@@ -203,11 +233,18 @@
     stages: Vec<ChainStage>,
 }
 
-/// Shortest path to the last layer. Layer boundaries are visited in order, since every edge leads
-/// to a higher one.
-fn cheapest(holders: &[&Holder<'_>], ask: ChainAsk<'_>) -> Option<Path> {
-    let start = ask.first.map_or(0, |first| first.layers.end);
-    let bounds = boundaries(holders, start, ask.model.layers);
+/// The layers behind the first stage, or all where it is still open.
+fn rest_of(ask: ChainAsk<'_>) -> LayerRange {
+    LayerRange {
+        first: ask.first.map_or(0, |first| first.layers.end),
+        end: ask.model.layers,
+    }
+}
+
+/// Shortest path through a range of layers. Layer boundaries are visited in order, since every edge
+/// leads to a higher one.
+fn cheapest(holders: &[&Holder<'_>], span: LayerRange, ask: ChainAsk<'_>) -> Option<Path> {
+    let bounds = boundaries(holders, span);
     let mut best: Vec<Option<Arrival>> = vec![None; bounds.len()];
     best[0] = Some(Arrival::default());
     for at in 0..bounds.len() {
@@ -234,7 +271,7 @@
     let arrival = best.pop()??;
     Some(Path {
         cost: arrival.cost,
-        stages: arrival.stages(holders, start),
+        stages: arrival.stages(holders, span.first),
     })
 }
 
@@ -299,7 +336,8 @@
     }
 }
 
-fn boundaries(holders: &[&Holder<'_>], start: u16, end: u16) -> Vec<u16> {
+fn boundaries(holders: &[&Holder<'_>], span: LayerRange) -> Vec<u16> {
+    let LayerRange { first: start, end } = span;
     let mut bounds: Vec<u16> = holders
         .iter()
         .flat_map(|holder| [holder.layers.first, holder.layers.end])
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use chain::{Chain, ChainAsk, ChainStage, first_gap, plan_chain};
+pub use chain::{Chain, ChainAsk, ChainStage, first_gap, plan_chain, replace_stage};
 pub use evidence::{Standing, Trouble};
 pub use listing::{Fleet, FleetChange, KnownEndpoint, ListedEndpoint, ListingRead, Phase};
 pub use replicas::pick_replica;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -321,3 +321,66 @@
     fleet.take_from_peer(of_peer(), 2_500);
     assert_eq!(phase(&fleet, "b"), None);
 }
+
+/// A fleet whose three ranges of layers have two holders each, and the chain over the first ones.
+fn doubled() -> (Fleet, Chain) {
+    let ranges = [range(0, 6), range(6, 13), range(13, 20)];
+    let names = [["a1", "a2"], ["b1", "b2"], ["c1", "c2"]];
+    let entries = ranges.into_iter().zip(names).flat_map(|(layers, pair)| {
+        let entry = move |id| listed(id, "lac", Some(layers));
+        pair.into_iter().map(entry)
+    });
+    let fleet = fleet(entries.collect());
+    let stage = |id: &str| {
+        fleet
+            .get(&EndpointId::from(id))
+            .and_then(KnownEndpoint::stage)
+    };
+    let stages = ["a1", "b1", "c1"].into_iter().filter_map(stage).collect();
+    let chain = Chain::checked(stages, 20).expect("it is whole");
+    (fleet, chain)
+}
+
+fn without(fleet: &Fleet, chain: &Chain, lost: &str) -> Option<String> {
+    let ask = ChainAsk {
+        service: &ServiceName::from("menu-mind"),
+        model: &model(),
+        own_zone: &ZoneName::from("lac"),
+        tokens: 900,
+        excluded: &IndexSet::new(),
+        first_among: None,
+        first: None,
+    };
+    replace_stage(fleet, ask, chain, &EndpointId::from(lost), 0).map(|it| it.to_string())
+}
+
+#[test]
+fn a_lost_stage_is_replaced_and_the_others_keep_what_they_have() {
+    let (mut fleet, chain) = doubled();
+    let replaced = Some("a1=0-6,b2=6-13,c1=13-20".to_owned());
+    assert_eq!(without(&fleet, &chain, "b1"), replaced);
+    // A stage that takes no new work goes on with what it has.
+    fleet.told_leaving(&EndpointId::from("c1"), 0);
+    fleet.told_leaving(&EndpointId::from("c2"), 0);
+    assert_eq!(plan(&fleet, &["b1"]), None);
+    assert_eq!(without(&fleet, &chain, "b1"), replaced);
+    fleet.told_leaving(&EndpointId::from("b2"), 0);
+    assert_eq!(without(&fleet, &chain, "b1"), None);
+}
+
+#[test]
+fn an_engine_that_is_full_by_estimate_goes_before_one_that_turned_a_request_away() {
+    let mut fleet = fleet(vec![
+        listed("a", "lac", Some(range(0, 10))),
+        listed("b", "lac", Some(range(10, 20))),
+        listed("c", "marsa", Some(range(0, 10))),
+        listed("d", "marsa", Some(range(10, 20))),
+    ]);
+    let id = EndpointId::from;
+    let d = fleet.get_mut(&id("d")).expect("listed");
+    d.held_token_layers = 900_000;
+    assert_eq!(plan(&fleet, &[]).expect("held")[0], "a 0-10");
+    let a = fleet.get_mut(&id("a")).expect("listed");
+    a.standing.was_full(0);
+    assert_eq!(plan(&fleet, &[]).expect("held")[0], "c 0-10");
+}
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -88,6 +88,11 @@
         self.repeat.may_run_again() && self.ran_on.len() + 1 < self.max_endpoints
     }
 
+    /// Whether the request may have run somewhere.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Leaves an endpoint out of further attempts.
     pub fn exclude(&mut self, endpoint: &EndpointId) {
         self.excluded.insert(endpoint.clone());
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,5 +15,5 @@
 pub use attempts::{AttemptEnd, Attempts, NextStep};
 pub use budget::{BudgetShare, RetryBudget};
 pub use events::{EventSplitter, SplitError, WholeEvents};
-pub use refusal::{FinalWord, RefusalCause};
+pub use refusal::{FinalWord, Outlook, RefusalCause};
 pub use stall::{StallStep, StallWatch};
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -1,5 +1,30 @@
 //! The final word on a request that has no endpoint's answer.
 
+/// Time in which a refused request must be asked for again where another instance serves it.
+const ELSEWHERE_MS: u64 = 50;
+/// How long the store or a replica that is away stays away, as a rule.
+const AWAY_MS: u64 = 1_000;
+/// An engine that is to hold other layers: the look that finds them missing, the order, and the list's
+/// lag. The load comes on top.
+const ORDER_MS: u64 = 900;
+/// Part of a model's layers that an engine holds, as a divisor: eight to nine stages make a chain.
+const STAGES: u64 = 8;
+/// Part of the time by which callers that are refused together are spread.
+const SPREAD: f64 = 0.3;
+
+/// What decides when a refused caller should come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outlook {
+    /// Another instance serves everybody.
+    pub others_serve: bool,
+    /// Time to load all layers of the service's model; 0 for a service without.
+    pub load_ms: u64,
+    /// Time that a usual request takes, and after which its place is free.
+    pub run_ms: u64,
+    /// A number drawn evenly from all of `u64`.
+    pub draw: u64,
+}
+
 /// Why a request was refused before anything ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -36,18 +61,19 @@
         }
     }
 
-    /// When the caller may come back: as long as the cause usually lasts, at least.
-    pub fn retry_after_ms(self) -> u64 {
-        match self {
-            // The next read of the table comes within a second of the store's return.
-            Self::NoTable | Self::OldTable => 1_000,
-            // An engine that lost its layers has them again after about two seconds.
-            Self::NoEndpoint | Self::NoChain => 1_000,
-            // A request in ten ends every few hundred milliseconds.
-            Self::Full | Self::NoBudget => 500,
-            // Another instance takes it at once.
-            Self::Stopping | Self::TooLate => 100,
-        }
+    /// When the caller should come back: as long as the cause lasts as a rule, and callers that are
+    /// refused together not all at once. Callers try again once only, so that coming back too soon
+    /// costs them the answer, and coming back late only time.
+    pub fn retry_after_ms(self, outlook: Outlook) -> u64 {
+        let usual_ms = match self {
+            Self::Stopping | Self::TooLate => ELSEWHERE_MS,
+            Self::NoTable | Self::OldTable if outlook.others_serve => ELSEWHERE_MS,
+            Self::NoTable | Self::OldTable | Self::NoEndpoint => AWAY_MS,
+            Self::NoChain => ORDER_MS + outlook.load_ms / STAGES,
+            Self::Full | Self::NoBudget => outlook.run_ms / 2,
+        };
+        let part = outlook.draw as f64 / u64::MAX as f64;
+        (usual_ms as f64 * (1.0 + SPREAD * part)) as u64
     }
 }
 
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -134,3 +134,27 @@
     assert_eq!(watch.step(590), StallStep::Look);
     assert_eq!(watch.step(1_520), StallStep::GiveUp);
 }
+
+#[test]
+fn refused_callers_come_back_when_the_cause_is_over_and_not_all_at_once() {
+    let outlook = Outlook {
+        others_serve: false,
+        load_ms: 14_000,
+        run_ms: 3_000,
+        draw: 0,
+    };
+    let after = |cause: RefusalCause, outlook| cause.retry_after_ms(outlook);
+    assert_eq!(after(RefusalCause::NoChain, outlook), 2_650);
+    assert_eq!(after(RefusalCause::Full, outlook), 1_500);
+    assert_eq!(after(RefusalCause::OldTable, outlook), 1_000);
+    let elsewhere = Outlook {
+        others_serve: true,
+        ..outlook
+    };
+    assert_eq!(after(RefusalCause::OldTable, elsewhere), 50);
+    let last = Outlook {
+        draw: u64::MAX,
+        ..outlook
+    };
+    assert_eq!(after(RefusalCause::Full, last), 1_950);
+}
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -238,17 +238,18 @@
 where
     A: Adapter,
 {
+    let outlook = node.outlook(0, 0);
     let table = node.table.borrow();
     log::info!(
         request = id,
         cause = cause.name(),
-        retry_after_ms = cause.retry_after_ms(),
+        retry_after_ms = cause.retry_after_ms(outlook),
         table = table.table().map(|table| table.version),
         table_age_ms = table.age_ms(boot_ms());
         "request is refused"
     );
     drop(table);
-    word_response(node, FinalWord::NotRun(cause))
+    word_response(node, FinalWord::NotRun(cause), outlook)
 }
 
 async fn read_body(
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::placement::PlaceOrder;
-use crate::relay::{BudgetShare, RetryBudget};
+use crate::relay::{BudgetShare, Outlook, RetryBudget};
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
@@ -132,6 +132,16 @@
         self.budget.borrow_mut().has_left(service, share, boot_ms())
     }
 
+    /// What decides when a refused request should be asked for again.
+    pub(crate) fn outlook(&self, load_ms: u64, run_ms: u64) -> Outlook {
+        Outlook {
+            others_serve: self.peers.borrow().others_serve(boot_ms()),
+            load_ms,
+            run_ms,
+            draw: self.draw(),
+        }
+    }
+
     /// A number drawn evenly from all of `u64`.
     pub(crate) fn draw(&self) -> u64 {
         rand::rng().random()
@@ -155,11 +165,16 @@
     /// Notes that an engine was ordered to hold other layers: nothing new is sent to it until it has
     /// them.
     pub(crate) fn moving(&self, order: &PlaceOrder) {
+        self.heard_moving(order);
+        self.peers.borrow_mut().tell_moving(order);
+        self.wake_streams();
+    }
+
+    /// Notes that a peer ordered an engine to hold other layers.
+    pub(crate) fn heard_moving(&self, order: &PlaceOrder) {
         if let Some(known) = self.fleet.borrow_mut().get_mut(&order.endpoint) {
             known.said_layers(None, boot_ms());
         }
-        self.peers.borrow_mut().tell_moving(order);
-        self.wake_streams();
     }
 
     /// Takes an engine's report of how slow it is.
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -233,6 +233,12 @@
         heard
     }
 
+    /// Whether another instance serves everybody.
+    pub(crate) fn others_serve(&self, now_ms: u64) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.availability.is_ready && peer.is_heard(SILENT_MS, now_ms))
+    }
+
     /// Addresses for a caller of a zone: instances that serve everybody and that the store answers; if
     /// there are none, those that serve everybody; if there are none, those that are open at all.
     /// One that the store turns away learns of changes a second later than the others.
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -147,14 +147,11 @@
             log::info!(endpoint = id.as_str(), peer; "endpoint is leaving, a peer says");
         }
     }
-    for (id, layers) in heartbeat.moving {
-        if let Some(known) = fleet.get_mut(&id) {
-            known.said_layers(None, now_ms);
-        }
-        node.orders_heard.borrow_mut().push(PlaceOrder {
-            endpoint: id,
-            layers,
-        });
-    }
     fleet.set_peers_load(&held);
+    drop(fleet);
+    for (endpoint, layers) in heartbeat.moving {
+        let order = PlaceOrder { endpoint, layers };
+        node.heard_moving(&order);
+        node.orders_heard.borrow_mut().push(order);
+    }
 }
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -60,7 +60,7 @@
         table = request.table.version;
         "request has no answer"
     );
-    word_response(node, word)
+    word_response(node, word, request.outlook(node))
 }
 
 async fn answer<A>(
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -14,12 +14,15 @@
 use crate::clock::boot_ms;
 use crate::fleet::Chain;
 use crate::ids::{AccountId, EndpointId, ServiceName};
-use crate::relay::FinalWord;
+use crate::relay::{FinalWord, Outlook};
 use crate::route_table::{Route, RouteTable};
 
 /// What is left of a caller's time below which nothing is sent any more.
 const LEAST_PATIENCE_MS: u64 = 5;
 
+/// Time that a usual stream takes: 145 tokens at 15 to 20 ms each.
+const STREAM_RUN_MS: u64 = 3_000;
+
 /// A request that the table allows.
 pub(crate) struct RelayedRequest {
     pub(crate) ask: Ask,
@@ -79,20 +82,42 @@
     }
 }
 
+impl RelayedRequest {
+    /// What decides when the request should be asked for again, if it is refused.
+    pub(crate) fn outlook<A>(&self, node: &Node<A>) -> Outlook
+    where
+        A: Adapter,
+    {
+        let service = self.table.services.get(&self.service);
+        let model = service.and_then(|service| service.model.as_ref());
+        node.outlook(
+            model.map_or(0, |model| model.load_ms),
+            match model {
+                Some(_) => STREAM_RUN_MS,
+                None => self.route.objective_ms,
+            },
+        )
+    }
+}
+
 /// The instant of a time on the boot clock.
 pub(crate) fn instant_at(at_ms: u64, now_ms: u64) -> Instant {
     Instant::now() + Duration::from_millis(at_ms.saturating_sub(now_ms))
 }
 
 /// The answer that tells a caller the final word.
-pub(crate) fn word_response<A>(node: &Node<A>, word: FinalWord) -> Response<BoxBody>
+pub(crate) fn word_response<A>(
+    node: &Node<A>,
+    word: FinalWord,
+    outlook: Outlook,
+) -> Response<BoxBody>
 where
     A: Adapter,
 {
     let status = StatusCode::from_u16(word.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let mut response = Response::with_body(status, BoxBody::new(word.name()));
     if let FinalWord::NotRun(cause) = word {
-        let seconds = format!("{:.3}", cause.retry_after_ms() as f64 / 1_000.0);
+        let seconds = format!("{:.3}", cause.retry_after_ms(outlook) as f64 / 1_000.0);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -19,7 +19,7 @@
 use super::stream_answer::Opening;
 use super::upstream::{AnswerBody, Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, ChainAsk, ChainStage, Trouble, first_gap, plan_chain};
+use crate::fleet::{Chain, ChainAsk, ChainStage, Trouble, first_gap, plan_chain, replace_stage};
 use crate::ids::EndpointId;
 use crate::relay::{
     AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, StallStep, StallWatch,
@@ -32,6 +32,9 @@
 /// Longest wait for a chain with room. A third of the time within which a first event is of full
 /// use; requests end, and engines come back, many times a second.
 const ROOM_WAIT_MS: u64 = 160;
+/// Longest wait for a chain, counted from the last event, where the request has run. Callers leave
+/// after two seconds without an event; what is left is for the prompt to be read again.
+const CALLER_GAP_MS: u64 = 1_500;
 /// Pause between two looks for a chain with room.
 const ROOM_LOOK_MS: u64 = 40;
 /// Longest failure of an engine that is held to be passed on.
@@ -151,12 +154,14 @@
     }
 
     async fn serve(&mut self) -> Finish {
-        let mut cause = RefusalCause::NoChain;
         loop {
             self.forget_ended();
-            let Some(chain) = self.plan_with_room().await else {
-                self.log_no_chain();
-                return Finish::Word(self.attempts.give_up(cause));
+            let chain = match self.plan_with_room().await {
+                Ok(chain) => chain,
+                Err(cause) => {
+                    self.log_no_chain(cause);
+                    return Finish::Word(self.attempts.give_up(cause));
+                }
             };
             if !self.request.has_time(boot_ms()) {
                 return Finish::Word(self.attempts.give_up(RefusalCause::TooLate));
@@ -181,9 +186,6 @@
                 "run failed"
             );
             self.attempts.exclude(&at_fault);
-            if end == AttemptEnd::TurnedAway {
-                cause = RefusalCause::Full;
-            }
             let node = &self.node;
             let service = &self.request.service;
             match self.attempts.ended(end, || node.take_repeat(service)) {
@@ -201,21 +203,44 @@
 
     /// A chain whose engines have not just turned others away, if there is one soon. Sending to a
     /// full engine would cost a repeat that another request could use.
-    async fn plan_with_room(&self) -> Option<Chain> {
-        let until_ms = boot_ms() + ROOM_WAIT_MS;
+    async fn plan_with_room(&self) -> Result<Chain, RefusalCause> {
+        let until_ms = self.room_until_ms(boot_ms());
         loop {
-            let chain = self.plan(None);
-            let has_room = chain.as_ref().is_some_and(|chain| self.has_room(chain));
-            if has_room {
-                return chain;
-            }
-            if boot_ms() >= until_ms {
-                return None;
+            let cause = match self.plan(None) {
+                Some(chain) if self.has_room(&chain) => return Ok(chain),
+                Some(_) => RefusalCause::Full,
+                None if self.attempts.excluded().is_empty() => RefusalCause::NoChain,
+                // An engine that turned this request away may have been the only one.
+                None => RefusalCause::Full,
+            };
+            let is_hopeless = cause == RefusalCause::NoChain
+                && self.layer_without_holder().is_some()
+                && !self.attempts.may_have_run();
+            if is_hopeless || boot_ms() >= until_ms {
+                return Err(cause);
             }
             sleep(Duration::from_millis(ROOM_LOOK_MS)).await;
         }
     }
 
+    /// Until when a chain is waited for. A request that has not run is better refused soon; one that
+    /// has cannot be, and its caller would lose what it has.
+    fn room_until_ms(&self, now_ms: u64) -> u64 {
+        let wait_ms = if self.attempts.may_have_run() {
+            CALLER_GAP_MS.saturating_sub(self.stall.silence_ms(now_ms))
+        } else {
+            ROOM_WAIT_MS
+        };
+        now_ms + wait_ms
+    }
+
+    /// A layer that no engine which could be used holds.
+    fn layer_without_holder(&self) -> Option<u16> {
+        let fleet = self.node.fleet.borrow();
+        let ask = self.chain_ask(&self.attempts, None)?;
+        first_gap(&fleet, ask, boot_ms())
+    }
+
     fn has_room(&self, chain: &Chain) -> bool {
         let now_ms = boot_ms();
         let fleet = self.node.fleet.borrow();
@@ -250,12 +275,12 @@
     }
 
     /// Says why no chain was found.
-    fn log_no_chain(&self) {
+    fn log_no_chain(&self, cause: RefusalCause) {
+        let gap = self.layer_without_holder();
         let fleet = self.node.fleet.borrow();
-        let ask = self.chain_ask(&self.attempts, None);
-        let gap = ask.and_then(|ask| first_gap(&fleet, ask, boot_ms()));
         log::info!(
             request = self.request.ask.id.as_str(),
+            cause = cause.name(),
             layer_without_holder = gap,
             excluded = self.attempts.excluded().len(),
             bound_to = self.attempts.only_on().map_or(0, indexmap::IndexSet::len),
@@ -447,7 +472,8 @@
 
     /// Replaces stages that were found unsound.
     async fn act_on_news(&mut self, held: &mut HeldTokens<A>) -> Result<(), RunEnd> {
-        let Some(unsound) = self.unsound_stage(held.chain()) else {
+        let lost = self.unsound_stages(held.chain());
+        let Some(unsound) = lost.first().cloned() else {
             return Ok(());
         };
         let first = held.chain().first().endpoint.clone();
@@ -458,7 +484,7 @@
             return Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, first));
         }
         for _ in 0..MOST_REROUTES {
-            let Some(chain) = self.plan(Some(held.chain())) else {
+            let Some(chain) = self.plan_around(held.chain(), &lost) else {
                 break;
             };
             match self.reroute(&chain, &unsound).await {
@@ -516,8 +542,22 @@
         rerouted
     }
 
-    /// A stage that is left out by now, or excluded for this request.
-    fn unsound_stage(&self, chain: &Chain) -> Option<EndpointId> {
+    /// A chain without these stages that keeps as many others as it can: new ones read all tokens
+    /// again.
+    fn plan_around(&self, present: &Chain, lost: &[EndpointId]) -> Option<Chain> {
+        let fleet = self.node.fleet.borrow();
+        let ask = self.chain_ask(&self.attempts, None)?;
+        let now_ms = boot_ms();
+        let mut chain = Some(present.clone());
+        for endpoint in lost {
+            chain = chain.and_then(|it| replace_stage(&fleet, ask, &it, endpoint, now_ms));
+        }
+        drop(fleet);
+        chain.or_else(|| self.plan(Some(present)))
+    }
+
+    /// Stages that are left out by now, or excluded for this request.
+    fn unsound_stages(&self, chain: &Chain) -> Vec<EndpointId> {
         let fleet = self.node.fleet.borrow();
         let first = &chain.first().endpoint;
         let is_unsound = |id: &EndpointId| {
@@ -525,10 +565,8 @@
             let is_lost = fleet.get(id).is_some_and(|it| it.standing.is_dead());
             is_excluded || is_lost
         };
-        let mut stages = chain.stages().iter();
-        stages
-            .find(|stage| is_unsound(&stage.endpoint))
-            .map(|stage| stage.endpoint.clone())
+        let stages = chain.stages().iter().map(|stage| &stage.endpoint);
+        stages.filter(|id| is_unsound(id)).cloned().collect()
     }
 
     fn note_full(&self, endpoint: &EndpointId) {
--- a/src/relay_server/stream_answer.rs
+++ b/src/relay_server/stream_answer.rs
@@ -37,6 +37,7 @@
 where
     A: Adapter,
 {
+    let outlook = request.outlook(node);
     let (opening_sender, opening) = oneshot::channel();
     let (pieces_sender, pieces) = mpsc::channel(WAITING_PIECES);
     let relay = StreamRelay::new(node, request, opening_sender, pieces_sender);
@@ -58,10 +59,10 @@
             *response.headers_mut() = headers;
             finish(node, response)
         }
-        Some(Err(word)) => word_response(node, word),
+        Some(Err(word)) => word_response(node, word, outlook),
         None => {
             body.pieces.close();
-            word_response(node, FinalWord::Unknown)
+            word_response(node, FinalWord::Unknown, outlook)
         }
     }
 }
