Peers: a list that is handed over says only what was read; a lapse is not told

Also that instance's 'gone' was a guess (entries lapsed while the store was away), which each instance makes for itself; it is logged as a lapse now and not told.

Tests: a_list_handed_to_a_peer_says_only_what_was_read failed first.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -72,6 +72,8 @@
     Leaving(EndpointId),
     /// It is gone.
     Gone(EndpointId),
+    /// It is taken for gone: its entry lapsed while the list was away, and has not come back.
+    Lapsed(EndpointId),
     /// It holds other layers.
     Layers(EndpointId, Option<LayerRange>),
 }
@@ -172,9 +174,15 @@
         now_ms.saturating_sub(self.newest_at_ms)
     }
 
-    /// The list as it is known here, for a peer that cannot read it.
+    /// The list as it was read here, for a peer that cannot read it. What others have told of phases
+    /// and layers is left out: two instances that hand each other's word on would keep it for ever.
     pub fn listing(&self) -> Vec<ListedEndpoint> {
-        self.iter().map(|known| known.listed.clone()).collect()
+        let as_read = |known: &KnownEndpoint| ListedEndpoint {
+            phase: known.phase_in_list,
+            layers: known.layers_in_list,
+            ..known.listed.clone()
+        };
+        self.iter().map(as_read).collect()
     }
 
     /// The endpoint of this id.
@@ -364,7 +372,7 @@
                 .missing_since_ms
                 .is_some_and(|since| now_ms >= since + RELIST_MS);
             if overdue {
-                changes.push(FleetChange::Gone(id.clone()));
+                changes.push(FleetChange::Lapsed(id.clone()));
             }
             !overdue
         });
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -188,7 +188,7 @@
     assert_eq!(fleet.take(missing(), false, 11_000), vec![]);
     assert_eq!(
         fleet.take(missing(), false, 12_300),
-        vec![FleetChange::Gone(a.clone())]
+        vec![FleetChange::Lapsed(a.clone())]
     );
 }
 
@@ -384,3 +384,12 @@
     a.standing.was_full(0);
     assert_eq!(plan(&fleet, &[]).expect("held")[0], "c 0-10");
 }
+
+#[test]
+fn a_list_handed_to_a_peer_says_only_what_was_read() {
+    let mut fleet = fleet(vec![listed("a", "lac", Some(range(0, 10)))]);
+    let a = EndpointId::from("a");
+    fleet.told_leaving(&a, 100);
+    fleet.get_mut(&a).expect("listed").said_layers(None, 100);
+    assert_eq!(fleet.listing(), [listed("a", "lac", Some(range(0, 10)))]);
+}
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -214,7 +214,8 @@
         known.stage().filter(|_| is_news)
     }
 
-    /// Acts on what a read of the endpoint list has changed.
+    /// Acts on what a read of the endpoint list has changed. Peers are told what the list shows, not
+    /// what is made of a lapse: each sees by itself when an entry is back.
     pub(crate) fn fleet_changed(&self, changes: &[FleetChange]) {
         self.log_changes(changes);
         let mut peers = self.peers.borrow_mut();
@@ -238,6 +239,9 @@
                 FleetChange::Gone(id) => {
                     log::info!(endpoint = id.as_str(); "endpoint is gone");
                 }
+                FleetChange::Lapsed(id) => {
+                    log::info!(endpoint = id.as_str(); "endpoint has lapsed");
+                }
                 FleetChange::Layers(id, layers) => {
                     let (first, end) = layers.map_or((0, 0), |it| (it.first, it.end));
                     log::info!(endpoint = id.as_str(), first, end; "endpoint holds other layers");
