--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -1,17 +1,20 @@
-//! Streams of model engines: chosen chain, events passed on as they come, repair while they run.
+//! Streams of model engines: their runs, one after another, and events passed on as they come.
+//! Which chain a run gets is in `plan`, what is done about a silence in `repair`.
+
+mod plan;
+mod repair;
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::time::{sleep_until, timeout_at};
 
-use super::adapter::{Adapter, EngineControl, OrderFailure};
-use super::checks::{check_beside, check_chain};
+use super::adapter::Adapter;
+use super::checks::check_beside;
 use super::headers;
 use super::held_tokens::HeldTokens;
 use super::node::Node;
@@ -19,24 +22,12 @@
 use super::stream_answer::Opening;
 use super::upstream::{AnswerBody, Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, ChainAsk, ChainStage, Trouble, first_gap, plan_chain, replace_stage};
+use crate::fleet::{Chain, ChainStage, Trouble};
 use crate::ids::EndpointId;
 use crate::relay::{
-    AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, StallStep, StallWatch,
+    AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, StallWatch,
 };
 
-/// Longest wait for the answer to an order that changes a chain. Callers notice a pause of 200 ms.
-const REROUTE_TIMEOUT_MS: u64 = 150;
-/// Orders to change a chain at one engine's loss, each around another engine without room.
-const MOST_REROUTES: u32 = 3;
-/// Longest wait for a chain with room. A third of the time within which a first event is of full
-/// use; requests end, and engines come back, many times a second.
-const ROOM_WAIT_MS: u64 = 160;
-/// Longest wait for a chain, counted from the last event, where the request has run. Callers leave
-/// after two seconds without an event; what is left is for the prompt to be read again.
-const CALLER_GAP_MS: u64 = 1_500;
-/// Pause between two looks for a chain with room.
-const ROOM_LOOK_MS: u64 = 40;
 /// Longest failure of an engine that is held to be passed on.
 const FAILURE_LIMIT_BYTES: usize = 1 << 20;
 
@@ -196,99 +187,6 @@
         }
     }
 
-    /// The chain for a run, or another one behind the first stage of the present run.
-    fn plan(&self, present: Option<&Chain>) -> Option<Chain> {
-        self.plan_with(&self.attempts, present)
-    }
-
-    /// A chain whose engines have not just turned others away, if there is one soon. Sending to a
-    /// full engine would cost a repeat that another request could use.
-    async fn plan_with_room(&self) -> Result<Chain, RefusalCause> {
-        let until_ms = self.room_until_ms(boot_ms());
-        loop {
-            let cause = match self.plan(None) {
-                Some(chain) if self.has_room(&chain) => return Ok(chain),
-                Some(_) => RefusalCause::Full,
-                None if self.attempts.excluded().is_empty() => RefusalCause::NoChain,
-                // An engine that turned this request away may have been the only one.
-                None => RefusalCause::Full,
-            };
-            let is_hopeless = cause == RefusalCause::NoChain
-                && self.layer_without_holder().is_some()
-                && !self.attempts.may_have_run();
-            if is_hopeless || boot_ms() >= until_ms {
-                return Err(cause);
-            }
-            sleep(Duration::from_millis(ROOM_LOOK_MS)).await;
-        }
-    }
-
-    /// Until when a chain is waited for. A request that has not run is better refused soon; one that
-    /// has cannot be, and its caller would lose what it has.
-    fn room_until_ms(&self, now_ms: u64) -> u64 {
-        let wait_ms = if self.attempts.may_have_run() {
-            CALLER_GAP_MS.saturating_sub(self.stall.silence_ms(now_ms))
-        } else {
-            ROOM_WAIT_MS
-        };
-        now_ms + wait_ms
-    }
-
-    /// A layer that no engine which could be used holds.
-    fn layer_without_holder(&self) -> Option<u16> {
-        let fleet = self.node.fleet.borrow();
-        let ask = self.chain_ask(&self.attempts, None)?;
-        first_gap(&fleet, ask, boot_ms())
-    }
-
-    fn has_room(&self, chain: &Chain) -> bool {
-        let now_ms = boot_ms();
-        let fleet = self.node.fleet.borrow();
-        let is_full = |id: &EndpointId| {
-            let known = fleet.get(id);
-            known.is_some_and(|known| known.standing.is_full(now_ms))
-        };
-        !chain.stages().iter().any(|stage| is_full(&stage.endpoint))
-    }
-
-    fn plan_with(&self, attempts: &Attempts, present: Option<&Chain>) -> Option<Chain> {
-        let fleet = self.node.fleet.borrow();
-        let ask = self.chain_ask(attempts, present)?;
-        plan_chain(&fleet, ask, boot_ms())
-    }
-
-    fn chain_ask<'a>(
-        &'a self,
-        attempts: &'a Attempts,
-        present: Option<&'a Chain>,
-    ) -> Option<ChainAsk<'a>> {
-        let service = self.request.table.services.get(&self.request.service)?;
-        Some(ChainAsk {
-            service: &self.request.service,
-            model: service.model.as_ref()?,
-            own_zone: &self.node.settings.zone,
-            tokens: self.request.held_tokens(),
-            excluded: attempts.excluded(),
-            first_among: attempts.only_on(),
-            first: present.map(Chain::first),
-        })
-    }
-
-    /// Says why no chain was found.
-    fn log_no_chain(&self, cause: RefusalCause) {
-        let gap = self.layer_without_holder();
-        let fleet = self.node.fleet.borrow();
-        log::info!(
-            request = self.request.ask.id.as_str(),
-            cause = cause.name(),
-            layer_without_holder = gap,
-            excluded = self.attempts.excluded().len(),
-            bound_to = self.attempts.only_on().map_or(0, indexmap::IndexSet::len),
-            endpoints = fleet.iter().count();
-            "no chain was found"
-        );
-    }
-
     async fn run_once(&mut self, chain: Chain) -> RunEnd {
         let mut held = HeldTokens::begin(&self.node, chain, self.request.held_tokens());
         self.stall.run_begins(boot_ms());
@@ -444,131 +342,6 @@
         self.stall.event(now_ms);
     }
 
-    /// Looks into a silence that has lasted too long.
-    async fn look(&mut self, held: &mut HeldTokens<A>) -> Result<(), RunEnd> {
-        match self.stall.step(boot_ms()) {
-            StallStep::Wait => Ok(()),
-            StallStep::GiveUp if !self.can_resume(held.chain()) => {
-                self.stall.repaired(boot_ms());
-                Ok(())
-            }
-            StallStep::GiveUp => {
-                let first = held.chain().first().endpoint.clone();
-                Err(RunEnd::Failed(
-                    AttemptEnd::Abandoned,
-                    Trouble::Silent,
-                    first,
-                ))
-            }
-            StallStep::Look => {
-                let waits_for = check_chain(&self.node, &self.request.ask.id, held.chain()).await;
-                if let Some(stage) = waits_for.and_then(|it| stage_at(held.chain(), it)) {
-                    self.attempts.exclude(&stage.endpoint);
-                }
-                self.act_on_news(held).await
-            }
-        }
-    }
-
-    /// Replaces stages that were found unsound.
-    async fn act_on_news(&mut self, held: &mut HeldTokens<A>) -> Result<(), RunEnd> {
-        let lost = self.unsound_stages(held.chain());
-        let Some(unsound) = lost.first().cloned() else {
-            return Ok(());
-        };
-        let first = held.chain().first().endpoint.clone();
-        if unsound == first && !self.can_resume(held.chain()) {
-            return Ok(());
-        }
-        if unsound == first {
-            return Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, first));
-        }
-        for _ in 0..MOST_REROUTES {
-            let Some(chain) = self.plan_around(held.chain(), &lost) else {
-                break;
-            };
-            match self.reroute(&chain, &unsound).await {
-                Ok(()) => {
-                    self.repairs += 1;
-                    self.stall.repaired(boot_ms());
-                    self.chain = Some(chain.clone());
-                    held.change(chain);
-                    return Ok(());
-                }
-                // Another engine may have the room or the layers that this one has not.
-                Err(OrderFailure::Conflict(Some(address))) => {
-                    if let Some(stage) = stage_at(&chain, address) {
-                        self.attempts.exclude(&stage.endpoint);
-                    }
-                }
-                Err(_) => break,
-            }
-        }
-        // Silence alone is no reason to end an answer that cannot be gone on with elsewhere.
-        if !self.can_resume(held.chain()) {
-            return Ok(());
-        }
-        Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, unsound))
-    }
-
-    /// Whether another run could go on where the present one stands.
-    fn can_resume(&self, present: &Chain) -> bool {
-        let mut trial = self.attempts.clone();
-        trial.exclude(&present.first().endpoint);
-        let may_repeat = self.request.route.repeat.may_run_again();
-        may_repeat
-            && self.node.has_repeat(&self.request.service)
-            && self.plan_with(&trial, None).is_some()
-    }
-
-    async fn reroute(&self, chain: &Chain, unsound: &EndpointId) -> Result<(), OrderFailure> {
-        let id = self.request.ask.id.as_str();
-        let engines = self.node.adapter.engines();
-        let rerouted = engines.reroute(id, chain, REROUTE_TIMEOUT_MS).await;
-        let outcome = match &rerouted {
-            Ok(()) => "taken".to_owned(),
-            Err(failure) => failure.to_string(),
-        };
-        log::info!(
-            request = id,
-            unsound = unsound.as_str(),
-            first = chain.first().endpoint.as_str(),
-            stages = chain.stages().len(),
-            silent_ms = self.stall.silence_ms(boot_ms()),
-            outcome = outcome.as_str();
-            "chain is changed while the stream runs"
-        );
-        self.node.counters.count("relay.reroutes");
-        rerouted
-    }
-
-    /// A chain without these stages that keeps as many others as it can: new ones read all tokens
-    /// again.
-    fn plan_around(&self, present: &Chain, lost: &[EndpointId]) -> Option<Chain> {
-        let fleet = self.node.fleet.borrow();
-        let ask = self.chain_ask(&self.attempts, None)?;
-        let now_ms = boot_ms();
-        let mut chain = Some(present.clone());
-        for endpoint in lost {
-            chain = chain.and_then(|it| replace_stage(&fleet, ask, &it, endpoint, now_ms));
-        }
-        drop(fleet);
-        chain.or_else(|| self.plan(Some(present)))
-    }
-
-    /// Stages that are left out by now, or excluded for this request.
-    fn unsound_stages(&self, chain: &Chain) -> Vec<EndpointId> {
-        let fleet = self.node.fleet.borrow();
-        let first = &chain.first().endpoint;
-        let is_unsound = |id: &EndpointId| {
-            let is_excluded = id != first && self.attempts.excluded().contains(id);
-            let is_lost = fleet.get(id).is_some_and(|it| it.standing.is_dead());
-            is_excluded || is_lost
-        };
-        let stages = chain.stages().iter().map(|stage| &stage.endpoint);
-        stages.filter(|id| is_unsound(id)).cloned().collect()
-    }
-
     fn note_full(&self, endpoint: &EndpointId) {
         if let Some(known) = self.node.fleet.borrow_mut().get_mut(endpoint) {
             known.standing.was_full(boot_ms());
