Lease: the fencing number of a write that may still come late is not used again

The row then bore the same number and process, passed for the second write, and counted from its later sending: two holders for a moment.

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -133,6 +133,9 @@
     highest_fence: u64,
     /// Highest fencing number whose holder is known to have ended.
     ended_fence: u64,
+    /// Highest fencing number of a write of this process that may yet take effect, late. It is not
+    /// used again: the row it leaves would pass for that of a later write, with a later end.
+    lost_fence: u64,
 }
 
 impl Lease {
@@ -166,6 +169,7 @@
             next_ms: 0,
             highest_fence: 0,
             ended_fence: 0,
+            lost_fence: 0,
         }
     }
 
@@ -271,10 +275,11 @@
     /// Whether the row as last read may be taken over now.
     fn is_free(&self, now_ms: u64) -> bool {
         self.seen.as_ref().is_some_and(|seen| {
-            // An instance runs one process at a time.
-            let is_own = seen.row.holder == self.instance;
+            // An instance runs one process at a time; what this process holds itself it waits for.
+            let has_ended =
+                seen.row.holder == self.instance && seen.row.incarnation != self.incarnation;
             seen.row.released
-                || is_own
+                || has_ended
                 || seen.row.fence <= self.ended_fence
                 || now_ms >= seen.since_ms + self.times.lease_ms + self.times.margin_ms
         })
@@ -282,7 +287,7 @@
 
     fn take(&mut self, now_ms: u64) -> Option<TableCall> {
         let last = self.seen.as_ref();
-        let fence = last.map_or(0, |seen| seen.row.fence) + 1;
+        let fence = last.map_or(0, |seen| seen.row.fence).max(self.lost_fence) + 1;
         let was_idle = last.is_none_or(|seen| seen.row.released || seen.row.fence == 0);
         let wait_ms = if was_idle { 0 } else { ORDER_LIMIT_MS };
         let version = last.map(|seen| seen.version).filter(|version| *version > 0);
@@ -364,10 +369,13 @@
             ReadLease::Unreadable => return None,
         };
         self.highest_fence = self.highest_fence.max(row.fence);
-        if let Some(sent) = self.sent.take().filter(|sent| self.is_own(&row, sent)) {
-            // A write whose reply was lost took effect; of several the first one sets the time.
-            self.next_ms = now_ms + self.times.renew_ms;
-            return self.hold(sent, version);
+        if let Some(sent) = self.sent.take() {
+            if self.is_own(&row, &sent) {
+                // A write whose reply was lost took effect; of several the first one sets the time.
+                self.next_ms = now_ms + self.times.renew_ms;
+                return self.hold(sent, version);
+            }
+            self.lost_fence = self.lost_fence.max(sent.fence);
         }
         let lost = self.holding.take().is_some();
         self.see(version, row, now_ms);
