fescuectl losses: where requests were lost or late, by the logs

Reads the structured logs of a set of instances and puts every attempt under one fate: in time, late or lost, the latter two by kind of request and reason, with the age of the endpoint list and examples that `trace` opens, and by windows of ten seconds. Lines that end a request carry objectives and the list's age now.

--- a/src/chain/blame.rs
+++ b/src/chain/blame.rs
@@ -9,11 +9,16 @@
     Dead(Vec<usize>),
     /// These stages answer but have lost the stream.
     Lost(Vec<usize>),
-    /// Every stage has finished what the entry waits for, or the first never heard of the stream:
-    /// the connection to it is silent.
+    /// The first stage never heard of the stream: the connection to it is silent.
     Connection,
+    /// Every stage has finished what the entry waits for: the connection to the first one is silent,
+    /// or the link by which the last one hands the token back to it.
+    Undelivered,
     /// No stage has moved; this one, or the link to it, holds the chain up.
     Stuck(usize),
+    /// No stage has moved, and this one has not heard of the epoch though the one before it has
+    /// finished a position: nothing comes over the link between the two.
+    Unreached(usize),
     /// Stages move; this one, or the link to it, is behind.
     Behind(usize),
 }
@@ -92,11 +97,19 @@
         return Blame::Behind(behind);
     }
     if positions.iter().all(|position| *position > known.held) {
-        return Blame::Connection;
+        return Blame::Undelivered;
+    }
+    if behind > 0 && !has_heard(answers[behind], known) {
+        return Blame::Unreached(behind);
     }
     Blame::Stuck(behind)
 }
 
+/// Whether a stage has heard of the epoch, be it that it waits for a slot there.
+fn has_heard(answer: ProbeAnswer, known: Known<'_>) -> bool {
+    matches!(answer, ProbeAnswer::Progress(it) if it.epoch == known.epoch)
+}
+
 fn indexes<F>(answers: &[ProbeAnswer], holds: F) -> Vec<usize>
 where
     F: Fn(ProbeAnswer) -> bool,
@@ -111,7 +124,7 @@
 /// it yet.
 fn positions(answers: &[ProbeAnswer], known: Known<'_>) -> Vec<u32> {
     let finished = |answer: &ProbeAnswer| match answer {
-        ProbeAnswer::Progress(it) if it.epoch == known.epoch => it.position.max(known.start),
+        ProbeAnswer::Progress(it) if has_heard(*answer, known) => it.position.max(known.start),
         _ => known.start,
     };
     answers.iter().map(finished).collect()
--- a/src/chain/machine.rs
+++ b/src/chain/machine.rs
@@ -72,6 +72,8 @@
     pub(super) slow_left: u32,
     /// Rebuilds since the last token.
     pub(super) rebuilds: u32,
+    /// Epochs opened on the same stages since the last token because one did not come.
+    pub(super) reopened: u32,
     pub(super) excluded: Vec<EndpointId>,
 }
 
@@ -109,6 +111,7 @@
             behind: None,
             slow_left: SLOW_REBUILDS,
             rebuilds: 0,
+            reopened: 0,
             excluded: Vec::new(),
         };
         let mut effects = Vec::new();
@@ -243,6 +246,7 @@
         };
         self.progress_at_ms = now_ms;
         self.rebuilds = 0;
+        self.reopened = 0;
         self.accusers.clear();
         if !self.broken {
             // Also when stages for the next epoch are being looked for: this one goes on after all.
--- a/src/chain/tests/recovery.rs
+++ b/src/chain/tests/recovery.rs
@@ -168,6 +168,26 @@
     assert_eq!(fresh.count(), 1);
 }
 
+#[test]
+fn a_token_that_never_comes_back_to_the_first_stage_costs_the_last_one_its_place() {
+    let mut harness = running();
+    let wait = |harness: &mut Harness| {
+        for _ in 0..2 {
+            harness.wake();
+            let done = harness.at(harness.held() + 1);
+            harness.answer_probes(&[done; 3]);
+        }
+    };
+    wait(&mut harness);
+    assert_eq!(faults(&harness), [], "the connection is the likelier cause");
+    assert_eq!(harness.epoch(), 2);
+    wait(&mut harness);
+    assert_eq!(faults(&harness), [("c0".to_owned(), EndpointFault::Silent)]);
+    let expected = named([("a0", true), ("b0", true), ("c1", true)]);
+    assert_eq!(chain_names(&harness), expected);
+    assert!(harness.now_ms < 1_500, "{} ms", harness.now_ms);
+}
+
 #[test]
 fn a_restarted_stage_recomputes() {
     let mut harness = running();
@@ -308,6 +328,31 @@
     assert_eq!(harness.epoch(), 1);
 }
 
+/// Lets rounds of probes find the first stage done and the second not reached until an epoch ends;
+/// returns how long that took.
+fn until_given_up(harness: &mut Harness) -> u64 {
+    let (epoch, begun_ms) = (harness.epoch(), harness.now_ms);
+    while harness.epoch() == epoch {
+        harness.wake();
+        let done = harness.at(harness.held() + 1);
+        harness.answer_probes(&[done, ProbeAnswer::NotKnown, ProbeAnswer::NotKnown]);
+    }
+    harness.now_ms - begun_ms
+}
+
+#[test]
+fn an_epoch_that_begins_on_a_silent_link_is_given_up_in_two_rounds() {
+    let mut harness = Harness::new();
+    let first_ms = until_given_up(&mut harness);
+    assert_eq!(faults(&harness), [("b0".to_owned(), EndpointFault::Silent)]);
+    // The stage before it reaches nobody; it is left out with the second one that it did not reach.
+    let second_ms = until_given_up(&mut harness);
+    let expected = named([("a1", true), ("b2", true), ("c0", true)]);
+    assert_eq!(chain_names(&harness), expected);
+    // With four rounds in each it was 2,240 ms; 560 ms now.
+    assert!(first_ms + second_ms < 700, "{first_ms} and {second_ms} ms");
+}
+
 #[test]
 fn after_its_deadline_only_an_answer_that_has_begun_goes_on() {
     for begun in [false, true] {
--- a/src/chain/watch.rs
+++ b/src/chain/watch.rs
@@ -17,6 +17,8 @@
 const STUCK_ROUNDS: u32 = 2;
 /// The same before the epoch's first token, which may wait in an engine's queue.
 const FIRST_STUCK_ROUNDS: u32 = 4;
+/// Epochs in a row that may be opened on the same stages because a token was made and did not come.
+const MOST_REOPENED: u32 = 1;
 /// Rounds that must find the same stage behind before a slow chain is rebuilt without it.
 const SLOW_ROUNDS: u32 = 3;
 
@@ -117,10 +119,12 @@
                 self.rebuild(&[], now_ms, effects);
             }
             Blame::Connection => self.rebuild(&[], now_ms, effects),
-            Blame::Stuck(_) | Blame::Behind(_) if self.broken => {
+            Blame::Undelivered => self.on_undelivered(now_ms, effects),
+            Blame::Stuck(_) | Blame::Unreached(_) | Blame::Behind(_) if self.broken => {
                 self.rebuild(&[], now_ms, effects);
             }
             Blame::Stuck(stage) => self.on_stuck(stage, now_ms, effects),
+            Blame::Unreached(stage) => self.on_unreached(stage, now_ms, effects),
             Blame::Behind(stage) => self.on_behind(stage, now_ms, effects),
         }
     }
@@ -145,6 +149,36 @@
         self.wait_again(now_ms);
     }
 
+    /// Opens the same stages again, since the connection to the first is the likelier cause. If that
+    /// brings no token either, the last stage does not reach the first: where it was opened again and
+    /// again on the same stages, an answer paused until the engines gave the link up, 10 s later.
+    fn on_undelivered(&mut self, now_ms: u64, effects: &mut Vec<ChainEffect>) {
+        self.reopened += 1;
+        match self.stages.last().map(|stage| stage.endpoint.clone()) {
+            Some(last) if self.reopened > MOST_REOPENED && self.stages.len() > 1 => {
+                self.blame(&[last], EndpointFault::Silent, now_ms, effects);
+            }
+            _ => self.rebuild(&[], now_ms, effects),
+        }
+    }
+
+    /// A link that brings nothing is told from a full engine: work that waits there has arrived. So it
+    /// is blamed after two rounds also before the first token, and together with the stage before it
+    /// once that one has been unable to reach another.
+    fn on_unreached(&mut self, stage: usize, now_ms: u64, effects: &mut Vec<ChainEffect>) {
+        self.unmoved_rounds += 1;
+        if self.unmoved_rounds < STUCK_ROUNDS - 1 {
+            self.wait_again(now_ms);
+            return;
+        }
+        let Some(unreached) = self.endpoints(&[stage]).pop() else {
+            return;
+        };
+        let mut blamed = self.repeated_accuser(&unreached);
+        blamed.push(unreached);
+        self.blame(&blamed, EndpointFault::Silent, now_ms, effects);
+    }
+
     pub(super) fn on_behind(&mut self, stage: usize, now_ms: u64, effects: &mut Vec<ChainEffect>) {
         self.unmoved_rounds = 0;
         let rounds = match self.behind {
--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -69,6 +69,12 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Show where requests were lost or late, and why, by the logs of relaying instances.
+    Losses {
+        /// Logs of the instances.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Work with an instance's settings.
     #[command(subcommand)]
     Settings(SettingsCommand),
--- /dev/null
+++ b/src/ctl/commands/losses.rs
@@ -0,0 +1,90 @@
+//! `fescuectl losses`: where requests were lost or late, by the logs of relaying instances.
+
+use std::path::PathBuf;
+
+use indexmap::IndexMap;
+
+use crate::ctl::fault::CtlError;
+use crate::ctl::log_lines::read_logs;
+use crate::ctl::losses::{Account, Losses, Reason, Window, account};
+use crate::ctl::report::{Report, render, table};
+
+/// Characters of a time up to its tens of seconds: windows of ten seconds.
+const WINDOW_DIGITS: usize = "2026-01-07T10:05:3".len();
+
+pub(super) fn run(files: &[PathBuf]) -> Result<Report, CtlError> {
+    let lines = read_logs(files)?;
+    let account = account(&lines, WINDOW_DIGITS);
+    let text = match account.attempts {
+        0 => "no line ends a request; name the logs of all instances".to_owned(),
+        _ => render_account(&account),
+    };
+    Report::success(text, &account)
+}
+
+fn render_account(account: &Account) -> String {
+    let head = format!(
+        "{} attempts: {} in time, {} late, {} lost",
+        account.attempts,
+        account.in_time,
+        account.late(),
+        account.lost()
+    );
+    [head, render_losses(account), render_windows(account)].join("\n\n")
+}
+
+fn render_losses(account: &Account) -> String {
+    let mut table = table([
+        "KIND",
+        "REASON",
+        "LOST",
+        "LATE",
+        "AGE OF LIST ms (median, most)",
+        "EXAMPLES",
+    ]);
+    for ((kind, reason), losses) in &account.losses {
+        table.add_row([
+            kind.clone(),
+            reason.name().to_owned(),
+            losses.lost.to_string(),
+            losses.late.to_string(),
+            ages(losses),
+            losses.examples.join(" "),
+        ]);
+    }
+    render(&table)
+}
+
+fn ages(losses: &Losses) -> String {
+    let ages = &losses.list_ages_ms;
+    match (ages.get(ages.len() / 2), ages.last()) {
+        (Some(median), Some(most)) => format!("{median}, {most}"),
+        _ => "not known".to_owned(),
+    }
+}
+
+fn render_windows(account: &Account) -> String {
+    let mut table = table(["FROM", "ATTEMPTS", "LOST", "LATE", "MOSTLY"]);
+    for (at, window) in &account.windows {
+        table.add_row([
+            format!("{at}0"),
+            window.attempts.to_string(),
+            window.lost.values().sum::<u64>().to_string(),
+            window.late.values().sum::<u64>().to_string(),
+            mostly(window),
+        ]);
+    }
+    render(&table)
+}
+
+/// The reason of most attempts that were lost or late in a window.
+fn mostly(window: &Window) -> String {
+    let mut sums: IndexMap<Reason, u64> = IndexMap::new();
+    for (reason, count) in window.lost.iter().chain(&window.late) {
+        *sums.entry(*reason).or_insert(0) += count;
+    }
+    let most = sums.into_iter().max_by_key(|(_, count)| *count);
+    most.map_or(String::new(), |(reason, count)| {
+        format!("{} ({count})", reason.name())
+    })
+}
--- a/src/ctl/commands/mod.rs
+++ b/src/ctl/commands/mod.rs
@@ -9,6 +9,7 @@
 mod document_show;
 mod explain;
 mod key_new;
+mod losses;
 mod settings_check;
 mod status;
 mod trace;
@@ -53,6 +54,7 @@
         Command::Audit(args) => audit::run(&Controls::new(&common)?, &args).await,
         Command::Explain(command) => explain::run(&Controls::new(&common)?, &command).await,
         Command::Trace { request, files } => trace::run(&request, &files),
+        Command::Losses { files } => losses::run(&files),
         Command::Settings(SettingsCommand::Check { file }) => settings_check::run(&file),
         Command::Key(KeyCommand::New) => key_new::run(),
         Command::Completions { shell } => completions(shell),
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -9,6 +9,8 @@
 mod fault;
 mod in_force;
 mod key;
+mod log_lines;
+mod losses;
 mod report;
 #[cfg(test)]
 mod tests;
@@ -19,6 +21,8 @@
 
 pub use cli::Cli;
 pub use fault::CtlError;
+pub use log_lines::LogLine;
+pub use losses::{Account, Losses, Reason, Window, account};
 pub use report::Report;
 
 use crate::exit_codes::Exit;
--- /dev/null
+++ b/src/ctl/tests/losses.rs
@@ -0,0 +1,109 @@
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+use super::run;
+use crate::ctl::{LogLine, Reason, account};
+
+fn line(at: &str, message: &str, values: Value) -> LogLine {
+    let line =
+        json!({"at": format!("2026-01-07T10:05:{at}.000Z"), "message": message, "values": values});
+    serde_json::from_value(line).expect("a line")
+}
+
+fn stream(request: &str, outcome: &str, first_event_ms: u64, repairs: u64) -> Value {
+    json!({"request": request, "route": "draft", "outcome": outcome, "repairs": repairs,
+        "first_event_ms": first_event_ms, "objective_ms": 500, "longest_gap_ms": 120,
+        "pause_objective_ms": 200, "list_age_ms": 700, "runs": 1})
+}
+
+fn run_failed(request: &str, end: &str) -> Value {
+    json!({"request": request, "end": end})
+}
+
+fn lines() -> Vec<LogLine> {
+    let slow = json!({"request": "r7", "route": "look", "status": 200, "took_ms": 900,
+        "objective_ms": 150, "list_age_ms": 90});
+    vec![
+        line("31", "stream ended", stream("r1", "whole", 80, 0)),
+        line("31", "run failed", run_failed("r2", "TurnedAway")),
+        line("32", "stream ended", stream("r2", "no_budget", 80, 0)),
+        line("33", "stream ended", stream("r3", "full", 80, 0)),
+        line("34", "stream ended", stream("r4", "whole", 900, 1)),
+        line("41", "run failed", run_failed("r5", "Lost")),
+        line("42", "stream ended", stream("r5", "unknown", 80, 0)),
+        line(
+            "43",
+            "request is refused",
+            json!({"request": "r6", "cause": "old_table"}),
+        ),
+        line("44", "request answered", slow),
+        line(
+            "45",
+            "request has no answer",
+            json!({"request": "r8", "route": "save", "word": "timed_out"}),
+        ),
+        line("46", "stream ended", stream("r9", "caller_left", 80, 0)),
+        line("47", "endpoint is gone", json!({"endpoint": "e"})),
+    ]
+}
+
+#[test]
+fn each_lost_or_late_attempt_stands_under_one_reason() {
+    let lines = lines();
+    let account = account(&lines, 18);
+    assert_eq!(account.attempts, 9);
+    assert_eq!((account.in_time, account.late(), account.lost()), (1, 2, 6));
+    let reasons: Vec<(&str, Reason)> = account
+        .losses
+        .keys()
+        .map(|(kind, reason)| (kind.as_str(), *reason))
+        .collect();
+    for expected in [
+        ("draft", Reason::TurnedAway),
+        ("draft", Reason::NoRoom),
+        ("draft", Reason::RepairedLate),
+        ("draft", Reason::StageLost),
+        ("not known", Reason::StoreAway),
+        ("look", Reason::SlowStart),
+        ("save", Reason::Deadline),
+        ("draft", Reason::CallerGone),
+    ] {
+        assert!(reasons.contains(&expected), "{expected:?} in {reasons:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn the_account_is_a_table() {
+    let folder = tempfile::tempdir().expect("the temporary folder can be written");
+    let path = folder.path().join("a.log");
+    let text: Vec<String> = lines()
+        .iter()
+        .map(|line| serde_json::to_string(line).expect("it can be written"))
+        .collect();
+    std::fs::write(&path, text.join("\n")).expect("the temporary folder can be written");
+    let report = run(&format!("losses {}", path.display())).await;
+    insta::assert_snapshot!(report.expect("the file can be read").text);
+}
+
+proptest! {
+    /// Whatever the lines say, no attempt is counted twice or left out.
+    #[test]
+    fn the_sums_hold(
+        ends in prop::collection::vec(
+            (0u32..20, "[a-zA-Z_ ]{0,12}", prop::option::of("[a-zA-Z]{0,10}"), any::<u64>()), 0..60),
+    ) {
+        let mut lines = Vec::new();
+        for (request, outcome, end, number) in &ends {
+            let request = format!("r{request}");
+            if let Some(end) = end {
+                lines.push(line("01", "run failed", run_failed(&request, end)));
+            }
+            lines.push(line("02", "stream ended", stream(&request, outcome, *number, number % 2)));
+        }
+        let account = account(&lines, 18);
+        prop_assert_eq!(account.attempts, ends.len() as u64);
+        prop_assert_eq!(account.in_time + account.late() + account.lost(), account.attempts);
+        let windows: u64 = account.windows.values().map(|it| it.attempts).sum();
+        prop_assert_eq!(windows, account.attempts);
+    }
+}
--- a/src/ctl/tests/mod.rs
+++ b/src/ctl/tests/mod.rs
@@ -1,4 +1,5 @@
 mod local;
+mod losses;
 mod remote;
 mod render;
 mod stub;
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -108,7 +108,7 @@
 {
     let arrived_ms = boot_ms();
     let Some(table) = node.routes() else {
-        return refuse(node, "", RefusalCause::NoTable);
+        return refuse(node, "", None, RefusalCause::NoTable);
     };
     if headers::head_bytes(request.head()) > table.limits.max_head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -167,13 +167,28 @@
     let route = resolved.route.clone();
     let age_ms = node.table.borrow().age_ms(now_ms);
     if table.needs_key(&route) && age_ms > node.settings.bounds.key_trust_ms {
-        return Err(Box::new(refuse(node, &ask.id, RefusalCause::OldTable)));
+        return Err(Box::new(refuse(
+            node,
+            &ask.id,
+            Some(&route),
+            RefusalCause::OldTable,
+        )));
     }
     if is_late_to_begin(node, &route, now_ms) {
-        return Err(Box::new(refuse(node, &ask.id, RefusalCause::Stopping)));
+        return Err(Box::new(refuse(
+            node,
+            &ask.id,
+            Some(&route),
+            RefusalCause::Stopping,
+        )));
     }
     let Some(service) = route.pick_service(node.draw()).cloned() else {
-        return Err(Box::new(refuse(node, &ask.id, RefusalCause::NoEndpoint)));
+        return Err(Box::new(refuse(
+            node,
+            &ask.id,
+            Some(&route),
+            RefusalCause::NoEndpoint,
+        )));
     };
     let patience_ms = ask.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
     Ok(RelayedRequest {
@@ -218,7 +233,7 @@
     let age_ms = node.table.borrow().age_ms(now_ms);
     // A table that may be out of date may lack a route or key that was added since.
     if age_ms > node.settings.bounds.key_trust_ms {
-        return refuse(node, id, RefusalCause::OldTable);
+        return refuse(node, id, None, RefusalCause::OldTable);
     }
     let status = match rejection {
         Rejection::NoRoute => StatusCode::NOT_FOUND,
@@ -234,7 +249,12 @@
     status_response(node, status)
 }
 
-fn refuse<A>(node: &Node<A>, id: &str, cause: RefusalCause) -> Response<BoxBody>
+fn refuse<A>(
+    node: &Node<A>,
+    id: &str,
+    route: Option<&Route>,
+    cause: RefusalCause,
+) -> Response<BoxBody>
 where
     A: Adapter,
 {
@@ -242,10 +262,12 @@
     let table = node.table.borrow();
     log::info!(
         request = id,
+        route = route.map(|route| route.name.as_str()),
         cause = cause.name(),
         retry_after_ms = cause.retry_after_ms(outlook),
         table = table.table().map(|table| table.version),
-        table_age_ms = table.age_ms(boot_ms());
+        table_age_ms = table.age_ms(boot_ms()),
+        list_age_ms = node.fleet.borrow().age_ms(boot_ms());
         "request is refused"
     );
     drop(table);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -57,7 +57,8 @@
         route = request.route.name.as_str(),
         word = word.name(),
         took_ms = boot_ms().saturating_sub(request.arrived_ms),
-        table = request.table.version;
+        table = request.table.version,
+        list_age_ms = node.fleet.borrow().age_ms(boot_ms());
         "request has no answer"
     );
     word_response(node, word, request.outlook(node))
@@ -225,7 +226,9 @@
         route = request.route.name.as_str(),
         status = answer.status.as_u16(),
         took_ms,
-        table = request.table.version;
+        objective_ms = request.route.objective_ms,
+        table = request.table.version,
+        list_age_ms = node.fleet.borrow().age_ms(boot_ms());
         "request answered"
     );
     let mut response = Response::with_body(answer.status, BoxBody::new(answer.body));
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -398,10 +398,13 @@
             took_ms,
             first_event_ms,
             longest_gap_ms = self.longest_gap_ms,
+            objective_ms = self.request.route.objective_ms,
+            pause_objective_ms = self.request.route.pause_objective_ms,
             last_event = self.splitter.last_id(),
             runs = self.runs,
             repairs = self.repairs,
             table = self.request.table.version,
+            list_age_ms = self.node.fleet.borrow().age_ms(now_ms),
             endpoints = self.node.fleet.borrow().iter().count();
             "stream ended"
         );
--- a/src/route_table/table.rs
+++ b/src/route_table/table.rs
@@ -56,6 +56,8 @@
     pub timeout_ms: u64,
     /// Time within which an answer is of full use.
     pub objective_ms: u64,
+    /// Longest pause between two events with which a stream is of full use, if the route has one.
+    pub pause_objective_ms: Option<u64>,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
     /// Services, by weight; never empty.
--- a/src/route_table/tests.rs
+++ b/src/route_table/tests.rs
@@ -10,6 +10,7 @@
         repeat: Repeat::Idempotent,
         timeout_ms: 1_000,
         objective_ms: 100,
+        pause_objective_ms: None,
         priority: 2,
         services: vec![WeightedService {
             service: ServiceName::from(service),
