Placement: engines that return close holes with the least to load and relieve slow ones

Now an engine that gets layers goes to those without holder, then to those that run much slower than it would run them, then to those with few holders; and where a zone has a hole, the engine that closes it with the least to load does.

--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::sizing::layer_counts;
-use super::spread::{Coverage, PlacedEngine};
+use super::spread::{Coverage, HeldRange, PlacedEngine};
 use crate::ids::{EndpointId, ZoneName};
 use crate::invariant;
 use crate::route_table::EngineModel;
@@ -143,24 +143,9 @@
     ) -> Vec<PlaceOrder> {
         let counts = layer_counts(engines, model);
         let sound = engines.iter().filter(|engine| !engine.is_crawling);
-        let held: Vec<LayerRange> = sound.filter_map(|it| self.future(it)).collect();
-        let mut coverage = Coverage::of(model.layers, &held);
-        let mut orders = Vec::new();
-        let mut empty: Vec<&&PlacedEngine> = engines
-            .iter()
-            .filter(|it| self.future(it).is_none() && self.may_order(it))
-            .collect();
-        empty.sort_by(|a, b| first_to_place(a, b, &counts, model));
-        for engine in empty {
-            let count = counts.get(&engine.id).copied().unwrap_or(0);
-            if let Some(layers) = coverage.neediest(count) {
-                coverage.add(layers);
-                orders.push(PlaceOrder {
-                    endpoint: engine.id.clone(),
-                    layers,
-                });
-            }
-        }
+        let held = sound.filter_map(|engine| self.held_range(engine, model));
+        let mut coverage = Coverage::of(model.layers, held);
+        let mut orders = self.fill_empty(engines, &counts, &mut coverage, model);
         if !coverage.has_hole() {
             self.hole_since_ms.shift_remove(zone);
             return orders;
@@ -179,6 +164,46 @@
         orders
     }
 
+    /// Gives every empty engine its layers. Where engines of the zone hold some already, layers
+    /// without holder come first, each from the engine that loads least for it.
+    fn fill_empty(
+        &self,
+        engines: &[&PlacedEngine],
+        counts: &IndexMap<EndpointId, u16>,
+        coverage: &mut Coverage,
+        model: &EngineModel,
+    ) -> Vec<PlaceOrder> {
+        let is_empty = |it: &&PlacedEngine| self.future(it).is_none() && self.may_order(it);
+        let mut empty: Vec<&PlacedEngine> = engines.iter().copied().filter(is_empty).collect();
+        empty.sort_by(|a, b| first_to_place(a, b, counts, model));
+        let is_repair = empty.len() < engines.len();
+        let mut orders = Vec::new();
+        while !empty.is_empty() {
+            let next = if is_repair && coverage.has_hole() {
+                closes_holes_soonest(&empty, counts, coverage, model)
+            } else {
+                0
+            };
+            let engine = empty.remove(next);
+            let count = counts.get(&engine.id).copied().unwrap_or(0);
+            if let Some(range) = coverage.neediest(count, step_factor(engine, model)) {
+                coverage.add(range);
+                orders.push(PlaceOrder {
+                    endpoint: engine.id.clone(),
+                    layers: range.layers,
+                });
+            }
+        }
+        orders
+    }
+
+    fn held_range(&self, engine: &PlacedEngine, model: &EngineModel) -> Option<HeldRange> {
+        Some(HeldRange {
+            layers: self.future(engine)?,
+            step_factor: step_factor(engine, model),
+        })
+    }
+
     /// Moves one engine whose layers all have another holder to where layers have none.
     fn fill_hole(
         &self,
@@ -187,29 +212,27 @@
         coverage: &Coverage,
         model: &EngineModel,
     ) -> Option<PlaceOrder> {
-        let whole = LayerRange {
-            first: 0,
-            end: model.layers,
-        };
-        let before = coverage.holes(whole);
+        let before = coverage.holes();
         let mut best: Option<((u32, u64), PlaceOrder)> = None;
         let fit = |engine: &&&PlacedEngine| !engine.is_crawling && self.may_order(engine);
         for engine in engines.iter().filter(fit) {
-            let (Some(layers), Some(count)) = (self.future(engine), counts.get(&engine.id)) else {
+            let (Some(_), Some(count)) = (self.future(engine), counts.get(&engine.id)) else {
                 continue;
             };
-            let mut without = coverage.clone();
-            without.remove(layers);
-            let Some(target) = without.neediest(*count) else {
+            let others = engines.iter().filter(|other| other.id != engine.id);
+            let others = others.filter(|other| !other.is_crawling);
+            let others = others.filter_map(|other| self.held_range(other, model));
+            let mut without = Coverage::of(model.layers, others);
+            let Some(target) = without.neediest(*count, step_factor(engine, model)) else {
                 continue;
             };
             without.add(target);
-            let after = without.holes(whole);
+            let after = without.holes();
             let rank = (after, engine.held_token_layers);
             if after < before && best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 let order = PlaceOrder {
                     endpoint: engine.id.clone(),
-                    layers: target,
+                    layers: target.layers,
                 };
                 best = Some((rank, order));
             }
@@ -284,15 +307,37 @@
     counts: &IndexMap<EndpointId, u16>,
     model: &EngineModel,
 ) -> Ordering {
-    let step_factor = |engine: &PlacedEngine| {
-        let kind = model.kinds.get(&engine.kind);
-        kind.map_or(f64::INFINITY, |kind| kind.step_factor)
-    };
     let count = |engine: &PlacedEngine| counts.get(&engine.id).copied();
-    let faster = step_factor(a).total_cmp(&step_factor(b));
+    let faster = step_factor(a, model).total_cmp(&step_factor(b, model));
     faster.then_with(|| count(b).cmp(&count(a)))
 }
 
+/// Factor on the time of a token step; infinite for a kind that the table does not name.
+fn step_factor(engine: &PlacedEngine, model: &EngineModel) -> f64 {
+    let kind = model.kinds.get(&engine.kind);
+    kind.map_or(f64::INFINITY, |kind| kind.step_factor)
+}
+
+/// Which of these engines leaves the fewest layers without a holder, and of equal ones the one that
+/// has to load the fewest: a zone that lacks one layer serves nothing until it is loaded.
+fn closes_holes_soonest(
+    empty: &[&PlacedEngine],
+    counts: &IndexMap<EndpointId, u16>,
+    coverage: &Coverage,
+    model: &EngineModel,
+) -> usize {
+    let rank = |engine: &PlacedEngine| {
+        let count = counts.get(&engine.id).copied().unwrap_or(0);
+        let mut after = coverage.clone();
+        if let Some(range) = coverage.neediest(count, step_factor(engine, model)) {
+            after.add(range);
+        }
+        (after.holes(), count)
+    };
+    let ranks = empty.iter().map(|engine| rank(engine)).enumerate();
+    ranks.min_by_key(|(_, rank)| *rank).map_or(0, |(at, _)| at)
+}
+
 /// The window of `count` layers from `first`, moved back where it would end behind the last layer.
 fn window_from(first: u16, count: u16, layers: u16) -> LayerRange {
     let end = (first + count).min(layers);
--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -20,52 +20,82 @@
     pub is_crawling: bool,
 }
 
-/// Number of holders of each layer.
+/// A range of layers and how slow its holder is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct HeldRange {
+    pub(super) layers: LayerRange,
+    /// Factor on the time of a token step; higher is slower.
+    pub(super) step_factor: f64,
+}
+
+/// What is held of one layer.
+#[derive(Clone, Copy, Debug)]
+struct LayerCover {
+    holders: u32,
+    /// Factor on the time of a token step at the fastest holder; infinite without one.
+    fastest: f64,
+}
+
+/// How much a window of layers needs one more holder. Compared in the order of the fields: a layer
+/// without holder stops every request of the zone, a slow one costs each of them, and a second
+/// holder only helps when the first is lost.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Need {
+    /// Layers without a holder.
+    holes: u32,
+    /// Step factors saved, over the layers that would run much faster than now.
+    saved: f64,
+    /// Grows with the layers that have few holders.
+    copies: u64,
+}
+
+/// How many times faster than a layer's fastest holder an engine must be for the layer to be worth
+/// more than another one's second holder: a lesser gain is within what load does to two engines
+/// of one kind.
+const MUCH_FASTER: f64 = 1.5;
+
+/// Who holds each layer.
 #[derive(Clone, Debug)]
-pub(super) struct Coverage(Vec<u32>);
+pub(super) struct Coverage(Vec<LayerCover>);
 
 impl Coverage {
-    pub(super) fn of<'a, I>(layers: u16, ranges: I) -> Self
+    pub(super) fn of<I>(layers: u16, ranges: I) -> Self
     where
-        I: IntoIterator<Item = &'a LayerRange>,
+        I: IntoIterator<Item = HeldRange>,
     {
-        let mut coverage = Self(vec![0; usize::from(layers)]);
+        let nothing = LayerCover {
+            holders: 0,
+            fastest: f64::INFINITY,
+        };
+        let mut coverage = Self(vec![nothing; usize::from(layers)]);
         for range in ranges {
-            coverage.add(*range);
+            coverage.add(range);
         }
         coverage
     }
 
-    pub(super) fn add(&mut self, range: LayerRange) {
-        for layer in range.first..range.end {
-            if let Some(count) = self.0.get_mut(usize::from(layer)) {
-                *count += 1;
-            }
-        }
-    }
-
-    pub(super) fn remove(&mut self, range: LayerRange) {
-        for layer in range.first..range.end {
-            if let Some(count) = self.0.get_mut(usize::from(layer)) {
-                *count = count.saturating_sub(1);
+    pub(super) fn add(&mut self, range: HeldRange) {
+        for layer in range.layers.first..range.layers.end {
+            if let Some(cover) = self.0.get_mut(usize::from(layer)) {
+                cover.holders += 1;
+                cover.fastest = cover.fastest.min(range.step_factor);
             }
         }
     }
 
-    /// Layers of a range without any holder.
-    pub(super) fn holes(&self, range: LayerRange) -> u32 {
-        let layers = &self.0[usize::from(range.first)..usize::from(range.end)];
-        layers.iter().filter(|count| **count == 0).count() as u32
+    /// Layers without any holder.
+    pub(super) fn holes(&self) -> u32 {
+        self.0.iter().filter(|cover| cover.holders == 0).count() as u32
     }
 
     /// Whether some layer has no holder.
     pub(super) fn has_hole(&self) -> bool {
-        self.0.contains(&0)
+        self.0.iter().any(|cover| cover.holders == 0)
     }
 
-    /// The window of `count` layers that needs a holder most: the one with the most layers of the
-    /// fewest holders. Of equal ones the first.
-    pub(super) fn neediest(&self, count: u16) -> Option<LayerRange> {
+    /// The window of `count` layers that needs a holder with this step factor most. Of equal ones the
+    /// first.
+    pub(super) fn neediest(&self, count: u16, step_factor: f64) -> Option<HeldRange> {
         let total = u16::try_from(self.0.len()).ok()?;
         if count == 0 || count > total {
             return None;
@@ -74,15 +104,36 @@
             first,
             end: first + count,
         });
-        // A layer with no holder stops every request of the zone; each further holder is worth
-        // much less than the one before.
-        let need = |range: &LayerRange| -> u64 {
-            let layers = &self.0[usize::from(range.first)..usize::from(range.end)];
-            layers
-                .iter()
-                .map(|held| 1_000_000u64 >> (held * 6).min(20))
-                .sum()
+        let mut best: Option<(Need, LayerRange)> = None;
+        for window in windows {
+            let need = self.need(window, step_factor);
+            if best.is_none_or(|(most, _)| need > most) {
+                best = Some((need, window));
+            }
+        }
+        let (_, layers) = best?;
+        Some(HeldRange {
+            layers,
+            step_factor,
+        })
+    }
+
+    fn need(&self, window: LayerRange, step_factor: f64) -> Need {
+        let covers = &self.0[usize::from(window.first)..usize::from(window.end)];
+        let mut need = Need {
+            holes: 0,
+            saved: 0.0,
+            copies: 0,
         };
-        windows.rev().max_by_key(need)
+        for cover in covers {
+            if cover.holders == 0 {
+                need.holes += 1;
+            } else if cover.fastest >= step_factor * MUCH_FASTER {
+                need.saved += cover.fastest - step_factor;
+            }
+            // Each further holder is worth much less than the one before.
+            need.copies += 1_000_000u64 >> (cover.holders * 6).min(20);
+        }
+        need
     }
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -139,6 +139,32 @@
     }
 }
 
+#[test]
+fn engines_that_return_close_a_hole_with_the_least_to_load_and_relieve_slow_ones() {
+    let model = model_of_unlike_speeds();
+    let mut engines = engines("lac", 2, 3, 7);
+    let mut layers = vec![None, Some((24, 53))];
+    layers.extend([(0, 8), (8, 16), (16, 24)].map(Some));
+    layers.push(None);
+    layers.extend((0..6).map(|n| Some((54 + 5 * n, (59 + 5 * n).min(80)))));
+    for (engine, layers) in engines.iter_mut().zip(layers) {
+        engine.layers = layers.map(|(first, end)| LayerRange { first, end });
+    }
+    let orders = PlacementDuty::default().due(&engines, &model, 0);
+    let layers_of = |kind: &str| {
+        let is_of_kind = |it: &&PlaceOrder| it.endpoint.as_str().contains(kind);
+        orders
+            .iter()
+            .find(is_of_kind)
+            .expect("both get layers")
+            .layers
+    };
+    let hole = LayerRange { first: 53, end: 54 };
+    assert!(layers_of("small").covers(hole), "{orders:?}");
+    let slow = LayerRange { first: 0, end: 24 };
+    assert!(layers_of("large").covers(slow), "{orders:?}");
+}
+
 #[test]
 fn a_layer_without_holder_is_taken_over_by_a_spare_holder_of_others() {
     let mut engines = engines("lac", 2, 5, 8);
