Placement: second holders keep half the room, so that the largest engine's loss leaves no hole

Hypothesis: with copies sized like only holders three slow engines cover 24 of the largest one's 27 layers, so that its loss stops the zone though nearly all of it is held twice. A second holder shares the load with the first: it keeps half of the usual room and holds more layers (9 in place of 8 here).

--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::sizing::layer_counts;
+use super::sizing::{LayerCounts, layer_counts};
 use super::spread::{Coverage, HeldRange, PlacedEngine};
 use crate::ids::{EndpointId, ZoneName};
 use crate::invariant;
@@ -169,7 +169,7 @@
     fn fill_empty(
         &self,
         engines: &[&PlacedEngine],
-        counts: &IndexMap<EndpointId, u16>,
+        counts: &LayerCounts,
         coverage: &mut Coverage,
         model: &EngineModel,
     ) -> Vec<PlaceOrder> {
@@ -185,8 +185,13 @@
                 0
             };
             let engine = empty.remove(next);
-            let count = counts.get(&engine.id).copied().unwrap_or(0);
-            if let Some(range) = coverage.neediest(count, step_factor(engine, model)) {
+            let count = if coverage.has_hole() {
+                counts.as_only_holder(&engine.id)
+            } else {
+                counts.as_copy(&engine.id)
+            };
+            let range = coverage.neediest(count.unwrap_or(0), step_factor(engine, model));
+            if let Some(range) = range {
                 coverage.add(range);
                 orders.push(PlaceOrder {
                     endpoint: engine.id.clone(),
@@ -208,7 +213,7 @@
     fn fill_hole(
         &self,
         engines: &[&PlacedEngine],
-        counts: &IndexMap<EndpointId, u16>,
+        counts: &LayerCounts,
         coverage: &Coverage,
         model: &EngineModel,
     ) -> Option<PlaceOrder> {
@@ -216,14 +221,15 @@
         let mut best: Option<((u32, u64), PlaceOrder)> = None;
         let fit = |engine: &&&PlacedEngine| !engine.is_crawling && self.may_order(engine);
         for engine in engines.iter().filter(fit) {
-            let (Some(_), Some(count)) = (self.future(engine), counts.get(&engine.id)) else {
+            let (Some(_), Some(count)) = (self.future(engine), counts.as_only_holder(&engine.id))
+            else {
                 continue;
             };
             let others = engines.iter().filter(|other| other.id != engine.id);
             let others = others.filter(|other| !other.is_crawling);
             let others = others.filter_map(|other| self.held_range(other, model));
             let mut without = Coverage::of(model.layers, others);
-            let Some(target) = without.neediest(*count, step_factor(engine, model)) else {
+            let Some(target) = without.neediest(count, step_factor(engine, model)) else {
                 continue;
             };
             without.add(target);
@@ -245,7 +251,7 @@
     fn lay_out(
         &self,
         engines: &[&PlacedEngine],
-        counts: &IndexMap<EndpointId, u16>,
+        counts: &LayerCounts,
         model: &EngineModel,
     ) -> Vec<PlaceOrder> {
         let mut left: Vec<&&PlacedEngine> = engines
@@ -256,7 +262,7 @@
         let mut next = 0;
         while next < model.layers {
             let overlap = |engine: &&&PlacedEngine| {
-                let count = counts.get(&engine.id).copied().unwrap_or(0);
+                let count = counts.as_only_holder(&engine.id).unwrap_or(0);
                 let window = window_from(next, count, model.layers);
                 let held = self.future(engine);
                 (held.map_or(0, |held| overlap(held, window)), count)
@@ -266,7 +272,7 @@
                 return Vec::new();
             };
             let engine = left.swap_remove(best.0);
-            let count = counts.get(&engine.id).copied().unwrap_or(0);
+            let count = counts.as_only_holder(&engine.id).unwrap_or(0);
             let layers = window_from(next, count, model.layers);
             next = layers.end.max(next + u16::from(count == 0));
             if self.future(engine) != Some(layers) && count > 0 {
@@ -304,10 +310,10 @@
 fn first_to_place(
     a: &PlacedEngine,
     b: &PlacedEngine,
-    counts: &IndexMap<EndpointId, u16>,
+    counts: &LayerCounts,
     model: &EngineModel,
 ) -> Ordering {
-    let count = |engine: &PlacedEngine| counts.get(&engine.id).copied();
+    let count = |engine: &PlacedEngine| counts.as_only_holder(&engine.id);
     let faster = step_factor(a, model).total_cmp(&step_factor(b, model));
     faster.then_with(|| count(b).cmp(&count(a)))
 }
@@ -322,12 +328,12 @@
 /// has to load the fewest: a zone that lacks one layer serves nothing until it is loaded.
 fn closes_holes_soonest(
     empty: &[&PlacedEngine],
-    counts: &IndexMap<EndpointId, u16>,
+    counts: &LayerCounts,
     coverage: &Coverage,
     model: &EngineModel,
 ) -> usize {
     let rank = |engine: &PlacedEngine| {
-        let count = counts.get(&engine.id).copied().unwrap_or(0);
+        let count = counts.as_only_holder(&engine.id).unwrap_or(0);
         let mut after = coverage.clone();
         if let Some(range) = coverage.neediest(count, step_factor(engine, model)) {
             after.add(range);
--- a/src/placement/sizing.rs
+++ b/src/placement/sizing.rs
@@ -27,12 +27,33 @@
     count as u16
 }
 
+/// Part of the usual room that an engine keeps where it is the second holder of its layers: the two
+/// share what is there.
+const COPY_ROOM: f64 = 0.5;
+
+/// How many layers each engine of an availability zone holds.
+#[derive(Clone, Debug)]
+pub(super) struct LayerCounts {
+    only: IndexMap<EndpointId, u16>,
+    copy: IndexMap<EndpointId, u16>,
+}
+
+impl LayerCounts {
+    /// Where some of its layers have no other holder; `None` for a kind that the table does not name.
+    pub(super) fn as_only_holder(&self, engine: &EndpointId) -> Option<u16> {
+        self.only.get(engine).copied()
+    }
+
+    /// Where all of its layers have another holder.
+    pub(super) fn as_copy(&self, engine: &EndpointId) -> Option<u16> {
+        self.copy.get(engine).copied()
+    }
+}
+
 /// Layers for each engine of one availability zone: as many as leave the usual room, or more
-/// where the zone would not hold every layer once.
-pub(super) fn layer_counts(
-    engines: &[&PlacedEngine],
-    model: &EngineModel,
-) -> IndexMap<EndpointId, u16> {
+/// where the zone would not hold every layer once. A copy keeps less room and holds more layers, so
+/// that fewer engines make up for the loss of a large one.
+pub(super) fn layer_counts(engines: &[&PlacedEngine], model: &EngineModel) -> LayerCounts {
     let counts_for = |requests: f64| -> IndexMap<EndpointId, u16> {
         engines
             .iter()
@@ -47,7 +68,10 @@
         let counts = counts_for(requests);
         let sum: u32 = counts.values().map(|count| u32::from(*count)).sum();
         if sum >= u32::from(model.layers) || requests <= LEAST_ROOM_REQUESTS {
-            return counts;
+            return LayerCounts {
+                only: counts,
+                copy: counts_for(requests * COPY_ROOM),
+            };
         }
         requests = (requests * 0.8).max(LEAST_ROOM_REQUESTS);
     }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -139,6 +139,21 @@
     }
 }
 
+#[test]
+fn no_layer_is_without_holder_once_the_largest_engine_is_lost() {
+    let model = model_of_unlike_speeds();
+    for (large, middle, small) in [(2, 4, 4), (1, 6, 6), (1, 4, 10)] {
+        let mut engines = engines("lac", large, middle, small);
+        let orders = PlacementDuty::default().due(&engines, &model, 0);
+        place(&mut engines, &orders);
+        let lost = engines.remove(0);
+        let holes: Vec<u16> = (0..80)
+            .filter(|layer| holders(&engines, *layer) == 0)
+            .collect();
+        assert!(holes.is_empty(), "{holes:?} without {lost:?}");
+    }
+}
+
 #[test]
 fn engines_that_return_close_a_hole_with_the_least_to_load_and_relieve_slow_ones() {
     let model = model_of_unlike_speeds();
