--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -96,6 +96,29 @@
     }
 }
 
+/// How fresh an instance's own knowledge is.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Knowledge {
+    /// Since when a peer has had a newer table.
+    pub(super) behind_since_ms: Option<u64>,
+    /// Whether the store answered the newest call that has ended.
+    pub(super) store_answers: bool,
+    /// Age of the list of endpoints.
+    pub(super) list_age_ms: u64,
+}
+
+impl Knowledge {
+    /// Whether a peer is to be asked. A list that is old though the store answers has not changed: it
+    /// reaches 3.65 s whenever two watches in a row end in vain.
+    pub(super) fn is_wanting(self, now_ms: u64) -> bool {
+        let is_behind = self
+            .behind_since_ms
+            .is_some_and(|since| now_ms >= since + BEHIND_MS);
+        let is_list_old = !self.store_answers && self.list_age_ms >= OLD_LIST_MS;
+        is_behind || is_list_old
+    }
+}
+
 /// Asks peers whenever they know more than the store tells here, for as long as the process runs.
 pub(super) async fn follow_peers<A>(node: Rc<Node<A>>)
 where
@@ -112,9 +135,12 @@
         } else {
             behind_since_ms = None;
         }
-        let is_behind = behind_since_ms.is_some_and(|since| now_ms >= since + BEHIND_MS);
-        let is_list_old = node.fleet.borrow().age_ms(now_ms) >= OLD_LIST_MS;
-        if is_behind || is_list_old {
+        let knowledge = Knowledge {
+            behind_since_ms,
+            store_answers: node.store_answers.get(),
+            list_age_ms: node.fleet.borrow().age_ms(now_ms),
+        };
+        if knowledge.is_wanting(now_ms) {
             ask(&node, &informants).await;
         }
     }
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 
-use super::snapshot::read_snapshot;
+use super::snapshot::{Knowledge, read_snapshot};
 use super::upstream::{UpstreamFailure, Upstreams};
 
 /// How the endpoint ends the connection after its bytes.
@@ -140,3 +140,20 @@
         let _ = read_snapshot(&bytes);
     }
 }
+
+#[test]
+fn peers_are_asked_only_for_what_the_store_does_not_tell() {
+    let wanting = |behind_since_ms, store_answers, list_age_ms| {
+        let knowledge = Knowledge {
+            behind_since_ms,
+            store_answers,
+            list_age_ms,
+        };
+        knowledge.is_wanting(10_000)
+    };
+    assert!(!wanting(None, true, 3_650), "nothing has changed");
+    assert!(wanting(None, false, 3_650));
+    assert!(!wanting(None, false, 2_900));
+    assert!(wanting(Some(9_400), true, 0));
+    assert!(!wanting(Some(9_600), true, 0), "its own watch brings it");
+}
