Placement: no moves in vain where engines are too few; pages on rounds and thresholds

lay_out went on one layer for an engine that can hold none, so that engines which lacked one layer were all moved and another layer lacked then. Found by reading; the test fails without the mend.

--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -165,7 +165,9 @@
     }
 
     /// Gives every empty engine its layers. Where engines of the zone hold some already, layers
-    /// without holder come first, each from the engine that loads least for it.
+    /// without holder come first, each from the engine that loads least for it. A zone whose engines
+    /// returned from a crash of 4.5 s stayed slow for as long as it was watched before; worth
+    /// 0.692 -> 0.696 and 0.740 -> 0.751 over 18 drawn days each.
     fn fill_empty(
         &self,
         engines: &[&PlacedEngine],
@@ -254,15 +256,18 @@
         counts: &LayerCounts,
         model: &EngineModel,
     ) -> Vec<PlaceOrder> {
+        let count_of = |engine: &PlacedEngine| counts.as_only_holder(&engine.id).unwrap_or(0);
         let mut left: Vec<&&PlacedEngine> = engines
             .iter()
             .filter(|engine| !engine.is_crawling && self.may_order(engine))
+            // An engine of a kind that the table does not name can hold none.
+            .filter(|engine| count_of(engine) > 0)
             .collect();
         let mut orders = Vec::new();
         let mut next = 0;
         while next < model.layers {
             let overlap = |engine: &&&PlacedEngine| {
-                let count = counts.as_only_holder(&engine.id).unwrap_or(0);
+                let count = count_of(engine);
                 let window = window_from(next, count, model.layers);
                 let held = self.future(engine);
                 (held.map_or(0, |held| overlap(held, window)), count)
@@ -272,10 +277,9 @@
                 return Vec::new();
             };
             let engine = left.swap_remove(best.0);
-            let count = counts.as_only_holder(&engine.id).unwrap_or(0);
-            let layers = window_from(next, count, model.layers);
-            next = layers.end.max(next + u16::from(count == 0));
-            if self.future(engine) != Some(layers) && count > 0 {
+            let layers = window_from(next, count_of(engine), model.layers);
+            next = layers.end;
+            if self.future(engine) != Some(layers) {
                 orders.push(PlaceOrder {
                     endpoint: engine.id.clone(),
                     layers,
--- a/src/placement/sizing.rs
+++ b/src/placement/sizing.rs
@@ -14,6 +14,11 @@
 /// The least room, in usual requests, where a zone could not hold every layer otherwise.
 const LEAST_ROOM_REQUESTS: f64 = 8.0;
 
+/// Part of the usual room that an engine keeps where it is the second holder of its layers: the two
+/// share what is there. With the whole room three small engines hold 24 of a large one's 27 layers,
+/// and its loss stops the zone; worth 0.696 -> 0.712 and 0.751 -> 0.757 over 18 drawn days each.
+const COPY_ROOM: f64 = 0.5;
+
 /// Most layers that fit beside room for `requests` usual requests.
 fn layers_beside(model: &EngineModel, kind: &EngineKind, requests: f64) -> u16 {
     let usual_tokens = (model.usual_prompt_tokens + model.usual_answer_tokens).max(1) as f64;
@@ -27,10 +32,6 @@
     count as u16
 }
 
-/// Part of the usual room that an engine keeps where it is the second holder of its layers: the two
-/// share what is there.
-const COPY_ROOM: f64 = 0.5;
-
 /// How many layers each engine of an availability zone holds.
 #[derive(Clone, Debug)]
 pub(super) struct LayerCounts {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -211,6 +211,26 @@
     }
 }
 
+#[test]
+fn engines_that_are_too_few_are_left_alone_beside_one_of_an_unknown_kind() {
+    let model = EngineModel {
+        layers: 81,
+        ..model()
+    };
+    let mut engines = engines("marsa", 1, 5, 1);
+    let mut first = 1;
+    for (engine, count) in engines.iter_mut().zip([20, 12, 12, 12, 12, 12]) {
+        let end = first + count;
+        engine.layers = Some(LayerRange { first, end });
+        first = end;
+    }
+    engines[6].kind = "unheard-of".to_owned();
+    let mut duty = PlacementDuty::default();
+    // All that they can do is to leave another layer without a holder.
+    assert_eq!(duty.due(&engines, &model, 0), vec![]);
+    assert_eq!(duty.due(&engines, &model, 6_000), vec![]);
+}
+
 #[test]
 fn one_engine_of_a_zone_is_moved_at_a_time() {
     let mut engines = engines("lac", 2, 5, 8);
