--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -235,7 +235,7 @@
 
     fn write(&mut self, mut entry: ListedEndpoint, now_ms: u64, changes: &mut Vec<FleetChange>) {
         let id = entry.id.clone();
-        if !self.is_newest_lifetime(&entry, now_ms, changes) {
+        if !self.follow_lifetime(&entry, now_ms, changes) {
             return;
         }
         self.unusable.swap_remove(&id.name());
@@ -262,9 +262,9 @@
         }
     }
 
-    /// Whether an entry is of the newest lifetime known under its name; an earlier one's word
-    /// changes nothing. Where it begins a lifetime, the one before ends with all that was known of it.
-    fn is_newest_lifetime(
+    /// Takes the lifetime that an entry is of. Where it is a new one, the one before ends with all that
+    /// was known of it. Returns false for an earlier one: its late word changes nothing.
+    fn follow_lifetime(
         &mut self,
         entry: &ListedEndpoint,
         now_ms: u64,
