--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -187,12 +187,14 @@
                 0
             };
             let engine = empty.remove(next);
-            let count = if coverage.has_hole() {
-                counts.as_only_holder(&engine.id)
-            } else {
-                counts.as_copy(&engine.id)
-            };
-            let range = coverage.neediest(count.unwrap_or(0), step_factor(engine, model));
+            let step_factor = step_factor(engine, model);
+            let count = counts.as_only_holder(&engine.id).unwrap_or(0);
+            let mut range = coverage.neediest(count, step_factor);
+            // A much faster engine runs what the present holders ran, so it needs the whole room.
+            if range.is_some_and(|range| !coverage.is_carried_by(range)) {
+                let count = counts.as_copy(&engine.id).unwrap_or(0);
+                range = coverage.neediest(count, step_factor);
+            }
             if let Some(range) = range {
                 coverage.add(range);
                 orders.push(PlaceOrder {
--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -118,6 +118,13 @@
         })
     }
 
+    /// Whether an engine with this range would run some of its layers for everybody: they have no other
+    /// holder, or only much slower ones.
+    pub(super) fn is_carried_by(&self, range: HeldRange) -> bool {
+        let need = self.need(range.layers, range.step_factor);
+        need.holes > 0 || need.saved > 0.0
+    }
+
     fn need(&self, window: LayerRange, step_factor: f64) -> Need {
         let covers = &self.0[usize::from(window.first)..usize::from(window.end)];
         let mut need = Need {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -211,6 +211,23 @@
     }
 }
 
+#[test]
+fn an_engine_that_returns_to_slow_copies_keeps_the_room_of_an_only_holder() {
+    let model = model_of_unlike_speeds();
+    let mut engines = engines("lac", 1, 6, 6);
+    let orders = PlacementDuty::default().due(&engines, &model, 0);
+    place(&mut engines, &orders);
+    let before = engines[0].layers;
+    engines[0].layers = None;
+    assert!(
+        (0..80).all(|layer| holders(&engines, layer) >= 1),
+        "copies hold its layers"
+    );
+    let orders = PlacementDuty::default().due(&engines, &model, 0);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(Some(orders[0].layers), before);
+}
+
 #[test]
 fn engines_that_are_too_few_are_left_alone_beside_one_of_an_unknown_kind() {
     let model = EngineModel {
