Heartbeats: the zone each time, other zones in turn; the echo is the recipient's own

Cause: every instance told every other all it knew four times a second; with 195 of them a heartbeat named 195 peers and 223 engines, 2.1 MB/s left each instance for other zones over links of 2.5 MB/s, and everything else was late.

Now a heartbeat names loads at its recipient's zone only and echoes only its recipient. Instances of other zones are told 20 at a time, which is everybody each time in fleets up to 20 elsewhere; the first three of a zone tell everybody each time, and one of them gives the orders. Loads are kept up by changes; before, each datagram summed all peers' loads over.

Bytes between zones in a second, by the test: 195 instances below 2.5 MB, 400 MB before.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -211,6 +211,14 @@
         }
     }
 
+    /// Takes that another instance holds `now` at an engine where it held `before`, in tokens times layers.
+    pub fn shift_peers_load(&mut self, id: &EndpointId, before: u64, now: u64) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            let others = known.peers_token_layers.saturating_sub(before);
+            known.peers_token_layers = others.saturating_add(now);
+        }
+    }
+
     /// Notes a trouble at an endpoint; returns whether it is on pause now and was not before.
     pub fn troubled(&mut self, id: &EndpointId, trouble: Trouble, now_ms: u64) -> bool {
         let known = self.endpoints.get_mut(id);
--- /dev/null
+++ b/src/relay_server/heartbeat.rs
@@ -0,0 +1,112 @@
+//! The datagram that instances send one another, and its bytes.
+//!
+//! A datagram is the sender's heartbeat, the same for a whole availability zone, followed by the echo
+//! for its one recipient. It is binary: text takes three times the bytes.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
+use crate::wire::engine::LayerRange;
+
+/// What an instance tells the others of itself and of the endpoints.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Heartbeat {
+    pub(super) instance: InstanceId,
+    pub(super) incarnation: Incarnation,
+    pub(super) zone: ZoneName,
+    /// Where callers connect.
+    pub(super) front: SocketAddr,
+    /// Speed of its link: the fastest instances speak for their zone.
+    pub(super) link_mbps: u32,
+    /// Whether it tells every zone of itself at the full rate, so that silence soon means something.
+    pub(super) speaks: bool,
+    pub(super) availability: Availability,
+    /// Version of the table of routes in force.
+    pub(super) table: u64,
+    /// Age of that table.
+    pub(super) table_age_ms: u64,
+    /// When it was sent, on the sender's clock.
+    pub(super) sent_ms: u64,
+    /// Endpoints that do not answer.
+    pub(super) unsound: Vec<EndpointId>,
+    /// Endpoints that are leaving or gone.
+    pub(super) leaving: Vec<EndpointId>,
+    /// Engines that were ordered to hold other layers.
+    pub(super) moving: Vec<(EndpointId, LayerRange)>,
+    /// Tokens times layers of this instance's streams by engine.
+    pub(super) held: Vec<(EndpointId, u64)>,
+    /// Leases on the orders to engines that this instance gave up, by service, and the highest
+    /// fencing number it gave orders under.
+    pub(super) given_up: Vec<(ServiceName, u64)>,
+}
+
+/// The newest heartbeat that the sender of a datagram has from its recipient.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Echo {
+    /// The recipient's process that sent it.
+    pub(super) incarnation: Incarnation,
+    /// When it was sent, on the recipient's clock.
+    pub(super) sent_ms: u64,
+}
+
+/// Whether callers should come to an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Availability {
+    /// It serves everybody.
+    pub(crate) is_ready: bool,
+    /// It serves, though it may have to refuse requests with keys.
+    pub(crate) is_open: bool,
+    /// The store answers it, so that it can take the lease on orders to engines.
+    pub(crate) reaches_store: bool,
+}
+
+impl Availability {
+    /// Whether the instance can give orders to engines.
+    pub(crate) fn may_lead(self) -> bool {
+        self.is_ready && self.reaches_store
+    }
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnState {
+    /// Whether callers should come here.
+    pub(crate) availability: Availability,
+    /// Version of the table of routes in force.
+    pub(crate) table: u64,
+    /// Age of that table.
+    pub(crate) table_age_ms: u64,
+    /// What this instance's streams hold.
+    pub(crate) held: Vec<HeldLoad>,
+}
+
+/// What an instance's streams hold at one engine.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldLoad {
+    pub(crate) endpoint: EndpointId,
+    /// The engine's availability zone.
+    pub(crate) zone: ZoneName,
+    /// Tokens times layers.
+    pub(crate) token_layers: u64,
+}
+
+/// Writes the part of a datagram that all of its recipients share.
+pub(super) fn heartbeat_bytes(heartbeat: &Heartbeat) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_stdvec(heartbeat)
+}
+
+/// Writes a whole datagram.
+pub(super) fn datagram(
+    heartbeat_bytes: &[u8],
+    echo: Option<Echo>,
+) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(&echo, heartbeat_bytes.to_vec())
+}
+
+/// Reads a datagram.
+pub(super) fn read_datagram(bytes: &[u8]) -> Result<(Heartbeat, Option<Echo>), postcard::Error> {
+    let (heartbeat, rest) = postcard::take_from_bytes(bytes)?;
+    Ok((heartbeat, postcard::from_bytes(rest)?))
+}
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -9,6 +9,7 @@
 mod feeds;
 mod front;
 mod headers;
+mod heartbeat;
 mod held_tokens;
 mod node;
 mod peer_book;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -8,7 +8,8 @@
 
 use super::adapter::Adapter;
 use super::checks::CheckBook;
-use super::peer_book::{Availability, PeerBook};
+use super::heartbeat::Availability;
+use super::peer_book::PeerBook;
 use super::settings::RelaySettings;
 use super::upstream::Upstreams;
 use crate::clock::boot_ms;
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -2,15 +2,16 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
-
+use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::settings::RelaySettings;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
 use crate::placement::PlaceOrder;
 use crate::wire::engine::LayerRange;
+use indexmap::IndexMap;
 
+/// Pause between two heartbeats.
+pub(super) const HEARTBEAT_MS: u64 = 250;
 /// Silence after which a peer is forgotten.
 const FORGET_MS: u64 = 60_000;
 /// Silence after which a peer is not named to callers any more: two heartbeats may be lost.
@@ -18,6 +19,12 @@
 /// Silence after which the holder of a lease is taken for ended: four heartbeats. It costs nothing but a
 /// change of the holder if it lives, and a zone without a layer waits for nobody longer.
 const HOLDER_SILENT_MS: u64 = 1_000;
+/// Instances that speak for their zone: they send heartbeats at the full rate to every zone, and give
+/// the orders to engines. With three, two may fail at once and the zone is still heard.
+const SPEAKERS: usize = 3;
+/// Heartbeats sent in one period to instances of other zones, by one that does not speak for its own.
+/// Sent to all of 156 each time, with what they held, heartbeats filled links of 20 Mbit/s.
+const FAR_IN_TURN: usize = 20;
 /// How often news of an endpoint is told, in heartbeats.
 const TELLINGS: u8 = 4;
 /// Most addresses named to a caller.
@@ -25,76 +32,6 @@
 /// Instances of the caller's zone that are enough for it; with fewer, all are named.
 const ENOUGH_NEAR: usize = 2;
 
-/// One datagram.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Heartbeat {
-    pub(super) instance: InstanceId,
-    pub(super) incarnation: Incarnation,
-    pub(super) zone: ZoneName,
-    /// Where callers connect.
-    pub(super) front: SocketAddr,
-    pub(super) availability: Availability,
-    /// Version of the table of routes in force.
-    pub(super) table: u64,
-    /// Age of that table.
-    pub(super) table_age_ms: u64,
-    /// When it was sent, on the sender's clock.
-    pub(super) sent_ms: u64,
-    /// The newest sending time heard from each peer, on that peer's clock.
-    pub(super) heard: Vec<HeardFrom>,
-    /// Endpoints that do not answer.
-    pub(super) unsound: Vec<EndpointId>,
-    /// Endpoints that are leaving or gone.
-    pub(super) leaving: Vec<EndpointId>,
-    /// Engines that were ordered to hold other layers.
-    pub(super) moving: Vec<(EndpointId, LayerRange)>,
-    /// Tokens times layers of this instance's streams by engine.
-    pub(super) held: Vec<(EndpointId, u64)>,
-    /// Leases on the orders to engines that this instance gave up, by service, and the highest
-    /// fencing number it gave orders under.
-    pub(super) given_up: Vec<(ServiceName, u64)>,
-}
-
-/// The newest heartbeat that an instance has from another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct HeardFrom {
-    instance: InstanceId,
-    incarnation: Incarnation,
-    /// When it was sent, on its sender's clock.
-    sent_ms: u64,
-}
-
-/// What an instance says of itself.
-#[derive(Clone, Debug)]
-pub(crate) struct OwnState {
-    /// Whether callers should come here.
-    pub(crate) availability: Availability,
-    /// Version of the table of routes in force.
-    pub(crate) table: u64,
-    /// Age of that table.
-    pub(crate) table_age_ms: u64,
-    /// Tokens times layers of this instance's streams by engine.
-    pub(crate) held: Vec<(EndpointId, u64)>,
-}
-
-/// Whether callers should come to an instance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Availability {
-    /// It serves everybody.
-    pub(crate) is_ready: bool,
-    /// It serves, though it may have to refuse requests with keys.
-    pub(crate) is_open: bool,
-    /// The store answers it, so that it can take the lease on orders to engines.
-    pub(crate) reaches_store: bool,
-}
-
-impl Availability {
-    /// Whether the instance can give orders to engines.
-    pub(crate) fn may_lead(self) -> bool {
-        self.is_ready && self.reaches_store
-    }
-}
-
 /// Whether the holder of a lease has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HolderEnd {
@@ -123,6 +60,9 @@
     incarnation: Incarnation,
     zone: ZoneName,
     front: SocketAddr,
+    link_mbps: u32,
+    /// Whether it sends heartbeats here at the full rate although it is in another zone.
+    speaks: bool,
     availability: Availability,
     /// Version of its table of routes.
     table: u64,
@@ -130,6 +70,27 @@
     /// When its newest heartbeat was sent, on its own clock.
     sent_ms: u64,
     held: Vec<(EndpointId, u64)>,
+    /// Whether `held` is in the sums that were handed out last.
+    is_counted: bool,
+}
+
+/// Where a heartbeat goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Recipient {
+    pub(super) address: SocketAddr,
+    /// Availability zone of the recipient.
+    pub(super) zone: ZoneName,
+    pub(super) echo: Option<Echo>,
+}
+
+/// A load that has changed at an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LoadChange {
+    pub(super) endpoint: EndpointId,
+    /// Tokens times layers held before.
+    pub(super) before: u64,
+    /// Tokens times layers held now.
+    pub(super) now: u64,
 }
 
 /// The other instances.
@@ -137,6 +98,7 @@
 pub(crate) struct PeerBook {
     own_zone: ZoneName,
     own_front: SocketAddr,
+    own_link_mbps: u32,
     own_instance: InstanceId,
     own_incarnation: Incarnation,
     peers: IndexMap<InstanceId, Peer>,
@@ -150,6 +112,8 @@
     /// Since when heartbeats are listened for.
     listening_since_ms: u64,
     has_news: bool,
+    /// How far the turn of recipients in other zones has come.
+    far_turn: usize,
 }
 
 impl PeerBook {
@@ -157,6 +121,7 @@
         Self {
             own_zone: settings.zone.clone(),
             own_front: settings.front,
+            own_link_mbps: settings.link_mbps,
             own_instance: settings.instance.clone(),
             own_incarnation: incarnation,
             peers: IndexMap::new(),
@@ -167,6 +132,7 @@
             given_up_by_peers: IndexMap::new(),
             listening_since_ms: now_ms,
             has_news: false,
+            far_turn: 0,
         }
     }
 
@@ -187,17 +153,50 @@
             incarnation,
             zone,
             front,
+            link_mbps: 0,
+            speaks: false,
             availability: Availability::default(),
             table: 0,
             heard_ms: None,
             sent_ms: 0,
             held: Vec::new(),
+            is_counted: false,
         });
     }
 
-    /// Whom to send heartbeats to.
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
+    /// Whom the next heartbeat goes to: the whole zone, and of the other zones either everybody, for one
+    /// that speaks for its own, or those whose turn it is.
+    pub(super) fn recipients(&mut self, now_ms: u64) -> Vec<Recipient> {
+        let is_near = |peer: &Peer| peer.zone == self.own_zone;
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+            self.peers.values().partition(|peer| is_near(peer));
+        let in_turn = if self.speaks(now_ms) {
+            far.len()
+        } else {
+            far.len().min(FAR_IN_TURN)
+        };
+        let begin = self.far_turn.checked_rem(far.len()).unwrap_or(0);
+        let turn = far.iter().cycle().skip(begin).take(in_turn);
+        let recipients = near
+            .iter()
+            .chain(turn)
+            .map(|peer| peer.as_recipient(self.silent_after_ms(peer), now_ms))
+            .collect();
+        self.far_turn = begin + in_turn;
+        recipients
+    }
+
+    /// Whether this instance is one of those that speak for its zone: the ready ones with the fastest
+    /// links.
+    pub(crate) fn speaks(&self, now_ms: u64) -> bool {
+        let own = (std::cmp::Reverse(self.own_link_mbps), &self.own_instance);
+        let before = self.peers.iter().filter(|(name, peer)| {
+            peer.zone == self.own_zone
+                && peer.availability.is_ready
+                && self.is_heard(peer, now_ms)
+                && peer.rank(name) < own
+        });
+        before.count() < SPEAKERS
     }
 
     /// Instances that share a budget, this one included. All that are on record count, since one
@@ -206,14 +205,19 @@
         1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1)
     }
 
-    /// Whether this instance comes first, by name, among those that can give orders: they are ready,
-    /// and the store, which keeps the lease, answers them.
+    /// Whether this instance comes first among those that can give orders: they are ready, the store,
+    /// which keeps the lease, answers them, and they speak for their zone, so that their end is soon
+    /// noticed everywhere.
     pub(crate) fn is_first(&self, now_ms: u64) -> bool {
-        self.peers.iter().all(|(name, peer)| {
-            !peer.availability.may_lead()
-                || !peer.is_heard(SILENT_MS, now_ms)
-                || *name > self.own_instance
-        })
+        let own = (std::cmp::Reverse(self.own_link_mbps), &self.own_instance);
+        let mut others = self.peers.iter();
+        self.speaks(now_ms)
+            && others.all(|(name, peer)| {
+                !peer.availability.may_lead()
+                    || !peer.speaks
+                    || !self.is_heard(peer, now_ms)
+                    || peer.rank(name) > own
+            })
     }
 
     /// Peers to ask for what the store does not tell here, the one with the freshest table first.
@@ -222,7 +226,7 @@
         let mut heard: Vec<Informant> = self
             .peers
             .values()
-            .filter(|peer| peer.is_heard(SILENT_MS, now_ms) && peer.availability.is_open)
+            .filter(|peer| self.is_heard(peer, now_ms) && peer.availability.is_open)
             .map(|peer| Informant {
                 address: peer.address,
                 table: peer.table,
@@ -236,7 +240,7 @@
     /// Whether another instance serves everybody.
     pub(crate) fn others_serve(&self, now_ms: u64) -> bool {
         let mut peers = self.peers.values();
-        peers.any(|peer| peer.availability.is_ready && peer.is_heard(SILENT_MS, now_ms))
+        peers.any(|peer| peer.availability.is_ready && self.is_heard(peer, now_ms))
     }
 
     /// Addresses for a caller of a zone: instances that serve everybody and that the store answers; if
@@ -251,7 +255,7 @@
         let heard = self
             .peers
             .values()
-            .filter(|peer| peer.is_heard(SILENT_MS, now_ms))
+            .filter(|peer| self.is_heard(peer, now_ms))
             .map(|peer| (&peer.zone, peer.front, peer.availability));
         let own = (&self.own_zone, self.own_front, own);
         let all: Vec<(&ZoneName, SocketAddr, Availability)> =
@@ -313,22 +317,30 @@
         HolderEnd::No
     }
 
-    /// Takes a peer's heartbeat.
-    pub(super) fn hear(&mut self, heartbeat: &Heartbeat, address: SocketAddr, now_ms: u64) {
+    /// Takes a peer's heartbeat. Returns how loads have changed by it.
+    pub(super) fn hear(
+        &mut self,
+        heartbeat: &Heartbeat,
+        address: SocketAddr,
+        now_ms: u64,
+    ) -> Vec<LoadChange> {
         let own = (&self.own_instance, &self.own_incarnation);
         if (&heartbeat.instance, &heartbeat.incarnation) == own {
-            return;
+            return Vec::new();
         }
         let peer = Peer {
             address,
             incarnation: heartbeat.incarnation,
             zone: heartbeat.zone.clone(),
             front: heartbeat.front,
+            link_mbps: heartbeat.link_mbps,
+            speaks: heartbeat.speaks,
             availability: heartbeat.availability,
             table: heartbeat.table,
             heard_ms: Some(now_ms),
             sent_ms: heartbeat.sent_ms,
             held: heartbeat.held.clone(),
+            is_counted: true,
         };
         for (service, fence) in &heartbeat.given_up {
             let highest = self.given_up_by_peers.entry(service.clone()).or_insert(0);
@@ -338,17 +350,22 @@
         if known.is_none_or(|it| it.incarnation != peer.incarnation || it.heard_ms.is_none()) {
             log::info!(peer = heartbeat.instance.as_str(), address:% = address; "peer is heard");
         }
-        self.peers.insert(heartbeat.instance.clone(), peer);
+        let before = self.peers.insert(heartbeat.instance.clone(), peer);
+        let before = before.filter(|it| it.is_counted).map(|it| it.held);
+        load_changes(before.unwrap_or_default(), &heartbeat.held)
     }
 
-    /// Tokens times layers that peers hold at each engine.
-    pub(super) fn held_by_peers(&self, now_ms: u64) -> IndexMap<EndpointId, u64> {
+    /// Tokens times layers that peers hold at each engine. Changes that [`Self::hear`] returns from now
+    /// on are changes of these sums.
+    pub(super) fn held_by_peers(&mut self, now_ms: u64) -> IndexMap<EndpointId, u64> {
         let mut sums = IndexMap::new();
-        for peer in self
-            .peers
-            .values()
-            .filter(|it| it.is_heard(SILENT_MS, now_ms))
-        {
+        let far_silent_ms = self.far_silent_ms();
+        for peer in self.peers.values_mut() {
+            let silent_ms = peer.silent_after_ms(&self.own_zone, far_silent_ms);
+            peer.is_counted = peer.is_heard(silent_ms, now_ms);
+            if !peer.is_counted {
+                continue;
+            }
             for (id, amount) in &peer.held {
                 let sum: &mut u64 = sums.entry(id.clone()).or_insert(0);
                 *sum = sum.saturating_add(*amount);
@@ -362,41 +379,35 @@
         std::mem::take(&mut self.has_news)
     }
 
-    /// The next heartbeat; news of endpoints are told a few times and then dropped.
-    pub(super) fn heartbeat(&mut self, own: OwnState, now_ms: u64) -> Heartbeat {
-        let heard = self.peers.iter();
-        let heard = heard.filter(|(_, peer)| peer.is_heard(SILENT_MS, now_ms));
+    /// The next heartbeat for the own zone; news of endpoints are told a few times and then dropped.
+    pub(super) fn heartbeat(&mut self, own: &OwnState, now_ms: u64) -> Heartbeat {
+        let held = own.held.iter();
         Heartbeat {
             instance: self.own_instance.clone(),
             incarnation: self.own_incarnation,
             zone: self.own_zone.clone(),
             front: self.own_front,
+            link_mbps: self.own_link_mbps,
+            speaks: self.speaks(now_ms),
             availability: own.availability,
             table: own.table,
             table_age_ms: own.table_age_ms,
             sent_ms: now_ms,
-            heard: heard
-                .map(|(name, peer)| HeardFrom {
-                    instance: name.clone(),
-                    incarnation: peer.incarnation,
-                    sent_ms: peer.sent_ms,
-                })
-                .collect(),
             unsound: Self::take_news(&mut self.unsound),
             leaving: Self::take_news(&mut self.leaving),
             moving: std::mem::take(&mut self.moving),
-            held: own.held,
+            held: held
+                .map(|load| (load.endpoint.clone(), load.token_layers))
+                .collect(),
             given_up: self.given_up.clone().into_iter().collect(),
         }
     }
 
     /// When the newest heartbeat of this process that a peer has heard was sent. One of an earlier
     /// process of this instance does not count: its clock may have been another.
-    pub(super) fn own_sending_heard(&self, heartbeat: &Heartbeat) -> Option<u64> {
-        let own = |it: &&HeardFrom| {
-            it.instance == self.own_instance && it.incarnation == self.own_incarnation
-        };
-        heartbeat.heard.iter().find(own).map(|it| it.sent_ms)
+    pub(super) fn own_sending_heard(&self, echo: Option<Echo>) -> Option<u64> {
+        let own = echo.filter(|it| it.incarnation == self.own_incarnation);
+        own.map(|it| it.sent_ms)
     }
 
     /// Forgets peers that have long been silent.
@@ -409,6 +420,21 @@
         });
     }
 
+    fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
+        peer.is_heard(self.silent_after_ms(peer), now_ms)
+    }
+
+    fn silent_after_ms(&self, peer: &Peer) -> u64 {
+        peer.silent_after_ms(&self.own_zone, self.far_silent_ms())
+    }
+
+    /// Silence after which a peer of another zone that does not speak for it is not named any more: two
+    /// of its turns may be lost. It has as many recipients as there are instances, at most.
+    fn far_silent_ms(&self) -> u64 {
+        let periods = self.peers.len().div_ceil(FAR_IN_TURN) as u64;
+        SILENT_MS.max(2 * periods * HEARTBEAT_MS + SILENT_MS / 2)
+    }
+
     fn take_news(list: &mut IndexMap<EndpointId, u8>) -> Vec<EndpointId> {
         let told = list.keys().cloned().collect();
         list.retain(|_, left| {
@@ -439,9 +465,54 @@
     named
 }
 
+/// How loads change when a peer that held `before` holds `now`.
+fn load_changes(before: Vec<(EndpointId, u64)>, now: &[(EndpointId, u64)]) -> Vec<LoadChange> {
+    let mut before: IndexMap<EndpointId, u64> = before.into_iter().collect();
+    let mut changes: Vec<LoadChange> = now
+        .iter()
+        .map(|(endpoint, amount)| LoadChange {
+            before: before.swap_remove(endpoint).unwrap_or(0),
+            endpoint: endpoint.clone(),
+            now: *amount,
+        })
+        .collect();
+    let ended = before.into_iter().map(|(endpoint, before)| LoadChange {
+        endpoint,
+        before,
+        now: 0,
+    });
+    changes.extend(ended);
+    changes
+}
+
 impl Peer {
     fn is_heard(&self, within_ms: u64, now_ms: u64) -> bool {
         self.heard_ms
             .is_some_and(|at_ms| now_ms < at_ms + within_ms)
     }
+
+    fn silent_after_ms(&self, own_zone: &ZoneName, far_silent_ms: u64) -> u64 {
+        if self.speaks || self.zone == *own_zone {
+            SILENT_MS
+        } else {
+            far_silent_ms
+        }
+    }
+
+    /// Place among instances: those with the fastest links come first.
+    fn rank<'a>(&self, name: &'a InstanceId) -> (std::cmp::Reverse<u32>, &'a InstanceId) {
+        (std::cmp::Reverse(self.link_mbps), name)
+    }
+
+    fn as_recipient(&self, silent_after_ms: u64, now_ms: u64) -> Recipient {
+        let is_heard = self.is_heard(silent_after_ms, now_ms);
+        Recipient {
+            address: self.address,
+            zone: self.zone.clone(),
+            echo: is_heard.then_some(Echo {
+                incarnation: self.incarnation,
+                sent_ms: self.sent_ms,
+            }),
+        }
+    }
 }
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -1,8 +1,12 @@
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use proptest::prelude::*;
 
-use super::peer_book::{Availability, Heartbeat, HolderEnd, OwnState, PeerBook};
+use super::heartbeat::{
+    Availability, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
+};
+use super::peer_book::{HolderEnd, PeerBook, Recipient};
 use super::settings::{RelayBounds, RelaySettings};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
@@ -36,6 +40,7 @@
         own_pages: Vec::new(),
         metrics: None,
         peers: address(port + 1),
+        link_mbps: 200,
         bounds: RelayBounds {
             key_trust_ms: 4_900,
             stop_limit_ms: 8_000,
@@ -56,7 +61,7 @@
         table_age_ms: 100,
         held: Vec::new(),
     };
-    book.heartbeat(own, now_ms)
+    book.heartbeat(&own, now_ms)
 }
 
 /// The book of `a`, which has heard `b` and `c` at these times.
@@ -118,10 +123,13 @@
     let mut a = book("a", "lac", 1_000);
     let mut b = book("b", "lac", 2_000);
     b.hear(&heartbeat(&mut a, READY, 400), address(1_001), 450);
-    let beat = heartbeat(&mut b, READY, 500);
-    assert_eq!(a.own_sending_heard(&beat), Some(400));
+    let recipients = b.recipients(500);
+    let echo = recipients[0].echo;
+    assert_eq!(a.own_sending_heard(echo), Some(400));
     let restarted = book("a", "lac", 1_000);
-    assert_eq!(restarted.own_sending_heard(&beat), None);
+    assert_eq!(restarted.own_sending_heard(echo), None);
+    let late = b.recipients(1_300);
+    assert_eq!(late[0].echo, None, "the other has fallen silent");
 }
 
 #[test]
@@ -164,20 +172,27 @@
             500_000,
         );
     }
-    let engines =
-        (0..13).map(|number| (EndpointId::from(format!("i-7f3a91c2{number:02}")), 500_000));
+    let engines = (0..13).map(|number| HeldLoad {
+        endpoint: EndpointId::from(format!("i-7f3a91c2{number:02}")),
+        zone: ZoneName::from("lac"),
+        token_layers: 500_000,
+    });
     let own = OwnState {
         availability: READY,
         table: 12,
         table_age_ms: 1_200,
         held: engines.collect(),
     };
-    let beat = a.heartbeat(own, 500_100);
+    let beat = a.heartbeat(&own, 500_100);
     let text = serde_json::to_vec(&beat).expect("it is text").len();
-    let binary = postcard::to_stdvec(&beat).expect("it is binary");
+    let shared = heartbeat_bytes(&beat).expect("it is binary");
+    let echo = a.recipients(500_100)[0].echo;
+    assert!(echo.is_some());
+    let binary = datagram(&shared, echo).expect("it is binary");
     assert!(binary.len() * 2 < text, "{} of {text} bytes", binary.len());
-    let read: Heartbeat = postcard::from_bytes(&binary).expect("it was written so");
+    let (read, read_echo) = read_datagram(&binary).expect("it was written so");
     assert_eq!(read.held, beat.held);
+    assert_eq!(read_echo, echo);
     println!("heartbeat: {} bytes, {text} as text", binary.len());
 }
 
@@ -239,7 +254,140 @@
     assert!(a.informants(5_000).is_empty(), "they have fallen silent");
 }
 
+/// A book of `front-0-0` in a fleet of this many instances, spread over five zones, all of them heard.
+fn large_fleet(instances: u16, now_ms: u64) -> PeerBook {
+    let name = |number: u16| format!("front-{}-{}", number % 5, number / 5);
+    let zone = |number: u16| format!("zone-{}", number % 5);
+    let mut own = book(&name(0), &zone(0), 1_000);
+    for number in 1..instances {
+        let port = 2_000 + 2 * number;
+        let mut other = book(&name(number), &zone(number), port);
+        let mut beat = heartbeat(&mut other, READY, now_ms);
+        beat.speaks = number < 15;
+        own.hear(&beat, address(port + 1), now_ms);
+    }
+    own
+}
+
+#[test]
+fn the_zone_is_told_each_time_and_others_in_turn() {
+    let mut book = large_fleet(195, 500);
+    // Three others with faster links speak for the zone.
+    for number in 0..3 {
+        let mut other = self::book(&format!("fast-{number}"), "zone-0", 900 + 2 * number);
+        let mut beat = heartbeat(&mut other, READY, 500);
+        beat.link_mbps = 1_000;
+        book.hear(&beat, address(901 + 2 * number), 500);
+    }
+    assert!(!book.speaks(600));
+    let mut told = IndexMap::new();
+    for _ in 0..8 {
+        let recipients = book.recipients(600);
+        let near = |it: &&Recipient| it.zone == ZoneName::from("zone-0");
+        assert_eq!(recipients.iter().filter(near).count(), 41);
+        assert_eq!(recipients.len(), 41 + 20);
+        for recipient in recipients.iter().filter(|it| !near(it)) {
+            *told.entry(recipient.address).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(told.len(), 156, "two seconds reach everybody");
+    assert!(told.values().all(|times| *times <= 2));
+}
+
+#[test]
+fn one_that_speaks_for_its_zone_tells_everybody_each_time() {
+    let mut book = large_fleet(195, 500);
+    assert!(
+        book.speaks(600),
+        "its links are no slower and its name is the first"
+    );
+    assert_eq!(book.recipients(600).len(), 194);
+    let mut small = large_fleet(20, 500);
+    small.hear(
+        &heartbeat(&mut self::book("a", "zone-0", 100), READY, 500),
+        address(101),
+        500,
+    );
+    assert_eq!(
+        small.recipients(600).len(),
+        20,
+        "a small fleet is told each time"
+    );
+}
+
+#[test]
+fn one_in_another_zone_that_is_told_in_turn_is_not_silent_between_its_turns() {
+    let mut book = large_fleet(195, 500);
+    let mut rare = self::book("rare", "zone-1", 900);
+    book.hear(&heartbeat(&mut rare, READY, 500), address(901), 500);
+    let named = |book: &PeerBook, now_ms| {
+        let zone = ZoneName::from("zone-1");
+        let addresses = book.addresses_for(&zone, READY, now_ms);
+        addresses.iter().filter(|it| **it != address(1_000)).count()
+    };
+    assert_eq!(
+        named(&book, 1_400),
+        8,
+        "only those that speak have fallen silent"
+    );
+    assert_eq!(named(&book, 6_500), 0);
+}
+
+/// Bytes that go from one zone to others in a second, over all instances of a fleet: what a link
+/// between zones carries. With everybody telling everybody all that it knew, 195 instances sent 400 MB.
+#[test]
+fn little_goes_between_zones() {
+    for (instances, most_bytes) in [(20_u16, 200_000), (195, 2_500_000)] {
+        let mut speaker = large_fleet(instances, 500);
+        let bytes_of = |book: &mut PeerBook| -> usize {
+            let beat = heartbeat(book, READY, 600);
+            let shared = heartbeat_bytes(&beat).expect("it can be written");
+            let own_zone = beat.zone;
+            let recipients = book.recipients(600);
+            let far = recipients.iter().filter(|it| it.zone != own_zone);
+            far.map(|it| datagram(&shared, it.echo).expect("it can be written").len())
+                .sum()
+        };
+        let by_speaker = bytes_of(&mut speaker);
+        let far = usize::from(instances) * 4 / 5;
+        let by_other = by_speaker * far.min(20) / far;
+        let speakers = usize::from(instances).min(15);
+        let total = 4 * (speakers * by_speaker + (usize::from(instances) - speakers) * by_other);
+        println!("{instances} instances: {total} bytes a second between zones");
+        assert!(total < most_bytes, "{total} bytes");
+    }
+}
+
 proptest! {
+    /// Loads that are kept up by each heartbeat's changes are those that are summed anew.
+    #[test]
+    fn changes_of_loads_add_up_to_the_sums(
+        told in prop::collection::vec((0..3_u8, prop::collection::vec((0..4_u8, 0..1_000_u64), 0..4)), 1..12),
+    ) {
+        let mut book = book("a", "lac", 10);
+        let mut kept: IndexMap<EndpointId, u64> = IndexMap::new();
+        for (sender, held) in told {
+            let port = 100 + 2 * u16::from(sender);
+            let mut beat = heartbeat(&mut self::book(&format!("b{sender}"), "lac", port), READY, 100);
+            let held: IndexMap<EndpointId, u64> = held
+                .into_iter()
+                .map(|(engine, amount)| (EndpointId::from(format!("e{engine}")), amount))
+                .collect();
+            beat.held = held.into_iter().collect();
+            for change in book.hear(&beat, address(port + 1), 100) {
+                let sum = kept.entry(change.endpoint).or_insert(0);
+                *sum = *sum - change.before + change.now;
+            }
+        }
+        kept.retain(|_, amount| *amount > 0);
+        let mut sums = book.held_by_peers(200);
+        sums.retain(|_, amount| *amount > 0);
+        kept.sort_unstable_keys();
+        sums.sort_unstable_keys();
+        prop_assert_eq!(kept, sums);
+        prop_assert!(book.held_by_peers(2_000).is_empty(), "they have fallen silent");
+    }
+
     /// Whatever a datagram holds, taking it ends: it is malformed, or its figures are of any size.
     #[test]
     fn no_datagram_crashes_its_reader(
@@ -251,13 +399,14 @@
         sender.tell_given_up(&ServiceName::from("model"), 7);
         let mut sent = heartbeat(&mut sender, READY, 100);
         sent.held = vec![(EndpointId::from("e"), u64::MAX), (EndpointId::from("f"), 3)];
-        let mut bytes = postcard::to_stdvec(&sent).expect("it can be written");
+        let shared = heartbeat_bytes(&sent).expect("it can be written");
+        let mut bytes = datagram(&shared, None).expect("it can be written");
         for (place, byte) in changes {
             let place = place.index(bytes.len());
             bytes[place] = byte;
         }
         bytes.truncate(length.index(bytes.len() + 1).max(1));
-        let Ok(read) = postcard::from_bytes::<Heartbeat>(&bytes) else {
+        let Ok((read, echo)) = read_datagram(&bytes) else {
             return Ok(());
         };
         let mut reader = book("a", "lac", 20);
@@ -272,7 +421,8 @@
         reader.has_ended(&ServiceName::from("model"), &holder, 2_000);
         reader.held_by_peers(400);
         reader.informants(400);
-        reader.own_sending_heard(&read);
+        reader.own_sending_heard(echo);
+        reader.recipients(400);
         reader.addresses_for(&ZoneName::from("lac"), READY, 400);
         reader.forget_silent(500);
     }
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -1,28 +1,32 @@
 //! What instances tell one another by datagram: that they live, what they hold, which endpoints
 //! are unsound or leaving. A lost datagram is made good by the next.
 //!
-//! Heartbeats are binary: they are sent from each to each four times a second, and text takes three
-//! times the bytes. All instances of a deployment must run the same release; one that does not
-//! understand a datagram says so in its log and goes on alone.
+//! Heartbeats go to the own zone four times a second, to other zones more rarely the more instances
+//! there are. All instances of a deployment must run the same release; one that does not understand a
+//! datagram says so in its log and goes on alone.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use tokio::net::UdpSocket;
 
 use super::adapter::Adapter;
 use super::checks::check_beside;
+use super::heartbeat::{
+    Echo, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
+};
 use super::node::Node;
-use super::peer_book::{Heartbeat, OwnState};
+use super::peer_book::{HEARTBEAT_MS, Recipient};
 use crate::clock::boot_ms;
+use crate::ids::ZoneName;
 use crate::placement::PlaceOrder;
 
-/// Pause between two heartbeats.
-const HEARTBEAT_MS: u64 = 250;
 /// Longest datagram that arrives in one piece on any usual link is about 1,400 bytes; longer ones
 /// are split by the network and still arrive.
 const DATAGRAM_LIMIT_BYTES: usize = 32 << 10;
+
 /// Sends heartbeats and takes those of peers, for as long as the process runs.
 pub(crate) async fn exchange<A>(node: Rc<Node<A>>, socket: UdpSocket)
 where
@@ -59,49 +63,102 @@
 where
     A: Adapter,
 {
-    let addresses = node.peers.borrow().addresses();
-    let heartbeat = own_heartbeat(node);
-    let bytes = match postcard::to_stdvec(&heartbeat) {
+    let now_ms = boot_ms();
+    let own = own_state(node, now_ms);
+    let (heartbeat, recipients, loads) = {
+        let mut peers = node.peers.borrow_mut();
+        let heartbeat = peers.heartbeat(&own, now_ms);
+        peers.forget_silent(now_ms);
+        let loads = peers.held_by_peers(now_ms);
+        (heartbeat, peers.recipients(now_ms), loads)
+    };
+    node.fleet.borrow_mut().set_peers_load(&loads);
+    let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
+    for recipient in &recipients {
+        if !shared.contains_key(&recipient.zone) {
+            let told = told_to_zone(&heartbeat, &own, &recipient.zone);
+            match heartbeat_bytes(&told) {
+                Ok(bytes) => drop(shared.insert(&recipient.zone, bytes)),
+                Err(error) => {
+                    log::error!(error:% = error; "heartbeat cannot be written");
+                    return;
+                }
+            }
+        }
+        send_one(node, socket, &shared[&recipient.zone], recipient).await;
+    }
+}
+
+async fn send_one<A>(
+    node: &Rc<Node<A>>,
+    socket: &UdpSocket,
+    heartbeat_bytes: &[u8],
+    recipient: &Recipient,
+) where
+    A: Adapter,
+{
+    let bytes = match datagram(heartbeat_bytes, recipient.echo) {
         Ok(bytes) => bytes,
         Err(error) => {
-            log::error!(error:% = error; "heartbeat cannot be written");
+            log::error!(error:% = error; "datagram cannot be written");
             return;
         }
     };
-    for address in addresses {
-        // A datagram that cannot be sent is like a lost one.
-        if let Err(error) = socket.send_to(&bytes, address).await {
-            log::debug!(peer:% = address, error:% = error; "heartbeat was not sent");
-        }
+    let is_near = recipient.zone == node.settings.zone;
+    let counter = if is_near {
+        "relay.heartbeats.bytes_in_zone"
+    } else {
+        "relay.heartbeats.bytes_between_zones"
+    };
+    node.counters.add(counter, bytes.len() as u64);
+    // A datagram that cannot be sent is like a lost one.
+    if let Err(error) = socket.send_to(&bytes, recipient.address).await {
+        log::debug!(peer:% = recipient.address, error:% = error; "heartbeat was not sent");
     }
-    node.peers.borrow_mut().forget_silent(boot_ms());
 }
 
-fn own_heartbeat<A>(node: &Node<A>) -> Heartbeat
+fn own_state<A>(node: &Node<A>, now_ms: u64) -> OwnState
 where
     A: Adapter,
 {
-    let now_ms = boot_ms();
     let held = node
         .fleet
         .borrow()
         .iter()
         .filter(|known| known.held_token_layers > 0)
-        .map(|known| (known.listed.id.clone(), known.held_token_layers))
+        .map(|known| HeldLoad {
+            endpoint: known.listed.id.clone(),
+            zone: known.listed.zone.clone(),
+            token_layers: known.held_token_layers,
+        })
         .collect();
-    let own = OwnState {
+    OwnState {
         availability: node.availability(),
         table: node.routes().map_or(0, |table| table.version),
         table_age_ms: node.table.borrow().age_ms(now_ms),
         held,
-    };
-    node.peers.borrow_mut().heartbeat(own, now_ms)
+    }
+}
+
+/// What a zone is told. Another one than the sender's hears of loads at its own engines only: requests
+/// run at engines of one zone, nearly always the caller's.
+fn told_to_zone(heartbeat: &Heartbeat, own: &OwnState, zone: &ZoneName) -> Heartbeat {
+    if *zone == heartbeat.zone {
+        return heartbeat.clone();
+    }
+    let held = own.held.iter().filter(|load| load.zone == *zone);
+    Heartbeat {
+        held: held
+            .map(|load| (load.endpoint.clone(), load.token_layers))
+            .collect(),
+        ..heartbeat.clone()
+    }
 }
 
 /// Takes a peer's word that the table in force here is the newest. The peer's heartbeat was sent
 /// after it had heard the one of this instance that it names, so its table's age then, taken off
 /// that sending time, is on the safe side however long both datagrams took.
-fn confirm_table<A>(node: &Node<A>, heartbeat: &Heartbeat)
+fn confirm_table<A>(node: &Node<A>, heartbeat: &Heartbeat, echo: Option<Echo>)
 where
     A: Adapter,
 {
@@ -109,7 +166,7 @@
     if version != Some(heartbeat.table) {
         return;
     }
-    let sent_ms = node.peers.borrow().own_sending_heard(heartbeat);
+    let sent_ms = node.peers.borrow().own_sending_heard(echo);
     // A time that has not come yet is not of this process, whatever the peer says.
     if let Some(sent_ms) = sent_ms.filter(|sent_ms| *sent_ms <= boot_ms()) {
         let newest_at_ms = sent_ms.saturating_sub(heartbeat.table_age_ms);
@@ -121,20 +178,16 @@
 where
     A: Adapter,
 {
-    let heartbeat: Heartbeat = match postcard::from_bytes(bytes) {
-        Ok(heartbeat) => heartbeat,
+    let (heartbeat, echo) = match read_datagram(bytes) {
+        Ok(read) => read,
         Err(error) => {
             log::warn!(peer:% = from, error:% = error; "datagram is malformed");
             return;
         }
     };
     let now_ms = boot_ms();
-    let held = {
-        let mut peers = node.peers.borrow_mut();
-        peers.hear(&heartbeat, from, now_ms);
-        peers.held_by_peers(now_ms)
-    };
-    confirm_table(node, &heartbeat);
+    let changes = node.peers.borrow_mut().hear(&heartbeat, from, now_ms);
+    confirm_table(node, &heartbeat, echo);
     for id in &heartbeat.unsound {
         if let Some(stage) = node.told_unsound(id) {
             check_beside(node, &stage);
@@ -147,7 +200,9 @@
             log::info!(endpoint = id.as_str(), peer; "endpoint is leaving, a peer says");
         }
     }
-    fleet.set_peers_load(&held);
+    for change in &changes {
+        fleet.shift_peers_load(&change.endpoint, change.before, change.now);
+    }
     drop(fleet);
     for (endpoint, layers) in heartbeat.moving {
         let order = PlaceOrder { endpoint, layers };
--- a/src/relay_server/settings.rs
+++ b/src/relay_server/settings.rs
@@ -19,6 +19,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where datagrams of peers arrive, and where they ask for a snapshot.
     pub peers: SocketAddr,
+    /// Speed of the instance's link, in megabits a second; 0 if it is not known.
+    pub link_mbps: u32,
     /// Bounds that the deployment promises.
     pub bounds: RelayBounds,
 }
