--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -39,7 +39,7 @@
 }
 
 /// Why an entry of the list names no endpoint that could be used.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum EntryFault {
     /// Its bytes cannot be decoded.
     #[error("its bytes cannot be decoded: {0}")]
@@ -54,7 +54,7 @@
 
 /// An entry of the list that names no endpoint to use. Entries may come from writers that are no
 /// endpoints.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnusableEntry {
     /// Its name.
     pub name: EndpointName,
@@ -63,7 +63,7 @@
 }
 
 /// How much of the list a read covers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListingScope {
     /// The whole list: what it does not name is missing.
     Whole,
@@ -75,7 +75,7 @@
 }
 
 /// What one read of the list gave.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListingRead {
     /// How much of the list was read.
     pub scope: ListingScope,
--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time::sleep;
 
-use super::adapter::{Adapter, DeploymentFeeds, FeedFailure};
+use super::adapter::{Adapter, DeploymentFeeds, FeedFailure, FeedRead};
 use super::node::Node;
 use crate::clock::boot_ms;
+use crate::fleet::ListingRead;
 use crate::route_table::{SourcedTable, TableChange};
 
 /// How long a watch waits in the store for a change. The table is at most this old when the store
@@ -20,6 +22,9 @@
 const ENDPOINTS_PAUSE_MS: u64 = 250;
 /// Pause after a call that failed.
 const RETRY_MS: u64 = 250;
+/// The same at an instance that has stepped in: while the store is away all of a zone's step in one
+/// after another, and hundreds must not press the store when it comes back.
+const STEPPED_IN_RETRY_MS: u64 = 1_000;
 
 /// Keeps the table of routes up to date, for as long as the process runs.
 pub(crate) async fn follow_table<A>(node: Rc<Node<A>>)
@@ -27,14 +32,20 @@
     A: Adapter,
 {
     let mut position = None;
+    let mut reading = node.reads_store.subscribe();
     loop {
+        if wait_until_reading(&mut reading).await {
+            position = None;
+        }
         let sent_ms = boot_ms();
         let read = node.adapter.store().table(position, WATCH_WAIT_MS).await;
         match read {
             Ok(read) => {
                 store_answered(&node);
                 position = Some(read.position);
-                take_table(&node, read.content, sent_ms);
+                if take_table(&node, read.content, sent_ms) {
+                    node.tell_knowledge();
+                }
             }
             Err(FeedFailure::HistoryGone) => {
                 log::info!(position; "history of the table is gone; reading it whole");
@@ -45,17 +56,39 @@
                 if matches!(failure, FeedFailure::Malformed(_)) {
                     position = None;
                 }
-                sleep(Duration::from_millis(RETRY_MS)).await;
+                sleep(Duration::from_millis(retry_ms(&node))).await;
             }
         }
     }
 }
 
-/// Takes the table that a call sent at `sent_ms` has read, or that there is no newer one.
-pub(super) fn take_table<A>(node: &Node<A>, read: Option<SourcedTable>, sent_ms: u64) {
+/// Waits until this instance is to read the store. Returns whether it had to: what was read before is
+/// old then.
+async fn wait_until_reading(reading: &mut watch::Receiver<bool>) -> bool {
+    let must_wait = !*reading.borrow();
+    if must_wait && reading.wait_for(|reads| *reads).await.is_err() {
+        log::error!("nobody decides any more whether the store is read");
+    }
+    must_wait
+}
+
+fn retry_ms<A>(node: &Node<A>) -> u64
+where
+    A: Adapter,
+{
+    if node.peers.borrow().is_among_first(boot_ms()) {
+        RETRY_MS
+    } else {
+        STEPPED_IN_RETRY_MS
+    }
+}
+
+/// Takes the table that a call sent at `sent_ms` has read, or that there is no newer one. Returns
+/// whether it is in force now and was not before.
+pub(super) fn take_table<A>(node: &Node<A>, read: Option<SourcedTable>, sent_ms: u64) -> bool {
     let Some(sourced) = read else {
         node.table.borrow_mut().confirm(sent_ms);
-        return;
+        return false;
     };
     let version = sourced.table.version;
     let change = node.table.borrow_mut().offer(sourced, sent_ms);
@@ -67,6 +100,7 @@
         TableChange::Confirmed => {}
         TableChange::Older => log::warn!(table = version; "older table of routes was dropped"),
     }
+    change == TableChange::InForce
 }
 
 /// Keeps the list of endpoints up to date, for as long as the process runs.
@@ -75,7 +109,11 @@
     A: Adapter,
 {
     let mut position = None;
+    let mut reading = node.reads_store.subscribe();
     loop {
+        if wait_until_reading(&mut reading).await {
+            position = None;
+        }
         let sent_ms = boot_ms();
         let read = node
             .adapter
@@ -86,13 +124,7 @@
             Ok(read) => {
                 store_answered(&node);
                 position = Some(read.position);
-                let now_ms = boot_ms();
-                let was_away = node.is_store_away(now_ms);
-                let mut fleet = node.fleet.borrow_mut();
-                let changes = fleet.take(read.content, was_away, now_ms);
-                fleet.confirm(sent_ms);
-                drop(fleet);
-                node.fleet_changed(&changes);
+                take_endpoints(&node, read, sent_ms);
                 ENDPOINTS_PAUSE_MS
             }
             Err(FeedFailure::HistoryGone) => {
@@ -105,13 +137,39 @@
                 if matches!(failure, FeedFailure::Malformed(_)) {
                     position = None;
                 }
-                RETRY_MS
+                retry_ms(&node)
             }
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
+/// Takes a read of the endpoint list, and has peers told if it brought anything.
+fn take_endpoints<A>(node: &Node<A>, read: FeedRead<ListingRead>, sent_ms: u64)
+where
+    A: Adapter,
+{
+    let now_ms = boot_ms();
+    let was_away = node.is_store_away(now_ms);
+    let mut list_log = node.list_log.borrow_mut();
+    let known = list_log.mark();
+    if read.position < known.position {
+        // A peer has told more since the call was sent.
+        return;
+    }
+    list_log.note(read.position, &read.content, was_away);
+    let is_news = list_log.mark().changed != known.changed;
+    drop(list_log);
+    let mut fleet = node.fleet.borrow_mut();
+    let changes = fleet.take(read.content, was_away, now_ms);
+    fleet.confirm(sent_ms);
+    drop(fleet);
+    node.fleet_changed(&changes);
+    if is_news {
+        node.tell_knowledge();
+    }
+}
+
 fn store_failed<A>(node: &Node<A>, failure: &FeedFailure, feed: &str)
 where
     A: Adapter,
@@ -132,6 +190,7 @@
     node.counters.count("relay.store.answers");
     node.store_answers.set(true);
     let now_ms = boot_ms();
+    node.store_answered_ms.set(Some(now_ms));
     let failed_ms = node.store_failed_ms.get();
     if let Some(at_ms) = failed_ms
         && !node.is_store_away(now_ms)
--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::list_log::ListMark;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::wire::engine::LayerRange;
 
@@ -27,6 +28,12 @@
     pub(super) table: u64,
     /// Age of that table.
     pub(super) table_age_ms: u64,
+    /// How far the sender knows the list of endpoints.
+    pub(super) list: ListMark,
+    /// Age of that list.
+    pub(super) list_age_ms: u64,
+    /// Time since the store last answered the sender, if it reads the store itself.
+    pub(super) store_age_ms: Option<u64>,
     /// When it was sent, on the sender's clock.
     pub(super) sent_ms: u64,
     /// Endpoints that do not answer.
@@ -58,11 +65,18 @@
     pub(crate) is_ready: bool,
     /// It serves, though it may have to refuse requests with keys.
     pub(crate) is_open: bool,
-    /// The store answers it, so that it can take the lease on orders to engines.
+    /// It reads the store itself and is answered, so that it can take the lease on orders to engines.
     pub(crate) reaches_store: bool,
+    /// What the store has reaches it soon: it is answered itself, or hears one in its zone that is.
+    pub(crate) is_fed: bool,
 }
 
 impl Availability {
+    /// Whether the instance serves everybody and learns of changes as soon as any.
+    pub(crate) fn is_current(self) -> bool {
+        self.is_ready && self.is_fed
+    }
+
     /// Whether the instance can give orders to engines.
     pub(crate) fn may_lead(self) -> bool {
         self.is_ready && self.reaches_store
@@ -78,6 +92,12 @@
     pub(crate) table: u64,
     /// Age of that table.
     pub(crate) table_age_ms: u64,
+    /// How far the list of endpoints is known.
+    pub(crate) list: ListMark,
+    /// Age of that list.
+    pub(crate) list_age_ms: u64,
+    /// Time since the store last answered, if it is read here.
+    pub(crate) store_age_ms: Option<u64>,
     /// What this instance's streams hold.
     pub(crate) held: Vec<HeldLoad>,
 }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -11,12 +11,18 @@
 mod headers;
 mod heartbeat;
 mod held_tokens;
+mod list_log;
+#[cfg(test)]
+mod list_log_tests;
 mod node;
 mod peer_book;
 #[cfg(test)]
 mod peer_book_tests;
 mod peers;
 mod plain;
+mod reading;
+#[cfg(test)]
+mod reading_tests;
 mod request;
 mod run;
 mod settings;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 
 use rand::RngExt;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::adapter::Adapter;
 use super::checks::CheckBook;
 use super::heartbeat::Availability;
+use super::list_log::ListLog;
 use super::peer_book::PeerBook;
 use super::settings::RelaySettings;
 use super::upstream::Upstreams;
@@ -44,6 +45,18 @@
     pub(crate) store_failed_ms: Cell<Option<u64>>,
     /// Whether the store answered the newest call that has ended.
     pub(crate) store_answers: Cell<bool>,
+    /// When the store last answered a call.
+    pub(crate) store_answered_ms: Cell<Option<u64>>,
+    /// Whether this instance reads the store itself.
+    pub(crate) reads_store: watch::Sender<bool>,
+    /// Whether the instances' records were read once.
+    pub(crate) are_records_known: Cell<bool>,
+    /// Reads of the endpoint list that others may need.
+    pub(crate) list_log: RefCell<ListLog>,
+    /// Told when there is something that peers must hear at once.
+    pub(crate) heartbeat_due: Notify,
+    /// Told when a peer is heard to know more than this instance.
+    pub(crate) peer_knows_more: Notify,
     /// Grows whenever endpoints were found unsound; streams look at their chains then.
     pub(crate) news: watch::Sender<u64>,
     pub(crate) stopping_since_ms: Cell<Option<u64>>,
@@ -73,6 +86,12 @@
             orders_heard: RefCell::default(),
             store_failed_ms: Cell::new(None),
             store_answers: Cell::new(false),
+            store_answered_ms: Cell::new(None),
+            reads_store: watch::Sender::new(false),
+            are_records_known: Cell::new(false),
+            list_log: RefCell::default(),
+            heartbeat_due: Notify::new(),
+            peer_knows_more: Notify::new(),
             news: watch::Sender::new(0),
             stopping_since_ms: Cell::new(None),
             open_requests: Cell::new(0),
@@ -102,10 +121,56 @@
         Availability {
             is_ready: self.is_ready(),
             is_open: self.is_open(),
-            reaches_store: self.store_answers.get(),
+            reaches_store: self.reads_store() && self.store_answers.get(),
+            is_fed: self.is_fed(),
         }
     }
 
+    /// Whether this instance reads the store itself.
+    pub(crate) fn reads_store(&self) -> bool {
+        *self.reads_store.borrow()
+    }
+
+    /// Whether what the store has reaches this instance soon.
+    pub(crate) fn is_fed(&self) -> bool {
+        if self.reads_store() {
+            self.store_answers.get()
+        } else {
+            self.peers.borrow().is_fed_by_zone(boot_ms())
+        }
+    }
+
+    /// Decides anew whether this instance reads the store.
+    pub(crate) fn look_at_reading(&self, now_ms: u64) {
+        let reads = self.reads_store();
+        let answered_ms = self.store_answered_ms.get();
+        let view = self.peers.borrow().reading_view(reads, answered_ms, now_ms);
+        let may_be_alone = !self.are_records_known.get() && view.place == 0;
+        let should_read = view.should_read(now_ms) && !(may_be_alone && view.is_listening(now_ms));
+        if should_read == reads {
+            return;
+        }
+        let newest_answer_age_ms = view.answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
+        log::info!(
+            place = view.place,
+            answered_before = view.answered_before,
+            newest_answer_age_ms;
+            "{}", if should_read { "instance reads the store" } else { "instance is told by others of its zone" }
+        );
+        self.counters.count(if should_read {
+            "relay.reading.begun"
+        } else {
+            "relay.reading.ended"
+        });
+        self.reads_store.send_replace(should_read);
+    }
+
+    /// Has peers told at once what this instance has read.
+    pub(crate) fn tell_knowledge(&self) {
+        self.peers.borrow_mut().tell_knowledge();
+        self.heartbeat_due.notify_one();
+    }
+
     /// Whether the store failed a call shortly before: what it tells may be missing something.
     pub(crate) fn is_store_away(&self, now_ms: u64) -> bool {
         let failed_ms = self.store_failed_ms.get();
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -1,14 +1,19 @@
 //! What is known of the other instances, and what they must be told.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
+use super::list_log::ListMark;
+use super::reading::{FIRST_OF_ZONE, ReadingView, STALE_MS};
 use super::settings::RelaySettings;
+use super::snapshot::Known;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
 use crate::placement::PlaceOrder;
 use crate::wire::engine::LayerRange;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 /// Pause between two heartbeats.
 pub(super) const HEARTBEAT_MS: u64 = 250;
@@ -19,12 +24,11 @@
 /// Silence after which the holder of a lease is taken for ended: four heartbeats. It costs nothing but a
 /// change of the holder if it lives, and a zone without a layer waits for nobody longer.
 const HOLDER_SILENT_MS: u64 = 1_000;
-/// Instances that speak for their zone: they send heartbeats at the full rate to every zone, and give
-/// the orders to engines. With three, two may fail at once and the zone is still heard.
-const SPEAKERS: usize = 3;
 /// Heartbeats sent in one period to instances of other zones, by one that does not speak for its own.
 /// Sent to all of 156 each time, with what they held, heartbeats filled links of 20 Mbit/s.
 const FAR_IN_TURN: usize = 20;
+/// How long after the start of this process one on record that was not heard may be starting too.
+const START_MS: u64 = 1_000;
 /// How often news of an endpoint is told, in heartbeats.
 const TELLINGS: u8 = 4;
 /// Most addresses named to a caller.
@@ -32,6 +36,19 @@
 /// Instances of the caller's zone that are enough for it; with fewer, all are named.
 const ENOUGH_NEAR: usize = 2;
 
+/// An instance's record in the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct InstanceRecord {
+    pub(super) instance: InstanceId,
+    pub(super) incarnation: Incarnation,
+    pub(super) zone: ZoneName,
+    pub(super) front: SocketAddr,
+    pub(super) peers: SocketAddr,
+    /// Speed of its link; records of earlier releases lack it.
+    #[serde(default)]
+    pub(super) link_mbps: u32,
+}
+
 /// Whether the holder of a lease has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HolderEnd {
@@ -50,8 +67,19 @@
     pub(crate) address: SocketAddr,
     /// Version of its table of routes.
     pub(crate) table: u64,
+    /// How far it knows the list of endpoints.
+    pub(crate) list: ListMark,
     /// Whether the store answers it.
     pub(crate) reaches_store: bool,
+    /// Whether it is in the own zone.
+    pub(crate) is_near: bool,
+}
+
+impl Informant {
+    /// Whether it knows what one that knows so far does not.
+    pub(super) fn knows_more(&self, known: Known) -> bool {
+        self.table > known.table || self.list.changed > known.list
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -66,6 +94,10 @@
     availability: Availability,
     /// Version of its table of routes.
     table: u64,
+    /// How far it knows the list of endpoints.
+    list: ListMark,
+    /// When the store last answered it, if it reads the store.
+    store_answered_ms: Option<u64>,
     heard_ms: Option<u64>,
     /// When its newest heartbeat was sent, on its own clock.
     sent_ms: u64,
@@ -137,26 +169,21 @@
     }
 
     /// Takes a peer's record from the store; what the peer tells by itself goes before it.
-    pub(crate) fn learn(
-        &mut self,
-        instance: InstanceId,
-        address: SocketAddr,
-        front: SocketAddr,
-        zone: ZoneName,
-        incarnation: Incarnation,
-    ) {
-        if instance == self.own_instance {
+    pub(super) fn learn(&mut self, record: InstanceRecord) {
+        if record.instance == self.own_instance {
             return;
         }
-        self.peers.entry(instance).or_insert(Peer {
-            address,
-            incarnation,
-            zone,
-            front,
-            link_mbps: 0,
+        self.peers.entry(record.instance).or_insert(Peer {
+            address: record.peers,
+            incarnation: record.incarnation,
+            zone: record.zone,
+            front: record.front,
+            link_mbps: record.link_mbps,
             speaks: false,
             availability: Availability::default(),
             table: 0,
+            list: ListMark::default(),
+            store_answered_ms: None,
             heard_ms: None,
             sent_ms: 0,
             held: Vec::new(),
@@ -166,11 +193,10 @@
 
     /// Whom the next heartbeat goes to: the whole zone, and of the other zones either everybody, for one
     /// that speaks for its own, or those whose turn it is.
-    pub(super) fn recipients(&mut self, now_ms: u64) -> Vec<Recipient> {
-        let is_near = |peer: &Peer| peer.zone == self.own_zone;
-        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
-            self.peers.values().partition(|peer| is_near(peer));
-        let in_turn = if self.speaks(now_ms) {
+    pub(super) fn recipients(&mut self, speaks: bool, now_ms: u64) -> Vec<Recipient> {
+        let is_near = |peer: &&Peer| peer.zone == self.own_zone;
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) = self.peers.values().partition(is_near);
+        let in_turn = if speaks {
             far.len()
         } else {
             far.len().min(FAR_IN_TURN)
@@ -186,17 +212,30 @@
         recipients
     }
 
-    /// Whether this instance is one of those that speak for its zone: the ready ones with the fastest
-    /// links.
-    pub(crate) fn speaks(&self, now_ms: u64) -> bool {
-        let own = (std::cmp::Reverse(self.own_link_mbps), &self.own_instance);
-        let before = self.peers.iter().filter(|(name, peer)| {
-            peer.zone == self.own_zone
-                && peer.availability.is_ready
-                && self.is_heard(peer, now_ms)
-                && peer.rank(name) < own
-        });
-        before.count() < SPEAKERS
+    /// Whether this instance is one of the first of its zone: those with the fastest links.
+    pub(super) fn is_among_first(&self, now_ms: u64) -> bool {
+        self.before(now_ms).count() < FIRST_OF_ZONE
+    }
+
+    /// Whether this instance speaks for its zone: as one of the first, or because the store answers it,
+    /// which most of a zone do not ask.
+    fn speaks(&self, availability: Availability, now_ms: u64) -> bool {
+        availability.reaches_store || self.is_among_first(now_ms)
+    }
+
+    /// Instances of the zone that come before this one. One that was never heard counts for as long as
+    /// it may be starting.
+    fn before(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
+        let own = (Reverse(self.own_link_mbps), &self.own_instance);
+        let is_starting = now_ms < self.listening_since_ms + START_MS;
+        self.peers
+            .iter()
+            .filter(move |(name, peer)| {
+                let may_live =
+                    self.is_heard(peer, now_ms) || (peer.heard_ms.is_none() && is_starting);
+                peer.zone == self.own_zone && may_live && peer.rank(name) < own
+            })
+            .map(|(_, peer)| peer)
     }
 
     /// Instances that share a budget, this one included. All that are on record count, since one
@@ -205,19 +244,40 @@
         1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1)
     }
 
-    /// Whether this instance comes first among those that can give orders: they are ready, the store,
-    /// which keeps the lease, answers them, and they speak for their zone, so that their end is soon
-    /// noticed everywhere.
+    /// What decides whether this instance reads the store. `own_answered_ms` is when the store last
+    /// answered here.
+    pub(super) fn reading_view(
+        &self,
+        reads: bool,
+        own_answered_ms: Option<u64>,
+        now_ms: u64,
+    ) -> ReadingView {
+        let in_zone = self.peers.values().filter(|it| it.zone == self.own_zone);
+        let answers = in_zone.filter_map(|peer| peer.store_answered_ms);
+        let is_answered = |peer: &&Peer| peer.is_answered(now_ms);
+        ReadingView {
+            place: self.before(now_ms).count(),
+            answered_before: self.before(now_ms).filter(is_answered).count(),
+            answered_ms: answers.chain(own_answered_ms).max(),
+            started_ms: self.listening_since_ms,
+            reads,
+        }
+    }
+
+    /// Whether an instance of the zone that reads the store was lately answered.
+    pub(super) fn is_fed_by_zone(&self, now_ms: u64) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.zone == self.own_zone && peer.is_answered(now_ms))
+    }
+
+    /// Whether this instance, which can give orders, comes first among those that can: they are ready,
+    /// and the store, which keeps the lease, answers them. All of them speak for their zone, so that
+    /// their end is soon noticed everywhere.
     pub(crate) fn is_first(&self, now_ms: u64) -> bool {
-        let own = (std::cmp::Reverse(self.own_link_mbps), &self.own_instance);
-        let mut others = self.peers.iter();
-        self.speaks(now_ms)
-            && others.all(|(name, peer)| {
-                !peer.availability.may_lead()
-                    || !peer.speaks
-                    || !self.is_heard(peer, now_ms)
-                    || peer.rank(name) > own
-            })
+        let own = (Reverse(self.own_link_mbps), &self.own_instance);
+        self.peers.iter().all(|(name, peer)| {
+            !peer.availability.may_lead() || !self.is_heard(peer, now_ms) || peer.rank(name) > own
+        })
     }
 
     /// Peers to ask for what the store does not tell here, the one with the freshest table first.
@@ -230,10 +290,12 @@
             .map(|peer| Informant {
                 address: peer.address,
                 table: peer.table,
+                list: peer.list,
                 reaches_store: peer.availability.reaches_store,
+                is_near: peer.zone == self.own_zone,
             })
             .collect();
-        heard.sort_by_key(|it| std::cmp::Reverse((it.reaches_store, it.table)));
+        heard.sort_by_key(|it| Reverse((it.reaches_store, it.table)));
         heard
     }
 
@@ -243,9 +305,9 @@
         peers.any(|peer| peer.availability.is_ready && self.is_heard(peer, now_ms))
     }
 
-    /// Addresses for a caller of a zone: instances that serve everybody and that the store answers; if
+    /// Addresses for a caller of a zone: instances that serve everybody and learn of changes soon; if
     /// there are none, those that serve everybody; if there are none, those that are open at all.
-    /// One that the store turns away learns of changes a second later than the others.
+    /// One that neither the store nor a reader in its zone tells learns of changes a second later.
     pub(crate) fn addresses_for(
         &self,
         zone: &ZoneName,
@@ -261,7 +323,7 @@
         let all: Vec<(&ZoneName, SocketAddr, Availability)> =
             std::iter::once(own).chain(heard).collect();
         let fit: [fn(Availability) -> bool; 3] =
-            [Availability::may_lead, |it| it.is_ready, |it| it.is_open];
+            [Availability::is_current, |it| it.is_ready, |it| it.is_open];
         let mut named = fit
             .into_iter()
             .map(|is_fit| nearest(zone, all.iter().filter(|it| is_fit(it.2))));
@@ -280,6 +342,11 @@
         self.has_news = true;
     }
 
+    /// Has peers told at once what is known here of routes and endpoints.
+    pub(crate) fn tell_knowledge(&mut self) {
+        self.has_news = true;
+    }
+
     /// Has peers told that an engine is about to hold other layers.
     pub(crate) fn tell_moving(&mut self, order: &PlaceOrder) {
         self.moving.push((order.endpoint.clone(), order.layers));
@@ -337,6 +404,8 @@
             speaks: heartbeat.speaks,
             availability: heartbeat.availability,
             table: heartbeat.table,
+            list: heartbeat.list,
+            store_answered_ms: heartbeat.store_age_ms.map(|age| now_ms.saturating_sub(age)),
             heard_ms: Some(now_ms),
             sent_ms: heartbeat.sent_ms,
             held: heartbeat.held.clone(),
@@ -388,10 +457,13 @@
             zone: self.own_zone.clone(),
             front: self.own_front,
             link_mbps: self.own_link_mbps,
-            speaks: self.speaks(now_ms),
+            speaks: self.speaks(own.availability, now_ms),
             availability: own.availability,
             table: own.table,
             table_age_ms: own.table_age_ms,
+            list: own.list,
+            list_age_ms: own.list_age_ms,
+            store_age_ms: own.store_age_ms,
             sent_ms: now_ms,
             unsound: Self::take_news(&mut self.unsound),
             leaving: Self::take_news(&mut self.leaving),
@@ -491,6 +563,12 @@
             .is_some_and(|at_ms| now_ms < at_ms + within_ms)
     }
 
+    /// Whether the store has lately answered it.
+    fn is_answered(&self, now_ms: u64) -> bool {
+        self.store_answered_ms
+            .is_some_and(|at_ms| now_ms < at_ms + STALE_MS)
+    }
+
     fn silent_after_ms(&self, own_zone: &ZoneName, far_silent_ms: u64) -> u64 {
         if self.speaks || self.zone == *own_zone {
             SILENT_MS
@@ -500,8 +578,8 @@
     }
 
     /// Place among instances: those with the fastest links come first.
-    fn rank<'a>(&self, name: &'a InstanceId) -> (std::cmp::Reverse<u32>, &'a InstanceId) {
-        (std::cmp::Reverse(self.link_mbps), name)
+    fn rank<'a>(&self, name: &'a InstanceId) -> (Reverse<u32>, &'a InstanceId) {
+        (Reverse(self.link_mbps), name)
     }
 
     fn as_recipient(&self, silent_after_ms: u64, now_ms: u64) -> Recipient {
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -6,7 +6,8 @@
 use super::heartbeat::{
     Availability, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
 };
-use super::peer_book::{HolderEnd, PeerBook, Recipient};
+use super::list_log::ListMark;
+use super::peer_book::{HolderEnd, InstanceRecord, PeerBook, Recipient};
 use super::settings::{RelayBounds, RelaySettings};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
@@ -15,17 +16,27 @@
     is_ready: true,
     is_open: true,
     reaches_store: true,
+    is_fed: true,
 };
 const OPEN: Availability = Availability {
     is_ready: false,
     is_open: true,
     reaches_store: true,
+    is_fed: true,
 };
 /// Ready, but the store does not answer it.
 const CUT_OFF: Availability = Availability {
     is_ready: true,
     is_open: true,
     reaches_store: false,
+    is_fed: false,
+};
+/// Ready, and told by another of its zone what the store has.
+const TOLD: Availability = Availability {
+    is_ready: true,
+    is_open: true,
+    reaches_store: false,
+    is_fed: true,
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -59,11 +70,25 @@
         availability,
         table: 3,
         table_age_ms: 100,
+        list: ListMark::default(),
+        list_age_ms: 100,
+        store_age_ms: availability.reaches_store.then_some(100),
         held: Vec::new(),
     };
     book.heartbeat(&own, now_ms)
 }
 
+fn record(name: &str, zone: &str, port: u16) -> InstanceRecord {
+    InstanceRecord {
+        instance: InstanceId::from(name),
+        incarnation: Incarnation::draw(&mut rand::rng()),
+        zone: ZoneName::from(zone),
+        front: address(port),
+        peers: address(port + 1),
+        link_mbps: 200,
+    }
+}
+
 /// The book of `a`, which has heard `b` and `c` at these times.
 fn heard(b: (Availability, u64), c: (Availability, u64)) -> PeerBook {
     let mut a = book("a", "lac", 1_000);
@@ -123,12 +148,12 @@
     let mut a = book("a", "lac", 1_000);
     let mut b = book("b", "lac", 2_000);
     b.hear(&heartbeat(&mut a, READY, 400), address(1_001), 450);
-    let recipients = b.recipients(500);
+    let recipients = b.recipients(true, 500);
     let echo = recipients[0].echo;
     assert_eq!(a.own_sending_heard(echo), Some(400));
     let restarted = book("a", "lac", 1_000);
     assert_eq!(restarted.own_sending_heard(echo), None);
-    let late = b.recipients(1_300);
+    let late = b.recipients(true, 1_300);
     assert_eq!(late[0].echo, None, "the other has fallen silent");
 }
 
@@ -146,15 +171,7 @@
 fn every_instance_on_record_shares_the_budget() {
     let mut a = book("a", "lac", 1_000);
     assert_eq!(a.known_instances(), 1);
-    let unheard = Incarnation::draw(&mut rand::rng());
-    let zone = ZoneName::from("marsa");
-    a.learn(
-        InstanceId::from("d"),
-        address(4_001),
-        address(4_000),
-        zone,
-        unheard,
-    );
+    a.learn(record("d", "marsa", 4_000));
     assert_eq!(a.known_instances(), 2);
     a.forget_silent(1_000);
     a.forget_silent(70_000);
@@ -181,12 +198,18 @@
         availability: READY,
         table: 12,
         table_age_ms: 1_200,
+        list: ListMark {
+            position: 123_456,
+            changed: 120_000,
+        },
+        list_age_ms: 1_300,
+        store_age_ms: Some(700),
         held: engines.collect(),
     };
     let beat = a.heartbeat(&own, 500_100);
     let text = serde_json::to_vec(&beat).expect("it is text").len();
     let shared = heartbeat_bytes(&beat).expect("it is binary");
-    let echo = a.recipients(500_100)[0].echo;
+    let echo = a.recipients(true, 500_100)[0].echo;
     assert!(echo.is_some());
     let binary = datagram(&shared, echo).expect("it is binary");
     assert!(binary.len() * 2 < text, "{} of {text} bytes", binary.len());
@@ -272,17 +295,22 @@
 #[test]
 fn the_zone_is_told_each_time_and_others_in_turn() {
     let mut book = large_fleet(195, 500);
-    // Three others with faster links speak for the zone.
+    // Three others with faster links come first.
     for number in 0..3 {
         let mut other = self::book(&format!("fast-{number}"), "zone-0", 900 + 2 * number);
         let mut beat = heartbeat(&mut other, READY, 500);
         beat.link_mbps = 1_000;
         book.hear(&beat, address(901 + 2 * number), 500);
     }
-    assert!(!book.speaks(600));
+    assert!(!book.is_among_first(600));
+    assert!(!heartbeat(&mut book, TOLD, 600).speaks);
+    assert!(
+        heartbeat(&mut book, READY, 600).speaks,
+        "the store answers it"
+    );
     let mut told = IndexMap::new();
     for _ in 0..8 {
-        let recipients = book.recipients(600);
+        let recipients = book.recipients(false, 600);
         let near = |it: &&Recipient| it.zone == ZoneName::from("zone-0");
         assert_eq!(recipients.iter().filter(near).count(), 41);
         assert_eq!(recipients.len(), 41 + 20);
@@ -297,11 +325,9 @@
 #[test]
 fn one_that_speaks_for_its_zone_tells_everybody_each_time() {
     let mut book = large_fleet(195, 500);
-    assert!(
-        book.speaks(600),
-        "its links are no slower and its name is the first"
-    );
-    assert_eq!(book.recipients(600).len(), 194);
+    let speaks = heartbeat(&mut book, TOLD, 600).speaks;
+    assert!(speaks, "its link is no slower and its name is the first");
+    assert_eq!(book.recipients(speaks, 600).len(), 194);
     let mut small = large_fleet(20, 500);
     small.hear(
         &heartbeat(&mut self::book("a", "zone-0", 100), READY, 500),
@@ -309,7 +335,7 @@
         500,
     );
     assert_eq!(
-        small.recipients(600).len(),
+        small.recipients(false, 600).len(),
         20,
         "a small fleet is told each time"
     );
@@ -343,7 +369,7 @@
             let beat = heartbeat(book, READY, 600);
             let shared = heartbeat_bytes(&beat).expect("it can be written");
             let own_zone = beat.zone;
-            let recipients = book.recipients(600);
+            let recipients = book.recipients(true, 600);
             let far = recipients.iter().filter(|it| it.zone != own_zone);
             far.map(|it| datagram(&shared, it.echo).expect("it can be written").len())
                 .sum()
@@ -358,6 +384,49 @@
     }
 }
 
+#[test]
+fn callers_are_sent_to_instances_that_are_told_what_the_store_has() {
+    let a = heard((TOLD, 500), (READY, 500));
+    assert_eq!(ports(&a, TOLD, 600), [1_000, 2_000]);
+    let a = heard((CUT_OFF, 500), (TOLD, 500));
+    assert_eq!(ports(&a, CUT_OFF, 600), [3_000]);
+    assert!(!TOLD.may_lead());
+}
+
+#[test]
+fn the_first_of_a_zone_read_the_store_and_the_others_are_told() {
+    let book = large_fleet(195, 500);
+    let view = book.reading_view(false, None, 600);
+    assert_eq!((view.place, view.answered_before), (0, 0));
+    assert!(view.should_read(600));
+    let mut last = self::book("z", "zone-0", 900);
+    for number in 0..38 {
+        let port = 2_000 + 2 * number;
+        let mut other = self::book(&format!("f{number:02}"), "zone-0", port);
+        let availability = if number < 3 { READY } else { TOLD };
+        last.hear(
+            &heartbeat(&mut other, availability, 500),
+            address(port + 1),
+            500,
+        );
+    }
+    let view = last.reading_view(false, None, 600);
+    assert_eq!((view.place, view.answered_before), (38, 3));
+    assert_eq!(view.answered_ms, Some(400));
+    assert!(!view.should_read(600));
+    assert!(last.is_fed_by_zone(600));
+    assert!(!last.is_fed_by_zone(5_000));
+}
+
+#[test]
+fn an_unheard_instance_on_record_comes_before_while_it_may_be_starting() {
+    let mut b = book("b", "lac", 1_000);
+    b.learn(record("a", "lac", 2_000));
+    b.learn(record("c", "lac", 3_000));
+    assert_eq!(b.reading_view(false, None, 900).place, 1);
+    assert_eq!(b.reading_view(false, None, 1_100).place, 0);
+}
+
 proptest! {
     /// Loads that are kept up by each heartbeat's changes are those that are summed anew.
     #[test]
@@ -422,7 +491,7 @@
         reader.held_by_peers(400);
         reader.informants(400);
         reader.own_sending_heard(echo);
-        reader.recipients(400);
+        reader.recipients(true, 400);
         reader.addresses_for(&ZoneName::from("lac"), READY, 400);
         reader.forget_silent(500);
     }
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -38,8 +38,12 @@
     let mut news = node.news.subscribe();
     loop {
         tokio::select! {
-            _ = ticks.tick() => send(&node, &socket).await,
+            _ = ticks.tick() => {
+                node.look_at_reading(boot_ms());
+                send(&node, &socket).await;
+            }
             _ = news.changed() => send_news(&node, &socket).await,
+            () = node.heartbeat_due.notified() => send_news(&node, &socket).await,
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => take(&node, &buffer[..length], from),
                 // An earlier datagram met no listener; nothing is lost but that datagram.
@@ -70,7 +74,8 @@
         let heartbeat = peers.heartbeat(&own, now_ms);
         peers.forget_silent(now_ms);
         let loads = peers.held_by_peers(now_ms);
-        (heartbeat, peers.recipients(now_ms), loads)
+        let recipients = peers.recipients(heartbeat.speaks, now_ms);
+        (heartbeat, recipients, loads)
     };
     node.fleet.borrow_mut().set_peers_load(&loads);
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
@@ -132,10 +137,15 @@
             token_layers: known.held_token_layers,
         })
         .collect();
+    let answered_ms = node.store_answered_ms.get();
+    let answered_ms = answered_ms.filter(|_| node.reads_store());
     OwnState {
         availability: node.availability(),
         table: node.routes().map_or(0, |table| table.version),
         table_age_ms: node.table.borrow().age_ms(now_ms),
+        list: node.list_log.borrow().mark(),
+        list_age_ms: node.fleet.borrow().age_ms(now_ms),
+        store_age_ms: answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
         held,
     }
 }
@@ -155,23 +165,33 @@
     }
 }
 
-/// Takes a peer's word that the table in force here is the newest. The peer's heartbeat was sent
-/// after it had heard the one of this instance that it names, so its table's age then, taken off
-/// that sending time, is on the safe side however long both datagrams took.
-fn confirm_table<A>(node: &Node<A>, heartbeat: &Heartbeat, echo: Option<Echo>)
+/// Takes a peer's word that what is known here is the newest. The peer's heartbeat was sent
+/// after it had heard the one of this instance that it names, so its knowledge's age then, taken
+/// off that sending time, is on the safe side however long both datagrams took.
+fn confirm<A>(node: &Node<A>, heartbeat: &Heartbeat, echo: Option<Echo>)
 where
     A: Adapter,
 {
-    let version = node.routes().map(|table| table.version);
-    if version != Some(heartbeat.table) {
-        return;
+    let version = node.routes().map_or(0, |table| table.version);
+    let own_list = node.list_log.borrow().mark();
+    let knows_list = own_list.position >= heartbeat.list.changed;
+    if heartbeat.table > version || !knows_list {
+        node.peer_knows_more.notify_one();
     }
     let sent_ms = node.peers.borrow().own_sending_heard(echo);
     // A time that has not come yet is not of this process, whatever the peer says.
-    if let Some(sent_ms) = sent_ms.filter(|sent_ms| *sent_ms <= boot_ms()) {
+    let Some(sent_ms) = sent_ms.filter(|sent_ms| *sent_ms <= boot_ms()) else {
+        return;
+    };
+    if version == heartbeat.table {
         let newest_at_ms = sent_ms.saturating_sub(heartbeat.table_age_ms);
         node.table.borrow_mut().confirm(newest_at_ms);
     }
+    if knows_list && heartbeat.list.position > 0 {
+        let newest_at_ms = sent_ms.saturating_sub(heartbeat.list_age_ms);
+        node.fleet.borrow_mut().confirm(newest_at_ms);
+        node.list_log.borrow_mut().confirm(heartbeat.list);
+    }
 }
 
 fn take<A>(node: &Rc<Node<A>>, bytes: &[u8], from: SocketAddr)
@@ -187,7 +207,7 @@
     };
     let now_ms = boot_ms();
     let changes = node.peers.borrow_mut().hear(&heartbeat, from, now_ms);
-    confirm_table(node, &heartbeat, echo);
+    confirm(node, &heartbeat, echo);
     for id in &heartbeat.unsound {
         if let Some(stage) = node.told_unsound(id) {
             check_beside(node, &stage);
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -8,7 +8,6 @@
 
 use actix_http::{HttpService, KeepAlive, Request};
 use actix_service::{Service, ServiceFactory, fn_service};
-use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -16,12 +15,13 @@
 
 use super::adapter::Adapter;
 use super::node::Node;
+use super::peer_book::InstanceRecord;
 use super::settings::RelaySettings;
+use super::snapshot::Known;
 use super::{checks, duty, feeds, front, peers, snapshot};
 use crate::clients::TableService;
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
-use crate::ids::{Incarnation, InstanceId, ZoneName};
 use crate::wire::platform::{ScanRows, Transaction, Write};
 
 /// Connections that wait to be accepted.
@@ -39,6 +39,8 @@
 const REGISTER_TIMEOUT_MS: u64 = 800;
 /// Pause between two reads of the instances' records, which only find what no datagram has told.
 const RECORDS_PAUSE_MS: u64 = 15_000;
+/// The same at an instance that does not read the store otherwise. Others tell it of themselves.
+const RARE_RECORDS_PAUSE_MS: u64 = 120_000;
 /// Pause after a call about the records that failed.
 const RECORDS_RETRY_MS: u64 = 500;
 /// Pause between two looks at whether a stop is complete.
@@ -66,16 +68,6 @@
     Signals(io::Error),
 }
 
-/// An instance's record in the store.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct InstanceRecord {
-    instance: InstanceId,
-    incarnation: Incarnation,
-    zone: ZoneName,
-    front: SocketAddr,
-    peers: SocketAddr,
-}
-
 /// Runs an instance until it is told to stop. `reload` is asked for the settings again whenever
 /// the process is told that their file has changed.
 pub async fn run<A, F>(
@@ -179,7 +171,10 @@
             let response = match page {
                 Page::Front => front::answer(node, request).await,
                 Page::Metrics => front::metrics(&node),
-                Page::Peers => snapshot::answer(&node),
+                Page::Peers => {
+                    let query = request.uri().query().unwrap_or("");
+                    snapshot::answer(&node, Known::from_query(query))
+                }
             };
             Ok::<_, Infallible>(response)
         }
@@ -225,10 +220,14 @@
             is_written = write_record(&node).await;
         }
         let is_read = read_records(&node).await;
-        let pause_ms = if is_written && is_read {
-            RECORDS_PAUSE_MS
-        } else {
-            RECORDS_RETRY_MS
+        if is_read {
+            node.are_records_known.set(true);
+            node.look_at_reading(boot_ms());
+        }
+        let pause_ms = match (is_written && is_read, node.reads_store()) {
+            (true, true) => RECORDS_PAUSE_MS,
+            (true, false) => RARE_RECORDS_PAUSE_MS,
+            (false, _) => RECORDS_RETRY_MS,
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
@@ -245,6 +244,7 @@
         zone: settings.zone.clone(),
         front: settings.front,
         peers: settings.peers,
+        link_mbps: settings.link_mbps,
     };
     let Ok(value) = serde_json::to_string(&record) else {
         log::error!("the instance's record cannot be written as text");
@@ -285,7 +285,7 @@
         match serde_json::from_str::<InstanceRecord>(&row.value) {
             Ok(it) => {
                 let mut peers = node.peers.borrow_mut();
-                peers.learn(it.instance, it.peers, it.front, it.zone, it.incarnation);
+                peers.learn(it);
             }
             Err(error) => {
                 log::warn!(key = row.key.as_str(), error:% = error; "record is malformed")
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -1,9 +1,11 @@
-//! What an instance that the store does not answer takes from a peer: the operator's document and
-//! the list of endpoints, each with its age.
+//! What an instance takes from a peer that knows more: the operator's document and the list of
+//! endpoints, each with its age. Most instances of a zone learn of changes only so.
 //!
-//! Instances ask one another over HTTP at the address of their heartbeats: a whole document does
-//! not fit into a datagram.
+//! Heartbeats say how far each instance knows both. One that is behind asks over HTTP at the address of
+//! the heartbeats, naming what it has: a whole document does not fit into a datagram, and versions that
+//! are overtaken meanwhile are never sent.
 
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,11 +17,11 @@
 
 use super::adapter::{Adapter, FeedFailure};
 use super::feeds::take_table;
+use super::list_log::{ListMark, ListNews};
 use super::node::Node;
 use super::peer_book::Informant;
 use crate::clients::{HttpCall, HttpFailure, HttpPeer};
 use crate::clock::boot_ms;
-use crate::fleet::ListedEndpoint;
 use crate::route_table::SourcedTable;
 
 /// Pause between two looks at whether a peer knows more.
@@ -49,10 +51,48 @@
 /// What a peer hands over.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Snapshot {
-    /// The operator's document, if any was read.
+    /// The operator's document, if a newer one is known.
     document: Option<Aged<String>>,
     /// The list of endpoints, if it was read.
-    endpoints: Option<Aged<Vec<ListedEndpoint>>>,
+    endpoints: Option<Aged<ListUpdate>>,
+}
+
+/// What a peer tells of the list of endpoints.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ListUpdate {
+    /// How far the peer knows the list.
+    mark: ListMark,
+    news: ListNews,
+}
+
+/// How far one that asks knows both.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Known {
+    /// Version of its table of routes; 0 if it has none.
+    pub(super) table: u64,
+    /// Position in the list of endpoints; 0 if it has none.
+    pub(super) list: u64,
+}
+
+impl Known {
+    fn path(self) -> String {
+        let Self { table, list } = self;
+        format!("{SNAPSHOT_PATH}?table={table}&list={list}")
+    }
+
+    /// Reads the query of a question. What is missing or no number counts as not known.
+    pub(super) fn from_query(query: &str) -> Self {
+        let mut known = Self::default();
+        for (name, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+            let value = value.parse().unwrap_or(0);
+            match name {
+                "table" => known.table = value,
+                "list" => known.list = value,
+                _ => {}
+            }
+        }
+        known
+    }
 }
 
 /// Why a peer gave nothing that can be used.
@@ -69,20 +109,26 @@
 }
 
 /// Answers a peer's question.
-pub(super) fn answer<A>(node: &Node<A>) -> Response<BoxBody>
+pub(super) fn answer<A>(node: &Node<A>, known: Known) -> Response<BoxBody>
 where
     A: Adapter,
 {
     let now_ms = boot_ms();
     let table = node.table.borrow();
     let fleet = node.fleet.borrow();
+    let list_log = node.list_log.borrow();
+    let is_newer = table.table().is_some_and(|it| it.version > known.table);
+    let source = table.source().filter(|_| is_newer);
     let snapshot = Snapshot {
-        document: table.source().map(|source| Aged {
+        document: source.map(|source| Aged {
             content: source.to_owned(),
             age_ms: table.age_ms(now_ms),
         }),
         endpoints: fleet.is_known().then(|| Aged {
-            content: fleet.listing(),
+            content: ListUpdate {
+                mark: list_log.mark(),
+                news: list_log.news_since(known.list, || fleet.listing()),
+            },
             age_ms: fleet.age_ms(now_ms),
         }),
     };
@@ -101,8 +147,10 @@
 pub(super) struct Knowledge {
     /// Since when a peer has had a newer table.
     pub(super) behind_since_ms: Option<u64>,
-    /// Whether the store answered the newest call that has ended.
-    pub(super) store_answers: bool,
+    /// Whether the store is read here: its answers bring what peers know as soon as theirs do.
+    pub(super) reads_store: bool,
+    /// Whether the store answers here, or somebody in the zone.
+    pub(super) is_fed: bool,
     /// Age of the list of endpoints.
     pub(super) list_age_ms: u64,
 }
@@ -111,10 +159,11 @@
     /// Whether a peer is to be asked. A list that is old though the store answers has not changed: it
     /// reaches 3.65 s whenever two watches in a row end in vain.
     pub(super) fn is_wanting(self, now_ms: u64) -> bool {
+        let patience_ms = if self.reads_store { BEHIND_MS } else { 0 };
         let is_behind = self
             .behind_since_ms
-            .is_some_and(|since| now_ms >= since + BEHIND_MS);
-        let is_list_old = !self.store_answers && self.list_age_ms >= OLD_LIST_MS;
+            .is_some_and(|since| now_ms >= since + patience_ms);
+        let is_list_old = !self.is_fed && self.list_age_ms >= OLD_LIST_MS;
         is_behind || is_list_old
     }
 }
@@ -126,34 +175,63 @@
 {
     let mut behind_since_ms = None;
     loop {
-        sleep(Duration::from_millis(LOOK_MS)).await;
+        tokio::select! {
+            () = sleep(Duration::from_millis(LOOK_MS)) => {}
+            () = node.peer_knows_more.notified() => {}
+        }
         let now_ms = boot_ms();
-        let informants = node.peers.borrow().informants(now_ms);
-        let own_table = node.routes().map_or(0, |table| table.version);
-        if informants.iter().any(|peer| peer.table > own_table) {
+        let mut informants = node.peers.borrow().informants(now_ms);
+        let known = known_here(&node);
+        if informants.iter().any(|peer| peer.knows_more(known)) {
             behind_since_ms.get_or_insert(now_ms);
         } else {
             behind_since_ms = None;
         }
         let knowledge = Knowledge {
             behind_since_ms,
-            store_answers: node.store_answers.get(),
+            reads_store: node.reads_store(),
+            is_fed: node.is_fed(),
             list_age_ms: node.fleet.borrow().age_ms(now_ms),
         };
         if knowledge.is_wanting(now_ms) {
+            put_best_first(&mut informants, known, node.draw());
             ask(&node, &informants).await;
         }
     }
 }
 
+fn known_here<A>(node: &Node<A>) -> Known
+where
+    A: Adapter,
+{
+    Known {
+        table: node.routes().map_or(0, |table| table.version),
+        list: node.list_log.borrow().mark().position,
+    }
+}
+
+/// Puts those in front that know more, are in the zone, and are answered by the store. `draw` picks one
+/// among equals, so that a zone's instances do not all ask the same.
+pub(super) fn put_best_first(informants: &mut [Informant], known: Known, draw: u64) {
+    let order = |it: &Informant| Reverse((it.knows_more(known), it.is_near, it.reaches_store));
+    informants.sort_by_key(order);
+    let Some(best) = informants.first().map(order) else {
+        return;
+    };
+    let equals = informants.partition_point(|it| order(it) <= best);
+    let chosen = draw % equals as u64;
+    informants[..equals].rotate_left(chosen as usize);
+}
+
 async fn ask<A>(node: &Rc<Node<A>>, informants: &[Informant])
 where
     A: Adapter,
 {
     for peer in informants.iter().take(MOST_ASKED) {
         let sent_ms = boot_ms();
-        let taken = match fetch(peer).await {
-            Ok(snapshot) => take(node, snapshot, sent_ms),
+        let known = known_here(node);
+        let taken = match fetch(peer, known).await {
+            Ok(snapshot) => take(node, snapshot, known, sent_ms),
             Err(failure) => Err(failure),
         };
         match taken {
@@ -165,10 +243,11 @@
     }
 }
 
-async fn fetch(peer: &Informant) -> Result<Snapshot, SnapshotFailure> {
+async fn fetch(peer: &Informant, known: Known) -> Result<Snapshot, SnapshotFailure> {
     // A connection of its own: what was open before may be what does not work.
     let http = HttpPeer::new(&format!("http://{}", peer.address));
-    let call = HttpCall::get(SNAPSHOT_PATH);
+    let path = known.path();
+    let call = HttpCall::get(&path);
     let reply = http
         .call(call, FETCH_TIMEOUT_MS, SNAPSHOT_LIMIT_BYTES)
         .await?;
@@ -184,12 +263,17 @@
 
 /// Takes a snapshot that was asked for at `sent_ms`. Its ages are of a moment after that, so that
 /// what is counted from `sent_ms` is on the safe side however long question and answer took.
-fn take<A>(node: &Rc<Node<A>>, snapshot: Snapshot, sent_ms: u64) -> Result<(), SnapshotFailure>
+fn take<A>(
+    node: &Rc<Node<A>>,
+    snapshot: Snapshot,
+    asked_with: Known,
+    sent_ms: u64,
+) -> Result<(), SnapshotFailure>
 where
     A: Adapter,
 {
     if let Some(endpoints) = snapshot.endpoints {
-        take_endpoints(node, endpoints, sent_ms);
+        take_endpoints(node, endpoints, asked_with, sent_ms);
     }
     if let Some(document) = snapshot.document {
         let newest_at_ms = sent_ms.saturating_sub(document.age_ms);
@@ -200,20 +284,37 @@
     Ok(())
 }
 
-fn take_endpoints<A>(node: &Node<A>, endpoints: Aged<Vec<ListedEndpoint>>, sent_ms: u64)
+fn take_endpoints<A>(node: &Node<A>, endpoints: Aged<ListUpdate>, asked_with: Known, sent_ms: u64)
 where
     A: Adapter,
 {
     let now_ms = boot_ms();
     let newest_at_ms = sent_ms.saturating_sub(endpoints.age_ms);
+    let ListUpdate { mark, news } = endpoints.content;
+    let mut list_log = node.list_log.borrow_mut();
+    let own = list_log.mark().position;
     let mut fleet = node.fleet.borrow_mut();
-    let own_newest_at_ms = now_ms.saturating_sub(fleet.age_ms(now_ms));
-    if newest_at_ms <= own_newest_at_ms {
-        return;
+    let mut changes = Vec::new();
+    match news {
+        ListNews::Nothing => {}
+        // They fit only behind what was known when they were asked for.
+        ListNews::Changes(_) if own != asked_with.list => return,
+        ListNews::Changes(reads) => {
+            for it in reads {
+                list_log.note(it.position, &it.read, it.was_away);
+                changes.extend(fleet.take(it.read, it.was_away, now_ms));
+            }
+        }
+        ListNews::Whole(_) if own >= mark.position => return,
+        ListNews::Whole(entries) => {
+            list_log.restart(mark);
+            changes = fleet.take_from_peer(entries, now_ms);
+        }
     }
-    let changes = fleet.take_from_peer(endpoints.content, now_ms);
+    list_log.confirm(mark);
     fleet.confirm(newest_at_ms);
     drop(fleet);
+    drop(list_log);
     // Peers are not told: they know it better.
     node.take_changes(&changes);
 }
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 
-use super::snapshot::{Knowledge, read_snapshot};
+use super::list_log::ListMark;
+use super::peer_book::Informant;
+use super::snapshot::{Knowledge, Known, put_best_first, read_snapshot};
 use super::upstream::{UpstreamFailure, Upstreams};
 
 /// How the endpoint ends the connection after its bytes.
@@ -146,7 +148,8 @@
     let wanting = |behind_since_ms, store_answers, list_age_ms| {
         let knowledge = Knowledge {
             behind_since_ms,
-            store_answers,
+            reads_store: true,
+            is_fed: store_answers,
             list_age_ms,
         };
         knowledge.is_wanting(10_000)
@@ -156,4 +159,52 @@
     assert!(!wanting(None, false, 2_900));
     assert!(wanting(Some(9_400), true, 0));
     assert!(!wanting(Some(9_600), true, 0), "its own watch brings it");
+    let told = Knowledge {
+        behind_since_ms: Some(10_000),
+        reads_store: false,
+        is_fed: true,
+        list_age_ms: 0,
+    };
+    assert!(told.is_wanting(10_000), "nothing else brings it");
+}
+
+#[test]
+fn a_question_says_what_is_known() {
+    let known = Known::from_query("table=12&list=340");
+    assert_eq!(
+        known,
+        Known {
+            table: 12,
+            list: 340
+        }
+    );
+    assert_eq!(Known::from_query(""), Known::default());
+    assert_eq!(Known::from_query("table=x&list&other=3"), Known::default());
+}
+
+#[test]
+fn the_nearest_of_those_that_know_more_are_asked_and_not_always_the_same() {
+    let informant = |port: u16, table, is_near, reaches_store| Informant {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        table,
+        list: ListMark::default(),
+        reaches_store,
+        is_near,
+    };
+    let known = Known { table: 5, list: 0 };
+    let all = [
+        informant(1, 5, true, true),
+        informant(2, 6, false, true),
+        informant(3, 6, true, true),
+        informant(4, 6, true, false),
+        informant(5, 7, true, true),
+    ];
+    let first = |draw| {
+        let mut informants = all;
+        put_best_first(&mut informants, known, draw);
+        informants[0].address.port()
+    };
+    assert_eq!([first(0), first(1), first(2)], [3, 5, 3]);
+    let mut none: [Informant; 0] = [];
+    put_best_first(&mut none, known, 1);
 }
