Heartbeats: other zones are told eight at a time; a heartbeat says how long its turn takes

Now those tell eight others a time, the first of a zone tell all within two periods, and only the one that gives orders tells all each time. Silence is judged by the turn that the sender names. An instance that does not come first listens a second after its start before it reads the store.

Process tests: a zone of six learns of a change from the three that read the store; others step in when these are turned away, frozen or killed.

--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -21,8 +21,9 @@
     pub(super) front: SocketAddr,
     /// Speed of its link: the fastest instances speak for their zone.
     pub(super) link_mbps: u32,
-    /// Whether it tells every zone of itself at the full rate, so that silence soon means something.
-    pub(super) speaks: bool,
+    /// How long it takes until everybody in other zones has been told of it: the silence of one that
+    /// tells them often soon means something.
+    pub(super) turn_ms: u32,
     pub(super) availability: Availability,
     /// Version of the table of routes in force.
     pub(super) table: u64,
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -24,9 +24,15 @@
 /// Silence after which the holder of a lease is taken for ended: four heartbeats. It costs nothing but a
 /// change of the holder if it lives, and a zone without a layer waits for nobody longer.
 const HOLDER_SILENT_MS: u64 = 1_000;
-/// Heartbeats sent in one period to instances of other zones, by one that does not speak for its own.
-/// Sent to all of 156 each time, with what they held, heartbeats filled links of 20 Mbit/s.
-const FAR_IN_TURN: usize = 20;
+/// Heartbeats sent in one period to instances of other zones, by one that is not among the first of its
+/// own. Sent to all of 156 each time, with what they held, heartbeats filled links of 20 Mbit/s.
+const FAR_IN_TURN: usize = 8;
+/// Periods within which one of the first of a zone, or one that the store answers, tells everybody in
+/// other zones.
+const SPEAKERS_TURN: usize = 2;
+/// Silence beyond two turns after which a peer of another zone is not named any more: the network, and
+/// a period that began late.
+const FAR_SLACK_MS: u64 = 300;
 /// How long after the start of this process one on record that was not heard may be starting too.
 const START_MS: u64 = 1_000;
 /// How often news of an endpoint is told, in heartbeats.
@@ -89,8 +95,8 @@
     zone: ZoneName,
     front: SocketAddr,
     link_mbps: u32,
-    /// Whether it sends heartbeats here at the full rate although it is in another zone.
-    speaks: bool,
+    /// How long it takes until it has told everybody in other zones.
+    turn_ms: u32,
     availability: Availability,
     /// Version of its table of routes.
     table: u64,
@@ -179,7 +185,7 @@
             zone: record.zone,
             front: record.front,
             link_mbps: record.link_mbps,
-            speaks: false,
+            turn_ms: 0,
             availability: Availability::default(),
             table: 0,
             list: ListMark::default(),
@@ -191,16 +197,11 @@
         });
     }
 
-    /// Whom the next heartbeat goes to: the whole zone, and of the other zones either everybody, for one
-    /// that speaks for its own, or those whose turn it is.
-    pub(super) fn recipients(&mut self, speaks: bool, now_ms: u64) -> Vec<Recipient> {
+    /// Whom the next heartbeat goes to: the whole zone, and of the other zones those whose turn it is.
+    pub(super) fn recipients(&mut self, own: Availability, now_ms: u64) -> Vec<Recipient> {
+        let in_turn = self.far_in_turn(own, now_ms);
         let is_near = |peer: &&Peer| peer.zone == self.own_zone;
         let (near, far): (Vec<&Peer>, Vec<&Peer>) = self.peers.values().partition(is_near);
-        let in_turn = if speaks {
-            far.len()
-        } else {
-            far.len().min(FAR_IN_TURN)
-        };
         let begin = self.far_turn.checked_rem(far.len()).unwrap_or(0);
         let turn = far.iter().cycle().skip(begin).take(in_turn);
         let recipients = near
@@ -212,17 +213,36 @@
         recipients
     }
 
+    /// How many in other zones a heartbeat goes to. The one that gives the orders tells everybody each
+    /// time, so that its end is noticed within a second.
+    fn far_in_turn(&self, own: Availability, now_ms: u64) -> usize {
+        let far = self.far_count();
+        let in_turn = if own.may_lead() && self.is_first(now_ms) {
+            far
+        } else if own.reaches_store || self.is_among_first(now_ms) {
+            far.div_ceil(SPEAKERS_TURN).max(FAR_IN_TURN)
+        } else {
+            FAR_IN_TURN
+        };
+        in_turn.min(far)
+    }
+
+    fn far_count(&self) -> usize {
+        let far = self.peers.values().filter(|it| it.zone != self.own_zone);
+        far.count()
+    }
+
+    fn turn_ms(&self, own: Availability, now_ms: u64) -> u32 {
+        let in_turn = self.far_in_turn(own, now_ms).max(1);
+        let periods = self.far_count().div_ceil(in_turn).max(1) as u64;
+        u32::try_from(periods * HEARTBEAT_MS).unwrap_or(u32::MAX)
+    }
+
     /// Whether this instance is one of the first of its zone: those with the fastest links.
     pub(super) fn is_among_first(&self, now_ms: u64) -> bool {
         self.before(now_ms).count() < FIRST_OF_ZONE
     }
 
-    /// Whether this instance speaks for its zone: as one of the first, or because the store answers it,
-    /// which most of a zone do not ask.
-    fn speaks(&self, availability: Availability, now_ms: u64) -> bool {
-        availability.reaches_store || self.is_among_first(now_ms)
-    }
-
     /// Instances of the zone that come before this one. One that was never heard counts for as long as
     /// it may be starting.
     fn before(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
@@ -401,7 +421,7 @@
             zone: heartbeat.zone.clone(),
             front: heartbeat.front,
             link_mbps: heartbeat.link_mbps,
-            speaks: heartbeat.speaks,
+            turn_ms: heartbeat.turn_ms,
             availability: heartbeat.availability,
             table: heartbeat.table,
             list: heartbeat.list,
@@ -428,9 +448,8 @@
     /// on are changes of these sums.
     pub(super) fn held_by_peers(&mut self, now_ms: u64) -> IndexMap<EndpointId, u64> {
         let mut sums = IndexMap::new();
-        let far_silent_ms = self.far_silent_ms();
         for peer in self.peers.values_mut() {
-            let silent_ms = peer.silent_after_ms(&self.own_zone, far_silent_ms);
+            let silent_ms = peer.silent_after_ms(&self.own_zone);
             peer.is_counted = peer.is_heard(silent_ms, now_ms);
             if !peer.is_counted {
                 continue;
@@ -457,7 +476,7 @@
             zone: self.own_zone.clone(),
             front: self.own_front,
             link_mbps: self.own_link_mbps,
-            speaks: self.speaks(own.availability, now_ms),
+            turn_ms: self.turn_ms(own.availability, now_ms),
             availability: own.availability,
             table: own.table,
             table_age_ms: own.table_age_ms,
@@ -497,14 +516,7 @@
     }
 
     fn silent_after_ms(&self, peer: &Peer) -> u64 {
-        peer.silent_after_ms(&self.own_zone, self.far_silent_ms())
-    }
-
-    /// Silence after which a peer of another zone that does not speak for it is not named any more: two
-    /// of its turns may be lost. It has as many recipients as there are instances, at most.
-    fn far_silent_ms(&self) -> u64 {
-        let periods = self.peers.len().div_ceil(FAR_IN_TURN) as u64;
-        SILENT_MS.max(2 * periods * HEARTBEAT_MS + SILENT_MS / 2)
+        peer.silent_after_ms(&self.own_zone)
     }
 
     fn take_news(list: &mut IndexMap<EndpointId, u8>) -> Vec<EndpointId> {
@@ -569,11 +581,13 @@
             .is_some_and(|at_ms| now_ms < at_ms + STALE_MS)
     }
 
-    fn silent_after_ms(&self, own_zone: &ZoneName, far_silent_ms: u64) -> u64 {
-        if self.speaks || self.zone == *own_zone {
+    /// Silence after which it is not named any more. Of the heartbeats to another zone, as of those to
+    /// the own, two may be lost.
+    fn silent_after_ms(&self, own_zone: &ZoneName) -> u64 {
+        if self.zone == *own_zone {
             SILENT_MS
         } else {
-            far_silent_ms
+            SILENT_MS.max(2 * u64::from(self.turn_ms) + FAR_SLACK_MS)
         }
     }
 
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -74,7 +74,7 @@
         let heartbeat = peers.heartbeat(&own, now_ms);
         peers.forget_silent(now_ms);
         let loads = peers.held_by_peers(now_ms);
-        let recipients = peers.recipients(heartbeat.speaks, now_ms);
+        let recipients = peers.recipients(own.availability, now_ms);
         (heartbeat, recipients, loads)
     };
     node.fleet.borrow_mut().set_peers_load(&loads);
--- a/src/relay_server/reading.rs
+++ b/src/relay_server/reading.rs
@@ -5,14 +5,17 @@
 //! whenever what it hears gets old, whatever the cause. More readers than needed cost calls, fewer cost
 //! nothing but the time until the next steps in.
 
-/// Instances of a zone that read the store and speak for it: they send heartbeats at the full rate to
-/// every zone, and give the orders to engines. With three, two may fail at once and nobody waits.
+/// Instances of a zone that read the store, and one of which gives the orders to engines. With three,
+/// two may fail at once and nobody waits.
 pub(super) const FIRST_OF_ZONE: usize = 3;
 /// Age of the newest answer of the store known in a zone at which others step in. A watch that brings
 /// nothing is answered after 1.7 s, and heard of up to a heartbeat later.
 pub(super) const STALE_MS: u64 = 2_050;
-/// How long an instance that has just started listens for others before it reads the store.
-const LISTEN_MS: u64 = 300;
+/// How long an instance that has just started, and does not come first, listens for others that read the
+/// store. After the start of all at once the first heartbeats come within half a second.
+const LISTEN_MS: u64 = 1_000;
+/// How long one that knows of no others waits for their records.
+const RECORDS_WAIT_MS: u64 = 300;
 /// How much later each next instance of a zone steps in: some heartbeats go by between the first and
 /// the tenth, so that one which the store answers is heard before hundreds have called.
 const STEP_MS: u64 = 60;
@@ -48,9 +51,9 @@
         now_ms >= self.stale_from_ms() + wait_ms
     }
 
-    /// Whether the process has just started and may not have heard the others yet.
-    pub(super) fn is_listening(self, now_ms: u64) -> bool {
-        now_ms < self.started_ms + LISTEN_MS
+    /// Whether the process has just started and may not know of the others yet.
+    pub(super) fn awaits_records(self, now_ms: u64) -> bool {
+        now_ms < self.started_ms + RECORDS_WAIT_MS
     }
 
     fn stale_from_ms(self) -> u64 {
