Peers: one on record that was never heard stays unheard; peer and loads in files of their own

From the second heartbeat on they passed for silent, so that at a start of all at once nearly everybody took itself for one of the first of its zone and read the store; and an old record of a lease holder's instance passed for proof that another process runs in its place (HolderEnd::Surely).

Ages of table and list when a request comes are histograms now.

--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -125,6 +125,7 @@
     };
     let relayed = RelayedRequest { body, ..resolved };
     node.count_request(&relayed.service);
+    note_ages(node, arrived_ms);
     let is_stream = relayed.route.repeat.is_stream();
     let has_model = table
         .services
@@ -137,6 +138,14 @@
     }
 }
 
+/// Notes how old what a request was decided by is.
+fn note_ages<A>(node: &Node<A>, now_ms: u64) {
+    let table_age_ms = node.table.borrow().age_ms(now_ms);
+    let list_age_ms = node.fleet.borrow().age_ms(now_ms);
+    node.counters.time_ms("relay.table_age", table_age_ms);
+    node.counters.time_ms("relay.list_age", list_age_ms);
+}
+
 /// Finds what the table says of a request, or the answer that turns it away.
 fn resolve<A>(
     node: &Rc<Node<A>>,
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -14,7 +14,9 @@
 mod list_log;
 #[cfg(test)]
 mod list_log_tests;
+mod load_change;
 mod node;
+mod peer;
 mod peer_book;
 #[cfg(test)]
 mod peer_book_tests;
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -3,24 +3,22 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
+
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
-use super::list_log::ListMark;
-use super::reading::{FIRST_OF_ZONE, ReadingView, STALE_MS};
+use super::load_change::{LoadChange, load_changes};
+use super::peer::{Informant, InstanceRecord, Peer, Recipient};
+use super::reading::{FIRST_OF_ZONE, ReadingView};
 use super::settings::RelaySettings;
-use super::snapshot::Known;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
 use crate::placement::PlaceOrder;
 use crate::wire::engine::LayerRange;
-use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
 /// Pause between two heartbeats.
 pub(super) const HEARTBEAT_MS: u64 = 250;
 /// Silence after which a peer is forgotten.
 const FORGET_MS: u64 = 60_000;
-/// Silence after which a peer is not named to callers any more: two heartbeats may be lost.
-const SILENT_MS: u64 = 800;
 /// Silence after which the holder of a lease is taken for ended: four heartbeats. It costs nothing but a
 /// change of the holder if it lives, and a zone without a layer waits for nobody longer.
 const HOLDER_SILENT_MS: u64 = 1_000;
@@ -30,9 +28,6 @@
 /// Periods within which one of the first of a zone, or one that the store answers, tells everybody in
 /// other zones.
 const SPEAKERS_TURN: usize = 2;
-/// Silence beyond two turns after which a peer of another zone is not named any more: the network, and
-/// a period that began late.
-const FAR_SLACK_MS: u64 = 300;
 /// How long after the start of this process one on record that was not heard may be starting too.
 const START_MS: u64 = 1_000;
 /// How often news of an endpoint is told, in heartbeats.
@@ -42,19 +37,6 @@
 /// Instances of the caller's zone that are enough for it; with fewer, all are named.
 const ENOUGH_NEAR: usize = 2;
 
-/// An instance's record in the store.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct InstanceRecord {
-    pub(super) instance: InstanceId,
-    pub(super) incarnation: Incarnation,
-    pub(super) zone: ZoneName,
-    pub(super) front: SocketAddr,
-    pub(super) peers: SocketAddr,
-    /// Speed of its link; records of earlier releases lack it.
-    #[serde(default)]
-    pub(super) link_mbps: u32,
-}
-
 /// Whether the holder of a lease has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HolderEnd {
@@ -66,71 +48,6 @@
     No,
 }
 
-/// A peer that may know what the store does not tell here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Informant {
-    /// Where it is asked.
-    pub(crate) address: SocketAddr,
-    /// Version of its table of routes.
-    pub(crate) table: u64,
-    /// How far it knows the list of endpoints.
-    pub(crate) list: ListMark,
-    /// Whether the store answers it.
-    pub(crate) reaches_store: bool,
-    /// Whether it is in the own zone.
-    pub(crate) is_near: bool,
-}
-
-impl Informant {
-    /// Whether it knows what one that knows so far does not.
-    pub(super) fn knows_more(&self, known: Known) -> bool {
-        self.table > known.table || self.list.changed > known.list
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Peer {
-    address: SocketAddr,
-    incarnation: Incarnation,
-    zone: ZoneName,
-    front: SocketAddr,
-    link_mbps: u32,
-    /// How long it takes until it has told everybody in other zones.
-    turn_ms: u32,
-    availability: Availability,
-    /// Version of its table of routes.
-    table: u64,
-    /// How far it knows the list of endpoints.
-    list: ListMark,
-    /// When the store last answered it, if it reads the store.
-    store_answered_ms: Option<u64>,
-    heard_ms: Option<u64>,
-    /// When its newest heartbeat was sent, on its own clock.
-    sent_ms: u64,
-    held: Vec<(EndpointId, u64)>,
-    /// Whether `held` is in the sums that were handed out last.
-    is_counted: bool,
-}
-
-/// Where a heartbeat goes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Recipient {
-    pub(super) address: SocketAddr,
-    /// Availability zone of the recipient.
-    pub(super) zone: ZoneName,
-    pub(super) echo: Option<Echo>,
-}
-
-/// A load that has changed at an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct LoadChange {
-    pub(super) endpoint: EndpointId,
-    /// Tokens times layers held before.
-    pub(super) before: u64,
-    /// Tokens times layers held now.
-    pub(super) now: u64,
-}
-
 /// The other instances.
 #[derive(Debug)]
 pub(crate) struct PeerBook {
@@ -175,26 +92,12 @@
     }
 
     /// Takes a peer's record from the store; what the peer tells by itself goes before it.
-    pub(super) fn learn(&mut self, record: InstanceRecord) {
+    pub(super) fn learn(&mut self, record: InstanceRecord, now_ms: u64) {
         if record.instance == self.own_instance {
             return;
         }
-        self.peers.entry(record.instance).or_insert(Peer {
-            address: record.peers,
-            incarnation: record.incarnation,
-            zone: record.zone,
-            front: record.front,
-            link_mbps: record.link_mbps,
-            turn_ms: 0,
-            availability: Availability::default(),
-            table: 0,
-            list: ListMark::default(),
-            store_answered_ms: None,
-            heard_ms: None,
-            sent_ms: 0,
-            held: Vec::new(),
-            is_counted: false,
-        });
+        let peer = Peer::on_record(&record, now_ms);
+        self.peers.entry(record.instance).or_insert(peer);
     }
 
     /// Whom the next heartbeat goes to: the whole zone, and of the other zones those whose turn it is.
@@ -415,22 +318,7 @@
         if (&heartbeat.instance, &heartbeat.incarnation) == own {
             return Vec::new();
         }
-        let peer = Peer {
-            address,
-            incarnation: heartbeat.incarnation,
-            zone: heartbeat.zone.clone(),
-            front: heartbeat.front,
-            link_mbps: heartbeat.link_mbps,
-            turn_ms: heartbeat.turn_ms,
-            availability: heartbeat.availability,
-            table: heartbeat.table,
-            list: heartbeat.list,
-            store_answered_ms: heartbeat.store_age_ms.map(|age| now_ms.saturating_sub(age)),
-            heard_ms: Some(now_ms),
-            sent_ms: heartbeat.sent_ms,
-            held: heartbeat.held.clone(),
-            is_counted: true,
-        };
+        let peer = Peer::heard(heartbeat, address, now_ms);
         for (service, fence) in &heartbeat.given_up {
             let highest = self.given_up_by_peers.entry(service.clone()).or_insert(0);
             *highest = (*highest).max(*fence);
@@ -503,12 +391,8 @@
 
     /// Forgets peers that have long been silent.
     pub(super) fn forget_silent(&mut self, now_ms: u64) {
-        self.peers.retain(|_, peer| {
-            let last_ms = peer
-                .heard_ms
-                .get_or_insert(now_ms.saturating_sub(SILENT_MS));
-            now_ms < *last_ms + FORGET_MS
-        });
+        self.peers
+            .retain(|_, peer| now_ms < peer.last_sign_ms() + FORGET_MS);
     }
 
     fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
@@ -548,63 +432,3 @@
     named.truncate(MOST_ADDRESSES);
     named
 }
-
-/// How loads change when a peer that held `before` holds `now`.
-fn load_changes(before: Vec<(EndpointId, u64)>, now: &[(EndpointId, u64)]) -> Vec<LoadChange> {
-    let mut before: IndexMap<EndpointId, u64> = before.into_iter().collect();
-    let mut changes: Vec<LoadChange> = now
-        .iter()
-        .map(|(endpoint, amount)| LoadChange {
-            before: before.swap_remove(endpoint).unwrap_or(0),
-            endpoint: endpoint.clone(),
-            now: *amount,
-        })
-        .collect();
-    let ended = before.into_iter().map(|(endpoint, before)| LoadChange {
-        endpoint,
-        before,
-        now: 0,
-    });
-    changes.extend(ended);
-    changes
-}
-
-impl Peer {
-    fn is_heard(&self, within_ms: u64, now_ms: u64) -> bool {
-        self.heard_ms
-            .is_some_and(|at_ms| now_ms < at_ms + within_ms)
-    }
-
-    /// Whether the store has lately answered it.
-    fn is_answered(&self, now_ms: u64) -> bool {
-        self.store_answered_ms
-            .is_some_and(|at_ms| now_ms < at_ms + STALE_MS)
-    }
-
-    /// Silence after which it is not named any more. Of the heartbeats to another zone, as of those to
-    /// the own, two may be lost.
-    fn silent_after_ms(&self, own_zone: &ZoneName) -> u64 {
-        if self.zone == *own_zone {
-            SILENT_MS
-        } else {
-            SILENT_MS.max(2 * u64::from(self.turn_ms) + FAR_SLACK_MS)
-        }
-    }
-
-    /// Place among instances: those with the fastest links come first.
-    fn rank<'a>(&self, name: &'a InstanceId) -> (Reverse<u32>, &'a InstanceId) {
-        (Reverse(self.link_mbps), name)
-    }
-
-    fn as_recipient(&self, silent_after_ms: u64, now_ms: u64) -> Recipient {
-        let is_heard = self.is_heard(silent_after_ms, now_ms);
-        Recipient {
-            address: self.address,
-            zone: self.zone.clone(),
-            echo: is_heard.then_some(Echo {
-                incarnation: self.incarnation,
-                sent_ms: self.sent_ms,
-            }),
-        }
-    }
-}
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -7,7 +7,8 @@
     Availability, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
 };
 use super::list_log::ListMark;
-use super::peer_book::{HolderEnd, InstanceRecord, PeerBook, Recipient};
+use super::peer::{InstanceRecord, Recipient};
+use super::peer_book::{HolderEnd, PeerBook};
 use super::settings::{RelayBounds, RelaySettings};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
@@ -171,7 +172,7 @@
 fn every_instance_on_record_shares_the_budget() {
     let mut a = book("a", "lac", 1_000);
     assert_eq!(a.known_instances(), 1);
-    a.learn(record("d", "marsa", 4_000));
+    a.learn(record("d", "marsa", 4_000), 0);
     assert_eq!(a.known_instances(), 2);
     a.forget_silent(1_000);
     a.forget_silent(70_000);
@@ -269,6 +270,21 @@
     assert_eq!(a.has_ended(&service, &next, 900), HolderEnd::Surely);
 }
 
+#[test]
+fn an_old_record_of_the_holders_instance_says_nothing_of_its_end() {
+    let mut a = book("a", "lac", 1_000);
+    a.learn(record("b", "lac", 2_000), 0);
+    a.forget_silent(250);
+    let holder = LeaseHolder {
+        instance: InstanceId::from("b"),
+        incarnation: Incarnation::draw(&mut rand::rng()),
+        fence: 4,
+        has_renewed: false,
+    };
+    let service = ServiceName::from("menu-mind");
+    assert_eq!(a.has_ended(&service, &holder, 500), HolderEnd::No);
+}
+
 #[test]
 fn peers_that_the_store_answers_are_asked_first() {
     let a = heard((CUT_OFF, 500), (OPEN, 500));
@@ -427,8 +443,9 @@
 #[test]
 fn an_unheard_instance_on_record_comes_before_while_it_may_be_starting() {
     let mut b = book("b", "lac", 1_000);
-    b.learn(record("a", "lac", 2_000));
-    b.learn(record("c", "lac", 3_000));
+    b.learn(record("a", "lac", 2_000), 0);
+    b.learn(record("c", "lac", 3_000), 0);
+    b.forget_silent(250);
     assert_eq!(b.reading_view(false, None, 900).place, 1);
     assert_eq!(b.reading_view(false, None, 1_100).place, 0);
 }
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -18,7 +18,8 @@
     Echo, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
 };
 use super::node::Node;
-use super::peer_book::{HEARTBEAT_MS, Recipient};
+use super::peer::Recipient;
+use super::peer_book::HEARTBEAT_MS;
 use crate::clock::boot_ms;
 use crate::ids::ZoneName;
 use crate::placement::PlaceOrder;
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -15,7 +15,7 @@
 
 use super::adapter::Adapter;
 use super::node::Node;
-use super::peer_book::InstanceRecord;
+use super::peer::InstanceRecord;
 use super::settings::RelaySettings;
 use super::snapshot::Known;
 use super::{checks, duty, feeds, front, peers, snapshot};
@@ -285,7 +285,7 @@
         match serde_json::from_str::<InstanceRecord>(&row.value) {
             Ok(it) => {
                 let mut peers = node.peers.borrow_mut();
-                peers.learn(it);
+                peers.learn(it, boot_ms());
             }
             Err(error) => {
                 log::warn!(key = row.key.as_str(), error:% = error; "record is malformed")
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -19,7 +19,7 @@
 use super::feeds::take_table;
 use super::list_log::{ListMark, ListNews};
 use super::node::Node;
-use super::peer_book::Informant;
+use super::peer::Informant;
 use crate::clients::{HttpCall, HttpFailure, HttpPeer};
 use crate::clock::boot_ms;
 use crate::route_table::SourcedTable;
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 
 use super::list_log::ListMark;
-use super::peer_book::Informant;
+use super::peer::Informant;
 use super::snapshot::{Knowledge, Known, put_best_first, read_snapshot};
 use super::upstream::{UpstreamFailure, Upstreams};
 
