--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -155,6 +155,7 @@
     let known = list_log.mark();
     if read.position < known.position {
         // A peer has told more since the call was sent.
+        node.fleet.borrow_mut().confirm(sent_ms);
         return;
     }
     list_log.note(read.position, &read.content, was_away);
--- a/src/route_table/held.rs
+++ b/src/route_table/held.rs
@@ -64,9 +64,12 @@
     }
 
     /// Notes that a call sent at `sent_ms` showed nothing newer. Counted from the sending: the
-    /// reply may have been under way for any part of the time since.
+    /// reply may have been under way for any part of the time since. Says nothing where no table is
+    /// known: the first one has the age of the call that read it.
     pub fn confirm(&mut self, sent_ms: u64) {
-        self.newest_at_ms = self.newest_at_ms.max(sent_ms);
+        if self.table.is_some() {
+            self.newest_at_ms = self.newest_at_ms.max(sent_ms);
+        }
     }
 
     /// When the table was last known to be the newest.
--- a/src/route_table/tests.rs
+++ b/src/route_table/tests.rs
@@ -80,12 +80,15 @@
     assert_eq!(drawn.count(), 10);
 }
 
-#[test]
-fn a_held_table_never_goes_back() {
-    let sourced = |version| SourcedTable {
+fn sourced(version: u64) -> SourcedTable {
+    SourcedTable {
         table: table(version, vec![]),
         source: format!("document {version}"),
-    };
+    }
+}
+
+#[test]
+fn a_held_table_never_goes_back() {
     let mut held = HeldTable::default();
     assert_eq!(held.source(), None);
     assert_eq!(held.offer(sourced(5), 100), TableChange::InForce);
@@ -96,3 +99,11 @@
     held.confirm(90);
     assert_eq!(held.age_ms(250), 30);
 }
+
+#[test]
+fn the_first_table_is_no_newer_than_the_call_that_read_it() {
+    let mut held = HeldTable::default();
+    held.confirm(900);
+    assert_eq!(held.offer(sourced(5), 100), TableChange::InForce);
+    assert_eq!(held.age_ms(1_000), 900);
+}
