--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -166,8 +166,8 @@
 
     /// Gives every empty engine its layers. Where engines of the zone hold some already, layers
     /// without holder come first, each from the engine that loads least for it. A zone whose engines
-    /// returned from a crash of 4.5 s stayed slow for as long as it was watched before; worth
-    /// 0.692 -> 0.696 and 0.740 -> 0.751 over 18 drawn days each.
+    /// returned from a crash of 4.5 s stayed slow for as long as it was watched before: 664 streams
+    /// of one run were late to start.
     fn fill_empty(
         &self,
         engines: &[&PlacedEngine],
@@ -311,8 +311,8 @@
 /// as it can on those and slower ones hold the rest and the copies; of equally fast ones the largest,
 /// which make chains short. A stream that runs faster holds its tokens for a shorter time: with the
 /// largest first, slow engines were the only holders of half of the layers, and memory ran full at
-/// the usual load. Worth 0.506 -> 0.692 over 18 drawn days where kinds differ sevenfold in speed,
-/// unchanged where large ones are the fast ones.
+/// the usual load: 763 of 3,869 requests were turned away without any fault where kinds differ sevenfold
+/// in speed, none with the fastest first. Unchanged where large ones are the fast ones.
 fn first_to_place(
     a: &PlacedEngine,
     b: &PlacedEngine,
