--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -14,6 +14,15 @@
 /// of another instance, and instances that start with a fresh window.
 const USED_PART: f64 = 0.7;
 
+/// What a repeat is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatPurpose {
+    /// To get an answer begun.
+    Begin,
+    /// To go on with an answer of which the caller holds a part.
+    GoOn,
+}
+
 /// What all instances together may repeat in a window, and among how many it is shared.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetShare {
@@ -47,7 +56,13 @@
     }
 
     /// Whether one more repeat is within the budget.
-    pub fn has_left(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> bool {
+    pub fn has_left(
+        &mut self,
+        service: &ServiceName,
+        share: BudgetShare,
+        _purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> bool {
         let window = self.window(service, share, now_ms);
         let own_slack = share.slack / f64::from(share.instances.max(1));
         let allowed = (share.ratio * window.requests_ms.len() as f64 + own_slack) * USED_PART;
@@ -55,8 +70,14 @@
     }
 
     /// Takes one repeat out of the budget, if it has one left.
-    pub fn take(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> bool {
-        let is_left = self.has_left(service, share, now_ms);
+    pub fn take(
+        &mut self,
+        service: &ServiceName,
+        share: BudgetShare,
+        purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> bool {
+        let is_left = self.has_left(service, share, purpose, now_ms);
         if is_left {
             let window = self.window(service, share, now_ms);
             window.repeats_ms.push_back(now_ms);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,7 +14,7 @@
 mod tests;
 
 pub use attempts::{AttemptEnd, Attempts, NextStep};
-pub use budget::{BudgetShare, RetryBudget};
+pub use budget::{BudgetShare, RepeatPurpose, RetryBudget};
 pub use events::{EventSplitter, SplitError, WholeEvents};
 pub use refusal::{FinalWord, Outlook, RefusalCause};
 pub use run_times::RunTimes;
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -104,7 +104,7 @@
             budget.request(&service, SHARE, number * 100);
         }
         taken += (0..1_000)
-            .filter(|_| budget.take(&service, SHARE, 5_000))
+            .filter(|_| budget.take(&service, SHARE, RepeatPurpose::Begin, 5_000))
             .count();
     }
     // 0.2 of 100 requests and 20 besides.
@@ -116,9 +116,9 @@
 fn the_budget_fills_again_as_the_window_moves() {
     let service = ServiceName::from("ledger-api");
     let mut budget = RetryBudget::default();
-    while budget.take(&service, SHARE, 1_000) {}
-    assert!(!budget.take(&service, SHARE, 10_900));
-    assert!(budget.take(&service, SHARE, 11_100));
+    while budget.take(&service, SHARE, RepeatPurpose::Begin, 1_000) {}
+    assert!(!budget.take(&service, SHARE, RepeatPurpose::Begin, 10_900));
+    assert!(budget.take(&service, SHARE, RepeatPurpose::Begin, 11_100));
 }
 
 #[test]
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -17,7 +17,7 @@
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::placement::PlaceOrder;
-use crate::relay::{BudgetShare, Outlook, RetryBudget, RunTimes};
+use crate::relay::{BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes};
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
@@ -184,9 +184,10 @@
     }
 
     /// Takes one repeat out of the budget, if one is left.
-    pub(crate) fn take_repeat(&self, service: &ServiceName) -> bool {
+    pub(crate) fn take_repeat(&self, service: &ServiceName, purpose: RepeatPurpose) -> bool {
         let share = self.budget_share();
-        let is_left = self.budget.borrow_mut().take(service, share, boot_ms());
+        let mut budget = self.budget.borrow_mut();
+        let is_left = budget.take(service, share, purpose, boot_ms());
         self.counters.count(if is_left {
             "relay.repeats.allowed"
         } else {
@@ -196,9 +197,10 @@
     }
 
     /// Whether one more repeat is within the budget.
-    pub(crate) fn has_repeat(&self, service: &ServiceName) -> bool {
+    pub(crate) fn has_repeat(&self, service: &ServiceName, purpose: RepeatPurpose) -> bool {
         let share = self.budget_share();
-        self.budget.borrow_mut().has_left(service, share, boot_ms())
+        let mut budget = self.budget.borrow_mut();
+        budget.has_left(service, share, purpose, boot_ms())
     }
 
     /// What decides when a refused request should be asked for again.
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -17,7 +17,7 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Trouble, pick_replica};
 use crate::ids::EndpointId;
-use crate::relay::{AttemptEnd, Attempts, FinalWord, NextStep, RefusalCause};
+use crate::relay::{AttemptEnd, Attempts, FinalWord, NextStep, RefusalCause, RepeatPurpose};
 
 /// Longest answer that is held until it is whole.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
@@ -106,7 +106,9 @@
         if end == AttemptEnd::TurnedAway {
             cause = RefusalCause::Full;
         }
-        match attempts.ended(end, || node.take_repeat(&request.service)) {
+        match attempts.ended(end, || {
+            node.take_repeat(&request.service, RepeatPurpose::Begin)
+        }) {
             NextStep::TryAgain => {}
             NextStep::PassOn => return held.ok_or(FinalWord::Unknown),
             // A failure that an endpoint answered with says more than a word of our own.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -25,7 +25,8 @@
 use crate::fleet::{Chain, ChainStage, Trouble};
 use crate::ids::EndpointId;
 use crate::relay::{
-    AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, StallWatch,
+    AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, RepeatPurpose,
+    StallWatch,
 };
 
 /// Longest failure of an engine that is held to be passed on.
@@ -180,7 +181,11 @@
             self.attempts.exclude(&at_fault);
             let node = &self.node;
             let service = &self.request.service;
-            match self.attempts.ended(end, || node.take_repeat(service)) {
+            let purpose = self.repeat_purpose();
+            match self
+                .attempts
+                .ended(end, || node.take_repeat(service, purpose))
+            {
                 NextStep::TryAgain => {}
                 NextStep::PassOn => return Finish::Word(FinalWord::Unknown),
                 NextStep::GiveUp(word) => return Finish::Word(word),
@@ -349,6 +354,16 @@
         }
     }
 
+    /// What another run would be for.
+    fn repeat_purpose(&self) -> RepeatPurpose {
+        // The answer's head has gone out: whatever ends the request now cuts it off.
+        if self.opening.is_none() {
+            RepeatPurpose::GoOn
+        } else {
+            RepeatPurpose::Begin
+        }
+    }
+
     /// Engines that have ended do not count among those on which the request ran.
     fn forget_ended(&mut self) {
         let fleet = self.node.fleet.borrow();
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -91,7 +91,9 @@
         trial.exclude(&present.first().endpoint);
         let may_repeat = self.request.route.repeat.may_run_again();
         may_repeat
-            && self.node.has_repeat(&self.request.service)
+            && self
+                .node
+                .has_repeat(&self.request.service, self.repeat_purpose())
             && self.plan_with(&trial, None).is_some()
     }
 
