Imports: five circles of files opened (claims, orders, documents, command line, adapter)

What both files of a pair need has a file of its own: where keys of claims begin, the view of an engine, values that may stand once, environment variables, a chain as text. Nothing is decided otherwise; 444 tests of the library pass.

--- a/src/claims/key.rs
+++ b/src/claims/key.rs
@@ -4,10 +4,11 @@
 
 use uuid::Uuid;
 
-use super::sweep::CLAIM_PREFIX;
 use crate::ids::{AccountId, IdempotencyKey, ServiceName};
 use crate::outcome::RefusalCode;
 
+/// Start of the keys of all claims.
+pub const CLAIM_PREFIX: &str = "claim/";
 /// How long a UUIDv7 key is remembered from the time it carries. An older one is refused.
 pub const KEY_MEMORY_MS: u64 = 24 * 60 * 60 * 1_000;
 /// How long any other key is remembered from the last write of its row. Used again after that, it
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -12,10 +12,10 @@
 #[cfg(test)]
 mod tests;
 
-pub use key::{CLOCK_MARGIN_MS, KEY_MEMORY_MS, OTHER_KEY_MEMORY_MS, row_key};
+pub use key::{CLAIM_PREFIX, CLOCK_MARGIN_MS, KEY_MEMORY_MS, OTHER_KEY_MEMORY_MS, row_key};
 pub use machine::Claim;
 pub use message::{ClaimAsk, ClaimEffect, ClaimHolder, ClaimMessage};
 pub use row::{
     ANSWER_LIMIT_BYTES, ClaimRow, ClaimState, RecordedBody, RecordedReply, RowUnreadable,
 };
-pub use sweep::{CLAIM_PREFIX, sweep};
+pub use sweep::sweep;
--- a/src/claims/sweep.rs
+++ b/src/claims/sweep.rs
@@ -1,12 +1,11 @@
 //! Which claims may be forgotten.
 
-use super::key::{CLOCK_MARGIN_MS, KEY_MEMORY_MS, OTHER_KEY_MEMORY_MS, key_time_unix_ms};
+use super::key::{
+    CLAIM_PREFIX, CLOCK_MARGIN_MS, KEY_MEMORY_MS, OTHER_KEY_MEMORY_MS, key_time_unix_ms,
+};
 use super::row::ClaimRow;
 use crate::wire::platform::{Condition, Row, Transaction, Write};
 
-/// Start of the keys of all claims.
-pub const CLAIM_PREFIX: &str = "claim/";
-
 /// Chooses from `rows` the claims that no attempt can need any more at `unix_ms`.
 ///
 /// Each transaction deletes one row at the version that was judged. A row whose value cannot be
--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -7,6 +7,8 @@
 use clap_complete::Shell;
 use uuid::Uuid;
 
+use super::variables::CONTROL_VARIABLE;
+
 /// Drives fescueshore by its services' documents, and shows what it does.
 #[derive(Debug, Parser)]
 #[command(name = "fescuectl", version, max_term_width = 100)]
@@ -27,7 +29,7 @@
         long,
         global = true,
         value_name = "ADDRESS",
-        env = "FESCUE_CONTROL",
+        env = CONTROL_VARIABLE,
         hide_env_values = true,
         value_delimiter = ','
     )]
--- a/src/ctl/fault.rs
+++ b/src/ctl/fault.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 use uuid::Uuid;
 
-use super::key::KEY_VARIABLE;
+use super::variables::{CONTROL_VARIABLE, KEY_VARIABLE};
 use crate::document::DocumentFaults;
 use crate::exit_codes::Exit;
 use crate::settings::SettingsError;
@@ -48,7 +48,7 @@
     #[error("no operator's key; name its file with --key-file, or set {KEY_VARIABLE}")]
     NoKey,
     /// No control process was named.
-    #[error("no control process; name one with --control, or set FESCUE_CONTROL")]
+    #[error("no control process; name one with --control, or set {CONTROL_VARIABLE}")]
     NoControl,
     /// No control process could answer.
     #[error(
--- a/src/ctl/key.rs
+++ b/src/ctl/key.rs
@@ -5,11 +5,9 @@
 use std::path::Path;
 
 use super::fault::CtlError;
+use super::variables::KEY_VARIABLE;
 use crate::keys::Secret;
 
-/// Environment variable that may hold the key.
-pub(crate) const KEY_VARIABLE: &str = "FESCUE_KEY";
-
 /// Reads the operator's key from a file, else from the environment.
 pub(super) fn read_key(file: Option<&Path>) -> Result<Secret, CtlError> {
     let text = match file {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -14,6 +14,7 @@
 mod report;
 #[cfg(test)]
 mod tests;
+mod variables;
 
 use std::ffi::OsString;
 
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -6,6 +6,7 @@
 mod parse;
 mod plain_path;
 mod queries;
+mod repeats;
 mod sections;
 #[cfg(test)]
 mod tests;
--- a/src/document/parse.rs
+++ b/src/document/parse.rs
@@ -3,11 +3,11 @@
 use indexmap::IndexMap;
 
 use super::model::{Document, OperatorRole, ServiceKind};
+use super::repeats::{SeenDigests, check_repeats};
 use super::sections::{
     KindWord, read_accounts, read_engines, read_models, read_operators, read_rules,
 };
-use crate::checked_toml::{Checker, FaultKind, Faults, Located, Section, check, name, one_of};
-use crate::document::KeyDigest;
+use crate::checked_toml::{Checker, FaultKind, Faults, Section, check, name, one_of};
 use crate::ids::{EndpointId, ServiceName};
 
 /// Largest document.
@@ -27,21 +27,6 @@
     }
 }
 
-/// Digests found so far, with the line of each: one key must name one account or operator.
-#[derive(Default)]
-pub(super) struct SeenDigests(IndexMap<[u8; 32], usize>);
-
-impl SeenDigests {
-    pub(super) fn add(&mut self, checker: &Checker<'_>, digest: &Located<KeyDigest>) {
-        match self.0.get(&digest.value.0) {
-            Some(&first_line) => digest.fault(checker, FaultKind::Repeated { first_line }),
-            None => {
-                self.0.insert(digest.value.0, digest.line);
-            }
-        }
-    }
-}
-
 // Every key is read before any absence ends the reading, so that no fault hides another.
 fn read_root(checker: &Checker<'_>, root: &mut Section<'_, '_>) -> Option<Document> {
     let mut seen = SeenDigests::default();
@@ -84,16 +69,3 @@
         root.fault_at("operators", FaultKind::NoEditor);
     }
 }
-
-/// Reports each value that stands in a list for a second time.
-pub(super) fn check_repeats(checker: &Checker<'_>, values: &[Located<String>]) {
-    let mut first_lines: IndexMap<&str, usize> = IndexMap::new();
-    for value in values {
-        match first_lines.get(value.value.as_str()) {
-            Some(&first_line) => value.fault(checker, FaultKind::Repeated { first_line }),
-            None => {
-                first_lines.insert(&value.value, value.line);
-            }
-        }
-    }
-}
--- a/src/document/sections.rs
+++ b/src/document/sections.rs
@@ -6,8 +6,8 @@
 use super::model::{
     Account, KeyDigest, ModelOffer, NonIdempotentRule, Operator, OperatorRole, Priority,
 };
-use super::parse::{SeenDigests, check_repeats};
 use super::plain_path::plain_path;
+use super::repeats::{SeenDigests, check_repeats};
 use crate::checked_toml::{
     Checker, FaultKind, Located, Section, flag, key_digest, name, number, one_of, text,
     whole_number,
--- a/src/orders/desired.rs
+++ b/src/orders/desired.rs
@@ -5,7 +5,7 @@
 use crate::document::ModelOffer;
 use crate::wire::engine::{EngineAssignment, EngineState, LayerRange};
 
-use super::plan::EngineView;
+use super::view::EngineView;
 
 /// What the engine should hold; `None` if it is to be left alone.
 pub(super) fn desired(
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -8,5 +8,7 @@
 mod plan;
 #[cfg(test)]
 mod tests;
+mod view;
 
-pub(crate) use plan::{EngineView, plan};
+pub(crate) use plan::plan;
+pub(crate) use view::EngineView;
--- a/src/orders/plan.rs
+++ b/src/orders/plan.rs
@@ -8,6 +8,7 @@
 
 use super::capacity::Capacity;
 use super::desired::desired;
+use super::view::EngineView;
 
 /// Most engines that load weights for one service at once; the weight store limits its rate.
 const LOADS_AT_ONCE: usize = 4;
@@ -16,19 +17,6 @@
 /// Capacity kept over what is in use.
 const HEADROOM: f64 = 1.25;
 
-/// An engine as the lease's holder sees it.
-#[derive(Clone, Debug)]
-pub(crate) struct EngineView<'a> {
-    /// Engine.
-    pub(crate) endpoint: &'a EndpointId,
-    /// What it last said; `None` if it did not answer.
-    pub(crate) state: Option<&'a EngineState>,
-    /// Whether it gets no new work for good.
-    pub(crate) leaving: bool,
-    /// An order that it was sent and has not fulfilled.
-    pub(crate) ordered: Option<&'a EngineAssignment>,
-}
-
 /// What to order now.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Plan {
