Relay: the final line of a request names the limit that ended it

A caller that held a part of its answer got the word `unknown` whether the budget for repeats was spent, the turns were counted out or the time was over, and the lines did not tell either. Each end now has its limit beside the word, in `stream ended`, `request has no answer`, `request answered` (a failure that is passed on) and `request is refused`, with the repeats left at the instance and the sends and turns used. Counters `relay.given_up.LIMIT`.

Nothing of what is decided changes: `Attempts` asks the same questions in the same order.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexSet;
 
-use super::{FinalWord, RefusalCause};
+use super::{AttemptLimit, FinalWord, GivenUp, RefusalCause};
 use crate::ids::EndpointId;
 use crate::invariant;
 use crate::route_table::Repeat;
@@ -33,10 +33,10 @@
 pub enum NextStep {
     /// Send it once more.
     TryAgain,
-    /// Pass on the failure that the endpoint answered with.
-    PassOn,
+    /// Pass on the failure that the endpoint answered with; what kept it from another try.
+    PassOn(AttemptLimit),
     /// Tell the caller.
-    GiveUp(FinalWord),
+    GiveUp(GivenUp),
 }
 
 /// The attempts of one request. Invariants: once it may have run, a request that must run at most
@@ -93,6 +93,16 @@
         self.may_have_run
     }
 
+    /// Sends so far, without those of which no byte left this instance.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Sends that endpoints turned away unrun.
+    pub fn turned_away(&self) -> u32 {
+        self.turned_away
+    }
+
     /// Leaves an endpoint out of further attempts.
     pub fn exclude(&mut self, endpoint: &EndpointId) {
         self.excluded.insert(endpoint.clone());
@@ -134,13 +144,20 @@
         }
         let next = self.allowed(has_budget);
         match (end, next) {
-            (AttemptEnd::Failed, NextStep::GiveUp(_)) => NextStep::PassOn,
+            (AttemptEnd::Failed, NextStep::GiveUp(end)) => NextStep::PassOn(end.limit),
             (_, next) => next,
         }
     }
 
     /// What to tell the caller if nothing more can be tried, for `cause`.
-    pub fn give_up(&self, cause: RefusalCause) -> FinalWord {
+    pub fn give_up(&self, cause: RefusalCause) -> GivenUp {
+        GivenUp {
+            word: self.word(cause),
+            limit: cause.into(),
+        }
+    }
+
+    fn word(&self, cause: RefusalCause) -> FinalWord {
         match (self.may_have_run || self.under_way.is_some(), cause) {
             (false, cause) => FinalWord::NotRun(cause),
             (true, RefusalCause::TooLate) => FinalWord::TimedOut,
@@ -148,17 +165,30 @@
         }
     }
 
+    /// The limit on repeats that this request has come to, whatever the budget allows.
+    fn limit(&self) -> Option<AttemptLimit> {
+        // A stream may go back to an engine on which it ran, with other stages behind it.
+        let is_spent = self.only_on().is_some() && !self.repeat.is_stream();
+        if self.may_have_run && !self.repeat.may_run_again() {
+            Some(AttemptLimit::MayHaveRun)
+        } else if is_spent {
+            Some(AttemptLimit::Endpoints)
+        } else if self.turned_away >= MOST_TURNED_AWAY {
+            Some(AttemptLimit::TurnedAway)
+        } else if self.sends >= MOST_SENDS {
+            Some(AttemptLimit::Sends)
+        } else {
+            None
+        }
+    }
+
     fn allowed<F>(&self, has_budget: F) -> NextStep
     where
         F: FnOnce() -> bool,
     {
-        if self.may_have_run && !self.repeat.may_run_again() {
-            return NextStep::GiveUp(FinalWord::Unknown);
-        }
-        // A stream may go back to an engine on which it ran, with other stages behind it.
-        let is_spent = self.only_on().is_some() && !self.repeat.is_stream();
-        if is_spent || self.turned_away >= MOST_TURNED_AWAY || self.sends >= MOST_SENDS {
-            return NextStep::GiveUp(self.give_up(RefusalCause::Full));
+        if let Some(limit) = self.limit() {
+            let word = self.word(RefusalCause::Full);
+            return NextStep::GiveUp(GivenUp { word, limit });
         }
         if self.sends > 0 && !has_budget() {
             return NextStep::GiveUp(self.give_up(RefusalCause::NoBudget));
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -85,6 +85,15 @@
         is_left
     }
 
+    /// Repeats within the budget that are left, for log lines.
+    pub fn left(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> u32 {
+        let window = self.window(service, share, now_ms);
+        let own_slack = share.slack / f64::from(share.instances.max(1));
+        let allowed = (share.ratio * window.requests_ms.len() as f64 + own_slack) * USED_PART;
+        let left = allowed - window.repeats_ms.len() as f64;
+        left.max(0.0) as u32
+    }
+
     fn window(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> &mut Window {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Window::default());
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -45,12 +45,12 @@
                 NextStep::TryAgain => {
                     prop_assert!(!may_have_run || repeat.may_run_again());
                 }
-                NextStep::PassOn => {
+                NextStep::PassOn(_) => {
                     prop_assert_eq!(end, AttemptEnd::Failed);
                     break;
                 }
-                NextStep::GiveUp(word) => {
-                    prop_assert_eq!(matches!(word, FinalWord::NotRun(_)), !may_have_run);
+                NextStep::GiveUp(end) => {
+                    prop_assert_eq!(matches!(end.word, FinalWord::NotRun(_)), !may_have_run);
                     break;
                 }
             }
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -18,7 +18,7 @@
 use super::request::{RelayedRequest, status_response, word_response};
 use super::stream_answer::relay_stream;
 use crate::clock::boot_ms;
-use crate::relay::{FinalWord, RefusalCause};
+use crate::relay::{AttemptLimit, FinalWord, RefusalCause};
 use crate::route_table::{Rejection, Route, RouteTable};
 
 /// Longest wait for a whole body. Callers send bodies of a few kilobytes at once.
@@ -268,11 +268,14 @@
     A: Adapter,
 {
     let outlook = node.outlook(0, 0);
+    let limit = AttemptLimit::from(cause);
+    node.count_given_up(limit);
     let table = node.table.borrow();
     log::info!(
         request = id,
         route = route.map(|route| route.name.as_str()),
         cause = cause.name(),
+        limit = limit.name(),
         retry_after_ms = cause.retry_after_ms(outlook),
         table = table.table().map(|table| table.version),
         table_age_ms = table.age_ms(boot_ms()),
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -17,7 +17,7 @@
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::placement::PlaceOrder;
-use crate::relay::{BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes};
+use crate::relay::{AttemptLimit, BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes};
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
@@ -203,6 +203,19 @@
         budget.has_left(service, share, purpose, boot_ms())
     }
 
+    /// Repeats left at this instance, for log lines.
+    pub(crate) fn repeats_left(&self, service: &ServiceName) -> u32 {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.left(service, share, boot_ms())
+    }
+
+    /// Counts a request that ended at a limit.
+    pub(crate) fn count_given_up(&self, limit: AttemptLimit) {
+        let name = format!("relay.given_up.{}", limit.name());
+        self.counters.count(&name);
+    }
+
     /// What decides when a refused request should be asked for again.
     pub(crate) fn outlook(&self, load_ms: u64, run_ms: u64) -> Outlook {
         Outlook {
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -17,7 +17,9 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Trouble, pick_replica};
 use crate::ids::EndpointId;
-use crate::relay::{AttemptEnd, Attempts, FinalWord, NextStep, RefusalCause, RepeatPurpose};
+use crate::relay::{
+    AttemptEnd, AttemptLimit, Attempts, FinalWord, GivenUp, NextStep, RefusalCause, RepeatPurpose,
+};
 
 /// Longest answer that is held until it is whole.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
@@ -30,6 +32,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// What kept the request from another try, for a failure that is passed on.
+    limit: Option<AttemptLimit>,
 }
 
 /// How one try ended.
@@ -47,15 +51,20 @@
     let mut attempts = Attempts::new(request.route.repeat, request.route.max_endpoints);
     let until = instant_at(request.final_ms, boot_ms());
     let result = timeout_at(until, answer(node, &request, &mut attempts)).await;
-    let word = match result {
-        Ok(Ok(answer)) => return pass_on(node, &request, answer),
-        Ok(Err(word)) => word,
+    let GivenUp { word, limit } = match result {
+        Ok(Ok(answer)) => return pass_on(node, &request, &attempts, answer),
+        Ok(Err(end)) => end,
         Err(_) => attempts.give_up(RefusalCause::TooLate),
     };
+    node.count_given_up(limit);
     log::info!(
         request = request.ask.id.as_str(),
         route = request.route.name.as_str(),
         word = word.name(),
+        limit = limit.name(),
+        repeats_left = node.repeats_left(&request.service),
+        sends = attempts.sends(),
+        turned_away = attempts.turned_away(),
         took_ms = boot_ms().saturating_sub(request.arrived_ms),
         table = request.table.version,
         list_age_ms = node.fleet.borrow().age_ms(boot_ms());
@@ -68,7 +77,7 @@
     node: &Rc<Node<A>>,
     request: &RelayedRequest,
     attempts: &mut Attempts,
-) -> Result<WholeAnswer, FinalWord>
+) -> Result<WholeAnswer, GivenUp>
 where
     A: Adapter,
 {
@@ -83,7 +92,7 @@
             boot_ms(),
         );
         let Some(endpoint) = picked else {
-            return held.ok_or_else(|| attempts.give_up(cause));
+            return answer_or(held, attempts.give_up(cause));
         };
         attempts.sending(&endpoint);
         let (end, trouble) = match try_once(node, request, &endpoint, attempts).await {
@@ -110,13 +119,22 @@
             node.take_repeat(&request.service, RepeatPurpose::Begin)
         }) {
             NextStep::TryAgain => {}
-            NextStep::PassOn => return held.ok_or(FinalWord::Unknown),
-            // A failure that an endpoint answered with says more than a word of our own.
-            NextStep::GiveUp(word) => return held.ok_or(word),
+            NextStep::PassOn(limit) => {
+                let word = FinalWord::Unknown;
+                return answer_or(held, GivenUp { word, limit });
+            }
+            NextStep::GiveUp(end) => return answer_or(held, end),
         }
     }
 }
 
+/// A failure that an endpoint answered with says more than a word of our own.
+fn answer_or(held: Option<WholeAnswer>, end: GivenUp) -> Result<WholeAnswer, GivenUp> {
+    let limit = Some(end.limit);
+    held.map(|answer| WholeAnswer { limit, ..answer })
+        .ok_or(end)
+}
+
 fn is_failure(answer: &WholeAnswer) -> bool {
     answer.status.is_server_error()
 }
@@ -193,6 +211,7 @@
         status: head.status,
         headers: headers::passed_on(&head.headers),
         body: whole.freeze(),
+        limit: None,
     })
 }
 
@@ -216,6 +235,7 @@
 fn pass_on<A>(
     node: &Rc<Node<A>>,
     request: &RelayedRequest,
+    attempts: &Attempts,
     answer: WholeAnswer,
 ) -> Response<BoxBody>
 where
@@ -223,10 +243,16 @@
 {
     let took_ms = boot_ms().saturating_sub(request.arrived_ms);
     node.counters.time_ms("relay.plain", took_ms);
+    if let Some(limit) = answer.limit {
+        node.count_given_up(limit);
+    }
     log::info!(
         request = request.ask.id.as_str(),
         route = request.route.name.as_str(),
         status = answer.status.as_u16(),
+        limit = answer.limit.map(AttemptLimit::name),
+        sends = attempts.sends(),
+        turned_away = attempts.turned_away(),
         took_ms,
         objective_ms = request.route.objective_ms,
         table = request.table.version,
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -25,8 +25,8 @@
 use crate::fleet::{Chain, ChainStage, Trouble};
 use crate::ids::EndpointId;
 use crate::relay::{
-    AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, RepeatPurpose,
-    StallWatch,
+    AttemptEnd, AttemptLimit, Attempts, EventSplitter, FinalWord, GivenUp, NextStep, RefusalCause,
+    RepeatPurpose, StallWatch,
 };
 
 /// Longest failure of an engine that is held to be passed on.
@@ -45,7 +45,7 @@
 /// What the caller hears at the end.
 enum Finish {
     Whole,
-    Word(FinalWord),
+    Word(GivenUp),
     /// Nobody is there any more to hear it.
     CallerLeft,
 }
@@ -132,7 +132,8 @@
         self.is_logged = true;
         self.log_end(&finish);
         self.note_run_time(&finish);
-        if let Finish::Word(word) = finish {
+        if let Finish::Word(GivenUp { word, limit }) = finish {
+            self.node.count_given_up(limit);
             // A failure that an engine answered with says more than a word of our own.
             let answer = self.failure.take().ok_or(word);
             match self.opening.take() {
@@ -187,8 +188,11 @@
                 .ended(end, || node.take_repeat(service, purpose))
             {
                 NextStep::TryAgain => {}
-                NextStep::PassOn => return Finish::Word(FinalWord::Unknown),
-                NextStep::GiveUp(word) => return Finish::Word(word),
+                NextStep::PassOn(limit) => {
+                    let word = FinalWord::Unknown;
+                    return Finish::Word(GivenUp { word, limit });
+                }
+                NextStep::GiveUp(end) => return Finish::Word(end),
             }
         }
     }
@@ -399,10 +403,10 @@
         let arrived_ms = self.request.arrived_ms;
         let took_ms = now_ms.saturating_sub(arrived_ms);
         let first_event_ms = self.first_event_ms.map(|at| at.saturating_sub(arrived_ms));
-        let outcome = match finish {
-            Finish::Whole => "whole",
-            Finish::Word(word) => word.name(),
-            Finish::CallerLeft => "caller_left",
+        let (outcome, limit) = match finish {
+            Finish::Whole => ("whole", None),
+            Finish::Word(end) => (end.word.name(), Some(end.limit)),
+            Finish::CallerLeft => ("caller_left", None),
         };
         if let Some(first_event_ms) = first_event_ms {
             self.node
@@ -421,6 +425,10 @@
             route = self.request.route.name.as_str(),
             chain = chain.as_deref().unwrap_or(""),
             outcome,
+            limit = limit.map(AttemptLimit::name),
+            repeats_left = self.node.repeats_left(&self.request.service),
+            sends = self.attempts.sends(),
+            turned_away = self.attempts.turned_away(),
             took_ms,
             first_event_ms,
             longest_gap_ms = self.longest_gap_ms,
