Fleet: how and when the newest word on each endpoint came, in the lines on requests

An idempotent request reached an engine 3,020 ms after the engine had said that it leaves, and no line told who had told the sender of the engine or how old its list was. Each endpoint now has the path of the newest word on it (read from the store here, a peer's list, a peer's heartbeat) and when it came; the list has the path by which it was last known to be the newest.

Lines on the list move to a module of their own.

`told_leaving` and `take_from_peer` take the peer's name. Nothing of what is decided changes.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::ids::{EndpointId, EndpointName, ServiceName, ZoneName};
+use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName, ZoneName};
 use crate::wire::engine::LayerRange;
 
 /// Whether an endpoint is there to stay.
@@ -105,6 +105,38 @@
     }
 }
 
+/// Why an endpoint is taken as live though a peer said that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LiveReason {
+    /// The list has shown it in service since.
+    ListedSince,
+    /// The list has been read since, and has had it in service all along.
+    NeverMissing,
+}
+
+impl LiveReason {
+    /// Name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ListedSince => "listed_since",
+            Self::NeverMissing => "never_missing",
+        }
+    }
+}
+
+/// An endpoint that a peer said is leaving, and that is taken as live again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LiveAgain {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Who had said that it leaves.
+    pub told_by: InstanceId,
+    /// When.
+    pub told_ms: u64,
+    /// Why that does not go any more.
+    pub reason: LiveReason,
+}
+
 /// What a read changed, for log lines.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FleetChange {
@@ -121,6 +153,8 @@
     },
     /// It takes no new work from now on.
     Leaving(EndpointId),
+    /// It takes work again, which a peer had said it would not.
+    LiveAgain(LiveAgain),
     /// It is gone.
     Gone(EndpointId),
     /// It is taken for gone: its entry lapsed while the list was away, and has not come back.
--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -5,7 +5,7 @@
 use crate::ids::EndpointId;
 use crate::wire::engine::LayerRange;
 
-use super::{ChainStage, ListedEndpoint, Phase, Standing};
+use super::{ChainStage, ListedEndpoint, Phase, Provenance, Standing};
 
 /// How long the list may still show the layers that an engine held before.
 const LAYERS_LAG_MS: u64 = 1_500;
@@ -42,6 +42,8 @@
 pub struct KnownEndpoint {
     /// The newest entry.
     pub listed: ListedEndpoint,
+    /// How and when the newest word on it came.
+    pub provenance: Provenance,
     /// What calls have shown.
     pub standing: Standing,
     /// Requests of this process that it has now.
@@ -61,11 +63,12 @@
 }
 
 impl KnownEndpoint {
-    pub(super) fn new(listed: ListedEndpoint) -> Self {
+    pub(super) fn new(listed: ListedEndpoint, provenance: Provenance) -> Self {
         let layers_in_list = listed.layers;
         let phase_in_list = listed.phase;
         Self {
             listed,
+            provenance,
             standing: Standing::default(),
             in_flight: 0,
             held_token_layers: 0,
@@ -123,7 +126,13 @@
     }
 
     /// Takes a newer entry of the same lifetime. `phase` is the one to go by.
-    pub(super) fn rewrite(&mut self, mut entry: ListedEndpoint, phase: Phase) {
+    pub(super) fn rewrite(
+        &mut self,
+        mut entry: ListedEndpoint,
+        phase: Phase,
+        provenance: Provenance,
+    ) {
+        self.provenance = provenance;
         self.missing_since_ms = None;
         self.layers_in_list = entry.layers;
         self.phase_in_list = entry.phase;
--- a/src/fleet/lifetime_tests.rs
+++ b/src/fleet/lifetime_tests.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 
 use super::*;
-use crate::ids::{EndpointId, EndpointName, ServiceName, ZoneName};
+use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName, ZoneName};
 use crate::wire::engine::LayerRange;
 
 const LAYERS: LayerRange = LayerRange { first: 0, end: 10 };
@@ -28,6 +28,10 @@
     }
 }
 
+fn teller() -> InstanceId {
+    InstanceId::from("peer-1")
+}
+
 fn tokens(token_layers: u64) -> EngineLoad {
     EngineLoad {
         token_layers,
@@ -45,7 +49,7 @@
     let mut fleet = Fleet::default();
     write(&mut fleet, listed(&first, Some(LAYERS)), 0);
     fleet.troubled(&first, Trouble::Ended, 10);
-    fleet.told_leaving(&first, 10);
+    fleet.told_leaving(&teller(), &first, 10);
     fleet.set_peers_load(&IndexMap::from([(first.clone(), tokens(700))]));
     let known = fleet.get_mut(&first).expect("listed");
     known.held_token_layers = 500;
@@ -76,10 +80,10 @@
     write(&mut fleet, listed(&second, None), 20);
     assert_eq!(write(&mut fleet, listed(&first, Some(LAYERS)), 30), []);
     assert_eq!(
-        fleet.take_from_peer(vec![listed(&first, Some(LAYERS))], 40),
+        fleet.take_from_peer(&teller(), vec![listed(&first, Some(LAYERS))], 40),
         []
     );
-    assert!(!fleet.told_leaving(&first, 50));
+    assert!(!fleet.told_leaving(&teller(), &first, 50));
     fleet.troubled(&first, Trouble::Ended, 50);
     let known = fleet.get(&second).expect("listed");
     assert!(known.takes_work());
@@ -180,7 +184,7 @@
                     let id = lifetime("a", at(back));
                     newest_listed_ms = newest_listed_ms.max(at(back));
                     if is_from_peer {
-                        fleet.take_from_peer(vec![listed(&id, None)], now_ms);
+                        fleet.take_from_peer(&teller(), vec![listed(&id, None)], now_ms);
                     } else {
                         write(&mut fleet, listed(&id, None), now_ms);
                     }
@@ -190,7 +194,7 @@
                     fleet.take(ListingRead::changes(vec![], removed), was_away, now_ms);
                 }
                 Event::ToldLeaving { back } => {
-                    fleet.told_leaving(&lifetime("a", at(back)), now_ms);
+                    fleet.told_leaving(&teller(), &lifetime("a", at(back)), now_ms);
                     touched.insert(at(back));
                 }
                 Event::Trouble { back } => {
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -3,10 +3,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
-    EngineLoad, EntryFault, FleetChange, KnownEndpoint, ListedEndpoint, ListingRead, ListingScope,
-    Phase, Trouble, UnusableEntry,
+    EngineLoad, EntryFault, FleetChange, InfoPath, KnownEndpoint, ListedEndpoint, ListingRead,
+    ListingScope, LiveAgain, LiveReason, Phase, Provenance, Trouble, UnusableEntry,
 };
-use crate::ids::{EndpointId, EndpointName, ServiceName};
+use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName};
 use crate::wire::engine::LayerRange;
 
 /// Entries that lapsed while the list could not be kept are listed again within about two seconds
@@ -24,8 +24,9 @@
 const MOST_UNUSABLE: usize = 1_000;
 
 /// A peer's word that an endpoint is leaving or gone.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Told {
+    by: InstanceId,
     at_ms: u64,
     /// The list has shown it in service since: it was only out of the list's reach.
     is_live_again: bool,
@@ -54,6 +55,8 @@
     is_known: bool,
     /// When the list was surely the newest. Never falls.
     newest_at_ms: u64,
+    /// By which path that was learnt.
+    newest_path: InfoPath,
 }
 
 impl Fleet {
@@ -64,7 +67,20 @@
 
     /// Notes that a read of the list was sent at `sent_ms`: the list is as new as that.
     pub fn confirm(&mut self, sent_ms: u64) {
-        self.newest_at_ms = self.newest_at_ms.max(sent_ms);
+        self.confirm_by(InfoPath::Store, sent_ms);
+    }
+
+    /// Notes that the list is as new as `at_ms`, as it is known by `path`.
+    pub fn confirm_by(&mut self, path: InfoPath, at_ms: u64) {
+        if at_ms > self.newest_at_ms {
+            self.newest_at_ms = at_ms;
+            self.newest_path = path;
+        }
+    }
+
+    /// By which path the list was last known to be the newest.
+    pub fn list_path(&self) -> &InfoPath {
+        &self.newest_path
     }
 
     /// Time since the list was last known to be the newest.
@@ -126,19 +142,30 @@
     /// Takes a read of the list. `was_away` says that the list could not be read or kept shortly
     /// before: entries that are missing are then held for a while.
     pub fn take(&mut self, read: ListingRead, was_away: bool, now_ms: u64) -> Vec<FleetChange> {
+        self.take_by(&InfoPath::Store, read, was_away, now_ms)
+    }
+
+    /// The same, of a read that reached this instance by `path`.
+    pub fn take_by(
+        &mut self,
+        path: &InfoPath,
+        read: ListingRead,
+        was_away: bool,
+        now_ms: u64,
+    ) -> Vec<FleetChange> {
         let mut changes = Vec::new();
         let missing = match &read.scope {
             ListingScope::Whole => self.missing_from(&read),
             ListingScope::Changes { removed } => self.lifetimes_of(removed),
         };
         for entry in read.entries {
-            self.write(entry, now_ms, &mut changes);
+            self.write(entry, path, now_ms, &mut changes);
         }
         self.remove(&missing, was_away, now_ms, &mut changes);
         for entry in read.unusable {
             self.drop_unusable(entry, &mut changes);
         }
-        self.settle(now_ms);
+        changes.extend(self.settle(now_ms));
         self.is_known = true;
         self.drop_overdue(now_ms, &mut changes);
         changes
@@ -148,6 +175,7 @@
     /// shown leaving here stay so: the peer may not have read that yet.
     pub fn take_from_peer(
         &mut self,
+        peer: &InstanceId,
         mut entries: Vec<ListedEndpoint>,
         now_ms: u64,
     ) -> Vec<FleetChange> {
@@ -157,12 +185,14 @@
                 entry.phase = Phase::Leaving;
             }
         }
-        self.take(ListingRead::whole(entries), true, now_ms)
+        let path = InfoPath::PeerList(peer.clone());
+        self.take_by(&path, ListingRead::whole(entries), true, now_ms)
     }
 
     /// Takes a peer's word that an endpoint is leaving or gone. Returns whether that is news.
-    pub fn told_leaving(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+    pub fn told_leaving(&mut self, peer: &InstanceId, id: &EndpointId, now_ms: u64) -> bool {
         self.told_leaving.entry(id.clone()).or_insert(Told {
+            by: peer.clone(),
             at_ms: now_ms,
             is_live_again: false,
         });
@@ -171,12 +201,19 @@
         };
         let is_news = known.listed.phase == Phase::Live;
         known.listed.phase = Phase::Leaving;
+        if is_news {
+            known.provenance = Provenance {
+                path: InfoPath::Heartbeat(peer.clone()),
+                at_ms: now_ms,
+            };
+        }
         is_news
     }
 
     /// Goes by the list again where engines' own words on their layers, or peers' words on leaving
     /// endpoints, are old by now, and forgets what is too old to matter.
-    pub fn settle(&mut self, now_ms: u64) {
+    pub fn settle(&mut self, now_ms: u64) -> Vec<FleetChange> {
+        let mut changes = Vec::new();
         let newest_at_ms = self.newest_at_ms;
         self.told_leaving.retain(|id, told| {
             let over_ms = told.at_ms + TOLD_LAG_MS;
@@ -187,11 +224,21 @@
             // for a moment that had passed here.
             let is_live = told.is_live_again && now_ms >= over_ms;
             let is_never_gone = newest_at_ms >= over_ms && known.phase_in_list == Phase::Live;
-            let is_over = is_live || is_never_gone;
-            if is_over {
-                known.listed.phase = Phase::Live;
-            }
-            !is_over
+            let reason = if is_live {
+                LiveReason::ListedSince
+            } else if is_never_gone {
+                LiveReason::NeverMissing
+            } else {
+                return true;
+            };
+            known.listed.phase = Phase::Live;
+            changes.push(FleetChange::LiveAgain(LiveAgain {
+                endpoint: id.clone(),
+                told_by: told.by.clone(),
+                told_ms: told.at_ms,
+                reason,
+            }));
+            false
         });
         for known in self.endpoints.values_mut() {
             known.settle_layers(now_ms);
@@ -202,6 +249,7 @@
         self.lifetimes.retain(|_, lifetime| {
             endpoints.contains_key(&lifetime.id) || now_ms < lifetime.seen_ms + REMEMBER_MS
         });
+        changes
     }
 
     /// Takes what requests of other instances take up at each engine.
@@ -240,7 +288,13 @@
         newest.map(|lifetime| lifetime.id.clone()).collect()
     }
 
-    fn write(&mut self, mut entry: ListedEndpoint, now_ms: u64, changes: &mut Vec<FleetChange>) {
+    fn write(
+        &mut self,
+        mut entry: ListedEndpoint,
+        path: &InfoPath,
+        now_ms: u64,
+        changes: &mut Vec<FleetChange>,
+    ) {
         let id = entry.id.clone();
         if !self.follow_lifetime(&entry, now_ms, changes) {
             return;
@@ -252,9 +306,13 @@
             told.is_live_again = entry.phase == Phase::Live;
             phase = Phase::Leaving;
         }
+        let provenance = Provenance {
+            path: path.clone(),
+            at_ms: now_ms,
+        };
         let Some(known) = self.endpoints.get_mut(&id) else {
             entry.phase = phase;
-            let mut known = KnownEndpoint::new(entry);
+            let mut known = KnownEndpoint::new(entry, provenance);
             known.phase_in_list = phase_in_list;
             self.endpoints.insert(id, known);
             return;
@@ -263,7 +321,7 @@
         if known.listed.phase == Phase::Live && phase == Phase::Leaving {
             changes.push(FleetChange::Leaving(id.clone()));
         }
-        known.rewrite(entry, phase);
+        known.rewrite(entry, phase, provenance);
         if known.listed.layers != layers_before {
             changes.push(FleetChange::Layers(id, known.listed.layers));
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,15 +8,20 @@
 #[cfg(test)]
 mod lifetime_tests;
 mod listing;
+mod provenance;
+#[cfg(test)]
+mod provenance_tests;
 mod replicas;
 #[cfg(test)]
 mod tests;
 
 pub use chain::{Chain, ChainAsk, ChainStage, first_gap, plan_chain, replace_stage};
 pub use entry::{
-    EntryFault, FleetChange, ListedEndpoint, ListingRead, ListingScope, Phase, UnusableEntry,
+    EntryFault, FleetChange, ListedEndpoint, ListingRead, ListingScope, LiveAgain, LiveReason,
+    Phase, UnusableEntry,
 };
 pub use evidence::{Standing, Trouble};
 pub use known::{EngineLoad, KnownEndpoint};
 pub use listing::Fleet;
+pub use provenance::{InfoPath, Provenance, describe_known, describe_list};
 pub use replicas::pick_replica;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -3,7 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::*;
-use crate::ids::{EndpointId, ServiceName, ZoneName};
+use crate::ids::{EndpointId, InstanceId, ServiceName, ZoneName};
 use crate::route_table::{EngineKind, EngineModel};
 use crate::wire::engine::LayerRange;
 
@@ -27,6 +27,10 @@
     }
 }
 
+fn teller() -> InstanceId {
+    InstanceId::from("peer-1")
+}
+
 fn fleet(entries: Vec<ListedEndpoint>) -> Fleet {
     let mut fleet = Fleet::default();
     fleet.take(ListingRead::whole(entries), false, 0);
@@ -198,8 +202,8 @@
     let phase = |fleet: &Fleet| fleet.iter().next().map(|known| known.listed.phase);
     let mut fleet = fleet(vec![listed("a", "lac", None)]);
     let a = EndpointId::from("a");
-    assert!(fleet.told_leaving(&a, 100));
-    assert!(!fleet.told_leaving(&a, 200));
+    assert!(fleet.told_leaving(&teller(), &a, 100));
+    assert!(!fleet.told_leaving(&teller(), &a, 200));
     fleet.settle(10_000);
     assert_eq!(
         phase(&fleet),
@@ -213,7 +217,7 @@
     let phase = |fleet: &Fleet| fleet.iter().next().map(|known| known.listed.phase);
     let mut fleet = fleet(vec![listed("a", "lac", None)]);
     let a = EndpointId::from("a");
-    fleet.told_leaving(&a, 100);
+    fleet.told_leaving(&teller(), &a, 100);
     let removed = ListingRead::changes(vec![], vec![a.name()]);
     fleet.take(removed, false, 200);
     assert_eq!(phase(&fleet), None);
@@ -268,7 +272,7 @@
     let phase = |fleet: &Fleet| fleet.iter().next().map(|known| known.listed.phase);
     let mut fleet = fleet(vec![listed("a", "lac", None)]);
     // The peer has seen it missing for a moment that this instance's read never showed.
-    fleet.told_leaving(&EndpointId::from("a"), 100);
+    fleet.told_leaving(&teller(), &EndpointId::from("a"), 100);
     let nothing = ListingRead::changes(vec![], vec![]);
     fleet.take(nothing.clone(), false, 1_500);
     fleet.confirm(1_400);
@@ -292,11 +296,11 @@
     };
     let mut fleet = fleet(vec![leaving, listed("b", "lac", None)]);
     let of_peer = || vec![listed("a", "lac", None), listed("c", "lac", None)];
-    fleet.take_from_peer(of_peer(), 100);
+    fleet.take_from_peer(&teller(), of_peer(), 100);
     assert_eq!(phase(&fleet, "a"), Some(Phase::Leaving));
     assert_eq!(phase(&fleet, "b"), Some(Phase::Live), "held for a while");
     assert_eq!(phase(&fleet, "c"), Some(Phase::Live));
-    fleet.take_from_peer(of_peer(), 2_500);
+    fleet.take_from_peer(&teller(), of_peer(), 2_500);
     assert_eq!(phase(&fleet, "b"), None);
 }
 
@@ -338,11 +342,11 @@
     let replaced = Some("a1=0-6,b2=6-13,c1=13-20".to_owned());
     assert_eq!(without(&fleet, &chain, "b1"), replaced);
     // A stage that takes no new work goes on with what it has.
-    fleet.told_leaving(&EndpointId::from("c1"), 0);
-    fleet.told_leaving(&EndpointId::from("c2"), 0);
+    fleet.told_leaving(&teller(), &EndpointId::from("c1"), 0);
+    fleet.told_leaving(&teller(), &EndpointId::from("c2"), 0);
     assert_eq!(plan(&fleet, &["b1"]), None);
     assert_eq!(without(&fleet, &chain, "b1"), replaced);
-    fleet.told_leaving(&EndpointId::from("b2"), 0);
+    fleet.told_leaving(&teller(), &EndpointId::from("b2"), 0);
     assert_eq!(without(&fleet, &chain, "b1"), None);
 }
 
@@ -367,7 +371,7 @@
 fn a_list_handed_to_a_peer_says_only_what_was_read() {
     let mut fleet = fleet(vec![listed("a", "lac", Some(range(0, 10)))]);
     let a = EndpointId::from("a");
-    fleet.told_leaving(&a, 100);
+    fleet.told_leaving(&teller(), &a, 100);
     fleet.get_mut(&a).expect("listed").said_layers(None, 100);
     assert_eq!(fleet.listing(), [listed("a", "lac", Some(range(0, 10)))]);
 }
@@ -382,7 +386,10 @@
     // The peer has read that it was removed, and must not take it up again.
     let mut peer = fleet(vec![listed("a", "lac", None), listed("b", "lac", None)]);
     peer.take(removed(), false, 100);
-    assert_eq!(peer.take_from_peer(holder.listing(), 1_500), vec![]);
+    assert_eq!(
+        peer.take_from_peer(&teller(), holder.listing(), 1_500),
+        vec![]
+    );
     assert!(peer.get(&EndpointId::from("a")).is_none());
 }
 
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -8,6 +8,7 @@
 
 use super::adapter::Adapter;
 use super::checks::CheckBook;
+use super::fleet_lines::log_changes;
 use super::heartbeat::Availability;
 use super::list_log::ListLog;
 use super::peer_book::PeerBook;
@@ -312,7 +313,7 @@
 
     /// Acts on changes of the endpoint list that concern this instance only, with a line on each.
     pub(crate) fn take_changes(&self, changes: &[FleetChange]) {
-        self.log_changes(changes);
+        log_changes(&self.fleet.borrow(), changes, boot_ms());
         for change in changes {
             match change {
                 FleetChange::Restarted { address, .. } => {
@@ -327,43 +328,6 @@
         }
     }
 
-    fn log_changes(&self, changes: &[FleetChange]) {
-        for change in changes {
-            match change {
-                FleetChange::Joined(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint joined");
-                }
-                FleetChange::Restarted { ended, begun, .. } => {
-                    log::info!(
-                        endpoint = begun.as_str(),
-                        ended = ended.as_str();
-                        "endpoint has started again"
-                    );
-                }
-                FleetChange::Unusable(entry) => {
-                    log::warn!(
-                        entry = entry.name.as_str(),
-                        fault:% = entry.fault;
-                        "entry of the endpoint list is not used"
-                    );
-                }
-                FleetChange::Leaving(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint is leaving");
-                }
-                FleetChange::Gone(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint is gone");
-                }
-                FleetChange::Lapsed(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint has lapsed");
-                }
-                FleetChange::Layers(id, layers) => {
-                    let (first, end) = layers.map_or((0, 0), |it| (it.first, it.end));
-                    log::info!(endpoint = id.as_str(), first, end; "endpoint holds other layers");
-                }
-            }
-        }
-    }
-
     /// Counts the tokens of a stream at the engines of its chain, or takes them off.
     pub(crate) fn hold_tokens(&self, chain: &Chain, tokens: u64, is_held: bool) {
         let mut fleet = self.fleet.borrow_mut();
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -60,8 +60,10 @@
 }
 
 /// A peer that may know what the store does not tell here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Informant {
+    /// Its name.
+    pub(crate) instance: InstanceId,
     /// Where it is asked.
     pub(crate) address: SocketAddr,
     /// Version of its table of routes.
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -209,9 +209,10 @@
     pub(crate) fn informants(&self, now_ms: u64) -> Vec<Informant> {
         let mut heard: Vec<Informant> = self
             .peers
-            .values()
-            .filter(|peer| self.is_heard(peer, now_ms) && peer.availability.is_open)
-            .map(|peer| Informant {
+            .iter()
+            .filter(|(_, peer)| self.is_heard(peer, now_ms) && peer.availability.is_open)
+            .map(|(name, peer)| Informant {
+                instance: name.clone(),
                 address: peer.address,
                 table: peer.table,
                 list: peer.list,
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -21,7 +21,7 @@
 use super::peer::Recipient;
 use super::peer_book::HEARTBEAT_MS;
 use crate::clock::boot_ms;
-use crate::fleet::EngineLoad;
+use crate::fleet::{EngineLoad, InfoPath, describe_list};
 use crate::ids::ZoneName;
 use crate::placement::PlaceOrder;
 
@@ -194,7 +194,8 @@
     }
     if knows_list && heartbeat.list.position > 0 {
         let newest_at_ms = sent_ms.saturating_sub(heartbeat.list_age_ms);
-        node.fleet.borrow_mut().confirm(newest_at_ms);
+        let path = InfoPath::Heartbeat(heartbeat.instance.clone());
+        node.fleet.borrow_mut().confirm_by(path, newest_at_ms);
         node.list_log.borrow_mut().confirm(heartbeat.list);
     }
 }
@@ -220,9 +221,13 @@
     }
     let mut fleet = node.fleet.borrow_mut();
     for id in &heartbeat.leaving {
-        if fleet.told_leaving(id, now_ms) {
-            let peer = heartbeat.instance.as_str();
-            log::info!(endpoint = id.as_str(), peer; "endpoint is leaving, a peer says");
+        if fleet.told_leaving(&heartbeat.instance, id, now_ms) {
+            log::info!(
+                endpoint = id.as_str(),
+                peer = heartbeat.instance.as_str(),
+                list = describe_list(&fleet, now_ms);
+                "endpoint is leaving, a peer says"
+            );
         }
     }
     for change in &changes {
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -13,6 +13,7 @@
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, finish, instant_at, word_response};
+use super::send_view::SendView;
 use super::upstream::UpstreamFailure;
 use crate::clock::boot_ms;
 use crate::fleet::{Trouble, pick_replica};
@@ -49,10 +50,12 @@
     A: Adapter,
 {
     let mut attempts = Attempts::new(request.route.repeat, request.route.max_endpoints);
+    let mut sent = SendView::default();
     let until = instant_at(request.final_ms, boot_ms());
-    let result = timeout_at(until, answer(node, &request, &mut attempts)).await;
+    let answer = answer(node, &request, &mut attempts, &mut sent);
+    let result = timeout_at(until, answer).await;
     let GivenUp { word, limit } = match result {
-        Ok(Ok(answer)) => return pass_on(node, &request, &attempts, answer),
+        Ok(Ok(answer)) => return pass_on(node, &request, &attempts, &sent, answer),
         Ok(Err(end)) => end,
         Err(_) => attempts.give_up(RefusalCause::TooLate),
     };
@@ -65,6 +68,8 @@
         repeats_left = node.repeats_left(&request.service),
         sends = attempts.sends(),
         turned_away = attempts.turned_away(),
+        known_at_send = sent.endpoints.as_str(),
+        list_at_send = sent.list.as_str(),
         took_ms = boot_ms().saturating_sub(request.arrived_ms),
         table = request.table.version,
         list_age_ms = node.fleet.borrow().age_ms(boot_ms());
@@ -77,6 +82,7 @@
     node: &Rc<Node<A>>,
     request: &RelayedRequest,
     attempts: &mut Attempts,
+    sent: &mut SendView,
 ) -> Result<WholeAnswer, GivenUp>
 where
     A: Adapter,
@@ -95,6 +101,7 @@
             return answer_or(held, attempts.give_up(cause));
         };
         attempts.sending(&endpoint);
+        *sent = SendView::new(node, [&endpoint]);
         let (end, trouble) = match try_once(node, request, &endpoint, attempts).await {
             TryEnd::Answer(answer) if is_failure(&answer) => {
                 held = Some(answer);
@@ -107,7 +114,9 @@
             request = request.ask.id.as_str(),
             endpoint = endpoint.as_str(),
             end:? = end,
-            cause = trouble.name();
+            cause = trouble.name(),
+            known_at_send = sent.endpoints.as_str(),
+            list_at_send = sent.list.as_str();
             "attempt failed"
         );
         attempts.exclude(&endpoint);
@@ -236,6 +245,7 @@
     node: &Rc<Node<A>>,
     request: &RelayedRequest,
     attempts: &Attempts,
+    sent: &SendView,
     answer: WholeAnswer,
 ) -> Response<BoxBody>
 where
@@ -253,6 +263,8 @@
         limit = answer.limit.map(AttemptLimit::name),
         sends = attempts.sends(),
         turned_away = attempts.turned_away(),
+        known_at_send = sent.endpoints.as_str(),
+        list_at_send = sent.list.as_str(),
         took_ms,
         objective_ms = request.route.objective_ms,
         table = request.table.version,
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -22,6 +22,8 @@
 use super::peer::Informant;
 use crate::clients::{HttpCall, HttpFailure, HttpPeer};
 use crate::clock::boot_ms;
+use crate::fleet::InfoPath;
+use crate::ids::InstanceId;
 use crate::route_table::SourcedTable;
 
 /// Pause between two looks at whether a peer knows more.
@@ -231,7 +233,7 @@
         let sent_ms = boot_ms();
         let known = known_here(node);
         let taken = match fetch(peer, known).await {
-            Ok(snapshot) => take(node, snapshot, known, sent_ms),
+            Ok(snapshot) => take(node, peer, snapshot, known, sent_ms),
             Err(failure) => Err(failure),
         };
         match taken {
@@ -265,6 +267,7 @@
 /// what is counted from `sent_ms` is on the safe side however long question and answer took.
 fn take<A>(
     node: &Rc<Node<A>>,
+    peer: &Informant,
     snapshot: Snapshot,
     asked_with: Known,
     sent_ms: u64,
@@ -273,7 +276,7 @@
     A: Adapter,
 {
     if let Some(endpoints) = snapshot.endpoints {
-        take_endpoints(node, endpoints, asked_with, sent_ms);
+        take_endpoints(node, &peer.instance, endpoints, asked_with, sent_ms);
     }
     if let Some(document) = snapshot.document {
         let newest_at_ms = sent_ms.saturating_sub(document.age_ms);
@@ -284,13 +287,19 @@
     Ok(())
 }
 
-fn take_endpoints<A>(node: &Node<A>, endpoints: Aged<ListUpdate>, asked_with: Known, sent_ms: u64)
-where
+fn take_endpoints<A>(
+    node: &Node<A>,
+    peer: &InstanceId,
+    endpoints: Aged<ListUpdate>,
+    asked_with: Known,
+    sent_ms: u64,
+) where
     A: Adapter,
 {
     let now_ms = boot_ms();
     let newest_at_ms = sent_ms.saturating_sub(endpoints.age_ms);
     let ListUpdate { mark, news } = endpoints.content;
+    let path = InfoPath::PeerList(peer.clone());
     let mut list_log = node.list_log.borrow_mut();
     let own = list_log.mark().position;
     let mut fleet = node.fleet.borrow_mut();
@@ -302,17 +311,17 @@
         ListNews::Changes(reads) => {
             for it in reads {
                 list_log.note(it.position, &it.read, it.was_away);
-                changes.extend(fleet.take(it.read, it.was_away, now_ms));
+                changes.extend(fleet.take_by(&path, it.read, it.was_away, now_ms));
             }
         }
         ListNews::Whole(_) if own >= mark.position => return,
         ListNews::Whole(entries) => {
             list_log.restart(mark);
-            changes = fleet.take_from_peer(entries, now_ms);
+            changes = fleet.take_from_peer(peer, entries, now_ms);
         }
     }
     list_log.confirm(mark);
-    fleet.confirm(newest_at_ms);
+    fleet.confirm_by(path, newest_at_ms);
     drop(fleet);
     drop(list_log);
     // Peers are not told: they know it better.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -19,6 +19,7 @@
 use super::held_tokens::HeldTokens;
 use super::node::Node;
 use super::request::{RelayedRequest, instant_at};
+use super::send_view::SendView;
 use super::stream_answer::Opening;
 use super::upstream::{AnswerBody, Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
@@ -81,6 +82,8 @@
     is_logged: bool,
     /// The chain of the newest run, for the log.
     chain: Option<Chain>,
+    /// What was known when the newest run was sent.
+    sent: SendView,
     runs: u32,
     repairs: u32,
     /// Longest time without an event.
@@ -110,6 +113,7 @@
             failure: None,
             is_logged: false,
             chain: None,
+            sent: SendView::default(),
             runs: 0,
             repairs: 0,
             longest_gap_ms: 0,
@@ -162,6 +166,8 @@
             }
             let first = chain.first().endpoint.clone();
             self.attempts.sending(&first);
+            let stages = chain.stages().iter().map(|stage| &stage.endpoint);
+            self.sent = SendView::new(&self.node, stages);
             self.chain = Some(chain.clone());
             self.runs += 1;
             let (end, cause_name, at_fault) = match self.run_once(chain).await {
@@ -176,6 +182,8 @@
                 at_fault = at_fault.as_str(),
                 end:? = end,
                 cause = cause_name,
+                known_at_send = self.sent.endpoints.as_str(),
+                list_at_send = self.sent.list.as_str(),
                 last_event = self.splitter.last_id();
                 "run failed"
             );
@@ -429,6 +437,8 @@
             repeats_left = self.node.repeats_left(&self.request.service),
             sends = self.attempts.sends(),
             turned_away = self.attempts.turned_away(),
+            known_at_send = self.sent.endpoints.as_str(),
+            list_at_send = self.sent.list.as_str(),
             took_ms,
             first_event_ms,
             longest_gap_ms = self.longest_gap_ms,
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -12,6 +12,7 @@
 use super::peer::Informant;
 use super::snapshot::{Knowledge, Known, put_best_first, read_snapshot};
 use super::upstream::{UpstreamFailure, Upstreams};
+use crate::ids::InstanceId;
 
 /// How the endpoint ends the connection after its bytes.
 #[derive(Clone, Copy)]
@@ -185,6 +186,7 @@
 #[test]
 fn the_nearest_of_those_that_know_more_are_asked_and_not_always_the_same() {
     let informant = |port: u16, table, is_near, reaches_store| Informant {
+        instance: InstanceId::from(format!("peer-{port}")),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         table,
         list: ListMark::default(),
@@ -200,7 +202,7 @@
         informant(5, 7, true, true),
     ];
     let first = |draw| {
-        let mut informants = all;
+        let mut informants = all.clone();
         put_best_first(&mut informants, known, draw);
         informants[0].address.port()
     };
