fescuectl: losses stand under the limit that ended the request; trace follows known_at_send

An attempt that ended because the budget for repeats was spent stood under how its last try had failed. Where a line names the limit, that is the reason now; lines of earlier releases and limits that are not known are read as before.

--- a/src/ctl/commands/losses.rs
+++ b/src/ctl/commands/losses.rs
@@ -6,7 +6,8 @@
 
 use crate::ctl::fault::CtlError;
 use crate::ctl::log_lines::read_logs;
-use crate::ctl::losses::{Account, Losses, Reason, Window, account};
+use crate::ctl::loss_reason::Reason;
+use crate::ctl::losses::{Account, Losses, Window, account};
 use crate::ctl::report::{Report, render, table};
 
 /// Characters of a time up to its tens of seconds: windows of ten seconds.
--- a/src/ctl/commands/trace.rs
+++ b/src/ctl/commands/trace.rs
@@ -15,6 +15,8 @@
 const LINES_BEFORE: usize = 20;
 /// Values that name endpoints.
 const ENDPOINT_KEYS: [&str; 4] = ["endpoint", "at_fault", "first", "unsound"];
+/// Values that are lists of `ENDPOINT=...` with commas between them.
+const LIST_KEYS: [&str; 2] = ["chain", "known_at_send"];
 
 pub(super) fn run(request: &str, files: &[PathBuf]) -> Result<Report, CtlError> {
     let lines = read_logs(files)?;
@@ -46,12 +48,12 @@
     before
 }
 
-/// Endpoints that a line names, those of a chain included.
+/// Endpoints that a line names, those of a chain and those sent to included.
 fn endpoints(line: &LogLine) -> impl Iterator<Item = &str> {
     let named = ENDPOINT_KEYS.iter().filter_map(|key| line.text(key));
-    let chain = line.text("chain").unwrap_or("").split(',');
-    let stages = chain.filter_map(|stage| stage.split_once('=').map(|(id, _)| id));
-    named.chain(stages)
+    let lists = LIST_KEYS.iter().filter_map(|key| line.text(key));
+    let parts = lists.flat_map(|list| list.split(','));
+    named.chain(parts.filter_map(|part| part.split_once('=').map(|(id, _)| id)))
 }
 
 fn render_lines(lines: &[&LogLine]) -> String {
--- a/src/ctl/losses.rs
+++ b/src/ctl/losses.rs
@@ -7,60 +7,11 @@
 use serde::Serialize;
 
 use super::log_lines::LogLine;
+use super::loss_reason::Reason;
 
 /// Examples kept of each reason.
 const MOST_EXAMPLES: usize = 2;
 
-/// Why a request was lost or late.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Reason {
-    /// Some layer had no usable holder, or no replica took work.
-    NoChain,
-    /// Every chain was full by what the instance knew; nothing was sent.
-    NoRoom,
-    /// An endpoint turned it away.
-    TurnedAway,
-    /// A stage or a replica was lost while it was at work.
-    StageLost,
-    /// Its chain was changed while it ran.
-    RepairedLate,
-    /// The table of routes was missing or too old: the store was away.
-    StoreAway,
-    /// The instance was about to end.
-    Restart,
-    /// Its time was over.
-    Deadline,
-    /// Its caller left.
-    CallerGone,
-    /// The endpoint answered with a failure of its own.
-    EndpointFailed,
-    /// It was late though nothing went wrong: the first event or answer took too long.
-    SlowStart,
-    /// The same: a pause between two events was too long.
-    SlowEvents,
-}
-
-impl Reason {
-    /// Name in tables.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::NoChain => "no chain",
-            Self::NoRoom => "no room",
-            Self::TurnedAway => "turned away by the endpoint",
-            Self::StageLost => "stage lost",
-            Self::RepairedLate => "repaired late",
-            Self::StoreAway => "store away",
-            Self::Restart => "restart",
-            Self::Deadline => "deadline",
-            Self::CallerGone => "caller gone",
-            Self::EndpointFailed => "endpoint's own failure",
-            Self::SlowStart => "slow to start",
-            Self::SlowEvents => "slow between events",
-        }
-    }
-}
-
 /// What became of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
@@ -211,14 +162,8 @@
     match line.message.as_str() {
         "stream ended" => Some(stream_fate(line, last_end)),
         "request answered" => Some(answer_fate(line)),
-        "request has no answer" => {
-            let word = line.text("word").unwrap_or("");
-            Some(Fate::Lost(reason_of_word(word, last_end)))
-        }
-        "request is refused" => {
-            let cause = line.text("cause").unwrap_or("");
-            Some(Fate::Lost(reason_of_word(cause, last_end)))
-        }
+        "request has no answer" => Some(Fate::Lost(reason_of_end(line, "word", last_end))),
+        "request is refused" => Some(Fate::Lost(reason_of_end(line, "cause", last_end))),
         _ => None,
     }
 }
@@ -227,7 +172,7 @@
     match line.text("outcome").unwrap_or("") {
         "whole" => whole_fate(line, last_end),
         "caller_left" => Fate::Lost(Reason::CallerGone),
-        word => Fate::Lost(reason_of_word(word, last_end)),
+        _ => Fate::Lost(reason_of_end(line, "outcome", last_end)),
     }
 }
 
@@ -246,7 +191,7 @@
         return Fate::Late(Reason::RepairedLate);
     }
     Fate::Late(match last_end {
-        Some(end) => reason_of_end(end),
+        Some(end) => Reason::of_try(end),
         None if starts_late => Reason::SlowStart,
         None => Reason::SlowEvents,
     })
@@ -264,23 +209,10 @@
     }
 }
 
-/// The reason behind a final word; where that only says that nothing more could be tried, the last
-/// try says why one was needed.
-fn reason_of_word(word: &str, last_end: Option<&str>) -> Reason {
-    match word {
-        "no_table" | "old_table" => Reason::StoreAway,
-        "no_chain" | "no_endpoint" => Reason::NoChain,
-        "stopping" => Reason::Restart,
-        "too_late" | "timed_out" => Reason::Deadline,
-        "full" | "no_budget" => last_end.map_or(Reason::NoRoom, reason_of_end),
-        _ => last_end.map_or(Reason::StageLost, reason_of_end),
-    }
-}
-
-fn reason_of_end(end: &str) -> Reason {
-    match end {
-        "TurnedAway" => Reason::TurnedAway,
-        "Failed" => Reason::EndpointFailed,
-        _ => Reason::StageLost,
-    }
+/// The reason of an end without answer: the limit that the line names, or else the final word, which
+/// stands under `word_key`.
+fn reason_of_end(line: &LogLine, word_key: &str, last_end: Option<&str>) -> Reason {
+    let of_limit = line.text("limit").and_then(Reason::of_limit);
+    let word = line.text(word_key).unwrap_or("");
+    of_limit.unwrap_or_else(|| Reason::of_word(word, last_end))
 }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -10,6 +10,7 @@
 mod in_force;
 mod key;
 mod log_lines;
+mod loss_reason;
 mod losses;
 mod report;
 #[cfg(test)]
@@ -22,7 +23,8 @@
 pub use cli::Cli;
 pub use fault::CtlError;
 pub use log_lines::LogLine;
-pub use losses::{Account, Losses, Reason, Window, account};
+pub use loss_reason::Reason;
+pub use losses::{Account, Losses, Window, account};
 pub use report::Report;
 
 use crate::exit_codes::Exit;
--- a/src/ctl/tests/local.rs
+++ b/src/ctl/tests/local.rs
@@ -134,7 +134,7 @@
         line(
             "10:00:03",
             "stream ended",
-            r#"{"request":"r-1","chain":"e-1=0-4,e-7=4-8"}"#,
+            r#"{"request":"r-1","chain":"e-1=0-4,e-7=4-8","limit":"budget","known_at_send":"e-1=store:90ms,e-7=list@front-3:850ms"}"#,
         ),
         line("10:00:04", "endpoint is gone", r#"{"endpoint":"e-7"}"#),
     ];
--- a/src/ctl/tests/losses.rs
+++ b/src/ctl/tests/losses.rs
@@ -16,6 +16,12 @@
         "pause_objective_ms": 200, "list_age_ms": 700, "runs": 1})
 }
 
+fn cut_off(request: &str, limit: &str) -> Value {
+    let mut values = stream(request, "unknown", 80, 0);
+    values["limit"] = json!(limit);
+    values
+}
+
 fn run_failed(request: &str, end: &str) -> Value {
     json!({"request": request, "end": end})
 }
@@ -43,6 +49,8 @@
             json!({"request": "r8", "route": "save", "word": "timed_out"}),
         ),
         line("46", "stream ended", stream("r9", "caller_left", 80, 0)),
+        line("46", "run failed", run_failed("r10", "Lost")),
+        line("46", "stream ended", cut_off("r10", "budget")),
         line("47", "endpoint is gone", json!({"endpoint": "e"})),
     ]
 }
@@ -51,8 +59,8 @@
 fn each_lost_or_late_attempt_stands_under_one_reason() {
     let lines = lines();
     let account = account(&lines, 18);
-    assert_eq!(account.attempts, 9);
-    assert_eq!((account.in_time, account.late(), account.lost()), (1, 2, 6));
+    assert_eq!(account.attempts, 10);
+    assert_eq!((account.in_time, account.late(), account.lost()), (1, 2, 7));
     let reasons: Vec<(&str, Reason)> = account
         .losses
         .keys()
@@ -67,11 +75,48 @@
         ("look", Reason::SlowStart),
         ("save", Reason::Deadline),
         ("draft", Reason::CallerGone),
+        ("draft", Reason::BudgetSpent),
     ] {
         assert!(reasons.contains(&expected), "{expected:?} in {reasons:?}");
     }
 }
 
+/// The reason of one stream that ended by a limit after an engine had turned it away.
+fn reason_by(limit: &str) -> Reason {
+    let failed = line("31", "run failed", run_failed("r1", "TurnedAway"));
+    let account = account(
+        &[failed, line("32", "stream ended", cut_off("r1", limit))],
+        18,
+    );
+    account.losses.keys().next().expect("it is lost").1
+}
+
+#[test]
+fn the_limit_that_ended_an_attempt_goes_before_the_last_try() {
+    let reasons = [
+        ("budget", Reason::BudgetSpent),
+        ("turned_away", Reason::TurnedAway),
+        ("sends", Reason::SendsSpent),
+        ("endpoints", Reason::EndpointsSpent),
+        ("may_have_run", Reason::RunsOnce),
+        ("no_room", Reason::NoRoom),
+        ("no_chain", Reason::NoChain),
+        ("no_endpoint", Reason::NoChain),
+        ("deadline", Reason::Deadline),
+        ("old_table", Reason::StoreAway),
+        ("no_table", Reason::StoreAway),
+        ("stopping", Reason::Restart),
+    ];
+    for (limit, reason) in reasons {
+        assert_eq!(reason_by(limit), reason, "{limit}");
+    }
+}
+
+#[test]
+fn a_limit_that_is_not_known_leaves_the_word_and_the_last_try() {
+    assert_eq!(reason_by("of_another_release"), Reason::TurnedAway);
+}
+
 #[actix_rt::test]
 async fn the_account_is_a_table() {
     let folder = tempfile::tempdir().expect("the temporary folder can be written");
--- a/src/ctl/tests/mod.rs
+++ b/src/ctl/tests/mod.rs
@@ -3,6 +3,7 @@
 mod remote;
 mod render;
 mod stub;
+mod trace;
 
 use clap::Parser;
 
