--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -69,6 +69,23 @@
         ((window.repeats_ms.len() + 1) as f64) <= allowed
     }
 
+    /// When one more repeat will be within the budget by the passing of time; `now_ms` if one is left
+    /// now. Requests that come meanwhile may make it sooner.
+    pub fn next_left_ms(
+        &mut self,
+        service: &ServiceName,
+        share: BudgetShare,
+        purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        if self.has_left(service, share, purpose, now_ms) {
+            return now_ms;
+        }
+        let window = self.window(service, share, now_ms);
+        let oldest_ms = window.repeats_ms.front().copied();
+        oldest_ms.unwrap_or(now_ms) + share.window_ms + 1
+    }
+
     /// Takes one repeat out of the budget, if it has one left.
     pub fn take(
         &mut self,
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -171,6 +171,22 @@
     matches!(next, NextStep::GiveUp(_) | NextStep::PassOn)
 }
 
+#[test]
+fn the_budget_says_when_it_has_a_repeat_again() {
+    let service = ServiceName::from("ledger-api");
+    let mut budget = RetryBudget::default();
+    let mut next_ms = |now_ms| {
+        let purpose = RepeatPurpose::GoOn;
+        while budget.take(&service, SHARE, purpose, now_ms) {}
+        budget.next_left_ms(&service, SHARE, purpose, now_ms)
+    };
+    let again_ms = next_ms(1_000);
+    assert!((10_900..=11_100).contains(&again_ms), "{again_ms}");
+    let mut budget = RetryBudget::default();
+    let now_ms = budget.next_left_ms(&service, SHARE, RepeatPurpose::GoOn, 5);
+    assert_eq!(now_ms, 5);
+}
+
 #[test]
 fn a_silence_is_looked_into_and_then_given_up() {
     let mut watch = StallWatch::start(0);
