--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -132,6 +132,8 @@
                 let word = FinalWord::Unknown;
                 return answer_or(held, GivenUp { word, limit });
             }
+            // No part of an answer goes out here before it is whole.
+            NextStep::GoOn => return answer_or(held, attempts.give_up(cause)),
             NextStep::GiveUp(end) => return answer_or(held, end),
         }
     }
