Streams: failing test for the longest pause over two runs

The longest pause that a stream's last line gives, and the figure of the same name, leave out the wait between two runs. Moved to `StallWatch::pause_ms`, whose first form counts as the driver does now.

--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -94,6 +94,11 @@
         now_ms.saturating_sub(self.progress_ms)
     }
 
+    /// How long the caller has had no event, if it has had one.
+    pub fn pause_ms(&self, now_ms: u64) -> Option<u64> {
+        self.has_event.then(|| self.silence_ms(now_ms))
+    }
+
     /// The step that is due now.
     pub fn step(&mut self, now_ms: u64) -> StallStep {
         if self.has_event && self.silence_ms(now_ms) >= GIVE_UP_MS {
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -252,6 +252,18 @@
     assert_eq!(watch.step(1_520), StallStep::GiveUp);
 }
 
+// Callers had no event while their streams waited for another engine, and the lines on the ends of the
+// streams left that wait out of the longest pause: the time was counted from the last run's begin.
+#[test]
+fn a_pause_is_counted_over_the_runs_that_it_lasts_for() {
+    let mut watch = StallWatch::start(0);
+    assert_eq!(watch.pause_ms(90), None);
+    watch.event(100);
+    watch.run_begins(1_900);
+    watch.repaired(1_950);
+    assert_eq!(watch.pause_ms(2_000), Some(1_900));
+}
+
 #[test]
 fn refused_callers_come_back_when_the_cause_is_over_and_not_all_at_once() {
     let outlook = Outlook {
