Streams: the longest pause counts the wait between two runs

What the stream's last line and the counter gave as the longest time without an event was counted from the begin of the last run or the last change of the chain; callers had waited since the last event. `StallWatch` keeps that event's time over all runs. When a silence is looked into and a run given up is decided by the run's own silence as before.

--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -36,6 +36,8 @@
     /// Last event, or the start of the run.
     progress_ms: u64,
     has_event: bool,
+    /// Last event of any run.
+    last_event_ms: Option<u64>,
     look_ms: u64,
     /// Looks at the present silence.
     looks: u32,
@@ -48,6 +50,7 @@
             mean_gap_ms: None,
             progress_ms: now_ms,
             has_event: false,
+            last_event_ms: None,
             look_ms: now_ms + FIRST_SILENCE_MS,
             looks: 0,
         }
@@ -68,6 +71,7 @@
             self.mean_gap_ms = Some(mean + GAP_WEIGHT * (gap_ms - mean));
         }
         self.has_event = true;
+        self.last_event_ms = Some(now_ms);
         self.looks = 0;
         self.progress_ms = now_ms;
         let gaps_ms = (self.mean_gap_ms.unwrap_or(0.0) * SILENCE_GAPS) as u64;
@@ -89,14 +93,14 @@
         }
     }
 
-    /// How long nothing has come.
+    /// How long the present run, or the chain since its last change, has brought nothing.
     pub fn silence_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.progress_ms)
     }
 
-    /// How long the caller has had no event, if it has had one.
+    /// How long the caller has had no event, over all runs, if it has had one.
     pub fn pause_ms(&self, now_ms: u64) -> Option<u64> {
-        self.has_event.then(|| self.silence_ms(now_ms))
+        self.last_event_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
     /// The step that is due now.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -350,9 +350,8 @@
     }
 
     fn note_event(&mut self, now_ms: u64) {
-        let silence_ms = self.stall.silence_ms(now_ms);
-        match self.first_event_ms {
-            Some(_) => self.longest_gap_ms = self.longest_gap_ms.max(silence_ms),
+        match self.stall.pause_ms(now_ms) {
+            Some(pause_ms) => self.longest_gap_ms = self.longest_gap_ms.max(pause_ms),
             None => self.first_event_ms = Some(now_ms),
         }
         self.stall.event(now_ms);
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -71,7 +71,7 @@
             request = self.request.ask.id.as_str(),
             lacks = lack.name(),
             look_in_ms = lack.look_ms(now_ms) - now_ms,
-            silent_ms = self.stall.silence_ms(now_ms),
+            pause_ms = self.stall.pause_ms(now_ms),
             left_ms = self.request.left_ms(now_ms),
             last_event = self.splitter.last_id();
             "answer under way waits"
