--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use super::adapter::{Adapter, DeploymentFeeds, FeedFailure, FeedRead};
+use super::list_sync;
 use super::node::Node;
 use crate::clock::boot_ms;
 use crate::fleet::ListingRead;
@@ -150,23 +151,17 @@
     A: Adapter,
 {
     let now_ms = boot_ms();
-    let was_away = node.is_store_away(now_ms);
-    let mut list_log = node.list_log.borrow_mut();
-    let known = list_log.mark();
-    if read.position < known.position {
-        // A peer has told more since the call was sent.
-        node.fleet.borrow_mut().confirm(sent_ms);
-        return;
-    }
-    list_log.note(read.position, &read.content, was_away);
-    let is_news = list_log.mark().changed != known.changed;
-    drop(list_log);
-    let mut fleet = node.fleet.borrow_mut();
-    let changes = fleet.take(read.content, was_away, now_ms);
-    fleet.confirm(sent_ms);
-    drop(fleet);
-    node.fleet_changed(&changes);
-    if is_news {
+    let was_away = node.store.get().is_away(now_ms);
+    let taken = list_sync::take_read(
+        &mut node.list_log.borrow_mut(),
+        &mut node.fleet.borrow_mut(),
+        read,
+        was_away,
+        sent_ms,
+        now_ms,
+    );
+    node.fleet_changed(&taken.changes);
+    if taken.is_news {
         node.tell_knowledge();
     }
 }
@@ -175,13 +170,12 @@
 where
     A: Adapter,
 {
-    let now_ms = boot_ms();
-    if !node.is_store_away(now_ms) {
+    let mut store = node.store.get();
+    if store.failed(boot_ms()) {
         log::warn!(feed, failure:% = failure; "store is lost");
     }
+    node.store.set(store);
     node.counters.count("relay.store.failures");
-    node.store_failed_ms.set(Some(now_ms));
-    node.store_answers.set(false);
 }
 
 fn store_answered<A>(node: &Node<A>)
@@ -189,14 +183,10 @@
     A: Adapter,
 {
     node.counters.count("relay.store.answers");
-    node.store_answers.set(true);
     let now_ms = boot_ms();
-    node.store_answered_ms.set(Some(now_ms));
-    let failed_ms = node.store_failed_ms.get();
-    if let Some(at_ms) = failed_ms
-        && !node.is_store_away(now_ms)
-    {
+    let mut store = node.store.get();
+    if let Some(at_ms) = store.answered(now_ms) {
         log::info!(since_ms = now_ms - at_ms; "store is back");
-        node.store_failed_ms.set(None);
     }
+    node.store.set(store);
 }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -14,6 +14,7 @@
 mod list_log;
 #[cfg(test)]
 mod list_log_tests;
+mod list_sync;
 mod load_change;
 mod node;
 mod peer;
@@ -29,6 +30,7 @@
 mod run;
 mod settings;
 mod snapshot;
+mod store_contact;
 mod stream;
 mod stream_answer;
 #[cfg(test)]
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -12,6 +12,7 @@
 use super::list_log::ListLog;
 use super::peer_book::PeerBook;
 use super::settings::RelaySettings;
+use super::store_contact::StoreContact;
 use super::upstream::Upstreams;
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
@@ -21,10 +22,6 @@
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
-/// How long after a failed call the store counts as away: entries that are missing from the endpoint
-/// list are still held.
-const STORE_AWAY_MS: u64 = 3_000;
-
 /// Shared state of one instance.
 pub(crate) struct Node<A> {
     pub(crate) adapter: A,
@@ -41,12 +38,8 @@
     pub(crate) peers: RefCell<PeerBook>,
     /// Orders that peers gave to engines, not yet taken up by the duty of this instance.
     pub(crate) orders_heard: RefCell<Vec<PlaceOrder>>,
-    /// When the store last failed a call.
-    pub(crate) store_failed_ms: Cell<Option<u64>>,
-    /// Whether the store answered the newest call that has ended.
-    pub(crate) store_answers: Cell<bool>,
-    /// When the store last answered a call.
-    pub(crate) store_answered_ms: Cell<Option<u64>>,
+    /// Whether the store answers this instance.
+    pub(crate) store: Cell<StoreContact>,
     /// Whether this instance reads the store itself.
     pub(crate) reads_store: watch::Sender<bool>,
     /// Whether the instances' records were read once.
@@ -84,9 +77,7 @@
             upstreams: Upstreams::new(),
             checks: RefCell::default(),
             orders_heard: RefCell::default(),
-            store_failed_ms: Cell::new(None),
-            store_answers: Cell::new(false),
-            store_answered_ms: Cell::new(None),
+            store: Cell::default(),
             reads_store: watch::Sender::new(false),
             are_records_known: Cell::new(false),
             list_log: RefCell::default(),
@@ -121,7 +112,7 @@
         Availability {
             is_ready: self.is_ready(),
             is_open: self.is_open(),
-            reaches_store: self.reads_store() && self.store_answers.get(),
+            reaches_store: self.reads_store() && self.store.get().answers(),
             is_fed: self.is_fed(),
         }
     }
@@ -134,7 +125,7 @@
     /// Whether what the store has reaches this instance soon.
     pub(crate) fn is_fed(&self) -> bool {
         if self.reads_store() {
-            self.store_answers.get()
+            self.store.get().answers()
         } else {
             self.peers.borrow().is_fed_by_zone(boot_ms())
         }
@@ -143,7 +134,7 @@
     /// Decides anew whether this instance reads the store.
     pub(crate) fn look_at_reading(&self, now_ms: u64) {
         let reads = self.reads_store();
-        let answered_ms = self.store_answered_ms.get();
+        let answered_ms = self.store.get().answered_ms();
         let view = self.peers.borrow().reading_view(reads, answered_ms, now_ms);
         let waits = !self.are_records_known.get() && view.awaits_records(now_ms);
         let should_read = view.should_read(now_ms) && !waits;
@@ -171,12 +162,6 @@
         self.heartbeat_due.notify_one();
     }
 
-    /// Whether the store failed a call shortly before: what it tells may be missing something.
-    pub(crate) fn is_store_away(&self, now_ms: u64) -> bool {
-        let failed_ms = self.store_failed_ms.get();
-        failed_ms.is_some_and(|at_ms| now_ms < at_ms + STORE_AWAY_MS)
-    }
-
     /// Notes a caller's request for a service.
     pub(crate) fn count_request(&self, service: &ServiceName) {
         let share = self.budget_share();
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -17,6 +17,7 @@
 use super::heartbeat::{
     Echo, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
 };
+use super::list_sync;
 use super::node::Node;
 use super::peer::Recipient;
 use super::peer_book::HEARTBEAT_MS;
@@ -142,7 +143,7 @@
             },
         })
         .collect();
-    let answered_ms = node.store_answered_ms.get();
+    let answered_ms = node.store.get().answered_ms();
     let answered_ms = answered_ms.filter(|_| node.reads_store());
     OwnState {
         availability: node.availability(),
@@ -178,25 +179,24 @@
     A: Adapter,
 {
     let version = node.routes().map_or(0, |table| table.version);
-    let own_list = node.list_log.borrow().mark();
-    let knows_list = own_list.position >= heartbeat.list.changed;
+    let sent_ms = node.peers.borrow().own_sending_heard(echo);
+    // A time that has not come yet is not of this process, whatever the peer says.
+    let sent_ms = sent_ms.filter(|sent_ms| *sent_ms <= boot_ms());
+    let newest_at_ms = |age_ms| sent_ms.map(|sent_ms| sent_ms.saturating_sub(age_ms));
+    let knows_list = list_sync::hear_mark(
+        &mut node.list_log.borrow_mut(),
+        &mut node.fleet.borrow_mut(),
+        heartbeat.list,
+        newest_at_ms(heartbeat.list_age_ms),
+    );
     if heartbeat.table > version || !knows_list {
         node.peer_knows_more.notify_one();
     }
-    let sent_ms = node.peers.borrow().own_sending_heard(echo);
-    // A time that has not come yet is not of this process, whatever the peer says.
-    let Some(sent_ms) = sent_ms.filter(|sent_ms| *sent_ms <= boot_ms()) else {
-        return;
-    };
-    if version == heartbeat.table {
-        let newest_at_ms = sent_ms.saturating_sub(heartbeat.table_age_ms);
+    if let Some(newest_at_ms) = newest_at_ms(heartbeat.table_age_ms)
+        && version == heartbeat.table
+    {
         node.table.borrow_mut().confirm(newest_at_ms);
     }
-    if knows_list && heartbeat.list.position > 0 {
-        let newest_at_ms = sent_ms.saturating_sub(heartbeat.list_age_ms);
-        node.fleet.borrow_mut().confirm(newest_at_ms);
-        node.list_log.borrow_mut().confirm(heartbeat.list);
-    }
 }
 
 fn take<A>(node: &Rc<Node<A>>, bytes: &[u8], from: SocketAddr)
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -17,7 +17,7 @@
 
 use super::adapter::{Adapter, FeedFailure};
 use super::feeds::take_table;
-use super::list_log::{ListMark, ListNews};
+use super::list_sync::{self, ListUpdate};
 use super::node::Node;
 use super::peer::Informant;
 use crate::clients::{HttpCall, HttpFailure, HttpPeer};
@@ -57,14 +57,6 @@
     endpoints: Option<Aged<ListUpdate>>,
 }
 
-/// What a peer tells of the list of endpoints.
-#[derive(Debug, Serialize, Deserialize)]
-pub(super) struct ListUpdate {
-    /// How far the peer knows the list.
-    mark: ListMark,
-    news: ListNews,
-}
-
 /// How far one that asks knows both.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Known {
@@ -116,7 +108,7 @@
     let now_ms = boot_ms();
     let table = node.table.borrow();
     let fleet = node.fleet.borrow();
-    let list_log = node.list_log.borrow();
+    let update = list_sync::update_since(&node.list_log.borrow(), &fleet, known.list);
     let is_newer = table.table().is_some_and(|it| it.version > known.table);
     let source = table.source().filter(|_| is_newer);
     let snapshot = Snapshot {
@@ -124,11 +116,8 @@
             content: source.to_owned(),
             age_ms: table.age_ms(now_ms),
         }),
-        endpoints: fleet.is_known().then(|| Aged {
-            content: ListUpdate {
-                mark: list_log.mark(),
-                news: list_log.news_since(known.list, || fleet.listing()),
-            },
+        endpoints: update.map(|content| Aged {
+            content,
             age_ms: fleet.age_ms(now_ms),
         }),
     };
@@ -288,33 +277,14 @@
 where
     A: Adapter,
 {
-    let now_ms = boot_ms();
-    let newest_at_ms = sent_ms.saturating_sub(endpoints.age_ms);
-    let ListUpdate { mark, news } = endpoints.content;
-    let mut list_log = node.list_log.borrow_mut();
-    let own = list_log.mark().position;
-    let mut fleet = node.fleet.borrow_mut();
-    let mut changes = Vec::new();
-    match news {
-        ListNews::Nothing => {}
-        // They fit only behind what was known when they were asked for.
-        ListNews::Changes(_) if own != asked_with.list => return,
-        ListNews::Changes(reads) => {
-            for it in reads {
-                list_log.note(it.position, &it.read, it.was_away);
-                changes.extend(fleet.take(it.read, it.was_away, now_ms));
-            }
-        }
-        ListNews::Whole(_) if own >= mark.position => return,
-        ListNews::Whole(entries) => {
-            list_log.restart(mark);
-            changes = fleet.take_from_peer(entries, now_ms);
-        }
-    }
-    list_log.confirm(mark);
-    fleet.confirm(newest_at_ms);
-    drop(fleet);
-    drop(list_log);
+    let changes = list_sync::take_update(
+        &mut node.list_log.borrow_mut(),
+        &mut node.fleet.borrow_mut(),
+        endpoints.content,
+        asked_with.list,
+        sent_ms.saturating_sub(endpoints.age_ms),
+        boot_ms(),
+    );
     // Peers are not told: they know it better.
     node.take_changes(&changes);
 }
