Test: how long an endpoint that leaves is still chosen, over whole deployments in simulated time

Nine, 86 and 195 instances in their zones with their own PeerBook, ReadingView, ListLog, Fleet and the decisions of list_sync. The store answers some and refuses or leaves others without an answer, watches go silent one at a time, heartbeats are lost and late, readers are frozen, killed and started again.

--- /dev/null
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -0,0 +1,250 @@
+//! One instance: its own parts as they are in service, without sockets and clock.
+
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+
+use super::super::adapter::FeedRead;
+use super::super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
+use super::super::list_log::ListLog;
+use super::super::list_sync::{self, ListUpdate};
+use super::super::peer::{Informant, InstanceRecord, Recipient};
+use super::super::peer_book::PeerBook;
+use super::super::settings::{RelayBounds, RelaySettings};
+use super::super::snapshot::{Knowledge, Known, put_best_first};
+use super::super::store_contact::StoreContact;
+use super::store::Access;
+use crate::fleet::{Fleet, FleetChange, ListingRead, Phase};
+use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
+
+/// Whether the process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Process {
+    Runs { since_ms: u64 },
+    Frozen { until_ms: u64 },
+    Killed,
+}
+
+pub(super) struct Instance {
+    pub(super) record: InstanceRecord,
+    pub(super) book: PeerBook,
+    pub(super) log: ListLog,
+    pub(super) fleet: Fleet,
+    pub(super) store: StoreContact,
+    pub(super) access: Access,
+    pub(super) reads: bool,
+    pub(super) process: Process,
+    /// Grows with each process: what is under way for an earlier one is lost.
+    pub(super) generation: u32,
+    /// Where the watch of the list goes on.
+    pub(super) position: Option<u64>,
+    pub(super) is_asking: bool,
+    pub(super) is_notified: bool,
+    behind_since_ms: Option<u64>,
+}
+
+fn settings(record: &InstanceRecord) -> RelaySettings {
+    RelaySettings {
+        instance: record.instance.clone(),
+        zone: record.zone.clone(),
+        front: record.front,
+        own_pages: Vec::new(),
+        metrics: None,
+        peers: record.peers,
+        link_mbps: record.link_mbps,
+        bounds: RelayBounds {
+            key_trust_ms: 4_900,
+            stop_limit_ms: 8_000,
+            locate_lifetime_ms: 1_000,
+            retry_ratio: 0.2,
+            retry_slack: 200.0,
+            retry_window_ms: 10_000,
+            engines_check_fence: true,
+        },
+    }
+}
+
+impl Instance {
+    pub(super) fn new(number: usize, zone: usize, link_mbps: u32, rng: &mut SmallRng) -> Self {
+        let octets = [10, 1, (number / 200) as u8, (number % 200) as u8];
+        let record = InstanceRecord {
+            instance: InstanceId::from(format!("i{number:03}")),
+            incarnation: Incarnation::draw(rng),
+            zone: ZoneName::from(format!("z{zone}")),
+            front: (octets, 8_000).into(),
+            peers: (octets, 9_000).into(),
+            link_mbps,
+        };
+        let book = PeerBook::new(&settings(&record), record.incarnation, 0);
+        Self {
+            record,
+            book,
+            log: ListLog::default(),
+            fleet: Fleet::default(),
+            store: StoreContact::default(),
+            access: Access::Answers,
+            reads: false,
+            process: Process::Killed,
+            generation: 0,
+            position: None,
+            is_asking: false,
+            is_notified: false,
+            behind_since_ms: None,
+        }
+    }
+
+    /// A new process begins, which has read the records of all.
+    pub(super) fn start(&mut self, records: &[InstanceRecord], now_ms: u64, rng: &mut SmallRng) {
+        self.record.incarnation = Incarnation::draw(rng);
+        self.book = PeerBook::new(&settings(&self.record), self.record.incarnation, now_ms);
+        for record in records {
+            self.book.learn(record.clone(), now_ms);
+        }
+        self.log = ListLog::default();
+        self.fleet = Fleet::default();
+        self.store = StoreContact::default();
+        self.reads = false;
+        self.position = None;
+        self.is_asking = false;
+        self.is_notified = false;
+        self.behind_since_ms = None;
+        self.process = Process::Runs { since_ms: now_ms };
+    }
+
+    pub(super) fn would_choose(&self, id: &EndpointId) -> bool {
+        let known = self.fleet.get(id);
+        known.is_some_and(|known| known.listed.phase == Phase::Live)
+    }
+
+    fn is_fed(&self, now_ms: u64) -> bool {
+        if self.reads {
+            self.store.answers()
+        } else {
+            self.book.is_fed_by_zone(now_ms)
+        }
+    }
+
+    fn own_state(&self, now_ms: u64) -> OwnState {
+        let answered_ms = self.store.answered_ms().filter(|_| self.reads);
+        OwnState {
+            availability: Availability {
+                is_ready: self.fleet.is_known(),
+                is_open: self.fleet.is_known(),
+                reaches_store: self.reads && self.store.answers(),
+                is_fed: self.is_fed(now_ms),
+            },
+            table: 1,
+            table_age_ms: 0,
+            list: self.log.mark(),
+            list_age_ms: self.fleet.age_ms(now_ms),
+            store_age_ms: answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+            held: Vec::new(),
+        }
+    }
+
+    /// Decides anew whether the store is read here. Returns whether that begins now.
+    pub(super) fn look_at_reading(&mut self, now_ms: u64) -> bool {
+        let answered_ms = self.store.answered_ms();
+        let view = self.book.reading_view(self.reads, answered_ms, now_ms);
+        let should_read = view.should_read(now_ms);
+        let begins = should_read && !self.reads;
+        self.reads = should_read;
+        begins
+    }
+
+    pub(super) fn heartbeat(&mut self, now_ms: u64) -> (Heartbeat, Vec<Recipient>) {
+        let own = self.own_state(now_ms);
+        let heartbeat = self.book.heartbeat(&own, now_ms);
+        self.book.forget_silent(now_ms);
+        let recipients = self.book.recipients(own.availability, now_ms);
+        (heartbeat, recipients)
+    }
+
+    /// Takes a heartbeat. Returns whether its sender knows more of the list.
+    pub(super) fn hear(
+        &mut self,
+        heartbeat: &Heartbeat,
+        from: SocketAddr,
+        echo: Option<Echo>,
+        now_ms: u64,
+    ) -> bool {
+        self.book.hear(heartbeat, from, now_ms);
+        let sent_ms = self.book.own_sending_heard(echo);
+        let newest_at_ms = sent_ms.map(|it| it.saturating_sub(heartbeat.list_age_ms));
+        let knows_list =
+            list_sync::hear_mark(&mut self.log, &mut self.fleet, heartbeat.list, newest_at_ms);
+        for id in &heartbeat.leaving {
+            self.fleet.told_leaving(id, now_ms);
+        }
+        !knows_list
+    }
+
+    /// Takes a read of the store. Returns whether peers are told at once.
+    pub(super) fn take_read(
+        &mut self,
+        read: FeedRead<ListingRead>,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        self.store.answered(now_ms);
+        self.position = Some(read.position);
+        let was_away = self.store.is_away(now_ms);
+        let (log, fleet) = (&mut self.log, &mut self.fleet);
+        let taken = list_sync::take_read(log, fleet, read, was_away, sent_ms, now_ms);
+        for change in &taken.changes {
+            if let FleetChange::Leaving(id) | FleetChange::Gone(id) = change {
+                self.book.tell_leaving(id);
+            }
+        }
+        if taken.is_news {
+            self.book.tell_knowledge();
+        }
+        taken.is_news
+    }
+
+    pub(super) fn known(&self) -> Known {
+        Known {
+            table: 1,
+            list: self.log.mark().position,
+        }
+    }
+
+    /// Whom to ask for what is not known here, if anybody is to be asked.
+    pub(super) fn whom_to_ask(&mut self, draw: u64, now_ms: u64) -> Vec<Informant> {
+        let mut informants = self.book.informants(now_ms);
+        let known = self.known();
+        if informants.iter().any(|peer| peer.knows_more(known)) {
+            self.behind_since_ms.get_or_insert(now_ms);
+        } else {
+            self.behind_since_ms = None;
+        }
+        let knowledge = Knowledge {
+            behind_since_ms: self.behind_since_ms,
+            reads_store: self.reads,
+            is_fed: self.is_fed(now_ms),
+            list_age_ms: self.fleet.age_ms(now_ms),
+        };
+        if !knowledge.is_wanting(now_ms) {
+            return Vec::new();
+        }
+        put_best_first(&mut informants, known, draw);
+        informants
+    }
+
+    /// What it hands to a peer, and how old that is.
+    pub(super) fn answer(&self, position: u64, now_ms: u64) -> Option<(ListUpdate, u64)> {
+        let update = list_sync::update_since(&self.log, &self.fleet, position)?;
+        Some((update, self.fleet.age_ms(now_ms)))
+    }
+
+    pub(super) fn take_update(
+        &mut self,
+        update: ListUpdate,
+        asked_with: u64,
+        newest_at_ms: u64,
+        now_ms: u64,
+    ) {
+        let (log, fleet) = (&mut self.log, &mut self.fleet);
+        list_sync::take_update(log, fleet, update, asked_with, newest_at_ms, now_ms);
+    }
+}
--- /dev/null
+++ b/src/relay_server/list_spread_tests/store.rs
@@ -0,0 +1,117 @@
+//! The store's list of endpoints, and what watches of it are told.
+
+use indexmap::IndexMap;
+
+use super::super::adapter::FeedRead;
+use crate::fleet::{ListedEndpoint, ListingRead, Phase};
+use crate::ids::{EndpointId, ServiceName, ZoneName};
+
+/// How the store treats the calls of one instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Access {
+    Answers,
+    Refuses,
+    Silent,
+}
+
+/// How an endpoint says that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Farewell {
+    /// Its entry shows it leaving, and is removed seconds later.
+    Announced,
+    /// Its entry is removed.
+    Removed,
+}
+
+/// A change of one entry; `None` where it was removed.
+type Change = (u64, EndpointId, Option<ListedEndpoint>);
+
+pub(super) struct Store {
+    position: u64,
+    entries: IndexMap<EndpointId, ListedEndpoint>,
+    changes: Vec<Change>,
+}
+
+pub(super) fn endpoint(number: usize) -> ListedEndpoint {
+    ListedEndpoint {
+        id: EndpointId::from(format!("e{number}")),
+        service: ServiceName::from("desk"),
+        address: ([10, 9, 0, 1], 8_000 + number as u16).into(),
+        zone: ZoneName::from("z0"),
+        phase: Phase::Live,
+        slots: 6,
+        kind: None,
+        layers: None,
+    }
+}
+
+impl Store {
+    pub(super) fn new(endpoints: usize) -> Self {
+        let mut store = Self {
+            position: 10,
+            entries: IndexMap::new(),
+            changes: Vec::new(),
+        };
+        for number in 0..endpoints {
+            store.write(endpoint(number));
+        }
+        store
+    }
+
+    /// A write of something else than the list.
+    pub(super) fn write_elsewhere(&mut self) {
+        self.position += 1;
+    }
+
+    pub(super) fn write(&mut self, entry: ListedEndpoint) {
+        self.position += 1;
+        let id = entry.id.clone();
+        self.changes
+            .push((self.position, id.clone(), Some(entry.clone())));
+        self.entries.insert(id, entry);
+    }
+
+    pub(super) fn remove(&mut self, id: &EndpointId) {
+        self.position += 1;
+        self.entries.shift_remove(id);
+        self.changes.push((self.position, id.clone(), None));
+    }
+
+    pub(super) fn leave(&mut self, id: &EndpointId, farewell: Farewell) {
+        match farewell {
+            Farewell::Removed => self.remove(id),
+            Farewell::Announced => {
+                let mut entry = self.entries[id].clone();
+                entry.phase = Phase::Leaving;
+                self.write(entry);
+            }
+        }
+    }
+
+    pub(super) fn whole(&self) -> FeedRead<ListingRead> {
+        FeedRead {
+            position: self.position,
+            content: ListingRead::whole(self.entries.values().cloned().collect()),
+        }
+    }
+
+    pub(super) fn has_news(&self, since: u64) -> bool {
+        self.changes.last().is_some_and(|change| change.0 > since)
+    }
+
+    /// What has changed since a position: each entry once, as it is now.
+    pub(super) fn since(&self, since: u64) -> FeedRead<ListingRead> {
+        let newer = self.changes.iter().filter(|change| change.0 > since);
+        let newest: IndexMap<&EndpointId, &Option<ListedEndpoint>> =
+            newer.map(|(_, id, entry)| (id, entry)).collect();
+        let written = newest.values().filter_map(|entry| entry.as_ref());
+        let removed = newest.iter().filter(|(_, entry)| entry.is_none());
+        FeedRead {
+            position: self.position,
+            content: ListingRead::changes(
+                written.cloned().collect(),
+                removed.map(|(id, _)| id.name()).collect(),
+            ),
+        }
+    }
+}
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -14,6 +14,8 @@
 mod list_log;
 #[cfg(test)]
 mod list_log_tests;
+#[cfg(test)]
+mod list_spread_tests;
 mod list_sync;
 mod load_change;
 mod node;
