Fleet: a peer's word that an endpoint leaves lasts while its entry is only held

Cause: an instance that counts the store as away holds an entry that goes missing, since it may have lapsed with the store. Those that saw it removed tell everybody, and their word was heard within 33 ms; but it ended 1.5 s later wherever the list had not shown the endpoint leaving, and a held entry shows it in service. From then on it was chosen again until the instance's next read of the list.

Ruled out: the word's way. Lists that an instance takes from a peer do not bring it back.

The word lasts now for as long as the entry is missing here; it ends as before where the list shows the endpoint in service again.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -184,9 +184,12 @@
                 return now_ms < told.at_ms + REMEMBER_MS;
             };
             // Shown in service since, or never shown otherwise: the peer may have seen it missing
-            // for a moment that had passed here.
+            // for a moment that had passed here. An entry that is only held is not shown: callers'
+            // requests went to such endpoints for up to 3.8 s after their entries were removed.
             let is_live = told.is_live_again && now_ms >= over_ms;
-            let is_never_gone = newest_at_ms >= over_ms && known.phase_in_list == Phase::Live;
+            let is_listed = known.missing_since_ms.is_none();
+            let is_in_service = is_listed && known.phase_in_list == Phase::Live;
+            let is_never_gone = newest_at_ms >= over_ms && is_in_service;
             let is_over = is_live || is_never_gone;
             if is_over {
                 known.listed.phase = Phase::Live;
