--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -138,9 +138,8 @@
         for entry in read.unusable {
             self.drop_unusable(entry, &mut changes);
         }
-        self.settle(now_ms);
+        changes.extend(self.settle(now_ms));
         self.is_known = true;
-        self.drop_overdue(now_ms, &mut changes);
         changes
     }
 
@@ -175,8 +174,10 @@
     }
 
     /// Goes by the list again where engines' own words on their layers, or peers' words on leaving
-    /// endpoints, are old by now, and forgets what is too old to matter.
-    pub fn settle(&mut self, now_ms: u64) {
+    /// endpoints, are old by now, drops entries that were held long enough, and forgets what is too old
+    /// to matter. The list may not be read for seconds: a watch waits for 1.7 s, and one that was held
+    /// until the next read was chosen for up to 3.8 s.
+    pub fn settle(&mut self, now_ms: u64) -> Vec<FleetChange> {
         let newest_at_ms = self.newest_at_ms;
         self.told_leaving.retain(|id, told| {
             let over_ms = told.at_ms + TOLD_LAG_MS;
@@ -205,6 +206,7 @@
         self.lifetimes.retain(|_, lifetime| {
             endpoints.contains_key(&lifetime.id) || now_ms < lifetime.seen_ms + REMEMBER_MS
         });
+        self.drop_overdue(now_ms)
     }
 
     /// Takes what requests of other instances take up at each engine.
@@ -354,7 +356,8 @@
     }
 
     /// Drops entries that were held long enough.
-    fn drop_overdue(&mut self, now_ms: u64, changes: &mut Vec<FleetChange>) {
+    fn drop_overdue(&mut self, now_ms: u64) -> Vec<FleetChange> {
+        let mut changes = Vec::new();
         self.endpoints.retain(|id, known| {
             let overdue = known
                 .missing_since_ms
@@ -364,5 +367,6 @@
             }
             !overdue
         });
+        changes
     }
 }
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -309,7 +309,8 @@
         }
         node.upstreams.sweep(now_ms);
         node.checks.borrow_mut().sweep(now_ms);
-        node.fleet.borrow_mut().settle(now_ms);
+        let changes = node.fleet.borrow_mut().settle(now_ms);
+        node.take_changes(&changes);
         checks::check_paused(&node).await;
     }
 }
