Test: an endpoint whose entry is only held is chosen if no other is left

The simulated deployments choose by pick_replica now, beside an endpoint in service that has much to do, and all readers of a large deployment may be refused at once.

--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -199,6 +199,45 @@
     assert!(fleet.get(&a).is_none());
 }
 
+/// Whole deployments in simulated time chose an endpoint for 3.4 s after its entry had been removed, where
+/// the store had refused all that read it for a second: they held the entry and went on using it, though
+/// other endpoints were in service.
+#[test]
+fn a_replica_whose_entry_is_only_held_is_chosen_if_no_other_is_left() {
+    let mut fleet = fleet(vec![listed("a", "lac", None), listed("b", "marsa", None)]);
+    let a = EndpointId::from("a");
+    fleet.take(ListingRead::changes(vec![], vec![a.name()]), true, 0);
+    let b = EndpointId::from("b");
+    fleet.get_mut(&b).expect("listed").in_flight = 100;
+    let pick = |fleet: &Fleet, tried: &[&EndpointId]| {
+        let tried: IndexSet<EndpointId> = tried.iter().map(|id| (*id).clone()).collect();
+        let service = ServiceName::from("menu-mind");
+        pick_replica(fleet, &service, &ZoneName::from("lac"), &tried, 0)
+    };
+    assert_eq!(pick(&fleet, &[]), Some(b.clone()));
+    assert_eq!(pick(&fleet, &[&b]), Some(a.clone()), "it may live");
+}
+
+/// The same of engines.
+#[test]
+fn an_engine_whose_entry_is_only_held_is_in_a_chain_if_no_other_holds_its_layers() {
+    let mut fleet = fleet(vec![
+        listed("a", "lac", Some(range(0, 14))),
+        listed("b", "lac", Some(range(14, 20))),
+        listed("c", "marsa", Some(range(0, 14))),
+        listed("d", "marsa", Some(range(14, 20))),
+    ]);
+    let a = EndpointId::from("a");
+    fleet.take(ListingRead::changes(vec![], vec![a.name()]), true, 0);
+    let through = |fleet: &Fleet, excluded: &[&str]| plan(fleet, excluded).map(|it| it[0].clone());
+    assert_eq!(through(&fleet, &[]).as_deref(), Some("c 0-14"));
+    assert_eq!(
+        through(&fleet, &["c"]).as_deref(),
+        Some("a 0-14"),
+        "it may live"
+    );
+}
+
 #[test]
 fn an_entry_that_is_removed_while_the_list_is_kept_is_gone_at_once() {
     let mut fleet = fleet(vec![listed("a", "lac", None)]);
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexSet;
 use rand::rngs::SmallRng;
 
 use super::super::adapter::FeedRead;
@@ -14,9 +15,12 @@
 use super::super::snapshot::{Knowledge, Known, put_best_first};
 use super::super::store_contact::StoreContact;
 use super::store::Access;
-use crate::fleet::{Fleet, FleetChange, ListingRead, Phase};
+use crate::fleet::{Fleet, FleetChange, ListingRead, Phase, pick_replica};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
 
+/// An endpoint that stays in service all day.
+const STAYS: &str = "e29";
+
 /// Whether the process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Process {
@@ -111,9 +115,22 @@
         self.process = Process::Runs { since_ms: now_ms };
     }
 
-    pub(super) fn would_choose(&self, id: &EndpointId) -> bool {
+    /// Whether a request would be sent there, rather than to one that stays and has much to do.
+    pub(super) fn would_choose(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+        let stays = EndpointId::from(STAYS);
         let known = self.fleet.get(id);
-        known.is_some_and(|known| known.listed.phase == Phase::Live)
+        if known.is_none_or(|known| known.listed.phase != Phase::Live) {
+            return false;
+        }
+        let ids = self.fleet.iter().map(|known| known.id().clone());
+        let others: IndexSet<EndpointId> = ids.filter(|it| it != id && *it != stays).collect();
+        let Some(busy) = self.fleet.get_mut(&stays) else {
+            return false;
+        };
+        busy.in_flight = 100;
+        let service = busy.listed.service.clone();
+        let zone = &self.record.zone;
+        pick_replica(&self.fleet, &service, zone, &others, now_ms).as_ref() == Some(id)
     }
 
     fn is_fed(&self, now_ms: u64) -> bool {
