--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 
+use super::RepeatAmount;
 use crate::ids::ServiceName;
 
 /// Part of the allowance that is used. The rest covers requests that are counted in the window
@@ -49,6 +50,11 @@
 }
 
 impl RetryBudget {
+    /// The budget of a process that starts now, perhaps in place of one that has just ended.
+    pub fn starting(_now_ms: u64) -> Self {
+        Self::default()
+    }
+
     /// Notes a caller's request.
     pub fn request(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) {
         let window = self.window(service, share, now_ms);
@@ -85,6 +91,46 @@
         is_left
     }
 
+    /// When a repeat will be within the budget by the passing of time; `now_ms` if one is left now.
+    pub fn next_left_ms(
+        &mut self,
+        _service: &ServiceName,
+        _share: BudgetShare,
+        _purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        now_ms
+    }
+
+    /// Repeats that this instance lacks, by service.
+    pub fn needs(&mut self, _share: BudgetShare, _now_ms: u64) -> Vec<RepeatAmount> {
+        Vec::new()
+    }
+
+    /// Grants each of what other instances want as much as this one can do without.
+    pub fn lend(
+        &mut self,
+        wanted: &[RepeatAmount],
+        _share: BudgetShare,
+        _now_ms: u64,
+    ) -> Vec<RepeatAmount> {
+        let grant_none = |it: &RepeatAmount| RepeatAmount {
+            milli_repeats: 0,
+            ..it.clone()
+        };
+        wanted.iter().map(grant_none).collect()
+    }
+
+    /// Takes in what another instance grants in answer to needs that were told at `asked_ms`.
+    pub fn borrow(
+        &mut self,
+        _granted: &[RepeatAmount],
+        _share: BudgetShare,
+        _asked_ms: u64,
+        _now_ms: u64,
+    ) {
+    }
+
     fn window(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> &mut Window {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Window::default());
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,9 @@
 mod attempts;
 mod budget;
 mod events;
+mod pool;
+#[cfg(test)]
+mod pool_tests;
 mod refusal;
 mod run_times;
 mod stall;
@@ -16,6 +19,7 @@
 pub use attempts::{AttemptEnd, Attempts, NextStep};
 pub use budget::{BudgetShare, RepeatPurpose, RetryBudget};
 pub use events::{EventSplitter, SplitError, WholeEvents};
+pub use pool::RepeatAmount;
 pub use refusal::{FinalWord, Outlook, RefusalCause};
 pub use run_times::RunTimes;
 pub use stall::{StallStep, StallWatch};
