--- a/src/relay/pool_tests.rs
+++ b/src/relay/pool_tests.rs
@@ -449,3 +449,26 @@
         next_ms
     );
 }
+
+/// An engine ended under ten streams of one instance in one millisecond while every instance of the
+/// zone had used up its part to get answers begun. The ten callers held a part of their answers and
+/// were cut off, though each of the other 28 instances still kept a part for begun ones.
+#[test]
+fn begun_answers_go_on_with_what_the_zone_keeps_for_them() {
+    let mut world = World::new(29, 1, NO_TROUBLE, 24);
+    let everybody: Vec<usize> = (0..29).collect();
+    let mut went_on_ms = Vec::new();
+    for now_ms in (0..9_000).step_by(STEP_MS as usize) {
+        world.step(now_ms);
+        for at in &everybody {
+            world.repeat(*at, RepeatPurpose::Begin, now_ms);
+        }
+        if now_ms >= 8_000 && went_on_ms.len() < 10 {
+            while went_on_ms.len() < 10 && world.repeat(0, RepeatPurpose::GoOn, now_ms) {
+                went_on_ms.push(now_ms - 8_000);
+            }
+        }
+    }
+    println!("begun answers went on after {went_on_ms:?} ms");
+    assert_eq!(went_on_ms.len(), 10, "after {went_on_ms:?} ms");
+}
