Retry budget: streams under way are lent what a zone keeps for them

What callers saw: when an engine ended, ten and more begun streams of one instance were cut off in one millisecond, at an instance whose own part was spent, while the rest of the zone kept a quarter of its shares for begun answers.

Cause: loans were for any repeat, and an instance that itself had callers to refuse lent nothing.

Needs and loans now name what they are for. To go on with an answer an instance lends down to half of what it keeps for its own begun ones, also when it lacks repeats to begin answers; such a loan is used for nothing else and is dealt out first.

Ruled out: a larger part kept at each instance. Ten at once at one of 29 would need more than the whole share of most.

On the fleet this gains only with streams that wait for a repeat, which is not in this change.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -6,13 +6,14 @@
 //! what they do not need; see [`pool`](super::pool).
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::pool::{RepeatAmount, deal};
 use super::window::Window;
 use crate::ids::ServiceName;
 
 /// What a repeat is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RepeatPurpose {
     /// To get an answer begun.
     Begin,
@@ -76,7 +77,7 @@
         now_ms: u64,
     ) -> bool {
         let window = self.window(service, share, now_ms);
-        window.asked(now_ms);
+        window.asked(purpose, now_ms);
         let is_left = window.has_left(share, purpose, now_ms);
         if is_left {
             window.repeat(purpose, now_ms);
@@ -100,19 +101,23 @@
 
     /// Repeats that this instance lacks, by service.
     pub fn needs(&mut self, share: BudgetShare, now_ms: u64) -> Vec<RepeatAmount> {
-        let needs = self.services.iter_mut().map(|(service, window)| {
+        let needs = self.services.iter_mut().flat_map(|(service, window)| {
             window.forget_old(share, now_ms);
-            amount(service, window.need_milli(share, now_ms))
+            [RepeatPurpose::GoOn, RepeatPurpose::Begin].map(|purpose| {
+                let milli = window.need_milli(share, purpose, now_ms);
+                amount(service, purpose, milli)
+            })
         });
         needs.filter(|need| need.milli_repeats > 0).collect()
     }
 
-    /// What this instance could lend of all services together, in thousandths of a repeat.
+    /// What this instance could lend to get answers begun, of all services together, in thousandths of a
+    /// repeat.
     pub fn spare_milli(&mut self, share: BudgetShare, now_ms: u64) -> u64 {
         let windows = self.services.values_mut();
         let spare = windows.map(|window| {
             window.forget_old(share, now_ms);
-            window.spare_milli(share, now_ms)
+            window.spare_milli(share, RepeatPurpose::Begin, now_ms)
         });
         spare.sum()
     }
@@ -125,15 +130,10 @@
         share: BudgetShare,
         now_ms: u64,
     ) -> Vec<RepeatAmount> {
-        let granted = deal(wanted, |service| {
+        deal(wanted, |service, purpose, wanted_milli| {
             let window = self.window(service, share, now_ms);
-            window.spare_milli(share, now_ms)
-        });
-        for amount in granted.iter().filter(|it| it.milli_repeats > 0) {
-            let window = self.window(&amount.service, share, now_ms);
-            window.lend(u64::from(amount.milli_repeats), share, now_ms);
-        }
-        granted
+            window.lend(wanted_milli, share, purpose, now_ms)
+        })
     }
 
     /// Takes in what another instance grants in answer to needs that were told at `asked_ms`. Each
@@ -147,7 +147,7 @@
     ) {
         for amount in granted {
             let window = self.window(&amount.service, share, now_ms);
-            window.borrow(u64::from(amount.milli_repeats), asked_ms);
+            window.borrow(u64::from(amount.milli_repeats), amount.purpose, asked_ms);
         }
     }
 
@@ -162,9 +162,10 @@
     }
 }
 
-fn amount(service: &ServiceName, milli: u64) -> RepeatAmount {
+fn amount(service: &ServiceName, purpose: RepeatPurpose, milli: u64) -> RepeatAmount {
     RepeatAmount {
         service: service.clone(),
+        purpose,
         milli_repeats: u32::try_from(milli).unwrap_or(u32::MAX),
     }
 }
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::budget::RepeatPurpose;
 use crate::ids::ServiceName;
 
 /// One repeat, in thousandths.
@@ -23,6 +24,8 @@
 pub struct RepeatAmount {
     /// The service whose requests are repeated.
     pub service: ServiceName,
+    /// What they are for. Those to go on are used for nothing else.
+    pub purpose: RepeatPurpose,
     /// Thousandths of a repeat: an even share of a small budget is less than one.
     pub milli_repeats: u32,
 }
@@ -86,27 +89,29 @@
     milli_repeats.div_ceil(lenders)
 }
 
-/// Deals out what can be spared of each service, by what is wanted of it.
-pub(super) fn deal<F>(wanted: &[RepeatAmount], mut spare_milli: F) -> Vec<RepeatAmount>
+/// Deals out what can be spared, by what is wanted: first to go on with answers. `lend` takes so much of
+/// a service for a purpose and says how much there was.
+pub(super) fn deal<F>(wanted: &[RepeatAmount], mut lend: F) -> Vec<RepeatAmount>
 where
-    F: FnMut(&ServiceName) -> u64,
+    F: FnMut(&ServiceName, RepeatPurpose, u64) -> u64,
 {
-    let mut sums: IndexMap<&ServiceName, u64> = IndexMap::new();
+    let mut sums: IndexMap<(&ServiceName, RepeatPurpose), u64> = IndexMap::new();
     for want in wanted {
-        *sums.entry(&want.service).or_default() += u64::from(want.milli_repeats);
+        *sums.entry((&want.service, want.purpose)).or_default() += u64::from(want.milli_repeats);
     }
-    let spare: IndexMap<&ServiceName, u64> = sums
-        .keys()
-        .map(|service| (*service, spare_milli(service)))
+    sums.sort_by_key(|(_, purpose), _| *purpose == RepeatPurpose::Begin);
+    let lent: IndexMap<(&ServiceName, RepeatPurpose), u64> = sums
+        .iter()
+        .map(|((service, purpose), sum)| ((*service, *purpose), lend(service, *purpose, *sum)))
         .collect();
-    let granted = |want: &RepeatAmount| {
-        let (spare, sum) = (spare[&want.service], sums[&want.service]);
+    let part = |want: &RepeatAmount| {
+        let key = (&want.service, want.purpose);
         let wanted = u64::from(want.milli_repeats);
-        let dealt = wanted.min(wanted.saturating_mul(spare) / sum.max(1));
+        let dealt = wanted.saturating_mul(lent[&key]) / sums[&key].max(1);
         RepeatAmount {
-            service: want.service.clone(),
             milli_repeats: u32::try_from(dealt).unwrap_or(want.milli_repeats),
+            ..want.clone()
         }
     };
-    wanted.iter().map(granted).collect()
+    wanted.iter().map(part).collect()
 }
--- a/src/relay/pool_tests.rs
+++ b/src/relay/pool_tests.rs
@@ -214,11 +214,14 @@
     fn grant(&mut self, from: usize, near: &[usize], now_ms: u64) {
         let share = self.share;
         let lender = &mut self.instances[from];
-        let in_need = near
-            .iter()
-            .filter(|it| matches!(&lender.heard[**it], Some(heard) if !heard.needs.is_empty()))
-            .count();
-        let lenders = (near.len() + 1 - in_need).max(1) as u32;
+        let lacks = |at: usize, purpose| {
+            let heard = lender.heard[at].as_ref();
+            heard.is_some_and(|it| it.needs.iter().any(|need| need.purpose == purpose))
+        };
+        let lenders = [RepeatPurpose::Begin, RepeatPurpose::GoOn].map(|purpose| {
+            let in_need = near.iter().filter(|at| lacks(**at, purpose)).count();
+            near.len() + 1 - in_need
+        });
         let mut asked = Vec::new();
         let mut wanted = Vec::new();
         for to in near {
@@ -226,9 +229,10 @@
                 continue;
             };
             for need in heard.needs {
+                let lenders = lenders[usize::from(need.purpose == RepeatPurpose::GoOn)];
                 asked.push((*to, heard.told_ms, heard.process));
                 wanted.push(RepeatAmount {
-                    milli_repeats: need.milli_repeats.div_ceil(lenders),
+                    milli_repeats: pool::part_of_need(need.milli_repeats, lenders),
                     ..need
                 });
             }
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -19,10 +19,16 @@
 /// cannot ask for the rest again, while one that is refused can come back.
 const GO_ON_PART: f64 = 0.25;
 
-/// Part of the own share that is not lent, so that callers here need not wait for a loan when the next
-/// engine fails.
+/// Part of the own share that is not lent to get answers begun, so that callers here need not wait for a
+/// loan when the next engine fails.
 const KEPT_PART: f64 = 0.5;
 
+/// Part of the own share that is not lent to go on with answers either: half of what is kept for those
+/// of this instance. An engine that ends cuts ten and more streams of one instance at once, more than
+/// its own share bears; of 29 instances the others' halves bear 20 (simulated: 10 of 10 go on within
+/// half a second, 1 of 10 without).
+const KEPT_TO_GO_ON_PART: f64 = GO_ON_PART / 2.0;
+
 /// How far back the demand is looked at: the callers who were refused meanwhile come back.
 const DEMAND_MS: u64 = 1_000;
 
@@ -36,15 +42,23 @@
     requests_ms: VecDeque<u64>,
     repeats: VecDeque<SentRepeat>,
     /// When repeats were asked for, whether or not one was left.
-    asked_ms: VecDeque<u64>,
+    asked: VecDeque<AskedRepeat>,
     /// Parts of the own share that others use.
     lent: Loans,
     /// Parts of others' shares to use here.
     borrowed: Loans,
+    /// The same, only to go on with answers.
+    borrowed_to_go_on: Loans,
     /// Until when a process that ended here may count in a window.
     starting_until_ms: Option<u64>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct AskedRepeat {
+    at_ms: u64,
+    purpose: RepeatPurpose,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SentRepeat {
     at_ms: u64,
@@ -58,8 +72,10 @@
 struct Standing {
     /// Of the own share.
     own_milli: u64,
-    /// Of loans.
+    /// Of loans for any purpose.
     borrowed_milli: u64,
+    /// Of loans to go on with answers.
+    borrowed_to_go_on_milli: u64,
     /// All that was sent in the window.
     sent_milli: u64,
     /// What was sent to get answers begun.
@@ -70,7 +86,7 @@
     fn left_milli(self, purpose: RepeatPurpose) -> u64 {
         let left = self.own_milli + self.borrowed_milli;
         match purpose {
-            RepeatPurpose::GoOn => left,
+            RepeatPurpose::GoOn => left + self.borrowed_to_go_on_milli,
             RepeatPurpose::Begin => {
                 let all = (self.sent_milli + left) as f64;
                 let to_begin = (all * (1.0 - GO_ON_PART)) as u64;
@@ -93,8 +109,9 @@
         self.requests_ms.push_back(now_ms);
     }
 
-    pub(super) fn asked(&mut self, now_ms: u64) {
-        self.asked_ms.push_back(now_ms);
+    pub(super) fn asked(&mut self, purpose: RepeatPurpose, now_ms: u64) {
+        let at_ms = now_ms;
+        self.asked.push_back(AskedRepeat { at_ms, purpose });
     }
 
     /// Drops what counts no more.
@@ -102,9 +119,10 @@
         let from_ms = now_ms.saturating_sub(share.window_ms);
         drop_while(&mut self.requests_ms, |at_ms| *at_ms < from_ms);
         drop_while(&mut self.repeats, |repeat| repeat.at_ms < from_ms);
-        drop_while(&mut self.asked_ms, |at_ms| at_ms + DEMAND_MS < now_ms);
+        drop_while(&mut self.asked, |it| it.at_ms + DEMAND_MS < now_ms);
         self.lent.forget_ended(now_ms);
         self.borrowed.forget_ended(now_ms);
+        self.borrowed_to_go_on.forget_ended(now_ms);
     }
 
     pub(super) fn has_left(&self, share: BudgetShare, purpose: RepeatPurpose, at_ms: u64) -> bool {
@@ -113,45 +131,77 @@
 
     /// Counts a repeat; loans are used first, since they end.
     pub(super) fn repeat(&mut self, purpose: RepeatPurpose, now_ms: u64) {
-        let borrowed_milli = self.borrowed.use_up(REPEAT_MILLI, now_ms);
+        let mut own_milli = REPEAT_MILLI;
+        if purpose == RepeatPurpose::GoOn {
+            own_milli -= self.borrowed_to_go_on.use_up(own_milli, now_ms);
+        }
+        own_milli -= self.borrowed.use_up(own_milli, now_ms);
         self.repeats.push_back(SentRepeat {
             at_ms: now_ms,
             purpose,
-            own_milli: REPEAT_MILLI - borrowed_milli,
+            own_milli,
         });
     }
 
     /// What is missing of what the demand calls for.
-    pub(super) fn need_milli(&self, share: BudgetShare, now_ms: u64) -> u64 {
-        let asked = self.asked_ms.iter().filter(|at| now_ms <= *at + DEMAND_MS);
-        let at_hand = asked.count() as u64 * AT_HAND * REPEAT_MILLI;
-        let left = self
-            .standing(share, now_ms)
-            .left_milli(RepeatPurpose::Begin);
-        at_hand.saturating_sub(left)
+    pub(super) fn need_milli(
+        &self,
+        share: BudgetShare,
+        purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        let is_asked = |it: &&AskedRepeat| it.purpose == purpose && now_ms <= it.at_ms + DEMAND_MS;
+        let asked = self.asked.iter().filter(is_asked).count() as u64;
+        let left = self.standing(share, now_ms).left_milli(purpose);
+        (asked * AT_HAND * REPEAT_MILLI).saturating_sub(left)
     }
 
     /// What others may have. A process that has just started lends nothing: its share may have been
     /// lent already.
-    pub(super) fn spare_milli(&self, share: BudgetShare, now_ms: u64) -> u64 {
-        if self.is_starting(now_ms) || self.need_milli(share, now_ms) > 0 {
+    pub(super) fn spare_milli(
+        &self,
+        share: BudgetShare,
+        purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        let lacks = |purpose| self.need_milli(share, purpose, now_ms) > 0;
+        let lacks_more_urgent = purpose == RepeatPurpose::Begin && lacks(RepeatPurpose::GoOn);
+        if self.is_starting(now_ms) || lacks(purpose) || lacks_more_urgent {
             return 0;
         }
-        let kept = (self.allowed_milli(share, now_ms) as f64 * KEPT_PART).ceil() as u64;
+        let kept_part = match purpose {
+            RepeatPurpose::Begin => KEPT_PART,
+            RepeatPurpose::GoOn => KEPT_TO_GO_ON_PART,
+        };
+        let kept = (self.allowed_milli(share, now_ms) as f64 * kept_part).ceil() as u64;
         let left = self.standing(share, now_ms).own_milli;
         left.saturating_sub(kept)
     }
 
-    /// Charges the own share with a loan. It may be used until its life is over, and a window may
-    /// begin just then.
-    pub(super) fn lend(&mut self, milli: u64, share: BudgetShare, now_ms: u64) {
-        let until_ms = now_ms + LOAN_LIFE_MS + share.window_ms;
-        self.lent.add(milli, until_ms);
+    /// Charges the own share with a loan of what can be spared, and returns how much that is. The loan
+    /// may be used until its life is over, and a window may begin just then.
+    pub(super) fn lend(
+        &mut self,
+        wanted_milli: u64,
+        share: BudgetShare,
+        purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        let milli = wanted_milli.min(self.spare_milli(share, purpose, now_ms));
+        if milli > 0 {
+            let until_ms = now_ms + LOAN_LIFE_MS + share.window_ms;
+            self.lent.add(milli, until_ms);
+        }
+        milli
     }
 
     /// Takes a loan that was asked for at `asked_ms`, which is before the lender heard of it.
-    pub(super) fn borrow(&mut self, milli: u64, asked_ms: u64) {
-        self.borrowed.add(milli, asked_ms + LOAN_LIFE_MS);
+    pub(super) fn borrow(&mut self, milli: u64, purpose: RepeatPurpose, asked_ms: u64) {
+        let loans = match purpose {
+            RepeatPurpose::Begin => &mut self.borrowed,
+            RepeatPurpose::GoOn => &mut self.borrowed_to_go_on,
+        };
+        loans.add(milli, asked_ms + LOAN_LIFE_MS);
     }
 
     /// When a repeat is left, if only time passes; never, if the own share is too small for one.
@@ -183,6 +233,7 @@
         Standing {
             own_milli: self.allowed_milli(share, at_ms).saturating_sub(charged),
             borrowed_milli: self.borrowed.sum_milli(at_ms),
+            borrowed_to_go_on_milli: self.borrowed_to_go_on.sum_milli(at_ms),
             sent_milli: sent.len() as u64 * REPEAT_MILLI,
             begun_milli: begun.count() as u64 * REPEAT_MILLI,
         }
--- a/src/relay_server/repeat_loans.rs
+++ b/src/relay_server/repeat_loans.rs
@@ -12,7 +12,7 @@
 use super::peer_book::PeerBook;
 use crate::clock::boot_ms;
 use crate::ids::ServiceName;
-use crate::relay::{RepeatAmount, part_of_need};
+use crate::relay::{RepeatAmount, RepeatPurpose, part_of_need};
 
 /// What a peer wants of this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,18 +25,20 @@
 /// What peers want of this instance: of each need that was heard since the last heartbeat, an even
 /// part among those of the zone that do not lack the same. Each need is answered once.
 pub(super) fn wants(peers: &mut PeerBook, now_ms: u64) -> Vec<Want> {
-    let mut askers: IndexMap<ServiceName, usize> = IndexMap::new();
+    let mut askers: IndexMap<(ServiceName, RepeatPurpose), usize> = IndexMap::new();
     let mut heard = 0;
     for peer in peers.near_heard(now_ms) {
         heard += 1;
         for need in &peer.repeat_needs {
-            *askers.entry(need.service.clone()).or_default() += 1;
+            let key = (need.service.clone(), need.purpose);
+            *askers.entry(key).or_default() += 1;
         }
     }
     let mut wants = Vec::new();
     for peer in peers.near_heard(now_ms) {
         for need in std::mem::take(&mut peer.repeat_needs) {
-            let lenders = 1 + heard - askers[&need.service];
+            let same = askers[&(need.service.clone(), need.purpose)];
+            let lenders = 1 + heard - same;
             wants.push(Want {
                 address: peer.address,
                 amount: RepeatAmount {
--- a/src/relay_server/repeat_loans_tests.rs
+++ b/src/relay_server/repeat_loans_tests.rs
@@ -5,11 +5,12 @@
 use super::peer_book_tests::{READY, address, book, heartbeat};
 use super::repeat_loans::{Want, wants};
 use crate::ids::ServiceName;
-use crate::relay::RepeatAmount;
+use crate::relay::{RepeatAmount, RepeatPurpose};
 
 fn need(milli_repeats: u32) -> RepeatAmount {
     RepeatAmount {
         service: ServiceName::from("menu-mind"),
+        purpose: RepeatPurpose::Begin,
         milli_repeats,
     }
 }
