--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -1,21 +1,19 @@
 //! The budget for repeats: sends of a request beyond its first.
 //!
 //! All instances together may repeat a fixed part of the requests of a service in a window, and a
-//! fixed number besides. Each instance takes the part of its own requests and an even share of the
-//! number, so that no message is needed to keep to the sum.
-
-use std::collections::VecDeque;
+//! fixed number besides. Each instance has the part of its own requests and an even share of the
+//! number, so that no message is needed to keep to the sum. Those of a zone lend one another
+//! what they do not need; see [`pool`](super::pool).
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
+use super::pool::{RepeatAmount, deal};
+use super::window::Window;
 use crate::ids::ServiceName;
 
-/// Part of the allowance that is used. The rest covers requests that are counted in the window
-/// of another instance, and instances that start with a fresh window.
-const USED_PART: f64 = 0.7;
-
 /// What a repeat is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RepeatPurpose {
     /// To get an answer begun.
     Begin,
@@ -36,23 +34,26 @@
     pub instances: u32,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Window {
-    requests_ms: VecDeque<u64>,
-    repeats_ms: VecDeque<u64>,
-}
-
 /// What this instance has sent for each service in the last window.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     services: IndexMap<ServiceName, Window>,
+    /// When this process started, if another may have run in its place shortly before.
+    started_ms: Option<u64>,
 }
 
 impl RetryBudget {
+    /// The budget of a process that starts now, perhaps in place of one that has just ended.
+    pub fn starting(now_ms: u64) -> Self {
+        Self {
+            started_ms: Some(now_ms),
+            ..Self::default()
+        }
+    }
+
     /// Notes a caller's request.
     pub fn request(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) {
-        let window = self.window(service, share, now_ms);
-        window.requests_ms.push_back(now_ms);
+        self.window(service, share, now_ms).request(now_ms);
     }
 
     /// Whether one more repeat is within the budget.
@@ -60,30 +61,22 @@
         &mut self,
         service: &ServiceName,
         share: BudgetShare,
-        _purpose: RepeatPurpose,
+        purpose: RepeatPurpose,
         now_ms: u64,
     ) -> bool {
         let window = self.window(service, share, now_ms);
-        let own_slack = share.slack / f64::from(share.instances.max(1));
-        let allowed = (share.ratio * window.requests_ms.len() as f64 + own_slack) * USED_PART;
-        ((window.repeats_ms.len() + 1) as f64) <= allowed
+        window.has_left(share, purpose, now_ms)
     }
 
-    /// When one more repeat will be within the budget by the passing of time; `now_ms` if one is left
-    /// now. Requests that come meanwhile may make it sooner.
-    pub fn next_left_ms(
+    /// Notes that a repeat is waited for, so that one is asked for of other instances.
+    pub fn await_one(
         &mut self,
         service: &ServiceName,
         share: BudgetShare,
         purpose: RepeatPurpose,
         now_ms: u64,
-    ) -> u64 {
-        if self.has_left(service, share, purpose, now_ms) {
-            return now_ms;
-        }
-        let window = self.window(service, share, now_ms);
-        let oldest_ms = window.repeats_ms.front().copied();
-        oldest_ms.unwrap_or(now_ms) + share.window_ms + 1
+    ) {
+        self.window(service, share, now_ms).asked(purpose, now_ms);
     }
 
     /// Takes one repeat out of the budget, if it has one left.
@@ -94,10 +87,11 @@
         purpose: RepeatPurpose,
         now_ms: u64,
     ) -> bool {
-        let is_left = self.has_left(service, share, purpose, now_ms);
+        let window = self.window(service, share, now_ms);
+        window.asked(purpose, now_ms);
+        let is_left = window.has_left(share, purpose, now_ms);
         if is_left {
-            let window = self.window(service, share, now_ms);
-            window.repeats_ms.push_back(now_ms);
+            window.repeat(purpose, now_ms);
         }
         is_left
     }
@@ -105,26 +99,90 @@
     /// Repeats within the budget that are left, for log lines.
     pub fn left(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> u32 {
         let window = self.window(service, share, now_ms);
-        let own_slack = share.slack / f64::from(share.instances.max(1));
-        let allowed = (share.ratio * window.requests_ms.len() as f64 + own_slack) * USED_PART;
-        let left = allowed - window.repeats_ms.len() as f64;
-        left.max(0.0) as u32
+        window.left_repeats(share, now_ms)
+    }
+
+    /// When a repeat will be within the budget by the passing of time: `now_ms` if one is left now,
+    /// [`u64::MAX`] if only a loan or more requests can bring one. A loan may bring it sooner.
+    pub fn next_left_ms(
+        &mut self,
+        service: &ServiceName,
+        share: BudgetShare,
+        purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        let window = self.window(service, share, now_ms);
+        let next_ms = window.next_left_ms(share, purpose, now_ms);
+        next_ms.unwrap_or(u64::MAX)
+    }
+
+    /// Repeats that this instance lacks, by service.
+    pub fn needs(&mut self, share: BudgetShare, now_ms: u64) -> Vec<RepeatAmount> {
+        let needs = self.services.iter_mut().flat_map(|(service, window)| {
+            window.forget_old(share, now_ms);
+            [RepeatPurpose::GoOn, RepeatPurpose::Begin].map(|purpose| {
+                let milli = window.need_milli(share, purpose, now_ms);
+                amount(service, purpose, milli)
+            })
+        });
+        needs.filter(|need| need.milli_repeats > 0).collect()
+    }
+
+    /// What this instance could lend to get answers begun, of all services together, in thousandths of a
+    /// repeat.
+    pub fn spare_milli(&mut self, share: BudgetShare, now_ms: u64) -> u64 {
+        let windows = self.services.values_mut();
+        let spare = windows.map(|window| {
+            window.forget_old(share, now_ms);
+            window.spare_milli(share, RepeatPurpose::Begin, now_ms)
+        });
+        spare.sum()
+    }
+
+    /// Grants each of what other instances want as much as this one can do without, in the order in
+    /// which it is wanted. What is granted is gone here, whether or not it arrives.
+    pub fn lend(
+        &mut self,
+        wanted: &[RepeatAmount],
+        share: BudgetShare,
+        now_ms: u64,
+    ) -> Vec<RepeatAmount> {
+        deal(wanted, |service, purpose, wanted_milli| {
+            let window = self.window(service, share, now_ms);
+            window.lend(wanted_milli, share, purpose, now_ms)
+        })
+    }
+
+    /// Takes in what another instance grants in answer to needs that were told at `asked_ms`. Each
+    /// grant must be taken in once.
+    pub fn borrow(
+        &mut self,
+        granted: &[RepeatAmount],
+        share: BudgetShare,
+        asked_ms: u64,
+        now_ms: u64,
+    ) {
+        for amount in granted {
+            let window = self.window(&amount.service, share, now_ms);
+            window.borrow(u64::from(amount.milli_repeats), amount.purpose, asked_ms);
+        }
     }
 
     fn window(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> &mut Window {
         if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Window::default());
+            let window = Window::starting(self.started_ms, share);
+            self.services.insert(service.clone(), window);
         }
         let window = &mut self.services[service];
-        let from_ms = now_ms.saturating_sub(share.window_ms);
-        drop_before(&mut window.requests_ms, from_ms);
-        drop_before(&mut window.repeats_ms, from_ms);
+        window.forget_old(share, now_ms);
         window
     }
 }
 
-fn drop_before(times_ms: &mut VecDeque<u64>, from_ms: u64) {
-    while times_ms.front().is_some_and(|at_ms| *at_ms < from_ms) {
-        times_ms.pop_front();
+fn amount(service: &ServiceName, purpose: RepeatPurpose, milli: u64) -> RepeatAmount {
+    RepeatAmount {
+        service: service.clone(),
+        purpose,
+        milli_repeats: u32::try_from(milli).unwrap_or(u32::MAX),
     }
 }
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -156,6 +156,7 @@
             list_age_ms: self.fleet.age_ms(now_ms),
             store_age_ms: answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
             held: Vec::new(),
+            repeat_needs: Vec::new(),
         }
     }
 
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -28,6 +28,7 @@
             if waits_for != Some(lack.name()) {
                 waits_for = Some(lack.name());
                 self.log_wait(lack, now_ms);
+                self.ask_zone(lack);
             }
             tokio::select! {
                 () = sleep_until(instant_at(lack.look_ms(now_ms), now_ms)) => {}
@@ -36,6 +37,14 @@
         }
     }
 
+    /// Has other instances lend a repeat: without it they would only hear of those that were refused.
+    fn ask_zone(&self, lack: Lack) {
+        if matches!(lack, Lack::Repeat { .. }) {
+            let service = &self.request.service;
+            self.node.await_repeat(service, RepeatPurpose::GoOn);
+        }
+    }
+
     fn next_run(&self, now_ms: u64) -> Result<Chain, Lack> {
         let service = &self.request.service;
         // First, since it costs least to find out.
