Fleet: an endpoint whose entry is only held is chosen if no other is left

Cause: where all that read the store count it as away (refused for a second, or a watch that went silent), nobody says that an entry is gone: everybody holds it for 2.2 s from when it was found missing, and goes on choosing it. Its endpoint may have lapsed with the store, or be leaving; which of the two is not known.

Ruled out: a shorter hold, since entries that lapsed come back within about two seconds; counting the store as away by its peers' answers, since all that read it may be refused at once.

A held endpoint is now the last choice among replicas (after those on pause) and in chains (after engines that turned requests away), so that it gets none while another can run the request, and all are used as before where a whole service lapses.

--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -37,6 +37,10 @@
 const SLOTS_POWER: i32 = 4;
 /// Cost of an engine that turned a request away just now: it goes before no estimate.
 const TURNED_AWAY_MS: f64 = 10_000.0;
+/// The same for one whose entry is only held: if it is leaving it may not be sent requests any more, and if
+/// it has ended they fail. It is used where nothing else holds its layers, so that an outage of the
+/// store ends no service.
+const HELD_MS: f64 = 100_000.0;
 
 /// One stage of a chain.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -203,7 +207,9 @@
         let fullness = fullness(known, layers, ask.model, kind.memory_mb, ask.tokens);
         let slowness = known.standing.slowness(now_ms);
         let crowding = slowness * (1.0 + FULL_FACTOR * fullness * fullness);
-        let no_room_ms = if known.standing.is_full(now_ms) {
+        let no_room_ms = if known.is_held() {
+            HELD_MS
+        } else if known.standing.is_full(now_ms) {
             TURNED_AWAY_MS
         } else if fullness > 1.0 {
             NO_ROOM_MS
--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -102,6 +102,11 @@
         self.listed.phase == Phase::Live && !self.standing.is_doubtful()
     }
 
+    /// Whether its entry is missing from the list and only held, since it may have lapsed with the store.
+    pub(super) fn is_held(&self) -> bool {
+        self.missing_since_ms.is_some()
+    }
+
     /// Tokens times layers in its memory, of this process and of other instances.
     pub fn token_layers(&self) -> u64 {
         self.held_token_layers
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -77,7 +77,7 @@
     /// So are entries that are only held because they may come back: a peer that saw one removed
     /// would use it again.
     pub fn listing(&self) -> Vec<ListedEndpoint> {
-        let is_listed = |known: &&KnownEndpoint| known.missing_since_ms.is_none();
+        let is_listed = |known: &&KnownEndpoint| !known.is_held();
         let listed = self.iter().filter(is_listed);
         listed.map(KnownEndpoint::as_read).collect()
     }
@@ -188,8 +188,7 @@
             // for a moment that had passed here. An entry that is only held is not shown: callers'
             // requests went to such endpoints for up to 3.8 s after their entries were removed.
             let is_live = told.is_live_again && now_ms >= over_ms;
-            let is_listed = known.missing_since_ms.is_none();
-            let is_in_service = is_listed && known.phase_in_list == Phase::Live;
+            let is_in_service = !known.is_held() && known.phase_in_list == Phase::Live;
             let is_never_gone = newest_at_ms >= over_ms && is_in_service;
             let is_over = is_live || is_never_gone;
             if is_over {
--- a/src/fleet/replicas.rs
+++ b/src/fleet/replicas.rs
@@ -10,8 +10,15 @@
 /// differences without crossing zones for nothing.
 const OTHER_ZONE: f64 = 0.5;
 
+/// What a replica on pause counts beside that.
+const PAUSED: f64 = 1e6;
+/// The same of one whose entry is only held: that it lives is a guess, and if it is leaving it may not be
+/// sent requests any more. Simulated, they were chosen for up to 3.4 s after they had left the list.
+const HELD: f64 = 1e9;
+
 /// The replica with the least work for its slots, the own availability zone first. One that is on
-/// pause is taken only if no other is left, since a pause is a guess.
+/// pause is taken only if no other is left, since a pause is a guess; one whose entry is only held after
+/// these.
 pub fn pick_replica(
     fleet: &Fleet,
     service: &ServiceName,
@@ -33,7 +40,6 @@
 }
 
 fn cost(known: &KnownEndpoint, own_zone: &ZoneName, now_ms: u64) -> f64 {
-    const PAUSED: f64 = 1e6;
     let waiting = f64::from(known.in_flight);
     let away = if known.listed.zone == *own_zone {
         0.0
@@ -47,5 +53,6 @@
     };
     // Time to get through what waits there; the mean of those never measured is taken as usual.
     let pace = known.standing.latency_ms().unwrap_or(30.0).max(1.0) / 30.0;
-    (waiting + 1.0 + away) * pace + paused
+    let held = if known.is_held() { HELD } else { 0.0 };
+    (waiting + 1.0 + away) * pace + paused + held
 }
