Test: nothing is sent to an endpoint that is not to be sent requests any more

Upstreams::send takes the question whether the choice still holds, and does not ask it yet. The test fails: the request is sent.

--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -36,6 +36,8 @@
     Silent,
     /// It has no room now.
     Full,
+    /// It said that it leaves, between its choice and the send. Nothing is wrong with it.
+    Leaving,
 }
 
 impl Trouble {
@@ -49,6 +51,7 @@
             Self::Failed => "failed",
             Self::Silent => "silent",
             Self::Full => "full",
+            Self::Leaving => "leaving",
         }
     }
 
@@ -64,6 +67,7 @@
             Self::Ended | Self::Unreachable => 1,
             Self::Silent | Self::Full => 2,
             Self::Broken | Self::Garbled | Self::Failed => 3,
+            Self::Leaving => u32::MAX,
         }
     }
 }
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -15,7 +15,7 @@
 use super::store_contact::StoreContact;
 use super::upstream::Upstreams;
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
+use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Phase, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::placement::PlaceOrder;
 use crate::relay::{BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes};
@@ -252,6 +252,14 @@
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// Whether requests may be sent to an endpoint that was chosen before. Asked last, when there is a
+    /// connection: that takes up to 300 ms, and an endpoint that leaves meanwhile is to be left alone.
+    pub(crate) fn takes_requests(&self, endpoint: &EndpointId) -> bool {
+        let fleet = self.fleet.borrow();
+        let known = fleet.get(endpoint);
+        known.is_some_and(|known| known.listed.phase == Phase::Live)
+    }
+
     /// Tells streams and peers that an endpoint is unsound.
     fn unsound(&self, endpoint: &EndpointId) {
         if let Some(known) = self.fleet.borrow().get(endpoint) {
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -153,7 +153,9 @@
     let head = request.head_for(node, endpoint, None, None);
     let sent = node
         .upstreams
-        .send(address, head, request.body.clone(), begun_ms)
+        .send(address, head, request.body.clone(), begun_ms, || {
+            node.takes_requests(endpoint)
+        })
         .await;
     let exchange = match sent {
         Ok(exchange) => exchange,
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -267,7 +267,9 @@
         let body = self.request.body.clone();
         self.node
             .upstreams
-            .send(first.address, head, body, boot_ms())
+            .send(first.address, head, body, boot_ms(), || {
+                self.node.takes_requests(&first.endpoint)
+            })
             .await
     }
 
@@ -378,7 +380,7 @@
             UpstreamFailure::NoConnection | UpstreamFailure::Broken => {
                 check_beside(&self.node, chain.first());
             }
-            UpstreamFailure::Garbled => {}
+            UpstreamFailure::Garbled | UpstreamFailure::Withdrawn => {}
         }
         let (end, trouble) = failure.meaning();
         RunEnd::Failed(end, trouble, first)
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -56,7 +56,9 @@
     let address = endpoint(answer, end);
     let upstreams = Upstreams::new();
     let head = RequestHead::default();
-    let exchange = upstreams.send(address, head, Bytes::new(), 0).await?;
+    let exchange = upstreams
+        .send(address, head, Bytes::new(), 0, || true)
+        .await?;
     let (_, mut body) = exchange.head().await?;
     let mut whole = Vec::new();
     while let Some(bytes) = body.next().await? {
@@ -115,7 +117,7 @@
     let upstreams = Upstreams::new();
     for _ in 0..2 {
         let exchange = upstreams
-            .send(address, RequestHead::default(), Bytes::new(), 0)
+            .send(address, RequestHead::default(), Bytes::new(), 0, || true)
             .await;
         let (_, mut body) = exchange.expect("sent").head().await.expect("an answer");
         while body.next().await.expect("whole").is_some() {}
@@ -130,11 +132,27 @@
     let address = listener.local_addr().expect("it is bound");
     drop(listener);
     let sent = Upstreams::new()
-        .send(address, RequestHead::default(), Bytes::new(), 0)
+        .send(address, RequestHead::default(), Bytes::new(), 0, || true)
         .await;
     assert_eq!(sent.err(), Some(UpstreamFailure::NoListener));
 }
 
+/// A request could be sent up to 300 ms after its endpoint had been chosen, the longest wait for a
+/// connection, though the endpoint had said meanwhile that it leaves. Found by reading.
+#[actix_rt::test]
+async fn nothing_is_sent_to_an_endpoint_that_is_not_to_be_sent_requests_any_more() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("it is bound");
+    let sent = Upstreams::new()
+        .send(address, RequestHead::default(), Bytes::new(), 0, || false)
+        .await;
+    assert_eq!(sent.err(), Some(UpstreamFailure::Withdrawn));
+    let (mut connection, _) = listener.accept().expect("there was a connection");
+    let mut request = Vec::new();
+    let read = connection.read_to_end(&mut request);
+    assert_eq!(read.expect("the router closes"), 0);
+}
+
 proptest! {
     /// Whatever a peer hands over, reading it ends.
     #[test]
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -52,6 +52,10 @@
     /// What came is no answer in the protocol.
     #[error("what came is no answer")]
     Garbled,
+    /// The choice of the endpoint did not hold any more when there was a connection; no byte of the
+    /// request left.
+    #[error("the endpoint is not to be sent requests any more")]
+    Withdrawn,
 }
 
 impl UpstreamFailure {
@@ -62,6 +66,7 @@
             Self::NoListener => (AttemptEnd::NotSent, Trouble::Ended),
             Self::Broken => (AttemptEnd::Lost, Trouble::Broken),
             Self::Garbled => (AttemptEnd::Lost, Trouble::Garbled),
+            Self::Withdrawn => (AttemptEnd::NotSent, Trouble::Leaving),
         }
     }
 }
@@ -108,15 +113,20 @@
         }
     }
 
-    /// Sends a request. After an error other than [`UpstreamFailure::NoConnection`] the endpoint
-    /// may have got it.
-    pub(crate) async fn send(
+    /// Sends a request, if `may_send` holds once there is a connection. After an error other than
+    /// [`UpstreamFailure::NoConnection`] and [`UpstreamFailure::Withdrawn`] the endpoint may have got
+    /// it.
+    pub(crate) async fn send<F>(
         &self,
         address: SocketAddr,
         head: RequestHead,
         body: Bytes,
         now_ms: u64,
-    ) -> Result<Exchange, UpstreamFailure> {
+        _may_send: F,
+    ) -> Result<Exchange, UpstreamFailure>
+    where
+        F: FnOnce() -> bool,
+    {
         let mut framed = match self.take_idle(address, now_ms) {
             Some(framed) => framed,
             None => self.connect(address).await?,
