Upstreams: the choice of an endpoint must still hold when there is a connection

The list is asked once more right before the first byte; the attempt then ends as one of which nothing was sent, and another endpoint is chosen. The endpoint's record is not held against it.

Nothing is known red.

--- a/src/relay_server/list_spread_tests/mod.rs
+++ b/src/relay_server/list_spread_tests/mod.rs
@@ -61,6 +61,7 @@
     WriteElsewhere,
     Access(Vec<usize>, Access),
     Reset(Vec<usize>),
+    Silence(Vec<usize>),
     Freeze(Vec<usize>, u64),
     Kill(Vec<usize>),
     Start(Vec<usize>),
@@ -125,7 +126,7 @@
         let at_ms = at(world);
         let for_ms = world.rng.random_range(500..7_000);
         let end_ms = at_ms + for_ms;
-        match world.rng.random_range(0..6) {
+        match world.rng.random_range(0..7) {
             0 | 1 => {
                 acts.push((at_ms, Act::Access(who.clone(), Access::Refuses)));
                 acts.push((end_ms, Act::Access(who, Access::Answers)));
@@ -136,6 +137,7 @@
             }
             3 => acts.push((at_ms, Act::Reset(who))),
             4 => acts.push((at_ms, Act::Freeze(who, for_ms))),
+            5 => acts.push((at_ms, Act::Silence(who))),
             _ => {
                 acts.push((at_ms, Act::Kill(who.clone())));
                 acts.push((end_ms, Act::Start(who)));
@@ -166,6 +168,7 @@
         Act::WriteElsewhere => world.write_elsewhere(),
         Act::Access(who, access) => who.iter().for_each(|it| world.set_access(*it, *access)),
         Act::Reset(who) => who.iter().for_each(|it| world.reset(*it)),
+        Act::Silence(who) => who.iter().for_each(|it| world.silence(*it)),
         Act::Freeze(who, for_ms) => who.iter().for_each(|it| world.freeze(*it, *for_ms)),
         Act::Kill(who) => who.iter().for_each(|it| world.kill(*it)),
         Act::Start(who) => who.iter().for_each(|it| world.start(*it)),
--- a/src/relay_server/list_spread_tests/world.rs
+++ b/src/relay_server/list_spread_tests/world.rs
@@ -174,13 +174,16 @@
         match access {
             Access::Answers => {}
             Access::Refuses => self.reset(index),
-            Access::Silent => {
-                let of_it = self.waiting.iter_mut().filter(|it| it.of == index);
-                of_it.for_each(|it| it.is_silent = true);
-            }
+            Access::Silent => self.silence(index),
         }
     }
 
+    /// The watch of the list that an instance has now is never answered; others are.
+    pub(super) fn silence(&mut self, index: usize) {
+        let of_it = self.waiting.iter_mut().filter(|it| it.of == index);
+        of_it.for_each(|it| it.is_silent = true);
+    }
+
     /// The connections of an instance to the store are reset.
     pub(super) fn reset(&mut self, index: usize) {
         let of_it = self.waiting.extract_if(.., |it| it.of == index);
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -122,7 +122,7 @@
         head: RequestHead,
         body: Bytes,
         now_ms: u64,
-        _may_send: F,
+        may_send: F,
     ) -> Result<Exchange, UpstreamFailure>
     where
         F: FnOnce() -> bool,
@@ -131,6 +131,9 @@
             Some(framed) => framed,
             None => self.connect(address).await?,
         };
+        if !may_send() {
+            return Err(UpstreamFailure::Withdrawn);
+        }
         let size = if body.is_empty() {
             BodySize::None
         } else {
