Test: an endpoint's word counts where the store answers anybody who runs

A store that answers nobody is away for all, for which the bound does not hold; such words are left out.

--- a/src/relay_server/list_spread_tests/mod.rs
+++ b/src/relay_server/list_spread_tests/mod.rs
@@ -195,7 +195,10 @@
             let at_ms = begin_ms + at_ms;
             world.run_until(at_ms);
             perform(&mut world, act);
-            if let Act::Leave(id, _) = act {
+            // A store that answers nobody who runs is away for all, and its word is not heard by anybody.
+            if let Act::Leave(id, _) = act
+                && world.is_anybody_answered()
+            {
                 left.push(Leave {
                     id: id.clone(),
                     said_ms: at_ms,
--- a/src/relay_server/list_spread_tests/world.rs
+++ b/src/relay_server/list_spread_tests/world.rs
@@ -193,6 +193,13 @@
         }
     }
 
+    /// Whether the store answers an instance that runs.
+    pub(super) fn is_anybody_answered(&self) -> bool {
+        let mut instances = self.instances.iter();
+        instances
+            .any(|it| it.access == Access::Answers && matches!(it.process, Process::Runs { .. }))
+    }
+
     pub(super) fn write_elsewhere(&mut self) {
         self.store.write_elsewhere();
     }
