--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,15 +7,27 @@
 mod attempts;
 mod budget;
 mod events;
+mod go_on;
+mod limits;
+#[cfg(test)]
+mod limits_tests;
+mod pool;
+#[cfg(test)]
+mod pool_tests;
 mod refusal;
 mod run_times;
 mod stall;
 #[cfg(test)]
 mod tests;
+mod window;
 
 pub use attempts::{AttemptEnd, Attempts, NextStep};
 pub use budget::{BudgetShare, RepeatPurpose, RetryBudget};
 pub use events::{EventSplitter, SplitError, WholeEvents};
+pub use go_on::Lack;
+pub use limits::{AttemptLimit, GivenUp};
+pub use pool::RepeatAmount;
+pub(crate) use pool::part_of_need;
 pub use refusal::{FinalWord, Outlook, RefusalCause};
 pub use run_times::RunTimes;
 pub use stall::{StallStep, StallWatch};
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -156,6 +156,7 @@
             list_age_ms: self.fleet.age_ms(now_ms),
             store_age_ms: answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
             held: Vec::new(),
+            repeat_needs: Vec::new(),
         }
     }
 
@@ -188,10 +189,11 @@
         self.book.hear(heartbeat, from, now_ms);
         let sent_ms = self.book.own_sending_heard(echo);
         let newest_at_ms = sent_ms.map(|it| it.saturating_sub(heartbeat.list_age_ms));
-        let knows_list =
-            list_sync::hear_mark(&mut self.log, &mut self.fleet, heartbeat.list, newest_at_ms);
+        let (log, fleet) = (&mut self.log, &mut self.fleet);
+        let peer = &heartbeat.instance;
+        let knows_list = list_sync::hear_mark(log, fleet, peer, heartbeat.list, newest_at_ms);
         for id in &heartbeat.leaving {
-            self.fleet.told_leaving(id, now_ms);
+            self.fleet.told_leaving(peer, id, now_ms);
         }
         !knows_list
     }
@@ -262,6 +264,8 @@
         now_ms: u64,
     ) {
         let (log, fleet) = (&mut self.log, &mut self.fleet);
-        list_sync::take_update(log, fleet, update, asked_with, newest_at_ms, now_ms);
+        // Only log lines tell which one it was.
+        let peer = InstanceId::from("peer");
+        list_sync::take_update(log, fleet, &peer, update, asked_with, newest_at_ms, now_ms);
     }
 }
--- a/src/relay_server/list_sync.rs
+++ b/src/relay_server/list_sync.rs
@@ -5,7 +5,8 @@
 
 use super::adapter::FeedRead;
 use super::list_log::{ListLog, ListMark, ListNews};
-use crate::fleet::{Fleet, FleetChange, ListingRead};
+use crate::fleet::{Fleet, FleetChange, InfoPath, ListingRead};
+use crate::ids::InstanceId;
 
 /// What a peer tells of the list of endpoints.
 #[derive(Debug, Serialize, Deserialize)]
@@ -59,12 +60,14 @@
 pub(super) fn take_update(
     log: &mut ListLog,
     fleet: &mut Fleet,
+    peer: &InstanceId,
     update: ListUpdate,
     asked_with: u64,
     newest_at_ms: u64,
     now_ms: u64,
 ) -> Vec<FleetChange> {
     let ListUpdate { mark, news } = update;
+    let path = InfoPath::PeerList(peer.clone());
     let own = log.mark().position;
     let mut changes = Vec::new();
     match news {
@@ -74,17 +77,17 @@
         ListNews::Changes(reads) => {
             for it in reads {
                 log.note(it.position, &it.read, it.was_away);
-                changes.extend(fleet.take(it.read, it.was_away, now_ms));
+                changes.extend(fleet.take_by(&path, it.read, it.was_away, now_ms));
             }
         }
         ListNews::Whole(_) if own >= mark.position => return changes,
         ListNews::Whole(entries) => {
             log.restart(mark);
-            changes = fleet.take_from_peer(entries, now_ms);
+            changes = fleet.take_from_peer(peer, entries, now_ms);
         }
     }
     log.confirm(mark);
-    fleet.confirm(newest_at_ms);
+    fleet.confirm_by(path, newest_at_ms);
     changes
 }
 
@@ -93,6 +96,7 @@
 pub(super) fn hear_mark(
     log: &mut ListLog,
     fleet: &mut Fleet,
+    peer: &InstanceId,
     mark: ListMark,
     newest_at_ms: Option<u64>,
 ) -> bool {
@@ -101,7 +105,7 @@
         && knows_list
         && mark.position > 0
     {
-        fleet.confirm(newest_at_ms);
+        fleet.confirm_by(InfoPath::Heartbeat(peer.clone()), newest_at_ms);
         log.confirm(mark);
     }
     knows_list
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -7,6 +7,7 @@
 mod checks;
 mod duty;
 mod feeds;
+mod fleet_lines;
 mod front;
 mod headers;
 mod heartbeat;
@@ -28,8 +29,12 @@
 mod reading;
 #[cfg(test)]
 mod reading_tests;
+mod repeat_loans;
+#[cfg(test)]
+mod repeat_loans_tests;
 mod request;
 mod run;
+mod send_view;
 mod settings;
 mod snapshot;
 mod store_contact;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -8,6 +8,7 @@
 
 use super::adapter::Adapter;
 use super::checks::CheckBook;
+use super::fleet_lines::log_changes;
 use super::heartbeat::Availability;
 use super::list_log::ListLog;
 use super::peer_book::PeerBook;
@@ -18,7 +19,7 @@
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Phase, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::placement::PlaceOrder;
-use crate::relay::{BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes};
+use crate::relay::{AttemptLimit, BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes};
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
@@ -72,7 +73,7 @@
             counters: Counters::new(),
             table: RefCell::default(),
             fleet: RefCell::default(),
-            budget: RefCell::default(),
+            budget: RefCell::new(RetryBudget::starting(boot_ms())),
             run_times: RefCell::default(),
             upstreams: Upstreams::new(),
             checks: RefCell::default(),
@@ -173,10 +174,10 @@
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
         let is_left = budget.take(service, share, purpose, boot_ms());
-        self.counters.count(if is_left {
-            "relay.repeats.allowed"
-        } else {
-            "relay.repeats.over_budget"
+        self.counters.count(match (is_left, purpose) {
+            (true, _) => "relay.repeats.allowed",
+            (false, RepeatPurpose::Begin) => "relay.repeats.over_budget_begin",
+            (false, RepeatPurpose::GoOn) => "relay.repeats.over_budget_go_on",
         });
         is_left
     }
@@ -188,6 +189,39 @@
         budget.has_left(service, share, purpose, boot_ms())
     }
 
+    /// Repeats left at this instance, for log lines.
+    pub(crate) fn repeats_left(&self, service: &ServiceName) -> u32 {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.left(service, share, boot_ms())
+    }
+
+    /// Counts a request that ended at a limit.
+    pub(crate) fn count_given_up(&self, limit: AttemptLimit) {
+        let name = format!("relay.given_up.{}", limit.name());
+        self.counters.count(&name);
+    }
+
+    /// When one more repeat will be within the budget by the passing of time; not after the present
+    /// if one is left now.
+    pub(crate) fn next_repeat_ms(
+        &self,
+        service: &ServiceName,
+        purpose: RepeatPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.next_left_ms(service, share, purpose, now_ms)
+    }
+
+    /// Notes that a repeat is waited for, so that one is asked for of other instances.
+    pub(crate) fn await_repeat(&self, service: &ServiceName, purpose: RepeatPurpose) {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.await_one(service, share, purpose, boot_ms());
+    }
+
     /// What decides when a refused request should be asked for again.
     pub(crate) fn outlook(&self, load_ms: u64, run_ms: u64) -> Outlook {
         Outlook {
@@ -292,7 +326,7 @@
 
     /// Acts on changes of the endpoint list that concern this instance only, with a line on each.
     pub(crate) fn take_changes(&self, changes: &[FleetChange]) {
-        self.log_changes(changes);
+        log_changes(&self.fleet.borrow(), changes, boot_ms());
         for change in changes {
             match change {
                 FleetChange::Restarted { address, .. } => {
@@ -307,43 +341,6 @@
         }
     }
 
-    fn log_changes(&self, changes: &[FleetChange]) {
-        for change in changes {
-            match change {
-                FleetChange::Joined(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint joined");
-                }
-                FleetChange::Restarted { ended, begun, .. } => {
-                    log::info!(
-                        endpoint = begun.as_str(),
-                        ended = ended.as_str();
-                        "endpoint has started again"
-                    );
-                }
-                FleetChange::Unusable(entry) => {
-                    log::warn!(
-                        entry = entry.name.as_str(),
-                        fault:% = entry.fault;
-                        "entry of the endpoint list is not used"
-                    );
-                }
-                FleetChange::Leaving(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint is leaving");
-                }
-                FleetChange::Gone(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint is gone");
-                }
-                FleetChange::Lapsed(id) => {
-                    log::info!(endpoint = id.as_str(); "endpoint has lapsed");
-                }
-                FleetChange::Layers(id, layers) => {
-                    let (first, end) = layers.map_or((0, 0), |it| (it.first, it.end));
-                    log::info!(endpoint = id.as_str(), first, end; "endpoint holds other layers");
-                }
-            }
-        }
-    }
-
     /// Counts the tokens of a stream at the engines of its chain, or takes them off.
     pub(crate) fn hold_tokens(&self, chain: &Chain, tokens: u64, is_held: bool) {
         let mut fleet = self.fleet.borrow_mut();
@@ -363,7 +360,8 @@
         }
     }
 
-    fn budget_share(&self) -> BudgetShare {
+    /// What all instances may repeat together, as far as it is known here.
+    pub(super) fn budget_share(&self) -> BudgetShare {
         let bounds = &self.settings.bounds;
         BudgetShare {
             ratio: bounds.retry_ratio,
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -22,6 +22,7 @@
 use super::peer::Informant;
 use crate::clients::{HttpCall, HttpFailure, HttpPeer};
 use crate::clock::boot_ms;
+use crate::ids::InstanceId;
 use crate::route_table::SourcedTable;
 
 /// Pause between two looks at whether a peer knows more.
@@ -220,7 +221,7 @@
         let sent_ms = boot_ms();
         let known = known_here(node);
         let taken = match fetch(peer, known).await {
-            Ok(snapshot) => take(node, snapshot, known, sent_ms),
+            Ok(snapshot) => take(node, peer, snapshot, known, sent_ms),
             Err(failure) => Err(failure),
         };
         match taken {
@@ -254,6 +255,7 @@
 /// what is counted from `sent_ms` is on the safe side however long question and answer took.
 fn take<A>(
     node: &Rc<Node<A>>,
+    peer: &Informant,
     snapshot: Snapshot,
     asked_with: Known,
     sent_ms: u64,
@@ -262,7 +264,7 @@
     A: Adapter,
 {
     if let Some(endpoints) = snapshot.endpoints {
-        take_endpoints(node, endpoints, asked_with, sent_ms);
+        take_endpoints(node, &peer.instance, endpoints, asked_with, sent_ms);
     }
     if let Some(document) = snapshot.document {
         let newest_at_ms = sent_ms.saturating_sub(document.age_ms);
@@ -273,13 +275,19 @@
     Ok(())
 }
 
-fn take_endpoints<A>(node: &Node<A>, endpoints: Aged<ListUpdate>, asked_with: Known, sent_ms: u64)
-where
+fn take_endpoints<A>(
+    node: &Node<A>,
+    peer: &InstanceId,
+    endpoints: Aged<ListUpdate>,
+    asked_with: Known,
+    sent_ms: u64,
+) where
     A: Adapter,
 {
     let changes = list_sync::take_update(
         &mut node.list_log.borrow_mut(),
         &mut node.fleet.borrow_mut(),
+        peer,
         endpoints.content,
         asked_with.list,
         sent_ms.saturating_sub(endpoints.age_ms),
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -1,6 +1,8 @@
 //! Streams of model engines: their runs, one after another, and events passed on as they come.
-//! Which chain a run gets is in `plan`, what is done about a silence in `repair`.
+//! Which chain a run gets is in `plan`, what an answer under way waits for between two runs in `go_on`,
+//! what is done about a silence in `repair`.
 
+mod go_on;
 mod plan;
 mod repair;
 
@@ -19,14 +21,15 @@
 use super::held_tokens::HeldTokens;
 use super::node::Node;
 use super::request::{RelayedRequest, instant_at};
+use super::send_view::SendView;
 use super::stream_answer::Opening;
 use super::upstream::{AnswerBody, Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, Trouble};
 use crate::ids::EndpointId;
 use crate::relay::{
-    AttemptEnd, Attempts, EventSplitter, FinalWord, NextStep, RefusalCause, RepeatPurpose,
-    StallWatch,
+    AttemptEnd, AttemptLimit, Attempts, EventSplitter, FinalWord, GivenUp, NextStep, RefusalCause,
+    RepeatPurpose, StallWatch,
 };
 
 /// Longest failure of an engine that is held to be passed on.
@@ -45,7 +48,7 @@
 /// What the caller hears at the end.
 enum Finish {
     Whole,
-    Word(FinalWord),
+    Word(GivenUp),
     /// Nobody is there any more to hear it.
     CallerLeft,
 }
@@ -81,6 +84,8 @@
     is_logged: bool,
     /// The chain of the newest run, for the log.
     chain: Option<Chain>,
+    /// What was known when the newest run was sent.
+    sent: SendView,
     runs: u32,
     repairs: u32,
     /// Longest time without an event.
@@ -110,6 +115,7 @@
             failure: None,
             is_logged: false,
             chain: None,
+            sent: SendView::default(),
             runs: 0,
             repairs: 0,
             longest_gap_ms: 0,
@@ -132,7 +138,8 @@
         self.is_logged = true;
         self.log_end(&finish);
         self.note_run_time(&finish);
-        if let Finish::Word(word) = finish {
+        if let Finish::Word(GivenUp { word, limit }) = finish {
+            self.node.count_given_up(limit);
             // A failure that an engine answered with says more than a word of our own.
             let answer = self.failure.take().ok_or(word);
             match self.opening.take() {
@@ -148,8 +155,7 @@
 
     async fn serve(&mut self) -> Finish {
         loop {
-            self.forget_ended();
-            let chain = match self.plan_with_room().await {
+            let chain = match self.next_chain().await {
                 Ok(chain) => chain,
                 Err(cause) => {
                     self.log_no_chain(cause);
@@ -161,6 +167,8 @@
             }
             let first = chain.first().endpoint.clone();
             self.attempts.sending(&first);
+            let stages = chain.stages().iter().map(|stage| &stage.endpoint);
+            self.sent = SendView::new(&self.node, stages);
             self.chain = Some(chain.clone());
             self.runs += 1;
             let (end, cause_name, at_fault) = match self.run_once(chain).await {
@@ -175,10 +183,12 @@
                 at_fault = at_fault.as_str(),
                 end:? = end,
                 cause = cause_name,
+                known_at_send = self.sent.endpoints.as_str(),
+                list_at_send = self.sent.list.as_str(),
                 last_event = self.splitter.last_id();
                 "run failed"
             );
-            self.attempts.exclude(&at_fault);
+            self.attempts.exclude_for(&at_fault, end);
             let node = &self.node;
             let service = &self.request.service;
             let purpose = self.repeat_purpose();
@@ -186,13 +196,24 @@
                 .attempts
                 .ended(end, || node.take_repeat(service, purpose))
             {
-                NextStep::TryAgain => {}
-                NextStep::PassOn => return Finish::Word(FinalWord::Unknown),
-                NextStep::GiveUp(word) => return Finish::Word(word),
+                NextStep::TryAgain | NextStep::GoOn => {}
+                NextStep::PassOn(limit) => {
+                    let word = FinalWord::Unknown;
+                    return Finish::Word(GivenUp { word, limit });
+                }
+                NextStep::GiveUp(end) => return Finish::Word(end),
             }
         }
     }
 
+    async fn next_chain(&mut self) -> Result<Chain, RefusalCause> {
+        if self.attempts.has_begun() {
+            return Ok(self.chain_to_go_on().await);
+        }
+        self.forget_ended();
+        self.plan_with_room().await
+    }
+
     async fn run_once(&mut self, chain: Chain) -> RunEnd {
         let mut held = HeldTokens::begin(&self.node, chain, self.request.held_tokens());
         self.stall.run_begins(boot_ms());
@@ -223,6 +244,7 @@
             self.failure = self.read_failure(&head, body).await;
             return RunEnd::Failed(AttemptEnd::Failed, Trouble::Failed, first);
         }
+        self.attempts.answer_begins();
         if let Some(opening) = self.opening.take() {
             let sent = opening.send(Ok(Opening {
                 status: head.status,
@@ -342,9 +364,8 @@
     }
 
     fn note_event(&mut self, now_ms: u64) {
-        let silence_ms = self.stall.silence_ms(now_ms);
-        match self.first_event_ms {
-            Some(_) => self.longest_gap_ms = self.longest_gap_ms.max(silence_ms),
+        match self.stall.pause_ms(now_ms) {
+            Some(pause_ms) => self.longest_gap_ms = self.longest_gap_ms.max(pause_ms),
             None => self.first_event_ms = Some(now_ms),
         }
         self.stall.event(now_ms);
@@ -359,7 +380,7 @@
     /// What another run would be for.
     fn repeat_purpose(&self) -> RepeatPurpose {
         // The answer's head has gone out: whatever ends the request now cuts it off.
-        if self.opening.is_none() {
+        if self.attempts.has_begun() {
             RepeatPurpose::GoOn
         } else {
             RepeatPurpose::Begin
@@ -401,10 +422,10 @@
         let arrived_ms = self.request.arrived_ms;
         let took_ms = now_ms.saturating_sub(arrived_ms);
         let first_event_ms = self.first_event_ms.map(|at| at.saturating_sub(arrived_ms));
-        let outcome = match finish {
-            Finish::Whole => "whole",
-            Finish::Word(word) => word.name(),
-            Finish::CallerLeft => "caller_left",
+        let (outcome, limit) = match finish {
+            Finish::Whole => ("whole", None),
+            Finish::Word(end) => (end.word.name(), Some(end.limit)),
+            Finish::CallerLeft => ("caller_left", None),
         };
         if let Some(first_event_ms) = first_event_ms {
             self.node
@@ -423,6 +444,12 @@
             route = self.request.route.name.as_str(),
             chain = chain.as_deref().unwrap_or(""),
             outcome,
+            limit = limit.map(AttemptLimit::name),
+            repeats_left = self.node.repeats_left(&self.request.service),
+            sends = self.attempts.sends(),
+            turned_away = self.attempts.turned_away(),
+            known_at_send = self.sent.endpoints.as_str(),
+            list_at_send = self.sent.list.as_str(),
             took_ms,
             first_event_ms,
             longest_gap_ms = self.longest_gap_ms,
