--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -37,9 +37,10 @@
     /// Send it once more.
     TryAgain,
     /// Go on with the answer under way, once a chain has room and the budget a repeat left; none has
-    /// been taken yet. On a day of failing engines, 25 to 50 of 14,000 streams were cut off in four
-    /// plays where answers under way were given up like requests without any; none where they
-    /// wait (one play: of 47 that waited 22 came out whole, 22 callers left, 3 ran on at its end).
+    /// been taken yet. On a day of failing engines, 25 to 50 of 14,000 streams were cut off in each
+    /// of four plays where answers under way were given up like requests without any, and none in
+    /// two plays where they wait. Of the 90 that waited there 38 came out whole, with a pause of 0.6
+    /// and 0.8 s in the median; the callers of 49 left, 48 of them while no repeat was left.
     GoOn,
     /// Pass on the failure that the endpoint answered with.
     PassOn,
