--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -40,7 +40,7 @@
     /// been taken yet. On a day of failing engines, 25 to 50 of 14,000 streams were cut off in each
     /// of four plays where answers under way were given up like requests without any, and none in
     /// two plays where they wait. Of the 90 that waited there 38 came out whole, with a pause of 0.6
-    /// and 0.8 s in the median; the callers of 49 left, for want of a repeat.
+    /// and 0.8 s in the median; the callers of 49 left, 48 of them while no repeat was left.
     GoOn,
     /// Pass on the failure that the endpoint answered with; what kept it from another try.
     PassOn(AttemptLimit),
