--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -337,6 +337,24 @@
     assert_eq!(phase(&fleet), Some(Phase::Live));
 }
 
+/// An instance that is told by its peers heard that an endpoint leaves, and 200 ms later took a list from a
+/// peer that did not know it yet. 1.5 s after the word the endpoint took work again here, though no list
+/// as new as the word had shown it in service.
+#[test]
+fn a_peers_word_on_a_leaving_endpoint_outlasts_an_older_list() {
+    let phase = |fleet: &Fleet| fleet.iter().next().map(|known| known.listed.phase);
+    let mut fleet = fleet(vec![listed("a", "lac", None)]);
+    fleet.told_leaving(&teller(), &EndpointId::from("a"), 100);
+    fleet.take_from_peer(&teller(), vec![listed("a", "lac", None)], 300);
+    fleet.confirm(50);
+    fleet.settle(1_700);
+    assert_eq!(phase(&fleet), Some(Phase::Leaving));
+    // One that is as new as the word shows that the endpoint was only out of the list's reach.
+    fleet.confirm(200);
+    fleet.settle(1_900);
+    assert_eq!(phase(&fleet), Some(Phase::Live));
+}
+
 /// A caller's request was sent to an endpoint 3,016 ms after its word that it leaves; it had to be left
 /// alone after 3,000. In two later plays, with logs, an endpoint's entry was removed; the readers of one
 /// zone or two counted the store as away and held it, the others saw it removed and told everybody. The
