Fleet: a list older than a peer's word that an endpoint leaves does not end it

An instance that is told by its peers could choose an endpoint again 1.5 s after their word that it leaves: any list that it took meanwhile and that had the endpoint in service ended the word, however old the list was. It ends now only where the list known here is as new as the word.

Found by reading the lines on endpoints taken as live again; no play showed a request sent late by it. Two tests took reads without the moment of the call, which the product always notes behind a read; they note it now, and check what they checked.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -224,7 +224,9 @@
             // Shown in service since, or never shown otherwise: the peer may have seen it missing
             // for a moment that had passed here. An entry that is only held is not shown: callers'
             // requests went to such endpoints for up to 3.8 s after their entries were removed.
-            let is_live = told.is_live_again && now_ms >= over_ms;
+            // A list that is older than the word does not know of it.
+            let is_newer = newest_at_ms >= told.at_ms;
+            let is_live = told.is_live_again && is_newer && now_ms >= over_ms;
             let is_in_service = !known.is_held() && known.phase_in_list == Phase::Live;
             let is_never_gone = newest_at_ms >= over_ms && is_in_service;
             let reason = if is_live {
--- a/src/fleet/provenance_tests.rs
+++ b/src/fleet/provenance_tests.rs
@@ -113,6 +113,7 @@
     fleet.told_leaving(&peer(), &EndpointId::from("a"), 100);
     let read = ListingRead::changes(vec![listed("a")], vec![]);
     assert_eq!(fleet.take(read, false, 800), vec![]);
+    fleet.confirm(790);
     let expected = live_again(100, LiveReason::ListedSince);
     assert_eq!(fleet.settle(1_700), vec![expected]);
     assert_eq!(fleet.settle(1_900), vec![], "it is said once");
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -276,6 +276,7 @@
     assert_eq!(phase(&fleet), None);
     let back = ListingRead::changes(vec![listed("a", "lac", None)], vec![]);
     fleet.take(back, false, 800);
+    fleet.confirm(790);
     assert_eq!(
         phase(&fleet),
         Some(Phase::Leaving),
