Retry budget: what was borrowed and not used goes back

Cause: a loan that ended unused stayed charged to its lender for a window, and an instance asked for twice what its callers had asked for in a second, though those who are refused at once seldom come back to the same instance within two.

Now loans last one second, an instance asks for as much as was asked of it in the last second, and each heartbeat gives back what ended unused. The borrower drops it before it says so, the lender counts each return once, and only the process that lent takes it: a lost return leaves the loan charged, as before.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::pool::{RepeatAmount, deal};
+use super::pool::{Lender, RepeatAmount, RepeatLoan, Stock, deal};
 use super::window::Window;
 use crate::ids::ServiceName;
 
@@ -40,6 +40,8 @@
     services: IndexMap<ServiceName, Window>,
     /// When this process started, if another may have run in its place shortly before.
     started_ms: Option<u64>,
+    /// Names the next loan.
+    next_loan: u32,
 }
 
 impl RetryBudget {
@@ -122,32 +124,63 @@
         spare.sum()
     }
 
-    /// Grants each of what other instances want as much as this one can do without, in the order in
-    /// which it is wanted. What is granted is gone here, whether or not it arrives.
+    /// Lends each of what other instances want as much as this one can do without, in the order in
+    /// which it is wanted. What is lent is gone here, whether or not it arrives.
     pub fn lend(
         &mut self,
         wanted: &[RepeatAmount],
         share: BudgetShare,
         now_ms: u64,
-    ) -> Vec<RepeatAmount> {
-        deal(wanted, |service, purpose, wanted_milli| {
-            let window = self.window(service, share, now_ms);
-            window.lend(wanted_milli, share, purpose, now_ms)
-        })
+    ) -> Vec<RepeatLoan> {
+        let mut stock = OwnStock {
+            budget: self,
+            share,
+            now_ms,
+        };
+        deal(wanted, &mut stock)
     }
 
-    /// Takes in what another instance grants in answer to needs that were told at `asked_ms`. Each
-    /// grant must be taken in once.
+    /// Takes in what another instance lends in answer to needs that were told at `asked_ms`. Each
+    /// loan must be taken in once.
     pub fn borrow(
         &mut self,
-        granted: &[RepeatAmount],
+        loans: &[RepeatLoan],
+        lender: &Lender,
         share: BudgetShare,
         asked_ms: u64,
         now_ms: u64,
     ) {
-        for amount in granted {
+        for RepeatLoan { id, amount } in loans {
             let window = self.window(&amount.service, share, now_ms);
-            window.borrow(u64::from(amount.milli_repeats), amount.purpose, asked_ms);
+            let milli = u64::from(amount.milli_repeats);
+            window.borrow(lender, *id, milli, amount.purpose, asked_ms);
+        }
+    }
+
+    /// What is left of the loans that have ended since this was last asked. It is not used any more.
+    pub fn give_back(&mut self, now_ms: u64) -> Vec<(Lender, RepeatLoan)> {
+        let mut given = Vec::new();
+        for (service, window) in &mut self.services {
+            for purpose in [RepeatPurpose::GoOn, RepeatPurpose::Begin] {
+                given.extend(
+                    window
+                        .give_back(purpose, now_ms)
+                        .map(|(lender, id, milli)| {
+                            let amount = amount(service, purpose, milli);
+                            (lender, RepeatLoan { id, amount })
+                        }),
+                );
+            }
+        }
+        given
+    }
+
+    /// Takes back what others have not used of loans of this process.
+    pub fn take_back(&mut self, unused: &[RepeatLoan]) {
+        for RepeatLoan { id, amount } in unused {
+            if let Some(window) = self.services.get_mut(&amount.service) {
+                window.take_back(*id, u64::from(amount.milli_repeats));
+            }
         }
     }
 
@@ -162,6 +195,31 @@
     }
 }
 
+/// What one instance can lend at one moment.
+struct OwnStock<'a> {
+    budget: &'a mut RetryBudget,
+    share: BudgetShare,
+    now_ms: u64,
+}
+
+impl Stock for OwnStock<'_> {
+    fn spare_milli(&mut self, service: &ServiceName, purpose: RepeatPurpose) -> u64 {
+        let window = self.budget.window(service, self.share, self.now_ms);
+        window.spare_milli(self.share, purpose, self.now_ms)
+    }
+
+    fn lend(&mut self, amount: RepeatAmount) -> RepeatLoan {
+        let id = self.budget.next_loan;
+        self.budget.next_loan = id.wrapping_add(1);
+        if amount.milli_repeats > 0 {
+            let window = self.budget.window(&amount.service, self.share, self.now_ms);
+            let milli = u64::from(amount.milli_repeats);
+            window.lend(id, milli, self.share, self.now_ms);
+        }
+        RepeatLoan { id, amount }
+    }
+}
+
 fn amount(service: &ServiceName, purpose: RepeatPurpose, milli: u64) -> RepeatAmount {
     RepeatAmount {
         service: service.clone(),
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use super::budget::{BudgetShare, RepeatPurpose};
-use super::pool::{LOAN_LIFE_MS, Loans, REPEAT_MILLI};
+use super::pool::{Borrowed, LOAN_LIFE_MS, Lender, Lent, REPEAT_MILLI};
 
 /// Part of the allowance that is used. The rest covers requests that are counted in the window
 /// of another instance, and processes that start with an empty memory.
@@ -29,13 +29,10 @@
 /// half a second, 1 of 10 without).
 const KEPT_TO_GO_ON_PART: f64 = GO_ON_PART / 2.0;
 
-/// How far back the demand is looked at: the callers who were refused meanwhile come back.
+/// How far back the demand is looked at; as many repeats again are to be at hand. Callers who were refused
+/// come back within it, and twice as many at hand were used no better (simulated).
 const DEMAND_MS: u64 = 1_000;
 
-/// Repeats to have at hand for each one asked for in [`DEMAND_MS`]. A loan takes up to two heartbeats
-/// to come; demand that doubles within that time is met.
-const AT_HAND: u64 = 2;
-
 /// One service's requests and repeats of the last window.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Window {
@@ -44,11 +41,11 @@
     /// When repeats were asked for, whether or not one was left.
     asked: VecDeque<AskedRepeat>,
     /// Parts of the own share that others use.
-    lent: Loans,
+    lent: Lent,
     /// Parts of others' shares to use here.
-    borrowed: Loans,
+    borrowed: Borrowed,
     /// The same, only to go on with answers.
-    borrowed_to_go_on: Loans,
+    borrowed_to_go_on: Borrowed,
     /// Until when a process that ended here may count in a window.
     starting_until_ms: Option<u64>,
 }
@@ -121,8 +118,6 @@
         drop_while(&mut self.repeats, |repeat| repeat.at_ms < from_ms);
         drop_while(&mut self.asked, |it| it.at_ms + DEMAND_MS < now_ms);
         self.lent.forget_ended(now_ms);
-        self.borrowed.forget_ended(now_ms);
-        self.borrowed_to_go_on.forget_ended(now_ms);
     }
 
     pub(super) fn has_left(&self, share: BudgetShare, purpose: RepeatPurpose, at_ms: u64) -> bool {
@@ -153,7 +148,7 @@
         let is_asked = |it: &&AskedRepeat| it.purpose == purpose && now_ms <= it.at_ms + DEMAND_MS;
         let asked = self.asked.iter().filter(is_asked).count() as u64;
         let left = self.standing(share, now_ms).left_milli(purpose);
-        (asked * AT_HAND * REPEAT_MILLI).saturating_sub(left)
+        (asked * REPEAT_MILLI).saturating_sub(left)
     }
 
     /// What others may have. A process that has just started lends nothing: its share may have been
@@ -178,30 +173,45 @@
         left.saturating_sub(kept)
     }
 
-    /// Charges the own share with a loan of what can be spared, and returns how much that is. The loan
-    /// may be used until its life is over, and a window may begin just then.
-    pub(super) fn lend(
+    /// Charges the own share with a loan. It may be used until its life is over, and a window may
+    /// begin just then.
+    pub(super) fn lend(&mut self, id: u32, milli: u64, share: BudgetShare, now_ms: u64) {
+        let until_ms = now_ms + LOAN_LIFE_MS + share.window_ms;
+        self.lent.add(id, milli, until_ms);
+    }
+
+    /// Takes back what another instance has not used of a loan and will not use.
+    pub(super) fn take_back(&mut self, id: u32, milli: u64) {
+        self.lent.take_back(id, milli);
+    }
+
+    /// Takes a loan that was asked for at `asked_ms`, which is before the lender heard of it.
+    pub(super) fn borrow(
+        &mut self,
+        lender: &Lender,
+        id: u32,
+        milli: u64,
+        purpose: RepeatPurpose,
+        asked_ms: u64,
+    ) {
+        let until_ms = asked_ms + LOAN_LIFE_MS;
+        self.borrowed_for(purpose).add(lender, id, milli, until_ms);
+    }
+
+    /// Loans for a purpose that have ended unused, with what is left of them.
+    pub(super) fn give_back(
         &mut self,
-        wanted_milli: u64,
-        share: BudgetShare,
         purpose: RepeatPurpose,
         now_ms: u64,
-    ) -> u64 {
-        let milli = wanted_milli.min(self.spare_milli(share, purpose, now_ms));
-        if milli > 0 {
-            let until_ms = now_ms + LOAN_LIFE_MS + share.window_ms;
-            self.lent.add(milli, until_ms);
-        }
-        milli
+    ) -> impl Iterator<Item = (Lender, u32, u64)> {
+        self.borrowed_for(purpose).take_ended(now_ms)
     }
 
-    /// Takes a loan that was asked for at `asked_ms`, which is before the lender heard of it.
-    pub(super) fn borrow(&mut self, milli: u64, purpose: RepeatPurpose, asked_ms: u64) {
-        let loans = match purpose {
+    fn borrowed_for(&mut self, purpose: RepeatPurpose) -> &mut Borrowed {
+        match purpose {
             RepeatPurpose::Begin => &mut self.borrowed,
             RepeatPurpose::GoOn => &mut self.borrowed_to_go_on,
-        };
-        loans.add(milli, asked_ms + LOAN_LIFE_MS);
+        }
     }
 
     /// When a repeat is left, if only time passes; never, if the own share is too small for one.
--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -10,7 +10,7 @@
 use super::list_log::ListMark;
 use crate::fleet::EngineLoad;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
-use crate::relay::RepeatAmount;
+use crate::relay::{RepeatAmount, RepeatLoan};
 use crate::wire::engine::LayerRange;
 
 /// What an instance tells the others of itself and of the endpoints.
@@ -70,7 +70,9 @@
 pub(crate) struct Answer {
     pub(super) echo: Option<Echo>,
     /// Repeats lent for the needs in the heartbeat that `echo` names.
-    pub(super) lent: Vec<RepeatAmount>,
+    pub(super) lent: Vec<RepeatLoan>,
+    /// What the sender has not used of the recipient's loans.
+    pub(super) given_back: Vec<RepeatLoan>,
 }
 
 /// Whether callers should come to an instance.
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -14,6 +14,7 @@
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
 use crate::placement::PlaceOrder;
+use crate::relay::Lender;
 use crate::wire::engine::LayerRange;
 
 /// Pause between two heartbeats.
@@ -183,6 +184,13 @@
         })
     }
 
+    /// Where the process that lent repeats takes heartbeats, if it is known to run still.
+    pub(super) fn address_of(&self, lender: &Lender) -> Option<SocketAddr> {
+        let peer = self.peers.get(&lender.instance);
+        let peer = peer.filter(|it| it.incarnation == lender.incarnation);
+        peer.map(|it| it.address)
+    }
+
     /// Whether a heartbeat was sent after all that were heard of its process.
     pub(super) fn is_newest(&self, heartbeat: &Heartbeat) -> bool {
         let known = self.peers.get(&heartbeat.instance);
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -80,7 +80,7 @@
         let recipients = peers.recipients(own.availability, now_ms);
         (heartbeat, recipients, loads, wants(&mut peers, now_ms))
     };
-    let mut lent = node.lend_repeats(wants);
+    let mut answers = node.answer_needs(wants, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
     for recipient in &recipients {
@@ -96,7 +96,7 @@
         }
         let answer = Answer {
             echo: recipient.echo,
-            lent: lent.swap_remove(&recipient.address).unwrap_or_default(),
+            ..answers.swap_remove(&recipient.address).unwrap_or_default()
         };
         send_one(node, socket, &shared[&recipient.zone], &answer, recipient).await;
     }
@@ -230,7 +230,7 @@
     confirm(node, &heartbeat, own_sent_ms);
     // One that came twice must not lend twice.
     if let Some(asked_ms) = own_sent_ms.filter(|_| is_newest) {
-        node.borrow_repeats(&answer.lent, asked_ms, now_ms);
+        node.take_loans(&heartbeat, &answer, asked_ms, now_ms);
     }
     for id in &heartbeat.unsound {
         if let Some(stage) = node.told_unsound(id) {
--- a/src/relay_server/repeat_loans.rs
+++ b/src/relay_server/repeat_loans.rs
@@ -1,18 +1,19 @@
 //! Repeats that the instances of a zone lend one another, carried by their heartbeats.
 //!
 //! One that lacks repeats says so to its zone; the next heartbeat of each that can spare some brings
-//! its part. So a loan is there two heartbeats after the need, half a second at most.
+//! its part. So a loan is there two heartbeats after the need, half a second at most. What ends unused goes back
+//! with the next heartbeat; if that is lost, it stays charged until no window can hold its use.
 
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
 
 use super::adapter::Adapter;
+use super::heartbeat::{Answer, Heartbeat};
 use super::node::Node;
 use super::peer_book::PeerBook;
-use crate::clock::boot_ms;
 use crate::ids::ServiceName;
-use crate::relay::{RepeatAmount, RepeatPurpose, part_of_need};
+use crate::relay::{Lender, RepeatAmount, RepeatLoan, RepeatPurpose, part_of_need};
 
 /// What a peer wants of this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,38 +66,62 @@
         budget.needs(share, now_ms)
     }
 
-    /// Lends peers what this instance can spare, by the address of the recipient.
-    pub(super) fn lend_repeats(&self, wants: Vec<Want>) -> IndexMap<SocketAddr, Vec<RepeatAmount>> {
-        let mut lent: IndexMap<SocketAddr, Vec<RepeatAmount>> = IndexMap::new();
-        if wants.is_empty() {
-            return lent;
-        }
+    /// Lends peers what this instance can spare, and gives back what it has not used, by the address of
+    /// the recipient.
+    pub(super) fn answer_needs(
+        &self,
+        wants: Vec<Want>,
+        now_ms: u64,
+    ) -> IndexMap<SocketAddr, Answer> {
+        let mut answers: IndexMap<SocketAddr, Answer> = IndexMap::new();
         let (addresses, amounts): (Vec<_>, Vec<_>) =
             wants.into_iter().map(|it| (it.address, it.amount)).unzip();
         let share = self.budget_share();
-        let granted = self.budget.borrow_mut().lend(&amounts, share, boot_ms());
-        self.count_milli("relay.repeats.lent_milli", &granted);
-        for (address, amount) in addresses.into_iter().zip(granted) {
-            if amount.milli_repeats > 0 {
-                lent.entry(address).or_default().push(amount);
+        let mut budget = self.budget.borrow_mut();
+        let loans = budget.lend(&amounts, share, now_ms);
+        self.count_milli("relay.repeats.lent_milli", &loans);
+        for (address, loan) in addresses.into_iter().zip(loans) {
+            if loan.amount.milli_repeats > 0 {
+                answers.entry(address).or_default().lent.push(loan);
+            }
+        }
+        let peers = self.peers.borrow();
+        for (lender, unused) in budget.give_back(now_ms) {
+            if let Some(address) = peers.address_of(&lender) {
+                answers.entry(address).or_default().given_back.push(unused);
             }
         }
-        lent
+        answers
     }
 
-    /// Takes in what a peer lends for needs that this instance told at `asked_ms`.
-    pub(super) fn borrow_repeats(&self, lent: &[RepeatAmount], asked_ms: u64, now_ms: u64) {
-        if lent.is_empty() {
+    /// Takes in what a peer lends for needs that this instance told at `asked_ms`, and what it gives back.
+    pub(super) fn take_loans(
+        &self,
+        heartbeat: &Heartbeat,
+        answer: &Answer,
+        asked_ms: u64,
+        now_ms: u64,
+    ) {
+        if answer.lent.is_empty() && answer.given_back.is_empty() {
             return;
         }
+        let lender = Lender {
+            instance: heartbeat.instance.clone(),
+            incarnation: heartbeat.incarnation,
+        };
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
-        budget.borrow(lent, share, asked_ms, now_ms);
-        self.count_milli("relay.repeats.borrowed_milli", lent);
+        budget.borrow(&answer.lent, &lender, share, asked_ms, now_ms);
+        budget.take_back(&answer.given_back);
+        self.count_milli("relay.repeats.borrowed_milli", &answer.lent);
+        self.count_milli("relay.repeats.taken_back_milli", &answer.given_back);
     }
 
-    fn count_milli(&self, name: &str, amounts: &[RepeatAmount]) {
-        let sum = amounts.iter().map(|it| u64::from(it.milli_repeats)).sum();
-        self.counters.add(name, sum);
+    fn count_milli(&self, name: &str, loans: &[RepeatLoan]) {
+        if loans.is_empty() {
+            return;
+        }
+        let milli = |it: &RepeatLoan| u64::from(it.amount.milli_repeats);
+        self.counters.add(name, loans.iter().map(milli).sum());
     }
 }
