Budget: a repeat that was not sent goes back

What callers saw: refusals for want of a repeat, and answers under way that waited for one, while the budget was spent on connections that never came about. Cause: each attempt that ended as NotSent had taken a repeat, and the next one took another, though no byte had left the instance and nothing had arrived that the limit on repeats counts. Now the repeat of such an attempt is put back before the next step is decided. Only one that was taken for that very send goes back, and only once; every other end keeps it. Tests: unsent_tests.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -64,6 +64,8 @@
     turned_away: u32,
     /// Runs that have ended, or may have.
     runs: u32,
+    /// A repeat was taken out of the budget for the send under way or the next one.
+    holds_repeat: bool,
     /// The head of an answer has gone out: the caller holds a part of it.
     has_begun: bool,
     sends: u32,
@@ -80,6 +82,7 @@
             under_way: None,
             turned_away: 0,
             runs: 0,
+            holds_repeat: false,
             has_begun: false,
             sends: 0,
         }
@@ -140,6 +143,17 @@
         }
     }
 
+    /// Notes that a repeat was taken out of the budget for the next send.
+    pub fn takes_repeat(&mut self) {
+        self.holds_repeat = true;
+    }
+
+    /// Whether the repeat of an attempt that ended so must be put back into the budget: nothing has
+    /// arrived anywhere that the limit on repeats could count.
+    pub fn gives_back(&mut self, end: AttemptEnd) -> bool {
+        std::mem::take(&mut self.holds_repeat) && end == AttemptEnd::NotSent
+    }
+
     /// Forgets the endpoints that have ended: nothing runs there any more.
     pub fn forget_ended<F>(&mut self, has_ended: F)
     where
@@ -174,7 +188,12 @@
                 self.ran_on.extend(endpoint);
             }
         }
-        let next = self.allowed(has_budget);
+        let mut is_taken = false;
+        let next = self.allowed(|| {
+            is_taken = has_budget();
+            is_taken
+        });
+        self.holds_repeat = is_taken;
         match (end, next) {
             (AttemptEnd::Failed, NextStep::GiveUp(end)) => NextStep::PassOn(end.limit),
             (_, next) => next,
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -102,6 +102,14 @@
         is_left
     }
 
+    /// Puts a repeat back that was taken and not used. Which one makes no difference beyond the time
+    /// that both were under way.
+    pub fn give_back(&mut self, service: &ServiceName) {
+        if let Some(window) = self.services.get_mut(service) {
+            window.repeats_ms.pop_back();
+        }
+    }
+
     /// Repeats within the budget that are left, for log lines.
     pub fn left(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> u32 {
         let window = self.window(service, share, now_ms);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,8 @@
 mod stall_tests;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod unsent_tests;
 
 pub use attempts::{AttemptEnd, Attempts, NextStep};
 pub use budget::{BudgetShare, RepeatPurpose, RetryBudget};
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -202,6 +202,12 @@
         is_left
     }
 
+    /// Puts a repeat back of which nothing arrived anywhere.
+    pub(crate) fn give_back_repeat(&self, service: &ServiceName) {
+        self.counters.count("relay.repeats.given_back");
+        self.budget.borrow_mut().give_back(service);
+    }
+
     /// Whether one more repeat is within the budget.
     pub(crate) fn has_repeat(&self, service: &ServiceName, purpose: RepeatPurpose) -> bool {
         let share = self.budget_share();
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -124,6 +124,9 @@
         if end == AttemptEnd::TurnedAway {
             cause = RefusalCause::Full;
         }
+        if attempts.gives_back(end) {
+            node.give_back_repeat(&request.service);
+        }
         match attempts.ended(end, || {
             node.take_repeat(&request.service, RepeatPurpose::Begin)
         }) {
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -193,6 +193,9 @@
             let node = &self.node;
             let service = &self.request.service;
             let purpose = self.repeat_purpose();
+            if self.attempts.gives_back(end) {
+                node.give_back_repeat(service);
+            }
             match self
                 .attempts
                 .ended(end, || node.take_repeat(service, purpose))
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -36,8 +36,8 @@
         }
     }
 
-    fn next_run(&self, now_ms: u64) -> Result<Chain, Lack> {
-        let service = &self.request.service;
+    fn next_run(&mut self, now_ms: u64) -> Result<Chain, Lack> {
+        let service = &self.request.service.clone();
         // First, since it costs least to find out.
         let due_ms = self
             .node
@@ -54,6 +54,7 @@
         if !self.node.take_repeat(service, RepeatPurpose::GoOn) {
             return Err(Lack::Repeat { due_ms: now_ms });
         }
+        self.attempts.takes_repeat();
         Ok(chain)
     }
 
