Streams: engines that are sound by now go on with an answer that no others can

What callers saw: answers under way that waited until their caller left or their time was over. Cause: an engine that was left out of a request stayed so for its whole life, also when the cause was false or past; once the request had run on as many engines as it may, only those may take it, and if they were left out none was left. Now, when no chain is found for an answer under way, the engines left out that take work by their standing are let in again and a chain is looked for once more. Those that are in doubt, have ended or are leaving stay out, and so does everything where the caller holds no part of an answer yet. Test: unsent_tests.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Lets endpoints that are sound by now take the request again. For an answer under way that no
+    /// others can go on with: what they were left out for may be false or past, while its end is sure.
+    pub fn readmit<F>(&mut self, is_sound: F)
+    where
+        F: Fn(&EndpointId) -> bool,
+    {
+        self.excluded.retain(|endpoint| !is_sound(endpoint));
+    }
+
     /// Notes that a repeat was taken out of the budget for the next send.
     pub fn takes_repeat(&mut self) {
         self.holds_repeat = true;
--- a/src/relay/unsent_tests.rs
+++ b/src/relay/unsent_tests.rs
@@ -1,4 +1,4 @@
-//! Attempts of which no byte left the instance.
+//! Attempts of which no byte left the instance, and engines that are let in again.
 
 use super::*;
 use crate::ids::{EndpointId, ServiceName};
@@ -56,3 +56,13 @@
     budget.give_back(&service);
     assert!(budget.take(&service, share, RepeatPurpose::GoOn, 2));
 }
+
+#[test]
+fn only_engines_that_are_sound_are_let_in_again() {
+    let (sound, dead) = (EndpointId::from("a"), EndpointId::from("b"));
+    let mut attempts = after_a_lost_run();
+    attempts.exclude(&sound);
+    attempts.exclude(&dead);
+    attempts.readmit(|endpoint| *endpoint == sound);
+    assert_eq!(attempts.excluded().iter().collect::<Vec<_>>(), [&dead]);
+}
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -4,7 +4,7 @@
 
 use super::StreamRelay;
 use crate::clock::boot_ms;
-use crate::fleet::Chain;
+use crate::fleet::{Chain, KnownEndpoint};
 use crate::relay::{Lack, RepeatPurpose};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::request::instant_at;
@@ -45,7 +45,10 @@
         if due_ms > now_ms {
             return Err(Lack::Repeat { due_ms });
         }
-        let chain = self.plan(None).ok_or(Lack::Chain)?;
+        let chain = match self.plan(None) {
+            Some(chain) => chain,
+            None => self.plan_with_readmitted().ok_or(Lack::Chain)?,
+        };
         let until_ms = self.full_until_ms(&chain);
         if until_ms > now_ms {
             return Err(Lack::Room { until_ms });
@@ -58,6 +61,15 @@
         Ok(chain)
     }
 
+    /// A chain over engines that were left out of this request and are sound by now.
+    fn plan_with_readmitted(&mut self) -> Option<Chain> {
+        let fleet = self.node.fleet.borrow();
+        self.attempts
+            .readmit(|id| fleet.get(id).is_some_and(KnownEndpoint::takes_work));
+        drop(fleet);
+        self.plan(None)
+    }
+
     /// Until when an engine of the chain counts as full.
     fn full_until_ms(&self, chain: &Chain) -> u64 {
         let fleet = self.node.fleet.borrow();
