--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -98,6 +98,13 @@
         is_left
     }
 
+    /// Puts a repeat back that was taken and not sent.
+    pub fn cancel(&mut self, service: &ServiceName) {
+        if let Some(window) = self.services.get_mut(service) {
+            window.cancel_newest();
+        }
+    }
+
     /// Repeats within the budget that are left, for log lines.
     pub fn left(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> u32 {
         let window = self.window(service, share, now_ms);
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -146,6 +146,12 @@
         });
     }
 
+    /// Takes the newest repeat out again. Which one makes no difference beyond the time for which two
+    /// were under way; what it used of loans is not restored.
+    pub(super) fn cancel_newest(&mut self) {
+        self.repeats.pop_back();
+    }
+
     /// What is missing of what the demand calls for.
     pub(super) fn need_milli(
         &self,
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -19,7 +19,9 @@
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Phase, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::placement::PlaceOrder;
-use crate::relay::{AttemptLimit, BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes};
+use crate::relay::{
+    AnswerBook, AttemptLimit, BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes,
+};
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
@@ -36,6 +38,8 @@
     pub(crate) run_times: RefCell<RunTimes>,
     pub(crate) upstreams: Upstreams,
     pub(crate) checks: RefCell<CheckBook>,
+    /// Answers of engines to questions of this instance.
+    pub(crate) answers: RefCell<AnswerBook>,
     pub(crate) peers: RefCell<PeerBook>,
     /// Orders that peers gave to engines, not yet taken up by the duty of this instance.
     pub(crate) orders_heard: RefCell<Vec<PlaceOrder>>,
@@ -77,6 +81,7 @@
             run_times: RefCell::default(),
             upstreams: Upstreams::new(),
             checks: RefCell::default(),
+            answers: RefCell::default(),
             orders_heard: RefCell::default(),
             store: Cell::default(),
             reads_store: watch::Sender::new(false),
@@ -182,6 +187,12 @@
         is_left
     }
 
+    /// Puts a repeat back of which nothing arrived anywhere.
+    pub(crate) fn cancel_repeat(&self, service: &ServiceName) {
+        self.counters.count("relay.repeats.cancelled");
+        self.budget.borrow_mut().cancel(service);
+    }
+
     /// Whether one more repeat is within the budget.
     pub(crate) fn has_repeat(&self, service: &ServiceName, purpose: RepeatPurpose) -> bool {
         let share = self.budget_share();
@@ -244,10 +255,46 @@
             .borrow_mut()
             .troubled(endpoint, trouble, boot_ms());
         if is_out {
-            log::warn!(endpoint = endpoint.as_str(), cause = trouble.name(); "endpoint is left out");
-            self.counters.count("relay.endpoints.left_out");
+            self.left_out(endpoint, trouble);
+        }
+    }
+
+    /// Notes that an engine has not answered a question of `asked_ms` while the link was free.
+    pub(crate) fn unanswered(&self, endpoint: &EndpointId, asked_ms: u64) {
+        let is_out = self
+            .fleet
+            .borrow_mut()
+            .get_mut(endpoint)
+            .is_some_and(|known| known.unanswered(asked_ms, boot_ms()));
+        if is_out {
+            self.left_out(endpoint, Trouble::Unreachable);
         }
-        if is_out && trouble.is_death() {
+    }
+
+    /// When something last came from an endpoint, or over it; 0 if nothing did.
+    pub(crate) fn heard_ms(&self, endpoint: &EndpointId) -> u64 {
+        let fleet = self.fleet.borrow();
+        fleet.get(endpoint).map_or(0, |known| known.heard.at_ms())
+    }
+
+    fn left_out(&self, endpoint: &EndpointId, trouble: Trouble) {
+        let now_ms = boot_ms();
+        let ago = |at_ms: u64| now_ms.saturating_sub(at_ms);
+        let (asked_ms, heard_ms) = {
+            let fleet = self.fleet.borrow();
+            let known = fleet.get(endpoint);
+            let asked_ms = known.and_then(|it| it.standing.unanswered_since_ms());
+            (asked_ms, known.map_or(0, |it| it.heard.at_ms()))
+        };
+        log::warn!(
+            endpoint = endpoint.as_str(),
+            cause = trouble.name(),
+            asked_ago_ms = asked_ms.map(ago),
+            heard_ago_ms = (heard_ms > 0).then_some(ago(heard_ms));
+            "endpoint is left out"
+        );
+        self.counters.count("relay.endpoints.left_out");
+        if trouble.is_death() {
             self.unsound(endpoint);
         }
     }
