Test: how a new document gets to all instances, over whole deployments in simulated time

The decisions on whom to ask (asking.rs) and on how much is handed over (uplink.rs) are taken out of the driver, as they were.

--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -4,11 +4,14 @@
 //! What a platform says on the wire is an [`Adapter`]'s; nothing here depends on one.
 
 mod adapter;
+mod asking;
 mod checks;
 mod duty;
 mod feeds;
 mod fleet_lines;
 mod front;
+#[cfg(test)]
+mod handing_on_tests;
 mod headers;
 mod heartbeat;
 mod held_tokens;
@@ -35,6 +38,7 @@
 mod stream_answer;
 #[cfg(test)]
 mod tests;
+mod uplink;
 mod upstream;
 
 pub use adapter::{
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -13,6 +13,7 @@
 use super::list_log::ListLog;
 use super::peer_book::PeerBook;
 use super::settings::RelaySettings;
+use super::uplink::Uplink;
 use super::upstream::Upstreams;
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Trouble};
@@ -54,6 +55,8 @@
     pub(crate) are_records_known: Cell<bool>,
     /// Reads of the endpoint list that others may need.
     pub(crate) list_log: RefCell<ListLog>,
+    /// What this instance's link carries for peers.
+    pub(crate) uplink: RefCell<Uplink>,
     /// Told when there is something that peers must hear at once.
     pub(crate) heartbeat_due: Notify,
     /// Told when a peer is heard to know more than this instance.
@@ -74,6 +77,7 @@
         let incarnation = Incarnation::draw(&mut rand::rng());
         Self {
             peers: RefCell::new(PeerBook::new(&settings, incarnation, boot_ms())),
+            uplink: RefCell::new(Uplink::new(settings.link_mbps)),
             adapter,
             settings,
             incarnation,
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -70,6 +70,8 @@
     pub(crate) table: u64,
     /// How far it knows the list of endpoints.
     pub(crate) list: ListMark,
+    /// Speed of its link; 0 if that is not known.
+    pub(crate) link_mbps: u32,
     /// Whether the store answers it.
     pub(crate) reaches_store: bool,
     /// Whether it is in the own zone.
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -216,6 +216,7 @@
                 address: peer.address,
                 table: peer.table,
                 list: peer.list,
+                link_mbps: peer.link_mbps,
                 reaches_store: peer.availability.reaches_store,
                 is_near: peer.zone == self.own_zone,
             })
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -5,7 +5,6 @@
 //! the heartbeats, naming what it has: a whole document does not fit into a datagram, and versions that
 //! are overtaken meanwhile are never sent.
 
-use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,10 +15,12 @@
 use tokio::time::sleep;
 
 use super::adapter::{Adapter, FeedFailure};
+use super::asking::{Asking, Knowledge, Next};
 use super::feeds::take_table;
 use super::list_log::{ListMark, ListNews};
 use super::node::Node;
 use super::peer::Informant;
+use super::uplink::Admission;
 use crate::clients::{HttpCall, HttpFailure, HttpPeer};
 use crate::clock::boot_ms;
 use crate::fleet::InfoPath;
@@ -27,19 +28,13 @@
 use crate::route_table::SourcedTable;
 
 /// Pause between two looks at whether a peer knows more.
-const LOOK_MS: u64 = 250;
-/// How long a peer must have had a newer table before it is asked: the own watch of the store brings
-/// a new version within tens of milliseconds of the others'.
-const BEHIND_MS: u64 = 500;
-/// Age of the endpoint list from which a peer is asked for its own: a read of the store that waited
-/// for a change in vain and the next one's timeout are over by then.
-const OLD_LIST_MS: u64 = 3_000;
+pub(super) const LOOK_MS: u64 = 250;
 /// Longest wait for a peer's snapshot: a connection, and tens of kilobytes.
-const FETCH_TIMEOUT_MS: u64 = 400;
+pub(super) const FETCH_TIMEOUT_MS: u64 = 400;
+/// Peers asked at one look.
+pub(super) const MOST_ASKED: usize = 2;
 /// Longest snapshot that is read: the longest document and thousands of endpoints.
 const SNAPSHOT_LIMIT_BYTES: usize = 8 << 20;
-/// Peers asked at one look.
-const MOST_ASKED: usize = 2;
 /// Path of the snapshot.
 const SNAPSHOT_PATH: &str = "/snapshot";
 
@@ -121,6 +116,12 @@
     let list_log = node.list_log.borrow();
     let is_newer = table.table().is_some_and(|it| it.version > known.table);
     let source = table.source().filter(|_| is_newer);
+    if let Some(source) = source {
+        let admission = node.uplink.borrow_mut().admit(source.len(), now_ms);
+        let Admission::Given { bytes } = admission;
+        node.counters
+            .add("relay.snapshots.document_bytes", bytes as u64);
+    }
     let snapshot = Snapshot {
         document: source.map(|source| Aged {
             content: source.to_owned(),
@@ -144,60 +145,45 @@
     }
 }
 
-/// How fresh an instance's own knowledge is.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Knowledge {
-    /// Since when a peer has had a newer table.
-    pub(super) behind_since_ms: Option<u64>,
-    /// Whether the store is read here: its answers bring what peers know as soon as theirs do.
-    pub(super) reads_store: bool,
-    /// Whether the store answers here, or somebody in the zone.
-    pub(super) is_fed: bool,
-    /// Age of the list of endpoints.
-    pub(super) list_age_ms: u64,
-}
-
-impl Knowledge {
-    /// Whether a peer is to be asked. A list that is old though the store answers has not changed: it
-    /// reaches 3.65 s whenever two watches in a row end in vain.
-    pub(super) fn is_wanting(self, now_ms: u64) -> bool {
-        let patience_ms = if self.reads_store { BEHIND_MS } else { 0 };
-        let is_behind = self
-            .behind_since_ms
-            .is_some_and(|since| now_ms >= since + patience_ms);
-        let is_list_old = !self.is_fed && self.list_age_ms >= OLD_LIST_MS;
-        is_behind || is_list_old
-    }
-}
-
 /// Asks peers whenever they know more than the store tells here, for as long as the process runs.
 pub(super) async fn follow_peers<A>(node: Rc<Node<A>>)
 where
     A: Adapter,
 {
+    let mut asking = Asking::default();
     let mut behind_since_ms = None;
     loop {
         tokio::select! {
             () = sleep(Duration::from_millis(LOOK_MS)) => {}
             () = node.peer_knows_more.notified() => {}
         }
-        let now_ms = boot_ms();
-        let mut informants = node.peers.borrow().informants(now_ms);
-        let known = known_here(&node);
-        if informants.iter().any(|peer| peer.knows_more(known)) {
-            behind_since_ms.get_or_insert(now_ms);
-        } else {
-            behind_since_ms = None;
-        }
-        let knowledge = Knowledge {
-            behind_since_ms,
-            reads_store: node.reads_store(),
-            is_fed: node.is_fed(),
-            list_age_ms: node.fleet.borrow().age_ms(now_ms),
-        };
-        if knowledge.is_wanting(now_ms) {
-            put_best_first(&mut informants, known, node.draw());
-            ask(&node, &informants).await;
+        for _ in 0..MOST_ASKED {
+            let now_ms = boot_ms();
+            let informants = node.peers.borrow().informants(now_ms);
+            let known = known_here(&node);
+            if informants.iter().any(|peer| peer.knows_more(known)) {
+                behind_since_ms.get_or_insert(now_ms);
+            } else {
+                behind_since_ms = None;
+            }
+            let knowledge = Knowledge {
+                behind_since_ms,
+                reads_store: node.reads_store(),
+                is_fed: node.is_fed(),
+                list_age_ms: node.fleet.borrow().age_ms(now_ms),
+            };
+            let next = asking.next(informants, knowledge, known, node.draw(), now_ms);
+            let Next::Ask(peer) = next else { break };
+            match ask(&node, &peer).await {
+                Ok(()) => {
+                    node.counters.count("relay.snapshots.taken");
+                    break;
+                }
+                Err(failure) => {
+                    log::warn!(peer:% = peer.address, failure:% = failure; "snapshot was not taken");
+                    asking.failed(&peer.instance);
+                }
+            }
         }
     }
 }
@@ -212,37 +198,14 @@
     }
 }
 
-/// Puts those in front that know more, are in the zone, and are answered by the store. `draw` picks one
-/// among equals, so that a zone's instances do not all ask the same.
-pub(super) fn put_best_first(informants: &mut [Informant], known: Known, draw: u64) {
-    let order = |it: &Informant| Reverse((it.knows_more(known), it.is_near, it.reaches_store));
-    informants.sort_by_key(order);
-    let Some(best) = informants.first().map(order) else {
-        return;
-    };
-    let equals = informants.partition_point(|it| order(it) <= best);
-    let chosen = draw % equals as u64;
-    informants[..equals].rotate_left(chosen as usize);
-}
-
-async fn ask<A>(node: &Rc<Node<A>>, informants: &[Informant])
+async fn ask<A>(node: &Rc<Node<A>>, peer: &Informant) -> Result<(), SnapshotFailure>
 where
     A: Adapter,
 {
-    for peer in informants.iter().take(MOST_ASKED) {
-        let sent_ms = boot_ms();
-        let known = known_here(node);
-        let taken = match fetch(peer, known).await {
-            Ok(snapshot) => take(node, peer, snapshot, known, sent_ms),
-            Err(failure) => Err(failure),
-        };
-        match taken {
-            Ok(()) => return node.counters.count("relay.snapshots.taken"),
-            Err(failure) => {
-                log::warn!(peer:% = peer.address, failure:% = failure; "snapshot was not taken");
-            }
-        }
-    }
+    let sent_ms = boot_ms();
+    let known = known_here(node);
+    let snapshot = fetch(peer, known).await?;
+    take(node, peer, snapshot, known, sent_ms)
 }
 
 async fn fetch(peer: &Informant, known: Known) -> Result<Snapshot, SnapshotFailure> {
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 
+use super::asking::{Knowledge, put_best_first};
 use super::list_log::ListMark;
 use super::peer::Informant;
-use super::snapshot::{Knowledge, Known, put_best_first, read_snapshot};
+use super::snapshot::{Known, read_snapshot};
 use super::upstream::{UpstreamFailure, Upstreams};
 use crate::ids::InstanceId;
 
@@ -190,6 +191,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         table,
         list: ListMark::default(),
+        link_mbps: 20,
         reaches_store,
         is_near,
     };
