Fleet: a document is handed on in parts, few at a time

What callers saw: in the seconds after an operator's document had grown by 1,400 routes (0.13 MB, 86 instances), answers broke off and requests got none.

Cause: all instances that were behind asked the first one that they heard to know more, also in another zone. Not the store: six readers had the version within 3 ms of one another.

Now a call gets a part of at most 62,500 bytes; an instance gives parts for two thirds of its link and at most 60 ms at a time, and tells the others when to come again. The own zone is asked first, by speed of link; another zone after 500 ms. Parts of a version may come from any peer, so that a failed call costs one part. News of the list of endpoints ride on each answer, and never wait for a document.

The mend holds since no instance is asked for more than its link carries in a short time, whoever asks, and each that has the document adds its own link. The test of whom to ask is replaced: that a zone's readers come before others that have the same version no longer holds, on purpose.

--- a/src/relay_server/asking.rs
+++ b/src/relay_server/asking.rs
@@ -2,8 +2,11 @@
 
 use std::cmp::Reverse;
 
+use indexmap::IndexMap;
+
 use super::peer::Informant;
 use super::snapshot::Known;
+use super::uplink::UNKNOWN_LINK_MBPS;
 use crate::ids::InstanceId;
 
 /// How long a peer must have had a newer table before it is asked: the own watch of the store brings
@@ -12,6 +15,11 @@
 /// Age of the endpoint list from which a peer is asked for its own: a read of the store that waited
 /// for a change in vain and the next one's timeout are over by then.
 const OLD_LIST_MS: u64 = 3_000;
+/// How long a document is waited for from the own zone before it is asked for elsewhere: its readers
+/// have it within tens of milliseconds of other zones', unless the store answers none of them.
+const FAR_PATIENCE_MS: u64 = 500;
+/// How long a peer that gave nothing is left alone: if it has ended it is not heard any more by then.
+const FAILED_MS: u64 = 800;
 
 /// How fresh an instance's own knowledge is.
 #[derive(Clone, Copy, Debug)]
@@ -34,8 +42,11 @@
         let is_behind = self
             .behind_since_ms
             .is_some_and(|since| now_ms >= since + patience_ms);
-        let is_list_old = !self.is_fed && self.list_age_ms >= OLD_LIST_MS;
-        is_behind || is_list_old
+        is_behind || self.is_list_old()
+    }
+
+    fn is_list_old(self) -> bool {
+        !self.is_fed && self.list_age_ms >= OLD_LIST_MS
     }
 }
 
@@ -44,52 +55,185 @@
 pub(super) enum Next {
     /// Nothing until the next look.
     Nothing,
+    /// Nothing until then, unless something new is heard.
+    Wait {
+        /// Time until then.
+        wait_ms: u64,
+    },
     /// This peer is asked.
-    Ask(Informant),
+    Ask(Question),
+}
+
+/// Whom to ask, and for what.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Question {
+    pub(super) peer: Informant,
+    /// Whether the document is asked for, beside the list of endpoints.
+    pub(super) wants_document: bool,
 }
 
 /// What an instance remembers of those it has asked.
+///
+/// A document is taken from the own zone: whoever has it there hands it on, so that it spreads in
+/// rounds and the way between zones carries it once a reader. The list of endpoints is short and urgent,
+/// and never waits for a document.
 #[derive(Debug, Default)]
 pub(super) struct Asking {
-    /// The one that was asked last, if it gave nothing.
-    failed: Option<InstanceId>,
+    /// Those that gave nothing, and until when they are left alone.
+    failed: IndexMap<InstanceId, u64>,
+    /// Those that had no room for a document, and until when.
+    busy: IndexMap<InstanceId, u64>,
+    /// Since when a peer has known more.
+    behind_since_ms: Option<u64>,
+    /// Since when a peer has had a newer document.
+    lacks_document_since_ms: Option<u64>,
 }
 
 impl Asking {
-    /// Decides what to do, where `informants` are the peers that are heard.
+    /// Notes whether a peer knows more. Returns since when.
+    pub(super) fn note_behind(
+        &mut self,
+        informants: &[Informant],
+        known: Known,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let is_behind = informants.iter().any(|it| it.knows_more(known));
+        let lacks_document = informants.iter().any(|it| it.table > known.table);
+        let since = |since_ms: Option<u64>| since_ms.unwrap_or(now_ms);
+        self.behind_since_ms = is_behind.then_some(since(self.behind_since_ms));
+        self.lacks_document_since_ms =
+            lacks_document.then_some(since(self.lacks_document_since_ms));
+        self.behind_since_ms
+    }
+
+    /// Decides what to do, where `informants` are the peers that are heard. `part_of` is the version of
+    /// which parts are here already, if there is one.
     pub(super) fn next(
         &mut self,
-        mut informants: Vec<Informant>,
+        informants: &[Informant],
         knowledge: Knowledge,
         known: Known,
+        part_of: Option<u64>,
         draw: u64,
         now_ms: u64,
     ) -> Next {
+        self.failed.retain(|_, until_ms| now_ms < *until_ms);
+        self.busy.retain(|_, until_ms| now_ms < *until_ms);
         if !knowledge.is_wanting(now_ms) {
             return Next::Nothing;
         }
-        put_best_first(&mut informants, known, draw);
-        let failed = self.failed.take();
-        let mut others = informants.into_iter();
-        let peer = others.find(|it| Some(&it.instance) != failed.as_ref());
-        peer.map_or(Next::Nothing, Next::Ask)
+        let may_ask_far = self
+            .lacks_document_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + FAR_PATIENCE_MS);
+        let source = self.source(informants, known, part_of, may_ask_far, draw);
+        if let Source::At(peer) = source {
+            return Next::Ask(Question {
+                peer: peer.clone(),
+                wants_document: true,
+            });
+        }
+        if let Some(peer) = self.lister(informants, knowledge, known, draw) {
+            return Next::Ask(Question {
+                peer: peer.clone(),
+                wants_document: false,
+            });
+        }
+        match source {
+            Source::Later { at_ms } => Next::Wait {
+                wait_ms: at_ms.saturating_sub(now_ms).max(1),
+            },
+            _ => Next::Nothing,
+        }
     }
 
     /// Notes that a peer gave nothing.
-    pub(super) fn failed(&mut self, peer: &InstanceId) {
-        self.failed = Some(peer.clone());
+    pub(super) fn failed(&mut self, peer: &InstanceId, now_ms: u64) {
+        self.failed.insert(peer.clone(), now_ms + FAILED_MS);
     }
+
+    /// Notes that a peer has no room for a document for so long.
+    pub(super) fn busy(&mut self, peer: &InstanceId, wait_ms: u64, now_ms: u64) {
+        self.busy.insert(peer.clone(), now_ms + wait_ms);
+    }
+
+    /// Who is asked for the document.
+    fn source<'a>(
+        &self,
+        informants: &'a [Informant],
+        known: Known,
+        part_of: Option<u64>,
+        may_ask_far: bool,
+        draw: u64,
+    ) -> Source<'a> {
+        let newer = informants
+            .iter()
+            .filter(|it| it.table > known.table && !self.failed.contains_key(&it.instance));
+        let (near, far): (Vec<_>, Vec<_>) = newer.partition(|it| it.is_near);
+        let all = if near.is_empty() && may_ask_far {
+            far
+        } else {
+            near
+        };
+        // Those that can go on with what was begun, if there are any.
+        let same = all.iter().copied().filter(|it| Some(it.table) == part_of);
+        let same: Vec<&Informant> = same.collect();
+        let all = if same.is_empty() { all } else { same };
+        let (busy, free): (Vec<&Informant>, Vec<&Informant>) = all
+            .into_iter()
+            .partition(|it| self.busy.contains_key(&it.instance));
+        if let Some(peer) = by_link(&free, draw) {
+            return Source::At(peer);
+        }
+        let room = busy.iter().filter_map(|it| self.busy.get(&it.instance));
+        room.min()
+            .map_or(Source::Nowhere, |at_ms| Source::Later { at_ms: *at_ms })
+    }
+
+    /// Who is asked for the list of endpoints, if it is wanting.
+    fn lister<'a>(
+        &self,
+        informants: &'a [Informant],
+        knowledge: Knowledge,
+        known: Known,
+        draw: u64,
+    ) -> Option<&'a Informant> {
+        let order = |it: &Informant| {
+            let has_news = it.list.changed > known.list;
+            Reverse((has_news, it.is_near, it.reaches_store))
+        };
+        let others = informants
+            .iter()
+            .filter(|it| !self.failed.contains_key(&it.instance))
+            .filter(|it| knowledge.is_list_old() || it.list.changed > known.list);
+        let others: Vec<&Informant> = others.collect();
+        let best = others.iter().map(|it| order(it)).min()?;
+        let best: Vec<&Informant> = others.into_iter().filter(|it| order(it) == best).collect();
+        best.get(draw as usize % best.len().max(1)).copied()
+    }
+}
+
+/// Where a document is to be had.
+#[derive(Clone, Copy, Debug)]
+enum Source<'a> {
+    At(&'a Informant),
+    /// There is room then.
+    Later {
+        at_ms: u64,
+    },
+    Nowhere,
 }
 
-/// Puts those in front that know more, are in the zone, and are answered by the store. `draw` picks one
-/// among equals, so that a zone's instances do not all ask the same.
-pub(super) fn put_best_first(informants: &mut [Informant], known: Known, draw: u64) {
-    let order = |it: &Informant| Reverse((it.knows_more(known), it.is_near, it.reaches_store));
-    informants.sort_by_key(order);
-    let Some(best) = informants.first().map(order) else {
-        return;
+/// One of those, the likelier the faster its link.
+fn by_link<'a>(informants: &[&'a Informant], draw: u64) -> Option<&'a Informant> {
+    let speed = |it: &Informant| match it.link_mbps {
+        0 => u64::from(UNKNOWN_LINK_MBPS),
+        known => u64::from(known),
     };
-    let equals = informants.partition_point(|it| order(it) <= best);
-    let chosen = draw % equals as u64;
-    informants[..equals].rotate_left(chosen as usize);
+    let sum: u64 = informants.iter().map(|it| speed(it)).sum();
+    let mut left = draw.checked_rem(sum)?;
+    informants.iter().copied().find(|it| {
+        let is_it = left < speed(it);
+        left = left.saturating_sub(speed(it));
+        is_it
+    })
 }
--- /dev/null
+++ b/src/relay_server/asking_tests.rs
@@ -0,0 +1,159 @@
+//! Whom an instance asks.
+
+use std::net::SocketAddr;
+
+use super::asking::{Asking, Knowledge, Next, Question};
+use super::list_log::ListMark;
+use super::peer::Informant;
+use super::snapshot::Known;
+use crate::ids::InstanceId;
+
+const KNOWN: Known = Known { table: 5, list: 7 };
+const NOW_MS: u64 = 10_000;
+
+fn informant(port: u16, table: u64, is_near: bool, reaches_store: bool) -> Informant {
+    Informant {
+        instance: InstanceId::from(format!("peer-{port}")),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        table,
+        list: ListMark::default(),
+        link_mbps: 20,
+        reaches_store,
+        is_near,
+    }
+}
+
+fn with_list_news(mut informant: Informant) -> Informant {
+    informant.list = ListMark {
+        position: 9,
+        changed: 9,
+    };
+    informant
+}
+
+fn knowledge(behind_since_ms: Option<u64>) -> Knowledge {
+    Knowledge {
+        behind_since_ms,
+        reads_store: false,
+        is_fed: true,
+        list_age_ms: 0,
+    }
+}
+
+fn next(
+    asking: &mut Asking,
+    informants: &[Informant],
+    part_of: Option<u64>,
+    draw: u64,
+    now_ms: u64,
+) -> Next {
+    let behind_since_ms = asking.note_behind(informants, KNOWN, now_ms);
+    let knowledge = knowledge(behind_since_ms);
+    asking.next(informants, knowledge, KNOWN, part_of, draw, now_ms)
+}
+
+fn port(next: &Next) -> Option<(u16, bool)> {
+    match next {
+        Next::Ask(Question {
+            peer,
+            wants_document,
+        }) => Some((peer.address.port(), *wants_document)),
+        _ => None,
+    }
+}
+
+fn everybody() -> [Informant; 5] {
+    [
+        informant(1, 5, true, true),
+        informant(2, 6, false, true),
+        informant(3, 6, true, true),
+        informant(4, 6, true, false),
+        informant(5, 7, true, true),
+    ]
+}
+
+#[test]
+fn the_nearest_of_those_that_know_more_are_asked_and_not_always_the_same() {
+    let first = |draw| {
+        let next = next(&mut Asking::default(), &everybody(), None, draw, NOW_MS);
+        port(&next).map(|it| it.0)
+    };
+    assert_eq!(
+        [first(0), first(20), first(40), first(60)],
+        [Some(3), Some(4), Some(5), Some(3)]
+    );
+    let nobody = next(&mut Asking::default(), &[], None, 1, NOW_MS);
+    assert_eq!(nobody, Next::Nothing);
+}
+
+#[test]
+fn those_with_fast_links_are_asked_more_often() {
+    let mut fast = informant(1, 6, true, true);
+    fast.link_mbps = 200;
+    let all = [fast, informant(2, 6, true, true)];
+    let asked = (0..220).map(|draw| next(&mut Asking::default(), &all, None, draw, NOW_MS));
+    let fast = asked.filter(|it| port(it) == Some((1, true))).count();
+    assert_eq!(fast, 200);
+}
+
+#[test]
+fn a_document_is_gone_on_with_where_it_was_begun() {
+    for draw in 0..60 {
+        let next = next(&mut Asking::default(), &everybody(), Some(7), draw, NOW_MS);
+        assert_eq!(port(&next), Some((5, true)));
+    }
+}
+
+#[test]
+fn another_zone_is_asked_for_a_document_only_after_a_while() {
+    let mut asking = Asking::default();
+    let far = [informant(2, 6, false, true)];
+    assert_eq!(next(&mut asking, &far, None, 0, NOW_MS), Next::Nothing);
+    assert_eq!(
+        next(&mut asking, &far, None, 0, NOW_MS + 499),
+        Next::Nothing
+    );
+    let later = next(&mut asking, &far, None, 0, NOW_MS + 500);
+    assert_eq!(port(&later), Some((2, true)));
+}
+
+#[test]
+fn another_zone_is_asked_for_the_list_at_once() {
+    let mut asking = Asking::default();
+    let far = [with_list_news(informant(2, 6, false, true))];
+    let next = next(&mut asking, &far, None, 0, NOW_MS);
+    assert_eq!(port(&next), Some((2, false)));
+}
+
+#[test]
+fn one_without_room_is_asked_again_when_it_has_some() {
+    let mut asking = Asking::default();
+    let all = [informant(3, 6, true, true)];
+    asking.busy(&all[0].instance, 40, NOW_MS);
+    let waits = next(&mut asking, &all, None, 0, NOW_MS + 10);
+    assert_eq!(waits, Next::Wait { wait_ms: 30 });
+    let again = next(&mut asking, &all, None, 0, NOW_MS + 40);
+    assert_eq!(port(&again), Some((3, true)));
+}
+
+#[test]
+fn one_without_room_for_a_document_is_asked_for_the_list() {
+    let mut asking = Asking::default();
+    let all = [with_list_news(informant(3, 6, true, true))];
+    asking.busy(&all[0].instance, 40, NOW_MS);
+    let next = next(&mut asking, &all, None, 0, NOW_MS);
+    assert_eq!(port(&next), Some((3, false)));
+}
+
+#[test]
+fn one_that_gave_nothing_is_left_alone_for_a_while() {
+    let mut asking = Asking::default();
+    let all = [informant(3, 6, true, true), informant(4, 6, true, true)];
+    asking.failed(&all[0].instance, NOW_MS);
+    for draw in 0..40 {
+        let next = next(&mut asking, &all, None, draw, NOW_MS + 799);
+        assert_eq!(port(&next), Some((4, true)));
+    }
+    let again = next(&mut asking, &all, None, 0, NOW_MS + 800);
+    assert_eq!(port(&again), Some((3, true)));
+}
--- a/src/relay_server/handing_on_tests/links.rs
+++ b/src/relay_server/handing_on_tests/links.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// A link carries only a part of what is said of it.
+    pub(super) fn slow_down(&mut self, index: usize, times: usize) {
+        self.links[index].bytes_per_ms /= times;
+    }
+
     pub(super) fn begin(
         &mut self,
         call: u64,
@@ -142,4 +147,9 @@
             self.wasted_bytes += transfer.bytes - transfer.unsent_bytes;
         }
     }
+
+    /// Ends all calls that an instance answers.
+    pub(super) fn cut(&mut self, from: usize) {
+        self.transfers.retain(|_, it| it.from != from);
+    }
 }
--- a/src/relay_server/handing_on_tests/mod.rs
+++ b/src/relay_server/handing_on_tests/mod.rs
@@ -12,6 +12,8 @@
 mod links;
 mod world;
 
+use std::sync::OnceLock;
+
 use self::world::{Figures, World};
 
 const DOCUMENT_BYTES: usize = 133_000;
@@ -81,45 +83,84 @@
     worst
 }
 
+/// A site, and what came of the plays there that several tests look at.
+struct Played {
+    zones: &'static [usize],
+    one: Figures,
+    large: Figures,
+    many: Figures,
+}
+
+/// Played once for all tests of the process: they take most of the tests' time.
+fn played() -> &'static [Played] {
+    static PLAYED: OnceLock<Vec<Played>> = OnceLock::new();
+    PLAYED.get_or_init(|| {
+        let play = |zones: &'static [usize]| Played {
+            zones,
+            one: worst("one", zones, |seed| change(zones, DOCUMENT_BYTES, seed)),
+            large: worst("1 MB", zones, |seed| {
+                change(zones, LARGE_DOCUMENT_BYTES, seed)
+            }),
+            many: worst("fifteen", zones, |seed| storm(zones, DOCUMENT_BYTES, seed)),
+        };
+        SITES.into_iter().map(play).collect()
+    })
+}
+
 #[test]
 fn no_link_is_taken_up_by_documents_for_long() {
-    for zones in SITES {
-        let one = worst("one", zones, |seed| change(zones, DOCUMENT_BYTES, seed));
-        let large = worst("1 MB", zones, |seed| {
-            change(zones, LARGE_DOCUMENT_BYTES, seed)
-        });
-        let many = worst("fifteen", zones, |seed| storm(zones, DOCUMENT_BYTES, seed));
-        let most_ms = one.queued_ms.max(large.queued_ms).max(many.queued_ms);
-        assert!(most_ms <= MOST_QUEUED_MS, "{zones:?}: {most_ms} ms");
+    for it in played() {
+        let most_ms = it.one.queued_ms.max(it.large.queued_ms);
+        let most_ms = most_ms.max(it.many.queued_ms);
+        assert!(most_ms <= MOST_QUEUED_MS, "{:?}: {most_ms} ms", it.zones);
     }
 }
 
 #[test]
 fn no_byte_of_a_document_is_handed_over_in_vain() {
-    for zones in SITES {
-        let one = worst("one", zones, |seed| change(zones, DOCUMENT_BYTES, seed));
-        let large = worst("1 MB", zones, |seed| {
-            change(zones, LARGE_DOCUMENT_BYTES, seed)
-        });
-        assert_eq!(one.wasted_bytes + large.wasted_bytes, 0, "{zones:?}");
+    for it in played() {
+        let wasted_bytes = it.one.wasted_bytes + it.large.wasted_bytes + it.many.wasted_bytes;
+        assert_eq!(wasted_bytes, 0, "{:?}", it.zones);
     }
 }
 
 #[test]
 fn all_have_a_new_document_in_time() {
-    for zones in SITES {
-        let one = worst("one", zones, |seed| change(zones, DOCUMENT_BYTES, seed));
+    for Played {
+        zones,
+        one,
+        large,
+        many,
+    } in played()
+    {
         assert!(one.all_have_it_ms <= ALL_HAVE_IT_MS, "{zones:?}: {one:?}");
-        let many = worst("fifteen", zones, |seed| storm(zones, DOCUMENT_BYTES, seed));
         assert!(many.all_have_it_ms <= ALL_HAVE_IT_MS, "{zones:?}: {many:?}");
-        let large = worst("1 MB", zones, |seed| {
-            change(zones, LARGE_DOCUMENT_BYTES, seed)
-        });
         let is_in_time = large.all_have_it_ms <= ALL_HAVE_LARGE_ONE_MS;
         assert!(is_in_time, "{zones:?}: {large:?}");
     }
 }
 
+/// A reader of each zone dies while it hands the document on, a fast link carries a tenth of what is
+/// said of it, and one heartbeat in ten is lost.
+#[test]
+fn all_have_a_new_document_in_time_though_readers_die() {
+    for zones in [GROWN, LARGE, LARGEST] {
+        let it = worst("readers die", zones, |seed| {
+            let mut world = World::new(zones, DOCUMENT_BYTES, seed);
+            world.lost = 0.1;
+            world.slow_down(0, 1, 10);
+            world.run_until(BEGIN_MS);
+            world.publish(2);
+            world.run_until(BEGIN_MS + 60 + 10 * seed);
+            (0..zones.len()).for_each(|zone| world.kill(zone, 0));
+            world.run_until(END_MS);
+            world.figures()
+        });
+        let is_in_time = it.all_have_it_ms <= ALL_HAVE_IT_DESPITE_FAULTS_MS;
+        assert!(is_in_time, "{zones:?}: {it:?}");
+    }
+}
+
 /// All readers of a zone are cut off from the store: its instances hear of the document from elsewhere.
 #[test]
 fn a_zone_that_the_store_does_not_answer_has_a_new_document_in_time() {
--- a/src/relay_server/handing_on_tests/world.rs
+++ b/src/relay_server/handing_on_tests/world.rs
@@ -32,6 +32,7 @@
     Heard { from: usize, table: u64 },
     Read { table: u64 },
     Look,
+    LookAgain,
     Asked { by: usize, call: u64, holds: Held },
     Refused { call: u64, wait_ms: u64 },
     Limit { call: u64 },
@@ -60,10 +61,8 @@
     heard: Vec<(u64, u64)>,
     far_turn: usize,
     asking: Asking,
-    behind_since_ms: Option<u64>,
     call: Option<(u64, usize)>,
     part: Held,
-    is_notified: bool,
     uplink: Uplink,
 }
 
@@ -94,7 +93,7 @@
     links: Links,
     document_bytes: usize,
     /// Share of heartbeats that are lost.
-    lost: f64,
+    pub(super) lost: f64,
     due: BinaryHeap<Reverse<(u64, u64, usize)>>,
     events: Vec<Option<Event>>,
     calls: u64,
@@ -125,10 +124,8 @@
                     heard: vec![(1, 0); count],
                     far_turn: rng.random_range(0..count),
                     asking: Asking::default(),
-                    behind_since_ms: None,
                     call: None,
                     part: Held::default(),
-                    is_notified: false,
                     uplink: Uplink::new(link_mbps),
                 });
             }
@@ -178,12 +175,30 @@
         }
     }
 
+    /// Ends an instance of a zone, by its place there, in the middle of what it does.
+    pub(super) fn kill(&mut self, zone: usize, place: usize) {
+        let index = self.at(zone, place);
+        self.instances[index].lives = false;
+        self.links.cut(index);
+    }
+
     /// The store answers none of a zone any more.
     pub(super) fn cut_from_store(&mut self, zone: usize) {
         let of_zone = self.instances.iter_mut().filter(|it| it.zone == zone);
         of_zone.for_each(|it| it.is_answered = false);
     }
 
+    pub(super) fn slow_down(&mut self, zone: usize, place: usize, times: usize) {
+        let index = self.at(zone, place);
+        self.links.slow_down(index, times);
+    }
+
+    fn at(&self, zone: usize, place: usize) -> usize {
+        let mut instances = self.instances.iter();
+        let found = instances.position(|it| (it.zone, it.place) == (zone, place));
+        found.expect("the zone has so many")
+    }
+
     pub(super) fn figures(&self) -> Figures {
         Figures {
             queued_ms: self.links.most_queued_ms,
@@ -235,7 +250,7 @@
                 let own = &mut self.instances[index];
                 own.heard[from] = (table.max(own.heard[from].0), now_ms);
                 if table > own.table {
-                    self.notify(index);
+                    self.look(index);
                 }
             }
             Event::Read { table } | Event::InForce { table } => self.take(index, table),
@@ -243,6 +258,7 @@
                 self.look(index);
                 self.push(index, LOOK_MS * 1_000, Event::Look);
             }
+            Event::LookAgain => self.look(index),
             Event::Asked { by, call, holds } => self.answer(index, by, call, holds),
             Event::Refused { call, wait_ms } => self.refused(index, call, wait_ms),
             Event::Limit { call } => {
@@ -308,17 +324,14 @@
         }
     }
 
-    fn notify(&mut self, index: usize) {
-        self.instances[index].is_notified = true;
-        self.look(index);
-    }
-
     fn informants(&self, index: usize) -> Vec<Informant> {
         let now_ms = self.now_ms();
         let own = &self.instances[index];
         let others = self.instances.iter().enumerate().filter(|it| it.0 != index);
         let is_heard = |at_ms: u64, is_near: bool| !is_near || now_ms < at_ms + SILENT_MS;
-        let mut informants: Vec<Informant> = others
+        // Others have nothing to tell.
+        let know_more = others.filter(|it| own.heard[it.0].0 > own.table);
+        let mut informants: Vec<Informant> = know_more
             .filter(|(at, it)| is_heard(own.heard[*at].1, it.zone == own.zone))
             .map(|(at, it)| Informant {
                 instance: it.name.clone(),
@@ -335,32 +348,31 @@
     }
 
     fn look(&mut self, index: usize) {
+        if self.instances[index].call.is_some() {
+            return;
+        }
         let now_ms = self.now_ms();
         let informants = self.informants(index);
         let draw = self.rng.random();
         let own = &mut self.instances[index];
-        if own.call.is_some() {
-            return;
-        }
-        own.is_notified = false;
         let known = Known {
             table: own.table,
             list: 0,
         };
-        if informants.iter().any(|it| it.knows_more(known)) {
-            own.behind_since_ms.get_or_insert(now_ms);
-        } else {
-            own.behind_since_ms = None;
-        }
         let knowledge = Knowledge {
-            behind_since_ms: own.behind_since_ms,
+            behind_since_ms: own.asking.note_behind(&informants, known, now_ms),
             reads_store: own.reads_store(),
             is_fed: true,
             list_age_ms: 0,
         };
-        match own.asking.next(informants, knowledge, known, draw, now_ms) {
+        let part_of = Some(own.part.version).filter(|it| *it > 0);
+        let next = own
+            .asking
+            .next(&informants, knowledge, known, part_of, draw, now_ms);
+        match next {
             Next::Nothing => {}
-            Next::Ask(peer) => self.ask(index, &peer),
+            Next::Wait { wait_ms } => self.push(index, wait_ms * 1_000, Event::LookAgain),
+            Next::Ask(question) => self.ask(index, &question.peer),
         }
     }
 
@@ -405,6 +417,10 @@
                     self.push(index, after_us, Event::Link(event));
                 }
             }
+            Admission::Busy { wait_ms } => {
+                self.figures.refused += 1;
+                self.push(by, 1_000, Event::Refused { call, wait_ms });
+            }
         }
     }
 
@@ -432,19 +448,22 @@
         self.push(index, after_us, Event::InForce { table });
     }
 
-    fn refused(&mut self, index: usize, call: u64, _wait_ms: u64) {
+    fn refused(&mut self, index: usize, call: u64, wait_ms: u64) {
+        let now_ms = self.now_ms();
         let own = &mut self.instances[index];
-        if own.call.is_some_and(|it| it.0 == call) {
-            own.call = None;
-            self.figures.refused += 1;
+        if let Some((_, peer)) = own.call.take_if(|it| it.0 == call) {
+            let name = self.instances[peer].name.clone();
+            self.instances[index].asking.busy(&name, wait_ms, now_ms);
+            self.look(index);
         }
     }
 
     fn failed(&mut self, index: usize) {
+        let now_ms = self.now_ms();
         let own = &mut self.instances[index];
         if let Some((_, peer)) = own.call.take() {
             let name = self.instances[peer].name.clone();
-            self.instances[index].asking.failed(&name);
+            self.instances[index].asking.failed(&name, now_ms);
             self.look(index);
         }
     }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -5,7 +5,12 @@
 
 mod adapter;
 mod asking;
+#[cfg(test)]
+mod asking_tests;
 mod checks;
+mod document_parts;
+#[cfg(test)]
+mod document_parts_tests;
 mod duty;
 mod feeds;
 mod fleet_lines;
@@ -39,6 +44,8 @@
 #[cfg(test)]
 mod tests;
 mod uplink;
+#[cfg(test)]
+mod uplink_tests;
 mod upstream;
 
 pub use adapter::{
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -17,7 +17,6 @@
 use super::node::Node;
 use super::peer::InstanceRecord;
 use super::settings::RelaySettings;
-use super::snapshot::Known;
 use super::{checks, duty, feeds, front, peers, snapshot};
 use crate::clients::TableService;
 use crate::clock::boot_ms;
@@ -173,7 +172,7 @@
                 Page::Metrics => front::metrics(&node),
                 Page::Peers => {
                     let query = request.uri().query().unwrap_or("");
-                    snapshot::answer(&node, Known::from_query(query))
+                    snapshot::answer(&node, query, request.peer_addr())
                 }
             };
             Ok::<_, Infallible>(response)
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -5,6 +5,7 @@
 //! the heartbeats, naming what it has: a whole document does not fit into a datagram, and versions that
 //! are overtaken meanwhile are never sent.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +16,8 @@
 use tokio::time::sleep;
 
 use super::adapter::{Adapter, FeedFailure};
-use super::asking::{Asking, Knowledge, Next};
+use super::asking::{Asking, Knowledge, Next, Question};
+use super::document_parts::{DocumentNews, DocumentPart, DocumentParts, DocumentQuery, PartFault};
 use super::feeds::take_table;
 use super::list_log::{ListMark, ListNews};
 use super::node::Node;
@@ -29,10 +31,10 @@
 
 /// Pause between two looks at whether a peer knows more.
 pub(super) const LOOK_MS: u64 = 250;
-/// Longest wait for a peer's snapshot: a connection, and tens of kilobytes.
+/// Longest wait for a peer's snapshot: a connection, and one part of the document, which takes up
+/// links of 20 Mbit/s for 25 ms. Whole documents under this limit were thrown away half read by all
+/// that asked one peer at once: 69 and 98 calls after one change, at 86 instances.
 pub(super) const FETCH_TIMEOUT_MS: u64 = 400;
-/// Peers asked at one look.
-pub(super) const MOST_ASKED: usize = 2;
 /// Longest snapshot that is read: the longest document and thousands of endpoints.
 const SNAPSHOT_LIMIT_BYTES: usize = 8 << 20;
 /// Path of the snapshot.
@@ -48,8 +50,8 @@
 /// What a peer hands over.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Snapshot {
-    /// The operator's document, if a newer one is known.
-    document: Option<Aged<String>>,
+    /// The operator's document, or a part of it.
+    document: DocumentNews,
     /// The list of endpoints, if it was read.
     endpoints: Option<Aged<ListUpdate>>,
 }
@@ -72,9 +74,10 @@
 }
 
 impl Known {
-    fn path(self) -> String {
+    fn path(self, document: DocumentQuery) -> String {
         let Self { table, list } = self;
-        format!("{SNAPSHOT_PATH}?table={table}&list={list}")
+        let document = document.text();
+        format!("{SNAPSHOT_PATH}?table={table}&list={list}&{document}")
     }
 
     /// Reads the query of a question. What is missing or no number counts as not known.
@@ -101,32 +104,25 @@
     Status(u16),
     #[error("the snapshot is malformed: {0}")]
     Malformed(#[from] postcard::Error),
+    #[error("{0}")]
+    Part(#[from] PartFault),
     #[error("the document cannot be used: {0}")]
     Document(#[from] FeedFailure),
 }
 
-/// Answers a peer's question.
-pub(super) fn answer<A>(node: &Node<A>, known: Known) -> Response<BoxBody>
+/// Answers a peer's question. The list of endpoints is told also where there is no room for the document:
+/// one that leaves must be known everywhere within two seconds.
+pub(super) fn answer<A>(node: &Node<A>, query: &str, peer: Option<SocketAddr>) -> Response<BoxBody>
 where
     A: Adapter,
 {
     let now_ms = boot_ms();
-    let table = node.table.borrow();
+    let known = Known::from_query(query);
+    let document = document_for(node, known, DocumentQuery::from_query(query), peer, now_ms);
     let fleet = node.fleet.borrow();
     let list_log = node.list_log.borrow();
-    let is_newer = table.table().is_some_and(|it| it.version > known.table);
-    let source = table.source().filter(|_| is_newer);
-    if let Some(source) = source {
-        let admission = node.uplink.borrow_mut().admit(source.len(), now_ms);
-        let Admission::Given { bytes } = admission;
-        node.counters
-            .add("relay.snapshots.document_bytes", bytes as u64);
-    }
     let snapshot = Snapshot {
-        document: source.map(|source| Aged {
-            content: source.to_owned(),
-            age_ms: table.age_ms(now_ms),
-        }),
+        document,
         endpoints: fleet.is_known().then(|| Aged {
             content: ListUpdate {
                 mark: list_log.mark(),
@@ -145,49 +141,102 @@
     }
 }
 
+/// What a peer that knows so far is given of the document.
+fn document_for<A>(
+    node: &Node<A>,
+    known: Known,
+    query: DocumentQuery,
+    peer: Option<SocketAddr>,
+    now_ms: u64,
+) -> DocumentNews
+where
+    A: Adapter,
+{
+    let held = node.table.borrow();
+    let newer = held.table().filter(|it| it.version > known.table);
+    let (Some(table), Some(source)) = (newer.filter(|_| query.is_wanted), held.source()) else {
+        return DocumentNews::Nothing;
+    };
+    let begin_bytes = query.begin_bytes(table.version, source.len());
+    let rest = &source.as_bytes()[begin_bytes..];
+    let peer = peer.map(|it| it.to_string());
+    match node.uplink.borrow_mut().admit(rest.len(), now_ms) {
+        Admission::Given { bytes } => {
+            let counter = "relay.snapshots.document_bytes";
+            node.counters.add(counter, bytes as u64);
+            let is_last = bytes == rest.len();
+            log::info!(peer, table = table.version, from_bytes = begin_bytes, bytes, is_last; "part of the document is handed over");
+            DocumentNews::Part(DocumentPart {
+                version: table.version,
+                total_bytes: source.len() as u64,
+                from_bytes: begin_bytes as u64,
+                content: rest[..bytes].to_vec(),
+                age_ms: held.age_ms(now_ms),
+            })
+        }
+        Admission::Busy { wait_ms } => {
+            node.counters.count("relay.snapshots.busy");
+            log::debug!(peer, table = table.version, wait_ms; "no room for a part of the document");
+            DocumentNews::Busy { wait_ms }
+        }
+    }
+}
+
 /// Asks peers whenever they know more than the store tells here, for as long as the process runs.
 pub(super) async fn follow_peers<A>(node: Rc<Node<A>>)
 where
     A: Adapter,
 {
     let mut asking = Asking::default();
-    let mut behind_since_ms = None;
+    let mut parts = DocumentParts::default();
     loop {
-        tokio::select! {
-            () = sleep(Duration::from_millis(LOOK_MS)) => {}
-            () = node.peer_knows_more.notified() => {}
-        }
-        for _ in 0..MOST_ASKED {
-            let now_ms = boot_ms();
-            let informants = node.peers.borrow().informants(now_ms);
-            let known = known_here(&node);
-            if informants.iter().any(|peer| peer.knows_more(known)) {
-                behind_since_ms.get_or_insert(now_ms);
-            } else {
-                behind_since_ms = None;
-            }
-            let knowledge = Knowledge {
-                behind_since_ms,
-                reads_store: node.reads_store(),
-                is_fed: node.is_fed(),
-                list_age_ms: node.fleet.borrow().age_ms(now_ms),
-            };
-            let next = asking.next(informants, knowledge, known, node.draw(), now_ms);
-            let Next::Ask(peer) = next else { break };
-            match ask(&node, &peer).await {
-                Ok(()) => {
-                    node.counters.count("relay.snapshots.taken");
-                    break;
-                }
+        let pause_ms = match look(&node, &mut asking, &mut parts) {
+            Next::Ask(question) => match ask(&node, &mut asking, &mut parts, &question).await {
+                Ok(true) => continue,
+                Ok(false) => LOOK_MS,
                 Err(failure) => {
+                    let peer = &question.peer;
                     log::warn!(peer:% = peer.address, failure:% = failure; "snapshot was not taken");
-                    asking.failed(&peer.instance);
+                    asking.failed(&peer.instance, boot_ms());
+                    continue;
                 }
-            }
+            },
+            Next::Wait { wait_ms } => wait_ms.min(LOOK_MS),
+            Next::Nothing => LOOK_MS,
+        };
+        tokio::select! {
+            () = sleep(Duration::from_millis(pause_ms)) => {}
+            () = node.peer_knows_more.notified() => {}
         }
     }
 }
 
+fn look<A>(node: &Node<A>, asking: &mut Asking, parts: &mut DocumentParts) -> Next
+where
+    A: Adapter,
+{
+    let now_ms = boot_ms();
+    let informants = node.peers.borrow().informants(now_ms);
+    let known = known_here(node);
+    count_wasted(node, parts.drop_known(known.table));
+    let knowledge = Knowledge {
+        behind_since_ms: asking.note_behind(&informants, known, now_ms),
+        reads_store: node.reads_store(),
+        is_fed: node.is_fed(),
+        list_age_ms: node.fleet.borrow().age_ms(now_ms),
+    };
+    let draw = node.draw();
+    asking.next(&informants, knowledge, known, parts.version(), draw, now_ms)
+}
+
+fn count_wasted<A>(node: &Node<A>, bytes: usize)
+where
+    A: Adapter,
+{
+    node.counters
+        .add("relay.snapshots.wasted_bytes", bytes as u64);
+}
+
 fn known_here<A>(node: &Node<A>) -> Known
 where
     A: Adapter,
@@ -198,21 +247,44 @@
     }
 }
 
-async fn ask<A>(node: &Rc<Node<A>>, peer: &Informant) -> Result<(), SnapshotFailure>
+/// Asks a peer. Returns whether that has brought anything, also the word to come again.
+async fn ask<A>(
+    node: &Rc<Node<A>>,
+    asking: &mut Asking,
+    parts: &mut DocumentParts,
+    question: &Question,
+) -> Result<bool, SnapshotFailure>
 where
     A: Adapter,
 {
+    let Question {
+        peer,
+        wants_document,
+    } = question;
     let sent_ms = boot_ms();
     let known = known_here(node);
-    let snapshot = fetch(peer, known).await?;
-    take(node, peer, snapshot, known, sent_ms)
+    let snapshot = fetch(peer, &known.path(parts.query(*wants_document))).await?;
+    node.counters.count("relay.snapshots.taken");
+    if let Some(endpoints) = snapshot.endpoints {
+        take_endpoints(node, &peer.instance, endpoints, known, sent_ms);
+    }
+    match snapshot.document {
+        DocumentNews::Nothing => Ok(known_here(node) != known),
+        DocumentNews::Busy { wait_ms } => {
+            asking.busy(&peer.instance, wait_ms, boot_ms());
+            Ok(true)
+        }
+        DocumentNews::Part(part) => {
+            take_part(node, parts, part, peer, sent_ms)?;
+            Ok(true)
+        }
+    }
 }
 
-async fn fetch(peer: &Informant, known: Known) -> Result<Snapshot, SnapshotFailure> {
+async fn fetch(peer: &Informant, path: &str) -> Result<Snapshot, SnapshotFailure> {
     // A connection of its own: what was open before may be what does not work.
     let http = HttpPeer::new(&format!("http://{}", peer.address));
-    let path = known.path();
-    let call = HttpCall::get(&path);
+    let call = HttpCall::get(path);
     let reply = http
         .call(call, FETCH_TIMEOUT_MS, SNAPSHOT_LIMIT_BYTES)
         .await?;
@@ -226,26 +298,36 @@
     postcard::from_bytes(bytes)
 }
 
-/// Takes a snapshot that was asked for at `sent_ms`. Its ages are of a moment after that, so that
-/// what is counted from `sent_ms` is on the safe side however long question and answer took.
-fn take<A>(
-    node: &Rc<Node<A>>,
+/// Takes a part that was asked for at `sent_ms`, and the document if it is the last. Its age is of a
+/// moment after that, so that what is counted from `sent_ms` is on the safe side however long question
+/// and answer took.
+fn take_part<A>(
+    node: &Node<A>,
+    parts: &mut DocumentParts,
+    part: DocumentPart,
     peer: &Informant,
-    snapshot: Snapshot,
-    asked_with: Known,
     sent_ms: u64,
 ) -> Result<(), SnapshotFailure>
 where
     A: Adapter,
 {
-    if let Some(endpoints) = snapshot.endpoints {
-        take_endpoints(node, &peer.instance, endpoints, asked_with, sent_ms);
-    }
-    if let Some(document) = snapshot.document {
-        let newest_at_ms = sent_ms.saturating_sub(document.age_ms);
-        let table = node.adapter.read_table(&document.content)?;
-        let source = document.content;
-        take_table(node, Some(SourcedTable { table, source }), newest_at_ms);
+    let total_bytes = part.total_bytes;
+    let (whole, dropped_bytes) = parts.take(part, sent_ms)?;
+    count_wasted(node, dropped_bytes);
+    if let Some(whole) = whole {
+        let table = node.adapter.read_table(&whole.content)?;
+        log::info!(
+            peer:% = peer.address,
+            table = table.version,
+            bytes = total_bytes,
+            last_part_ms = boot_ms().saturating_sub(sent_ms);
+            "document is taken from peers"
+        );
+        let source = whole.content;
+        let sourced = SourcedTable { table, source };
+        if take_table(node, Some(sourced), whole.newest_at_ms) {
+            node.tell_knowledge();
+        }
     }
     Ok(())
 }
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -8,12 +8,9 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 
-use super::asking::{Knowledge, put_best_first};
-use super::list_log::ListMark;
-use super::peer::Informant;
+use super::asking::Knowledge;
 use super::snapshot::{Known, read_snapshot};
 use super::upstream::{UpstreamFailure, Upstreams};
-use crate::ids::InstanceId;
 
 /// How the endpoint ends the connection after its bytes.
 #[derive(Clone, Copy)]
@@ -183,32 +180,3 @@
     assert_eq!(Known::from_query(""), Known::default());
     assert_eq!(Known::from_query("table=x&list&other=3"), Known::default());
 }
-
-#[test]
-fn the_nearest_of_those_that_know_more_are_asked_and_not_always_the_same() {
-    let informant = |port: u16, table, is_near, reaches_store| Informant {
-        instance: InstanceId::from(format!("peer-{port}")),
-        address: SocketAddr::from(([127, 0, 0, 1], port)),
-        table,
-        list: ListMark::default(),
-        link_mbps: 20,
-        reaches_store,
-        is_near,
-    };
-    let known = Known { table: 5, list: 0 };
-    let all = [
-        informant(1, 5, true, true),
-        informant(2, 6, false, true),
-        informant(3, 6, true, true),
-        informant(4, 6, true, false),
-        informant(5, 7, true, true),
-    ];
-    let first = |draw| {
-        let mut informants = all.clone();
-        put_best_first(&mut informants, known, draw);
-        informants[0].address.port()
-    };
-    assert_eq!([first(0), first(1), first(2)], [3, 5, 3]);
-    let mut none: [Informant; 0] = [];
-    put_best_first(&mut none, known, 1);
-}
