--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -4,11 +4,19 @@
 //! What a platform says on the wire is an [`Adapter`]'s; nothing here depends on one.
 
 mod adapter;
+mod asking;
+#[cfg(test)]
+mod asking_tests;
 mod checks;
+mod document_parts;
+#[cfg(test)]
+mod document_parts_tests;
 mod duty;
 mod feeds;
 mod fleet_lines;
 mod front;
+#[cfg(test)]
+mod handing_on_tests;
 mod headers;
 mod heartbeat;
 mod held_tokens;
@@ -43,6 +51,9 @@
 mod stream_answer;
 #[cfg(test)]
 mod tests;
+mod uplink;
+#[cfg(test)]
+mod uplink_tests;
 mod upstream;
 
 pub use adapter::{
