--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,9 +16,16 @@
 mod pool_tests;
 mod refusal;
 mod run_times;
+mod silence;
+#[cfg(test)]
+mod silence_tests;
 mod stall;
 #[cfg(test)]
+mod stall_tests;
+#[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod unsent_tests;
 mod window;
 
 pub use attempts::{AttemptEnd, Attempts, NextStep};
@@ -26,8 +33,9 @@
 pub use events::{EventSplitter, SplitError, WholeEvents};
 pub use go_on::Lack;
 pub use limits::{AttemptLimit, GivenUp};
-pub use pool::RepeatAmount;
 pub(crate) use pool::part_of_need;
+pub use pool::{Lender, RepeatAmount, RepeatLoan};
 pub use refusal::{FinalWord, Outlook, RefusalCause};
 pub use run_times::RunTimes;
+pub use silence::{AnswerBook, PROMPT_MS, Silence};
 pub use stall::{StallStep, StallWatch};
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -6,13 +6,14 @@
 use rand::rngs::SmallRng;
 
 use super::super::adapter::FeedRead;
+use super::super::asking::{Asking, Knowledge, Next};
 use super::super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::super::list_log::ListLog;
 use super::super::list_sync::{self, ListUpdate};
 use super::super::peer::{Informant, InstanceRecord, Recipient};
 use super::super::peer_book::PeerBook;
 use super::super::settings::{RelayBounds, RelaySettings};
-use super::super::snapshot::{Knowledge, Known, put_best_first};
+use super::super::snapshot::Known;
 use super::super::store_contact::StoreContact;
 use super::store::Access;
 use crate::fleet::{Fleet, FleetChange, ListingRead, Phase, pick_replica};
@@ -44,7 +45,7 @@
     pub(super) position: Option<u64>,
     pub(super) is_asking: bool,
     pub(super) is_notified: bool,
-    behind_since_ms: Option<u64>,
+    pub(super) asking: Asking,
 }
 
 fn settings(record: &InstanceRecord) -> RelaySettings {
@@ -93,7 +94,7 @@
             position: None,
             is_asking: false,
             is_notified: false,
-            behind_since_ms: None,
+            asking: Asking::default(),
         }
     }
 
@@ -111,7 +112,7 @@
         self.position = None;
         self.is_asking = false;
         self.is_notified = false;
-        self.behind_since_ms = None;
+        self.asking = Asking::default();
         self.process = Process::Runs { since_ms: now_ms };
     }
 
@@ -229,25 +230,22 @@
     }
 
     /// Whom to ask for what is not known here, if anybody is to be asked.
-    pub(super) fn whom_to_ask(&mut self, draw: u64, now_ms: u64) -> Vec<Informant> {
-        let mut informants = self.book.informants(now_ms);
+    pub(super) fn whom_to_ask(&mut self, draw: u64, now_ms: u64) -> Option<Informant> {
+        let informants = self.book.informants(now_ms);
         let known = self.known();
-        if informants.iter().any(|peer| peer.knows_more(known)) {
-            self.behind_since_ms.get_or_insert(now_ms);
-        } else {
-            self.behind_since_ms = None;
-        }
         let knowledge = Knowledge {
-            behind_since_ms: self.behind_since_ms,
+            behind_since_ms: self.asking.note_behind(&informants, known, now_ms),
             reads_store: self.reads,
             is_fed: self.is_fed(now_ms),
             list_age_ms: self.fleet.age_ms(now_ms),
         };
-        if !knowledge.is_wanting(now_ms) {
-            return Vec::new();
+        let next = self
+            .asking
+            .next(&informants, knowledge, known, None, draw, now_ms);
+        match next {
+            Next::Ask(question) => Some(question.peer),
+            Next::Nothing | Next::Wait { .. } => None,
         }
-        put_best_first(&mut informants, known, draw);
-        informants
     }
 
     /// What it hands to a peer, and how old that is.
--- a/src/relay_server/list_spread_tests/world.rs
+++ b/src/relay_server/list_spread_tests/world.rs
@@ -17,7 +17,7 @@
 use super::instance::{Instance, Process};
 use super::store::{Access, Farewell, Store};
 use crate::fleet::ListingRead;
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, InstanceId};
 
 /// As in service: how long a watch waits, what a call may take beside that, and the pauses.
 const WATCH_WAIT_MS: u64 = 1_700;
@@ -30,9 +30,6 @@
 const SWEEP_MS: u64 = 200;
 /// Time from a call's sending to its answer, where the store answers at once.
 const CALL_MS: u64 = 2;
-/// Peers asked at one look.
-const MOST_ASKED: usize = 2;
-
 /// What goes wrong all the time.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Noise {
@@ -55,8 +52,8 @@
     TableDue,
     TableEnd(bool),
     Look,
-    /// The first of these is asked with this position.
-    Ask(Vec<Informant>, usize),
+    /// A peer that was asked has not answered in time.
+    Unanswered(InstanceId),
     Told(u64, u64, ListUpdate, u64),
     Sweep,
 }
@@ -298,7 +295,12 @@
                 self.push(index, pause_ms, Event::TableDue);
             }
             Event::Look => self.look(index),
-            Event::Ask(informants, asked) => self.ask(index, informants, asked),
+            Event::Unanswered(peer) => {
+                let own = &mut self.instances[index];
+                own.asking.failed(&peer, now_ms);
+                own.is_asking = false;
+                self.look(index);
+            }
             Event::Told(asked_with, sent_ms, update, age_ms) => {
                 let newest_at_ms = sent_ms.saturating_sub(age_ms);
                 let own = &mut self.instances[index];
@@ -445,21 +447,18 @@
         if own.is_asking {
             return;
         }
-        let informants = own.whom_to_ask(draw, now_ms);
-        if !informants.is_empty() {
+        if let Some(peer) = own.whom_to_ask(draw, now_ms) {
             own.is_asking = true;
-            return self.ask(index, informants, 0);
+            return self.ask(index, &peer);
         }
         if is_regular {
             self.push(index, LOOK_MS, Event::Look);
         }
     }
 
-    fn ask(&mut self, index: usize, informants: Vec<Informant>, asked: usize) {
+    fn ask(&mut self, index: usize, peer: &Informant) {
         let now_ms = self.now_ms;
-        let Some(peer) = informants.get(asked).filter(|_| asked < MOST_ASKED) else {
-            return self.asked(index);
-        };
+        let name = peer.instance.clone();
         let known = self.instances[index].known().list;
         let peer = &self.instances[self.by_address[&peer.address]];
         let runs = matches!(peer.process, Process::Runs { .. });
@@ -468,7 +467,7 @@
                 let after_ms = self.rng.random_range(2..=40);
                 self.push(index, after_ms, Event::Told(known, now_ms, update, age_ms));
             }
-            None => self.push(index, ASK_TIMEOUT_MS, Event::Ask(informants, asked + 1)),
+            None => self.push(index, ASK_TIMEOUT_MS, Event::Unanswered(name)),
         }
     }
 
