Streams: a silent run is kept where no other may follow it

An answer under way whose first run was lost fell silent in its second: the question whether another run could go on left out the run that it would end. The answer had then run on as many endpoints as it may, both were left out, and its caller left after two seconds. The trial now counts the run as lost.

Beside it, in the same question: where only a repeat is missing, others are asked for one; a stage that the last order found without room is replaced in the next order, not ordered again. An engine that was let in again for an answer is let in once: one that reset each connection could take a repeat every few milliseconds. That test fails with the bound switched off.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -58,6 +58,8 @@
     max_endpoints: usize,
     /// Endpoints that must not be used for this request.
     excluded: IndexSet<EndpointId>,
+    /// Endpoints that were excluded and let in again.
+    readmitted: IndexSet<EndpointId>,
     /// Endpoints on which it may have run and that have not ended since.
     ran_on: IndexSet<EndpointId>,
     /// The endpoint of a send whose end is not known yet.
@@ -79,6 +81,7 @@
             repeat,
             max_endpoints: max_endpoints.max(1) as usize,
             excluded: IndexSet::new(),
+            readmitted: IndexSet::new(),
             ran_on: IndexSet::new(),
             under_way: None,
             turned_away: 0,
@@ -144,13 +147,29 @@
         }
     }
 
-    /// Lets endpoints that are sound by now take the request again. For an answer under way that no
-    /// others can go on with: what they were left out for may be false or past, while its end is sure.
+    /// Lets endpoints that are sound by now take the request again, each once. For an answer under way
+    /// that no others can go on with: what they were left out for may be false or past, while its end
+    /// is sure. One that fails at once again would take a repeat every few milliseconds.
     pub fn readmit<F>(&mut self, is_sound: F)
     where
         F: Fn(&EndpointId) -> bool,
     {
-        self.excluded.retain(|endpoint| !is_sound(endpoint));
+        let readmitted = &mut self.readmitted;
+        self.excluded
+            .retain(|endpoint| !(is_sound(endpoint) && readmitted.insert(endpoint.clone())));
+    }
+
+    /// What these would be if the run at `first` was given up; `None` if no other run might follow it.
+    /// A run that is silent is better waited for than one that nobody may go on with.
+    pub fn after_losing(&self, first: &EndpointId) -> Option<Self> {
+        let mut lost = self.clone();
+        match lost.ended(AttemptEnd::Lost, || true) {
+            NextStep::TryAgain | NextStep::GoOn => {
+                lost.exclude(first);
+                Some(lost)
+            }
+            NextStep::PassOn(_) | NextStep::GiveUp(_) => None,
+        }
     }
 
     /// Notes that a repeat was taken out of the budget for the next send.
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -314,3 +314,23 @@
     assert!((1_500..2_500).contains(&times.mean_ms(&model)), "{times:?}");
     assert_eq!(times.mean_ms(&other), 3_000);
 }
+
+/// An answer under way had lost its first run, and its second fell silent. The router gave that run up
+/// for another one, though the answer had then run on as many endpoints as it may: both were left out,
+/// nothing could go on with it, and its caller left.
+#[test]
+fn a_silent_run_is_not_given_up_where_no_other_may_follow() {
+    let (first, second) = (EndpointId::from("first"), EndpointId::from("second"));
+    let mut attempts = Attempts::new(Repeat::Stream { resumable: true }, 2);
+    attempts.sending(&first);
+    attempts.answer_begins();
+    attempts.ended(AttemptEnd::Lost, || true);
+    attempts.exclude(&first);
+    attempts.sending(&second);
+    let lost = attempts.after_losing(&second).expect("it may run again");
+    let only_on = lost.only_on().expect("it has run on two");
+    assert!(only_on.iter().all(|it| lost.excluded().contains(it)));
+    let mut bound = Attempts::new(Repeat::Stream { resumable: false }, 2);
+    bound.sending(&first);
+    assert!(bound.after_losing(&first).is_none(), "it runs once");
+}
--- a/src/relay/unsent_tests.rs
+++ b/src/relay/unsent_tests.rs
@@ -66,3 +66,14 @@
     attempts.readmit(|endpoint| *endpoint == sound);
     assert_eq!(attempts.excluded().iter().collect::<Vec<_>>(), [&dead]);
 }
+
+#[test]
+fn an_engine_is_let_in_again_once() {
+    let engine = EndpointId::from("a");
+    let mut attempts = after_a_lost_run();
+    for is_first in [true, false] {
+        attempts.exclude(&engine);
+        attempts.readmit(|_| true);
+        assert_eq!(attempts.excluded().is_empty(), is_first);
+    }
+}
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -65,6 +65,8 @@
             return Err(RunEnd::Failed(AttemptEnd::Lost, Trouble::Silent, first));
         }
         for _ in 0..MOST_REROUTES {
+            // A stage without room was found by the last order.
+            let lost = self.unsound_stages(held.chain());
             let Some(chain) = self.plan_around(held.chain(), &lost) else {
                 break;
             };
@@ -94,14 +96,20 @@
 
     /// Whether another run could go on where the present one stands.
     fn can_resume(&self, present: &Chain) -> bool {
-        let mut trial = self.attempts.clone();
-        trial.exclude(&present.first().endpoint);
-        let may_repeat = self.request.route.repeat.may_run_again();
-        may_repeat
-            && self
-                .node
-                .has_repeat(&self.request.service, self.repeat_purpose())
-            && self.plan_with(&trial, None).is_some()
+        let Some(trial) = self.attempts.after_losing(&present.first().endpoint) else {
+            return false;
+        };
+        if self.plan_with(&trial, None).is_none() {
+            return false;
+        }
+        let service = &self.request.service;
+        let purpose = self.repeat_purpose();
+        let is_left = self.node.has_repeat(service, purpose);
+        if !is_left {
+            // The present run may have ended: others are asked for a repeat while it is waited for.
+            self.node.await_repeat(service, purpose);
+        }
+        is_left
     }
 
     async fn reroute(&self, chain: &Chain, unsound: &EndpointId) -> Result<(), OrderFailure> {
