Events: one that was dropped with a fault behind it is asked for again

One read held a whole event and behind it one that does not follow; the whole one was dropped with the other, but the next run was asked to go on behind it, and the caller missed an event. The last id is noted with the bytes that are handed out. The test fails without it.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -72,9 +72,11 @@
         let mut end = 0;
         let mut count = 0;
         let mut from = searched;
+        // Noted only with the bytes that are handed out: after a fault the next run must bring the rest.
+        let mut last_id = self.last_id;
         while let Some(next) = event_end(&self.waiting, from) {
             let id = event_id(&self.waiting[end..next]);
-            self.follow(id)?;
+            last_id = follow(last_id, id)?;
             end = next;
             from = next;
             count += 1;
@@ -82,24 +84,23 @@
         if self.waiting.len() - end > EVENT_LIMIT_BYTES {
             return Err(SplitError::TooLong);
         }
+        self.last_id = last_id;
         let whole = (count > 0).then(|| WholeEvents {
             bytes: self.waiting.split_to(end).freeze(),
             count,
         });
         Ok(whole)
     }
+}
 
-    fn follow(&mut self, id: Option<u64>) -> Result<(), SplitError> {
-        let Some(found) = id else {
-            return Ok(());
-        };
-        if let Some(last) = self.last_id
-            && found != last + 1
-        {
-            return Err(SplitError::OutOfOrder { last, found });
+/// The last id behind an event; an error if the event does not follow.
+fn follow(last_id: Option<u64>, id: Option<u64>) -> Result<Option<u64>, SplitError> {
+    match (last_id, id) {
+        (_, None) => Ok(last_id),
+        (Some(last), Some(found)) if found != last + 1 => {
+            Err(SplitError::OutOfOrder { last, found })
         }
-        self.last_id = Some(found);
-        Ok(())
+        (_, found) => Ok(found),
     }
 }
 
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -334,3 +334,14 @@
     bound.sending(&first);
     assert!(bound.after_losing(&first).is_none(), "it runs once");
 }
+
+/// One read held a whole event and behind it one that does not follow. The good one was dropped with the
+/// bad one, but the next run was asked to go on behind it: the caller missed an event.
+#[test]
+fn an_event_before_a_fault_is_asked_for_again() {
+    let mut splitter = EventSplitter::behind(Some(4));
+    let fault = splitter.push(b"id: 5\ndata: a\n\nid: 9\ndata: b\n\n");
+    assert_eq!(fault, Err(SplitError::OutOfOrder { last: 5, found: 9 }));
+    splitter.drop_partial();
+    assert_eq!(splitter.last_id(), Some(4));
+}
