--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -9,6 +9,9 @@
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::request::instant_at;
 
+/// Pause between two notes that a repeat is waited for: each counts as a need for a second.
+const ASK_AGAIN_MS: u64 = 500;
+
 impl<A> StreamRelay<A>
 where
     A: Adapter,
@@ -18,6 +21,7 @@
     pub(super) async fn chain_to_go_on(&mut self) -> Chain {
         let mut news = self.node.news.subscribe();
         let mut waits_for = None;
+        let mut ask_due_ms = 0;
         loop {
             self.forget_ended();
             let now_ms = boot_ms();
@@ -28,7 +32,10 @@
             if waits_for != Some(lack.name()) {
                 waits_for = Some(lack.name());
                 self.log_wait(lack, now_ms);
-                self.ask_zone(lack);
+            }
+            if matches!(lack, Lack::Repeat { .. }) && now_ms >= ask_due_ms {
+                ask_due_ms = now_ms + ASK_AGAIN_MS;
+                self.ask_zone();
             }
             tokio::select! {
                 () = sleep_until(instant_at(lack.look_ms(now_ms), now_ms)) => {}
@@ -38,11 +45,9 @@
     }
 
     /// Has other instances lend a repeat: without it they would only hear of those that were refused.
-    fn ask_zone(&self, lack: Lack) {
-        if matches!(lack, Lack::Repeat { .. }) {
-            let service = &self.request.service;
-            self.node.await_repeat(service, RepeatPurpose::GoOn);
-        }
+    fn ask_zone(&self) {
+        let service = &self.request.service;
+        self.node.await_repeat(service, RepeatPurpose::GoOn);
     }
 
     fn next_run(&mut self, now_ms: u64) -> Result<Chain, Lack> {
