Checks: a connection that is reset at once is not a silence

An engine over its limit of connections resets them at once; two resets counted as 110 ms of silence, and beside a prompt answer of another engine as its death. The time of a question is waited out now.

--- a/src/relay_server/questions.rs
+++ b/src/relay_server/questions.rs
@@ -48,7 +48,8 @@
             Ok(report) => return Finding::Sound(report),
             Err(OrderFailure::NoListener) => return Finding::Ended,
             Err(_) if boot_ms() > begun_ms + timeout_ms + OWN_DELAY_MS => return Finding::Nothing,
-            Err(_) => {}
+            // A connection that is reset at once has not been silent yet.
+            Err(_) => sleep_until_ms(begun_ms + timeout_ms).await,
         }
     }
     Finding::Unanswered(asked_ms, judge(node, id, asked_ms))
@@ -100,6 +101,10 @@
     }
 }
 
+async fn sleep_until_ms(at_ms: u64) {
+    sleep(Duration::from_millis(at_ms.saturating_sub(boot_ms()))).await;
+}
+
 async fn question<A>(
     node: &Node<A>,
     id: &EndpointId,
