--- a/src/relay_server/repeat_loans.rs
+++ b/src/relay_server/repeat_loans.rs
@@ -27,7 +27,7 @@
 /// part among those of the zone that do not lack the same. Each need is answered once.
 pub(super) fn wants(peers: &mut PeerBook, now_ms: u64) -> Vec<Want> {
     let mut askers: IndexMap<(ServiceName, RepeatPurpose), usize> = IndexMap::new();
-    let mut heard = 0;
+    let mut heard: usize = 0;
     for peer in peers.near_heard(now_ms) {
         heard += 1;
         for need in &peer.repeat_needs {
@@ -39,7 +39,8 @@
     for peer in peers.near_heard(now_ms) {
         for need in std::mem::take(&mut peer.repeat_needs) {
             let same = askers[&(need.service.clone(), need.purpose)];
-            let lenders = 1 + heard - same;
+            // A peer may name a need twice.
+            let lenders = (1 + heard).saturating_sub(same);
             wants.push(Want {
                 address: peer.address,
                 amount: RepeatAmount {
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -294,7 +294,8 @@
         self.node
             .upstreams
             .send(first.address, head, body, boot_ms(), || {
-                self.node.takes_requests(&first.endpoint)
+                let mut stages = chain.stages().iter();
+                stages.all(|stage| self.node.takes_requests(&stage.endpoint))
             })
             .await
     }
