--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -165,9 +165,9 @@
                 shows:? = silence,
                 asked_ago_ms = boot_ms().saturating_sub(asked_ms),
                 heard_ago_ms = boot_ms().saturating_sub(node.heard_ms(id));
-                "unanswered question is left without meaning"
+                "engine did not answer; not counted against it"
             );
-            node.counters.count("relay.checks.without_meaning");
+            node.counters.count("relay.checks.unclear");
             return None;
         }
         Finding::Nothing => return None,
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -183,10 +183,10 @@
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
         let is_left = budget.take(service, share, purpose, boot_ms());
-        self.counters.count(match (is_left, purpose) {
-            (true, _) => "relay.repeats.allowed",
-            (false, RepeatPurpose::Begin) => "relay.repeats.over_budget_begin",
-            (false, RepeatPurpose::GoOn) => "relay.repeats.over_budget_go_on",
+        self.counters.count(if is_left {
+            "relay.repeats.allowed"
+        } else {
+            "relay.repeats.over_budget"
         });
         is_left
     }
@@ -235,6 +235,7 @@
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
         budget.await_one(service, share, purpose, boot_ms());
+        self.counters.count("relay.repeats.awaited");
     }
 
     /// What decides when a refused request should be asked for again.
