--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -7,8 +7,9 @@
 use crate::invariant;
 use crate::route_table::Repeat;
 
-/// Sends that endpoints turned away unrun, after which a request without any answer is refused. Enough
-/// to get past a few endpoints that have just gone; each one uses up some of the budget for repeats.
+/// Attempts that did not run, after which a request without any answer is refused: turned away by the
+/// endpoint, or not sent. Enough to get past a few endpoints that have just gone; each one that was sent
+/// uses up some of the budget for repeats.
 const MOST_TURNED_AWAY: u32 = 4;
 /// Sends of one request in all that is without any answer.
 const MOST_SENDS: u32 = 8;
@@ -36,11 +37,9 @@
 pub enum NextStep {
     /// Send it once more.
     TryAgain,
-    /// Go on with the answer under way, once a chain has room and the budget a repeat left; none has
-    /// been taken yet. On a day of failing engines, 25 to 50 of 14,000 streams were cut off in each
-    /// of four plays where answers under way were given up like requests without any, and none in
-    /// two plays where they wait. Of the 90 that waited there 38 came out whole, with a pause of 0.6
-    /// and 0.8 s in the median; the callers of 49 left, 48 of them while no repeat was left.
+    /// Go on with the answer under way, once a chain has room and the budget has a repeat left; none
+    /// has been taken yet. Giving up at once cut off 25 to 50 of 14,000 streams beside failing engines
+    /// (four runs); waiting, none (two runs).
     GoOn,
     /// Pass on the failure that the endpoint answered with; what kept it from another try.
     PassOn(AttemptLimit),
@@ -115,7 +114,7 @@
         self.sends
     }
 
-    /// Sends that endpoints turned away unrun.
+    /// Attempts that did not run: turned away by the endpoint, or not sent.
     pub fn turned_away(&self) -> u32 {
         self.turned_away
     }
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -10,7 +10,7 @@
     MayHaveRun,
     /// It ran on as many endpoints as it may.
     Endpoints,
-    /// Endpoints turned it away as often as is allowed.
+    /// As many attempts as are allowed did not run: turned away by the endpoint, or not sent.
     TurnedAway,
     /// It was sent as often as is allowed.
     Sends,
