--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,5 +27,6 @@
 pub use heard::Heard;
 pub use known::{EngineLoad, KnownEndpoint};
 pub use listing::Fleet;
-pub use provenance::{InfoPath, Provenance, describe_known, describe_list};
+pub use provenance::{InfoPath, Provenance};
+pub(crate) use provenance::{describe_known, describe_list};
 pub use replicas::pick_replica;
--- a/src/fleet/provenance.rs
+++ b/src/fleet/provenance.rs
@@ -1,4 +1,4 @@
-//! Where the newest word on endpoints came from, for log lines. No decision is made by it.
+//! Where the newest information on endpoints came from, for log lines. No decision is made by it.
 
 use std::fmt;
 
@@ -8,7 +8,7 @@
 /// Endpoints that one log line describes: bounds the lines on requests of long chains.
 const MOST_DESCRIBED: usize = 16;
 
-/// By which path word of endpoints reached this instance.
+/// By which path information on endpoints reached this instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum InfoPath {
     /// A read of the platform's store by this instance.
@@ -30,7 +30,7 @@
     }
 }
 
-/// How and when word of something came.
+/// How and when information on something came.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Provenance {
     /// By which path.
@@ -47,8 +47,8 @@
 }
 
 /// What is known of some endpoints, one after another as `ID=PATH:AGEms` with commas between them:
-/// the path and the age of the newest word on each. `not_listed` stands for one that is not known.
-pub fn describe_known<'a, I>(fleet: &Fleet, endpoints: I, now_ms: u64) -> String
+/// the path and the age of the newest information on each. `not_listed` stands for one that is not known.
+pub(crate) fn describe_known<'a, I>(fleet: &Fleet, endpoints: I, now_ms: u64) -> String
 where
     I: IntoIterator<Item = &'a EndpointId>,
 {
@@ -73,6 +73,6 @@
 }
 
 /// By which path the list was last known to be the newest, and its age, as `PATH:AGEms`.
-pub fn describe_list(fleet: &Fleet, now_ms: u64) -> String {
+pub(crate) fn describe_list(fleet: &Fleet, now_ms: u64) -> String {
     format!("{}:{}ms", fleet.list_path(), fleet.age_ms(now_ms))
 }
