What a missing answer shows is called NoAnswer; one constant for the wait

REPORT_TIMEOUTS_MS and the time for which a link counts as full were the same fact in two places. The log field shows reads EngineLives or Unclear where it read Lives or Unclear.

--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -115,7 +115,7 @@
 
     /// Whether something has come from it since the question whose silence counted as its death. A
     /// process that has ended is not shown to live by what it sent before.
-    pub fn lives_after_all(&self) -> bool {
+    pub fn was_heard_since_question(&self) -> bool {
         let asked_ms = self.standing.unanswered_since_ms();
         let is_heard = asked_ms.is_some_and(|asked_ms| self.heard.at_ms() > asked_ms);
         is_heard && !self.standing.has_ended()
@@ -123,13 +123,13 @@
 
     /// Whether what runs there is lost, as far as is known.
     pub fn is_lost(&self) -> bool {
-        self.standing.is_dead() && !self.lives_after_all()
+        self.standing.is_dead() && !self.was_heard_since_question()
     }
 
     /// Takes that it has not answered a question of `asked_ms`; returns whether it is on pause from now
     /// on and was not before.
     pub fn unanswered(&mut self, asked_ms: u64, now_ms: u64) -> bool {
-        if self.lives_after_all() {
+        if self.was_heard_since_question() {
             self.standing.clear();
         }
         self.standing.unanswered(asked_ms, now_ms)
--- a/src/fleet/known_tests.rs
+++ b/src/fleet/known_tests.rs
@@ -30,7 +30,7 @@
     with_engine(|engine| {
         engine.heard.note(ASKED_MS);
         assert!(engine.unanswered(ASKED_MS, FOUND_MS));
-        assert!(engine.is_lost() && !engine.lives_after_all());
+        assert!(engine.is_lost() && !engine.was_heard_since_question());
     });
 }
 
@@ -39,7 +39,7 @@
     with_engine(|engine| {
         engine.unanswered(ASKED_MS, FOUND_MS);
         engine.heard.note(FOUND_MS + 1);
-        assert!(!engine.is_lost() && engine.lives_after_all());
+        assert!(!engine.is_lost() && engine.was_heard_since_question());
     });
 }
 
--- a/src/relay/go_on.rs
+++ b/src/relay/go_on.rs
@@ -6,7 +6,7 @@
 
 /// What an answer under way lacks for its next run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lack {
+pub(crate) enum Lack {
     /// Some layer of the model has no usable holder.
     Chain,
     /// An engine of the best chain turned work away just now.
@@ -23,7 +23,7 @@
 
 impl Lack {
     /// Name in log lines.
-    pub fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Chain => "chain",
             Self::Room { .. } => "room",
@@ -32,7 +32,7 @@
     }
 
     /// When to look again; after `now_ms`.
-    pub fn look_ms(self, now_ms: u64) -> u64 {
+    pub(crate) fn look_ms(self, now_ms: u64) -> u64 {
         let latest_ms = now_ms + LOOK_MS;
         match self {
             Self::Chain => latest_ms,
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -1,31 +1,35 @@
 //! What it means that an engine has not answered a question.
 //!
-//! A question and its answer share this instance's link with everything else that it sends. While the
-//! link is full, questions to living engines have no answer in time: on one day each of the 66 engines
-//! that instances took for dead brought other streams events from before to after that moment.
+//! A question and its answer share this instance's link with all else that it sends. While the link is
+//! full, living engines do not answer in time: of 66 engines taken for dead in one run, all 66 went on
+//! sending events.
 
 /// Longest time for an answer that shows the link to be free: a round trip takes a few milliseconds.
-pub const PROMPT_MS: u64 = 25;
+pub(crate) const PROMPT_MS: u64 = 25;
 
-/// How long after a question of a living engine has gone unanswered the link counts as full for others:
-/// as long as a question is waited for.
-const FULL_MS: u64 = 110;
+/// Longest waits for an engine's report, one after the other. A round trip takes a few
+/// milliseconds at most; the second question is for links that lose packets.
+pub(crate) const REPORT_TIMEOUTS_MS: [u64; 2] = [50, 60];
+
+/// How long after a question to a living engine has gone unanswered the link counts as full for others:
+/// as long as an engine is waited for.
+const LINK_FULL_MS: u64 = REPORT_TIMEOUTS_MS[0] + REPORT_TIMEOUTS_MS[1];
 
 /// What an unanswered question shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Silence {
+pub(crate) enum NoAnswer {
     /// Something has come from the engine since it was asked: it lives.
-    Lives,
+    EngineLives,
     /// Another question of the same moment was answered promptly, and none that a living engine would
     /// have answered was not: the link is not the cause.
-    Dead,
+    EngineDead,
     /// Nothing tells the engine's silence from that of the link.
     Unclear,
 }
 
 /// Answers to the questions of this instance, to whichever engine.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct AnswerBook {
+pub(crate) struct AnswerBook {
     /// When the newest question that was answered promptly was sent.
     prompt_sent_ms: Option<u64>,
     /// When the newest question was sent that a living engine did not answer in time.
@@ -34,7 +38,7 @@
 
 impl AnswerBook {
     /// Notes that a question that was sent at `sent_ms` has an answer.
-    pub fn answered(&mut self, sent_ms: u64, now_ms: u64) {
+    pub(crate) fn answered(&mut self, sent_ms: u64, now_ms: u64) {
         if now_ms <= sent_ms + PROMPT_MS {
             self.prompt_sent_ms = self.prompt_sent_ms.max(Some(sent_ms));
         }
@@ -42,17 +46,17 @@
 
     /// Judges the silence of an engine which was asked at `asked_ms`, and from which something last came
     /// at `heard_ms`.
-    pub fn judge(&mut self, asked_ms: u64, heard_ms: u64) -> Silence {
+    pub(crate) fn judge(&mut self, asked_ms: u64, heard_ms: u64) -> NoAnswer {
         let is_full = self
             .full_sent_ms
-            .is_some_and(|sent_ms| asked_ms <= sent_ms + FULL_MS);
+            .is_some_and(|sent_ms| asked_ms <= sent_ms + LINK_FULL_MS);
         if heard_ms > asked_ms {
             self.full_sent_ms = self.full_sent_ms.max(Some(asked_ms));
-            Silence::Lives
+            NoAnswer::EngineLives
         } else if self.prompt_sent_ms >= Some(asked_ms) && !is_full {
-            Silence::Dead
+            NoAnswer::EngineDead
         } else {
-            Silence::Unclear
+            NoAnswer::Unclear
         }
     }
 }
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -13,7 +13,7 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, KnownEndpoint, Trouble};
 use crate::ids::EndpointId;
-use crate::relay::Silence;
+use crate::relay::NoAnswer;
 
 /// A report that is newer than this is taken for all streams.
 const FRESH_MS: u64 = 400;
@@ -117,7 +117,7 @@
         .begun_at_ms
         .insert(id.clone(), boot_ms());
     let finding = ask(node, id, stage.address).await;
-    if matches!(finding, Finding::Unanswered(_, Silence::Unclear)) {
+    if matches!(finding, Finding::Unanswered(_, NoAnswer::Unclear)) {
         // Not waited for: the stream that asks has events to pass on.
         settle_beside(node, stage, finding);
         return None;
@@ -155,14 +155,14 @@
             node.troubled(id, Trouble::Ended);
             return None;
         }
-        Finding::Unanswered(asked_ms, Silence::Dead) => {
+        Finding::Unanswered(asked_ms, NoAnswer::EngineDead) => {
             node.unanswered(id, asked_ms);
             return None;
         }
-        Finding::Unanswered(asked_ms, silence) => {
+        Finding::Unanswered(asked_ms, no_answer) => {
             log::info!(
                 endpoint = id.as_str(),
-                shows:? = silence,
+                shows:? = no_answer,
                 asked_ago_ms = boot_ms().saturating_sub(asked_ms),
                 heard_ago_ms = boot_ms().saturating_sub(node.heard_ms(id));
                 "engine did not answer; not counted against it"
@@ -213,7 +213,7 @@
 where
     A: Adapter,
 {
-    welcome_living(node);
+    end_false_pauses(node);
     let now_ms = boot_ms();
     let due: Vec<(EndpointId, SocketAddr, bool)> = node
         .fleet
@@ -238,7 +238,9 @@
         };
         match finding {
             // Silence that may be the link's says nothing new of an engine in doubt.
-            Some(Finding::Ended | Finding::Unanswered(_, Silence::Dead | Silence::Unclear)) => {
+            Some(
+                Finding::Ended | Finding::Unanswered(_, NoAnswer::EngineDead | NoAnswer::Unclear),
+            ) => {
                 known.standing.pause(boot_ms());
             }
             Some(Finding::Sound(report)) if answering_lifetime(&id, &report) != Lifetime::Known => {
@@ -248,7 +250,7 @@
                 known.said_layers(report.layers, boot_ms());
                 takes_work_again(known);
             }
-            Some(Finding::Nothing | Finding::Unanswered(_, Silence::Lives)) | None => {
+            Some(Finding::Nothing | Finding::Unanswered(_, NoAnswer::EngineLives)) | None => {
                 takes_work_again(known);
             }
         }
@@ -256,12 +258,12 @@
     join_all(checks).await;
 }
 
-/// Ends the pause of engines over which something has come since they counted as dead.
-fn welcome_living<A>(node: &Node<A>) {
+/// Ends the pause of engines from which something has come since the question that they did not answer.
+fn end_false_pauses<A>(node: &Node<A>) {
     let mut fleet = node.fleet.borrow_mut();
     let living: Vec<EndpointId> = fleet
         .iter()
-        .filter(|known| known.lives_after_all())
+        .filter(|known| known.was_heard_since_question())
         .map(|known| known.id().clone())
         .collect();
     for id in &living {
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -39,8 +39,8 @@
     pub(crate) run_times: RefCell<RunTimes>,
     pub(crate) upstreams: Upstreams,
     pub(crate) checks: RefCell<CheckBook>,
-    /// Answers of engines to questions of this instance.
-    pub(crate) answers: RefCell<AnswerBook>,
+    /// Answers of engines to questions of this instance, to tell a full link from a dead engine.
+    pub(crate) prompt_answers: RefCell<AnswerBook>,
     pub(crate) peers: RefCell<PeerBook>,
     /// Orders that peers gave to engines, not yet taken up by the duty of this instance.
     pub(crate) orders_heard: RefCell<Vec<PlaceOrder>>,
@@ -85,7 +85,7 @@
             run_times: RefCell::default(),
             upstreams: Upstreams::new(),
             checks: RefCell::default(),
-            answers: RefCell::default(),
+            prompt_answers: RefCell::default(),
             orders_heard: RefCell::default(),
             store: Cell::default(),
             reads_store: watch::Sender::new(false),
--- a/src/relay_server/questions.rs
+++ b/src/relay_server/questions.rs
@@ -13,11 +13,8 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Fleet, KnownEndpoint};
 use crate::ids::EndpointId;
-use crate::relay::{PROMPT_MS, Silence};
+use crate::relay::{NoAnswer, PROMPT_MS, REPORT_TIMEOUTS_MS};
 
-/// Longest waits for an engine's report, one after the other. A round trip takes a few
-/// milliseconds at most; the second question is for links that lose packets.
-const REPORT_TIMEOUTS_MS: [u64; 2] = [50, 60];
 /// Longest wait for the report where the link may be full. The stream that asks looks again 250 ms
 /// after its first look.
 const LONG_TIMEOUT_MS: u64 = 130;
@@ -31,7 +28,7 @@
     /// No process listens at its address.
     Ended,
     /// No answer came to the question of this time.
-    Unanswered(u64, Silence),
+    Unanswered(u64, NoAnswer),
     /// This process was held up itself.
     Nothing,
 }
@@ -65,13 +62,13 @@
 where
     A: Adapter,
 {
-    let Finding::Unanswered(asked_ms, Silence::Unclear) = unclear else {
+    let Finding::Unanswered(asked_ms, NoAnswer::Unclear) = unclear else {
         return unclear;
     };
     let controls = controls(&node.fleet.borrow(), id);
     if controls.is_empty() {
         // Nobody is there to be compared with.
-        return Finding::Unanswered(asked_ms, Silence::Dead);
+        return Finding::Unanswered(asked_ms, NoAnswer::EngineDead);
     }
     let begun_ms = boot_ms();
     let link_is_free = async {
@@ -94,8 +91,8 @@
             Err(_) => Finding::Unanswered(asked_ms, judge(node, id, asked_ms)),
         },
         () = link_is_free => match judge(node, id, asked_ms) {
-            Silence::Lives => Finding::Unanswered(asked_ms, Silence::Lives),
-            Silence::Dead | Silence::Unclear => Finding::Unanswered(asked_ms, Silence::Dead),
+            NoAnswer::EngineLives => Finding::Unanswered(asked_ms, NoAnswer::EngineLives),
+            NoAnswer::EngineDead | NoAnswer::Unclear => Finding::Unanswered(asked_ms, NoAnswer::EngineDead),
         },
     }
 }
@@ -114,7 +111,9 @@
     let answer = node.adapter.engines().report(address, timeout_ms).await;
     // A refused connection has come back over the link as well.
     if matches!(answer, Ok(_) | Err(OrderFailure::NoListener)) {
-        node.answers.borrow_mut().answered(sent_ms, boot_ms());
+        node.prompt_answers
+            .borrow_mut()
+            .answered(sent_ms, boot_ms());
     }
     if answer.is_ok()
         && let Some(known) = node.fleet.borrow().get(id)
@@ -124,12 +123,12 @@
     answer
 }
 
-fn judge<A>(node: &Node<A>, id: &EndpointId, asked_ms: u64) -> Silence
+fn judge<A>(node: &Node<A>, id: &EndpointId, asked_ms: u64) -> NoAnswer
 where
     A: Adapter,
 {
     let heard_ms = node.heard_ms(id);
-    node.answers.borrow_mut().judge(asked_ms, heard_ms)
+    node.prompt_answers.borrow_mut().judge(asked_ms, heard_ms)
 }
 
 /// Engines to compare a silent one with: the one that was heard last, which most surely lives, and one
