--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -9,10 +9,10 @@
 /// of another instance, and processes that start with an empty memory.
 const USED_PART: f64 = 0.7;
 
-/// Part of the even share that a process uses until what one before it used is out of the window:
-/// all of what [`USED_PART`] leaves over. So the engines of a service get no more repeats than they
-/// may even if the processes of all instances start anew at once (each with a whole share: 30 of 198
-/// too many, simulated).
+/// Part of the even share that a process uses while repeats of an earlier process in its place may
+/// still count in the window. Together with [`USED_PART`] it is one whole share, so that engines get no
+/// more repeats than they may even if all instances start anew at once; where each began with a whole
+/// share they got up to 30 more than the 198 allowed (simulated).
 const STARTING_PART: f64 = 1.0 - USED_PART;
 
 /// Part of the repeats of a window that is kept for answers of which the caller holds a part: it
@@ -23,10 +23,11 @@
 /// loan when the next engine fails.
 const KEPT_PART: f64 = 0.5;
 
-/// Part of the own share that is not lent to go on with answers either: half of what is kept for those
-/// of this instance. An engine that ends cuts ten and more streams of one instance at once, more than
-/// its own share bears; the others of 29 bear 17 at least (by arithmetic: 28 x 0.125 x 4.8). Simulated: 10 of
-/// 10 go on within half a second, 1 of 10 without.
+/// Part of the own share that is not lent to go on with answers: half of what is kept for answers of this
+/// instance, so that the other half is there for loans. An engine that ends cuts ten and more streams of
+/// one instance at once, more than its own share bears. The other 28 of a zone of 29 lend 16 at least
+/// (by arithmetic: 28 x 0.125 x 4.78 repeats of an even share). Simulated: 10 of 10 such streams go on within half a
+/// second, 1 of 10 without these loans.
 const KEPT_TO_GO_ON_PART: f64 = GO_ON_PART / 2.0;
 
 /// How far back the demand is looked at; as many repeats again are to be at hand. Callers who were refused
@@ -66,7 +67,7 @@
 
 /// What is left at one moment.
 #[derive(Clone, Copy, Debug)]
-struct Standing {
+struct Remaining {
     /// Of the own share.
     own_milli: u64,
     /// Of loans for any purpose.
@@ -79,7 +80,7 @@
     begun_milli: u64,
 }
 
-impl Standing {
+impl Remaining {
     fn left_milli(self, purpose: RepeatPurpose) -> u64 {
         let left = self.own_milli + self.borrowed_milli;
         match purpose {
@@ -121,13 +122,13 @@
     }
 
     pub(super) fn has_left(&self, share: BudgetShare, purpose: RepeatPurpose, at_ms: u64) -> bool {
-        self.standing(share, at_ms).left_milli(purpose) >= REPEAT_MILLI
+        self.remaining(share, at_ms).left_milli(purpose) >= REPEAT_MILLI
     }
 
     /// Whole repeats left to get answers begun, for log lines.
     pub(super) fn left_repeats(&self, share: BudgetShare, now_ms: u64) -> u32 {
         let milli = self
-            .standing(share, now_ms)
+            .remaining(share, now_ms)
             .left_milli(RepeatPurpose::Begin);
         u32::try_from(milli / REPEAT_MILLI).unwrap_or(u32::MAX)
     }
@@ -161,7 +162,7 @@
     ) -> u64 {
         let is_asked = |it: &&AskedRepeat| it.purpose == purpose && now_ms <= it.at_ms + DEMAND_MS;
         let asked = self.asked.iter().filter(is_asked).count() as u64;
-        let left = self.standing(share, now_ms).left_milli(purpose);
+        let left = self.remaining(share, now_ms).left_milli(purpose);
         (asked * REPEAT_MILLI).saturating_sub(left)
     }
 
@@ -183,7 +184,7 @@
             RepeatPurpose::GoOn => KEPT_TO_GO_ON_PART,
         };
         let kept = (self.allowed_milli(share, now_ms) as f64 * kept_part).ceil() as u64;
-        let left = self.standing(share, now_ms).own_milli;
+        let left = self.remaining(share, now_ms).own_milli;
         left.saturating_sub(kept)
     }
 
@@ -247,14 +248,14 @@
         moments.find(|at_ms| self.has_left(share, purpose, *at_ms))
     }
 
-    fn standing(&self, share: BudgetShare, at_ms: u64) -> Standing {
+    fn remaining(&self, share: BudgetShare, at_ms: u64) -> Remaining {
         let from_ms = at_ms.saturating_sub(share.window_ms);
         let first = self.repeats.partition_point(|it| it.at_ms < from_ms);
         let sent = self.repeats.range(first..);
         let begun = sent.clone().filter(|it| it.purpose == RepeatPurpose::Begin);
         let own_used: u64 = sent.clone().map(|it| it.own_milli).sum();
         let charged = own_used + self.lent.sum_milli(at_ms);
-        Standing {
+        Remaining {
             own_milli: self.allowed_milli(share, at_ms).saturating_sub(charged),
             borrowed_milli: self.borrowed.sum_milli(at_ms),
             borrowed_to_go_on_milli: self.borrowed_to_go_on.sum_milli(at_ms),
