--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -25,9 +25,9 @@
 
 /// Part of the own share that is not lent to go on with answers: half of what is kept for answers of this
 /// instance, so that the other half is there for loans. An engine that ends cuts ten and more streams of
-/// one instance at once, more than its own share bears. The other 28 of a zone of 29 lend 16 at least
-/// (by arithmetic: 28 x 0.125 x 4.78 repeats of an even share). Simulated: 10 of 10 such streams go on within half a
-/// second, 1 of 10 without these loans.
+/// one instance at once, more than its own share bears. The other 28 of a zone of 29 lend 16 at least (by
+/// arithmetic: 28 x 0.125 x 4.78 repeats of an even share). Simulated: 10 of 10 such streams go on within
+/// half a second, 1 of 10 without these loans.
 const KEPT_TO_GO_ON_PART: f64 = GO_ON_PART / 2.0;
 
 /// How far back the demand is looked at; as many repeats again are to be at hand. Callers who were refused
