--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -1,7 +1,7 @@
 //! The datagram that instances send one another, and its bytes.
 //!
-//! A datagram is the sender's heartbeat, the same for a whole availability zone, followed by the answer
-//! to its one recipient. It is binary: text takes three times the bytes.
+//! A datagram is the sender's heartbeat, the same for a whole availability zone, followed by a part
+//! for its one recipient. It is binary: text takes three times the bytes.
 
 use std::net::SocketAddr;
 
@@ -65,9 +65,9 @@
     pub(super) sent_ms: u64,
 }
 
-/// What a datagram says to its recipient alone.
+/// Part of a datagram for its one recipient.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Answer {
+pub(crate) struct PeerPart {
     pub(super) echo: Option<Echo>,
     /// Repeats lent for the needs in the heartbeat that `echo` names.
     pub(super) lent: Vec<RepeatLoan>,
@@ -138,13 +138,13 @@
 /// Writes a whole datagram.
 pub(super) fn datagram(
     heartbeat_bytes: &[u8],
-    answer: &Answer,
+    peer_part: &PeerPart,
 ) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_extend(answer, heartbeat_bytes.to_vec())
+    postcard::to_extend(peer_part, heartbeat_bytes.to_vec())
 }
 
 /// Reads a datagram.
-pub(super) fn read_datagram(bytes: &[u8]) -> Result<(Heartbeat, Answer), postcard::Error> {
+pub(super) fn read_datagram(bytes: &[u8]) -> Result<(Heartbeat, PeerPart), postcard::Error> {
     let (heartbeat, rest) = postcard::take_from_bytes(bytes)?;
     Ok((heartbeat, postcard::from_bytes(rest)?))
 }
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 
 use super::heartbeat::{
-    Answer, Availability, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
+    Availability, Heartbeat, HeldLoad, OwnState, PeerPart, datagram, heartbeat_bytes, read_datagram,
 };
 use super::list_log::ListMark;
 use super::peer::{InstanceRecord, Recipient};
@@ -222,9 +222,9 @@
     let shared = heartbeat_bytes(&beat).expect("it is binary");
     let echo = a.recipients(READY, 500_100)[0].echo;
     assert!(echo.is_some());
-    let answer = Answer {
+    let answer = PeerPart {
         echo,
-        ..Answer::default()
+        ..PeerPart::default()
     };
     let binary = datagram(&shared, &answer).expect("it is binary");
     assert!(binary.len() * 2 < text, "{} of {text} bytes", binary.len());
@@ -407,9 +407,9 @@
             let own_zone = beat.zone;
             let recipients = book.recipients(READY, 600);
             let far = recipients.iter().filter(|it| it.zone != own_zone);
-            let answer = |it: &Recipient| Answer {
+            let answer = |it: &Recipient| PeerPart {
                 echo: it.echo,
-                ..Answer::default()
+                ..PeerPart::default()
             };
             far.map(|it| {
                 datagram(&shared, &answer(it))
@@ -514,7 +514,7 @@
         let mut sent = heartbeat(&mut sender, READY, 100);
         sent.held = vec![(EndpointId::from("e"), tokens(u64::MAX)), (EndpointId::from("f"), tokens(3))];
         let shared = heartbeat_bytes(&sent).expect("it can be written");
-        let mut bytes = datagram(&shared, &Answer::default()).expect("it can be written");
+        let mut bytes = datagram(&shared, &PeerPart::default()).expect("it can be written");
         for (place, byte) in changes {
             let place = place.index(bytes.len());
             bytes[place] = byte;
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -15,7 +15,7 @@
 use super::adapter::Adapter;
 use super::checks::check_beside;
 use super::heartbeat::{
-    Answer, Heartbeat, HeldLoad, OwnState, datagram, heartbeat_bytes, read_datagram,
+    Heartbeat, HeldLoad, OwnState, PeerPart, datagram, heartbeat_bytes, read_datagram,
 };
 use super::list_sync;
 use super::node::Node;
@@ -81,7 +81,7 @@
         let recipients = peers.recipients(own.availability, now_ms);
         (heartbeat, recipients, loads, wants(&mut peers, now_ms))
     };
-    let mut answers = node.answer_needs(wants, now_ms);
+    let mut peer_parts = node.answer_needs(wants, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
     for recipient in &recipients {
@@ -95,11 +95,20 @@
                 }
             }
         }
-        let answer = Answer {
+        let peer_part = PeerPart {
             echo: recipient.echo,
-            ..answers.swap_remove(&recipient.address).unwrap_or_default()
+            ..peer_parts
+                .swap_remove(&recipient.address)
+                .unwrap_or_default()
         };
-        send_one(node, socket, &shared[&recipient.zone], &answer, recipient).await;
+        send_one(
+            node,
+            socket,
+            &shared[&recipient.zone],
+            &peer_part,
+            recipient,
+        )
+        .await;
     }
 }
 
@@ -107,12 +116,12 @@
     node: &Rc<Node<A>>,
     socket: &UdpSocket,
     heartbeat_bytes: &[u8],
-    answer: &Answer,
+    peer_part: &PeerPart,
     recipient: &Recipient,
 ) where
     A: Adapter,
 {
-    let bytes = match datagram(heartbeat_bytes, answer) {
+    let bytes = match datagram(heartbeat_bytes, peer_part) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(error:% = error; "datagram cannot be written");
@@ -211,7 +220,7 @@
 where
     A: Adapter,
 {
-    let (heartbeat, answer) = match read_datagram(bytes) {
+    let (heartbeat, peer_part) = match read_datagram(bytes) {
         Ok(read) => read,
         Err(error) => {
             log::warn!(peer:% = from, error:% = error; "datagram is malformed");
@@ -224,13 +233,13 @@
         let is_newest = peers.is_newest(&heartbeat);
         (is_newest, peers.hear(&heartbeat, from, now_ms))
     };
-    let own_sent_ms = node.peers.borrow().own_sending_heard(answer.echo);
+    let own_sent_ms = node.peers.borrow().own_sending_heard(peer_part.echo);
     // A time that has not come yet is not of this process, whatever the peer says.
     let own_sent_ms = own_sent_ms.filter(|sent_ms| *sent_ms <= now_ms);
     confirm(node, &heartbeat, own_sent_ms);
     // One that came twice must not lend twice.
     if let Some(asked_ms) = own_sent_ms.filter(|_| is_newest) {
-        node.take_loans(&heartbeat, &answer, asked_ms, now_ms);
+        node.take_loans(&heartbeat, &peer_part, asked_ms, now_ms);
     }
     for id in &heartbeat.unsound {
         if let Some(stage) = node.told_unsound(id) {
--- a/src/relay_server/repeat_loans.rs
+++ b/src/relay_server/repeat_loans.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 use super::adapter::Adapter;
-use super::heartbeat::{Answer, Heartbeat};
+use super::heartbeat::{Heartbeat, PeerPart};
 use super::node::Node;
 use super::peer_book::PeerBook;
 use crate::ids::ServiceName;
@@ -72,8 +72,8 @@
         &self,
         wants: Vec<Want>,
         now_ms: u64,
-    ) -> IndexMap<SocketAddr, Answer> {
-        let mut answers: IndexMap<SocketAddr, Answer> = IndexMap::new();
+    ) -> IndexMap<SocketAddr, PeerPart> {
+        let mut answers: IndexMap<SocketAddr, PeerPart> = IndexMap::new();
         let (addresses, amounts): (Vec<_>, Vec<_>) =
             wants.into_iter().map(|it| (it.address, it.amount)).unzip();
         let share = self.budget_share();
@@ -98,7 +98,7 @@
     pub(super) fn take_loans(
         &self,
         heartbeat: &Heartbeat,
-        answer: &Answer,
+        answer: &PeerPart,
         asked_ms: u64,
         now_ms: u64,
     ) {
--- a/src/relay_server/repeat_loans_tests.rs
+++ b/src/relay_server/repeat_loans_tests.rs
@@ -1,6 +1,6 @@
 //! Who is asked for how many repeats, and which loans count.
 
-use super::heartbeat::{Answer, Heartbeat, datagram, heartbeat_bytes, read_datagram};
+use super::heartbeat::{Heartbeat, PeerPart, datagram, heartbeat_bytes, read_datagram};
 use super::peer_book::PeerBook;
 use super::peer_book_tests::{READY, address, book, heartbeat};
 use super::repeat_loans::{Want, wants};
@@ -99,18 +99,18 @@
 #[test]
 fn loans_add_little_to_a_heartbeat() {
     let mut beat = heartbeat(&mut book("a", "lac", 1_000), READY, 600);
-    let length = |beat: &Heartbeat, answer: &Answer| {
+    let length = |beat: &Heartbeat, answer: &PeerPart| {
         let shared = heartbeat_bytes(beat).expect("it can be written");
         datagram(&shared, answer).expect("it can be written").len()
     };
-    let without = length(&beat, &Answer::default());
+    let without = length(&beat, &PeerPart::default());
     beat.repeat_needs = vec![need(90_000)];
-    let answer = Answer {
+    let answer = PeerPart {
         lent: vec![RepeatLoan {
             id: 70,
             amount: need(3_100),
         }],
-        ..Answer::default()
+        ..PeerPart::default()
     };
     let with = length(&beat, &answer);
     println!(
