--- a/src/document/repeats.rs
+++ b/src/document/duplicates.rs
@@ -21,7 +21,7 @@
 }
 
 /// Reports each value that stands in a list for a second time.
-pub(super) fn check_repeats(checker: &Checker<'_>, values: &[Located<String>]) {
+pub(super) fn check_duplicates(checker: &Checker<'_>, values: &[Located<String>]) {
     let mut first_lines: IndexMap<&str, usize> = IndexMap::new();
     for value in values {
         match first_lines.get(value.value.as_str()) {
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -2,11 +2,11 @@
 
 mod changes;
 mod digest;
+mod duplicates;
 mod model;
 mod parse;
 mod plain_path;
 mod queries;
-mod repeats;
 mod sections;
 #[cfg(test)]
 mod tests;
--- a/src/document/parse.rs
+++ b/src/document/parse.rs
@@ -2,8 +2,8 @@
 
 use indexmap::IndexMap;
 
+use super::duplicates::{SeenDigests, check_duplicates};
 use super::model::{Document, OperatorRole, ServiceKind};
-use super::repeats::{SeenDigests, check_repeats};
 use super::sections::{
     KindWord, read_accounts, read_engines, read_models, read_operators, read_rules,
 };
@@ -56,7 +56,7 @@
 
 fn read_leaving(checker: &Checker<'_>, root: &mut Section<'_, '_>) -> Vec<EndpointId> {
     let names = root.list("leaving", MAX_LEAVING, name);
-    check_repeats(checker, &names);
+    check_duplicates(checker, &names);
     names
         .into_iter()
         .map(|name| EndpointId::from(name.value))
--- a/src/document/sections.rs
+++ b/src/document/sections.rs
@@ -3,11 +3,11 @@
 use indexmap::IndexMap;
 use toml::de::DeValue;
 
+use super::duplicates::{SeenDigests, check_duplicates};
 use super::model::{
     Account, KeyDigest, ModelOffer, NonIdempotentRule, Operator, OperatorRole, Priority,
 };
 use super::plain_path::plain_path;
-use super::repeats::{SeenDigests, check_repeats};
 use crate::checked_toml::{
     Checker, FaultKind, Located, Section, flag, key_digest, name, number, one_of, text,
     whole_number,
@@ -119,7 +119,7 @@
     let layers = section.required("layers", layers);
     let activation = section.required("activation_bytes", activation_bytes);
     let adapters = section.list("adapters", MAX_ADAPTERS, name);
-    check_repeats(checker, &adapters);
+    check_duplicates(checker, &adapters);
     Some(ModelOffer {
         name: model.value.clone(),
         version: version?.value,
@@ -159,7 +159,7 @@
             });
         }
     }
-    check_repeats(checker, &names);
+    check_duplicates(checker, &names);
     rules
 }
 
