--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -207,7 +207,7 @@
         let fullness = fullness(known, layers, ask.model, kind.memory_mb, ask.tokens);
         let slowness = known.standing.slowness(now_ms);
         let crowding = slowness * (1.0 + FULL_FACTOR * fullness * fullness);
-        let no_room_ms = if known.is_held() {
+        let last_choice_ms = if known.is_held() {
             HELD_MS
         } else if known.standing.is_full(now_ms) {
             TURNED_AWAY_MS
@@ -220,7 +220,7 @@
             known,
             layers,
             ms_per_layer: step_ms * crowding,
-            hop_ms: HOP_MS * crowding + no_room_ms,
+            hop_ms: HOP_MS * crowding + last_choice_ms,
             first_ms: first_ms(known),
         })
     }
--- a/src/fleet/replicas.rs
+++ b/src/fleet/replicas.rs
@@ -10,10 +10,12 @@
 /// differences without crossing zones for nothing.
 const OTHER_ZONE: f64 = 0.5;
 
-/// What a replica on pause counts beside that.
+/// What a replica on pause counts more, in requests waiting before it: more than ever wait at one, so
+/// that callers get it only where no other is left.
 const PAUSED: f64 = 1e6;
-/// The same of one whose entry is only held: that it lives is a guess, and if it is leaving it may not be
-/// sent requests any more. Simulated, they were chosen for up to 3.4 s after they had left the list.
+/// What a replica whose entry is only held counts more, in requests waiting before it: more than one on
+/// pause, since it may be leaving, and then it may not be sent requests any more. Simulated without this,
+/// such ones were chosen for up to 3.4 s after their entries had been removed.
 const HELD: f64 = 1e9;
 
 /// The replica with the least work for its slots, the own availability zone first. One that is on
