--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -19,7 +19,7 @@
 use crate::fleet::{Fleet, FleetChange, ListingRead, Phase, pick_replica};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
 
-/// An endpoint that stays in service all day.
+/// An endpoint that stays in service for the whole run.
 const STAYS: &str = "e29";
 
 /// Whether the process runs.
--- a/src/relay_server/list_spread_tests/mod.rs
+++ b/src/relay_server/list_spread_tests/mod.rs
@@ -8,8 +8,8 @@
 use rand::seq::IndexedRandom;
 
 use self::instance::Process;
-use self::store::{Access, Farewell};
-use self::world::{Noise, World};
+use self::store::{Access, Departure};
+use self::world::{Faults, World};
 use crate::ids::EndpointId;
 
 /// A deployment: instances of each zone, the bound on the time for which an endpoint that has said that
@@ -44,18 +44,18 @@
 const FEW: usize = 9;
 /// How often it is looked whether anybody would choose an endpoint that leaves.
 const STEP_MS: u64 = 20;
-/// Until all know one another, and the length of a day after that.
+/// Until all know one another, and the length of a run after that.
 const WARM_UP_MS: u64 = 4_000;
-const DAY_MS: u64 = 16_000;
+const RUN_MS: u64 = 16_000;
 /// How long an endpoint that leaves is looked at.
 const LOOKED_AT_MS: u64 = 5_500;
 /// How long after it has announced that it leaves an endpoint's entry is removed.
 const SERVES_ON_MS: u64 = 4_500;
 
-/// What happens to the deployment at a moment of the day.
+/// What happens to the deployment at a moment of the run.
 #[derive(Clone, Debug)]
 enum Act {
-    Leave(EndpointId, Farewell),
+    Leave(EndpointId, Departure),
     Remove(EndpointId),
     Join(usize),
     WriteElsewhere,
@@ -106,18 +106,18 @@
     }
 }
 
-/// Draws what happens on a day, in order of time.
+/// Draws what happens in a run, in order of time.
 fn plan(world: &mut World, site: &Site) -> Vec<(u64, Act)> {
     let mut acts = Vec::new();
-    let at = |world: &mut World| world.rng.random_range(1_000..DAY_MS - LOOKED_AT_MS);
+    let at = |world: &mut World| world.rng.random_range(1_000..RUN_MS - LOOKED_AT_MS);
     for number in 0..8 {
         let id = EndpointId::from(format!("e{number}"));
         let at_ms = at(world);
-        let farewell = *[Farewell::Announced, Farewell::Removed]
+        let departure = *[Departure::Announced, Departure::Removed]
             .choose(&mut world.rng)
             .expect("two");
-        acts.push((at_ms, Act::Leave(id.clone(), farewell)));
-        if farewell == Farewell::Announced {
+        acts.push((at_ms, Act::Leave(id.clone(), departure)));
+        if departure == Departure::Announced {
             acts.push((at_ms + SERVES_ON_MS, Act::Remove(id)));
         }
     }
@@ -147,7 +147,7 @@
     let quiet = world.rng.random_bool(0.4);
     let mut number = ENDPOINTS;
     let mut at_ms = 0;
-    while !quiet && at_ms < DAY_MS {
+    while !quiet && at_ms < RUN_MS {
         at_ms += world.rng.random_range(50..1_500);
         if world.rng.random_bool(0.4) {
             acts.push((at_ms, Act::Join(number)));
@@ -162,7 +162,7 @@
 
 fn perform(world: &mut World, act: &Act) {
     match act {
-        Act::Leave(id, farewell) => world.leave(id, *farewell),
+        Act::Leave(id, departure) => world.leave(id, *departure),
         Act::Remove(id) => world.remove(id),
         Act::Join(number) => world.join(*number),
         Act::WriteElsewhere => world.write_elsewhere(),
@@ -175,21 +175,21 @@
     }
 }
 
-/// Plays a day; returns the longest time for which an endpoint that leaves would still be chosen.
-fn play(site: &Site, seed: u64) -> Worst {
-    let noise = Noise {
+/// Simulates a run; returns the longest time for which an endpoint that leaves would still be chosen.
+fn simulate(site: &Site, seed: u64) -> Worst {
+    let faults = Faults {
         lost: 0.03,
         late: 0.02,
         silent: 0.04,
     };
-    let mut world = World::new(site.zones, ENDPOINTS, noise, seed);
+    let mut world = World::new(site.zones, ENDPOINTS, faults, seed);
     let begin_ms = world.now_ms + WARM_UP_MS;
     world.run_until(begin_ms);
     let acts = plan(&mut world, site);
     let mut left: Vec<Leave> = Vec::new();
     let mut worst = Worst::default();
     let mut next = 0;
-    for step in 0..DAY_MS / STEP_MS {
+    for step in 0..RUN_MS / STEP_MS {
         let now_ms = begin_ms + step * STEP_MS;
         while let Some((at_ms, act)) = acts.get(next).filter(|it| begin_ms + it.0 <= now_ms) {
             let at_ms = begin_ms + at_ms;
@@ -240,21 +240,23 @@
     }
 }
 
-/// The seeds of a site's days, and all up to this number if it is asked for.
+/// The seeds of a site's runs, and all up to this number if it is asked for.
 fn seeds(of_site: &[u64]) -> Vec<u64> {
-    let asked = std::env::var("FESCUE_LIST_DAYS").ok();
+    let asked = std::env::var("FESCUE_LIST_RUNS").ok();
     let asked = asked.and_then(|it| it.parse().ok());
-    asked.map_or_else(|| of_site.to_vec(), |days| (0..days).collect())
+    asked.map_or_else(|| of_site.to_vec(), |runs| (0..runs).collect())
 }
 
-/// The bound holds with a margin on each of these days.
+/// The bound holds with a margin on each of these runs.
 fn assert_all_stop_in_time(site: &Site, seeds: Vec<u64>) {
-    let days = seeds.len();
-    let played = seeds.into_iter().map(|seed| play(site, seed));
-    let worst = played.max_by_key(|it| it.after_ms).expect("a day at least");
+    let runs = seeds.len();
+    let simulated = seeds.into_iter().map(|seed| simulate(site, seed));
+    let worst = simulated
+        .max_by_key(|it| it.after_ms)
+        .expect("a run at least");
     let instances: usize = site.zones.iter().sum();
     println!(
-        "{instances} instances, {days} days: chosen {} ms after it said that it leaves at the latest (seed {}); bound {} ms",
+        "{instances} instances, {runs} runs: chosen {} ms after it said that it leaves at the latest (seed {}); bound {} ms",
         worst.after_ms, worst.seed, site.bound_ms,
     );
     assert!(
--- a/src/relay_server/list_spread_tests/store.rs
+++ b/src/relay_server/list_spread_tests/store.rs
@@ -16,7 +16,7 @@
 
 /// How an endpoint says that it leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Farewell {
+pub(super) enum Departure {
     /// Its entry shows it leaving, and is removed seconds later.
     Announced,
     /// Its entry is removed.
@@ -77,10 +77,10 @@
         self.changes.push((self.position, id.clone(), None));
     }
 
-    pub(super) fn leave(&mut self, id: &EndpointId, farewell: Farewell) {
-        match farewell {
-            Farewell::Removed => self.remove(id),
-            Farewell::Announced => {
+    pub(super) fn leave(&mut self, id: &EndpointId, departure: Departure) {
+        match departure {
+            Departure::Removed => self.remove(id),
+            Departure::Announced => {
                 let mut entry = self.entries[id].clone();
                 entry.phase = Phase::Leaving;
                 self.write(entry);
--- a/src/relay_server/list_spread_tests/world.rs
+++ b/src/relay_server/list_spread_tests/world.rs
@@ -15,7 +15,7 @@
 use super::super::peer::{Informant, InstanceRecord};
 use super::super::peer_book::HEARTBEAT_MS;
 use super::instance::{Instance, Process};
-use super::store::{Access, Farewell, Store};
+use super::store::{Access, Departure, Store};
 use crate::fleet::ListingRead;
 use crate::ids::{EndpointId, InstanceId};
 
@@ -30,9 +30,10 @@
 const SWEEP_MS: u64 = 200;
 /// Time from a call's sending to its answer, where the store answers at once.
 const CALL_MS: u64 = 2;
+
 /// What goes wrong all the time.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Noise {
+pub(super) struct Faults {
     /// Share of heartbeats lost.
     pub(super) lost: f64,
     /// Share of heartbeats that come up to 400 ms late.
@@ -103,7 +104,7 @@
     pub(super) now_ms: u64,
     pub(super) rng: SmallRng,
     pub(super) instances: Vec<Instance>,
-    noise: Noise,
+    faults: Faults,
     store: Store,
     waiting: Vec<Waiting>,
     due: BinaryHeap<Due>,
@@ -114,7 +115,7 @@
 
 impl World {
     /// `zones` has the number of instances of each. The first two of a zone have the fast links.
-    pub(super) fn new(zones: &[usize], endpoints: usize, noise: Noise, seed: u64) -> Self {
+    pub(super) fn new(zones: &[usize], endpoints: usize, faults: Faults, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut instances: Vec<Instance> = Vec::new();
         for (zone, count) in zones.iter().enumerate() {
@@ -128,7 +129,7 @@
         let mut world = Self {
             now_ms: 100_000,
             rng,
-            noise,
+            faults,
             store: Store::new(endpoints),
             waiting: Vec::new(),
             due: BinaryHeap::new(),
@@ -206,8 +207,8 @@
         self.wake_watches();
     }
 
-    pub(super) fn leave(&mut self, id: &EndpointId, farewell: Farewell) {
-        self.store.leave(id, farewell);
+    pub(super) fn leave(&mut self, id: &EndpointId, departure: Departure) {
+        self.store.leave(id, departure);
         self.wake_watches();
     }
 
@@ -318,14 +319,14 @@
         let (heartbeat, recipients) = self.instances[index].heartbeat(self.now_ms);
         let heartbeat = Rc::new(heartbeat);
         for recipient in recipients {
-            if self.rng.random_bool(self.noise.lost) {
+            if self.rng.random_bool(self.faults.lost) {
                 continue;
             }
             let to = self.by_address[&recipient.address];
             if self.instances[to].process == Process::Killed {
                 continue;
             }
-            let is_late = self.rng.random_bool(self.noise.late);
+            let is_late = self.rng.random_bool(self.faults.late);
             let most_ms = if is_late { 400 } else { 4 };
             let after_ms = self.rng.random_range(1..=most_ms);
             let heard = Event::Heard(index, Rc::clone(&heartbeat), recipient.echo);
@@ -365,7 +366,7 @@
                 self.push(index, CALL_MS, Event::ListEnd(sent_ms, Some(read)));
             }
             (Access::Answers, Some(since)) => {
-                let is_silent = self.rng.random_bool(self.noise.silent);
+                let is_silent = self.rng.random_bool(self.faults.silent);
                 self.waiting.push(Waiting {
                     of: index,
                     generation: self.instances[index].generation,
