--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,8 @@
 mod entry;
 mod evidence;
 mod heard;
+#[cfg(test)]
+mod held_tests;
 mod known;
 #[cfg(test)]
 mod known_tests;
@@ -17,6 +19,8 @@
 mod replicas;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod told_tests;
 
 pub use chain::{Chain, ChainAsk, ChainStage, first_gap, plan_chain, replace_stage};
 pub use entry::{
@@ -27,5 +31,6 @@
 pub use heard::Heard;
 pub use known::{EngineLoad, KnownEndpoint};
 pub use listing::Fleet;
-pub use provenance::{InfoPath, Provenance, describe_known, describe_list};
+pub use provenance::{InfoPath, Provenance};
+pub(crate) use provenance::{describe_known, describe_list};
 pub use replicas::pick_replica;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -39,8 +39,8 @@
     pub(crate) run_times: RefCell<RunTimes>,
     pub(crate) upstreams: Upstreams,
     pub(crate) checks: RefCell<CheckBook>,
-    /// Answers of engines to questions of this instance.
-    pub(crate) answers: RefCell<AnswerBook>,
+    /// Answers of engines to questions of this instance, to tell a full link from a dead engine.
+    pub(crate) prompt_answers: RefCell<AnswerBook>,
     pub(crate) peers: RefCell<PeerBook>,
     /// Orders that peers gave to engines, not yet taken up by the duty of this instance.
     pub(crate) orders_heard: RefCell<Vec<PlaceOrder>>,
@@ -85,7 +85,7 @@
             run_times: RefCell::default(),
             upstreams: Upstreams::new(),
             checks: RefCell::default(),
-            answers: RefCell::default(),
+            prompt_answers: RefCell::default(),
             orders_heard: RefCell::default(),
             store: Cell::default(),
             reads_store: watch::Sender::new(false),
@@ -183,10 +183,10 @@
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
         let is_left = budget.take(service, share, purpose, boot_ms());
-        self.counters.count(match (is_left, purpose) {
-            (true, _) => "relay.repeats.allowed",
-            (false, RepeatPurpose::Begin) => "relay.repeats.over_budget_begin",
-            (false, RepeatPurpose::GoOn) => "relay.repeats.over_budget_go_on",
+        self.counters.count(if is_left {
+            "relay.repeats.allowed"
+        } else {
+            "relay.repeats.over_budget"
         });
         is_left
     }
@@ -235,6 +235,7 @@
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
         budget.await_one(service, share, purpose, boot_ms());
+        self.counters.count("relay.repeats.awaited");
     }
 
     /// What decides when a refused request should be asked for again.
