--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -38,6 +38,7 @@
 mod reading;
 #[cfg(test)]
 mod reading_tests;
+mod records;
 mod repeat_loans;
 #[cfg(test)]
 mod repeat_loans_tests;
