Sight: lines on requests name a digest by which a request is known when it comes again

The incident's lines hold the caller's request id only, which is another one each time the request comes. Nothing told whether crash after crash was one request's or many's. A keyed digest of account, method, host, path and body does, and how far a run had come when its endpoint broke off.

Ruled out as identity: the id (changes with each attempt), headers (a caller's time and last event change too).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod orders;
 pub mod outcome;
 pub mod placement;
+pub mod quarantine;
 pub mod relay;
 pub mod relay_server;
 mod revision;
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -6,7 +6,8 @@
 
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderValue};
-use actix_http::{Payload, Request, Response, StatusCode};
+use actix_http::uri::PathAndQuery;
+use actix_http::{Payload, Request, RequestHead, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::time::timeout;
@@ -18,6 +19,7 @@
 use super::request::{RelayedRequest, status_response, word_response};
 use super::stream_answer::relay_stream;
 use crate::clock::boot_ms;
+use crate::quarantine::RequestParts;
 use crate::relay::{AttemptLimit, FinalWord, RefusalCause};
 use crate::route_table::{Rejection, Route, RouteTable};
 
@@ -123,7 +125,21 @@
         Ok(body) => body,
         Err(status) => return status_response(node, status),
     };
-    let relayed = RelayedRequest { body, ..resolved };
+    let digest = node.digest(&RequestParts {
+        account: resolved.account.as_ref(),
+        method: request.method().as_str(),
+        host: host_of(request.head()),
+        path: request
+            .uri()
+            .path_and_query()
+            .map_or("", PathAndQuery::as_str),
+        body: &body,
+    });
+    let relayed = RelayedRequest {
+        body,
+        digest,
+        ..resolved
+    };
     node.count_request(&relayed.service);
     note_ages(node, arrived_ms);
     let is_stream = relayed.route.repeat.is_stream();
@@ -138,6 +154,12 @@
     }
 }
 
+/// The host that a caller asked for; empty if it names none.
+fn host_of(head: &RequestHead) -> &str {
+    let host = head.headers.get(header::HOST);
+    host.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
 /// Notes how old what a request was decided by is.
 fn note_ages<A>(node: &Node<A>, now_ms: u64) {
     let table_age_ms = node.table.borrow().age_ms(now_ms);
@@ -164,12 +186,7 @@
             return Err(Box::new(status_response(node, StatusCode::BAD_REQUEST)));
         }
     };
-    let host = head
-        .headers
-        .get(header::HOST)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("");
-    let resolved = match table.resolve(host, head.uri.path(), ask.key.as_deref()) {
+    let resolved = match table.resolve(host_of(head), head.uri.path(), ask.key.as_deref()) {
         Ok(resolved) => resolved,
         Err(rejection) => return Err(Box::new(reject(node, table, &ask.id, rejection, now_ms))),
     };
@@ -207,6 +224,7 @@
         service,
         head: headers::request_head(head),
         body: Bytes::new(),
+        digest: None,
         arrived_ms: now_ms,
         final_ms: now_ms + patience_ms.min(route.timeout_ms),
         route,
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -34,6 +34,7 @@
 mod peer_book_tests;
 mod peers;
 mod plain;
+mod quarantine_rows;
 mod questions;
 mod reading;
 #[cfg(test)]
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -20,6 +20,7 @@
 use crate::fleet::{Chain, ChainStage, Fleet, FleetChange, Phase, Trouble};
 use crate::ids::{EndpointId, Incarnation, ServiceName};
 use crate::placement::PlaceOrder;
+use crate::quarantine::{DigestKey, RequestDigest, RequestParts};
 use crate::relay::{
     AnswerBook, AttemptLimit, BudgetShare, Outlook, RepeatPurpose, RetryBudget, RunTimes,
 };
@@ -60,6 +61,8 @@
     pub(crate) peer_knows_more: Notify,
     /// Grows whenever endpoints were found unsound; streams look at their chains then.
     pub(crate) news: watch::Sender<u64>,
+    /// Key of the deployment's request digests, once the store has told it.
+    pub(crate) digest_key: RefCell<Option<DigestKey>>,
     pub(crate) stopping_since_ms: Cell<Option<u64>>,
     /// Requests of callers that have no whole answer yet.
     pub(crate) open_requests: Cell<u64>,
@@ -94,6 +97,7 @@
             heartbeat_due: Notify::new(),
             peer_knows_more: Notify::new(),
             news: watch::Sender::new(0),
+            digest_key: RefCell::default(),
             stopping_since_ms: Cell::new(None),
             open_requests: Cell::new(0),
         }
@@ -172,6 +176,12 @@
         self.heartbeat_due.notify_one();
     }
 
+    /// By what a request is known when it comes again; `None` as long as the key is not known.
+    pub(crate) fn digest(&self, parts: &RequestParts<'_>) -> Option<RequestDigest> {
+        let key = self.digest_key.borrow();
+        key.as_ref()?.digest(parts)
+    }
+
     /// Notes a caller's request for a service.
     pub(crate) fn count_request(&self, service: &ServiceName) {
         let share = self.budget_share();
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -62,6 +62,7 @@
     node.count_given_up(limit);
     log::info!(
         request = request.ask.id.as_str(),
+        digest = request.shown_digest().as_str(),
         route = request.route.name.as_str(),
         word = word.name(),
         limit = limit.name(),
@@ -112,6 +113,7 @@
         };
         log::info!(
             request = request.ask.id.as_str(),
+            digest = request.shown_digest().as_str(),
             endpoint = endpoint.as_str(),
             end:? = end,
             cause = trouble.name(),
@@ -265,6 +267,7 @@
     }
     log::info!(
         request = request.ask.id.as_str(),
+        digest = request.shown_digest().as_str(),
         route = request.route.name.as_str(),
         status = answer.status.as_u16(),
         limit = answer.limit.map(AttemptLimit::name),
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -8,12 +8,13 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::peer::InstanceRecord;
+use super::quarantine_rows;
 use crate::clients::TableService;
 use crate::clock::boot_ms;
 use crate::wire::platform::{ScanRows, Transaction, Write};
 
 /// Longest wait for the store's answer to the calls that make instances known to one another.
-const REGISTER_TIMEOUT_MS: u64 = 800;
+pub(super) const REGISTER_TIMEOUT_MS: u64 = 800;
 /// Pause between two reads of the instances' records, which only find what no datagram has told.
 const RECORDS_PAUSE_MS: u64 = 15_000;
 /// The same at an instance that does not read the store otherwise. Others tell it of themselves.
@@ -35,12 +36,13 @@
         if !is_written {
             is_written = write_record(&node).await;
         }
+        let knows_key = quarantine_rows::learn_key(&node).await;
         let is_read = read_records(&node).await;
         if is_read {
             node.are_records_known.set(true);
             node.look_at_reading(boot_ms());
         }
-        let pause_ms = match (is_written && is_read, node.reads_store()) {
+        let pause_ms = match (is_written && is_read && knows_key, node.reads_store()) {
             (true, true) => RECORDS_PAUSE_MS,
             (true, false) => RARE_RECORDS_PAUSE_MS,
             (false, _) => RECORDS_RETRY_MS,
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -14,6 +14,7 @@
 use crate::clock::boot_ms;
 use crate::fleet::Chain;
 use crate::ids::{AccountId, EndpointId, ServiceName};
+use crate::quarantine::RequestDigest;
 use crate::relay::{FinalWord, Outlook};
 use crate::route_table::{Route, RouteTable};
 
@@ -31,12 +32,19 @@
     /// Head without what concerns the caller's connection.
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
+    /// By what it is known when it comes again; `None` as long as the key of digests is not known.
+    pub(crate) digest: Option<RequestDigest>,
     pub(crate) arrived_ms: u64,
     /// When the caller must have the final word: its own limit or the route's.
     pub(crate) final_ms: u64,
 }
 
 impl RelayedRequest {
+    /// Its digest as log lines show it; empty if it has none.
+    pub(crate) fn shown_digest(&self) -> String {
+        self.digest.map_or_else(String::new, |it| it.to_string())
+    }
+
     /// Time until the final word.
     pub(crate) fn left_ms(&self, now_ms: u64) -> u64 {
         self.final_ms.saturating_sub(now_ms)
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -87,6 +87,10 @@
     /// What was known when the newest run was sent.
     sent: SendView,
     runs: u32,
+    /// When the head of the newest run's answer came.
+    head_ms: Option<u64>,
+    /// Pieces with whole events that the newest run has brought.
+    run_events: u32,
     repairs: u32,
     /// Longest time without an event.
     longest_gap_ms: u64,
@@ -117,6 +121,8 @@
             chain: None,
             sent: SendView::default(),
             runs: 0,
+            head_ms: None,
+            run_events: 0,
             repairs: 0,
             longest_gap_ms: 0,
             first_event_ms: None,
@@ -171,6 +177,8 @@
             self.sent = SendView::new(&self.node, stages);
             self.chain = Some(chain.clone());
             self.runs += 1;
+            self.head_ms = None;
+            self.run_events = 0;
             let (end, cause_name, at_fault) = match self.run_once(chain).await {
                 RunEnd::Whole => return Finish::Whole,
                 RunEnd::CallerLeft => return Finish::CallerLeft,
@@ -179,6 +187,7 @@
             self.splitter.drop_partial();
             log::info!(
                 request = self.request.ask.id.as_str(),
+                digest = self.request.shown_digest().as_str(),
                 first = first.as_str(),
                 at_fault = at_fault.as_str(),
                 end:? = end,
@@ -186,6 +195,8 @@
                 known_at_send = self.sent.endpoints.as_str(),
                 list_at_send = self.sent.list.as_str(),
                 last_event = self.splitter.last_id(),
+                head_ago_ms = self.head_ago_ms(boot_ms()),
+                run_events = self.run_events,
                 silent_ms = self.stall.silence_ms(boot_ms());
                 "run failed"
             );
@@ -248,6 +259,7 @@
             self.failure = self.read_failure(&head, body).await;
             return RunEnd::Failed(AttemptEnd::Failed, Trouble::Failed, first);
         }
+        self.head_ms = Some(boot_ms());
         self.attempts.answer_begins();
         if let Some(opening) = self.opening.take() {
             let sent = opening.send(Ok(Opening {
@@ -366,6 +378,7 @@
             }
         };
         let now_ms = boot_ms();
+        self.run_events += 1;
         self.note_event(now_ms);
         held.event(now_ms);
         if self.pieces.send(Ok(whole.bytes)).await.is_err() {
@@ -382,6 +395,11 @@
         self.stall.event(now_ms);
     }
 
+    /// Time since the head of the newest run's answer, if it has come.
+    fn head_ago_ms(&self, now_ms: u64) -> Option<u64> {
+        self.head_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     fn note_full(&self, endpoint: &EndpointId) {
         if let Some(known) = self.node.fleet.borrow_mut().get_mut(endpoint) {
             known.standing.was_full(boot_ms());
@@ -452,6 +470,7 @@
         let chain = self.chain.as_ref().map(ToString::to_string);
         log::info!(
             request = self.request.ask.id.as_str(),
+            digest = self.request.shown_digest().as_str(),
             route = self.request.route.name.as_str(),
             chain = chain.as_deref().unwrap_or(""),
             outcome,
