Simulated deployments: how long a request that is to be withheld is still sent by anybody

9, 86 and 195 instances, heartbeats lost and late, readers and whole zones killed, frozen and started again beside the three ends.

--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -18,7 +18,7 @@
 use super::store::Access;
 use crate::fleet::{Fleet, FleetChange, ListingRead, Phase, pick_replica};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
-use crate::quarantine::ToldEvidence;
+use crate::quarantine::Quarantine;
 
 /// An endpoint that stays in service for the whole run.
 const STAYS: &str = "e29";
@@ -47,6 +47,7 @@
     pub(super) is_asking: bool,
     pub(super) is_notified: bool,
     pub(super) asking: Asking,
+    pub(super) quarantine: Quarantine,
 }
 
 fn settings(record: &InstanceRecord) -> RelaySettings {
@@ -96,6 +97,7 @@
             is_asking: false,
             is_notified: false,
             asking: Asking::default(),
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -114,6 +116,7 @@
         self.is_asking = false;
         self.is_notified = false;
         self.asking = Asking::default();
+        self.quarantine = Quarantine::default();
         self.process = Process::Runs { since_ms: now_ms };
     }
 
@@ -143,7 +146,7 @@
         }
     }
 
-    fn own_state(&self, now_ms: u64) -> OwnState {
+    fn own_state(&mut self, now_ms: u64) -> OwnState {
         let answered_ms = self.store.answered_ms().filter(|_| self.reads);
         OwnState {
             availability: Availability {
@@ -159,7 +162,7 @@
             store_age_ms: answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
             held: Vec::new(),
             repeat_needs: Vec::new(),
-            evidence: ToldEvidence::default(),
+            evidence: self.quarantine.next_told(now_ms),
         }
     }
 
@@ -195,6 +198,8 @@
         let (log, fleet) = (&mut self.log, &mut self.fleet);
         let peer = &heartbeat.instance;
         let knows_list = list_sync::hear_mark(log, fleet, peer, heartbeat.list, newest_at_ms);
+        let relays = self.book.is_among_first(now_ms);
+        self.quarantine.hear(&heartbeat.evidence, relays, now_ms);
         for id in &heartbeat.leaving {
             self.fleet.told_leaving(peer, id, now_ms);
         }
--- a/src/relay_server/list_spread_tests/mod.rs
+++ b/src/relay_server/list_spread_tests/mod.rs
@@ -1,7 +1,9 @@
-//! How long an endpoint that leaves is still chosen anywhere, over whole deployments in simulated time.
+//! How long an endpoint that leaves is still chosen anywhere, and a request that is to be withheld still
+//! sent, over whole deployments in simulated time.
 
 mod instance;
 mod store;
+mod withheld;
 mod world;
 
 use rand::RngExt;
--- a/src/relay_server/list_spread_tests/world.rs
+++ b/src/relay_server/list_spread_tests/world.rs
@@ -18,6 +18,7 @@
 use super::store::{Access, Departure, Store};
 use crate::fleet::ListingRead;
 use crate::ids::{EndpointId, InstanceId};
+use crate::quarantine::{Fate, RequestDigest, RunStage};
 
 /// As in service: how long a watch waits, what a call may take beside that, and the pauses.
 const WATCH_WAIT_MS: u64 = 1_700;
@@ -198,6 +199,17 @@
             .any(|it| it.access == Access::Answers && matches!(it.process, Process::Runs { .. }))
     }
 
+    /// An endpoint ends under a request that an instance has just begun to run there.
+    pub(super) fn end_under(&mut self, index: usize, digest: RequestDigest, id: &EndpointId) {
+        let now_ms = self.now_ms;
+        let own = &mut self.instances[index];
+        let stage = RunStage::Begun { after_ms: 60 };
+        own.quarantine.run_broke_off(digest, id, stage, now_ms);
+        own.quarantine.settle(now_ms, |_, _| Fate::Ended);
+        own.book.tell_knowledge();
+        self.send_news(index);
+    }
+
     pub(super) fn write_elsewhere(&mut self) {
         self.store.write_elsewhere();
     }
