Withheld requests: what is withheld is read first at a start; a slow engine's first events show nothing

A run counts as gone on under its request from the tenth piece on, beside the second since its head: a slow engine brings its first event late, and would have cleared the request that ends it.

--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -242,7 +242,7 @@
     if let Some(asked_ms) = own_sent_ms.filter(|_| is_newest) {
         node.take_loans(&heartbeat, &peer_part, asked_ms, now_ms);
     }
-    node.hear_evidence(&heartbeat.evidence, now_ms);
+    node.hear_evidence(&heartbeat.evidence, "peers", now_ms);
     for id in &heartbeat.unsound {
         if let Some(stage) = node.told_unsound(id) {
             check_beside(node, &stage);
--- a/src/relay_server/quarantine_rows.rs
+++ b/src/relay_server/quarantine_rows.rs
@@ -73,7 +73,7 @@
         deaths,
         ..ToldEvidence::default()
     };
-    node.hear_evidence(&told, boot_ms());
+    node.hear_evidence(&told, "store", boot_ms());
     match found.rows.iter().find(|row| row.key == KEY_ROW) {
         Some(row) => Ok(key_in(row)),
         None => write_key(node).await,
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -33,10 +33,11 @@
 {
     let mut is_written = false;
     loop {
+        // First, since callers may come at any moment.
+        let knows_key = quarantine_rows::learn(&node).await;
         if !is_written {
             is_written = write_record(&node).await;
         }
-        let knows_key = quarantine_rows::learn(&node).await;
         let is_read = read_records(&node).await;
         if is_read {
             node.are_records_known.set(true);
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -37,6 +37,10 @@
 /// Longest failure of an engine that is held to be passed on.
 const FAILURE_LIMIT_BYTES: usize = 1 << 20;
 
+/// Pieces with events from which on a run that is past its beginning shows that its engines go on under
+/// the request. On a slow engine the time alone would not: the first event may come after a second.
+const RAN_ON_EVENTS: u32 = 10;
+
 /// How a run of the request ended.
 enum RunEnd {
     /// The stream is whole.
@@ -394,7 +398,8 @@
         };
         let now_ms = boot_ms();
         self.run_events += 1;
-        if RunStage::of_run(self.head_ago_ms(now_ms)).is_none() {
+        let is_past_beginning = RunStage::of_run(self.head_ago_ms(now_ms)).is_none();
+        if is_past_beginning && self.run_events >= RAN_ON_EVENTS {
             self.note_ran_on();
         }
         self.note_event(now_ms);
--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -50,15 +50,20 @@
     pub(crate) fn ran_on(self: &Rc<Self>, digest: Option<RequestDigest>) {
         let Some(digest) = digest else { return };
         let changes = self.quarantine.borrow_mut().ran_on(digest, boot_ms());
-        self.take_quarantine_changes(&changes, "an endpoint went on under it");
+        self.take_quarantine_changes(&changes, "own runs");
     }
 
-    /// Takes what peers tell of requests under suspicion.
-    pub(crate) fn hear_evidence(self: &Rc<Self>, told: &ToldEvidence, now_ms: u64) {
+    /// Takes what peers, or rows of the store, tell of requests under suspicion.
+    pub(crate) fn hear_evidence(
+        self: &Rc<Self>,
+        told: &ToldEvidence,
+        source: &'static str,
+        now_ms: u64,
+    ) {
         // The first of a zone reach all others within two periods, and so carry on what they hear.
         let relays = self.peers.borrow().is_among_first(now_ms);
         let changes = self.quarantine.borrow_mut().hear(told, relays, now_ms);
-        self.take_quarantine_changes(&changes, "peers' evidence");
+        self.take_quarantine_changes(&changes, source);
     }
 
     /// Looks what has become of endpoints at which runs broke off.
@@ -73,10 +78,10 @@
         if has_news {
             self.tell_knowledge();
         }
-        self.take_quarantine_changes(&changes, "own evidence");
+        self.take_quarantine_changes(&changes, "own runs");
     }
 
-    fn take_quarantine_changes(self: &Rc<Self>, changes: &[QuarantineChange], cause: &str) {
+    fn take_quarantine_changes(self: &Rc<Self>, changes: &[QuarantineChange], source: &str) {
         if changes.is_empty() {
             return;
         }
@@ -87,13 +92,13 @@
                     log::warn!(
                         digest:% = digest,
                         endpoints = endpoints.join(",").as_str(),
-                        cause;
+                        source;
                         "request is withheld"
                     );
                     self.counters.count("relay.quarantine.withheld");
                 }
                 QuarantineChange::Free(digest) => {
-                    log::info!(digest:% = digest, cause; "request is not withheld any more");
+                    log::info!(digest:% = digest, source; "request is not withheld any more");
                     self.counters.count("relay.quarantine.freed");
                 }
             }
