Withheld requests in fescuectl losses; only ended stages count; one look at lost stages between two orders

A stage that is only full or left out for this request has not ended under it. Where events come again between two orders to change a chain, the present chain was ordered once more (by reading).

--- a/src/ctl/loss_reason.rs
+++ b/src/ctl/loss_reason.rs
@@ -28,6 +28,8 @@
     StoreAway,
     /// The instance was about to end.
     Restart,
+    /// Endpoints had ended under it, so that it was sent to none any more.
+    Withheld,
     /// Its time was over.
     Deadline,
     /// Its caller left.
@@ -55,6 +57,7 @@
             Self::RepairedLate => "repaired late",
             Self::StoreAway => "store away",
             Self::Restart => "restart",
+            Self::Withheld => "withheld",
             Self::Deadline => "deadline",
             Self::CallerGone => "caller gone",
             Self::EndpointFailed => "endpoint's own failure",
@@ -75,6 +78,7 @@
             "may_have_run" => Self::RunsOnce,
             "no_table" | "old_table" => Self::StoreAway,
             "stopping" => Self::Restart,
+            "withheld" => Self::Withheld,
             "deadline" => Self::Deadline,
             _ => return None,
         })
@@ -87,6 +91,7 @@
             "no_table" | "old_table" => Self::StoreAway,
             "no_chain" | "no_endpoint" => Self::NoChain,
             "stopping" => Self::Restart,
+            "withheld" => Self::Withheld,
             "too_late" | "timed_out" => Self::Deadline,
             "full" | "no_budget" => last_end.map_or(Self::NoRoom, Self::of_try),
             _ => last_end.map_or(Self::StageLost, Self::of_try),
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -130,7 +130,7 @@
         );
         attempts.exclude(&endpoint);
         node.troubled(&endpoint, trouble);
-        if end == AttemptEnd::Lost {
+        if trouble == Trouble::Broken {
             node.run_broke_off(request.digest, &endpoint, None);
             find_out_beside(node, &endpoint);
         }
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -58,10 +58,7 @@
             return Err(RunEnd::Withheld);
         }
         let lost = self.unsound_stages(held.chain());
-        for stage in &lost {
-            self.node
-                .run_broke_off(self.request.digest, stage, self.head_ago_ms(boot_ms()));
-        }
+        self.note_ended_stages(&lost);
         let Some(unsound) = lost.first().cloned() else {
             return Ok(());
         };
@@ -75,6 +72,10 @@
         for _ in 0..MOST_REROUTES {
             // A stage without room was found by the last order.
             let lost = self.unsound_stages(held.chain());
+            if lost.is_empty() {
+                // Events have come again while the last order was under way.
+                return Ok(());
+            }
             let Some(chain) = self.plan_around(held.chain(), &lost) else {
                 break;
             };
--- a/src/relay_server/stream/withheld.rs
+++ b/src/relay_server/stream/withheld.rs
@@ -41,6 +41,17 @@
         checked
     }
 
+    /// Notes which stages have ended under the present run, if that may have ended them.
+    pub(super) fn note_ended_stages(&self, unsound: &[EndpointId]) {
+        let has_ended = |id: &&EndpointId| self.node.fleet.borrow().has_ended(id);
+        let ended: Vec<&EndpointId> = unsound.iter().filter(has_ended).collect();
+        for stage in ended {
+            let head_ago_ms = self.head_ago_ms(boot_ms());
+            let digest = self.request.digest;
+            self.node.run_broke_off(digest, stage, head_ago_ms);
+        }
+    }
+
     /// Notes that the newest run broke off at an engine, if what it ran there may have ended it.
     pub(super) fn note_broken_run(&self, at_fault: &EndpointId, end: AttemptEnd) {
         if end == AttemptEnd::Lost {
