--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -35,7 +35,8 @@
             return;
         };
         // One that leaves ends as planned, whatever runs there.
-        if !self.takes_requests(endpoint) {
+        let has_ended = self.fleet.borrow().has_ended(endpoint);
+        if !has_ended && !self.takes_requests(endpoint) {
             return;
         }
         let now_ms = boot_ms();
