--- a/src/quarantine/ran_on.rs
+++ b/src/quarantine/cleared.rs
@@ -15,13 +15,13 @@
 /// When endpoints last went on under each request, over two generations: the older one is dropped whole, so that
 /// nothing is ever sorted.
 #[derive(Debug, Default)]
-pub(super) struct RanOn {
+pub(super) struct Cleared {
     newer: IndexMap<RequestDigest, u64>,
     older: IndexMap<RequestDigest, u64>,
     since_ms: u64,
 }
 
-impl RanOn {
+impl Cleared {
     /// Notes that an endpoint went on under a request.
     pub(super) fn note(&mut self, digest: RequestDigest, at_ms: u64, now_ms: u64) {
         let is_full = self.newer.len() >= MOST_OF_GENERATION;
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -67,7 +67,7 @@
 
 /// One instance's word that an endpoint went on under a request that is under suspicion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ToldRunOn {
+pub(crate) struct ToldClearance {
     pub(crate) digest: RequestDigest,
     /// Time since that was seen.
     pub(crate) age_ms: u32,
--- a/src/quarantine/false_verdict_tests.rs
+++ b/src/quarantine/false_verdict_tests.rs
@@ -174,12 +174,12 @@
         for run in &self.runs {
             let head_ago_ms = (now_ms - run.since_ms).checked_sub(HEAD_MS);
             if run.request != CRASHING && head_ago_ms == Some(RunStage::BEGINNING_MS) {
-                self.instances[run.instance].ran_on(digest(run.request), now_ms);
+                self.instances[run.instance].clear(digest(run.request), now_ms);
             }
         }
         let is_whole = |run: &mut Run| run.request != CRASHING && now_ms >= run.since_ms + WHOLE_MS;
         for run in self.runs.extract_if(.., is_whole) {
-            self.instances[run.instance].ran_on(digest(run.request), now_ms);
+            self.instances[run.instance].clear(digest(run.request), now_ms);
         }
         let crashes =
             |run: &&Run| run.request == CRASHING && now_ms >= run.since_ms + HEAD_MS + CRASH_MS;
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -3,10 +3,10 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::cleared::Cleared;
 use super::pending::{BrokenRun, Pending};
-use super::ran_on::RanOn;
 use super::verdict::{Death, Deaths, ENDS_TO_WITHHOLD, withheld};
-use super::{Fate, RequestDigest, RunStage, ToldDeath, ToldRunOn};
+use super::{Fate, RequestDigest, RunStage, ToldClearance, ToldDeath};
 use crate::ids::EndpointId;
 
 /// How long evidence counts after the newest end under a request. A caller who comes again within it
@@ -49,25 +49,25 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum News {
     Death(RequestDigest, EndpointId),
-    RanOn(RequestDigest),
+    Cleared(RequestDigest),
 }
 
 /// What is told to peers in one heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ToldEvidence {
     pub(crate) deaths: Vec<ToldDeath>,
-    pub(crate) ran_on: Vec<ToldRunOn>,
+    pub(crate) cleared: Vec<ToldClearance>,
 }
 
-/// Requests under suspicion, and those that are withheld. Invariants: a request under which an
-/// endpoint went on is not withheld while that is remembered; one is withheld only while three ends of endpoints that no
+/// Requests under suspicion, and those that are withheld. Invariants: a request that was cleared, since an
+/// endpoint went on under it, is not withheld while that is remembered; one is withheld only while three ends of endpoints that no
 /// other withheld request explains are put down to it; memory is bounded whatever callers and peers send.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
     pending: Pending,
     /// Those with fewer ends are forgotten first, of several the one whose newest is oldest.
     suspects: IndexMap<RequestDigest, Deaths>,
-    ran_on: RanOn,
+    cleared: Cleared,
     withheld: IndexMap<RequestDigest, Vec<EndpointId>>,
     news: IndexMap<News, u8>,
     /// How far the turn of reminders has come.
@@ -80,7 +80,7 @@
         if self.withheld.contains_key(digest) {
             return Doubt::Withheld;
         }
-        if self.ran_on.at_ms(digest).is_some() {
+        if self.cleared.at_ms(digest).is_some() {
             return Doubt::None;
         }
         let deaths = self.suspects.get(digest);
@@ -142,12 +142,12 @@
 
     /// Takes that an endpoint went on under a request: it was answered whole, or a run of it is past its
     /// beginning. Such a request does not end whatever runs it.
-    pub(crate) fn ran_on(&mut self, digest: RequestDigest, now_ms: u64) -> Vec<QuarantineChange> {
-        self.ran_on.note(digest, now_ms, now_ms);
+    pub(crate) fn clear(&mut self, digest: RequestDigest, now_ms: u64) -> Vec<QuarantineChange> {
+        self.cleared.note(digest, now_ms, now_ms);
         if self.suspects.swap_remove(&digest).is_none() {
             return Vec::new();
         }
-        self.tell(News::RanOn(digest));
+        self.tell(News::Cleared(digest));
         self.judge()
     }
 
@@ -159,13 +159,13 @@
         now_ms: u64,
     ) -> Vec<QuarantineChange> {
         let mut is_news = false;
-        for word in &told.ran_on {
+        for word in &told.cleared {
             let at_ms = now_ms.saturating_sub(u64::from(word.age_ms));
-            let is_new = self.ran_on.at_ms(&word.digest).is_none();
-            self.ran_on.note(word.digest, at_ms, now_ms);
+            let is_new = self.cleared.at_ms(&word.digest).is_none();
+            self.cleared.note(word.digest, at_ms, now_ms);
             is_news |= self.suspects.swap_remove(&word.digest).is_some();
             if is_new && relays {
-                self.tell(News::RanOn(word.digest));
+                self.tell(News::Cleared(word.digest));
             }
         }
         for told in &told.deaths {
@@ -173,9 +173,9 @@
             if age_ms >= EVIDENCE_MS {
                 continue;
             }
-            if self.ran_on.at_ms(&told.digest).is_some() {
+            if self.cleared.at_ms(&told.digest).is_some() {
                 // The peer does not know that an endpoint went on under it.
-                self.tell(News::RanOn(told.digest));
+                self.tell(News::Cleared(told.digest));
                 continue;
             }
             let death = Death {
@@ -211,9 +211,9 @@
                     told.deaths
                         .extend(self.told_death(digest, endpoint, now_ms));
                 }
-                News::RanOn(digest) => {
-                    let at_ms = self.ran_on.at_ms(digest);
-                    told.ran_on.extend(at_ms.map(|at_ms| ToldRunOn {
+                News::Cleared(digest) => {
+                    let at_ms = self.cleared.at_ms(digest);
+                    told.cleared.extend(at_ms.map(|at_ms| ToldClearance {
                         digest: *digest,
                         age_ms: age_ms(at_ms, now_ms),
                     }));
@@ -269,7 +269,7 @@
     /// Returns whether this says more than was known: another end, or that a run had done less. Of several
     /// runs of a request at one endpoint the one that had done least counts, whoever's word comes first.
     fn note_death(&mut self, digest: RequestDigest, endpoint: &EndpointId, death: Death) -> bool {
-        if self.ran_on.at_ms(&digest).is_some() {
+        if self.cleared.at_ms(&digest).is_some() {
             return false;
         }
         if !self.suspects.contains_key(&digest) && self.suspects.len() >= MOST_SUSPECTS {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -5,6 +5,7 @@
 //! others. A request under which several endpoints have ended is withheld, unless another endpoint
 //! went on under it, or those ends are already explained by another request that was there each time.
 
+mod cleared;
 mod digest;
 #[cfg(test)]
 mod digest_tests;
@@ -13,11 +14,10 @@
 mod false_verdict_tests;
 mod ledger;
 mod pending;
-mod ran_on;
 #[cfg(test)]
 mod tests;
 mod verdict;
 
 pub use digest::{DigestKey, RequestDigest, RequestParts};
-pub(crate) use evidence::{Fate, RunStage, ToldDeath, ToldRunOn};
+pub(crate) use evidence::{Fate, RunStage, ToldClearance, ToldDeath};
 pub(crate) use ledger::{Doubt, EVIDENCE_MS, Quarantine, QuarantineChange, ToldEvidence};
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -115,7 +115,7 @@
 #[test]
 fn a_request_under_which_an_endpoint_went_on_is_never_withheld_for_chance() {
     let mut quarantine = Quarantine::default();
-    quarantine.ran_on(digest(1), 10);
+    quarantine.clear(digest(1), 10);
     for number in 0..9 {
         end(&mut quarantine, number, &[(1, BEGUN)], 20);
     }
@@ -131,7 +131,7 @@
     there.hear(&here.next_told(20), false, 20);
     assert!(is_withheld(&there, 1, 20));
     assert_eq!(
-        here.ran_on(digest(1), 30),
+        here.clear(digest(1), 30),
         [QuarantineChange::Free(digest(1))]
     );
     let changes = there.hear(&here.next_told(40), false, 40);
@@ -141,7 +141,7 @@
 #[test]
 fn a_peer_that_does_not_know_of_such_a_run_is_told() {
     let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
-    here.ran_on(digest(1), 10);
+    here.clear(digest(1), 10);
     for number in 0..3 {
         end(&mut there, number, &[(1, BEGUN)], 20);
     }
@@ -231,12 +231,12 @@
     }
     for request in 10..4_010 {
         end(&mut quarantine, request as usize, &[(request, BEGUN)], 20);
-        quarantine.ran_on(digest(100_000 + request), 20);
+        quarantine.clear(digest(100_000 + request), 20);
     }
     assert!(is_withheld(&quarantine, 1, 20));
     assert_eq!(quarantine.withheld_count(), 1);
     let told = quarantine.next_told(30);
-    assert!(told.deaths.len() + told.ran_on.len() <= 18);
+    assert!(told.deaths.len() + told.cleared.len() <= 18);
     let bytes = postcard::to_stdvec(&told).expect("it can be written");
     assert!(bytes.len() < 1_000, "{} bytes", bytes.len());
 }
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -22,6 +22,7 @@
 use super::peer::Recipient;
 use super::peer_book::HEARTBEAT_MS;
 use super::repeat_loans::wants;
+use super::withholding::FROM_PEERS;
 use crate::clock::boot_ms;
 use crate::fleet::{EngineLoad, describe_list};
 use crate::ids::ZoneName;
@@ -242,7 +243,7 @@
     if let Some(asked_ms) = own_sent_ms.filter(|_| is_newest) {
         node.take_loans(&heartbeat, &peer_part, asked_ms, now_ms);
     }
-    node.hear_evidence(&heartbeat.evidence, "peers", now_ms);
+    node.hear_evidence(&heartbeat.evidence, FROM_PEERS, now_ms);
     for id in &heartbeat.unsound {
         if let Some(stage) = node.told_unsound(id) {
             check_beside(node, &stage);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -113,7 +113,7 @@
                 (AttemptEnd::Failed, Trouble::Failed)
             }
             TryEnd::Answer(answer) => {
-                node.ran_on(request.digest);
+                node.clear_request(request.digest);
                 return Ok(answer);
             }
             TryEnd::Failed(end, trouble) => (end, trouble),
--- a/src/relay_server/quarantine_rows.rs
+++ b/src/relay_server/quarantine_rows.rs
@@ -8,6 +8,7 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::records::REGISTER_TIMEOUT_MS;
+use super::withholding::FROM_STORE;
 use crate::clients::{TableFailure, TableService};
 use crate::clock::{boot_ms, unix_ms};
 use crate::ids::EndpointId;
@@ -30,12 +31,13 @@
 struct WithheldRow {
     /// Endpoints that ended under it.
     endpoints: Vec<EndpointId>,
-    /// When it was withheld, in Unix milliseconds.
+    /// When it was withheld, in Unix milliseconds. A row that is too old says nothing, and is replaced when
+    /// the request is withheld again.
     withheld_unix_ms: u64,
 }
 
 /// Learns at the start what is withheld and the key of the deployment's digests, and draws the key if
-/// there is none. Returns whether it is known.
+/// there is none. Returns whether the store has answered.
 pub(super) async fn learn<A>(node: &Rc<Node<A>>) -> bool
 where
     A: Adapter,
@@ -50,12 +52,14 @@
             return false;
         }
     };
-    let is_known = key.is_some();
-    if !is_known {
-        log::error!(row = KEY_ROW; "the key of request digests is malformed; remove the row to have a new one drawn");
+    if key.is_none() {
+        log::error!(
+            row = KEY_ROW;
+            "the key of request digests is malformed, no request is withheld; remove the row and restart"
+        );
     }
     *node.digest_key.borrow_mut() = key;
-    is_known
+    true
 }
 
 async fn read<A>(node: &Rc<Node<A>>) -> Result<Option<DigestKey>, TableFailure>
@@ -68,12 +72,12 @@
         limit: ROWS_LIMIT,
     };
     let found = node.adapter.store().scan(&ask, REGISTER_TIMEOUT_MS).await?;
-    let deaths = found.rows.iter().flat_map(deaths_in).collect();
+    let deaths: Vec<ToldDeath> = found.rows.iter().flat_map(deaths_in).collect();
     let told = ToldEvidence {
         deaths,
         ..ToldEvidence::default()
     };
-    node.hear_evidence(&told, "store", boot_ms());
+    node.hear_evidence(&told, FROM_STORE, boot_ms());
     match found.rows.iter().find(|row| row.key == KEY_ROW) {
         Some(row) => Ok(key_in(row)),
         None => write_key(node).await,
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -39,7 +39,7 @@
 
 /// Pieces with events from which on a run that is past its beginning shows that its engines go on under
 /// the request. On a slow engine the time alone would not: the first event may come after a second.
-const RAN_ON_EVENTS: u32 = 10;
+const CLEARING_EVENTS: u32 = 10;
 
 /// How a run of the request ended.
 enum RunEnd {
@@ -100,7 +100,7 @@
     /// Pieces with whole events that the newest run has brought.
     run_events: u32,
     /// An engine was seen to go on under the request.
-    has_run_on: bool,
+    is_cleared: bool,
     repairs: u32,
     /// Longest time without an event.
     longest_gap_ms: u64,
@@ -133,7 +133,7 @@
             runs: 0,
             head_ms: None,
             run_events: 0,
-            has_run_on: false,
+            is_cleared: false,
             repairs: 0,
             longest_gap_ms: 0,
             first_event_ms: None,
@@ -156,7 +156,7 @@
         self.log_end(&finish);
         self.note_run_time(&finish);
         if matches!(finish, Finish::Whole) {
-            self.note_ran_on();
+            self.clear_request();
         }
         if let Finish::Word(GivenUp { word, limit }) = finish {
             self.node.count_given_up(limit);
@@ -399,8 +399,8 @@
         let now_ms = boot_ms();
         self.run_events += 1;
         let is_past_beginning = RunStage::of_run(self.head_ago_ms(now_ms)).is_none();
-        if is_past_beginning && self.run_events >= RAN_ON_EVENTS {
-            self.note_ran_on();
+        if is_past_beginning && self.run_events >= CLEARING_EVENTS {
+            self.clear_request();
         }
         self.note_event(now_ms);
         held.event(now_ms);
@@ -460,10 +460,10 @@
     }
 
     /// Takes that the request is one under which engines go on.
-    fn note_ran_on(&mut self) {
-        if !self.has_run_on {
-            self.has_run_on = true;
-            self.node.ran_on(self.request.digest);
+    fn clear_request(&mut self) {
+        if !self.is_cleared {
+            self.is_cleared = true;
+            self.node.clear_request(self.request.digest);
         }
     }
 
--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -11,6 +11,12 @@
 use crate::ids::EndpointId;
 use crate::quarantine::{Doubt, Fate, QuarantineChange, RequestDigest, RunStage, ToldEvidence};
 
+/// Evidence that rows of the store have told.
+pub(super) const FROM_STORE: &str = "store";
+/// Evidence that peers have told.
+pub(super) const FROM_PEERS: &str = "peers";
+/// Evidence of runs of this instance.
+const FROM_OWN_RUNS: &str = "own runs";
 /// What was under way from an endpoint when a connection to it broke may be read so much later.
 const UNDER_WAY_MS: u64 = 50;
 
@@ -48,10 +54,10 @@
 
     /// Notes that an endpoint went on under a request: it was answered whole, or a run of it is past its
     /// beginning.
-    pub(crate) fn ran_on(self: &Rc<Self>, digest: Option<RequestDigest>) {
+    pub(crate) fn clear_request(self: &Rc<Self>, digest: Option<RequestDigest>) {
         let Some(digest) = digest else { return };
-        let changes = self.quarantine.borrow_mut().ran_on(digest, boot_ms());
-        self.take_quarantine_changes(&changes, "own runs");
+        let changes = self.quarantine.borrow_mut().clear(digest, boot_ms());
+        self.take_quarantine_changes(&changes, FROM_OWN_RUNS);
     }
 
     /// Takes what peers, or rows of the store, tell of requests under suspicion.
@@ -79,7 +85,7 @@
         if has_news {
             self.tell_knowledge();
         }
-        self.take_quarantine_changes(&changes, "own runs");
+        self.take_quarantine_changes(&changes, FROM_OWN_RUNS);
     }
 
     fn take_quarantine_changes(self: &Rc<Self>, changes: &[QuarantineChange], source: &str) {
@@ -107,7 +113,10 @@
         let count = self.quarantine.borrow().withheld_count();
         self.counters
             .gauge("relay.quarantine.withheld_now", count as u64);
-        quarantine_rows::keep_beside(self, changes);
+        // What the store has told it has.
+        if source != FROM_STORE {
+            quarantine_rows::keep_beside(self, changes);
+        }
         self.wake_streams();
     }
 }
