--- a/src/quarantine/cleared.rs
+++ b/src/quarantine/cleared.rs
@@ -12,8 +12,8 @@
 /// Longest life of a generation.
 const GENERATION_MS: u64 = 300_000;
 
-/// When endpoints last went on under each request, over two generations: the older one is dropped whole, so that
-/// nothing is ever sorted.
+/// When endpoints last went on under each request, over two generations: the older one is dropped whole, so
+/// that nothing is ever sorted.
 #[derive(Debug, Default)]
 pub(super) struct Cleared {
     newer: IndexMap<RequestDigest, u64>,
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -60,8 +60,9 @@
 }
 
 /// Requests under suspicion, and those that are withheld. Invariants: a request that was cleared, since an
-/// endpoint went on under it, is not withheld while that is remembered; one is withheld only while three ends of endpoints that no
-/// other withheld request explains are put down to it; memory is bounded whatever callers and peers send.
+/// endpoint went on under it, is not withheld while that is remembered; one is withheld only while three
+/// ends of endpoints that no other withheld request explains are put down to it; memory is bounded
+/// whatever callers and peers send.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
     pending: Pending,
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -8,7 +8,7 @@
 use crate::ids::EndpointId;
 
 /// Ends of endpoints under one request from which on it is withheld. Two may be chance where a zone loses
-/// many at once; each more costs all that runs at one endpoint.
+/// many endpoints at once; each more costs callers all that runs at one endpoint.
 pub(super) const ENDS_TO_WITHHOLD: usize = 3;
 
 /// An endpoint's end under a request.
