--- a/src/relay/pool_tests/mod.rs
+++ b/src/relay/pool_tests/mod.rs
@@ -96,7 +96,7 @@
 /// callers held a part of were broken off.
 #[test]
 fn a_begun_answer_goes_on_when_others_have_used_their_part() {
-    let service = ServiceName::from("menu-mind");
+    let service = ServiceName::from("model");
     let share = BudgetShare {
         ratio: RATIO,
         slack: SLACK,
--- a/src/relay/pool_tests/world.rs
+++ b/src/relay/pool_tests/world.rs
@@ -122,7 +122,7 @@
                 window_ms: WINDOW_MS,
                 instances: count as u32,
             },
-            service: ServiceName::from("menu-mind"),
+            service: ServiceName::from("model"),
             trouble,
             rng,
             datagrams: Vec::new(),
