--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -32,8 +32,8 @@
 /// slower engines cost that run the same layers, up to 20 ms.
 const SLOTS_TAKEN_MS: f64 = 40.0;
 /// How that cost rises with the part of the slots that is taken: by the fourth power, so that half of
-/// them cost 2.5 ms and a faster engine is still preferred. Its memory may be hardly used: of 195
-/// instances' streams 87 in 100 began at one engine a zone, where they waited for 2 s.
+/// them cost 2.5 ms and a faster engine is still preferred. Its memory may be hardly used:
+/// without this cost nearly all streams of a large fleet would begin at one engine a zone, and wait there.
 const SLOTS_POWER: i32 = 4;
 /// Cost of an engine that turned a request away just now: it goes before no estimate.
 const TURNED_AWAY_MS: f64 = 10_000.0;
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -211,8 +211,8 @@
 
     /// Goes by the list again where engines' own words on their layers, or peers' words on leaving
     /// endpoints, are old by now, drops entries that were held long enough, and forgets what is too old
-    /// to matter. The list may not be read for seconds: a watch waits for 1.7 s, and one that was held
-    /// until the next read was chosen for up to 3.8 s.
+    /// to matter. The list may not be read for seconds, and an entry that is held until the next read would be
+    /// chosen for as long.
     pub fn settle(&mut self, now_ms: u64) -> Vec<FleetChange> {
         let mut changes = Vec::new();
         let newest_at_ms = self.newest_at_ms;
@@ -223,7 +223,7 @@
             };
             // Shown in service since, or never shown otherwise: the peer may have seen it missing
             // for a moment that had passed here. An entry that is only held is not shown: callers'
-            // requests went to such endpoints for up to 3.8 s after their entries were removed.
+            // requests would go to endpoints that have left until it is dropped.
             // A list that is older than the word does not know of it.
             let is_newer = newest_at_ms >= told.at_ms;
             let is_live = told.is_live_again && is_newer && now_ms >= over_ms;
--- a/src/fleet/replicas.rs
+++ b/src/fleet/replicas.rs
@@ -14,8 +14,8 @@
 /// that callers get it only where no other is left.
 const PAUSED: f64 = 1e6;
 /// What a replica whose entry is only held counts more, in requests waiting before it: more than one on
-/// pause, since it may be leaving, and then it may not be sent requests any more. Simulated without this,
-/// such ones were chosen for up to 3.4 s after their entries had been removed.
+/// pause, since it may be leaving, and then it may not be sent requests any more. Otherwise it
+/// would be chosen until its entry is dropped.
 const HELD: f64 = 1e9;
 
 /// The replica with the least work for its slots, the own availability zone first. One that is on
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -165,9 +165,8 @@
     }
 
     /// Gives every empty engine its layers. Where engines of the zone hold some already, layers
-    /// without holder come first, each from the engine that loads least for it. A zone whose engines
-    /// returned from a crash of 4.5 s stayed slow for as long as it was watched before: 664 streams
-    /// of one run were late to start.
+    /// without holder come first, each from the engine that loads least for it. Otherwise a zone
+    /// whose engines return from a crash would stay slow: they would be given layers that are held.
     fn fill_empty(
         &self,
         engines: &[&PlacedEngine],
@@ -310,9 +309,8 @@
 /// The order in which empty engines get layers: the fastest first, so that a chain runs as many layers
 /// as it can on those and slower ones hold the rest and the copies; of equally fast ones the largest,
 /// which make chains short. A stream that runs faster holds its tokens for a shorter time: with the
-/// largest first, slow engines were the only holders of half of the layers, and memory ran full at
-/// the usual load: 763 of 3,869 requests were turned away without any fault where kinds differ sevenfold
-/// in speed, none with the fastest first. Unchanged where large ones are the fast ones.
+/// largest first, slow engines would be the only holders of many layers where kinds differ much in speed,
+/// and memory would run full at the usual load.
 fn first_to_place(
     a: &PlacedEngine,
     b: &PlacedEngine,
--- a/src/placement/sizing.rs
+++ b/src/placement/sizing.rs
@@ -16,8 +16,7 @@
 
 /// Part of the usual room that an engine keeps where it is the second holder of its layers: the two
 /// share what is there. With the whole room three small engines hold 24 of a large one's 27 layers,
-/// and its loss stops the zone; share served 0.842 -> 0.851 and 0.867 -> 0.875 in two sets of 18 runs
-/// with random faults.
+/// and its loss stops the zone.
 const COPY_ROOM: f64 = 0.5;
 
 /// Most layers that fit beside room for `requests` usual requests.
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -38,8 +38,8 @@
     /// Send it once more.
     TryAgain,
     /// Go on with the answer under way, once a chain has room and the budget has a repeat left; none
-    /// has been taken yet. Giving up at once cut off 25 to 50 of 14,000 streams beside failing engines
-    /// (four runs); waiting, none (two runs).
+    /// has been taken yet. Giving up at once would cut off what the caller holds, though room and repeats
+    /// come back within its patience.
     GoOn,
     /// Pass on the failure that the endpoint answered with; what kept it from another try.
     PassOn(AttemptLimit),
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -1,8 +1,7 @@
 //! What it means that an engine has not answered a question.
 //!
 //! A question and its answer share this instance's link with all else that it sends. While the link is
-//! full, living engines do not answer in time: of 66 engines taken for dead in one run, all 66 went on
-//! sending events.
+//! full, living engines do not answer in time.
 
 /// Longest time for an answer that shows the link to be free: a round trip takes a few milliseconds.
 pub(crate) const PROMPT_MS: u64 = 25;
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -11,8 +11,7 @@
 
 /// Part of the even share that a process uses while repeats of an earlier process in its place may
 /// still count in the window. Together with [`USED_PART`] it is one whole share, so that engines get no
-/// more repeats than they may even if all instances start anew at once; where each began with a whole
-/// share they got up to 30 more than the 198 allowed (simulated).
+/// more repeats than they may even if all instances start anew at once.
 const STARTING_PART: f64 = 1.0 - USED_PART;
 
 /// Part of the repeats of a window that is kept for answers of which the caller holds a part: it
@@ -25,13 +24,11 @@
 
 /// Part of the own share that is not lent to go on with answers: half of what is kept for answers of this
 /// instance, so that the other half is there for loans. An engine that ends cuts ten and more streams of
-/// one instance at once, more than its own share bears. The other 28 of a zone of 29 lend 16 at least (by
-/// arithmetic: 28 x 0.125 x 4.78 repeats of an even share). Simulated: 10 of 10 such streams go on within
-/// half a second, 1 of 10 without these loans.
+/// one instance at once, more than its own share bears.
 const KEPT_TO_GO_ON_PART: f64 = GO_ON_PART / 2.0;
 
 /// How far back the demand is looked at; as many repeats again are to be at hand. Callers who were refused
-/// come back within it, and twice as many at hand were used no better (simulated).
+/// come back within it.
 const DEMAND_MS: u64 = 1_000;
 
 /// One service's requests and repeats of the last window.
--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -18,8 +18,8 @@
 /// they are not, with figures as they are today. A shorter wait costs more calls.
 const WATCH_WAIT_MS: u64 = 1_700;
 /// Pause between two watches of the endpoint list, so that a series of changes takes few calls.
-/// Heartbeats that change nothing else are not shown: on a calm day nine watches in ten bring
-/// nothing (497 of 532 reads).
+/// Heartbeats that change nothing else are not shown, so that most watches of a calm day bring
+/// nothing.
 const ENDPOINTS_PAUSE_MS: u64 = 250;
 /// Pause after a call that failed.
 const RETRY_MS: u64 = 250;
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -31,8 +31,8 @@
 /// Pause between two looks at whether a peer knows more.
 pub(super) const LOOK_MS: u64 = 250;
 /// Longest wait for a peer's snapshot: a connection, and one part of the document, which takes up
-/// links of 20 Mbit/s for 25 ms. Whole documents under this limit were thrown away half read by all
-/// that asked one peer at once: 69 and 98 calls after one change, at 86 instances.
+/// links of 20 Mbit/s for 25 ms. Whole documents would be thrown away half read by all that ask one
+/// peer at once.
 pub(super) const FETCH_TIMEOUT_MS: u64 = 400;
 /// Longest snapshot that is read: the longest document and thousands of endpoints.
 const SNAPSHOT_LIMIT_BYTES: usize = 8 << 20;
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -158,8 +158,8 @@
 
     /// Stages that have ended, are excluded for this request, or count as dead while nothing comes.
     /// A run whose events come goes on, whatever others say: its stages bring them. Without this, one
-    /// false death ended 13 runs of an instance in one millisecond, as its log shows, and the repeats
-    /// that they took were missing for others.
+    /// false death ends all runs of the instance over that engine at once, and the repeats that they take
+    /// are missing for others.
     fn unsound_stages(&self, chain: &Chain) -> Vec<EndpointId> {
         let fleet = self.node.fleet.borrow();
         let first = &chain.first().endpoint;
--- a/src/relay_server/uplink.rs
+++ b/src/relay_server/uplink.rs
@@ -1,16 +1,15 @@
 //! How much of a document an instance hands to a peer that asks, and when.
 //!
 //! The link that hands documents on also carries callers' answers and health checks. Served all at once,
-//! 54 peers took up a link of 200 Mbit/s for 0.3 s, ran into their limit together, and live engines went
-//! unheard. So a document is handed over in parts, few at a time, and the others are told when to come
+//! dozens of peers would fill it, run into their limit together, and live engines would go unheard. So a document is handed over in parts, few at a time, and the others are told when to come
 //! again; whoever has it whole hands it on as well.
 
 /// Longest time for which parts that are handed over at the same time take up the link, half of what a
 /// health check waits for its answer.
 const MOST_QUEUED_US: u64 = 60_000;
 /// Time for which a link is counted as taken, for each two it takes to carry a part: two thirds of a link
-/// are for documents at most, the rest is for callers and engines. With half, one of 1 MB was with
-/// all of 300 instances after 2.1 s.
+/// are for documents at most, the rest is for callers and engines. With half, long documents would be late
+/// at hundreds of instances.
 const TAKEN_PER_TWO: u64 = 3;
 /// Time for which one part takes up the link.
 const PART_MS: u64 = 25;
