--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -12,9 +12,10 @@
 use super::super::list_sync::{self, ListUpdate};
 use super::super::peer::{Informant, InstanceRecord, Recipient};
 use super::super::peer_book::PeerBook;
-use super::super::settings::{RelayBounds, RelaySettings};
+use super::super::settings::RelaySettings;
 use super::super::snapshot::Known;
 use super::super::store_contact::StoreContact;
+use super::super::test_settings;
 use super::store::Access;
 use crate::fleet::{Fleet, FleetChange, ListingRead, Phase, pick_replica};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
@@ -51,24 +52,13 @@
 }
 
 fn settings(record: &InstanceRecord) -> RelaySettings {
-    RelaySettings {
-        instance: record.instance.clone(),
-        zone: record.zone.clone(),
-        front: record.front,
-        own_pages: Vec::new(),
-        metrics: None,
-        peers: record.peers,
-        link_mbps: record.link_mbps,
-        bounds: RelayBounds {
-            key_trust_ms: 4_900,
-            stop_limit_ms: 8_000,
-            locate_lifetime_ms: 1_000,
-            retry_ratio: 0.2,
-            retry_slack: 200.0,
-            retry_window_ms: 10_000,
-            engines_check_fence: true,
-        },
-    }
+    test_settings::settings(
+        record.instance.clone(),
+        record.zone.clone(),
+        record.front,
+        record.peers,
+        record.link_mbps,
+    )
 }
 
 impl Instance {
--- a/src/relay_server/list_spread_tests/mod.rs
+++ b/src/relay_server/list_spread_tests/mod.rs
@@ -177,16 +177,22 @@
     }
 }
 
-/// Simulates a run; returns the longest time for which an endpoint that leaves would still be chosen.
-fn simulate(site: &Site, seed: u64) -> Worst {
+/// A deployment whose instances all know one another.
+fn warmed_up(site: &Site, seed: u64) -> World {
     let faults = Faults {
         lost: 0.03,
         late: 0.02,
         silent: 0.04,
     };
     let mut world = World::new(site.zones, ENDPOINTS, faults, seed);
-    let begin_ms = world.now_ms + WARM_UP_MS;
-    world.run_until(begin_ms);
+    world.run_until(world.now_ms + WARM_UP_MS);
+    world
+}
+
+/// Simulates a run; returns the longest time for which an endpoint that leaves would still be chosen.
+fn simulate(site: &Site, seed: u64) -> Worst {
+    let mut world = warmed_up(site, seed);
+    let begin_ms = world.now_ms;
     let acts = plan(&mut world, site);
     let mut left: Vec<Leave> = Vec::new();
     let mut worst = Worst::default();
--- a/src/relay_server/list_spread_tests/withheld.rs
+++ b/src/relay_server/list_spread_tests/withheld.rs
@@ -4,8 +4,8 @@
 use rand::seq::IteratorRandom;
 
 use super::instance::Process;
-use super::world::{Faults, World};
-use super::{ENDPOINTS, LARGE, MIDDLE, SMALL, STEP_MS, Site, WARM_UP_MS};
+use super::world::World;
+use super::{LARGE, MIDDLE, SMALL, STEP_MS, Site, warmed_up};
 use crate::ids::EndpointId;
 use crate::quarantine::{Doubt, RequestDigest};
 
@@ -56,14 +56,8 @@
 /// Longest time from the third end to the last moment at which an instance that has run undisturbed for
 /// the site's time would send the request.
 fn simulate(site: &Site, seed: u64) -> u64 {
-    let faults = Faults {
-        lost: 0.03,
-        late: 0.02,
-        silent: 0.04,
-    };
-    let mut world = World::new(site.zones, ENDPOINTS, faults, seed);
-    let begin_ms = world.now_ms + WARM_UP_MS;
-    world.run_until(begin_ms);
+    let mut world = warmed_up(site, seed);
+    let begin_ms = world.now_ms;
     let count = world.instances.len();
     let seers = (0..count).sample(&mut world.rng, 3);
     let mut ends: Vec<u64> = (0..3)
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -52,6 +52,8 @@
 mod stream;
 mod stream_answer;
 #[cfg(test)]
+mod test_settings;
+#[cfg(test)]
 mod tests;
 mod uplink;
 #[cfg(test)]
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -9,7 +9,7 @@
 use super::list_log::ListMark;
 use super::peer::{InstanceRecord, Recipient};
 use super::peer_book::{HolderEnd, PeerBook};
-use super::settings::{RelayBounds, RelaySettings};
+use super::test_settings::settings;
 use crate::fleet::EngineLoad;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
@@ -47,24 +47,8 @@
 }
 
 pub(super) fn book(name: &str, zone: &str, port: u16) -> PeerBook {
-    let settings = RelaySettings {
-        instance: InstanceId::from(name),
-        zone: ZoneName::from(zone),
-        front: address(port),
-        own_pages: Vec::new(),
-        metrics: None,
-        peers: address(port + 1),
-        link_mbps: 200,
-        bounds: RelayBounds {
-            key_trust_ms: 4_900,
-            stop_limit_ms: 8_000,
-            locate_lifetime_ms: 1_000,
-            retry_ratio: 0.2,
-            retry_slack: 200.0,
-            retry_window_ms: 10_000,
-            engines_check_fence: true,
-        },
-    };
+    let (front, peers) = (address(port), address(port + 1));
+    let settings = settings(name.into(), zone.into(), front, peers, 200);
     PeerBook::new(&settings, Incarnation::draw(&mut rand::rng()), 0)
 }
 
