Records: a write without an answer is looked for before it is sent again, and pauses grow

301 instances that start together write their records to a store that takes 150 writes a second in one table. The lease on orders stands in the same table and was taken 6 s after the start.

A write that was not answered may have taken effect, so the records are read first; the pause doubles up to 4 s and is spread.

--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -23,6 +23,9 @@
 mod list_log;
 #[cfg(test)]
 mod list_log_tests;
+mod list_parts;
+#[cfg(test)]
+mod list_parts_tests;
 #[cfg(test)]
 mod list_spread_tests;
 mod list_sync;
@@ -40,6 +43,8 @@
 #[cfg(test)]
 mod reading_tests;
 mod records;
+#[cfg(test)]
+mod records_tests;
 mod repeat_loans;
 #[cfg(test)]
 mod repeat_loans_tests;
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -19,8 +19,11 @@
 const RECORDS_PAUSE_MS: u64 = 15_000;
 /// The same at an instance that does not read the store otherwise. Others tell it of themselves.
 const RARE_RECORDS_PAUSE_MS: u64 = 120_000;
-/// Pause after a call about the records that failed.
+/// Shortest pause after a call about the records that failed, and the longest: hundreds that start
+/// together press the store beyond what it writes in a second, and each must wait longer than the one
+/// before until all are through.
 const RECORDS_RETRY_MS: u64 = 500;
+const LONGEST_RETRY_MS: u64 = 4_000;
 /// Where instances' records stand in the store.
 const RECORDS_PREFIX: &str = "instance/";
 /// Most records read at once.
@@ -32,26 +35,52 @@
     A: Adapter,
 {
     let mut is_written = false;
+    let mut failures = 0;
     loop {
         // First, since callers may come at any moment.
         let knows_key = quarantine_rows::learn(&node).await;
+        if failures > 0 && !is_written {
+            // A write without an answer may have taken effect. Sent again and again, such writes would keep
+            // a store busy that hundreds have just come to.
+            is_written = read_records(&node).await == Some(OwnRecord::IsThere);
+        }
         if !is_written {
             is_written = write_record(&node).await;
         }
-        let is_read = read_records(&node).await;
-        if is_read {
+        let read = read_records(&node).await;
+        if let Some(own) = read {
+            is_written |= own == OwnRecord::IsThere;
             node.are_records_known.set(true);
             node.look_at_reading(boot_ms());
         }
-        let pause_ms = match (is_written && is_read && knows_key, node.reads_store()) {
+        let is_done = is_written && read.is_some() && knows_key;
+        failures = if is_done { 0 } else { failures + 1 };
+        let pause_ms = match (is_done, node.reads_store()) {
             (true, true) => RECORDS_PAUSE_MS,
             (true, false) => RARE_RECORDS_PAUSE_MS,
-            (false, _) => RECORDS_RETRY_MS,
+            (false, _) => retry_ms(failures, node.draw()),
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
+/// Pause after so many failures in a row: twice as long each time, and spread over half of it either way,
+/// so that those which started together do not come again together.
+pub(super) fn retry_ms(failures: u32, draw: u64) -> u64 {
+    let doublings = failures.saturating_sub(1).min(u64::BITS - 1);
+    let pause_ms = RECORDS_RETRY_MS
+        .saturating_mul(1 << doublings)
+        .min(LONGEST_RETRY_MS);
+    pause_ms / 2 + draw % pause_ms
+}
+
+/// What a read of the records shows of this process's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnRecord {
+    IsThere,
+    IsMissing,
+}
+
 async fn write_record<A>(node: &Node<A>) -> bool
 where
     A: Adapter,
@@ -84,7 +113,8 @@
     written.is_ok()
 }
 
-async fn read_records<A>(node: &Node<A>) -> bool
+/// Reads the records and learns of their instances; `None` where the store does not answer.
+async fn read_records<A>(node: &Node<A>) -> Option<OwnRecord>
 where
     A: Adapter,
 {
@@ -97,11 +127,13 @@
         Ok(rows) => rows,
         Err(failure) => {
             log::warn!(failure:% = failure; "instances' records were not read");
-            return false;
+            return None;
         }
     };
+    let mut own = OwnRecord::IsMissing;
     for row in rows.rows {
         match serde_json::from_str::<InstanceRecord>(&row.value) {
+            Ok(it) if it.incarnation == node.incarnation => own = OwnRecord::IsThere,
             Ok(it) => {
                 let mut peers = node.peers.borrow_mut();
                 peers.learn(it, boot_ms());
@@ -111,5 +143,5 @@
             }
         }
     }
-    true
+    Some(own)
 }
