Heartbeats: news of thousands of engines go out in several datagrams

A plan gave 2,970 orders at once; the heartbeat that told of them was longer than the 32 kB that a peer reads, and was dropped by all (27 lines on malformed datagrams). At most 256 of one sort are told at a time, the rest with the next heartbeats.

--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -34,6 +34,9 @@
 const START_MS: u64 = 1_000;
 /// How often news of an endpoint is told, in heartbeats.
 const TELLINGS: u8 = 4;
+/// Most endpoints of one sort of news in a heartbeat, the others follow with the next: a plan for thousands
+/// of engines, or the loss of as many, would make a datagram that no peer can read.
+const MOST_NEWS: usize = 256;
 /// Most addresses named to a caller.
 const MOST_ADDRESSES: usize = 8;
 /// Instances of the caller's zone that are enough for it; with fewer, all are named.
@@ -410,7 +413,10 @@
             sent_ms: now_ms,
             unsound: Self::take_news(&mut self.unsound),
             leaving: Self::take_news(&mut self.leaving),
-            moving: std::mem::take(&mut self.moving),
+            moving: self
+                .moving
+                .drain(..self.moving.len().min(MOST_NEWS))
+                .collect(),
             held: held
                 .map(|load| (load.endpoint.clone(), load.load))
                 .collect(),
@@ -443,11 +449,14 @@
     }
 
     fn take_news(list: &mut IndexMap<EndpointId, u8>) -> Vec<EndpointId> {
-        let told = list.keys().cloned().collect();
-        list.retain(|_, left| {
-            *left -= 1;
-            *left > 0
-        });
+        let told: Vec<EndpointId> = list.keys().take(MOST_NEWS).cloned().collect();
+        for id in &told {
+            // Those that are to be told again come after those that were not told yet.
+            let left = list.shift_remove(id).unwrap_or_default().saturating_sub(1);
+            if left > 0 {
+                list.insert(id.clone(), left);
+            }
+        }
         told
     }
 }
