List of endpoints: the whole of it is handed over in parts, as the document is

One that has just started lacks the whole list. 300 instances before 2,999 endpoints fetched 180 kB each in one call of at most 400 ms, first from the three readers of their zone: dozens at a time filled their links and 727 calls ended without a whole reply in the 2.5 s after all had been killed. Now a call brings as much as the giver's link has room for, whoever in the zone has the list hands it on, and the others are told when to come again. What has changed in a list is told at once as before.

--- a/src/relay_server/asking.rs
+++ b/src/relay_server/asking.rs
@@ -83,6 +83,8 @@
     failed: IndexMap<InstanceId, u64>,
     /// Those that had no room for a document, and until when.
     busy: IndexMap<InstanceId, u64>,
+    /// Those that had no room for the whole list of endpoints, and until when.
+    list_busy: IndexMap<InstanceId, u64>,
     /// Since when a peer has known more.
     behind_since_ms: Option<u64>,
     /// Since when a peer has had a newer document.
@@ -106,43 +108,46 @@
         self.behind_since_ms
     }
 
-    /// Decides what to do, where `informants` are the peers that are heard. `part_of` is the version of
-    /// which parts are here already, if there is one.
+    /// Decides what to do, where `informants` are the peers that are heard. `begun` says what is here in
+    /// part already.
     pub(super) fn next(
         &mut self,
         informants: &[Informant],
         knowledge: Knowledge,
         known: Known,
-        part_of: Option<u64>,
+        begun: Begun<'_>,
         draw: u64,
         now_ms: u64,
     ) -> Next {
         self.failed.retain(|_, until_ms| now_ms < *until_ms);
         self.busy.retain(|_, until_ms| now_ms < *until_ms);
+        self.list_busy.retain(|_, until_ms| now_ms < *until_ms);
         if !knowledge.is_wanting(now_ms) {
             return Next::Nothing;
         }
         let may_ask_far = self
             .lacks_document_since_ms
             .is_some_and(|since_ms| now_ms >= since_ms + FAR_PATIENCE_MS);
-        let source = self.source(informants, known, part_of, may_ask_far, draw);
+        let source = self.source(informants, known, begun.document, may_ask_far, draw);
         if let Source::At(peer) = source {
             return Next::Ask(Question {
                 peer: peer.clone(),
                 wants_document: true,
             });
         }
-        if let Some(peer) = self.lister(informants, knowledge, known, draw) {
+        let lister = self.lister(informants, knowledge, known, begun.list_giver, draw);
+        if let Source::At(peer) = lister {
             return Next::Ask(Question {
                 peer: peer.clone(),
                 wants_document: false,
             });
         }
-        match source {
-            Source::Later { at_ms } => Next::Wait {
+        let room_ms = [source.room_ms(), lister.room_ms()];
+        match room_ms.into_iter().flatten().min() {
+            Some(at_ms) => Next::Wait {
                 wait_ms: at_ms.saturating_sub(now_ms).max(1),
             },
-            _ => Next::Nothing,
+            None => Next::Nothing,
         }
     }
 
@@ -156,6 +161,11 @@
         self.busy.insert(peer.clone(), now_ms + wait_ms);
     }
 
+    /// Notes that a peer has no room for the whole list of endpoints for so long.
+    pub(super) fn list_busy(&mut self, peer: &InstanceId, wait_ms: u64, now_ms: u64) {
+        self.list_busy.insert(peer.clone(), now_ms + wait_ms);
+    }
+
     /// Who is asked for the document.
     fn source<'a>(
         &self,
@@ -189,30 +199,67 @@
             .map_or(Source::Nowhere, |at_ms| Source::Later { at_ms: *at_ms })
     }
 
-    /// Who is asked for the list of endpoints, if it is wanting.
+    /// Who is asked for the list of endpoints, if it is wanting. The whole of it is long, so that whoever
+    /// has it hands it on, those with fast links rather than others.
     fn lister<'a>(
         &self,
         informants: &'a [Informant],
         knowledge: Knowledge,
         known: Known,
+        giver: Option<&InstanceId>,
         draw: u64,
-    ) -> Option<&'a Informant> {
-        let order = |it: &Informant| {
-            let has_news = it.list.changed > known.list;
-            Reverse((has_news, it.is_near, it.reaches_store))
-        };
+    ) -> Source<'a> {
         let others = informants
             .iter()
             .filter(|it| !self.failed.contains_key(&it.instance))
             .filter(|it| knowledge.is_list_old() || it.list.changed > known.list);
-        let others: Vec<&Informant> = others.collect();
+        let (busy, free): (Vec<&Informant>, Vec<&Informant>) =
+            others.partition(|it| self.list_busy.contains_key(&it.instance));
+        if let Some(peer) = free.iter().find(|it| Some(&it.instance) == giver) {
+            return Source::At(peer);
+        }
+        let chosen = if known.list == 0 {
+            let near: Vec<&Informant> = free.iter().copied().filter(|it| it.is_near).collect();
+            by_link(if near.is_empty() { &free } else { &near }, draw)
+        } else {
+            Self::best_lister(&free, known, draw)
+        };
+        if let Some(peer) = chosen {
+            return Source::At(peer);
+        }
+        let room = busy
+            .iter()
+            .filter_map(|it| self.list_busy.get(&it.instance));
+        room.min()
+            .map_or(Source::Nowhere, |at_ms| Source::Later { at_ms: *at_ms })
+    }
+
+    /// One of those that are asked first for what has changed.
+    fn best_lister<'a>(others: &[&'a Informant], known: Known, draw: u64) -> Option<&'a Informant> {
+        let order = |it: &Informant| {
+            let has_news = it.list.changed > known.list;
+            Reverse((has_news, it.is_near, it.reaches_store))
+        };
         let best = others.iter().map(|it| order(it)).min()?;
-        let best: Vec<&Informant> = others.into_iter().filter(|it| order(it) == best).collect();
+        let best: Vec<&Informant> = others
+            .iter()
+            .copied()
+            .filter(|it| order(it) == best)
+            .collect();
         best.get(draw as usize % best.len().max(1)).copied()
     }
 }
 
-/// Where a document is to be had.
+/// What of the two is here in part.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Begun<'a> {
+    /// Version of the document of which parts are here.
+    pub(super) document: Option<u64>,
+    /// Who has given parts of the list of endpoints and has the rest.
+    pub(super) list_giver: Option<&'a InstanceId>,
+}
+
+/// Where a document, or the list, is to be had.
 #[derive(Clone, Copy, Debug)]
 enum Source<'a> {
     At(&'a Informant),
@@ -223,6 +270,16 @@
     Nowhere,
 }
 
+impl Source<'_> {
+    /// When there is room, where that is known.
+    fn room_ms(self) -> Option<u64> {
+        match self {
+            Self::Later { at_ms } => Some(at_ms),
+            Self::At(_) | Self::Nowhere => None,
+        }
+    }
+}
+
 /// One of those, the likelier the faster its link.
 fn by_link<'a>(informants: &[&'a Informant], draw: u64) -> Option<&'a Informant> {
     let speed = |it: &Informant| match it.link_mbps {
--- a/src/relay_server/asking_tests.rs
+++ b/src/relay_server/asking_tests.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::asking::{Asking, Knowledge, Next, Question};
+use super::asking::{Asking, Begun, Knowledge, Next, Question};
 use super::list_log::ListMark;
 use super::peer::Informant;
 use super::snapshot::Known;
@@ -49,7 +49,11 @@
 ) -> Next {
     let behind_since_ms = asking.note_behind(informants, KNOWN, now_ms);
     let knowledge = knowledge(behind_since_ms);
-    asking.next(informants, knowledge, KNOWN, part_of, draw, now_ms)
+    let begun = Begun {
+        document: part_of,
+        list_giver: None,
+    };
+    asking.next(informants, knowledge, KNOWN, begun, draw, now_ms)
 }
 
 fn port(next: &Next) -> Option<(u16, bool)> {
--- a/src/relay_server/handing_on_tests/world.rs
+++ b/src/relay_server/handing_on_tests/world.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::super::asking::{Asking, Knowledge, Next};
+use super::super::asking::{Asking, Begun, Knowledge, Next};
 use super::super::list_log::ListMark;
 use super::super::peer::Informant;
 use super::super::peer_book::HEARTBEAT_MS;
@@ -366,9 +366,13 @@
             list_age_ms: 0,
         };
         let part_of = Some(own.part.version).filter(|it| *it > 0);
+        let begun = Begun {
+            document: part_of,
+            list_giver: None,
+        };
         let next = own
             .asking
-            .next(&informants, knowledge, known, part_of, draw, now_ms);
+            .next(&informants, knowledge, known, begun, draw, now_ms);
         match next {
             Next::Nothing => {}
             Next::Wait { wait_ms } => self.push(index, wait_ms * 1_000, Event::LookAgain),
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 
 use super::super::adapter::FeedRead;
-use super::super::asking::{Asking, Knowledge, Next};
+use super::super::asking::{Asking, Begun, Knowledge, Next};
 use super::super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::super::list_log::ListLog;
 use super::super::list_sync::{self, ListUpdate};
@@ -236,9 +236,14 @@
             is_fed: self.is_fed(now_ms),
             list_age_ms: self.fleet.age_ms(now_ms),
         };
-        let next = self
-            .asking
-            .next(&informants, knowledge, known, None, draw, now_ms);
+        let next = self.asking.next(
+            &informants,
+            knowledge,
+            known,
+            Begun::default(),
+            draw,
+            now_ms,
+        );
         match next {
             Next::Ask(question) => Some(question.peer),
             Next::Nothing | Next::Wait { .. } => None,
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -16,9 +16,11 @@
 use tokio::time::sleep;
 
 use super::adapter::{Adapter, FeedFailure};
-use super::asking::{Asking, Knowledge, Next, Question};
+use super::asking::{Asking, Begun, Knowledge, Next, Question};
 use super::document_parts::{DocumentNews, DocumentPart, DocumentParts, DocumentQuery, PartFault};
 use super::feeds::take_table;
+use super::list_log::ListNews;
+use super::list_parts::{ListOffer, ListPartFault, ListParts, ListQuery, ListRest};
 use super::list_sync::{self, ListUpdate};
 use super::node::Node;
 use super::peer::Informant;
@@ -52,7 +54,7 @@
     /// The operator's document, or a part of it.
     document: DocumentNews,
     /// The list of endpoints, if it was read.
-    endpoints: Option<Aged<ListUpdate>>,
+    endpoints: Option<Aged<ListOffer>>,
 }
 
 /// How far one that asks knows both.
@@ -65,10 +67,10 @@
 }
 
 impl Known {
-    fn path(self, document: DocumentQuery) -> String {
+    fn path(self, document: DocumentQuery, parts: ListQuery) -> String {
         let Self { table, list } = self;
-        let document = document.text();
-        format!("{SNAPSHOT_PATH}?table={table}&list={list}&{document}")
+        let (document, parts) = (document.text(), parts.text());
+        format!("{SNAPSHOT_PATH}?table={table}&list={list}&{document}&{parts}")
     }
 
     /// Reads the query of a question. What is missing or no number counts as not known.
@@ -97,12 +99,14 @@
     Malformed(#[from] postcard::Error),
     #[error("{0}")]
     Part(#[from] PartFault),
+    #[error("{0}")]
+    ListPart(#[from] ListPartFault),
     #[error("the document cannot be used: {0}")]
     Document(#[from] FeedFailure),
 }
 
-/// Answers a peer's question. The list of endpoints is told also where there is no room for the document:
-/// one that leaves must be known everywhere within two seconds.
+/// Answers a peer's question. What has changed in the list of endpoints is told also where there is no
+/// room for the document: one that leaves must be known everywhere within two seconds.
 pub(super) fn answer<A>(node: &Node<A>, query: &str, peer: Option<SocketAddr>) -> Response<BoxBody>
 where
     A: Adapter,
@@ -110,13 +114,12 @@
     let now_ms = boot_ms();
     let known = Known::from_query(query);
     let document = document_for(node, known, DocumentQuery::from_query(query), peer, now_ms);
-    let fleet = node.fleet.borrow();
-    let update = list_sync::update_since(&node.list_log.borrow(), &fleet, known.list);
+    let offer = list_for(node, known, ListQuery::from_query(query), now_ms);
     let snapshot = Snapshot {
         document,
-        endpoints: update.map(|content| Aged {
+        endpoints: offer.map(|content| Aged {
             content,
-            age_ms: fleet.age_ms(now_ms),
+            age_ms: node.fleet.borrow().age_ms(now_ms),
         }),
     };
     node.counters.count("relay.snapshots.given");
@@ -129,6 +132,33 @@
     }
 }
 
+/// What a peer that knows so far is told of the list of endpoints, where it is known here.
+fn list_for<A>(node: &Node<A>, known: Known, query: ListQuery, now_ms: u64) -> Option<ListOffer>
+where
+    A: Adapter,
+{
+    let fleet = node.fleet.borrow();
+    let update = list_sync::update_since(&node.list_log.borrow(), &fleet, known.list)?;
+    let ListUpdate { mark, news } = update;
+    let entries = match news {
+        ListNews::Whole(entries) if query.wants_whole => entries,
+        ListNews::Whole(_) => return None,
+        news => return Some(ListOffer::Update(ListUpdate { mark, news })),
+    };
+    let rest = ListRest::new(mark, entries, query);
+    Some(match node.uplink.borrow_mut().admit(rest.bytes(), now_ms) {
+        Admission::Given { bytes } => {
+            node.counters
+                .add("relay.snapshots.list_bytes", bytes as u64);
+            ListOffer::Part(rest.part(bytes))
+        }
+        Admission::Busy { wait_ms } => {
+            node.counters.count("relay.snapshots.list_busy");
+            ListOffer::Busy { wait_ms }
+        }
+    })
+}
+
 /// What a peer that knows so far is given of the document.
 fn document_for<A>(
     node: &Node<A>,
@@ -176,7 +206,7 @@
     A: Adapter,
 {
     let mut asking = Asking::default();
-    let mut parts = DocumentParts::default();
+    let mut parts = Parts::default();
     loop {
         let pause_ms = match look(&node, &mut asking, &mut parts) {
             Next::Ask(question) => match ask(&node, &mut asking, &mut parts, &question).await {
@@ -186,6 +216,7 @@
                     let peer = &question.peer;
                     log::warn!(peer:% = peer.address, failure:% = failure; "snapshot was not taken");
                     asking.failed(&peer.instance, boot_ms());
+                    parts.list.clear();
                     continue;
                 }
             },
@@ -199,14 +230,21 @@
     }
 }
 
-fn look<A>(node: &Node<A>, asking: &mut Asking, parts: &mut DocumentParts) -> Next
+/// What has been taken in part.
+#[derive(Debug, Default)]
+struct Parts {
+    document: DocumentParts,
+    list: ListParts,
+}
+
+fn look<A>(node: &Node<A>, asking: &mut Asking, parts: &mut Parts) -> Next
 where
     A: Adapter,
 {
     let now_ms = boot_ms();
     let informants = node.peers.borrow().informants(now_ms);
     let known = known_here(node);
-    count_wasted(node, parts.drop_known(known.table));
+    count_wasted(node, parts.document.drop_known(known.table));
     let knowledge = Knowledge {
         behind_since_ms: asking.note_behind(&informants, known, now_ms),
         reads_store: node.reads_store(),
@@ -214,7 +252,11 @@
         list_age_ms: node.fleet.borrow().age_ms(now_ms),
     };
     let draw = node.draw();
-    asking.next(&informants, knowledge, known, parts.version(), draw, now_ms)
+    let begun = Begun {
+        document: parts.document.version(),
+        list_giver: parts.list.giver(),
+    };
+    asking.next(&informants, knowledge, known, begun, draw, now_ms)
 }
 
 fn count_wasted<A>(node: &Node<A>, bytes: usize)
@@ -239,7 +281,7 @@
 async fn ask<A>(
     node: &Rc<Node<A>>,
     asking: &mut Asking,
-    parts: &mut DocumentParts,
+    parts: &mut Parts,
     question: &Question,
 ) -> Result<bool, SnapshotFailure>
 where
@@ -251,19 +293,37 @@
     } = question;
     let sent_ms = boot_ms();
     let known = known_here(node);
-    let snapshot = fetch(peer, &known.path(parts.query(*wants_document))).await?;
+    let document = parts.document.query(*wants_document);
+    let path = known.path(document, parts.list.query(&peer.instance));
+    let snapshot = fetch(peer, &path).await?;
     node.counters.count("relay.snapshots.taken");
-    if let Some(endpoints) = snapshot.endpoints {
-        take_endpoints(node, &peer.instance, endpoints, known, sent_ms);
+    let mut has_brought = false;
+    if let Some(Aged { content, age_ms }) = snapshot.endpoints {
+        let update = match content {
+            ListOffer::Update(update) => Some(update),
+            ListOffer::Part(part) => {
+                has_brought = true;
+                parts.list.take(part, &peer.instance)?
+            }
+            ListOffer::Busy { wait_ms } => {
+                has_brought = true;
+                asking.list_busy(&peer.instance, wait_ms, boot_ms());
+                None
+            }
+        };
+        if let Some(update) = update {
+            let newest_at_ms = sent_ms.saturating_sub(age_ms);
+            take_endpoints(node, &peer.instance, update, known, newest_at_ms);
+        }
     }
     match snapshot.document {
-        DocumentNews::Nothing => Ok(known_here(node) != known),
+        DocumentNews::Nothing => Ok(has_brought || known_here(node) != known),
         DocumentNews::Busy { wait_ms } => {
             asking.busy(&peer.instance, wait_ms, boot_ms());
             Ok(true)
         }
         DocumentNews::Part(part) => {
-            take_part(node, parts, part, peer, sent_ms)?;
+            take_part(node, &mut parts.document, part, peer, sent_ms)?;
             Ok(true)
         }
     }
@@ -323,9 +383,9 @@
 fn take_endpoints<A>(
     node: &Node<A>,
     peer: &InstanceId,
-    endpoints: Aged<ListUpdate>,
+    update: ListUpdate,
     asked_with: Known,
-    sent_ms: u64,
+    newest_at_ms: u64,
 ) where
     A: Adapter,
 {
@@ -333,9 +393,9 @@
         &mut node.list_log.borrow_mut(),
         &mut node.fleet.borrow_mut(),
         peer,
-        endpoints.content,
+        update,
         asked_with.list,
-        sent_ms.saturating_sub(endpoints.age_ms),
+        newest_at_ms,
         boot_ms(),
     );
     // Peers are not told: they know it better.
