--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -11,7 +11,7 @@
 use super::quarantine_rows;
 use crate::clients::TableService;
 use crate::clock::boot_ms;
-use crate::wire::platform::{ScanRows, Transaction, Write};
+use crate::wire::platform::{Row, ScanRows, Transaction, Write};
 
 /// Longest wait for the store's answer to the calls that make instances known to one another.
 pub(super) const REGISTER_TIMEOUT_MS: u64 = 800;
@@ -26,7 +26,7 @@
 const LONGEST_RETRY_MS: u64 = 4_000;
 /// Where instances' records stand in the store.
 const RECORDS_PREFIX: &str = "instance/";
-/// Most records read at once.
+/// Most records read by one call.
 const RECORDS_LIMIT: u32 = 500;
 
 /// Makes this instance known, and learns of the others.
@@ -118,30 +118,48 @@
 where
     A: Adapter,
 {
-    let ask = ScanRows {
-        prefix: RECORDS_PREFIX.to_owned(),
-        after: None,
-        limit: RECORDS_LIMIT,
-    };
-    let rows = match node.adapter.store().scan(&ask, REGISTER_TIMEOUT_MS).await {
-        Ok(rows) => rows,
-        Err(failure) => {
-            log::warn!(failure:% = failure; "instances' records were not read");
-            return None;
-        }
-    };
     let mut own = OwnRecord::IsMissing;
-    for row in rows.rows {
-        match serde_json::from_str::<InstanceRecord>(&row.value) {
-            Ok(it) if it.incarnation == node.incarnation => own = OwnRecord::IsThere,
-            Ok(it) => {
-                let mut peers = node.peers.borrow_mut();
-                peers.learn(it, boot_ms());
+    let mut after = None;
+    loop {
+        let ask = ScanRows {
+            prefix: RECORDS_PREFIX.to_owned(),
+            after,
+            limit: RECORDS_LIMIT,
+        };
+        let rows = match node.adapter.store().scan(&ask, REGISTER_TIMEOUT_MS).await {
+            Ok(rows) => rows.rows,
+            Err(failure) => {
+                log::warn!(failure:% = failure; "instances' records were not read");
+                return None;
             }
-            Err(error) => {
-                log::warn!(key = row.key.as_str(), error:% = error; "record is malformed")
+        };
+        for row in &rows {
+            if learn_record(node, row) == OwnRecord::IsThere {
+                own = OwnRecord::IsThere;
             }
         }
+        after = next_page(&rows, RECORDS_LIMIT);
+        if after.is_none() {
+            return Some(own);
+        }
+    }
+}
+
+/// The key behind which the next rows are read, where a read of at most `limit` may have left some out.
+pub(super) fn next_page(rows: &[Row], limit: u32) -> Option<String> {
+    let is_full = u32::try_from(rows.len()).is_ok_and(|count| count >= limit);
+    let last = rows.last().filter(|_| is_full)?;
+    Some(last.key.clone())
+}
+
+/// Learns of a record's instance; says whether the record is this process's own.
+fn learn_record<A>(node: &Node<A>, row: &Row) -> OwnRecord {
+    match serde_json::from_str::<InstanceRecord>(&row.value) {
+        Ok(record) if record.incarnation == node.incarnation => return OwnRecord::IsThere,
+        Ok(record) => node.peers.borrow_mut().learn(record, boot_ms()),
+        Err(error) => {
+            log::warn!(key = row.key.as_str(), error:% = error; "record is malformed");
+        }
     }
-    Some(own)
+    OwnRecord::IsMissing
 }
--- a/src/relay_server/records_tests.rs
+++ b/src/relay_server/records_tests.rs
@@ -1,4 +1,5 @@
-use super::records::retry_ms;
+use super::records::{next_page, retry_ms};
+use crate::wire::platform::Row;
 
 // 301 instances that had started together wrote their records to a store that takes 150 writes a second.
 // Most calls ended without an answer and were sent again after the same pause: 290 a second for as long as
@@ -14,3 +15,19 @@
     assert_eq!(earliest(4), earliest(100));
     assert_eq!(earliest(u32::MAX), 2_000);
 }
+
+// At most 500 records were read, so that instances of a larger deployment did not learn of each other.
+#[test]
+fn records_are_read_on_where_a_read_is_full() {
+    let rows = |count: u32| -> Vec<Row> {
+        let row = |number| Row {
+            key: format!("instance/{number:04}"),
+            version: 1,
+            value: String::new(),
+        };
+        (0..count).map(row).collect()
+    };
+    assert_eq!(next_page(&rows(0), 500), None);
+    assert_eq!(next_page(&rows(499), 500), None);
+    assert_eq!(next_page(&rows(500), 500), Some("instance/0499".to_owned()));
+}
