--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -11,7 +11,7 @@
 use super::quarantine_rows;
 use crate::clients::TableService;
 use crate::clock::boot_ms;
-use crate::wire::platform::{ScanRows, Transaction, Write};
+use crate::wire::platform::{Row, ScanRows, Transaction, Write};
 
 /// Longest wait for the store's answer to the calls that make instances known to one another.
 pub(super) const REGISTER_TIMEOUT_MS: u64 = 800;
@@ -19,11 +19,14 @@
 const RECORDS_PAUSE_MS: u64 = 15_000;
 /// The same at an instance that does not read the store otherwise. Others tell it of themselves.
 const RARE_RECORDS_PAUSE_MS: u64 = 120_000;
-/// Pause after a call about the records that failed.
+/// Shortest pause after a call about the records that failed, and the longest: hundreds that start
+/// together press the store beyond what it writes in a second, and each must wait longer than the one
+/// before until all are through.
 const RECORDS_RETRY_MS: u64 = 500;
+const LONGEST_RETRY_MS: u64 = 4_000;
 /// Where instances' records stand in the store.
 const RECORDS_PREFIX: &str = "instance/";
-/// Most records read at once.
+/// Most records read by one call.
 const RECORDS_LIMIT: u32 = 500;
 
 /// Makes this instance known, and learns of the others.
@@ -32,26 +35,52 @@
     A: Adapter,
 {
     let mut is_written = false;
+    let mut failures = 0;
     loop {
         // First, since callers may come at any moment.
         let knows_key = quarantine_rows::learn(&node).await;
+        if failures > 0 && !is_written {
+            // A write without an answer may have taken effect. Sent again and again, such writes would keep
+            // a store busy that hundreds have just come to.
+            is_written = read_records(&node).await == Some(OwnRecord::IsThere);
+        }
         if !is_written {
             is_written = write_record(&node).await;
         }
-        let is_read = read_records(&node).await;
-        if is_read {
+        let read = read_records(&node).await;
+        if let Some(own) = read {
+            is_written |= own == OwnRecord::IsThere;
             node.are_records_known.set(true);
             node.look_at_reading(boot_ms());
         }
-        let pause_ms = match (is_written && is_read && knows_key, node.reads_store()) {
+        let is_done = is_written && read.is_some() && knows_key;
+        failures = if is_done { 0 } else { failures + 1 };
+        let pause_ms = match (is_done, node.reads_store()) {
             (true, true) => RECORDS_PAUSE_MS,
             (true, false) => RARE_RECORDS_PAUSE_MS,
-            (false, _) => RECORDS_RETRY_MS,
+            (false, _) => retry_ms(failures, node.draw()),
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
+/// Pause after so many failures in a row: twice as long each time, and spread over half of it either way,
+/// so that those which started together do not come again together.
+pub(super) fn retry_ms(failures: u32, draw: u64) -> u64 {
+    let doublings = failures.saturating_sub(1).min(u64::BITS - 1);
+    let pause_ms = RECORDS_RETRY_MS
+        .saturating_mul(1 << doublings)
+        .min(LONGEST_RETRY_MS);
+    pause_ms / 2 + draw % pause_ms
+}
+
+/// What a read of the records shows of this process's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnRecord {
+    IsThere,
+    IsMissing,
+}
+
 async fn write_record<A>(node: &Node<A>) -> bool
 where
     A: Adapter,
@@ -84,32 +113,53 @@
     written.is_ok()
 }
 
-async fn read_records<A>(node: &Node<A>) -> bool
+/// Reads the records and learns of their instances; `None` where the store does not answer.
+async fn read_records<A>(node: &Node<A>) -> Option<OwnRecord>
 where
     A: Adapter,
 {
-    let ask = ScanRows {
-        prefix: RECORDS_PREFIX.to_owned(),
-        after: None,
-        limit: RECORDS_LIMIT,
-    };
-    let rows = match node.adapter.store().scan(&ask, REGISTER_TIMEOUT_MS).await {
-        Ok(rows) => rows,
-        Err(failure) => {
-            log::warn!(failure:% = failure; "instances' records were not read");
-            return false;
-        }
-    };
-    for row in rows.rows {
-        match serde_json::from_str::<InstanceRecord>(&row.value) {
-            Ok(it) => {
-                let mut peers = node.peers.borrow_mut();
-                peers.learn(it, boot_ms());
+    let mut own = OwnRecord::IsMissing;
+    let mut after = None;
+    loop {
+        let ask = ScanRows {
+            prefix: RECORDS_PREFIX.to_owned(),
+            after,
+            limit: RECORDS_LIMIT,
+        };
+        let rows = match node.adapter.store().scan(&ask, REGISTER_TIMEOUT_MS).await {
+            Ok(rows) => rows.rows,
+            Err(failure) => {
+                log::warn!(failure:% = failure; "instances' records were not read");
+                return None;
             }
-            Err(error) => {
-                log::warn!(key = row.key.as_str(), error:% = error; "record is malformed")
+        };
+        for row in &rows {
+            if learn_record(node, row) == OwnRecord::IsThere {
+                own = OwnRecord::IsThere;
             }
         }
+        after = next_page(&rows, RECORDS_LIMIT);
+        if after.is_none() {
+            return Some(own);
+        }
+    }
+}
+
+/// The key behind which the next rows are read, where a read of at most `limit` may have left some out.
+pub(super) fn next_page(rows: &[Row], limit: u32) -> Option<String> {
+    let is_full = u32::try_from(rows.len()).is_ok_and(|count| count >= limit);
+    let last = rows.last().filter(|_| is_full)?;
+    Some(last.key.clone())
+}
+
+/// Learns of a record's instance; says whether the record is this process's own.
+fn learn_record<A>(node: &Node<A>, row: &Row) -> OwnRecord {
+    match serde_json::from_str::<InstanceRecord>(&row.value) {
+        Ok(record) if record.incarnation == node.incarnation => return OwnRecord::IsThere,
+        Ok(record) => node.peers.borrow_mut().learn(record, boot_ms()),
+        Err(error) => {
+            log::warn!(key = row.key.as_str(), error:% = error; "record is malformed");
+        }
     }
-    true
+    OwnRecord::IsMissing
 }
