--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,5 +37,5 @@
 pub use pool::{Lender, RepeatAmount, RepeatLoan};
 pub use refusal::{FinalWord, Outlook, RefusalCause};
 pub use run_times::RunTimes;
-pub(crate) use silence::{AnswerBook, NoAnswer, PROMPT_MS, REPORT_TIMEOUTS_MS};
+pub(crate) use silence::{ANSWER_LIMIT_MS, ASKED_AT_MS, AnswerBook, NoAnswer, PROMPT_MS};
 pub use stall::{StallStep, StallWatch};
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -6,13 +6,17 @@
 /// Longest time for an answer that shows the link to be free: a round trip takes a few milliseconds.
 pub(crate) const PROMPT_MS: u64 = 25;
 
-/// Longest waits for an engine's report, one after the other. A round trip takes a few
-/// milliseconds at most; the second question is for links that lose packets.
-pub(crate) const REPORT_TIMEOUTS_MS: [u64; 2] = [50, 60];
+/// When an engine is asked for its report, as long as it has not answered: each time over a connection
+/// of its own, since a link that loses packets may lose one question but hardly three.
+pub(crate) const ASKED_AT_MS: [u64; 3] = [0, 15, 30];
+
+/// Longest wait for the report, from the first question. A round trip takes a few milliseconds at most;
+/// the callers of streams over a dead engine wait for all of it.
+pub(crate) const ANSWER_LIMIT_MS: u64 = 60;
 
 /// How long after a question to a living engine has gone unanswered the link counts as full for others:
-/// as long as an engine is waited for.
-const LINK_FULL_MS: u64 = REPORT_TIMEOUTS_MS[0] + REPORT_TIMEOUTS_MS[1];
+/// what it still has to send may take longer than an engine is waited for.
+const LINK_FULL_MS: u64 = 110;
 
 /// What an unanswered question shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -6,6 +6,13 @@
 const LEAST_SILENCE_MS: u64 = 90;
 /// Silence after which a run is looked into, in mean gaps between its events so far.
 const SILENCE_GAPS: f64 = 3.0;
+/// Silence after which the engines of a run are asked, at least: a few gaps of the fastest engines.
+const LEAST_ASK_MS: u64 = 50;
+/// Mean deviations beyond the mean gap after which the engines of a run are asked. Steady streams are
+/// asked about soon, uneven ones are not asked about at each of their longer gaps.
+const ASK_DEVIATIONS: f64 = 4.0;
+/// Least deviation that is counted, as a part of the mean: the steadiest streams have a late event too.
+const LEAST_DEVIATION: f64 = 1.0 / 12.0;
 /// Silence before the first event after which a run is looked into: reading a usual prompt takes
 /// 50 to 150 ms through all stages.
 const FIRST_SILENCE_MS: u64 = 350;
@@ -17,6 +24,8 @@
 const GIVE_UP_MS: u64 = 1_300;
 /// Weight of the newest gap in the running mean.
 const GAP_WEIGHT: f64 = 0.1;
+/// Weight of the newest gap in the running mean of deviations.
+const DEVIATION_WEIGHT: f64 = 0.25;
 
 /// What to do about a silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,15 +38,49 @@
     GiveUp,
 }
 
+/// Gaps between the events of a stream, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Gaps {
+    mean: f64,
+    /// Mean of how far a gap is from the mean.
+    deviation: f64,
+}
+
+impl Gaps {
+    /// The first gap, which says nothing of how even they are.
+    fn first(gap: f64) -> Self {
+        Self {
+            mean: gap,
+            deviation: gap / 2.0,
+        }
+    }
+
+    fn with(self, gap: f64) -> Self {
+        let off = (gap - self.mean).abs();
+        Self {
+            mean: self.mean + GAP_WEIGHT * (gap - self.mean),
+            deviation: self.deviation + DEVIATION_WEIGHT * (off - self.deviation),
+        }
+    }
+
+    /// Longest gap that is nothing to wonder at.
+    fn usual_ms(self) -> u64 {
+        let deviation = self.deviation.max(LEAST_DEVIATION * self.mean);
+        (self.mean + ASK_DEVIATIONS * deviation) as u64
+    }
+}
+
 /// Follows the progress of one stream.
 #[derive(Clone, Copy, Debug)]
 pub struct StallWatch {
-    mean_gap_ms: Option<f64>,
+    gaps: Option<Gaps>,
     /// Last event, or the start of the run.
     progress_ms: u64,
     has_event: bool,
     /// Last event of any run.
     last_event_ms: Option<u64>,
+    /// When the engines are asked before the run counts as silent, until that is done.
+    ask_ms: Option<u64>,
     look_ms: u64,
     /// Looks at the present silence.
     looks: u32,
@@ -49,10 +92,11 @@
     /// A stream whose first run begins.
     pub fn start(now_ms: u64) -> Self {
         Self {
-            mean_gap_ms: None,
+            gaps: None,
             progress_ms: now_ms,
             has_event: false,
             last_event_ms: None,
+            ask_ms: None,
             look_ms: now_ms + FIRST_SILENCE_MS,
             looks: 0,
             usual_until_ms: now_ms,
@@ -63,6 +107,7 @@
     pub fn run_begins(&mut self, now_ms: u64) {
         self.progress_ms = now_ms;
         self.has_event = false;
+        self.ask_ms = None;
         self.look_ms = now_ms + FIRST_SILENCE_MS;
         self.usual_until_ms = now_ms;
     }
@@ -70,21 +115,26 @@
     /// Notes an event.
     pub fn event(&mut self, now_ms: u64) {
         if self.has_event {
-            let gap_ms = now_ms.saturating_sub(self.progress_ms) as f64;
-            let mean = self.mean_gap_ms.unwrap_or(gap_ms);
-            self.mean_gap_ms = Some(mean + GAP_WEIGHT * (gap_ms - mean));
+            let gap = now_ms.saturating_sub(self.progress_ms) as f64;
+            let gaps = self.gaps.map_or(Gaps::first(gap), |it| it.with(gap));
+            self.gaps = Some(gaps);
         }
         self.has_event = true;
         self.last_event_ms = Some(now_ms);
         self.looks = 0;
         self.progress_ms = now_ms;
-        let gaps_ms = (self.mean_gap_ms.unwrap_or(0.0) * SILENCE_GAPS) as u64;
+        let gaps_ms = (self.gaps.map_or(0.0, |it| it.mean) * SILENCE_GAPS) as u64;
         self.look_ms = now_ms + gaps_ms.max(LEAST_SILENCE_MS);
         self.usual_until_ms = self.look_ms;
+        self.ask_ms = self.gaps.map(|gaps| {
+            let usual_ms = gaps.usual_ms().max(LEAST_ASK_MS);
+            now_ms + usual_ms
+        });
     }
 
     /// Notes that the chain was changed: the new stages read all tokens again first.
     pub fn repaired(&mut self, now_ms: u64) {
+        self.ask_ms = None;
         self.look_ms = now_ms + FIRST_SILENCE_MS;
         self.progress_ms = now_ms;
         self.usual_until_ms = now_ms;
@@ -96,6 +146,21 @@
         now_ms >= self.usual_until_ms
     }
 
+    /// When the engines of the run are to be asked though it does not count as silent yet: if one of
+    /// them is dead, that is known by the time it does. Before the step that is due anyway, or never.
+    pub fn ask_due_ms(&self) -> Option<u64> {
+        self.ask_ms.filter(|ask_ms| *ask_ms < self.due_ms())
+    }
+
+    /// Whether the engines are to be asked now; true once for each silence.
+    pub fn takes_ask(&mut self, now_ms: u64) -> bool {
+        let is_due = self.ask_due_ms().is_some_and(|ask_ms| ask_ms <= now_ms);
+        if is_due {
+            self.ask_ms = None;
+        }
+        is_due
+    }
+
     /// When the next step is due.
     pub fn due_ms(&self) -> u64 {
         if self.has_event {
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -23,15 +23,23 @@
 pub(crate) struct CheckBook {
     /// When each check under way began; one whose stream went away never says how it ended.
     begun_at_ms: IndexMap<EndpointId, u64>,
-    sound_at_ms: IndexMap<EndpointId, u64>,
+    sound: IndexMap<EndpointId, SoundReport>,
+}
+
+/// What the newest report of a sound engine says.
+#[derive(Debug)]
+struct SoundReport {
+    at_ms: u64,
+    /// Requests that wait for another engine, and that one's address.
+    stalled: Vec<(String, SocketAddr)>,
 }
 
 impl CheckBook {
     fn is_due(&self, id: &EndpointId, now_ms: u64) -> bool {
         let is_fresh = self
-            .sound_at_ms
+            .sound
             .get(id)
-            .is_some_and(|at_ms| now_ms < at_ms + FRESH_MS);
+            .is_some_and(|report| now_ms < report.at_ms + FRESH_MS);
         let is_under_way = self
             .begun_at_ms
             .get(id)
@@ -39,10 +47,18 @@
         !is_fresh && !is_under_way
     }
 
+    /// The engine that a request waits for, by a report of its first stage from `since_ms` or later.
+    fn waits_for(&self, request: &str, first: &EndpointId, since_ms: u64) -> Option<SocketAddr> {
+        let report = self.sound.get(first).filter(|it| it.at_ms >= since_ms)?;
+        let mut stalled = report.stalled.iter();
+        let (_, address) = stalled.find(|(id, _)| id == request)?;
+        Some(*address)
+    }
+
     /// Forgets checks that say nothing any more.
     pub(crate) fn sweep(&mut self, now_ms: u64) {
-        self.sound_at_ms
-            .retain(|_, at_ms| now_ms < *at_ms + FRESH_MS);
+        self.sound
+            .retain(|_, report| now_ms < report.at_ms + FRESH_MS);
         self.begun_at_ms
             .retain(|_, at_ms| now_ms < *at_ms + FRESH_MS);
     }
@@ -72,19 +88,34 @@
 }
 
 /// Asks every stage of a chain how it is. Engines that do not answer, or have started anew, are
-/// left out from here on. Returns an engine that the first stage waits for.
+/// left out from here on. Returns an engine that the first stage waits for, where the run has been
+/// silent since `silent_since_ms`.
 pub(crate) async fn check_chain<A>(
     node: &Rc<Node<A>>,
     id: &str,
     chain: &Chain,
+    silent_since_ms: u64,
 ) -> Option<SocketAddr>
 where
     A: Adapter,
 {
-    let reports = join_all(chain.stages().iter().map(|stage| check(node, stage))).await;
-    let first = reports.into_iter().next().flatten()?;
-    let waits = first.stalled.into_iter().find(|(stalled, _)| stalled == id);
-    waits.map(|(_, address)| address)
+    join_all(chain.stages().iter().map(|stage| check(node, stage))).await;
+    let first = &chain.first().endpoint;
+    node.checks.borrow().waits_for(id, first, silent_since_ms)
+}
+
+/// Checks every stage of a chain beside whatever else goes on.
+pub(crate) fn check_chain_beside<A>(node: &Rc<Node<A>>, chain: &Chain)
+where
+    A: Adapter,
+{
+    for stage in chain.stages() {
+        let node = Rc::clone(node);
+        let stage = stage.clone();
+        actix_rt::spawn(async move {
+            check(&node, &stage).await;
+        });
+    }
 }
 
 /// Checks one stage beside whatever else goes on.
@@ -96,21 +127,18 @@
     let stage = stage.clone();
     actix_rt::spawn(async move {
         // Something was wrong just now, so an older finding says nothing.
-        node.checks
-            .borrow_mut()
-            .sound_at_ms
-            .swap_remove(&stage.endpoint);
+        node.checks.borrow_mut().sound.swap_remove(&stage.endpoint);
         check(&node, &stage).await;
     });
 }
 
-async fn check<A>(node: &Rc<Node<A>>, stage: &ChainStage) -> Option<EngineReport>
+async fn check<A>(node: &Rc<Node<A>>, stage: &ChainStage)
 where
     A: Adapter,
 {
     let id = &stage.endpoint;
     if !node.checks.borrow().is_due(id, boot_ms()) {
-        return None;
+        return;
     }
     node.checks
         .borrow_mut()
@@ -120,10 +148,10 @@
     if matches!(finding, Finding::Unanswered(_, NoAnswer::Unclear)) {
         // Not waited for: the stream that asks has events to pass on.
         settle_beside(node, stage, finding);
-        return None;
+        return;
     }
     node.checks.borrow_mut().begun_at_ms.swap_remove(id);
-    take_finding(node, stage, finding)
+    take_finding(node, stage, finding);
 }
 
 /// Finds out beside the asking stream whether the engine or the link is silent.
@@ -143,17 +171,16 @@
     });
 }
 
-/// Acts on what a question has shown; returns the report, if it is the engine's.
-fn take_finding<A>(node: &Rc<Node<A>>, stage: &ChainStage, finding: Finding) -> Option<EngineReport>
+/// Acts on what a question has shown.
+fn take_finding<A>(node: &Rc<Node<A>>, stage: &ChainStage, finding: Finding)
 where
     A: Adapter,
 {
-    let report = read_finding(node, stage, finding);
+    read_finding(node, stage, finding);
     node.settle_quarantine();
-    report
 }
 
-fn read_finding<A>(node: &Node<A>, stage: &ChainStage, finding: Finding) -> Option<EngineReport>
+fn read_finding<A>(node: &Node<A>, stage: &ChainStage, finding: Finding)
 where
     A: Adapter,
 {
@@ -162,11 +189,11 @@
         Finding::Sound(report) => report,
         Finding::Ended => {
             node.troubled(id, Trouble::Ended);
-            return None;
+            return;
         }
         Finding::Unanswered(asked_ms, NoAnswer::EngineDead) => {
             node.unanswered(id, asked_ms);
-            return None;
+            return;
         }
         Finding::Unanswered(asked_ms, no_answer) => {
             log::info!(
@@ -177,18 +204,18 @@
                 "engine did not answer; not counted against it"
             );
             node.counters.count("relay.checks.unclear");
-            return None;
+            return;
         }
-        Finding::Nothing => return None,
+        Finding::Nothing => return,
     };
     match answering_lifetime(id, &report) {
         Lifetime::Known if !report.is_fresh => {}
         Lifetime::Known | Lifetime::Later => {
             log::warn!(endpoint = id.as_str(), born_unix_ms = report.born_unix_ms; "engine has started anew");
             node.troubled(id, Trouble::Ended);
-            return None;
+            return;
         }
-        Lifetime::Earlier => return None,
+        Lifetime::Earlier => return,
     }
     if let Some(known) = node.fleet.borrow_mut().get_mut(id) {
         // Newer than the list, which shows layers with a lag. An engine that is being moved still
@@ -197,8 +224,11 @@
     }
     node.reported_slowness(id, report.slowness);
     let mut checks = node.checks.borrow_mut();
-    checks.sound_at_ms.insert(id.clone(), boot_ms());
-    Some(report)
+    let sound = SoundReport {
+        at_ms: boot_ms(),
+        stalled: report.stalled,
+    };
+    checks.sound.insert(id.clone(), sound);
 }
 
 /// Asks the engines that were slow again.
--- a/src/relay_server/questions.rs
+++ b/src/relay_server/questions.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use indexmap::IndexMap;
 use tokio::time::sleep;
 
@@ -13,12 +15,12 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Fleet, KnownEndpoint};
 use crate::ids::EndpointId;
-use crate::relay::{NoAnswer, PROMPT_MS, REPORT_TIMEOUTS_MS};
+use crate::relay::{ANSWER_LIMIT_MS, ASKED_AT_MS, NoAnswer, PROMPT_MS};
 
 /// Longest wait for the report where the link may be full. The stream that asks looks again 250 ms
 /// after its first look.
 const LONG_TIMEOUT_MS: u64 = 130;
-/// A check that took this much longer than its timeouts says nothing of the engine: this process
+/// A check that took this much longer than its time limit says nothing of the engine: this process
 /// did not get to run.
 const OWN_DELAY_MS: u64 = 40;
 
@@ -39,19 +41,39 @@
     A: Adapter,
 {
     let asked_ms = boot_ms();
-    for timeout_ms in REPORT_TIMEOUTS_MS {
-        let begun_ms = boot_ms();
-        match question(node, id, address, timeout_ms).await {
+    let mut questions: FuturesUnordered<_> = ASKED_AT_MS
+        .into_iter()
+        .map(|after_ms| question_later(node, id, address, after_ms))
+        .collect();
+    while let Some(answer) = questions.next().await {
+        match answer {
             Ok(report) => return Finding::Sound(report),
             Err(OrderFailure::NoListener) => return Finding::Ended,
-            Err(_) if boot_ms() > begun_ms + timeout_ms + OWN_DELAY_MS => return Finding::Nothing,
-            // A connection that is reset at once has not been silent yet.
-            Err(_) => sleep_until_ms(begun_ms + timeout_ms).await,
+            // A connection that was reset has not been silent yet; the others may be answered.
+            Err(_) => {}
         }
     }
+    sleep_until_ms(asked_ms + ANSWER_LIMIT_MS).await;
+    if boot_ms() > asked_ms + ANSWER_LIMIT_MS + OWN_DELAY_MS {
+        return Finding::Nothing;
+    }
     Finding::Unanswered(asked_ms, judge(node, id, asked_ms))
 }
 
+/// Asks an engine after a while, for as long as is left of the time for an answer.
+async fn question_later<A>(
+    node: &Node<A>,
+    id: &EndpointId,
+    address: SocketAddr,
+    after_ms: u64,
+) -> Result<EngineReport, OrderFailure>
+where
+    A: Adapter,
+{
+    sleep(Duration::from_millis(after_ms)).await;
+    question(node, id, address, ANSWER_LIMIT_MS - after_ms).await
+}
+
 /// Asks an engine whose silence is unclear once more, for longer, and others beside it. If one of them
 /// answers promptly, the first is dead.
 pub(super) async fn ask_beside_control<A>(
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -15,7 +15,7 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::ending::{EndOfRelay, Finish};
 use super::adapter::Adapter;
@@ -318,7 +318,7 @@
         let mut news = self.node.news.subscribe();
         let mut head = std::pin::pin!(exchange.head());
         loop {
-            let due = instant_at(self.stall.due_ms(), boot_ms());
+            let due = self.next_look(boot_ms());
             tokio::select! {
                 // What has come goes before what others say, and before a silence that it ends.
                 biased;
@@ -340,7 +340,7 @@
     ) -> RunEnd {
         let mut news = self.node.news.subscribe();
         loop {
-            let due = instant_at(self.stall.due_ms(), boot_ms());
+            let due = self.next_look(boot_ms());
             let step = tokio::select! {
                 // Events that came while this stream was busy go before what others say, and before
                 // a silence that they end.
@@ -365,6 +365,13 @@
         }
     }
 
+    /// When the run is to be looked at again if it brings nothing until then.
+    fn next_look(&self, now_ms: u64) -> Instant {
+        let step_ms = self.stall.due_ms();
+        let ask_ms = self.stall.ask_due_ms();
+        instant_at(ask_ms.map_or(step_ms, |it| it.min(step_ms)), now_ms)
+    }
+
     async fn take_piece(&mut self, bytes: &[u8], held: &HeldTokens<A>) -> Result<(), RunEnd> {
         let whole = match self.splitter.push(bytes) {
             Ok(Some(whole)) => whole,
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -6,7 +6,7 @@
 use crate::ids::EndpointId;
 use crate::relay::{AttemptEnd, StallStep};
 use crate::relay_server::adapter::{Adapter, EngineControl, OrderFailure};
-use crate::relay_server::checks::check_chain;
+use crate::relay_server::checks::{check_chain, check_chain_beside};
 use crate::relay_server::held_tokens::HeldTokens;
 
 /// Longest wait for the answer to an order that changes a chain. Callers notice a pause of 200 ms.
@@ -20,6 +20,10 @@
 {
     /// Looks into a silence that has lasted too long.
     pub(super) async fn look(&mut self, held: &mut HeldTokens<A>) -> Result<(), RunEnd> {
+        if self.stall.takes_ask(boot_ms()) {
+            // What the checks find is acted on once the run is silent.
+            check_chain_beside(&self.node, held.chain());
+        }
         match self.stall.step(boot_ms()) {
             StallStep::Wait => Ok(()),
             StallStep::GiveUp if !self.can_resume(held.chain()) => {
@@ -40,7 +44,11 @@
                 if self.repairs > repairs {
                     return Ok(());
                 }
-                let waits_for = check_chain(&self.node, &self.request.ask.id, held.chain()).await;
+                let now_ms = boot_ms();
+                let silent_since_ms = now_ms - self.stall.silence_ms(now_ms);
+                let request = &self.request.ask.id;
+                let waits_for =
+                    check_chain(&self.node, request, held.chain(), silent_since_ms).await;
                 let Some(stage) = waits_for.and_then(|it| stage_at(held.chain(), it)) else {
                     // What the check has found comes as news, behind events that came meanwhile.
                     return Ok(());
