--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -8,11 +8,10 @@
 const SILENCE_GAPS: f64 = 3.0;
 /// Silence after which the engines of a run are asked, at least: a few gaps of the fastest engines.
 const LEAST_ASK_MS: u64 = 50;
-/// Mean deviations beyond the mean gap after which the engines of a run are asked. Steady streams are
-/// asked about soon, uneven ones are not asked about at each of their longer gaps.
-const ASK_DEVIATIONS: f64 = 4.0;
-/// Least deviation that is counted, as a part of the mean: the steadiest streams have a late event too.
-const LEAST_DEVIATION: f64 = 1.0 / 12.0;
+/// The same in mean gaps, and in mean deviations beyond the mean gap: each question is paid for, and
+/// engines that read prompts between events make gaps of up to twice the usual.
+const ASK_GAPS: f64 = 2.0;
+const ASK_DEVIATIONS: f64 = 6.0;
 /// Silence before the first event after which a run is looked into: reading a usual prompt takes
 /// 50 to 150 ms through all stages.
 const FIRST_SILENCE_MS: u64 = 350;
@@ -65,8 +64,8 @@
 
     /// Longest gap that is nothing to wonder at.
     fn usual_ms(self) -> u64 {
-        let deviation = self.deviation.max(LEAST_DEVIATION * self.mean);
-        (self.mean + ASK_DEVIATIONS * deviation) as u64
+        let uneven = self.mean + ASK_DEVIATIONS * self.deviation;
+        uneven.max(ASK_GAPS * self.mean) as u64
     }
 }
 
