--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -135,9 +135,11 @@
         self.slowness(now_ms) >= CRAWL_SLOWNESS
     }
 
-    /// Notes that it turned a request away for want of room.
-    pub fn was_full(&mut self, now_ms: u64) {
+    /// Notes that it turned a request away for want of room; returns whether that is news.
+    pub fn was_full(&mut self, now_ms: u64) -> bool {
+        let is_news = !self.is_full(now_ms);
         self.full_until_ms = now_ms + FULL_MS;
+        is_news
     }
 
     /// Until when it counts as full.
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -44,6 +44,9 @@
 #[cfg(test)]
 mod repeat_loans_tests;
 mod request;
+mod room_notice;
+#[cfg(test)]
+mod room_notice_tests;
 mod run;
 mod send_view;
 mod settings;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -57,6 +57,10 @@
     pub(crate) uplink: RefCell<Uplink>,
     /// Told when there is something that peers must hear at once.
     pub(crate) heartbeat_due: Notify,
+    /// Engines that have turned a request away, of which others are to be told.
+    pub(crate) full_news: RefCell<Vec<EndpointId>>,
+    /// Told when there are such engines.
+    pub(crate) full_due: Notify,
     /// Told when a peer is heard to know more than this instance.
     pub(crate) peer_knows_more: Notify,
     /// Grows whenever endpoints were found unsound; streams look at their chains then.
@@ -97,6 +101,8 @@
             are_records_known: Cell::new(false),
             list_log: RefCell::default(),
             heartbeat_due: Notify::new(),
+            full_news: RefCell::default(),
+            full_due: Notify::new(),
             peer_knows_more: Notify::new(),
             news: watch::Sender::new(0),
             digest_key: RefCell::default(),
@@ -317,6 +323,16 @@
         }
     }
 
+    /// Notes that an engine turned a request away for want of room. Others are told if that is news.
+    pub(crate) fn was_full(&self, endpoint: &EndpointId) {
+        let mut fleet = self.fleet.borrow_mut();
+        let known = fleet.get_mut(endpoint);
+        if known.is_some_and(|known| known.standing.was_full(boot_ms())) {
+            self.full_news.borrow_mut().push(endpoint.clone());
+            self.full_due.notify_one();
+        }
+    }
+
     /// Notes that an engine was ordered to hold other layers: nothing new is sent to it until it has
     /// them.
     pub(crate) fn moving(&self, order: &PlaceOrder) {
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::load_change::{LoadChange, load_changes};
@@ -184,6 +184,13 @@
         })
     }
 
+    /// Where the heard instances of some zones take datagrams.
+    pub(super) fn heard_in(&self, zones: &IndexSet<ZoneName>, now_ms: u64) -> Vec<SocketAddr> {
+        let peers = self.peers.values();
+        let heard = peers.filter(|it| zones.contains(&it.zone) && self.is_heard(it, now_ms));
+        heard.map(|it| it.address).collect()
+    }
+
     /// Where the process that lent repeats takes heartbeats, if it is known to run still.
     pub(super) fn address_of(&self, lender: &Lender) -> Option<SocketAddr> {
         let peer = self.peers.get(&lender.instance);
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -22,6 +22,7 @@
 use super::peer::Recipient;
 use super::peer_book::HEARTBEAT_MS;
 use super::repeat_loans::wants;
+use super::room_notice;
 use super::withholding::FROM_PEERS;
 use crate::clock::boot_ms;
 use crate::fleet::{EngineLoad, describe_list};
@@ -33,7 +34,7 @@
 const DATAGRAM_LIMIT_BYTES: usize = 32 << 10;
 
 /// Sends heartbeats and takes those of peers, for as long as the process runs.
-pub(crate) async fn exchange<A>(node: Rc<Node<A>>, socket: UdpSocket)
+pub(crate) async fn exchange<A>(node: Rc<Node<A>>, socket: Rc<UdpSocket>)
 where
     A: Adapter,
 {
@@ -50,6 +51,9 @@
             _ = news.changed() => send_news(&node, &socket).await,
             () = node.heartbeat_due.notified() => send_news(&node, &socket).await,
             received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) if room_notice::is_notice(&buffer[..length]) => {
+                    room_notice::take(&node, &buffer[..length], from);
+                }
                 Ok((length, from)) => take(&node, &buffer[..length], from),
                 // An earlier datagram met no listener; nothing is lost but that datagram.
                 Err(error) => log::debug!(error:% = error; "datagram was not received"),
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -16,7 +16,7 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::settings::RelaySettings;
-use super::{checks, duty, feeds, front, peers, records, snapshot};
+use super::{checks, duty, feeds, front, peers, records, room_notice, snapshot};
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
 
@@ -117,7 +117,9 @@
         address: settings.peers,
         cause,
     })?;
-    actix_rt::spawn(peers::exchange(Rc::clone(node), socket));
+    let socket = Rc::new(socket);
+    actix_rt::spawn(peers::exchange(Rc::clone(node), Rc::clone(&socket)));
+    actix_rt::spawn(room_notice::tell_full(Rc::clone(node), socket));
     actix_rt::spawn(feeds::follow_table(Rc::clone(node)));
     actix_rt::spawn(feeds::follow_endpoints(Rc::clone(node)));
     actix_rt::spawn(snapshot::follow_peers(Rc::clone(node)));
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -409,9 +409,7 @@
     }
 
     fn note_full(&self, endpoint: &EndpointId) {
-        if let Some(known) = self.node.fleet.borrow_mut().get_mut(endpoint) {
-            known.standing.was_full(boot_ms());
-        }
+        self.node.was_full(endpoint);
     }
 
     /// What another run would be for.
