--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -16,6 +16,9 @@
 /// How long an engine counts as full after it turned a request away for want of room. A tenth of a
 /// usual stream: by then some of those that it holds have ended.
 const FULL_MS: u64 = 300;
+/// Longest such time. An engine that goes on turning requests away without taking any may be leaving,
+/// which cannot be told from want of room while the store is away; each look at it costs a repeat.
+const LONGEST_FULL_MS: u64 = 1_200;
 /// Weight of the newest answer time in the running mean.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -93,6 +96,8 @@
     has_ended: bool,
     slowness: Option<Slowness>,
     full_until_ms: u64,
+    /// Times in a row that it turned a request away and took none in between.
+    full_in_row: u32,
     latency_ms: Option<f64>,
 }
 
@@ -137,9 +142,18 @@
 
     /// Notes that it turned a request away for want of room; returns whether that is news.
     pub fn was_full(&mut self, now_ms: u64) -> bool {
-        let is_news = !self.is_full(now_ms);
-        self.full_until_ms = now_ms + FULL_MS;
-        is_news
+        if self.is_full(now_ms) {
+            return false;
+        }
+        let rest_ms = (FULL_MS << self.full_in_row.min(u64::BITS - 32)).min(LONGEST_FULL_MS);
+        self.full_until_ms = now_ms + rest_ms;
+        self.full_in_row += 1;
+        true
+    }
+
+    /// Notes that it takes requests.
+    pub fn took_request(&mut self) {
+        self.full_in_row = 0;
     }
 
     /// Until when it counts as full.
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -333,6 +333,16 @@
         }
     }
 
+    /// Notes that the engines of a chain take requests.
+    pub(crate) fn took_request(&self, chain: &Chain) {
+        let mut fleet = self.fleet.borrow_mut();
+        for stage in chain.stages() {
+            if let Some(known) = fleet.get_mut(&stage.endpoint) {
+                known.standing.took_request();
+            }
+        }
+    }
+
     /// Notes that an engine was ordered to hold other layers: nothing new is sent to it until it has
     /// them.
     pub(crate) fn moving(&self, order: &PlaceOrder) {
--- a/src/relay_server/room_notice_tests.rs
+++ b/src/relay_server/room_notice_tests.rs
@@ -36,3 +36,22 @@
     assert!(standing.is_full(again_ms - 1));
     assert!(standing.was_full(again_ms));
 }
+
+// While the store was away 25 engines were emptied to be taken away. Each turned a request away every
+// 300 ms for as long as nobody could read that it was leaving.
+#[test]
+fn an_engine_that_takes_nothing_is_asked_more_and_more_rarely() {
+    let mut standing = Standing::default();
+    let mut tries = 0;
+    for now_ms in 0..10_000 {
+        if !standing.is_full(now_ms) {
+            standing.was_full(now_ms);
+            tries += 1;
+        }
+    }
+    assert!(tries <= 11, "{tries}");
+    standing.took_request();
+    let now_ms = standing.full_until_ms();
+    standing.was_full(now_ms);
+    assert_eq!(standing.full_until_ms() - now_ms, 300);
+}
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -257,6 +257,7 @@
             return RunEnd::Failed(AttemptEnd::Failed, Trouble::Failed, first);
         }
         self.head_ms = Some(boot_ms());
+        self.node.took_request(held.chain());
         self.attempts.answer_begins();
         if let Some(opening) = self.opening.take() {
             let sent = opening.send(Ok(Opening {
