--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -93,6 +93,7 @@
     };
     let version = sourced.table.version;
     let change = node.table.borrow_mut().offer(sourced, sent_ms);
+    node.note_informed();
     match change {
         TableChange::InForce => {
             log::info!(table = version, read_sent_ms = sent_ms; "table of routes is in force");
@@ -160,6 +161,7 @@
         sent_ms,
         now_ms,
     );
+    node.note_informed();
     node.fleet_changed(&taken.changes);
     if taken.is_news {
         node.tell_knowledge();
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -109,6 +109,7 @@
     A: Adapter,
 {
     let arrived_ms = boot_ms();
+    node.await_informed(arrived_ms).await;
     let Some(table) = node.routes() else {
         return refuse(node, "", None, RefusalCause::NoTable);
     };
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -2,9 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::RngExt;
 use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 use super::adapter::Adapter;
 use super::checks::CheckBook;
@@ -27,6 +29,13 @@
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
+/// How long a process counts as just started. After that, what it lacks is not there in a moment.
+const STARTING_MS: u64 = 1_000;
+/// Longest wait of a request for the routes and the endpoints at a process that has just started. It has
+/// them 60 to 200 ms after the loss of a whole deployment; a caller that is sent away instead comes
+/// back long after its answer was due.
+const START_WAIT_MS: u64 = 250;
+
 /// Shared state of one instance.
 pub(crate) struct Node<A> {
     pub(crate) adapter: A,
@@ -55,6 +64,10 @@
     pub(crate) list_log: RefCell<ListLog>,
     /// What this instance's link carries for peers.
     pub(crate) uplink: RefCell<Uplink>,
+    /// When the process started.
+    started_ms: u64,
+    /// Whether the routes and the endpoints are known.
+    informed: watch::Sender<bool>,
     /// Told when there is something that peers must hear at once.
     pub(crate) heartbeat_due: Notify,
     /// Told when a peer is heard to know more than this instance.
@@ -96,6 +109,8 @@
             reads_store: watch::Sender::new(false),
             are_records_known: Cell::new(false),
             list_log: RefCell::default(),
+            started_ms: boot_ms(),
+            informed: watch::Sender::new(false),
             heartbeat_due: Notify::new(),
             peer_knows_more: Notify::new(),
             news: watch::Sender::new(0),
@@ -113,8 +128,7 @@
 
     /// Whether the instance takes callers: it knows enough to serve and is not about to stop.
     pub(crate) fn is_open(&self) -> bool {
-        let knows = self.table.borrow().table().is_some() && self.fleet.borrow().is_known();
-        knows && self.stopping_since_ms.get().is_none()
+        self.is_informed() && self.stopping_since_ms.get().is_none()
     }
 
     /// Whether callers are best served here: it is open, and its table is fresh enough for keys to
@@ -436,3 +450,30 @@
         }
     }
 }
+
+impl<A> Node<A> {
+    /// Whether the routes and the endpoints are known.
+    fn is_informed(&self) -> bool {
+        self.table.borrow().table().is_some() && self.fleet.borrow().is_known()
+    }
+
+    /// Wakes requests that wait for the routes and the endpoints, once both are known.
+    pub(crate) fn note_informed(&self) {
+        if !*self.informed.borrow() && self.is_informed() {
+            self.informed.send_replace(true);
+        }
+    }
+
+    /// Waits for the routes and the endpoints where the process has just started and has them in a moment.
+    pub(crate) async fn await_informed(&self, now_ms: u64) {
+        let mut informed = self.informed.subscribe();
+        if *informed.borrow() || now_ms >= self.started_ms + STARTING_MS {
+            return;
+        }
+        let limit = Duration::from_millis(START_WAIT_MS);
+        let is_informed = informed.wait_for(|is_informed| *is_informed);
+        if timeout(limit, is_informed).await.is_err() {
+            log::debug!("routes and endpoints are not known soon enough for a request");
+        }
+    }
+}
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -338,6 +338,7 @@
         sent_ms.saturating_sub(endpoints.age_ms),
         boot_ms(),
     );
+    node.note_informed();
     // Peers are not told: they know it better.
     node.take_changes(&changes);
 }
