--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -398,6 +398,7 @@
         newest_at_ms,
         boot_ms(),
     );
+    node.note_informed();
     // Peers are not told: they know it better.
     node.take_changes(&changes);
 }
