--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -50,6 +50,17 @@
     No,
 }
 
+/// Which loads of this instance those of another zone are told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FarLoads {
+    /// All. While a zone lacks engines the others send to those of a third, where each must know what
+    /// the others have there.
+    AtAllEngines,
+    /// Those at engines of their zone, which they use nearly always. Where there are too many instances
+    /// to be told each time, loads elsewhere would be old and fill the links.
+    AtTheirEngines,
+}
+
 /// The other instances.
 #[derive(Debug)]
 pub(crate) struct PeerBook {
@@ -132,6 +143,15 @@
         in_turn.min(far)
     }
 
+    /// Which loads instances of other zones are told of.
+    pub(super) fn far_loads(&self) -> FarLoads {
+        if self.far_count() <= FAR_IN_TURN {
+            FarLoads::AtAllEngines
+        } else {
+            FarLoads::AtTheirEngines
+        }
+    }
+
     fn far_count(&self) -> usize {
         let far = self.peers.values().filter(|it| it.zone != self.own_zone);
         far.count()
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -20,7 +20,7 @@
 use super::list_sync;
 use super::node::Node;
 use super::peer::Recipient;
-use super::peer_book::HEARTBEAT_MS;
+use super::peer_book::{FarLoads, HEARTBEAT_MS};
 use super::repeat_loans::wants;
 use super::withholding::FROM_PEERS;
 use crate::clock::boot_ms;
@@ -74,20 +74,22 @@
 {
     let now_ms = boot_ms();
     let own = own_state(node, now_ms);
-    let (heartbeat, recipients, loads, wants) = {
+    let (heartbeat, recipients, loads, wants, far_loads) = {
         let mut peers = node.peers.borrow_mut();
         let heartbeat = peers.heartbeat(&own, now_ms);
         peers.forget_silent(now_ms);
         let loads = peers.held_by_peers(now_ms);
         let recipients = peers.recipients(own.availability, now_ms);
-        (heartbeat, recipients, loads, wants(&mut peers, now_ms))
+        let far_loads = peers.far_loads();
+        let wants = wants(&mut peers, now_ms);
+        (heartbeat, recipients, loads, wants, far_loads)
     };
     let mut peer_parts = node.answer_needs(wants, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
     for recipient in &recipients {
         if !shared.contains_key(&recipient.zone) {
-            let told = told_to_zone(&heartbeat, &own, &recipient.zone);
+            let told = told_to_zone(&heartbeat, &own, &recipient.zone, far_loads);
             match heartbeat_bytes(&told) {
                 Ok(bytes) => drop(shared.insert(&recipient.zone, bytes)),
                 Err(error) => {
@@ -175,14 +177,19 @@
     }
 }
 
-/// What a zone is told. Another one than the sender's hears of loads at its own engines only: requests
-/// run at engines of one zone, nearly always the caller's. Nor does it lend repeats: its heartbeats come
-/// too rarely for the loan to be there in time.
-fn told_to_zone(heartbeat: &Heartbeat, own: &OwnState, zone: &ZoneName) -> Heartbeat {
+/// What a zone is told. Another one than the sender's does not lend repeats: its heartbeats come too
+/// rarely for the loan to be there in time.
+fn told_to_zone(
+    heartbeat: &Heartbeat,
+    own: &OwnState,
+    zone: &ZoneName,
+    far_loads: FarLoads,
+) -> Heartbeat {
     if *zone == heartbeat.zone {
         return heartbeat.clone();
     }
-    let held = own.held.iter().filter(|load| load.zone == *zone);
+    let is_told = |load: &&HeldLoad| far_loads == FarLoads::AtAllEngines || load.zone == *zone;
+    let held = own.held.iter().filter(is_told);
     Heartbeat {
         held: held
             .map(|load| (load.endpoint.clone(), load.load))
