--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -2,11 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use rand::RngExt;
 use tokio::sync::{Notify, watch};
-use tokio::time::timeout;
 
 use super::adapter::Adapter;
 use super::checks::CheckBook;
@@ -29,13 +27,6 @@
 use crate::route_table::{HeldTable, RouteTable};
 use crate::telemetry::Counters;
 
-/// How long a process counts as just started. After that, what it lacks is not there in a moment.
-const STARTING_MS: u64 = 1_000;
-/// Longest wait of a request for the routes and the endpoints at a process that has just started. It has
-/// them 60 to 200 ms after the loss of a whole deployment; a caller that is sent away instead comes
-/// back long after its answer was due.
-const START_WAIT_MS: u64 = 250;
-
 /// Shared state of one instance.
 pub(crate) struct Node<A> {
     pub(crate) adapter: A,
@@ -65,9 +56,9 @@
     /// What this instance's link carries for peers.
     pub(crate) uplink: RefCell<Uplink>,
     /// When the process started.
-    started_ms: u64,
+    pub(super) started_ms: u64,
     /// Whether the routes and the endpoints are known.
-    informed: watch::Sender<bool>,
+    pub(super) informed: watch::Sender<bool>,
     /// Told when there is something that peers must hear at once.
     pub(crate) heartbeat_due: Notify,
     /// Engines that have turned a request away, of which others are to be told.
@@ -476,30 +467,3 @@
         }
     }
 }
-
-impl<A> Node<A> {
-    /// Whether the routes and the endpoints are known.
-    fn is_informed(&self) -> bool {
-        self.table.borrow().table().is_some() && self.fleet.borrow().is_known()
-    }
-
-    /// Wakes requests that wait for the routes and the endpoints, once both are known.
-    pub(crate) fn note_informed(&self) {
-        if !*self.informed.borrow() && self.is_informed() {
-            self.informed.send_replace(true);
-        }
-    }
-
-    /// Waits for the routes and the endpoints where the process has just started and has them in a moment.
-    pub(crate) async fn await_informed(&self, now_ms: u64) {
-        let mut informed = self.informed.subscribe();
-        if *informed.borrow() || now_ms >= self.started_ms + STARTING_MS {
-            return;
-        }
-        let limit = Duration::from_millis(START_WAIT_MS);
-        let is_informed = informed.wait_for(|is_informed| *is_informed);
-        if timeout(limit, is_informed).await.is_err() {
-            log::debug!("routes and endpoints are not known soon enough for a request");
-        }
-    }
-}
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -7,6 +7,7 @@
 
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::load_change::{LoadChange, load_changes};
+use super::locate::{self, Candidate};
 use super::peer::{Informant, InstanceRecord, Peer, Recipient};
 use super::reading::{FIRST_OF_ZONE, ReadingView};
 use super::settings::RelaySettings;
@@ -37,10 +38,6 @@
 /// Most endpoints of one sort of news in a heartbeat, the others follow with the next: a plan for thousands
 /// of engines, or the loss of as many, would make a datagram that no peer can read.
 const MOST_NEWS: usize = 256;
-/// Most addresses named to a caller.
-const MOST_ADDRESSES: usize = 8;
-/// Instances of the caller's zone that are enough for it; with fewer, all are named.
-const ENOUGH_NEAR: usize = 2;
 
 /// Whether the holder of a lease has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -291,29 +288,27 @@
         peers.any(|peer| peer.availability.is_ready && self.is_heard(peer, now_ms))
     }
 
-    /// Addresses for a caller of a zone: instances that serve everybody and learn of changes soon; if
-    /// there are none, those that serve everybody; if there are none, those that are open at all.
-    /// One that neither the store nor a reader in its zone tells learns of changes a second later.
+    /// Addresses for a caller of a zone.
     pub(crate) fn addresses_for(
         &self,
         zone: &ZoneName,
         own: Availability,
         now_ms: u64,
     ) -> Vec<SocketAddr> {
-        let heard = self
-            .peers
-            .values()
-            .filter(|peer| self.is_heard(peer, now_ms))
-            .map(|peer| (&peer.zone, peer.front, peer.availability));
-        let own = (&self.own_zone, self.own_front, own);
-        let all: Vec<(&ZoneName, SocketAddr, Availability)> =
-            std::iter::once(own).chain(heard).collect();
-        let fit: [fn(Availability) -> bool; 3] =
-            [Availability::is_current, |it| it.is_ready, |it| it.is_open];
-        let mut named = fit
-            .into_iter()
-            .map(|is_fit| nearest(zone, all.iter().filter(|it| is_fit(it.2))));
-        named.find(|it| !it.is_empty()).unwrap_or_default()
+        let own = Candidate {
+            zone: &self.own_zone,
+            front: self.own_front,
+            availability: own,
+        };
+        let peers = self.peers.values();
+        let heard = peers.filter(|peer| self.is_heard(peer, now_ms));
+        let others = heard.map(|peer| Candidate {
+            zone: &peer.zone,
+            front: peer.front,
+            availability: peer.availability,
+        });
+        let candidates: Vec<Candidate<'_>> = std::iter::once(own).chain(others).collect();
+        locate::addresses_for(zone, &candidates)
     }
 
     /// Has peers told that an endpoint does not answer.
@@ -487,23 +482,3 @@
         told
     }
 }
-
-/// Instances of the zone, if they are enough for its callers, or else all.
-fn nearest<'a, I>(zone: &ZoneName, fit: I) -> Vec<SocketAddr>
-where
-    I: Iterator<Item = &'a (&'a ZoneName, SocketAddr, Availability)>,
-{
-    let fit: Vec<_> = fit.collect();
-    let near: Vec<SocketAddr> = fit
-        .iter()
-        .filter(|it| it.0 == zone)
-        .map(|it| it.1)
-        .collect();
-    let mut named = if near.len() >= ENOUGH_NEAR {
-        near
-    } else {
-        fit.into_iter().map(|it| it.1).collect()
-    };
-    named.truncate(MOST_ADDRESSES);
-    named
-}
