List of endpoints: parts whose giver is not heard any more are dropped

Found by reading: while parts of one peer are here nobody else is asked for the whole list, and a giver that had no room and ended before it was asked again was never noticed.

--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -16,9 +16,10 @@
 /// How long an engine counts as full after it turned a request away for want of room. A tenth of a
 /// usual stream: by then some of those that it holds have ended.
 const FULL_MS: u64 = 300;
-/// Longest such time. An engine that goes on turning requests away without taking any may be leaving,
-/// which cannot be told from want of room while the store is away; each look at it costs a repeat.
-const LONGEST_FULL_MS: u64 = 1_200;
+/// How often that time is doubled. An engine that goes on turning requests away without taking any may
+/// be leaving, which cannot be told from want of room while the store is away; each look at it
+/// costs a repeat.
+const FULL_DOUBLINGS: u32 = 2;
 /// Weight of the newest answer time in the running mean.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -96,7 +97,8 @@
     has_ended: bool,
     slowness: Option<Slowness>,
     full_until_ms: u64,
-    /// Times in a row that it turned a request away and took none in between.
+    /// Times in a row that it turned a request away and took none in between, up to
+    /// [`FULL_DOUBLINGS`].
     full_in_row: u32,
     latency_ms: Option<f64>,
 }
@@ -145,9 +147,8 @@
         if self.is_full(now_ms) {
             return false;
         }
-        let rest_ms = (FULL_MS << self.full_in_row.min(u64::BITS - 32)).min(LONGEST_FULL_MS);
-        self.full_until_ms = now_ms + rest_ms;
-        self.full_in_row += 1;
+        self.full_until_ms = now_ms + (FULL_MS << self.full_in_row);
+        self.full_in_row = FULL_DOUBLINGS.min(self.full_in_row + 1);
         true
     }
 
--- a/src/relay_server/list_parts.rs
+++ b/src/relay_server/list_parts.rs
@@ -7,6 +7,8 @@
 
 use super::list_log::{ListMark, ListNews};
 use super::list_sync::ListUpdate;
+use super::peer::Informant;
+use super::snapshot::Known;
 use crate::fleet::ListedEndpoint;
 use crate::ids::InstanceId;
 
@@ -191,7 +193,17 @@
         }))
     }
 
-    /// Drops what is here: its giver does not answer any more, or the list came another way.
+    /// Drops what is here unless its giver is heard and still knows more: nobody else is asked for the
+    /// whole list meanwhile.
+    pub(super) fn drop_without_giver(&mut self, informants: &[Informant], known: Known) {
+        let is_giver = |it: &&Informant| Some(&it.instance) == self.giver();
+        let giver = informants.iter().find(is_giver);
+        if giver.is_none_or(|it| it.list.changed <= known.list) {
+            self.clear();
+        }
+    }
+
+    /// Drops what is here.
     pub(super) fn clear(&mut self) {
         *self = Self::default();
     }
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -245,6 +245,7 @@
     let informants = node.peers.borrow().informants(now_ms);
     let known = known_here(node);
     count_wasted(node, parts.document.drop_known(known.table));
+    parts.list.drop_without_giver(&informants, known);
     let knowledge = Knowledge {
         behind_since_ms: asking.note_behind(&informants, known, now_ms),
         reads_store: node.reads_store(),
