--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -36,6 +36,8 @@
 mod peer_book;
 #[cfg(test)]
 mod peer_book_tests;
+#[cfg(test)]
+mod peer_news_tests;
 mod peers;
 mod plain;
 mod quarantine_rows;
