--- a/src/relay_server/list_parts.rs
+++ b/src/relay_server/list_parts.rs
@@ -12,7 +12,7 @@
 use crate::fleet::ListedEndpoint;
 use crate::ids::InstanceId;
 
-/// What an entry takes in a datagram or an answer, at most, as a rule.
+/// Bytes that an entry takes in an answer; few take more.
 const ENTRY_BYTES: usize = 80;
 /// Most entries that are taken: far more than a deployment has.
 const MOST_ENTRIES: u32 = 100_000;
--- a/src/relay_server/start_wait.rs
+++ b/src/relay_server/start_wait.rs
@@ -9,7 +9,7 @@
 /// How long a process counts as just started. After that, what it lacks is not there in a moment.
 const STARTING_MS: u64 = 1_000;
 /// Longest wait of a request for the routes and the endpoints at a process that has just started. It has
-/// them 60 to 200 ms after the loss of a whole deployment; a caller that is sent away instead comes
+/// them sooner as a rule, also when all have started at once; a caller that is sent away instead comes
 /// back long after its answer was due.
 const START_WAIT_MS: u64 = 250;
 
