Read again: one reader of queries, one start of a check, one look for room; records and lists not read in vain

- Three copies of the loop over a query's pairs are query_pairs.
- check_beside and check_chain_beside start a check by the same function.
- Whom to wait for, for a document and for a list, is worked out in one place.
- A retry that finds the own record in the store does not read the records again.
- A whole list is not copied for one that takes it from another peer.
- The next look at a run takes the asking time as it is: it is before the step by its own filter.
Two test builders of a peer are one.

No decision changes.

--- a/src/relay_server/asking.rs
+++ b/src/relay_server/asking.rs
@@ -194,9 +194,7 @@
         if let Some(peer) = by_link(&free, draw) {
             return Source::At(peer);
         }
-        let room = busy.iter().filter_map(|it| self.busy.get(&it.instance));
-        room.min()
-            .map_or(Source::Nowhere, |at_ms| Source::Later { at_ms: *at_ms })
+        soonest(&busy, &self.busy)
     }
 
     /// Who is asked for the list of endpoints, if it is wanting. The whole of it is long, so that whoever
@@ -227,11 +225,7 @@
         if let Some(peer) = chosen {
             return Source::At(peer);
         }
-        let room = busy
-            .iter()
-            .filter_map(|it| self.list_busy.get(&it.instance));
-        room.min()
-            .map_or(Source::Nowhere, |at_ms| Source::Later { at_ms: *at_ms })
+        soonest(&busy, &self.list_busy)
     }
 
     /// One of those that are asked first for what has changed.
@@ -280,6 +274,13 @@
     }
 }
 
+/// When the first of these peers has room, where `until_ms` says when each has.
+fn soonest<'a>(peers: &[&'a Informant], until_ms: &IndexMap<InstanceId, u64>) -> Source<'a> {
+    let room = peers.iter().filter_map(|it| until_ms.get(&it.instance));
+    room.min()
+        .map_or(Source::Nowhere, |at_ms| Source::Later { at_ms: *at_ms })
+}
+
 /// One of those, the likelier the faster its link.
 fn by_link<'a>(informants: &[&'a Informant], draw: u64) -> Option<&'a Informant> {
     let speed = |it: &Informant| match it.link_mbps {
--- a/src/relay_server/asking_tests.rs
+++ b/src/relay_server/asking_tests.rs
@@ -11,7 +11,7 @@
 const KNOWN: Known = Known { table: 5, list: 7 };
 const NOW_MS: u64 = 10_000;
 
-fn informant(port: u16, table: u64, is_near: bool, reaches_store: bool) -> Informant {
+pub(super) fn informant(port: u16, table: u64, is_near: bool, reaches_store: bool) -> Informant {
     Informant {
         instance: InstanceId::from(format!("peer-{port}")),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
@@ -23,7 +23,7 @@
     }
 }
 
-fn with_list_news(mut informant: Informant) -> Informant {
+pub(super) fn with_list_news(mut informant: Informant) -> Informant {
     informant.list = ListMark {
         position: 9,
         changed: 9,
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -110,26 +110,27 @@
     A: Adapter,
 {
     for stage in chain.stages() {
-        let node = Rc::clone(node);
-        let stage = stage.clone();
-        actix_rt::spawn(async move {
-            check(&node, &stage).await;
-        });
+        spawn_check(node, stage);
     }
 }
 
 /// Checks one stage beside whatever else goes on.
 pub(crate) fn check_beside<A>(node: &Rc<Node<A>>, stage: &ChainStage)
+where
+    A: Adapter,
+{
+    // Something was wrong just now, so an older finding says nothing.
+    node.checks.borrow_mut().sound.swap_remove(&stage.endpoint);
+    spawn_check(node, stage);
+}
+
+fn spawn_check<A>(node: &Rc<Node<A>>, stage: &ChainStage)
 where
     A: Adapter,
 {
     let node = Rc::clone(node);
     let stage = stage.clone();
-    actix_rt::spawn(async move {
-        // Something was wrong just now, so an older finding says nothing.
-        node.checks.borrow_mut().sound.swap_remove(&stage.endpoint);
-        check(&node, &stage).await;
-    });
+    actix_rt::spawn(async move { check(&node, &stage).await });
 }
 
 async fn check<A>(node: &Rc<Node<A>>, stage: &ChainStage)
--- a/src/relay_server/document_parts.rs
+++ b/src/relay_server/document_parts.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::query::query_pairs;
+
 /// Longest document that is taken.
 const LONGEST_DOCUMENT_BYTES: u64 = 8 << 20;
 
@@ -33,7 +35,7 @@
     /// Reads the query of a question. What is missing or no number counts as not wanted or not there.
     pub(super) fn from_query(query: &str) -> Self {
         let mut read = Self::default();
-        for (name, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+        for (name, value) in query_pairs(query) {
             let value = value.parse().unwrap_or(0);
             match name {
                 "document" => read.is_wanted = value != 0,
--- a/src/relay_server/list_log.rs
+++ b/src/relay_server/list_log.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether one that knows the list up to `position` lacks more than is kept of its changes.
+    pub(crate) fn needs_whole(&self, position: u64) -> bool {
+        position < self.mark.changed && position < self.floor
+    }
+
     /// What one that knows the list up to `position` must be told; `whole` makes the whole list.
     pub(crate) fn news_since<F>(&self, position: u64, whole: F) -> ListNews
     where
@@ -108,7 +113,7 @@
         if position >= self.mark.changed {
             return ListNews::Nothing;
         }
-        if position < self.floor {
+        if self.needs_whole(position) {
             return ListNews::Whole(whole());
         }
         let newer = self.reads.iter().filter(|read| read.position > position);
--- a/src/relay_server/list_parts.rs
+++ b/src/relay_server/list_parts.rs
@@ -8,6 +8,7 @@
 use super::list_log::{ListMark, ListNews};
 use super::list_sync::ListUpdate;
 use super::peer::Informant;
+use super::query::query_pairs;
 use super::snapshot::Known;
 use crate::fleet::ListedEndpoint;
 use crate::ids::InstanceId;
@@ -42,7 +43,7 @@
     /// Reads the query of a question. What is missing or no number counts as not there.
     pub(super) fn from_query(query: &str) -> Self {
         let mut read = Self::default();
-        for (name, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+        for (name, value) in query_pairs(query) {
             match name {
                 "whole" => read.wants_whole = value == "1",
                 "changed" => read.changed = value.parse().unwrap_or(0),
--- a/src/relay_server/list_parts_tests.rs
+++ b/src/relay_server/list_parts_tests.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use super::asking_tests::{informant, with_list_news};
 use super::list_log::{ListMark, ListNews};
 use super::list_parts::{ListParts, ListQuery, ListRest};
-use super::peer::Informant;
 use super::snapshot::Known;
 use crate::fleet::{ListedEndpoint, Phase};
 use crate::ids::{EndpointId, InstanceId, ServiceName, ZoneName};
@@ -109,25 +109,16 @@
 // being asked for the list for ever.
 #[test]
 fn the_list_is_asked_for_elsewhere_once_its_giver_is_not_heard_any_more() {
+    let both = [1, 2].map(|port| with_list_news(informant(port, 1, true, true)));
+    let [giver, other] = &both;
     let mut parts = ListParts::default();
     let first = ListRest::new(MARK, entries(300), ListQuery::default()).part(PART_BYTES);
-    parts.take(first, &giver()).expect("it fits");
-    let informant = |instance| Informant {
-        instance,
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        table: 1,
-        list: MARK,
-        link_mbps: 20,
-        reaches_store: true,
-        is_near: true,
-    };
-    let other = InstanceId::from("b");
+    parts.take(first, &giver.instance).expect("it fits");
     let known = Known { table: 1, list: 0 };
-    let both = [informant(giver()), informant(other.clone())];
     parts.drop_without_giver(&both, known);
-    assert!(!parts.query(&other).wants_whole);
+    assert!(!parts.query(&other.instance).wants_whole);
     parts.drop_without_giver(&both[1..], known);
-    assert!(parts.query(&other).wants_whole);
+    assert!(parts.query(&other.instance).wants_whole);
 }
 
 #[test]
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -41,6 +41,7 @@
 mod peers;
 mod plain;
 mod quarantine_rows;
+mod query;
 mod questions;
 mod reading;
 #[cfg(test)]
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -78,16 +78,15 @@
 {
     let now_ms = boot_ms();
     let own = own_state(node, now_ms);
-    let (heartbeat, recipients, loads, wants, far_loads) = {
+    let (heartbeat, recipients, loads, wants) = {
         let mut peers = node.peers.borrow_mut();
         let heartbeat = peers.heartbeat(&own, now_ms);
         peers.forget_silent(now_ms);
         let loads = peers.held_by_peers(now_ms);
         let recipients = peers.recipients(own.availability, now_ms);
-        let far_loads = peers.far_loads();
-        let wants = wants(&mut peers, now_ms);
-        (heartbeat, recipients, loads, wants, far_loads)
+        (heartbeat, recipients, loads, wants(&mut peers, now_ms))
     };
+    let far_loads = node.peers.borrow().far_loads();
     let mut peer_parts = node.answer_needs(wants, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -39,15 +39,17 @@
     loop {
         // First, since callers may come at any moment.
         let knows_key = quarantine_rows::learn(&node).await;
+        let mut read = None;
         if failures > 0 && !is_written {
             // A write without an answer may have taken effect. Sent again and again, such writes would keep
             // a store busy that hundreds have just come to.
-            is_written = read_records(&node).await == Some(OwnRecord::IsThere);
+            read = read_records(&node).await;
         }
-        if !is_written {
-            is_written = write_record(&node).await;
+        if read != Some(OwnRecord::IsThere) {
+            is_written = is_written || write_record(&node).await;
+            // Behind the write, so that of two instances that start together one learns of the other.
+            read = read_records(&node).await;
         }
-        let read = read_records(&node).await;
         if let Some(own) = read {
             is_written |= own == OwnRecord::IsThere;
             node.are_records_known.set(true);
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -24,6 +24,7 @@
 use super::list_sync::{self, ListUpdate};
 use super::node::Node;
 use super::peer::Informant;
+use super::query::query_pairs;
 use super::uplink::Admission;
 use crate::clients::{HttpCall, HttpFailure, HttpPeer};
 use crate::clock::boot_ms;
@@ -76,7 +77,7 @@
     /// Reads the query of a question. What is missing or no number counts as not known.
     pub(super) fn from_query(query: &str) -> Self {
         let mut known = Self::default();
-        for (name, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+        for (name, value) in query_pairs(query) {
             let value = value.parse().unwrap_or(0);
             match name {
                 "table" => known.table = value,
@@ -138,11 +139,13 @@
     A: Adapter,
 {
     let fleet = node.fleet.borrow();
-    let update = list_sync::update_since(&node.list_log.borrow(), &fleet, known.list)?;
-    let ListUpdate { mark, news } = update;
+    let log = node.list_log.borrow();
+    if log.needs_whole(known.list) && !query.wants_whole {
+        return None;
+    }
+    let ListUpdate { mark, news } = list_sync::update_since(&log, &fleet, known.list)?;
     let entries = match news {
-        ListNews::Whole(entries) if query.wants_whole => entries,
-        ListNews::Whole(_) => return None,
+        ListNews::Whole(entries) => entries,
         news => return Some(ListOffer::Update(ListUpdate { mark, news })),
     };
     let rest = ListRest::new(mark, entries, query);
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -368,9 +368,8 @@
 
     /// When the run is to be looked at again if it brings nothing until then.
     fn next_look(&self, now_ms: u64) -> Instant {
-        let step_ms = self.stall.due_ms();
         let ask_ms = self.stall.ask_due_ms();
-        instant_at(ask_ms.map_or(step_ms, |it| it.min(step_ms)), now_ms)
+        instant_at(ask_ms.unwrap_or(self.stall.due_ms()), now_ms)
     }
 
     async fn take_piece(&mut self, bytes: &[u8], held: &HeldTokens<A>) -> Result<(), RunEnd> {
