Lines and counters on how endpoints want to be sent requests

Answers' heads are read for the three, and each change of an endpoint's word has a line and a counter (relay.pacing.*). Nothing is decided by them yet.

The word is kept beside the list, by the endpoint's lifetime, so that an entry which lapses and comes back does not lose it and a process that starts anew at the address does not inherit it.

--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -6,7 +6,7 @@
 
 names=(
     'Fescueshore-[A-Z]' 'fescueshore-(attempt|deadline|credential|tenant|expect|response|not-exec|token|length|hop|request|prompt|weight)'
-    'FESCUESHORE_BOOT' 'At-Server' 'at-server'
+    'FESCUESHORE_BOOT' 'At-Server' 'at-server' 'Server-(Limit|Leaving)' 'server-(limit|leaving)'
     '/-/' 'rows-(tx|get|feed|parts)' 'blob-(put|get|drop|list)'
     'apiKeys' 'goalMs' 'maxAttempts' 'gapTargetMs' 'healthPath' 'maxConns' 'coldLeftMs' 'layerMb' 'tokenKvBytes'
     'readX' '\bloadS\b' 'morePages' 'waitMs' 'ttlS' 'kvUsed' 'repath' 'nodeName' 'portRange' 'revokeMs' 'graceS'
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -4,7 +4,7 @@
 
 use super::{
     EngineLoad, EntryFault, FleetChange, InfoPath, KnownEndpoint, ListedEndpoint, ListingRead,
-    ListingScope, LiveAgain, LiveReason, Phase, Provenance, Trouble, UnusableEntry,
+    ListingScope, LiveAgain, LiveReason, PacingBook, Phase, Provenance, Trouble, UnusableEntry,
 };
 use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName};
 use crate::wire::engine::LayerRange;
@@ -52,6 +52,8 @@
     told_leaving: IndexMap<EndpointId, Told>,
     /// Entries that name no endpoint to use, as far as they were reported.
     unusable: IndexMap<EndpointName, EntryFault>,
+    /// How endpoints want to be sent requests.
+    pub pacing: PacingBook,
     is_known: bool,
     /// When the list was surely the newest. Never falls.
     newest_at_ms: u64,
@@ -254,6 +256,7 @@
         self.lifetimes.retain(|_, lifetime| {
             endpoints.contains_key(&lifetime.id) || now_ms < lifetime.seen_ms + REMEMBER_MS
         });
+        self.pacing.settle(|id| endpoints.contains_key(id), now_ms);
         changes.extend(self.drop_overdue(now_ms));
         changes
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,9 @@
 #[cfg(test)]
 mod lifetime_tests;
 mod listing;
+mod pacing;
+#[cfg(test)]
+mod pacing_tests;
 mod provenance;
 #[cfg(test)]
 mod provenance_tests;
@@ -31,6 +34,7 @@
 pub use heard::Heard;
 pub use known::{EngineLoad, KnownEndpoint};
 pub use listing::Fleet;
+pub use pacing::{Pacing, PacingBook, PacingChange};
 pub use provenance::{InfoPath, Provenance};
 pub(crate) use provenance::{describe_known, describe_list};
 pub use replicas::pick_replica;
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 
 use crate::clients::TableService;
-use crate::fleet::{Chain, ListingRead};
+use crate::fleet::{Chain, ListingRead, Pacing};
 use crate::ids::{AccountId, EndpointName, ZoneName};
 use crate::route_table::{RouteTable, SourcedTable};
 use crate::wire::engine::LayerRange;
@@ -70,7 +70,7 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyFacts {
     /// The request that is answered, as far as the endpoint says.
     pub id: Option<String>,
@@ -80,6 +80,8 @@
     pub at_fault: Option<SocketAddr>,
     /// Whether the answer has the endpoint's seal, without which a success counts for nothing.
     pub is_sealed: bool,
+    /// How the endpoint wants to be sent requests.
+    pub pacing: Pacing,
 }
 
 /// Why the platform's store gave nothing that can be used.
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -32,6 +32,7 @@
 mod load_change;
 mod locate;
 mod node;
+mod pacing;
 mod peer;
 mod peer_book;
 #[cfg(test)]
