Endpoints that name a rate limit get no more than that from all instances together

Cause: the limit in an endpoint's answers was not read. Ruled out by reading: that each instance keeps it for itself (nothing did), that it comes too late (nothing changes for 36 s). Class: what an endpoint asks of its senders together is kept by each for itself, or by nobody.

What was changed: an instance keeps the limit by the endpoint's lifetime and tells the others with its heartbeats, at once where it is new. The limit is dealt out to so many instances that each has a turn a second, those of the endpoint's zone first, chosen by rendezvous hashing over the instances that are heard or have just fallen silent; so no message is needed to agree, and hundreds of instances do not each send a first request. Turns are evenly spaced; one that gets a share anew waits for a whole interval. A turn is taken with the send, also of repeats, and put back where nothing was sent. Endpoints without a turn are no first engine of a chain and no choice for a plain request; where nobody else is left, the caller is refused at once with the time of the next turn. A limit ends only with the endpoint's own word or its lifetime.

--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -185,7 +185,7 @@
         .filter(|known| known.takes_work() && !ask.excluded.contains(&known.listed.id))
         // The stages behind a running first one stay in its zone: all tokens so far are read again.
         .filter(|known| first_zone.is_none_or(|zone| known.listed.zone == *zone))
-        .filter_map(|known| Holder::new(known, ask, now_ms))
+        .filter_map(|known| Holder::new(known, fleet.may_send(known.id(), now_ms), ask, now_ms))
         .collect()
 }
 
@@ -197,10 +197,17 @@
     hop_ms: f64,
     /// What it costs beside that to begin there.
     first_ms: f64,
+    /// Whether a request may begin there now, as far as the engine's own word goes.
+    may_begin: bool,
 }
 
 impl<'a> Holder<'a> {
-    fn new(known: &'a KnownEndpoint, ask: ChainAsk<'_>, now_ms: u64) -> Option<Self> {
+    fn new(
+        known: &'a KnownEndpoint,
+        may_begin: bool,
+        ask: ChainAsk<'_>,
+        now_ms: u64,
+    ) -> Option<Self> {
         let layers = known.listed.layers.filter(|layers| !layers.is_empty())?;
         let kind = ask.model.kinds.get(known.listed.kind.as_deref()?)?;
         let step_ms = ask.model.step_ms * kind.step_factor / f64::from(ask.model.layers.max(1));
@@ -222,6 +229,7 @@
             ms_per_layer: step_ms * crowding,
             hop_ms: HOP_MS * crowding + last_choice_ms,
             first_ms: first_ms(known),
+            may_begin,
         })
     }
 }
@@ -314,7 +322,8 @@
     let id = &holder.known.listed.id;
     let can_start = holder.layers.first <= bound && bound < holder.layers.end;
     let is_first = ask.first.is_some_and(|first| first.endpoint == *id);
-    let is_barred = bound == 0 && ask.first_among.is_some_and(|among| !among.contains(id));
+    let is_among = ask.first_among.is_none_or(|among| among.contains(id));
+    let is_barred = bound == 0 && !(is_among && holder.may_begin);
     can_start && !is_first && !is_barred && !here.holders.contains(&index)
 }
 
--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -40,8 +40,9 @@
     Silent,
     /// It has no room now.
     Full,
-    /// It said that it leaves, between its choice and the send. Nothing is wrong with it.
-    Leaving,
+    /// It wants no request any more, or not now, which was heard between its choice and the send. Nothing
+    /// is wrong with it.
+    Withdrawn,
 }
 
 impl Trouble {
@@ -55,7 +56,7 @@
             Self::Failed => "failed",
             Self::Silent => "silent",
             Self::Full => "full",
-            Self::Leaving => "leaving",
+            Self::Withdrawn => "withdrawn",
         }
     }
 
@@ -71,7 +72,7 @@
             Self::Ended | Self::Unreachable => 1,
             Self::Silent | Self::Full => 2,
             Self::Broken | Self::Garbled | Self::Failed => 3,
-            Self::Leaving => u32::MAX,
+            Self::Withdrawn => u32::MAX,
         }
     }
 }
--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -108,6 +108,12 @@
         self.listed.phase == Phase::Live && !self.standing.is_doubtful()
     }
 
+    /// Whether a request can begin there: at an engine only with the first layer.
+    pub(super) fn can_begin(&self) -> bool {
+        let holds_first = |layers: LayerRange| layers.first == 0 && !layers.is_empty();
+        self.listed.kind.is_none() || self.listed.layers.is_some_and(holds_first)
+    }
+
     /// Whether its entry is missing from the list and only held, since it may have lapsed with the store.
     pub(super) fn is_held(&self) -> bool {
         self.missing_since_ms.is_some()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 mod provenance;
 #[cfg(test)]
 mod provenance_tests;
+mod rate_limit;
 mod replicas;
 #[cfg(test)]
 mod tests;
@@ -34,7 +35,7 @@
 pub use heard::Heard;
 pub use known::{EngineLoad, KnownEndpoint};
 pub use listing::Fleet;
-pub use pacing::{Pacing, PacingBook, PacingChange};
+pub use pacing::{Pacing, PacingBook, PacingChange, ToldLimit};
 pub use provenance::{InfoPath, Provenance};
 pub(crate) use provenance::{describe_known, describe_list};
 pub use replicas::pick_replica;
--- a/src/fleet/pacing_tests.rs
+++ b/src/fleet/pacing_tests.rs
@@ -48,3 +48,135 @@
         vec![change(Some(5.5), None)]
     );
 }
+
+fn told(limit_per_s: Option<f64>, age_ms: u64) -> ToldLimit {
+    ToldLimit {
+        endpoint: engine(),
+        limit_per_s,
+        age_ms,
+    }
+}
+
+/// Times at which a request that always waits is sent, up to a moment.
+fn sends(book: &mut PacingBook, from_ms: u64, to_ms: u64) -> Vec<u64> {
+    (from_ms..to_ms)
+        .filter(|now_ms| book.take_turn(&engine(), *now_ms))
+        .collect()
+}
+
+#[test]
+fn turns_come_evenly_at_the_share_of_the_limit() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(8.0), 1_000);
+    book.share_limits(|_, limit_per_s| limit_per_s / 4.0, 1_000);
+    assert_eq!(
+        sends(&mut book, 1_000, 3_100),
+        vec![1_500, 2_000, 2_500, 3_000]
+    );
+    assert!(!book.may_send(&engine(), 3_400));
+    assert_eq!(book.next_send_ms(&engine()), Some(3_500));
+}
+
+#[test]
+fn turns_that_were_not_used_do_not_add_up() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(2.0), 0);
+    book.share_limits(|_, limit_per_s| limit_per_s, 0);
+    assert_eq!(sends(&mut book, 60_000, 60_600), vec![60_000, 60_500]);
+}
+
+#[test]
+fn an_instance_without_a_share_sends_nothing_until_it_gets_one_and_an_interval_has_passed() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(2.0), 1_000);
+    book.share_limits(|_, _| 0.0, 1_000);
+    assert!(sends(&mut book, 1_000, 10_000).is_empty());
+    assert_eq!(book.next_send_ms(&engine()), None);
+    book.share_limits(|_, limit_per_s| limit_per_s, 10_000);
+    assert_eq!(sends(&mut book, 10_000, 11_200), vec![10_500, 11_000]);
+}
+
+#[test]
+fn a_turn_with_which_nothing_was_sent_can_be_used_again() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(1.0), 0);
+    book.share_limits(|_, limit_per_s| limit_per_s, 0);
+    assert!(book.take_turn(&engine(), 1_000));
+    assert!(!book.may_send(&engine(), 1_001));
+    book.give_turn_back(&engine());
+    assert!(book.may_send(&engine(), 1_001));
+}
+
+#[test]
+fn an_endpoint_that_names_no_limit_any_more_is_sent_requests_at_once() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(1.0), 0);
+    book.share_limits(|_, _| 0.0, 0);
+    book.hear(&engine(), Pacing::default(), 500);
+    assert!(book.may_send(&engine(), 500));
+}
+
+// Nobody would ever hear that it takes requests again.
+#[test]
+fn an_endpoint_that_takes_none_is_asked_now_and_then() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(0.0), 0);
+    book.share_limits(|_, limit_per_s| limit_per_s, 0);
+    assert_eq!(sends(&mut book, 1, 25_000), vec![10_000, 20_000]);
+}
+
+#[test]
+fn the_newer_word_on_a_limit_holds_whoever_heard_it() {
+    let mut book = PacingBook::default();
+    assert!(book.hear_told(&told(Some(4.0), 100), 1_000));
+    assert!(!book.hear_told(&told(None, 2_000), 1_100));
+    assert!(book.hear_told(&told(Some(6.0), 0), 1_200));
+    book.hear(&engine(), limited(3.0), 2_000);
+    // May have been said before what was heard here, and have come late.
+    assert!(!book.hear_told(&told(None, 0), 2_300));
+    assert!(book.is_limited(&engine()));
+    assert!(book.hear_told(&told(None, 0), 2_600));
+    assert!(!book.is_limited(&engine()));
+}
+
+#[test]
+fn only_what_was_heard_here_is_told() {
+    let mut book = PacingBook::default();
+    book.hear_told(&told(Some(4.0), 0), 1_000);
+    assert!(book.next_told(1_100).is_empty());
+    book.hear(&engine(), limited(4.0), 2_000);
+    assert_eq!(book.next_told(2_100), vec![told(Some(4.0), 100)]);
+    assert!(book.next_told(30_000).is_empty());
+}
+
+#[test]
+fn news_of_a_limit_goes_out_at_once_and_a_small_change_does_not() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(4.0), 1_000);
+    assert!(book.has_untold_news());
+    book.next_told(1_010);
+    assert!(!book.has_untold_news());
+    book.hear(&engine(), limited(4.5), 1_020);
+    assert!(!book.has_untold_news());
+    book.hear(&engine(), Pacing::default(), 1_030);
+    assert!(book.has_untold_news());
+}
+
+#[test]
+fn many_limits_are_told_in_turn() {
+    let mut book = PacingBook::default();
+    for number in 0..10 {
+        let id = EndpointId::from(format!("e{number}"));
+        book.hear(&id, limited(4.0), 1_000);
+    }
+    for _ in 0..4 {
+        assert_eq!(book.next_told(1_000).len(), 10);
+    }
+    let mut told = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        let next = book.next_told(1_100);
+        assert!(next.len() <= 4);
+        told.extend(next.into_iter().map(|it| it.endpoint));
+    }
+    assert_eq!(told.len(), 10);
+}
--- a/src/fleet/replicas.rs
+++ b/src/fleet/replicas.rs
@@ -20,7 +20,7 @@
 
 /// The replica with the least work for its slots, the own availability zone first. One that is on
 /// pause is taken only if no other is left, since a pause is a guess; one whose entry is only held after
-/// these.
+/// these. One that wants no request now is left out.
 pub fn pick_replica(
     fleet: &Fleet,
     service: &ServiceName,
@@ -30,7 +30,9 @@
 ) -> Option<EndpointId> {
     let mut best: Option<(f64, &KnownEndpoint)> = None;
     for known in fleet.of_service(service) {
-        if known.listed.phase != super::Phase::Live || tried.contains(&known.listed.id) {
+        let is_open =
+            known.listed.phase == super::Phase::Live && fleet.may_send(known.id(), now_ms);
+        if !is_open || tried.contains(&known.listed.id) {
             continue;
         }
         let cost = cost(known, own_zone, now_ms);
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -32,6 +32,8 @@
     Stopping,
     /// Endpoints end that run it.
     Withheld,
+    /// The endpoints that could run it wanted no request from this instance.
+    RateLimited,
 }
 
 impl AttemptLimit {
@@ -51,6 +53,7 @@
             Self::OldTable => "old_table",
             Self::Stopping => "stopping",
             Self::Withheld => "withheld",
+            Self::RateLimited => "rate_limited",
         }
     }
 }
@@ -67,6 +70,7 @@
             RefusalCause::Stopping => Self::Stopping,
             RefusalCause::TooLate => Self::Deadline,
             RefusalCause::Withheld => Self::Withheld,
+            RefusalCause::RateLimited { .. } => Self::RateLimited,
         }
     }
 }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -46,6 +46,11 @@
     TooLate,
     /// Endpoints end that run it.
     Withheld,
+    /// The endpoints that could run it want no request from this instance now.
+    RateLimited {
+        /// Time until one of them may be sent a request; `None` if other instances have all turns.
+        wait_ms: Option<u64>,
+    },
 }
 
 impl RefusalCause {
@@ -61,6 +66,7 @@
             Self::Stopping => "stopping",
             Self::TooLate => "too_late",
             Self::Withheld => "withheld",
+            Self::RateLimited { .. } => "rate_limited",
         }
     }
 
@@ -75,6 +81,8 @@
             Self::NoChain => ORDER_MS + outlook.load_ms,
             Self::Full | Self::NoBudget => outlook.run_ms / 2,
             Self::Withheld => EVIDENCE_MS,
+            // The next turn is one caller's; by then the places of others are free too.
+            Self::RateLimited { wait_ms } => wait_ms.unwrap_or(0).max(outlook.run_ms / 2),
         };
         let part = outlook.draw as f64 / u64::MAX as f64;
         (usual_ms as f64 * (1.0 + SPREAD * part)) as u64
--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::list_log::ListMark;
-use crate::fleet::EngineLoad;
+use crate::fleet::{EngineLoad, ToldLimit};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::quarantine::ToldEvidence;
 use crate::relay::{RepeatAmount, RepeatLoan};
@@ -57,6 +57,8 @@
     pub(super) repeat_needs: Vec<RepeatAmount>,
     /// What is known of requests under which endpoints have ended.
     pub(super) evidence: ToldEvidence,
+    /// Limits that endpoints have named to the sender.
+    pub(super) limits: Vec<ToldLimit>,
 }
 
 /// The newest heartbeat that the sender of a datagram has from its recipient.
@@ -124,6 +126,8 @@
     pub(crate) repeat_needs: Vec<RepeatAmount>,
     /// What others should know of requests under which endpoints have ended.
     pub(crate) evidence: ToldEvidence,
+    /// Limits that endpoints have named to this instance.
+    pub(crate) limits: Vec<ToldLimit>,
 }
 
 /// What an instance's streams hold at one engine.
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -10,6 +10,7 @@
 use super::super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::super::list_log::ListLog;
 use super::super::list_sync::{self, ListUpdate};
+use super::super::pacing::share_limits;
 use super::super::peer::{Informant, InstanceRecord, Recipient};
 use super::super::peer_book::PeerBook;
 use super::super::settings::RelaySettings;
@@ -17,7 +18,7 @@
 use super::super::store_contact::StoreContact;
 use super::super::test_settings;
 use super::store::Access;
-use crate::fleet::{Fleet, FleetChange, ListingRead, Phase, pick_replica};
+use crate::fleet::{Fleet, FleetChange, ListingRead, Pacing, Phase, pick_replica};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
 use crate::quarantine::Quarantine;
 
@@ -49,6 +50,8 @@
     pub(super) is_notified: bool,
     pub(super) asking: Asking,
     pub(super) quarantine: Quarantine,
+    /// Until when no heartbeat reaches it or leaves it.
+    pub(super) cut_until_ms: u64,
 }
 
 fn settings(record: &InstanceRecord) -> RelaySettings {
@@ -88,6 +91,7 @@
             is_notified: false,
             asking: Asking::default(),
             quarantine: Quarantine::default(),
+            cut_until_ms: 0,
         }
     }
 
@@ -128,6 +132,25 @@
         pick_replica(&self.fleet, &service, zone, &others, now_ms).as_ref() == Some(id)
     }
 
+    /// Sends a request to an endpoint, if it may be sent one now.
+    pub(super) fn sends_to(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+        let pacing = &mut self.fleet.pacing;
+        pacing.may_send(id, now_ms) && (!pacing.is_limited(id) || pacing.take_turn(id, now_ms))
+    }
+
+    /// Takes an answer of an endpoint that names this limit.
+    pub(super) fn hear_limit(&mut self, id: &EndpointId, limit_per_s: Option<f64>, now_ms: u64) {
+        let said = Pacing {
+            limit_per_s,
+            ..Pacing::default()
+        };
+        self.fleet.pacing.hear(id, said, now_ms);
+        share_limits(&mut self.fleet, &self.book, now_ms);
+        if self.fleet.pacing.has_untold_news() {
+            self.book.tell_knowledge();
+        }
+    }
+
     fn is_fed(&self, now_ms: u64) -> bool {
         if self.reads {
             self.store.answers()
@@ -153,6 +176,7 @@
             held: Vec::new(),
             repeat_needs: Vec::new(),
             evidence: self.quarantine.next_told(now_ms),
+            limits: self.fleet.pacing.next_told(now_ms),
         }
     }
 
@@ -170,6 +194,7 @@
         let own = self.own_state(now_ms);
         let heartbeat = self.book.heartbeat(&own, now_ms);
         self.book.forget_silent(now_ms);
+        share_limits(&mut self.fleet, &self.book, now_ms);
         let recipients = self.book.recipients(own.availability, now_ms);
         (heartbeat, recipients)
     }
@@ -190,6 +215,11 @@
         let knows_list = list_sync::hear_mark(log, fleet, peer, heartbeat.list, newest_at_ms);
         let relays = self.book.is_among_first(now_ms);
         self.quarantine.hear(&heartbeat.evidence, relays, now_ms);
+        let pacing = &mut self.fleet.pacing;
+        let mut told = heartbeat.limits.iter();
+        if told.any(|it| pacing.hear_told(it, now_ms)) {
+            share_limits(&mut self.fleet, &self.book, now_ms);
+        }
         for id in &heartbeat.leaving {
             self.fleet.told_leaving(peer, id, now_ms);
         }
--- a/src/relay_server/list_spread_tests/mod.rs
+++ b/src/relay_server/list_spread_tests/mod.rs
@@ -1,7 +1,8 @@
-//! How long an endpoint that leaves is still chosen anywhere, and a request that is to be withheld still
-//! sent, over whole deployments in simulated time.
+//! How long an endpoint that leaves is still chosen anywhere, how long a request that is to be withheld is
+//! still sent, and how many requests reach an endpoint with a rate limit, over whole deployments in simulated time.
 
 mod instance;
+mod limits;
 mod store;
 mod withheld;
 mod world;
@@ -33,6 +34,11 @@
     bound_ms: 3_000,
     calm_ms: 4_000,
 };
+const HUGE: Site = Site {
+    zones: &[100, 100, 100],
+    bound_ms: 4_000,
+    calm_ms: 5_000,
+};
 const LARGE: Site = Site {
     zones: &[39, 39, 39, 39, 39],
     bound_ms: 4_000,
--- a/src/relay_server/list_spread_tests/world.rs
+++ b/src/relay_server/list_spread_tests/world.rs
@@ -16,7 +16,7 @@
 use super::super::peer_book::HEARTBEAT_MS;
 use super::instance::{Instance, Process};
 use super::store::{Access, Departure, Store};
-use crate::fleet::ListingRead;
+use crate::fleet::{ListedEndpoint, ListingRead};
 use crate::ids::{EndpointId, InstanceId};
 use crate::quarantine::{Fate, RequestDigest, RunStage};
 
@@ -167,6 +167,11 @@
         self.instances[index].process = Process::Frozen { until_ms };
     }
 
+    /// No heartbeat reaches an instance or leaves it for so long.
+    pub(super) fn cut(&mut self, index: usize, for_ms: u64) {
+        self.instances[index].cut_until_ms = self.now_ms + for_ms;
+    }
+
     /// The store treats an instance's calls so from now on.
     pub(super) fn set_access(&mut self, index: usize, access: Access) {
         self.instances[index].access = access;
@@ -229,6 +234,13 @@
         self.wake_watches();
     }
 
+    /// The endpoint of a number starts anew, at its address and under its name.
+    pub(super) fn restart_endpoint(&mut self, number: usize, id: EndpointId) {
+        let entry = super::store::endpoint(number);
+        self.store.write(ListedEndpoint { id, ..entry });
+        self.wake_watches();
+    }
+
     fn wake_watches(&mut self) {
         let store = &self.store;
         let woken: Vec<Waiting> = self
@@ -335,7 +347,8 @@
                 continue;
             }
             let to = self.by_address[&recipient.address];
-            if self.instances[to].process == Process::Killed {
+            let is_cut = |it: usize| self.now_ms < self.instances[it].cut_until_ms;
+            if self.instances[to].process == Process::Killed || is_cut(index) || is_cut(to) {
                 continue;
             }
             let is_late = self.rng.random_bool(self.faults.late);
@@ -423,7 +436,7 @@
         self.push(index, pause_ms, Event::ListDue);
     }
 
-    fn send_news(&mut self, index: usize) {
+    pub(super) fn send_news(&mut self, index: usize) {
         if self.instances[index].book.take_has_news() {
             self.send(index);
         }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -59,6 +59,9 @@
 mod room_notice_tests;
 mod run;
 mod send_view;
+mod senders;
+#[cfg(test)]
+mod senders_tests;
 mod settings;
 mod snapshot;
 mod start_wait;
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -10,6 +10,7 @@
 use super::locate::{self, Candidate};
 use super::peer::{Informant, InstanceRecord, Peer, Recipient};
 use super::reading::{FIRST_OF_ZONE, ReadingView};
+use super::senders::Sender;
 use super::settings::RelaySettings;
 use crate::fleet::EngineLoad;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
@@ -33,6 +34,8 @@
 const SPEAKERS_TURN: usize = 2;
 /// How long after the start of this process one on record that was not heard may be starting too.
 const START_MS: u64 = 1_000;
+/// How much longer than it is named to callers a silent instance may be sending requests to endpoints.
+const SENDER_MARGIN_MS: u64 = 2_000;
 /// How often news of an endpoint is told, in heartbeats.
 const TELLINGS: u8 = 4;
 /// Most endpoints of one sort of news in a heartbeat, the others follow with the next: a plan for thousands
@@ -204,6 +207,29 @@
         })
     }
 
+    /// This instance among those that may send requests to an endpoint with a limit.
+    pub(super) fn own_sender(&self) -> Sender<'_> {
+        Sender {
+            instance: &self.own_instance,
+            zone: &self.own_zone,
+        }
+    }
+
+    /// The others among them. One that has fallen silent counts for a while longer: it may only be out of
+    /// reach, and go on sending.
+    pub(super) fn other_senders(&self, now_ms: u64) -> Vec<Sender<'_>> {
+        let may_send = |peer: &Peer| {
+            let silent_ms = self.silent_after_ms(peer) + SENDER_MARGIN_MS;
+            now_ms < peer.last_sign_ms() + silent_ms
+        };
+        let peers = self.peers.iter().filter(|(_, peer)| may_send(peer));
+        let senders = peers.map(|(instance, peer)| Sender {
+            instance,
+            zone: &peer.zone,
+        });
+        senders.collect()
+    }
+
     /// Where the heard instances of some zones take datagrams.
     pub(super) fn heard_in(&self, zones: &IndexSet<ZoneName>, now_ms: u64) -> Vec<SocketAddr> {
         let peers = self.peers.values();
@@ -446,6 +472,7 @@
             known_instances: self.own_known_instances(),
             repeat_needs: own.repeat_needs.clone(),
             evidence: own.evidence.clone(),
+            limits: own.limits.clone(),
         }
     }
 
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -63,6 +63,7 @@
         held: Vec::new(),
         repeat_needs: Vec::new(),
         evidence: ToldEvidence::default(),
+        limits: Vec::new(),
     };
     book.heartbeat(&own, now_ms)
 }
@@ -203,6 +204,7 @@
         held: engines.collect(),
         repeat_needs: Vec::new(),
         evidence: ToldEvidence::default(),
+        limits: Vec::new(),
     };
     let beat = a.heartbeat(&own, 500_100);
     let text = serde_json::to_vec(&beat).expect("it is text").len();
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -89,6 +89,7 @@
     let far_loads = node.peers.borrow().far_loads();
     let mut peer_parts = node.answer_needs(wants, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
+    node.share_limits(now_ms);
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
     for recipient in &recipients {
         if !shared.contains_key(&recipient.zone) {
@@ -165,6 +166,7 @@
             },
         })
         .collect();
+    let limits = node.fleet.borrow_mut().pacing.next_told(now_ms);
     let answered_ms = node.store.get().answered_ms();
     let answered_ms = answered_ms.filter(|_| node.reads_store());
     OwnState {
@@ -177,6 +179,7 @@
         held,
         repeat_needs: node.repeat_needs(now_ms),
         evidence: node.quarantine.borrow_mut().next_told(now_ms),
+        limits,
     }
 }
 
@@ -254,6 +257,7 @@
         node.take_loans(&heartbeat, &peer_part, asked_ms, now_ms);
     }
     node.hear_evidence(&heartbeat.evidence, FROM_PEERS, now_ms);
+    node.hear_limits(&heartbeat.instance, &heartbeat.limits, now_ms);
     for id in &heartbeat.unsound {
         if let Some(stage) = node.told_unsound(id) {
             check_beside(node, &stage);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -12,6 +12,7 @@
 use super::adapter::{Adapter, ReplyFacts};
 use super::headers;
 use super::node::Node;
+use super::pacing::Turn;
 use super::request::{RelayedRequest, finish, instant_at, word_response};
 use super::send_view::SendView;
 use super::upstream::UpstreamFailure;
@@ -103,6 +104,7 @@
             boot_ms(),
         );
         let Some(endpoint) = picked else {
+            let cause = node.rate_limited(&request.service).unwrap_or(cause);
             return answer_or(held, attempts.give_up(cause));
         };
         attempts.sending(&endpoint);
@@ -223,15 +225,24 @@
         return TryEnd::Failed(AttemptEnd::NotSent, Trouble::Unreachable);
     };
     let head = request.head_for(node, endpoint, None, None);
+    let turn = node.take_turn(endpoint);
+    if turn == Turn::Missing {
+        return failed(UpstreamFailure::Withdrawn);
+    }
     let sent = node
         .upstreams
         .send(address, head, request.body.clone(), begun_ms, || {
-            node.takes_requests(endpoint)
+            node.takes_requests(endpoint) && node.keeps_turn(endpoint, turn)
         })
         .await;
     let exchange = match sent {
         Ok(exchange) => exchange,
-        Err(failure) => return failed(failure),
+        Err(failure) => {
+            if failure.sent_nothing() {
+                node.give_turn_back(endpoint, turn);
+            }
+            return failed(failure);
+        }
     };
     let (head, mut body) = match exchange.head().await {
         Ok(answer) => answer,
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -23,6 +23,7 @@
 use super::headers;
 use super::held_tokens::HeldTokens;
 use super::node::Node;
+use super::pacing::Turn;
 use super::request::{RelayedRequest, instant_at};
 use super::send_view::SendView;
 use super::stream_answer::Opening;
@@ -303,13 +304,23 @@
             .request
             .head_for(&self.node, &first.endpoint, Some(chain), resume_after);
         let body = self.request.body.clone();
-        self.node
+        let node = &self.node;
+        let turn = node.take_turn(&first.endpoint);
+        if turn == Turn::Missing {
+            return Err(UpstreamFailure::Withdrawn);
+        }
+        let sent = node
             .upstreams
             .send(first.address, head, body, boot_ms(), || {
                 let mut stages = chain.stages().iter();
-                stages.all(|stage| self.node.takes_requests(&stage.endpoint))
+                stages.all(|stage| node.takes_requests(&stage.endpoint))
+                    && node.keeps_turn(&first.endpoint, turn)
             })
-            .await
+            .await;
+        if sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
+            node.give_turn_back(&first.endpoint, turn);
+        }
+        sent
     }
 
     /// Waits for the head of the answer, and looks into a silence.
--- a/src/relay_server/stream/plan.rs
+++ b/src/relay_server/stream/plan.rs
@@ -38,20 +38,37 @@
             let cause = match self.plan(None) {
                 Some(chain) if self.has_room(&chain) => return Ok(chain),
                 Some(_) => RefusalCause::Full,
-                None if self.attempts.excluded().is_empty() => RefusalCause::NoChain,
-                // An engine that turned this request away may have been the only one.
-                None => RefusalCause::Full,
+                None => self.why_no_chain(),
             };
-            let is_hopeless = cause == RefusalCause::NoChain
-                && self.layer_without_holder().is_some()
-                && !self.attempts.may_have_run();
-            if is_hopeless || boot_ms() >= until_ms {
+            let now_ms = boot_ms();
+            let is_hopeless = self.is_in_vain(cause, until_ms.saturating_sub(now_ms));
+            if is_hopeless || now_ms >= until_ms {
                 return Err(cause);
             }
             sleep(Duration::from_millis(ROOM_LOOK_MS)).await;
         }
     }
 
+    fn why_no_chain(&self) -> RefusalCause {
+        let rate_limited = self.node.rate_limited(&self.request.service);
+        match rate_limited.filter(|_| self.layer_without_holder().is_none()) {
+            Some(cause) => cause,
+            None if self.attempts.excluded().is_empty() => RefusalCause::NoChain,
+            // An engine that turned this request away may have been the only one.
+            None => RefusalCause::Full,
+        }
+    }
+
+    /// Whether a request that has not run waits in vain for so long.
+    fn is_in_vain(&self, cause: RefusalCause, left_ms: u64) -> bool {
+        let is_in_vain = match cause {
+            RefusalCause::NoChain => self.layer_without_holder().is_some(),
+            RefusalCause::RateLimited { wait_ms } => wait_ms.is_none_or(|it| it > left_ms),
+            _ => false,
+        };
+        is_in_vain && !self.attempts.may_have_run()
+    }
+
     /// Until when a chain is waited for. A request that has not run is better refused soon; one that
     /// has cannot be, and its caller would lose what it has.
     fn room_until_ms(&self, now_ms: u64) -> u64 {
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -59,6 +59,12 @@
 }
 
 impl UpstreamFailure {
+    /// Whether no byte of the request has left.
+    pub(crate) fn sent_nothing(self) -> bool {
+        let (end, _) = self.meaning();
+        end == AttemptEnd::NotSent
+    }
+
     /// What the failure says of the request, and of the endpoint.
     pub(crate) fn meaning(self) -> (AttemptEnd, Trouble) {
         match self {
@@ -66,7 +72,7 @@
             Self::NoListener => (AttemptEnd::NotSent, Trouble::Ended),
             Self::Broken => (AttemptEnd::Lost, Trouble::Broken),
             Self::Garbled => (AttemptEnd::Lost, Trouble::Garbled),
-            Self::Withdrawn => (AttemptEnd::NotSent, Trouble::Leaving),
+            Self::Withdrawn => (AttemptEnd::NotSent, Trouble::Withdrawn),
         }
     }
 }
