Endpoints that ask an instance to back off get no request from it until that is over

What callers saw: streams that were turned away went on at another engine some milliseconds later. An engine that asked each instance for 3 s without requests got 5 and 12 from two of them within that time (users' record: 5 and 5; 2 allowed).

Cause: the time in the answer was not read. An endpoint that turns a request away counted as full for 300 ms, 600 or 1,200 ms if that went on, and was then sent the next one; the first that it took ended that. Evidence: stand-ins that turn requests away for one of the 3 s that they ask for got 23 (engine) and 50 (replica) within them. Ruled out: that the time was read and forgotten (nothing read it), and requests chosen before (one or two at most, within the first half second). Class: the same as of the rate limit. What an endpoint asks of its senders is guessed by own constants instead of read.

What was changed: the end of the back-off is kept by the endpoint's lifetime; a shorter one or an answer without one does not end it. Until then the endpoint is no first engine of a chain and no choice for a plain request, and what was chosen before is not sent if the answer came while there was no connection. It goes on as a later stage of chains: those get no requests from instances.

--- a/src/fleet/pacing.rs
+++ b/src/fleet/pacing.rs
@@ -232,17 +232,23 @@
         known.is_some_and(|it| it.limit_per_s.is_some())
     }
 
-    /// When this instance may send the endpoint a request; 0 if nothing keeps it from that, `None` if that
-    /// is not known.
+    /// When this instance may send the endpoint a request; 0 if nothing keeps it from that, `None` if other
+    /// instances have all turns there.
     pub fn next_send_ms(&self, id: &EndpointId) -> Option<u64> {
         let Some(known) = self.endpoints.get(id) else {
             return Some(0);
         };
-        if known.limit_per_s.is_some() {
-            known.turns.next_ms()
-        } else {
-            Some(0)
-        }
+        let turn_ms = match known.limit_per_s {
+            Some(_) => known.turns.next_ms()?,
+            None => 0,
+        };
+        Some(turn_ms.max(known.back_off_until_ms))
+    }
+
+    /// Whether the endpoint wants no request from this instance for a while.
+    pub fn is_backing_off(&self, id: &EndpointId, now_ms: u64) -> bool {
+        let known = self.endpoints.get(id);
+        known.is_some_and(|it| now_ms < it.back_off_until_ms)
     }
 
     /// Whether this instance may send the endpoint a request now.
--- a/src/fleet/pacing_tests.rs
+++ b/src/fleet/pacing_tests.rs
@@ -180,3 +180,40 @@
     }
     assert_eq!(told.len(), 10);
 }
+
+fn back_off(for_ms: u64) -> Pacing {
+    Pacing {
+        back_off_ms: Some(for_ms),
+        ..Pacing::default()
+    }
+}
+
+#[test]
+fn an_endpoint_that_asks_for_a_back_off_is_left_alone_until_its_end() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), back_off(3_000), 1_000);
+    assert!(!book.may_send(&engine(), 3_999));
+    assert!(book.may_send(&engine(), 4_000));
+}
+
+#[test]
+fn neither_a_shorter_back_off_nor_an_answer_without_one_ends_the_one_before() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), back_off(3_000), 1_000);
+    book.hear(&engine(), back_off(500), 1_100);
+    book.hear(&engine(), Pacing::default(), 1_200);
+    assert!(!book.may_send(&engine(), 3_999));
+}
+
+#[test]
+fn a_back_off_goes_before_a_turn() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(1.0), 0);
+    book.share_limits(|_, limit_per_s| limit_per_s, 0);
+    let said = Pacing {
+        limit_per_s: Some(1.0),
+        ..back_off(5_000)
+    };
+    book.hear(&engine(), said, 100);
+    assert_eq!(book.next_send_ms(&engine()), Some(5_100));
+}
--- a/src/relay_server/pacing.rs
+++ b/src/relay_server/pacing.rs
@@ -84,27 +84,39 @@
 
     /// Takes a turn at an endpoint for a request, where one is needed.
     pub(super) fn take_turn(&self, endpoint: &EndpointId) -> Turn {
+        let now_ms = boot_ms();
         let mut fleet = self.fleet.borrow_mut();
-        if !fleet.pacing.is_limited(endpoint) {
+        let pacing = &mut fleet.pacing;
+        let turn = if pacing.is_backing_off(endpoint, now_ms) {
+            Turn::Missing
+        } else if !pacing.is_limited(endpoint) {
             Turn::NotNeeded
-        } else if fleet.pacing.take_turn(endpoint, boot_ms()) {
+        } else if pacing.take_turn(endpoint, now_ms) {
             Turn::Held
         } else {
-            self.counters.count("relay.pacing.no_turn");
             Turn::Missing
+        };
+        if turn == Turn::Missing {
+            self.counters.count("relay.pacing.no_turn");
         }
+        turn
     }
 
-    /// Whether a request may be sent with a turn that was taken before there was a connection: a limit may
-    /// have been heard of since.
+    /// Whether a request may be sent with a turn that was taken before there was a connection: the endpoint
+    /// may have said more since.
     pub(super) fn keeps_turn(&self, endpoint: &EndpointId, turn: Turn) -> bool {
         match turn {
-            Turn::Held => true,
+            Turn::Held => !self.is_backing_off(endpoint),
             Turn::NotNeeded => self.take_turn(endpoint) != Turn::Missing,
             Turn::Missing => false,
         }
     }
 
+    fn is_backing_off(&self, endpoint: &EndpointId) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.pacing.is_backing_off(endpoint, boot_ms())
+    }
+
     /// Puts a turn back with which nothing was sent.
     pub(super) fn give_turn_back(&self, endpoint: &EndpointId, turn: Turn) {
         if turn == Turn::Held {
