Endpoints that say that they leave get no request any more, whatever the list shows

What callers would see: requests that reach an endpoint which is about to exit, and end with it.

Cause: an endpoint's own word in its answers was not read; only the list, or a peer's word on the list, took it out of service.

What was changed: the word holds for the endpoint's lifetime, so that no later read, no entry that comes back and no peer's older word puts it in service again. Peers are told at once and keep it the same way. It takes no new work as one that the list shows leaving; what runs there goes on.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -4,7 +4,8 @@
 
 use super::{
     EngineLoad, EntryFault, FleetChange, InfoPath, KnownEndpoint, ListedEndpoint, ListingRead,
-    ListingScope, LiveAgain, LiveReason, PacingBook, Phase, Provenance, Trouble, UnusableEntry,
+    ListingScope, LiveAgain, LiveReason, Pacing, PacingBook, PacingChange, Phase, Provenance,
+    Trouble, UnusableEntry,
 };
 use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName, ZoneName};
 use crate::wire::engine::LayerRange;
@@ -257,6 +258,28 @@
         is_news
     }
 
+    /// Takes what an answer of an endpoint says of how it wants to be sent requests; returns what is new.
+    pub fn hear_pacing(&mut self, id: &EndpointId, said: Pacing, now_ms: u64) -> Vec<PacingChange> {
+        let changes = self.pacing.hear(id, said, now_ms);
+        if said.is_leaving {
+            self.leaves_for_good(id);
+        }
+        changes
+    }
+
+    /// Takes a peer's word that an endpoint has itself said that it leaves. Returns whether that is news.
+    pub fn told_said_leaving(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+        self.pacing.hear_leaving(id, now_ms);
+        self.leaves_for_good(id)
+    }
+
+    /// Takes no new work there in this lifetime; the list may show it in service for long.
+    fn leaves_for_good(&mut self, id: &EndpointId) -> bool {
+        let known = self.endpoints.get_mut(id);
+        let known = known.filter(|it| it.listed.phase == Phase::Live);
+        known.map(|it| it.listed.phase = Phase::Leaving).is_some()
+    }
+
     /// Goes by the list again where engines' own words on their layers, or peers' words on leaving
     /// endpoints, are old by now, drops entries that were held long enough, and forgets what is too old
     /// to matter. The list may not be read for seconds, and an entry that is held until the next read would be
@@ -269,6 +292,9 @@
             let Some(known) = self.endpoints.get_mut(id) else {
                 return now_ms < told.at_ms + REMEMBER_MS;
             };
+            if self.pacing.is_leaving(id) {
+                return false;
+            }
             // Shown in service since, or never shown otherwise: the peer may have seen it missing
             // for a moment that had passed here. An entry that is only held is not shown: callers'
             // requests would go to endpoints that have left until it is dropped.
@@ -361,6 +387,9 @@
             told.is_live_again = entry.phase == Phase::Live;
             phase = Phase::Leaving;
         }
+        if self.pacing.is_leaving(&id) {
+            phase = Phase::Leaving;
+        }
         let provenance = Provenance {
             path: path.clone(),
             at_ms: now_ms,
--- a/src/fleet/pacing.rs
+++ b/src/fleet/pacing.rs
@@ -167,6 +167,18 @@
         changes
     }
 
+    /// Takes another instance's word that an endpoint has said that it leaves.
+    pub(super) fn hear_leaving(&mut self, id: &EndpointId, now_ms: u64) {
+        let known = self.endpoints.entry(id.clone()).or_default();
+        known.seen_ms = now_ms;
+        known.is_leaving = true;
+    }
+
+    /// Whether the endpoint has said that it leaves. That holds for its lifetime, whatever the list shows.
+    pub(super) fn is_leaving(&self, id: &EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|it| it.is_leaving)
+    }
+
     /// Takes a limit that another instance has heard, if that is newer than what is known here; returns
     /// whether it is another limit.
     pub fn hear_told(&mut self, told: &ToldLimit, now_ms: u64) -> bool {
--- a/src/fleet/told_tests.rs
+++ b/src/fleet/told_tests.rs
@@ -124,3 +124,33 @@
     fleet.get_mut(&a).expect("listed").said_layers(None, 100);
     assert_eq!(fleet.listing(), [listed("a", "lac", Some(range(0, 10)))]);
 }
+
+#[test]
+fn an_endpoints_own_word_that_it_leaves_holds_for_its_lifetime_whatever_the_list_shows() {
+    let phase = |fleet: &Fleet| fleet.iter().next().map(|known| known.listed.phase);
+    let a = EndpointId::from("a");
+    let said = Pacing {
+        is_leaving: true,
+        ..Pacing::default()
+    };
+    for is_told in [false, true] {
+        let mut fleet = fleet(vec![listed("a", "lac", None)]);
+        if is_told {
+            assert!(fleet.told_said_leaving(&a, 100));
+            assert!(!fleet.told_said_leaving(&a, 150));
+        } else {
+            fleet.hear_pacing(&a, said, 100);
+        }
+        fleet.told_leaving(&teller(), &a, 200);
+        fleet.hear_pacing(&a, Pacing::default(), 300);
+        let removed = ListingRead::changes(vec![], vec![a.name()]);
+        fleet.take(removed, false, 400);
+        for at_ms in [3_000, 60_000, 200_000] {
+            let back = ListingRead::changes(vec![listed("a", "lac", None)], vec![]);
+            fleet.take(back, false, at_ms);
+            fleet.confirm(at_ms);
+            fleet.settle(at_ms + 5_000);
+            assert_eq!(phase(&fleet), Some(Phase::Leaving));
+        }
+    }
+}
--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -44,6 +44,8 @@
     pub(super) unsound: Vec<EndpointId>,
     /// Endpoints that are leaving or gone.
     pub(super) leaving: Vec<EndpointId>,
+    /// Endpoints that have said to the sender that they leave, which holds whatever the list shows.
+    pub(super) said_leaving: Vec<EndpointId>,
     /// Engines that were ordered to hold other layers.
     pub(super) moving: Vec<(EndpointId, LayerRange)>,
     /// What this instance's streams take up, by engine.
--- a/src/relay_server/pacing.rs
+++ b/src/relay_server/pacing.rs
@@ -29,12 +29,16 @@
         let now_ms = boot_ms();
         let (changes, has_news) = {
             let mut fleet = self.fleet.borrow_mut();
-            let changes = fleet.pacing.hear(endpoint, said, now_ms);
+            let changes = fleet.hear_pacing(endpoint, said, now_ms);
             (changes, fleet.pacing.has_untold_news())
         };
         for change in &changes {
             self.log_pacing(endpoint, *change);
         }
+        if changes.contains(&PacingChange::Leaving) {
+            self.peers.borrow_mut().tell_said_leaving(endpoint);
+            self.heartbeat_due.notify_one();
+        }
         if !changes.is_empty() {
             self.share_limits(now_ms);
         }
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -75,6 +75,7 @@
     peers: IndexMap<InstanceId, Peer>,
     unsound: IndexMap<EndpointId, u8>,
     leaving: IndexMap<EndpointId, u8>,
+    said_leaving: IndexMap<EndpointId, u8>,
     moving: Vec<(EndpointId, LayerRange)>,
     /// Highest fencing number under which this instance gives no more orders.
     given_up: IndexMap<ServiceName, u64>,
@@ -98,6 +99,7 @@
             peers: IndexMap::new(),
             unsound: IndexMap::new(),
             leaving: IndexMap::new(),
+            said_leaving: IndexMap::new(),
             moving: Vec::new(),
             given_up: IndexMap::new(),
             given_up_by_peers: IndexMap::new(),
@@ -349,6 +351,12 @@
         self.has_news = true;
     }
 
+    /// Has peers told that an endpoint has itself said that it leaves.
+    pub(crate) fn tell_said_leaving(&mut self, endpoint: &EndpointId) {
+        self.said_leaving.insert(endpoint.clone(), TELLINGS);
+        self.has_news = true;
+    }
+
     /// Has peers told at once what is known here of routes and endpoints.
     pub(crate) fn tell_knowledge(&mut self) {
         self.has_news = true;
@@ -461,6 +469,7 @@
             sent_ms: now_ms,
             unsound: Self::take_news(&mut self.unsound),
             leaving: Self::take_news(&mut self.leaving),
+            said_leaving: Self::take_news(&mut self.said_leaving),
             moving: self
                 .moving
                 .drain(..self.moving.len().min(MOST_NEWS))
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -274,6 +274,11 @@
             );
         }
     }
+    for id in &heartbeat.said_leaving {
+        if fleet.told_said_leaving(id, now_ms) {
+            log::info!(endpoint = id.as_str(), peer = heartbeat.instance.as_str(); "endpoint says that it is leaving, a peer says");
+        }
+    }
     for change in &changes {
         fleet.shift_peers_load(&change.endpoint, change.before, change.now);
     }
