Rate limits: half a turn that was not used is kept

Requests come at random, turns evenly: with strict turns a part of each limit was used by nobody, while callers came back or other engines had more to do.

--- a/src/fleet/rate_limit.rs
+++ b/src/fleet/rate_limit.rs
@@ -4,6 +4,10 @@
 /// has been lifted.
 const LEAST_PER_S: f64 = 0.1;
 
+/// Part of a turn that is kept where there was no request for it, so that requests which come at random
+/// use most of the limit.
+const MOST_CREDIT: f64 = 0.5;
+
 /// When this instance may send an endpoint its next request. Its turns are evenly spaced, so that those of
 /// all instances together do not come at once.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,7 +45,8 @@
         };
         let is_due = self.next_ms <= now_ms as f64;
         if is_due {
-            self.next_ms = now_ms as f64 + interval_ms;
+            let earliest_ms = now_ms as f64 - interval_ms * MOST_CREDIT;
+            self.next_ms = self.next_ms.max(earliest_ms) + interval_ms;
         }
         is_due
     }
