Rate limits: only an answer that ran and names none ends one; word on a limit in a file of its own

By reading the diff: any answer without the header ended a limit, also a refusal or failure that need not repeat it, and one that belongs to an earlier request; then every instance would have sent requests freely until the next answer named it again. An answer with a success and without a limit ends one now, and only answers to the request that was sent are read. A limit of which a peer has told something newer is not told as heard here any more. Tests: a_failure_or_a_refusal_without_a_limit_ends_none, a_peers_newer_word_is_not_told_as_one_heard_here.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -54,7 +54,7 @@
     /// Entries that name no endpoint to use, as far as they were reported.
     unusable: IndexMap<EndpointName, EntryFault>,
     /// How endpoints want to be sent requests.
-    pub pacing: PacingBook,
+    pub(crate) pacing: PacingBook,
     is_known: bool,
     /// When the list was surely the newest. Never falls.
     newest_at_ms: u64,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod lifetime_tests;
 mod listing;
 mod pacing;
+mod pacing_book;
 #[cfg(test)]
 mod pacing_tests;
 mod provenance;
@@ -35,7 +36,8 @@
 pub use heard::Heard;
 pub use known::{EngineLoad, KnownEndpoint};
 pub use listing::Fleet;
-pub use pacing::{Pacing, PacingBook, PacingChange, ToldLimit};
+pub use pacing::{LimitWord, Pacing, PacingChange, ToldLimit};
+pub(crate) use pacing_book::PacingBook;
 pub use provenance::{InfoPath, Provenance};
 pub(crate) use provenance::{describe_known, describe_list};
 pub use replicas::pick_replica;
--- /dev/null
+++ b/src/fleet/pacing_book.rs
@@ -0,0 +1,259 @@
+//! What endpoints have said of how they want to be sent requests, and when each may be sent the next one.
+
+use indexmap::IndexMap;
+
+use super::rate_limit::{Turns, effective_per_s};
+use super::{LimitWord, Pacing, PacingChange, ToldLimit};
+use crate::ids::EndpointId;
+
+/// How long the word of an endpoint that has left the list is kept: its entry may be back when the store
+/// is, which may be away for tens of seconds.
+const REMEMBER_MS: u64 = 300_000;
+/// How much newer than an endpoint's own word here another instance's must be: it may have been on its
+/// way for as long.
+const UNDER_WAY_MS: u64 = 500;
+/// How often news of a limit is told, in heartbeats: some may be lost.
+const TELLINGS: u8 = 4;
+/// Most limits in a heartbeat that are news.
+const MOST_NEWS: usize = 32;
+/// Limits told in turn in each heartbeat, for instances that have started since.
+const IN_TURN: usize = 4;
+/// Age from which on a limit that was heard here is not told any more: those that send requests there
+/// have heard it since.
+const TOLD_FOR_MS: u64 = 10_000;
+/// Change of a limit that others are told at once, as a part of it.
+const NEWS_PART: f64 = 0.25;
+
+/// Where the newest word on a limit came from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Source {
+    /// The endpoint itself.
+    #[default]
+    Endpoint,
+    /// Another instance, which is not repeated: two that handed it on would keep it for ever.
+    Peer,
+}
+
+/// What is known of one endpoint.
+#[derive(Clone, Debug, Default)]
+struct Paced {
+    limit_per_s: Option<f64>,
+    /// When the endpoint said so.
+    limit_said_ms: u64,
+    limit_source: Source,
+    /// How often the limit is still to be told as news.
+    untold: u8,
+    turns: Turns,
+    back_off_until_ms: u64,
+    is_leaving: bool,
+    /// When it last answered or stood in the list.
+    seen_ms: u64,
+}
+
+impl Paced {
+    /// Takes the newest word on the limit; returns whether it is another one.
+    fn set_limit(&mut self, limit_per_s: Option<f64>, source: Source, said_ms: u64) -> bool {
+        let before_per_s = std::mem::replace(&mut self.limit_per_s, limit_per_s);
+        self.limit_source = source;
+        self.limit_said_ms = said_ms;
+        match source {
+            Source::Endpoint if is_news(before_per_s, limit_per_s) => self.untold = TELLINGS,
+            Source::Endpoint => {}
+            Source::Peer => self.untold = 0,
+        }
+        before_per_s != limit_per_s
+    }
+
+    fn told_limit(&self, id: &EndpointId, now_ms: u64) -> ToldLimit {
+        ToldLimit {
+            endpoint: id.clone(),
+            limit_per_s: self.limit_per_s,
+            age_ms: now_ms.saturating_sub(self.limit_said_ms),
+        }
+    }
+
+    fn is_told_in_turn(&self, now_ms: u64) -> bool {
+        let was_heard = self.limit_source == Source::Endpoint && self.limit_said_ms > 0;
+        was_heard && self.untold == 0 && now_ms < self.limit_said_ms + TOLD_FOR_MS
+    }
+}
+
+/// Whether others are to be told of a change at once.
+fn is_news(before_per_s: Option<f64>, now_per_s: Option<f64>) -> bool {
+    match (before_per_s, now_per_s) {
+        (Some(before_per_s), Some(now_per_s)) => {
+            (now_per_s - before_per_s).abs() > before_per_s * NEWS_PART
+        }
+        (None, None) => false,
+        _ => true,
+    }
+}
+
+/// What endpoints have asked for. Kept beside the list of endpoints: an entry that lapses and comes back
+/// is of the same process, whose word still holds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PacingBook {
+    endpoints: IndexMap<EndpointId, Paced>,
+    /// How far the limits that are told in turn have come.
+    turn: usize,
+}
+
+impl PacingBook {
+    /// Takes what an answer of an endpoint says; returns what is new.
+    pub(crate) fn hear(&mut self, id: &EndpointId, said: Pacing, now_ms: u64) -> Vec<PacingChange> {
+        if !said.asks_for_something() && !self.endpoints.contains_key(id) {
+            return Vec::new();
+        }
+        let known = self.endpoints.entry(id.clone()).or_default();
+        known.seen_ms = now_ms;
+        let mut changes = Vec::new();
+        let before_per_s = known.limit_per_s;
+        let now_per_s = said.limit.follow(before_per_s);
+        let says_limit =
+            said.limit != LimitWord::Unsaid && (now_per_s, before_per_s) != (None, None);
+        if says_limit && known.set_limit(now_per_s, Source::Endpoint, now_ms) {
+            changes.push(PacingChange::Limit {
+                before_per_s,
+                now_per_s,
+            });
+        }
+        if let Some(for_ms) = said.back_off_ms
+            && now_ms + for_ms > known.back_off_until_ms
+        {
+            known.back_off_until_ms = now_ms + for_ms;
+            changes.push(PacingChange::BackOff { for_ms });
+        }
+        if said.is_leaving && !known.is_leaving {
+            known.is_leaving = true;
+            changes.push(PacingChange::Leaving);
+        }
+        changes
+    }
+
+    /// Takes another instance's word that an endpoint has said that it leaves.
+    pub(super) fn hear_leaving(&mut self, id: &EndpointId, now_ms: u64) {
+        let known = self.endpoints.entry(id.clone()).or_default();
+        known.seen_ms = now_ms;
+        known.is_leaving = true;
+    }
+
+    /// Whether the endpoint has said that it leaves. That holds for its lifetime, whatever the list shows.
+    pub(super) fn is_leaving(&self, id: &EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|it| it.is_leaving)
+    }
+
+    /// Takes a limit that another instance has heard, if that is newer than what is known here; returns
+    /// whether it is another limit.
+    pub(crate) fn hear_told(&mut self, told: &ToldLimit, now_ms: u64) -> bool {
+        let said_ms = now_ms.saturating_sub(told.age_ms);
+        let known = self.endpoints.entry(told.endpoint.clone()).or_default();
+        known.seen_ms = now_ms;
+        let margin_ms = match known.limit_source {
+            Source::Endpoint => UNDER_WAY_MS,
+            Source::Peer => 0,
+        };
+        let is_newer = known.limit_said_ms == 0 || said_ms > known.limit_said_ms + margin_ms;
+        is_newer && known.set_limit(told.limit_per_s, Source::Peer, said_ms)
+    }
+
+    /// Whether others are to be told something at once.
+    pub(crate) fn has_untold_news(&self) -> bool {
+        self.endpoints.values().any(|it| it.untold == TELLINGS)
+    }
+
+    /// Limits for the next heartbeat: news a few times, and in turn what was lately heard here.
+    pub(crate) fn next_told(&mut self, now_ms: u64) -> Vec<ToldLimit> {
+        let in_turn: Vec<ToldLimit> = self
+            .endpoints
+            .iter()
+            .filter(|(_, it)| it.is_told_in_turn(now_ms))
+            .map(|(id, it)| it.told_limit(id, now_ms))
+            .collect();
+        let begin = self.turn.checked_rem(in_turn.len()).unwrap_or(0);
+        let count = IN_TURN.min(in_turn.len());
+        self.turn = begin + count;
+        let in_turn = in_turn.iter().cycle().skip(begin).take(count);
+        let mut told: Vec<ToldLimit> = in_turn.cloned().collect();
+        let news = self.endpoints.iter_mut().filter(|(_, it)| it.untold > 0);
+        for (id, known) in news.take(MOST_NEWS) {
+            known.untold -= 1;
+            told.push(known.told_limit(id, now_ms));
+        }
+        told
+    }
+
+    /// Decides anew how much of each limit is this instance's. `share_per_s` gets an endpoint and its
+    /// limit, in requests a second.
+    pub(super) fn share_limits<F>(&mut self, share_per_s: F, now_ms: u64)
+    where
+        F: Fn(&EndpointId, f64) -> f64,
+    {
+        for (id, known) in &mut self.endpoints {
+            if let Some(limit_per_s) = known.limit_per_s {
+                let share_per_s = share_per_s(id, effective_per_s(limit_per_s));
+                known.turns.set_share(share_per_s, now_ms);
+            }
+        }
+    }
+
+    /// Whether any endpoint has named a limit that holds.
+    pub(crate) fn has_limits(&self) -> bool {
+        self.endpoints.values().any(|it| it.limit_per_s.is_some())
+    }
+
+    /// Whether the endpoint has named a limit that holds.
+    pub(crate) fn is_limited(&self, id: &EndpointId) -> bool {
+        let known = self.endpoints.get(id);
+        known.is_some_and(|it| it.limit_per_s.is_some())
+    }
+
+    /// When this instance may send the endpoint a request; 0 if nothing keeps it from that, `None` if other
+    /// instances have all turns there.
+    pub(crate) fn next_send_ms(&self, id: &EndpointId) -> Option<u64> {
+        let Some(known) = self.endpoints.get(id) else {
+            return Some(0);
+        };
+        let turn_ms = match known.limit_per_s {
+            Some(_) => known.turns.next_ms()?,
+            None => 0,
+        };
+        Some(turn_ms.max(known.back_off_until_ms))
+    }
+
+    /// Whether the endpoint wants no request from this instance for a while.
+    pub(crate) fn is_backing_off(&self, id: &EndpointId, now_ms: u64) -> bool {
+        let known = self.endpoints.get(id);
+        known.is_some_and(|it| now_ms < it.back_off_until_ms)
+    }
+
+    /// Whether this instance may send the endpoint a request now.
+    pub(crate) fn may_send(&self, id: &EndpointId, now_ms: u64) -> bool {
+        self.next_send_ms(id).is_some_and(|at_ms| at_ms <= now_ms)
+    }
+
+    /// Takes a turn at an endpoint with a limit, if one has begun.
+    pub(crate) fn take_turn(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+        let known = self.endpoints.get_mut(id);
+        known.is_some_and(|it| it.turns.take(now_ms))
+    }
+
+    /// Puts a turn back: nothing was sent.
+    pub(crate) fn give_turn_back(&mut self, id: &EndpointId) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.turns.give_back();
+        }
+    }
+
+    /// Forgets endpoints that have been gone from the list for long.
+    pub(super) fn settle<F>(&mut self, is_listed: F, now_ms: u64)
+    where
+        F: Fn(&EndpointId) -> bool,
+    {
+        self.endpoints.retain(|id, known| {
+            if is_listed(id) {
+                known.seen_ms = now_ms;
+            }
+            now_ms < known.seen_ms + REMEMBER_MS
+        });
+    }
+}
--- a/src/fleet/pacing_tests.rs
+++ b/src/fleet/pacing_tests.rs
@@ -9,7 +9,14 @@
 
 fn limited(per_s: f64) -> Pacing {
     Pacing {
-        limit_per_s: Some(per_s),
+        limit: LimitWord::PerSecond(per_s),
+        ..Pacing::default()
+    }
+}
+
+fn unlimited() -> Pacing {
+    Pacing {
+        limit: LimitWord::Unlimited,
         ..Pacing::default()
     }
 }
@@ -18,7 +25,7 @@
 fn what_an_answer_repeats_is_no_news() {
     let mut book = PacingBook::default();
     let said = Pacing {
-        limit_per_s: Some(4.0),
+        limit: LimitWord::PerSecond(4.0),
         back_off_ms: None,
         is_leaving: true,
     };
@@ -44,7 +51,7 @@
         vec![change(Some(4.0), Some(5.5))]
     );
     assert_eq!(
-        book.hear(&engine(), Pacing::default(), 30),
+        book.hear(&engine(), unlimited(), 30),
         vec![change(Some(5.5), None)]
     );
 }
@@ -115,7 +122,7 @@
     let mut book = PacingBook::default();
     book.hear(&engine(), limited(1.0), 0);
     book.share_limits(|_, _| 0.0, 0);
-    book.hear(&engine(), Pacing::default(), 500);
+    book.hear(&engine(), unlimited(), 500);
     assert!(book.may_send(&engine(), 500));
 }
 
@@ -161,7 +168,7 @@
     assert!(!book.has_untold_news());
     book.hear(&engine(), limited(4.5), 1_020);
     assert!(!book.has_untold_news());
-    book.hear(&engine(), Pacing::default(), 1_030);
+    book.hear(&engine(), unlimited(), 1_030);
     assert!(book.has_untold_news());
 }
 
@@ -214,9 +221,26 @@
     book.hear(&engine(), limited(1.0), 0);
     book.share_limits(|_, limit_per_s| limit_per_s, 0);
     let said = Pacing {
-        limit_per_s: Some(1.0),
+        limit: LimitWord::PerSecond(1.0),
         ..back_off(5_000)
     };
     book.hear(&engine(), said, 100);
     assert_eq!(book.next_send_ms(&engine()), Some(5_100));
 }
+
+#[test]
+fn a_failure_or_a_refusal_without_a_limit_ends_none() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(1.0), 0);
+    book.share_limits(|_, _| 0.0, 0);
+    assert!(book.hear(&engine(), Pacing::default(), 500).is_empty());
+    assert!(!book.may_send(&engine(), 500));
+}
+
+#[test]
+fn a_peers_newer_word_is_not_told_as_one_heard_here() {
+    let mut book = PacingBook::default();
+    book.hear(&engine(), limited(4.0), 1_000);
+    book.hear_told(&told(Some(9.0), 0), 2_000);
+    assert!(book.next_told(2_100).is_empty());
+}
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -18,7 +18,7 @@
 use super::super::store_contact::StoreContact;
 use super::super::test_settings;
 use super::store::Access;
-use crate::fleet::{Fleet, FleetChange, ListingRead, Pacing, Phase, pick_replica};
+use crate::fleet::{Fleet, FleetChange, LimitWord, ListingRead, Pacing, Phase, pick_replica};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
 use crate::quarantine::Quarantine;
 
@@ -141,7 +141,7 @@
     /// Takes an answer of an endpoint that names this limit.
     pub(super) fn hear_limit(&mut self, id: &EndpointId, limit_per_s: Option<f64>, now_ms: u64) {
         let said = Pacing {
-            limit_per_s,
+            limit: limit_per_s.map_or(LimitWord::Unlimited, LimitWord::PerSecond),
             ..Pacing::default()
         };
         self.fleet.pacing.hear(id, said, now_ms);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -249,10 +249,10 @@
         Err(failure) => return failed(failure),
     };
     let facts = node.adapter.read_reply(&head);
-    node.heard_pacing(endpoint, facts.pacing);
     if facts.id.as_deref() != Some(request.ask.id.as_str()) {
         return failed(UpstreamFailure::Garbled);
     }
+    node.heard_pacing(endpoint, facts.pacing);
     let mut whole = BytesMut::new();
     loop {
         match body.next().await {
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -239,11 +239,11 @@
             Err(end) => return end,
         };
         let facts = self.node.adapter.read_reply(&head);
-        let first = &held.chain().first().endpoint;
-        self.node.heard_pacing(first, facts.pacing);
         if facts.id.as_deref() != Some(self.request.ask.id.as_str()) {
             return self.broken(UpstreamFailure::Garbled, held.chain());
         }
+        let first = &held.chain().first().endpoint;
+        self.node.heard_pacing(first, facts.pacing);
         if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             let at_fault = facts
                 .at_fault
