Read again: permits in place of turns, and pacing of the fleet in a file of its own

A turn is, by the glossary, the time within which heartbeats have reached everybody; what lets an instance send a request to an endpoint with a rate limit is a permit, the usual term. What Fleet decides by pacing stands in pacing_of_fleet.rs.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod listing;
 mod pacing;
 mod pacing_book;
+mod pacing_of_fleet;
 #[cfg(test)]
 mod pacing_tests;
 mod provenance;
--- a/src/fleet/pacing_book.rs
+++ b/src/fleet/pacing_book.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::rate_limit::{Turns, effective_per_s};
+use super::rate_limit::{Permits, effective_per_s};
 use super::{LimitWord, Pacing, PacingChange, ToldLimit};
 use crate::ids::EndpointId;
 
@@ -43,7 +43,7 @@
     limit_source: Source,
     /// How often the limit is still to be told as news.
     untold: u8,
-    turns: Turns,
+    permits: Permits,
     back_off_until_ms: u64,
     is_leaving: bool,
     /// When it last answered or stood in the list.
@@ -191,7 +191,7 @@
         for (id, known) in &mut self.endpoints {
             if let Some(limit_per_s) = known.limit_per_s {
                 let share_per_s = share_per_s(id, effective_per_s(limit_per_s));
-                known.turns.set_share(share_per_s, now_ms);
+                known.permits.set_share(share_per_s, now_ms);
             }
         }
     }
@@ -208,16 +208,16 @@
     }
 
     /// When this instance may send the endpoint a request; 0 if nothing keeps it from that, `None` if other
-    /// instances have all turns there.
+    /// instances have all permits there.
     pub(crate) fn next_send_ms(&self, id: &EndpointId) -> Option<u64> {
         let Some(known) = self.endpoints.get(id) else {
             return Some(0);
         };
-        let turn_ms = match known.limit_per_s {
-            Some(_) => known.turns.next_ms()?,
+        let permit_ms = match known.limit_per_s {
+            Some(_) => known.permits.next_ms()?,
             None => 0,
         };
-        Some(turn_ms.max(known.back_off_until_ms))
+        Some(permit_ms.max(known.back_off_until_ms))
     }
 
     /// Whether the endpoint wants no request from this instance for a while.
@@ -231,16 +231,16 @@
         self.next_send_ms(id).is_some_and(|at_ms| at_ms <= now_ms)
     }
 
-    /// Takes a turn at an endpoint with a limit, if one has begun.
-    pub(crate) fn take_turn(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+    /// Takes a permit at an endpoint with a limit, if one is due.
+    pub(crate) fn take_permit(&mut self, id: &EndpointId, now_ms: u64) -> bool {
         let known = self.endpoints.get_mut(id);
-        known.is_some_and(|it| it.turns.take(now_ms))
+        known.is_some_and(|it| it.permits.take(now_ms))
     }
 
-    /// Puts a turn back: nothing was sent.
-    pub(crate) fn give_turn_back(&mut self, id: &EndpointId) {
+    /// Puts a permit back: nothing was sent.
+    pub(crate) fn give_permit_back(&mut self, id: &EndpointId) {
         if let Some(known) = self.endpoints.get_mut(id) {
-            known.turns.give_back();
+            known.permits.give_back();
         }
     }
 
--- /dev/null
+++ b/src/fleet/pacing_of_fleet.rs
@@ -0,0 +1,74 @@
+//! What follows for the endpoints of a service from how they want to be sent requests.
+
+use super::{Fleet, KnownEndpoint, Pacing, PacingChange, Phase};
+use crate::ids::{EndpointId, ServiceName, ZoneName};
+
+impl Fleet {
+    /// Takes what an answer of an endpoint says of how it wants to be sent requests; returns what is new.
+    pub fn hear_pacing(&mut self, id: &EndpointId, said: Pacing, now_ms: u64) -> Vec<PacingChange> {
+        let changes = self.pacing.hear(id, said, now_ms);
+        if said.is_leaving {
+            self.leaves_for_good(id);
+        }
+        changes
+    }
+
+    /// Takes a peer's word that an endpoint has itself said that it leaves. Returns whether that is news.
+    pub fn told_said_leaving(&mut self, id: &EndpointId, now_ms: u64) -> bool {
+        self.pacing.hear_leaving(id, now_ms);
+        self.leaves_for_good(id)
+    }
+
+    /// Takes no new work there in this lifetime; the list may show it in service for long.
+    fn leaves_for_good(&mut self, id: &EndpointId) -> bool {
+        let known = self.endpoints.get_mut(id);
+        let known = known.filter(|it| it.listed.phase == Phase::Live);
+        known.map(|it| it.listed.phase = Phase::Leaving).is_some()
+    }
+
+    /// Whether a request may be sent to an endpoint now, as far as its own word goes.
+    pub fn may_send(&self, id: &EndpointId, now_ms: u64) -> bool {
+        self.pacing.may_send(id, now_ms)
+    }
+
+    /// Decides anew how much of each limit is this instance's. `share_per_s` gets an endpoint, its
+    /// availability zone and its limit, in requests a second.
+    pub fn share_limits<F>(&mut self, share_per_s: F, now_ms: u64)
+    where
+        F: Fn(&EndpointId, &ZoneName, f64) -> f64,
+    {
+        let endpoints = &self.endpoints;
+        self.pacing.share_limits(
+            |id, limit_per_s| {
+                // Nothing is sent to one that is not listed.
+                let known = endpoints.get(id);
+                known.map_or(0.0, |it| share_per_s(id, &it.listed.zone, limit_per_s))
+            },
+            now_ms,
+        );
+    }
+
+    /// Endpoints of a service on which a request could begin if they wanted one now.
+    fn held_off<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a KnownEndpoint> {
+        self.of_service(service).filter(move |known| {
+            known.takes_work() && known.can_begin() && !self.may_send(known.id(), now_ms)
+        })
+    }
+
+    /// Whether there are endpoints of a service on which a request could begin if they wanted one now.
+    pub fn is_held_off(&self, service: &ServiceName, now_ms: u64) -> bool {
+        self.held_off(service, now_ms).next().is_some()
+    }
+
+    /// When the first of these may be sent a request; `None` if other instances have all permits there.
+    pub fn next_send_ms(&self, service: &ServiceName, now_ms: u64) -> Option<u64> {
+        let held_off = self.held_off(service, now_ms);
+        held_off
+            .filter_map(|known| self.pacing.next_send_ms(known.id()))
+            .min()
+    }
+}
--- a/src/fleet/pacing_tests.rs
+++ b/src/fleet/pacing_tests.rs
@@ -67,12 +67,12 @@
 /// Times at which a request that always waits is sent, up to a moment.
 fn sends(book: &mut PacingBook, from_ms: u64, to_ms: u64) -> Vec<u64> {
     (from_ms..to_ms)
-        .filter(|now_ms| book.take_turn(&engine(), *now_ms))
+        .filter(|now_ms| book.take_permit(&engine(), *now_ms))
         .collect()
 }
 
 #[test]
-fn turns_come_evenly_at_the_share_of_the_limit() {
+fn permits_come_evenly_at_the_share_of_the_limit() {
     let mut book = PacingBook::default();
     book.hear(&engine(), limited(8.0), 1_000);
     book.share_limits(|_, limit_per_s| limit_per_s / 4.0, 1_000);
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn half_a_turn_that_was_not_used_is_kept() {
+fn half_a_permit_that_was_not_used_is_kept() {
     let mut book = PacingBook::default();
     book.hear(&engine(), limited(2.0), 0);
     book.share_limits(|_, limit_per_s| limit_per_s, 0);
@@ -107,13 +107,13 @@
 }
 
 #[test]
-fn a_turn_with_which_nothing_was_sent_can_be_used_again() {
+fn a_permit_with_which_nothing_was_sent_can_be_used_again() {
     let mut book = PacingBook::default();
     book.hear(&engine(), limited(1.0), 0);
     book.share_limits(|_, limit_per_s| limit_per_s, 0);
-    assert!(book.take_turn(&engine(), 1_000));
+    assert!(book.take_permit(&engine(), 1_000));
     assert!(!book.may_send(&engine(), 1_001));
-    book.give_turn_back(&engine());
+    book.give_permit_back(&engine());
     assert!(book.may_send(&engine(), 1_001));
 }
 
@@ -216,7 +216,7 @@
 }
 
 #[test]
-fn a_back_off_goes_before_a_turn() {
+fn a_back_off_goes_before_a_permit() {
     let mut book = PacingBook::default();
     book.hear(&engine(), limited(1.0), 0);
     book.share_limits(|_, limit_per_s| limit_per_s, 0);
--- a/src/fleet/rate_limit.rs
+++ b/src/fleet/rate_limit.rs
@@ -1,24 +1,24 @@
-//! The turns of one instance at an endpoint that takes only so many requests a second.
+//! The permits of one instance at an endpoint that takes only so many requests a second.
 
 /// Least requests a second that a limit is taken for. Where nobody sends any, nobody hears that the limit
 /// has been lifted.
 const LEAST_PER_S: f64 = 0.1;
 
-/// Part of a turn that is kept where there was no request for it, so that requests which come at random
+/// Part of a permit that is kept where there was no request for it, so that requests which come at random
 /// use most of the limit.
 const MOST_CREDIT: f64 = 0.5;
 
-/// When this instance may send an endpoint its next request. Its turns are evenly spaced, so that those of
+/// When this instance may send an endpoint its next request. Its permits are evenly spaced, so that those of
 /// all instances together do not come at once.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Turns {
-    /// Time between two turns; `None` where other instances have all of them.
+pub(super) struct Permits {
+    /// Time between two permits; `None` where other instances have all of them.
     interval_ms: Option<f64>,
-    /// Start of the next turn.
+    /// When the next permit is due.
     next_ms: f64,
 }
 
-impl Turns {
+impl Permits {
     /// Takes that `share_per_s` of the limit are this instance's from now on. One that had none before
     /// waits for a whole interval: another may just have used what is its own now.
     pub(super) fn set_share(&mut self, share_per_s: f64, now_ms: u64) {
@@ -33,12 +33,12 @@
         self.interval_ms = interval_ms;
     }
 
-    /// When the next turn begins; `None` if this instance has none.
+    /// When the next permit is due; `None` if this instance has none.
     pub(super) fn next_ms(&self) -> Option<u64> {
         self.interval_ms.map(|_| self.next_ms.ceil() as u64)
     }
 
-    /// Takes the turn if it has begun.
+    /// Takes the permit if it is due.
     pub(super) fn take(&mut self, now_ms: u64) -> bool {
         let Some(interval_ms) = self.interval_ms else {
             return false;
@@ -51,7 +51,7 @@
         is_due
     }
 
-    /// Puts the last turn back: nothing was sent.
+    /// Puts the last permit back: nothing was sent.
     pub(super) fn give_back(&mut self) {
         self.next_ms -= self.interval_ms.unwrap_or_default();
     }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -48,7 +48,7 @@
     Withheld,
     /// The endpoints that could run it want no request from this instance now.
     RateLimited {
-        /// Time until one of them may be sent a request; `None` if other instances have all turns.
+        /// Time until one of them may be sent a request; `None` if other instances have all permits.
         wait_ms: Option<u64>,
     },
 }
@@ -81,7 +81,7 @@
             Self::NoChain => ORDER_MS + outlook.load_ms,
             Self::Full | Self::NoBudget => outlook.run_ms / 2,
             Self::Withheld => EVIDENCE_MS,
-            // The next turn is one caller's; by then the places of others are free too.
+            // The next permit is one caller's; by then the places of others are free too.
             Self::RateLimited { wait_ms } => wait_ms.unwrap_or(0).max(outlook.run_ms / 2),
         };
         let part = outlook.draw as f64 / u64::MAX as f64;
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -135,7 +135,7 @@
     /// Sends a request to an endpoint, if it may be sent one now.
     pub(super) fn sends_to(&mut self, id: &EndpointId, now_ms: u64) -> bool {
         let pacing = &mut self.fleet.pacing;
-        pacing.may_send(id, now_ms) && (!pacing.is_limited(id) || pacing.take_turn(id, now_ms))
+        pacing.may_send(id, now_ms) && (!pacing.is_limited(id) || pacing.take_permit(id, now_ms))
     }
 
     /// Takes an answer of an endpoint that names this limit.
--- a/src/relay_server/pacing.rs
+++ b/src/relay_server/pacing.rs
@@ -9,14 +9,14 @@
 use crate::ids::{EndpointId, InstanceId, ServiceName};
 use crate::relay::RefusalCause;
 
-/// Whether this instance holds a turn at the endpoint that it is about to send a request to.
+/// Whether this instance holds a permit at the endpoint that it is about to send a request to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Turn {
+pub(super) enum Permit {
     /// None is needed, as far as is known.
     NotNeeded,
     /// It holds one.
     Held,
-    /// It needs one, and none has begun.
+    /// It needs one, and none is due.
     Missing,
 }
 
@@ -86,33 +86,33 @@
             .then_some(RefusalCause::RateLimited { wait_ms })
     }
 
-    /// Takes a turn at an endpoint for a request, where one is needed.
-    pub(super) fn take_turn(&self, endpoint: &EndpointId) -> Turn {
+    /// Takes a permit at an endpoint for a request, where one is needed.
+    pub(super) fn take_permit(&self, endpoint: &EndpointId) -> Permit {
         let now_ms = boot_ms();
         let mut fleet = self.fleet.borrow_mut();
         let pacing = &mut fleet.pacing;
-        let turn = if pacing.is_backing_off(endpoint, now_ms) {
-            Turn::Missing
+        let permit = if pacing.is_backing_off(endpoint, now_ms) {
+            Permit::Missing
         } else if !pacing.is_limited(endpoint) {
-            Turn::NotNeeded
-        } else if pacing.take_turn(endpoint, now_ms) {
-            Turn::Held
+            Permit::NotNeeded
+        } else if pacing.take_permit(endpoint, now_ms) {
+            Permit::Held
         } else {
-            Turn::Missing
+            Permit::Missing
         };
-        if turn == Turn::Missing {
-            self.counters.count("relay.pacing.no_turn");
+        if permit == Permit::Missing {
+            self.counters.count("relay.pacing.no_permit");
         }
-        turn
+        permit
     }
 
-    /// Whether a request may be sent with a turn that was taken before there was a connection: the endpoint
+    /// Whether a request may be sent with a permit that was taken before there was a connection: the endpoint
     /// may have said more since.
-    pub(super) fn keeps_turn(&self, endpoint: &EndpointId, turn: Turn) -> bool {
-        match turn {
-            Turn::Held => !self.is_backing_off(endpoint),
-            Turn::NotNeeded => self.take_turn(endpoint) != Turn::Missing,
-            Turn::Missing => false,
+    pub(super) fn keeps_permit(&self, endpoint: &EndpointId, permit: Permit) -> bool {
+        match permit {
+            Permit::Held => !self.is_backing_off(endpoint),
+            Permit::NotNeeded => self.take_permit(endpoint) != Permit::Missing,
+            Permit::Missing => false,
         }
     }
 
@@ -121,10 +121,10 @@
         fleet.pacing.is_backing_off(endpoint, boot_ms())
     }
 
-    /// Puts a turn back with which nothing was sent.
-    pub(super) fn give_turn_back(&self, endpoint: &EndpointId, turn: Turn) {
-        if turn == Turn::Held {
-            self.fleet.borrow_mut().pacing.give_turn_back(endpoint);
+    /// Puts a permit back with which nothing was sent.
+    pub(super) fn give_permit_back(&self, endpoint: &EndpointId, permit: Permit) {
+        if permit == Permit::Held {
+            self.fleet.borrow_mut().pacing.give_permit_back(endpoint);
         }
     }
 
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -12,7 +12,7 @@
 use super::adapter::{Adapter, ReplyFacts};
 use super::headers;
 use super::node::Node;
-use super::pacing::Turn;
+use super::pacing::Permit;
 use super::request::{RelayedRequest, finish, instant_at, word_response};
 use super::send_view::SendView;
 use super::upstream::UpstreamFailure;
@@ -225,21 +225,21 @@
         return TryEnd::Failed(AttemptEnd::NotSent, Trouble::Unreachable);
     };
     let head = request.head_for(node, endpoint, None, None);
-    let turn = node.take_turn(endpoint);
-    if turn == Turn::Missing {
+    let permit = node.take_permit(endpoint);
+    if permit == Permit::Missing {
         return failed(UpstreamFailure::Withdrawn);
     }
     let sent = node
         .upstreams
         .send(address, head, request.body.clone(), begun_ms, || {
-            node.takes_requests(endpoint) && node.keeps_turn(endpoint, turn)
+            node.takes_requests(endpoint) && node.keeps_permit(endpoint, permit)
         })
         .await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(failure) => {
             if failure.sent_nothing() {
-                node.give_turn_back(endpoint, turn);
+                node.give_permit_back(endpoint, permit);
             }
             return failed(failure);
         }
--- a/src/relay_server/senders.rs
+++ b/src/relay_server/senders.rs
@@ -1,7 +1,7 @@
 //! Which instances send requests to an endpoint that takes only so many a second from all together.
 //!
 //! A limit of a few a second cannot be dealt out to hundreds of instances: each would come after minutes, and
-//! their first requests together would be too many. So the turns are those of a few instances, which all find
+//! their first requests together would be too many. So the permits are those of a few instances, which all find
 //! by themselves: those of the endpoint's availability zone first, in the order of rendezvous hashing.
 
 use crate::ids::{EndpointId, InstanceId, ZoneName};
@@ -23,7 +23,7 @@
     pub(super) limit_per_s: f64,
 }
 
-/// Requests a second that the instance `own` may send. Each of those that send has at least one turn a
+/// Requests a second that the instance `own` may send. Each of those that send has at least one permit a
 /// second, or there is only one.
 pub(super) fn share_per_s(
     limited: LimitedEndpoint<'_>,
--- a/src/relay_server/senders_tests.rs
+++ b/src/relay_server/senders_tests.rs
@@ -63,7 +63,7 @@
 }
 
 #[test]
-fn so_many_send_that_each_has_a_turn_a_second() {
+fn so_many_send_that_each_has_a_permit_a_second() {
     let fleet = Fleet::new(&[("lac", 100), ("marsa", 200)]);
     assert_eq!(fleet.shares("lac", 5.4).len(), 5);
     assert_eq!(fleet.shares("lac", 0.3).len(), 1);
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -23,7 +23,7 @@
 use super::headers;
 use super::held_tokens::HeldTokens;
 use super::node::Node;
-use super::pacing::Turn;
+use super::pacing::Permit;
 use super::request::{RelayedRequest, instant_at};
 use super::send_view::SendView;
 use super::stream_answer::Opening;
@@ -305,8 +305,8 @@
             .head_for(&self.node, &first.endpoint, Some(chain), resume_after);
         let body = self.request.body.clone();
         let node = &self.node;
-        let turn = node.take_turn(&first.endpoint);
-        if turn == Turn::Missing {
+        let permit = node.take_permit(&first.endpoint);
+        if permit == Permit::Missing {
             return Err(UpstreamFailure::Withdrawn);
         }
         let sent = node
@@ -314,11 +314,11 @@
             .send(first.address, head, body, boot_ms(), || {
                 let mut stages = chain.stages().iter();
                 stages.all(|stage| node.takes_requests(&stage.endpoint))
-                    && node.keeps_turn(&first.endpoint, turn)
+                    && node.keeps_permit(&first.endpoint, permit)
             })
             .await;
         if sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
-            node.give_turn_back(&first.endpoint, turn);
+            node.give_permit_back(&first.endpoint, permit);
         }
         sent
     }
