fescuectl: requests that ended since endpoints wanted none are told as rate limited

losses took the new limit for one of another release and told the last try instead: turned away, or a lost stage. The test's new row fails before. The instance's program is the same.

--- a/src/ctl/loss_reason.rs
+++ b/src/ctl/loss_reason.rs
@@ -30,6 +30,8 @@
     Restart,
     /// Endpoints had ended under it, so that it was sent to none any more.
     Withheld,
+    /// The endpoints that could run it wanted no request from the instance.
+    RateLimited,
     /// Its time was over.
     Deadline,
     /// Its caller left.
@@ -58,6 +60,7 @@
             Self::StoreAway => "store away",
             Self::Restart => "restart",
             Self::Withheld => "withheld",
+            Self::RateLimited => "rate limited",
             Self::Deadline => "deadline",
             Self::CallerGone => "caller gone",
             Self::EndpointFailed => "endpoint's own failure",
@@ -65,6 +68,7 @@
             Self::SlowEvents => "slow between events",
         }
     }
+
     /// The reason behind the limit that ended a request; `None` for one that is not known, such as of
     /// another release.
     pub(super) fn of_limit(limit: &str) -> Option<Self> {
@@ -79,6 +83,7 @@
             "no_table" | "old_table" => Self::StoreAway,
             "stopping" => Self::Restart,
             "withheld" => Self::Withheld,
+            "rate_limited" => Self::RateLimited,
             "deadline" => Self::Deadline,
             _ => return None,
         })
@@ -92,6 +97,7 @@
             "no_chain" | "no_endpoint" => Self::NoChain,
             "stopping" => Self::Restart,
             "withheld" => Self::Withheld,
+            "rate_limited" => Self::RateLimited,
             "too_late" | "timed_out" => Self::Deadline,
             "full" | "no_budget" => last_end.map_or(Self::NoRoom, Self::of_try),
             _ => last_end.map_or(Self::StageLost, Self::of_try),
--- a/src/ctl/tests/losses.rs
+++ b/src/ctl/tests/losses.rs
@@ -107,6 +107,7 @@
         ("no_table", Reason::StoreAway),
         ("stopping", Reason::Restart),
         ("withheld", Reason::Withheld),
+        ("rate_limited", Reason::RateLimited),
     ];
     for (limit, reason) in reasons {
         assert_eq!(reason_by(limit), reason, "{limit}");
