Read again: one way to tell news and lists in turn, one way to send with a permit

Nothing is decided otherwise. What the change had written again, or in the wrong place:

- News told four times, and lists told in turn, stood in the book of peers and a second time in the book of pacing; the turn also in the ledger of withheld requests. src/telling.rs has both once.
The ledger's own news stay as they are: it tells them in another order.
- Taking a permit, asking again once there is a connection, and putting it back stood in the plain and the stream path alike; both call Node::send_with_permit.
What a permit is worth is decided in PacingBook and no more in the driver, and the simulation of rate limits plays that decision in place of one like it.
- Each answer looked through all endpoints for untold news; only one that says something new does.
- Why a service's endpoints want no request and when the first may be sent one was found in two passes, and is found in one.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -38,7 +38,7 @@
 pub use known::{EngineLoad, KnownEndpoint};
 pub use listing::Fleet;
 pub use pacing::{LimitWord, Pacing, PacingChange, ToldLimit};
-pub(crate) use pacing_book::PacingBook;
+pub(crate) use pacing_book::{PacingBook, Permit};
 pub use provenance::{InfoPath, Provenance};
 pub(crate) use provenance::{describe_known, describe_list};
 pub use replicas::pick_replica;
--- a/src/fleet/pacing_book.rs
+++ b/src/fleet/pacing_book.rs
@@ -5,6 +5,7 @@
 use super::rate_limit::{Permits, effective_per_s};
 use super::{LimitWord, Pacing, PacingChange, ToldLimit};
 use crate::ids::EndpointId;
+use crate::telling::{News, Rotation};
 
 /// How long the word of an endpoint that has left the list is kept: its entry may be back when the store
 /// is, which may be away for tens of seconds.
@@ -12,8 +13,6 @@
 /// How much newer than an endpoint's own word here another instance's must be: it may have been on its
 /// way for as long.
 const UNDER_WAY_MS: u64 = 500;
-/// How often news of a limit is told, in heartbeats: some may be lost.
-const TELLINGS: u8 = 4;
 /// Most limits in a heartbeat that are news.
 const MOST_NEWS: usize = 32;
 /// Limits told in turn in each heartbeat, for instances that have started since.
@@ -24,6 +23,17 @@
 /// Change of a limit that others are told at once, as a part of it.
 const NEWS_PART: f64 = 0.25;
 
+/// Whether an instance may send an endpoint a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Permit {
+    /// It needs no permit, as far as is known.
+    NotNeeded,
+    /// It holds one.
+    Held,
+    /// It may not: none is due, or the endpoint wants no request for a while.
+    Missing,
+}
+
 /// Where the newest word on a limit came from.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Source {
@@ -41,8 +51,6 @@
     /// When the endpoint said so.
     limit_said_ms: u64,
     limit_source: Source,
-    /// How often the limit is still to be told as news.
-    untold: u8,
     permits: Permits,
     back_off_until_ms: u64,
     is_leaving: bool,
@@ -56,11 +64,6 @@
         let before_per_s = std::mem::replace(&mut self.limit_per_s, limit_per_s);
         self.limit_source = source;
         self.limit_said_ms = said_ms;
-        match source {
-            Source::Endpoint if is_news(before_per_s, limit_per_s) => self.untold = TELLINGS,
-            Source::Endpoint => {}
-            Source::Peer => self.untold = 0,
-        }
         before_per_s != limit_per_s
     }
 
@@ -74,7 +77,7 @@
 
     fn is_told_in_turn(&self, now_ms: u64) -> bool {
         let was_heard = self.limit_source == Source::Endpoint && self.limit_said_ms > 0;
-        was_heard && self.untold == 0 && now_ms < self.limit_said_ms + TOLD_FOR_MS
+        was_heard && now_ms < self.limit_said_ms + TOLD_FOR_MS
     }
 }
 
@@ -94,8 +97,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PacingBook {
     endpoints: IndexMap<EndpointId, Paced>,
-    /// How far the limits that are told in turn have come.
-    turn: usize,
+    /// Endpoints whose limits were heard here and are news.
+    news: News<EndpointId>,
+    /// How far the other limits have been told in turn.
+    turn: Rotation,
 }
 
 impl PacingBook {
@@ -112,6 +117,9 @@
         let says_limit =
             said.limit != LimitWord::Unsaid && (now_per_s, before_per_s) != (None, None);
         if says_limit && known.set_limit(now_per_s, Source::Endpoint, now_ms) {
+            if is_news(before_per_s, now_per_s) {
+                self.news.tell(id);
+            }
             changes.push(PacingChange::Limit {
                 before_per_s,
                 now_per_s,
@@ -153,33 +161,30 @@
             Source::Peer => 0,
         };
         let is_newer = known.limit_said_ms == 0 || said_ms > known.limit_said_ms + margin_ms;
+        if is_newer {
+            self.news.withdraw(&told.endpoint);
+        }
         is_newer && known.set_limit(told.limit_per_s, Source::Peer, said_ms)
     }
 
     /// Whether others are to be told something at once.
     pub(crate) fn has_untold_news(&self) -> bool {
-        self.endpoints.values().any(|it| it.untold == TELLINGS)
+        self.news.has_untold()
     }
 
     /// Limits for the next heartbeat: news a few times, and in turn what was lately heard here.
     pub(crate) fn next_told(&mut self, now_ms: u64) -> Vec<ToldLimit> {
-        let in_turn: Vec<ToldLimit> = self
-            .endpoints
-            .iter()
-            .filter(|(_, it)| it.is_told_in_turn(now_ms))
-            .map(|(id, it)| it.told_limit(id, now_ms))
-            .collect();
-        let begin = self.turn.checked_rem(in_turn.len()).unwrap_or(0);
-        let count = IN_TURN.min(in_turn.len());
-        self.turn = begin + count;
-        let in_turn = in_turn.iter().cycle().skip(begin).take(count);
-        let mut told: Vec<ToldLimit> = in_turn.cloned().collect();
-        let news = self.endpoints.iter_mut().filter(|(_, it)| it.untold > 0);
-        for (id, known) in news.take(MOST_NEWS) {
-            known.untold -= 1;
-            told.push(known.told_limit(id, now_ms));
-        }
-        told
+        let in_turn = self.endpoints.iter().filter(|(id, it)| {
+            let is_news = self.news.contains(id);
+            !is_news && it.is_told_in_turn(now_ms)
+        });
+        let in_turn: Vec<EndpointId> = in_turn.map(|(id, _)| id.clone()).collect();
+        let in_turn = self.turn.next(&in_turn, IN_TURN);
+        let news = self.news.next(MOST_NEWS);
+        in_turn
+            .chain(&news)
+            .filter_map(|id| Some(self.endpoints.get(id)?.told_limit(id, now_ms)))
+            .collect()
     }
 
     /// Decides anew how much of each limit is this instance's. `share_per_s` gets an endpoint and its
@@ -201,12 +206,6 @@
         self.endpoints.values().any(|it| it.limit_per_s.is_some())
     }
 
-    /// Whether the endpoint has named a limit that holds.
-    pub(crate) fn is_limited(&self, id: &EndpointId) -> bool {
-        let known = self.endpoints.get(id);
-        known.is_some_and(|it| it.limit_per_s.is_some())
-    }
-
     /// When this instance may send the endpoint a request; 0 if nothing keeps it from that, `None` if other
     /// instances have all permits there.
     pub(crate) fn next_send_ms(&self, id: &EndpointId) -> Option<u64> {
@@ -220,26 +219,47 @@
         Some(permit_ms.max(known.back_off_until_ms))
     }
 
-    /// Whether the endpoint wants no request from this instance for a while.
-    pub(crate) fn is_backing_off(&self, id: &EndpointId, now_ms: u64) -> bool {
-        let known = self.endpoints.get(id);
-        known.is_some_and(|it| now_ms < it.back_off_until_ms)
-    }
-
     /// Whether this instance may send the endpoint a request now.
     pub(crate) fn may_send(&self, id: &EndpointId, now_ms: u64) -> bool {
         self.next_send_ms(id).is_some_and(|at_ms| at_ms <= now_ms)
     }
 
-    /// Takes a permit at an endpoint with a limit, if one is due.
-    pub(crate) fn take_permit(&mut self, id: &EndpointId, now_ms: u64) -> bool {
-        let known = self.endpoints.get_mut(id);
-        known.is_some_and(|it| it.permits.take(now_ms))
+    /// Takes a permit for a request, where one is needed.
+    pub(crate) fn take_permit(&mut self, id: &EndpointId, now_ms: u64) -> Permit {
+        if self.is_backing_off(id, now_ms) {
+            return Permit::Missing;
+        }
+        match self.endpoints.get_mut(id) {
+            Some(known) if known.limit_per_s.is_some() => {
+                if known.permits.take(now_ms) {
+                    Permit::Held
+                } else {
+                    Permit::Missing
+                }
+            }
+            _ => Permit::NotNeeded,
+        }
     }
 
-    /// Puts a permit back: nothing was sent.
-    pub(crate) fn give_permit_back(&mut self, id: &EndpointId) {
-        if let Some(known) = self.endpoints.get_mut(id) {
+    /// The permit with which a request may be sent, where `permit` was taken before there was a connection:
+    /// the endpoint may have said more since.
+    pub(crate) fn renew_permit(&mut self, id: &EndpointId, permit: Permit, now_ms: u64) -> Permit {
+        match permit {
+            Permit::Held if !self.is_backing_off(id, now_ms) => Permit::Held,
+            Permit::NotNeeded => self.take_permit(id, now_ms),
+            Permit::Held | Permit::Missing => Permit::Missing,
+        }
+    }
+
+    fn is_backing_off(&self, id: &EndpointId, now_ms: u64) -> bool {
+        let known = self.endpoints.get(id);
+        known.is_some_and(|it| now_ms < it.back_off_until_ms)
+    }
+
+    /// Puts a permit back with which nothing was sent.
+    pub(crate) fn give_permit_back(&mut self, id: &EndpointId, permit: Permit) {
+        let known = self.endpoints.get_mut(id);
+        if let Some(known) = known.filter(|_| permit == Permit::Held) {
             known.permits.give_back();
         }
     }
--- a/src/fleet/pacing_of_fleet.rs
+++ b/src/fleet/pacing_of_fleet.rs
@@ -3,6 +3,13 @@
 use super::{Fleet, KnownEndpoint, Pacing, PacingChange, Phase};
 use crate::ids::{EndpointId, ServiceName, ZoneName};
 
+/// When a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NextSend {
+    /// `None` if other instances have all permits.
+    pub(crate) at_ms: Option<u64>,
+}
+
 impl Fleet {
     /// Takes what an answer of an endpoint says of how it wants to be sent requests; returns what is new.
     pub fn hear_pacing(&mut self, id: &EndpointId, said: Pacing, now_ms: u64) -> Vec<PacingChange> {
@@ -48,27 +55,17 @@
         );
     }
 
-    /// Endpoints of a service on which a request could begin if they wanted one now.
-    fn held_off<'a>(
-        &'a self,
-        service: &'a ServiceName,
-        now_ms: u64,
-    ) -> impl Iterator<Item = &'a KnownEndpoint> {
-        self.of_service(service).filter(move |known| {
+    /// Whether there are endpoints of a service on which a request could begin if they wanted one now, and
+    /// when the first of them may be sent one.
+    pub(crate) fn held_off(&self, service: &ServiceName, now_ms: u64) -> Option<NextSend> {
+        let held_off = self.of_service(service).filter(|known| {
             known.takes_work() && known.can_begin() && !self.may_send(known.id(), now_ms)
-        })
-    }
-
-    /// Whether there are endpoints of a service on which a request could begin if they wanted one now.
-    pub fn is_held_off(&self, service: &ServiceName, now_ms: u64) -> bool {
-        self.held_off(service, now_ms).next().is_some()
-    }
-
-    /// When the first of these may be sent a request; `None` if other instances have all permits there.
-    pub fn next_send_ms(&self, service: &ServiceName, now_ms: u64) -> Option<u64> {
-        let held_off = self.held_off(service, now_ms);
-        held_off
-            .filter_map(|known| self.pacing.next_send_ms(known.id()))
-            .min()
+        });
+        let at_ms = |known: &KnownEndpoint| self.pacing.next_send_ms(known.id());
+        let first = held_off.map(at_ms).reduce(|a, b| match (a, b) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (at_ms, None) | (None, at_ms) => at_ms,
+        });
+        first.map(|at_ms| NextSend { at_ms })
     }
 }
--- a/src/fleet/pacing_tests.rs
+++ b/src/fleet/pacing_tests.rs
@@ -67,7 +67,7 @@
 /// Times at which a request that always waits is sent, up to a moment.
 fn sends(book: &mut PacingBook, from_ms: u64, to_ms: u64) -> Vec<u64> {
     (from_ms..to_ms)
-        .filter(|now_ms| book.take_permit(&engine(), *now_ms))
+        .filter(|now_ms| book.take_permit(&engine(), *now_ms) == Permit::Held)
         .collect()
 }
 
@@ -111,9 +111,9 @@
     let mut book = PacingBook::default();
     book.hear(&engine(), limited(1.0), 0);
     book.share_limits(|_, limit_per_s| limit_per_s, 0);
-    assert!(book.take_permit(&engine(), 1_000));
+    assert_eq!(book.take_permit(&engine(), 1_000), Permit::Held);
     assert!(!book.may_send(&engine(), 1_001));
-    book.give_permit_back(&engine());
+    book.give_permit_back(&engine(), Permit::Held);
     assert!(book.may_send(&engine(), 1_001));
 }
 
@@ -144,9 +144,9 @@
     book.hear(&engine(), limited(3.0), 2_000);
     // May have been said before what was heard here, and have come late.
     assert!(!book.hear_told(&told(None, 0), 2_300));
-    assert!(book.is_limited(&engine()));
+    assert_eq!(book.take_permit(&engine(), 2_300), Permit::Missing);
     assert!(book.hear_told(&told(None, 0), 2_600));
-    assert!(!book.is_limited(&engine()));
+    assert_eq!(book.take_permit(&engine(), 2_600), Permit::NotNeeded);
 }
 
 #[test]
@@ -244,3 +244,20 @@
     book.hear_told(&told(Some(9.0), 0), 2_000);
     assert!(book.next_told(2_100).is_empty());
 }
+
+#[test]
+fn a_permit_taken_before_the_connection_ends_with_what_the_endpoint_says_meanwhile() {
+    let mut book = PacingBook::default();
+    let taken = book.take_permit(&engine(), 0);
+    assert_eq!(taken, Permit::NotNeeded);
+    assert_eq!(book.renew_permit(&engine(), taken, 10), Permit::NotNeeded);
+    book.hear(&engine(), limited(1.0), 20);
+    assert_eq!(book.renew_permit(&engine(), taken, 20), Permit::Missing);
+    book.share_limits(|_, limit_per_s| limit_per_s, 20);
+    assert_eq!(book.renew_permit(&engine(), taken, 1_020), Permit::Held);
+    book.hear(&engine(), back_off(3_000), 1_030);
+    assert_eq!(
+        book.renew_permit(&engine(), Permit::Held, 1_030),
+        Permit::Missing
+    );
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,9 @@
 pub mod rpc;
 pub mod settings;
 pub mod telemetry;
+mod telling;
+#[cfg(test)]
+mod telling_tests;
 pub mod wire;
 
 pub use checked_toml::{Fault, FaultKind, Faults};
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -8,6 +8,7 @@
 use super::verdict::{Death, Deaths, ENDS_TO_WITHHOLD, withheld};
 use super::{Fate, RequestDigest, RunStage, ToldClearance, ToldDeath};
 use crate::ids::EndpointId;
+use crate::telling::Rotation;
 
 /// How long evidence counts after the newest end under a request. A caller who comes again within it
 /// finds the request still withheld; one wrongly withheld, whose answers are all forgotten, waits no
@@ -79,7 +80,7 @@
     withheld: IndexMap<RequestDigest, Vec<EndpointId>>,
     news: IndexMap<News, u8>,
     /// How far the turn of reminders has come.
-    reminded: usize,
+    reminded: Rotation,
 }
 
 impl Quarantine {
@@ -243,14 +244,9 @@
                 enough.map(move |endpoint| (digest, endpoint))
             })
             .collect();
-        let count = MOST_REMINDERS.min(all.len());
-        let begin = self.reminded.checked_rem(all.len()).unwrap_or(0);
-        let turn = all.iter().cycle().skip(begin).take(count);
-        let told = turn
-            .filter_map(|(digest, endpoint)| self.told_death(digest, endpoint, now_ms))
-            .collect();
-        self.reminded = begin + count;
-        told
+        let turn = self.reminded.next(&all, MOST_REMINDERS);
+        turn.filter_map(|(digest, endpoint)| self.told_death(digest, endpoint, now_ms))
+            .collect()
     }
 
     fn told_death(
--- a/src/relay_server/list_spread_tests/instance.rs
+++ b/src/relay_server/list_spread_tests/instance.rs
@@ -18,7 +18,9 @@
 use super::super::store_contact::StoreContact;
 use super::super::test_settings;
 use super::store::Access;
-use crate::fleet::{Fleet, FleetChange, LimitWord, ListingRead, Pacing, Phase, pick_replica};
+use crate::fleet::{
+    Fleet, FleetChange, LimitWord, ListingRead, Pacing, Permit, Phase, pick_replica,
+};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
 use crate::quarantine::Quarantine;
 
@@ -134,8 +136,7 @@
 
     /// Sends a request to an endpoint, if it may be sent one now.
     pub(super) fn sends_to(&mut self, id: &EndpointId, now_ms: u64) -> bool {
-        let pacing = &mut self.fleet.pacing;
-        pacing.may_send(id, now_ms) && (!pacing.is_limited(id) || pacing.take_permit(id, now_ms))
+        self.fleet.pacing.take_permit(id, now_ms) != Permit::Missing
     }
 
     /// Takes an answer of an endpoint that names this limit.
--- a/src/relay_server/pacing.rs
+++ b/src/relay_server/pacing.rs
@@ -1,25 +1,20 @@
 //! What an instance does with the word of endpoints on how they want to be sent requests.
 
+use std::net::SocketAddr;
+
+use actix_http::RequestHead;
+use bytes::Bytes;
+
 use super::adapter::Adapter;
 use super::node::Node;
 use super::peer_book::PeerBook;
 use super::senders::{LimitedEndpoint, share_per_s};
+use super::upstream::{Exchange, UpstreamFailure};
 use crate::clock::boot_ms;
-use crate::fleet::{Fleet, Pacing, PacingChange, ToldLimit};
+use crate::fleet::{Fleet, Pacing, PacingChange, Permit, ToldLimit};
 use crate::ids::{EndpointId, InstanceId, ServiceName};
 use crate::relay::RefusalCause;
 
-/// Whether this instance holds a permit at the endpoint that it is about to send a request to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Permit {
-    /// None is needed, as far as is known.
-    NotNeeded,
-    /// It holds one.
-    Held,
-    /// It needs one, and none is due.
-    Missing,
-}
-
 impl<A> Node<A>
 where
     A: Adapter,
@@ -27,11 +22,13 @@
     /// Takes what an answer of an endpoint says, with a line on what is new. Others are told of a limit.
     pub(super) fn heard_pacing(&self, endpoint: &EndpointId, said: Pacing) {
         let now_ms = boot_ms();
-        let (changes, has_news) = {
-            let mut fleet = self.fleet.borrow_mut();
-            let changes = fleet.hear_pacing(endpoint, said, now_ms);
-            (changes, fleet.pacing.has_untold_news())
-        };
+        let mut fleet = self.fleet.borrow_mut();
+        let changes = fleet.hear_pacing(endpoint, said, now_ms);
+        let has_news = fleet.pacing.has_untold_news();
+        drop(fleet);
+        if changes.is_empty() {
+            return;
+        }
         for change in &changes {
             self.log_pacing(endpoint, *change);
         }
@@ -39,9 +36,7 @@
             self.peers.borrow_mut().tell_said_leaving(endpoint);
             self.heartbeat_due.notify_one();
         }
-        if !changes.is_empty() {
-            self.share_limits(now_ms);
-        }
+        self.share_limits(now_ms);
         if has_news {
             self.tell_knowledge();
         }
@@ -77,55 +72,56 @@
     /// Why nobody can be sent a request for a service now, if it is that endpoints want none.
     pub(super) fn rate_limited(&self, service: &ServiceName) -> Option<RefusalCause> {
         let now_ms = boot_ms();
-        let fleet = self.fleet.borrow();
-        let wait_ms = fleet
-            .next_send_ms(service, now_ms)
-            .map(|at_ms| at_ms.saturating_sub(now_ms));
-        fleet
-            .is_held_off(service, now_ms)
-            .then_some(RefusalCause::RateLimited { wait_ms })
+        let next_send = self.fleet.borrow().held_off(service, now_ms)?;
+        let wait_ms = next_send.at_ms.map(|at_ms| at_ms.saturating_sub(now_ms));
+        Some(RefusalCause::RateLimited { wait_ms })
     }
 
-    /// Takes a permit at an endpoint for a request, where one is needed.
-    pub(super) fn take_permit(&self, endpoint: &EndpointId) -> Permit {
-        let now_ms = boot_ms();
-        let mut fleet = self.fleet.borrow_mut();
-        let pacing = &mut fleet.pacing;
-        let permit = if pacing.is_backing_off(endpoint, now_ms) {
-            Permit::Missing
-        } else if !pacing.is_limited(endpoint) {
-            Permit::NotNeeded
-        } else if pacing.take_permit(endpoint, now_ms) {
-            Permit::Held
-        } else {
-            Permit::Missing
-        };
+    /// Sends a request with a permit of its endpoint, where one is needed, if `may_send` holds once there
+    /// is a connection. Errors are those of [`Upstreams::send`](super::upstream::Upstreams::send).
+    pub(super) async fn send_with_permit<F>(
+        &self,
+        endpoint: &EndpointId,
+        address: SocketAddr,
+        head: RequestHead,
+        body: Bytes,
+        may_send: F,
+    ) -> Result<Exchange, UpstreamFailure>
+    where
+        F: FnOnce() -> bool,
+    {
+        let permit = self.take_permit(endpoint);
         if permit == Permit::Missing {
-            self.counters.count("relay.pacing.no_permit");
+            return Err(UpstreamFailure::Withdrawn);
         }
-        permit
+        let may_send = || may_send() && self.keeps_permit(endpoint, permit);
+        let sent = self
+            .upstreams
+            .send(address, head, body, boot_ms(), may_send)
+            .await;
+        if sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
+            let mut fleet = self.fleet.borrow_mut();
+            fleet.pacing.give_permit_back(endpoint, permit);
+        }
+        sent
     }
 
-    /// Whether a request may be sent with a permit that was taken before there was a connection: the endpoint
-    /// may have said more since.
-    pub(super) fn keeps_permit(&self, endpoint: &EndpointId, permit: Permit) -> bool {
-        match permit {
-            Permit::Held => !self.is_backing_off(endpoint),
-            Permit::NotNeeded => self.take_permit(endpoint) != Permit::Missing,
-            Permit::Missing => false,
-        }
+    fn take_permit(&self, endpoint: &EndpointId) -> Permit {
+        let mut fleet = self.fleet.borrow_mut();
+        self.count_missing(fleet.pacing.take_permit(endpoint, boot_ms()))
     }
 
-    fn is_backing_off(&self, endpoint: &EndpointId) -> bool {
-        let fleet = self.fleet.borrow();
-        fleet.pacing.is_backing_off(endpoint, boot_ms())
+    fn keeps_permit(&self, endpoint: &EndpointId, permit: Permit) -> bool {
+        let mut fleet = self.fleet.borrow_mut();
+        let renewed = fleet.pacing.renew_permit(endpoint, permit, boot_ms());
+        self.count_missing(renewed) != Permit::Missing
     }
 
-    /// Puts a permit back with which nothing was sent.
-    pub(super) fn give_permit_back(&self, endpoint: &EndpointId, permit: Permit) {
-        if permit == Permit::Held {
-            self.fleet.borrow_mut().pacing.give_permit_back(endpoint);
+    fn count_missing(&self, permit: Permit) -> Permit {
+        if permit == Permit::Missing {
+            self.counters.count("relay.pacing.no_permit");
         }
+        permit
     }
 
     fn log_pacing(&self, endpoint: &EndpointId, change: PacingChange) {
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -17,6 +17,7 @@
 use crate::lease::LeaseHolder;
 use crate::placement::PlaceOrder;
 use crate::relay::Lender;
+use crate::telling::{News, Rotation};
 use crate::wire::engine::LayerRange;
 
 /// Pause between two heartbeats.
@@ -36,8 +37,6 @@
 const START_MS: u64 = 1_000;
 /// How much longer than it is named to callers a silent instance may be sending requests to endpoints.
 const SENDER_MARGIN_MS: u64 = 2_000;
-/// How often news of an endpoint is told, in heartbeats.
-const TELLINGS: u8 = 4;
 /// Most endpoints of one sort of news in a heartbeat, the others follow with the next: a plan for thousands
 /// of engines, or the loss of as many, would make a datagram that no peer can read.
 const MOST_NEWS: usize = 256;
@@ -73,9 +72,9 @@
     own_instance: InstanceId,
     own_incarnation: Incarnation,
     peers: IndexMap<InstanceId, Peer>,
-    unsound: IndexMap<EndpointId, u8>,
-    leaving: IndexMap<EndpointId, u8>,
-    said_leaving: IndexMap<EndpointId, u8>,
+    unsound: News<EndpointId>,
+    leaving: News<EndpointId>,
+    said_leaving: News<EndpointId>,
     moving: Vec<(EndpointId, LayerRange)>,
     /// Highest fencing number under which this instance gives no more orders.
     given_up: IndexMap<ServiceName, u64>,
@@ -85,7 +84,7 @@
     listening_since_ms: u64,
     has_news: bool,
     /// How far the turn of recipients in other zones has come.
-    far_turn: usize,
+    far_turn: Rotation,
 }
 
 impl PeerBook {
@@ -97,15 +96,15 @@
             own_instance: settings.instance.clone(),
             own_incarnation: incarnation,
             peers: IndexMap::new(),
-            unsound: IndexMap::new(),
-            leaving: IndexMap::new(),
-            said_leaving: IndexMap::new(),
+            unsound: News::default(),
+            leaving: News::default(),
+            said_leaving: News::default(),
             moving: Vec::new(),
             given_up: IndexMap::new(),
             given_up_by_peers: IndexMap::new(),
             listening_since_ms: now_ms,
             has_news: false,
-            far_turn: 0,
+            far_turn: Rotation::default(),
         }
     }
 
@@ -123,15 +122,11 @@
         let in_turn = self.far_in_turn(own, now_ms);
         let is_near = |peer: &&Peer| peer.zone == self.own_zone;
         let (near, far): (Vec<&Peer>, Vec<&Peer>) = self.peers.values().partition(is_near);
-        let begin = self.far_turn.checked_rem(far.len()).unwrap_or(0);
-        let turn = far.iter().cycle().skip(begin).take(in_turn);
-        let recipients = near
-            .iter()
+        let turn = self.far_turn.next(&far, in_turn);
+        near.iter()
             .chain(turn)
             .map(|peer| peer.as_recipient(self.silent_after_ms(peer), now_ms))
-            .collect();
-        self.far_turn = begin + in_turn;
-        recipients
+            .collect()
     }
 
     /// How many in other zones a heartbeat goes to. The one that gives the orders tells everybody each
@@ -341,19 +336,19 @@
 
     /// Has peers told that an endpoint does not answer.
     pub(crate) fn tell_unsound(&mut self, endpoint: &EndpointId) {
-        self.unsound.insert(endpoint.clone(), TELLINGS);
+        self.unsound.tell(endpoint);
         self.has_news = true;
     }
 
     /// Has peers told that an endpoint is leaving.
     pub(crate) fn tell_leaving(&mut self, endpoint: &EndpointId) {
-        self.leaving.insert(endpoint.clone(), TELLINGS);
+        self.leaving.tell(endpoint);
         self.has_news = true;
     }
 
     /// Has peers told that an endpoint has itself said that it leaves.
     pub(crate) fn tell_said_leaving(&mut self, endpoint: &EndpointId) {
-        self.said_leaving.insert(endpoint.clone(), TELLINGS);
+        self.said_leaving.tell(endpoint);
         self.has_news = true;
     }
 
@@ -467,9 +462,9 @@
             list_age_ms: own.list_age_ms,
             store_age_ms: own.store_age_ms,
             sent_ms: now_ms,
-            unsound: Self::take_news(&mut self.unsound),
-            leaving: Self::take_news(&mut self.leaving),
-            said_leaving: Self::take_news(&mut self.said_leaving),
+            unsound: self.unsound.next(MOST_NEWS),
+            leaving: self.leaving.next(MOST_NEWS),
+            said_leaving: self.said_leaving.next(MOST_NEWS),
             moving: self
                 .moving
                 .drain(..self.moving.len().min(MOST_NEWS))
@@ -505,16 +500,4 @@
     fn silent_after_ms(&self, peer: &Peer) -> u64 {
         peer.silent_after_ms(&self.own_zone)
     }
-
-    fn take_news(list: &mut IndexMap<EndpointId, u8>) -> Vec<EndpointId> {
-        let told: Vec<EndpointId> = list.keys().take(MOST_NEWS).cloned().collect();
-        for id in &told {
-            // Those that are to be told again come after those that were not told yet.
-            let left = list.shift_remove(id).unwrap_or_default().saturating_sub(1);
-            if left > 0 {
-                list.insert(id.clone(), left);
-            }
-        }
-        told
-    }
 }
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -12,7 +12,6 @@
 use super::adapter::{Adapter, ReplyFacts};
 use super::headers;
 use super::node::Node;
-use super::pacing::Permit;
 use super::request::{RelayedRequest, finish, instant_at, word_response};
 use super::send_view::SendView;
 use super::upstream::UpstreamFailure;
@@ -225,24 +224,14 @@
         return TryEnd::Failed(AttemptEnd::NotSent, Trouble::Unreachable);
     };
     let head = request.head_for(node, endpoint, None, None);
-    let permit = node.take_permit(endpoint);
-    if permit == Permit::Missing {
-        return failed(UpstreamFailure::Withdrawn);
-    }
     let sent = node
-        .upstreams
-        .send(address, head, request.body.clone(), begun_ms, || {
-            node.takes_requests(endpoint) && node.keeps_permit(endpoint, permit)
+        .send_with_permit(endpoint, address, head, request.body.clone(), || {
+            node.takes_requests(endpoint)
         })
         .await;
     let exchange = match sent {
         Ok(exchange) => exchange,
-        Err(failure) => {
-            if failure.sent_nothing() {
-                node.give_permit_back(endpoint, permit);
-            }
-            return failed(failure);
-        }
+        Err(failure) => return failed(failure),
     };
     let (head, mut body) = match exchange.head().await {
         Ok(answer) => answer,
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -23,7 +23,6 @@
 use super::headers;
 use super::held_tokens::HeldTokens;
 use super::node::Node;
-use super::pacing::Permit;
 use super::request::{RelayedRequest, instant_at};
 use super::send_view::SendView;
 use super::stream_answer::Opening;
@@ -305,22 +304,12 @@
             .head_for(&self.node, &first.endpoint, Some(chain), resume_after);
         let body = self.request.body.clone();
         let node = &self.node;
-        let permit = node.take_permit(&first.endpoint);
-        if permit == Permit::Missing {
-            return Err(UpstreamFailure::Withdrawn);
-        }
-        let sent = node
-            .upstreams
-            .send(first.address, head, body, boot_ms(), || {
-                let mut stages = chain.stages().iter();
-                stages.all(|stage| node.takes_requests(&stage.endpoint))
-                    && node.keeps_permit(&first.endpoint, permit)
-            })
-            .await;
-        if sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
-            node.give_permit_back(&first.endpoint, permit);
-        }
-        sent
+        let may_send = || {
+            let mut stages = chain.stages().iter();
+            stages.all(|stage| node.takes_requests(&stage.endpoint))
+        };
+        node.send_with_permit(&first.endpoint, first.address, head, body, may_send)
+            .await
     }
 
     /// Waits for the head of the answer, and looks into a silence.
