--- a/src/relay_server/list_spread_tests/limits.rs
+++ b/src/relay_server/list_spread_tests/limits.rs
@@ -6,9 +6,11 @@
 
 use super::instance::Process;
 use super::world::World;
-use super::{HUGE, LARGE, MIDDLE, SMALL, STEP_MS, Site, chosen, warmed_up};
+use super::{HUGE, LARGE, MIDDLE, SMALL, STEP_MS, Site, chosen, seeds, warmed_up};
 use crate::ids::EndpointId;
 
+/// Variable that asks for more runs.
+const RUNS: &str = "FESCUE_LIMIT_RUNS";
 const WINDOW_MS: u64 = 4_000;
 /// How long an instance may have been told before a request of it counts.
 const TOLD_MS: u64 = 500;
@@ -252,13 +254,6 @@
     }
 }
 
-/// The seeds of a site's runs, and all up to this number if it is asked for.
-fn seeds(of_site: Vec<u64>) -> Vec<u64> {
-    let asked = std::env::var("FESCUE_LIMIT_RUNS").ok();
-    let asked = asked.and_then(|it| it.parse().ok());
-    asked.map_or(of_site, |runs| (0..runs).collect())
-}
-
 fn assert_limits_are_kept(site: &'static Site, seeds: Vec<u64>) {
     let runs = seeds.len();
     let mut worst = (0.0, 0, 0, 0.0);
@@ -284,20 +279,20 @@
 
 #[test]
 fn nine_instances_keep_the_limits_of_endpoints_together() {
-    assert_limits_are_kept(&SMALL, seeds((0..20).chain([177]).collect()));
+    assert_limits_are_kept(&SMALL, seeds(RUNS, (0..20).chain([177])));
 }
 
 #[test]
 fn eighty_six_instances_keep_the_limits_of_endpoints_together() {
-    assert_limits_are_kept(&MIDDLE, seeds((0..2).collect()));
+    assert_limits_are_kept(&MIDDLE, seeds(RUNS, 0..2));
 }
 
 #[test]
 fn a_hundred_and_ninety_five_instances_keep_the_limits_of_endpoints_together() {
-    assert_limits_are_kept(&LARGE, seeds((0..1).collect()));
+    assert_limits_are_kept(&LARGE, seeds(RUNS, 0..1));
 }
 
 #[test]
 fn three_hundred_instances_keep_the_limits_of_endpoints_together() {
-    assert_limits_are_kept(&HUGE, seeds((0..1).collect()));
+    assert_limits_are_kept(&HUGE, seeds(RUNS, 0..1));
 }
--- a/src/relay_server/list_spread_tests/mod.rs
+++ b/src/relay_server/list_spread_tests/mod.rs
@@ -1,6 +1,7 @@
 //! How long an endpoint that leaves is still chosen anywhere, how long a request that is to be withheld is
 //! still sent, and how many requests reach an endpoint with a rate limit, over whole deployments in simulated time.
 
+mod due;
 mod instance;
 mod limits;
 mod store;
@@ -47,6 +48,8 @@
 
 /// From the choice of an endpoint to the request's arrival: a new connection, and the way there.
 const MARGIN_MS: u64 = 350;
+/// Variable that asks for more runs of endpoints that leave.
+const RUNS: &str = "FESCUE_LIST_RUNS";
 const ENDPOINTS: usize = 30;
 /// Instances of a deployment of which all read the store.
 const FEW: usize = 9;
@@ -254,11 +257,11 @@
     }
 }
 
-/// The seeds of a site's runs, and all up to this number if it is asked for.
-fn seeds(of_site: &[u64]) -> Vec<u64> {
-    let asked = std::env::var("FESCUE_LIST_RUNS").ok();
+/// The seeds of a site's runs, and all up to this number if a variable asks for it.
+fn seeds(variable: &str, of_site: impl IntoIterator<Item = u64>) -> Vec<u64> {
+    let asked = std::env::var(variable).ok();
     let asked = asked.and_then(|it| it.parse().ok());
-    asked.map_or_else(|| of_site.to_vec(), |runs| (0..runs).collect())
+    asked.map_or_else(|| of_site.into_iter().collect(), |runs| (0..runs).collect())
 }
 
 /// The bound holds with a margin on each of these runs.
@@ -284,15 +287,15 @@
 
 #[test]
 fn nine_instances_stop_choosing_an_endpoint_that_leaves_in_time() {
-    assert_all_stop_in_time(&SMALL, seeds(&Vec::from_iter(0..60)));
+    assert_all_stop_in_time(&SMALL, seeds(RUNS, 0..60));
 }
 
 #[test]
 fn eighty_six_instances_stop_choosing_an_endpoint_that_leaves_in_time() {
-    assert_all_stop_in_time(&MIDDLE, seeds(&[0, 1, 2, 3, 19]));
+    assert_all_stop_in_time(&MIDDLE, seeds(RUNS, [0, 1, 2, 3, 19]));
 }
 
 #[test]
 fn a_hundred_and_ninety_five_instances_stop_choosing_an_endpoint_that_leaves_in_time() {
-    assert_all_stop_in_time(&LARGE, seeds(&[0, 1]));
+    assert_all_stop_in_time(&LARGE, seeds(RUNS, [0, 1]));
 }
--- a/src/relay_server/list_spread_tests/withheld.rs
+++ b/src/relay_server/list_spread_tests/withheld.rs
@@ -5,10 +5,12 @@
 
 use super::instance::Process;
 use super::world::World;
-use super::{LARGE, MIDDLE, SMALL, STEP_MS, Site, warmed_up};
+use super::{LARGE, MIDDLE, SMALL, STEP_MS, Site, seeds, warmed_up};
 use crate::ids::EndpointId;
 use crate::quarantine::{Doubt, RequestDigest};
 
+/// Variable that asks for more runs.
+const RUNS: &str = "FESCUE_WITHHELD_RUNS";
 /// Kept in hand of the time in which all must know: for a heartbeat that comes late on a full link.
 const MARGIN_MS: u64 = 500;
 /// The three ends come within this time.
@@ -95,14 +97,13 @@
     late_ms
 }
 
-fn assert_all_know_in_time(site: &Site, seeds: u64) {
-    let asked = std::env::var("FESCUE_WITHHELD_RUNS").ok();
-    let seeds = asked.and_then(|it| it.parse().ok()).unwrap_or(seeds);
-    let late = (0..seeds).map(|seed| (simulate(site, seed), seed));
+fn assert_all_know_in_time(site: &Site, seeds: Vec<u64>) {
+    let runs = seeds.len();
+    let late = seeds.into_iter().map(|seed| (simulate(site, seed), seed));
     let (late_ms, seed) = late.max().expect("a run at least");
     let instances: usize = site.zones.iter().sum();
     println!(
-        "{instances} instances, {seeds} runs: sent {late_ms} ms after the third end at the latest (seed {seed}); bound {} ms",
+        "{instances} instances, {runs} runs: sent {late_ms} ms after the third end at the latest (seed {seed}); bound {} ms",
         site.calm_ms
     );
     assert!(
@@ -113,15 +114,15 @@
 
 #[test]
 fn nine_instances_withhold_a_request_in_time() {
-    assert_all_know_in_time(&SMALL, 40);
+    assert_all_know_in_time(&SMALL, seeds(RUNS, 0..40));
 }
 
 #[test]
 fn eighty_six_instances_withhold_a_request_in_time() {
-    assert_all_know_in_time(&MIDDLE, 3);
+    assert_all_know_in_time(&MIDDLE, seeds(RUNS, 0..3));
 }
 
 #[test]
 fn a_hundred_and_ninety_five_instances_withhold_a_request_in_time() {
-    assert_all_know_in_time(&LARGE, 1);
+    assert_all_know_in_time(&LARGE, seeds(RUNS, 0..1));
 }
--- a/src/relay_server/list_spread_tests/world.rs
+++ b/src/relay_server/list_spread_tests/world.rs
@@ -1,6 +1,5 @@
 //! A deployment in simulated time: instances, the network between them, and the store.
 
-use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +13,7 @@
 use super::super::list_sync::ListUpdate;
 use super::super::peer::{Informant, InstanceRecord};
 use super::super::peer_book::HEARTBEAT_MS;
+use super::due::Due;
 use super::instance::{Instance, Process};
 use super::store::{Access, Departure, Store};
 use crate::fleet::{ListedEndpoint, ListingRead};
@@ -43,7 +43,7 @@
     pub(super) silent: f64,
 }
 
-enum Event {
+pub(super) enum Event {
     Beat,
     Heard(usize, Rc<Heartbeat>, Option<Echo>),
     /// A watch or a read of the list begins.
@@ -60,38 +60,6 @@
     Sweep,
 }
 
-struct Due {
-    at_ms: u64,
-    /// Order among those of one moment.
-    number: u64,
-    to: usize,
-    generation: u32,
-    event: Event,
-}
-
-impl Due {
-    fn key(&self) -> Reverse<(u64, u64)> {
-        Reverse((self.at_ms, self.number))
-    }
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.key() == other.key()
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.key().cmp(&other.key())
-    }
-}
-
 /// A watch of the list that waits in the store.
 struct Waiting {
     of: usize,
