Starting instances are introduced by their zone instead of each calling the store

Cause: each instance wrote its own record, read those of all others (985 rows, 0.4 MB) and the key of request digests, and repeated reads and writes when the store's 150 writes a second were exceeded.

Now an instance that hears a peer of its zone calls nobody; others read at most 16 records of their zone and get the rest, with the key, from a peer's list over HTTP. Only where fewer than three are found, or none answers within a second, does an instance register itself as before. The first of each zone writes what its zone lacks in the store. Why it holds: contacts that are all gone lead to the old way after a second; entries carry the time since they were heard; the records stay as they were, so a release before this one reads them (their key has the zone now).

Calls to the store are counted by cause and outcome, which no counter told before.

Addresses for callers come in the order of names: they came in the order in which peers became known, which was that of the records' names.

--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -12,6 +12,7 @@
 use super::checks::{AnsweringLifetime, answering_lifetime};
 use super::node::Node;
 use super::peer_book::HolderStatus;
+use super::store_calls::StoreCall;
 use crate::clients::call_table;
 use crate::clock::boot_ms;
 use crate::fleet::{EndpointFailure, Phase};
@@ -186,6 +187,7 @@
         while let Some(call) = self.lease.due(boot_ms()) {
             let result = call_table(node.adapter.store(), &call, LEASE_CALL_TIMEOUT_MS).await;
             let is_ok = result.is_ok();
+            node.count_store_call(StoreCall::Lease, is_ok);
             match self.lease.answered(result, boot_ms()) {
                 Some(LeaseEvent::Taken { fence }) => {
                     log::info!(service = service.as_str(), fence; "acquired the lease");
--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -9,6 +9,7 @@
 use super::adapter::{Adapter, DeploymentFeeds, FeedFailure, FeedRead};
 use super::list_sync;
 use super::node::Node;
+use super::store_calls::StoreCall;
 use crate::clock::boot_ms;
 use crate::fleet::ListingRead;
 use crate::route_table::{TableChange, TableWithSource};
@@ -41,6 +42,7 @@
         }
         let sent_ms = boot_ms();
         let read = node.adapter.store().table(position, WATCH_WAIT_MS).await;
+        node.count_store_call(StoreCall::Table, read.is_ok());
         match read {
             Ok(read) => {
                 record_store_answer(&node);
@@ -123,6 +125,7 @@
             .store()
             .endpoints(position, WATCH_WAIT_MS)
             .await;
+        node.count_store_call(StoreCall::Endpoints, read.is_ok());
         let pause_ms = match read {
             Ok(read) => {
                 record_store_answer(&node);
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -13,10 +13,15 @@
 mod duty;
 mod feeds;
 mod fleet_lines;
+#[cfg(test)]
+mod fleet_start_tests;
 mod front;
 mod headers;
 mod heartbeat;
 mod held_tokens;
+mod introduction;
+#[cfg(test)]
+mod introduction_tests;
 mod list_log;
 #[cfg(test)]
 mod list_log_tests;
@@ -34,6 +39,10 @@
 mod peer_book;
 #[cfg(test)]
 mod peer_book_tests;
+mod peer_list;
+mod peer_membership;
+#[cfg(test)]
+mod peer_membership_tests;
 mod peer_selection;
 #[cfg(test)]
 mod peer_selection_tests;
@@ -62,6 +71,7 @@
 mod settings;
 mod snapshot;
 mod start_wait;
+mod store_calls;
 mod store_health;
 mod store_readers;
 #[cfg(test)]
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -168,7 +168,7 @@
             .peers
             .borrow()
             .store_reader_view(reads, answered_ms, now_ms);
-        let must_wait = !self.are_records_loaded.get() && view.awaits_records(now_ms);
+        let must_wait = view.awaits_records(self.are_records_loaded.get(), now_ms);
         let should_read = view.should_read(now_ms) && !must_wait;
         if should_read == reads {
             return;
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -32,6 +32,13 @@
     pub(super) link_mbps: u32,
 }
 
+impl InstanceRecord {
+    /// Whether another record leads to the instance at the same addresses.
+    pub(super) fn has_same_addresses(&self, other: &Self) -> bool {
+        (&self.zone, self.front, self.peers) == (&other.zone, other.front, other.peers)
+    }
+}
+
 /// State of another instance.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
@@ -149,6 +156,18 @@
         }
     }
 
+    /// The record of the instance, whose name is not part of this state.
+    pub(super) fn to_record(&self, instance: &InstanceId) -> InstanceRecord {
+        InstanceRecord {
+            instance: instance.clone(),
+            incarnation: self.incarnation,
+            zone: self.zone.clone(),
+            front: self.front,
+            peers: self.address,
+            link_mbps: self.link_mbps,
+        }
+    }
+
     /// When its last heartbeat arrived, or else when it became known.
     pub(super) fn last_seen_ms(&self) -> u64 {
         self.heard_ms.unwrap_or(self.known_since_ms)
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -8,7 +8,7 @@
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::load_change::{LoadChange, load_changes};
 use super::locate::{self, Candidate};
-use super::peer::{InstanceRecord, Peer, Recipient, SyncSource};
+use super::peer::{Peer, Recipient, SyncSource};
 use super::senders::Sender;
 use super::settings::RelaySettings;
 use super::store_readers::{READERS_PER_ZONE, StoreReaderView};
@@ -22,7 +22,7 @@
 
 pub(super) const HEARTBEAT_INTERVAL_MS: u64 = 250;
 /// How long a silent peer is kept.
-const PEER_TTL_MS: u64 = 60_000;
+pub(super) const PEER_TTL_MS: u64 = 60_000;
 /// Silence after which the holder of a lease is presumed to have ended: four heartbeats. If it is in fact
 /// alive, the only cost is a change of holder; a zone without a layer waits no longer than this for it.
 const HOLDER_TIMEOUT_MS: u64 = 1_000;
@@ -77,12 +77,12 @@
 /// The other instances, and updates queued for them.
 #[derive(Debug)]
 pub(crate) struct PeerBook {
-    own_zone: ZoneName,
+    pub(super) own_zone: ZoneName,
     own_front: SocketAddr,
     own_link_mbps: u32,
-    own_instance: InstanceId,
+    pub(super) own_instance: InstanceId,
     own_incarnation: Incarnation,
-    peers: IndexMap<InstanceId, Peer>,
+    pub(super) peers: IndexMap<InstanceId, Peer>,
     unhealthy: UpdateQueue<EndpointId>,
     leaving: UpdateQueue<EndpointId>,
     self_reported_leaving: UpdateQueue<EndpointId>,
@@ -93,6 +93,8 @@
     peer_released_leases: IndexMap<ServiceName, u64>,
     /// When this process started to listen for heartbeats.
     listening_since_ms: u64,
+    /// Whether the whole deployment starts for the first time.
+    is_first_start: bool,
     /// Whether a heartbeat is to be sent without waiting for the next interval.
     is_heartbeat_requested: bool,
     /// Selects the recipients in other zones.
@@ -115,21 +117,12 @@
             released_leases: IndexMap::new(),
             peer_released_leases: IndexMap::new(),
             listening_since_ms: now_ms,
+            is_first_start: settings.is_first_start,
             is_heartbeat_requested: false,
             cross_zone_rotation: Rotation::default(),
         }
     }
 
-    /// Adds a peer from its record in the store, unless the peer is known already: its heartbeats are more
-    /// recent.
-    pub(super) fn add_record(&mut self, record: InstanceRecord, now_ms: u64) {
-        if record.instance == self.own_instance {
-            return;
-        }
-        let peer = Peer::from_record(&record, now_ms);
-        self.peers.entry(record.instance).or_insert(peer);
-    }
-
     /// Recipients of the next heartbeat: all instances of the own zone, and the next few of the others.
     pub(super) fn recipients(&mut self, own: Availability, now_ms: u64) -> Vec<Recipient> {
         let fanout = self.cross_zone_fanout(own, now_ms);
@@ -189,7 +182,7 @@
 
     /// Instances of the zone that rank ahead of this one. One that was never heard counts for as long as
     /// it may be starting.
-    fn ranked_ahead(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
+    pub(super) fn ranked_ahead(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
         let own = (Reverse(self.own_link_mbps), &self.own_instance);
         let is_starting = now_ms < self.listening_since_ms + STARTUP_MS;
         self.peers
@@ -210,7 +203,7 @@
         reported.max().unwrap_or(0).max(self.own_known_instances())
     }
 
-    fn own_known_instances(&self) -> u32 {
+    pub(super) fn own_known_instances(&self) -> u32 {
         1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1)
     }
 
@@ -284,6 +277,7 @@
             answered_ahead: self.ranked_ahead(now_ms).filter(is_answered).count(),
             answered_ms: answers.chain(own_answered_ms).max(),
             started_ms: self.listening_since_ms,
+            is_first_start: self.is_first_start,
             is_reader,
         }
     }
@@ -343,9 +337,14 @@
             front: self.own_front,
             availability: own,
         };
-        let peers = self.peers.values();
-        let heard = peers.filter(|peer| self.is_heard(peer, now_ms));
-        let others = heard.map(|peer| Candidate {
+        let peers = self.peers.iter();
+        let mut heard: Vec<(&InstanceId, &Peer)> = peers
+            .filter(|(_, peer)| self.is_heard(peer, now_ms))
+            .collect();
+        // In the same order everywhere, in whatever order the peers became known: callers then use few
+        // instances, and these few connections to engines.
+        heard.sort_unstable_by_key(|(name, _)| *name);
+        let others = heard.iter().map(|(_, peer)| Candidate {
             zone: &peer.zone,
             front: peer.front,
             availability: peer.availability,
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -35,7 +35,7 @@
     receives_store_updates: false,
 };
 /// Ready, and another instance of its zone forwards the store's contents to it.
-const NON_READER: Availability = Availability {
+pub(super) const NON_READER: Availability = Availability {
     is_ready: true,
     is_open: true,
     reaches_store: false,
@@ -75,7 +75,7 @@
     }
 }
 
-fn record(name: &str, zone: &str, port: u16) -> InstanceRecord {
+pub(super) fn record(name: &str, zone: &str, port: u16) -> InstanceRecord {
     InstanceRecord {
         instance: InstanceId::from(name),
         incarnation: Incarnation::generate(&mut rand::rng()),
--- /dev/null
+++ b/src/relay_server/peer_list.rs
@@ -0,0 +1,186 @@
+//! Transfer of the list of known instances within a zone. An instance that a peer of its zone surpasses
+//! in the number of known instances asks that peer for its list, and for the key of request digests if it
+//! lacks it. The store is then read by a few instances of a zone only.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::time::sleep;
+
+use super::adapter::Adapter;
+use super::node::Node;
+use super::peer::InstanceRecord;
+use super::query::query_pairs;
+use super::uplink::Admission;
+use crate::clients::{HttpCall, HttpFailure, HttpPeer};
+use crate::clock::boot_ms;
+use crate::quarantine::DigestKey;
+
+/// Path of the calls at the address for peers.
+pub(super) const PEER_LIST_PATH: &str = "/peers";
+/// Interval between checks whether a list is needed.
+const POLL_INTERVAL_MS: u64 = 100;
+/// Shortest pause between two complete lists, to which a jitter of the same length is added. While a whole
+/// fleet starts, each list is soon outdated.
+const LIST_PAUSE_MS: u64 = 500;
+/// Timeout of a call. A part occupies a 20 Mbit/s link for 25 ms.
+const CALL_TIMEOUT_MS: u64 = 400;
+/// Longest reply that is accepted, many times the size of a part.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+/// Estimated size of a serialized entry; few are larger.
+const ENTRY_BYTES: usize = 80;
+
+/// An instance in a peer list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct ListedPeer {
+    pub(super) record: InstanceRecord,
+    /// Interval in which its heartbeats reach every instance of other zones.
+    pub(super) cross_zone_interval_ms: u32,
+    /// Time since the sender of the list last heard it, or else learnt of it.
+    pub(super) unseen_ms: u32,
+}
+
+/// A peer's reply.
+#[derive(Debug, Serialize, Deserialize)]
+enum PeerListReply {
+    Part(PeerListPart),
+    /// The sender's link has no capacity for a part.
+    Busy {
+        /// How long to wait before the next request.
+        wait_ms: u64,
+    },
+}
+
+/// A part of the list, ordered by name.
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerListPart {
+    /// Key of request digests, in hexadecimal, if the sender knows it.
+    digest_key: Option<String>,
+    entries: Vec<ListedPeer>,
+    is_last: bool,
+}
+
+/// Why a call to a peer failed.
+#[derive(Debug, Error)]
+enum PeerListError {
+    #[error("{0}")]
+    Call(#[from] HttpFailure),
+    #[error("peer responded with status {0}")]
+    Status(u16),
+    #[error("malformed peer list: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// Responds to a peer's request for the list.
+pub(super) fn respond<A>(node: &Node<A>, query: &str) -> Response<BoxBody>
+where
+    A: Adapter,
+{
+    let from = query_pairs(query).find_map(|(name, value)| (name == "from").then_some(value));
+    let from = from.and_then(|it| it.parse().ok()).unwrap_or(0);
+    let now_ms = boot_ms();
+    let mut entries = node.peers.borrow().listed(from, now_ms);
+    let total_bytes = entries.len() * ENTRY_BYTES;
+    let reply = match node.uplink.borrow_mut().admit(total_bytes, now_ms) {
+        Admission::Granted { bytes } => {
+            let is_last = bytes >= total_bytes;
+            entries.truncate((bytes / ENTRY_BYTES).max(1));
+            node.counters.count("relay.peer_lists.given");
+            PeerListReply::Part(PeerListPart {
+                digest_key: node.digest_key.borrow().as_ref().map(DigestKey::to_hex),
+                entries,
+                is_last,
+            })
+        }
+        Admission::Busy { wait_ms } => PeerListReply::Busy { wait_ms },
+    };
+    match postcard::to_stdvec(&reply) {
+        Ok(bytes) => Response::with_body(StatusCode::OK, BoxBody::new(bytes)),
+        Err(error) => {
+            log::error!(error:% = error; "cannot serialize peer list");
+            Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, BoxBody::new(()))
+        }
+    }
+}
+
+/// Requests peer lists as needed, for as long as the process runs.
+pub(super) async fn sync_peer_list<A>(node: Rc<Node<A>>)
+where
+    A: Adapter,
+{
+    loop {
+        sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
+        let lacks_key = node.digest_key.borrow().is_none();
+        let random = node.random_u64();
+        let source = node
+            .peers
+            .borrow()
+            .peer_list_source(lacks_key, random, boot_ms());
+        let Some(address) = source else {
+            continue;
+        };
+        match fetch_list(&node, address).await {
+            Ok(()) => {
+                node.counters.count("relay.peer_lists.taken");
+                node.are_records_loaded.set(true);
+                node.update_store_reading(boot_ms());
+            }
+            Err(error) => {
+                log::warn!(peer:% = address, failure:% = error; "peer list could not be fetched");
+                node.counters.count("relay.peer_lists.failed");
+            }
+        }
+        let pause_ms = LIST_PAUSE_MS + random % LIST_PAUSE_MS;
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Fetches all parts of a peer's list.
+async fn fetch_list<A>(node: &Node<A>, address: SocketAddr) -> Result<(), PeerListError>
+where
+    A: Adapter,
+{
+    let peer = HttpPeer::new(&format!("http://{address}"));
+    let mut from = 0;
+    loop {
+        match fetch_part(&peer, from).await? {
+            PeerListReply::Busy { wait_ms } => sleep(Duration::from_millis(wait_ms)).await,
+            PeerListReply::Part(part) => {
+                add_key(node, part.digest_key.as_deref());
+                from += part.entries.len();
+                node.peers.borrow_mut().add_listed(part.entries, boot_ms());
+                if part.is_last {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// Fetches the part that starts at index `from`. If the list changes between two parts, entries may be
+/// skipped; the next list has them.
+async fn fetch_part(peer: &HttpPeer, from: usize) -> Result<PeerListReply, PeerListError> {
+    let path = format!("{PEER_LIST_PATH}?from={from}");
+    let call = HttpCall::get(&path);
+    let reply = peer.call(call, CALL_TIMEOUT_MS, MAX_REPLY_BYTES).await?;
+    if reply.status != StatusCode::OK.as_u16() {
+        return Err(PeerListError::Status(reply.status));
+    }
+    Ok(postcard::from_bytes(&reply.body)?)
+}
+
+/// Takes over the key of request digests from a peer.
+fn add_key<A>(node: &Node<A>, key: Option<&str>) {
+    let Some(key) = key.filter(|_| node.digest_key.borrow().is_none()) else {
+        return;
+    };
+    match DigestKey::from_hex(key) {
+        Some(key) => *node.digest_key.borrow_mut() = Some(key),
+        None => log::warn!("a peer's key of request digests is malformed"),
+    }
+}
--- /dev/null
+++ b/src/relay_server/peer_membership.rs
@@ -0,0 +1,113 @@
+//! Which instances the peer book knows: records and peer lists that add some, and lists for others.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+
+use super::peer::{InstanceRecord, Peer};
+use super::peer_book::{PEER_TTL_MS, PeerBook};
+use super::peer_list::ListedPeer;
+use crate::ids::InstanceId;
+
+impl PeerBook {
+    /// Adds a peer from its record in the store, unless the peer is known already: its heartbeats are more
+    /// recent. Returns whether it was unknown.
+    pub(super) fn add_record(&mut self, record: InstanceRecord, now_ms: u64) -> bool {
+        if record.instance == self.own_instance || self.peers.contains_key(&record.instance) {
+            return false;
+        }
+        let peer = Peer::from_record(&record, now_ms);
+        self.peers.insert(record.instance, peer);
+        true
+    }
+
+    /// Adds the unknown instances of a peer's list. One that nobody has seen for long stays forgotten.
+    pub(super) fn add_listed(&mut self, entries: Vec<ListedPeer>, now_ms: u64) {
+        for entry in entries {
+            let unseen_ms = u64::from(entry.unseen_ms);
+            let instance = &entry.record.instance;
+            let is_known = *instance == self.own_instance || self.peers.contains_key(instance);
+            if is_known || unseen_ms >= PEER_TTL_MS {
+                continue;
+            }
+            let peer = Peer {
+                cross_zone_interval_ms: entry.cross_zone_interval_ms,
+                ..Peer::from_record(&entry.record, now_ms.saturating_sub(unseen_ms))
+            };
+            self.peers.insert(entry.record.instance, peer);
+        }
+    }
+
+    /// The known instances for a peer's list, from index `from` on in the order of their names.
+    pub(super) fn listed(&self, from: usize, now_ms: u64) -> Vec<ListedPeer> {
+        let mut names: Vec<(&InstanceId, &Peer)> = self.peers.iter().collect();
+        names.sort_unstable_by_key(|(name, _)| *name);
+        let listed = names.into_iter().skip(from);
+        listed
+            .map(|(name, peer)| ListedPeer {
+                record: peer.to_record(name),
+                cross_zone_interval_ms: peer.cross_zone_interval_ms,
+                unseen_ms: u32::try_from(now_ms.saturating_sub(peer.last_seen_ms()))
+                    .unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+
+    /// The peer to ask for its list: one of the own zone that knows more instances than this one, or one
+    /// that reads the store if this instance `lacks_key`. The likelier the faster its link.
+    pub(super) fn peer_list_source(
+        &self,
+        lacks_key: bool,
+        random: u64,
+        now_ms: u64,
+    ) -> Option<SocketAddr> {
+        let own_known = self.own_known_instances();
+        let is_useful = |peer: &&Peer| {
+            let knows_more = peer.known_instances > own_known;
+            knows_more || (lacks_key && peer.has_recent_store_answer(now_ms))
+        };
+        let sources: Vec<&Peer> = self.heard_zone_peers(now_ms).filter(is_useful).collect();
+        let weight = |peer: &Peer| u64::from(peer.link_mbps.max(1));
+        let sum: u64 = sources.iter().map(|peer| weight(peer)).sum();
+        let mut left = random.checked_rem(sum)?;
+        let chosen = sources.into_iter().find(|peer| {
+            let is_chosen = left < weight(peer);
+            left = left.saturating_sub(weight(peer));
+            is_chosen
+        });
+        chosen.map(|peer| peer.address)
+    }
+
+    /// Whether heartbeats of an instance of the own zone arrive.
+    pub(super) fn hears_zone_peer(&self, now_ms: u64) -> bool {
+        self.heard_zone_peers(now_ms).next().is_some()
+    }
+
+    /// Whether this instance writes the records of its zone: no other one of the zone ranks ahead of it.
+    pub(super) fn is_zone_registrar(&self, now_ms: u64) -> bool {
+        self.ranked_ahead(now_ms).next().is_none()
+    }
+
+    /// Records of heard peers of the own zone that are missing from the records in the store, or have other
+    /// addresses there.
+    pub(super) fn unrecorded(
+        &self,
+        recorded: &IndexMap<InstanceId, InstanceRecord>,
+        now_ms: u64,
+    ) -> Vec<InstanceRecord> {
+        let in_zone = self.peers.iter().filter(|(_, peer)| {
+            peer.zone == self.own_zone && peer.is_heard(peer.timeout_ms(&self.own_zone), now_ms)
+        });
+        let records = in_zone.map(|(name, peer)| peer.to_record(name));
+        let is_missing = |record: &InstanceRecord| {
+            let known = recorded.get(&record.instance);
+            known.is_none_or(|known| !known.has_same_addresses(record))
+        };
+        records.filter(is_missing).collect()
+    }
+
+    fn heard_zone_peers(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
+        let in_zone = self.peers.values().filter(|it| it.zone == self.own_zone);
+        in_zone.filter(move |it| it.is_heard(it.timeout_ms(&self.own_zone), now_ms))
+    }
+}
--- a/src/relay_server/quarantine_rows.rs
+++ b/src/relay_server/quarantine_rows.rs
@@ -8,6 +8,7 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::records::REGISTER_TIMEOUT_MS;
+use super::store_calls::StoreCall;
 use super::withholding::SOURCE_STORE;
 use crate::clients::{TableFailure, TableService};
 use crate::clock::{boot_ms, unix_ms};
@@ -71,11 +72,9 @@
         after: None,
         limit: MAX_ROWS,
     };
-    let found = node
-        .adapter
-        .store()
-        .scan(&query, REGISTER_TIMEOUT_MS)
-        .await?;
+    let found = node.adapter.store().scan(&query, REGISTER_TIMEOUT_MS).await;
+    node.count_store_call(StoreCall::Quarantine, found.is_ok());
+    let found = found?;
     let crashes: Vec<CrashReport> = found.rows.iter().flat_map(crashes_from_row).collect();
     let evidence = EvidenceReport {
         crashes,
@@ -103,8 +102,9 @@
         }],
     };
     let store = node.adapter.store();
-    let reply = store.transact(&transaction, REGISTER_TIMEOUT_MS).await?;
-    Ok(match reply {
+    let reply = store.transact(&transaction, REGISTER_TIMEOUT_MS).await;
+    node.count_store_call(StoreCall::Quarantine, reply.is_ok());
+    Ok(match reply? {
         TransactReply::Committed { .. } => Some(key),
         // Another instance wrote its key first; all must use the same one.
         TransactReply::Conflict { rows } => rows.first().and_then(key_from_row),
@@ -154,7 +154,9 @@
             writes,
         };
         let store = node.adapter.store();
-        if let Err(failure) = store.transact(&transaction, REGISTER_TIMEOUT_MS).await {
+        let written = store.transact(&transaction, REGISTER_TIMEOUT_MS).await;
+        node.count_store_call(StoreCall::Quarantine, written.is_ok());
+        if let Err(failure) = written {
             log::warn!(failure:% = failure; "cannot write withheld requests to the store");
         }
     });
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -1,35 +1,110 @@
-//! Instance discovery: each instance writes a record to the store and reads those of the others.
+//! Instance discovery: records of instances in the store.
+//!
+//! An instance introduces itself at its start ([`super::introduction`]). From then on, the first instance
+//! of each zone writes the records that its zone lacks, many in a call, and the instances that read the
+//! store read all records; the others learn of instances from heartbeats and peer lists.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
+use super::introduction::{Introduction, IntroductionStep, MAX_CONTACTS};
 use super::node::Node;
 use super::peer::InstanceRecord;
 use super::quarantine_rows;
+use super::store_calls::StoreCall;
 use crate::clients::TableService;
 use crate::clock::boot_ms;
+use crate::ids::InstanceId;
 use crate::wire::platform::{Row, ScanRows, Transaction, Write};
 
 /// For each call to the store that concerns records.
 pub(super) const REGISTER_TIMEOUT_MS: u64 = 800;
-/// Interval between reads of the records. They only find instances that no heartbeat has announced.
+/// Interval between checks whether an introduction has progressed.
+const INTRODUCTION_POLL_MS: u64 = 20;
+/// Interval between checks whether records have to be written or read.
+const MAINTAIN_INTERVAL_MS: u64 = 1_000;
+/// Interval between reads of the records once all are known. They only find instances of other zones that
+/// no heartbeat has announced.
 const READ_INTERVAL_MS: u64 = 15_000;
-/// The same for an instance that does not read the store otherwise; it learns of the others by heartbeat.
-const NON_READER_INTERVAL_MS: u64 = 120_000;
+/// The same while reads find unknown instances, as when a fleet starts.
+const GROWTH_READ_INTERVAL_MS: u64 = 2_000;
+/// How long after its introduction an instance waits for a peer to provide the key of request digests,
+/// before it reads the key from the store.
+const KEY_WAIT_MS: u64 = 5_000;
 /// Shortest and longest pause after a failed call. Hundreds of instances that start together exceed the
 /// write rate of the store, so pauses have to grow until all have succeeded.
 const MIN_RETRY_MS: u64 = 500;
 const MAX_RETRY_MS: u64 = 4_000;
-/// Key prefix of the records in the store.
+/// Key prefix of the records in the store; the zone and the instance follow.
 const RECORDS_PREFIX: &str = "instance/";
 /// Maximum number of records read by one call.
 const MAX_RECORDS_PER_CALL: u32 = 500;
+/// Maximum number of records written by one call.
+const MAX_RECORDS_PER_WRITE: usize = 50;
 
-/// Writes this instance's record and reads the others', for as long as the process runs.
+/// Makes this instance known, and maintains the records of its zone, for as long as the process runs.
 pub(super) async fn maintain_records<A>(node: Rc<Node<A>>)
+where
+    A: Adapter,
+{
+    introduce(&node).await;
+    let mut maintenance = Maintenance::starting(boot_ms());
+    loop {
+        maintenance.run_due(&node).await;
+        sleep(Duration::from_millis(MAINTAIN_INTERVAL_MS)).await;
+    }
+}
+
+/// Returns once peers know this instance, or its record is in the store and all others have been read.
+async fn introduce<A>(node: &Rc<Node<A>>)
+where
+    A: Adapter,
+{
+    let is_first_start = node.settings.is_first_start;
+    let mut introduction = Introduction::new(is_first_start, node.random_u64(), boot_ms());
+    loop {
+        let now_ms = boot_ms();
+        let hears_zone_peer = node.peers.borrow().hears_zone_peer(now_ms);
+        match introduction.next(hears_zone_peer, now_ms) {
+            IntroductionStep::Wait => {
+                sleep(Duration::from_millis(INTRODUCTION_POLL_MS)).await;
+            }
+            IntroductionStep::ReadContacts => {
+                let found = read_contacts(node).await;
+                introduction.record_contacts(found, node.random_u64(), boot_ms());
+                node.request_heartbeat();
+            }
+            IntroductionStep::Register => return register(node).await,
+            IntroductionStep::Done => {
+                log::info!("peers of the zone know this instance");
+                return;
+            }
+        }
+    }
+}
+
+/// Reads records of the own zone and adds their instances to the peer book. Returns how many other
+/// instances there are, `None` if the store does not answer.
+async fn read_contacts<A>(node: &Node<A>) -> Option<usize>
+where
+    A: Adapter,
+{
+    let prefix = zone_prefix(node.settings.zone.as_str());
+    let rows = scan(node, prefix, None, MAX_CONTACTS, StoreCall::Contacts).await?;
+    let records: Vec<InstanceRecord> = rows.iter().filter_map(parse_record).collect();
+    let is_other = |record: &&InstanceRecord| record.instance != node.settings.instance;
+    let found = records.iter().filter(is_other).count();
+    log::info!(found; "read records of contacts");
+    add_records(node, records);
+    Some(found)
+}
+
+/// Writes the own record and reads all others, until both have succeeded.
+async fn register<A>(node: &Rc<Node<A>>)
 where
     A: Adapter,
 {
@@ -37,35 +112,142 @@
     let mut failures = 0;
     loop {
         // Comes first because requests may arrive at any moment.
-        let knows_key = quarantine_rows::load(&node).await;
+        let knows_key = quarantine_rows::load(node).await;
         let mut read = None;
         if failures > 0 && !is_written {
             // An unanswered write may have taken effect. Repeating such writes would keep the store busy
             // when hundreds of instances have just started.
-            read = read_records(&node).await;
+            read = read_all(node).await;
+            is_written = read.as_ref().is_some_and(|it| contains_own(node, it));
         }
-        if read != Some(OwnRecord::Present) {
-            is_written = is_written || write_record(&node).await;
+        if !is_written {
+            is_written = write_records(node, &[own_record(node)]).await;
             // Reads after the write, so that of two instances that start together at least one finds the
             // other.
-            read = read_records(&node).await;
+            read = read_all(node).await;
         }
-        if let Some(own) = read {
-            is_written |= own == OwnRecord::Present;
+        if read.is_some() {
             node.are_records_loaded.set(true);
             node.update_store_reading(boot_ms());
         }
-        let is_done = is_written && read.is_some() && knows_key;
-        failures = if is_done { 0 } else { failures + 1 };
-        let pause_ms = match (is_done, node.reads_store()) {
-            (true, true) => READ_INTERVAL_MS,
-            (true, false) => NON_READER_INTERVAL_MS,
-            (false, _) => backoff_ms(failures, node.random_u64()),
-        };
+        if is_written && read.is_some() && knows_key {
+            return;
+        }
+        failures += 1;
+        let pause_ms = backoff_ms(failures, node.random_u64());
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
+/// The recurring tasks of an instance that has been introduced.
+struct Maintenance {
+    introduced_ms: u64,
+    /// All records, as this instance last read or wrote them; `None` if it does not read them.
+    recorded: Option<IndexMap<InstanceId, InstanceRecord>>,
+    read_due_ms: u64,
+    /// When the next call may be made after failed ones.
+    retry_due_ms: u64,
+    /// Consecutive failures.
+    failures: u32,
+}
+
+impl Maintenance {
+    fn starting(now_ms: u64) -> Self {
+        Self {
+            introduced_ms: now_ms,
+            recorded: None,
+            read_due_ms: now_ms,
+            retry_due_ms: now_ms,
+            failures: 0,
+        }
+    }
+
+    /// Makes the calls that are due. Instances that only read the store in place of others, while those get
+    /// no answers, leave the records alone.
+    async fn run_due<A>(&mut self, node: &Rc<Node<A>>)
+    where
+        A: Adapter,
+    {
+        let now_ms = boot_ms();
+        if now_ms < self.retry_due_ms {
+            return;
+        }
+        let is_reader = node.peers.borrow().is_top_ranked_in_zone(now_ms) && node.reads_store();
+        let lacks_key = node.digest_key.borrow().is_none();
+        let needs_key = lacks_key && (is_reader || now_ms >= self.introduced_ms + KEY_WAIT_MS);
+        let mut is_ok = !needs_key || quarantine_rows::load(node).await;
+        if is_reader {
+            is_ok &= self.read_if_due(node).await;
+            is_ok &= self.write_missing(node).await;
+        } else {
+            self.recorded = None;
+        }
+        self.failures = if is_ok { 0 } else { self.failures + 1 };
+        if !is_ok {
+            let pause_ms = backoff_ms(self.failures, node.random_u64());
+            self.retry_due_ms = boot_ms() + pause_ms;
+        }
+    }
+
+    /// Reads all records if it is time. Returns whether no call failed.
+    async fn read_if_due<A>(&mut self, node: &Node<A>) -> bool
+    where
+        A: Adapter,
+    {
+        let now_ms = boot_ms();
+        if self.recorded.is_some() && now_ms < self.read_due_ms {
+            return true;
+        }
+        let Some(read) = read_all(node).await else {
+            return false;
+        };
+        let has_grown = read.has_unknown || self.recorded.is_none();
+        let interval_ms = if has_grown {
+            GROWTH_READ_INTERVAL_MS
+        } else {
+            READ_INTERVAL_MS
+        };
+        self.read_due_ms = now_ms + interval_ms;
+        self.recorded = Some(read.records);
+        true
+    }
+
+    /// As the first instance of the zone, writes the records that the zone lacks. Returns whether no call
+    /// failed.
+    async fn write_missing<A>(&mut self, node: &Node<A>) -> bool
+    where
+        A: Adapter,
+    {
+        let Some(recorded) = &mut self.recorded else {
+            return true;
+        };
+        let missing = {
+            let peers = node.peers.borrow();
+            let now_ms = boot_ms();
+            if !peers.is_zone_registrar(now_ms) {
+                return true;
+            }
+            let mut missing = peers.unrecorded(recorded, now_ms);
+            missing.extend(Some(own_record(node)).filter(|it| !is_recorded(recorded, it)));
+            missing
+        };
+        for records in missing.chunks(MAX_RECORDS_PER_WRITE) {
+            if !write_records(node, records).await {
+                return false;
+            }
+            let written = records.iter().cloned();
+            recorded.extend(written.map(|it| (it.instance.clone(), it)));
+        }
+        true
+    }
+}
+
+/// Whether a record is in the store with the same addresses.
+fn is_recorded(recorded: &IndexMap<InstanceId, InstanceRecord>, record: &InstanceRecord) -> bool {
+    let known = recorded.get(&record.instance);
+    known.is_some_and(|known| known.has_same_addresses(record))
+}
+
 /// Pause after a number of consecutive failures: exponential backoff with a jitter of half the pause in
 /// either direction, so that instances which started together do not retry together.
 pub(super) fn backoff_ms(failures: u32, draw: u64) -> u64 {
@@ -76,79 +258,113 @@
     pause_ms / 2 + draw % pause_ms
 }
 
-/// Whether the records include that of this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OwnRecord {
-    Present,
-    Missing,
+fn zone_prefix(zone: &str) -> String {
+    format!("{RECORDS_PREFIX}{zone}/")
 }
 
-async fn write_record<A>(node: &Node<A>) -> bool
-where
-    A: Adapter,
-{
+fn own_record<A>(node: &Node<A>) -> InstanceRecord {
     let settings = &node.settings;
-    let record = InstanceRecord {
+    InstanceRecord {
         instance: settings.instance.clone(),
         incarnation: node.incarnation,
         zone: settings.zone.clone(),
         front: settings.front,
         peers: settings.peers,
         link_mbps: settings.link_mbps,
-    };
-    let Ok(value) = serde_json::to_string(&record) else {
-        log::error!("instance record could not be serialized");
-        return false;
-    };
+    }
+}
+
+/// Writes records to the store in one call. Returns whether it succeeded.
+async fn write_records<A>(node: &Node<A>, records: &[InstanceRecord]) -> bool
+where
+    A: Adapter,
+{
+    let mut writes = Vec::new();
+    for record in records {
+        let Ok(value) = serde_json::to_string(record) else {
+            log::error!(instance = record.instance.as_str(); "instance record could not be serialized");
+            return false;
+        };
+        let prefix = zone_prefix(record.zone.as_str());
+        let key = format!("{prefix}{}", record.instance);
+        writes.push(Write::Put { key, value });
+    }
     let transaction = Transaction {
         conditions: Vec::new(),
-        writes: vec![Write::Put {
-            key: format!("{RECORDS_PREFIX}{}", settings.instance),
-            value,
-        }],
+        writes,
     };
     let store = node.adapter.store();
     let written = store.transact(&transaction, REGISTER_TIMEOUT_MS).await;
-    if let Err(failure) = &written {
-        log::warn!(failure:% = failure; "instance record could not be written to the store");
+    node.count_store_call(StoreCall::WriteRecords, written.is_ok());
+    match &written {
+        Ok(_) => log::info!(records = records.len(); "instance records were written to the store"),
+        Err(failure) => {
+            log::warn!(failure:% = failure; "instance records could not be written to the store");
+        }
     }
     written.is_ok()
 }
 
+/// Result of reading all records.
+struct AllRecords {
+    records: IndexMap<InstanceId, InstanceRecord>,
+    /// Whether some of their instances were unknown.
+    has_unknown: bool,
+}
+
+fn contains_own<A>(node: &Node<A>, read: &AllRecords) -> bool {
+    is_recorded(&read.records, &own_record(node))
+}
+
 /// Reads all records and adds their instances to the peer book. Returns `None` if the store does not
 /// answer.
-async fn read_records<A>(node: &Node<A>) -> Option<OwnRecord>
+async fn read_all<A>(node: &Node<A>) -> Option<AllRecords>
 where
     A: Adapter,
 {
-    let mut own = OwnRecord::Missing;
+    let mut all = AllRecords {
+        records: IndexMap::new(),
+        has_unknown: false,
+    };
     let mut after = None;
     loop {
-        let request = ScanRows {
-            prefix: RECORDS_PREFIX.to_owned(),
-            after,
-            limit: MAX_RECORDS_PER_CALL,
-        };
-        let rows = match node
-            .adapter
-            .store()
-            .scan(&request, REGISTER_TIMEOUT_MS)
-            .await
-        {
-            Ok(rows) => rows.rows,
-            Err(failure) => {
-                log::warn!(failure:% = failure; "instance records could not be read from the store");
-                return None;
-            }
-        };
-        for row in &rows {
-            if add_record(node, row) == OwnRecord::Present {
-                own = OwnRecord::Present;
-            }
-        }
+        let prefix = RECORDS_PREFIX.to_owned();
+        let limit = MAX_RECORDS_PER_CALL;
+        let rows = scan(node, prefix, after, limit, StoreCall::ReadRecords).await?;
+        let records: Vec<InstanceRecord> = rows.iter().filter_map(parse_record).collect();
+        all.has_unknown |= add_records(node, records.clone());
+        all.records
+            .extend(records.into_iter().map(|it| (it.instance.clone(), it)));
         after = next_page(&rows, MAX_RECORDS_PER_CALL);
         if after.is_none() {
-            return Some(own);
+            return Some(all);
+        }
+    }
+}
+
+async fn scan<A>(
+    node: &Node<A>,
+    prefix: String,
+    after: Option<String>,
+    limit: u32,
+    cause: StoreCall,
+) -> Option<Vec<Row>>
+where
+    A: Adapter,
+{
+    let request = ScanRows {
+        prefix,
+        after,
+        limit,
+    };
+    let store = node.adapter.store();
+    let read = store.scan(&request, REGISTER_TIMEOUT_MS).await;
+    node.count_store_call(cause, read.is_ok());
+    match read {
+        Ok(rows) => Some(rows.rows),
+        Err(failure) => {
+            log::warn!(failure:% = failure; "instance records could not be read from the store");
+            None
         }
     }
 }
@@ -160,14 +376,21 @@
     Some(last.key.clone())
 }
 
-/// Adds a record's instance to the peer book. Returns whether the record is that of this process.
-fn add_record<A>(node: &Node<A>, row: &Row) -> OwnRecord {
-    match serde_json::from_str::<InstanceRecord>(&row.value) {
-        Ok(record) if record.incarnation == node.incarnation => return OwnRecord::Present,
-        Ok(record) => node.peers.borrow_mut().add_record(record, boot_ms()),
-        Err(error) => {
+fn parse_record(row: &Row) -> Option<InstanceRecord> {
+    serde_json::from_str(&row.value)
+        .inspect_err(|error| {
             log::warn!(key = row.key.as_str(), error:% = error; "instance record is malformed");
-        }
+        })
+        .ok()
+}
+
+/// Adds the instances of records to the peer book. Returns whether some were unknown.
+fn add_records<A>(node: &Node<A>, records: Vec<InstanceRecord>) -> bool {
+    let now_ms = boot_ms();
+    let mut peers = node.peers.borrow_mut();
+    let mut has_unknown = false;
+    for record in records {
+        has_unknown |= peers.add_record(record, now_ms);
     }
-    OwnRecord::Missing
+    has_unknown
 }
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -16,7 +16,7 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::settings::RelaySettings;
-use super::{checks, duty, feeds, front, peers, records, room_notice, snapshot};
+use super::{checks, duty, feeds, front, peer_list, peers, records, room_notice, snapshot};
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
 
@@ -125,6 +125,7 @@
     actix_rt::spawn(snapshot::sync_from_peers(Rc::clone(node)));
     actix_rt::spawn(duty::place_layers(Rc::clone(node)));
     actix_rt::spawn(records::maintain_records(Rc::clone(node)));
+    actix_rt::spawn(peer_list::sync_peer_list(Rc::clone(node)));
     actix_rt::spawn(sweep(Rc::clone(node)));
     Ok(())
 }
@@ -159,7 +160,10 @@
                 ListenerKind::Metrics => front::metrics_page(&node),
                 ListenerKind::Peers => {
                     let query = request.uri().query().unwrap_or("");
-                    snapshot::respond(&node, query, request.peer_addr())
+                    match request.path() {
+                        peer_list::PEER_LIST_PATH => peer_list::respond(&node, query),
+                        _ => snapshot::respond(&node, query, request.peer_addr()),
+                    }
                 }
             };
             Ok::<_, Infallible>(response)
--- a/src/relay_server/store_readers.rs
+++ b/src/relay_server/store_readers.rs
@@ -6,6 +6,8 @@
 //! starts reading whenever the data it hears gets old, for whatever reason. More readers than needed
 //! cost calls; fewer cost only the time until the next instance starts reading.
 
+use super::introduction::FIRST_START_MS;
+
 /// Instances of a zone that read the store, one of which issues the orders to engines. With three, two
 /// may fail at once without any delay.
 pub(super) const READERS_PER_ZONE: usize = 3;
@@ -35,6 +37,8 @@
     pub(super) answered_ms: Option<u64>,
     /// When the process started to listen for heartbeats.
     pub(super) started_ms: u64,
+    /// Whether the whole deployment starts for the first time.
+    pub(super) is_first_start: bool,
     /// Whether this instance reads the store now.
     pub(super) is_reader: bool,
 }
@@ -53,9 +57,13 @@
         now_ms >= self.stale_from_ms() + stagger_ms
     }
 
-    /// Whether the process has started so recently that it may not know the other instances yet.
-    pub(super) fn awaits_records(self, now_ms: u64) -> bool {
-        now_ms < self.started_ms + RECORDS_WAIT_MS
+    /// Whether the process has started so recently that it may not know its rank yet. Records or a peer's
+    /// list tell it, unless the other instances have only just introduced themselves.
+    pub(super) fn awaits_records(self, are_records_loaded: bool, now_ms: u64) -> bool {
+        if self.is_first_start {
+            return now_ms < self.started_ms + FIRST_START_MS;
+        }
+        !are_records_loaded && now_ms < self.started_ms + RECORDS_WAIT_MS
     }
 
     fn stale_from_ms(self) -> u64 {
--- a/src/relay_server/store_readers_tests.rs
+++ b/src/relay_server/store_readers_tests.rs
@@ -46,6 +46,7 @@
                 answered_ahead: ahead.filter(|it| it.is_reader && is_fresh(it)).count(),
                 answered_ms: alive.filter_map(|it| it.answered_ms).max(),
                 started_ms: 0,
+                is_first_start: false,
                 is_reader: own.is_reader,
             };
             own.is_reader = own.is_alive && view.should_read(now_ms);
--- a/src/relay_server/test_settings.rs
+++ b/src/relay_server/test_settings.rs
@@ -21,6 +21,7 @@
         metrics: None,
         peers,
         link_mbps,
+        is_first_start: false,
         bounds: RelayBounds {
             key_trust_ms: 4_900,
             stop_limit_ms: 8_000,
