An instance is kept in the peer book at least as long as its heartbeats may take

Cause: silent peers were forgotten after 60 s, while an instance reaches each one of other zones every 250 ms x their number / 8. At 985 instances the interval is 25 s and nothing changes.

The time is now the timeout of the peer (two of its intervals and 300 ms) where that is longer. The test failed before (1 instance known, 2 expected, 200 s after a heartbeat with an interval of 100 s).

--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -19,6 +19,9 @@
 /// a heartbeat that was sent late.
 const CROSS_ZONE_SLACK_MS: u64 = 300;
 
+/// How long a silent peer is kept, unless its timeout is longer.
+const MIN_PEER_TTL_MS: u64 = 60_000;
+
 /// An instance's record in the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct InstanceRecord {
@@ -195,6 +198,12 @@
         }
     }
 
+    /// How long it is kept while it is silent. In a large fleet, more than a minute passes between two
+    /// heartbeats of an instance of another zone.
+    pub(super) fn ttl_ms(&self, own_zone: &ZoneName) -> u64 {
+        MIN_PEER_TTL_MS.max(self.timeout_ms(own_zone))
+    }
+
     /// Sort key among instances: those with the fastest links come first.
     pub(super) fn rank<'a>(&self, name: &'a InstanceId) -> (Reverse<u32>, &'a InstanceId) {
         (Reverse(self.link_mbps), name)
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -21,8 +21,6 @@
 use crate::wire::engine::LayerRange;
 
 pub(super) const HEARTBEAT_INTERVAL_MS: u64 = 250;
-/// How long a silent peer is kept.
-pub(super) const PEER_TTL_MS: u64 = 60_000;
 /// Silence after which the holder of a lease is presumed to have ended: four heartbeats. If it is in fact
 /// alive, the only cost is a change of holder; a zone without a layer waits no longer than this for it.
 const HOLDER_TIMEOUT_MS: u64 = 1_000;
@@ -513,8 +511,9 @@
 
     /// Removes peers that have been silent for a long time.
     pub(super) fn remove_expired(&mut self, now_ms: u64) {
+        let own_zone = &self.own_zone;
         self.peers
-            .retain(|_, peer| now_ms < peer.last_seen_ms() + PEER_TTL_MS);
+            .retain(|_, peer| now_ms < peer.last_seen_ms() + peer.ttl_ms(own_zone));
     }
 
     fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
--- a/src/relay_server/peer_membership.rs
+++ b/src/relay_server/peer_membership.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::peer::{InstanceRecord, Peer};
-use super::peer_book::{PEER_TTL_MS, PeerBook};
+use super::peer_book::PeerBook;
 use super::peer_list::ListedPeer;
 use crate::ids::InstanceId;
 
@@ -27,14 +27,13 @@
             let unseen_ms = u64::from(entry.unseen_ms);
             let instance = &entry.record.instance;
             let is_known = *instance == self.own_instance || self.peers.contains_key(instance);
-            if is_known || unseen_ms >= PEER_TTL_MS {
-                continue;
-            }
             let peer = Peer {
                 cross_zone_interval_ms: entry.cross_zone_interval_ms,
                 ..Peer::from_record(&entry.record, now_ms.saturating_sub(unseen_ms))
             };
-            self.peers.insert(entry.record.instance, peer);
+            if !is_known && unseen_ms < peer.ttl_ms(&self.own_zone) {
+                self.peers.insert(entry.record.instance, peer);
+            }
         }
     }
 
--- a/src/relay_server/peer_membership_tests.rs
+++ b/src/relay_server/peer_membership_tests.rs
@@ -108,3 +108,21 @@
         "silent"
     );
 }
+
+// Guards against instances that forget one another between two heartbeats: with more than 1,920 instances in other
+// zones, the interval of most heartbeats exceeds a minute.
+#[test]
+fn an_instance_is_not_forgotten_before_its_next_heartbeat_however_many_there_are() {
+    let mut own = book("a", "lac", 1_000);
+    let mut distant = book("b", "marsa", 2_000);
+    let mut beat = heartbeat(&mut distant, NON_READER, 0);
+    beat.cross_zone_interval_ms = 100_000;
+    own.apply_heartbeat(&beat, address(2_001), 0);
+    own.remove_expired(200_000);
+    assert_eq!(own.own_known_instances(), 2);
+    let mut new = book("c", "lac", 3_000);
+    new.add_listed(own.listed(0, 200_000), 200_000);
+    assert_eq!(new.own_known_instances(), 2);
+    own.remove_expired(201_000);
+    assert_eq!(own.own_known_instances(), 1);
+}
