Heartbeats of a zone go to those that depend on them, and to the rest in turn

Cause: each instance sent each other one of its zone a heartbeat four times a second. At 985 instances in five zones (197 in the middle) that is 808 datagrams a second for each instance: 225 kB/s, 17 % of a processor share, nearly all of it without news; it grows with the square of a zone.

Now the first 16 of a zone, whoever reads the store, and whoever has news (loads, updates, limits, a changed table, a request for a heartbeat at once, a start) send to the whole zone, the latter for a second longer. All others send to these, to those that do not hear them yet, and to eight more in turn: 24 and 8 in other zones, however large the zone. Each recipient is told in which interval it is reached and judges silence by that. Callers are sent to the first by link and name, which everyone hears each time, and before those that are heard in turn only.

Why it holds: loads, leavings, full engines and documents are news and go to everyone as before; those that serve callers are heard by everyone each time; others are heard by the first 16, so that loans, ranks and readers are as fresh there. In zones of up to 17 nothing changes.

Tests: recipients_tests (the first failed before by its nature: 59, 119, 239 recipients instead of 24); the simulations of leaving endpoints, withheld requests and rate limits at 86, 195 and 300 instances now run with it and keep their bounds. The platform's process tests and all tests of relay_server pass.

--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -27,6 +27,8 @@
     /// Interval in which its heartbeats reach every instance of other zones. Their timeout for this
     /// instance depends on it.
     pub(super) cross_zone_interval_ms: u32,
+    /// Whether the sender sends each heartbeat to its whole zone for the time being.
+    pub(super) is_active: bool,
     pub(super) availability: Availability,
     /// Version of the route table in force.
     pub(super) table: u64,
@@ -77,6 +79,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PeerPart {
     pub(super) echo: Option<Echo>,
+    /// Interval in which heartbeats of the sender reach the recipient; 0 if they are of different zones.
+    pub(super) interval_ms: u32,
     /// Retries lent for the needs in the heartbeat that `echo` identifies.
     pub(super) lent: Vec<RetryLoan>,
     /// Unused remainders of the recipient's loans.
--- a/src/relay_server/list_propagation_tests/events.rs
+++ b/src/relay_server/list_propagation_tests/events.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use super::super::adapter::FeedRead;
-use super::super::heartbeat::{Echo, Heartbeat};
+use super::super::heartbeat::{Heartbeat, PeerPart};
 use super::super::list_sync::ListUpdate;
 use crate::fleet::ListingRead;
 use crate::ids::InstanceId;
@@ -14,7 +14,7 @@
     HeartbeatReceived {
         from: usize,
         heartbeat: Rc<Heartbeat>,
-        echo: Option<Echo>,
+        peer_part: PeerPart,
     },
     /// Start of a read or watch of the list.
     ListCall,
--- a/src/relay_server/list_propagation_tests/instance.rs
+++ b/src/relay_server/list_propagation_tests/instance.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 
 use super::super::adapter::FeedRead;
-use super::super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
+use super::super::heartbeat::{Availability, Heartbeat, OwnState, PeerPart};
 use super::super::list_log::ListLog;
 use super::super::list_sync::{self, ListUpdate};
 use super::super::pacing::update_limit_shares;
@@ -218,11 +218,12 @@
         &mut self,
         heartbeat: &Heartbeat,
         from: SocketAddr,
-        echo: Option<Echo>,
+        peer_part: &PeerPart,
         now_ms: u64,
     ) -> bool {
         self.book.apply_heartbeat(heartbeat, from, now_ms);
-        let sent_ms = self.book.acknowledged_sent_ms(echo);
+        self.book.apply_peer_part(&heartbeat.instance, peer_part);
+        let sent_ms = self.book.acknowledged_sent_ms(peer_part.echo);
         let newest_at_ms = sent_ms.map(|it| it.saturating_sub(heartbeat.list_age_ms));
         let (log, fleet) = (&mut self.log, &mut self.fleet);
         let peer = &heartbeat.instance;
--- a/src/relay_server/list_propagation_tests/simulation.rs
+++ b/src/relay_server/list_propagation_tests/simulation.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::super::adapter::FeedRead;
+use super::super::heartbeat::PeerPart;
 use super::super::peer::{InstanceRecord, SyncSource};
 use super::super::peer_book::HEARTBEAT_INTERVAL_MS;
 use super::events::{Event, ScheduledEvent};
@@ -279,10 +280,10 @@
             Event::HeartbeatReceived {
                 from,
                 heartbeat,
-                echo,
+                peer_part,
             } => {
                 let address = self.records[from].peers;
-                if self.instances[index].on_heartbeat(&heartbeat, address, echo, now_ms) {
+                if self.instances[index].on_heartbeat(&heartbeat, address, &peer_part, now_ms) {
                     self.notify(index);
                 }
             }
@@ -346,7 +347,11 @@
             let received = Event::HeartbeatReceived {
                 from: index,
                 heartbeat: Rc::clone(&heartbeat),
-                echo: recipient.echo,
+                peer_part: PeerPart {
+                    echo: recipient.echo,
+                    interval_ms: recipient.interval_ms,
+                    ..PeerPart::default()
+                },
             };
             self.schedule(to, after_ms, received);
         }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -53,6 +53,9 @@
 mod probes;
 mod quarantine_rows;
 mod query;
+mod recipients;
+#[cfg(test)]
+mod recipients_tests;
 mod records;
 #[cfg(test)]
 mod records_tests;
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -7,6 +7,7 @@
 
 use super::heartbeat::{Availability, Echo, Heartbeat};
 use super::list_log::ListWatermark;
+use super::peer_book::HEARTBEAT_INTERVAL_MS;
 use super::snapshot::KnownVersions;
 use super::store_readers::STORE_STALE_MS;
 use crate::fleet::EngineLoad;
@@ -15,9 +16,9 @@
 
 /// Silence after which callers are no longer sent to a peer. Two heartbeats in a row may be lost.
 const PEER_TIMEOUT_MS: u64 = 800;
-/// Added to two cross-zone intervals for the timeout of a peer in another zone. Covers network delay and
-/// a heartbeat that was sent late.
-const CROSS_ZONE_SLACK_MS: u64 = 300;
+/// Added to two intervals of a peer's heartbeats for its timeout. Covers network delay and a heartbeat that
+/// was sent late.
+const INTERVAL_SLACK_MS: u64 = 300;
 
 /// How long a silent peer is kept, unless its timeout is longer.
 const MIN_PEER_TTL_MS: u64 = 60_000;
@@ -52,6 +53,12 @@
     pub(super) link_mbps: u32,
     /// Interval in which its heartbeats reach every instance of other zones.
     pub(super) cross_zone_interval_ms: u32,
+    /// Interval in which its heartbeats reach this instance, if it is of the same zone; 0 if unknown.
+    pub(super) zone_interval_ms: u32,
+    /// Whether heartbeats of this process reach it, as far as its newest one tells.
+    pub(super) hears_own: bool,
+    /// Whether it sends each heartbeat to its whole zone.
+    pub(super) is_active: bool,
     pub(super) availability: Availability,
     /// Version of its route table.
     pub(super) table: u64,
@@ -107,6 +114,8 @@
     pub(super) address: SocketAddr,
     pub(super) zone: ZoneName,
     pub(super) echo: Option<Echo>,
+    /// Interval in which heartbeats reach it, as it is told; 0 in other zones, which the heartbeat tells.
+    pub(super) interval_ms: u32,
 }
 
 impl Peer {
@@ -119,6 +128,9 @@
             front: record.front,
             link_mbps: record.link_mbps,
             cross_zone_interval_ms: 0,
+            zone_interval_ms: 0,
+            hears_own: false,
+            is_active: false,
             availability: Availability::default(),
             table: 0,
             list: ListWatermark::default(),
@@ -144,6 +156,9 @@
             front: heartbeat.front,
             link_mbps: heartbeat.link_mbps,
             cross_zone_interval_ms: heartbeat.cross_zone_interval_ms,
+            zone_interval_ms: 0,
+            hears_own: false,
+            is_active: heartbeat.is_active,
             availability: heartbeat.availability,
             table: heartbeat.table,
             list: heartbeat.list,
@@ -190,12 +205,18 @@
     /// Silence after which callers are no longer sent to it. Two heartbeats in a row may be lost, within
     /// the zone as well as between zones.
     pub(super) fn timeout_ms(&self, own_zone: &ZoneName) -> u64 {
-        if self.zone == *own_zone {
-            PEER_TIMEOUT_MS
+        let interval_ms = if self.zone == *own_zone {
+            self.zone_interval_ms
         } else {
-            let two_intervals_ms = 2 * u64::from(self.cross_zone_interval_ms);
-            PEER_TIMEOUT_MS.max(two_intervals_ms + CROSS_ZONE_SLACK_MS)
-        }
+            self.cross_zone_interval_ms
+        };
+        let two_intervals_ms = 2 * u64::from(interval_ms);
+        PEER_TIMEOUT_MS.max(two_intervals_ms + INTERVAL_SLACK_MS)
+    }
+
+    /// Whether its heartbeats reach this instance only in rotation, so that its end is noticed late.
+    pub(super) fn is_rarely_heard(&self) -> bool {
+        u64::from(self.zone_interval_ms) > HEARTBEAT_INTERVAL_MS
     }
 
     /// How long it is kept while it is silent. In a large fleet, more than a minute passes between two
@@ -209,7 +230,7 @@
         (Reverse(self.link_mbps), name)
     }
 
-    pub(super) fn to_recipient(&self, timeout_ms: u64, now_ms: u64) -> Recipient {
+    pub(super) fn to_recipient(&self, timeout_ms: u64, interval_ms: u32, now_ms: u64) -> Recipient {
         let is_heard = self.is_heard(timeout_ms, now_ms);
         Recipient {
             address: self.address,
@@ -218,6 +239,7 @@
                 incarnation: self.incarnation,
                 sent_ms: self.sent_ms,
             }),
+            interval_ms,
         }
     }
 }
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -8,7 +8,8 @@
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::load_change::{LoadChange, load_changes};
 use super::locate::{self, Candidate};
-use super::peer::{Peer, Recipient, SyncSource};
+use super::peer::{Peer, SyncSource};
+use super::recipients::ZoneReach;
 use super::senders::Sender;
 use super::settings::RelaySettings;
 use super::store_readers::{READERS_PER_ZONE, StoreReaderView};
@@ -24,12 +25,6 @@
 /// Silence after which the holder of a lease is presumed to have ended: four heartbeats. If it is in fact
 /// alive, the only cost is a change of holder; a zone without a layer waits no longer than this for it.
 const HOLDER_TIMEOUT_MS: u64 = 1_000;
-/// Instances of other zones that receive each heartbeat of an instance that is neither top-ranked in its
-/// zone nor answered by the store. Heartbeats with all loads to all 156 of them filled 20 Mbit/s links.
-const CROSS_ZONE_FANOUT: usize = 8;
-/// Number of heartbeats within which an instance that is top-ranked in its zone, or that the store answers,
-/// reaches all instances of other zones.
-const FAST_ROTATION_HEARTBEATS: usize = 2;
 /// How long after the start of this process an instance that has a record but was not heard may still be
 /// starting.
 const STARTUP_MS: u64 = 1_000;
@@ -61,17 +56,6 @@
     }
 }
 
-/// Which of this instance's loads are sent to instances of another zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CrossZoneLoads {
-    /// Those on all engines. If a zone lacks engines, other zones may send to those of a third zone and need
-    /// to know one another's load there.
-    AllEngines,
-    /// Those on engines of the recipient's zone, which it uses almost exclusively. In a fleet too large to
-    /// send every heartbeat to every instance, other loads would be outdated on arrival and fill the links.
-    RecipientZoneEngines,
-}
-
 /// The other instances, and updates queued for them.
 #[derive(Debug)]
 pub(crate) struct PeerBook {
@@ -95,8 +79,10 @@
     is_first_start: bool,
     /// Whether a heartbeat is to be sent without waiting for the next interval.
     is_heartbeat_requested: bool,
+    /// What decides which instances of the own zone receive each heartbeat.
+    pub(super) reach: ZoneReach,
     /// Selects the recipients in other zones.
-    cross_zone_rotation: Rotation,
+    pub(super) cross_zone_rotation: Rotation,
 }
 
 impl PeerBook {
@@ -117,61 +103,11 @@
             listening_since_ms: now_ms,
             is_first_start: settings.is_first_start,
             is_heartbeat_requested: false,
+            reach: ZoneReach::new(now_ms),
             cross_zone_rotation: Rotation::default(),
         }
     }
 
-    /// Recipients of the next heartbeat: all instances of the own zone, and the next few of the others.
-    pub(super) fn recipients(&mut self, own: Availability, now_ms: u64) -> Vec<Recipient> {
-        let fanout = self.cross_zone_fanout(own, now_ms);
-        let is_in_zone = |peer: &&Peer| peer.zone == self.own_zone;
-        let (in_zone, elsewhere): (Vec<&Peer>, Vec<&Peer>) =
-            self.peers.values().partition(is_in_zone);
-        let batch = self.cross_zone_rotation.next_batch(&elsewhere, fanout);
-        in_zone
-            .iter()
-            .chain(batch)
-            .map(|peer| peer.to_recipient(self.timeout_ms(peer), now_ms))
-            .collect()
-    }
-
-    /// Number of recipients of a heartbeat in other zones. The instance that issues orders sends each
-    /// heartbeat to everyone, so that its end is noticed within a second.
-    fn cross_zone_fanout(&self, own: Availability, now_ms: u64) -> usize {
-        let peers = self.cross_zone_peers();
-        let fanout = if own.may_lead() && self.is_preferred_leader(now_ms) {
-            peers
-        } else if own.reaches_store || self.is_top_ranked_in_zone(now_ms) {
-            peers
-                .div_ceil(FAST_ROTATION_HEARTBEATS)
-                .max(CROSS_ZONE_FANOUT)
-        } else {
-            CROSS_ZONE_FANOUT
-        };
-        fanout.min(peers)
-    }
-
-    /// Which loads are sent to instances of other zones.
-    pub(super) fn cross_zone_loads(&self) -> CrossZoneLoads {
-        if self.cross_zone_peers() <= CROSS_ZONE_FANOUT {
-            CrossZoneLoads::AllEngines
-        } else {
-            CrossZoneLoads::RecipientZoneEngines
-        }
-    }
-
-    fn cross_zone_peers(&self) -> usize {
-        let peers = self.peers.values();
-        peers.filter(|it| it.zone != self.own_zone).count()
-    }
-
-    /// Interval in which heartbeats reach every instance of other zones.
-    fn cross_zone_interval_ms(&self, own: Availability, now_ms: u64) -> u32 {
-        let fanout = self.cross_zone_fanout(own, now_ms).max(1);
-        let heartbeats = self.cross_zone_peers().div_ceil(fanout).max(1) as u64;
-        u32::try_from(heartbeats * HEARTBEAT_INTERVAL_MS).unwrap_or(u32::MAX)
-    }
-
     /// Whether this instance ranks among the [`READERS_PER_ZONE`] first of its zone: those with the fastest
     /// links.
     pub(super) fn is_top_ranked_in_zone(&self, now_ms: u64) -> bool {
@@ -339,9 +275,10 @@
         let mut heard: Vec<(&InstanceId, &Peer)> = peers
             .filter(|(_, peer)| self.is_heard(peer, now_ms))
             .collect();
-        // In the same order everywhere, in whatever order the peers became known: callers then use few
-        // instances, and these few connections to engines.
-        heard.sort_unstable_by_key(|(name, _)| *name);
+        // In the same order everywhere: callers then use few instances, and these few connections to
+        // engines. They are those that send every heartbeat to their whole zone, so that their end is
+        // noticed soon.
+        heard.sort_unstable_by_key(|(name, peer)| (peer.is_rarely_heard(), peer.rank(name)));
         let others = heard.iter().map(|(_, peer)| Candidate {
             zone: &peer.zone,
             front: peer.front,
@@ -464,19 +401,24 @@
 
     /// Whether a heartbeat was requested since the last call.
     pub(super) fn take_heartbeat_request(&mut self) -> bool {
-        std::mem::take(&mut self.is_heartbeat_requested)
+        let is_requested = std::mem::take(&mut self.is_heartbeat_requested);
+        if is_requested {
+            self.reach.note_request();
+        }
+        is_requested
     }
 
     /// The next heartbeat for the own zone. Takes the updates it contains from their queues.
     pub(super) fn heartbeat(&mut self, own: &OwnState, now_ms: u64) -> Heartbeat {
         let held = own.held.iter();
-        Heartbeat {
+        let mut heartbeat = Heartbeat {
             instance: self.own_instance.clone(),
             incarnation: self.own_incarnation,
             zone: self.own_zone.clone(),
             front: self.own_front,
             link_mbps: self.own_link_mbps,
             cross_zone_interval_ms: self.cross_zone_interval_ms(own.availability, now_ms),
+            is_active: false,
             availability: own.availability,
             table: own.table,
             table_age_ms: own.table_age_ms,
@@ -499,7 +441,10 @@
             retry_needs: own.retry_needs.clone(),
             evidence: own.evidence.clone(),
             limits: own.limits.clone(),
-        }
+        };
+        self.reach.update(&heartbeat, now_ms);
+        heartbeat.is_active = self.is_active(own.availability, now_ms);
+        heartbeat
     }
 
     /// When the heartbeat that a peer acknowledges was sent, if this process sent it. An earlier process of
@@ -516,11 +461,11 @@
             .retain(|_, peer| now_ms < peer.last_seen_ms() + peer.ttl_ms(own_zone));
     }
 
-    fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
+    pub(super) fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
         peer.is_heard(self.timeout_ms(peer), now_ms)
     }
 
-    fn timeout_ms(&self, peer: &Peer) -> u64 {
+    pub(super) fn timeout_ms(&self, peer: &Peer) -> u64 {
         peer.timeout_ms(&self.own_zone)
     }
 }
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::net::UdpSocket;
 
 use super::adapter::Adapter;
@@ -19,7 +19,8 @@
 };
 use super::node::Node;
 use super::peer::Recipient;
-use super::peer_book::{CrossZoneLoads, HEARTBEAT_INTERVAL_MS};
+use super::peer_book::HEARTBEAT_INTERVAL_MS;
+use super::recipients::CrossZoneLoads;
 use super::retry_loans::loan_requests;
 use super::withholding::SOURCE_PEERS;
 use super::{list_sync, room_notice};
@@ -77,7 +78,7 @@
 {
     let now_ms = boot_ms();
     let own = own_state(node, now_ms);
-    let (heartbeat, recipients, loads, requests) = {
+    let (heartbeat, mut recipients, loads, requests) = {
         let mut peers = node.peers.borrow_mut();
         let heartbeat = peers.heartbeat(&own, now_ms);
         peers.remove_expired(now_ms);
@@ -94,6 +95,7 @@
     let mut peer_parts = node.answer_loan_requests(requests, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
     node.update_limit_shares(now_ms);
+    add_owed_recipients(node, &mut recipients, &peer_parts, now_ms);
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
     for recipient in &recipients {
         if !shared.contains_key(&recipient.zone) {
@@ -108,6 +110,7 @@
         }
         let peer_part = PeerPart {
             echo: recipient.echo,
+            interval_ms: recipient.interval_ms,
             ..peer_parts
                 .swap_remove(&recipient.address)
                 .unwrap_or_default()
@@ -123,6 +126,19 @@
     }
 }
 
+/// Adds those to the recipients that get loans, or the remainders of their own, and are not among them.
+fn add_owed_recipients<A>(
+    node: &Node<A>,
+    recipients: &mut Vec<Recipient>,
+    peer_parts: &IndexMap<SocketAddr, PeerPart>,
+    now_ms: u64,
+) {
+    let due: IndexSet<SocketAddr> = recipients.iter().map(|it| it.address).collect();
+    let owed = peer_parts.keys().filter(|it| !due.contains(*it));
+    let peers = node.peers.borrow();
+    recipients.extend(owed.filter_map(|it| peers.recipient_at(*it, now_ms)));
+}
+
 async fn send_one<A>(
     node: &Rc<Node<A>>,
     socket: &UdpSocket,
@@ -251,7 +267,9 @@
     let (is_newest, changes) = {
         let mut peers = node.peers.borrow_mut();
         let is_newest = peers.is_newest(&heartbeat);
-        (is_newest, peers.apply_heartbeat(&heartbeat, from, now_ms))
+        let changes = peers.apply_heartbeat(&heartbeat, from, now_ms);
+        peers.apply_peer_part(&heartbeat.instance, &peer_part);
+        (is_newest, changes)
     };
     let own_sent_ms = node.peers.borrow().acknowledged_sent_ms(peer_part.echo);
     // A time in the future cannot come from this process, whatever the peer claims.
