--- a/src/relay_server/peer_membership.rs
+++ b/src/relay_server/peer_membership.rs
@@ -7,6 +7,7 @@
 use super::peer::{InstanceRecord, Peer};
 use super::peer_book::PeerBook;
 use super::peer_list::ListedPeer;
+use super::peer_selection::weighted_by_link;
 use crate::ids::InstanceId;
 
 impl PeerBook {
@@ -66,14 +67,7 @@
             knows_more || (lacks_key && peer.has_recent_store_answer(now_ms))
         };
         let sources: Vec<&Peer> = self.heard_zone_peers(now_ms).filter(is_useful).collect();
-        let weight = |peer: &Peer| u64::from(peer.link_mbps.max(1));
-        let sum: u64 = sources.iter().map(|peer| weight(peer)).sum();
-        let mut left = random.checked_rem(sum)?;
-        let chosen = sources.into_iter().find(|peer| {
-            let is_chosen = left < weight(peer);
-            left = left.saturating_sub(weight(peer));
-            is_chosen
-        });
+        let chosen = weighted_by_link(&sources, |peer| peer.link_mbps, random);
         chosen.map(|peer| peer.address)
     }
 
--- a/src/relay_server/peer_selection.rs
+++ b/src/relay_server/peer_selection.rs
@@ -209,7 +209,7 @@
         let (busy, free): (Vec<&SyncSource>, Vec<&SyncSource>) = all
             .into_iter()
             .partition(|it| self.document_busy.contains_key(&it.instance));
-        if let Some(peer) = weighted_by_link(&free, random) {
+        if let Some(peer) = weighted_by_link(&free, |it| it.link_mbps, random) {
             return Availability::From(peer);
         }
         first_available(&busy, &self.document_busy)
@@ -243,6 +243,7 @@
                 } else {
                     &same_zone
                 },
+                |it| it.link_mbps,
                 random,
             )
         } else {
@@ -317,15 +318,22 @@
         })
 }
 
-/// A random peer, weighted by link speed.
-fn weighted_by_link<'a>(sync_sources: &[&'a SyncSource], random: u64) -> Option<&'a SyncSource> {
-    let weight = |it: &SyncSource| match it.link_mbps {
+/// A random peer, weighted by the speed of its link as `link_mbps` tells it.
+pub(super) fn weighted_by_link<'a, T, F>(
+    peers: &[&'a T],
+    link_mbps: F,
+    random: u64,
+) -> Option<&'a T>
+where
+    F: Fn(&T) -> u32,
+{
+    let weight = |it: &T| match link_mbps(it) {
         0 => u64::from(UNKNOWN_LINK_MBPS),
         known => u64::from(known),
     };
-    let sum: u64 = sync_sources.iter().map(|it| weight(it)).sum();
+    let sum: u64 = peers.iter().map(|it| weight(it)).sum();
     let mut left = random.checked_rem(sum)?;
-    sync_sources.iter().copied().find(|it| {
+    peers.iter().copied().find(|it| {
         let is_chosen = left < weight(it);
         left = left.saturating_sub(weight(it));
         is_chosen
