--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -1,9 +1,9 @@
 //! Exchange of heartbeats among instances, by UDP: liveness, engine loads, and which endpoints are
 //! unhealthy or leaving. The next heartbeat makes up for a lost one.
 //!
-//! Heartbeats are sent to the own zone four times per second, and to other zones less often the more
-//! instances there are. All instances of a deployment must run the same release; one that cannot decode a
-//! datagram logs a warning and continues without it.
+//! A heartbeat is sent four times per second, to those recipients that [`super::recipients`] selects. All
+//! instances of a deployment must run the same release; one that cannot decode a datagram logs a warning and
+//! continues without it.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/relay_server/recipients.rs
+++ b/src/relay_server/recipients.rs
@@ -63,7 +63,7 @@
     news_ms: u64,
     /// Whether the next heartbeat was requested without delay.
     is_requested: bool,
-    /// Availability and versions in the previous heartbeat.
+    /// Availability and version of the route table in the previous heartbeat.
     announced: Option<(Availability, u64)>,
     rotation: Rotation,
     /// Interval in which those that do not need every heartbeat get one.
