A registration reads the records again if only their read failed

Cause: after a first round in which the own record was written and the read of all others failed, later rounds neither wrote nor read: the instance stayed in its registration for ever, without the records, though it still learnt of peers by heartbeats.

The decision is a function of the registration's progress now; the test asserts what the condition before (failures > 0 and not written) denied.

--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -108,20 +108,17 @@
 where
     A: Adapter,
 {
-    let mut is_written = false;
-    let mut failures = 0;
+    let mut registration = Registration::default();
     loop {
         // Comes first because requests may arrive at any moment.
         let knows_key = quarantine_rows::load(node).await;
         let mut read = None;
-        if failures > 0 && !is_written {
-            // An unanswered write may have taken effect. Repeating such writes would keep the store busy
-            // when hundreds of instances have just started.
+        if registration.reads_first() {
             read = read_all(node).await;
-            is_written = read.as_ref().is_some_and(|it| contains_own(node, it));
+            registration.is_written |= read.as_ref().is_some_and(|it| contains_own(node, it));
         }
-        if !is_written {
-            is_written = write_records(node, &[own_record(node)]).await;
+        if !registration.is_written {
+            registration.is_written = write_records(node, &[own_record(node)]).await;
             // Reads after the write, so that of two instances that start together at least one finds the
             // other.
             read = read_all(node).await;
@@ -130,15 +127,33 @@
             node.are_records_loaded.set(true);
             node.update_store_reading(boot_ms());
         }
-        if is_written && read.is_some() && knows_key {
+        if registration.is_written && read.is_some() && knows_key {
             return;
         }
-        failures += 1;
-        let pause_ms = backoff_ms(failures, node.random_u64());
+        registration.failures += 1;
+        let pause_ms = backoff_ms(registration.failures, node.random_u64());
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
+/// Progress of the registration of this instance.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Registration {
+    /// Whether the own record is in the store.
+    pub(super) is_written: bool,
+    /// Consecutive rounds in which a call failed.
+    pub(super) failures: u32,
+}
+
+impl Registration {
+    /// Whether the records are read before the own one is written. An unanswered write may have taken
+    /// effect, and repeating such writes would keep the store busy when hundreds of instances have just
+    /// started. If only the read failed, it is all that is left to do.
+    pub(super) fn reads_first(self) -> bool {
+        self.failures > 0
+    }
+}
+
 /// The recurring tasks of an instance that has been introduced.
 struct Maintenance {
     introduced_ms: u64,
--- a/src/relay_server/records_tests.rs
+++ b/src/relay_server/records_tests.rs
@@ -1,4 +1,4 @@
-use super::records::{backoff_ms, next_page};
+use super::records::{Registration, backoff_ms, next_page};
 use crate::wire::platform::Row;
 
 // Guards against a permanent overload of the store: 301 instances started together and wrote their records to
@@ -31,3 +31,18 @@
     assert_eq!(next_page(&rows(499), 500), None);
     assert_eq!(next_page(&rows(500), 500), Some("instance/0499".to_owned()));
 }
+
+// Guards against an instance that never gets beyond its registration: its record was written, the read after it
+// failed, and no later round read again.
+#[test]
+fn records_are_read_again_after_a_failure_even_if_the_own_one_is_written() {
+    let started = Registration::default();
+    assert!(!started.reads_first());
+    for is_written in [false, true] {
+        let failed = Registration {
+            is_written,
+            failures: 1,
+        };
+        assert!(failed.reads_first());
+    }
+}
