--- a/src/relay_server/document_distribution_tests/simulation.rs
+++ b/src/relay_server/document_distribution_tests/simulation.rs
@@ -11,8 +11,9 @@
 use super::super::list_log::ListWatermark;
 use super::super::peer::SyncSource;
 use super::super::peer_book::HEARTBEAT_INTERVAL_MS;
+use super::super::peer_call::PEER_CALL_TIMEOUT_MS;
 use super::super::peer_selection::{FetchDecision, PartialFetches, PeerSelector, SyncState};
-use super::super::snapshot::{FETCH_TIMEOUT_MS, KnownVersions, POLL_INTERVAL_MS};
+use super::super::snapshot::{KnownVersions, POLL_INTERVAL_MS};
 use super::super::store_readers::READERS_PER_ZONE;
 use super::super::uplink::{Admission, Uplink};
 use super::event::{Event, Received};
@@ -395,7 +396,7 @@
             received,
         };
         self.push(to, after_us, request);
-        self.push(index, FETCH_TIMEOUT_MS * 1_000, Event::Timeout { call });
+        self.push(index, PEER_CALL_TIMEOUT_MS * 1_000, Event::Timeout { call });
     }
 
     fn respond(&mut self, index: usize, to: usize, call: u64, received: Received) {
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -39,6 +39,7 @@
 mod peer_book;
 #[cfg(test)]
 mod peer_book_tests;
+mod peer_call;
 mod peer_list;
 mod peer_membership;
 #[cfg(test)]
--- a/src/relay_server/peer_list.rs
+++ b/src/relay_server/peer_list.rs
@@ -6,18 +6,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::Response;
 use actix_http::body::BoxBody;
-use actix_http::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
 use super::node::Node;
 use super::peer::InstanceRecord;
+use super::peer_call::{PeerCallError, call_peer, peer_response};
 use super::query::query_pairs;
 use super::uplink::Admission;
-use crate::clients::{HttpCall, HttpFailure, HttpPeer};
+use crate::clients::HttpPeer;
 use crate::clock::boot_ms;
 use crate::quarantine::DigestKey;
 
@@ -28,10 +28,6 @@
 /// Shortest pause between two complete lists, to which a jitter of the same length is added. While a whole
 /// fleet starts, each list is soon outdated.
 const LIST_PAUSE_MS: u64 = 500;
-/// Timeout of a call. A part occupies a 20 Mbit/s link for 25 ms.
-const CALL_TIMEOUT_MS: u64 = 400;
-/// Longest reply that is accepted, many times the size of a part.
-const MAX_REPLY_BYTES: usize = 1 << 20;
 /// Estimated size of a serialized entry; few are larger.
 const ENTRY_BYTES: usize = 80;
 
@@ -65,17 +61,6 @@
     is_last: bool,
 }
 
-/// Why a call to a peer failed.
-#[derive(Debug, Error)]
-enum PeerListError {
-    #[error("{0}")]
-    Call(#[from] HttpFailure),
-    #[error("peer responded with status {0}")]
-    Status(u16),
-    #[error("malformed peer list: {0}")]
-    Malformed(#[from] postcard::Error),
-}
-
 /// Responds to a peer's request for the list.
 pub(super) fn respond<A>(node: &Node<A>, query: &str) -> Response<BoxBody>
 where
@@ -99,13 +84,7 @@
         }
         Admission::Busy { wait_ms } => PeerListReply::Busy { wait_ms },
     };
-    match postcard::to_stdvec(&reply) {
-        Ok(bytes) => Response::with_body(StatusCode::OK, BoxBody::new(bytes)),
-        Err(error) => {
-            log::error!(error:% = error; "cannot serialize peer list");
-            Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, BoxBody::new(()))
-        }
-    }
+    peer_response(&reply)
 }
 
 /// Requests peer lists as needed, for as long as the process runs.
@@ -140,15 +119,17 @@
     }
 }
 
-/// Fetches all parts of a peer's list.
-async fn fetch_list<A>(node: &Node<A>, address: SocketAddr) -> Result<(), PeerListError>
+/// Fetches all parts of a peer's list. If the list changes between two parts, entries may be skipped; the next
+/// list has them.
+async fn fetch_list<A>(node: &Node<A>, address: SocketAddr) -> Result<(), PeerCallError>
 where
     A: Adapter,
 {
     let peer = HttpPeer::new(&format!("http://{address}"));
     let mut from = 0;
     loop {
-        match fetch_part(&peer, from).await? {
+        let path = format!("{PEER_LIST_PATH}?from={from}");
+        match call_peer(&peer, &path).await? {
             PeerListReply::Busy { wait_ms } => sleep(Duration::from_millis(wait_ms)).await,
             PeerListReply::Part(part) => {
                 add_key(node, part.digest_key.as_deref());
@@ -162,18 +143,6 @@
     }
 }
 
-/// Fetches the part that starts at index `from`. If the list changes between two parts, entries may be
-/// skipped; the next list has them.
-async fn fetch_part(peer: &HttpPeer, from: usize) -> Result<PeerListReply, PeerListError> {
-    let path = format!("{PEER_LIST_PATH}?from={from}");
-    let call = HttpCall::get(&path);
-    let reply = peer.call(call, CALL_TIMEOUT_MS, MAX_REPLY_BYTES).await?;
-    if reply.status != StatusCode::OK.as_u16() {
-        return Err(PeerListError::Status(reply.status));
-    }
-    Ok(postcard::from_bytes(&reply.body)?)
-}
-
 /// Takes over the key of request digests from a peer.
 fn add_key<A>(node: &Node<A>, key: Option<&str>) {
     let Some(key) = key.filter(|_| node.digest_key.borrow().is_none()) else {
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -11,8 +11,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::Response;
 use actix_http::body::BoxBody;
-use actix_http::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::time::sleep;
@@ -27,22 +27,17 @@
 use super::list_sync::{self, ListUpdate};
 use super::node::Node;
 use super::peer::SyncSource;
+use super::peer_call::{PeerCallError, call_peer, peer_response};
 use super::peer_selection::{FetchDecision, FetchRequest, PartialFetches, PeerSelector, SyncState};
 use super::query::query_pairs;
 use super::uplink::Admission;
-use crate::clients::{HttpCall, HttpFailure, HttpPeer};
+use crate::clients::HttpPeer;
 use crate::clock::boot_ms;
 use crate::ids::InstanceId;
 use crate::route_table::TableWithSource;
 
 /// Interval between two checks whether a peer has newer versions.
 pub(super) const POLL_INTERVAL_MS: u64 = 250;
-/// Timeout of a snapshot request. It covers the connection and one part of the document, which
-/// occupies a 20 Mbit/s link for 25 ms. If documents were sent in one piece, concurrent requests to
-/// the same peer would all time out with the document half received.
-pub(super) const FETCH_TIMEOUT_MS: u64 = 400;
-/// Longest snapshot that is accepted: the longest document and thousands of endpoints.
-const MAX_SNAPSHOT_BYTES: usize = 8 << 20;
 const SNAPSHOT_PATH: &str = "/snapshot";
 
 /// Content with its age: the time since it was last known to be the newest, as of the response.
@@ -95,11 +90,7 @@
 #[derive(Debug, Error)]
 enum SnapshotError {
     #[error("{0}")]
-    Call(#[from] HttpFailure),
-    #[error("peer responded with status {0}")]
-    Status(u16),
-    #[error("malformed snapshot: {0}")]
-    Malformed(#[from] postcard::Error),
+    Call(#[from] PeerCallError),
     #[error("{0}")]
     DocumentPart(#[from] DocumentPartError),
     #[error("{0}")]
@@ -127,13 +118,7 @@
         }),
     };
     node.counters.count("relay.snapshots.given");
-    match postcard::to_stdvec(&snapshot) {
-        Ok(bytes) => Response::with_body(StatusCode::OK, BoxBody::new(bytes)),
-        Err(error) => {
-            log::error!(error:% = error; "cannot serialize snapshot");
-            Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, BoxBody::new(()))
-        }
-    }
+    peer_response(&snapshot)
 }
 
 /// The part of a response that concerns the endpoint list, or `None` if there is nothing to send.
@@ -352,22 +337,11 @@
     }
 }
 
-async fn fetch(peer: &SyncSource, path: &str) -> Result<Snapshot, SnapshotError> {
+async fn fetch(peer: &SyncSource, path: &str) -> Result<Snapshot, PeerCallError> {
     // Opens a new connection, because one that was opened earlier may be the one that no longer
     // works.
     let http = HttpPeer::new(&format!("http://{}", peer.address));
-    let call = HttpCall::get(path);
-    let reply = http
-        .call(call, FETCH_TIMEOUT_MS, MAX_SNAPSHOT_BYTES)
-        .await?;
-    if reply.status != StatusCode::OK.as_u16() {
-        return Err(SnapshotError::Status(reply.status));
-    }
-    Ok(decode_snapshot(&reply.body)?)
-}
-
-pub(super) fn decode_snapshot(bytes: &[u8]) -> Result<Snapshot, postcard::Error> {
-    postcard::from_bytes(bytes)
+    call_peer(&http, path).await
 }
 
 /// Adds a part that was requested at `sent_ms`, and applies the document if this was the last part.
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 
 use super::peer_selection::SyncState;
-use super::snapshot::{KnownVersions, decode_snapshot};
+use super::snapshot::{KnownVersions, Snapshot};
 use super::upstream::{UpstreamFailure, UpstreamPool};
 
 /// What the endpoint does with the connection after its response.
@@ -168,7 +168,7 @@
     /// Parsing a snapshot must not panic or hang on any input.
     #[test]
     fn parsing_a_snapshot_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
-        let _ = decode_snapshot(&bytes);
+        let _ = postcard::from_bytes::<Snapshot>(&bytes);
     }
 }
 
