Calls on the system's own rows are made and counted in one place

Five callers each named the timeout and counted the outcome beside the call; Node::transact_rows and scan_rows do both. Whether a record is in the store at the same addresses stood twice, the heard peers of the zone three times; entries of a peer list that are known already are skipped before a peer is made of them. No behaviour changes.

--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use super::heartbeat::{Availability, Echo, Heartbeat};
@@ -37,9 +38,11 @@
 }
 
 impl InstanceRecord {
-    /// Whether another record leads to the instance at the same addresses.
-    pub(super) fn has_same_addresses(&self, other: &Self) -> bool {
-        (&self.zone, self.front, self.peers) == (&other.zone, other.front, other.peers)
+    /// Whether `records` lead to the instance at the same addresses.
+    pub(super) fn is_recorded_in(&self, records: &IndexMap<InstanceId, Self>) -> bool {
+        records.get(&self.instance).is_some_and(|it| {
+            (&it.zone, it.front, it.peers) == (&self.zone, self.front, self.peers)
+        })
     }
 }
 
--- a/src/relay_server/peer_membership.rs
+++ b/src/relay_server/peer_membership.rs
@@ -27,12 +27,14 @@
         for entry in entries {
             let unseen_ms = u64::from(entry.unseen_ms);
             let instance = &entry.record.instance;
-            let is_known = *instance == self.own_instance || self.peers.contains_key(instance);
+            if *instance == self.own_instance || self.peers.contains_key(instance) {
+                continue;
+            }
             let peer = Peer {
                 cross_zone_interval_ms: entry.cross_zone_interval_ms,
                 ..Peer::from_record(&entry.record, now_ms.saturating_sub(unseen_ms))
             };
-            if !is_known && unseen_ms < peer.ttl_ms(&self.own_zone) {
+            if unseen_ms < peer.ttl_ms(&self.own_zone) {
                 self.peers.insert(entry.record.instance, peer);
             }
         }
@@ -66,7 +68,8 @@
             let knows_more = peer.known_instances > own_known;
             knows_more || (lacks_key && peer.has_recent_store_answer(now_ms))
         };
-        let sources: Vec<&Peer> = self.heard_zone_peers(now_ms).filter(is_useful).collect();
+        let heard = self.heard_zone_peers(now_ms).map(|(_, peer)| peer);
+        let sources: Vec<&Peer> = heard.filter(is_useful).collect();
         let chosen = weighted_by_link(&sources, |peer| peer.link_mbps, random);
         chosen.map(|peer| peer.address)
     }
@@ -88,19 +91,18 @@
         recorded: &IndexMap<InstanceId, InstanceRecord>,
         now_ms: u64,
     ) -> Vec<InstanceRecord> {
-        let in_zone = self.peers.iter().filter(|(_, peer)| {
-            peer.zone == self.own_zone && peer.is_heard(peer.timeout_ms(&self.own_zone), now_ms)
-        });
-        let records = in_zone.map(|(name, peer)| peer.to_record(name));
-        let is_missing = |record: &InstanceRecord| {
-            let known = recorded.get(&record.instance);
-            known.is_none_or(|known| !known.has_same_addresses(record))
-        };
-        records.filter(is_missing).collect()
+        let heard = self.heard_zone_peers(now_ms);
+        let records = heard.map(|(name, peer)| peer.to_record(name));
+        records.filter(|it| !it.is_recorded_in(recorded)).collect()
     }
 
-    fn heard_zone_peers(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
-        let in_zone = self.peers.values().filter(|it| it.zone == self.own_zone);
-        in_zone.filter(move |it| it.is_heard(it.timeout_ms(&self.own_zone), now_ms))
+    /// Peers of the own zone whose heartbeats arrive.
+    pub(super) fn heard_zone_peers(
+        &self,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.zone == self.own_zone && self.is_heard(peer, now_ms))
     }
 }
--- a/src/relay_server/quarantine_rows.rs
+++ b/src/relay_server/quarantine_rows.rs
@@ -7,10 +7,9 @@
 
 use super::adapter::Adapter;
 use super::node::Node;
-use super::records::REGISTER_TIMEOUT_MS;
 use super::store_calls::StoreCall;
 use super::withholding::SOURCE_STORE;
-use crate::clients::{TableFailure, TableService};
+use crate::clients::TableFailure;
 use crate::clock::{boot_ms, unix_ms};
 use crate::ids::EndpointId;
 use crate::quarantine::{
@@ -72,9 +71,7 @@
         after: None,
         limit: MAX_ROWS,
     };
-    let found = node.adapter.store().scan(&query, REGISTER_TIMEOUT_MS).await;
-    node.count_store_call(StoreCall::Quarantine, found.is_ok());
-    let found = found?;
+    let found = node.scan_rows(StoreCall::Quarantine, &query).await?;
     let crashes: Vec<CrashReport> = found.rows.iter().flat_map(crashes_from_row).collect();
     let evidence = EvidenceReport {
         crashes,
@@ -101,10 +98,10 @@
             value: key.to_hex(),
         }],
     };
-    let store = node.adapter.store();
-    let reply = store.transact(&transaction, REGISTER_TIMEOUT_MS).await;
-    node.count_store_call(StoreCall::Quarantine, reply.is_ok());
-    Ok(match reply? {
+    let reply = node
+        .transact_rows(StoreCall::Quarantine, &transaction)
+        .await?;
+    Ok(match reply {
         TransactReply::Committed { .. } => Some(key),
         // Another instance wrote its key first; all must use the same one.
         TransactReply::Conflict { rows } => rows.first().and_then(key_from_row),
@@ -153,9 +150,9 @@
             conditions: Vec::new(),
             writes,
         };
-        let store = node.adapter.store();
-        let written = store.transact(&transaction, REGISTER_TIMEOUT_MS).await;
-        node.count_store_call(StoreCall::Quarantine, written.is_ok());
+        let written = node
+            .transact_rows(StoreCall::Quarantine, &transaction)
+            .await;
         if let Err(failure) = written {
             log::warn!(failure:% = failure; "cannot write withheld requests to the store");
         }
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -16,13 +16,10 @@
 use super::peer::InstanceRecord;
 use super::quarantine_rows;
 use super::store_calls::StoreCall;
-use crate::clients::TableService;
 use crate::clock::boot_ms;
 use crate::ids::InstanceId;
 use crate::wire::platform::{Row, ScanRows, Transaction, Write};
 
-/// For each call to the store that concerns records.
-pub(super) const REGISTER_TIMEOUT_MS: u64 = 800;
 /// Interval between checks whether an introduction has progressed.
 const INTRODUCTION_POLL_MS: u64 = 20;
 /// Interval between checks whether records have to be written or read.
@@ -115,7 +112,9 @@
         let mut read = None;
         if registration.reads_first() {
             read = read_all(node).await;
-            registration.is_written |= read.as_ref().is_some_and(|it| contains_own(node, it));
+            registration.is_written |= read
+                .as_ref()
+                .is_some_and(|it| own_record(node).is_recorded_in(&it.records));
         }
         if !registration.is_written {
             registration.is_written = write_records(node, &[own_record(node)]).await;
@@ -243,7 +242,7 @@
                 return true;
             }
             let mut missing = peers.unrecorded(recorded, now_ms);
-            missing.extend(Some(own_record(node)).filter(|it| !is_recorded(recorded, it)));
+            missing.extend(Some(own_record(node)).filter(|it| !it.is_recorded_in(recorded)));
             missing
         };
         for records in missing.chunks(MAX_RECORDS_PER_WRITE) {
@@ -257,12 +256,6 @@
     }
 }
 
-/// Whether a record is in the store with the same addresses.
-fn is_recorded(recorded: &IndexMap<InstanceId, InstanceRecord>, record: &InstanceRecord) -> bool {
-    let known = recorded.get(&record.instance);
-    known.is_some_and(|known| known.has_same_addresses(record))
-}
-
 /// Pause after a number of consecutive failures: exponential backoff with a jitter of half the pause in
 /// either direction, so that instances which started together do not retry together.
 pub(super) fn backoff_ms(failures: u32, draw: u64) -> u64 {
@@ -308,9 +301,9 @@
         conditions: Vec::new(),
         writes,
     };
-    let store = node.adapter.store();
-    let written = store.transact(&transaction, REGISTER_TIMEOUT_MS).await;
-    node.count_store_call(StoreCall::WriteRecords, written.is_ok());
+    let written = node
+        .transact_rows(StoreCall::WriteRecords, &transaction)
+        .await;
     match &written {
         Ok(_) => log::info!(records = records.len(); "instance records were written to the store"),
         Err(failure) => {
@@ -327,10 +320,6 @@
     has_unknown: bool,
 }
 
-fn contains_own<A>(node: &Node<A>, read: &AllRecords) -> bool {
-    is_recorded(&read.records, &own_record(node))
-}
-
 /// Reads all records and adds their instances to the peer book. Returns `None` if the store does not
 /// answer.
 async fn read_all<A>(node: &Node<A>) -> Option<AllRecords>
@@ -372,10 +361,7 @@
         after,
         limit,
     };
-    let store = node.adapter.store();
-    let read = store.scan(&request, REGISTER_TIMEOUT_MS).await;
-    node.count_store_call(cause, read.is_ok());
-    match read {
+    match node.scan_rows(cause, &request).await {
         Ok(rows) => Some(rows.rows),
         Err(failure) => {
             log::warn!(failure:% = failure; "instance records could not be read from the store");
