How far a heartbeat reaches is decided once; callers' addresses are ordered where they are selected

The reach was decided in the making of a heartbeat and again in the choice of its recipients, each time over all peers; it is kept with the heartbeat now. A lookup sorted all heard peers of the fleet and then dropped all but one zone's; locate sorts what it selects from.

--- a/src/relay_server/locate.rs
+++ b/src/relay_server/locate.rs
@@ -1,9 +1,10 @@
 //! Selects the instances that a caller is told to connect to.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use super::heartbeat::Availability;
-use crate::ids::ZoneName;
+use crate::ids::{InstanceId, ZoneName};
 
 const MAX_ADDRESSES: usize = 8;
 /// With fewer suitable instances in the caller's zone, those of all zones are returned.
@@ -16,8 +17,14 @@
     /// Address for callers.
     pub(super) front: SocketAddr,
     pub(super) availability: Availability,
+    /// Rank among the candidates; `None` for the instance that answers, which comes first.
+    pub(super) rank: Option<CandidateRank<'a>>,
 }
 
+/// Sort key of a candidate: whether its end would be noticed late, the speed of its link, and its name. It is the
+/// same at all instances, so that callers use few of them, and these few connections to engines.
+pub(super) type CandidateRank<'a> = (bool, Reverse<u32>, &'a InstanceId);
+
 /// Addresses for a caller in `zone`: instances that serve every request and receive changes of the store
 /// promptly; failing that, those that serve every request; failing that, those that are open. An instance
 /// that gets neither the store's answers nor those of a reader in its zone learns of changes a second
@@ -35,16 +42,14 @@
 /// The first few instances of the zone, or of all zones if the zone has too few. When few instances
 /// use an engine, they need few connections to it and know more of its load.
 fn nearest(zone: &ZoneName, suitable: &[&Candidate<'_>]) -> Vec<SocketAddr> {
-    let in_zone: Vec<SocketAddr> = suitable
-        .iter()
-        .filter(|it| it.zone == zone)
-        .map(|it| it.front)
-        .collect();
-    let mut addresses = if in_zone.len() >= MIN_IN_ZONE {
+    let in_zone = suitable.iter().copied().filter(|it| it.zone == zone);
+    let in_zone: Vec<&Candidate<'_>> = in_zone.collect();
+    let mut candidates = if in_zone.len() >= MIN_IN_ZONE {
         in_zone
     } else {
-        suitable.iter().map(|it| it.front).collect()
+        suitable.to_vec()
     };
-    addresses.truncate(MAX_ADDRESSES);
-    addresses
+    candidates.sort_unstable_by_key(|it| it.rank);
+    let nearest = candidates.iter().take(MAX_ADDRESSES);
+    nearest.map(|it| it.front).collect()
 }
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -270,19 +270,15 @@
             zone: &self.own_zone,
             front: self.own_front,
             availability: own,
+            rank: None,
         };
         let peers = self.peers.iter();
-        let mut heard: Vec<(&InstanceId, &Peer)> = peers
-            .filter(|(_, peer)| self.is_heard(peer, now_ms))
-            .collect();
-        // In the same order everywhere: callers then use few instances, and these few connections to
-        // engines. They are those that send every heartbeat to their whole zone, so that their end is
-        // noticed soon.
-        heard.sort_unstable_by_key(|(name, peer)| (peer.is_rarely_heard(), peer.rank(name)));
-        let others = heard.iter().map(|(_, peer)| Candidate {
+        let heard = peers.filter(|(_, peer)| self.is_heard(peer, now_ms));
+        let others = heard.map(|(name, peer)| Candidate {
             zone: &peer.zone,
             front: peer.front,
             availability: peer.availability,
+            rank: Some((peer.is_rarely_heard(), Reverse(peer.link_mbps), name)),
         });
         let candidates: Vec<Candidate<'_>> = std::iter::once(own).chain(others).collect();
         locate::addresses_for(zone, &candidates)
@@ -442,8 +438,9 @@
             evidence: own.evidence.clone(),
             limits: own.limits.clone(),
         };
-        self.reach.update(&heartbeat, now_ms);
-        heartbeat.is_active = self.is_active(own.availability, now_ms);
+        let needed_by_all = self.is_needed_by_all(own.availability, now_ms);
+        self.reach.update(&heartbeat, needed_by_all, now_ms);
+        heartbeat.is_active = self.reach.is_active();
         heartbeat
     }
 
--- a/src/relay_server/recipients.rs
+++ b/src/relay_server/recipients.rs
@@ -57,8 +57,8 @@
 pub(super) struct ZoneReach {
     /// Until when the process counts as starting.
     start_end_ms: u64,
-    /// Whether the newest heartbeat carries news.
-    has_news: bool,
+    /// How far the newest heartbeat reaches.
+    reach: Reach,
     /// When a heartbeat last carried news.
     news_ms: u64,
     /// Whether the next heartbeat was requested without delay.
@@ -74,7 +74,7 @@
     pub(super) fn new(now_ms: u64) -> Self {
         Self {
             start_end_ms: now_ms + START_MS,
-            has_news: false,
+            reach: Reach::WholeZone,
             news_ms: now_ms,
             is_requested: false,
             announced: None,
@@ -88,27 +88,30 @@
         self.is_requested = true;
     }
 
-    /// Records whether the next heartbeat carries news.
-    pub(super) fn update(&mut self, heartbeat: &Heartbeat, now_ms: u64) {
+    /// Decides how far the next heartbeat reaches. Those of the first of a zone and of readers of the store
+    /// are `needed_by_all`.
+    pub(super) fn update(&mut self, heartbeat: &Heartbeat, needed_by_all: bool, now_ms: u64) {
         let announced = Some((heartbeat.availability, heartbeat.table));
         let is_starting = now_ms < self.start_end_ms;
         let has_changed = self.announced != announced;
-        self.has_news = is_starting || has_changed || self.is_requested || has_news(heartbeat);
-        if self.has_news {
+        let has_news = is_starting || has_changed || self.is_requested || has_news(heartbeat);
+        if has_news {
             self.news_ms = now_ms;
         }
-        self.announced = announced;
-        self.is_requested = false;
-    }
-
-    fn reach(&self, is_first: bool, now_ms: u64) -> Reach {
-        if is_first || self.has_news {
+        self.reach = if needed_by_all || has_news {
             Reach::WholeZone
         } else if now_ms < self.news_ms + NEWS_MS {
             Reach::FinalWholeZone
         } else {
             Reach::InTurn
-        }
+        };
+        self.announced = announced;
+        self.is_requested = false;
+    }
+
+    /// Whether the newest heartbeat reaches the whole zone, and the next one may as well.
+    pub(super) fn is_active(&self) -> bool {
+        self.reach == Reach::WholeZone
     }
 }
 
@@ -128,9 +131,9 @@
 }
 
 impl PeerBook {
-    /// Recipients of the next heartbeat: instances of the own zone, and the next few of the others.
+    /// Recipients of the newest heartbeat: instances of the own zone, and the next few of the others.
     pub(super) fn recipients(&mut self, own: Availability, now_ms: u64) -> Vec<Recipient> {
-        let mut recipients = self.zone_recipients(own, now_ms);
+        let mut recipients = self.zone_recipients(now_ms);
         let fanout = self.cross_zone_fanout(own, now_ms);
         let peers = self.peers.values();
         let elsewhere: Vec<&Peer> = peers.filter(|it| it.zone != self.own_zone).collect();
@@ -139,19 +142,14 @@
         recipients
     }
 
-    /// Whether the newest heartbeat is sent to the whole zone, as are those that follow it for some time.
-    pub(super) fn is_active(&self, own: Availability, now_ms: u64) -> bool {
-        self.reach_of_heartbeat(own, now_ms) == Reach::WholeZone
+    /// Whether each heartbeat of this instance is needed by its whole zone.
+    pub(super) fn is_needed_by_all(&self, own: Availability, now_ms: u64) -> bool {
+        own.reaches_store || self.ranked_ahead(now_ms).count() < FIRST_OF_ZONE
     }
 
-    fn reach_of_heartbeat(&self, own: Availability, now_ms: u64) -> Reach {
-        let is_first = self.ranked_ahead(now_ms).count() < FIRST_OF_ZONE;
-        self.reach.reach(is_first || own.reaches_store, now_ms)
-    }
-
-    fn zone_recipients(&mut self, own: Availability, now_ms: u64) -> Vec<Recipient> {
+    fn zone_recipients(&mut self, now_ms: u64) -> Vec<Recipient> {
         let first = self.first_of_zone(now_ms);
-        let reach = self.reach_of_heartbeat(own, now_ms);
+        let reach = self.reach.reach;
         let in_zone = self.peers.iter().filter(|(_, it)| it.zone == self.own_zone);
         let needs_all = |(name, peer): &(&InstanceId, &Peer)| {
             let depends = first.contains(*name)
@@ -185,9 +183,7 @@
 
     /// The heard peers that are the first of the zone.
     fn first_of_zone(&self, now_ms: u64) -> IndexSet<InstanceId> {
-        let in_zone = self.peers.iter().filter(|(_, it)| it.zone == self.own_zone);
-        let heard = in_zone.filter(|(_, peer)| self.is_heard(peer, now_ms));
-        let mut ranked: Vec<(&InstanceId, &Peer)> = heard.collect();
+        let mut ranked: Vec<(&InstanceId, &Peer)> = self.heard_zone_peers(now_ms).collect();
         ranked.sort_unstable_by_key(|(name, peer)| peer.rank(name));
         let first = ranked.into_iter().take(FIRST_OF_ZONE);
         first.map(|(name, _)| name.clone()).collect()
