--- a/src/relay_server/fleet_start_tests.rs
+++ b/src/relay_server/fleet_start_tests.rs
@@ -7,17 +7,15 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::heartbeat::{Availability, OwnState};
+use super::heartbeat::Availability;
 use super::introduction::{Introduction, IntroductionStep, MAX_CONTACTS};
-use super::list_log::ListWatermark;
 use super::peer::InstanceRecord;
-use super::peer_book::PeerBook;
+use super::peer_book::{HEARTBEAT_INTERVAL_MS, PeerBook};
+use super::peer_book_tests::heartbeat;
 use super::test_settings::settings;
 use crate::ids::{Incarnation, InstanceId, ZoneName};
-use crate::quarantine::EvidenceReport;
 
 const STEP_MS: u64 = 10;
-const HEARTBEAT_INTERVAL_MS: u64 = 250;
 const MAINTAIN_INTERVAL_MS: u64 = 1_000;
 const PEER_LIST_INTERVAL_MS: u64 = 750;
 /// Time until a call to the store has taken effect or its answer has arrived.
@@ -49,7 +47,6 @@
     introduction: Option<Introduction>,
     pending: Option<(u64, PendingCall)>,
     reads_store: bool,
-    recorded: Option<IndexMap<InstanceId, InstanceRecord>>,
     next_list_ms: u64,
 }
 
@@ -123,7 +120,6 @@
             return;
         };
         if !self.reads_store || !book.is_top_ranked_in_zone(now_ms) {
-            self.recorded = None;
             return;
         }
         store.read_all(book, now_ms);
@@ -138,7 +134,6 @@
                 store.records.insert(key, record);
             }
         }
-        self.recorded = Some(recorded);
     }
 
     fn update_store_reading(&mut self, now_ms: u64) {
@@ -150,21 +145,10 @@
         self.reads_store = view.should_read(now_ms) && !view.awaits_records(false, now_ms);
     }
 
-    fn own_state(&self) -> OwnState {
-        OwnState {
-            availability: Availability {
-                reaches_store: self.reads_store,
-                ..Availability::default()
-            },
-            table: 0,
-            table_age_ms: 0,
-            list: ListWatermark::default(),
-            list_age_ms: 0,
-            store_age_ms: self.reads_store.then_some(0),
-            held: Vec::new(),
-            retry_needs: Vec::new(),
-            evidence: EvidenceReport::default(),
-            limits: Vec::new(),
+    fn availability(&self) -> Availability {
+        Availability {
+            reaches_store: self.reads_store,
+            ..Availability::default()
         }
     }
 }
@@ -218,7 +202,6 @@
                 introduction: None,
                 pending: None,
                 reads_store: false,
-                recorded: None,
                 next_list_ms: 0,
             }
         };
@@ -291,12 +274,12 @@
 
     fn send_heartbeat(&mut self, index: usize, now_ms: u64) {
         let sender = &mut self.instances[index];
-        let (own, from) = (sender.own_state(), sender.own.peers);
+        let (availability, from) = (sender.availability(), sender.own.peers);
         let Some(book) = &mut sender.book else {
             return;
         };
-        let heartbeat = book.heartbeat(&own, now_ms);
-        let recipients = book.recipients(own.availability, now_ms);
+        let heartbeat = heartbeat(book, availability, now_ms);
+        let recipients = book.recipients(availability, now_ms);
         for recipient in recipients {
             let to = self.instances.iter_mut();
             let to = to.filter(|it| it.own.peers == recipient.address);
--- a/src/relay_server/introduction.rs
+++ b/src/relay_server/introduction.rs
@@ -17,7 +17,7 @@
 const FIRST_START_SPREAD_MS: u64 = 1_000;
 /// How long an instance that may have been known before its restart listens for peers. In a zone of ten
 /// instances, one in two hundred waits in vain.
-const LISTEN_MS: u64 = 100;
+const RESTART_LISTEN_MS: u64 = 100;
 /// How long an instance waits for a heartbeat of a contact: four intervals of the contact.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 /// How long after the first start of a whole deployment an instance may not know its rank in its zone yet:
@@ -65,7 +65,7 @@
         let listen_ms = if is_first_start {
             random % FIRST_START_SPREAD_MS
         } else {
-            LISTEN_MS
+            RESTART_LISTEN_MS
         };
         Self {
             state: State::Listening {
--- a/src/relay_server/recipients_tests.rs
+++ b/src/relay_server/recipients_tests.rs
@@ -1,9 +1,8 @@
 use super::heartbeat::{Availability, Heartbeat, PeerPart};
-use super::peer_book::PeerBook;
+use super::peer_book::{HEARTBEAT_INTERVAL_MS, PeerBook};
 use super::peer_book_tests::{NON_READER, READY, address, book, heartbeat};
 use crate::ids::{EndpointId, InstanceId};
 
-const INTERVAL_MS: u64 = 250;
 /// Ports of the simulated instances, in steps of ten.
 const FIRST_PORT: usize = 1_000;
 
@@ -54,7 +53,7 @@
 
     /// Lets every live instance send its next heartbeat.
     fn step(&mut self) {
-        self.now_ms += INTERVAL_MS;
+        self.now_ms += HEARTBEAT_INTERVAL_MS;
         for index in 0..self.books.len() {
             if self.is_alive[index] {
                 self.send(index);
@@ -85,7 +84,7 @@
     }
 
     fn run(&mut self, length_ms: u64) {
-        for _ in 0..length_ms / INTERVAL_MS {
+        for _ in 0..length_ms / HEARTBEAT_INTERVAL_MS {
             self.step();
         }
     }
