--- a/src/relay_server/peer_call.rs
+++ b/src/relay_server/peer_call.rs
@@ -12,8 +12,6 @@
 /// 20 Mbit/s link for 25 ms. If documents were sent in one piece, concurrent requests to the same peer would
 /// all time out with the document half received.
 pub(super) const PEER_CALL_TIMEOUT_MS: u64 = 400;
-/// Longest reply that is accepted: the longest document and thousands of endpoints.
-const MAX_REPLY_BYTES: usize = 8 << 20;
 
 /// Why a call to a peer failed.
 #[derive(Debug, Error)]
@@ -26,15 +24,17 @@
     Malformed(#[from] postcard::Error),
 }
 
-/// Sends a request to a peer and decodes its reply.
-pub(super) async fn call_peer<T>(peer: &HttpPeer, path: &str) -> Result<T, PeerCallError>
+/// Sends a request to a peer and decodes its reply, which may have up to `max_bytes`.
+pub(super) async fn call_peer<T>(
+    peer: &HttpPeer,
+    path: &str,
+    max_bytes: usize,
+) -> Result<T, PeerCallError>
 where
     T: DeserializeOwned,
 {
     let call = HttpCall::get(path);
-    let reply = peer
-        .call(call, PEER_CALL_TIMEOUT_MS, MAX_REPLY_BYTES)
-        .await?;
+    let reply = peer.call(call, PEER_CALL_TIMEOUT_MS, max_bytes).await?;
     if reply.status != StatusCode::OK.as_u16() {
         return Err(PeerCallError::Status(reply.status));
     }
--- a/src/relay_server/peer_list.rs
+++ b/src/relay_server/peer_list.rs
@@ -28,6 +28,8 @@
 /// Shortest pause between two complete lists, to which a jitter of the same length is added. While a whole
 /// fleet starts, each list is soon outdated.
 const LIST_PAUSE_MS: u64 = 500;
+/// Longest reply that is accepted, many times the size of a part.
+const MAX_REPLY_BYTES: usize = 1 << 20;
 /// Estimated size of a serialized entry; few are larger.
 const ENTRY_BYTES: usize = 80;
 
@@ -129,7 +131,7 @@
     let mut from = 0;
     loop {
         let path = format!("{PEER_LIST_PATH}?from={from}");
-        match call_peer(&peer, &path).await? {
+        match call_peer(&peer, &path, MAX_REPLY_BYTES).await? {
             PeerListReply::Busy { wait_ms } => sleep(Duration::from_millis(wait_ms)).await,
             PeerListReply::Part(part) => {
                 add_key(node, part.digest_key.as_deref());
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -38,6 +38,8 @@
 
 /// Interval between two checks whether a peer has newer versions.
 pub(super) const POLL_INTERVAL_MS: u64 = 250;
+/// Longest snapshot that is accepted: the longest document and thousands of endpoints.
+const MAX_SNAPSHOT_BYTES: usize = 8 << 20;
 const SNAPSHOT_PATH: &str = "/snapshot";
 
 /// Content with its age: the time since it was last known to be the newest, as of the response.
@@ -341,7 +343,7 @@
     // Opens a new connection, because one that was opened earlier may be the one that no longer
     // works.
     let http = HttpPeer::new(&format!("http://{}", peer.address));
-    call_peer(&http, path).await
+    call_peer(&http, path, MAX_SNAPSHOT_BYTES).await
 }
 
 /// Adds a part that was requested at `sent_ms`, and applies the document if this was the last part.
