Whether an instance reaches endpoints at all is checked, counted and logged

Incident of instances cut off from endpoints: logs showed 41 endpoints that 'ended' at four instances (refused connections) and probes that were 'unclear' at three (connections that hang). They did not tell an instance that is cut off from an outage of the endpoints or a full link.

No decision uses it yet.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -3,7 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
-    EndpointFailure, EngineLoad, EntryError, FleetChange, InfoSource, KnownEndpoint,
+    EndpointFailure, EndpointReach, EngineLoad, EntryError, FleetChange, InfoSource, KnownEndpoint,
     ListedEndpoint, ListingRead, ListingScope, LiveAgain, LiveReason, PacingState, Phase,
     Provenance, UnusableEntry,
 };
@@ -59,6 +59,8 @@
     unusable: IndexMap<EndpointName, EntryError>,
     /// Rate limits, back-offs and departures announced by endpoints.
     pub(crate) pacing: PacingState,
+    /// Whether this instance reaches endpoints.
+    pub(crate) reach: EndpointReach,
     is_loaded: bool,
     /// Time as of which the list is known to be current. Never decreases.
     fresh_as_of_ms: u64,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -22,6 +22,9 @@
 #[cfg(test)]
 mod provenance_tests;
 mod rate_limit;
+mod reach;
+#[cfg(test)]
+mod reach_tests;
 mod replicas;
 #[cfg(test)]
 mod retained_tests;
@@ -41,4 +44,5 @@
 pub(crate) use pacing_state::{PacingState, Permit};
 pub use provenance::{InfoSource, Provenance};
 pub(crate) use provenance::{describe_known, describe_list};
+pub(crate) use reach::{EndpointReach, ReachChange};
 pub use replicas::pick_replica;
--- /dev/null
+++ b/src/fleet/reach.rs
@@ -0,0 +1,68 @@
+//! Whether this instance reaches the endpoints at all.
+//!
+//! An endpoint that refuses connections or does not answer may have failed, or this instance may be partitioned
+//! from it. A new connection to another endpoint shows that it is not partitioned from all of them. Connections
+//! that were open before do not: they may outlast a partition that keeps new ones out.
+
+/// A change of whether endpoints are reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReachChange {
+    /// None of several endpoints accepted a connection.
+    Lost,
+    /// An endpoint has accepted a connection again.
+    Regained {
+        /// How long none did.
+        lost_ms: u64,
+    },
+}
+
+/// New connections to endpoints, over all endpoints.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct EndpointReach {
+    /// Start of the newest attempt that established a connection; 0 if there was none.
+    connected_ms: u64,
+    /// When an endpoint was last found unreachable; 0 if none was.
+    failed_ms: u64,
+    /// Since when no endpoint has accepted a connection, if a check has shown that.
+    lost_since_ms: Option<u64>,
+}
+
+impl EndpointReach {
+    /// Whether no endpoint accepts connections of this instance.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.lost_since_ms.is_some()
+    }
+
+    /// Whether an endpoint was reached by a connection that was attempted at `at_ms` or later.
+    pub(crate) fn is_shown_since(&self, at_ms: u64) -> bool {
+        self.connected_ms >= at_ms
+    }
+
+    /// Records that an endpoint was found unreachable.
+    pub(crate) fn record_unreachable(&mut self, now_ms: u64) {
+        self.failed_ms = now_ms;
+    }
+
+    /// Whether to check if other endpoints are reached.
+    pub(crate) fn needs_check(&self) -> bool {
+        self.is_lost() || !self.is_shown_since(self.failed_ms)
+    }
+
+    /// Records that an attempt to connect to an endpoint that started at `started_ms` succeeded.
+    pub(crate) fn record_connected(&mut self, started_ms: u64, now_ms: u64) -> Option<ReachChange> {
+        self.connected_ms = self.connected_ms.max(started_ms);
+        let lost_since_ms = self.lost_since_ms.take_if(|since| *since <= started_ms)?;
+        Some(ReachChange::Regained {
+            lost_ms: now_ms.saturating_sub(lost_since_ms),
+        })
+    }
+
+    /// Records that a check which started at `started_ms` has reached no endpoint.
+    pub(crate) fn record_none_reached(&mut self, started_ms: u64) -> Option<ReachChange> {
+        if self.is_lost() || self.connected_ms > started_ms {
+            return None;
+        }
+        self.lost_since_ms = Some(started_ms);
+        Some(ReachChange::Lost)
+    }
+}
--- /dev/null
+++ b/src/fleet/reach_tests.rs
@@ -0,0 +1,34 @@
+use super::{EndpointReach, ReachChange};
+
+#[test]
+fn a_connection_after_a_failure_shows_that_endpoints_are_reached() {
+    let mut reach = EndpointReach::default();
+    assert_eq!(reach.record_connected(5, 6), None);
+    reach.record_unreachable(10);
+    assert!(reach.needs_check() && !reach.is_shown_since(10));
+    assert_eq!(reach.record_connected(10, 12), None);
+    assert!(!reach.needs_check() && reach.is_shown_since(10));
+}
+
+#[test]
+fn reach_is_lost_by_a_check_and_regained_by_a_later_connection() {
+    let mut reach = EndpointReach::default();
+    reach.record_unreachable(10);
+    assert_eq!(reach.record_none_reached(11), Some(ReachChange::Lost));
+    assert_eq!(reach.record_none_reached(400), None);
+    // Attempted before the loss.
+    assert_eq!(reach.record_connected(9, 20), None);
+    assert!(reach.is_lost() && reach.needs_check());
+    let regained = ReachChange::Regained { lost_ms: 490 };
+    assert_eq!(reach.record_connected(500, 501), Some(regained));
+    assert!(!reach.is_lost() && !reach.needs_check());
+}
+
+#[test]
+fn a_check_that_ends_after_a_connection_does_not_lose_reach() {
+    let mut reach = EndpointReach::default();
+    reach.record_unreachable(10);
+    assert_eq!(reach.record_connected(40, 41), None);
+    assert_eq!(reach.record_none_reached(11), None);
+    assert!(!reach.is_lost());
+}
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -196,14 +196,19 @@
     let report = match result {
         ProbeResult::Healthy(report) => report,
         ProbeResult::NotListening => {
+            node.note_unreachable_endpoint();
             node.record_failure(id, EndpointFailure::Ended);
             return;
         }
         ProbeResult::Unanswered(probed_ms, SilenceCause::EngineDead) => {
+            node.note_unreachable_endpoint();
             node.record_unanswered(id, probed_ms);
             return;
         }
         ProbeResult::Unanswered(probed_ms, silence) => {
+            if silence == SilenceCause::Unclear {
+                node.note_unreachable_endpoint();
+            }
             log::info!(
                 endpoint = id.as_str(),
                 shows:? = silence,
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -54,6 +54,7 @@
 mod probes;
 mod quarantine_rows;
 mod query;
+mod reach;
 mod recipients;
 #[cfg(test)]
 mod recipients_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -59,6 +59,8 @@
     pub(super) started_ms: u64,
     /// Whether the route table and the endpoint list are known.
     pub(super) informed: watch::Sender<bool>,
+    /// Notified when an endpoint was found unreachable.
+    pub(crate) endpoint_unreachable: Notify,
     /// Notified when a heartbeat must be sent to peers at once.
     pub(crate) heartbeat_due: Notify,
     /// Engines that rejected a request for lack of capacity, still to be announced to peers.
@@ -107,6 +109,7 @@
             list_log: RefCell::default(),
             started_ms: boot_ms(),
             informed: watch::Sender::new(false),
+            endpoint_unreachable: Notify::new(),
             heartbeat_due: Notify::new(),
             unannounced_full_engines: RefCell::default(),
             full_engines_notify: Notify::new(),
--- a/src/relay_server/pacing.rs
+++ b/src/relay_server/pacing.rs
@@ -107,6 +107,12 @@
             .upstreams
             .send(address, head, body, boot_ms(), may_send)
             .await;
+        match sent.as_ref().err() {
+            Some(UpstreamFailure::NoConnection | UpstreamFailure::NoListener) => {
+                self.note_unreachable_endpoint();
+            }
+            _ => self.note_connections(),
+        }
         if sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
             let mut fleet = self.fleet.borrow_mut();
             fleet.pacing.return_permit(endpoint, permit);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -171,12 +171,14 @@
     actix_rt::spawn(async move {
         match node.upstreams.preconnect(address, boot_ms()).await {
             Ok(()) => {
+                node.note_connections();
                 if let Some(known) = node.fleet.borrow().get(&endpoint) {
                     known.last_heard.record(boot_ms());
                 }
             }
             Err(UpstreamFailure::NoListener) => {
-                node.record_failure(&endpoint, EndpointFailure::Ended)
+                node.note_unreachable_endpoint();
+                node.record_failure(&endpoint, EndpointFailure::Ended);
             }
             Err(failure) => {
                 log::debug!(endpoint = endpoint.as_str(), failure:% = failure; "could not determine whether a replica has exited");
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -16,7 +16,7 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::settings::RelaySettings;
-use super::{checks, duty, feeds, front, peer_list, peers, records, room_notice, snapshot};
+use super::{checks, duty, feeds, front, peer_list, peers, reach, records, room_notice, snapshot};
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
 
@@ -126,6 +126,7 @@
     actix_rt::spawn(duty::place_layers(Rc::clone(node)));
     actix_rt::spawn(records::maintain_records(Rc::clone(node)));
     actix_rt::spawn(peer_list::sync_peer_list(Rc::clone(node)));
+    actix_rt::spawn(reach::check_when_unreachable(Rc::clone(node)));
     actix_rt::spawn(sweep(Rc::clone(node)));
     Ok(())
 }
