A refused connection shows an ended endpoint only while another one accepts

What callers saw: streams on connections that lived through a partition of their instance from the endpoints were ended, and their requests withheld at all instances, ten minutes long; endpoints stayed out of use for up to 8 s after the partition.

Cause: a refused connection counted as proof that the process had ended, whatever else this instance reached. An instance that is cut off by refusals took all endpoints for ended: it ended runs on them, and passed them on as crashes under whatever was beginning to run.

Now a refusal is a failure of its own. The endpoint is left out at once, as before, and counts as ended once a connection to another endpoint that was attempted later has been accepted; one is attempted right after the refusal. If none accepts, nothing is concluded; what was found unreachable since the last accepted connection is used again with the first one that is. An answer of another process at the address is proof by itself, as before.

Ruled out: confirmation by the list of endpoints alone. It comes seconds late, and a request that ends engines goes on to the next one after 150 ms.

The failing test (the request was withheld at three of three instances) passes. Tests of requests that end engines, of deaths and restarts of endpoints are unchanged and pass.

Left: an instance that is refused by a part of the endpoints only still takes these for ended.

--- a/src/fleet/health.rs
+++ b/src/fleet/health.rs
@@ -27,8 +27,10 @@
 /// A failed call to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointFailure {
-    /// No process listens at the address: the one that ran there has ended.
+    /// Another process answers at its address: the one that ran there has ended.
     Ended,
+    /// It refuses connections: its process has ended, or this instance is partitioned from it.
+    Refused,
     /// The endpoint does not respond on a new connection.
     Unreachable,
     /// A connection broke before the response was complete.
@@ -51,6 +53,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Ended => "ended",
+            Self::Refused => "refused",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
             Self::Garbled => "garbled",
@@ -63,14 +66,14 @@
 
     /// Whether requests that run at the endpoint are lost.
     pub fn loses_requests(self) -> bool {
-        matches!(self, Self::Ended | Self::Unreachable)
+        matches!(self, Self::Ended | Self::Refused | Self::Unreachable)
     }
 
     /// Consecutive failures of this kind after which the endpoint is paused. A single error or
     /// broken response may be due to the request; a refused connection is due to the endpoint.
     fn pause_threshold(self) -> u32 {
         match self {
-            Self::Ended | Self::Unreachable => 1,
+            Self::Ended | Self::Refused | Self::Unreachable => 1,
             Self::Silent | Self::Full => 2,
             Self::Broken | Self::Garbled | Self::Failed => 3,
             Self::Withdrawn => u32::MAX,
@@ -91,11 +94,13 @@
     consecutive_failures: u32,
     consecutive_pauses: u32,
     paused_until_ms: Option<u64>,
-    /// It does not respond on new connections.
-    is_dead: bool,
+    /// When it was last found not to respond on a new connection.
+    unreachable_ms: Option<u64>,
+    /// Whether it refused that connection.
+    refuses: bool,
     /// When the probe was sent that counted as failed because it got no response.
     unanswered_since_ms: Option<u64>,
-    /// No process listens at its address.
+    /// Another process answers at its address.
     has_ended: bool,
     slowness: Option<Slowness>,
     full_until_ms: u64,
@@ -118,15 +123,27 @@
 
     /// Whether it failed to respond when last probed: the requests that it ran count as lost.
     pub fn is_dead(&self) -> bool {
-        self.is_dead
+        self.unreachable_ms.is_some()
     }
 
-    /// Whether no process listened at its address when last probed. An endpoint that merely does
-    /// not respond may be slow or unreachable and go on running its requests.
+    /// When it was last found not to respond on a new connection, if it has not been seen healthy
+    /// since.
+    pub(super) fn unreachable_ms(&self) -> Option<u64> {
+        self.unreachable_ms
+    }
+
+    /// Whether another process answered at its address. An endpoint that merely does not respond may
+    /// be slow or unreachable and go on running its requests.
     pub fn has_ended(&self) -> bool {
         self.has_ended
     }
 
+    /// When it last refused a connection, if it has not been seen healthy since. Its process has
+    /// ended, unless this instance is partitioned from it.
+    pub fn refused_ms(&self) -> Option<u64> {
+        self.unreachable_ms.filter(|_| self.refuses)
+    }
+
     /// When the probe was sent that counted as failed because it got no response, if any.
     pub fn unanswered_since_ms(&self) -> Option<u64> {
         self.unanswered_since_ms
@@ -204,7 +221,8 @@
         self.consecutive_failures = 0;
         self.consecutive_pauses = 0;
         self.paused_until_ms = None;
-        self.is_dead = false;
+        self.unreachable_ms = None;
+        self.refuses = false;
         self.unanswered_since_ms = None;
         self.has_ended = false;
     }
@@ -212,7 +230,10 @@
     /// Records a failure. Returns whether the endpoint has become paused.
     pub fn record_failure(&mut self, failure: EndpointFailure, now_ms: u64) -> bool {
         self.consecutive_failures += 1;
-        self.is_dead |= failure.loses_requests();
+        if failure.loses_requests() {
+            self.unreachable_ms = Some(now_ms);
+            self.refuses |= failure == EndpointFailure::Refused;
+        }
         self.has_ended |= failure == EndpointFailure::Ended;
         if self.consecutive_failures < failure.pause_threshold() || self.is_paused(now_ms) {
             return false;
@@ -230,7 +251,7 @@
 
     /// Pauses the endpoint, for twice as long as the last time, up to the longest pause.
     pub fn pause(&mut self, now_ms: u64) {
-        let pause_ms = if self.has_ended {
+        let pause_ms = if self.has_ended || self.refuses {
             MAX_PAUSE_MS
         } else {
             INITIAL_PAUSE_MS << self.consecutive_pauses.min(3)
--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -120,13 +120,13 @@
         self.missing_since_ms.is_some()
     }
 
-    /// Whether something was received after the failed probe was sent. Does not apply to a process
-    /// that has ended: what it sent earlier does not show that it is alive.
+    /// Whether something was received after the failed probe was sent. Does not apply to an endpoint
+    /// that refuses connections or has ended: what it sent earlier does not show that it is alive.
     pub fn heard_since_probe(&self) -> bool {
         let probe_sent_ms = self.health.unanswered_since_ms();
         let is_heard =
             probe_sent_ms.is_some_and(|probe_sent_ms| self.last_heard.at_ms() > probe_sent_ms);
-        is_heard && !self.health.has_ended()
+        is_heard && !self.health.has_ended() && self.health.refused_ms().is_none()
     }
 
     /// Whether the requests that run there count as lost.
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -142,11 +142,26 @@
         sum / held.len().max(1) as f64
     }
 
-    /// Whether this lifetime of an endpoint has ended: no process listened at its address when last
-    /// probed, or another lifetime has started under its name.
+    /// Whether this lifetime of an endpoint has ended: another process answers at its address or has
+    /// registered under its name, or it refuses connections while other endpoints accept them.
     pub fn has_ended(&self, id: &EndpointId) -> bool {
-        let refuses = |known: &KnownEndpoint| known.health.has_ended();
-        self.ended.contains_key(id) || self.get(id).is_some_and(refuses)
+        let is_gone = |known: &KnownEndpoint| {
+            let refused_ms = known.health.refused_ms();
+            known.health.has_ended()
+                || refused_ms.is_some_and(|at_ms| self.reach.is_shown_since(at_ms))
+        };
+        self.ended.contains_key(id) || self.get(id).is_some_and(is_gone)
+    }
+
+    /// Forgets that endpoints were found unreachable after `at_ms`, when a connection to any of them was
+    /// last attempted with success: this instance was partitioned from them. Returns how many were.
+    pub(crate) fn forgive_unreachable_since(&mut self, at_ms: u64) -> usize {
+        let is_unproven = |known: &&mut KnownEndpoint| {
+            let unreachable_ms = known.health.unreachable_ms();
+            unreachable_ms.is_some_and(|it| it > at_ms) && !known.health.has_ended()
+        };
+        let unproven = self.endpoints.values_mut().filter(is_unproven);
+        unproven.map(|known| known.health.clear()).count()
     }
 
     /// Applies a read of the list. If `after_outage` is set, the list could not be read or updated
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -25,6 +25,8 @@
 mod reach;
 #[cfg(test)]
 mod reach_tests;
+#[cfg(test)]
+mod refusal_tests;
 mod replicas;
 #[cfg(test)]
 mod retained_tests;
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -13,6 +13,8 @@
     Regained {
         /// How long none did.
         lost_ms: u64,
+        /// When a connection was last attempted with success before that.
+        connected_before_ms: u64,
     },
 }
 
@@ -50,10 +52,12 @@
 
     /// Records that an attempt to connect to an endpoint that started at `started_ms` succeeded.
     pub(crate) fn record_connected(&mut self, started_ms: u64, now_ms: u64) -> Option<ReachChange> {
+        let connected_before_ms = self.connected_ms;
         self.connected_ms = self.connected_ms.max(started_ms);
         let lost_since_ms = self.lost_since_ms.take_if(|since| *since <= started_ms)?;
         Some(ReachChange::Regained {
             lost_ms: now_ms.saturating_sub(lost_since_ms),
+            connected_before_ms,
         })
     }
 
--- a/src/fleet/reach_tests.rs
+++ b/src/fleet/reach_tests.rs
@@ -19,7 +19,10 @@
     // Attempted before the loss.
     assert_eq!(reach.record_connected(9, 20), None);
     assert!(reach.is_lost() && reach.needs_check());
-    let regained = ReachChange::Regained { lost_ms: 490 };
+    let regained = ReachChange::Regained {
+        lost_ms: 490,
+        connected_before_ms: 9,
+    };
     assert_eq!(reach.record_connected(500, 501), Some(regained));
     assert!(!reach.is_lost() && !reach.needs_check());
 }
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -197,7 +197,7 @@
         ProbeResult::Healthy(report) => report,
         ProbeResult::NotListening => {
             node.note_unreachable_endpoint();
-            node.record_failure(id, EndpointFailure::Ended);
+            node.record_failure(id, EndpointFailure::Refused);
             return;
         }
         ProbeResult::Unanswered(probed_ms, SilenceCause::EngineDead) => {
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -225,7 +225,7 @@
                 self.placement.order_refused(&order.endpoint, boot_ms());
                 if *failure == OrderFailure::NoListener {
                     node.note_unreachable_endpoint();
-                    node.record_failure(&order.endpoint, EndpointFailure::Ended);
+                    node.record_failure(&order.endpoint, EndpointFailure::Refused);
                 }
             }
         }
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -178,7 +178,7 @@
             }
             Err(UpstreamFailure::NoListener) => {
                 node.note_unreachable_endpoint();
-                node.record_failure(&endpoint, EndpointFailure::Ended);
+                node.record_failure(&endpoint, EndpointFailure::Refused);
             }
             Err(failure) => {
                 log::debug!(endpoint = endpoint.as_str(), failure:% = failure; "could not determine whether a replica has exited");
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -33,6 +33,9 @@
                 sleep(RECHECK_INTERVAL).await;
             }
         }
+        // Endpoints that refuse connections are now known to have ended, or not to have.
+        node.wake_streams();
+        node.update_quarantine();
     }
 }
 
@@ -111,9 +114,14 @@
                 self.counters.count("relay.reach.lost");
                 log::warn!(endpoints = self.fleet.borrow().iter().count(); "no endpoint accepts connections of this instance");
             }
-            Some(ReachChange::Regained { lost_ms }) => {
+            Some(ReachChange::Regained {
+                lost_ms,
+                connected_before_ms,
+            }) => {
+                let mut fleet = self.fleet.borrow_mut();
+                let readmitted = fleet.forgive_unreachable_since(connected_before_ms);
                 self.counters.count("relay.reach.regained");
-                log::info!(lost_ms; "endpoints accept connections of this instance again");
+                log::info!(lost_ms, readmitted; "endpoints accept connections of this instance again");
             }
         }
         let is_lost = self.fleet.borrow().reach.is_lost();
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -452,7 +452,9 @@
     fn connection_failed(&self, failure: UpstreamFailure, chain: &Chain) -> RunOutcome {
         let first = chain.first().endpoint.clone();
         match failure {
-            UpstreamFailure::NoListener => self.node.record_failure(&first, EndpointFailure::Ended),
+            UpstreamFailure::NoListener => {
+                self.node.record_failure(&first, EndpointFailure::Refused);
+            }
             UpstreamFailure::NoConnection | UpstreamFailure::Broken => {
                 check_in_background(&self.node, chain.first());
             }
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -191,7 +191,7 @@
             let is_excluded = id != first && self.attempts.excluded().contains(id);
             let is_lost = fleet
                 .get(id)
-                .is_some_and(|known| known.health.has_ended() || is_silent && known.is_lost());
+                .is_some_and(|known| is_silent && known.is_lost());
             is_excluded || is_lost || fleet.has_ended(id)
         };
         let stages = chain.stages().iter().map(|stage| &stage.endpoint);
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -69,7 +69,7 @@
     pub(crate) fn classify(self) -> (AttemptOutcome, EndpointFailure) {
         match self {
             Self::NoConnection => (AttemptOutcome::NotSent, EndpointFailure::Unreachable),
-            Self::NoListener => (AttemptOutcome::NotSent, EndpointFailure::Ended),
+            Self::NoListener => (AttemptOutcome::NotSent, EndpointFailure::Refused),
             Self::Broken => (AttemptOutcome::Lost, EndpointFailure::Broken),
             Self::Garbled => (AttemptOutcome::Lost, EndpointFailure::Garbled),
             Self::Withdrawn => (AttemptOutcome::NotSent, EndpointFailure::Withdrawn),
