--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -3,9 +3,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
-    EndpointFailure, EndpointReach, EngineLoad, EntryError, FleetChange, InfoSource, KnownEndpoint,
+    EndpointFailure, EngineLoad, EntryError, FleetChange, InfoSource, KnownEndpoint,
     ListedEndpoint, ListingRead, ListingScope, LiveAgain, LiveReason, PacingState, Phase,
-    Provenance, UnusableEntry,
+    Provenance, ServiceReach, UnusableEntry,
 };
 use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName};
 use crate::wire::engine::LayerRange;
@@ -60,7 +60,7 @@
     /// Rate limits, back-offs and departures announced by endpoints.
     pub(crate) pacing: PacingState,
     /// Whether this instance reaches endpoints.
-    pub(crate) reach: EndpointReach,
+    pub(crate) reach: ServiceReach,
     is_loaded: bool,
     /// Time as of which the list is known to be current. Never decreases.
     fresh_as_of_ms: u64,
@@ -143,22 +143,25 @@
     }
 
     /// Whether this lifetime of an endpoint has ended: another process answers at its address or has
-    /// registered under its name, or it refuses connections while other endpoints accept them.
+    /// registered under its name, or it refuses connections while others of its service accept them.
     pub fn has_ended(&self, id: &EndpointId) -> bool {
         let is_gone = |known: &KnownEndpoint| {
             let refused_ms = known.health.refused_ms();
             known.health.has_ended()
-                || refused_ms.is_some_and(|at_ms| self.reach.is_shown_since(at_ms))
+                || refused_ms
+                    .is_some_and(|at_ms| self.reach.is_shown_since(&known.listed.service, at_ms))
         };
         self.ended.contains_key(id) || self.get(id).is_some_and(is_gone)
     }
 
-    /// Forgets that endpoints were found unreachable after `at_ms`, when a connection to any of them was
-    /// last attempted with success: this instance was partitioned from them. Returns how many were.
-    pub(crate) fn forgive_unreachable_since(&mut self, at_ms: u64) -> usize {
+    /// Forgets that endpoints of a service were found unreachable after `at_ms`, when a connection to any of
+    /// them was last attempted with success: this instance was partitioned from them. Returns how many were.
+    pub(crate) fn forgive_unreachable_since(&mut self, service: &ServiceName, at_ms: u64) -> usize {
         let is_unproven = |known: &&mut KnownEndpoint| {
             let unreachable_ms = known.health.unreachable_ms();
-            unreachable_ms.is_some_and(|it| it > at_ms) && !known.health.has_ended()
+            known.listed.service == *service
+                && unreachable_ms.is_some_and(|it| it > at_ms)
+                && !known.health.has_ended()
         };
         let unproven = self.endpoints.values_mut().filter(is_unproven);
         unproven.map(|known| known.health.clear()).count()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -46,5 +46,5 @@
 pub(crate) use pacing_state::{PacingState, Permit};
 pub use provenance::{InfoSource, Provenance};
 pub(crate) use provenance::{describe_known, describe_list};
-pub(crate) use reach::{EndpointReach, ReachChange};
+pub(crate) use reach::{ReachChange, ServiceReach};
 pub use replicas::pick_replica;
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -1,8 +1,12 @@
-//! Whether this instance reaches the endpoints at all.
+//! Whether this instance reaches the endpoints of a service at all.
 //!
 //! An endpoint that refuses connections or does not answer may have failed, or this instance may be partitioned
-//! from it. A new connection to another endpoint shows that it is not partitioned from all of them. Connections
-//! that were open before do not: they may outlast a partition that keeps new ones out.
+//! from it. A new connection to another endpoint of its service shows that it is not partitioned from all of them.
+//! Connections that were open before do not: they may outlast a partition that keeps new ones out.
+
+use indexmap::IndexMap;
+
+use crate::ids::ServiceName;
 
 /// A change of whether endpoints are reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,7 +22,52 @@
     },
 }
 
-/// New connections to endpoints, over all endpoints.
+/// Whether this instance reaches endpoints, by service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServiceReach {
+    services: IndexMap<ServiceName, EndpointReach>,
+}
+
+impl ServiceReach {
+    /// Whether no endpoint of a service accepts connections of this instance.
+    pub(crate) fn is_lost(&self, service: &ServiceName) -> bool {
+        self.services
+            .get(service)
+            .is_some_and(EndpointReach::is_lost)
+    }
+
+    /// Services of which no endpoint accepts connections of this instance.
+    pub(crate) fn lost_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let lost = self.services.iter().filter(|(_, reach)| reach.is_lost());
+        lost.map(|(service, _)| service)
+    }
+
+    /// Services of which to check whether this instance reaches endpoints.
+    pub(crate) fn services_to_check(&self) -> impl Iterator<Item = &ServiceName> {
+        let due = self
+            .services
+            .iter()
+            .filter(|(_, reach)| reach.needs_check());
+        due.map(|(service, _)| service)
+    }
+
+    /// Whether an endpoint of a service was reached by a connection that was attempted at `at_ms` or later.
+    pub(super) fn is_shown_since(&self, service: &ServiceName, at_ms: u64) -> bool {
+        let reach = self.services.get(service);
+        reach.is_some_and(|reach| reach.is_shown_since(at_ms))
+    }
+
+    /// The record of a service.
+    pub(crate) fn of(&mut self, service: &ServiceName) -> &mut EndpointReach {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.clone(), EndpointReach::default());
+        }
+        &mut self.services[service]
+    }
+}
+
+/// New connections to the endpoints of one service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct EndpointReach {
     /// Start of the newest attempt that established a connection; 0 if there was none.
--- a/src/fleet/reach_tests.rs
+++ b/src/fleet/reach_tests.rs
@@ -1,4 +1,5 @@
-use super::{EndpointReach, ReachChange};
+use super::ReachChange;
+use super::reach::EndpointReach;
 
 #[test]
 fn a_connection_after_a_failure_shows_that_endpoints_are_reached() {
--- a/src/fleet/refusal_tests.rs
+++ b/src/fleet/refusal_tests.rs
@@ -1,6 +1,6 @@
 use super::tests::{fleet, listed, range};
 use super::{EndpointFailure, Fleet};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, ServiceName};
 
 fn two_endpoints() -> (Fleet, EndpointId, EndpointId) {
     let fleet = fleet(vec![
@@ -13,21 +13,32 @@
 #[test]
 fn an_endpoint_that_refuses_has_ended_once_another_one_accepts() {
     let (mut fleet, a, b) = two_endpoints();
-    fleet.reach.record_connected(90, 91);
+    let service = fleet.get(&a).expect("listed").listed.service.clone();
+    fleet.reach.of(&service).record_connected(90, 91);
     assert!(fleet.record_failure(&a, EndpointFailure::Refused, 100));
     assert!(!fleet.has_ended(&a));
-    fleet.reach.record_connected(101, 102);
+    fleet.reach.of(&service).record_connected(101, 102);
     assert!(fleet.has_ended(&a) && !fleet.has_ended(&b));
 }
 
 #[test]
 fn endpoints_that_refused_during_a_partition_are_used_at_once_after_it() {
     let (mut fleet, a, b) = two_endpoints();
+    let service = fleet.get(&a).expect("listed").listed.service.clone();
     fleet.record_failure(&a, EndpointFailure::Refused, 80);
-    fleet.reach.record_connected(90, 91);
+    fleet.reach.of(&service).record_connected(90, 91);
     fleet.record_failure(&b, EndpointFailure::Refused, 100);
-    assert_eq!(fleet.forgive_unreachable_since(90), 1);
+    assert_eq!(fleet.forgive_unreachable_since(&service, 90), 1);
     assert!(fleet.has_ended(&a) && !fleet.has_ended(&b));
     assert!(fleet.get(&b).is_some_and(|known| known.accepts_work()));
     assert!(fleet.get(&a).is_some_and(|known| !known.accepts_work()));
 }
+
+#[test]
+fn an_endpoint_of_another_service_shows_nothing_about_one_that_refuses() {
+    let (mut fleet, a, _) = two_endpoints();
+    fleet.record_failure(&a, EndpointFailure::Refused, 100);
+    let other = ServiceName::from("other");
+    fleet.reach.of(&other).record_connected(101, 102);
+    assert!(!fleet.has_ended(&a));
+}
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexSet;
 
 use super::{AttemptLimit, FinalError, RefusalCause, RelayFailure};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, InstanceId};
 use crate::invariant;
 use crate::route_table::RetryPolicy;
 
@@ -48,6 +48,14 @@
     GiveUp(RelayFailure),
 }
 
+/// What a send goes to.
+#[derive(Clone, Debug)]
+enum SendTarget {
+    Endpoint(EndpointId),
+    /// Another instance, which chooses the endpoint.
+    Instance,
+}
+
 /// The attempts of one request.
 ///
 /// Invariants: a request that must run at most once and may have run is not sent again, and its
@@ -64,8 +72,10 @@
     readmitted: IndexSet<EndpointId>,
     /// Endpoints on which the request may have run and that have not exited since.
     ran_on: IndexSet<EndpointId>,
-    /// Endpoint of the send whose outcome is not known yet.
-    current_send: Option<EndpointId>,
+    /// Runs at endpoints that other instances chose.
+    delegated_runs: usize,
+    /// Target of the send whose outcome is not known yet.
+    current_send: Option<SendTarget>,
     turned_away: u32,
     /// Runs that have ended, or may have.
     runs: u32,
@@ -86,6 +96,7 @@
             excluded: IndexSet::new(),
             readmitted: IndexSet::new(),
             ran_on: IndexSet::new(),
+            delegated_runs: 0,
             current_send: None,
             turned_away: 0,
             runs: 0,
@@ -103,12 +114,24 @@
     /// If the request has run on as many endpoints as allowed, the only endpoints that may still
     /// receive it.
     pub fn restricted_to(&self) -> Option<&IndexSet<EndpointId>> {
-        (self.ran_on.len() >= self.max_endpoints).then_some(&self.ran_on)
+        (self.endpoints_left() == 0).then_some(&self.ran_on)
+    }
+
+    /// Number of further endpoints on which the request may run.
+    pub fn endpoints_left(&self) -> usize {
+        let used = self.ran_on.len() + self.delegated_runs;
+        self.max_endpoints.saturating_sub(used)
+    }
+
+    /// Whether the request may be sent to another instance, which chooses the endpoint.
+    pub fn may_delegate(&self) -> bool {
+        let may_run = !self.may_have_run() || self.retry_policy.allows_retry();
+        may_run && self.endpoints_left() > 0
     }
 
     /// Whether another endpoint may be tried if the current attempt fails after it started.
     pub fn may_try_another(&self) -> bool {
-        self.retry_policy.allows_retry() && self.ran_on.len() + 1 < self.max_endpoints
+        self.retry_policy.allows_retry() && self.endpoints_left() > 1
     }
 
     /// Whether the request may have run somewhere.
@@ -176,6 +199,19 @@
         }
     }
 
+    /// The state after the current run would be abandoned at an endpoint that this instance no longer
+    /// reaches; `None` if no other run could follow.
+    pub fn after_abandoning(&self) -> Option<Self> {
+        let mut abandoned = self.clone();
+        match abandoned.attempt_ended(AttemptOutcome::Abandoned, || true) {
+            NextStep::Retry | NextStep::Resume => {
+                abandoned.forget_ended(|_| true);
+                Some(abandoned)
+            }
+            NextStep::ForwardFailure(_) | NextStep::GiveUp(_) => None,
+        }
+    }
+
     /// Records that a retry was taken from the budget for the next send.
     pub fn hold_retry(&mut self) {
         self.holds_retry = true;
@@ -187,7 +223,8 @@
         std::mem::take(&mut self.holds_retry) && outcome == AttemptOutcome::NotSent
     }
 
-    /// Forgets endpoints that have exited, since nothing runs there any more.
+    /// Forgets endpoints that have exited, since nothing runs there any more, or that this instance no
+    /// longer reaches.
     pub fn forget_ended<F>(&mut self, has_ended: F)
     where
         F: Fn(&EndpointId) -> bool,
@@ -197,9 +234,22 @@
 
     /// Records that the request is about to be sent.
     pub fn send_started(&mut self, endpoint: &EndpointId) {
+        let target = SendTarget::Endpoint(endpoint.clone());
+        self.target_chosen(target, || endpoint.to_string());
+    }
+
+    /// Records that the request is about to be sent to another instance.
+    pub fn delegation_started(&mut self, instance: &InstanceId) {
+        self.target_chosen(SendTarget::Instance, || instance.to_string());
+    }
+
+    fn target_chosen<F>(&mut self, target: SendTarget, name: F)
+    where
+        F: FnOnce() -> String,
+    {
         let may_send = !self.may_have_run() || self.retry_policy.allows_retry();
-        invariant::check(may_send, "runs_at_most_once", || endpoint.clone());
-        self.current_send = Some(endpoint.clone());
+        invariant::check(may_send, "runs_at_most_once", name);
+        self.current_send = Some(target);
         self.sends += 1;
     }
 
@@ -209,7 +259,7 @@
     where
         F: FnOnce() -> bool,
     {
-        let endpoint = self.current_send.take();
+        let target = self.current_send.take();
         match outcome {
             AttemptOutcome::NotSent => {
                 self.sends = self.sends.saturating_sub(1);
@@ -218,7 +268,11 @@
             AttemptOutcome::TurnedAway => self.turned_away += 1,
             AttemptOutcome::Lost | AttemptOutcome::Failed | AttemptOutcome::Abandoned => {
                 self.runs += 1;
-                self.ran_on.extend(endpoint);
+                match target {
+                    Some(SendTarget::Endpoint(endpoint)) => drop(self.ran_on.insert(endpoint)),
+                    Some(SendTarget::Instance) => self.delegated_runs += 1,
+                    None => {}
+                }
             }
         }
         let mut is_taken = false;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,9 @@
 
 mod attempts;
 mod budget;
+mod delegation;
+#[cfg(test)]
+mod delegation_tests;
 mod events;
 mod limits;
 #[cfg(test)]
@@ -30,6 +33,7 @@
 
 pub use attempts::{AttemptOutcome, Attempts, NextStep};
 pub use budget::{BudgetShare, RetryBudget, RetryPurpose};
+pub use delegation::DelegationHistory;
 pub use events::{CompleteEvents, EventSplitter, SplitError};
 pub use limits::{AttemptLimit, RelayFailure};
 pub(crate) use loans::share_of_need;
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -71,6 +71,20 @@
         }
     }
 
+    /// Whether no endpoint has received the request. With the other causes, one may have turned it away.
+    pub fn implies_unsent(self) -> bool {
+        match self {
+            Self::NoTable
+            | Self::OldTable
+            | Self::NoEndpoint
+            | Self::NoChain
+            | Self::Stopping
+            | Self::Withheld
+            | Self::RateLimited { .. } => true,
+            Self::Full | Self::NoBudget | Self::TooLate => false,
+        }
+    }
+
     /// When the caller should retry: after the typical duration of the cause, with jitter for
     /// callers that are refused together. Callers retry only once, so retrying too early costs them
     /// the response, while retrying late costs only time.
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -225,6 +225,15 @@
     /// Replaces the headers that the system sets with those of a dispatch.
     fn set_dispatch_headers(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
 
+    /// Updates a caller's headers for another instance that serves the request in this one's place: the time
+    /// until the caller stops waiting, and the last event of the stream that it has received, if any.
+    fn set_delegation_headers(
+        &self,
+        headers: &mut HeaderMap,
+        timeout_ms: u64,
+        resume_after: Option<u64>,
+    );
+
     /// Parses the metadata in the head of an endpoint's response.
     fn parse_response_metadata(&self, head: &ResponseHead) -> ResponseMetadata;
 }
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -11,7 +11,7 @@
 use super::node::Node;
 use super::probes::{ProbeResult, probe, probe_with_controls};
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, ChainStage, EndpointFailure, KnownEndpoint};
+use crate::fleet::{Chain, ChainStage, EndpointFailure, Fleet, KnownEndpoint};
 use crate::ids::EndpointId;
 use crate::relay::SilenceCause;
 
@@ -196,18 +196,18 @@
     let report = match result {
         ProbeResult::Healthy(report) => report,
         ProbeResult::NotListening => {
-            node.note_unreachable_endpoint();
+            node.note_unreachable(id);
             node.record_failure(id, EndpointFailure::Refused);
             return;
         }
         ProbeResult::Unanswered(probed_ms, SilenceCause::EngineDead) => {
-            node.note_unreachable_endpoint();
+            node.note_unreachable(id);
             node.record_unanswered(id, probed_ms);
             return;
         }
         ProbeResult::Unanswered(probed_ms, silence) => {
             if silence == SilenceCause::Unclear {
-                node.note_unreachable_endpoint();
+                node.note_unreachable(id);
             }
             log::info!(
                 endpoint = id.as_str(),
@@ -267,16 +267,7 @@
 {
     end_unfounded_pauses(node);
     let now_ms = boot_ms();
-    let due: Vec<(EndpointId, SocketAddr, bool)> = node
-        .fleet
-        .borrow()
-        .iter()
-        .filter(|known| known.health.needs_check(now_ms))
-        .map(|known| {
-            let listed = &known.listed;
-            (listed.id.clone(), listed.address, listed.kind.is_some())
-        })
-        .collect();
+    let due = paused_to_check(&node.fleet.borrow(), now_ms);
     let checks = due.into_iter().map(|(id, address, is_engine)| async move {
         // Replicas without layers provide no report; the next request shows whether one is healthy.
         let result = if is_engine {
@@ -316,6 +307,20 @@
     join_all(checks).await;
 }
 
+/// Endpoints whose pause is over, with their addresses and whether they are engines. The first connection to an
+/// endpoint of a service that is not reached ends the pauses of the others.
+fn paused_to_check(fleet: &Fleet, now_ms: u64) -> Vec<(EndpointId, SocketAddr, bool)> {
+    let due = fleet
+        .iter()
+        .filter(|known| known.health.needs_check(now_ms))
+        .filter(|known| !fleet.reach.is_lost(&known.listed.service));
+    let due = due.map(|known| {
+        let listed = &known.listed;
+        (listed.id.clone(), listed.address, listed.kind.is_some())
+    });
+    due.collect()
+}
+
 /// Ends the pause of engines from which data has arrived since the probe that they did not answer.
 fn end_unfounded_pauses<A>(node: &Node<A>) {
     let mut fleet = node.fleet.borrow_mut();
--- /dev/null
+++ b/src/relay_server/delegation.rs
@@ -0,0 +1,302 @@
+//! Requests that an instance passes on to another one, since it reaches no endpoint that can run them.
+//!
+//! The other instance serves such a request as its own: it chooses endpoints, and its retries, rate limits and
+//! back-offs apply. The instance that has the caller counts the request, keeps its deadline, and cancels it by
+//! closing the connection. A request is passed on once only, so that it cannot go to and fro.
+
+use std::time::Duration;
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{RequestHead, Response, ResponseHead};
+use bytes::Bytes;
+use indexmap::IndexSet;
+use tokio::time::sleep;
+
+use super::adapter::Adapter;
+use super::delegates::Delegate;
+use super::node::Node;
+use super::peer_selection::weighted_by_link;
+use super::request::RelayedRequest;
+use super::upstream::{Exchange, ResponseBody, UpstreamFailure};
+use crate::clock::boot_ms;
+use crate::ids::{InstanceId, ServiceName};
+use crate::relay::{AttemptOutcome, Attempts, FinalError};
+
+/// Name of the instance that passes a request on.
+const DELEGATED_BY: HeaderName = HeaderName::from_static("fescue-delegated-by");
+/// Version of the route table that it has applied to the request.
+const TABLE_VERSION: HeaderName = HeaderName::from_static("fescue-table-version");
+/// Maximum number of endpoints on which the request may still run.
+const MAX_ENDPOINTS: HeaderName = HeaderName::from_static("fescue-max-endpoints");
+/// What became of a request that was passed on.
+const OUTCOME: HeaderName = HeaderName::from_static("fescue-delegation-outcome");
+
+/// Interval between checks whether the other instance is still heard.
+const HEARTBEAT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What an instance tells about a request that it passes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Delegation {
+    pub(super) delegated_by: InstanceId,
+    /// Version of the route table that it has applied; the request is not served under an older one.
+    pub(super) table_version: u64,
+    /// Maximum number of endpoints on which the request may run.
+    pub(super) max_endpoints: u32,
+}
+
+impl Delegation {
+    /// Reads the headers of a request that was passed on; `None` if it was not.
+    pub(super) fn from_head(head: &RequestHead) -> Option<Self> {
+        let text = |name: HeaderName| head.headers.get(name)?.to_str().ok();
+        Some(Self {
+            delegated_by: InstanceId::from(text(DELEGATED_BY)?),
+            table_version: text(TABLE_VERSION)?.parse().ok()?,
+            max_endpoints: text(MAX_ENDPOINTS)?.parse().ok()?,
+        })
+    }
+
+    fn set_headers(&self, headers: &mut HeaderMap) {
+        let table_version = self.table_version.to_string();
+        let max_endpoints = self.max_endpoints.to_string();
+        for (name, value) in [
+            (DELEGATED_BY, self.delegated_by.as_str()),
+            (TABLE_VERSION, &table_version),
+            (MAX_ENDPOINTS, &max_endpoints),
+        ] {
+            match HeaderValue::from_str(value) {
+                Ok(value) => drop(headers.insert(name, value)),
+                Err(_) => {
+                    log::error!(header = name.as_str(); "invalid header value; header not set")
+                }
+            }
+        }
+    }
+}
+
+/// Whether a request was passed on by another instance.
+pub(super) fn is_delegated(head: &RequestHead) -> bool {
+    head.headers.contains_key(DELEGATED_BY)
+}
+
+/// Removes what only instances tell one another.
+pub(super) fn strip_headers(headers: &mut HeaderMap) {
+    for name in [DELEGATED_BY, TABLE_VERSION, MAX_ENDPOINTS, OUTCOME] {
+        headers.remove(name);
+    }
+}
+
+/// What became of a request that was passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DelegationOutcome {
+    /// The response is final.
+    Answered,
+    /// No endpoint has received it.
+    NotSent,
+    /// Endpoints have turned it away; it has not run.
+    TurnedAway,
+    /// It may have run.
+    Unknown,
+}
+
+impl DelegationOutcome {
+    const ALL: [Self; 4] = [
+        Self::Answered,
+        Self::NotSent,
+        Self::TurnedAway,
+        Self::Unknown,
+    ];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotSent => "not-sent",
+            Self::TurnedAway => "turned-away",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// What a response tells, if it tells any of this.
+    fn from_head(head: &ResponseHead) -> Option<Self> {
+        let text = head.headers.get(OUTCOME)?.to_str().ok()?;
+        Self::ALL.into_iter().find(|it| it.as_str() == text)
+    }
+
+    /// What a response of this instance means.
+    fn of_response<B>(response: &Response<B>) -> Self {
+        match response.extensions().get::<FinalError>() {
+            None => Self::Answered,
+            Some(FinalError::NotRun(cause)) if cause.implies_unsent() => Self::NotSent,
+            Some(FinalError::NotRun(_)) => Self::TurnedAway,
+            Some(FinalError::Unknown | FinalError::TimedOut) => Self::Unknown,
+        }
+    }
+}
+
+/// Tells the instance that has passed a request on what became of it.
+pub(super) fn set_outcome<B>(response: &mut Response<B>) {
+    let outcome = DelegationOutcome::of_response(response);
+    let value = HeaderValue::from_static(outcome.as_str());
+    response.headers_mut().insert(OUTCOME, value);
+}
+
+impl<A> Node<A>
+where
+    A: Adapter,
+{
+    /// The instance to pass a request on to before trying endpoints, if this one reaches none of its service.
+    pub(super) fn delegate_if_cut_off(
+        &self,
+        request: &RelayedRequest,
+        attempts: &Attempts,
+        tried: &IndexSet<InstanceId>,
+    ) -> Option<Delegate> {
+        let is_lost = self.fleet.borrow().reach.is_lost(&request.service);
+        if !is_lost {
+            return None;
+        }
+        self.choose_delegate(request, attempts, tried)
+    }
+
+    /// The instance to pass a request on to if no endpoint reached from here can run it. Endpoints that all
+    /// instances reach are no reason to.
+    pub(super) fn delegate_if_unreachable(
+        &self,
+        request: &RelayedRequest,
+        attempts: &Attempts,
+        tried: &IndexSet<InstanceId>,
+    ) -> Option<Delegate> {
+        let has_unreachable = {
+            let fleet = self.fleet.borrow();
+            let mut of_service = fleet.of_service(&request.service);
+            of_service.any(|known| known.health.is_dead())
+        };
+        if !has_unreachable {
+            return None;
+        }
+        self.choose_delegate(request, attempts, tried)
+    }
+
+    fn choose_delegate(
+        &self,
+        request: &RelayedRequest,
+        attempts: &Attempts,
+        tried: &IndexSet<InstanceId>,
+    ) -> Option<Delegate> {
+        if request.delegation.is_some() || !attempts.may_delegate() {
+            return None;
+        }
+        let now_ms = boot_ms();
+        let history = self.delegation_history.borrow();
+        let may_ask = |it: &Delegate| {
+            !tried.contains(&it.instance) && history.may_ask(&request.service, &it.instance, now_ms)
+        };
+        let delegates = self.peers.borrow().delegates(&request.service, now_ms);
+        let delegates: Vec<&Delegate> = delegates.iter().filter(|it| may_ask(it)).collect();
+        weighted_by_link(&delegates, |it| it.link_mbps, self.random_u64()).cloned()
+    }
+
+    /// Passes a request on and waits for the head of its response. Fails as an attempt at an endpoint does.
+    pub(super) async fn delegate_request(
+        &self,
+        request: &RelayedRequest,
+        delegate: &Delegate,
+        max_endpoints: usize,
+        resume_after: Option<u64>,
+    ) -> Result<(ResponseHead, ResponseBody), AttemptOutcome> {
+        log::info!(
+            request = request.ask.id.as_str(),
+            peer = delegate.instance.as_str(),
+            is_cut_off = self.fleet.borrow().reach.is_lost(&request.service),
+            resume_after,
+            max_endpoints,
+            table = request.table.version;
+            "request is delegated to another instance"
+        );
+        self.counters.count("relay.delegations.sent");
+        let result = self
+            .exchange_with_delegate(request, delegate, max_endpoints, resume_after)
+            .await;
+        if let Err(outcome) = &result {
+            self.counters.count("relay.delegations.failed");
+            log::info!(
+                request = request.ask.id.as_str(),
+                peer = delegate.instance.as_str(),
+                end:? = outcome;
+                "other instance did not serve a delegated request"
+            );
+        }
+        result
+    }
+
+    async fn exchange_with_delegate(
+        &self,
+        request: &RelayedRequest,
+        delegate: &Delegate,
+        max_endpoints: usize,
+        resume_after: Option<u64>,
+    ) -> Result<(ResponseHead, ResponseBody), AttemptOutcome> {
+        let sent = self
+            .send_to_delegate(request, delegate, max_endpoints, resume_after)
+            .await;
+        let exchange = sent.map_err(|failure| {
+            self.record_unavailable(&request.service, &delegate.instance);
+            failed(failure)
+        })?;
+        let (head, body) = tokio::select! {
+            biased;
+            response = exchange.head() => response.map_err(failed)?,
+            () = self.until_unheard(&delegate.instance) => return Err(AttemptOutcome::Lost),
+        };
+        match DelegationOutcome::from_head(&head) {
+            Some(DelegationOutcome::Answered) => Ok((head, body)),
+            Some(DelegationOutcome::NotSent) => {
+                self.record_unavailable(&request.service, &delegate.instance);
+                Err(AttemptOutcome::NotSent)
+            }
+            Some(DelegationOutcome::TurnedAway) => Err(AttemptOutcome::TurnedAway),
+            Some(DelegationOutcome::Unknown) | None => Err(AttemptOutcome::Lost),
+        }
+    }
+
+    async fn send_to_delegate(
+        &self,
+        request: &RelayedRequest,
+        delegate: &Delegate,
+        max_endpoints: usize,
+        resume_after: Option<u64>,
+    ) -> Result<Exchange, UpstreamFailure> {
+        let now_ms = boot_ms();
+        let mut head = request.head.clone();
+        let timeout_ms = request.remaining_ms(now_ms);
+        self.adapter
+            .set_delegation_headers(&mut head.headers, timeout_ms, resume_after);
+        let delegation = Delegation {
+            delegated_by: self.settings.instance.clone(),
+            table_version: request.table.version,
+            max_endpoints: u32::try_from(max_endpoints).unwrap_or(u32::MAX),
+        };
+        delegation.set_headers(&mut head.headers);
+        let body: Bytes = request.body.clone();
+        self.delegates
+            .send(delegate.address, head, body, now_ms, || true)
+            .await
+    }
+
+    fn record_unavailable(&self, service: &ServiceName, instance: &InstanceId) {
+        let mut history = self.delegation_history.borrow_mut();
+        history.record_unavailable(service, instance, boot_ms());
+    }
+
+    /// Waits until an instance is no longer heard.
+    pub(super) async fn until_unheard(&self, instance: &InstanceId) {
+        while self.peers.borrow().hears(instance, boot_ms()) {
+            sleep(HEARTBEAT_CHECK_INTERVAL).await;
+        }
+    }
+}
+
+/// What a failed exchange with another instance means for the request.
+pub(super) fn failed(failure: UpstreamFailure) -> AttemptOutcome {
+    let (outcome, _) = failure.classify();
+    outcome
+}
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -224,7 +224,7 @@
             Err(failure) => {
                 self.placement.order_refused(&order.endpoint, boot_ms());
                 if *failure == OrderFailure::NoListener {
-                    node.note_unreachable_endpoint();
+                    node.note_unreachable(&order.endpoint);
                     node.record_failure(&order.endpoint, EndpointFailure::Refused);
                 }
             }
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::adapter::{Adapter, LocalPage};
+use super::delegation::{Delegation, set_outcome, strip_headers};
 use super::headers;
 use super::node::Node;
 use super::plain::relay_plain;
@@ -34,31 +35,40 @@
 /// Timeout of a caller that does not state one: no shorter than any route's timeout.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
-/// Counts a caller's request as open until its response is complete.
+/// Maximum number of open requests of other instances' callers. Each takes some tens of kilobytes.
+const MAX_DELEGATED: u64 = 512;
+
+/// Counts a request as open until its response is complete.
 pub(crate) struct OpenRequest<A> {
     node: Rc<Node<A>>,
+    /// Whether another instance has received it from its caller.
+    is_delegated: bool,
 }
 
 impl<A> OpenRequest<A> {
-    fn begin(node: &Rc<Node<A>>) -> Self {
-        add(&node.open_requests, 1);
-        Self {
+    fn begin(node: &Rc<Node<A>>, is_delegated: bool) -> Self {
+        let open = Self {
             node: Rc::clone(node),
-        }
+            is_delegated,
+        };
+        open.counts()
+            .for_each(|count| count.set(count.get().saturating_add(1)));
+        open
+    }
+
+    fn counts(&self) -> impl Iterator<Item = &Cell<u64>> {
+        let delegated = self.is_delegated.then_some(&self.node.open_delegated);
+        std::iter::once(&self.node.open_requests).chain(delegated)
     }
 }
 
 impl<A> Drop for OpenRequest<A> {
     fn drop(&mut self) {
-        let open = self.node.open_requests.get();
-        self.node.open_requests.set(open.saturating_sub(1));
+        self.counts()
+            .for_each(|count| count.set(count.get().saturating_sub(1)));
     }
 }
 
-fn add(count: &Cell<u64>, n: u64) {
-    count.set(count.get() + n);
-}
-
 /// Handles one request.
 pub(crate) async fn handle_request<A>(node: Rc<Node<A>>, request: Request) -> Response<BoxBody>
 where
@@ -69,13 +79,29 @@
     match node.adapter.match_local_page(uri.path(), query) {
         Some(page) => serve_local_page(&node, &page),
         None => {
-            let open = OpenRequest::begin(&node);
-            let response = relay(&node, request).await;
+            let open = OpenRequest::begin(&node, false);
+            let response = relay(&node, request, None).await;
             response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
         }
     }
 }
 
+/// Handles a request that another instance has received from its caller.
+pub(crate) async fn handle_delegated<A>(node: Rc<Node<A>>, request: Request) -> Response<BoxBody>
+where
+    A: Adapter,
+{
+    let Some(delegation) = Delegation::from_head(request.head()) else {
+        log::warn!(peer:? = request.peer_addr(); "headers of a delegated request are malformed");
+        return status_response(&node, StatusCode::BAD_REQUEST);
+    };
+    node.counters.count("relay.delegations.received");
+    let open = OpenRequest::begin(&node, true);
+    let mut response = relay(&node, request, Some(delegation)).await;
+    set_outcome(&mut response);
+    response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
+}
+
 /// Serves the page of counters.
 pub(crate) fn metrics_page<A>(node: &Node<A>) -> Response<BoxBody> {
     node.counters
@@ -107,7 +133,26 @@
     }
 }
 
-async fn relay<A>(node: &Rc<Node<A>>, request: Request) -> Response<BoxBody>
+/// Whether a request from another instance has to be refused, and why.
+fn delegation_refusal<A>(
+    node: &Node<A>,
+    delegation: &Delegation,
+    table: &RouteTable,
+) -> Option<RefusalCause> {
+    if table.version < delegation.table_version {
+        Some(RefusalCause::OldTable)
+    } else if node.open_delegated.get() > MAX_DELEGATED {
+        Some(RefusalCause::Full)
+    } else {
+        None
+    }
+}
+
+async fn relay<A>(
+    node: &Rc<Node<A>>,
+    mut request: Request,
+    delegation: Option<Delegation>,
+) -> Response<BoxBody>
 where
     A: Adapter,
 {
@@ -116,6 +161,13 @@
     let Some(table) = node.routes() else {
         return refuse(node, "", None, RefusalCause::NoTable);
     };
+    let refusal = delegation
+        .as_ref()
+        .and_then(|it| delegation_refusal(node, it, &table));
+    if let Some(cause) = refusal {
+        return refuse(node, "", None, cause);
+    }
+    strip_headers(&mut request.head_mut().headers);
     if headers::head_bytes(request.head()) > table.limits.max_header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return status_response(node, status);
@@ -142,9 +194,13 @@
     let relayed = RelayedRequest {
         body,
         digest,
+        delegation,
         ..resolved
     };
-    node.count_request(&relayed.service);
+    // The instance that has the caller counts the request.
+    if relayed.delegation.is_none() {
+        node.count_request(&relayed.service);
+    }
     record_ages(node, arrived_ms);
     if node.quarantine_status(digest) == QuarantineStatus::Withheld {
         return refuse(
@@ -237,6 +293,7 @@
         head: headers::forwarded_request_head(head),
         body: Bytes::new(),
         digest: None,
+        delegation: None,
         arrived_ms: now_ms,
         deadline_ms: now_ms + timeout_ms.min(route.timeout_ms),
         route,
--- a/src/relay_server/heartbeat.rs
+++ b/src/relay_server/heartbeat.rs
@@ -42,6 +42,8 @@
     pub(super) store_age_ms: Option<u64>,
     /// Time of sending, on the sender's clock.
     pub(super) sent_ms: u64,
+    /// Services of which no endpoint accepts the sender's connections.
+    pub(super) unreached: Vec<ServiceName>,
     /// Endpoints that do not answer.
     pub(super) unhealthy: Vec<EndpointId>,
     /// Endpoints that are leaving or have left.
@@ -99,6 +101,9 @@
     /// Changes of the store reach it promptly: the store answers it, or an instance of its zone that it
     /// hears.
     pub(crate) receives_store_updates: bool,
+    /// Endpoints of every service accept connections from it, so it serves all requests without another
+    /// instance.
+    pub(crate) reaches_endpoints: bool,
 }
 
 impl Availability {
@@ -127,6 +132,8 @@
     pub(crate) list_age_ms: u64,
     /// Time since the store last answered, if this instance reads it.
     pub(crate) store_age_ms: Option<u64>,
+    /// Services of which no endpoint accepts connections of this instance.
+    pub(crate) unreached: Vec<ServiceName>,
     /// Load that this instance's streams put on engines.
     pub(crate) held: Vec<HeldLoad>,
     /// Retries that this instance lacks.
--- a/src/relay_server/locate.rs
+++ b/src/relay_server/locate.rs
@@ -25,13 +25,17 @@
 /// same at all instances, so that callers use few of them, and these few connections to engines.
 pub(super) type CandidateRank<'a> = (bool, Reverse<u32>, &'a InstanceId);
 
-/// Addresses for a caller in `zone`: instances that serve every request and receive changes of the store
-/// promptly; failing that, those that serve every request; failing that, those that are open. An instance
-/// that gets neither the store's answers nor those of a reader in its zone learns of changes a second
-/// later.
+/// Addresses for a caller in `zone`: instances that serve every request, reach endpoints and receive changes of
+/// the store promptly; failing that, those that serve every request, by themselves if possible; failing that,
+/// those that are open. An instance that gets neither the store's answers nor those of a reader in its zone
+/// learns of changes a second later.
 pub(super) fn addresses_for(zone: &ZoneName, candidates: &[Candidate<'_>]) -> Vec<SocketAddr> {
-    let levels: [fn(Availability) -> bool; 3] =
-        [Availability::is_current, |it| it.is_ready, |it| it.is_open];
+    let levels: [fn(Availability) -> bool; 4] = [
+        |it| it.is_current() && it.reaches_endpoints,
+        |it| it.is_ready && it.reaches_endpoints,
+        |it| it.is_ready,
+        |it| it.is_open,
+    ];
     let mut selections = levels.into_iter().map(|is_suitable| {
         let suitable = candidates.iter().filter(|it| is_suitable(it.availability));
         nearest(zone, &suitable.collect::<Vec<_>>())
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -5,6 +5,10 @@
 
 mod adapter;
 mod checks;
+mod delegates;
+#[cfg(test)]
+mod delegates_tests;
+mod delegation;
 #[cfg(test)]
 mod document_distribution_tests;
 mod document_parts;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -22,7 +22,8 @@
 use crate::placement::PlacementOrder;
 use crate::quarantine::{DigestKey, Quarantine, RequestDigest, RequestParts};
 use crate::relay::{
-    AttemptLimit, BudgetShare, ProbeHistory, RetryBudget, RetryConditions, RetryPurpose, RunTimes,
+    AttemptLimit, BudgetShare, DelegationHistory, ProbeHistory, RetryBudget, RetryConditions,
+    RetryPurpose, RunTimes,
 };
 use crate::route_table::{CurrentTable, RouteTable};
 use crate::telemetry::Counters;
@@ -39,6 +40,10 @@
     /// Durations of streams.
     pub(crate) run_times: RefCell<RunTimes>,
     pub(crate) upstreams: UpstreamPool,
+    /// Connections to instances that serve requests for this one.
+    pub(crate) delegates: UpstreamPool,
+    /// Instances that could not serve requests for this one lately.
+    pub(crate) delegation_history: RefCell<DelegationHistory>,
     pub(crate) checks: RefCell<CheckCache>,
     /// Engines' responses to this instance's probes, to distinguish a saturated link from a dead engine.
     pub(crate) prompt_answers: RefCell<ProbeHistory>,
@@ -79,6 +84,8 @@
     pub(crate) stopping_since_ms: Cell<Option<u64>>,
     /// Number of callers' requests without a complete response.
     pub(crate) open_requests: Cell<u64>,
+    /// How many of them other instances have received from callers.
+    pub(crate) open_delegated: Cell<u64>,
 }
 
 impl<A> Node<A>
@@ -100,6 +107,8 @@
             budget: RefCell::new(RetryBudget::starting(boot_ms())),
             run_times: RefCell::default(),
             upstreams: UpstreamPool::new(),
+            delegates: UpstreamPool::new(),
+            delegation_history: RefCell::default(),
             checks: RefCell::default(),
             prompt_answers: RefCell::default(),
             peer_orders: RefCell::default(),
@@ -119,6 +128,7 @@
             quarantine: RefCell::default(),
             stopping_since_ms: Cell::new(None),
             open_requests: Cell::new(0),
+            open_delegated: Cell::new(0),
         }
     }
 
@@ -146,6 +156,7 @@
             is_open: self.is_open(),
             reaches_store: self.reads_store() && self.store.get().is_answering(),
             receives_store_updates: self.receives_store_updates(),
+            reaches_endpoints: self.fleet.borrow().reach.lost_services().next().is_none(),
         }
     }
 
@@ -333,7 +344,7 @@
         );
         self.counters.count("relay.endpoints.left_out");
         if failure.loses_requests() {
-            self.announce_unhealthy(endpoint);
+            self.handle_loss(endpoint);
         }
     }
 
@@ -403,13 +414,18 @@
         known.is_some_and(|known| known.listed.phase == Phase::Live)
     }
 
-    /// Announces to streams and peers that an endpoint is unhealthy.
-    fn announce_unhealthy(&self, endpoint: &EndpointId) {
-        if let Some(known) = self.fleet.borrow().get(endpoint) {
-            self.upstreams.discard(known.listed.address);
-        }
+    /// Has streams check their chains and peers check an endpoint that does not accept connections. An
+    /// instance that reaches no endpoint of the service says nothing about them.
+    fn handle_loss(&self, endpoint: &EndpointId) {
+        let fleet = self.fleet.borrow();
+        let Some(known) = fleet.get(endpoint) else {
+            return;
+        };
+        self.upstreams.discard(known.listed.address);
         self.wake_streams();
-        self.peers.borrow_mut().announce_unhealthy(endpoint);
+        if !fleet.reach.is_lost(&known.listed.service) {
+            self.peers.borrow_mut().announce_unhealthy(endpoint);
+        }
     }
 
     /// The stage to probe for an engine that a peer reports as unhealthy: the peer may be unable to
--- a/src/relay_server/pacing.rs
+++ b/src/relay_server/pacing.rs
@@ -102,16 +102,18 @@
         if permit == Permit::Missing {
             return Err(UpstreamFailure::Withdrawn);
         }
+        let started_ms = boot_ms();
         let may_send = || may_send() && self.renew_permit(endpoint, permit);
         let sent = self
             .upstreams
-            .send(address, head, body, boot_ms(), may_send)
+            .send(address, head, body, started_ms, may_send)
             .await;
-        match sent.as_ref().err() {
-            Some(UpstreamFailure::NoConnection | UpstreamFailure::NoListener) => {
-                self.note_unreachable_endpoint();
+        match &sent {
+            Err(UpstreamFailure::NoConnection | UpstreamFailure::NoListener) => {
+                self.note_unreachable(endpoint);
             }
-            _ => self.note_connections(),
+            Ok(exchange) if exchange.is_new => self.note_connected(endpoint, started_ms),
+            _ => {}
         }
         if sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
             let mut fleet = self.fleet.borrow_mut();
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -12,7 +12,7 @@
 use super::snapshot::KnownVersions;
 use super::store_readers::STORE_STALE_MS;
 use crate::fleet::EngineLoad;
-use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
+use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::relay::RetryAmount;
 
 /// Silence after which callers are no longer sent to a peer. Two heartbeats in a row may be lost.
@@ -82,6 +82,8 @@
     pub(super) known_instances: u32,
     /// Retries that it lacks; emptied when they have been answered.
     pub(super) retry_needs: Vec<RetryAmount>,
+    /// Services of which no endpoint accepts its connections.
+    pub(super) unreached: Vec<ServiceName>,
     /// Load that its streams put on engines.
     pub(super) held: Vec<(EndpointId, EngineLoad)>,
     /// Whether `held` is included in the sums returned last.
@@ -144,6 +146,7 @@
             newest_sent_ms: 0,
             known_instances: 0,
             retry_needs: Vec::new(),
+            unreached: Vec::new(),
             held: Vec::new(),
             is_counted: false,
         }
@@ -172,6 +175,7 @@
             newest_sent_ms: heartbeat.sent_ms,
             known_instances: heartbeat.known_instances,
             retry_needs: heartbeat.retry_needs.clone(),
+            unreached: heartbeat.unreached.clone(),
             held: heartbeat.held.clone(),
             is_counted: true,
         }
@@ -189,6 +193,11 @@
         }
     }
 
+    /// Whether it can serve requests for a service that reach other instances.
+    pub(super) fn may_serve_for_others(&self, service: &ServiceName) -> bool {
+        self.availability.is_ready && !self.unreached.contains(service)
+    }
+
     /// When its last heartbeat arrived, or else when it became known.
     pub(super) fn last_seen_ms(&self) -> u64 {
         self.heard_ms.unwrap_or(self.known_since_ms)
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -422,6 +422,7 @@
             list_age_ms: own.list_age_ms,
             store_age_ms: own.store_age_ms,
             sent_ms: now_ms,
+            unreached: own.unreached.clone(),
             unhealthy: self.unhealthy.next_batch(MAX_UPDATES),
             leaving: self.leaving.next_batch(MAX_UPDATES),
             self_reported_leaving: self.self_reported_leaving.next_batch(MAX_UPDATES),
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -20,12 +20,14 @@
     is_open: true,
     reaches_store: true,
     receives_store_updates: true,
+    reaches_endpoints: true,
 };
 const OPEN: Availability = Availability {
     is_ready: false,
     is_open: true,
     reaches_store: true,
     receives_store_updates: true,
+    reaches_endpoints: true,
 };
 /// Ready, but the store does not answer it.
 const CUT_OFF: Availability = Availability {
@@ -33,6 +35,7 @@
     is_open: true,
     reaches_store: false,
     receives_store_updates: false,
+    reaches_endpoints: true,
 };
 /// Ready, and another instance of its zone forwards the store's contents to it.
 pub(super) const NON_READER: Availability = Availability {
@@ -40,6 +43,7 @@
     is_open: true,
     reaches_store: false,
     receives_store_updates: true,
+    reaches_endpoints: true,
 };
 
 pub(super) fn address(port: u16) -> SocketAddr {
@@ -60,6 +64,7 @@
         list: ListWatermark::default(),
         list_age_ms: 100,
         store_age_ms: availability.reaches_store.then_some(100),
+        unreached: Vec::new(),
         held: Vec::new(),
         retry_needs: Vec::new(),
         evidence: EvidenceReport::default(),
@@ -201,6 +206,7 @@
         },
         list_age_ms: 1_300,
         store_age_ms: Some(700),
+        unreached: Vec::new(),
         held: engines.collect(),
         retry_needs: Vec::new(),
         evidence: EvidenceReport::default(),
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -196,6 +196,7 @@
         list: node.list_log.borrow().watermark(),
         list_age_ms: node.fleet.borrow().age_ms(now_ms),
         store_age_ms: answered_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+        unreached: node.fleet.borrow().reach.lost_services().cloned().collect(),
         held,
         retry_needs: node.retry_needs(now_ms),
         evidence: node.quarantine.borrow_mut().next_report(now_ms),
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -1,5 +1,7 @@
 //! Relays requests to services whose endpoints hold no layers; responses are buffered completely.
 
+mod delegate;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,9 +9,12 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Response, StatusCode};
 use bytes::{Bytes, BytesMut};
+use indexmap::IndexSet;
 use tokio::time::{timeout, timeout_at};
 
+use self::delegate::delegate_once;
 use super::adapter::{Adapter, ResponseMetadata};
+use super::delegates::Delegate;
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, close_if_stopping, error_response, instant_at};
@@ -17,7 +22,7 @@
 use super::upstream::UpstreamFailure;
 use crate::clock::boot_ms;
 use crate::fleet::{EndpointFailure, pick_replica};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, InstanceId};
 use crate::quarantine::QuarantineStatus;
 use crate::relay::{
     AttemptLimit, AttemptOutcome, Attempts, FinalError, NextStep, RefusalCause, RelayFailure,
@@ -46,114 +51,233 @@
     Failed(AttemptOutcome, EndpointFailure),
 }
 
+/// What an attempt goes to.
+enum Target {
+    Endpoint(EndpointId),
+    /// Another instance.
+    Delegate(Delegate),
+}
+
+/// A request over all its attempts.
+struct PlainRelay<'a, A> {
+    node: &'a Rc<Node<A>>,
+    request: &'a RelayedRequest,
+    attempts: Attempts,
+    /// What was known when the newest attempt was sent.
+    send_context: SendContext,
+    /// The newest failure response of an endpoint.
+    failure: Option<CompleteResponse>,
+    /// Instances that did not serve the request.
+    tried_delegates: IndexSet<InstanceId>,
+    /// Why the request is refused if nothing more can be tried.
+    cause: RefusalCause,
+}
+
 /// Relays a request until it has a response or a final error.
 pub(crate) async fn relay_plain<A>(node: &Rc<Node<A>>, request: RelayedRequest) -> Response<BoxBody>
 where
     A: Adapter,
 {
-    let mut attempts = Attempts::new(request.route.retry_policy, request.route.max_endpoints);
-    let mut sent = SendContext::default();
+    let mut relay = PlainRelay::new(node, &request);
     let until = instant_at(request.deadline_ms, boot_ms());
-    let serving = serve(node, &request, &mut attempts, &mut sent);
-    let result = timeout_at(until, serving).await;
+    let result = timeout_at(until, relay.serve()).await;
     let RelayFailure { error, limit } = match result {
-        Ok(Ok(response)) => return forward_response(node, &request, &attempts, &sent, response),
+        Ok(Ok(response)) => return relay.forward_response(response),
         Ok(Err(failure)) => failure,
-        Err(_) => attempts.give_up(RefusalCause::TooLate),
+        Err(_) => relay.attempts.give_up(RefusalCause::TooLate),
     };
     node.count_given_up(limit);
-    log::info!(
-        request = request.ask.id.as_str(),
-        digest = request.digest_label().as_str(),
-        route = request.route.name.as_str(),
-        word = error.name(),
-        limit = limit.name(),
-        repeats_left = node.retries_left(&request.service),
-        sends = attempts.sends(),
-        turned_away = attempts.turned_away(),
-        known_at_send = sent.endpoints.as_str(),
-        list_at_send = sent.list.as_str(),
-        took_ms = boot_ms().saturating_sub(request.arrived_ms),
-        table = request.table.version,
-        list_age_ms = node.fleet.borrow().age_ms(boot_ms());
-        "request has no answer"
-    );
+    relay.log_failure(error, limit);
     error_response(node, error, request.retry_conditions(node))
 }
 
-async fn serve<A>(
-    node: &Rc<Node<A>>,
-    request: &RelayedRequest,
-    attempts: &mut Attempts,
-    sent: &mut SendContext,
-) -> Result<CompleteResponse, RelayFailure>
+impl<'a, A> PlainRelay<'a, A>
 where
     A: Adapter,
 {
-    let mut cause = RefusalCause::NoEndpoint;
-    let mut held: Option<CompleteResponse> = None;
-    loop {
-        if node.quarantine_status(request.digest) == QuarantineStatus::Withheld {
-            return response_or(held, attempts.give_up(RefusalCause::Withheld));
+    fn new(node: &'a Rc<Node<A>>, request: &'a RelayedRequest) -> Self {
+        Self {
+            node,
+            request,
+            attempts: Attempts::new(request.route.retry_policy, request.max_endpoints()),
+            send_context: SendContext::default(),
+            failure: None,
+            tried_delegates: IndexSet::new(),
+            cause: RefusalCause::NoEndpoint,
+        }
+    }
+
+    async fn serve(&mut self) -> Result<CompleteResponse, RelayFailure> {
+        loop {
+            if self.node.quarantine_status(self.request.digest) == QuarantineStatus::Withheld {
+                return self.fail(self.attempts.give_up(RefusalCause::Withheld));
+            }
+            let result = match self.choose_target() {
+                Some(Target::Endpoint(endpoint)) => self.attempt_at(&endpoint).await,
+                Some(Target::Delegate(delegate)) => self.attempt_by(&delegate).await,
+                None => {
+                    let rate_limited = self.node.rate_limit_refusal(&self.request.service);
+                    let cause = rate_limited.unwrap_or(self.cause);
+                    return self.fail(self.attempts.give_up(cause));
+                }
+            };
+            let outcome = match result {
+                Ok(response) => return Ok(response),
+                Err(outcome) => outcome,
+            };
+            if outcome == AttemptOutcome::TurnedAway {
+                self.cause = RefusalCause::Full;
+            }
+            let (node, service) = (self.node, &self.request.service);
+            if self.attempts.take_refund(outcome) {
+                node.cancel_retry(service);
+            }
+            match self
+                .attempts
+                .attempt_ended(outcome, || node.take_retry(service, RetryPurpose::Start))
+            {
+                NextStep::Retry => {}
+                NextStep::ForwardFailure(limit) => {
+                    let error = FinalError::Unknown;
+                    return self.fail(RelayFailure { error, limit });
+                }
+                // Responses are forwarded only when complete, so there is none to resume.
+                NextStep::Resume => return self.fail(self.attempts.give_up(self.cause)),
+                NextStep::GiveUp(failure) => return self.fail(failure),
+            }
+        }
+    }
+
+    /// What the next attempt goes to: another instance if this one reaches no endpoints, or none that has not
+    /// been tried.
+    fn choose_target(&self) -> Option<Target> {
+        let (request, attempts) = (self.request, &self.attempts);
+        let cut_off = self
+            .node
+            .delegate_if_cut_off(request, attempts, &self.tried_delegates);
+        if let Some(delegate) = cut_off {
+            return Some(Target::Delegate(delegate));
         }
         let picked = pick_replica(
-            &node.fleet.borrow(),
+            &self.node.fleet.borrow(),
             &request.service,
-            &node.settings.zone,
+            &self.node.settings.zone,
             attempts.excluded(),
             boot_ms(),
         );
-        let Some(endpoint) = picked else {
-            let cause = node.rate_limit_refusal(&request.service).unwrap_or(cause);
-            return response_or(held, attempts.give_up(cause));
-        };
-        attempts.send_started(&endpoint);
-        *sent = SendContext::new(node, [&endpoint]);
-        let (outcome, failure) = match attempt_once(node, request, &endpoint, attempts).await {
+        if let Some(endpoint) = picked {
+            return Some(Target::Endpoint(endpoint));
+        }
+        let delegate =
+            self.node
+                .delegate_if_unreachable(request, attempts, &self.tried_delegates)?;
+        Some(Target::Delegate(delegate))
+    }
+
+    async fn attempt_at(
+        &mut self,
+        endpoint: &EndpointId,
+    ) -> Result<CompleteResponse, AttemptOutcome> {
+        self.attempts.send_started(endpoint);
+        self.send_context = SendContext::new(self.node, [endpoint]);
+        let result = attempt_once(self.node, self.request, endpoint, &self.attempts).await;
+        let (outcome, failure) = match result {
             AttemptResult::Response(response) if is_failure(&response) => {
-                held = Some(response);
+                self.failure = Some(response);
                 (AttemptOutcome::Failed, EndpointFailure::Failed)
             }
             AttemptResult::Response(response) => {
-                node.clear_request(request.digest);
+                self.node.clear_request(self.request.digest);
                 return Ok(response);
             }
             AttemptResult::Failed(outcome, failure) => (outcome, failure),
         };
         log::info!(
-            request = request.ask.id.as_str(),
-            digest = request.digest_label().as_str(),
+            request = self.request.ask.id.as_str(),
+            digest = self.request.digest_label().as_str(),
             endpoint = endpoint.as_str(),
             end:? = outcome,
             cause = failure.name(),
-            known_at_send = sent.endpoints.as_str(),
-            list_at_send = sent.list.as_str();
+            known_at_send = self.send_context.endpoints.as_str(),
+            list_at_send = self.send_context.list.as_str();
             "attempt failed"
         );
-        attempts.exclude(&endpoint);
-        node.record_failure(&endpoint, failure);
+        self.attempts.exclude(endpoint);
+        self.node.record_failure(endpoint, failure);
         if failure == EndpointFailure::Broken {
-            node.record_broken_run(request.digest, &endpoint, None);
-            probe_replica_in_background(node, &endpoint);
-        }
-        if outcome == AttemptOutcome::TurnedAway {
-            cause = RefusalCause::Full;
+            self.node
+                .record_broken_run(self.request.digest, endpoint, None);
+            probe_replica_in_background(self.node, endpoint);
         }
-        if attempts.take_refund(outcome) {
-            node.cancel_retry(&request.service);
-        }
-        match attempts.attempt_ended(outcome, || {
-            node.take_retry(&request.service, RetryPurpose::Start)
-        }) {
-            NextStep::Retry => {}
-            NextStep::ForwardFailure(limit) => {
-                let error = FinalError::Unknown;
-                return response_or(held, RelayFailure { error, limit });
-            }
-            // Responses are forwarded only when complete, so there is none to resume.
-            NextStep::Resume => return response_or(held, attempts.give_up(cause)),
-            NextStep::GiveUp(failure) => return response_or(held, failure),
+        Err(outcome)
+    }
+
+    async fn attempt_by(
+        &mut self,
+        delegate: &Delegate,
+    ) -> Result<CompleteResponse, AttemptOutcome> {
+        self.attempts.delegation_started(&delegate.instance);
+        self.tried_delegates.insert(delegate.instance.clone());
+        delegate_once(self.node, self.request, delegate, &self.attempts).await
+    }
+
+    /// A failure response from an endpoint is more informative than an error of the relay itself.
+    fn fail(&mut self, failure: RelayFailure) -> Result<CompleteResponse, RelayFailure> {
+        let limit = Some(failure.limit);
+        let response = self.failure.take();
+        response
+            .map(|response| CompleteResponse { limit, ..response })
+            .ok_or(failure)
+    }
+
+    fn log_failure(&self, error: FinalError, limit: AttemptLimit) {
+        let request = self.request;
+        log::info!(
+            request = request.ask.id.as_str(),
+            digest = request.digest_label().as_str(),
+            route = request.route.name.as_str(),
+            word = error.name(),
+            limit = limit.name(),
+            repeats_left = self.node.retries_left(&request.service),
+            sends = self.attempts.sends(),
+            turned_away = self.attempts.turned_away(),
+            delegated_by = request.delegated_by(),
+            known_at_send = self.send_context.endpoints.as_str(),
+            list_at_send = self.send_context.list.as_str(),
+            took_ms = boot_ms().saturating_sub(request.arrived_ms),
+            table = request.table.version,
+            list_age_ms = self.node.fleet.borrow().age_ms(boot_ms());
+            "request has no answer"
+        );
+    }
+
+    fn forward_response(&self, complete: CompleteResponse) -> Response<BoxBody> {
+        let (node, request) = (self.node, self.request);
+        let took_ms = boot_ms().saturating_sub(request.arrived_ms);
+        node.counters.time_ms("relay.plain", took_ms);
+        if let Some(limit) = complete.limit {
+            node.count_given_up(limit);
         }
+        log::info!(
+            request = request.ask.id.as_str(),
+            digest = request.digest_label().as_str(),
+            route = request.route.name.as_str(),
+            status = complete.status.as_u16(),
+            limit = complete.limit.map(AttemptLimit::name),
+            sends = self.attempts.sends(),
+            turned_away = self.attempts.turned_away(),
+            delegated_by = request.delegated_by(),
+            known_at_send = self.send_context.endpoints.as_str(),
+            list_at_send = self.send_context.list.as_str(),
+            took_ms,
+            objective_ms = request.route.objective_ms,
+            table = request.table.version,
+            list_age_ms = node.fleet.borrow().age_ms(boot_ms());
+            "request answered"
+        );
+        let mut response = Response::with_body(complete.status, BoxBody::new(complete.body));
+        *response.headers_mut() = complete.headers;
+        close_if_stopping(node, response)
     }
 }
 
@@ -169,15 +293,16 @@
     let node = Rc::clone(node);
     let endpoint = endpoint.clone();
     actix_rt::spawn(async move {
-        match node.upstreams.preconnect(address, boot_ms()).await {
+        let started_ms = boot_ms();
+        match node.upstreams.preconnect(address, started_ms).await {
             Ok(()) => {
-                node.note_connections();
+                node.note_connected(&endpoint, started_ms);
                 if let Some(known) = node.fleet.borrow().get(&endpoint) {
                     known.last_heard.record(boot_ms());
                 }
             }
             Err(UpstreamFailure::NoListener) => {
-                node.note_unreachable_endpoint();
+                node.note_unreachable(&endpoint);
                 node.record_failure(&endpoint, EndpointFailure::Refused);
             }
             Err(failure) => {
@@ -188,16 +313,6 @@
     });
 }
 
-/// A failure response from an endpoint is more informative than an error of the relay itself.
-fn response_or(
-    held: Option<CompleteResponse>,
-    failure: RelayFailure,
-) -> Result<CompleteResponse, RelayFailure> {
-    let limit = Some(failure.limit);
-    held.map(|response| CompleteResponse { limit, ..response })
-        .ok_or(failure)
-}
-
 fn is_failure(response: &CompleteResponse) -> bool {
     response.status.is_server_error()
 }
@@ -311,42 +426,6 @@
     AttemptResult::Failed(outcome, failure)
 }
 
-fn forward_response<A>(
-    node: &Rc<Node<A>>,
-    request: &RelayedRequest,
-    attempts: &Attempts,
-    sent: &SendContext,
-    complete: CompleteResponse,
-) -> Response<BoxBody>
-where
-    A: Adapter,
-{
-    let took_ms = boot_ms().saturating_sub(request.arrived_ms);
-    node.counters.time_ms("relay.plain", took_ms);
-    if let Some(limit) = complete.limit {
-        node.count_given_up(limit);
-    }
-    log::info!(
-        request = request.ask.id.as_str(),
-        digest = request.digest_label().as_str(),
-        route = request.route.name.as_str(),
-        status = complete.status.as_u16(),
-        limit = complete.limit.map(AttemptLimit::name),
-        sends = attempts.sends(),
-        turned_away = attempts.turned_away(),
-        known_at_send = sent.endpoints.as_str(),
-        list_at_send = sent.list.as_str(),
-        took_ms,
-        objective_ms = request.route.objective_ms,
-        table = request.table.version,
-        list_age_ms = node.fleet.borrow().age_ms(boot_ms());
-        "request answered"
-    );
-    let mut response = Response::with_body(complete.status, BoxBody::new(complete.body));
-    *response.headers_mut() = complete.headers;
-    close_if_stopping(node, response)
-}
-
 pub(super) fn address_of<A>(node: &Node<A>, endpoint: &EndpointId) -> Option<std::net::SocketAddr>
 where
     A: Adapter,
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -1,17 +1,20 @@
 //! Checks whether this instance reaches endpoints, whenever one of them was found unreachable.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use indexmap::IndexSet;
 use tokio::time::{sleep, timeout};
 
 use super::adapter::Adapter;
 use super::node::Node;
 use crate::clock::boot_ms;
 use crate::fleet::{Fleet, KnownEndpoint, ReachChange};
+use crate::ids::{EndpointId, ServiceName};
 
 /// Number of endpoints to connect to in a check. Where a third of the endpoints have failed at once, all of four
 /// have in one check of eighty.
@@ -26,26 +29,49 @@
 where
     A: Adapter,
 {
+    // Services that are being checked.
+    let checked: Rc<RefCell<IndexSet<ServiceName>>> = Rc::default();
     loop {
         node.endpoint_unreachable.notified().await;
-        while node.fleet.borrow().reach.needs_check() {
-            if !check(&node).await {
-                sleep(RECHECK_INTERVAL).await;
+        let due: Vec<ServiceName> = {
+            let fleet = node.fleet.borrow();
+            fleet.reach.services_to_check().cloned().collect()
+        };
+        for service in due {
+            if !checked.borrow_mut().insert(service.clone()) {
+                continue;
             }
+            let (node, checked) = (Rc::clone(&node), Rc::clone(&checked));
+            actix_rt::spawn(async move {
+                check_until_reached(&node, &service).await;
+                checked.borrow_mut().swap_remove(&service);
+            });
         }
-        // Endpoints that refuse connections are now known to have ended, or not to have.
-        node.wake_streams();
-        node.update_quarantine();
     }
 }
 
-/// Tries to connect to several endpoints, one after the other. Returns whether one of them accepted.
-async fn check<A>(node: &Node<A>) -> bool
+/// Checks a service until one of its endpoints is reached.
+async fn check_until_reached<A>(node: &Rc<Node<A>>, service: &ServiceName)
+where
+    A: Adapter,
+{
+    while node.fleet.borrow_mut().reach.of(service).needs_check() {
+        if !check(node, service).await {
+            sleep(RECHECK_INTERVAL).await;
+        }
+    }
+    // Endpoints that refuse connections are now known to have ended, or not to have.
+    node.wake_streams();
+    node.update_quarantine();
+}
+
+/// Tries to connect to several endpoints of a service, one after the other. Returns whether one of them accepted.
+async fn check<A>(node: &Node<A>, service: &ServiceName) -> bool
 where
     A: Adapter,
 {
     let started_ms = boot_ms();
-    let addresses = addresses_to_try(&node.fleet.borrow(), node.random_u64());
+    let addresses = addresses_to_try(&node.fleet.borrow(), service, node.random_u64());
     if addresses.is_empty() {
         return false;
     }
@@ -59,23 +85,23 @@
             None => {}
         }
         if let Ok(Some(Ok(()))) = timeout(NEXT_ATTEMPT_DELAY, attempts.next()).await {
-            node.note_connections();
+            node.record_connected(service, started_ms);
             return true;
         }
     }
-    let change = node
-        .fleet
-        .borrow_mut()
-        .reach
-        .record_none_reached(started_ms);
-    node.handle_reach_change(change);
+    let change = {
+        let mut fleet = node.fleet.borrow_mut();
+        fleet.reach.of(service).record_none_reached(started_ms)
+    };
+    node.handle_reach_change(service, change);
     false
 }
 
-/// Addresses of a few endpoints, evenly spaced in the list; first of those that count as healthy.
-fn addresses_to_try(fleet: &Fleet, random: u64) -> Vec<SocketAddr> {
-    let (healthy, others): (Vec<&KnownEndpoint>, Vec<&KnownEndpoint>) =
-        fleet.iter().partition(|known| known.accepts_work());
+/// Addresses of a few endpoints of a service, evenly spaced in the list; first of those that count as healthy.
+fn addresses_to_try(fleet: &Fleet, service: &ServiceName, random: u64) -> Vec<SocketAddr> {
+    let (healthy, others): (Vec<&KnownEndpoint>, Vec<&KnownEndpoint>) = fleet
+        .of_service(service)
+        .partition(|known| known.accepts_work());
     let candidates = if healthy.is_empty() { others } else { healthy };
     let count = candidates.len().min(ENDPOINTS_PER_CHECK);
     let start = random as usize % candidates.len().max(1);
@@ -91,41 +117,58 @@
     A: Adapter,
 {
     /// Records that an endpoint refused a connection or did not answer on a new one.
-    pub(super) fn note_unreachable_endpoint(&self) {
-        self.fleet.borrow_mut().reach.record_unreachable(boot_ms());
-        self.endpoint_unreachable.notify_one();
+    pub(super) fn note_unreachable(&self, endpoint: &EndpointId) {
+        if let Some(service) = self.service_of(endpoint) {
+            let mut fleet = self.fleet.borrow_mut();
+            fleet.reach.of(&service).record_unreachable(boot_ms());
+            self.endpoint_unreachable.notify_one();
+        }
+    }
+
+    /// Records that a connection to an endpoint was attempted at `started_ms` and established.
+    pub(super) fn note_connected(&self, endpoint: &EndpointId, started_ms: u64) {
+        if let Some(service) = self.service_of(endpoint) {
+            self.record_connected(&service, started_ms);
+        }
+    }
+
+    fn service_of(&self, endpoint: &EndpointId) -> Option<ServiceName> {
+        let fleet = self.fleet.borrow();
+        fleet
+            .get(endpoint)
+            .map(|known| known.listed.service.clone())
     }
 
-    /// Records the newest connection that was established to an endpoint.
-    pub(super) fn note_connections(&self) {
-        let connected_ms = self.upstreams.connected_ms();
-        let change = self
-            .fleet
-            .borrow_mut()
-            .reach
-            .record_connected(connected_ms, boot_ms());
-        self.handle_reach_change(change);
+    fn record_connected(&self, service: &ServiceName, started_ms: u64) {
+        let change = {
+            let mut fleet = self.fleet.borrow_mut();
+            let reach = fleet.reach.of(service);
+            reach.record_connected(started_ms, boot_ms())
+        };
+        self.handle_reach_change(service, change);
     }
 
-    fn handle_reach_change(&self, change: Option<ReachChange>) {
+    fn handle_reach_change(&self, service: &ServiceName, change: Option<ReachChange>) {
         match change {
             None => return,
             Some(ReachChange::Lost) => {
                 self.counters.count("relay.reach.lost");
-                log::warn!(endpoints = self.fleet.borrow().iter().count(); "no endpoint accepts connections of this instance");
+                let endpoints = self.fleet.borrow().of_service(service).count();
+                log::warn!(service = service.as_str(), endpoints; "no endpoint accepts connections of this instance");
             }
             Some(ReachChange::Regained {
                 lost_ms,
                 connected_before_ms,
             }) => {
                 let mut fleet = self.fleet.borrow_mut();
-                let readmitted = fleet.forgive_unreachable_since(connected_before_ms);
+                let readmitted = fleet.forgive_unreachable_since(service, connected_before_ms);
                 self.counters.count("relay.reach.regained");
-                log::info!(lost_ms, readmitted; "endpoints accept connections of this instance again");
+                log::info!(service = service.as_str(), lost_ms, readmitted; "endpoints accept connections of this instance again");
             }
         }
-        let is_lost = self.fleet.borrow().reach.is_lost();
-        self.counters
-            .gauge("relay.reach.is_lost", u64::from(is_lost));
+        self.wake_streams();
+        self.request_heartbeat();
+        let lost = self.fleet.borrow().reach.lost_services().count();
+        self.counters.gauge("relay.reach.lost_now", lost as u64);
     }
 }
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::adapter::{Adapter, Dispatch, RequestMetadata};
+use super::delegation::Delegation;
 use super::node::Node;
 use crate::clock::boot_ms;
 use crate::fleet::Chain;
@@ -35,11 +36,25 @@
     /// Identifies repeated requests; `None` as long as the digest key is not known.
     pub(crate) digest: Option<RequestDigest>,
     pub(crate) arrived_ms: u64,
+    /// The instance that has received it from the caller, if that is another one.
+    pub(crate) delegation: Option<Delegation>,
     /// When the caller must have a response: the earlier of its own and the route's timeout.
     pub(crate) deadline_ms: u64,
 }
 
 impl RelayedRequest {
+    /// Maximum number of endpoints on which the request may run.
+    pub(crate) fn max_endpoints(&self) -> u32 {
+        let limit = self.delegation.as_ref().map(|it| it.max_endpoints);
+        limit.unwrap_or(u32::MAX).min(self.route.max_endpoints)
+    }
+
+    /// The instance that has received it from the caller, for log lines.
+    pub(crate) fn delegated_by(&self) -> Option<&str> {
+        let delegation = self.delegation.as_ref();
+        delegation.map(|it| it.delegated_by.as_str())
+    }
+
     /// The digest for log lines; empty if there is none.
     pub(crate) fn digest_label(&self) -> String {
         self.digest.map_or_else(String::new, |it| it.to_string())
@@ -133,6 +148,8 @@
             response.headers_mut().insert(RETRY_AFTER, value);
         }
     }
+    // Tells an instance that has delegated the request whether it has run.
+    response.extensions_mut().insert(error);
     node.counters
         .count(&format!("relay.words.{}", error.name()));
     close_if_stopping(node, response)
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -16,7 +16,9 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use super::settings::RelaySettings;
-use super::{checks, duty, feeds, front, peer_list, peers, reach, records, room_notice, snapshot};
+use super::{
+    checks, delegation, duty, feeds, front, peer_list, peers, reach, records, room_notice, snapshot,
+};
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
 
@@ -159,6 +161,9 @@
             let response = match page {
                 ListenerKind::Front => front::handle_request(node, request).await,
                 ListenerKind::Metrics => front::metrics_page(&node),
+                ListenerKind::Peers if delegation::is_delegated(request.head()) => {
+                    front::handle_delegated(node, request).await
+                }
                 ListenerKind::Peers => {
                     let query = request.uri().query().unwrap_or("");
                     match request.path() {
@@ -215,6 +220,7 @@
             checks::check_slow(&node).await;
         }
         node.upstreams.sweep(now_ms);
+        node.delegates.sweep(now_ms);
         node.checks.borrow_mut().sweep(now_ms);
         let changes = node.fleet.borrow_mut().expire(now_ms);
         node.apply_changes(&changes);
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -1,7 +1,9 @@
 //! Relays streams of model engines: runs them one after another and forwards their events. The
 //! chain of a run is chosen in `plan`, resuming a partial response is in `go_on`, the handling of
-//! silent runs in `repair`, and the log line at the end in `ending`.
+//! silent runs in `repair`, runs that another instance serves in `delegate`, and the log line at the
+//! end in `ending`.
 
+mod delegate;
 mod ending;
 mod go_on;
 mod plan;
@@ -14,12 +16,14 @@
 
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use indexmap::IndexSet;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::ending::{LogOnDrop, StreamOutcome};
 use super::adapter::Adapter;
 use super::checks::check_in_background;
+use super::delegates::Delegate;
 use super::headers;
 use super::held_tokens::HeldTokens;
 use super::node::Node;
@@ -29,7 +33,7 @@
 use super::upstream::{Exchange, ResponseBody, UpstreamFailure};
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, EndpointFailure};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, InstanceId};
 use crate::quarantine::RunStage;
 use crate::relay::{
     AttemptOutcome, Attempts, EventSplitter, FinalError, NextStep, RefusalCause, RelayFailure,
@@ -54,6 +58,23 @@
     Withheld,
     /// The run ended before the stream was complete.
     Failed(AttemptOutcome, EndpointFailure, EndpointId),
+    /// The same for a run that another instance served.
+    DelegateFailed(AttemptOutcome),
+}
+
+/// Who serves a run.
+enum RunTarget {
+    /// The engines of a chain.
+    Chain(Chain),
+    /// Another instance.
+    Delegate(Delegate),
+}
+
+/// Why a part of a response was not forwarded.
+enum ChunkFailure {
+    /// Its events do not follow those before.
+    Invalid,
+    CallerLeft,
 }
 
 /// A stream over all its runs.
@@ -61,6 +82,8 @@
     node: Rc<Node<A>>,
     request: RelayedRequest,
     attempts: Attempts,
+    /// Instances that ended or fell silent while they served a run of this request.
+    lost_delegates: IndexSet<InstanceId>,
     splitter: EventSplitter,
     stall: StallDetector,
     initial_response: Option<oneshot::Sender<Result<InitialResponse, FinalError>>>,
@@ -99,7 +122,8 @@
     ) -> Self {
         Self {
             node: Rc::clone(node),
-            attempts: Attempts::new(request.route.retry_policy, request.route.max_endpoints),
+            attempts: Attempts::new(request.route.retry_policy, request.max_endpoints()),
+            lost_delegates: IndexSet::new(),
             splitter: EventSplitter::resuming_after(request.ask.resume_after),
             stall: StallDetector::new(boot_ms()),
             request,
@@ -155,8 +179,8 @@
 
     async fn run_attempts(&mut self) -> StreamOutcome {
         loop {
-            let chain = match self.next_chain().await {
-                Ok(chain) => chain,
+            let target = match self.next_target().await {
+                Ok(target) => target,
                 Err(cause) => {
                     self.log_no_chain(cause);
                     return StreamOutcome::Failed(self.attempts.give_up(cause));
@@ -165,42 +189,26 @@
             if !self.request.has_time_to_send(boot_ms()) {
                 return StreamOutcome::Failed(self.attempts.give_up(RefusalCause::TooLate));
             }
-            let first = chain.first().endpoint.clone();
-            self.attempts.send_started(&first);
-            let stages = chain.stages().iter().map(|stage| &stage.endpoint);
-            self.send_context = SendContext::new(&self.node, stages);
-            self.chain = Some(chain.clone());
             self.runs += 1;
             self.head_ms = None;
             self.run_events = 0;
-            let (outcome, cause_name, at_fault) = match self.run_once(chain).await {
+            let run = match target {
+                RunTarget::Chain(chain) => self.run_on_chain(chain).await,
+                RunTarget::Delegate(delegate) => self.run_by_delegate(&delegate).await,
+            };
+            let outcome = match run {
                 RunOutcome::Complete => return StreamOutcome::Complete,
                 RunOutcome::CallerLeft => return StreamOutcome::CallerLeft,
                 RunOutcome::Withheld => {
                     return StreamOutcome::Failed(self.attempts.give_up(RefusalCause::Withheld));
                 }
-                RunOutcome::Failed(outcome, endpoint_failure, at_fault) => {
-                    (outcome, endpoint_failure.name(), at_fault)
+                RunOutcome::Failed(outcome, failure, at_fault) => {
+                    self.record_failed_run(outcome, failure, &at_fault);
+                    outcome
                 }
+                RunOutcome::DelegateFailed(outcome) => outcome,
             };
             self.splitter.drop_partial();
-            log::info!(
-                request = self.request.ask.id.as_str(),
-                digest = self.request.digest_label().as_str(),
-                first = first.as_str(),
-                at_fault = at_fault.as_str(),
-                end:? = outcome,
-                cause = cause_name,
-                known_at_send = self.send_context.endpoints.as_str(),
-                list_at_send = self.send_context.list.as_str(),
-                last_event = self.splitter.last_id(),
-                head_ago_ms = self.head_ago_ms(boot_ms()),
-                run_events = self.run_events,
-                silent_ms = self.stall.silence_ms(boot_ms());
-                "run failed"
-            );
-            self.attempts.exclude_after(&at_fault, outcome);
-            self.record_interrupted_run(&at_fault, outcome);
             let node = &self.node;
             let service = &self.request.service;
             let purpose = self.retry_purpose();
@@ -221,13 +229,57 @@
         }
     }
 
-    async fn next_chain(&mut self) -> Result<Chain, RefusalCause> {
+    async fn run_on_chain(&mut self, chain: Chain) -> RunOutcome {
+        self.attempts.send_started(&chain.first().endpoint);
+        let stages = chain.stages().iter().map(|stage| &stage.endpoint);
+        self.send_context = SendContext::new(&self.node, stages);
+        self.chain = Some(chain.clone());
+        self.run_once(chain).await
+    }
+
+    fn record_failed_run(
+        &mut self,
+        outcome: AttemptOutcome,
+        failure: EndpointFailure,
+        at_fault: &EndpointId,
+    ) {
+        let now_ms = boot_ms();
+        let first = self.chain.as_ref().map(Chain::first);
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            digest = self.request.digest_label().as_str(),
+            first = first.map(|first| first.endpoint.as_str()),
+            at_fault = at_fault.as_str(),
+            end:? = outcome,
+            cause = failure.name(),
+            known_at_send = self.send_context.endpoints.as_str(),
+            list_at_send = self.send_context.list.as_str(),
+            last_event = self.splitter.last_id(),
+            head_ago_ms = self.head_ago_ms(now_ms),
+            run_events = self.run_events,
+            silent_ms = self.stall.silence_ms(now_ms);
+            "run failed"
+        );
+        self.attempts.exclude_after(at_fault, outcome);
+        self.record_interrupted_run(at_fault, outcome);
+    }
+
+    async fn next_target(&mut self) -> Result<RunTarget, RefusalCause> {
         self.wait_for_verdict().await?;
+        self.forget_ended();
         if self.attempts.has_started() {
-            return self.chain_to_resume().await;
+            return self.target_to_resume().await;
+        }
+        if let Some(delegate) = self.delegate_if_cut_off() {
+            return Ok(RunTarget::Delegate(delegate));
+        }
+        match self.plan_with_capacity().await {
+            Ok(chain) => Ok(RunTarget::Chain(chain)),
+            Err(cause) => {
+                let delegate = self.delegate_if_unreachable().ok_or(cause)?;
+                Ok(RunTarget::Delegate(delegate))
+            }
         }
-        self.forget_ended();
-        self.plan_with_capacity().await
     }
 
     async fn run_once(&mut self, chain: Chain) -> RunOutcome {
@@ -269,20 +321,27 @@
         self.head_ms = Some(boot_ms());
         self.node.record_accepted(held.chain());
         self.attempts.response_started();
-        if let Some(initial_response) = self.initial_response.take() {
-            let sent = initial_response.send(Ok(InitialResponse {
-                status: head.status,
-                headers: headers::end_to_end_headers(&head.headers),
-                body: None,
-            }));
-            if sent.is_err() {
-                return RunOutcome::CallerLeft;
-            }
+        let initial = InitialResponse {
+            status: head.status,
+            headers: headers::end_to_end_headers(&head.headers),
+            body: None,
+        };
+        if self.start_response(initial).is_err() {
+            return RunOutcome::CallerLeft;
         }
         let keep_alive_ms = headers::keep_alive_ms(&head);
         self.forward_events(body, keep_alive_ms, &mut held).await
     }
 
+    /// Forwards the head of the first run's response, unless that was done before.
+    fn start_response(&mut self, initial: InitialResponse) -> Result<(), ChunkFailure> {
+        let Some(initial_response) = self.initial_response.take() else {
+            return Ok(());
+        };
+        let sent = initial_response.send(Ok(initial));
+        sent.map_err(|_| ChunkFailure::CallerLeft)
+    }
+
     /// Reads a failure response; `None` if it cannot be forwarded.
     async fn read_failure(
         &self,
@@ -363,7 +422,18 @@
                 // others and over a silence that they end.
                 biased;
                 chunk = body.next() => match chunk {
-                    Ok(Some(bytes)) => self.forward_chunk(&bytes, held).await,
+                    Ok(Some(bytes)) => match self.forward_chunk(&bytes).await {
+                        Ok(has_events) => {
+                            if has_events {
+                                held.record_event(boot_ms());
+                            }
+                            Ok(())
+                        }
+                        Err(ChunkFailure::CallerLeft) => Err(RunOutcome::CallerLeft),
+                        Err(ChunkFailure::Invalid) => {
+                            Err(self.connection_failed(UpstreamFailure::Garbled, held.chain()))
+                        }
+                    },
                     Ok(None) if self.splitter.has_partial_event() => {
                         Err(self.connection_failed(UpstreamFailure::Broken, held.chain()))
                     }
@@ -388,17 +458,14 @@
         instant_at(probe_ms.unwrap_or(self.stall.next_check_ms()), now_ms)
     }
 
-    async fn forward_chunk(
-        &mut self,
-        bytes: &[u8],
-        held: &HeldTokens<A>,
-    ) -> Result<(), RunOutcome> {
+    /// Forwards the complete events in a part of a response. Returns whether there were any.
+    async fn forward_chunk(&mut self, bytes: &[u8]) -> Result<bool, ChunkFailure> {
         let events = match self.splitter.push(bytes) {
             Ok(Some(events)) => events,
-            Ok(None) => return Ok(()),
+            Ok(None) => return Ok(false),
             Err(error) => {
                 log::warn!(request = self.request.ask.id.as_str(), error:% = error; "invalid sequence of stream events");
-                return Err(self.connection_failed(UpstreamFailure::Garbled, held.chain()));
+                return Err(ChunkFailure::Invalid);
             }
         };
         let now_ms = boot_ms();
@@ -408,11 +475,9 @@
             self.clear_request();
         }
         self.record_event_time(now_ms);
-        held.record_event(now_ms);
-        if self.chunks.send(Ok(events.bytes)).await.is_err() {
-            return Err(RunOutcome::CallerLeft);
-        }
-        Ok(())
+        let sent = self.chunks.send(Ok(events.bytes)).await;
+        sent.map_err(|_| ChunkFailure::CallerLeft)?;
+        Ok(true)
     }
 
     fn record_event_time(&mut self, now_ms: u64) {
@@ -442,11 +507,14 @@
         }
     }
 
-    /// Engines that have exited do not count among those on which the request ran.
+    /// Engines that have exited, or that this instance no longer reaches, do not count among those on
+    /// which the request ran.
     fn forget_ended(&mut self) {
         let fleet = self.node.fleet.borrow();
         // An engine that has only left the list may continue its current work.
-        self.attempts.forget_ended(|id| fleet.has_ended(id));
+        let is_cut_off = fleet.reach.is_lost(&self.request.service);
+        self.attempts
+            .forget_ended(|id| is_cut_off || fleet.has_ended(id));
     }
 
     fn connection_failed(&self, failure: UpstreamFailure, chain: &Chain) -> RunOutcome {
--- /dev/null
+++ b/src/relay_server/stream/delegate.rs
@@ -0,0 +1,151 @@
+//! Runs of a stream that another instance serves.
+
+use std::time::Duration;
+
+use actix_http::ResponseHead;
+use tokio::time::timeout;
+
+use super::{ChunkFailure, RunOutcome, StreamRelay};
+use crate::clock::boot_ms;
+use crate::relay::{AttemptOutcome, StallAction};
+use crate::relay_server::adapter::Adapter;
+use crate::relay_server::delegates::Delegate;
+use crate::relay_server::delegation::{failed, strip_headers};
+use crate::relay_server::headers;
+use crate::relay_server::stream_response::InitialResponse;
+use crate::relay_server::upstream::{ResponseBody, UpstreamFailure};
+
+/// Silence of a run after which it is left for another instance if this one reaches no endpoint. A pause of a
+/// healthy engine is mostly shorter, and callers leave after two seconds.
+const MAX_SILENCE_MS: u64 = 300;
+/// Interval between checks of a run that another instance serves.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+impl<A> StreamRelay<A>
+where
+    A: Adapter,
+{
+    /// The instance that serves the next run, if this one reaches no endpoint.
+    pub(super) fn delegate_if_cut_off(&self) -> Option<Delegate> {
+        self.node
+            .delegate_if_cut_off(&self.request, &self.attempts, &self.lost_delegates)
+    }
+
+    /// The instance that serves the next run, if there is no chain of endpoints that this one reaches.
+    pub(super) fn delegate_if_unreachable(&self) -> Option<Delegate> {
+        self.node
+            .delegate_if_unreachable(&self.request, &self.attempts, &self.lost_delegates)
+    }
+
+    /// Whether to leave a silent run for one that another instance serves: this one cannot find out whether
+    /// the engines are alive.
+    pub(super) fn should_delegate_silent_run(&self, now_ms: u64) -> bool {
+        if self.stall.silence_ms(now_ms) < MAX_SILENCE_MS {
+            return false;
+        }
+        let Some(trial) = self.attempts.after_abandoning() else {
+            return false;
+        };
+        let has_delegate = self
+            .node
+            .delegate_if_cut_off(&self.request, &trial, &self.lost_delegates)
+            .is_some();
+        has_delegate
+            && self
+                .node
+                .has_retry(&self.request.service, self.retry_purpose())
+    }
+
+    /// Has another instance serve a run, and forwards its events.
+    pub(super) async fn run_by_delegate(&mut self, delegate: &Delegate) -> RunOutcome {
+        self.attempts.delegation_started(&delegate.instance);
+        self.stall.run_started(boot_ms());
+        let max_endpoints = self.attempts.endpoints_left();
+        let resume_after = self.splitter.last_id();
+        let response = self
+            .node
+            .delegate_request(&self.request, delegate, max_endpoints, resume_after)
+            .await;
+        let outcome = match response {
+            Ok((head, body)) => self.forward_delegated(delegate, &head, body).await,
+            Err(outcome) => RunOutcome::DelegateFailed(outcome),
+        };
+        if let RunOutcome::DelegateFailed(AttemptOutcome::Lost) = outcome {
+            self.lost_delegates.insert(delegate.instance.clone());
+        }
+        outcome
+    }
+
+    async fn forward_delegated(
+        &mut self,
+        delegate: &Delegate,
+        head: &ResponseHead,
+        body: ResponseBody,
+    ) -> RunOutcome {
+        let facts = self.node.adapter.parse_response_metadata(head);
+        if !head.status.is_success() || !facts.is_sealed {
+            self.failure = self.read_failure(head, body).await;
+            return RunOutcome::DelegateFailed(AttemptOutcome::Failed);
+        }
+        if facts.id.as_deref() != Some(self.request.ask.id.as_str()) {
+            return RunOutcome::DelegateFailed(AttemptOutcome::Lost);
+        }
+        self.head_ms = Some(boot_ms());
+        self.attempts.response_started();
+        let mut forwarded = headers::end_to_end_headers(&head.headers);
+        strip_headers(&mut forwarded);
+        let initial = InitialResponse {
+            status: head.status,
+            headers: forwarded,
+            body: None,
+        };
+        if self.start_response(initial).is_err() {
+            return RunOutcome::CallerLeft;
+        }
+        let keep_alive_ms = headers::keep_alive_ms(head);
+        self.forward_delegated_events(delegate, body, keep_alive_ms)
+            .await
+    }
+
+    async fn forward_delegated_events(
+        &mut self,
+        delegate: &Delegate,
+        mut body: ResponseBody,
+        keep_alive_ms: Option<u64>,
+    ) -> RunOutcome {
+        loop {
+            let next = match timeout(CHECK_INTERVAL, body.next()).await {
+                Ok(next) => next,
+                Err(_) if self.is_delegate_lost(delegate) => {
+                    return RunOutcome::DelegateFailed(AttemptOutcome::Lost);
+                }
+                Err(_) => continue,
+            };
+            let forwarded = match next {
+                Ok(Some(bytes)) => self.forward_chunk(&bytes).await,
+                Ok(None) if self.splitter.has_partial_event() => {
+                    return RunOutcome::DelegateFailed(failed(UpstreamFailure::Broken));
+                }
+                Ok(None) => {
+                    self.node.delegates.release(body, keep_alive_ms, boot_ms());
+                    return RunOutcome::Complete;
+                }
+                Err(failure) => return RunOutcome::DelegateFailed(failed(failure)),
+            };
+            match forwarded {
+                Ok(_) => {}
+                Err(ChunkFailure::CallerLeft) => return RunOutcome::CallerLeft,
+                Err(ChunkFailure::Invalid) => {
+                    return RunOutcome::DelegateFailed(AttemptOutcome::Lost);
+                }
+            }
+        }
+    }
+
+    /// Whether the instance that serves the run has probably ended, or its connection delivers nothing more.
+    fn is_delegate_lost(&mut self, delegate: &Delegate) -> bool {
+        let now_ms = boot_ms();
+        let is_heard = self.node.peers.borrow().hears(&delegate.instance, now_ms);
+        !is_heard || self.stall.next_action(now_ms) == StallAction::GiveUp
+    }
+}
--- a/src/relay_server/stream/ending.rs
+++ b/src/relay_server/stream/ending.rs
@@ -77,6 +77,7 @@
             repeats_left = self.node.retries_left(&self.request.service),
             sends = self.attempts.sends(),
             turned_away = self.attempts.turned_away(),
+            delegated_by = self.request.delegated_by(),
             known_at_send = self.send_context.endpoints.as_str(),
             list_at_send = self.send_context.list.as_str(),
             took_ms,
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::sleep_until;
 
-use super::StreamRelay;
+use super::{RunTarget, StreamRelay};
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, KnownEndpoint};
 use crate::relay::{RefusalCause, ResumeBlocker, RetryPurpose};
@@ -16,10 +16,10 @@
 where
     A: Adapter,
 {
-    /// Waits for a chain on which to resume a partial response and takes a retry from the budget
-    /// for it. It waits as long as necessary: the request's deadline or the caller's departure ends
+    /// Waits for a chain on which to resume a partial response, or for another instance that can, and
+    /// takes a retry from the budget for it. It waits as long as necessary: the request's deadline or the caller's departure ends
     /// it from outside. Fails only if the request is withheld.
-    pub(super) async fn chain_to_resume(&mut self) -> Result<Chain, RefusalCause> {
+    pub(super) async fn target_to_resume(&mut self) -> Result<RunTarget, RefusalCause> {
         let mut signal = self.node.chain_check_signal.subscribe();
         let mut reported = None;
         let mut demand_due_ms = 0;
@@ -28,7 +28,7 @@
             self.forget_ended();
             let now_ms = boot_ms();
             let blocker = match self.try_next_run(now_ms) {
-                Ok(chain) => return Ok(chain),
+                Ok(target) => return Ok(target),
                 Err(blocker) => blocker,
             };
             if reported != Some(blocker.name()) {
@@ -53,7 +53,7 @@
         self.node.note_retry_demand(service, RetryPurpose::Resume);
     }
 
-    fn try_next_run(&mut self, now_ms: u64) -> Result<Chain, ResumeBlocker> {
+    fn try_next_run(&mut self, now_ms: u64) -> Result<RunTarget, ResumeBlocker> {
         let service = &self.request.service.clone();
         // Checked first because it is cheapest.
         let due_ms = self
@@ -62,21 +62,31 @@
         if due_ms > now_ms {
             return Err(ResumeBlocker::Retry { due_ms });
         }
-        let chain = match self.plan(None) {
-            Some(chain) => chain,
-            None => self.plan_with_readmitted().ok_or(ResumeBlocker::Chain)?,
-        };
-        let until_ms = self.full_until_ms(&chain);
-        if until_ms > now_ms {
-            return Err(ResumeBlocker::Capacity { until_ms });
-        }
+        let target = self.target_with_capacity(now_ms)?;
         // Taken only now that the run can be sent: a retry taken earlier would also leave the
         // window earlier.
         if !self.node.take_retry(service, RetryPurpose::Resume) {
             return Err(ResumeBlocker::Retry { due_ms: now_ms });
         }
         self.attempts.hold_retry();
-        Ok(chain)
+        Ok(target)
+    }
+
+    fn target_with_capacity(&mut self, now_ms: u64) -> Result<RunTarget, ResumeBlocker> {
+        if let Some(delegate) = self.delegate_if_cut_off() {
+            return Ok(RunTarget::Delegate(delegate));
+        }
+        let Some(chain) = self.plan(None).or_else(|| self.plan_with_readmitted()) else {
+            let delegate = self.delegate_if_unreachable();
+            return delegate
+                .map(RunTarget::Delegate)
+                .ok_or(ResumeBlocker::Chain);
+        };
+        let until_ms = self.full_until_ms(&chain);
+        if until_ms > now_ms {
+            return Err(ResumeBlocker::Capacity { until_ms });
+        }
+        Ok(RunTarget::Chain(chain))
     }
 
     /// A chain that includes engines which were excluded from this request and are healthy again.
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -71,6 +71,14 @@
             // The request may still be queued at the engine, where it can be kept from running.
             return Err(RunOutcome::Withheld);
         }
+        if self.should_delegate_silent_run(boot_ms()) {
+            let first = held.chain().first().endpoint.clone();
+            return Err(RunOutcome::Failed(
+                AttemptOutcome::Abandoned,
+                EndpointFailure::Silent,
+                first,
+            ));
+        }
         let lost = self.unhealthy_stages(held.chain());
         self.record_ended_stages(&lost);
         let Some(unhealthy) = lost.first().cloned() else {
@@ -182,11 +190,13 @@
     /// Stages that have exited, are excluded for this request, or count as dead while the run is
     /// silent. A run that delivers events continues whatever others report, since its stages
     /// produce them. Otherwise a single false report of a death would end all runs of the instance
-    /// over that engine at once, and the retries they take would be missing for others.
+    /// over that engine at once, and the retries they take would be missing for others. While this
+    /// instance reaches no engine, its probes say nothing about them.
     fn unhealthy_stages(&self, chain: &Chain) -> Vec<EndpointId> {
         let fleet = self.node.fleet.borrow();
         let first = &chain.first().endpoint;
-        let is_silent = self.stall.is_silent(boot_ms());
+        let is_silent =
+            self.stall.is_silent(boot_ms()) && !fleet.reach.is_lost(&self.request.service);
         let is_unhealthy = |id: &EndpointId| {
             let is_excluded = id != first && self.attempts.excluded().contains(id);
             let is_lost = fleet
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -4,7 +4,7 @@
 //! its codec, so the codec is used directly: a response whose connection ends before its announced
 //! end is broken, and bytes after a complete response belong to no request.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -87,13 +87,13 @@
 pub(crate) struct UpstreamPool {
     config: ServiceConfig,
     idle: RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>,
-    /// Start of the newest attempt that established a connection; 0 if there was none.
-    connected_ms: Cell<u64>,
 }
 
 /// A connection on which a request was sent.
 pub(crate) struct Exchange {
     address: SocketAddr,
+    /// Whether the connection was opened for this request.
+    pub(super) is_new: bool,
     framed: Framed<TcpStream, ClientCodec>,
 }
 
@@ -118,15 +118,9 @@
         Self {
             config: ServiceConfig::default(),
             idle: RefCell::default(),
-            connected_ms: Cell::default(),
         }
     }
 
-    /// Start of the newest attempt that established a connection; 0 if there was none.
-    pub(crate) fn connected_ms(&self) -> u64 {
-        self.connected_ms.get()
-    }
-
     /// Sends a request if `may_send` returns `true` once there is a connection. After an error
     /// other than [`UpstreamFailure::NoConnection`], [`UpstreamFailure::NoListener`] and
     /// [`UpstreamFailure::Withdrawn`] the endpoint may have received it.
@@ -141,9 +135,11 @@
     where
         F: FnOnce() -> bool,
     {
-        let mut framed = match self.take_idle(address, now_ms) {
+        let idle = self.take_idle(address, now_ms);
+        let is_new = idle.is_none();
+        let mut framed = match idle {
             Some(framed) => framed,
-            None => self.connect(address, now_ms).await?,
+            None => self.connect(address).await?,
         };
         if !may_send() {
             return Err(UpstreamFailure::Withdrawn);
@@ -162,7 +158,11 @@
             framed.flush().await
         };
         sent.await.map_err(|_| UpstreamFailure::Broken)?;
-        Ok(Exchange { address, framed })
+        Ok(Exchange {
+            address,
+            is_new,
+            framed,
+        })
     }
 
     /// Keeps the connection of a complete response for the next request, if it can be reused.
@@ -196,7 +196,7 @@
         address: SocketAddr,
         now_ms: u64,
     ) -> Result<(), UpstreamFailure> {
-        let framed = self.connect(address, now_ms).await?;
+        let framed = self.connect(address).await?;
         self.keep(address, framed, now_ms + DEFAULT_IDLE_TIMEOUT_MS);
         Ok(())
     }
@@ -244,7 +244,6 @@
     async fn connect(
         &self,
         address: SocketAddr,
-        now_ms: u64,
     ) -> Result<Framed<TcpStream, ClientCodec>, UpstreamFailure> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream =
@@ -254,7 +253,6 @@
                     io::ErrorKind::ConnectionRefused => UpstreamFailure::NoListener,
                     _ => UpstreamFailure::NoConnection,
                 })?;
-        self.connected_ms.set(self.connected_ms.get().max(now_ms));
         // Without this option, a body sent after its head waits for an acknowledgement. If setting
         // it fails, only latency suffers.
         let _ = stream.set_nodelay(true);
