--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -111,8 +111,9 @@
         }
         let is_start = engines.iter().all(|engine| engine.layers.is_none());
         let is_settled = !is_start || now_ms >= self.engines_changed_ms + SETTLE_MS;
-        let may_lead = node.availability().may_lead();
-        let is_first = may_lead && node.peers.borrow().is_preferred_leader(now_ms);
+        let reaches_engines = !node.fleet.borrow().reach.is_lost(service);
+        let may_lead = reaches_engines && node.availability().may_lead();
+        let is_first = may_lead && node.peers.borrow().is_preferred_leader_for(service, now_ms);
         let orders = if is_first && is_settled {
             self.placement.due_orders(&engines, model, now_ms)
         } else {
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -225,10 +225,25 @@
     /// Whether this instance, if it can issue orders itself, ranks first among those that can: they are
     /// ready, and the store, which keeps the lease, answers them. Their heartbeats reach other zones often,
     /// so that their end is noticed everywhere soon.
-    pub(crate) fn is_preferred_leader(&self, now_ms: u64) -> bool {
+    pub(super) fn is_preferred_leader(&self, now_ms: u64) -> bool {
+        self.ranks_first(|peer| peer.availability.may_lead(), now_ms)
+    }
+
+    /// The same among those that reach the engines of a service.
+    pub(crate) fn is_preferred_leader_for(&self, service: &ServiceName, now_ms: u64) -> bool {
+        let may_lead =
+            |peer: &Peer| peer.availability.may_lead() && !peer.unreached.contains(service);
+        self.ranks_first(may_lead, now_ms)
+    }
+
+    /// Whether this instance ranks ahead of all heard peers for which `counts` returns true.
+    fn ranks_first<F>(&self, counts: F, now_ms: u64) -> bool
+    where
+        F: Fn(&Peer) -> bool,
+    {
         let own = (Reverse(self.own_link_mbps), &self.own_instance);
         self.peers.iter().all(|(name, peer)| {
-            !peer.availability.may_lead() || !self.is_heard(peer, now_ms) || peer.rank(name) > own
+            !counts(peer) || !self.is_heard(peer, now_ms) || peer.rank(name) > own
         })
     }
 
