--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use actix_web::http::Method;
-use actix_web::http::header::{CONTENT_TYPE, ETAG, HeaderName, HeaderValue};
+use actix_web::http::header::{CONTENT_TYPE, ETAG, HeaderMap, HeaderName, HeaderValue};
 use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
@@ -86,6 +86,8 @@
     pub content_type: Option<String>,
     /// Value of the `ETag` header.
     pub etag: Option<String>,
+    /// All headers.
+    pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
 }
@@ -259,6 +261,7 @@
         status: response.status().as_u16(),
         content_type: header(&response, &CONTENT_TYPE),
         etag: header(&response, &ETAG),
+        headers: response.headers().clone(),
         body: body.freeze(),
     })
 }
--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -157,6 +157,7 @@
 {
     let now_ms = boot_ms();
     let after_outage = node.store.get().is_unavailable(now_ms);
+    let position = read.position;
     let applied = list_sync::apply_read(
         &mut node.list_log.borrow_mut(),
         &mut node.fleet.borrow_mut(),
@@ -165,6 +166,11 @@
         sent_ms,
         now_ms,
     );
+    if applied.is_outdated {
+        node.counters.count("relay.store.outdated_lists");
+        let known = node.list_log.borrow().watermark().position;
+        log::info!(position, known; "read of the endpoint list is older than what is known");
+    }
     node.update_informed();
     node.apply_list_changes(&applied.changes);
     if applied.must_notify_peers {
--- a/src/relay_server/list_sync.rs
+++ b/src/relay_server/list_sync.rs
@@ -22,6 +22,8 @@
     pub(super) changes: Vec<FleetChange>,
     /// Whether the read contained changes that peers must be notified of.
     pub(super) must_notify_peers: bool,
+    /// Whether it was dropped because newer changes are known.
+    pub(super) is_outdated: bool,
 }
 
 /// Applies a read of the store that was requested at `sent_ms`. `after_outage` says that the list
@@ -38,7 +40,10 @@
     if read.position < known.position {
         // A peer has sent newer changes since the read was requested.
         fleet.confirm(sent_ms);
-        return AppliedRead::default();
+        return AppliedRead {
+            is_outdated: true,
+            ..AppliedRead::default()
+        };
     }
     log.record(read.position, &read.content, after_outage);
     let must_notify_peers = log.watermark().last_change != known.last_change;
@@ -47,6 +52,7 @@
     AppliedRead {
         changes,
         must_notify_peers,
+        is_outdated: false,
     }
 }
 
