Positions in the endpoint list go on increasing when the store comes back from an older copy

What callers saw: requests reached a replica 2.36 s after the store had acknowledged that it leaves.

Cause: which of two reads of the endpoint list is newer was decided by the store's version alone. After a return from a copy some seconds old, versions go back, and each read below the last known one was dropped as outdated, while the list counted as confirmed. So the leaving, acknowledged at a version below 99, was never seen; changes were heard of again once versions had passed 99. Evidence: full reads answered at 18.55 s, no line about the endpoint until 24.4 s, the next leaving at 25.0 s seen within 3 ms; the table, which is ordered by the operator's version, was followed all the while.

Looked for the same elsewhere: a copy may lack what had been read. An endpoint that the list had shown leaving stays so for its lifetime; one that was removed is out of service unless it is still listed 5 s later (by then its removal is written again, or the platform has dropped an entry that nobody writes); one that the copy lacks is kept for 2.2 s as after an outage.

The failing test (20 of 30 requests at the replica that left) passes; unit tests for each rule.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -129,8 +129,8 @@
 pub struct LiveAgain {
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// Peer that reported it as leaving.
-    pub reported_by: InstanceId,
+    /// Peer that reported it as leaving; `None` if this instance knew it from an earlier list.
+    pub reported_by: Option<InstanceId>,
     /// Time of the report.
     pub reported_ms: u64,
     /// Why the report no longer applies.
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -16,6 +16,10 @@
 /// How long a peer's report that an endpoint is leaving overrides the list: a read in flight may
 /// still show the endpoint in service.
 const PEER_REPORT_PRECEDENCE_MS: u64 = 1_500;
+/// How long an endpoint that was removed stays out of service if it is listed again since the store has come
+/// back from an older copy. By then the removal has been written again, or the platform has dropped an endpoint that
+/// does not write its entry.
+const RETURN_PRECEDENCE_MS: u64 = 5_000;
 /// How long to remember the newest lifetime of an unlisted endpoint, that a lifetime has ended, and
 /// reports of peers about unlisted endpoints. Information on earlier lifetimes arrives at most
 /// seconds late, in a heartbeat or in the list of a peer.
@@ -24,11 +28,15 @@
 /// faulty writer can use up.
 const MAX_UNUSABLE: usize = 1_000;
 
-/// A peer's report that an endpoint is leaving or was removed.
+/// A peer's report that an endpoint is leaving or was removed, or this instance's own knowledge of that from
+/// before the store came back from an older copy.
 #[derive(Clone, Debug)]
 struct LeavingReport {
-    reported_by: InstanceId,
+    /// `None` if this instance knows it itself.
+    reported_by: Option<InstanceId>,
     received_ms: u64,
+    /// Until when it overrides the list.
+    precedence_until_ms: u64,
     /// The list has shown the endpoint in service after the report: its entry was only missing for
     /// a while.
     listed_live_since: bool,
@@ -53,8 +61,10 @@
     /// Lifetimes that were succeeded by another one, and when this was seen.
     pub(super) ended: IndexMap<EndpointId, u64>,
     /// Peers' reports that an endpoint is leaving or was removed, which the list has not yet shown
-    /// here.
+    /// here, or does not show any more.
     leaving_reports: IndexMap<EndpointId, LeavingReport>,
+    /// Endpoints that were removed from the list, and when.
+    removed: IndexMap<EndpointId, u64>,
     /// Unusable entries that have been reported.
     unusable: IndexMap<EndpointName, EntryError>,
     /// Rate limits, back-offs and departures announced by endpoints.
@@ -203,6 +213,34 @@
         changes
     }
 
+    /// Prepares for a full list of the store after it has come back from an older copy, which may lack that
+    /// an endpoint is leaving or was removed. No lifetime of an endpoint returns to service from that, except one
+    /// whose entry had only expired.
+    pub fn prepare_for_older_copy(&mut self, entries: &mut [ListedEndpoint], now_ms: u64) {
+        self.keep_leaving(entries);
+        for entry in entries {
+            if self.removed.contains_key(&entry.id) {
+                let own_report = LeavingReport {
+                    reported_by: None,
+                    received_ms: now_ms,
+                    precedence_until_ms: now_ms + RETURN_PRECEDENCE_MS,
+                    listed_live_since: false,
+                };
+                self.leaving_reports.insert(entry.id.clone(), own_report);
+            }
+        }
+    }
+
+    /// Endpoints that the list has shown leaving here stay so.
+    fn keep_leaving(&self, entries: &mut [ListedEndpoint]) {
+        for entry in entries {
+            let known = self.endpoints.get(&entry.id);
+            if known.is_some_and(|it| it.phase_in_list == Phase::Leaving) {
+                entry.phase = Phase::Leaving;
+            }
+        }
+    }
+
     /// Applies the list of a peer while this instance cannot read it. Endpoints that the list has
     /// shown leaving here stay so, since the peer may not have read that yet.
     pub fn apply_peer_list(
@@ -211,12 +249,7 @@
         mut entries: Vec<ListedEndpoint>,
         now_ms: u64,
     ) -> Vec<FleetChange> {
-        for entry in &mut entries {
-            let known = self.endpoints.get(&entry.id);
-            if known.is_some_and(|it| it.phase_in_list == Phase::Leaving) {
-                entry.phase = Phase::Leaving;
-            }
-        }
+        self.keep_leaving(&mut entries);
         let source = InfoSource::PeerList(peer.clone());
         self.apply_read_from(&source, ListingRead::full(entries), true, now_ms)
     }
@@ -232,8 +265,9 @@
         self.leaving_reports
             .entry(id.clone())
             .or_insert(LeavingReport {
-                reported_by: peer.clone(),
+                reported_by: Some(peer.clone()),
                 received_ms: now_ms,
+                precedence_until_ms: now_ms + PEER_REPORT_PRECEDENCE_MS,
                 listed_live_since: false,
             });
         let Some(known) = self.endpoints.get_mut(id) else {
@@ -257,7 +291,7 @@
         let mut changes = Vec::new();
         let fresh_as_of_ms = self.fresh_as_of_ms;
         self.leaving_reports.retain(|id, report| {
-            let precedence_until_ms = report.received_ms + PEER_REPORT_PRECEDENCE_MS;
+            let precedence_until_ms = report.precedence_until_ms;
             let Some(known) = self.endpoints.get_mut(id) else {
                 return now_ms < report.received_ms + LIFETIME_RETENTION_MS;
             };
@@ -292,8 +326,9 @@
         for known in self.endpoints.values_mut() {
             known.expire_reported_layers(now_ms);
         }
-        self.ended
-            .retain(|_, seen_ms| now_ms < *seen_ms + LIFETIME_RETENTION_MS);
+        let is_recent = |at_ms: &u64| now_ms < *at_ms + LIFETIME_RETENTION_MS;
+        self.ended.retain(|_, seen_ms| is_recent(seen_ms));
+        self.removed.retain(|_, removed_ms| is_recent(removed_ms));
         let endpoints = &self.endpoints;
         self.lifetimes.retain(|_, lifetime| {
             endpoints.contains_key(&lifetime.id)
@@ -446,6 +481,7 @@
                 known.missing_since_ms.get_or_insert(now_ms);
             } else if known.missing_since_ms.is_none() {
                 self.endpoints.shift_remove(id);
+                self.removed.insert(id.clone(), now_ms);
                 changes.push(FleetChange::Removed(id.clone()));
             }
         }
--- a/src/fleet/provenance_tests.rs
+++ b/src/fleet/provenance_tests.rs
@@ -101,7 +101,7 @@
 fn live_again(reported_ms: u64, reason: LiveReason) -> FleetChange {
     FleetChange::LiveAgain(LiveAgain {
         endpoint: EndpointId::from("a"),
-        reported_by: peer(),
+        reported_by: Some(peer()),
         reported_ms,
         reason,
     })
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -104,7 +104,8 @@
 /// Result of one read of a feed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FeedRead<T> {
-    /// Position from which to continue reading.
+    /// Position from which to continue reading, a [`StorePosition`](super::StorePosition) as a number. It
+    /// increases also when the store comes back from an older copy of its data.
     pub position: u64,
     /// The content that was read.
     pub content: T,
--- a/src/relay_server/fleet_lines.rs
+++ b/src/relay_server/fleet_lines.rs
@@ -1,6 +1,7 @@
 //! Logging of changes to the endpoint list.
 
 use crate::fleet::{Fleet, FleetChange, describe_known, describe_list};
+use crate::ids::InstanceId;
 
 /// Logs each change; `fleet` already contains them.
 pub(super) fn log_changes(fleet: &Fleet, changes: &[FleetChange], now_ms: u64) {
@@ -40,7 +41,7 @@
             log::info!(
                 endpoint = live.endpoint.as_str(),
                 reason = live.reason.name(),
-                peer = live.reported_by.as_str(),
+                peer = live.reported_by.as_ref().map(InstanceId::as_str),
                 told_age_ms = now_ms.saturating_sub(live.reported_ms),
                 known = describe_known(fleet, [&live.endpoint], now_ms),
                 list = describe_list(fleet, now_ms);
--- a/src/relay_server/list_sync.rs
+++ b/src/relay_server/list_sync.rs
@@ -5,6 +5,7 @@
 
 use super::adapter::FeedRead;
 use super::list_log::{ListDelta, ListLog, ListWatermark};
+use super::store_position::StorePosition;
 use crate::fleet::{Fleet, FleetChange, InfoSource, ListingRead};
 use crate::ids::InstanceId;
 
@@ -45,6 +46,13 @@
             ..AppliedRead::default()
         };
     }
+    let mut read = read;
+    let is_older_copy = is_in_later_epoch(read.position, known);
+    if is_older_copy {
+        fleet.prepare_for_older_copy(&mut read.content.entries, now_ms);
+    }
+    // What was written shortly before is gone and is written again soon.
+    let after_outage = after_outage || is_older_copy;
     log.record(read.position, &read.content, after_outage);
     let must_notify_peers = log.watermark().last_change != known.last_change;
     let changes = fleet.apply_read(read.content, after_outage, now_ms);
@@ -56,6 +64,12 @@
     }
 }
 
+/// Whether the store has come back from an older copy between what is known and `position`.
+fn is_in_later_epoch(position: u64, known: ListWatermark) -> bool {
+    let epoch = |position: u64| StorePosition::from(position).epoch;
+    known.position > 0 && epoch(position) > epoch(known.position)
+}
+
 /// Returns the update for an instance at `position`, or `None` if the list is not known here.
 pub(super) fn update_since(log: &ListLog, fleet: &Fleet, position: u64) -> Option<ListUpdate> {
     fleet.is_loaded().then(|| ListUpdate {
@@ -95,7 +109,10 @@
             }
         }
         ListDelta::Full(_) if own_position >= watermark.position => return changes,
-        ListDelta::Full(entries) => {
+        ListDelta::Full(mut entries) => {
+            if is_in_later_epoch(watermark.position, log.watermark()) {
+                fleet.prepare_for_older_copy(&mut entries, now_ms);
+            }
             log.reset(watermark);
             changes = fleet.apply_peer_list(peer, entries, now_ms);
         }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -38,6 +38,8 @@
 mod load_change;
 mod locate;
 mod node;
+#[cfg(test)]
+mod older_copy_tests;
 mod pacing;
 mod peer;
 mod peer_book;
@@ -82,6 +84,7 @@
 mod start_wait;
 mod store_calls;
 mod store_health;
+mod store_position;
 mod store_readers;
 #[cfg(test)]
 mod store_readers_tests;
@@ -103,3 +106,4 @@
 };
 pub use run::{RelayStartError, run};
 pub use settings::{RelayBounds, RelaySettings};
+pub use store_position::StorePosition;
