A lease is taken under a fencing token above all that were seen

When the store comes back from an older copy, the row of the lease may hold a token below one that this instance has used or read. The next holder took the row's token plus one, a token that had been given out before. It now counts from the highest that this instance has seen.

--- a/src/control/tests/fake_table.rs
+++ b/src/control/tests/fake_table.rs
@@ -6,7 +6,7 @@
 use crate::wire::platform::{Condition, Row, Rows, TransactReply, Transaction, Write};
 
 /// Rows and the version of the last write.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct FakeTable {
     pub(crate) rows: IndexMap<String, Row>,
     version: u64,
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -296,6 +296,8 @@
         let fence = last
             .map_or(0, |observed| observed.row.fence)
             .max(self.max_unconfirmed_fence)
+            // The row may have come back from an older copy.
+            .max(self.highest_fence)
             + 1;
         let was_idle = last.is_none_or(|observed| observed.row.released || observed.row.fence == 0);
         let wait_ms = if was_idle { 0 } else { MAX_ORDER_DELAY_MS };
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -261,3 +261,19 @@
     assert_eq!(held.fence, 1);
     assert!(held.valid_until_ms > simulation.now_ms + LEASE_MS / 2);
 }
+
+#[test]
+fn a_fence_is_not_taken_again_after_the_table_came_back_from_an_older_copy() {
+    let mut simulation = Simulation::new();
+    run(&mut simulation, 0, 2_000);
+    let copy = simulation.table.clone();
+    simulation.leases[0].want(false);
+    run(&mut simulation, 0, 200);
+    run(&mut simulation, 1, 1_500);
+    simulation.leases[1].want(false);
+    run(&mut simulation, 1, 200);
+    simulation.table = copy;
+    simulation.leases[1].want(true);
+    run(&mut simulation, 1, 15_000);
+    assert_eq!(simulation.taken, [(1, 0), (2, 1), (3, 1)]);
+}
