--- /dev/null
+++ b/src/relay_server/stream/chain_run.rs
@@ -0,0 +1,220 @@
+//! Runs of a stream on a chain of engines.
+
+use actix_http::{ResponseHead, StatusCode};
+use tokio::time::{Instant, sleep_until};
+
+use super::{ChunkFailure, RunOutcome, StreamRelay, stage_at};
+use crate::clock::boot_ms;
+use crate::fleet::{Chain, EndpointFailure};
+use crate::ids::EndpointId;
+use crate::relay::AttemptOutcome;
+use crate::relay_server::adapter::Adapter;
+use crate::relay_server::checks::check_in_background;
+use crate::relay_server::headers;
+use crate::relay_server::held_tokens::HeldTokens;
+use crate::relay_server::request::instant_at;
+use crate::relay_server::send_context::SendContext;
+use crate::relay_server::stream_response::InitialResponse;
+use crate::relay_server::upstream::{Exchange, ResponseBody, UpstreamFailure};
+
+impl<A> StreamRelay<A>
+where
+    A: Adapter,
+{
+    /// Runs the request on a chain and forwards the events.
+    pub(super) async fn run_on_chain(&mut self, chain: Chain) -> RunOutcome {
+        self.attempts.send_started(&chain.first().endpoint);
+        let stages = chain.stages().iter().map(|stage| &stage.endpoint);
+        self.send_context = SendContext::new(&self.node, stages);
+        self.chain = Some(chain.clone());
+        self.run_once(chain).await
+    }
+
+    async fn run_once(&mut self, chain: Chain) -> RunOutcome {
+        let mut held = HeldTokens::start(&self.node, chain, self.request.held_tokens());
+        self.stall.run_started(boot_ms());
+        let exchange = match self.send(held.chain()).await {
+            Ok(exchange) => exchange,
+            Err(failure) => return self.connection_failed(failure, held.chain()),
+        };
+        let (head, body) = match self.receive_head(exchange, &mut held).await {
+            Ok(answer) => answer,
+            Err(outcome) => return outcome,
+        };
+        let facts = self.node.adapter.parse_response_metadata(&head);
+        if facts.id.as_deref() != Some(self.request.ask.id.as_str()) {
+            return self.connection_failed(UpstreamFailure::Garbled, held.chain());
+        }
+        let first = &held.chain().first().endpoint;
+        self.node.apply_pacing(first, facts.pacing);
+        if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+            let at_fault = facts
+                .at_fault
+                .and_then(|address| stage_at(held.chain(), address));
+            let at_fault = at_fault.unwrap_or_else(|| held.chain().first().clone());
+            self.mark_full(&at_fault.endpoint);
+            // The engine may be full, leaving or dead; the response does not say which.
+            check_in_background(&self.node, &at_fault);
+            return RunOutcome::Failed(
+                AttemptOutcome::TurnedAway,
+                EndpointFailure::Full,
+                at_fault.endpoint,
+            );
+        }
+        if !head.status.is_success() || !facts.is_sealed {
+            let first = held.chain().first().endpoint.clone();
+            self.failure = self.read_failure(&head, body).await;
+            return RunOutcome::Failed(AttemptOutcome::Failed, EndpointFailure::Failed, first);
+        }
+        self.head_ms = Some(boot_ms());
+        self.node.record_accepted(held.chain());
+        self.attempts.response_started();
+        let initial = InitialResponse {
+            status: head.status,
+            headers: headers::end_to_end_headers(&head.headers),
+            body: None,
+        };
+        if self.start_response(initial).is_err() {
+            return RunOutcome::CallerLeft;
+        }
+        let keep_alive_ms = headers::keep_alive_ms(&head);
+        self.forward_events(body, keep_alive_ms, &mut held).await
+    }
+
+    async fn send(&self, chain: &Chain) -> Result<Exchange, UpstreamFailure> {
+        let first = chain.first();
+        let resume_after = self.splitter.last_id();
+        let head = self
+            .request
+            .head_for(&self.node, &first.endpoint, Some(chain), resume_after);
+        let body = self.request.body.clone();
+        let node = &self.node;
+        let may_send = || {
+            let mut stages = chain.stages().iter();
+            stages.all(|stage| node.accepts_requests(&stage.endpoint))
+        };
+        node.send_with_permit(&first.endpoint, first.address, head, body, may_send)
+            .await
+    }
+
+    /// Waits for the response head and checks the run while it is silent.
+    async fn receive_head(
+        &mut self,
+        exchange: Exchange,
+        held: &mut HeldTokens<A>,
+    ) -> Result<(ResponseHead, ResponseBody), RunOutcome> {
+        let mut signal = self.node.chain_check_signal.subscribe();
+        let mut head = std::pin::pin!(exchange.head());
+        loop {
+            let due = self.next_check_at(boot_ms());
+            tokio::select! {
+                // Data that has arrived takes precedence over updates from others and over a
+                // silence that it ends.
+                biased;
+                answer = &mut head => {
+                    return answer.map_err(|failure| self.connection_failed(failure, held.chain()));
+                }
+                () = sleep_until(due) => self.check_stall(held).await?,
+                _ = signal.changed() => self.handle_fleet_change(held).await?,
+            }
+        }
+    }
+
+    /// Forwards events until the stream is complete.
+    async fn forward_events(
+        &mut self,
+        mut body: ResponseBody,
+        keep_alive_ms: Option<u64>,
+        held: &mut HeldTokens<A>,
+    ) -> RunOutcome {
+        let mut signal = self.node.chain_check_signal.subscribe();
+        loop {
+            let due = self.next_check_at(boot_ms());
+            let step = tokio::select! {
+                // Events that arrived while this stream was busy take precedence over updates from
+                // others and over a silence that they end.
+                biased;
+                chunk = body.next() => match chunk {
+                    Ok(Some(bytes)) => match self.forward_chunk(&bytes).await {
+                        Ok(has_events) => {
+                            if has_events {
+                                held.record_event(boot_ms());
+                            }
+                            Ok(())
+                        }
+                        Err(ChunkFailure::CallerLeft) => Err(RunOutcome::CallerLeft),
+                        Err(ChunkFailure::Invalid) => {
+                            Err(self.connection_failed(UpstreamFailure::Garbled, held.chain()))
+                        }
+                    },
+                    Ok(None) if self.splitter.has_partial_event() => {
+                        Err(self.connection_failed(UpstreamFailure::Broken, held.chain()))
+                    }
+                    Ok(None) => {
+                        self.node.upstreams.release(body, keep_alive_ms, boot_ms());
+                        return RunOutcome::Complete;
+                    }
+                    Err(failure) => Err(self.connection_failed(failure, held.chain())),
+                },
+                () = sleep_until(due) => self.check_stall(held).await,
+                _ = signal.changed() => self.handle_fleet_change(held).await,
+            };
+            if let Err(outcome) = step {
+                return outcome;
+            }
+        }
+    }
+
+    /// When to check the run if no data arrives until then.
+    fn next_check_at(&self, now_ms: u64) -> Instant {
+        let probe_ms = self.stall.probe_due_ms();
+        instant_at(probe_ms.unwrap_or(self.stall.next_check_ms()), now_ms)
+    }
+
+    fn connection_failed(&self, failure: UpstreamFailure, chain: &Chain) -> RunOutcome {
+        let first = chain.first().endpoint.clone();
+        match failure {
+            UpstreamFailure::NoListener => {
+                self.node.record_failure(&first, EndpointFailure::Refused);
+            }
+            UpstreamFailure::NoConnection | UpstreamFailure::Broken => {
+                check_in_background(&self.node, chain.first());
+            }
+            UpstreamFailure::Garbled | UpstreamFailure::Withdrawn => {}
+        }
+        let (outcome, endpoint_failure) = failure.classify();
+        RunOutcome::Failed(outcome, endpoint_failure, first)
+    }
+
+    /// Logs a failed run, and records what it means for the request and the engine at fault.
+    pub(super) fn record_failed_run(
+        &mut self,
+        outcome: AttemptOutcome,
+        failure: EndpointFailure,
+        at_fault: &EndpointId,
+    ) {
+        let now_ms = boot_ms();
+        let first = self.chain.as_ref().map(Chain::first);
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            digest = self.request.digest_label().as_str(),
+            first = first.map(|first| first.endpoint.as_str()),
+            at_fault = at_fault.as_str(),
+            end:? = outcome,
+            cause = failure.name(),
+            known_at_send = self.send_context.endpoints.as_str(),
+            list_at_send = self.send_context.list.as_str(),
+            last_event = self.splitter.last_id(),
+            head_ago_ms = self.head_ago_ms(now_ms),
+            run_events = self.run_events,
+            silent_ms = self.stall.silence_ms(now_ms);
+            "run failed"
+        );
+        self.attempts.exclude_after(at_fault, outcome);
+        self.record_interrupted_run(at_fault, outcome);
+    }
+
+    fn mark_full(&self, endpoint: &EndpointId) {
+        self.node.record_full(endpoint);
+    }
+}
