An endpoint that was listed again before the store went back stays in service

Found by reading: the memory of removed endpoints was kept for 60 s whatever the list showed later. An endpoint whose entry had lapsed and come back would have been out of service for 5 s after a return of the store. An entry that is read again is now forgotten as removed. The new unit test covers it.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -406,6 +406,7 @@
             source: source.clone(),
             received_ms: now_ms,
         };
+        self.removed.swap_remove(&id);
         let Some(known) = self.endpoints.get_mut(&id) else {
             entry.phase = phase;
             let mut known = KnownEndpoint::new(entry, provenance);
--- a/src/relay_server/older_copy_tests.rs
+++ b/src/relay_server/older_copy_tests.rs
@@ -161,3 +161,12 @@
     reader.fleet.expire(2_400);
     assert_eq!(reader.phase("b"), None);
 }
+
+#[test]
+fn an_endpoint_that_was_listed_again_before_is_in_service_in_an_older_copy() {
+    let mut reader = reader();
+    reader.read_removal(position(BEFORE, 100), "a", 10);
+    reader.read_changes(position(BEFORE, 101), vec![entry("a", Phase::Live)], 20);
+    reader.read(position(AFTER, 40), older_copy(), 100);
+    assert_eq!(reader.phase("a"), Some(Phase::Live));
+}
