A service without endpoints does not count as unreached; callers' instances without reach are ordered as before

A service that is taken out of the table, or whose last endpoint leaves the list, while this instance did not reach it stayed unreached for good: its heartbeats would have told so for ever, and callers be told of others first. And where no instance reaches all services, as while one service is down, those that hear of changes promptly came no longer first among the instances that callers are told of.

--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -42,6 +42,17 @@
         lost.map(|(service, _)| service)
     }
 
+    /// Whether to check if endpoints of a service are reached.
+    pub(crate) fn needs_check(&self, service: &ServiceName) -> bool {
+        let reach = self.services.get(service);
+        reach.is_some_and(EndpointReach::needs_check)
+    }
+
+    /// Forgets a service that has no endpoints.
+    pub(crate) fn forget(&mut self, service: &ServiceName) {
+        self.services.swap_remove(service);
+    }
+
     /// Services of which to check whether this instance reaches endpoints.
     pub(crate) fn services_to_check(&self) -> impl Iterator<Item = &ServiceName> {
         let due = self
--- a/src/fleet/refusal_tests.rs
+++ b/src/fleet/refusal_tests.rs
@@ -42,3 +42,14 @@
     fleet.reach.of(&other).record_connected(101, 102);
     assert!(!fleet.has_ended(&a));
 }
+
+#[test]
+fn a_service_without_endpoints_is_not_unreached() {
+    let mut fleet = Fleet::default();
+    let service = ServiceName::from("gone");
+    fleet.reach.of(&service).record_unreachable(10);
+    fleet.reach.of(&service).record_none_reached(11);
+    assert!(fleet.reach.is_lost(&service) && fleet.reach.needs_check(&service));
+    fleet.reach.forget(&service);
+    assert!(!fleet.reach.is_lost(&service) && !fleet.reach.needs_check(&service));
+}
--- a/src/relay_server/locate.rs
+++ b/src/relay_server/locate.rs
@@ -26,13 +26,14 @@
 pub(super) type CandidateRank<'a> = (bool, Reverse<u32>, &'a InstanceId);
 
 /// Addresses for a caller in `zone`: instances that serve every request, reach endpoints and receive changes of
-/// the store promptly; failing that, those that serve every request, by themselves if possible; failing that,
-/// those that are open. An instance that gets neither the store's answers nor those of a reader in its zone
+/// the store promptly; failing that, those that serve every request and reach endpoints; failing that, the same
+/// two without reach, as while all endpoints of a service are down; failing that, those that are open. An instance that gets neither the store's answers nor those of a reader in its zone
 /// learns of changes a second later.
 pub(super) fn addresses_for(zone: &ZoneName, candidates: &[Candidate<'_>]) -> Vec<SocketAddr> {
-    let levels: [fn(Availability) -> bool; 4] = [
+    let levels: [fn(Availability) -> bool; 5] = [
         |it| it.is_current() && it.reaches_endpoints,
         |it| it.is_ready && it.reaches_endpoints,
+        Availability::is_current,
         |it| it.is_ready,
         |it| it.is_open,
     ];
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -55,7 +55,7 @@
 where
     A: Adapter,
 {
-    while node.fleet.borrow_mut().reach.of(service).needs_check() {
+    while node.fleet.borrow().reach.needs_check(service) {
         if !check(node, service).await {
             sleep(RECHECK_INTERVAL).await;
         }
@@ -65,7 +65,8 @@
     node.update_quarantine();
 }
 
-/// Tries to connect to several endpoints of a service, one after the other. Returns whether one of them accepted.
+/// Tries to connect to several endpoints of a service, one after the other. Returns whether one of them accepted, or
+/// there is none.
 async fn check<A>(node: &Node<A>, service: &ServiceName) -> bool
 where
     A: Adapter,
@@ -73,7 +74,10 @@
     let started_ms = boot_ms();
     let addresses = addresses_to_try(&node.fleet.borrow(), service, node.random_u64());
     if addresses.is_empty() {
-        return false;
+        // The service is gone, or all its endpoints are: there is nothing to be cut off from.
+        node.fleet.borrow_mut().reach.forget(service);
+        node.request_heartbeat();
+        return true;
     }
     node.counters.count("relay.reach.checks");
     let mut waiting = addresses.into_iter();
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -17,8 +17,8 @@
     A: Adapter,
 {
     /// Waits for a chain on which to resume a partial response, or for another instance that can, and
-    /// takes a retry from the budget for it. It waits as long as necessary: the request's deadline or the caller's departure ends
-    /// it from outside. Fails only if the request is withheld.
+    /// takes a retry from the budget for it. It waits as long as necessary: the request's deadline or
+    /// the caller's departure ends it from outside. Fails only if the request is withheld.
     pub(super) async fn target_to_resume(&mut self) -> Result<RunTarget, RefusalCause> {
         let mut signal = self.node.chain_check_signal.subscribe();
         let mut reported = None;
