A delegated request is refused at once where its service is not reached either

An instance that has lost the endpoints of a service itself, and whose heartbeat has not told so yet, tried up to four of them for a delegated request, 300 ms each where connections hang. It now says that the request has not run, and the request goes on to a third instance.

--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -210,6 +210,16 @@
             RefusalCause::Withheld,
         );
     }
+    let is_cut_off = node.fleet.borrow().reach.is_lost(&relayed.service);
+    if relayed.delegation.is_some() && is_cut_off {
+        // Yet another instance may reach the endpoints.
+        return refuse(
+            node,
+            &relayed.ask.id,
+            Some(&relayed.route),
+            RefusalCause::NoEndpoint,
+        );
+    }
     let is_stream = relayed.route.retry_policy.is_stream();
     let has_model = table
         .services
