Simulations of the endpoint list draw a return of the store from an older copy

Two tests beside those with a continuous history, whose draws are unchanged: nine and 86 instances, one return a run from a copy 0.5 to 4 s old, and what was lost written again 0.2 to 2 s later.

--- a/src/relay_server/list_propagation_tests/mod.rs
+++ b/src/relay_server/list_propagation_tests/mod.rs
@@ -62,6 +62,8 @@
 const RUN_MS: u64 = 16_000;
 /// How long each endpoint is observed after it has started to leave.
 const OBSERVED_MS: u64 = 5_500;
+/// Time within which an instance may not yet have read that an endpoint is leaving, where the store's calls fail.
+const UNREAD_MS: u64 = 2_000;
 /// Time from the announcement that an endpoint is leaving to the removal of its entry.
 const REMOVAL_DELAY_MS: u64 = 4_500;
 
@@ -78,6 +80,9 @@
     Freeze(Vec<usize>, u64),
     Kill(Vec<usize>),
     Start(Vec<usize>),
+    CopyStore,
+    ReturnFromCopy,
+    WriteLost,
 }
 
 struct LeavingEndpoint {
@@ -205,6 +210,9 @@
             .for_each(|it| simulation.freeze(*it, *for_ms)),
         Action::Kill(affected) => affected.iter().for_each(|it| simulation.kill(*it)),
         Action::Start(affected) => affected.iter().for_each(|it| simulation.start(*it)),
+        Action::CopyStore => simulation.copy_store(),
+        Action::ReturnFromCopy => simulation.return_from_copy(),
+        Action::WriteLost => simulation.write_lost(),
     }
 }
 
@@ -220,11 +228,42 @@
     simulation
 }
 
+/// Whether the store comes back from an older copy during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreHistory {
+    Continuous,
+    Returns,
+}
+
+/// Adds a return of the store from a copy to a run. Endpoints that leave too shortly before it for any instance to
+/// have read that, and whose leaving is lost with it, leave after it instead.
+fn add_return(simulation: &mut Simulation, actions: &mut Vec<(u64, Action)>) {
+    let rng = &mut simulation.rng;
+    let return_ms = rng.random_range(5_000..RUN_MS - OBSERVED_MS);
+    let copy_ms = return_ms - rng.random_range(500..4_000);
+    let write_ms = return_ms + rng.random_range(200..2_000);
+    for (at_ms, action) in actions.iter_mut() {
+        let is_unread = (return_ms - UNREAD_MS..=return_ms).contains(at_ms);
+        if matches!(action, Action::Leave(..)) && is_unread {
+            *at_ms = return_ms + 1;
+        }
+    }
+    actions.extend([
+        (copy_ms, Action::CopyStore),
+        (return_ms, Action::ReturnFromCopy),
+        (write_ms, Action::WriteLost),
+    ]);
+    actions.sort_by_key(|it| it.0);
+}
+
 /// Simulates a run and returns the longest time for which a leaving endpoint would still be chosen.
-fn simulate(deployment: &Deployment, seed: u64) -> Worst {
+fn simulate(deployment: &Deployment, history: StoreHistory, seed: u64) -> Worst {
     let mut simulation = warmed_up(deployment, seed);
     let begin_ms = simulation.now_ms;
-    let actions = random_actions(&mut simulation, deployment);
+    let mut actions = random_actions(&mut simulation, deployment);
+    if history == StoreHistory::Returns {
+        add_return(&mut simulation, &mut actions);
+    }
     let mut leaving: Vec<LeavingEndpoint> = Vec::new();
     let mut worst = Worst::default();
     let mut next = 0;
@@ -291,9 +330,11 @@
 }
 
 /// Asserts that the bound is kept, with a margin, in all runs.
-fn assert_not_chosen_after_bound(deployment: &Deployment, seeds: Vec<u64>) {
+fn assert_not_chosen_after_bound(deployment: &Deployment, history: StoreHistory, seeds: Vec<u64>) {
     let runs = seeds.len();
-    let simulated = seeds.into_iter().map(|seed| simulate(deployment, seed));
+    let simulated = seeds
+        .into_iter()
+        .map(|seed| simulate(deployment, history, seed));
     let worst = simulated
         .max_by_key(|it| it.delay_ms)
         .expect("at least one run");
@@ -313,15 +354,29 @@
 
 #[test]
 fn nine_instances_stop_choosing_a_leaving_endpoint_in_time() {
-    assert_not_chosen_after_bound(&SMALL, seeds(RUNS, 0..60));
+    assert_not_chosen_after_bound(&SMALL, StoreHistory::Continuous, seeds(RUNS, 0..60));
 }
 
 #[test]
 fn eighty_six_instances_stop_choosing_a_leaving_endpoint_in_time() {
-    assert_not_chosen_after_bound(&MEDIUM, seeds(RUNS, [0, 1, 2, 3, 19]));
+    assert_not_chosen_after_bound(
+        &MEDIUM,
+        StoreHistory::Continuous,
+        seeds(RUNS, [0, 1, 2, 3, 19]),
+    );
 }
 
 #[test]
 fn a_hundred_and_ninety_five_instances_stop_choosing_a_leaving_endpoint_in_time() {
-    assert_not_chosen_after_bound(&LARGE, seeds(RUNS, [0, 1]));
+    assert_not_chosen_after_bound(&LARGE, StoreHistory::Continuous, seeds(RUNS, [0, 1]));
+}
+
+#[test]
+fn nine_instances_stop_choosing_a_leaving_endpoint_when_the_store_returns_from_a_copy() {
+    assert_not_chosen_after_bound(&SMALL, StoreHistory::Returns, seeds(RUNS, 0..60));
+}
+
+#[test]
+fn eighty_six_instances_stop_choosing_a_leaving_endpoint_when_the_store_returns_from_a_copy() {
+    assert_not_chosen_after_bound(&MEDIUM, StoreHistory::Returns, seeds(RUNS, 0..3));
 }
--- a/src/relay_server/list_propagation_tests/simulation.rs
+++ b/src/relay_server/list_propagation_tests/simulation.rs
@@ -185,6 +185,21 @@
         self.store.write_unrelated();
     }
 
+    pub(super) fn copy_store(&mut self) {
+        self.store.copy();
+    }
+
+    /// Has the store come back from its newest copy. Connections to it are reset.
+    pub(super) fn return_from_copy(&mut self) {
+        self.store.come_back_from_copy();
+        (0..self.instances.len()).for_each(|index| self.reset_connections(index));
+    }
+
+    pub(super) fn write_lost(&mut self) {
+        self.store.write_lost();
+        self.answer_watches();
+    }
+
     pub(super) fn remove(&mut self, id: &EndpointId) {
         self.store.remove(id);
         self.answer_watches();
@@ -389,6 +404,10 @@
                 let read = Some(self.store.full_list());
                 self.schedule_list_call_end(index, CALL_MS, sent_ms, read);
             }
+            (Access::Answers, Some(since)) if self.store.is_history_gone(since) => {
+                self.instances[index].position = None;
+                self.schedule(index, CALL_MS, Event::ListCall);
+            }
             (Access::Answers, Some(since)) if self.store.has_changes_since(since) => {
                 let read = Some(self.store.changes_since(since));
                 self.schedule_list_call_end(index, CALL_MS, sent_ms, read);
--- a/src/relay_server/list_propagation_tests/store.rs
+++ b/src/relay_server/list_propagation_tests/store.rs
@@ -1,8 +1,9 @@
 //! The endpoint list in the simulated store, and the responses to reads and watches of it.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::super::adapter::FeedRead;
+use super::super::store_position::StorePosition;
 use crate::fleet::{ListedEndpoint, ListingRead, Phase};
 use crate::ids::{EndpointId, ServiceName, ZoneName};
 
@@ -27,9 +28,14 @@
 type Change = (u64, EndpointId, Option<ListedEndpoint>);
 
 pub(super) struct Store {
-    position: u64,
+    epoch: u64,
+    version: u64,
     entries: IndexMap<EndpointId, ListedEndpoint>,
     changes: Vec<Change>,
+    /// Version and entries of the newest copy.
+    copy: (u64, IndexMap<EndpointId, ListedEndpoint>),
+    /// Entries when the store last came back from a copy, to be written again.
+    lost: IndexMap<EndpointId, ListedEndpoint>,
 }
 
 pub(super) fn endpoint(number: usize) -> ListedEndpoint {
@@ -48,9 +54,12 @@
 impl Store {
     pub(super) fn new(endpoints: usize) -> Self {
         let mut store = Self {
-            position: 10,
+            epoch: 0,
+            version: 10,
             entries: IndexMap::new(),
             changes: Vec::new(),
+            copy: (0, IndexMap::new()),
+            lost: IndexMap::new(),
         };
         for number in 0..endpoints {
             store.write(endpoint(number));
@@ -60,21 +69,61 @@
 
     /// Writes something that is not part of the list.
     pub(super) fn write_unrelated(&mut self) {
-        self.position += 1;
+        self.version += 1;
+    }
+
+    fn position(&self) -> u64 {
+        let (epoch, version) = (self.epoch, self.version);
+        StorePosition { epoch, version }.into()
+    }
+
+    /// Copies the present data.
+    pub(super) fn copy(&mut self) {
+        self.copy = (self.version, self.entries.clone());
+    }
+
+    /// Comes back from the newest copy: what was written since is gone, and its versions are given out again.
+    pub(super) fn come_back_from_copy(&mut self) {
+        self.epoch += 1;
+        self.changes.clear();
+        let (version, entries) = self.copy.clone();
+        self.version = version;
+        self.lost = std::mem::replace(&mut self.entries, entries);
+    }
+
+    /// Writes again what was lost with the last return, except entries that have changed since.
+    pub(super) fn write_lost(&mut self) {
+        let lost = std::mem::take(&mut self.lost);
+        let changed: IndexSet<EndpointId> =
+            self.changes.iter().map(|change| change.1.clone()).collect();
+        let is_unchanged = |id: &&EndpointId| !changed.contains(*id);
+        let gone = self.entries.keys().filter(|id| !lost.contains_key(*id));
+        let gone: Vec<EndpointId> = gone.filter(is_unchanged).cloned().collect();
+        gone.iter().for_each(|id| self.remove(id));
+        for (id, entry) in lost {
+            if is_unchanged(&&id) && self.entries.get(&id) != Some(&entry) {
+                self.write(entry);
+            }
+        }
+    }
+
+    /// Whether the history since a position is not available.
+    pub(super) fn is_history_gone(&self, since: u64) -> bool {
+        StorePosition::from(since).epoch != self.epoch
     }
 
     pub(super) fn write(&mut self, entry: ListedEndpoint) {
-        self.position += 1;
+        self.version += 1;
         let id = entry.id.clone();
         self.changes
-            .push((self.position, id.clone(), Some(entry.clone())));
+            .push((self.position(), id.clone(), Some(entry.clone())));
         self.entries.insert(id, entry);
     }
 
     pub(super) fn remove(&mut self, id: &EndpointId) {
-        self.position += 1;
+        self.version += 1;
         self.entries.shift_remove(id);
-        self.changes.push((self.position, id.clone(), None));
+        self.changes.push((self.position(), id.clone(), None));
     }
 
     pub(super) fn leave(&mut self, id: &EndpointId, departure: Departure) {
@@ -90,7 +139,7 @@
 
     pub(super) fn full_list(&self) -> FeedRead<ListingRead> {
         FeedRead {
-            position: self.position,
+            position: self.position(),
             content: ListingRead::full(self.entries.values().cloned().collect()),
         }
     }
@@ -109,7 +158,7 @@
         let written = newest.values().filter_map(|entry| entry.as_ref());
         let removed = newest.iter().filter(|(_, entry)| entry.is_none());
         FeedRead {
-            position: self.position,
+            position: self.position(),
             content: ListingRead::changes(
                 written.cloned().collect(),
                 removed.map(|(id, _)| id.name()).collect(),
