--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -99,6 +99,12 @@
         self.id
     }
 
+    /// Whether the actor has dropped the caller.
+    #[cfg(test)]
+    pub(crate) fn is_dropped(&self) -> bool {
+        self.events.is_closed()
+    }
+
     /// Waits for the next event. Returns `None` if the actor dropped the caller without a final
     /// response.
     pub(crate) async fn next(&mut self) -> Option<CallerEvent> {
--- a/src/gateway/tests/fixture.rs
+++ b/src/gateway/tests/fixture.rs
@@ -29,6 +29,8 @@
 const LEDGER_API: &str = include_str!("../../../examples/kammoun/ledger-api.toml");
 pub(super) const DEADLINE: Duration = Duration::from_secs(10);
 const BODY_TIMEOUT_MS: u64 = 300;
+/// Tokens that the engine sends in one timer tick, the least that a sleep lasts, if it has no interval.
+const TOKENS_PER_TICK: u32 = 8;
 
 /// Requests and streams observed by the test endpoints.
 #[derive(Clone, Default)]
@@ -168,6 +170,7 @@
 
 #[derive(Clone)]
 struct EndpointState {
+    incarnation: Incarnation,
     token_interval: Duration,
     seen: Seen,
 }
@@ -176,8 +179,10 @@
 fn start_endpoint(token_interval: Duration, seen: Seen) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let address = listener.local_addr().unwrap();
+    let incarnation = Incarnation::generate(&mut rand::rng());
     let server = HttpServer::new(move || {
         let state = EndpointState {
+            incarnation,
             token_interval,
             seen: seen.clone(),
         };
@@ -192,10 +197,10 @@
     address
 }
 
-async fn engine_state() -> HttpResponse {
+async fn engine_state(state: Data<EndpointState>) -> HttpResponse {
     HttpResponse::Ok().json(EngineState {
         endpoint: "engine-1".into(),
-        incarnation: Incarnation::generate(&mut rand::rng()),
+        incarnation: state.incarnation,
         accelerator: "small".to_owned(),
         model: "menu-mind-24b".to_owned(),
         version: "2026-11".to_owned(),
@@ -241,7 +246,8 @@
     let events = stream::unfold((0, guard), move |(position, mut guard)| {
         let event = event_at(&open, position);
         async move {
-            if position > 0 {
+            let is_paced = !token_interval.is_zero() || position % TOKENS_PER_TICK == 0;
+            if position > 0 && is_paced {
                 tokio::time::sleep(token_interval).await;
             }
             let event = event?;
--- a/src/gateway/tests/slow.rs
+++ b/src/gateway/tests/slow.rs
@@ -25,6 +25,8 @@
 
 const NO_DELAY: Duration = Duration::ZERO;
 const SHORT: Duration = Duration::from_millis(100);
+/// Events of an answer that the engine is still sending when a caller's buffer is full.
+const ANSWER_EVENTS: u32 = 16 * MAX_BUFFERED_EVENTS as u32;
 
 async fn send(entry: &TestEntry, text: &str) -> TcpStream {
     let mut stream = TcpStream::connect(entry.process.address).await.unwrap();
@@ -81,9 +83,16 @@
 #[actix_web::test]
 async fn a_caller_that_reads_nothing_is_dropped_and_its_stream_cut() {
     let entry = start(NO_DELAY).await;
-    let _unread = send_without_reading(&entry, 2 * MAX_BUFFERED_EVENTS as u32);
-    let cut = entry.seen.streams_cut.clone();
-    wait_until(|| cut.load(Ordering::SeqCst) == 1).await;
+    let mut unread = send_without_reading(&entry, ANSWER_EVENTS);
+    wait_until(|| unread.is_dropped()).await;
+    let seen = entry.seen.clone();
+    wait_until(|| seen.streams_open.load(Ordering::SeqCst) == 0).await;
+    assert_ne!(seen.streams_cut.load(Ordering::SeqCst), 0);
+    let mut buffered = 0;
+    while unread.next().await.is_some() {
+        buffered += 1;
+    }
+    assert_eq!(buffered, MAX_BUFFERED_EVENTS);
 }
 
 #[actix_web::test]
