Restore of the store and delegation: the field's words, one choice of delegates, leaving endpoints in a module of their own

No decision changes: backup and restore in place of copy and return; the two functions that looked for a delegate are one with a reason; what overrides the list about leaving endpoints moves from listing.rs to leaving.rs; a log line of a delegated run no longer names the chain of the run before it.

--- a/src/fleet/health.rs
+++ b/src/fleet/health.rs
@@ -27,7 +27,7 @@
 /// A failed call to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointFailure {
-    /// Another process answers at its address: the one that ran there has ended.
+    /// Another process answers at its address, so its own has exited.
     Ended,
     /// It refuses connections: its process has ended, or this instance is partitioned from it.
     Refused,
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -2,10 +2,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::leaving::LeavingReport;
 use super::{
     EndpointFailure, EngineLoad, EntryError, FleetChange, InfoSource, KnownEndpoint,
-    ListedEndpoint, ListingRead, ListingScope, LiveAgain, LiveReason, PacingState, Phase,
-    Provenance, ServiceReach, UnusableEntry,
+    ListedEndpoint, ListingRead, ListingScope, PacingState, Phase, Provenance, ServiceReach,
+    UnusableEntry,
 };
 use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName};
 use crate::wire::engine::LayerRange;
@@ -13,35 +14,14 @@
 /// How long an entry that is missing after an outage of the list is retained. The endpoint of an
 /// expired entry, if alive, is listed again within about two seconds of the end of the outage.
 const MISSING_RETENTION_MS: u64 = 2_200;
-/// How long a peer's report that an endpoint is leaving overrides the list: a read in flight may
-/// still show the endpoint in service.
-const PEER_REPORT_PRECEDENCE_MS: u64 = 1_500;
-/// How long an endpoint that was removed stays out of service if it is listed again since the store has come
-/// back from an older copy. By then the removal has been written again, or the platform has dropped an endpoint that
-/// does not write its entry.
-const RETURN_PRECEDENCE_MS: u64 = 5_000;
 /// How long to remember the newest lifetime of an unlisted endpoint, that a lifetime has ended, and
 /// reports of peers about unlisted endpoints. Information on earlier lifetimes arrives at most
 /// seconds late, in a heartbeat or in the list of a peer.
-const LIFETIME_RETENTION_MS: u64 = 60_000;
+pub(super) const LIFETIME_RETENTION_MS: u64 = 60_000;
 /// Number of unusable entries to remember, so that each is logged once. Bounds the memory that a
 /// faulty writer can use up.
 const MAX_UNUSABLE: usize = 1_000;
 
-/// A peer's report that an endpoint is leaving or was removed, or this instance's own knowledge of that from
-/// before the store came back from an older copy.
-#[derive(Clone, Debug)]
-struct LeavingReport {
-    /// `None` if this instance knows it itself.
-    reported_by: Option<InstanceId>,
-    received_ms: u64,
-    /// Until when it overrides the list.
-    precedence_until_ms: u64,
-    /// The list has shown the endpoint in service after the report: its entry was only missing for
-    /// a while.
-    listed_live_since: bool,
-}
-
 /// The newest known lifetime of an endpoint name.
 #[derive(Clone, Debug)]
 struct Lifetime {
@@ -62,9 +42,9 @@
     pub(super) ended: IndexMap<EndpointId, u64>,
     /// Peers' reports that an endpoint is leaving or was removed, which the list has not yet shown
     /// here, or does not show any more.
-    leaving_reports: IndexMap<EndpointId, LeavingReport>,
+    pub(super) leaving_reports: IndexMap<EndpointId, LeavingReport>,
     /// Endpoints that were removed from the list, and when.
-    removed: IndexMap<EndpointId, u64>,
+    pub(super) removed: IndexMap<EndpointId, u64>,
     /// Unusable entries that have been reported.
     unusable: IndexMap<EndpointName, EntryError>,
     /// Rate limits, back-offs and departures announced by endpoints.
@@ -73,7 +53,7 @@
     pub(crate) reach: ServiceReach,
     is_loaded: bool,
     /// Time as of which the list is known to be current. Never decreases.
-    fresh_as_of_ms: u64,
+    pub(super) fresh_as_of_ms: u64,
     /// Source of that knowledge.
     fresh_source: InfoSource,
 }
@@ -213,35 +193,6 @@
         changes
     }
 
-    /// Prepares for a full list of the store after it has come back from an older copy, which may lack that
-    /// an endpoint is leaving or was removed, as read here or reported by a peer. No lifetime of an endpoint returns to service from that, except one
-    /// whose entry had only expired.
-    pub fn prepare_for_older_copy(&mut self, entries: &mut [ListedEndpoint], now_ms: u64) {
-        self.keep_leaving(entries);
-        for entry in entries {
-            let is_reported = self.leaving_reports.contains_key(&entry.id);
-            if is_reported || self.removed.contains_key(&entry.id) {
-                let own_report = LeavingReport {
-                    reported_by: None,
-                    received_ms: now_ms,
-                    precedence_until_ms: now_ms + RETURN_PRECEDENCE_MS,
-                    listed_live_since: false,
-                };
-                self.leaving_reports.insert(entry.id.clone(), own_report);
-            }
-        }
-    }
-
-    /// Endpoints that the list has shown leaving here stay so.
-    fn keep_leaving(&self, entries: &mut [ListedEndpoint]) {
-        for entry in entries {
-            let known = self.endpoints.get(&entry.id);
-            if known.is_some_and(|it| it.phase_in_list == Phase::Leaving) {
-                entry.phase = Phase::Leaving;
-            }
-        }
-    }
-
     /// Applies the list of a peer while this instance cannot read it. Endpoints that the list has
     /// shown leaving here stay so, since the peer may not have read that yet.
     pub fn apply_peer_list(
@@ -255,75 +206,11 @@
         self.apply_read_from(&source, ListingRead::full(entries), true, now_ms)
     }
 
-    /// Records a peer's report that an endpoint is leaving or was removed. Returns whether this
-    /// changed the endpoint's phase.
-    pub fn apply_leaving_report(
-        &mut self,
-        peer: &InstanceId,
-        id: &EndpointId,
-        now_ms: u64,
-    ) -> bool {
-        self.leaving_reports
-            .entry(id.clone())
-            .or_insert(LeavingReport {
-                reported_by: Some(peer.clone()),
-                received_ms: now_ms,
-                precedence_until_ms: now_ms + PEER_REPORT_PRECEDENCE_MS,
-                listed_live_since: false,
-            });
-        let Some(known) = self.endpoints.get_mut(id) else {
-            return false;
-        };
-        let was_live = known.listed.phase == Phase::Live;
-        known.listed.phase = Phase::Leaving;
-        if was_live {
-            known.provenance = Provenance {
-                source: InfoSource::Heartbeat(peer.clone()),
-                received_ms: now_ms,
-            };
-        }
-        was_live
-    }
-
     /// Drops expired state: layers reported by engines, peers' reports of leaving endpoints,
     /// retained entries, and old lifetimes. Runs without a read of the list too: there may be none
     /// for seconds, and a retained entry would remain selectable for as long.
     pub fn expire(&mut self, now_ms: u64) -> Vec<FleetChange> {
-        let mut changes = Vec::new();
-        let fresh_as_of_ms = self.fresh_as_of_ms;
-        self.leaving_reports.retain(|id, report| {
-            let precedence_until_ms = report.precedence_until_ms;
-            let Some(known) = self.endpoints.get_mut(id) else {
-                return now_ms < report.received_ms + LIFETIME_RETENTION_MS;
-            };
-            if self.pacing.is_leaving(id) {
-                return false;
-            }
-            // The endpoint is live again if the list has shown it in service since the report, or
-            // has never shown otherwise: the peer may have seen it missing for a moment that was
-            // over before the read here. A list older than the report proves nothing. A retained
-            // entry does not count as in service: requests would go to endpoints that have left
-            // until it is dropped.
-            let is_newer = fresh_as_of_ms >= report.received_ms;
-            let is_live = report.listed_live_since && is_newer && now_ms >= precedence_until_ms;
-            let is_in_service = !known.is_retained() && known.phase_in_list == Phase::Live;
-            let was_never_missing = fresh_as_of_ms >= precedence_until_ms && is_in_service;
-            let reason = if is_live {
-                LiveReason::ListedSince
-            } else if was_never_missing {
-                LiveReason::NeverMissing
-            } else {
-                return true;
-            };
-            known.listed.phase = Phase::Live;
-            changes.push(FleetChange::LiveAgain(LiveAgain {
-                endpoint: id.clone(),
-                reported_by: report.reported_by.clone(),
-                reported_ms: report.received_ms,
-                reason,
-            }));
-            false
-        });
+        let mut changes = self.expire_leaving_reports(now_ms);
         for known in self.endpoints.values_mut() {
             known.expire_reported_layers(now_ms);
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod known_tests;
 mod last_heard;
+mod leaving;
 #[cfg(test)]
 mod lifetime_tests;
 mod listing;
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -70,11 +70,7 @@
 
     /// The record of a service.
     pub(crate) fn of(&mut self, service: &ServiceName) -> &mut EndpointReach {
-        if !self.services.contains_key(service) {
-            self.services
-                .insert(service.clone(), EndpointReach::default());
-        }
-        &mut self.services[service]
+        self.services.entry(service.clone()).or_default()
     }
 }
 
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -296,7 +296,7 @@
         let fence = last
             .map_or(0, |observed| observed.row.fence)
             .max(self.max_unconfirmed_fence)
-            // The row may have come back from an older copy.
+            // The row may have been restored from a backup.
             .max(self.highest_fence)
             + 1;
         let was_idle = last.is_none_or(|observed| observed.row.released || observed.row.fence == 0);
--- a/src/relay/delegation.rs
+++ b/src/relay/delegation.rs
@@ -7,8 +7,8 @@
 
 use crate::ids::{InstanceId, ServiceName};
 
-/// How long an instance that could not serve a service is not asked to again: about as long as it takes until
-/// heartbeats tell of a change.
+/// How long an instance that could not serve a service is not asked to again: about the time in which
+/// heartbeats report a change.
 const UNAVAILABLE_MS: u64 = 300;
 /// Number of instances that could not serve a service from which no other is asked either.
 const MAX_UNAVAILABLE: usize = 3;
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -105,7 +105,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct FeedRead<T> {
     /// Position from which to continue reading, a [`StorePosition`](super::StorePosition) as a number. It
-    /// increases also when the store comes back from an older copy of its data.
+    /// increases also when the store is restored from a backup.
     pub position: u64,
     /// The content that was read.
     pub content: T,
--- a/src/relay_server/delegates.rs
+++ b/src/relay_server/delegates.rs
@@ -1,4 +1,4 @@
-//! Chooses the instances that serve requests for one that reaches no endpoint.
+//! Selects the instances that serve requests in place of one that is partitioned from the endpoints.
 
 use std::net::SocketAddr;
 
@@ -21,8 +21,8 @@
 }
 
 impl PeerBook {
-    /// Heard instances that can serve requests for a service in this one's place: those of the own zone, or of all zones if the own
-    /// one has too few.
+    /// Heard instances that can serve requests for a service in this one's place: those of the own zone, or of
+    /// all zones if the own one has too few.
     pub(super) fn delegates(&self, service: &ServiceName, now_ms: u64) -> Vec<Delegate> {
         let able: Vec<(&InstanceId, &Peer)> = self
             .peers
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -8,12 +8,12 @@
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{RequestHead, Response, ResponseHead};
-use bytes::Bytes;
 use indexmap::IndexSet;
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
 use super::delegates::Delegate;
+use super::headers;
 use super::node::Node;
 use super::peer_selection::weighted_by_link;
 use super::request::RelayedRequest;
@@ -85,6 +85,23 @@
     }
 }
 
+/// Why a request is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DelegationReason {
+    /// This instance reaches no endpoint of the service.
+    CutOff,
+    /// No endpoint that is left can run the request, and some are unreachable from here. Endpoints that all
+    /// instances reach are no reason.
+    NoneUsable,
+}
+
+/// Headers of another instance's response that are forwarded to the caller.
+pub(super) fn forwarded_headers(head: &ResponseHead) -> HeaderMap {
+    let mut forwarded = headers::end_to_end_headers(&head.headers);
+    strip_headers(&mut forwarded);
+    forwarded
+}
+
 /// What became of a request that was passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DelegationOutcome {
@@ -143,46 +160,16 @@
 where
     A: Adapter,
 {
-    /// The instance to pass a request on to before trying endpoints, if this one reaches none of its service.
-    pub(super) fn delegate_if_cut_off(
+    /// The instance to pass a request on to, if there is `reason` to and one can be asked.
+    pub(super) fn choose_delegate(
         &self,
+        reason: DelegationReason,
         request: &RelayedRequest,
         attempts: &Attempts,
         tried: &IndexSet<InstanceId>,
     ) -> Option<Delegate> {
-        let is_lost = self.fleet.borrow().reach.is_lost(&request.service);
-        if !is_lost {
-            return None;
-        }
-        self.choose_delegate(request, attempts, tried)
-    }
-
-    /// The instance to pass a request on to if no endpoint reached from here can run it. Endpoints that all
-    /// instances reach are no reason to.
-    pub(super) fn delegate_if_unreachable(
-        &self,
-        request: &RelayedRequest,
-        attempts: &Attempts,
-        tried: &IndexSet<InstanceId>,
-    ) -> Option<Delegate> {
-        let has_unreachable = {
-            let fleet = self.fleet.borrow();
-            let mut of_service = fleet.of_service(&request.service);
-            of_service.any(|known| known.health.is_dead())
-        };
-        if !has_unreachable {
-            return None;
-        }
-        self.choose_delegate(request, attempts, tried)
-    }
-
-    fn choose_delegate(
-        &self,
-        request: &RelayedRequest,
-        attempts: &Attempts,
-        tried: &IndexSet<InstanceId>,
-    ) -> Option<Delegate> {
-        if request.delegation.is_some() || !attempts.may_delegate() {
+        let may_delegate = request.delegation.is_none() && attempts.may_delegate();
+        if !may_delegate || !self.applies(reason, &request.service) {
             return None;
         }
         let now_ms = boot_ms();
@@ -195,6 +182,16 @@
         weighted_by_link(&delegates, |it| it.link_mbps, self.random_u64()).cloned()
     }
 
+    fn applies(&self, reason: DelegationReason, service: &ServiceName) -> bool {
+        let fleet = self.fleet.borrow();
+        match reason {
+            DelegationReason::CutOff => fleet.reach.is_lost(service),
+            DelegationReason::NoneUsable => fleet
+                .of_service(service)
+                .any(|known| known.health.is_dead()),
+        }
+    }
+
     /// Passes a request on and waits for the head of its response. Fails as an attempt at an endpoint does.
     pub(super) async fn delegate_request(
         &self,
@@ -276,7 +273,7 @@
             max_endpoints: u32::try_from(max_endpoints).unwrap_or(u32::MAX),
         };
         delegation.set_headers(&mut head.headers);
-        let body: Bytes = request.body.clone();
+        let body = request.body.clone();
         self.delegates
             .send(delegate.address, head, body, now_ms, || true)
             .await
--- a/src/relay_server/list_propagation_tests/mod.rs
+++ b/src/relay_server/list_propagation_tests/mod.rs
@@ -80,8 +80,8 @@
     Freeze(Vec<usize>, u64),
     Kill(Vec<usize>),
     Start(Vec<usize>),
-    CopyStore,
-    ReturnFromCopy,
+    BackUpStore,
+    RestoreStore,
     WriteLost,
 }
 
@@ -210,8 +210,8 @@
             .for_each(|it| simulation.freeze(*it, *for_ms)),
         Action::Kill(affected) => affected.iter().for_each(|it| simulation.kill(*it)),
         Action::Start(affected) => affected.iter().for_each(|it| simulation.start(*it)),
-        Action::CopyStore => simulation.copy_store(),
-        Action::ReturnFromCopy => simulation.return_from_copy(),
+        Action::BackUpStore => simulation.back_up_store(),
+        Action::RestoreStore => simulation.restore_store(),
         Action::WriteLost => simulation.write_lost(),
     }
 }
@@ -228,29 +228,29 @@
     simulation
 }
 
-/// Whether the store comes back from an older copy during a run.
+/// Whether the store is restored from a backup during a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StoreHistory {
     Continuous,
-    Returns,
+    Restored,
 }
 
-/// Adds a return of the store from a copy to a run. Endpoints that leave too shortly before it for any instance to
+/// Adds a restore of the store from a backup to a run. Endpoints that leave too shortly before it for any instance to
 /// have read that, and whose leaving is lost with it, leave after it instead.
-fn add_return(simulation: &mut Simulation, actions: &mut Vec<(u64, Action)>) {
+fn add_restore(simulation: &mut Simulation, actions: &mut Vec<(u64, Action)>) {
     let rng = &mut simulation.rng;
-    let return_ms = rng.random_range(5_000..RUN_MS - OBSERVED_MS);
-    let copy_ms = return_ms - rng.random_range(500..4_000);
-    let write_ms = return_ms + rng.random_range(200..2_000);
+    let restore_ms = rng.random_range(5_000..RUN_MS - OBSERVED_MS);
+    let backup_ms = restore_ms - rng.random_range(500..4_000);
+    let write_ms = restore_ms + rng.random_range(200..2_000);
     for (at_ms, action) in actions.iter_mut() {
-        let is_unread = (return_ms - UNREAD_MS..=return_ms).contains(at_ms);
+        let is_unread = (restore_ms - UNREAD_MS..=restore_ms).contains(at_ms);
         if matches!(action, Action::Leave(..)) && is_unread {
-            *at_ms = return_ms + 1;
+            *at_ms = restore_ms + 1;
         }
     }
     actions.extend([
-        (copy_ms, Action::CopyStore),
-        (return_ms, Action::ReturnFromCopy),
+        (backup_ms, Action::BackUpStore),
+        (restore_ms, Action::RestoreStore),
         (write_ms, Action::WriteLost),
     ]);
     actions.sort_by_key(|it| it.0);
@@ -261,8 +261,8 @@
     let mut simulation = warmed_up(deployment, seed);
     let begin_ms = simulation.now_ms;
     let mut actions = random_actions(&mut simulation, deployment);
-    if history == StoreHistory::Returns {
-        add_return(&mut simulation, &mut actions);
+    if history == StoreHistory::Restored {
+        add_restore(&mut simulation, &mut actions);
     }
     let mut leaving: Vec<LeavingEndpoint> = Vec::new();
     let mut worst = Worst::default();
@@ -373,10 +373,10 @@
 
 #[test]
 fn nine_instances_stop_choosing_a_leaving_endpoint_when_the_store_returns_from_a_copy() {
-    assert_not_chosen_after_bound(&SMALL, StoreHistory::Returns, seeds(RUNS, 0..60));
+    assert_not_chosen_after_bound(&SMALL, StoreHistory::Restored, seeds(RUNS, 0..60));
 }
 
 #[test]
 fn eighty_six_instances_stop_choosing_a_leaving_endpoint_when_the_store_returns_from_a_copy() {
-    assert_not_chosen_after_bound(&MEDIUM, StoreHistory::Returns, seeds(RUNS, 0..3));
+    assert_not_chosen_after_bound(&MEDIUM, StoreHistory::Restored, seeds(RUNS, 0..3));
 }
--- a/src/relay_server/list_propagation_tests/simulation.rs
+++ b/src/relay_server/list_propagation_tests/simulation.rs
@@ -185,13 +185,13 @@
         self.store.write_unrelated();
     }
 
-    pub(super) fn copy_store(&mut self) {
-        self.store.copy();
+    pub(super) fn back_up_store(&mut self) {
+        self.store.back_up();
     }
 
-    /// Has the store come back from its newest copy. Connections to it are reset.
-    pub(super) fn return_from_copy(&mut self) {
-        self.store.come_back_from_copy();
+    /// Restores the store from its newest backup. Connections to it are reset.
+    pub(super) fn restore_store(&mut self) {
+        self.store.restore();
         (0..self.instances.len()).for_each(|index| self.reset_connections(index));
     }
 
--- a/src/relay_server/list_propagation_tests/store.rs
+++ b/src/relay_server/list_propagation_tests/store.rs
@@ -32,9 +32,9 @@
     version: u64,
     entries: IndexMap<EndpointId, ListedEndpoint>,
     changes: Vec<Change>,
-    /// Version and entries of the newest copy.
-    copy: (u64, IndexMap<EndpointId, ListedEndpoint>),
-    /// Entries when the store last came back from a copy, to be written again.
+    /// Version and entries of the newest backup.
+    backup: (u64, IndexMap<EndpointId, ListedEndpoint>),
+    /// Entries before the newest restore, to be written again.
     lost: IndexMap<EndpointId, ListedEndpoint>,
 }
 
@@ -58,7 +58,7 @@
             version: 10,
             entries: IndexMap::new(),
             changes: Vec::new(),
-            copy: (0, IndexMap::new()),
+            backup: (0, IndexMap::new()),
             lost: IndexMap::new(),
         };
         for number in 0..endpoints {
@@ -77,21 +77,21 @@
         StorePosition { epoch, version }.into()
     }
 
-    /// Copies the present data.
-    pub(super) fn copy(&mut self) {
-        self.copy = (self.version, self.entries.clone());
+    /// Backs up the present data.
+    pub(super) fn back_up(&mut self) {
+        self.backup = (self.version, self.entries.clone());
     }
 
-    /// Comes back from the newest copy: what was written since is gone, and its versions are given out again.
-    pub(super) fn come_back_from_copy(&mut self) {
+    /// Restores the newest backup: what was written since is gone, and its versions are given out again.
+    pub(super) fn restore(&mut self) {
         self.epoch += 1;
         self.changes.clear();
-        let (version, entries) = self.copy.clone();
+        let (version, entries) = self.backup.clone();
         self.version = version;
         self.lost = std::mem::replace(&mut self.entries, entries);
     }
 
-    /// Writes again what was lost with the last return, except entries that have changed since.
+    /// Writes again what was lost with the newest restore, except entries that have changed since.
     pub(super) fn write_lost(&mut self) {
         let lost = std::mem::take(&mut self.lost);
         let changed: IndexSet<EndpointId> =
--- a/src/relay_server/list_sync.rs
+++ b/src/relay_server/list_sync.rs
@@ -32,7 +32,7 @@
 pub(super) fn apply_read(
     log: &mut ListLog,
     fleet: &mut Fleet,
-    read: FeedRead<ListingRead>,
+    mut read: FeedRead<ListingRead>,
     after_outage: bool,
     sent_ms: u64,
     now_ms: u64,
@@ -46,13 +46,12 @@
             ..AppliedRead::default()
         };
     }
-    let mut read = read;
-    let is_older_copy = is_in_later_epoch(read.position, known);
-    if is_older_copy {
-        fleet.prepare_for_older_copy(&mut read.content.entries, now_ms);
+    let is_restored = is_in_later_epoch(read.position, known);
+    if is_restored {
+        fleet.prepare_for_restored_list(&mut read.content.entries, now_ms);
     }
     // What was written shortly before is gone and is written again soon.
-    let after_outage = after_outage || is_older_copy;
+    let after_outage = after_outage || is_restored;
     log.record(read.position, &read.content, after_outage);
     let must_notify_peers = log.watermark().last_change != known.last_change;
     let changes = fleet.apply_read(read.content, after_outage, now_ms);
@@ -64,7 +63,7 @@
     }
 }
 
-/// Whether the store has come back from an older copy between what is known and `position`.
+/// Whether the store was restored from a backup between what is known and `position`.
 fn is_in_later_epoch(position: u64, known: ListWatermark) -> bool {
     let epoch = |position: u64| StorePosition::from(position).epoch;
     known.position > 0 && epoch(position) > epoch(known.position)
@@ -111,7 +110,7 @@
         ListDelta::Full(_) if own_position >= watermark.position => return changes,
         ListDelta::Full(mut entries) => {
             if is_in_later_epoch(watermark.position, log.watermark()) {
-                fleet.prepare_for_older_copy(&mut entries, now_ms);
+                fleet.prepare_for_restored_list(&mut entries, now_ms);
             }
             log.reset(watermark);
             changes = fleet.apply_peer_list(peer, entries, now_ms);
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -38,8 +38,6 @@
 mod load_change;
 mod locate;
 mod node;
-#[cfg(test)]
-mod older_copy_tests;
 mod pacing;
 mod peer;
 mod peer_book;
@@ -68,6 +66,8 @@
 #[cfg(test)]
 mod records_tests;
 mod request;
+#[cfg(test)]
+mod restored_list_tests;
 mod retry_loans;
 #[cfg(test)]
 mod retry_loans_tests;
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -15,6 +15,7 @@
 use self::delegate::delegate_once;
 use super::adapter::{Adapter, ResponseMetadata};
 use super::delegates::Delegate;
+use super::delegation::DelegationReason;
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, close_if_stopping, error_response, instant_at};
@@ -151,29 +152,28 @@
     /// What the next attempt goes to: another instance if this one reaches no endpoints, or none that has not
     /// been tried.
     fn choose_target(&self) -> Option<Target> {
-        let (request, attempts) = (self.request, &self.attempts);
-        let cut_off = self
-            .node
-            .delegate_if_cut_off(request, attempts, &self.tried_delegates);
-        if let Some(delegate) = cut_off {
+        if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff) {
             return Some(Target::Delegate(delegate));
         }
         let picked = pick_replica(
             &self.node.fleet.borrow(),
-            &request.service,
+            &self.request.service,
             &self.node.settings.zone,
-            attempts.excluded(),
+            self.attempts.excluded(),
             boot_ms(),
         );
         if let Some(endpoint) = picked {
             return Some(Target::Endpoint(endpoint));
         }
-        let delegate =
-            self.node
-                .delegate_if_unreachable(request, attempts, &self.tried_delegates)?;
+        let delegate = self.choose_delegate(DelegationReason::NoneUsable)?;
         Some(Target::Delegate(delegate))
     }
 
+    fn choose_delegate(&self, reason: DelegationReason) -> Option<Delegate> {
+        self.node
+            .choose_delegate(reason, self.request, &self.attempts, &self.tried_delegates)
+    }
+
     async fn attempt_at(
         &mut self,
         endpoint: &EndpointId,
--- a/src/relay_server/plain/delegate.rs
+++ b/src/relay_server/plain/delegate.rs
@@ -7,7 +7,7 @@
 use crate::relay::{AttemptOutcome, Attempts};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::delegates::Delegate;
-use crate::relay_server::delegation::{failed, strip_headers};
+use crate::relay_server::delegation::{failed, forwarded_headers};
 use crate::relay_server::headers;
 use crate::relay_server::node::Node;
 use crate::relay_server::request::RelayedRequest;
@@ -39,11 +39,9 @@
     };
     let keep_alive_ms = headers::keep_alive_ms(&head);
     node.delegates.release(body, keep_alive_ms, boot_ms());
-    let mut forwarded = headers::end_to_end_headers(&head.headers);
-    strip_headers(&mut forwarded);
     Ok(CompleteResponse {
         status: head.status,
-        headers: forwarded,
+        headers: forwarded_headers(&head),
         body: buffer.freeze(),
         limit: None,
     })
--- a/src/relay_server/older_copy_tests.rs
+++ b/src/relay_server/restored_list_tests.rs
@@ -1,4 +1,4 @@
-//! Reads of the endpoint list after the store has come back from an older copy.
+//! Reads of the endpoint list after the store was restored from a backup.
 
 use super::adapter::FeedRead;
 use super::list_log::ListLog;
@@ -63,8 +63,8 @@
     reader
 }
 
-/// The list of the older copy, in which both are in service.
-fn older_copy() -> ListingRead {
+/// The list of the backup, in which both are in service.
+fn backup() -> ListingRead {
     ListingRead::full(vec![entry("a", Phase::Live), entry("b", Phase::Live)])
 }
 
@@ -82,7 +82,7 @@
 #[test]
 fn changes_at_lower_versions_are_applied_after_the_store_has_gone_back() {
     let mut reader = reader();
-    reader.read(position(AFTER, 40), older_copy(), 100);
+    reader.read(position(AFTER, 40), backup(), 100);
     reader.read_changes(position(AFTER, 41), vec![entry("a", Phase::Leaving)], 200);
     assert_eq!(reader.phase("a"), Some(Phase::Leaving));
     assert_eq!(reader.phase("b"), Some(Phase::Live));
@@ -91,7 +91,7 @@
 #[test]
 fn an_instance_in_the_earlier_epoch_is_behind_one_in_the_later() {
     let (mut ahead, mut behind) = (reader(), reader());
-    ahead.read(position(AFTER, 40), older_copy(), 100);
+    ahead.read(position(AFTER, 40), backup(), 100);
     ahead.read_changes(position(AFTER, 41), vec![entry("a", Phase::Leaving)], 200);
     let peer = InstanceId::from("ahead");
     let known = behind.log.watermark().position;
@@ -130,20 +130,20 @@
 }
 
 #[test]
-fn an_endpoint_that_was_leaving_is_not_in_service_in_an_older_copy() {
+fn an_endpoint_that_was_leaving_is_not_in_service_in_a_backup() {
     let mut reader = reader();
     reader.read_changes(position(BEFORE, 100), vec![entry("a", Phase::Leaving)], 10);
-    reader.read(position(AFTER, 40), older_copy(), 100);
+    reader.read(position(AFTER, 40), backup(), 100);
     assert_eq!(reader.phase("a"), Some(Phase::Leaving));
     reader.fleet.expire(60_000);
     assert_eq!(reader.phase("a"), Some(Phase::Leaving));
 }
 
 #[test]
-fn an_endpoint_that_was_removed_is_not_in_service_in_an_older_copy_unless_it_stays_listed() {
+fn an_endpoint_that_was_removed_is_not_in_service_in_a_backup_unless_it_stays_listed() {
     let mut reader = reader();
     reader.read_removal(position(BEFORE, 100), "a", 10);
-    reader.read(position(AFTER, 40), older_copy(), 100);
+    reader.read(position(AFTER, 40), backup(), 100);
     assert_eq!(reader.phase("a"), Some(Phase::Leaving));
     reader.fleet.expire(4_000);
     assert_eq!(reader.phase("a"), Some(Phase::Leaving));
@@ -153,30 +153,30 @@
 }
 
 #[test]
-fn an_endpoint_that_an_older_copy_lacks_is_kept_for_a_while() {
+fn an_endpoint_that_a_backup_lacks_is_kept_for_a_while() {
     let mut reader = reader();
-    let copy = ListingRead::full(vec![entry("a", Phase::Live)]);
-    reader.read(position(AFTER, 40), copy, 100);
+    let backup = ListingRead::full(vec![entry("a", Phase::Live)]);
+    reader.read(position(AFTER, 40), backup, 100);
     assert_eq!(reader.phase("b"), Some(Phase::Live));
     reader.fleet.expire(2_400);
     assert_eq!(reader.phase("b"), None);
 }
 
 #[test]
-fn an_endpoint_that_was_listed_again_before_is_in_service_in_an_older_copy() {
+fn an_endpoint_that_was_listed_again_before_is_in_service_in_a_backup() {
     let mut reader = reader();
     reader.read_removal(position(BEFORE, 100), "a", 10);
     reader.read_changes(position(BEFORE, 101), vec![entry("a", Phase::Live)], 20);
-    reader.read(position(AFTER, 40), older_copy(), 100);
+    reader.read(position(AFTER, 40), backup(), 100);
     assert_eq!(reader.phase("a"), Some(Phase::Live));
 }
 
 #[test]
-fn an_endpoint_that_a_peer_reported_leaving_is_not_in_service_in_an_older_copy() {
+fn an_endpoint_that_a_peer_reported_leaving_is_not_in_service_in_a_backup() {
     let mut reader = reader();
     let (peer, a) = (InstanceId::from("peer"), EndpointId::from("a"));
     reader.fleet.apply_leaving_report(&peer, &a, 10);
-    reader.read(position(AFTER, 40), older_copy(), 2_000);
+    reader.read(position(AFTER, 40), backup(), 2_000);
     reader.fleet.expire(2_000);
     assert_eq!(reader.phase("a"), Some(Phase::Leaving));
 }
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -24,6 +24,7 @@
 use self::ending::{LogOnDrop, StreamOutcome};
 use super::adapter::Adapter;
 use super::delegates::Delegate;
+use super::delegation::DelegationReason;
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, instant_at};
@@ -91,7 +92,7 @@
     failure: Option<InitialResponse>,
     /// Whether the log line for the end has been written.
     is_logged: bool,
-    /// Chain of the newest run, for log lines.
+    /// Chain of the newest run, for log lines; `None` if another instance chose it.
     chain: Option<Chain>,
     /// What was known when the newest run was sent.
     send_context: SendContext,
@@ -234,13 +235,14 @@
         if self.attempts.has_started() {
             return self.target_to_resume().await;
         }
-        if let Some(delegate) = self.delegate_if_cut_off() {
+        if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff) {
             return Ok(RunTarget::Delegate(delegate));
         }
         match self.plan_with_capacity().await {
             Ok(chain) => Ok(RunTarget::Chain(chain)),
             Err(cause) => {
-                let delegate = self.delegate_if_unreachable().ok_or(cause)?;
+                let delegate = self.choose_delegate(DelegationReason::NoneUsable);
+                let delegate = delegate.ok_or(cause)?;
                 Ok(RunTarget::Delegate(delegate))
             }
         }
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -10,7 +10,7 @@
 use crate::relay::{AttemptOutcome, StallAction};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::delegates::Delegate;
-use crate::relay_server::delegation::{failed, strip_headers};
+use crate::relay_server::delegation::{DelegationReason, failed, forwarded_headers};
 use crate::relay_server::headers;
 use crate::relay_server::stream_response::InitialResponse;
 use crate::relay_server::upstream::{ResponseBody, UpstreamFailure};
@@ -25,40 +25,33 @@
 where
     A: Adapter,
 {
-    /// The instance that serves the next run, if this one reaches no endpoint.
-    pub(super) fn delegate_if_cut_off(&self) -> Option<Delegate> {
+    /// The instance that serves the next run, if there is `reason` for another one to.
+    pub(super) fn choose_delegate(&self, reason: DelegationReason) -> Option<Delegate> {
         self.node
-            .delegate_if_cut_off(&self.request, &self.attempts, &self.lost_delegates)
-    }
-
-    /// The instance that serves the next run, if there is no chain of endpoints that this one reaches.
-    pub(super) fn delegate_if_unreachable(&self) -> Option<Delegate> {
-        self.node
-            .delegate_if_unreachable(&self.request, &self.attempts, &self.lost_delegates)
+            .choose_delegate(reason, &self.request, &self.attempts, &self.lost_delegates)
     }
 
     /// Whether to leave a silent run for one that another instance serves: this one cannot find out whether
     /// the engines are alive.
     pub(super) fn should_delegate_silent_run(&self, now_ms: u64) -> bool {
-        if self.stall.silence_ms(now_ms) < MAX_SILENCE_MS {
+        let node = &self.node;
+        let service = &self.request.service;
+        let is_cut_off = node.fleet.borrow().reach.is_lost(service);
+        if !is_cut_off || self.stall.silence_ms(now_ms) < MAX_SILENCE_MS {
             return false;
         }
         let Some(trial) = self.attempts.after_abandoning() else {
             return false;
         };
-        let has_delegate = self
-            .node
-            .delegate_if_cut_off(&self.request, &trial, &self.lost_delegates)
-            .is_some();
-        has_delegate
-            && self
-                .node
-                .has_retry(&self.request.service, self.retry_purpose())
+        let (reason, lost) = (DelegationReason::CutOff, &self.lost_delegates);
+        let delegate = node.choose_delegate(reason, &self.request, &trial, lost);
+        delegate.is_some() && node.has_retry(service, self.retry_purpose())
     }
 
     /// Has another instance serve a run, and forwards its events.
     pub(super) async fn run_by_delegate(&mut self, delegate: &Delegate) -> RunOutcome {
         self.attempts.delegation_started(&delegate.instance);
+        self.chain = None;
         self.stall.run_started(boot_ms());
         let max_endpoints = self.attempts.endpoints_left();
         let resume_after = self.splitter.last_id();
@@ -92,11 +85,9 @@
         }
         self.head_ms = Some(boot_ms());
         self.attempts.response_started();
-        let mut forwarded = headers::end_to_end_headers(&head.headers);
-        strip_headers(&mut forwarded);
         let initial = InitialResponse {
             status: head.status,
-            headers: forwarded,
+            headers: forwarded_headers(head),
             body: None,
         };
         if self.start_response(initial).is_err() {
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{Chain, KnownEndpoint};
 use crate::relay::{RefusalCause, ResumeBlocker, RetryPurpose};
 use crate::relay_server::adapter::Adapter;
+use crate::relay_server::delegation::DelegationReason;
 use crate::relay_server::request::instant_at;
 
 /// Interval between two reports of demand for a retry: each counts as demand for a second.
@@ -73,11 +74,11 @@
     }
 
     fn target_with_capacity(&mut self, now_ms: u64) -> Result<RunTarget, ResumeBlocker> {
-        if let Some(delegate) = self.delegate_if_cut_off() {
+        if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff) {
             return Ok(RunTarget::Delegate(delegate));
         }
         let Some(chain) = self.plan(None).or_else(|| self.plan_with_readmitted()) else {
-            let delegate = self.delegate_if_unreachable();
+            let delegate = self.choose_delegate(DelegationReason::NoneUsable);
             return delegate
                 .map(RunTarget::Delegate)
                 .ok_or(ResumeBlocker::Chain);
