Peers are told of endpoints that stay out of service after a restore of the store

Cause: what an instance keeps out of service beside the list was known to itself only.

Now a restored list yields a change for each endpoint that is kept out, with a log line, and those are announced to peers like endpoints that leave. A peer's report overrides the list until 5 s after the restore, as own knowledge does; 1.5 s would have ended 0.2 s before the removal is written again here. Only instances that read the store announce, so no two keep a report alive between them.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -155,6 +155,9 @@
     Leaving(EndpointId),
     /// The endpoint gets new work again after a peer had reported it as leaving.
     LiveAgain(LiveAgain),
+    /// The endpoint had left before the store was restored from a backup that has it in service. It still gets
+    /// no new work.
+    KeptOut(EndpointId),
     /// The endpoint was removed from the list.
     Removed(EndpointId),
     /// The endpoint is treated as removed: its entry expired while the list was unavailable and has
@@ -165,3 +168,13 @@
     /// An entry cannot be used. Reported once for each entry and fault.
     Unusable(UnusableEntry),
 }
+
+impl FleetChange {
+    /// The endpoint that peers must be told is leaving, if there is one.
+    pub fn departed(&self) -> Option<&EndpointId> {
+        match self {
+            Self::Leaving(id) | Self::Removed(id) | Self::KeptOut(id) => Some(id),
+            _ => None,
+        }
+    }
+}
--- a/src/fleet/leaving.rs
+++ b/src/fleet/leaving.rs
@@ -32,31 +32,43 @@
 impl Fleet {
     /// Prepares for the full list of a store that was restored from a backup. The backup may predate that an
     /// endpoint was leaving or removed, as read here or reported by a peer; such an endpoint does not return to
-    /// service. One whose entry had only expired does.
-    pub fn prepare_for_restored_list(&mut self, entries: &mut [ListedEndpoint], now_ms: u64) {
-        self.keep_leaving(entries);
+    /// service. One whose entry had only expired does. Returns a change for each endpoint that is kept out of
+    /// service.
+    pub fn prepare_for_restored_list(
+        &mut self,
+        entries: &mut [ListedEndpoint],
+        now_ms: u64,
+    ) -> Vec<FleetChange> {
+        self.restore_precedence_until_ms = now_ms + RESTORE_PRECEDENCE_MS;
+        let mut kept_out = self.keep_leaving(entries);
         for entry in entries {
             let is_reported = self.leaving_reports.contains_key(&entry.id);
             if is_reported || self.removed.contains_key(&entry.id) {
                 let own_report = LeavingReport {
                     reported_by: None,
                     received_ms: now_ms,
-                    precedence_until_ms: now_ms + RESTORE_PRECEDENCE_MS,
+                    precedence_until_ms: self.restore_precedence_until_ms,
                     listed_live_since: false,
                 };
                 self.leaving_reports.insert(entry.id.clone(), own_report);
+                kept_out.push(entry.id.clone());
             }
         }
+        kept_out.into_iter().map(FleetChange::KeptOut).collect()
     }
 
-    /// Endpoints that the list has shown leaving here stay so.
-    pub(super) fn keep_leaving(&self, entries: &mut [ListedEndpoint]) {
+    /// Endpoints that the list has shown leaving here stay so. Returns those that `entries` had in service.
+    pub(super) fn keep_leaving(&self, entries: &mut [ListedEndpoint]) -> Vec<EndpointId> {
+        let mut kept = Vec::new();
         for entry in entries {
             let known = self.endpoints.get(&entry.id);
-            if known.is_some_and(|it| it.phase_in_list == Phase::Leaving) {
+            let was_leaving = known.is_some_and(|it| it.phase_in_list == Phase::Leaving);
+            if was_leaving && entry.phase == Phase::Live {
                 entry.phase = Phase::Leaving;
+                kept.push(entry.id.clone());
             }
         }
+        kept
     }
 
     /// Records a peer's report that an endpoint is leaving or was removed. Returns whether this
@@ -67,12 +79,13 @@
         id: &EndpointId,
         now_ms: u64,
     ) -> bool {
+        let precedence_until_ms = now_ms + PEER_REPORT_PRECEDENCE_MS;
         self.leaving_reports
             .entry(id.clone())
             .or_insert(LeavingReport {
                 reported_by: Some(peer.clone()),
                 received_ms: now_ms,
-                precedence_until_ms: now_ms + PEER_REPORT_PRECEDENCE_MS,
+                precedence_until_ms: precedence_until_ms.max(self.restore_precedence_until_ms),
                 listed_live_since: false,
             });
         let Some(known) = self.endpoints.get_mut(id) else {
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -45,6 +45,8 @@
     pub(super) leaving_reports: IndexMap<EndpointId, LeavingReport>,
     /// Endpoints that were removed from the list, and when.
     pub(super) removed: IndexMap<EndpointId, u64>,
+    /// Until when knowledge from before the newest restore of the store overrides the list; 0 if there was none.
+    pub(super) restore_precedence_until_ms: u64,
     /// Unusable entries that have been reported.
     unusable: IndexMap<EndpointName, EntryError>,
     /// Rate limits, back-offs and departures announced by endpoints.
--- a/src/relay_server/fleet_lines.rs
+++ b/src/relay_server/fleet_lines.rs
@@ -48,6 +48,9 @@
                 "endpoint is not leaving, contrary to a peer's report"
             );
         }
+        FleetChange::KeptOut(id) => {
+            log::info!(endpoint = id.as_str(); "endpoint left before the store was restored and stays out of service");
+        }
         FleetChange::Removed(id) => {
             log::info!(endpoint = id.as_str(); "endpoint is gone");
         }
--- a/src/relay_server/list_propagation_tests/instance.rs
+++ b/src/relay_server/list_propagation_tests/instance.rs
@@ -18,9 +18,7 @@
 use super::super::store_health::StoreHealth;
 use super::super::test_settings;
 use super::store::Access;
-use crate::fleet::{
-    Fleet, FleetChange, ListingRead, Pacing, Permit, Phase, RateLimitUpdate, pick_replica,
-};
+use crate::fleet::{Fleet, ListingRead, Pacing, Permit, Phase, RateLimitUpdate, pick_replica};
 use crate::ids::{EndpointId, Incarnation, InstanceId, ZoneName};
 use crate::quarantine::Quarantine;
 
@@ -258,7 +256,7 @@
         let (log, fleet) = (&mut self.log, &mut self.fleet);
         let applied = list_sync::apply_read(log, fleet, read, after_outage, sent_ms, now_ms);
         for change in &applied.changes {
-            if let FleetChange::Leaving(id) | FleetChange::Removed(id) = change {
+            if let Some(id) = change.departed() {
                 self.book.announce_leaving(id);
             }
         }
--- a/src/relay_server/list_sync.rs
+++ b/src/relay_server/list_sync.rs
@@ -47,14 +47,15 @@
         };
     }
     let is_restored = is_in_later_epoch(read.position, known);
+    let mut changes = Vec::new();
     if is_restored {
-        fleet.prepare_for_restored_list(&mut read.content.entries, now_ms);
+        changes = fleet.prepare_for_restored_list(&mut read.content.entries, now_ms);
     }
     // What was written shortly before is gone and is written again soon.
     let after_outage = after_outage || is_restored;
     log.record(read.position, &read.content, after_outage);
     let must_notify_peers = log.watermark().last_change != known.last_change;
-    let changes = fleet.apply_read(read.content, after_outage, now_ms);
+    changes.extend(fleet.apply_read(read.content, after_outage, now_ms));
     fleet.confirm(sent_ms);
     AppliedRead {
         changes,
@@ -110,10 +111,10 @@
         ListDelta::Full(_) if own_position >= watermark.position => return changes,
         ListDelta::Full(mut entries) => {
             if is_in_later_epoch(watermark.position, log.watermark()) {
-                fleet.prepare_for_restored_list(&mut entries, now_ms);
+                changes = fleet.prepare_for_restored_list(&mut entries, now_ms);
             }
             log.reset(watermark);
-            changes = fleet.apply_peer_list(peer, entries, now_ms);
+            changes.extend(fleet.apply_peer_list(peer, entries, now_ms));
         }
     }
     log.advance_to(watermark);
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -443,7 +443,7 @@
         self.apply_changes(changes);
         let mut peers = self.peers.borrow_mut();
         for change in changes {
-            if let FleetChange::Leaving(id) | FleetChange::Removed(id) = change {
+            if let Some(id) = change.departed() {
                 peers.announce_leaving(id);
             }
         }
--- a/src/relay_server/restored_list_tests.rs
+++ b/src/relay_server/restored_list_tests.rs
@@ -4,7 +4,7 @@
 use super::list_log::ListLog;
 use super::list_sync::{apply_read, apply_update, observe_peer_watermark, update_since};
 use super::store_position::StorePosition;
-use crate::fleet::{Fleet, ListedEndpoint, ListingRead, Phase};
+use crate::fleet::{Fleet, FleetChange, ListedEndpoint, ListingRead, Phase};
 use crate::ids::{EndpointId, EndpointName, InstanceId, ServiceName, ZoneName};
 
 const BEFORE: u64 = 0;
@@ -180,3 +180,37 @@
     reader.fleet.expire(2_000);
     assert_eq!(reader.phase("a"), Some(Phase::Leaving));
 }
+
+// An instance that starts after an endpoint was removed, and that fetches its list from peers, has never seen the
+// endpoint when a restored list shows it in service.
+#[test]
+fn an_instance_that_never_saw_a_removed_endpoint_keeps_it_out_after_a_restore() {
+    let mut reader = reader();
+    reader.read_removal(position(BEFORE, 100), "a", 10);
+    let read = FeedRead {
+        position: position(AFTER, 40),
+        content: backup(),
+    };
+    let applied = apply_read(&mut reader.log, &mut reader.fleet, read, false, 100, 100);
+    let told: Vec<&EndpointId> = applied
+        .changes
+        .iter()
+        .filter_map(FleetChange::departed)
+        .collect();
+    assert_eq!(told, [&EndpointId::from("a")]);
+
+    let mut started = Reader::default();
+    let only_b = ListingRead::full(vec![entry("b", Phase::Live)]);
+    started.read(position(BEFORE, 100), only_b, 20);
+    started.read(position(AFTER, 40), backup(), 110);
+    let peer = InstanceId::from("peer");
+    for id in told {
+        started.fleet.apply_leaving_report(&peer, id, 120);
+    }
+    started.fleet.confirm(4_900);
+    started.fleet.expire(5_000);
+    assert_eq!(started.phase("a"), Some(Phase::Leaving));
+    started.fleet.confirm(6_000);
+    started.fleet.expire(6_000);
+    assert_eq!(started.phase("a"), Some(Phase::Live));
+}
