Headers between instances are removed where a delegated response arrives; one reader of whole bodies, one word for a refused connection

Found: a failure of an engine that another instance served reached the caller with fescue-delegation-outcome. Plain responses and streams that begin had it removed, failures of streams went another way. The header is now removed once, where the response arrives.

--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -196,8 +196,7 @@
     let report = match result {
         ProbeResult::Healthy(report) => report,
         ProbeResult::NotListening => {
-            node.note_unreachable(id);
-            node.record_failure(id, EndpointFailure::Refused);
+            node.record_refused(id);
             return;
         }
         ProbeResult::Unanswered(probed_ms, SilenceCause::EngineDead) => {
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -13,7 +13,6 @@
 
 use super::adapter::Adapter;
 use super::delegates::Delegate;
-use super::headers;
 use super::node::Node;
 use super::peer_selection::weighted_by_link;
 use super::request::RelayedRequest;
@@ -95,11 +94,15 @@
     NoneUsable,
 }
 
-/// Headers of another instance's response that are forwarded to the caller.
-pub(super) fn forwarded_headers(head: &ResponseHead) -> HeaderMap {
-    let mut forwarded = headers::end_to_end_headers(&head.headers);
-    strip_headers(&mut forwarded);
-    forwarded
+/// A run of a request that another instance serves.
+#[derive(Clone, Copy)]
+pub(super) struct DelegatedRun<'a> {
+    pub(super) request: &'a RelayedRequest,
+    pub(super) delegate: &'a Delegate,
+    /// Maximum number of endpoints on which the request may still run.
+    pub(super) max_endpoints: usize,
+    /// The last event of the stream that the caller has received, if any.
+    pub(super) resume_after: Option<u64>,
 }
 
 /// What became of a request that was passed on.
@@ -192,27 +195,26 @@
         }
     }
 
-    /// Passes a request on and waits for the head of its response. Fails as an attempt at an endpoint does.
+    /// Passes a request on and waits for the head of its response, without what only instances tell one another.
+    /// Fails as an attempt at an endpoint does.
     pub(super) async fn delegate_request(
         &self,
-        request: &RelayedRequest,
-        delegate: &Delegate,
-        max_endpoints: usize,
-        resume_after: Option<u64>,
+        run: DelegatedRun<'_>,
     ) -> Result<(ResponseHead, ResponseBody), AttemptOutcome> {
+        let DelegatedRun {
+            request, delegate, ..
+        } = run;
         log::info!(
             request = request.ask.id.as_str(),
             peer = delegate.instance.as_str(),
             is_cut_off = self.fleet.borrow().reach.is_lost(&request.service),
-            resume_after,
-            max_endpoints,
+            resume_after = run.resume_after,
+            max_endpoints = run.max_endpoints,
             table = request.table.version;
             "request is delegated to another instance"
         );
         self.counters.count("relay.delegations.sent");
-        let result = self
-            .exchange_with_delegate(request, delegate, max_endpoints, resume_after)
-            .await;
+        let result = self.exchange_with_delegate(run).await;
         if let Err(outcome) = &result {
             self.counters.count("relay.delegations.failed");
             log::info!(
@@ -227,27 +229,24 @@
 
     async fn exchange_with_delegate(
         &self,
-        request: &RelayedRequest,
-        delegate: &Delegate,
-        max_endpoints: usize,
-        resume_after: Option<u64>,
+        run: DelegatedRun<'_>,
     ) -> Result<(ResponseHead, ResponseBody), AttemptOutcome> {
-        let sent = self
-            .send_to_delegate(request, delegate, max_endpoints, resume_after)
-            .await;
-        let exchange = sent.map_err(|failure| {
-            self.record_unavailable(&request.service, &delegate.instance);
+        let instance = &run.delegate.instance;
+        let exchange = self.send_to_delegate(run).await.map_err(|failure| {
+            self.record_unavailable(&run.request.service, instance);
             failed(failure)
         })?;
-        let (head, body) = tokio::select! {
+        let (mut head, body) = tokio::select! {
             biased;
             response = exchange.head() => response.map_err(failed)?,
-            () = self.until_unheard(&delegate.instance) => return Err(AttemptOutcome::Lost),
+            () = self.until_unheard(instance) => return Err(AttemptOutcome::Lost),
         };
-        match DelegationOutcome::from_head(&head) {
+        let outcome = DelegationOutcome::from_head(&head);
+        strip_headers(&mut head.headers);
+        match outcome {
             Some(DelegationOutcome::Answered) => Ok((head, body)),
             Some(DelegationOutcome::NotSent) => {
-                self.record_unavailable(&request.service, &delegate.instance);
+                self.record_unavailable(&run.request.service, instance);
                 Err(AttemptOutcome::NotSent)
             }
             Some(DelegationOutcome::TurnedAway) => Err(AttemptOutcome::TurnedAway),
@@ -255,27 +254,22 @@
         }
     }
 
-    async fn send_to_delegate(
-        &self,
-        request: &RelayedRequest,
-        delegate: &Delegate,
-        max_endpoints: usize,
-        resume_after: Option<u64>,
-    ) -> Result<Exchange, UpstreamFailure> {
+    async fn send_to_delegate(&self, run: DelegatedRun<'_>) -> Result<Exchange, UpstreamFailure> {
+        let request = run.request;
         let now_ms = boot_ms();
         let mut head = request.head.clone();
         let timeout_ms = request.remaining_ms(now_ms);
         self.adapter
-            .set_delegation_headers(&mut head.headers, timeout_ms, resume_after);
+            .set_delegation_headers(&mut head.headers, timeout_ms, run.resume_after);
         let delegation = Delegation {
             delegated_by: self.settings.instance.clone(),
             table_version: request.table.version,
-            max_endpoints: u32::try_from(max_endpoints).unwrap_or(u32::MAX),
+            max_endpoints: u32::try_from(run.max_endpoints).unwrap_or(u32::MAX),
         };
         delegation.set_headers(&mut head.headers);
         let body = request.body.clone();
         self.delegates
-            .send(delegate.address, head, body, now_ms, || true)
+            .send(run.delegate.address, head, body, now_ms, || true)
             .await
     }
 
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -15,7 +15,7 @@
 use super::store_calls::StoreCall;
 use crate::clients::call_table;
 use crate::clock::boot_ms;
-use crate::fleet::{EndpointFailure, Phase};
+use crate::fleet::Phase;
 use crate::ids::{EndpointId, ServiceName};
 use crate::lease::{Lease, LeaseEvent, LeaseTiming};
 use crate::placement::{PlacedEngine, PlacementOrder, PlacementPlanner};
@@ -225,8 +225,7 @@
             Err(failure) => {
                 self.placement.order_refused(&order.endpoint, boot_ms());
                 if *failure == OrderFailure::NoListener {
-                    node.note_unreachable(&order.endpoint);
-                    node.record_failure(&order.endpoint, EndpointFailure::Refused);
+                    node.record_refused(&order.endpoint);
                 }
             }
         }
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -8,7 +8,7 @@
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::{Response, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use indexmap::IndexSet;
 use tokio::time::{timeout, timeout_at};
 
@@ -302,8 +302,7 @@
                 }
             }
             Err(UpstreamFailure::NoListener) => {
-                node.note_unreachable(&endpoint);
-                node.record_failure(&endpoint, EndpointFailure::Refused);
+                node.record_refused(&endpoint);
             }
             Err(failure) => {
                 log::debug!(endpoint = endpoint.as_str(), failure:% = failure; "could not determine whether a replica has exited");
@@ -372,17 +371,10 @@
         return failed(UpstreamFailure::Garbled);
     }
     node.apply_pacing(endpoint, facts.pacing);
-    let mut buffer = BytesMut::new();
-    loop {
-        match body.next().await {
-            Ok(Some(bytes)) if buffer.len() + bytes.len() <= MAX_RESPONSE_BYTES => {
-                buffer.extend_from_slice(&bytes);
-            }
-            Ok(Some(_)) => return failed(UpstreamFailure::Garbled),
-            Ok(None) => break,
-            Err(failure) => return failed(failure),
-        }
-    }
+    let content = match body.read_to_end(MAX_RESPONSE_BYTES).await {
+        Ok(content) => content,
+        Err(failure) => return failed(failure),
+    };
     let now_ms = boot_ms();
     let keep_alive_ms = headers::keep_alive_ms(&head);
     node.upstreams.release(body, keep_alive_ms, now_ms);
@@ -399,7 +391,7 @@
     AttemptResult::Response(CompleteResponse {
         status: head.status,
         headers: headers::end_to_end_headers(&head.headers),
-        body: buffer.freeze(),
+        body: content,
         limit: None,
     })
 }
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -13,7 +13,7 @@
 use super::adapter::Adapter;
 use super::node::Node;
 use crate::clock::boot_ms;
-use crate::fleet::{Fleet, KnownEndpoint, ReachChange};
+use crate::fleet::{EndpointFailure, Fleet, KnownEndpoint, ReachChange};
 use crate::ids::{EndpointId, ServiceName};
 
 /// Number of endpoints to connect to in a check. Where a third of the endpoints have failed at once, all of four
@@ -129,6 +129,12 @@
         }
     }
 
+    /// Records that an endpoint refused a connection.
+    pub(super) fn record_refused(&self, endpoint: &EndpointId) {
+        self.note_unreachable(endpoint);
+        self.record_failure(endpoint, EndpointFailure::Refused);
+    }
+
     /// Records that a connection to an endpoint was attempted at `started_ms` and established.
     pub(super) fn note_connected(&self, endpoint: &EndpointId, started_ms: u64) {
         if let Some(service) = self.service_of(endpoint) {
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 
 use actix_http::ResponseHead;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use indexmap::IndexSet;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout_at;
@@ -269,17 +269,11 @@
         if is_misleading {
             return None;
         }
-        let mut buffer = BytesMut::new();
-        while let Some(bytes) = body.next().await.ok()? {
-            if buffer.len() + bytes.len() > MAX_FAILURE_BYTES {
-                return None;
-            }
-            buffer.extend_from_slice(&bytes);
-        }
+        let content = body.read_to_end(MAX_FAILURE_BYTES).await.ok()?;
         Some(InitialResponse {
             status: head.status,
             headers: headers::end_to_end_headers(&head.headers),
-            body: Some(buffer.freeze()),
+            body: Some(content),
         })
     }
 
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -10,7 +10,7 @@
 use crate::relay::{AttemptOutcome, StallAction};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::delegates::Delegate;
-use crate::relay_server::delegation::{DelegationReason, failed, forwarded_headers};
+use crate::relay_server::delegation::{DelegatedRun, DelegationReason, failed};
 use crate::relay_server::headers;
 use crate::relay_server::stream_response::InitialResponse;
 use crate::relay_server::upstream::{ResponseBody, UpstreamFailure};
@@ -53,12 +53,13 @@
         self.attempts.delegation_started(&delegate.instance);
         self.chain = None;
         self.stall.run_started(boot_ms());
-        let max_endpoints = self.attempts.endpoints_left();
-        let resume_after = self.splitter.last_id();
-        let response = self
-            .node
-            .delegate_request(&self.request, delegate, max_endpoints, resume_after)
-            .await;
+        let run = DelegatedRun {
+            request: &self.request,
+            delegate,
+            max_endpoints: self.attempts.endpoints_left(),
+            resume_after: self.splitter.last_id(),
+        };
+        let response = self.node.delegate_request(run).await;
         let outcome = match response {
             Ok((head, body)) => self.forward_delegated(delegate, &head, body).await,
             Err(outcome) => RunOutcome::DelegateFailed(outcome),
@@ -87,7 +88,7 @@
         self.attempts.response_started();
         let initial = InitialResponse {
             status: head.status,
-            headers: forwarded_headers(head),
+            headers: headers::end_to_end_headers(&head.headers),
             body: None,
         };
         if self.start_response(initial).is_err() {
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -306,6 +306,18 @@
 }
 
 impl ResponseBody {
+    /// Reads the rest of the body. One of more than `max_bytes` counts as garbled.
+    pub(crate) async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, UpstreamFailure> {
+        let mut buffer = BytesMut::new();
+        while let Some(bytes) = self.next().await? {
+            if buffer.len() + bytes.len() > max_bytes {
+                return Err(UpstreamFailure::Garbled);
+            }
+            buffer.extend_from_slice(&bytes);
+        }
+        Ok(buffer.freeze())
+    }
+
     /// The next bytes; `None` once the body is complete.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, UpstreamFailure> {
         match &mut self.state {
