An endpoint that stays out of service after a restore is reported once

An endpoint that both the list and a peer had shown leaving was in the changes twice: two log lines and two entries for the queue of announcements, which sends it once. The new test failed before, with two changes.

--- a/src/fleet/leaving.rs
+++ b/src/fleet/leaving.rs
@@ -1,6 +1,8 @@
 //! Endpoints that are leaving or were removed, as known beside the present list: from peers, which may have read
 //! it first, and from before the store was restored from a backup.
 
+use indexmap::IndexSet;
+
 use super::listing::LIFETIME_RETENTION_MS;
 use super::{
     Fleet, FleetChange, InfoSource, ListedEndpoint, LiveAgain, LiveReason, Phase, Provenance,
@@ -40,7 +42,7 @@
         now_ms: u64,
     ) -> Vec<FleetChange> {
         self.restore_precedence_until_ms = now_ms + RESTORE_PRECEDENCE_MS;
-        let mut kept_out = self.keep_leaving(entries);
+        let mut kept_out: IndexSet<EndpointId> = self.keep_leaving(entries).into_iter().collect();
         for entry in entries {
             let is_reported = self.leaving_reports.contains_key(&entry.id);
             if is_reported || self.removed.contains_key(&entry.id) {
@@ -51,13 +53,13 @@
                     listed_live_since: false,
                 };
                 self.leaving_reports.insert(entry.id.clone(), own_report);
-                kept_out.push(entry.id.clone());
+                kept_out.insert(entry.id.clone());
             }
         }
         kept_out.into_iter().map(FleetChange::KeptOut).collect()
     }
 
-    /// Endpoints that the list has shown leaving here stay so. Returns those that `entries` had in service.
+    /// Keeps endpoints leaving that the list has shown leaving here. Returns those that `entries` had in service.
     pub(super) fn keep_leaving(&self, entries: &mut [ListedEndpoint]) -> Vec<EndpointId> {
         let mut kept = Vec::new();
         for entry in entries {
--- a/src/relay_server/restored_list_tests.rs
+++ b/src/relay_server/restored_list_tests.rs
@@ -214,3 +214,16 @@
     started.fleet.expire(6_000);
     assert_eq!(started.phase("a"), Some(Phase::Live));
 }
+
+#[test]
+fn an_endpoint_that_the_list_and_a_peer_showed_leaving_is_kept_out_once() {
+    let mut reader = reader();
+    let a = EndpointId::from("a");
+    reader
+        .fleet
+        .apply_leaving_report(&InstanceId::from("peer"), &a, 10);
+    reader.read_changes(position(BEFORE, 100), vec![entry("a", Phase::Leaving)], 20);
+    let mut entries = backup().entries;
+    let kept_out = reader.fleet.prepare_for_restored_list(&mut entries, 100);
+    assert_eq!(kept_out, [FleetChange::KeptOut(a)]);
+}
