--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use actix_web::http::Method;
-use actix_web::http::header::{CONTENT_TYPE, ETAG, HeaderMap, HeaderName, HeaderValue};
+use actix_web::http::header::{AsHeaderName, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
@@ -82,16 +82,22 @@
 pub struct HttpReply {
     /// Status code.
     pub status: u16,
-    /// Value of the `Content-Type` header.
-    pub content_type: Option<String>,
-    /// Value of the `ETag` header.
-    pub etag: Option<String>,
-    /// All headers.
+    /// Headers.
     pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
 }
 
+impl HttpReply {
+    /// Value of a header; `None` if it is absent or not text.
+    pub fn header<N>(&self, name: N) -> Option<&str>
+    where
+        N: AsHeaderName,
+    {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
 /// A response whose body has not been read yet.
 pub(crate) type HttpStream = ClientResponse;
 
@@ -259,14 +265,7 @@
     }
     Ok(HttpReply {
         status: response.status().as_u16(),
-        content_type: header(&response, &CONTENT_TYPE),
-        etag: header(&response, &ETAG),
         headers: response.headers().clone(),
         body: body.freeze(),
     })
 }
-
-fn header(response: &HttpStream, name: &HeaderName) -> Option<String> {
-    let value = response.headers().get(name)?;
-    value.to_str().ok().map(str::to_owned)
-}
--- a/src/clients/instances.rs
+++ b/src/clients/instances.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::future::Future;
 
-use actix_web::http::header::IF_NONE_MATCH;
+use actix_web::http::header::{ETAG, IF_NONE_MATCH};
 
 use super::InstanceListFailure;
 use super::http::{HttpCall, HttpPeer};
@@ -63,7 +63,8 @@
             200 => {
                 let list = serde_json::from_slice(&reply.body);
                 let list = list.map_err(|_| InstanceListFailure::Malformed)?;
-                self.etag.replace(reply.etag);
+                let etag = reply.header(ETAG).map(str::to_owned);
+                self.etag.replace(etag);
                 Ok(Some(list))
             }
             304 if known_etag.is_some() => Ok(None),
--- a/src/gateway/application_call.rs
+++ b/src/gateway/application_call.rs
@@ -96,7 +96,7 @@
         .await?;
     Ok(ApplicationReply {
         status: reply.status,
-        content_type: reply.content_type,
+        content_type: reply.header(CONTENT_TYPE).map(str::to_owned),
         body: reply.body.to_vec(),
     })
 }
