--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -170,7 +170,7 @@
 }
 
 impl FleetChange {
-    /// The endpoint that peers must be told is leaving, if there is one.
+    /// The endpoint to announce to peers as leaving, if the change requires that.
     pub fn departed(&self) -> Option<&EndpointId> {
         match self {
             Self::Leaving(id) | Self::Removed(id) | Self::KeptOut(id) => Some(id),
--- a/src/relay_server/delegates.rs
+++ b/src/relay_server/delegates.rs
@@ -1,4 +1,4 @@
-//! Selects the instances that serve requests in place of one that is partitioned from the endpoints.
+//! Selects the instances to which one that is partitioned from the endpoints delegates requests.
 
 use std::net::SocketAddr;
 
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -1,8 +1,9 @@
-//! Requests that an instance passes on to another one, since it reaches no endpoint that can run them.
+//! Requests that an instance delegates to another one because it reaches no endpoint that can run them.
 //!
 //! The other instance serves such a request as its own: it chooses endpoints, and its retries, rate limits and
 //! back-offs apply. The instance that has the caller counts the request, keeps its deadline, and cancels it by
-//! closing the connection. A request is passed on once only, so that it cannot go to and fro.
+//! closing the connection. A request is delegated only once, so that two
+//! instances cannot pass it to each other repeatedly.
 
 use std::time::Duration;
 
@@ -21,19 +22,19 @@
 use crate::ids::{InstanceId, ServiceName};
 use crate::relay::{AttemptOutcome, Attempts, FinalError};
 
-/// Name of the instance that passes a request on.
+/// Name of the instance that delegates a request.
 const DELEGATED_BY: HeaderName = HeaderName::from_static("fescue-delegated-by");
 /// Version of the route table that it has applied to the request.
 const TABLE_VERSION: HeaderName = HeaderName::from_static("fescue-table-version");
 /// Maximum number of endpoints on which the request may still run.
 const MAX_ENDPOINTS: HeaderName = HeaderName::from_static("fescue-max-endpoints");
-/// What became of a request that was passed on.
+/// Outcome of the request.
 const OUTCOME: HeaderName = HeaderName::from_static("fescue-delegation-outcome");
 
 /// Interval between checks whether the other instance is still heard.
 const HEARTBEAT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// What an instance tells about a request that it passes on.
+/// Metadata of a delegated request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Delegation {
     pub(super) delegated_by: InstanceId,
@@ -77,14 +78,14 @@
     head.headers.contains_key(DELEGATED_BY)
 }
 
-/// Removes what only instances tell one another.
+/// Removes the headers that are used only between instances.
 pub(super) fn strip_headers(headers: &mut HeaderMap) {
     for name in [DELEGATED_BY, TABLE_VERSION, MAX_ENDPOINTS, OUTCOME] {
         headers.remove(name);
     }
 }
 
-/// Why a request is passed on.
+/// Why a request is delegated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DelegationReason {
     /// This instance reaches no endpoint of the service.
@@ -105,7 +106,7 @@
     pub(super) resume_after: Option<u64>,
 }
 
-/// What became of a request that was passed on.
+/// Outcome of a delegated request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DelegationOutcome {
     /// The response is final.
@@ -135,13 +136,13 @@
         }
     }
 
-    /// What a response tells, if it tells any of this.
+    /// Reads the outcome from the head of a response, if it has one.
     fn from_head(head: &ResponseHead) -> Option<Self> {
         let text = head.headers.get(OUTCOME)?.to_str().ok()?;
         Self::ALL.into_iter().find(|it| it.as_str() == text)
     }
 
-    /// What a response of this instance means.
+    /// The outcome that a response of this instance represents.
     fn of_response<B>(response: &Response<B>) -> Self {
         match response.extensions().get::<FinalError>() {
             None => Self::Answered,
@@ -152,7 +153,7 @@
     }
 }
 
-/// Tells the instance that has passed a request on what became of it.
+/// Adds the outcome to the response to the instance that delegated the request.
 pub(super) fn set_outcome<B>(response: &mut Response<B>) {
     let outcome = DelegationOutcome::of_response(response);
     let value = HeaderValue::from_static(outcome.as_str());
@@ -195,8 +196,8 @@
         }
     }
 
-    /// Passes a request on and waits for the head of its response, without what only instances tell one another.
-    /// Fails as an attempt at an endpoint does.
+    /// Passes a request on and waits for the head of its response, without headers that are used only between
+    /// instances. Fails as an attempt at an endpoint does.
     pub(super) async fn delegate_request(
         &self,
         run: DelegatedRun<'_>,
--- a/src/relay_server/locate.rs
+++ b/src/relay_server/locate.rs
@@ -25,10 +25,15 @@
 /// same at all instances, so that callers use few of them, and these few connections to engines.
 pub(super) type CandidateRank<'a> = (bool, Reverse<u32>, &'a InstanceId);
 
-/// Addresses for a caller in `zone`: instances that serve every request, reach endpoints and receive changes of
-/// the store promptly; failing that, those that serve every request and reach endpoints; failing that, the same
-/// two without reach, as while all endpoints of a service are down; failing that, those that are open. An instance that gets neither the store's answers nor those of a reader in its zone
-/// learns of changes a second later.
+/// Addresses for a caller in `zone`, of the first of these levels that any instance meets:
+///
+/// 1. ready, reaches the endpoints of every service, and receives changes of the store promptly,
+/// 2. ready and reaches the endpoints,
+/// 3. ready and receives changes promptly; no instance reaches the endpoints of a service that is down,
+/// 4. ready,
+/// 5. open.
+///
+/// An instance that receives changes neither from the store nor from a reader in its zone is a second late.
 pub(super) fn addresses_for(zone: &ZoneName, candidates: &[Candidate<'_>]) -> Vec<SocketAddr> {
     let levels: [fn(Availability) -> bool; 5] = [
         |it| it.is_current() && it.reaches_endpoints,
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -229,7 +229,7 @@
         self.ranks_first(|peer| peer.availability.may_lead(), now_ms)
     }
 
-    /// The same among those that reach the engines of a service.
+    /// Like [`Self::is_preferred_leader`], among the instances that reach the engines of a service.
     pub(crate) fn is_preferred_leader_for(&self, service: &ServiceName, now_ms: u64) -> bool {
         let may_lead =
             |peer: &Peer| peer.availability.may_lead() && !peer.unreached.contains(service);
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -101,7 +101,8 @@
     false
 }
 
-/// Addresses of a few endpoints of a service, evenly spaced in the list; first of those that count as healthy.
+/// Addresses of a few endpoints of a service, evenly spaced in the list. Unhealthy ones are tried only if none is
+/// healthy.
 fn addresses_to_try(fleet: &Fleet, service: &ServiceName, random: u64) -> Vec<SocketAddr> {
     let (healthy, others): (Vec<&KnownEndpoint>, Vec<&KnownEndpoint>) = fleet
         .of_service(service)
