Log lines of runs name the shared parts of a request's prompt

The lines of an incident in which engine after engine ended could not show whether the requests that ended them shared a part of their prompts: 'run failed', 'attempt failed', 'stream ended' and the lines on plain requests have 'prompt_parts' now, keyed digests like that of the request. No decision changes.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -64,6 +64,10 @@
     /// The name under which a platform lists an endpoint. A restarted process may keep its name.
     EndpointName
 }
+string_id! {
+    /// A part of a prompt. Requests whose prompts share a part name it by the same id.
+    PromptPartId
+}
 string_id! {
     /// An availability zone.
     ZoneName
--- a/src/quarantine/cleared.rs
+++ b/src/quarantine/cleared.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use super::RequestDigest;
+use super::FeatureDigest;
 
 /// Maximum number of requests in a generation. A request that is sent often is recorded again; one
 /// of thousands that was sent only once is dropped with its generation.
@@ -16,14 +16,14 @@
 /// dropped as a whole, so that no sorting is needed.
 #[derive(Debug, Default)]
 pub(super) struct Cleared {
-    newer: IndexMap<RequestDigest, u64>,
-    older: IndexMap<RequestDigest, u64>,
+    newer: IndexMap<FeatureDigest, u64>,
+    older: IndexMap<FeatureDigest, u64>,
     since_ms: u64,
 }
 
 impl Cleared {
     /// Records that an endpoint survived a request at `at_ms`.
-    pub(super) fn record(&mut self, digest: RequestDigest, at_ms: u64, now_ms: u64) {
+    pub(super) fn record(&mut self, digest: FeatureDigest, at_ms: u64, now_ms: u64) {
         let is_full = self.newer.len() >= GENERATION_CAPACITY;
         if is_full || now_ms >= self.since_ms + GENERATION_TTL_MS {
             self.older = mem::take(&mut self.newer);
@@ -34,7 +34,7 @@
     }
 
     /// When an endpoint last survived a request, if that is still known.
-    pub(super) fn at_ms(&self, digest: &RequestDigest) -> Option<u64> {
+    pub(super) fn at_ms(&self, digest: &FeatureDigest) -> Option<u64> {
         let newer = self.newer.get(digest);
         newer.or_else(|| self.older.get(digest)).copied()
     }
--- a/src/quarantine/digest.rs
+++ b/src/quarantine/digest.rs
@@ -1,4 +1,5 @@
-//! Keyed digests that identify a request when it is sent again, with another id or to another instance.
+//! Keyed digests of what requests have in common: the whole request, when it is sent again with another id
+//! or to another instance, and parts of prompts.
 
 use std::fmt;
 
@@ -6,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use crate::ids::AccountId;
+use crate::ids::{AccountId, PromptPartId};
 
 /// Length of a key.
 const KEY_BYTES: usize = 32;
@@ -14,6 +15,9 @@
 const DIGEST_BYTES: usize = 16;
 /// Number of leading bytes of a digest that log lines show.
 const LOGGED_BYTES: usize = 8;
+/// Input that precedes the id of a prompt part. It is not valid as the length of an account's name, so the
+/// digest of a part never equals that of a request.
+const PROMPT_PART_TAG: u64 = u64::MAX;
 
 /// The parts that identify a request. Its id and timeout are not among them, since they change with
 /// each attempt; nor is the last event that the caller has, since a resumed stream is the same request.
@@ -36,9 +40,9 @@
 #[derive(Clone, PartialEq, Eq)]
 pub struct DigestKey([u8; KEY_BYTES]);
 
-/// A keyed digest of a request.
+/// A keyed digest of a feature that requests may share: a whole request, or a part of a prompt.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct RequestDigest([u8; DIGEST_BYTES]);
+pub struct FeatureDigest([u8; DIGEST_BYTES]);
 
 impl DigestKey {
     /// Generates a random key.
@@ -62,9 +66,18 @@
         hex::encode(self.0)
     }
 
+    /// Computes the digest of a part of a prompt, which is the same in all requests; `None` as for
+    /// [`Self::digest`].
+    pub fn prompt_part_digest(&self, part: &PromptPartId) -> Option<FeatureDigest> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).ok()?;
+        mac.update(&PROMPT_PART_TAG.to_le_bytes());
+        mac.update(part.as_str().as_bytes());
+        FeatureDigest::from_mac(mac)
+    }
+
     /// Computes the digest of a request; `None` if the MAC rejects the key, which does not happen for
     /// keys of this length.
-    pub fn digest(&self, parts: &RequestParts<'_>) -> Option<RequestDigest> {
+    pub fn digest(&self, parts: &RequestParts<'_>) -> Option<FeatureDigest> {
         let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).ok()?;
         let account = parts.account.map_or("", AccountId::as_str);
         // An account's name is never empty, so an empty one stands for a request without an account.
@@ -74,9 +87,7 @@
             mac.update(part.as_bytes());
         }
         mac.update(parts.body);
-        let tag = mac.finalize().into_bytes();
-        let digest = tag.first_chunk::<DIGEST_BYTES>()?;
-        Some(RequestDigest(*digest))
+        FeatureDigest::from_mac(mac)
     }
 }
 
@@ -86,7 +97,13 @@
     }
 }
 
-impl RequestDigest {
+impl FeatureDigest {
+    fn from_mac(mac: Hmac<Sha256>) -> Option<Self> {
+        let tag = mac.finalize().into_bytes();
+        let digest = tag.first_chunk::<DIGEST_BYTES>()?;
+        Some(Self(*digest))
+    }
+
     /// Formats the full digest as hexadecimal digits.
     pub fn to_hex(self) -> String {
         hex::encode(self.0)
@@ -100,13 +117,13 @@
 }
 
 /// Formats the leading bytes of the digest, which are enough for log lines.
-impl fmt::Display for RequestDigest {
+impl fmt::Display for FeatureDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&hex::encode(&self.0[..LOGGED_BYTES]))
     }
 }
 
-impl fmt::Debug for RequestDigest {
+impl fmt::Debug for FeatureDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(self, f)
     }
--- a/src/quarantine/digest_tests.rs
+++ b/src/quarantine/digest_tests.rs
@@ -4,14 +4,14 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::{DigestKey, RequestDigest, RequestParts};
+use super::{DigestKey, FeatureDigest, RequestParts};
 use crate::ids::AccountId;
 
 fn key(seed: u64) -> DigestKey {
     DigestKey::generate(&mut SmallRng::seed_from_u64(seed))
 }
 
-fn digest_of(account: Option<&str>, path: &str, body: &[u8]) -> RequestDigest {
+fn digest_of(account: Option<&str>, path: &str, body: &[u8]) -> FeatureDigest {
     let account = account.map(AccountId::from);
     let parts = RequestParts {
         account: account.as_ref(),
@@ -58,8 +58,8 @@
     assert_eq!(DigestKey::from_hex(&key(1).to_hex()), Some(key(1)));
     assert_eq!(DigestKey::from_hex("abcd"), None);
     let digest = digest_of(None, "/", b"");
-    assert_eq!(RequestDigest::from_hex(&digest.to_hex()), Some(digest));
-    assert_eq!(RequestDigest::from_hex("zz"), None);
+    assert_eq!(FeatureDigest::from_hex(&digest.to_hex()), Some(digest));
+    assert_eq!(FeatureDigest::from_hex("zz"), None);
 }
 
 proptest! {
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::RequestDigest;
+use super::FeatureDigest;
 use crate::ids::EndpointId;
 
 /// Progress of a run that may have crashed its endpoint.
@@ -58,7 +58,7 @@
 /// Report of an instance that a request was starting to run at an endpoint when it terminated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CrashReport {
-    pub(crate) digest: RequestDigest,
+    pub(crate) digest: FeatureDigest,
     pub(crate) endpoint: EndpointId,
     pub(crate) stage: RunStage,
     /// Time since the endpoint terminated.
@@ -68,7 +68,7 @@
 /// Report of an instance that an endpoint survived a suspected request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ClearanceReport {
-    pub(crate) digest: RequestDigest,
+    pub(crate) digest: FeatureDigest,
     /// Time since this was observed.
     pub(crate) age_ms: u32,
 }
--- /dev/null
+++ b/src/quarantine/features.rs
@@ -0,0 +1,36 @@
+//! The features of a request that may crash endpoints.
+
+use super::FeatureDigest;
+
+/// What a request may have in common with others: that it is the same request, or shares parts of its
+/// prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestFeatures {
+    /// The whole request, which is the same each time it is sent.
+    pub request: FeatureDigest,
+    /// Parts of its prompt that other requests may share, without duplicates.
+    pub prompt_parts: Vec<FeatureDigest>,
+}
+
+impl RequestFeatures {
+    /// All features.
+    pub fn iter(&self) -> impl Iterator<Item = &FeatureDigest> {
+        std::iter::once(&self.request).chain(&self.prompt_parts)
+    }
+
+    /// Formats the prompt parts for log lines, separated by commas.
+    pub fn prompt_parts_label(&self) -> String {
+        let labels: Vec<String> = self.prompt_parts.iter().map(ToString::to_string).collect();
+        labels.join(",")
+    }
+}
+
+/// The features of a request without shared prompt parts.
+impl From<FeatureDigest> for RequestFeatures {
+    fn from(request: FeatureDigest) -> Self {
+        Self {
+            request,
+            prompt_parts: Vec::new(),
+        }
+    }
+}
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -6,7 +6,7 @@
 use super::cleared::Cleared;
 use super::pending::{BrokenRun, PendingRuns};
 use super::verdict::{CRASHES_TO_WITHHOLD, Crash, Crashes, withheld};
-use super::{ClearanceReport, CrashReport, EndpointLiveness, RequestDigest, RunStage};
+use super::{ClearanceReport, CrashReport, EndpointLiveness, FeatureDigest, RunStage};
 use crate::dissemination::Rotation;
 use crate::ids::EndpointId;
 
@@ -42,16 +42,16 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum QuarantineChange {
     /// A request is withheld from now on, because these endpoints have crashed under it.
-    Withheld(RequestDigest, Vec<EndpointId>),
+    Withheld(FeatureDigest, Vec<EndpointId>),
     /// A request is no longer withheld.
-    Released(RequestDigest),
+    Released(FeatureDigest),
 }
 
 /// An update that is still to be sent to peers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Update {
-    Crash(RequestDigest, EndpointId),
-    Cleared(RequestDigest),
+    Crash(FeatureDigest, EndpointId),
+    Cleared(FeatureDigest),
 }
 
 /// The evidence in one heartbeat to peers.
@@ -78,9 +78,9 @@
     pending: PendingRuns,
     /// The request with the fewest crashes is evicted first; among equals, the one whose newest crash
     /// is oldest.
-    suspects: IndexMap<RequestDigest, Crashes>,
+    suspects: IndexMap<FeatureDigest, Crashes>,
     cleared: Cleared,
-    withheld: IndexMap<RequestDigest, Vec<EndpointId>>,
+    withheld: IndexMap<FeatureDigest, Vec<EndpointId>>,
     updates: IndexMap<Update, u8>,
     /// Position in the rotation of reminders.
     reminder_rotation: Rotation,
@@ -88,7 +88,7 @@
 
 impl Quarantine {
     /// Whether a request may be sent.
-    pub(crate) fn status(&self, digest: &RequestDigest, now_ms: u64) -> QuarantineStatus {
+    pub(crate) fn status(&self, digest: &FeatureDigest, now_ms: u64) -> QuarantineStatus {
         if self.withheld.contains_key(digest) {
             return QuarantineStatus::Withheld;
         }
@@ -121,7 +121,7 @@
     /// has terminated.
     pub(crate) fn record_broken_run(
         &mut self,
-        digest: RequestDigest,
+        digest: FeatureDigest,
         endpoint: &EndpointId,
         stage: RunStage,
         now_ms: u64,
@@ -158,7 +158,7 @@
 
     /// Records that an endpoint survived a request: the response was complete, or a run has passed its
     /// startup phase. Such a request does not crash every endpoint that runs it.
-    pub(crate) fn clear(&mut self, digest: RequestDigest, now_ms: u64) -> Vec<QuarantineChange> {
+    pub(crate) fn clear(&mut self, digest: FeatureDigest, now_ms: u64) -> Vec<QuarantineChange> {
         self.cleared.record(digest, now_ms, now_ms);
         if self.suspects.swap_remove(&digest).is_none() {
             return Vec::new();
@@ -250,7 +250,7 @@
     }
 
     fn reminders(&mut self, now_ms: u64) -> Vec<CrashReport> {
-        let all: Vec<(&RequestDigest, &EndpointId)> = self
+        let all: Vec<(&FeatureDigest, &EndpointId)> = self
             .withheld
             .iter()
             .flat_map(|(digest, endpoints)| {
@@ -267,7 +267,7 @@
 
     fn crash_report(
         &self,
-        digest: &RequestDigest,
+        digest: &FeatureDigest,
         endpoint: &EndpointId,
         now_ms: u64,
     ) -> Option<CrashReport> {
@@ -289,7 +289,7 @@
     /// Records a crash. Returns whether it adds to the evidence: another endpoint, or a run that had done
     /// less. Of several runs of a request at one endpoint, the one that had done least counts, in
     /// whichever order they are reported.
-    fn record_crash(&mut self, digest: RequestDigest, endpoint: &EndpointId, crash: Crash) -> bool {
+    fn record_crash(&mut self, digest: FeatureDigest, endpoint: &EndpointId, crash: Crash) -> bool {
         if self.cleared.at_ms(&digest).is_some() {
             return false;
         }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -13,14 +13,16 @@
 mod evidence;
 #[cfg(test)]
 mod false_positive_tests;
+mod features;
 mod ledger;
 mod pending;
 #[cfg(test)]
 mod tests;
 mod verdict;
 
-pub use digest::{DigestKey, RequestDigest, RequestParts};
+pub use digest::{DigestKey, FeatureDigest, RequestParts};
 pub(crate) use evidence::{ClearanceReport, CrashReport, EndpointLiveness, RunStage};
+pub use features::RequestFeatures;
 pub(crate) use ledger::{
     EVIDENCE_TTL_MS, EvidenceReport, Quarantine, QuarantineChange, QuarantineStatus,
 };
--- a/src/quarantine/pending.rs
+++ b/src/quarantine/pending.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::{EndpointLiveness, RequestDigest, RunStage};
+use super::{EndpointLiveness, FeatureDigest, RunStage};
 use crate::ids::EndpointId;
 
 /// How long a run is kept until its endpoint turns out to have terminated. A refused connection shows
@@ -22,12 +22,12 @@
 /// Runs that broke off, by request and endpoint.
 #[derive(Debug, Default)]
 pub(super) struct PendingRuns {
-    runs: IndexMap<(RequestDigest, EndpointId), BrokenRun>,
+    runs: IndexMap<(FeatureDigest, EndpointId), BrokenRun>,
 }
 
 impl PendingRuns {
     /// Records a run; of several runs of one request at one endpoint, the first one counts.
-    pub(super) fn record(&mut self, digest: RequestDigest, endpoint: &EndpointId, run: BrokenRun) {
+    pub(super) fn record(&mut self, digest: FeatureDigest, endpoint: &EndpointId, run: BrokenRun) {
         if self.runs.len() >= MAX_RUNS {
             self.runs.shift_remove_index(0);
         }
@@ -40,7 +40,7 @@
         &mut self,
         now_ms: u64,
         liveness: F,
-    ) -> Vec<(RequestDigest, EndpointId, BrokenRun)>
+    ) -> Vec<(FeatureDigest, EndpointId, BrokenRun)>
     where
         F: Fn(&EndpointId, u64) -> EndpointLiveness,
     {
@@ -61,7 +61,7 @@
     /// Endpoints at which a request broke off within the last `HOLD_BACK_MS`.
     pub(super) fn recent_endpoints(
         &self,
-        digest: &RequestDigest,
+        digest: &FeatureDigest,
         now_ms: u64,
     ) -> impl Iterator<Item = &EndpointId> {
         let recent = self
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -4,17 +4,17 @@
 
 use super::ledger::EVIDENCE_TTL_MS;
 use super::{
-    CrashReport, EndpointLiveness, EvidenceReport, Quarantine, QuarantineChange, QuarantineStatus,
-    RequestDigest, RunStage,
+    CrashReport, EndpointLiveness, EvidenceReport, FeatureDigest, Quarantine, QuarantineChange,
+    QuarantineStatus, RunStage,
 };
 use crate::ids::EndpointId;
 
 /// Time since the response's head of a run that has just started.
 const STARTED: Option<u64> = Some(60);
 
-pub(super) fn digest(number: u64) -> RequestDigest {
+pub(super) fn digest(number: u64) -> FeatureDigest {
     let text = format!("{number:032x}");
-    RequestDigest::from_hex(&text).expect("it has the length of a digest")
+    FeatureDigest::from_hex(&text).expect("it has the length of a digest")
 }
 
 pub(super) fn endpoint(number: usize) -> EndpointId {
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{RequestDigest, RunStage};
+use super::{FeatureDigest, RunStage};
 use crate::ids::EndpointId;
 
 /// Number of crashes under a request at which it is withheld. Two may be coincidence when a zone loses
@@ -27,9 +27,9 @@
 /// The crashes that it explains do not count against any other request, since a crashing endpoint breaks
 /// off all its runs. So a bystander of a crashing request is released once that request is known. The
 /// result depends only on the evidence: instances with the same evidence agree.
-pub(super) fn withheld<'a, I>(suspects: I) -> IndexMap<RequestDigest, Vec<EndpointId>>
+pub(super) fn withheld<'a, I>(suspects: I) -> IndexMap<FeatureDigest, Vec<EndpointId>>
 where
-    I: Iterator<Item = (&'a RequestDigest, &'a Crashes)> + Clone,
+    I: Iterator<Item = (&'a FeatureDigest, &'a Crashes)> + Clone,
 {
     let mut explained: IndexSet<&EndpointId> = IndexSet::new();
     let mut chosen = IndexMap::new();
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -9,7 +9,7 @@
 
 use crate::clients::TableService;
 use crate::fleet::{Chain, ListingRead, Pacing};
-use crate::ids::{AccountId, EndpointName, ZoneName};
+use crate::ids::{AccountId, EndpointName, PromptPartId, ZoneName};
 use crate::route_table::{RouteTable, TableWithSource};
 use crate::wire::engine::LayerRange;
 
@@ -42,6 +42,8 @@
     pub max_response_tokens: Option<u64>,
     /// The caller's estimate of the number of tokens in the response.
     pub response_tokens_hint: Option<u64>,
+    /// Parts of the prompt that other requests may share, in order. Implementations limit their number.
+    pub shared_prompt_parts: Vec<PromptPartId>,
 }
 
 /// Why the metadata in a request's head is invalid.
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -181,7 +181,7 @@
         Ok(body) => body,
         Err(status) => return status_response(node, status),
     };
-    let digest = node.request_digest(&RequestParts {
+    let parts = RequestParts {
         account: resolved.account.as_ref(),
         method: request.method().as_str(),
         host: host_of(request.head()),
@@ -190,10 +190,11 @@
             .path_and_query()
             .map_or("", PathAndQuery::as_str),
         body: &body,
-    });
+    };
+    let features = node.request_features(&parts, &resolved.ask.shared_prompt_parts);
     let relayed = RelayedRequest {
         body,
-        digest,
+        features,
         delegation,
         ..resolved
     };
@@ -202,7 +203,7 @@
         node.count_request(&relayed.service);
     }
     record_ages(node, arrived_ms);
-    if node.quarantine_status(digest) == QuarantineStatus::Withheld {
+    if node.quarantine_status(relayed.digest()) == QuarantineStatus::Withheld {
         return refuse(
             node,
             &relayed.ask.id,
@@ -302,7 +303,7 @@
         service,
         head: headers::forwarded_request_head(head),
         body: Bytes::new(),
-        digest: None,
+        features: None,
         delegation: None,
         arrived_ms: now_ms,
         deadline_ms: now_ms + timeout_ms.min(route.timeout_ms),
--- a/src/relay_server/list_propagation_tests/simulation.rs
+++ b/src/relay_server/list_propagation_tests/simulation.rs
@@ -17,7 +17,7 @@
 use super::store::{Access, Departure, Store};
 use crate::fleet::{ListedEndpoint, ListingRead};
 use crate::ids::EndpointId;
-use crate::quarantine::{EndpointLiveness, RequestDigest, RunStage};
+use crate::quarantine::{EndpointLiveness, FeatureDigest, RunStage};
 
 /// Duration of a call that the store answers immediately.
 const CALL_MS: u64 = 2;
@@ -173,7 +173,7 @@
     pub(super) fn crash_during_request(
         &mut self,
         index: usize,
-        digest: RequestDigest,
+        digest: FeatureDigest,
         id: &EndpointId,
     ) {
         let now_ms = self.now_ms;
--- a/src/relay_server/list_propagation_tests/withheld.rs
+++ b/src/relay_server/list_propagation_tests/withheld.rs
@@ -7,7 +7,7 @@
 use super::simulation::Simulation;
 use super::{Deployment, LARGE, MEDIUM, SMALL, STEP_MS, seeds, warmed_up};
 use crate::ids::EndpointId;
-use crate::quarantine::{QuarantineStatus, RequestDigest};
+use crate::quarantine::{FeatureDigest, QuarantineStatus};
 
 /// Environment variable with the number of runs.
 const RUNS: &str = "FESCUE_WITHHELD_RUNS";
@@ -26,8 +26,8 @@
     Start,
 }
 
-fn digest() -> RequestDigest {
-    RequestDigest::from_hex(&"ab".repeat(16)).expect("has the length of a digest")
+fn digest() -> FeatureDigest {
+    FeatureDigest::from_hex(&"ab".repeat(16)).expect("has the length of a digest")
 }
 
 /// Draws faults of instances, ordered by time. The instances that observe the crashes are excluded,
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -18,9 +18,9 @@
 use super::upstream::UpstreamPool;
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, EndpointFailure, Fleet, FleetChange, Phase};
-use crate::ids::{EndpointId, Incarnation, ServiceName};
+use crate::ids::{EndpointId, Incarnation, PromptPartId, ServiceName};
 use crate::placement::PlacementOrder;
-use crate::quarantine::{DigestKey, Quarantine, RequestDigest, RequestParts};
+use crate::quarantine::{DigestKey, Quarantine, RequestFeatures, RequestParts};
 use crate::relay::{
     AttemptLimit, BudgetShare, DelegationHistory, ProbeHistory, RetryBudget, RetryConditions,
     RetryPurpose, RunTimes,
@@ -208,10 +208,21 @@
         self.heartbeat_due.notify_one();
     }
 
-    /// The digest that identifies a request when it is sent again; `None` until the key is known.
-    pub(crate) fn request_digest(&self, parts: &RequestParts<'_>) -> Option<RequestDigest> {
+    /// What a request has in common with others; `None` until the key of the digests is known.
+    pub(crate) fn request_features(
+        &self,
+        parts: &RequestParts<'_>,
+        prompt_parts: &[PromptPartId],
+    ) -> Option<RequestFeatures> {
         let key = self.digest_key.borrow();
-        key.as_ref()?.digest(parts)
+        let key = key.as_ref()?;
+        let prompt_parts = prompt_parts.iter();
+        Some(RequestFeatures {
+            request: key.digest(parts)?,
+            prompt_parts: prompt_parts
+                .filter_map(|part| key.prompt_part_digest(part))
+                .collect(),
+        })
     }
 
     /// Counts a caller's request for a service.
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -110,7 +110,7 @@
 
     async fn serve(&mut self) -> Result<CompleteResponse, RelayFailure> {
         loop {
-            if self.node.quarantine_status(self.request.digest) == QuarantineStatus::Withheld {
+            if self.node.quarantine_status(self.request.digest()) == QuarantineStatus::Withheld {
                 return self.fail(self.attempts.give_up(RefusalCause::Withheld));
             }
             let result = match self.choose_target() {
@@ -187,7 +187,7 @@
                 (AttemptOutcome::Failed, EndpointFailure::Failed)
             }
             AttemptResult::Response(response) => {
-                self.node.clear_request(self.request.digest);
+                self.node.clear_request(self.request.digest());
                 return Ok(response);
             }
             AttemptResult::Failed(outcome, failure) => (outcome, failure),
@@ -195,6 +195,7 @@
         log::info!(
             request = self.request.ask.id.as_str(),
             digest = self.request.digest_label().as_str(),
+            prompt_parts = self.request.prompt_parts_label().as_str(),
             endpoint = endpoint.as_str(),
             end:? = outcome,
             cause = failure.name(),
@@ -206,7 +207,7 @@
         self.node.record_failure(endpoint, failure);
         if failure == EndpointFailure::Broken {
             self.node
-                .record_broken_run(self.request.digest, endpoint, None);
+                .record_broken_run(self.request.digest(), endpoint, None);
             probe_replica_in_background(self.node, endpoint);
         }
         Err(outcome)
@@ -235,6 +236,7 @@
         log::info!(
             request = request.ask.id.as_str(),
             digest = request.digest_label().as_str(),
+            prompt_parts = request.prompt_parts_label().as_str(),
             route = request.route.name.as_str(),
             word = error.name(),
             limit = limit.name(),
@@ -261,6 +263,7 @@
         log::info!(
             request = request.ask.id.as_str(),
             digest = request.digest_label().as_str(),
+            prompt_parts = request.prompt_parts_label().as_str(),
             route = request.route.name.as_str(),
             status = complete.status.as_u16(),
             limit = complete.limit.map(AttemptLimit::name),
--- a/src/relay_server/quarantine_rows.rs
+++ b/src/relay_server/quarantine_rows.rs
@@ -13,7 +13,7 @@
 use crate::clock::{boot_ms, unix_ms};
 use crate::ids::EndpointId;
 use crate::quarantine::{
-    CrashReport, DigestKey, EvidenceReport, QuarantineChange, RequestDigest, RunStage,
+    CrashReport, DigestKey, EvidenceReport, FeatureDigest, QuarantineChange, RunStage,
 };
 use crate::wire::platform::{Condition, Row, ScanRows, TransactReply, Transaction, Write};
 
@@ -118,7 +118,7 @@
         return Vec::new();
     };
     let read = serde_json::from_str::<WithheldRow>(&row.value);
-    let (Some(digest), Ok(withheld)) = (RequestDigest::from_hex(digest), read) else {
+    let (Some(digest), Ok(withheld)) = (FeatureDigest::from_hex(digest), read) else {
         log::warn!(key = row.key.as_str(); "row of a withheld request is malformed");
         return Vec::new();
     };
@@ -160,7 +160,7 @@
 }
 
 fn write_for(change: &QuarantineChange) -> Option<Write> {
-    let key = |digest: &RequestDigest| format!("{WITHHELD_PREFIX}{}", digest.to_hex());
+    let key = |digest: &FeatureDigest| format!("{WITHHELD_PREFIX}{}", digest.to_hex());
     match change {
         QuarantineChange::Withheld(digest, endpoints) => {
             let row = WithheldRow {
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -15,7 +15,7 @@
 use crate::clock::boot_ms;
 use crate::fleet::Chain;
 use crate::ids::{AccountId, EndpointId, ServiceName};
-use crate::quarantine::RequestDigest;
+use crate::quarantine::{FeatureDigest, RequestFeatures};
 use crate::relay::{FinalError, RetryConditions};
 use crate::route_table::{Route, RouteTable};
 
@@ -33,8 +33,8 @@
     /// Request head without the headers of the caller's connection.
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
-    /// Identifies repeated requests; `None` as long as the digest key is not known.
-    pub(crate) digest: Option<RequestDigest>,
+    /// What it has in common with other requests; `None` as long as the digest key is not known.
+    pub(crate) features: Option<RequestFeatures>,
     pub(crate) arrived_ms: u64,
     /// The instance that has received it from the caller, if that is another one.
     pub(crate) delegation: Option<Delegation>,
@@ -55,9 +55,21 @@
         delegation.map(|it| it.delegated_by.as_str())
     }
 
-    /// The digest for log lines; empty if there is none.
+    /// Identifies repeated requests; `None` as long as the digest key is not known.
+    pub(crate) fn digest(&self) -> Option<FeatureDigest> {
+        self.features.as_ref().map(|it| it.request)
+    }
+
+    /// The request's digest for log lines; empty if there is none.
     pub(crate) fn digest_label(&self) -> String {
-        self.digest.map_or_else(String::new, |it| it.to_string())
+        let features = self.features.as_ref();
+        features.map_or_else(String::new, |it| it.request.to_string())
+    }
+
+    /// Digests of the shared parts of its prompt for log lines.
+    pub(crate) fn prompt_parts_label(&self) -> String {
+        let features = self.features.as_ref();
+        features.map_or_else(String::new, RequestFeatures::prompt_parts_label)
     }
 
     /// Time until the deadline.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -336,7 +336,7 @@
     fn clear_request(&mut self) {
         if !self.is_cleared {
             self.is_cleared = true;
-            self.node.clear_request(self.request.digest);
+            self.node.clear_request(self.request.digest());
         }
     }
 }
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -198,6 +198,7 @@
         log::info!(
             request = self.request.ask.id.as_str(),
             digest = self.request.digest_label().as_str(),
+            prompt_parts = self.request.prompt_parts_label().as_str(),
             first = first.map(|first| first.endpoint.as_str()),
             at_fault = at_fault.as_str(),
             end:? = outcome,
--- a/src/relay_server/stream/ending.rs
+++ b/src/relay_server/stream/ending.rs
@@ -70,6 +70,7 @@
         log::info!(
             request = self.request.ask.id.as_str(),
             digest = self.request.digest_label().as_str(),
+            prompt_parts = self.request.prompt_parts_label().as_str(),
             route = self.request.route.name.as_str(),
             chain = chain.as_deref().unwrap_or(""),
             outcome,
--- a/src/relay_server/stream/withheld.rs
+++ b/src/relay_server/stream/withheld.rs
@@ -21,7 +21,7 @@
 {
     /// Fails if the request is withheld.
     pub(super) fn check_withheld(&self) -> Result<(), RefusalCause> {
-        match self.node.quarantine_status(self.request.digest) {
+        match self.node.quarantine_status(self.request.digest()) {
             QuarantineStatus::Withheld => Err(RefusalCause::Withheld),
             QuarantineStatus::Allowed | QuarantineStatus::Undecided => Ok(()),
         }
@@ -30,7 +30,7 @@
     /// Waits until it is known whether the engine at which the last run was interrupted has exited,
     /// if that decides whether the request is withheld. Otherwise another engine could be lost.
     pub(super) async fn wait_for_verdict(&mut self) -> Result<(), RefusalCause> {
-        while self.node.quarantine_status(self.request.digest) == QuarantineStatus::Undecided {
+        while self.node.quarantine_status(self.request.digest()) == QuarantineStatus::Undecided {
             sleep(Duration::from_millis(VERDICT_POLL_INTERVAL_MS)).await;
         }
         let checked = self.check_withheld();
@@ -47,7 +47,7 @@
         let ended: Vec<&EndpointId> = unhealthy.iter().filter(has_ended).collect();
         for stage in ended {
             let head_ago_ms = self.head_ago_ms(boot_ms());
-            let digest = self.request.digest;
+            let digest = self.request.digest();
             self.node.record_broken_run(digest, stage, head_ago_ms);
         }
     }
@@ -56,7 +56,7 @@
     pub(super) fn record_interrupted_run(&self, at_fault: &EndpointId, end: AttemptOutcome) {
         if end == AttemptOutcome::Lost {
             let head_ago_ms = self.head_ago_ms(boot_ms());
-            let digest = self.request.digest;
+            let digest = self.request.digest();
             self.node.record_broken_run(digest, at_fault, head_ago_ms);
         }
     }
--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -10,7 +10,7 @@
 use crate::fleet::{Fleet, Phase};
 use crate::ids::EndpointId;
 use crate::quarantine::{
-    EndpointLiveness, EvidenceReport, QuarantineChange, QuarantineStatus, RequestDigest, RunStage,
+    EndpointLiveness, EvidenceReport, FeatureDigest, QuarantineChange, QuarantineStatus, RunStage,
 };
 
 /// Evidence from rows of the store.
@@ -28,7 +28,7 @@
     A: Adapter,
 {
     /// Whether a request may be sent to endpoints. A request without a digest always may.
-    pub(crate) fn quarantine_status(&self, digest: Option<RequestDigest>) -> QuarantineStatus {
+    pub(crate) fn quarantine_status(&self, digest: Option<FeatureDigest>) -> QuarantineStatus {
         let quarantine = self.quarantine.borrow();
         digest.map_or(QuarantineStatus::Allowed, |it| {
             quarantine.status(&it, boot_ms())
@@ -38,7 +38,7 @@
     /// Records that a run of a request broke off at an endpoint, and how long after its response's head.
     pub(crate) fn record_broken_run(
         self: &Rc<Self>,
-        digest: Option<RequestDigest>,
+        digest: Option<FeatureDigest>,
         endpoint: &EndpointId,
         head_ago_ms: Option<u64>,
     ) {
@@ -59,7 +59,7 @@
 
     /// Records that an endpoint survived a request: the response was complete, or a run has passed its
     /// startup phase.
-    pub(crate) fn clear_request(self: &Rc<Self>, digest: Option<RequestDigest>) {
+    pub(crate) fn clear_request(self: &Rc<Self>, digest: Option<FeatureDigest>) {
         let Some(digest) = digest else { return };
         let changes = self.quarantine.borrow_mut().clear(digest, boot_ms());
         self.apply_quarantine_changes(&changes, SOURCE_OWN_RUNS);
