--- a/src/quarantine/cleared.rs
+++ b/src/quarantine/cleared.rs
@@ -1,4 +1,4 @@
-//! Requests that endpoints are known to have survived, in bounded memory.
+//! Features that endpoints are known to have survived, in bounded memory.
 
 use std::mem;
 
@@ -6,13 +6,14 @@
 
 use super::FeatureDigest;
 
-/// Maximum number of requests in a generation. A request that is sent often is recorded again; one
-/// of thousands that was sent only once is dropped with its generation.
-const GENERATION_CAPACITY: usize = 2_048;
-/// Maximum age of a generation.
-const GENERATION_TTL_MS: u64 = 300_000;
+/// How long a survival rules out that a later crash was caused by the feature. A feature that is in many
+/// requests is survived again within this time; one that has begun to crash endpoints is not.
+pub(super) const SURVIVAL_VALID_MS: u64 = 10_000;
+/// Maximum number of features in a generation. One that is seen often is recorded again; one of thousands
+/// that was seen only once is dropped with its generation.
+const GENERATION_CAPACITY: usize = 8_192;
 
-/// When an endpoint last survived each request. Kept in two generations, of which the older one is
+/// When an endpoint last survived each feature. Kept in two generations, of which the older one is
 /// dropped as a whole, so that no sorting is needed.
 #[derive(Debug, Default)]
 pub(super) struct Cleared {
@@ -22,20 +23,32 @@
 }
 
 impl Cleared {
-    /// Records that an endpoint survived a request at `at_ms`.
-    pub(super) fn record(&mut self, digest: FeatureDigest, at_ms: u64, now_ms: u64) {
+    /// Records that an endpoint survived a feature at `at_ms`.
+    pub(super) fn record(&mut self, feature: FeatureDigest, at_ms: u64, now_ms: u64) {
         let is_full = self.newer.len() >= GENERATION_CAPACITY;
-        if is_full || now_ms >= self.since_ms + GENERATION_TTL_MS {
+        if is_full || now_ms >= self.since_ms + SURVIVAL_VALID_MS {
             self.older = mem::take(&mut self.newer);
             self.since_ms = now_ms;
         }
-        let newest = self.newer.entry(digest).or_insert(at_ms);
+        let newest = self.newer.entry(feature).or_insert(at_ms);
         *newest = at_ms.max(*newest);
     }
 
-    /// When an endpoint last survived a request, if that is still known.
-    pub(super) fn at_ms(&self, digest: &FeatureDigest) -> Option<u64> {
-        let newer = self.newer.get(digest);
-        newer.or_else(|| self.older.get(digest)).copied()
+    /// When an endpoint last survived a feature, if that is still known.
+    pub(super) fn at_ms(&self, feature: &FeatureDigest) -> Option<u64> {
+        let newer = self.newer.get(feature);
+        newer.or_else(|| self.older.get(feature)).copied()
     }
+
+    /// Whether a survival rules out that a crash at `crash_ms` was caused by the feature.
+    pub(super) fn excludes(&self, feature: &FeatureDigest, crash_ms: u64) -> bool {
+        let survived_ms = self.at_ms(feature);
+        survived_ms.is_some_and(|at_ms| excludes(at_ms, crash_ms))
+    }
+}
+
+/// Whether a survival at `survived_ms` rules out that a crash at `crash_ms` had the same feature as its
+/// cause.
+pub(super) fn excludes(survived_ms: u64, crash_ms: u64) -> bool {
+    crash_ms <= survived_ms + SURVIVAL_VALID_MS
 }
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -1,49 +1,10 @@
-//! Evidence about a request that is recorded when the endpoint that ran it terminates.
+//! Evidence about the features of requests during whose runs endpoints terminated.
 
 use serde::{Deserialize, Serialize};
 
 use super::FeatureDigest;
 use crate::ids::EndpointId;
 
-/// Progress of a run that may have crashed its endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum RunStage {
-    /// The head of its response had arrived.
-    Started {
-        /// Milliseconds from the head to the break.
-        after_ms: u32,
-    },
-    /// The head of its response had not arrived: it may have been queued.
-    Waiting,
-}
-
-impl RunStage {
-    /// Duration of a run's startup phase, from the head of its response. A crash after that was not
-    /// caused by the start of the run; nearly all runs at an endpoint are past this phase.
-    pub(crate) const STARTUP_MS: u64 = 1_000;
-
-    /// The stage of a run by the time since its response's head, if that has arrived; `None` if the run
-    /// is past its startup phase.
-    pub(crate) fn of_run(head_ago_ms: Option<u64>) -> Option<Self> {
-        match head_ago_ms {
-            None => Some(Self::Waiting),
-            Some(ago_ms) if ago_ms < Self::STARTUP_MS => Some(Self::Started {
-                after_ms: ago_ms as u32,
-            }),
-            Some(_) => None,
-        }
-    }
-
-    /// Rank for comparing runs: the less a run had done, the likelier it caused the crash. Waiting runs
-    /// rank last, since most of them had not started.
-    pub(super) fn rank(self) -> u32 {
-        match self {
-            Self::Started { after_ms } => after_ms,
-            Self::Waiting => u32::MAX,
-        }
-    }
-}
-
 /// Whether an endpoint at which a run broke off is still alive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EndpointLiveness {
@@ -55,20 +16,20 @@
     Unknown,
 }
 
-/// Report of an instance that a request was starting to run at an endpoint when it terminated.
+/// Report of an instance that an endpoint terminated when it had begun to run a request with this feature
+/// and had delivered nothing yet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CrashReport {
-    pub(crate) digest: FeatureDigest,
+    pub(crate) feature: FeatureDigest,
     pub(crate) endpoint: EndpointId,
-    pub(crate) stage: RunStage,
     /// Time since the endpoint terminated.
     pub(crate) age_ms: u32,
 }
 
-/// Report of an instance that an endpoint survived a suspected request.
+/// Report of an instance that an endpoint survived a request with a suspected feature.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ClearanceReport {
-    pub(crate) digest: FeatureDigest,
+    pub(crate) feature: FeatureDigest,
     /// Time since this was observed.
     pub(crate) age_ms: u32,
 }
--- a/src/quarantine/false_positive_tests.rs
+++ b/src/quarantine/false_positive_tests.rs
@@ -5,15 +5,27 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 
-use super::tests::{digest, endpoint};
-use super::{EndpointLiveness, EvidenceReport, Quarantine, QuarantineStatus, RunStage};
+use super::tests::{endpoint, request};
+use super::{EndpointLiveness, EvidenceReport, Quarantine, QuarantineStatus, RequestFeatures};
 use crate::ids::EndpointId;
 
-/// A request that is sent again and again; others are sent once, with numbers above.
+/// Feature of popular requests: the whole request, or the first part of their prompts.
 const POPULAR: u64 = 0;
-/// The request that crashes each endpoint that starts to run it.
+/// Feature of the requests that crash each endpoint that begins to run them.
 const CRASHING: u64 = 1;
-const FIRST_OTHER: u64 = 2;
+/// The first of the parts that few requests share.
+const FIRST_RARE_PART: u64 = 10;
+const RARE_PARTS: u64 = 200;
+const FIRST_OTHER: u64 = 1_000;
+
+/// What requests have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shared {
+    /// The whole request is sent again and again.
+    WholeRequests,
+    /// All requests differ, but share parts of their prompts.
+    PromptParts,
+}
 
 /// A deployment and its failures.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +42,7 @@
     failures_from_ms: u64,
     /// Interval of the crashing request, from 4 s on; `None` if it is not sent.
     crashing_interval_ms: Option<u64>,
+    shared: Shared,
     /// Simulated time.
     run_ms: u64,
 }
@@ -38,6 +51,10 @@
 const HEARTBEAT_MS: u64 = 250;
 /// Time from the start of a run to its response's head.
 const HEAD_MS: u64 = 80;
+/// Time from the response's head to the first event.
+const FIRST_EVENT_MS: u64 = 40;
+/// Time from the response's head after which a run shows that its endpoint survives the request.
+const SURVIVED_MS: u64 = 300;
 const RUN_MS: u64 = 2_500;
 /// Time from the termination of an endpoint to its restart.
 const DOWN_MS: u64 = 4_000;
@@ -46,8 +63,16 @@
 /// Maximum number of runs of a request, one after another.
 const MAX_RUNS: u32 = 8;
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Popular,
+    Crashing,
+    Other,
+}
+
 struct Run {
-    request: u64,
+    kind: Kind,
+    request: RequestFeatures,
     instance: usize,
     at: usize,
     since_ms: u64,
@@ -65,6 +90,8 @@
     crashed: usize,
     /// Those that crashed more than three seconds after the third.
     crashed_late: usize,
+    /// Time from the third crash to the last request that reached an endpoint and crashes it.
+    last_send_ms: u64,
 }
 
 struct Simulation {
@@ -124,33 +151,47 @@
         let mut count = self.site.rate * STEP_MS as f64 / 1_000.0;
         while count > 0.0 && self.rng.random_bool(count.min(1.0)) {
             count -= 1.0;
-            let request = if self.rng.random_bool(self.site.popular_share) {
-                POPULAR
-            } else {
-                self.next_request += 1;
-                self.next_request
-            };
+            let is_popular = self.rng.random_bool(self.site.popular_share);
             self.outcome.requests += 1;
-            self.submit(request);
+            self.submit(if is_popular {
+                Kind::Popular
+            } else {
+                Kind::Other
+            });
         }
         let interval = self.site.crashing_interval_ms;
         if interval.is_some_and(|every| self.now_ms > 4_000 && self.now_ms.is_multiple_of(every)) {
-            self.submit(CRASHING);
+            self.submit(Kind::Crashing);
         }
     }
 
-    fn submit(&mut self, request: u64) {
+    fn submit(&mut self, kind: Kind) {
         let instance = self.rng.random_range(0..self.site.instances);
-        self.send(request, instance, 0);
+        let request = self.draw_request(kind);
+        self.send(kind, request, instance, 0);
+    }
+
+    fn draw_request(&mut self, kind: Kind) -> RequestFeatures {
+        self.next_request += 1;
+        let number = self.next_request;
+        let rare = FIRST_RARE_PART + self.rng.random_range(0..RARE_PARTS);
+        match (self.site.shared, kind) {
+            (Shared::WholeRequests, Kind::Popular) => request(POPULAR, &[]),
+            (Shared::WholeRequests, Kind::Crashing) => request(CRASHING, &[]),
+            (Shared::WholeRequests, Kind::Other) => request(number, &[]),
+            (Shared::PromptParts, Kind::Popular) => request(number, &[POPULAR, rare]),
+            (Shared::PromptParts, Kind::Crashing) => request(number, &[POPULAR, CRASHING, rare]),
+            (Shared::PromptParts, Kind::Other) => request(number, &[rare]),
+        }
     }
 
-    fn send(&mut self, request: u64, instance: usize, runs: u32) {
-        let status = self.instances[instance].status(&digest(request), self.now_ms);
+    fn send(&mut self, kind: Kind, request: RequestFeatures, instance: usize, runs: u32) {
+        let status = self.instances[instance].status(&request, self.now_ms);
         if status != QuarantineStatus::Allowed {
-            match request {
-                POPULAR => self.outcome.popular_withheld += 1,
-                CRASHING => {}
-                _ => self.outcome.others_withheld += 1,
+            match kind {
+                Kind::Popular => self.outcome.popular_withheld += 1,
+                Kind::Crashing => {}
+                Kind::Other => self.outcome.others_withheld += 1,
             }
             return;
         }
@@ -159,7 +200,11 @@
         let Some(at) = alive.choose(&mut self.rng) else {
             return;
         };
+        if let Some(third_ms) = self.crashes.get(2).filter(|_| kind == Kind::Crashing) {
+            self.outcome.last_send_ms = now_ms - third_ms;
+        }
         self.runs.push(Run {
+            kind,
             request,
             instance,
             at,
@@ -173,17 +218,17 @@
         let now_ms = self.now_ms;
         for run in &self.runs {
             let head_ago_ms = (now_ms - run.since_ms).checked_sub(HEAD_MS);
-            if run.request != CRASHING && head_ago_ms == Some(RunStage::STARTUP_MS) {
-                self.instances[run.instance].clear(digest(run.request), now_ms);
+            if run.kind != Kind::Crashing && head_ago_ms == Some(SURVIVED_MS) {
+                self.instances[run.instance].clear(&run.request, now_ms);
             }
         }
         let is_complete =
-            |run: &mut Run| run.request != CRASHING && now_ms >= run.since_ms + RUN_MS;
+            |run: &mut Run| run.kind != Kind::Crashing && now_ms >= run.since_ms + RUN_MS;
         for run in self.runs.extract_if(.., is_complete) {
-            self.instances[run.instance].clear(digest(run.request), now_ms);
+            self.instances[run.instance].clear(&run.request, now_ms);
         }
         let crashes =
-            |run: &&Run| run.request == CRASHING && now_ms >= run.since_ms + HEAD_MS + CRASH_MS;
+            |run: &&Run| run.kind == Kind::Crashing && now_ms >= run.since_ms + HEAD_MS + CRASH_MS;
         while let Some(at) = self.runs.iter().find(crashes).map(|run| run.at) {
             self.crashes.push(now_ms);
             self.terminate(&[at]);
@@ -210,13 +255,14 @@
             .collect();
         for run in &broken {
             let ran_ms = now_ms - run.since_ms;
-            let head_ago_ms = ran_ms.checked_sub(HEAD_MS);
-            let Some(stage) = RunStage::of_run(head_ago_ms) else {
+            let has_head = ran_ms >= HEAD_MS;
+            let has_events = run.kind != Kind::Crashing && ran_ms >= HEAD_MS + FIRST_EVENT_MS;
+            if !has_head || has_events {
                 continue;
-            };
+            }
             let id = endpoint_id(run.at, self.endpoints[run.at].1);
             let own = &mut self.instances[run.instance];
-            own.record_broken_run(digest(run.request), &id, stage, now_ms);
+            own.record_broken_run(&run.request, &id, now_ms);
         }
         for own in &mut self.instances {
             own.update(now_ms, |_, _| EndpointLiveness::Ended);
@@ -226,7 +272,7 @@
         }
         for run in broken {
             if run.runs < MAX_RUNS {
-                self.send(run.request, run.instance, run.runs);
+                self.send(run.kind, run.request, run.instance, run.runs);
             }
         }
     }
@@ -273,6 +319,7 @@
         total.others_withheld += outcome.others_withheld;
         total.crashed = total.crashed.max(outcome.crashed);
         total.crashed_late = total.crashed_late.max(outcome.crashed_late);
+        total.last_send_ms = total.last_send_ms.max(outcome.last_send_ms);
     }
     println!("{site:?}: {total:?}");
     total
@@ -286,6 +333,7 @@
     popular_share: 0.4,
     failures_from_ms: 0,
     crashing_interval_ms: None,
+    shared: Shared::WholeRequests,
     run_ms: 60_000,
 };
 const MIDDLE: Site = Site {
@@ -321,6 +369,32 @@
     }
 }
 
+#[test]
+fn harmless_requests_with_shared_prompt_parts_are_not_withheld() {
+    for (site, seeds) in SITES {
+        let site = Site {
+            shared: Shared::PromptParts,
+            ..site
+        };
+        assert_few_false_positives(&simulate(site, seeds));
+    }
+}
+
+#[test]
+fn a_crashing_prompt_part_is_withheld_without_harming_others() {
+    for (site, seeds) in SITES {
+        let site = Site {
+            crashing_interval_ms: Some(300),
+            shared: Shared::PromptParts,
+            ..site
+        };
+        let outcome = simulate(site, seeds);
+        assert_few_false_positives(&outcome);
+        assert!(outcome.crashed >= 3, "{outcome:?}");
+        assert_eq!(outcome.crashed_late, 0, "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_popular_request_is_not_withheld_despite_frequent_crashes() {
     let site = Site {
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -1,29 +1,32 @@
-//! Evidence against requests, from this instance and its peers, and the resulting quarantine.
+//! Evidence against features of requests, from this instance and its peers, and the resulting quarantine.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::cleared::Cleared;
-use super::pending::{BrokenRun, PendingRuns};
-use super::verdict::{CRASHES_TO_WITHHOLD, Crash, Crashes, withheld};
-use super::{ClearanceReport, CrashReport, EndpointLiveness, FeatureDigest, RunStage};
+use super::cleared::{self, Cleared};
+use super::pending::PendingRuns;
+use super::verdict::{CRASHES_TO_WITHHOLD, Crashes, Verdict, verdicts};
+use super::{ClearanceReport, CrashReport, EndpointLiveness, FeatureDigest, RequestFeatures};
 use crate::dissemination::Rotation;
 use crate::ids::EndpointId;
 
-/// How long evidence counts after the newest crash under a request. A retry within this time is
-/// still withheld; a request that is withheld wrongly, and whose responses are no longer remembered,
-/// is withheld no longer than this.
+/// How long evidence counts after the newest crash under a feature. A retry within this time is
+/// still withheld.
 pub(crate) const EVIDENCE_TTL_MS: u64 = 600_000;
-/// Maximum number of suspected requests that are kept.
+/// Time from the newest crash to the first trial of a verdict; it doubles with each further crash.
+const TRIAL_AFTER_MS: u64 = 30_000;
+/// Maximum number of times that the time to a trial doubles.
+const MAX_TRIAL_DOUBLINGS: usize = 4;
+/// Maximum number of suspected features that are kept.
 const MAX_SUSPECTS: usize = 1_024;
-/// Maximum number of crashes kept per request.
+/// Maximum number of crashes kept per feature.
 const MAX_CRASHES: usize = 16;
 /// Number of heartbeats that carry each update, since some may be lost.
 const SENDS_PER_UPDATE: u8 = 4;
 /// Maximum number of updates in a heartbeat; at about 40 bytes each, it still fits in one packet.
 const MAX_UPDATES: usize = 16;
-/// Maximum number of reminders in a heartbeat: evidence against withheld requests, sent in rotation so
-/// that instances that start or were partitioned learn it from any other instance.
+/// Maximum number of reminders in a heartbeat: evidence for verdicts, sent in rotation so that instances
+/// that start or were partitioned learn it from any other instance.
 const MAX_REMINDERS: usize = 2;
 
 /// Whether a request may be sent.
@@ -41,9 +44,10 @@
 /// A change in what is withheld.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum QuarantineChange {
-    /// A request is withheld from now on, because these endpoints have crashed under it.
-    Withheld(FeatureDigest, Vec<EndpointId>),
-    /// A request is no longer withheld.
+    /// Requests with these features are withheld from now on, because these endpoints have crashed under
+    /// them.
+    Withheld(Vec<FeatureDigest>, Vec<EndpointId>),
+    /// A feature is no longer a reason to withhold requests.
     Released(FeatureDigest),
 }
 
@@ -68,19 +72,21 @@
     }
 }
 
-/// Suspected requests, and those that are withheld.
+/// Suspected features, and the verdicts on them.
 ///
-/// Invariants: a request that was cleared, because an endpoint survived it, is not withheld while the
-/// clearance is remembered; a request is withheld only while at least three crashes that no other
-/// withheld request explains are attributed to it; memory is bounded whatever callers and peers send.
+/// Invariants: crashes from shortly after an endpoint survived a feature, or before it, do not count
+/// against the feature; a verdict rests on at least three crashes that no other verdict explains; memory
+/// is bounded whatever callers and peers send.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
     pending: PendingRuns,
-    /// The request with the fewest crashes is evicted first; among equals, the one whose newest crash
+    /// The feature with the fewest crashes is evicted first; among equals, the one whose newest crash
     /// is oldest.
     suspects: IndexMap<FeatureDigest, Crashes>,
     cleared: Cleared,
-    withheld: IndexMap<FeatureDigest, Vec<EndpointId>>,
+    verdicts: Vec<Verdict>,
+    /// When this instance last tried the first feature of a verdict.
+    tried_ms: IndexMap<FeatureDigest, u64>,
     updates: IndexMap<Update, u8>,
     /// Position in the rotation of reminders.
     reminder_rotation: Rotation,
@@ -88,49 +94,67 @@
 
 impl Quarantine {
     /// Whether a request may be sent.
-    pub(crate) fn status(&self, digest: &FeatureDigest, now_ms: u64) -> QuarantineStatus {
-        if self.withheld.contains_key(digest) {
-            return QuarantineStatus::Withheld;
+    pub(crate) fn status(&self, request: &RequestFeatures, now_ms: u64) -> QuarantineStatus {
+        if self.verdicts.iter().any(|it| it.applies_to(request)) {
+            QuarantineStatus::Withheld
+        } else if request.iter().any(|it| self.is_undecided(it, now_ms)) {
+            QuarantineStatus::Undecided
+        } else {
+            QuarantineStatus::Allowed
         }
-        if self.cleared.at_ms(digest).is_some() {
-            return QuarantineStatus::Allowed;
+    }
+
+    /// Whether a pending run may be the crash that is decisive for a feature. Runs of harmless requests
+    /// break off occasionally, too, so a request is not held back for less.
+    fn is_undecided(&self, feature: &FeatureDigest, now_ms: u64) -> bool {
+        if self.cleared.excludes(feature, now_ms) {
+            return false;
         }
-        let crashes = self.suspects.get(digest);
+        let crashes = self.suspects.get(feature);
         let is_new = |id: &&EndpointId| crashes.is_none_or(|crashes| !crashes.contains_key(*id));
-        let pending = self
-            .pending
-            .recent_endpoints(digest, now_ms)
-            .filter(is_new)
-            .count();
+        let pending = self.pending.recent_endpoints(feature, now_ms);
+        let pending = pending.filter(is_new).count();
         let known = crashes.map_or(0, IndexMap::len);
-        // Runs of harmless requests break off occasionally, too: a request is held back only if the
-        // pending run would be decisive.
-        if pending > 0 && known + pending >= CRASHES_TO_WITHHOLD {
-            QuarantineStatus::Undecided
-        } else {
-            QuarantineStatus::Allowed
+        pending > 0 && known + pending >= CRASHES_TO_WITHHOLD
+    }
+
+    /// Whether a withheld request may be sent to one endpoint, to find out whether the verdict is wrong.
+    /// Of all instances only one may ask, or each would crash an endpoint.
+    pub(crate) fn begin_trial(&mut self, request: &RequestFeatures, now_ms: u64) -> bool {
+        let applying = self.verdicts.iter().filter(|it| it.applies_to(request));
+        if !applying.clone().all(|it| self.is_trial_due(it, now_ms)) {
+            return false;
         }
+        let tried: Vec<FeatureDigest> = applying.map(|it| it.features[0]).collect();
+        self.tried_ms
+            .extend(tried.into_iter().map(|it| (it, now_ms)));
+        true
     }
 
-    /// Number of requests that are withheld.
-    pub(crate) fn withheld_count(&self) -> usize {
-        self.withheld.len()
+    fn is_trial_due(&self, verdict: &Verdict, now_ms: u64) -> bool {
+        let further = verdict.endpoints.len().saturating_sub(CRASHES_TO_WITHHOLD);
+        let wait_ms = TRIAL_AFTER_MS << further.min(MAX_TRIAL_DOUBLINGS);
+        let tried_ms = self.tried_ms.get(&verdict.features[0]).copied();
+        let since_ms = verdict.newest_ms.max(tried_ms.unwrap_or(0));
+        now_ms >= since_ms + wait_ms
     }
 
-    /// Records that a run of a request broke off at an endpoint of which it is not known yet whether it
-    /// has terminated.
+    /// Number of verdicts.
+    pub(crate) fn verdict_count(&self) -> usize {
+        self.verdicts.len()
+    }
+
+    /// Records that a run of a request broke off, having begun and delivered nothing, at an endpoint of
+    /// which it is not known yet whether it has terminated.
     pub(crate) fn record_broken_run(
         &mut self,
-        digest: FeatureDigest,
+        request: &RequestFeatures,
         endpoint: &EndpointId,
-        stage: RunStage,
         now_ms: u64,
     ) {
-        let run = BrokenRun {
-            stage,
-            at_ms: now_ms,
-        };
-        self.pending.record(digest, endpoint, run);
+        for feature in request.iter() {
+            self.pending.record(*feature, endpoint, now_ms);
+        }
     }
 
     /// Resolves pending runs and drops expired evidence. `liveness` gets an endpoint and the time at
@@ -144,27 +168,34 @@
         if ended.is_empty() && !has_expired {
             return Vec::new();
         }
-        for (digest, endpoint, run) in ended {
-            let crash = Crash {
-                stage: run.stage,
-                at_ms: run.at_ms,
-            };
-            if self.record_crash(digest, &endpoint, crash) {
-                self.announce(Update::Crash(digest, endpoint));
+        for (feature, endpoint, at_ms) in ended {
+            if self.record_crash(feature, &endpoint, at_ms) {
+                self.announce(Update::Crash(feature, endpoint));
             }
         }
         self.reevaluate()
     }
 
-    /// Records that an endpoint survived a request: the response was complete, or a run has passed its
-    /// startup phase. Such a request does not crash every endpoint that runs it.
-    pub(crate) fn clear(&mut self, digest: FeatureDigest, now_ms: u64) -> Vec<QuarantineChange> {
-        self.cleared.record(digest, now_ms, now_ms);
-        if self.suspects.swap_remove(&digest).is_none() {
-            return Vec::new();
+    /// Records that an endpoint survived a request: the response was complete, or a run has delivered
+    /// events for some time. None of its features crashes every endpoint.
+    pub(crate) fn clear(
+        &mut self,
+        request: &RequestFeatures,
+        now_ms: u64,
+    ) -> Vec<QuarantineChange> {
+        let mut was_suspected = false;
+        for feature in request.iter() {
+            self.cleared.record(*feature, now_ms, now_ms);
+            if self.suspects.swap_remove(feature).is_some() {
+                self.announce(Update::Cleared(*feature));
+                was_suspected = true;
+            }
+        }
+        if was_suspected {
+            self.reevaluate()
+        } else {
+            Vec::new()
         }
-        self.announce(Update::Cleared(digest));
-        self.reevaluate()
     }
 
     /// Applies evidence that a peer has reported. New evidence is forwarded if `relays` is set.
@@ -176,37 +207,10 @@
     ) -> Vec<QuarantineChange> {
         let mut has_new_evidence = false;
         for clearance in &report.clearances {
-            let at_ms = now_ms.saturating_sub(u64::from(clearance.age_ms));
-            let is_new = self.cleared.at_ms(&clearance.digest).is_none();
-            self.cleared.record(clearance.digest, at_ms, now_ms);
-            has_new_evidence |= self.suspects.swap_remove(&clearance.digest).is_some();
-            if is_new && relays {
-                self.announce(Update::Cleared(clearance.digest));
-            }
+            has_new_evidence |= self.apply_clearance(clearance, relays, now_ms);
         }
-        for crash_report in &report.crashes {
-            let age_ms = u64::from(crash_report.age_ms);
-            if age_ms >= EVIDENCE_TTL_MS {
-                continue;
-            }
-            if self.cleared.at_ms(&crash_report.digest).is_some() {
-                // The peer does not know that an endpoint survived it.
-                self.announce(Update::Cleared(crash_report.digest));
-                continue;
-            }
-            let crash = Crash {
-                stage: crash_report.stage,
-                at_ms: now_ms.saturating_sub(age_ms),
-            };
-            if self.record_crash(crash_report.digest, &crash_report.endpoint, crash) {
-                has_new_evidence = true;
-                if relays {
-                    self.announce(Update::Crash(
-                        crash_report.digest,
-                        crash_report.endpoint.clone(),
-                    ));
-                }
-            }
+        for crash in &report.crashes {
+            has_new_evidence |= self.apply_crash(crash, relays, now_ms);
         }
         if has_new_evidence {
             self.reevaluate()
@@ -215,13 +219,55 @@
         }
     }
 
+    /// Applies a clearance from a peer; returns whether it removes evidence.
+    fn apply_clearance(&mut self, report: &ClearanceReport, relays: bool, now_ms: u64) -> bool {
+        let feature = report.feature;
+        let at_ms = now_ms.saturating_sub(u64::from(report.age_ms));
+        // Ages grow less than time passes, by the transit times, so only a much later survival is new.
+        let is_new = !self.cleared.excludes(&feature, at_ms);
+        self.cleared.record(feature, at_ms, now_ms);
+        if is_new && relays {
+            self.announce(Update::Cleared(feature));
+        }
+        let Some(crashes) = self.suspects.get_mut(&feature) else {
+            return false;
+        };
+        let before = crashes.len();
+        crashes.retain(|_, crash_ms| !cleared::excludes(at_ms, *crash_ms));
+        let has_removed = crashes.len() < before;
+        if crashes.is_empty() {
+            self.suspects.swap_remove(&feature);
+        }
+        has_removed
+    }
+
+    /// Applies a crash that a peer has reported; returns whether it adds to the evidence.
+    fn apply_crash(&mut self, report: &CrashReport, relays: bool, now_ms: u64) -> bool {
+        let age_ms = u64::from(report.age_ms);
+        if age_ms >= EVIDENCE_TTL_MS {
+            return false;
+        }
+        let feature = report.feature;
+        let at_ms = now_ms.saturating_sub(age_ms);
+        if self.cleared.excludes(&feature, at_ms) {
+            // The peer does not know that an endpoint survived it.
+            self.announce(Update::Cleared(feature));
+            return false;
+        }
+        let is_new = self.record_crash(feature, &report.endpoint, at_ms);
+        if is_new && relays {
+            self.announce(Update::Crash(feature, report.endpoint.clone()));
+        }
+        is_new
+    }
+
     /// Whether there are updates that have not been sent yet and should be sent at once.
     pub(crate) fn has_unsent_updates(&self) -> bool {
         self.updates.values().any(|left| *left == SENDS_PER_UPDATE)
     }
 
     /// The evidence for the next heartbeat: updates, each of them several times, and reminders of
-    /// withheld requests in rotation.
+    /// verdicts in rotation.
     pub(crate) fn next_report(&mut self, now_ms: u64) -> EvidenceReport {
         let mut report = EvidenceReport::default();
         let batch: Vec<Update> = self.updates.keys().take(MAX_UPDATES).cloned().collect();
@@ -230,15 +276,15 @@
                 *left -= 1;
             }
             match update {
-                Update::Crash(digest, endpoint) => {
+                Update::Crash(feature, endpoint) => {
                     report
                         .crashes
-                        .extend(self.crash_report(digest, endpoint, now_ms));
+                        .extend(self.crash_report(feature, endpoint, now_ms));
                 }
-                Update::Cleared(digest) => {
-                    let at_ms = self.cleared.at_ms(digest);
+                Update::Cleared(feature) => {
+                    let at_ms = self.cleared.at_ms(feature);
                     report.clearances.extend(at_ms.map(|at_ms| ClearanceReport {
-                        digest: *digest,
+                        feature: *feature,
                         age_ms: age_ms(at_ms, now_ms),
                     }));
                 }
@@ -251,32 +297,32 @@
 
     fn reminders(&mut self, now_ms: u64) -> Vec<CrashReport> {
         let all: Vec<(&FeatureDigest, &EndpointId)> = self
-            .withheld
+            .verdicts
             .iter()
-            .flat_map(|(digest, endpoints)| {
-                // These are enough to have it withheld elsewhere.
-                let sufficient = endpoints.iter().take(CRASHES_TO_WITHHOLD);
-                sufficient.map(move |endpoint| (digest, endpoint))
+            .flat_map(|verdict| {
+                // These are enough to have requests withheld elsewhere.
+                let sufficient = verdict.endpoints.iter().take(CRASHES_TO_WITHHOLD);
+                let features = verdict.features.iter();
+                features.flat_map(move |feature| sufficient.clone().map(move |it| (feature, it)))
             })
             .collect();
         let batch = self.reminder_rotation.next_batch(&all, MAX_REMINDERS);
         batch
-            .filter_map(|(digest, endpoint)| self.crash_report(digest, endpoint, now_ms))
+            .filter_map(|(feature, endpoint)| self.crash_report(feature, endpoint, now_ms))
             .collect()
     }
 
     fn crash_report(
         &self,
-        digest: &FeatureDigest,
+        feature: &FeatureDigest,
         endpoint: &EndpointId,
         now_ms: u64,
     ) -> Option<CrashReport> {
-        let crash = self.suspects.get(digest)?.get(endpoint)?;
+        let at_ms = self.suspects.get(feature)?.get(endpoint)?;
         Some(CrashReport {
-            digest: *digest,
+            feature: *feature,
             endpoint: endpoint.clone(),
-            stage: crash.stage,
-            age_ms: age_ms(crash.at_ms, now_ms),
+            age_ms: age_ms(*at_ms, now_ms),
         })
     }
 
@@ -286,24 +332,19 @@
         }
     }
 
-    /// Records a crash. Returns whether it adds to the evidence: another endpoint, or a run that had done
-    /// less. Of several runs of a request at one endpoint, the one that had done least counts, in
-    /// whichever order they are reported.
-    fn record_crash(&mut self, digest: FeatureDigest, endpoint: &EndpointId, crash: Crash) -> bool {
-        if self.cleared.at_ms(&digest).is_some() {
+    /// Records a crash. Returns whether it adds to the evidence.
+    fn record_crash(&mut self, feature: FeatureDigest, endpoint: &EndpointId, at_ms: u64) -> bool {
+        if self.cleared.excludes(&feature, at_ms) {
             return false;
         }
-        if !self.suspects.contains_key(&digest) && self.suspects.len() >= MAX_SUSPECTS {
+        if !self.suspects.contains_key(&feature) && self.suspects.len() >= MAX_SUSPECTS {
             self.evict_weakest();
         }
-        let crashes = self.suspects.entry(digest).or_default();
-        let count = crashes.len();
-        match crashes.get_mut(endpoint) {
-            Some(known) if crash.stage.rank() < known.stage.rank() => known.stage = crash.stage,
-            Some(_) => return false,
-            None if count >= MAX_CRASHES => return false,
-            None => drop(crashes.insert(endpoint.clone(), crash)),
+        let crashes = self.suspects.entry(feature).or_default();
+        if crashes.len() >= MAX_CRASHES || crashes.contains_key(endpoint) {
+            return false;
         }
+        crashes.insert(endpoint.clone(), at_ms);
         true
     }
 
@@ -312,7 +353,7 @@
             .suspects
             .iter()
             .min_by_key(|(_, crashes)| (crashes.len(), newest_ms(crashes)));
-        if let Some(weakest) = weakest.map(|(digest, _)| *digest) {
+        if let Some(weakest) = weakest.map(|(feature, _)| *feature) {
             self.suspects.swap_remove(&weakest);
         }
     }
@@ -326,24 +367,29 @@
     }
 
     fn reevaluate(&mut self) -> Vec<QuarantineChange> {
-        let suspects = self.suspects.iter();
-        let now = withheld(suspects);
-        let mut changes: Vec<QuarantineChange> = Vec::new();
-        for (digest, endpoints) in &now {
-            if !self.withheld.contains_key(digest) {
-                changes.push(QuarantineChange::Withheld(*digest, endpoints.clone()));
-            }
-        }
-        for digest in self.withheld.keys().filter(|it| !now.contains_key(*it)) {
-            changes.push(QuarantineChange::Released(*digest));
-        }
-        self.withheld = now;
+        let now = verdicts(self.suspects.iter());
+        let is_known = |verdict: &&Verdict| {
+            let mut known = self.verdicts.iter();
+            known.any(|it| it.features == verdict.features)
+        };
+        let new = now.iter().filter(|it| !is_known(it));
+        let mut changes: Vec<QuarantineChange> = new
+            .map(|it| QuarantineChange::Withheld(it.features.clone(), it.endpoints.clone()))
+            .collect();
+        let is_still_blamed =
+            |feature: &&FeatureDigest| now.iter().any(|it| it.features.contains(*feature));
+        let before = self.verdicts.iter().flat_map(|it| &it.features);
+        let released = before.filter(|it| !is_still_blamed(it));
+        changes.extend(released.map(|it| QuarantineChange::Released(*it)));
+        self.tried_ms
+            .retain(|feature, _| now.iter().any(|it| it.features[0] == *feature));
+        self.verdicts = now;
         changes
     }
 }
 
 fn newest_ms(crashes: &Crashes) -> u64 {
-    crashes.values().map(|crash| crash.at_ms).max().unwrap_or(0)
+    crashes.values().copied().max().unwrap_or(0)
 }
 
 fn age_ms(at_ms: u64, now_ms: u64) -> u32 {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -1,10 +1,11 @@
-//! Quarantine of requests that crash the endpoints that run them: how such a request is recognised when
-//! it is sent again, and when it is withheld from endpoints.
+//! Quarantine of requests that crash the endpoints that run them: which features such requests have in
+//! common, and when requests are withheld from endpoints because of them.
 //!
-//! Each instance records which requests were starting to run at an endpoint when it terminated, and
-//! reports this to its peers. A request that was starting when several endpoints terminated is
-//! withheld, unless another endpoint survived it, or those crashes are already explained by another
-//! request that was present each time.
+//! A feature is a whole request, which is recognised when it is sent again, or a part of a prompt, which many
+//! requests share. Each instance records the features of the runs that an endpoint had begun and not yet
+//! delivered anything of when it terminated, and reports them to its peers. Requests with features that
+//! were present at several crashes are withheld, unless another endpoint survived the features, or those
+//! crashes are already explained by others that were present each time.
 
 mod cleared;
 mod digest;
@@ -21,7 +22,7 @@
 mod verdict;
 
 pub use digest::{DigestKey, FeatureDigest, RequestParts};
-pub(crate) use evidence::{ClearanceReport, CrashReport, EndpointLiveness, RunStage};
+pub(crate) use evidence::{ClearanceReport, CrashReport, EndpointLiveness};
 pub use features::RequestFeatures;
 pub(crate) use ledger::{
     EVIDENCE_TTL_MS, EvidenceReport, Quarantine, QuarantineChange, QuarantineStatus,
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -1,57 +1,81 @@
-//! Attribution of endpoints' crashes to requests.
-
-use std::cmp::Reverse;
+//! Attribution of endpoints' crashes to features of requests.
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{FeatureDigest, RunStage};
+use super::{FeatureDigest, RequestFeatures};
 use crate::ids::EndpointId;
 
-/// Number of crashes under a request at which it is withheld. Two may be coincidence when a zone loses
-/// many endpoints at once; each further crash interrupts everything that runs at another endpoint.
+/// Number of crashes at which requests are withheld that have all the features in common. Two may be
+/// coincidence when a zone loses many endpoints at once; each further crash interrupts everything that
+/// runs at another endpoint.
 pub(super) const CRASHES_TO_WITHHOLD: usize = 3;
+/// Number of crashes at which one of the features suffices. Until then, requests that have only some of
+/// them are sent, since their outcome shows which of the features is the cause.
+const CRASHES_TO_WITHHOLD_ANY: usize = 5;
+
+/// The crashes under one feature: the endpoints, and when each of them terminated.
+pub(super) type Crashes = IndexMap<EndpointId, u64>;
 
-/// Termination of an endpoint while a request was starting to run there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Crash {
-    pub(super) stage: RunStage,
-    pub(super) at_ms: u64,
+/// Features to which crashes of endpoints are attributed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Verdict {
+    /// Features that were present at the same crashes, so that the evidence does not tell them apart;
+    /// sorted and never empty.
+    pub(super) features: Vec<FeatureDigest>,
+    /// Endpoints that crashed.
+    pub(super) endpoints: Vec<EndpointId>,
+    /// When the last of them crashed.
+    pub(super) newest_ms: u64,
 }
 
-/// The crashes under one request, by endpoint.
-pub(super) type Crashes = IndexMap<EndpointId, Crash>;
+impl Verdict {
+    /// Whether a request has to be withheld.
+    pub(super) fn applies_to(&self, request: &RequestFeatures) -> bool {
+        let has = |feature: &FeatureDigest| request.iter().any(|it| it == feature);
+        if self.endpoints.len() >= CRASHES_TO_WITHHOLD_ANY {
+            self.features.iter().any(has)
+        } else {
+            self.features.iter().all(has)
+        }
+    }
+}
 
-/// Requests to withhold by this evidence, with the endpoints whose crashes are attributed to each.
+/// The verdicts by this evidence.
 ///
-/// The request with the most crashes is chosen first; among equals, the one whose runs had done least.
-/// The crashes that it explains do not count against any other request, since a crashing endpoint breaks
-/// off all its runs. So a bystander of a crashing request is released once that request is known. The
+/// The feature with the most crashes is chosen first, together with those that were present at the same
+/// ones. The crashes that it explains do not count against any other feature, since a crashing endpoint
+/// breaks off all its runs. So a feature that was merely present is released once the cause is known. The
 /// result depends only on the evidence: instances with the same evidence agree.
-pub(super) fn withheld<'a, I>(suspects: I) -> IndexMap<FeatureDigest, Vec<EndpointId>>
+pub(super) fn verdicts<'a, I>(suspects: I) -> Vec<Verdict>
 where
     I: Iterator<Item = (&'a FeatureDigest, &'a Crashes)> + Clone,
 {
     let mut explained: IndexSet<&EndpointId> = IndexSet::new();
-    let mut chosen = IndexMap::new();
+    let mut verdicts = Vec::new();
     loop {
-        let remaining = suspects
-            .clone()
-            .filter(|(digest, _)| !chosen.contains_key(*digest));
-        let candidates = remaining.filter(|(_, crashes)| crashes.len() >= CRASHES_TO_WITHHOLD);
-        let ranked = candidates.filter_map(|(digest, crashes)| {
-            let unexplained = crashes.iter().filter(|it| !explained.contains(it.0));
-            let max_rank = unexplained
-                .clone()
-                .map(|(_, crash)| crash.stage.rank())
-                .max()?;
-            let count = unexplained.count();
-            (count >= CRASHES_TO_WITHHOLD).then_some((count, Reverse(max_rank), digest, crashes))
+        let unexplained = suspects.clone().map(|(feature, crashes)| {
+            let crashes = crashes.iter().filter(|it| !explained.contains(it.0));
+            (*feature, crashes.collect::<IndexMap<_, _>>())
         });
-        let worst = ranked.max_by_key(|(count, max_rank, digest, _)| (*count, *max_rank, **digest));
-        let Some((_, _, digest, crashes)) = worst else {
-            return chosen;
+        let candidates = unexplained.filter(|(_, crashes)| crashes.len() >= CRASHES_TO_WITHHOLD);
+        let candidates: Vec<_> = candidates.collect();
+        let worst = candidates
+            .iter()
+            .max_by_key(|(feature, crashes)| (crashes.len(), *feature));
+        let Some((_, crashes)) = worst else {
+            return verdicts;
+        };
+        let is_same = |other: &IndexMap<&EndpointId, &u64>| {
+            other.len() == crashes.len() && other.keys().all(|id| crashes.contains_key(*id))
         };
-        explained.extend(crashes.keys());
-        chosen.insert(*digest, crashes.keys().cloned().collect());
+        let alike = candidates.iter().filter(|(_, other)| is_same(other));
+        let mut features: Vec<FeatureDigest> = alike.map(|(feature, _)| *feature).collect();
+        features.sort_unstable();
+        explained.extend(crashes.keys().copied());
+        verdicts.push(Verdict {
+            features,
+            endpoints: crashes.keys().map(|id| (*id).clone()).collect(),
+            newest_ms: crashes.values().map(|at_ms| **at_ms).max().unwrap_or(0),
+        });
     }
 }
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -192,7 +192,7 @@
         body: &body,
     };
     let features = node.request_features(&parts, &resolved.ask.shared_prompt_parts);
-    let relayed = RelayedRequest {
+    let mut relayed = RelayedRequest {
         body,
         features,
         delegation,
@@ -203,7 +203,12 @@
         node.count_request(&relayed.service);
     }
     record_ages(node, arrived_ms);
-    if node.quarantine_status(relayed.digest()) == QuarantineStatus::Withheld {
+    let features = relayed.features.as_ref();
+    if node.quarantine_status(features) == QuarantineStatus::Withheld {
+        relayed.is_quarantine_trial = node.begin_quarantine_trial(features);
+    }
+    let is_withheld = node.quarantine_status(features) == QuarantineStatus::Withheld;
+    if is_withheld && !relayed.is_quarantine_trial {
         return refuse(
             node,
             &relayed.ask.id,
@@ -304,6 +309,7 @@
         head: headers::forwarded_request_head(head),
         body: Bytes::new(),
         features: None,
+        is_quarantine_trial: false,
         delegation: None,
         arrived_ms: now_ms,
         deadline_ms: now_ms + timeout_ms.min(route.timeout_ms),
--- a/src/relay_server/list_propagation_tests/simulation.rs
+++ b/src/relay_server/list_propagation_tests/simulation.rs
@@ -17,7 +17,7 @@
 use super::store::{Access, Departure, Store};
 use crate::fleet::{ListedEndpoint, ListingRead};
 use crate::ids::EndpointId;
-use crate::quarantine::{EndpointLiveness, FeatureDigest, RunStage};
+use crate::quarantine::{EndpointLiveness, RequestFeatures};
 
 /// Duration of a call that the store answers immediately.
 const CALL_MS: u64 = 2;
@@ -173,13 +173,12 @@
     pub(super) fn crash_during_request(
         &mut self,
         index: usize,
-        digest: FeatureDigest,
+        request: &RequestFeatures,
         id: &EndpointId,
     ) {
         let now_ms = self.now_ms;
         let own = &mut self.instances[index];
-        let stage = RunStage::Started { after_ms: 60 };
-        own.quarantine.record_broken_run(digest, id, stage, now_ms);
+        own.quarantine.record_broken_run(request, id, now_ms);
         own.quarantine
             .update(now_ms, |_, _| EndpointLiveness::Ended);
         own.book.request_heartbeat();
--- a/src/relay_server/list_propagation_tests/withheld.rs
+++ b/src/relay_server/list_propagation_tests/withheld.rs
@@ -1,5 +1,5 @@
-//! Measures how long instances still send a request after three endpoints have crashed while
-//! running it.
+//! Measures how long instances still send requests after three endpoints have crashed while running
+//! requests that share a part of their prompts.
 
 use rand::RngExt;
 use rand::seq::IteratorRandom;
@@ -7,7 +7,7 @@
 use super::simulation::Simulation;
 use super::{Deployment, LARGE, MEDIUM, SMALL, STEP_MS, seeds, warmed_up};
 use crate::ids::EndpointId;
-use crate::quarantine::{FeatureDigest, QuarantineStatus};
+use crate::quarantine::{FeatureDigest, QuarantineStatus, RequestFeatures};
 
 /// Environment variable with the number of runs.
 const RUNS: &str = "FESCUE_WITHHELD_RUNS";
@@ -26,8 +26,16 @@
     Start,
 }
 
-fn digest() -> FeatureDigest {
-    FeatureDigest::from_hex(&"ab".repeat(16)).expect("has the length of a digest")
+fn digest(number: usize) -> FeatureDigest {
+    FeatureDigest::from_hex(&format!("{number:032x}")).expect("has the length of a digest")
+}
+
+/// One of several requests that share a part of their prompts.
+fn request(number: usize) -> RequestFeatures {
+    RequestFeatures {
+        request: digest(number + 1),
+        prompt_parts: vec![digest(0)],
+    }
 }
 
 /// Draws faults of instances, ordered by time. The instances that observe the crashes are excluded,
@@ -86,7 +94,7 @@
         simulation.run_until(now_ms);
         while next_crash < 3 && begin_ms + crashes[next_crash] <= now_ms {
             let id = EndpointId::from(format!("ended-{next_crash}"));
-            simulation.crash_during_request(observers[next_crash], digest(), &id);
+            simulation.crash_during_request(observers[next_crash], &request(next_crash), &id);
             next_crash += 1;
         }
         while let Some((_, index, fault)) = faults.next_if(|it| begin_ms + it.0 <= now_ms) {
@@ -98,7 +106,7 @@
         }
         let is_sent = simulation.instances.iter().any(|it| {
             it.process.is_settled(deployment.settle_ms, now_ms)
-                && it.quarantine.status(&digest(), now_ms) != QuarantineStatus::Withheld
+                && it.quarantine.status(&request(3), now_ms) != QuarantineStatus::Withheld
         });
         if is_sent && now_ms > third_ms {
             delay_ms = now_ms - third_ms;
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -110,7 +110,7 @@
 
     async fn serve(&mut self) -> Result<CompleteResponse, RelayFailure> {
         loop {
-            if self.node.quarantine_status(self.request.digest()) == QuarantineStatus::Withheld {
+            if self.is_withheld() {
                 return self.fail(self.attempts.give_up(RefusalCause::Withheld));
             }
             let result = match self.choose_target() {
@@ -149,6 +149,12 @@
         }
     }
 
+    fn is_withheld(&self) -> bool {
+        let is_trial = self.request.is_quarantine_trial && self.attempts.sends() == 0;
+        let status = self.node.quarantine_status(self.request.features.as_ref());
+        status == QuarantineStatus::Withheld && !is_trial
+    }
+
     /// What the next attempt goes to: another instance if this one reaches no endpoints, or none that has not
     /// been tried.
     fn choose_target(&self) -> Option<Target> {
@@ -187,7 +193,7 @@
                 (AttemptOutcome::Failed, EndpointFailure::Failed)
             }
             AttemptResult::Response(response) => {
-                self.node.clear_request(self.request.digest());
+                self.node.clear_request(self.request.features.as_ref());
                 return Ok(response);
             }
             AttemptResult::Failed(outcome, failure) => (outcome, failure),
@@ -207,7 +213,7 @@
         self.node.record_failure(endpoint, failure);
         if failure == EndpointFailure::Broken {
             self.node
-                .record_broken_run(self.request.digest(), endpoint, None);
+                .record_broken_run(self.request.features.as_ref(), endpoint);
             probe_replica_in_background(self.node, endpoint);
         }
         Err(outcome)
--- a/src/relay_server/quarantine_rows.rs
+++ b/src/relay_server/quarantine_rows.rs
@@ -12,24 +12,22 @@
 use crate::clients::TableFailure;
 use crate::clock::{boot_ms, unix_ms};
 use crate::ids::EndpointId;
-use crate::quarantine::{
-    CrashReport, DigestKey, EvidenceReport, FeatureDigest, QuarantineChange, RunStage,
-};
+use crate::quarantine::{CrashReport, DigestKey, EvidenceReport, FeatureDigest, QuarantineChange};
 use crate::wire::platform::{Condition, Row, ScanRows, TransactReply, Transaction, Write};
 
 /// Key prefix of all rows.
 const PREFIX: &str = "quarantine/";
 /// Key of the row with the digest key.
 const KEY_ROW: &str = "quarantine/key";
-/// Key prefix of withheld requests; the digest follows.
+/// Key prefix of the features for which requests are withheld; the digest follows.
 const WITHHELD_PREFIX: &str = "quarantine/withheld/";
 /// Maximum number of rows read: far more than are withheld at a time.
 const MAX_ROWS: u32 = 500;
 
-/// The row of a withheld request.
+/// The row of a feature for which requests are withheld.
 #[derive(Debug, Serialize, Deserialize)]
 struct WithheldRow {
-    /// Endpoints that terminated while running it.
+    /// Endpoints that terminated under it.
     endpoints: Vec<EndpointId>,
     /// When it was withheld, in Unix milliseconds. An expired row is ignored, and replaced when the
     /// request is withheld again.
@@ -114,20 +112,19 @@
 
 /// The evidence in the row of a withheld request; empty for other rows.
 fn crashes_from_row(row: &Row) -> Vec<CrashReport> {
-    let Some(digest) = row.key.strip_prefix(WITHHELD_PREFIX) else {
+    let Some(feature) = row.key.strip_prefix(WITHHELD_PREFIX) else {
         return Vec::new();
     };
     let read = serde_json::from_str::<WithheldRow>(&row.value);
-    let (Some(digest), Ok(withheld)) = (FeatureDigest::from_hex(digest), read) else {
+    let (Some(feature), Ok(withheld)) = (FeatureDigest::from_hex(feature), read) else {
         log::warn!(key = row.key.as_str(); "row of a withheld request is malformed");
         return Vec::new();
     };
     let age_ms = unix_ms().saturating_sub(withheld.withheld_unix_ms);
     let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
     let of_endpoint = |endpoint| CrashReport {
-        digest,
+        feature,
         endpoint,
-        stage: RunStage::Started { after_ms: 0 },
         age_ms,
     };
     withheld.endpoints.into_iter().map(of_endpoint).collect()
@@ -143,7 +140,7 @@
     if !is_first || !node.availability().reaches_store {
         return;
     }
-    let writes: Vec<Write> = changes.iter().filter_map(write_for).collect();
+    let writes: Vec<Write> = changes.iter().flat_map(writes_for).collect();
     let node = Rc::clone(node);
     actix_rt::spawn(async move {
         let transaction = Transaction {
@@ -159,20 +156,27 @@
     });
 }
 
-fn write_for(change: &QuarantineChange) -> Option<Write> {
-    let key = |digest: &FeatureDigest| format!("{WITHHELD_PREFIX}{}", digest.to_hex());
+fn writes_for(change: &QuarantineChange) -> Vec<Write> {
     match change {
-        QuarantineChange::Withheld(digest, endpoints) => {
+        QuarantineChange::Withheld(features, endpoints) => {
             let row = WithheldRow {
                 endpoints: endpoints.clone(),
                 withheld_unix_ms: unix_ms(),
             };
             let value = serde_json::to_string(&row);
-            value.ok().map(|value| Write::Put {
-                key: key(digest),
-                value,
-            })
+            let put = |feature| {
+                let value = value.as_ref().ok()?.clone();
+                let key = withheld_key(feature);
+                Some(Write::Put { key, value })
+            };
+            features.iter().filter_map(put).collect()
         }
-        QuarantineChange::Released(digest) => Some(Write::Delete { key: key(digest) }),
+        QuarantineChange::Released(feature) => vec![Write::Delete {
+            key: withheld_key(feature),
+        }],
     }
 }
+
+fn withheld_key(feature: &FeatureDigest) -> String {
+    format!("{WITHHELD_PREFIX}{}", feature.to_hex())
+}
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -15,7 +15,7 @@
 use crate::clock::boot_ms;
 use crate::fleet::Chain;
 use crate::ids::{AccountId, EndpointId, ServiceName};
-use crate::quarantine::{FeatureDigest, RequestFeatures};
+use crate::quarantine::RequestFeatures;
 use crate::relay::{FinalError, RetryConditions};
 use crate::route_table::{Route, RouteTable};
 
@@ -35,6 +35,8 @@
     pub(crate) body: Bytes,
     /// What it has in common with other requests; `None` as long as the digest key is not known.
     pub(crate) features: Option<RequestFeatures>,
+    /// Whether it is sent to one endpoint although it is withheld, to find out whether that is wrong.
+    pub(crate) is_quarantine_trial: bool,
     pub(crate) arrived_ms: u64,
     /// The instance that has received it from the caller, if that is another one.
     pub(crate) delegation: Option<Delegation>,
@@ -55,11 +57,6 @@
         delegation.map(|it| it.delegated_by.as_str())
     }
 
-    /// Identifies repeated requests; `None` as long as the digest key is not known.
-    pub(crate) fn digest(&self) -> Option<FeatureDigest> {
-        self.features.as_ref().map(|it| it.request)
-    }
-
     /// The request's digest for log lines; empty if there is none.
     pub(crate) fn digest_label(&self) -> String {
         let features = self.features.as_ref();
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -34,7 +34,6 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, ChainStage, EndpointFailure};
 use crate::ids::{EndpointId, InstanceId};
-use crate::quarantine::RunStage;
 use crate::relay::{
     AttemptOutcome, Attempts, EventSplitter, FinalError, NextStep, RefusalCause, RelayFailure,
     RetryPurpose, StallDetector,
@@ -43,10 +42,10 @@
 /// Maximum size of an engine's failure response that is buffered for forwarding.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
 
-/// Number of chunks with events after which a run that is past its beginning shows that its engines
-/// survive the request. On a slow engine the time alone would not show it: the first event may take
-/// a second.
-const CLEARING_EVENTS: u32 = 10;
+/// Number of chunks with events and time since the response's head after which a run shows that its engines
+/// survive the request. On a slow engine the time alone would not show it, on a fast one the number.
+const CLEARING_EVENTS: u32 = 3;
+const CLEARING_AFTER_MS: u64 = 300;
 
 /// How a run of the request ended.
 enum RunOutcome {
@@ -103,6 +102,8 @@
     run_events: u32,
     /// Whether an engine is known to have survived the request.
     is_cleared: bool,
+    /// Whether the newest run is sent although the request is withheld.
+    is_quarantine_trial: bool,
     repairs: u32,
     /// Longest time without an event.
     longest_gap_ms: u64,
@@ -126,6 +127,7 @@
             lost_delegates: IndexSet::new(),
             splitter: EventSplitter::resuming_after(request.ask.resume_after),
             stall: StallDetector::new(boot_ms()),
+            is_quarantine_trial: request.is_quarantine_trial,
             request,
             initial_response: Some(initial_response),
             chunks,
@@ -158,7 +160,8 @@
         self.is_logged = true;
         self.log_end(&outcome);
         self.record_duration(&outcome);
-        if matches!(outcome, StreamOutcome::Complete) {
+        // A resumed stream may have been complete before: then its last run has shown nothing.
+        if matches!(outcome, StreamOutcome::Complete) && self.run_events > 0 {
             self.clear_request();
         }
         if let StreamOutcome::Failed(RelayFailure { error, limit }) = outcome {
@@ -289,7 +292,8 @@
         };
         let now_ms = boot_ms();
         self.run_events += 1;
-        let is_past_beginning = RunStage::of_run(self.head_ago_ms(now_ms)).is_none();
+        let head_ago_ms = self.head_ago_ms(now_ms);
+        let is_past_beginning = head_ago_ms.is_some_and(|it| it >= CLEARING_AFTER_MS);
         if is_past_beginning && self.run_events >= CLEARING_EVENTS {
             self.clear_request();
         }
@@ -336,7 +340,7 @@
     fn clear_request(&mut self) {
         if !self.is_cleared {
             self.is_cleared = true;
-            self.node.clear_request(self.request.digest());
+            self.node.clear_request(self.request.features.as_ref());
         }
     }
 }
--- a/src/relay_server/stream/withheld.rs
+++ b/src/relay_server/stream/withheld.rs
@@ -5,7 +5,6 @@
 use tokio::time::sleep;
 
 use super::StreamRelay;
-use crate::clock::boot_ms;
 use crate::ids::EndpointId;
 use crate::quarantine::QuarantineStatus;
 use crate::relay::{AttemptOutcome, RefusalCause};
@@ -21,16 +20,16 @@
 {
     /// Fails if the request is withheld.
     pub(super) fn check_withheld(&self) -> Result<(), RefusalCause> {
-        match self.node.quarantine_status(self.request.digest()) {
-            QuarantineStatus::Withheld => Err(RefusalCause::Withheld),
-            QuarantineStatus::Allowed | QuarantineStatus::Undecided => Ok(()),
+        match self.quarantine_status() {
+            QuarantineStatus::Withheld if !self.is_quarantine_trial => Err(RefusalCause::Withheld),
+            _ => Ok(()),
         }
     }
 
     /// Waits until it is known whether the engine at which the last run was interrupted has exited,
     /// if that decides whether the request is withheld. Otherwise another engine could be lost.
     pub(super) async fn wait_for_verdict(&mut self) -> Result<(), RefusalCause> {
-        while self.node.quarantine_status(self.request.digest()) == QuarantineStatus::Undecided {
+        while self.quarantine_status() == QuarantineStatus::Undecided {
             sleep(Duration::from_millis(VERDICT_POLL_INTERVAL_MS)).await;
         }
         let checked = self.check_withheld();
@@ -41,23 +40,36 @@
         checked
     }
 
+    fn quarantine_status(&self) -> QuarantineStatus {
+        self.node.quarantine_status(self.request.features.as_ref())
+    }
+
     /// Records stages that exited during the current run, if the run may be the cause.
     pub(super) fn record_ended_stages(&self, unhealthy: &[EndpointId]) {
+        if !self.may_crash_engines() {
+            return;
+        }
         let has_ended = |id: &&EndpointId| self.node.fleet.borrow().has_ended(id);
         let ended: Vec<&EndpointId> = unhealthy.iter().filter(has_ended).collect();
         for stage in ended {
-            let head_ago_ms = self.head_ago_ms(boot_ms());
-            let digest = self.request.digest();
-            self.node.record_broken_run(digest, stage, head_ago_ms);
+            self.node
+                .record_broken_run(self.request.features.as_ref(), stage);
         }
     }
 
     /// Records that the newest run was interrupted at an engine, if the run may be the cause.
-    pub(super) fn record_interrupted_run(&self, at_fault: &EndpointId, end: AttemptOutcome) {
-        if end == AttemptOutcome::Lost {
-            let head_ago_ms = self.head_ago_ms(boot_ms());
-            let digest = self.request.digest();
-            self.node.record_broken_run(digest, at_fault, head_ago_ms);
+    pub(super) fn record_interrupted_run(&mut self, at_fault: &EndpointId, end: AttemptOutcome) {
+        if end == AttemptOutcome::Lost && self.may_crash_engines() {
+            self.node
+                .record_broken_run(self.request.features.as_ref(), at_fault);
         }
+        self.is_quarantine_trial = false;
+    }
+
+    /// Whether the newest run may be the cause if an engine crashes: the engine has begun to run it, as
+    /// the response's head shows, and no event has arrived. A run that is queued has no head yet; one
+    /// that has delivered events was survived.
+    fn may_crash_engines(&self) -> bool {
+        self.head_ms.is_some() && self.run_events == 0
     }
 }
--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -10,7 +10,7 @@
 use crate::fleet::{Fleet, Phase};
 use crate::ids::EndpointId;
 use crate::quarantine::{
-    EndpointLiveness, EvidenceReport, FeatureDigest, QuarantineChange, QuarantineStatus, RunStage,
+    EndpointLiveness, EvidenceReport, QuarantineChange, QuarantineStatus, RequestFeatures,
 };
 
 /// Evidence from rows of the store.
@@ -27,41 +27,48 @@
 where
     A: Adapter,
 {
-    /// Whether a request may be sent to endpoints. A request without a digest always may.
-    pub(crate) fn quarantine_status(&self, digest: Option<FeatureDigest>) -> QuarantineStatus {
+    /// Whether a request may be sent to endpoints. A request without features always may.
+    pub(crate) fn quarantine_status(&self, request: Option<&RequestFeatures>) -> QuarantineStatus {
         let quarantine = self.quarantine.borrow();
-        digest.map_or(QuarantineStatus::Allowed, |it| {
-            quarantine.status(&it, boot_ms())
+        request.map_or(QuarantineStatus::Allowed, |it| {
+            quarantine.status(it, boot_ms())
         })
     }
 
-    /// Records that a run of a request broke off at an endpoint, and how long after its response's head.
+    /// Whether a withheld request is to be sent to one endpoint, to find out whether it is withheld
+    /// wrongly. One instance does so for all.
+    pub(crate) fn begin_quarantine_trial(&self, request: Option<&RequestFeatures>) -> bool {
+        let now_ms = boot_ms();
+        if !self.peers.borrow().is_preferred_leader(now_ms) {
+            return false;
+        }
+        let mut quarantine = self.quarantine.borrow_mut();
+        request.is_some_and(|it| quarantine.begin_trial(it, now_ms))
+    }
+
+    /// Records that a run of a request broke off at an endpoint, having begun and delivered nothing.
     pub(crate) fn record_broken_run(
         self: &Rc<Self>,
-        digest: Option<FeatureDigest>,
+        request: Option<&RequestFeatures>,
         endpoint: &EndpointId,
-        head_ago_ms: Option<u64>,
     ) {
-        let (Some(digest), Some(stage)) = (digest, RunStage::of_run(head_ago_ms)) else {
-            return;
-        };
+        let Some(request) = request else { return };
         // A leaving endpoint terminates as planned, whatever it runs.
         let has_ended = self.fleet.borrow().has_ended(endpoint);
         if !has_ended && !self.accepts_requests(endpoint) {
             return;
         }
-        let now_ms = boot_ms();
         self.quarantine
             .borrow_mut()
-            .record_broken_run(digest, endpoint, stage, now_ms);
+            .record_broken_run(request, endpoint, boot_ms());
         self.update_quarantine();
     }
 
-    /// Records that an endpoint survived a request: the response was complete, or a run has passed its
-    /// startup phase.
-    pub(crate) fn clear_request(self: &Rc<Self>, digest: Option<FeatureDigest>) {
-        let Some(digest) = digest else { return };
-        let changes = self.quarantine.borrow_mut().clear(digest, boot_ms());
+    /// Records that an endpoint survived a request: the response was complete, or a run has delivered
+    /// events for some time.
+    pub(crate) fn clear_request(self: &Rc<Self>, request: Option<&RequestFeatures>) {
+        let Some(request) = request else { return };
+        let changes = self.quarantine.borrow_mut().clear(request, boot_ms());
         self.apply_quarantine_changes(&changes, SOURCE_OWN_RUNS);
     }
 
@@ -109,10 +116,11 @@
         }
         for change in changes {
             match change {
-                QuarantineChange::Withheld(digest, endpoints) => {
+                QuarantineChange::Withheld(features, endpoints) => {
+                    let digests: Vec<String> = features.iter().map(ToString::to_string).collect();
                     let endpoints: Vec<&str> = endpoints.iter().map(EndpointId::as_str).collect();
                     log::warn!(
-                        digest:% = digest,
+                        digest = digests.join(",").as_str(),
                         endpoints = endpoints.join(",").as_str(),
                         source;
                         "request is withheld"
@@ -125,7 +133,7 @@
                 }
             }
         }
-        let count = self.quarantine.borrow().withheld_count();
+        let count = self.quarantine.borrow().verdict_count();
         self.counters
             .gauge("relay.quarantine.withheld_now", count as u64);
         // Evidence from the store is already there.
