A response without length or chunks is complete only if its endpoint still accepts connections

Cause: the end of the connection was taken for the end of the response. A process that exits closes its connections as one does that has written all; the difference shows on the next connection.

Now such an end is checked by a new connection or report 10 ms later, unless the endpoint is known to leave: if it is refused, or a later process answers, the run counts as broken off and goes on elsewhere, as after a reset. A stream that ends so without any event is broken off anyway.

First try: asking whether the endpoint has ended failed, since that wants another endpoint reached afterwards, and a single refusal may be a partition; either way the response is not known to be whole.

--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -3,9 +3,11 @@
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
+use tokio::time::sleep;
 
 use super::adapter::{Adapter, EngineReport};
 use super::node::Node;
@@ -15,6 +17,9 @@
 use crate::ids::EndpointId;
 use crate::relay::SilenceCause;
 
+/// Time from the end of a process's first connection until it accepts no new ones: its sockets are closed
+/// one after the other.
+pub(super) const EXIT_DURATION: Duration = Duration::from_millis(10);
 /// How long a report is reused by all streams.
 const REPORT_TTL_MS: u64 = 400;
 
@@ -130,6 +135,21 @@
     spawn_check(node, stage);
 }
 
+/// Determines whether an engine whose connection has just ended may have exited. Earlier results do not show
+/// this. A leaving engine exits once its work is complete, so it is not asked.
+pub(crate) async fn may_have_exited<A>(node: &Rc<Node<A>>, stage: &ChainStage) -> bool
+where
+    A: Adapter,
+{
+    if !node.accepts_requests(&stage.endpoint) {
+        return false;
+    }
+    sleep(EXIT_DURATION).await;
+    let result = probe(node, &stage.endpoint, stage.address).await;
+    handle_result(node, stage, result);
+    node.fleet.borrow().refuses(&stage.endpoint)
+}
+
 fn spawn_check<A>(node: &Rc<Node<A>>, stage: &ChainStage)
 where
     A: Adapter,
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -9,7 +9,7 @@
 use crate::ids::EndpointId;
 use crate::relay::AttemptOutcome;
 use crate::relay_server::adapter::Adapter;
-use crate::relay_server::checks::check_in_background;
+use crate::relay_server::checks::{check_in_background, may_have_exited};
 use crate::relay_server::headers;
 use crate::relay_server::held_tokens::HeldTokens;
 use crate::relay_server::request::instant_at;
@@ -147,7 +147,7 @@
                             Err(self.connection_failed(UpstreamFailure::Garbled, held.chain()))
                         }
                     },
-                    Ok(None) if self.splitter.has_partial_event() => {
+                    Ok(None) if self.is_cut_off(&body, held.chain()).await => {
                         Err(self.connection_failed(UpstreamFailure::Broken, held.chain()))
                     }
                     Ok(None) => {
@@ -165,6 +165,18 @@
         }
     }
 
+    /// Whether a body that has ended is only the beginning of the response.
+    async fn is_cut_off(&self, body: &ResponseBody, chain: &Chain) -> bool {
+        if self.splitter.has_partial_event() {
+            return true;
+        }
+        if !body.ends_with_connection() {
+            return false;
+        }
+        let is_empty = self.splitter.last_id().is_none() && self.run_events == 0;
+        is_empty || may_have_exited(&self.node, chain.first()).await
+    }
+
     /// When to check the run if no data arrives until then.
     fn next_check_at(&self, now_ms: u64) -> Instant {
         let probe_ms = self.stall.probe_due_ms();
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -100,6 +100,9 @@
 /// The body of a response.
 pub(crate) struct ResponseBody {
     address: SocketAddr,
+    /// Whether only the end of the connection marks its end. An endpoint that exits in the middle of it may
+    /// leave the same trace.
+    ends_with_connection: bool,
     state: BodyState,
 }
 
@@ -274,9 +277,11 @@
                 Some(Err(_)) => return Err(UpstreamFailure::Garbled),
             }
         };
+        let state = body_state(&head, self.framed);
         let body = ResponseBody {
             address: self.address,
-            state: body_state(&head, self.framed),
+            ends_with_connection: matches!(state, BodyState::UntilClose(..)),
+            state,
         };
         Ok((head, body))
     }
@@ -306,6 +311,11 @@
 }
 
 impl ResponseBody {
+    /// Whether only the end of the connection marks its end.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     /// Reads the rest of the body. One of more than `max_bytes` counts as garbled.
     pub(crate) async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, UpstreamFailure> {
         let mut buffer = BytesMut::new();
