--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -135,19 +135,25 @@
     spawn_check(node, stage);
 }
 
-/// Determines whether an engine whose connection has just ended may have exited. Earlier results do not show
-/// this. A leaving engine exits once its work is complete, so it is not asked.
+/// Determines whether an engine whose connection has just ended may have exited in the middle of its work.
+/// Earlier results do not show this, and silence does not show that it lives.
 pub(crate) async fn may_have_exited<A>(node: &Rc<Node<A>>, stage: &ChainStage) -> bool
 where
     A: Adapter,
 {
-    if !node.accepts_requests(&stage.endpoint) {
-        return false;
-    }
     sleep(EXIT_DURATION).await;
+    if let Some(is_known) = node.known_exit(&stage.endpoint) {
+        return is_known;
+    }
     let result = probe(node, &stage.endpoint, stage.address).await;
+    let has_answered = match &result {
+        ProbeResult::Healthy(report) => {
+            answering_lifetime(&stage.endpoint, report) == AnsweringLifetime::Current
+        }
+        _ => false,
+    };
     handle_result(node, stage, result);
-    node.fleet.borrow().refuses(&stage.endpoint)
+    !has_answered
 }
 
 fn spawn_check<A>(node: &Rc<Node<A>>, stage: &ChainStage)
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -425,6 +425,18 @@
         known.is_some_and(|known| known.listed.phase == Phase::Live)
     }
 
+    /// Whether an endpoint has exited in the middle of its work, as far as the endpoint list tells. A leaving
+    /// one exits once its work is complete. One that is not listed any more may have been replaced while
+    /// this instance was suspended.
+    pub(crate) fn known_exit(&self, endpoint: &EndpointId) -> Option<bool> {
+        let fleet = self.fleet.borrow();
+        match fleet.get(endpoint).map(|known| known.listed.phase) {
+            Some(Phase::Live) => None,
+            Some(Phase::Leaving) => Some(false),
+            None => Some(true),
+        }
+    }
+
     /// Has streams check their chains and peers check an endpoint that does not accept connections. An
     /// instance that reaches no endpoint of the service says nothing about them.
     fn handle_loss(&self, endpoint: &EndpointId) {
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -302,16 +302,15 @@
     actix_rt::spawn(async move { probe_replica(&node, &endpoint).await });
 }
 
-/// Determines whether a replica whose connection has just ended may have exited. A leaving replica exits once
-/// its work is complete, so it is not asked.
+/// Determines whether a replica whose connection has just ended may have exited in the middle of its work.
 async fn may_have_exited<A>(node: &Rc<Node<A>>, endpoint: &EndpointId) -> bool
 where
     A: Adapter,
 {
-    if !node.accepts_requests(endpoint) {
-        return false;
-    }
     sleep(EXIT_DURATION).await;
+    if let Some(is_known) = node.known_exit(endpoint) {
+        return is_known;
+    }
     probe_replica(node, endpoint).await;
     node.fleet.borrow().refuses(endpoint)
 }
