--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,15 +20,14 @@
 cargo clippy --workspace --all-targets -- -D warnings
 cargo build --workspace --bins
 
-skips=()
+# The soak loads the machine so much that tests with time bounds fail beside it.
+soak=soak::requests_keep_their_promises_under_overlapping_faults
+skips=(--skip "$soak")
 for name in "${known_red[@]}"; do
     skips+=(--skip "$name")
 done
-if ((${#skips[@]})); then
-    cargo test --workspace -- --exact "${skips[@]}"
-else
-    cargo test --workspace
-fi
+cargo test --workspace -- --exact "${skips[@]}"
+cargo test -p fescue-platform --test processes -- --exact "$soak"
 
 for name in "${known_red[@]}"; do
     # The name must match a test, or the line would hide nothing and stay for ever.
