--- a/src/quarantine/cleared.rs
+++ b/src/quarantine/cleared.rs
@@ -6,8 +6,8 @@
 
 use super::FeatureDigest;
 
-/// How long a survival rules out that a later crash was caused by the feature. A feature that is in many
-/// requests is survived again within this time; one that has begun to crash endpoints is not.
+/// How long after a survival crashes are not attributed to the feature. Popular harmless features are
+/// survived again within this time.
 pub(super) const SURVIVAL_VALID_MS: u64 = 2_000;
 /// Maximum number of features in a generation. One that is seen often is recorded again; one of thousands
 /// that was seen only once is dropped with its generation.
--- a/src/quarantine/features.rs
+++ b/src/quarantine/features.rs
@@ -24,13 +24,3 @@
         labels.join(",")
     }
 }
-
-/// The features of a request without shared prompt parts.
-impl From<FeatureDigest> for RequestFeatures {
-    fn from(request: FeatureDigest) -> Self {
-        Self {
-            request,
-            prompt_parts: Vec::new(),
-        }
-    }
-}
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -204,10 +204,8 @@
     }
     record_ages(node, arrived_ms);
     let features = relayed.features.as_ref();
-    if node.quarantine_status(features) == QuarantineStatus::Withheld {
-        relayed.is_quarantine_trial = node.begin_quarantine_trial(features);
-    }
     let is_withheld = node.quarantine_status(features) == QuarantineStatus::Withheld;
+    relayed.is_quarantine_trial = is_withheld && node.begin_quarantine_trial(features);
     if is_withheld && !relayed.is_quarantine_trial {
         return refuse(
             node,
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -425,9 +425,9 @@
         known.is_some_and(|known| known.listed.phase == Phase::Live)
     }
 
-    /// Whether an endpoint has exited in the middle of its work, as far as the endpoint list tells. A leaving
-    /// one exits once its work is complete. One that is not listed any more may have been replaced while
-    /// this instance was suspended.
+    /// Whether the endpoint list shows that an endpoint exited with work in progress; `None` if the list does
+    /// not tell. A leaving endpoint completes its work first. An unlisted endpoint may have been replaced
+    /// while this instance was suspended.
     pub(crate) fn known_exit(&self, endpoint: &EndpointId) -> Option<bool> {
         let fleet = self.fleet.borrow();
         match fleet.get(endpoint).map(|known| known.listed.phase) {
