Log lines and fescuectl losses name the features for which requests are withheld

A request that was refused because of a part of its prompt had no field that says which part: request is refused had neither digest nor parts. withheld_for stands in request is refused, stream ended and request has no answer; fescuectl losses counts the losses for each feature and names the endpoints that crashed under it (request is withheld). What is sent and withheld is unchanged.

--- a/src/ctl/commands/losses.rs
+++ b/src/ctl/commands/losses.rs
@@ -9,6 +9,7 @@
 use crate::ctl::loss_reason::LossReason;
 use crate::ctl::losses::{LossGroup, LossReport, LossWindow, summarize_losses};
 use crate::ctl::report::{Report, render, table};
+use crate::ctl::withheld_features::WithheldFeatures;
 
 /// Length of a timestamp truncated to tens of seconds, which gives windows of ten seconds.
 const WINDOW_DIGITS: usize = "2026-01-07T10:05:3".len();
@@ -31,7 +32,11 @@
         report.late(),
         report.lost()
     );
-    [head, render_losses(report), render_windows(report)].join("\n\n")
+    let mut sections = vec![head, render_losses(report), render_windows(report)];
+    if !report.withheld.is_empty() {
+        sections.push(render_withheld(&report.withheld));
+    }
+    sections.join("\n\n")
 }
 
 fn render_losses(report: &LossReport) -> String {
@@ -78,6 +83,19 @@
     render(&table)
 }
 
+fn render_withheld(features: &WithheldFeatures) -> String {
+    let mut table = table(["WITHHELD FOR", "LOST", "CRASHED ENDPOINTS"]);
+    for (digest, feature) in features {
+        let endpoints: Vec<&str> = feature.endpoints.iter().map(String::as_str).collect();
+        table.add_row([
+            digest.clone(),
+            feature.lost.to_string(),
+            endpoints.join(" "),
+        ]);
+    }
+    render(&table)
+}
+
 /// Describes the most common reason for lost and late attempts in a window.
 fn most_common_reason(window: &LossWindow) -> String {
     let mut sums: IndexMap<LossReason, u64> = IndexMap::new();
--- a/src/ctl/losses.rs
+++ b/src/ctl/losses.rs
@@ -9,6 +9,7 @@
 
 use super::log_lines::LogLine;
 use super::loss_reason::LossReason;
+use super::withheld_features::{WithheldFeatures, add_crashes, add_loss};
 
 /// Maximum number of example IDs kept for each reason.
 const MAX_EXAMPLES: usize = 2;
@@ -58,6 +59,8 @@
     pub losses: IndexMap<(String, LossReason), LossGroup>,
     /// Attempts by time window. The key is the truncated timestamp of the end of the attempt.
     pub windows: IndexMap<String, LossWindow>,
+    /// Features for which requests were withheld.
+    pub withheld: WithheldFeatures,
 }
 
 /// JSON representation of one entry of [`LossReport::losses`].
@@ -112,6 +115,10 @@
             last_ends.insert(request, end);
             continue;
         }
+        if line.message == "request is withheld" {
+            add_crashes(&mut report.withheld, line);
+            continue;
+        }
         if let Some(outcome) = attempt_outcome(line, last_ends.get(request).copied()) {
             last_ends.swap_remove(request);
             report.add(line, request, outcome, window_digits);
@@ -155,6 +162,9 @@
         *by_reason.entry(reason).or_insert(0) += 1;
         let kind = line.text("route").unwrap_or("not known").to_owned();
         let losses = self.losses.entry((kind, reason)).or_default();
+        if reason == LossReason::Withheld {
+            add_loss(&mut self.withheld, line);
+        }
         if is_lost {
             losses.lost += 1;
         } else {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -16,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 mod variables;
+mod withheld_features;
 
 use std::ffi::OsString;
 
@@ -27,6 +28,7 @@
 pub use loss_reason::LossReason;
 pub use losses::{LossGroup, LossReport, LossWindow, summarize_losses};
 pub use report::Report;
+pub use withheld_features::{WithheldFeature, WithheldFeatures};
 
 use crate::exit_codes::Exit;
 
--- a/src/ctl/tests/losses.rs
+++ b/src/ctl/tests/losses.rs
@@ -2,7 +2,7 @@
 use serde_json::{Value, json};
 
 use super::run;
-use crate::ctl::{LogLine, LossReason, summarize_losses};
+use crate::ctl::{LogLine, LossReason, WithheldFeature, WithheldFeatures, summarize_losses};
 
 fn line(at: &str, message: &str, values: Value) -> LogLine {
     let line =
@@ -125,12 +125,43 @@
     );
 }
 
+/// A part that crashed three engines, and two requests: one was refused for it, the other ended for it.
+fn lines_of_a_withheld_part() -> Vec<LogLine> {
+    let crashes = json!({"digest": "p1,r2", "endpoints": "e1,e2,e3", "source": "own runs"});
+    let refused = json!({"request": "r1", "route": "draft", "cause": "withheld", "limit": "withheld",
+        "withheld_for": "p1"});
+    let mut ended = stream_ended_by("r2", "withheld");
+    ended["withheld_for"] = json!("p1,r2");
+    let mut left = stream("r3", "caller_left", 80, 0);
+    left["withheld_for"] = json!("p1");
+    vec![
+        line("31", "request is withheld", crashes),
+        line("32", "request is refused", refused),
+        line("33", "stream ended", ended),
+        line("34", "stream ended", left),
+    ]
+}
+
+#[test]
+fn losses_are_counted_under_the_features_for_which_requests_are_withheld() {
+    let report = summarize_losses(&lines_of_a_withheld_part(), 18);
+    let endpoints = || ["e1", "e2", "e3"].map(str::to_owned).into_iter().collect();
+    let feature = |lost| WithheldFeature {
+        lost,
+        endpoints: endpoints(),
+    };
+    let expected =
+        WithheldFeatures::from([("p1".to_owned(), feature(2)), ("r2".to_owned(), feature(1))]);
+    assert_eq!(report.withheld, expected);
+}
+
 #[actix_rt::test]
 async fn the_report_is_a_table() {
     let directory = tempfile::tempdir().expect("the temporary directory is writable");
     let path = directory.path().join("a.log");
     let text: Vec<String> = lines()
         .iter()
+        .chain(&lines_of_a_withheld_part())
         .map(|line| serde_json::to_string(line).expect("it can be written"))
         .collect();
     std::fs::write(&path, text.join("\n")).expect("the temporary directory is writable");
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -104,6 +104,15 @@
         }
     }
 
+    /// The features for which a request is withheld, for log lines, separated by commas; empty if it is not.
+    pub(crate) fn withheld_for(&self, request: &RequestFeatures) -> String {
+        let applying = self.verdicts.iter().filter(|it| it.applies_to(request));
+        let features = applying.flat_map(|it| &it.features);
+        let shared = features.filter(|feature| request.iter().any(|it| it == *feature));
+        let labels: Vec<String> = shared.map(ToString::to_string).collect();
+        labels.join(",")
+    }
+
     /// Whether a pending run may be the crash that is decisive for a feature. Runs of harmless requests
     /// break off occasionally, too, so a request is not held back for less.
     fn is_undecided(&self, feature: &FeatureDigest, now_ms: u64) -> bool {
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -76,6 +76,9 @@
     );
     assert!(is_withheld(&quarantine, 1, 10));
     assert!(!is_withheld(&quarantine, 2, 10));
+    let withheld_for = |number| quarantine.withheld_for(&request(number, &[]));
+    assert_eq!(withheld_for(1), digest(1).to_string());
+    assert_eq!(withheld_for(2), "");
 }
 
 #[test]
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -20,7 +20,7 @@
 use super::request::{RelayedRequest, error_response, status_response};
 use super::stream_response::relay_stream;
 use crate::clock::boot_ms;
-use crate::quarantine::{QuarantineStatus, RequestParts};
+use crate::quarantine::{QuarantineStatus, RequestFeatures, RequestParts};
 use crate::relay::{AttemptLimit, FinalError, RefusalCause};
 use crate::route_table::{Rejection, Route, RouteTable};
 
@@ -159,13 +159,13 @@
     let arrived_ms = boot_ms();
     node.wait_until_informed(arrived_ms).await;
     let Some(table) = node.routes() else {
-        return refuse(node, "", None, RefusalCause::NoTable);
+        return refuse(node, "", None, None, RefusalCause::NoTable);
     };
     let refusal = delegation
         .as_ref()
         .and_then(|it| delegation_refusal(node, it, &table));
     if let Some(cause) = refusal {
-        return refuse(node, "", None, cause);
+        return refuse(node, "", None, None, cause);
     }
     strip_headers(&mut request.head_mut().headers);
     if headers::head_bytes(request.head()) > table.limits.max_header_bytes {
@@ -211,6 +211,7 @@
             node,
             &relayed.ask.id,
             Some(&relayed.route),
+            features,
             RefusalCause::Withheld,
         );
     }
@@ -221,6 +222,7 @@
             node,
             &relayed.ask.id,
             Some(&relayed.route),
+            features,
             RefusalCause::NoEndpoint,
         );
     }
@@ -279,6 +281,7 @@
             node,
             &ask.id,
             Some(&route),
+            None,
             RefusalCause::OldTable,
         )));
     }
@@ -287,6 +290,7 @@
             node,
             &ask.id,
             Some(&route),
+            None,
             RefusalCause::Stopping,
         )));
     }
@@ -295,6 +299,7 @@
             node,
             &ask.id,
             Some(&route),
+            None,
             RefusalCause::NoEndpoint,
         )));
     };
@@ -344,7 +349,7 @@
     let age_ms = node.table.borrow().age_ms(now_ms);
     // An outdated table may lack a route or key that was added since.
     if age_ms > node.settings.bounds.key_trust_ms {
-        return refuse(node, id, None, RefusalCause::OldTable);
+        return refuse(node, id, None, None, RefusalCause::OldTable);
     }
     let status = match rejection {
         Rejection::NoRoute => StatusCode::NOT_FOUND,
@@ -364,6 +369,7 @@
     node: &Node<A>,
     id: &str,
     route: Option<&Route>,
+    features: Option<&RequestFeatures>,
     cause: RefusalCause,
 ) -> Response<BoxBody>
 where
@@ -378,6 +384,7 @@
         route = route.map(|route| route.name.as_str()),
         cause = cause.name(),
         limit = limit.name(),
+        withheld_for = node.withheld_for(features).as_str(),
         retry_after_ms = cause.retry_after_ms(conditions),
         table = table.table().map(|table| table.version),
         table_age_ms = table.age_ms(boot_ms()),
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -244,6 +244,7 @@
             request = request.ask.id.as_str(),
             digest = request.digest_label().as_str(),
             prompt_parts = request.prompt_parts_label().as_str(),
+            withheld_for = self.node.withheld_for(request.features.as_ref()).as_str(),
             route = request.route.name.as_str(),
             word = error.name(),
             limit = limit.name(),
--- a/src/relay_server/stream/ending.rs
+++ b/src/relay_server/stream/ending.rs
@@ -71,6 +71,7 @@
             request = self.request.ask.id.as_str(),
             digest = self.request.digest_label().as_str(),
             prompt_parts = self.request.prompt_parts_label().as_str(),
+            withheld_for = self.node.withheld_for(self.request.features.as_ref()).as_str(),
             route = self.request.route.name.as_str(),
             chain = chain.as_deref().unwrap_or(""),
             outcome,
--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -35,6 +35,12 @@
         })
     }
 
+    /// The features for which a request is withheld, for log lines; empty if it is not.
+    pub(crate) fn withheld_for(&self, request: Option<&RequestFeatures>) -> String {
+        let quarantine = self.quarantine.borrow();
+        request.map_or_else(String::new, |it| quarantine.withheld_for(it))
+    }
+
     /// Whether a withheld request is to be sent to one endpoint, to find out whether it is withheld
     /// wrongly. One instance does so for all.
     pub(crate) fn begin_quarantine_trial(&self, request: Option<&RequestFeatures>) -> bool {
