Relay server: exits of endpoints and the retry budget in files of their own

Only moved: the two are engine_may_have_exited and replica_may_have_exited and share the wait and the look at the list.

--- a/src/fleet/leaving.rs
+++ b/src/fleet/leaving.rs
@@ -59,7 +59,8 @@
         kept_out.into_iter().map(FleetChange::KeptOut).collect()
     }
 
-    /// Keeps endpoints leaving that the list has shown leaving here. Returns those that `entries` had in service.
+    /// Marks entries as leaving whose endpoints an earlier list has shown as leaving. Returns the endpoints of
+    /// these entries.
     pub(super) fn keep_leaving(&self, entries: &mut [ListedEndpoint]) -> Vec<EndpointId> {
         let mut kept = Vec::new();
         for entry in entries {
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -19,8 +19,8 @@
 /// Features to which crashes of endpoints are attributed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Verdict {
-    /// Features that were present at the same crashes, so that the evidence does not tell them apart;
-    /// sorted and never empty.
+    /// Features that the evidence does not tell apart, since they were present at the same crashes. Sorted
+    /// and never empty.
     pub(super) features: Vec<FeatureDigest>,
     /// Endpoints that crashed.
     pub(super) endpoints: Vec<EndpointId>,
@@ -42,8 +42,8 @@
 
 /// The verdicts by this evidence.
 ///
-/// The feature with the most crashes is chosen first, together with those that were present at the same
-/// ones. The crashes that it explains do not count against any other feature, since a crashing endpoint
+/// The feature with the most crashes comes first, together with all that were present at the same
+/// crashes. The crashes that they explain do not count against any other feature, since a crashing endpoint
 /// breaks off all its runs. So a feature that was merely present is released once the cause is known. The
 /// result depends only on the evidence: instances with the same evidence agree.
 pub(super) fn verdicts<'a, I>(suspects: I) -> Vec<Verdict>
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -3,11 +3,9 @@
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
-use tokio::time::sleep;
 
 use super::adapter::{Adapter, EngineReport};
 use super::node::Node;
@@ -17,9 +15,6 @@
 use crate::ids::EndpointId;
 use crate::relay::SilenceCause;
 
-/// Time from the end of a process's first connection until it accepts no new ones: its sockets are closed
-/// one after the other.
-pub(super) const EXIT_DURATION: Duration = Duration::from_millis(10);
 /// How long a report is reused by all streams.
 const REPORT_TTL_MS: u64 = 400;
 
@@ -135,27 +130,6 @@
     spawn_check(node, stage);
 }
 
-/// Determines whether an engine whose connection has just ended may have exited in the middle of its work.
-/// Earlier results do not show this, and silence does not show that it lives.
-pub(crate) async fn may_have_exited<A>(node: &Rc<Node<A>>, stage: &ChainStage) -> bool
-where
-    A: Adapter,
-{
-    sleep(EXIT_DURATION).await;
-    if let Some(is_known) = node.known_exit(&stage.endpoint) {
-        return is_known;
-    }
-    let result = probe(node, &stage.endpoint, stage.address).await;
-    let has_answered = match &result {
-        ProbeResult::Healthy(report) => {
-            answering_lifetime(&stage.endpoint, report) == AnsweringLifetime::Current
-        }
-        _ => false,
-    };
-    handle_result(node, stage, result);
-    !has_answered
-}
-
 fn spawn_check<A>(node: &Rc<Node<A>>, stage: &ChainStage)
 where
     A: Adapter,
@@ -206,7 +180,7 @@
 }
 
 /// Acts on the result of a probe.
-fn handle_result<A>(node: &Rc<Node<A>>, stage: &ChainStage, result: ProbeResult)
+pub(super) fn handle_result<A>(node: &Rc<Node<A>>, stage: &ChainStage, result: ProbeResult)
 where
     A: Adapter,
 {
--- a/src/relay_server/delegates.rs
+++ b/src/relay_server/delegates.rs
@@ -1,4 +1,4 @@
-//! Selects the instances to which one that is partitioned from the endpoints delegates requests.
+//! Selects the instances that serve requests for an instance that reaches no endpoints.
 
 use std::net::SocketAddr;
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -15,6 +15,7 @@
 #[cfg(test)]
 mod document_parts_tests;
 mod duty;
+mod exits;
 mod feeds;
 mod fleet_lines;
 #[cfg(test)]
@@ -68,6 +69,7 @@
 mod request;
 #[cfg(test)]
 mod restored_list_tests;
+mod retries;
 mod retry_loans;
 #[cfg(test)]
 mod retry_loans_tests;
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -10,13 +10,13 @@
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use indexmap::IndexSet;
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::{timeout, timeout_at};
 
 use self::delegate::delegate_once;
 use super::adapter::{Adapter, ResponseMetadata};
-use super::checks::EXIT_DURATION;
 use super::delegates::Delegate;
 use super::delegation::DelegationReason;
+use super::exits::{probe_replica_in_background, replica_may_have_exited};
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, close_if_stopping, error_response, instant_at};
@@ -292,56 +292,6 @@
     }
 }
 
-/// Checks in the background whether a replica has exited. Otherwise only the next request sent to
-/// it, or the endpoint list some seconds later, would show it.
-fn probe_replica_in_background<A>(node: &Rc<Node<A>>, endpoint: &EndpointId)
-where
-    A: Adapter,
-{
-    let node = Rc::clone(node);
-    let endpoint = endpoint.clone();
-    actix_rt::spawn(async move { probe_replica(&node, &endpoint).await });
-}
-
-/// Determines whether a replica whose connection has just ended may have exited in the middle of its work.
-async fn may_have_exited<A>(node: &Rc<Node<A>>, endpoint: &EndpointId) -> bool
-where
-    A: Adapter,
-{
-    sleep(EXIT_DURATION).await;
-    if let Some(is_known) = node.known_exit(endpoint) {
-        return is_known;
-    }
-    probe_replica(node, endpoint).await;
-    node.fleet.borrow().refuses(endpoint)
-}
-
-/// Checks whether a replica has exited, by a new connection.
-async fn probe_replica<A>(node: &Rc<Node<A>>, endpoint: &EndpointId)
-where
-    A: Adapter,
-{
-    let Some(address) = address_of(node, endpoint) else {
-        return;
-    };
-    let started_ms = boot_ms();
-    match node.upstreams.preconnect(address, started_ms).await {
-        Ok(()) => {
-            node.note_connected(endpoint, started_ms);
-            if let Some(known) = node.fleet.borrow().get(endpoint) {
-                known.last_heard.record(boot_ms());
-            }
-        }
-        Err(UpstreamFailure::NoListener) => {
-            node.record_refused(endpoint);
-        }
-        Err(failure) => {
-            log::debug!(endpoint = endpoint.as_str(), failure:% = failure; "could not determine whether a replica has exited");
-        }
-    }
-    node.update_quarantine();
-}
-
 fn is_failure(response: &CompleteResponse) -> bool {
     response.status.is_server_error()
 }
@@ -405,7 +355,7 @@
         Ok(content) => content,
         Err(failure) => return failed(failure),
     };
-    if body.ends_with_connection() && may_have_exited(node, endpoint).await {
+    if body.ends_with_connection() && replica_may_have_exited(node, endpoint).await {
         return failed(UpstreamFailure::Broken);
     }
     let now_ms = boot_ms();
--- /dev/null
+++ b/src/relay_server/retries.rs
@@ -0,0 +1,99 @@
+//! The retry budget of the instance.
+
+use super::adapter::Adapter;
+use super::node::Node;
+use crate::clock::boot_ms;
+use crate::ids::ServiceName;
+use crate::relay::{AttemptLimit, BudgetShare, RetryConditions, RetryPurpose};
+
+impl<A> Node<A>
+where
+    A: Adapter,
+{
+    /// Counts a caller's request for a service.
+    pub(crate) fn count_request(&self, service: &ServiceName) {
+        let share = self.budget_share();
+        self.budget.borrow_mut().request(service, share, boot_ms());
+    }
+
+    /// Takes one retry out of the budget, if one is left.
+    pub(crate) fn take_retry(&self, service: &ServiceName, purpose: RetryPurpose) -> bool {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        let is_left = budget.take(service, share, purpose, boot_ms());
+        self.counters.count(if is_left {
+            "relay.repeats.allowed"
+        } else {
+            "relay.repeats.over_budget"
+        });
+        is_left
+    }
+
+    /// Returns a retry to the budget that was not delivered to any endpoint.
+    pub(crate) fn cancel_retry(&self, service: &ServiceName) {
+        self.counters.count("relay.repeats.cancelled");
+        self.budget.borrow_mut().refund(service);
+    }
+
+    /// Whether the budget has one more retry.
+    pub(crate) fn has_retry(&self, service: &ServiceName, purpose: RetryPurpose) -> bool {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.has_left(service, share, purpose, boot_ms())
+    }
+
+    /// Retries left at this instance, for log lines.
+    pub(crate) fn retries_left(&self, service: &ServiceName) -> u32 {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.remaining(service, share, boot_ms())
+    }
+
+    /// Counts a request that was given up because of a limit.
+    pub(crate) fn count_given_up(&self, limit: AttemptLimit) {
+        let name = format!("relay.given_up.{}", limit.name());
+        self.counters.count(&name);
+    }
+
+    /// When the budget will have one more retry if only time passes; not later than `now_ms` if one
+    /// is left now.
+    pub(crate) fn next_retry_ms(
+        &self,
+        service: &ServiceName,
+        purpose: RetryPurpose,
+        now_ms: u64,
+    ) -> u64 {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.next_available_ms(service, share, purpose, now_ms)
+    }
+
+    /// Notes that a request waits for a retry, so that one is borrowed from other instances.
+    pub(crate) fn note_retry_demand(&self, service: &ServiceName, purpose: RetryPurpose) {
+        let share = self.budget_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.note_demand(service, share, purpose, boot_ms());
+        self.counters.count("relay.repeats.awaited");
+    }
+
+    /// The conditions that determine when a refused request should be retried.
+    pub(crate) fn retry_conditions(&self, load_ms: u64, run_ms: u64) -> RetryConditions {
+        RetryConditions {
+            other_instances_serve: self.peers.borrow().has_ready_peer(boot_ms()),
+            load_ms,
+            run_ms,
+            random: self.random_u64(),
+        }
+    }
+
+    /// The retry budget of all instances together, as far as this instance knows them.
+    pub(super) fn budget_share(&self) -> BudgetShare {
+        let bounds = &self.settings.bounds;
+        BudgetShare {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window_ms: bounds.retry_window_ms,
+            instances: self.peers.borrow().known_instances(),
+        }
+    }
+}
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -9,7 +9,8 @@
 use crate::ids::EndpointId;
 use crate::relay::AttemptOutcome;
 use crate::relay_server::adapter::Adapter;
-use crate::relay_server::checks::{check_in_background, may_have_exited};
+use crate::relay_server::checks::check_in_background;
+use crate::relay_server::exits::engine_may_have_exited;
 use crate::relay_server::headers;
 use crate::relay_server::held_tokens::HeldTokens;
 use crate::relay_server::request::instant_at;
@@ -174,7 +175,7 @@
             return false;
         }
         let is_empty = self.splitter.last_id().is_none() && self.run_events == 0;
-        is_empty || may_have_exited(&self.node, chain.first()).await
+        is_empty || engine_may_have_exited(&self.node, chain.first()).await
     }
 
     /// When to check the run if no data arrives until then.
