Quarantine: an older survival that a peer reports late does not replace a newer one

What callers could see: a sound part that this instance had seen survive less than two seconds before endpoints crashed was blamed, if a peer's older survival of it came in between: the newer generation of survivals hid the newer time in the older one. Found by reading. The new test failed before (withheld after three crashes). The newest of both generations counts now.

--- a/src/quarantine/cleared.rs
+++ b/src/quarantine/cleared.rs
@@ -36,8 +36,8 @@
 
     /// When an endpoint last survived a feature, if that is still known.
     pub(super) fn at_ms(&self, feature: &FeatureDigest) -> Option<u64> {
-        let newer = self.newer.get(feature);
-        newer.or_else(|| self.older.get(feature)).copied()
+        let [newer, older] = [&self.newer, &self.older].map(|it| it.get(feature).copied());
+        newer.max(older)
     }
 
     /// Whether a survival rules out that a crash at `crash_ms` was caused by the feature.
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -268,6 +268,25 @@
     assert_eq!(changes, [QuarantineChange::Released(digest(1))]);
 }
 
+#[test]
+fn an_older_survival_that_a_peer_reports_late_does_not_replace_a_newer_one() {
+    let mut quarantine = Quarantine::default();
+    quarantine.clear(&request(1, &[]), 2_000);
+    let reported = EvidenceReport {
+        clearances: vec![ClearanceReport {
+            feature: digest(1),
+            age_ms: 3_000,
+        }],
+        ..EvidenceReport::default()
+    };
+    let now_ms = 2_000 + SURVIVAL_VALID_MS;
+    quarantine.apply_report(&reported, false, now_ms);
+    for number in 0..3 {
+        terminate(&mut quarantine, number, &[1], now_ms);
+    }
+    assert!(!is_withheld(&quarantine, 1, now_ms));
+}
+
 #[test]
 fn a_peer_with_evidence_against_a_cleared_request_gets_the_clearance() {
     let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
