Quarantine: one function formats digests for log lines; refusals without features take none

Three places joined digests with commas, and seven calls of refuse passed a None for the one that is withheld: refuse has its four arguments again, and the withheld request a call of its own. Comments in the field's terms.

--- a/src/quarantine/cleared.rs
+++ b/src/quarantine/cleared.rs
@@ -9,8 +9,8 @@
 /// How long after a survival crashes are not attributed to the feature. Popular harmless features are
 /// survived again within this time.
 pub(super) const SURVIVAL_VALID_MS: u64 = 2_000;
-/// Maximum number of features in a generation. A feature that is seen again moves to the newer generation;
-/// one that is not is dropped with its generation.
+/// Maximum number of features per generation. A feature that is not survived again expires with its
+/// generation.
 const GENERATION_CAPACITY: usize = 8_192;
 
 /// When an endpoint last survived each feature. Kept in two generations, of which the older one is
--- a/src/quarantine/digest.rs
+++ b/src/quarantine/digest.rs
@@ -116,6 +116,15 @@
     }
 }
 
+/// Formats digests for log lines, separated by commas.
+pub(crate) fn digest_labels<'a, I>(digests: I) -> String
+where
+    I: IntoIterator<Item = &'a FeatureDigest>,
+{
+    let labels: Vec<String> = digests.into_iter().map(ToString::to_string).collect();
+    labels.join(",")
+}
+
 /// Formats the leading bytes of the digest, which are enough for log lines.
 impl fmt::Display for FeatureDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/src/quarantine/features.rs
+++ b/src/quarantine/features.rs
@@ -1,6 +1,6 @@
 //! The features of a request that may crash endpoints.
 
-use super::FeatureDigest;
+use super::{FeatureDigest, digest_labels};
 
 /// What a request may have in common with others: that it is the same request, or shares parts of its
 /// prompt.
@@ -20,7 +20,6 @@
 
     /// Formats the prompt parts for log lines, separated by commas.
     pub fn prompt_parts_label(&self) -> String {
-        let labels: Vec<String> = self.prompt_parts.iter().map(ToString::to_string).collect();
-        labels.join(",")
+        digest_labels(&self.prompt_parts)
     }
 }
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -6,7 +6,9 @@
 use super::cleared::{self, Cleared};
 use super::pending::PendingRuns;
 use super::verdict::{CRASHES_TO_WITHHOLD, Crashes, Verdict, verdicts};
-use super::{ClearanceReport, CrashReport, EndpointLiveness, FeatureDigest, RequestFeatures};
+use super::{
+    ClearanceReport, CrashReport, EndpointLiveness, FeatureDigest, RequestFeatures, digest_labels,
+};
 use crate::dissemination::Rotation;
 use crate::ids::EndpointId;
 
@@ -108,9 +110,7 @@
     pub(crate) fn withheld_for(&self, request: &RequestFeatures) -> String {
         let applying = self.verdicts.iter().filter(|it| it.applies_to(request));
         let features = applying.flat_map(|it| &it.features);
-        let shared = features.filter(|feature| request.iter().any(|it| it == *feature));
-        let labels: Vec<String> = shared.map(ToString::to_string).collect();
-        labels.join(",")
+        digest_labels(features.filter(|feature| request.iter().any(|it| it == *feature)))
     }
 
     /// Whether a pending run may be the crash that is decisive for a feature. Runs of harmless requests
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -21,6 +21,7 @@
 mod tests;
 mod verdict;
 
+pub(crate) use digest::digest_labels;
 pub use digest::{DigestKey, FeatureDigest, RequestParts};
 pub(crate) use evidence::{ClearanceReport, CrashReport, EndpointLiveness};
 pub use features::RequestFeatures;
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -144,7 +144,7 @@
     assert!(!is_request_withheld(&quarantine, &request(200, &[3]), 10));
 }
 
-// The requests that crash endpoints and those that do not have the same first part.
+// Crashing and harmless requests share the first prompt part.
 #[test]
 fn a_part_that_others_survive_is_not_withheld_with_the_one_that_crashes_endpoints() {
     let mut quarantine = Quarantine::default();
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -19,8 +19,8 @@
 /// Features to which crashes of endpoints are attributed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Verdict {
-    /// Features that the evidence does not tell apart, since they were present at the same crashes. Sorted
-    /// and never empty.
+    /// Features with the same set of crashes, so that the evidence cannot separate them. Sorted and never
+    /// empty.
     pub(super) features: Vec<FeatureDigest>,
     /// Endpoints that crashed.
     pub(super) endpoints: Vec<EndpointId>,
--- a/src/relay_server/exits.rs
+++ b/src/relay_server/exits.rs
@@ -51,8 +51,8 @@
     node.fleet.borrow().refuses(endpoint)
 }
 
-/// Gives a process that exits time to close its sockets, and returns whether the endpoint list shows that it
-/// exited with work in progress; `None` if the list does not tell.
+/// Waits until an exiting process has closed its sockets, and returns whether it exited with requests in
+/// progress according to the endpoint list; `None` if it is still listed as live.
 async fn wait_for_listed_exit<A>(node: &Node<A>, endpoint: &EndpointId) -> Option<bool>
 where
     A: Adapter,
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -20,7 +20,7 @@
 use super::request::{RelayedRequest, error_response, status_response};
 use super::stream_response::relay_stream;
 use crate::clock::boot_ms;
-use crate::quarantine::{QuarantineStatus, RequestFeatures, RequestParts};
+use crate::quarantine::{QuarantineStatus, RequestParts};
 use crate::relay::{AttemptLimit, FinalError, RefusalCause};
 use crate::route_table::{Rejection, Route, RouteTable};
 
@@ -159,13 +159,13 @@
     let arrived_ms = boot_ms();
     node.wait_until_informed(arrived_ms).await;
     let Some(table) = node.routes() else {
-        return refuse(node, "", None, None, RefusalCause::NoTable);
+        return refuse(node, "", None, RefusalCause::NoTable);
     };
     let refusal = delegation
         .as_ref()
         .and_then(|it| delegation_refusal(node, it, &table));
     if let Some(cause) = refusal {
-        return refuse(node, "", None, None, cause);
+        return refuse(node, "", None, cause);
     }
     strip_headers(&mut request.head_mut().headers);
     if headers::head_bytes(request.head()) > table.limits.max_header_bytes {
@@ -207,13 +207,7 @@
     let is_withheld = node.quarantine_status(features) == QuarantineStatus::Withheld;
     relayed.is_quarantine_trial = is_withheld && node.begin_quarantine_trial(features);
     if is_withheld && !relayed.is_quarantine_trial {
-        return refuse(
-            node,
-            &relayed.ask.id,
-            Some(&relayed.route),
-            features,
-            RefusalCause::Withheld,
-        );
+        return refuse_withheld(node, &relayed);
     }
     let is_cut_off = node.fleet.borrow().reach.is_lost(&relayed.service);
     if relayed.delegation.is_some() && is_cut_off {
@@ -222,7 +216,6 @@
             node,
             &relayed.ask.id,
             Some(&relayed.route),
-            features,
             RefusalCause::NoEndpoint,
         );
     }
@@ -281,7 +274,6 @@
             node,
             &ask.id,
             Some(&route),
-            None,
             RefusalCause::OldTable,
         )));
     }
@@ -290,7 +282,6 @@
             node,
             &ask.id,
             Some(&route),
-            None,
             RefusalCause::Stopping,
         )));
     }
@@ -299,7 +290,6 @@
             node,
             &ask.id,
             Some(&route),
-            None,
             RefusalCause::NoEndpoint,
         )));
     };
@@ -349,7 +339,7 @@
     let age_ms = node.table.borrow().age_ms(now_ms);
     // An outdated table may lack a route or key that was added since.
     if age_ms > node.settings.bounds.key_trust_ms {
-        return refuse(node, id, None, None, RefusalCause::OldTable);
+        return refuse(node, id, None, RefusalCause::OldTable);
     }
     let status = match rejection {
         Rejection::NoRoute => StatusCode::NOT_FOUND,
@@ -365,13 +355,35 @@
     status_response(node, status)
 }
 
+fn refuse_withheld<A>(node: &Node<A>, request: &RelayedRequest) -> Response<BoxBody>
+where
+    A: Adapter,
+{
+    let withheld_for = node.withheld_for(request.features.as_ref());
+    let (id, route) = (&request.ask.id, Some(&request.route));
+    refuse_for(node, id, route, RefusalCause::Withheld, &withheld_for)
+}
+
 fn refuse<A>(
     node: &Node<A>,
     id: &str,
     route: Option<&Route>,
-    features: Option<&RequestFeatures>,
     cause: RefusalCause,
 ) -> Response<BoxBody>
+where
+    A: Adapter,
+{
+    refuse_for(node, id, route, cause, "")
+}
+
+/// Refuses a request. `withheld_for` names the features for which it is withheld, if it is.
+fn refuse_for<A>(
+    node: &Node<A>,
+    id: &str,
+    route: Option<&Route>,
+    cause: RefusalCause,
+    withheld_for: &str,
+) -> Response<BoxBody>
 where
     A: Adapter,
 {
@@ -384,7 +396,7 @@
         route = route.map(|route| route.name.as_str()),
         cause = cause.name(),
         limit = limit.name(),
-        withheld_for = node.withheld_for(features).as_str(),
+        withheld_for,
         retry_after_ms = cause.retry_after_ms(conditions),
         table = table.table().map(|table| table.version),
         table_age_ms = table.age_ms(boot_ms()),
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -49,7 +49,7 @@
         budget.remaining(service, share, boot_ms())
     }
 
-    /// Counts a request that was given up because of a limit.
+    /// Counts a request that was abandoned at a limit.
     pub(crate) fn count_given_up(&self, limit: AttemptLimit) {
         let name = format!("relay.given_up.{}", limit.name());
         self.counters.count(&name);
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -42,9 +42,10 @@
 /// Maximum size of an engine's failure response that is buffered for forwarding.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
 
-/// Number of chunks with events and time since the response's head after which a run shows that its engines
-/// survive the request. On a slow engine the time alone would not show it, on a fast one the number.
+/// Number of chunks with events after which a run shows that its engines survive the request, once it has
+/// also lasted [`CLEARING_AFTER_MS`]: a slow engine sends few events in that time.
 const CLEARING_EVENTS: u32 = 3;
+/// Time since the response's head; a fast engine sends its first events well before it.
 const CLEARING_AFTER_MS: u64 = 300;
 
 /// How a run of the request ended.
--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -11,6 +11,7 @@
 use crate::ids::EndpointId;
 use crate::quarantine::{
     EndpointLiveness, EvidenceReport, QuarantineChange, QuarantineStatus, RequestFeatures,
+    digest_labels,
 };
 
 /// Evidence from rows of the store.
@@ -123,10 +124,9 @@
         for change in changes {
             match change {
                 QuarantineChange::Withheld(features, endpoints) => {
-                    let digests: Vec<String> = features.iter().map(ToString::to_string).collect();
                     let endpoints: Vec<&str> = endpoints.iter().map(EndpointId::as_str).collect();
                     log::warn!(
-                        digest = digests.join(",").as_str(),
+                        digest = digest_labels(features).as_str(),
                         endpoints = endpoints.join(",").as_str(),
                         source;
                         "request is withheld"
