Quarantine: instances that learn a verdict late withhold the same requests as the others

What callers could see: where a crashing prompt part came with another one at each crash, an instance that started or was partitioned went on sending requests with the part alone, after more than five crashes: BUDGET at that instance. Cause: from five crashes on one of several features suffices, but reminders in heartbeats named three, and the store's row was written once, at the third. Both new tests failed before (withheld here, not there; no change reported at the fifth crash). A verdict that widens is now a change like a new one: logged, counted, written to the store. Reminders: two a heartbeat as before, five for each feature in place of three.

--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -5,7 +5,7 @@
 
 use super::cleared::{self, Cleared};
 use super::pending::PendingRuns;
-use super::verdict::{CRASHES_TO_WITHHOLD, Crashes, Verdict, verdicts};
+use super::verdict::{CRASHES_TO_WITHHOLD, CRASHES_TO_WITHHOLD_ANY, Crashes, Verdict, verdicts};
 use super::{
     ClearanceReport, CrashReport, EndpointLiveness, FeatureDigest, RequestFeatures, digest_labels,
 };
@@ -309,8 +309,8 @@
             .verdicts
             .iter()
             .flat_map(|verdict| {
-                // These are enough to have requests withheld elsewhere.
-                let sufficient = verdict.endpoints.iter().take(CRASHES_TO_WITHHOLD);
+                // These are enough to have the same requests withheld elsewhere.
+                let sufficient = verdict.endpoints.iter().take(CRASHES_TO_WITHHOLD_ANY);
                 let features = verdict.features.iter();
                 features.flat_map(move |feature| sufficient.clone().map(move |it| (feature, it)))
             })
@@ -379,7 +379,7 @@
         let now = verdicts(self.suspects.iter());
         let is_known = |verdict: &&Verdict| {
             let mut known = self.verdicts.iter();
-            known.any(|it| it.features == verdict.features)
+            known.any(|it| it.is_equivalent(verdict))
         };
         let new = now.iter().filter(|it| !is_known(it));
         let mut changes: Vec<QuarantineChange> = new
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -287,6 +287,46 @@
     assert!(!is_withheld(&quarantine, 1, now_ms));
 }
 
+/// Five crashes under distinct requests that share two parts. Returns the last change that this caused.
+fn crash_five_under_two_parts(quarantine: &mut Quarantine) -> Vec<QuarantineChange> {
+    let crashes = (0..5).map(|number| {
+        let distinct = request(100 + number as u64, &[1, 2]);
+        terminate_under(quarantine, number, &[distinct], 10)
+    });
+    crashes.last().unwrap_or_default()
+}
+
+#[test]
+fn an_instance_that_learns_a_verdict_only_from_reminders_withholds_the_same_requests() {
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    crash_five_under_two_parts(&mut here);
+    // The updates that peers heard at the time.
+    for _ in 0..40 {
+        here.next_report(20);
+    }
+    for _ in 0..40 {
+        there.apply_report(&here.next_report(30), false, 30);
+    }
+    for parts in [&[1, 2][..], &[1], &[2]] {
+        let of_parts = request(200, parts);
+        assert!(is_request_withheld(&here, &of_parts, 30), "{parts:?}");
+        assert!(is_request_withheld(&there, &of_parts, 30), "{parts:?}");
+    }
+}
+
+#[test]
+fn the_change_is_reported_when_one_of_several_features_begins_to_suffice() {
+    let mut quarantine = Quarantine::default();
+    let endpoints = (0..5).map(endpoint).collect();
+    assert_eq!(
+        crash_five_under_two_parts(&mut quarantine),
+        [QuarantineChange::Withheld(
+            vec![digest(1), digest(2)],
+            endpoints
+        )]
+    );
+}
+
 #[test]
 fn a_peer_with_evidence_against_a_cleared_request_gets_the_clearance() {
     let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -11,7 +11,7 @@
 pub(super) const CRASHES_TO_WITHHOLD: usize = 3;
 /// Number of crashes at which one of the features suffices. Until then, requests that have only some of
 /// them are sent, since their outcome shows which of the features is the cause.
-const CRASHES_TO_WITHHOLD_ANY: usize = 5;
+pub(super) const CRASHES_TO_WITHHOLD_ANY: usize = 5;
 
 /// The crashes under one feature: the endpoints, and when each of them terminated.
 pub(super) type Crashes = IndexMap<EndpointId, u64>;
@@ -32,12 +32,22 @@
     /// Whether a request has to be withheld.
     pub(super) fn applies_to(&self, request: &RequestFeatures) -> bool {
         let has = |feature: &FeatureDigest| request.iter().any(|it| it == feature);
-        if self.endpoints.len() >= CRASHES_TO_WITHHOLD_ANY {
+        if self.is_any_sufficient() {
             self.features.iter().any(has)
         } else {
             self.features.iter().all(has)
         }
     }
+
+    /// Whether another verdict has the same requests withheld.
+    pub(super) fn is_equivalent(&self, other: &Self) -> bool {
+        self.features == other.features && self.is_any_sufficient() == other.is_any_sufficient()
+    }
+
+    /// Whether one of the features suffices for a request to be withheld.
+    fn is_any_sufficient(&self) -> bool {
+        self.features.len() == 1 || self.endpoints.len() >= CRASHES_TO_WITHHOLD_ANY
+    }
 }
 
 /// The verdicts by this evidence.
