fescuectl demand: shows demand by service, zone and priority

Cause: the gauges of demand are one line for each value, which is hard to compare over zones during an incident.

Change: `fescuectl demand ADDRESS` reads the metrics page of one relaying instance and prints a table, with the sum of each zone before its priorities. It needs neither a control process nor a key, as the metrics page needs none.

--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -77,6 +77,11 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Show the demand for streams by service, zone and priority, as a relaying instance knows it.
+    Demand {
+        /// Address of the instance's metrics page.
+        address: SocketAddr,
+    },
     /// Validate instance settings.
     #[command(subcommand)]
     Settings(SettingsCommand),
--- a/src/ctl/commands/mod.rs
+++ b/src/ctl/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Implementations of the commands, one per file.
 
 mod audit;
+mod demand;
 mod document_accept;
 mod document_check;
 mod document_diff;
@@ -55,6 +56,7 @@
         Command::Explain(command) => explain::run(&ControlClient::new(&common)?, &command).await,
         Command::Trace { request, files } => trace::run(&request, &files),
         Command::Losses { files } => losses::run(&files),
+        Command::Demand { address } => demand::run(address, common.timeout_s).await,
         Command::Settings(SettingsCommand::Check { file }) => settings_check::run(&file),
         Command::Key(KeyCommand::New) => key_new::run(),
         Command::Completions { shell } => completions(shell),
--- a/src/ctl/fault.rs
+++ b/src/ctl/fault.rs
@@ -9,6 +9,7 @@
 use uuid::Uuid;
 
 use super::variables::{CONTROL_VARIABLE, KEY_VARIABLE};
+use crate::clients::HttpFailure;
 use crate::document::DocumentFaults;
 use crate::exit_codes::Exit;
 use crate::settings::SettingsError;
@@ -60,6 +61,14 @@
         /// Failed attempts of the last pass over all addresses.
         attempts: Vec<FailedAttempt>,
     },
+    /// A relaying instance did not serve its metrics page.
+    #[error("{address}: {cause}; name the metrics address of a running instance")]
+    NoMetrics {
+        /// The address.
+        address: SocketAddr,
+        /// Cause of the failure.
+        cause: MetricsFailure,
+    },
     /// A control process refused the call.
     #[error("{address}: {fault}")]
     Refused {
@@ -96,7 +105,9 @@
             Self::BadDocument { .. } | Self::RefusedDocument { .. } => Exit::BadDocument,
             Self::NoKey => Exit::NotAllowed,
             Self::NoControl => Exit::Usage,
-            Self::Unavailable { .. } | Self::Unsettled { .. } => Exit::Unavailable,
+            Self::Unavailable { .. } | Self::Unsettled { .. } | Self::NoMetrics { .. } => {
+                Exit::Unavailable
+            }
             Self::Refused { fault, .. } => exit_for_fault(fault),
         }
     }
@@ -113,6 +124,17 @@
     }
 }
 
+/// Why a metrics page could not be read.
+#[derive(Debug, Error)]
+pub enum MetricsFailure {
+    /// The call failed.
+    #[error(transparent)]
+    Call(#[from] HttpFailure),
+    /// The status of the response is not 200.
+    #[error("responded with status {0}")]
+    Status(u16),
+}
+
 /// A failed call to one control process.
 #[derive(Debug, Error)]
 #[error("{address}: {cause}")]
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod cli;
 mod commands;
+mod demand_rows;
 mod fault;
 mod key;
 mod log_lines;
@@ -23,7 +24,7 @@
 use clap::Parser;
 
 pub use cli::Cli;
-pub use fault::CtlError;
+pub use fault::{CtlError, MetricsFailure};
 pub use log_lines::LogLine;
 pub use loss_reason::LossReason;
 pub use losses::{LossGroup, LossReport, LossWindow, summarize_losses};
--- a/src/ctl/tests/mod.rs
+++ b/src/ctl/tests/mod.rs
@@ -1,3 +1,4 @@
+mod demand;
 mod local;
 mod losses;
 mod remote;
--- a/src/demand/mod.rs
+++ b/src/demand/mod.rs
@@ -2,6 +2,7 @@
 //! be served. Each instance measures its own part, and instances exchange reports in heartbeats.
 
 mod book;
+mod gauge_lines;
 mod gauges;
 #[cfg(test)]
 mod gauges_tests;
@@ -13,7 +14,8 @@
 mod zone_demand;
 
 pub(crate) use book::{DemandBook, ReportSource};
-pub(crate) use gauges::render_gauges;
+pub(crate) use gauge_lines::parse_gauges;
+pub(crate) use gauges::{DemandGauge, render_gauges};
 pub(crate) use meter::DemandMeter;
 pub(crate) use report::{DemandReport, ZoneSum};
 pub(crate) use zone_demand::ZoneDemand;
