Layout: the reserve for requests follows the demand of a zone

Engines kept memory for a fixed number of requests, worked out for one deployment. A zone with four times the callers had too little at its fast engines: its memory filled up after the loss of one, requests were preempted, and streams moved to engines several times as slow. The planner now estimates the streams per second that a zone sustains after the loss of its most productive engine; where that is below 1.5 times the peak demand, engines give up layers that at least two others hold, which loads nothing. Zones without two spare copies, and zones whose demand is unknown or sustained, keep their layout.

--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -9,6 +9,9 @@
 
 /// How long layers reported by an engine override the list, which may still show the previous ones.
 const LAYERS_OVERRIDE_MS: u64 = 1_500;
+/// How long layers that an engine was ordered to give up override the list. It reports them until the requests
+/// that pass through them have ended, which takes a few seconds, and the list lags behind by about two.
+const GIVEN_UP_LAYERS_OVERRIDE_MS: u64 = 8_000;
 
 /// Load of an engine that is due to the requests of some instances.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,6 +97,18 @@
         self.reported_layers_until_ms = Some(now_ms + LAYERS_OVERRIDE_MS);
     }
 
+    /// Applies an order to hold `ordered` layers. An engine that only gives layers up goes on serving the others;
+    /// one that has to load some gets no new requests until it reports them.
+    pub fn set_ordered_layers(&mut self, ordered: LayerRange, now_ms: u64) {
+        let only_gives_up = self.listed.layers.is_some_and(|held| held.covers(ordered));
+        if only_gives_up {
+            self.listed.layers = Some(ordered);
+            self.reported_layers_until_ms = Some(now_ms + GIVEN_UP_LAYERS_OVERRIDE_MS);
+        } else {
+            self.set_reported_layers(None, now_ms);
+        }
+    }
+
     /// A stage with all layers that the engine holds, if it holds any.
     pub fn stage(&self) -> Option<ChainStage> {
         Some(ChainStage {
--- a/src/placement/coverage.rs
+++ b/src/placement/coverage.rs
@@ -117,6 +117,38 @@
         })
     }
 
+    /// The window of `count` layers inside `held` that needs a holder the most, among those outside which every
+    /// layer of `held` has at least `min_holders`.
+    pub(super) fn best_part(
+        &self,
+        held: HeldRange,
+        count: u16,
+        min_holders: u32,
+    ) -> Option<LayerRange> {
+        let LayerRange { first, end } = held.layers;
+        let mut best: Option<(Need, LayerRange)> = None;
+        for window_first in first..=end.checked_sub(count)? {
+            let window = LayerRange {
+                first: window_first,
+                end: window_first + count,
+            };
+            let mut given_up = (first..window.first).chain(window.end..end);
+            if !given_up.all(|layer| self.holders(layer) >= min_holders) {
+                continue;
+            }
+            let need = self.need(window, held.step_factor);
+            if best.is_none_or(|(most, _)| need > most) {
+                best = Some((need, window));
+            }
+        }
+        best.map(|(_, window)| window)
+    }
+
+    fn holders(&self, layer: u16) -> u32 {
+        let cover = self.0.get(usize::from(layer));
+        cover.map_or(0, |cover| cover.holders)
+    }
+
     /// Whether chains would use an engine with this range: some of its layers have no other holder,
     /// or only much slower ones.
     pub(super) fn would_be_used(&self, range: HeldRange) -> bool {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,12 +4,19 @@
 //! an order that was lost or carried out late simply turns out to be missing or superfluous. Layers
 //! are spread inside each availability zone, since the links between zones cannot carry every
 //! request's activations.
+//!
+//! How much memory an engine keeps for requests follows from its zone's demand; see `sizing`.
 
 mod coverage;
 mod planner;
+mod shrink;
+#[cfg(test)]
+mod shrink_tests;
 mod sizing;
 #[cfg(test)]
 mod tests;
+mod throughput;
 
 pub use coverage::PlacedEngine;
 pub use planner::{PlacementOrder, PlacementPlanner};
+pub use sizing::ZoneSizing;
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::coverage::{Coverage, HeldRange, PlacedEngine};
-use super::sizing::{LayerCounts, layer_counts};
+use super::sizing::{LayerCounts, ZoneSizing, layer_counts};
 use crate::ids::{EndpointId, ZoneName};
 use crate::invariant;
 use crate::route_table::EngineModel;
@@ -34,7 +34,8 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingOrder {
     layers: LayerRange,
-    /// The engine held other layers before.
+    /// The engine has to load layers in place of others. One that only gives layers up goes on serving the
+    /// rest.
     is_move: bool,
     expires_ms: u64,
 }
@@ -47,14 +48,18 @@
     refused_until_ms: IndexMap<EndpointId, u64>,
     /// Since when each availability zone has had a layer without an engine.
     uncovered_since_ms: IndexMap<ZoneName, u64>,
+    /// What the newest layer counts of each availability zone are based on.
+    sizings: IndexMap<ZoneName, ZoneSizing>,
 }
 
 impl PlacementPlanner {
-    /// The orders to send now. [`Self::order_sent`] records those that were sent.
+    /// The orders to send now. [`Self::order_sent`] records those that were sent. `demand_per_s` holds the
+    /// recent peak of streams per second of each availability zone where it is known.
     pub fn due_orders(
         &mut self,
         engines: &[PlacedEngine],
         model: &EngineModel,
+        demand_per_s: &IndexMap<ZoneName, f64>,
         now_ms: u64,
     ) -> Vec<PlacementOrder> {
         self.expire(engines, now_ms);
@@ -65,7 +70,10 @@
                 .iter()
                 .filter(|engine| engine.zone == *zone)
                 .collect();
-            orders.extend(self.due_in_zone(zone, &in_zone, model, now_ms));
+            let demand_per_s = demand_per_s.get(zone).copied();
+            let (counts, sizing) = layer_counts(&in_zone, model, demand_per_s);
+            self.sizings.insert(zone.clone(), sizing);
+            orders.extend(self.due_in_zone(zone, &in_zone, &counts, model, now_ms));
         }
         for order in &orders {
             check_memory(order, engines, model);
@@ -83,7 +91,9 @@
         now_ms: u64,
     ) {
         let engine = engines.iter().find(|engine| engine.id == order.endpoint);
-        let is_move = engine.is_some_and(|engine| engine.layers.is_some());
+        let is_move = engine
+            .and_then(|engine| engine.layers)
+            .is_some_and(|held| !held.covers(order.layers));
         self.add_pending(order, is_move, model, now_ms);
     }
 
@@ -100,6 +110,11 @@
         self.uncovered_since_ms.clear();
     }
 
+    /// What the newest layout of each availability zone is based on.
+    pub fn sizings(&self) -> &IndexMap<ZoneName, ZoneSizing> {
+        &self.sizings
+    }
+
     /// Records an order that was sent by another process.
     pub fn order_reported(&mut self, order: PlacementOrder, model: &EngineModel, now_ms: u64) {
         self.add_pending(order, true, model, now_ms);
@@ -134,7 +149,7 @@
     }
 
     /// The layers that an engine holds, or will hold after a pending order.
-    fn planned_layers(&self, engine: &PlacedEngine) -> Option<LayerRange> {
+    pub(super) fn planned_layers(&self, engine: &PlacedEngine) -> Option<LayerRange> {
         let ordered = self.pending.get(&engine.id).map(|it| it.layers);
         ordered
             .or(engine.layers)
@@ -145,16 +160,19 @@
         &mut self,
         zone: &ZoneName,
         engines: &[&PlacedEngine],
+        counts: &LayerCounts,
         model: &EngineModel,
         now_ms: u64,
     ) -> Vec<PlacementOrder> {
-        let counts = layer_counts(engines, model);
         let healthy = engines.iter().filter(|engine| !engine.is_very_slow);
         let held = healthy.filter_map(|engine| self.held_range(engine, model));
         let mut coverage = Coverage::of(model.layers, held);
-        let mut orders = self.assign_empty_engines(engines, &counts, &mut coverage, model);
+        let mut orders = self.assign_empty_engines(engines, counts, &mut coverage, model);
         if !coverage.has_gap() {
             self.uncovered_since_ms.shift_remove(zone);
+            if orders.is_empty() && counts.has_raised_reserve() {
+                orders = self.shrink_ranges(engines, counts, model);
+            }
             return orders;
         }
         let since_ms = *self
@@ -164,10 +182,10 @@
         if self.is_moving(engines) {
             return orders;
         }
-        match self.cover_gap(engines, &counts, &coverage, model) {
+        match self.cover_gap(engines, counts, &coverage, model) {
             Some(order) => orders.push(order),
             None if orders.is_empty() && now_ms >= since_ms + RELAYOUT_DELAY_MS => {
-                orders = self.relayout(engines, &counts, model);
+                orders = self.relayout(engines, counts, model);
             }
             None => {}
         }
@@ -218,7 +236,11 @@
         orders
     }
 
-    fn held_range(&self, engine: &PlacedEngine, model: &EngineModel) -> Option<HeldRange> {
+    pub(super) fn held_range(
+        &self,
+        engine: &PlacedEngine,
+        model: &EngineModel,
+    ) -> Option<HeldRange> {
         Some(HeldRange {
             layers: self.planned_layers(engine)?,
             step_factor: step_factor(engine, model),
@@ -321,7 +343,7 @@
     }
 
     /// Whether an engine may get an order.
-    fn can_take_order(&self, engine: &PlacedEngine) -> bool {
+    pub(super) fn can_take_order(&self, engine: &PlacedEngine) -> bool {
         !self.refused_until_ms.contains_key(&engine.id)
     }
 }
@@ -343,7 +365,7 @@
 }
 
 /// Factor on the time of a token step; infinite for a kind that is not in the model's table.
-fn step_factor(engine: &PlacedEngine, model: &EngineModel) -> f64 {
+pub(super) fn step_factor(engine: &PlacedEngine, model: &EngineModel) -> f64 {
     let kind = model.kinds.get(&engine.kind);
     kind.map_or(f64::INFINITY, |kind| kind.step_factor)
 }
--- a/src/placement/sizing.rs
+++ b/src/placement/sizing.rs
@@ -6,9 +6,10 @@
 use crate::route_table::{AcceleratorKind, EngineModel};
 
 use super::PlacedEngine;
+use super::throughput::{Holding, request_bytes_per_layer, sustained_after_loss_per_s};
 
-/// Typical requests for which every engine reserves memory beside its layers. A zone with 24
-/// requests per second of about 3 s each runs 72 at every layer, and when an engine is lost,
+/// Typical requests for which every engine reserves memory beside its layers while demand is unknown or low.
+/// A zone with 24 requests per second of about 3 s each runs 72 at every layer, and when an engine is lost,
 /// another one with its layers gets up to twice as many.
 const RESERVED_REQUESTS: f64 = 120.0;
 /// Minimum reserve, in typical requests, for zones that could not hold every layer otherwise.
@@ -19,12 +20,21 @@
 /// one's 27 layers, and losing the large one stops the zone.
 const COPY_RESERVE_FRACTION: f64 = 0.5;
 
+/// Factors on the normal reserve, tried in order until a zone sustains its demand. With larger ones, the hops
+/// of longer chains cost more than the additional memory gains.
+const RESERVE_FACTORS: [f64; 3] = [1.0, 1.25, 1.5];
+
+/// Throughput that a zone needs after the loss of an engine, in multiples of its demand: bursts are a half
+/// above the rate of the last seconds, and weights take longer to load than a burst lasts.
+const DEMAND_MARGIN: f64 = 1.5;
+
+/// Mean number of holders that each layer keeps after the loss of the largest engine if the reserve is
+/// above normal. With fewer, a second loss stops the zone, which is worse than a lack of memory.
+const MIN_HOLDERS_AFTER_LOSS: f64 = 2.0;
+
 /// Maximum number of layers that fit beside a reserve for `requests` typical requests.
 fn layers_that_fit(model: &EngineModel, kind: &AcceleratorKind, requests: f64) -> u16 {
-    let usual_tokens = (model.usual_prompt_tokens + model.usual_answer_tokens).max(1) as f64;
-    let tokens = usual_tokens * requests;
-    let layer_token_mb = model.token_kv_bytes / f64::from(model.layers.max(1)) / 1e6;
-    let per_layer_mb = model.layer_mb + tokens * layer_token_mb;
+    let per_layer_mb = model.layer_mb + requests * request_bytes_per_layer(model) / 1e6;
     let count = (kind.memory_mb / per_layer_mb).floor();
     // Never more than fit into memory, whatever the model's figures are.
     let most = (kind.memory_mb / model.layer_mb).floor();
@@ -37,6 +47,8 @@
 pub(super) struct LayerCounts {
     as_only_holder: IndexMap<EndpointId, u16>,
     as_copy: IndexMap<EndpointId, u16>,
+    /// Whether the reserve is above normal, because demand is.
+    has_raised_reserve: bool,
 }
 
 impl LayerCounts {
@@ -50,12 +62,73 @@
     pub(super) fn as_copy(&self, engine: &EndpointId) -> Option<u16> {
         self.as_copy.get(engine).copied()
     }
+
+    /// Whether engines that hold more layers should give some up.
+    pub(super) fn has_raised_reserve(&self) -> bool {
+        self.has_raised_reserve
+    }
 }
 
-/// Number of layers for each engine of one availability zone: as many as leave the normal reserve,
-/// or more if the zone could not hold every layer otherwise. A copy keeps a smaller reserve and
-/// holds more layers, so that fewer engines make up for the loss of a large one.
-pub(super) fn layer_counts(engines: &[&PlacedEngine], model: &EngineModel) -> LayerCounts {
+/// What the layer counts of an availability zone are based on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ZoneSizing {
+    /// Streams per second that callers ask for; `None` if unknown.
+    pub demand_per_s: Option<f64>,
+    /// Streams per second that the zone's engines sustain after the loss of the one that sustains the most.
+    pub sustained_per_s: f64,
+    /// Factor on the normal reserve.
+    pub reserve_factor: f64,
+}
+
+impl ZoneSizing {
+    /// Whether the zone sustains its demand with the margin for bursts.
+    pub fn is_sufficient(&self) -> bool {
+        let needed_per_s = self.demand_per_s.unwrap_or(0.0) * DEMAND_MARGIN;
+        self.sustained_per_s >= needed_per_s
+    }
+}
+
+/// Number of layers for each engine of one availability zone: as many as leave the normal reserve, or a
+/// larger one where that does not sustain `demand_per_s` streams per second. A copy keeps a smaller reserve
+/// and holds more layers, so that fewer engines make up for the loss of a large one.
+pub(super) fn layer_counts(
+    engines: &[&PlacedEngine],
+    model: &EngineModel,
+    demand_per_s: Option<f64>,
+) -> (LayerCounts, ZoneSizing) {
+    let sized = |reserve_factor: f64| {
+        let counts = counts_for_reserve(engines, model, RESERVED_REQUESTS * reserve_factor);
+        let holdings = holdings(engines, &counts, model);
+        let sizing = ZoneSizing {
+            demand_per_s,
+            sustained_per_s: sustained_after_loss_per_s(holdings.iter().copied(), model),
+            reserve_factor,
+        };
+        let is_redundant = holders_after_loss(&holdings, model) >= MIN_HOLDERS_AFTER_LOSS;
+        (counts, sizing, is_redundant)
+    };
+    let (mut counts, mut sizing, _) = sized(RESERVE_FACTORS[0]);
+    for reserve_factor in RESERVE_FACTORS.into_iter().skip(1) {
+        if sizing.is_sufficient() {
+            break;
+        }
+        let (larger, larger_sizing, is_redundant) = sized(reserve_factor);
+        if !is_redundant {
+            break;
+        }
+        (counts, sizing) = (larger, larger_sizing);
+        counts.has_raised_reserve = true;
+    }
+    (counts, sizing)
+}
+
+/// Layer counts with a reserve of `reserved_requests`, or with a smaller one if the zone could not hold every
+/// layer otherwise.
+fn counts_for_reserve(
+    engines: &[&PlacedEngine],
+    model: &EngineModel,
+    reserved_requests: f64,
+) -> LayerCounts {
     let counts_for = |requests: f64| -> IndexMap<EndpointId, u16> {
         engines
             .iter()
@@ -65,7 +138,7 @@
             })
             .collect()
     };
-    let mut requests = RESERVED_REQUESTS;
+    let mut requests = reserved_requests;
     loop {
         let counts = counts_for(requests);
         let sum: u32 = counts.values().map(|count| u32::from(*count)).sum();
@@ -73,8 +146,45 @@
             return LayerCounts {
                 as_only_holder: counts,
                 as_copy: counts_for(requests * COPY_RESERVE_FRACTION),
+                has_raised_reserve: false,
             };
         }
         requests = (requests * 0.8).max(MIN_RESERVED_REQUESTS);
     }
 }
+
+/// What each engine holds if the fastest get their layers first, as the planner assigns them.
+fn holdings<'a>(
+    engines: &[&PlacedEngine],
+    counts: &LayerCounts,
+    model: &'a EngineModel,
+) -> Vec<Holding<'a>> {
+    let mut by_speed: Vec<(&EndpointId, &AcceleratorKind)> = engines
+        .iter()
+        .filter_map(|engine| Some((&engine.id, model.kinds.get(&engine.kind)?)))
+        .collect();
+    by_speed.sort_by(|(_, a), (_, b)| {
+        let faster = a.step_factor.total_cmp(&b.step_factor);
+        faster.then_with(|| b.memory_mb.total_cmp(&a.memory_mb))
+    });
+    let mut held = 0;
+    let mut holdings = Vec::with_capacity(by_speed.len());
+    for (id, kind) in by_speed {
+        let count = if held < u32::from(model.layers) {
+            counts.as_only_holder(id)
+        } else {
+            counts.as_copy(id)
+        };
+        let layers = count.unwrap_or(0);
+        held += u32::from(layers);
+        holdings.push(Holding { kind, layers });
+    }
+    holdings
+}
+
+/// Mean number of holders of a layer without the engine that holds the most.
+fn holders_after_loss(holdings: &[Holding<'_>], model: &EngineModel) -> f64 {
+    let layers = holdings.iter().map(|it| u32::from(it.layers));
+    let largest = layers.clone().max().unwrap_or(0);
+    f64::from(layers.sum::<u32>() - largest) / f64::from(model.layers.max(1))
+}
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -54,7 +54,7 @@
     engines: &[PlacedEngine],
     now_ms: u64,
 ) -> Vec<PlacementOrder> {
-    let orders = planner.due_orders(engines, &model(), now_ms);
+    let orders = planner.due_orders(engines, &model(), &IndexMap::new(), now_ms);
     for order in &orders {
         planner.order_sent(order.clone(), engines, &model(), now_ms);
     }
@@ -124,7 +124,7 @@
     let model = model_with_uneven_speeds();
     for (large, middle, small) in [(2, 4, 4), (1, 6, 6), (1, 4, 10)] {
         let mut engines = engines("lac", large, middle, small);
-        let orders = PlacementPlanner::default().due_orders(&engines, &model, 0);
+        let orders = PlacementPlanner::default().due_orders(&engines, &model, &IndexMap::new(), 0);
         apply_orders(&mut engines, &orders);
         let is_fast = |it: &&PlacedEngine| it.kind != "middle";
         let fast: Vec<PlacedEngine> = engines.iter().filter(is_fast).cloned().collect();
@@ -148,7 +148,7 @@
     let model = model_with_uneven_speeds();
     for (large, middle, small) in [(2, 4, 4), (1, 6, 6), (1, 4, 10)] {
         let mut engines = engines("lac", large, middle, small);
-        let orders = PlacementPlanner::default().due_orders(&engines, &model, 0);
+        let orders = PlacementPlanner::default().due_orders(&engines, &model, &IndexMap::new(), 0);
         apply_orders(&mut engines, &orders);
         let lost = engines.remove(0);
         let uncovered: Vec<u16> = (0..80)
@@ -169,7 +169,7 @@
     for (engine, layers) in engines.iter_mut().zip(layers) {
         engine.layers = layers.map(|(first, end)| LayerRange { first, end });
     }
-    let orders = PlacementPlanner::default().due_orders(&engines, &model, 0);
+    let orders = PlacementPlanner::default().due_orders(&engines, &model, &IndexMap::new(), 0);
     let layers_of = |kind: &str| {
         let is_of_kind = |it: &&PlacementOrder| it.endpoint.as_str().contains(kind);
         orders
@@ -219,7 +219,7 @@
 fn an_engine_that_returns_to_slow_copies_keeps_the_reserve_of_an_only_holder() {
     let model = model_with_uneven_speeds();
     let mut engines = engines("lac", 1, 6, 6);
-    let orders = PlacementPlanner::default().due_orders(&engines, &model, 0);
+    let orders = PlacementPlanner::default().due_orders(&engines, &model, &IndexMap::new(), 0);
     apply_orders(&mut engines, &orders);
     let before = engines[0].layers;
     engines[0].layers = None;
@@ -227,7 +227,7 @@
         (0..80).all(|layer| holders(&engines, layer) >= 1),
         "copies hold its layers"
     );
-    let orders = PlacementPlanner::default().due_orders(&engines, &model, 0);
+    let orders = PlacementPlanner::default().due_orders(&engines, &model, &IndexMap::new(), 0);
     assert_eq!(orders.len(), 1);
     assert_eq!(Some(orders[0].layers), before);
 }
@@ -248,8 +248,14 @@
     engines[6].kind = "unknown".to_owned();
     let mut planner = PlacementPlanner::default();
     // Any order would leave another layer without an engine.
-    assert_eq!(planner.due_orders(&engines, &model, 0), vec![]);
-    assert_eq!(planner.due_orders(&engines, &model, 6_000), vec![]);
+    assert_eq!(
+        planner.due_orders(&engines, &model, &IndexMap::new(), 0),
+        vec![]
+    );
+    assert_eq!(
+        planner.due_orders(&engines, &model, &IndexMap::new(), 6_000),
+        vec![]
+    );
 }
 
 #[test]
@@ -307,7 +313,7 @@
         engine.held_token_layers = 1_000;
     }
     let moved = |engines: &[PlacedEngine]| {
-        let orders = PlacementPlanner::default().due_orders(engines, &model(), 0);
+        let orders = PlacementPlanner::default().due_orders(engines, &model(), &IndexMap::new(), 0);
         orders[0].endpoint.clone()
     };
     let busy = moved(&engines);
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -16,9 +16,9 @@
 use crate::clients::call_table;
 use crate::clock::boot_ms;
 use crate::fleet::Phase;
-use crate::ids::{EndpointId, ServiceName};
+use crate::ids::{EndpointId, ServiceName, ZoneName};
 use crate::lease::{Lease, LeaseEvent, LeaseTiming};
-use crate::placement::{PlacedEngine, PlacementOrder, PlacementPlanner};
+use crate::placement::{PlacedEngine, PlacementOrder, PlacementPlanner, ZoneSizing};
 use crate::route_table::EngineModel;
 
 /// Interval between checks for orders to send.
@@ -48,6 +48,8 @@
     last_order_ms: Option<u64>,
     seen_engines: usize,
     engines_changed_ms: u64,
+    /// The newest sizing of each zone that was logged.
+    reported_sizings: IndexMap<ZoneName, ZoneSizing>,
 }
 
 /// Places the layers of every model until the process exits.
@@ -85,6 +87,7 @@
             last_order_ms: None,
             seen_engines: 0,
             engines_changed_ms: 0,
+            reported_sizings: IndexMap::new(),
         }
     }
 
@@ -115,7 +118,12 @@
         let may_lead = reaches_engines && node.availability().may_lead();
         let is_first = may_lead && node.peers.borrow().is_preferred_leader_for(service, now_ms);
         let orders = if is_first && is_settled {
-            self.placement.due_orders(&engines, model, now_ms)
+            let demand_per_s = peak_demand_per_s(node, service, now_ms);
+            let orders = self
+                .placement
+                .due_orders(&engines, model, &demand_per_s, now_ms);
+            self.record_sizings(node, service);
+            orders
         } else {
             self.placement.reset_uncovered_timers();
             Vec::new()
@@ -138,6 +146,31 @@
         }
     }
 
+    /// Logs zones whose layout is based on another reserve than before, or no longer sustains their demand or
+    /// does so again.
+    fn record_sizings<A>(&mut self, node: &Node<A>, service: &ServiceName) {
+        for (zone, sizing) in self.placement.sizings() {
+            let reported = self.reported_sizings.insert(zone.clone(), *sizing);
+            let is_new = reported.is_none_or(|it| {
+                it.reserve_factor.total_cmp(&sizing.reserve_factor).is_ne()
+                    || it.is_sufficient() != sizing.is_sufficient()
+            });
+            if !is_new {
+                continue;
+            }
+            node.counters.count("relay.layout.sizings");
+            log::info!(
+                service = service.as_str(),
+                zone = zone.as_str(),
+                demand_per_s = sizing.demand_per_s,
+                sustained_per_s = sizing.sustained_per_s,
+                reserve_factor = sizing.reserve_factor,
+                is_sufficient = sizing.is_sufficient();
+                "layout of zone was sized"
+            );
+        }
+    }
+
     /// Sets whether the lease is wanted. A release is announced to peers at once: they cannot rely on
     /// reading it from the store, which may be what this instance has lost.
     fn set_lease_wanted<A>(&mut self, node: &Node<A>, service: &ServiceName, is_wanted: bool)
@@ -318,6 +351,21 @@
     Ok(())
 }
 
+/// Recent peak of streams per second of each zone where it is known.
+fn peak_demand_per_s<A>(
+    node: &Node<A>,
+    service: &ServiceName,
+    now_ms: u64,
+) -> IndexMap<ZoneName, f64>
+where
+    A: Adapter,
+{
+    let demands = node.zone_demands(service, now_ms).into_iter();
+    demands
+        .map(|(zone, demand)| (zone, demand.peak_streams_per_s))
+        .collect()
+}
+
 fn engines<A>(node: &Rc<Node<A>>, service: &ServiceName) -> Vec<PlacedEngine> {
     let now_ms = boot_ms();
     let fleet = node.fleet.borrow();
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -310,8 +310,8 @@
         }
     }
 
-    /// Records and announces that an engine was ordered to hold other layers: it gets no new requests
-    /// until it holds them.
+    /// Records and announces that an engine was ordered to hold other layers: it gets no new requests for
+    /// layers that it gives up or has not loaded.
     pub(crate) fn record_move(&self, order: &PlacementOrder) {
         self.record_peer_move(order);
         self.peers.borrow_mut().announce_layer_move(order);
@@ -321,7 +321,7 @@
     /// Records that a peer ordered an engine to hold other layers.
     pub(crate) fn record_peer_move(&self, order: &PlacementOrder) {
         if let Some(known) = self.fleet.borrow_mut().get_mut(&order.endpoint) {
-            known.set_reported_layers(None, boot_ms());
+            known.set_ordered_layers(order.layers, boot_ms());
         }
     }
 
