--- a/src/relay_server/demand_exchange.rs
+++ b/src/relay_server/demand_exchange.rs
@@ -61,9 +61,12 @@
     }
 
     /// The demand of the zone for other zones. Only readers of the store report it, since bytes between zones
-    /// are expensive and a few instances suffice.
+    /// are expensive and a few instances suffice. While the store answers nobody, all instances of a zone come
+    /// to read it; then only the top-ranked ones report.
     pub(crate) fn zone_demand_for_others(&self, now_ms: u64) -> Option<ZoneSum> {
-        if !self.reads_store() {
+        let is_answered = self.store.get().is_answering();
+        let is_reporter = is_answered || self.peers.borrow().is_top_ranked_in_zone(now_ms);
+        if !self.reads_store() || !is_reporter {
             return None;
         }
         let book = self.demand_book.borrow();
