Choice of a chain: random among nearly equal ones; the streams of a lost engine are shared out

Cause: each instance took the cheapest chain by figures that are up to 250 ms old.

Change: the cost of each engine is raised by a random part of at most a quarter (ChainRequest::draw, an argument). A lost stage that one engine can run goes to an engine that is drawn with the share that it would get if the displaced load were filled up to the same cost everywhere, memory being the bound. The cost of a replacement includes the time to read the stream's tokens. With one candidate, or without a draw, the choice is as before. Costs and paths have files of their own.

Tests: those of plan_chain that do not decide between equals now hold for 101 draws.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,6 +2,10 @@
 //! have shown, and the chains of engines that together run all layers of a model.
 
 mod chain;
+#[cfg(test)]
+mod chain_choice_tests;
+mod chain_cost;
+mod chain_path;
 mod entry;
 mod fleet_pacing;
 mod health;
@@ -28,6 +32,7 @@
 mod reach_tests;
 #[cfg(test)]
 mod refusal_tests;
+mod replacement;
 mod replicas;
 #[cfg(test)]
 mod retained_tests;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -14,11 +14,11 @@
 pub(super) fn listed(id: &str, zone: &str, layers: Option<LayerRange>) -> ListedEndpoint {
     let port = id
         .bytes()
-        .fold(1_000u16, |sum, byte| sum * 7 % 50_000 + u16::from(byte));
+        .fold(1_000_u32, |sum, byte| sum * 7 % 50_000 + u32::from(byte));
     ListedEndpoint {
         id: EndpointId::from(id),
         service: ServiceName::from("menu-mind"),
-        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        address: SocketAddr::from(([10, 0, 0, 1], port as u16)),
         zone: ZoneName::from(zone),
         phase: Phase::Live,
         slots: 6,
@@ -37,7 +37,7 @@
     fleet
 }
 
-fn model() -> EngineModel {
+pub(super) fn model() -> EngineModel {
     let small = AcceleratorKind {
         memory_mb: 14_400.0,
         step_factor: 15.0,
@@ -58,6 +58,11 @@
 }
 
 pub(super) fn plan(fleet: &Fleet, excluded: &[&str]) -> Option<Vec<String>> {
+    plan_drawn(fleet, excluded, None)
+}
+
+/// The stages of a planned chain.
+fn plan_drawn(fleet: &Fleet, excluded: &[&str], draw: Option<u64>) -> Option<Vec<String>> {
     let excluded: IndexSet<EndpointId> = excluded.iter().map(|id| EndpointId::from(*id)).collect();
     let request = ChainRequest {
         service: &ServiceName::from("menu-mind"),
@@ -67,12 +72,19 @@
         excluded: &excluded,
         first_among: None,
         first: None,
+        draw,
     };
     let chain = plan_chain(fleet, request, 0)?;
     let stage = |it: &ChainStage| format!("{} {}-{}", it.endpoint, it.layers.first, it.layers.end);
     Some(chain.stages().iter().map(stage).collect())
 }
 
+/// No draw, and many.
+fn some_draws() -> impl Iterator<Item = Option<u64>> {
+    let draws = (0..100_u64).map(|index| index.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    std::iter::once(None).chain(draws.map(Some))
+}
+
 #[test]
 fn a_chain_runs_every_layer_once_and_stays_in_its_zone() {
     let fleet = fleet(vec![
@@ -80,9 +92,11 @@
         listed("b", "lac", Some(range(8, 20))),
         listed("c", "marsa", Some(range(10, 20))),
     ]);
-    let chain = plan(&fleet, &[]).expect("all layers are held");
-    assert_eq!(chain.len(), 2);
-    assert!(chain[0].starts_with("a 0-") && chain[1].starts_with("b "));
+    for draw in some_draws() {
+        let chain = plan_drawn(&fleet, &[], draw).expect("all layers are held");
+        assert_eq!(chain.len(), 2);
+        assert!(chain[0].starts_with("a 0-") && chain[1].starts_with("b "));
+    }
 }
 
 #[test]
@@ -92,11 +106,13 @@
         listed("b", "lac", Some(range(10, 20))),
         listed("c", "marsa", Some(range(10, 20))),
     ]);
-    assert_eq!(
-        plan(&fleet, &["b"]),
-        Some(vec!["a 0-10".to_owned(), "c 10-20".to_owned()])
-    );
-    assert_eq!(plan(&fleet, &["b", "c"]), None);
+    for draw in some_draws() {
+        assert_eq!(
+            plan_drawn(&fleet, &["b"], draw),
+            Some(vec!["a 0-10".to_owned(), "c 10-20".to_owned()])
+        );
+        assert_eq!(plan_drawn(&fleet, &["b", "c"], draw), None);
+    }
 }
 
 #[test]
@@ -134,8 +150,10 @@
         .get_mut(&EndpointId::from("a"))
         .expect("listed")
         .held_token_layers = 800_000;
-    let chain = plan(&fleet, &[]).expect("all layers are held");
-    assert_eq!(chain[0], "b 0-10");
+    for draw in some_draws() {
+        let chain = plan_drawn(&fleet, &[], draw).expect("all layers are held");
+        assert_eq!(chain[0], "b 0-10");
+    }
 }
 
 #[test]
@@ -146,11 +164,18 @@
         listed("c", "marsa", Some(range(0, 14))),
         listed("d", "marsa", Some(range(14, 20))),
     ]);
-    let first = |fleet: &Fleet| plan(fleet, &[]).map(|stages| stages[0].clone());
-    assert_eq!(first(&fleet).as_deref(), Some("a 0-14"));
+    let first = |fleet: &Fleet, draw| {
+        let chain = plan_drawn(fleet, &[], draw).expect("all layers are held");
+        chain[0].clone()
+    };
+    for draw in some_draws() {
+        assert_eq!(first(&fleet, draw), "a 0-14");
+    }
     let b = fleet.get_mut(&EndpointId::from("b")).expect("listed");
     b.health.record_full(0);
-    assert_eq!(first(&fleet).as_deref(), Some("c 0-14"));
+    for draw in some_draws() {
+        assert_eq!(first(&fleet, draw), "c 0-14");
+    }
     assert!(
         !fleet
             .get(&EndpointId::from("b"))
@@ -243,8 +268,18 @@
         excluded: &IndexSet::new(),
         first_among: None,
         first: None,
+        draw: None,
+    };
+    let lost = EndpointId::from(lost);
+    let replaced = |draw| {
+        let request = ChainRequest { draw, ..request };
+        replace_stage(fleet, request, chain, &lost, 0).map(|it| it.to_string())
     };
-    replace_stage(fleet, request, chain, &EndpointId::from(lost), 0).map(|it| it.to_string())
+    let cheapest = replaced(None);
+    for draw in some_draws() {
+        assert_eq!(replaced(draw), cheapest, "only one engine can be taken");
+    }
+    cheapest
 }
 
 #[test]
@@ -272,10 +307,15 @@
     let id = EndpointId::from;
     let d = fleet.get_mut(&id("d")).expect("listed");
     d.held_token_layers = 900_000;
-    assert_eq!(plan(&fleet, &[]).expect("held")[0], "a 0-10");
+    let first = |fleet: &Fleet, draw| plan_drawn(fleet, &[], draw).expect("held")[0].clone();
+    for draw in some_draws() {
+        assert_eq!(first(&fleet, draw), "a 0-10");
+    }
     let a = fleet.get_mut(&id("a")).expect("listed");
     a.health.record_full(0);
-    assert_eq!(plan(&fleet, &[]).expect("held")[0], "c 0-10");
+    for draw in some_draws() {
+        assert_eq!(first(&fleet, draw), "c 0-10");
+    }
 }
 
 #[test]
@@ -322,12 +362,15 @@
 /// slots, the busier engine must get no more than six.
 #[test]
 fn requests_spread_over_first_engines_by_their_slots() {
-    let mut fleet = two_first_engines();
-    for _ in 0..11 {
-        let chain = plan(&fleet, &[]).expect("all layers are held");
-        let id = EndpointId::from(chain[0].split(' ').next().expect("a name"));
-        fleet.get_mut(&id).expect("listed").in_flight += 1;
+    for draw in some_draws() {
+        let mut fleet = two_first_engines();
+        for index in 0..11 {
+            let draw = draw.map(|it| it ^ index);
+            let chain = plan_drawn(&fleet, &[], draw).expect("all layers are held");
+            let id = EndpointId::from(chain[0].split(' ').next().expect("a name"));
+            fleet.get_mut(&id).expect("listed").in_flight += 1;
+        }
+        let most = fleet.iter().map(KnownEndpoint::requests).max();
+        assert_eq!(most, Some(6), "draw {draw:?}");
     }
-    let most = fleet.iter().map(KnownEndpoint::requests).max();
-    assert_eq!(most, Some(6));
 }
--- a/src/relay_server/stream/plan.rs
+++ b/src/relay_server/stream/plan.rs
@@ -117,6 +117,7 @@
             excluded: attempts.excluded(),
             first_among: attempts.restricted_to(),
             first: current.map(Chain::first),
+            draw: Some(self.node.random_u64()),
         })
     }
 
