Choice of a chain: prompts that engines still have to read count in the cost

Cause: the cost of a chain counted step time, memory and slots in use. An engine with 40 prompts to read looked idle, and the first event of a further stream there came 850 ms late (772 tokens, half of the layers, read factor 15, by calculation).

Change: a prompt counts at each engine of its chain, as tokens times layers, from the send to the first event (fleet/unread.rs); after a reroute only at the new stages, until the next event. The time to read it all, divided by the tokens of a typical answer, is added to the cost of a stage, also for replacements. It has no random part, so equal backlogs leave every choice as it was.

With the backlog's cost set to 0, an_engine_with_many_prompts_to_read_is_avoided_for_an_idle_one and a_replacement_avoids_an_engine_with_many_prompts_to_read fail.

--- a/src/fleet/chain_cost.rs
+++ b/src/fleet/chain_cost.rs
@@ -1,7 +1,8 @@
 //! Costs of engines as stages of a chain, in milliseconds per token of the answer.
 //!
 //! A stage costs the engine's time for its layers, which rises with the use of its memory, and a
-//! fixed cost for the hop. The first engine also costs more the more of its slots are in use.
+//! fixed cost for the hop. The first engine also costs more the more of its slots are in use. The time
+//! for the prompts that an engine still has to read delays the first event.
 
 use super::{ChainRequest, KnownEndpoint};
 use crate::route_table::EngineModel;
@@ -50,6 +51,8 @@
     pub(super) layers: LayerRange,
     pub(super) ms_per_layer: f64,
     pub(super) hop_cost_ms: f64,
+    /// Cost of the wait until the engine has read the prompts that were sent to it.
+    pub(super) backlog_cost_ms: f64,
     /// Additional cost of an engine that is taken only if no other can be.
     pub(super) last_choice_ms: f64,
     /// Additional cost of starting a request there.
@@ -123,22 +126,25 @@
             0.0
         };
         let read_ms_per_token = 1_000.0 * kind.read_factor / model.read_tokens_per_s.max(1.0);
+        let read_ms_per_token_layer = read_ms_per_token / model_layers * slowness;
+        let backlog_ms = read_ms_per_token_layer * known.unread_token_layers() as f64;
         Some(Self {
             known,
             layers,
             ms_per_layer: idle.ms_per_layer * crowding,
             hop_cost_ms: idle.hop_ms * crowding,
+            backlog_cost_ms: cost_per_answer_token(backlog_ms, model),
             last_choice_ms,
             start_cost_ms: start_cost_ms(known),
             may_start,
             idle,
             memory,
-            read_ms_per_token_layer: read_ms_per_token / model_layers * slowness,
+            read_ms_per_token_layer,
         })
     }
 
-    /// Raises the cost by a random part, drawn from `random`. Costs that rule an engine out where
-    /// another can be used stay as they are.
+    /// Raises the cost by a random part, drawn from `random`. The cost of the backlog, and those
+    /// that rule an engine out where another can be used, stay as they are.
     pub(super) fn raise_cost(&mut self, random: u64) {
         let factor = 1.0 + COST_SPREAD * unit_fraction(random);
         self.ms_per_layer *= factor;
@@ -153,8 +159,9 @@
     }
 }
 
-/// Converts a delay that occurs once in a stream into a cost per token of its answer. Over a typical
-/// answer both add the same time.
+/// Converts a delay that occurs once in a stream into a cost per token of its answer. A step's time
+/// passes for each token of a typical answer, a delay before the first event only once; over the whole
+/// answer both then add the same time.
 pub(super) fn cost_per_answer_token(delay_ms: f64, model: &EngineModel) -> f64 {
     delay_ms / model.usual_answer_tokens.max(1) as f64
 }
--- a/src/fleet/chain_path.rs
+++ b/src/fleet/chain_path.rs
@@ -35,6 +35,7 @@
                 0.0
             };
             let hop_ms = candidate.hop_cost_ms
+                + candidate.backlog_cost_ms
                 + candidate.last_choice_ms
                 + first_ms
                 + zone_cost_ms(candidate, &path, candidates, request);
--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -17,6 +17,8 @@
     pub token_layers: u64,
     /// Requests that start at this engine and occupy its slots.
     pub requests: u32,
+    /// Prompt tokens times layers that were sent to it and that it has not read yet.
+    pub unread_token_layers: u64,
 }
 
 impl EngineLoad {
@@ -25,6 +27,9 @@
         Self {
             token_layers: self.token_layers.saturating_add(other.token_layers),
             requests: self.requests.saturating_add(other.requests),
+            unread_token_layers: self
+                .unread_token_layers
+                .saturating_add(other.unread_token_layers),
         }
     }
 
@@ -33,6 +38,9 @@
         Self {
             token_layers: self.token_layers.saturating_sub(part.token_layers),
             requests: self.requests.saturating_sub(part.requests),
+            unread_token_layers: self
+                .unread_token_layers
+                .saturating_sub(part.unread_token_layers),
         }
     }
 }
@@ -52,6 +60,8 @@
     pub in_flight: u32,
     /// Tokens times layers in its memory that belong to requests of this process.
     pub held_token_layers: u64,
+    /// Prompt tokens times layers of this process that were sent to it and that it has not read yet.
+    pub own_unread_token_layers: u64,
     /// Load due to requests of other instances, as last reported by them.
     pub peers_load: EngineLoad,
     /// Time until which the layers reported by the engine itself override the list.
@@ -75,6 +85,7 @@
             last_heard: LastHeard::default(),
             in_flight: 0,
             held_token_layers: 0,
+            own_unread_token_layers: 0,
             peers_load: EngineLoad::default(),
             reported_layers_until_ms: None,
             layers_in_list,
@@ -149,6 +160,21 @@
             .saturating_add(self.peers_load.token_layers)
     }
 
+    /// Load due to requests of this process, as reported to others.
+    pub fn own_load(&self) -> EngineLoad {
+        EngineLoad {
+            token_layers: self.held_token_layers,
+            requests: self.in_flight,
+            unread_token_layers: self.own_unread_token_layers,
+        }
+    }
+
+    /// Prompt tokens times layers that it still has to read, for requests of all instances.
+    pub fn unread_token_layers(&self) -> u64 {
+        self.own_unread_token_layers
+            .saturating_add(self.peers_load.unread_token_layers)
+    }
+
     /// Requests of all instances that start at this engine.
     pub fn requests(&self) -> u32 {
         self.in_flight.saturating_add(self.peers_load.requests)
--- a/src/fleet/lifetime_tests.rs
+++ b/src/fleet/lifetime_tests.rs
@@ -36,6 +36,7 @@
     EngineLoad {
         token_layers,
         requests: 3,
+        unread_token_layers: token_layers / 2,
     }
 }
 
@@ -53,6 +54,7 @@
     fleet.set_peers_load(&IndexMap::from([(first.clone(), tokens(700))]));
     let known = fleet.get_mut(&first).expect("listed");
     known.held_token_layers = 500;
+    known.own_unread_token_layers = 400;
     known.in_flight = 3;
     known.health.record_full(10);
     known.set_reported_layers(Some(LAYERS), 10);
@@ -67,6 +69,7 @@
     assert!(fleet.has_ended(&first) && !fleet.has_ended(&second));
     let known = fleet.get(&second).expect("listed");
     assert_eq!((known.token_layers(), known.in_flight), (0, 0));
+    assert_eq!(known.unread_token_layers(), 0);
     assert_eq!(known.requests(), 0);
     assert_eq!(known.listed.layers, None);
     assert!(known.accepts_work() && !known.health.is_full(20));
@@ -244,6 +247,7 @@
                     prop_assert!(known.accepts_work());
                     prop_assert_eq!(known.listed.layers, None);
                     prop_assert_eq!(known.token_layers(), 0);
+                    prop_assert_eq!(known.unread_token_layers(), 0);
                 }
             }
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -38,6 +38,9 @@
 mod retained_tests;
 #[cfg(test)]
 mod tests;
+mod unread;
+#[cfg(test)]
+mod unread_tests;
 
 pub use chain::{Chain, ChainRequest, ChainStage, first_gap, plan_chain, replace_stage};
 pub use entry::{
@@ -54,3 +57,4 @@
 pub(crate) use provenance::{describe_known, describe_list};
 pub(crate) use reach::{ReachChange, ServiceReach};
 pub use replicas::pick_replica;
+pub(crate) use unread::UnreadPrompt;
--- a/src/fleet/replacement.rs
+++ b/src/fleet/replacement.rs
@@ -86,7 +86,9 @@
         let read_ms = cost_per_answer_token(candidate.read_ms_per_token_layer, request.model);
         Self {
             candidate,
-            idle_ms: run_ms + read_ms * stage_token_layers(request, layers),
+            idle_ms: run_ms
+                + read_ms * stage_token_layers(request, layers)
+                + candidate.backlog_cost_ms,
             square_ms: run_ms * FULL_MEMORY_FACTOR / (room * room),
             read_ms,
         }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -341,8 +341,8 @@
     let mut fleet = two_first_engines();
     assert_eq!(first(&fleet).as_deref(), Some("a 0-10"));
     let taken = |requests| EngineLoad {
-        token_layers: 0,
         requests,
+        ..EngineLoad::default()
     };
     let id = EndpointId::from("a");
     fleet.set_peers_load(&IndexMap::from([(id.clone(), taken(6))]));
--- a/src/relay_server/held_tokens.rs
+++ b/src/relay_server/held_tokens.rs
@@ -4,9 +4,10 @@
 
 use super::adapter::Adapter;
 use super::node::Node;
-use crate::fleet::{Chain, LastHeard};
+use crate::fleet::{Chain, LastHeard, UnreadPrompt};
 
-/// Adds a stream's tokens to the load of its chain's engines until it is dropped.
+/// Adds a stream's tokens to the load of its chain's engines until it is dropped, and its prompt to what
+/// they still have to read until an event arrives.
 pub(super) struct HeldTokens<A>
 where
     A: Adapter,
@@ -14,6 +15,7 @@
     node: Rc<Node<A>>,
     chain: Chain,
     tokens: u64,
+    unread: UnreadPrompt,
     /// One per stage, for recording that an event has arrived.
     heard: Vec<LastHeard>,
 }
@@ -22,19 +24,24 @@
 where
     A: Adapter,
 {
-    pub(super) fn start(node: &Rc<Node<A>>, chain: Chain, tokens: u64) -> Self {
+    pub(super) fn start(node: &Rc<Node<A>>, chain: Chain, tokens: u64, prompt_tokens: u64) -> Self {
         node.hold_tokens(&chain, tokens, true);
+        let unread = UnreadPrompt::sent(&mut node.fleet.borrow_mut(), &chain, prompt_tokens);
         Self {
             node: Rc::clone(node),
             heard: heard_of(node, &chain),
             chain,
             tokens,
+            unread,
         }
     }
 
     /// Records an event of the stream. Events pass through all stages, so each shows that every engine of
-    /// the chain is alive.
-    pub(super) fn record_event(&self, now_ms: u64) {
+    /// the chain is alive and has read the prompt.
+    pub(super) fn record_event(&mut self, now_ms: u64) {
+        if self.unread.is_pending() {
+            self.unread.read(&mut self.node.fleet.borrow_mut());
+        }
         for heard in &self.heard {
             heard.record(now_ms);
         }
@@ -48,6 +55,9 @@
     pub(super) fn move_to(&mut self, chain: Chain) {
         self.node.hold_tokens(&self.chain, self.tokens, false);
         self.node.hold_tokens(&chain, self.tokens, true);
+        let mut fleet = self.node.fleet.borrow_mut();
+        self.unread.moved(&mut fleet, &self.chain, &chain);
+        drop(fleet);
         self.heard = heard_of(&self.node, &chain);
         self.chain = chain;
     }
@@ -59,6 +69,7 @@
 {
     fn drop(&mut self) {
         self.node.hold_tokens(&self.chain, self.tokens, false);
+        self.unread.read(&mut self.node.fleet.borrow_mut());
     }
 }
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -46,6 +46,8 @@
 mod peer_book_tests;
 mod peer_call;
 mod peer_list;
+#[cfg(test)]
+mod peer_load_tests;
 mod peer_membership;
 #[cfg(test)]
 mod peer_membership_tests;
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -73,10 +73,11 @@
     book.heartbeat(&own, now_ms)
 }
 
-fn tokens(token_layers: u64) -> EngineLoad {
+pub(super) fn tokens(token_layers: u64) -> EngineLoad {
     EngineLoad {
         token_layers,
         requests: (token_layers % 7) as u32,
+        unread_token_layers: token_layers % 11,
     }
 }
 
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -25,7 +25,7 @@
 use super::withholding::SOURCE_PEERS;
 use super::{list_sync, room_notice};
 use crate::clock::boot_ms;
-use crate::fleet::{EngineLoad, describe_list};
+use crate::fleet::describe_list;
 use crate::ids::ZoneName;
 use crate::placement::PlacementOrder;
 
@@ -176,14 +176,11 @@
         .fleet
         .borrow()
         .iter()
-        .filter(|known| known.held_token_layers > 0)
+        .filter(|known| known.held_token_layers > 0 || known.own_unread_token_layers > 0)
         .map(|known| HeldLoad {
             endpoint: known.listed.id.clone(),
             zone: known.listed.zone.clone(),
-            load: EngineLoad {
-                token_layers: known.held_token_layers,
-                requests: known.in_flight,
-            },
+            load: known.own_load(),
         })
         .collect();
     let limits = node.fleet.borrow_mut().pacing.next_reports(now_ms);
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -32,7 +32,9 @@
     }
 
     async fn run_once(&mut self, chain: Chain) -> RunOutcome {
-        let mut held = HeldTokens::start(&self.node, chain, self.request.held_tokens());
+        let tokens = self.request.held_tokens();
+        let prompt_tokens = self.request.ask.prompt_tokens.unwrap_or(0);
+        let mut held = HeldTokens::start(&self.node, chain, tokens, prompt_tokens);
         self.stall.run_started(boot_ms());
         let exchange = match self.send(held.chain()).await {
             Ok(exchange) => exchange,
