--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -78,10 +78,11 @@
     }
 }
 
-fn tokens(token_layers: u64) -> EngineLoad {
+pub(super) fn tokens(token_layers: u64) -> EngineLoad {
     EngineLoad {
         token_layers,
         requests: (token_layers % 7) as u32,
+        unread_token_layers: token_layers % 11,
     }
 }
 
