Instances without news send heartbeats to other zones less often

Cause: each of 127 instances sent 4 heartbeats a second to 8 instances of other zones at least, whether or not it had anything new for them. By arithmetic these are 5,480 datagrams a second; 118 of the instances send 3,776 of them.

Change: an instance that neither reads the store nor is among the first 8 of its zone, and that has had no news within two turns, skips turns of recipients in other zones, up to 12.5 s. It tells the interval before it lengthens it, and timeouts follow. News are a start, another availability or route table, a heartbeat requested without delay, endpoints that leave or are unhealthy, layer moves, released leases, evidence, rate limits, services out of reach, and, for the zone of the engine, loads. One that depends on other zones for the store's changes sends at each turn. The code for other zones moved from recipients.rs into cross_zone.rs. Other zones get no time of the store's answer, which they do not use.

Datagrams a second between zones, before and after, by arithmetic for three equal zones without loads: 2,940 and 1,621 for 71 instances, 5,480 and 2,977 for 127, 13,312 and 8,896 for 300, 44,376 and 44,376 for 985, whose turns are longer.

Cost: other zones notice the end of such an instance within 25 s instead of 5.8 s at 127 instances.

--- a/src/relay_server/locate.rs
+++ b/src/relay_server/locate.rs
@@ -6,7 +6,8 @@
 use super::heartbeat::Availability;
 use crate::ids::{InstanceId, ZoneName};
 
-const MAX_ADDRESSES: usize = 8;
+/// Number of instances that a caller is told to connect to.
+pub(super) const MAX_ADDRESSES: usize = 8;
 /// With fewer suitable instances in the caller's zone, those of all zones are returned.
 const MIN_IN_ZONE: usize = 2;
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -5,6 +5,9 @@
 
 mod adapter;
 mod checks;
+mod cross_zone;
+#[cfg(test)]
+mod cross_zone_tests;
 mod delegates;
 #[cfg(test)]
 mod delegates_tests;
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -78,6 +78,9 @@
     /// The latest `sent_ms` received from its process. Differs from `sent_ms` when a heartbeat arrives
     /// after one that was sent later.
     pub(super) newest_sent_ms: u64,
+    /// Until when the newest heartbeat to it promises the next one, if it is of another zone. A process that
+    /// has just started has no promise, and gets a heartbeat at its next turn.
+    pub(super) promised_ms: u64,
     /// Instances that it knows of.
     pub(super) known_instances: u32,
     /// Retries that it lacks; emptied when they have been answered.
@@ -144,6 +147,7 @@
             heard_ms: None,
             sent_ms: 0,
             newest_sent_ms: 0,
+            promised_ms: 0,
             known_instances: 0,
             retry_needs: Vec::new(),
             unreached: Vec::new(),
@@ -173,6 +177,7 @@
             heard_ms: Some(now_ms),
             sent_ms: heartbeat.sent_ms,
             newest_sent_ms: heartbeat.sent_ms,
+            promised_ms: 0,
             known_instances: heartbeat.known_instances,
             retry_needs: heartbeat.retry_needs.clone(),
             unreached: heartbeat.unreached.clone(),
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -5,6 +5,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::cross_zone::CrossZonePacing;
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::load_change::{LoadChange, load_changes};
 use super::locate::{self, Candidate};
@@ -14,7 +15,7 @@
 use super::settings::RelaySettings;
 use super::store_readers::{READERS_PER_ZONE, StoreReaderView};
 use super::traffic::TrafficScope;
-use crate::dissemination::{Rotation, UpdateQueue};
+use crate::dissemination::UpdateQueue;
 use crate::fleet::EngineLoad;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
@@ -82,8 +83,8 @@
     is_heartbeat_requested: bool,
     /// What decides which instances of the own zone receive each heartbeat.
     pub(super) reach: ZoneReach,
-    /// Selects the recipients in other zones.
-    pub(super) cross_zone_rotation: Rotation,
+    /// What decides which instances of other zones receive each heartbeat.
+    pub(super) cross_zone: CrossZonePacing,
 }
 
 impl PeerBook {
@@ -105,7 +106,7 @@
             is_first_start: settings.is_first_start,
             is_heartbeat_requested: false,
             reach: ZoneReach::new(now_ms),
-            cross_zone_rotation: Rotation::default(),
+            cross_zone: CrossZonePacing::new(now_ms),
         }
     }
 
@@ -392,6 +393,7 @@
         }
         if let Some(known) = known.filter(|it| it.incarnation == peer.incarnation) {
             peer.newest_sent_ms = peer.newest_sent_ms.max(known.newest_sent_ms);
+            peer.promised_ms = known.promised_ms;
         }
         let before = self.peers.insert(heartbeat.instance.clone(), peer);
         let before = before.filter(|it| it.is_counted).map(|it| it.held);
@@ -434,7 +436,7 @@
             zone: self.own_zone.clone(),
             front: self.own_front,
             link_mbps: self.own_link_mbps,
-            cross_zone_interval_ms: self.cross_zone_interval_ms(own.availability, now_ms),
+            cross_zone_interval_ms: 0,
             is_active: false,
             availability: own.availability,
             table: own.table,
@@ -460,6 +462,10 @@
             evidence: own.evidence.clone(),
             limits: own.limits.clone(),
         };
+        let is_urgent = self.reach.is_urgent(now_ms);
+        self.cross_zone.update(&heartbeat, own, is_urgent, now_ms);
+        heartbeat.cross_zone_interval_ms =
+            self.cross_zone_interval_ms(own.availability, None, now_ms);
         let needed_by_all = self.is_needed_by_all(own.availability, now_ms);
         self.reach.update(&heartbeat, needed_by_all, now_ms);
         heartbeat.is_active = self.reach.is_active();
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -20,7 +20,6 @@
 use super::node::Node;
 use super::peer::Recipient;
 use super::peer_book::HEARTBEAT_INTERVAL_MS;
-use super::recipients::CrossZoneLoads;
 use super::retry_loans::loan_requests;
 use super::traffic::{TrafficKind, TrafficScope};
 use super::withholding::SOURCE_PEERS;
@@ -92,7 +91,6 @@
             loan_requests(&mut peers, now_ms),
         )
     };
-    let cross_zone_loads = node.peers.borrow().cross_zone_loads();
     let mut peer_parts = node.answer_loan_requests(requests, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
     node.update_limit_shares(now_ms);
@@ -100,7 +98,10 @@
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
     for recipient in &recipients {
         if !shared.contains_key(&recipient.zone) {
-            let for_zone = heartbeat_for_zone(&heartbeat, &own, &recipient.zone, cross_zone_loads);
+            let for_zone =
+                node.peers
+                    .borrow()
+                    .heartbeat_for_zone(&heartbeat, &own, &recipient.zone, now_ms);
             match heartbeat_bytes(&for_zone) {
                 Ok(bytes) => drop(shared.insert(&recipient.zone, bytes)),
                 Err(error) => {
@@ -200,29 +201,6 @@
     }
 }
 
-/// The heartbeat for recipients in `zone`. Other zones than the sender's get no retry needs: their heartbeats
-/// are too infrequent for a loan to arrive in time.
-fn heartbeat_for_zone(
-    heartbeat: &Heartbeat,
-    own: &OwnState,
-    zone: &ZoneName,
-    cross_zone_loads: CrossZoneLoads,
-) -> Heartbeat {
-    if *zone == heartbeat.zone {
-        return heartbeat.clone();
-    }
-    let all_engines = cross_zone_loads == CrossZoneLoads::AllEngines;
-    let is_sent = |load: &&HeldLoad| all_engines || load.zone == *zone;
-    let held = own.held.iter().filter(is_sent);
-    Heartbeat {
-        held: held
-            .map(|load| (load.endpoint.clone(), load.load))
-            .collect(),
-        retry_needs: Vec::new(),
-        ..heartbeat.clone()
-    }
-}
-
 /// Derives from a peer's heartbeat how recent the routes and endpoints known here are. The peer sent it after
 /// receiving the heartbeat of this instance that it echoes. Subtracting the ages in the peer's heartbeat
 /// from the sending time of the echoed one therefore gives a safe bound, however long both datagrams took.
--- a/src/relay_server/recipients.rs
+++ b/src/relay_server/recipients.rs
@@ -23,24 +23,6 @@
 const NEWS_MS: u64 = 1_000;
 /// How long a process sends to its whole zone after its start, until it knows the others.
 const START_MS: u64 = 5_000;
-/// Instances of other zones that receive each heartbeat of an instance that is neither top-ranked in its
-/// zone nor answered by the store. Heartbeats with all loads to all 156 of them filled 20 Mbit/s links.
-const CROSS_ZONE_FANOUT: usize = 8;
-/// Number of heartbeats within which an instance that is top-ranked in its zone, or that the store answers,
-/// reaches all instances of other zones.
-const FAST_ROTATION_HEARTBEATS: usize = 2;
-
-/// Which of this instance's loads are sent to instances of another zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CrossZoneLoads {
-    /// Those on all engines. If a zone lacks engines, other zones may send to those of a third zone and need
-    /// to know one another's load there.
-    AllEngines,
-    /// Those on engines of the recipient's zone, which it uses almost exclusively. In a fleet too large to
-    /// send every heartbeat to every instance, other loads would be outdated on arrival and fill the links.
-    RecipientZoneEngines,
-}
-
 /// How far a heartbeat reaches in the own zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reach {
@@ -109,6 +91,11 @@
         self.is_requested = false;
     }
 
+    /// Whether the next heartbeat was requested without delay, or the process counts as starting.
+    pub(super) fn is_urgent(&self, now_ms: u64) -> bool {
+        self.is_requested || now_ms < self.start_end_ms
+    }
+
     /// Whether the newest heartbeat reaches the whole zone, and the next one may as well.
     pub(super) fn is_active(&self) -> bool {
         self.reach == Reach::WholeZone
@@ -134,11 +121,7 @@
     /// Recipients of the newest heartbeat: instances of the own zone, and the next few of the others.
     pub(super) fn recipients(&mut self, own: Availability, now_ms: u64) -> Vec<Recipient> {
         let mut recipients = self.zone_recipients(now_ms);
-        let fanout = self.cross_zone_fanout(own, now_ms);
-        let peers = self.peers.values();
-        let elsewhere: Vec<&Peer> = peers.filter(|it| it.zone != self.own_zone).collect();
-        let batch = self.cross_zone_rotation.next_batch(&elsewhere, fanout);
-        recipients.extend(batch.map(|it| it.to_recipient(self.timeout_ms(it), 0, now_ms)));
+        recipients.extend(self.cross_zone_recipients(own, now_ms));
         recipients
     }
 
@@ -204,41 +187,4 @@
             peer.hears_own = hears_own;
         }
     }
-
-    /// Number of recipients of a heartbeat in other zones. The instance that issues orders sends each
-    /// heartbeat to everyone, so that its end is noticed within a second.
-    fn cross_zone_fanout(&self, own: Availability, now_ms: u64) -> usize {
-        let peers = self.cross_zone_peers();
-        let fanout = if own.may_lead() && self.is_preferred_leader(now_ms) {
-            peers
-        } else if own.reaches_store || self.is_top_ranked_in_zone(now_ms) {
-            peers
-                .div_ceil(FAST_ROTATION_HEARTBEATS)
-                .max(CROSS_ZONE_FANOUT)
-        } else {
-            CROSS_ZONE_FANOUT
-        };
-        fanout.min(peers)
-    }
-
-    /// Which loads are sent to instances of other zones.
-    pub(super) fn cross_zone_loads(&self) -> CrossZoneLoads {
-        if self.cross_zone_peers() <= CROSS_ZONE_FANOUT {
-            CrossZoneLoads::AllEngines
-        } else {
-            CrossZoneLoads::RecipientZoneEngines
-        }
-    }
-
-    fn cross_zone_peers(&self) -> usize {
-        let peers = self.peers.values();
-        peers.filter(|it| it.zone != self.own_zone).count()
-    }
-
-    /// Interval in which heartbeats reach every instance of other zones.
-    pub(super) fn cross_zone_interval_ms(&self, own: Availability, now_ms: u64) -> u32 {
-        let fanout = self.cross_zone_fanout(own, now_ms).max(1);
-        let heartbeats = self.cross_zone_peers().div_ceil(fanout).max(1) as u64;
-        u32::try_from(heartbeats * HEARTBEAT_INTERVAL_MS).unwrap_or(u32::MAX)
-    }
 }
