--- a/src/relay_server/demand_exchange_tests.rs
+++ b/src/relay_server/demand_exchange_tests.rs
@@ -2,8 +2,6 @@
 use super::heartbeat::{Heartbeat, HeartbeatDemand, OwnState, PeerPart, heartbeat_bytes};
 use super::peer_book::{HEARTBEAT_INTERVAL_MS, PeerBook};
 use super::peer_book_tests::{NON_READER, READY, address, book, heartbeat, own_state};
-use super::peers::heartbeat_for_zone;
-use super::recipients::CrossZoneLoads;
 use crate::demand::{DemandBook, DemandReport, ZoneSum};
 use crate::ids::{InstanceId, ServiceName, ZoneName};
 
@@ -54,9 +52,8 @@
             ..own_state(READY)
         };
         let beat = a.heartbeat(&sum, 100);
-        let loads = CrossZoneLoads::RecipientZoneEngines;
         let other = ZoneName::from("marsa");
-        let of_zone = bytes(&heartbeat_for_zone(&beat, &sum, &other, loads)) - plain;
+        let of_zone = bytes(&a.heartbeat_for_zone(&beat, &sum, &other, 100)) - plain;
         println!("demand of {priorities} priorities: {own} bytes, {of_zone} for a zone's sum");
         assert!(own <= limit, "{own} bytes");
         assert!(of_zone <= limit + 1, "{of_zone} bytes");
@@ -67,13 +64,12 @@
 #[test]
 fn other_zones_get_the_sum_of_the_zone_or_nothing() {
     let mut a = book("a", "lac", 1_000);
-    let loads = CrossZoneLoads::AllEngines;
     let (lac, marsa) = (ZoneName::from("lac"), ZoneName::from("marsa"));
     let own = with_demand(vec![report(1)]);
     let beat = a.heartbeat(&own, 100);
-    let in_zone = heartbeat_for_zone(&beat, &own, &lac, loads);
+    let in_zone = a.heartbeat_for_zone(&beat, &own, &lac, 100);
     assert_eq!(in_zone.demand, HeartbeatDemand::Instance(vec![report(1)]));
-    let elsewhere = heartbeat_for_zone(&beat, &own, &marsa, loads);
+    let elsewhere = a.heartbeat_for_zone(&beat, &own, &marsa, 100);
     assert_eq!(elsewhere.demand, HeartbeatDemand::Empty);
     let sum = ZoneSum {
         instances: 3,
@@ -83,7 +79,7 @@
         zone_demand: Some(sum.clone()),
         ..own
     };
-    let elsewhere = heartbeat_for_zone(&beat, &reader, &marsa, loads);
+    let elsewhere = a.heartbeat_for_zone(&beat, &reader, &marsa, 100);
     assert_eq!(elsewhere.demand, HeartbeatDemand::Zone(sum));
 }
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -5,6 +5,12 @@
 
 mod adapter;
 mod checks;
+mod compact_loads;
+#[cfg(test)]
+mod compact_loads_tests;
+mod cross_zone;
+#[cfg(test)]
+mod cross_zone_tests;
 mod delegates;
 #[cfg(test)]
 mod delegates_tests;
@@ -101,6 +107,9 @@
 mod test_settings;
 #[cfg(test)]
 mod tests;
+mod traffic;
+#[cfg(test)]
+mod traffic_tests;
 mod uplink;
 #[cfg(test)]
 mod uplink_tests;
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -5,6 +5,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::cross_zone::CrossZonePacing;
 use super::heartbeat::{Availability, Echo, Heartbeat, OwnState};
 use super::load_change::{LoadChange, load_changes};
 use super::locate::{self, Candidate};
@@ -13,7 +14,8 @@
 use super::senders::Sender;
 use super::settings::RelaySettings;
 use super::store_readers::{READERS_PER_ZONE, StoreReaderView};
-use crate::dissemination::{Rotation, UpdateQueue};
+use super::traffic::TrafficScope;
+use crate::dissemination::UpdateQueue;
 use crate::fleet::EngineLoad;
 use crate::ids::{EndpointId, Incarnation, InstanceId, ServiceName, ZoneName};
 use crate::lease::LeaseHolder;
@@ -81,8 +83,8 @@
     is_heartbeat_requested: bool,
     /// What decides which instances of the own zone receive each heartbeat.
     pub(super) reach: ZoneReach,
-    /// Selects the recipients in other zones.
-    pub(super) cross_zone_rotation: Rotation,
+    /// What decides which instances of other zones receive each heartbeat.
+    pub(super) cross_zone: CrossZonePacing,
 }
 
 impl PeerBook {
@@ -104,7 +106,7 @@
             is_first_start: settings.is_first_start,
             is_heartbeat_requested: false,
             reach: ZoneReach::new(now_ms),
-            cross_zone_rotation: Rotation::default(),
+            cross_zone: CrossZonePacing::new(now_ms),
         }
     }
 
@@ -173,11 +175,16 @@
         senders.collect()
     }
 
-    /// Addresses of the heard peers in some zones.
-    pub(super) fn addresses_in(&self, zones: &IndexSet<ZoneName>, now_ms: u64) -> Vec<SocketAddr> {
+    /// Addresses of the heard peers in some zones, each with the scope of traffic with it.
+    pub(super) fn addresses_in(
+        &self,
+        zones: &IndexSet<ZoneName>,
+        now_ms: u64,
+    ) -> Vec<(SocketAddr, TrafficScope)> {
         let peers = self.peers.values();
         let heard = peers.filter(|it| zones.contains(&it.zone) && self.is_heard(it, now_ms));
-        heard.map(|it| it.address).collect()
+        let scope = |peer: &Peer| TrafficScope::between(&self.own_zone, Some(&peer.zone));
+        heard.map(|it| (it.address, scope(it))).collect()
     }
 
     /// Address of the process that lent retries, unless its instance has been restarted or is no longer
@@ -386,6 +393,7 @@
         }
         if let Some(known) = known.filter(|it| it.incarnation == peer.incarnation) {
             peer.newest_sent_ms = peer.newest_sent_ms.max(known.newest_sent_ms);
+            peer.promised_ms = known.promised_ms;
         }
         let before = self.peers.insert(heartbeat.instance.clone(), peer);
         let before = before.filter(|it| it.is_counted).map(|it| it.held);
@@ -428,7 +436,7 @@
             zone: self.own_zone.clone(),
             front: self.own_front,
             link_mbps: self.own_link_mbps,
-            cross_zone_interval_ms: self.cross_zone_interval_ms(own.availability, now_ms),
+            cross_zone_interval_ms: 0,
             is_active: false,
             availability: own.availability,
             table: own.table,
@@ -455,6 +463,10 @@
             limits: own.limits.clone(),
             demand: own.demand.clone().into(),
         };
+        let is_urgent = self.reach.is_urgent(now_ms);
+        self.cross_zone.update(&heartbeat, own, is_urgent, now_ms);
+        heartbeat.cross_zone_interval_ms =
+            self.cross_zone_interval_ms(own.availability, None, now_ms);
         let needed_by_all = self.is_needed_by_all(own.availability, now_ms);
         self.reach.update(&heartbeat, needed_by_all, now_ms);
         heartbeat.is_active = self.reach.is_active();
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -20,8 +20,8 @@
 use super::node::Node;
 use super::peer::Recipient;
 use super::peer_book::HEARTBEAT_INTERVAL_MS;
-use super::recipients::CrossZoneLoads;
 use super::retry_loans::loan_requests;
+use super::traffic::{TrafficKind, TrafficScope};
 use super::withholding::SOURCE_PEERS;
 use super::{list_sync, room_notice};
 use crate::clock::boot_ms;
@@ -91,7 +91,6 @@
             loan_requests(&mut peers, now_ms),
         )
     };
-    let cross_zone_loads = node.peers.borrow().cross_zone_loads();
     let mut peer_parts = node.answer_loan_requests(requests, now_ms);
     node.fleet.borrow_mut().set_peers_load(&loads);
     node.update_limit_shares(now_ms);
@@ -99,7 +98,10 @@
     let mut shared: IndexMap<&ZoneName, Vec<u8>> = IndexMap::new();
     for recipient in &recipients {
         if !shared.contains_key(&recipient.zone) {
-            let for_zone = heartbeat_for_zone(&heartbeat, &own, &recipient.zone, cross_zone_loads);
+            let for_zone =
+                node.peers
+                    .borrow()
+                    .heartbeat_for_zone(&heartbeat, &own, &recipient.zone, now_ms);
             match heartbeat_bytes(&for_zone) {
                 Ok(bytes) => drop(shared.insert(&recipient.zone, bytes)),
                 Err(error) => {
@@ -155,13 +157,8 @@
             return;
         }
     };
-    let is_same_zone = recipient.zone == node.settings.zone;
-    let counter = if is_same_zone {
-        "relay.heartbeats.bytes_in_zone"
-    } else {
-        "relay.heartbeats.bytes_between_zones"
-    };
-    node.counters.add(counter, bytes.len() as u64);
+    let scope = TrafficScope::between(&node.settings.zone, Some(&recipient.zone));
+    node.count_traffic(TrafficKind::Heartbeats, scope, bytes.len());
     // Treated like a datagram that the network loses.
     if let Err(error) = socket.send_to(&bytes, recipient.address).await {
         log::debug!(peer:% = recipient.address, error:% = error; "heartbeat could not be sent");
@@ -172,7 +169,7 @@
 where
     A: Adapter,
 {
-    let held = node
+    let mut held: Vec<HeldLoad> = node
         .fleet
         .borrow()
         .iter()
@@ -183,6 +180,8 @@
             load: known.own_load(),
         })
         .collect();
+    // The shorter the differences between consecutive ids, the shorter the heartbeat.
+    held.sort_unstable_by(|a, b| a.endpoint.cmp(&b.endpoint));
     let limits = node.fleet.borrow_mut().pacing.next_reports(now_ms);
     let demand = node.update_demand(now_ms);
     let answered_ms = node.store.get().last_answer_ms();
@@ -204,30 +203,6 @@
     }
 }
 
-/// The heartbeat for recipients in `zone`. Other zones than the sender's get no retry needs: their heartbeats
-/// are too infrequent for a loan to arrive in time. They get the demand of the sender's zone or none.
-pub(super) fn heartbeat_for_zone(
-    heartbeat: &Heartbeat,
-    own: &OwnState,
-    zone: &ZoneName,
-    cross_zone_loads: CrossZoneLoads,
-) -> Heartbeat {
-    if *zone == heartbeat.zone {
-        return heartbeat.clone();
-    }
-    let all_engines = cross_zone_loads == CrossZoneLoads::AllEngines;
-    let is_sent = |load: &&HeldLoad| all_engines || load.zone == *zone;
-    let held = own.held.iter().filter(is_sent);
-    Heartbeat {
-        held: held
-            .map(|load| (load.endpoint.clone(), load.load))
-            .collect(),
-        retry_needs: Vec::new(),
-        demand: own.zone_demand.clone().into(),
-        ..heartbeat.clone()
-    }
-}
-
 /// Derives from a peer's heartbeat how recent the routes and endpoints known here are. The peer sent it after
 /// receiving the heartbeat of this instance that it echoes. Subtracting the ages in the peer's heartbeat
 /// from the sending time of the echoed one therefore gives a safe bound, however long both datagrams took.
