Layout: the reserve is raised only where engines reject requests

The estimate alone asked for a larger reserve in zones whose engines rejected nothing; chains grew longer and more streams were late. Instances now report rejections by engines with their demand, and a zone keeps the normal reserve until more than 2 of 100 streams are rejected.

--- a/src/demand/book.rs
+++ b/src/demand/book.rs
@@ -47,7 +47,33 @@
     /// Sums of whole zones by the instance that reports them.
     by_reporter: IndexMap<InstanceId, KnownReport>,
     /// Recent maxima; only of services for which demand was known.
-    peaks: IndexMap<(ZoneName, ServiceName), Peak>,
+    peaks: IndexMap<(ZoneName, ServiceName), Peaks>,
+}
+
+/// Recent maxima of a zone's demand for a service.
+#[derive(Clone, Copy, Debug)]
+struct Peaks {
+    streams: Peak,
+    rejected: Peak,
+}
+
+impl Peaks {
+    fn new(demand: &ZoneDemand, load_ms: u64, now_ms: u64) -> Self {
+        Self {
+            streams: Peak::new(demand.streams_per_s, load_ms, now_ms),
+            rejected: Peak::new(demand.rejected_per_s, load_ms, now_ms),
+        }
+    }
+
+    fn observe(&mut self, demand: &ZoneDemand, load_ms: u64, now_ms: u64) {
+        self.streams.observe(demand.streams_per_s, load_ms, now_ms);
+        self.rejected
+            .observe(demand.rejected_per_s, load_ms, now_ms);
+    }
+
+    fn have_decayed(&self, now_ms: u64) -> bool {
+        self.streams.has_decayed(now_ms)
+    }
 }
 
 /// The reports that make up a zone's demand.
@@ -86,13 +112,12 @@
             if demand.by_priority.is_empty() {
                 continue;
             }
-            let current_per_s = demand.streams_per_s;
-            let peak = self.peaks.entry((zone, service.clone()));
-            let peak = peak.or_insert_with(|| Peak::new(current_per_s, load_ms, now_ms));
-            peak.observe(current_per_s, load_ms, now_ms);
+            let peaks = self.peaks.entry((zone, service.clone()));
+            let peaks = peaks.or_insert_with(|| Peaks::new(&demand, load_ms, now_ms));
+            peaks.observe(&demand, load_ms, now_ms);
         }
         self.peaks
-            .retain(|(_, of), peak| of != service || !peak.has_decayed(now_ms));
+            .retain(|(_, of), peaks| of != service || !peaks.have_decayed(now_ms));
     }
 
     /// Demand of a zone for a service. `None` if no report from the zone counts, or if no stream was seen for
@@ -104,14 +129,14 @@
         now_ms: u64,
     ) -> Option<ZoneDemand> {
         let mut demand = self.current_demand(service, zone, now_ms)?;
-        let current_per_s = demand.streams_per_s;
-        let peak = self.peaks.get(&(zone.clone(), service.clone()));
-        let peak = peak.filter(|it| !it.has_decayed(now_ms));
-        if demand.by_priority.is_empty() && peak.is_none() {
+        let peaks = self.peaks.get(&(zone.clone(), service.clone()));
+        let peaks = peaks.filter(|it| !it.have_decayed(now_ms));
+        if demand.by_priority.is_empty() && peaks.is_none() {
             return None;
         }
-        if let Some(peak) = peak {
-            demand.peak_streams_per_s = peak.value_per_s(current_per_s, now_ms);
+        if let Some(Peaks { streams, rejected }) = peaks {
+            demand.peak_streams_per_s = streams.value_per_s(demand.streams_per_s, now_ms);
+            demand.peak_rejected_per_s = rejected.value_per_s(demand.rejected_per_s, now_ms);
         }
         Some(demand)
     }
--- a/src/demand/gauges.rs
+++ b/src/demand/gauges.rs
@@ -57,6 +57,7 @@
         gauge("age_ms", None, demand.age_ms as f64),
         gauge("instances", None, f64::from(demand.instances)),
         gauge("peak_streams_per_s", None, demand.peak_streams_per_s),
+        gauge("peak_rejected_per_s", None, demand.peak_rejected_per_s),
     ];
     for (priority, part) in &demand.by_priority {
         let priority = Some(*priority);
@@ -64,6 +65,7 @@
             gauge("streams_per_s", priority, part.streams_per_s),
             gauge("prompt_tokens_per_s", priority, part.prompt_tokens_per_s),
             gauge("unserved_per_s", priority, part.unserved_per_s),
+            gauge("rejected_per_s", priority, part.rejected_per_s),
         ]);
     }
     gauges
--- a/src/demand/gauges_tests.rs
+++ b/src/demand/gauges_tests.rs
@@ -10,6 +10,7 @@
         streams_per_s,
         prompt_tokens_per_s: 4_000,
         unserved_per_s: 5,
+        rejected_per_s: 0,
     });
     ZoneDemand::from_sums(&reports, 240, 24)
 }
--- a/src/demand/meter.rs
+++ b/src/demand/meter.rs
@@ -20,6 +20,7 @@
     streams: u64,
     prompt_tokens: u64,
     unserved: u64,
+    rejected: u64,
 }
 
 /// Records of the newest slots.
@@ -60,13 +61,14 @@
             streams: sum.streams + slot.streams,
             prompt_tokens: sum.prompt_tokens.saturating_add(slot.prompt_tokens),
             unserved: sum.unserved + slot.unserved,
+            rejected: sum.rejected + slot.rejected,
         })
     }
 
     fn is_empty(&self) -> bool {
         self.slots
             .iter()
-            .all(|slot| slot.streams == 0 && slot.unserved == 0)
+            .all(|slot| slot.streams == 0 && slot.unserved == 0 && slot.rejected == 0)
     }
 }
 
@@ -96,6 +98,11 @@
         self.window(service, priority).current_slot(now_ms).unserved += 1;
     }
 
+    /// Records that an engine rejected a stream for lack of capacity.
+    pub(crate) fn record_rejected(&mut self, service: &ServiceName, priority: u32, now_ms: u64) {
+        self.window(service, priority).current_slot(now_ms).rejected += 1;
+    }
+
     /// Rates over the window up to the end of the last complete slot; entries that are all zero are left out.
     pub(crate) fn reports(&mut self, now_ms: u64) -> Vec<DemandReport> {
         self.windows.retain(|_, window| {
@@ -110,6 +117,7 @@
                 streams_per_s: clamped(tenths_per_s(total.streams)),
                 prompt_tokens_per_s: tenths_per_s(total.prompt_tokens),
                 unserved_per_s: clamped(tenths_per_s(total.unserved)),
+                rejected_per_s: clamped(tenths_per_s(total.rejected)),
             }
         });
         reports.filter(|report| !report.is_zero()).collect()
--- a/src/demand/report.rs
+++ b/src/demand/report.rs
@@ -20,11 +20,16 @@
     /// Tenths of streams per second that ended unserved. They are counted at their end, so that this may
     /// briefly exceed `streams_per_s`.
     pub(crate) unserved_per_s: u32,
+    /// Tenths of rejections per second by engines that lacked capacity. A stream may be rejected several times.
+    pub(crate) rejected_per_s: u32,
 }
 
 impl DemandReport {
     pub(super) fn is_zero(&self) -> bool {
-        self.streams_per_s == 0 && self.prompt_tokens_per_s == 0 && self.unserved_per_s == 0
+        self.streams_per_s == 0
+            && self.prompt_tokens_per_s == 0
+            && self.unserved_per_s == 0
+            && self.rejected_per_s == 0
     }
 }
 
@@ -51,12 +56,14 @@
                 streams_per_s: 0,
                 prompt_tokens_per_s: 0,
                 unserved_per_s: 0,
+                rejected_per_s: 0,
             });
         sum.streams_per_s = sum.streams_per_s.saturating_add(report.streams_per_s);
         sum.prompt_tokens_per_s = sum
             .prompt_tokens_per_s
             .saturating_add(report.prompt_tokens_per_s);
         sum.unserved_per_s = sum.unserved_per_s.saturating_add(report.unserved_per_s);
+        sum.rejected_per_s = sum.rejected_per_s.saturating_add(report.rejected_per_s);
     }
     sums.sort_unstable_keys();
     sums.into_values().filter(|sum| !sum.is_zero()).collect()
--- a/src/demand/tests.rs
+++ b/src/demand/tests.rs
@@ -25,6 +25,7 @@
         streams_per_s,
         prompt_tokens_per_s: u64::from(streams_per_s) * 700,
         unserved_per_s: streams_per_s / 5,
+        rejected_per_s: 0,
     }
 }
 
--- a/src/demand/zone_demand.rs
+++ b/src/demand/zone_demand.rs
@@ -12,6 +12,8 @@
     pub(crate) prompt_tokens_per_s: f64,
     /// Streams that ended unserved.
     pub(crate) unserved_per_s: f64,
+    /// Rejections by engines that lacked capacity.
+    pub(crate) rejected_per_s: f64,
 }
 
 /// Demand of a zone for one service, over all its instances.
@@ -26,6 +28,10 @@
     pub(crate) unserved_per_s: f64,
     /// Recent maximum of `streams_per_s`, decayed; never below `streams_per_s`.
     pub(crate) peak_streams_per_s: f64,
+    /// Rejections by engines that lacked capacity.
+    pub(crate) rejected_per_s: f64,
+    /// Recent maximum of `rejected_per_s`, decayed; never below `rejected_per_s`.
+    pub(crate) peak_rejected_per_s: f64,
     /// Age of the oldest report that is included, since its arrival.
     pub(crate) age_ms: u64,
     /// Number of instances whose reports are included, including those without streams.
@@ -41,6 +47,8 @@
             prompt_tokens_per_s: 0.0,
             unserved_per_s: 0.0,
             peak_streams_per_s: 0.0,
+            rejected_per_s: 0.0,
+            peak_rejected_per_s: 0.0,
             age_ms,
             instances,
         };
@@ -49,13 +57,16 @@
                 streams_per_s: per_s(u64::from(sum.streams_per_s)),
                 prompt_tokens_per_s: per_s(sum.prompt_tokens_per_s),
                 unserved_per_s: per_s(u64::from(sum.unserved_per_s)),
+                rejected_per_s: per_s(u64::from(sum.rejected_per_s)),
             };
             demand.streams_per_s += part.streams_per_s;
             demand.prompt_tokens_per_s += part.prompt_tokens_per_s;
             demand.unserved_per_s += part.unserved_per_s;
+            demand.rejected_per_s += part.rejected_per_s;
             demand.by_priority.insert(sum.priority, part);
         }
         demand.peak_streams_per_s = demand.streams_per_s;
+        demand.peak_rejected_per_s = demand.rejected_per_s;
         demand
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -19,4 +19,4 @@
 
 pub use coverage::PlacedEngine;
 pub use planner::{PlacementOrder, PlacementPlanner};
-pub use sizing::ZoneSizing;
+pub use sizing::{ZoneLoad, ZoneSizing};
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::coverage::{Coverage, HeldRange, PlacedEngine};
-use super::sizing::{LayerCounts, ZoneSizing, layer_counts};
+use super::sizing::{LayerCounts, ZoneLoad, ZoneSizing, layer_counts};
 use crate::ids::{EndpointId, ZoneName};
 use crate::invariant;
 use crate::route_table::EngineModel;
@@ -53,13 +53,13 @@
 }
 
 impl PlacementPlanner {
-    /// The orders to send now. [`Self::order_sent`] records those that were sent. `demand_per_s` holds the
-    /// recent peak of streams per second of each availability zone where it is known.
+    /// The orders to send now. [`Self::order_sent`] records those that were sent. `loads` holds the
+    /// load of each availability zone where it is known.
     pub fn due_orders(
         &mut self,
         engines: &[PlacedEngine],
         model: &EngineModel,
-        demand_per_s: &IndexMap<ZoneName, f64>,
+        loads: &IndexMap<ZoneName, ZoneLoad>,
         now_ms: u64,
     ) -> Vec<PlacementOrder> {
         self.expire(engines, now_ms);
@@ -70,8 +70,8 @@
                 .iter()
                 .filter(|engine| engine.zone == *zone)
                 .collect();
-            let demand_per_s = demand_per_s.get(zone).copied();
-            let (counts, sizing) = layer_counts(&in_zone, model, demand_per_s);
+            let load = loads.get(zone).copied();
+            let (counts, sizing) = layer_counts(&in_zone, model, load);
             self.sizings.insert(zone.clone(), sizing);
             orders.extend(self.due_in_zone(zone, &in_zone, &counts, model, now_ms));
         }
--- a/src/placement/shrink_tests.rs
+++ b/src/placement/shrink_tests.rs
@@ -49,8 +49,16 @@
     kinds.into_iter().flat_map(of_kind).collect()
 }
 
-fn demand(streams_per_s: f64) -> IndexMap<ZoneName, f64> {
-    IndexMap::from([(ZoneName::from(ZONE), streams_per_s)])
+/// Load of a zone whose engines reject a tenth of the streams.
+fn demand(streams_per_s: f64) -> IndexMap<ZoneName, ZoneLoad> {
+    IndexMap::from([(ZoneName::from(ZONE), load(streams_per_s, 0.1))])
+}
+
+fn load(demand_per_s: f64, rejected_part: f64) -> ZoneLoad {
+    ZoneLoad {
+        demand_per_s,
+        rejected_per_s: demand_per_s * rejected_part,
+    }
 }
 
 /// A zone whose engines carry out all orders at once.
@@ -72,12 +80,12 @@
         zone
     }
 
-    fn run_round(&mut self, demand_per_s: &IndexMap<ZoneName, f64>) -> Vec<PlacementOrder> {
+    fn run_round(&mut self, loads: &IndexMap<ZoneName, ZoneLoad>) -> Vec<PlacementOrder> {
         self.now_ms += 300;
         let model = model();
         let orders = self
             .planner
-            .due_orders(&self.engines, &model, demand_per_s, self.now_ms);
+            .due_orders(&self.engines, &model, loads, self.now_ms);
         for order in &orders {
             self.planner
                 .order_sent(order.clone(), &self.engines, &model, self.now_ms);
@@ -130,6 +138,14 @@
     }
 }
 
+/// Guards against longer chains for every stream where the estimate asks for memory that no request lacks.
+#[test]
+fn a_zone_whose_engines_reject_nothing_keeps_its_layers_under_any_demand() {
+    let mut zone = Zone::laid_out(engines(3, 14, 16));
+    let loads = IndexMap::from([(ZoneName::from(ZONE), load(1_000.0, 0.0))]);
+    assert_eq!(zone.run_round(&loads), vec![]);
+}
+
 #[test]
 fn unknown_demand_changes_nothing() {
     let mut zone = Zone::laid_out(engines(3, 14, 16));
@@ -204,8 +220,8 @@
 fn sizing_says_when_no_reserve_sustains_the_demand() {
     let engines = engines(3, 14, 16);
     let engines: Vec<&PlacedEngine> = engines.iter().collect();
-    let (_, enough) = layer_counts(&engines, &model(), Some(30.0));
-    let (_, too_much) = layer_counts(&engines, &model(), Some(10_000.0));
+    let (_, enough) = layer_counts(&engines, &model(), Some(load(30.0, 0.1)));
+    let (_, too_much) = layer_counts(&engines, &model(), Some(load(10_000.0, 0.1)));
     assert!(enough.is_sufficient());
     assert!(!too_much.is_sufficient());
     assert!(too_much.sustained_per_s > enough.sustained_per_s);
--- a/src/placement/sizing.rs
+++ b/src/placement/sizing.rs
@@ -28,6 +28,10 @@
 /// above the rate of the last seconds, and weights take longer to load than a burst lasts.
 const DEMAND_MARGIN: f64 = 1.5;
 
+/// Fraction of streams that engines may reject without a larger reserve. Longer chains make every stream slower,
+/// so the reserve is not raised for an estimate alone.
+const TOLERATED_REJECTIONS: f64 = 0.02;
+
 /// Mean number of holders that each layer keeps after the loss of the largest engine if the reserve is
 /// above normal. With fewer, a second loss stops the zone, which is worse than a lack of memory.
 const MIN_HOLDERS_AFTER_LOSS: f64 = 2.0;
@@ -69,11 +73,27 @@
     }
 }
 
+/// Load of an availability zone, as recent peaks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ZoneLoad {
+    /// Streams per second that callers ask for, whether or not they are served.
+    pub demand_per_s: f64,
+    /// Streams per second that engines reject because they lack memory or places.
+    pub rejected_per_s: f64,
+}
+
+impl ZoneLoad {
+    /// Whether engines reject so much that more memory for requests is worth longer chains.
+    fn lacks_capacity(self) -> bool {
+        self.rejected_per_s > self.demand_per_s * TOLERATED_REJECTIONS
+    }
+}
+
 /// What the layer counts of an availability zone are based on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ZoneSizing {
-    /// Streams per second that callers ask for; `None` if unknown.
-    pub demand_per_s: Option<f64>,
+    /// `None` if unknown.
+    pub load: Option<ZoneLoad>,
     /// Streams per second that the zone's engines sustain after the loss of the one that sustains the most.
     pub sustained_per_s: f64,
     /// Factor on the normal reserve.
@@ -83,24 +103,24 @@
 impl ZoneSizing {
     /// Whether the zone sustains its demand with the margin for bursts.
     pub fn is_sufficient(&self) -> bool {
-        let needed_per_s = self.demand_per_s.unwrap_or(0.0) * DEMAND_MARGIN;
-        self.sustained_per_s >= needed_per_s
+        let demand_per_s = self.load.map_or(0.0, |load| load.demand_per_s);
+        self.sustained_per_s >= demand_per_s * DEMAND_MARGIN
     }
 }
 
 /// Number of layers for each engine of one availability zone: as many as leave the normal reserve, or a
-/// larger one where that does not sustain `demand_per_s` streams per second. A copy keeps a smaller reserve
-/// and holds more layers, so that fewer engines make up for the loss of a large one.
+/// larger one where engines reject requests and the normal one does not sustain the demand. A copy keeps a
+/// smaller reserve and holds more layers, so that fewer engines make up for the loss of a large one.
 pub(super) fn layer_counts(
     engines: &[&PlacedEngine],
     model: &EngineModel,
-    demand_per_s: Option<f64>,
+    load: Option<ZoneLoad>,
 ) -> (LayerCounts, ZoneSizing) {
     let sized = |reserve_factor: f64| {
         let counts = counts_for_reserve(engines, model, RESERVED_REQUESTS * reserve_factor);
         let holdings = holdings(engines, &counts, model);
         let sizing = ZoneSizing {
-            demand_per_s,
+            load,
             sustained_per_s: sustained_after_loss_per_s(holdings.iter().copied(), model),
             reserve_factor,
         };
@@ -109,7 +129,7 @@
     };
     let (mut counts, mut sizing, _) = sized(RESERVE_FACTORS[0]);
     for reserve_factor in RESERVE_FACTORS.into_iter().skip(1) {
-        if sizing.is_sufficient() {
+        if sizing.is_sufficient() || !load.is_some_and(ZoneLoad::lacks_capacity) {
             break;
         }
         let (larger, larger_sizing, is_redundant) = sized(reserve_factor);
--- a/src/relay_server/demand_exchange.rs
+++ b/src/relay_server/demand_exchange.rs
@@ -38,6 +38,12 @@
         meter.record_unserved(&request.service, request.priority, now_ms);
     }
 
+    /// Records that an engine rejected a stream for lack of capacity, wherever its caller is.
+    pub(crate) fn record_rejected(&self, request: &RelayedRequest, now_ms: u64) {
+        let mut meter = self.demand_meter.borrow_mut();
+        meter.record_rejected(&request.service, request.priority, now_ms);
+    }
+
     /// Updates the demand of all zones before a heartbeat. Returns that of this instance's callers.
     pub(crate) fn update_demand(&self, now_ms: u64) -> Vec<DemandReport> {
         let reports = self.demand_meter.borrow_mut().reports(now_ms);
--- a/src/relay_server/demand_exchange_tests.rs
+++ b/src/relay_server/demand_exchange_tests.rs
@@ -17,6 +17,7 @@
         streams_per_s: 40,
         prompt_tokens_per_s: 30_000,
         unserved_per_s: 5,
+        rejected_per_s: 0,
     }
 }
 
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -18,7 +18,7 @@
 use crate::fleet::Phase;
 use crate::ids::{EndpointId, ServiceName, ZoneName};
 use crate::lease::{Lease, LeaseEvent, LeaseTiming};
-use crate::placement::{PlacedEngine, PlacementOrder, PlacementPlanner, ZoneSizing};
+use crate::placement::{PlacedEngine, PlacementOrder, PlacementPlanner, ZoneLoad, ZoneSizing};
 use crate::route_table::EngineModel;
 
 /// Interval between checks for orders to send.
@@ -118,10 +118,8 @@
         let may_lead = reaches_engines && node.availability().may_lead();
         let is_first = may_lead && node.peers.borrow().is_preferred_leader_for(service, now_ms);
         let orders = if is_first && is_settled {
-            let demand_per_s = peak_demand_per_s(node, service, now_ms);
-            let orders = self
-                .placement
-                .due_orders(&engines, model, &demand_per_s, now_ms);
+            let loads = zone_loads(node, service, now_ms);
+            let orders = self.placement.due_orders(&engines, model, &loads, now_ms);
             self.record_sizings(node, service);
             orders
         } else {
@@ -162,7 +160,8 @@
             log::info!(
                 service = service.as_str(),
                 zone = zone.as_str(),
-                demand_per_s = sizing.demand_per_s,
+                demand_per_s = sizing.load.map(|load| load.demand_per_s),
+                rejected_per_s = sizing.load.map(|load| load.rejected_per_s),
                 sustained_per_s = sizing.sustained_per_s,
                 reserve_factor = sizing.reserve_factor,
                 is_sufficient = sizing.is_sufficient();
@@ -351,19 +350,20 @@
     Ok(())
 }
 
-/// Recent peak of streams per second of each zone where it is known.
-fn peak_demand_per_s<A>(
-    node: &Node<A>,
-    service: &ServiceName,
-    now_ms: u64,
-) -> IndexMap<ZoneName, f64>
+/// Load of each zone where it is known.
+fn zone_loads<A>(node: &Node<A>, service: &ServiceName, now_ms: u64) -> IndexMap<ZoneName, ZoneLoad>
 where
     A: Adapter,
 {
     let demands = node.zone_demands(service, now_ms).into_iter();
-    demands
-        .map(|(zone, demand)| (zone, demand.peak_streams_per_s))
-        .collect()
+    let loads = demands.map(|(zone, demand)| {
+        let load = ZoneLoad {
+            demand_per_s: demand.peak_streams_per_s,
+            rejected_per_s: demand.peak_rejected_per_s,
+        };
+        (zone, load)
+    });
+    loads.collect()
 }
 
 fn engines<A>(node: &Rc<Node<A>>, service: &ServiceName) -> Vec<PlacedEngine> {
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -57,6 +57,7 @@
                 .and_then(|address| stage_at(held.chain(), address));
             let at_fault = at_fault.unwrap_or_else(|| held.chain().first().clone());
             self.mark_full(&at_fault.endpoint);
+            self.node.record_rejected(&self.request, boot_ms());
             // The engine may be full, leaving or dead; the response does not say which.
             check_in_background(&self.node, &at_fault);
             return RunOutcome::Failed(
