Retry budget: less urgent requests leave a reserve for more urgent ones

Cause: the retry budget of an instance is shared by all requests of a service.

A less urgent request takes a retry for starting only while more is left than an eighth of the instance's share for each more urgent priority of its service, half of the share at most. Resuming a partial response leaves no reserve.

The route table counts the priorities of each service's streams once per table.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -21,6 +21,25 @@
     Resume,
 }
 
+/// What a retry is for, and how urgent its request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryClass {
+    /// What it is for.
+    pub purpose: RetryPurpose,
+    /// Number of distinct priorities of the service that are more urgent than that of the request.
+    pub more_urgent_priorities: u32,
+}
+
+impl From<RetryPurpose> for RetryClass {
+    /// The class where all requests of the service are equally urgent.
+    fn from(purpose: RetryPurpose) -> Self {
+        Self {
+            purpose,
+            more_urgent_priorities: 0,
+        }
+    }
+}
+
 /// What all instances together may retry within a window, and how many instances share it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetShare {
@@ -60,15 +79,18 @@
     }
 
     /// Whether another retry is within the budget.
-    pub fn has_left(
+    pub fn has_left<C>(
         &mut self,
         service: &ServiceName,
         share: BudgetShare,
-        purpose: RetryPurpose,
+        class: C,
         now_ms: u64,
-    ) -> bool {
+    ) -> bool
+    where
+        C: Into<RetryClass>,
+    {
         let window = self.window(service, share, now_ms);
-        window.has_left(share, purpose, now_ms)
+        window.has_left(share, class.into(), now_ms)
     }
 
     /// Records demand for a retry, so that other instances are asked to lend one.
@@ -84,18 +106,22 @@
     }
 
     /// Takes one retry from the budget, if one is left.
-    pub fn take(
+    pub fn take<C>(
         &mut self,
         service: &ServiceName,
         share: BudgetShare,
-        purpose: RetryPurpose,
+        class: C,
         now_ms: u64,
-    ) -> bool {
+    ) -> bool
+    where
+        C: Into<RetryClass>,
+    {
+        let class = class.into();
         let window = self.window(service, share, now_ms);
-        window.record_demand(purpose, now_ms);
-        let is_left = window.has_left(share, purpose, now_ms);
+        window.record_demand(class.purpose, now_ms);
+        let is_left = window.has_left(share, class, now_ms);
         if is_left {
-            window.record_retry(purpose, now_ms);
+            window.record_retry(class.purpose, now_ms);
         }
         is_left
     }
@@ -115,15 +141,18 @@
 
     /// When a retry becomes available by the passage of time: `now_ms` if one is available now,
     /// [`u64::MAX`] if only a loan or more requests can provide one. A loan may provide one sooner.
-    pub fn next_available_ms(
+    pub fn next_available_ms<C>(
         &mut self,
         service: &ServiceName,
         share: BudgetShare,
-        purpose: RetryPurpose,
+        class: C,
         now_ms: u64,
-    ) -> u64 {
+    ) -> u64
+    where
+        C: Into<RetryClass>,
+    {
         let window = self.window(service, share, now_ms);
-        let next_ms = window.next_available_ms(share, purpose, now_ms);
+        let next_ms = window.next_available_ms(share, class.into(), now_ms);
         next_ms.unwrap_or(u64::MAX)
     }
 
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -65,7 +65,7 @@
             RefusalCause::OldTable => Self::OldTable,
             RefusalCause::NoEndpoint => Self::NoEndpoint,
             RefusalCause::NoChain => Self::NoChain,
-            RefusalCause::Full => Self::NoRoom,
+            RefusalCause::Full | RefusalCause::Queue { .. } => Self::NoRoom,
             RefusalCause::NoBudget => Self::Budget,
             RefusalCause::Stopping => Self::Stopping,
             RefusalCause::TooLate => Self::Deadline,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,6 +17,8 @@
 mod loan_tests;
 mod loans;
 mod refusal;
+#[cfg(test)]
+mod reserve_tests;
 mod resume;
 mod run_times;
 mod silence;
@@ -32,7 +34,7 @@
 mod window;
 
 pub use attempts::{AttemptOutcome, Attempts, NextStep};
-pub use budget::{BudgetShare, RetryBudget, RetryPurpose};
+pub use budget::{BudgetShare, RetryBudget, RetryClass, RetryPurpose};
 pub use delegation::DelegationHistory;
 pub use events::{CompleteEvents, EventSplitter, SplitError};
 pub use limits::{AttemptLimit, RelayFailure};
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -9,6 +9,12 @@
 /// Time to assign layers to another engine, without loading them: detecting that they are missing,
 /// the order, and the lag of the endpoint list.
 const REASSIGNMENT_MS: u64 = 900;
+/// Shortest retry delay of a request that would have waited too long: its longest wait bound, since
+/// the requests that it would have waited for are still there before.
+const MIN_QUEUE_RETRY_MS: u64 = 160;
+/// Longest such delay. The rate of turns changes within seconds, and a caller that retries later has
+/// missed every objective.
+const MAX_QUEUE_RETRY_MS: u64 = 4_000;
 /// Fraction of the retry delay over which callers refused together are spread.
 const JITTER: f64 = 0.3;
 
@@ -39,6 +45,11 @@
     NoChain,
     /// The endpoints that were tried have no capacity.
     Full,
+    /// The request would have waited too long for capacity, behind others of its service.
+    Queue {
+        /// Expected time until its turn; `None` if the rate of turns is unknown.
+        expected_wait_ms: Option<u64>,
+    },
     /// The retry budget is exhausted.
     NoBudget,
     /// The process is about to stop.
@@ -63,6 +74,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::NoChain => "no_chain",
             Self::Full => "full",
+            Self::Queue { .. } => "queue",
             Self::NoBudget => "no_budget",
             Self::Stopping => "stopping",
             Self::TooLate => "too_late",
@@ -81,7 +93,7 @@
             | Self::Stopping
             | Self::Withheld
             | Self::RateLimited { .. } => true,
-            Self::Full | Self::NoBudget | Self::TooLate => false,
+            Self::Full | Self::Queue { .. } | Self::NoBudget | Self::TooLate => false,
         }
     }
 
@@ -97,6 +109,9 @@
             Self::NoTable | Self::OldTable | Self::NoEndpoint => OUTAGE_MS,
             Self::NoChain => REASSIGNMENT_MS + conditions.load_ms,
             Self::Full | Self::NoBudget => conditions.run_ms / 2,
+            Self::Queue { expected_wait_ms } => expected_wait_ms
+                .unwrap_or(conditions.run_ms / 2)
+                .clamp(MIN_QUEUE_RETRY_MS, MAX_QUEUE_RETRY_MS),
             Self::Withheld => EVIDENCE_TTL_MS,
             // The next permit goes to a single caller; by then the capacity of other requests is
             // free as well.
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -309,6 +309,29 @@
     assert_eq!(after(RefusalCause::Full, last), 1_950);
 }
 
+/// Guards against callers that retry, once, while those that they would wait for are still there.
+#[test]
+fn retry_delay_of_a_request_that_would_wait_too_long_follows_its_expected_wait() {
+    let conditions = RetryConditions {
+        other_instances_serve: true,
+        load_ms: 1_750,
+        run_ms: 3_000,
+        random: 0,
+    };
+    let after = |expected_wait_ms, conditions| {
+        RefusalCause::Queue { expected_wait_ms }.retry_after_ms(conditions)
+    };
+    assert_eq!(after(Some(700), conditions), 700);
+    assert_eq!(after(Some(0), conditions), 160);
+    assert_eq!(after(Some(100_000), conditions), 4_000);
+    assert_eq!(after(None, conditions), 1_500);
+    let last = RetryConditions {
+        random: u64::MAX,
+        ..conditions
+    };
+    assert_eq!(after(Some(700), last), 910);
+}
+
 #[test]
 fn mean_duration_follows_complete_streams() {
     let (model, other) = (ServiceName::from("model"), ServiceName::from("other"));
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::budget::{BudgetShare, RetryPurpose};
+use super::budget::{BudgetShare, RetryClass, RetryPurpose};
 use super::loans::{BorrowedLoans, GrantedLoans, LOAN_TTL_MS, Lender, RETRY_MILLI};
 
 /// Fraction of the allowance that is used. The rest covers requests that are counted in the window
@@ -27,6 +27,12 @@
 /// instance at once, which is more than its own share covers.
 const RESUME_KEPT_FRACTION: f64 = RESUME_RESERVE / 2.0;
 
+/// Fraction of the own share that requests leave for each more urgent priority of their service.
+/// Otherwise the least urgent use up the retries that the most urgent need.
+const PRIORITY_RESERVE: f64 = 0.125;
+/// Largest fraction left for all more urgent priorities together.
+const MAX_PRIORITY_RESERVE: f64 = 0.5;
+
 /// Period over which demand is measured; the same number of retries should be available again.
 /// Refused callers retry within it.
 const DEMAND_WINDOW_MS: u64 = 1_000;
@@ -118,8 +124,20 @@
         self.lent.drop_expired(now_ms);
     }
 
-    pub(super) fn has_left(&self, share: BudgetShare, purpose: RetryPurpose, at_ms: u64) -> bool {
-        self.balance(share, at_ms).available_milli(purpose) >= RETRY_MILLI
+    pub(super) fn has_left(&self, share: BudgetShare, class: RetryClass, at_ms: u64) -> bool {
+        let left = self.balance(share, at_ms).available_milli(class.purpose);
+        left >= RETRY_MILLI + self.reserve_milli(share, class, at_ms)
+    }
+
+    /// What a request must leave for more urgent ones. A caller that holds a part of its response
+    /// goes before all others, whatever its priority.
+    fn reserve_milli(&self, share: BudgetShare, class: RetryClass, at_ms: u64) -> u64 {
+        if class.more_urgent_priorities == 0 || class.purpose == RetryPurpose::Resume {
+            return 0;
+        }
+        let fraction = PRIORITY_RESERVE * f64::from(class.more_urgent_priorities);
+        let fraction = fraction.min(MAX_PRIORITY_RESERVE);
+        (self.allowed_milli(share, at_ms) as f64 * fraction) as u64
     }
 
     /// Whole retries left for starting responses, for log lines.
@@ -227,7 +245,7 @@
     pub(super) fn next_available_ms(
         &self,
         share: BudgetShare,
-        purpose: RetryPurpose,
+        class: RetryClass,
         now_ms: u64,
     ) -> Option<u64> {
         let retries = self.retries.iter().map(|it| it.at_ms + share.window_ms + 1);
@@ -239,7 +257,7 @@
         moments.sort_unstable();
         moments.dedup();
         let mut moments = moments.into_iter();
-        moments.find(|at_ms| self.has_left(share, purpose, *at_ms))
+        moments.find(|at_ms| self.has_left(share, class, *at_ms))
     }
 
     fn balance(&self, share: BudgetShare, at_ms: u64) -> Balance {
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -4,7 +4,7 @@
 use super::node::Node;
 use crate::clock::boot_ms;
 use crate::ids::ServiceName;
-use crate::relay::{AttemptLimit, BudgetShare, RetryConditions, RetryPurpose};
+use crate::relay::{AttemptLimit, BudgetShare, RetryClass, RetryConditions, RetryPurpose};
 
 impl<A> Node<A>
 where
@@ -17,10 +17,13 @@
     }
 
     /// Takes one retry out of the budget, if one is left.
-    pub(crate) fn take_retry(&self, service: &ServiceName, purpose: RetryPurpose) -> bool {
+    pub(crate) fn take_retry<C>(&self, service: &ServiceName, class: C) -> bool
+    where
+        C: Into<RetryClass>,
+    {
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
-        let is_left = budget.take(service, share, purpose, boot_ms());
+        let is_left = budget.take(service, share, class, boot_ms());
         self.counters.count(if is_left {
             "relay.repeats.allowed"
         } else {
@@ -36,10 +39,13 @@
     }
 
     /// Whether the budget has one more retry.
-    pub(crate) fn has_retry(&self, service: &ServiceName, purpose: RetryPurpose) -> bool {
+    pub(crate) fn has_retry<C>(&self, service: &ServiceName, class: C) -> bool
+    where
+        C: Into<RetryClass>,
+    {
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
-        budget.has_left(service, share, purpose, boot_ms())
+        budget.has_left(service, share, class, boot_ms())
     }
 
     /// Retries left at this instance, for log lines.
--- a/src/route_table/table.rs
+++ b/src/route_table/table.rs
@@ -191,6 +191,9 @@
     pub services: IndexMap<ServiceName, ServiceSpec>,
     /// Account of each key; `None` if the table has no accounts, so that no request needs a key.
     accounts_by_key: Option<IndexMap<String, Account>>,
+    /// Priorities that requests of the stream routes of each service can have, ascending and
+    /// distinct.
+    stream_priorities: IndexMap<ServiceName, Vec<u32>>,
     /// Limits on requests and connections of callers.
     pub limits: Limits,
 }
@@ -212,11 +215,14 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let routes = hosts.values().flatten();
+        let stream_priorities = stream_priorities(routes, accounts_by_key.as_ref());
         Self {
             version,
             hosts,
             services,
             accounts_by_key,
+            stream_priorities,
             limits,
         }
     }
@@ -239,6 +245,23 @@
         Ok(Resolved { route, account })
     }
 
+    /// Whether streams of the service can have different priorities.
+    pub fn has_several_priorities(&self, service: &ServiceName) -> bool {
+        self.priorities(service).len() > 1
+    }
+
+    /// Number of distinct priorities of the service's streams that are more urgent than `priority`.
+    pub fn more_urgent_priorities(&self, service: &ServiceName, priority: u32) -> u32 {
+        let more_urgent = self.priorities(service).iter().filter(|it| **it < priority);
+        u32::try_from(more_urgent.count()).unwrap_or(u32::MAX)
+    }
+
+    fn priorities(&self, service: &ServiceName) -> &[u32] {
+        self.stream_priorities
+            .get(service)
+            .map_or(&[], Vec::as_slice)
+    }
+
     /// Whether requests of the route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
         self.accounts_by_key.is_some() && !route.is_public
@@ -252,3 +275,34 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 }
+
+/// The priorities of each service's streams. An account's own priority takes precedence over the
+/// route's.
+fn stream_priorities<'a, I>(
+    routes: I,
+    accounts_by_key: Option<&IndexMap<String, Account>>,
+) -> IndexMap<ServiceName, Vec<u32>>
+where
+    I: Iterator<Item = &'a Route>,
+{
+    let mut by_service: IndexMap<ServiceName, Vec<u32>> = IndexMap::new();
+    for route in routes.filter(|route| route.retry_policy.is_stream()) {
+        let accounts = accounts_by_key.filter(|_| !route.is_public);
+        let priorities: Vec<u32> = match accounts {
+            Some(accounts) => accounts
+                .values()
+                .map(|it| it.priority.unwrap_or(route.priority))
+                .collect(),
+            None => vec![route.priority],
+        };
+        for entry in &route.services {
+            let all = by_service.entry(entry.service.clone()).or_default();
+            all.extend(&priorities);
+        }
+    }
+    for priorities in by_service.values_mut() {
+        priorities.sort_unstable();
+        priorities.dedup();
+    }
+    by_service
+}
--- a/src/route_table/tests.rs
+++ b/src/route_table/tests.rs
@@ -107,3 +107,38 @@
     assert_eq!(current.update(sourced(5), 100), TableChange::Applied);
     assert_eq!(current.age_ms(1_000), 900);
 }
+
+/// Guards against a queue for services whose streams all have the same priority: these must be
+/// served as before.
+#[test]
+fn only_different_priorities_of_streams_count() {
+    let stream = |prefix: &str, service: &str, priority, is_public| Route {
+        retry_policy: RetryPolicy::Stream { resumable: true },
+        priority,
+        is_public,
+        ..route(prefix, service)
+    };
+    let table = table(
+        1,
+        vec![
+            stream("/a/", "mixed", 1, true),
+            stream("/b/", "mixed", 2, true),
+            stream("/c/", "by-account", 1, true),
+            stream("/d/", "by-account", 1, false),
+            stream("/e/", "same", 1, true),
+            stream("/f/", "same", 1, true),
+            route("/g/", "same"),
+            route("/h/", "plain"),
+        ],
+    );
+    let differ = |service| table.has_several_priorities(&ServiceName::from(service));
+    assert!(differ("mixed"));
+    assert!(differ("by-account"), "the account has priority 0");
+    assert!(!differ("same"), "a route without streams does not count");
+    assert!(!differ("plain"));
+    assert!(!differ("unknown"));
+    let more_urgent = |service, own| table.more_urgent_priorities(&ServiceName::from(service), own);
+    assert_eq!(more_urgent("mixed", 2), 1);
+    assert_eq!(more_urgent("mixed", 1), 0);
+    assert_eq!(more_urgent("same", 1), 0);
+}
