Streams wait for capacity in a queue by priority where priorities differ

Cause: a stream that finds no chain with capacity checked again every 40 ms for up to 160 ms, each on its own, so that the one that checked at the right moment got the capacity.

For a service whose streams can have different priorities, an instance now has one bounded queue. It orders by: has run, priority, least recent service of the account, arrival; less urgent priorities keep one of eight turns. A wake-up (tokens released, an engine no longer full, endpoints or layers changed, a peer's load fell, 100 ms) lets only the request whose turn it is plan a chain. A request whose expected wait exceeds a third of its objective, or 160 ms, is refused at once with a Retry-After from that wait. Other services poll as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod routing;
 pub mod rpc;
 pub mod settings;
+mod start_queue;
 pub mod telemetry;
 pub mod wire;
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -4,6 +4,9 @@
 //! An [`Adapter`] implements the platform's wire format; nothing here depends on a specific platform.
 
 mod adapter;
+mod capacity_queue;
+#[cfg(test)]
+mod capacity_queue_tests;
 mod checks;
 mod delegates;
 #[cfg(test)]
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::adapter::Adapter;
+use super::capacity_queue::CapacityQueues;
 use super::checks::CheckCache;
 use super::fleet_lines::log_changes;
 use super::heartbeat::Availability;
@@ -34,6 +35,8 @@
     pub(crate) table: RefCell<CurrentTable>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) budget: RefCell<RetryBudget>,
+    /// Streams that wait for capacity, of services whose priorities differ.
+    pub(crate) capacity_queues: Rc<CapacityQueues>,
     /// Durations of streams.
     pub(crate) run_times: RefCell<RunTimes>,
     pub(crate) upstreams: UpstreamPool,
@@ -102,6 +105,7 @@
             table: RefCell::default(),
             fleet: RefCell::default(),
             budget: RefCell::new(RetryBudget::starting(boot_ms())),
+            capacity_queues: Rc::default(),
             run_times: RefCell::default(),
             upstreams: UpstreamPool::new(),
             delegates: UpstreamPool::new(),
@@ -332,9 +336,15 @@
         }
     }
 
-    /// Makes running streams check their chains.
+    /// Makes running streams check their chains, and waiting ones look for capacity.
     pub(crate) fn wake_streams(&self) {
         self.chain_check_signal.send_modify(|count| *count += 1);
+        self.wake_waiting_streams();
+    }
+
+    /// Makes waiting streams look for capacity, which may have become available.
+    pub(crate) fn wake_waiting_streams(&self) {
+        self.capacity_queues.wake(boot_ms());
     }
 
     /// Whether requests may still be sent to an endpoint that was selected earlier. Checked once the
@@ -384,6 +394,9 @@
     /// Logs changes of the endpoint list and applies those that concern only this instance.
     pub(crate) fn apply_changes(&self, changes: &[FleetChange]) {
         log_changes(&self.fleet.borrow(), changes, boot_ms());
+        if !changes.is_empty() {
+            self.wake_waiting_streams();
+        }
         for change in changes {
             match change {
                 FleetChange::Restarted { address, .. } => {
@@ -415,5 +428,9 @@
                 known.in_flight = known.in_flight.saturating_sub(is_first);
             }
         }
+        drop(fleet);
+        if !is_held {
+            self.wake_waiting_streams();
+        }
     }
 }
--- a/src/relay_server/peers.rs
+++ b/src/relay_server/peers.rs
@@ -17,6 +17,7 @@
 use super::heartbeat::{
     Heartbeat, HeldLoad, OwnState, PeerPart, datagram, heartbeat_bytes, read_datagram,
 };
+use super::load_change::LoadChange;
 use super::node::Node;
 use super::peer::Recipient;
 use super::peer_book::HEARTBEAT_INTERVAL_MS;
@@ -307,6 +308,10 @@
         fleet.update_peers_load(&change.endpoint, change.before, change.now);
     }
     drop(fleet);
+    let has_fallen = |it: &LoadChange| it.now.token_layers < it.before.token_layers;
+    if changes.iter().any(has_fallen) {
+        node.wake_waiting_streams();
+    }
     for (endpoint, layers) in heartbeat.layer_moves {
         let order = PlacementOrder { endpoint, layers };
         node.record_peer_move(&order);
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -1,5 +1,5 @@
 //! Relays streams of model engines: runs them one after another and forwards their events. The
-//! chain of a run is chosen in `plan` and run in `chain_run`, the handling of silent runs is in
+//! chain of a run is chosen in `plan`, where priorities differ in `turn`, and run in `chain_run`, the handling of silent runs is in
 //! `repair`; runs that another instance serves are in `delegate`, resuming a partial response is in
 //! `go_on`, and the log line at the end in `ending`.
 
@@ -9,6 +9,7 @@
 mod go_on;
 mod plan;
 mod repair;
+mod turn;
 mod withheld;
 
 use std::io;
@@ -36,7 +37,7 @@
 use crate::ids::{EndpointId, InstanceId};
 use crate::relay::{
     AttemptOutcome, Attempts, EventSplitter, FinalError, NextStep, RefusalCause, RelayFailure,
-    RetryPurpose, StallDetector,
+    RetryClass, RetryPurpose, StallDetector,
 };
 
 /// Maximum size of an engine's failure response that is buffered for forwarding.
@@ -215,13 +216,13 @@
             self.splitter.drop_partial();
             let node = &self.node;
             let service = &self.request.service;
-            let purpose = self.retry_purpose();
+            let class = self.retry_class();
             if self.attempts.take_refund(outcome) {
                 node.cancel_retry(service);
             }
             match self
                 .attempts
-                .attempt_ended(outcome, || node.take_retry(service, purpose))
+                .attempt_ended(outcome, || node.take_retry(service, class))
             {
                 NextStep::Retry | NextStep::Resume => {}
                 NextStep::ForwardFailure(limit) => {
@@ -327,6 +328,17 @@
         }
     }
 
+    /// The same, and how many priorities of the service are more urgent.
+    fn retry_class(&self) -> RetryClass {
+        let request = &self.request;
+        let table = &request.table;
+        RetryClass {
+            purpose: self.retry_purpose(),
+            more_urgent_priorities: table
+                .more_urgent_priorities(&request.service, request.priority),
+        }
+    }
+
     /// Engines that have exited, or that this instance no longer reaches, do not count among those on
     /// which the request ran.
     fn forget_ended(&mut self) {
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -45,7 +45,7 @@
         };
         let (reason, lost) = (DelegationReason::CutOff, &self.lost_delegates);
         let delegate = node.choose_delegate(reason, &self.request, &trial, lost);
-        delegate.is_some() && node.has_retry(service, self.retry_purpose())
+        delegate.is_some() && node.has_retry(service, self.retry_class())
     }
 
     /// Has another instance serve a run, and forwards its events.
--- a/src/relay_server/stream/plan.rs
+++ b/src/relay_server/stream/plan.rs
@@ -32,13 +32,15 @@
     /// Waits briefly for a chain whose engines have not rejected requests recently. Sending to a
     /// full engine would cost a retry that another request could use.
     pub(super) async fn plan_with_capacity(&self) -> Result<Chain, RefusalCause> {
+        if self.has_queue() {
+            return self.plan_in_turn().await;
+        }
         let until_ms = self.capacity_deadline_ms(boot_ms());
         loop {
             self.check_withheld()?;
-            let cause = match self.plan(None) {
-                Some(chain) if self.has_capacity(&chain) => return Ok(chain),
-                Some(_) => RefusalCause::Full,
-                None => self.why_no_chain(),
+            let cause = match self.plan_for_capacity() {
+                Ok(chain) => return Ok(chain),
+                Err(cause) => cause,
             };
             let now_ms = boot_ms();
             let is_hopeless = self.is_futile(cause, until_ms.saturating_sub(now_ms));
@@ -49,6 +51,15 @@
         }
     }
 
+    /// A chain whose engines have not rejected requests recently.
+    pub(super) fn plan_for_capacity(&self) -> Result<Chain, RefusalCause> {
+        match self.plan(None) {
+            Some(chain) if self.has_capacity(&chain) => Ok(chain),
+            Some(_) => Err(RefusalCause::Full),
+            None => Err(self.why_no_chain()),
+        }
+    }
+
     fn why_no_chain(&self) -> RefusalCause {
         let rate_limited = self.node.rate_limit_refusal(&self.request.service);
         match rate_limited.filter(|_| self.layer_without_holder().is_none()) {
@@ -60,7 +71,7 @@
     }
 
     /// Whether waiting for `remaining_ms` cannot help a request that has not run.
-    fn is_futile(&self, cause: RefusalCause, remaining_ms: u64) -> bool {
+    pub(super) fn is_futile(&self, cause: RefusalCause, remaining_ms: u64) -> bool {
         let is_futile = match cause {
             RefusalCause::NoChain => self.layer_without_holder().is_some(),
             RefusalCause::RateLimited { wait_ms } => wait_ms.is_none_or(|it| it > remaining_ms),
@@ -71,7 +82,7 @@
 
     /// Until when to wait for a chain. A request that has not run is better refused soon; one that
     /// has run cannot be refused, and its caller would lose what it has received.
-    fn capacity_deadline_ms(&self, now_ms: u64) -> u64 {
+    pub(super) fn capacity_deadline_ms(&self, now_ms: u64) -> u64 {
         let wait_ms = if self.attempts.may_have_run() {
             MAX_EVENT_GAP_MS.saturating_sub(self.stall.silence_ms(now_ms))
         } else {
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -143,7 +143,7 @@
         }
         let service = &self.request.service;
         let purpose = self.retry_purpose();
-        let is_left = self.node.has_retry(service, purpose);
+        let is_left = self.node.has_retry(service, self.retry_class());
         if !is_left {
             // The current run may have ended, so a retry is requested from other instances in the
             // meantime.
--- /dev/null
+++ b/src/start_queue/queue.rs
@@ -0,0 +1,291 @@
+//! The queue of one service.
+
+use std::cmp::Ordering;
+use std::hash::Hash;
+
+use indexmap::IndexMap;
+
+use super::rate::GrantRate;
+use super::recent_service::RecentService;
+use crate::ids::AccountId;
+
+/// Longest wait of a request that has not run. Requests end and engines return many times per
+/// second.
+const MAX_WAIT_BOUND_MS: u64 = 160;
+/// One of this many turns goes to less urgent priorities while they wait.
+const TURNS_PER_RESERVED: u32 = 8;
+/// Smallest length at which the queue counts as full: a rate measured from few grants is imprecise.
+const MIN_CAPACITY: usize = 4;
+/// Largest number of waiting requests. More than an instance starts within the longest wait bound.
+const MAX_CAPACITY: usize = 64;
+
+/// Longest wait of a request that has not run, on a route with this objective for the first event.
+pub(crate) fn wait_bound_ms(objective_ms: u64) -> u64 {
+    (objective_ms / 3).min(MAX_WAIT_BOUND_MS)
+}
+
+/// What determines the place of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Rank {
+    /// Whether the request may have run. Such requests go first and are never refused.
+    pub(crate) has_run: bool,
+    /// 0 is the most urgent.
+    pub(crate) priority: u32,
+    pub(crate) account: Option<AccountId>,
+    pub(crate) arrived_ms: u64,
+}
+
+impl Rank {
+    /// Smaller is more urgent.
+    fn urgency(&self) -> (bool, u32) {
+        (!self.has_run, self.priority)
+    }
+
+    fn is_less_urgent_than(&self, other: &Self) -> bool {
+        self.urgency() > other.urgency()
+    }
+}
+
+/// The result of joining the queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Joined<Id> {
+    Queued {
+        /// `None` if the rate of turns is unknown.
+        expected_wait_ms: Option<u64>,
+        /// A less urgent request that was removed because the queue was full. It is to be refused.
+        displaced: Option<Id>,
+    },
+    /// The wait would be too long, or the queue is full of requests that go before.
+    Refused { expected_wait_ms: Option<u64> },
+}
+
+/// Why a request whose turn it was got no capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TurnOutcome {
+    /// Nobody is likely to get any until capacity becomes available again.
+    NoCapacity,
+    /// The request cannot use all engines, so that the next request may get capacity.
+    Restricted,
+}
+
+/// Requests of one service that wait for capacity.
+///
+/// A round begins when capacity may have become available. In each round requests get turns one
+/// after the other until one finds no capacity.
+#[derive(Clone, Debug)]
+pub(crate) struct StartQueue<Id> {
+    /// At most [`MAX_CAPACITY`] of them have not run.
+    waiting: IndexMap<Id, Waiting>,
+    recent_service: RecentService,
+    rate: GrantRate,
+    /// Consecutive turns of more urgent requests while less urgent ones waited.
+    urgent_turns: u32,
+    is_round_open: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    rank: Rank,
+    /// When the request stops waiting.
+    until_ms: u64,
+    /// Whether it got no capacity in this round although others may.
+    is_skipped: bool,
+}
+
+impl Waiting {
+    /// After a freeze of the process, deadlines have passed without anybody having left.
+    fn is_in_time(&self, now_ms: u64) -> bool {
+        now_ms < self.until_ms
+    }
+}
+
+impl<Id> Default for StartQueue<Id> {
+    fn default() -> Self {
+        Self {
+            waiting: IndexMap::new(),
+            recent_service: RecentService::default(),
+            rate: GrantRate::default(),
+            urgent_turns: 0,
+            is_round_open: false,
+        }
+    }
+}
+
+impl<Id> StartQueue<Id>
+where
+    Id: Clone + Eq + Hash,
+{
+    /// Number of waiting requests.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether a new request may start without joining: no request of the same or higher urgency
+    /// waits, and no less urgent one has the next turn.
+    pub(crate) fn may_start(&self, rank: &Rank, now_ms: u64) -> bool {
+        let mut waiting = self.in_time(now_ms).map(|(_, it)| &it.rank);
+        let is_reserved = !rank.has_run && self.is_reserved_turn_due();
+        waiting.all(|it| it.is_less_urgent_than(rank) && !is_reserved)
+    }
+
+    /// Records that a request started without joining.
+    pub(crate) fn record_started(&mut self, rank: &Rank, now_ms: u64) {
+        self.record_service(rank, now_ms);
+    }
+
+    /// Adds a request that waits until `until_ms` at most.
+    pub(crate) fn join(&mut self, id: Id, rank: Rank, until_ms: u64, now_ms: u64) -> Joined<Id> {
+        self.rate.observe(!self.waiting.is_empty(), now_ms);
+        let expected_wait_ms = self.expected_wait_ms(&rank, now_ms);
+        let bound_ms = until_ms.saturating_sub(now_ms);
+        let is_too_long = expected_wait_ms.is_some_and(|it| it > bound_ms);
+        if is_too_long && !rank.has_run {
+            return Joined::Refused { expected_wait_ms };
+        }
+        let mut displaced = None;
+        if self.waiting.len() >= self.capacity(now_ms) {
+            let last = self.last_to_refuse(now_ms);
+            displaced = last.filter(|(_, it)| self.order(&rank, &it.rank, now_ms).is_lt());
+            if displaced.is_none() && !rank.has_run {
+                return Joined::Refused { expected_wait_ms };
+            }
+        }
+        let displaced = displaced.map(|(id, _)| id.clone());
+        if let Some(id) = &displaced {
+            self.waiting.shift_remove(id);
+        }
+        let waiting = Waiting {
+            rank,
+            until_ms,
+            is_skipped: false,
+        };
+        self.waiting.insert(id, waiting);
+        self.rate.observe(true, now_ms);
+        Joined::Queued {
+            expected_wait_ms,
+            displaced,
+        }
+    }
+
+    /// Removes a request whose caller has left or whose deadline has passed.
+    pub(crate) fn leave(&mut self, id: &Id, now_ms: u64) {
+        if self.waiting.shift_remove(id).is_some() {
+            self.rate.observe(!self.waiting.is_empty(), now_ms);
+        }
+    }
+
+    /// Begins a round: capacity may have become available.
+    pub(crate) fn begin_round(&mut self, now_ms: u64) {
+        self.rate.observe(!self.waiting.is_empty(), now_ms);
+        self.is_round_open = true;
+        for waiting in self.waiting.values_mut() {
+            waiting.is_skipped = false;
+        }
+    }
+
+    /// The request whose turn it is; `None` if nobody waits or the round has ended.
+    pub(crate) fn next_turn(&self, now_ms: u64) -> Option<&Id> {
+        if !self.is_round_open {
+            return None;
+        }
+        let candidates = || self.in_time(now_ms).filter(|(_, it)| !it.is_skipped);
+        let order = |a: &Waiting, b: &Waiting| self.order(&a.rank, &b.rank, now_ms);
+        let first = candidates().min_by(|a, b| order(a.1, b.1))?;
+        let is_less_urgent = |it: &Waiting| it.rank.is_less_urgent_than(&first.1.rank);
+        if !first.1.rank.has_run && self.is_reserved_turn_due() {
+            // By arrival, so that the least urgent do not starve behind others that are less urgent.
+            let reserved = candidates().filter(|(_, it)| is_less_urgent(it));
+            let oldest = reserved.min_by_key(|(_, it)| it.rank.arrived_ms);
+            return oldest.or(Some(first)).map(|(id, _)| id);
+        }
+        Some(first.0)
+    }
+
+    /// Records that a request got capacity in its turn, and removes it.
+    pub(crate) fn record_served(&mut self, id: &Id, now_ms: u64) {
+        let Some(served) = self.waiting.shift_remove(id) else {
+            return;
+        };
+        self.rate.record_grant(!self.waiting.is_empty(), now_ms);
+        self.record_service(&served.rank, now_ms);
+    }
+
+    /// Records that a request got no capacity in its turn.
+    pub(crate) fn record_unserved(&mut self, id: &Id, outcome: TurnOutcome) {
+        match (outcome, self.waiting.get_mut(id)) {
+            (TurnOutcome::Restricted, Some(waiting)) => waiting.is_skipped = true,
+            (TurnOutcome::Restricted, None) => {}
+            (TurnOutcome::NoCapacity, _) => self.is_round_open = false,
+        }
+    }
+
+    /// Expected wait of a request: the requests ahead of it divided by the rate of turns. `None` if
+    /// the rate is unknown.
+    pub(crate) fn expected_wait_ms(&self, rank: &Rank, now_ms: u64) -> Option<u64> {
+        let waiting = || self.in_time(now_ms).map(|(_, it)| &it.rank);
+        let goes_before = |it: &&Rank| self.order(it, rank, now_ms).is_le();
+        let ahead = waiting().filter(goes_before).count();
+        self.rate
+            .expected_wait_ms(self.turns_before(rank, ahead, now_ms), now_ms)
+    }
+
+    /// Turns before that of a request with `ahead` requests before it in the order: the reserved
+    /// turns bring a less urgent one forward.
+    fn turns_before(&self, rank: &Rank, ahead: usize, now_ms: u64) -> usize {
+        let waiting = || self.in_time(now_ms).map(|(_, it)| &it.rank);
+        if rank.has_run || waiting().any(|it| it.has_run) {
+            return ahead;
+        }
+        let most_urgent = waiting().map(|it| it.priority).min();
+        if most_urgent.is_none_or(|it| rank.priority <= it) {
+            return ahead;
+        }
+        let less_urgent = waiting().filter(|it| Some(it.priority) != most_urgent);
+        let reserved = less_urgent.count() + 1;
+        ahead.min(reserved * TURNS_PER_RESERVED as usize)
+    }
+
+    fn record_service(&mut self, rank: &Rank, now_ms: u64) {
+        self.recent_service.record(rank.account.as_ref(), now_ms);
+        if rank.has_run {
+            return;
+        }
+        let waiting = || self.in_time(now_ms).map(|(_, it)| &it.rank);
+        let was_reserved = waiting().any(|it| !it.has_run && rank.is_less_urgent_than(it));
+        let is_ahead = waiting().any(|it| it.is_less_urgent_than(rank));
+        self.urgent_turns = match (was_reserved, is_ahead) {
+            (false, true) => self.urgent_turns + 1,
+            _ => 0,
+        };
+    }
+
+    fn is_reserved_turn_due(&self) -> bool {
+        self.urgent_turns + 1 >= TURNS_PER_RESERVED
+    }
+
+    fn in_time(&self, now_ms: u64) -> impl Iterator<Item = (&Id, &Waiting)> {
+        let waiting = self.waiting.iter();
+        waiting.filter(move |(_, it)| it.is_in_time(now_ms))
+    }
+
+    /// How many may wait: as many as get a turn within the longest wait bound.
+    fn capacity(&self, now_ms: u64) -> usize {
+        let turns = self.rate.turns_within(MAX_WAIT_BOUND_MS, now_ms);
+        let turns = turns.map_or(MAX_CAPACITY, |it| usize::try_from(it).unwrap_or(usize::MAX));
+        turns.clamp(MIN_CAPACITY, MAX_CAPACITY)
+    }
+
+    /// The last request in the order, of those that may be refused.
+    fn last_to_refuse(&self, now_ms: u64) -> Option<(&Id, &Waiting)> {
+        let refusable = self.waiting.iter().filter(|(_, it)| !it.rank.has_run);
+        refusable.max_by(|a, b| self.order(&a.1.rank, &b.1.rank, now_ms))
+    }
+
+    fn order(&self, a: &Rank, b: &Rank, now_ms: u64) -> Ordering {
+        let served = |it: &Rank| self.recent_service.of(it.account.as_ref(), now_ms);
+        a.urgency()
+            .cmp(&b.urgency())
+            .then_with(|| served(a).total_cmp(&served(b)))
+            .then_with(|| a.arrived_ms.cmp(&b.arrived_ms))
+    }
+}
