--- a/src/start_queue/queue.rs
+++ b/src/start_queue/queue.rs
@@ -12,12 +12,15 @@
 /// Longest wait of a request that has not run. Requests end and engines return many times per
 /// second.
 const MAX_WAIT_BOUND_MS: u64 = 160;
-/// One of this many turns goes to less urgent priorities while they wait.
+/// One of this many turns goes to less urgent priorities while they wait, and so on among them.
 const TURNS_PER_RESERVED: u32 = 8;
 /// Smallest length at which the queue counts as full: a rate measured from few grants is imprecise.
 const MIN_CAPACITY: usize = 4;
-/// Largest number of waiting requests. More than an instance starts within the longest wait bound.
+/// Largest number of waiting requests without reserved places. More than an instance starts within the
+/// longest wait bound.
 const MAX_CAPACITY: usize = 64;
+/// Largest number of waiting requests that have not run, including those with reserved places.
+const MAX_NOT_RUN: usize = 2 * MAX_CAPACITY;
 
 /// Longest wait of a request that has not run, on a route with this objective for the first event.
 pub(crate) fn wait_bound_ms(objective_ms: u64) -> u64 {
@@ -74,15 +77,18 @@
 /// after the other until one finds no capacity.
 #[derive(Clone, Debug)]
 pub(crate) struct StartQueue<Id> {
-    /// At most [`MAX_CAPACITY`] of them have not run.
+    /// At most [`MAX_NOT_RUN`] of them have not run.
     waiting: IndexMap<Id, Waiting>,
     recent_service: RecentService,
     rate: GrantRate,
-    /// Consecutive turns of more urgent requests while less urgent ones waited.
-    urgent_turns: u32,
+    /// By priority: turns since a less urgent request had one, while such a request waited.
+    turns: IndexMap<u32, u32>,
     is_round_open: bool,
 }
 
+/// The queue is full of requests that go before a new one or may not be refused.
+struct QueueFull;
+
 #[derive(Clone, Debug)]
 struct Waiting {
     rank: Rank,
@@ -105,7 +111,7 @@
             waiting: IndexMap::new(),
             recent_service: RecentService::default(),
             rate: GrantRate::default(),
-            urgent_turns: 0,
+            turns: IndexMap::new(),
             is_round_open: false,
         }
     }
@@ -124,7 +130,7 @@
     /// waits, and no less urgent one has the next turn.
     pub(crate) fn may_start(&self, rank: &Rank, now_ms: u64) -> bool {
         let mut waiting = self.in_time(now_ms).map(|(_, it)| &it.rank);
-        let is_reserved = !rank.has_run && self.is_reserved_turn_due();
+        let is_reserved = !rank.has_run && self.is_reserved_turn_due(rank.priority);
         waiting.all(|it| it.is_less_urgent_than(rank) && !is_reserved)
     }
 
@@ -142,15 +148,11 @@
         if is_too_long && !rank.has_run {
             return Joined::Refused { expected_wait_ms };
         }
-        let mut displaced = None;
-        if self.waiting.len() >= self.capacity(now_ms) {
-            let last = self.last_to_refuse(now_ms);
-            displaced = last.filter(|(_, it)| self.order(&rank, &it.rank, now_ms).is_lt());
-            if displaced.is_none() && !rank.has_run {
-                return Joined::Refused { expected_wait_ms };
-            }
-        }
-        let displaced = displaced.map(|(id, _)| id.clone());
+        let displaced = match self.make_place(&rank, now_ms) {
+            Ok(displaced) => displaced,
+            Err(QueueFull) if rank.has_run => None,
+            Err(QueueFull) => return Joined::Refused { expected_wait_ms },
+        };
         if let Some(id) = &displaced {
             self.waiting.shift_remove(id);
         }
@@ -191,12 +193,11 @@
         let candidates = || self.in_time(now_ms).filter(|(_, it)| !it.is_skipped);
         let order = |a: &Waiting, b: &Waiting| self.order(&a.rank, &b.rank, now_ms);
         let first = candidates().min_by(|a, b| order(a.1, b.1))?;
-        let is_less_urgent = |it: &Waiting| it.rank.is_less_urgent_than(&first.1.rank);
-        if !first.1.rank.has_run && self.is_reserved_turn_due() {
-            // By arrival, so that the least urgent do not starve behind others that are less urgent.
-            let reserved = candidates().filter(|(_, it)| is_less_urgent(it));
-            let oldest = reserved.min_by_key(|(_, it)| it.rank.arrived_ms);
-            return oldest.or(Some(first)).map(|(id, _)| id);
+        if !first.1.rank.has_run {
+            let turn = self.turn_priority(candidates().map(|(_, it)| it.rank.priority));
+            let has_turn = candidates().filter(|(_, it)| Some(it.rank.priority) == turn);
+            let first = has_turn.min_by(|a, b| order(a.1, b.1))?;
+            return Some(first.0);
         }
         Some(first.0)
     }
@@ -250,17 +251,32 @@
         if rank.has_run {
             return;
         }
-        let waiting = || self.in_time(now_ms).map(|(_, it)| &it.rank);
-        let was_reserved = waiting().any(|it| !it.has_run && rank.is_less_urgent_than(it));
-        let is_ahead = waiting().any(|it| it.is_less_urgent_than(rank));
-        self.urgent_turns = match (was_reserved, is_ahead) {
-            (false, true) => self.urgent_turns + 1,
-            _ => 0,
-        };
+        let has_less_urgent = self
+            .in_time(now_ms)
+            .any(|(_, it)| it.rank.is_less_urgent_than(rank));
+        self.turns.retain(|priority, _| *priority >= rank.priority);
+        let turns = self.turns.entry(rank.priority).or_default();
+        *turns = if has_less_urgent { *turns + 1 } else { 0 };
     }
 
-    fn is_reserved_turn_due(&self) -> bool {
-        self.urgent_turns + 1 >= TURNS_PER_RESERVED
+    /// The priority that has the next turn, of those that wait: the most urgent unless a turn is
+    /// reserved for less urgent ones, among which the same holds. Thus none starves.
+    fn turn_priority<I>(&self, priorities: I) -> Option<u32>
+    where
+        I: Iterator<Item = u32>,
+    {
+        let mut priorities: Vec<u32> = priorities.collect();
+        priorities.sort_unstable();
+        let least_urgent = priorities.last().copied();
+        let mut more_urgent = priorities.into_iter();
+        let has_turn = more_urgent.find(|it| !self.is_reserved_turn_due(*it));
+        has_turn.or(least_urgent)
+    }
+
+    /// Whether the next turn is reserved for requests that are less urgent than this priority.
+    fn is_reserved_turn_due(&self, priority: u32) -> bool {
+        let turns = self.turns.get(&priority);
+        turns.is_some_and(|turns| *turns + 1 >= TURNS_PER_RESERVED)
     }
 
     fn in_time(&self, now_ms: u64) -> impl Iterator<Item = (&Id, &Waiting)> {
@@ -268,17 +284,51 @@
         waiting.filter(move |(_, it)| it.is_in_time(now_ms))
     }
 
-    /// How many may wait: as many as get a turn within the longest wait bound.
+    /// How many may wait beside those with reserved places: as many as get a turn within the longest
+    /// wait bound.
     fn capacity(&self, now_ms: u64) -> usize {
         let turns = self.rate.turns_within(MAX_WAIT_BOUND_MS, now_ms);
         let turns = turns.map_or(MAX_CAPACITY, |it| usize::try_from(it).unwrap_or(usize::MAX));
         turns.clamp(MIN_CAPACITY, MAX_CAPACITY)
     }
 
-    /// The last request in the order, of those that may be refused.
-    fn last_to_refuse(&self, now_ms: u64) -> Option<(&Id, &Waiting)> {
-        let refusable = self.waiting.iter().filter(|(_, it)| !it.rank.has_run);
-        refusable.max_by(|a, b| self.order(&a.1.rank, &b.1.rank, now_ms))
+    /// The request to remove so that one with this rank can join, if one has to be: the last in the
+    /// order, of those that may be refused and have no reserved place.
+    fn make_place(&self, rank: &Rank, now_ms: u64) -> Result<Option<Id>, QueueFull> {
+        let capacity = self.capacity(now_ms);
+        let not_run = || self.waiting.iter().filter(|(_, it)| !it.rank.has_run);
+        let own_priority = (!rank.has_run).then_some(rank.priority);
+        let priorities = not_run().map(|(_, it)| it.rank.priority);
+        let most_urgent = priorities.chain(own_priority).min();
+        let is_less_urgent = |it: &Rank| !it.has_run && Some(it.priority) > most_urgent;
+        // Per priority, as many as get reserved turns within the longest wait bound. Otherwise more
+        // urgent requests would displace all that the reserved turns are for.
+        let places = capacity.div_ceil(TURNS_PER_RESERVED as usize);
+        let is_peer = |it: &Rank| it.priority == rank.priority;
+        let peers = not_run().filter(|(_, it)| is_peer(&it.rank)).count();
+        let gets_reserved = is_less_urgent(rank) && peers < places;
+        if gets_reserved && not_run().count() < MAX_NOT_RUN {
+            return Ok(None);
+        }
+        let mut taken: IndexMap<u32, usize> = IndexMap::new();
+        let mut reserved: Vec<&Id> = Vec::new();
+        // In the order of joining.
+        for (id, it) in not_run().filter(|(_, it)| is_less_urgent(&it.rank)) {
+            let taken = taken.entry(it.rank.priority).or_default();
+            if *taken < places {
+                *taken += 1;
+                reserved.push(id);
+            }
+        }
+        if self.waiting.len() - reserved.len() < capacity {
+            return Ok(None);
+        }
+        let has_reserved = |id: &Id| reserved.contains(&id);
+        let last = not_run()
+            .filter(|(id, _)| !has_reserved(id))
+            .max_by(|a, b| self.order(&a.1.rank, &b.1.rank, now_ms));
+        let last = last.filter(|(_, it)| self.order(rank, &it.rank, now_ms).is_lt());
+        last.map(|(id, _)| Some(id.clone())).ok_or(QueueFull)
     }
 
     fn order(&self, a: &Rank, b: &Rank, now_ms: u64) -> Ordering {
