Resuming streams keep a place in the queue; a request bound to some engines does not hold others back

Cause: streams that resume a partial response checked on their own, so that a new request could take capacity before them, although streams that have run go first. They now join the queue while they lack a chain or capacity.

Such a request often cannot use all engines. It no longer counts as ahead of others, nor its waiting time for the rate of turns, once it has had its turn in a round: otherwise new requests would be refused for an expected wait that another one's missing engine causes (a_request_that_cannot_use_all_engines_does_not_delay_others).

--- a/src/relay_server/capacity_queue.rs
+++ b/src/relay_server/capacity_queue.rs
@@ -226,7 +226,7 @@
         now_ms: u64,
     ) {
         self.with_queue(|queue| {
-            queue.order.record_unserved(&self.ticket, outcome);
+            queue.order.record_unserved(&self.ticket, outcome, now_ms);
             if let Some(next_free_ms) = next_free_ms {
                 queue.round_due_ms = queue.round_due_ms.min(next_free_ms);
             }
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{Chain, KnownEndpoint};
 use crate::relay::{RefusalCause, ResumeBlocker, RetryPurpose};
 use crate::relay_server::adapter::Adapter;
+use crate::relay_server::capacity_queue::{QueuePlace, QueueWake};
 use crate::relay_server::delegation::DelegationReason;
 use crate::relay_server::request::instant_at;
 
@@ -24,14 +25,24 @@
         let mut signal = self.node.chain_check_signal.subscribe();
         let mut reported = None;
         let mut demand_due_ms = 0;
+        let mut place = None;
         loop {
             self.check_withheld()?;
             self.forget_ended();
             let now_ms = boot_ms();
+            let has_turn = place
+                .as_ref()
+                .is_some_and(|it: &QueuePlace| it.wake(now_ms) == QueueWake::Turn);
             let blocker = match self.try_next_run(now_ms) {
-                Ok(target) => return Ok(target),
+                Ok(target) => {
+                    if let Some(place) = &place {
+                        place.record_served(now_ms);
+                    }
+                    return Ok(target);
+                }
                 Err(blocker) => blocker,
             };
+            self.update_place(&mut place, blocker, has_turn, now_ms);
             if reported != Some(blocker.name()) {
                 reported = Some(blocker.name());
                 self.log_wait(blocker, now_ms);
@@ -43,10 +54,37 @@
             tokio::select! {
                 () = sleep_until(instant_at(blocker.recheck_at_ms(now_ms), now_ms)) => {}
                 _ = signal.changed() => {}
+                () = notified(place.as_ref()) => {}
             }
         }
     }
 
+    /// Keeps a place in the queue of the service, if it has one, as long as the stream lacks capacity:
+    /// it goes before all that have not run.
+    fn update_place(
+        &self,
+        place: &mut Option<QueuePlace>,
+        blocker: ResumeBlocker,
+        has_turn: bool,
+        now_ms: u64,
+    ) {
+        let lacks_capacity = !matches!(blocker, ResumeBlocker::Retry { .. });
+        if !self.has_queue() || !lacks_capacity {
+            *place = None;
+            return;
+        }
+        let is_new = place.is_none();
+        if is_new {
+            let (service, until_ms) = (&self.request.service, self.request.deadline_ms);
+            let queues = &self.node.capacity_queues;
+            // Streams that have run are never refused.
+            *place = queues.join(service, self.rank(true), until_ms, now_ms).ok();
+        }
+        if let Some(place) = place.as_ref().filter(|_| is_new || has_turn) {
+            self.record_unserved(place, now_ms);
+        }
+    }
+
     /// Asks other instances to lend a retry. Without this they would learn only of refused
     /// requests.
     fn request_loan(&self) {
@@ -120,3 +158,11 @@
         );
     }
 }
+
+/// Waits for a signal to a request that has a place.
+async fn notified(place: Option<&QueuePlace>) {
+    match place {
+        Some(place) => place.notified().await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/start_queue/queue.rs
+++ b/src/start_queue/queue.rs
@@ -129,7 +129,7 @@
     /// Whether a new request may start without joining: no request of the same or higher urgency
     /// waits, and no less urgent one has the next turn.
     pub(crate) fn may_start(&self, rank: &Rank, now_ms: u64) -> bool {
-        let mut waiting = self.in_time(now_ms).map(|(_, it)| &it.rank);
+        let mut waiting = self.contenders(now_ms).map(|(_, it)| &it.rank);
         let is_reserved = !rank.has_run && self.is_reserved_turn_due(rank.priority);
         waiting.all(|it| it.is_less_urgent_than(rank) && !is_reserved)
     }
@@ -141,7 +141,7 @@
 
     /// Adds a request that waits until `until_ms` at most.
     pub(crate) fn join(&mut self, id: Id, rank: Rank, until_ms: u64, now_ms: u64) -> Joined<Id> {
-        self.rate.observe(!self.waiting.is_empty(), now_ms);
+        self.rate.observe(self.has_contenders(), now_ms);
         let expected_wait_ms = self.expected_wait_ms(&rank, now_ms);
         let bound_ms = until_ms.saturating_sub(now_ms);
         let is_too_long = expected_wait_ms.is_some_and(|it| it > bound_ms);
@@ -172,17 +172,17 @@
     /// Removes a request whose caller has left or whose deadline has passed.
     pub(crate) fn leave(&mut self, id: &Id, now_ms: u64) {
         if self.waiting.shift_remove(id).is_some() {
-            self.rate.observe(!self.waiting.is_empty(), now_ms);
+            self.rate.observe(self.has_contenders(), now_ms);
         }
     }
 
     /// Begins a round: capacity may have become available.
     pub(crate) fn begin_round(&mut self, now_ms: u64) {
-        self.rate.observe(!self.waiting.is_empty(), now_ms);
         self.is_round_open = true;
         for waiting in self.waiting.values_mut() {
             waiting.is_skipped = false;
         }
+        self.rate.observe(self.has_contenders(), now_ms);
     }
 
     /// The request whose turn it is; `None` if nobody waits or the round has ended.
@@ -190,7 +190,7 @@
         if !self.is_round_open {
             return None;
         }
-        let candidates = || self.in_time(now_ms).filter(|(_, it)| !it.is_skipped);
+        let candidates = || self.contenders(now_ms);
         let order = |a: &Waiting, b: &Waiting| self.order(&a.rank, &b.rank, now_ms);
         let first = candidates().min_by(|a, b| order(a.1, b.1))?;
         if !first.1.rank.has_run {
@@ -207,23 +207,24 @@
         let Some(served) = self.waiting.shift_remove(id) else {
             return;
         };
-        self.rate.record_grant(!self.waiting.is_empty(), now_ms);
+        self.rate.record_grant(self.has_contenders(), now_ms);
         self.record_service(&served.rank, now_ms);
     }
 
     /// Records that a request got no capacity in its turn.
-    pub(crate) fn record_unserved(&mut self, id: &Id, outcome: TurnOutcome) {
+    pub(crate) fn record_unserved(&mut self, id: &Id, outcome: TurnOutcome, now_ms: u64) {
         match (outcome, self.waiting.get_mut(id)) {
             (TurnOutcome::Restricted, Some(waiting)) => waiting.is_skipped = true,
             (TurnOutcome::Restricted, None) => {}
             (TurnOutcome::NoCapacity, _) => self.is_round_open = false,
         }
+        self.rate.observe(self.has_contenders(), now_ms);
     }
 
     /// Expected wait of a request: the requests ahead of it divided by the rate of turns. `None` if
     /// the rate is unknown.
     pub(crate) fn expected_wait_ms(&self, rank: &Rank, now_ms: u64) -> Option<u64> {
-        let waiting = || self.in_time(now_ms).map(|(_, it)| &it.rank);
+        let waiting = || self.contenders(now_ms).map(|(_, it)| &it.rank);
         let goes_before = |it: &&Rank| self.order(it, rank, now_ms).is_le();
         let ahead = waiting().filter(goes_before).count();
         self.rate
@@ -233,7 +234,7 @@
     /// Turns before that of a request with `ahead` requests before it in the order: the reserved
     /// turns bring a less urgent one forward.
     fn turns_before(&self, rank: &Rank, ahead: usize, now_ms: u64) -> usize {
-        let waiting = || self.in_time(now_ms).map(|(_, it)| &it.rank);
+        let waiting = || self.contenders(now_ms).map(|(_, it)| &it.rank);
         if rank.has_run || waiting().any(|it| it.has_run) {
             return ahead;
         }
@@ -279,6 +280,17 @@
         turns.is_some_and(|turns| *turns + 1 >= TURNS_PER_RESERVED)
     }
 
+    /// Requests that may still get a turn in this round. A skipped one does not hold others back: it
+    /// may wait for one particular engine while others have capacity.
+    fn contenders(&self, now_ms: u64) -> impl Iterator<Item = (&Id, &Waiting)> {
+        self.in_time(now_ms).filter(|(_, it)| !it.is_skipped)
+    }
+
+    /// Whether time that passes says something about the rate of turns.
+    fn has_contenders(&self) -> bool {
+        self.waiting.values().any(|it| !it.is_skipped)
+    }
+
     fn in_time(&self, now_ms: u64) -> impl Iterator<Item = (&Id, &Waiting)> {
         let waiting = self.waiting.iter();
         waiting.filter(move |(_, it)| it.is_in_time(now_ms))
--- a/src/start_queue/tests.rs
+++ b/src/start_queue/tests.rs
@@ -155,7 +155,7 @@
     assert_eq!(queue.next_turn(10), None, "nothing has changed");
     queue.begin_round(20);
     assert_eq!(queue.next_turn(20), Some(&1));
-    queue.record_unserved(&1, TurnOutcome::NoCapacity);
+    queue.record_unserved(&1, TurnOutcome::NoCapacity, 20);
     assert_eq!(queue.next_turn(20), None);
     queue.begin_round(30);
     assert_eq!(queue.next_turn(30), Some(&1));
@@ -168,7 +168,7 @@
     join(&mut queue, 1, rank(1, "a", 1), 10);
     join(&mut queue, 2, rank(1, "a", 2), 10);
     queue.begin_round(20);
-    queue.record_unserved(&1, TurnOutcome::Restricted);
+    queue.record_unserved(&1, TurnOutcome::Restricted, 20);
     assert_eq!(queue.next_turn(20), Some(&2));
     queue.record_served(&2, 20);
     assert_eq!(queue.next_turn(20), None);
@@ -176,6 +176,31 @@
     assert_eq!(queue.next_turn(30), Some(&1));
 }
 
+/// Guards against refusing all requests because one waits for a particular engine.
+#[test]
+fn a_request_that_cannot_use_all_engines_does_not_delay_others() {
+    let mut queue = StartQueue::default();
+    queue.join(1, has_run(0, 1), 10_000, 10);
+    let mut now_ms = 10;
+    for _ in 0..20 {
+        queue.begin_round(now_ms);
+        assert_eq!(queue.next_turn(now_ms), Some(&1));
+        queue.record_unserved(&1, TurnOutcome::Restricted, now_ms);
+        now_ms += 50;
+    }
+    assert!(queue.may_start(&rank(2, "a", now_ms), now_ms));
+    let joined = join(&mut queue, 2, rank(2, "a", now_ms), now_ms);
+    let expected_wait_ms = Some(0);
+    let displaced = None;
+    assert_eq!(
+        joined,
+        Joined::Queued {
+            expected_wait_ms,
+            displaced
+        }
+    );
+}
+
 #[test]
 fn a_request_whose_caller_leaves_frees_its_place() {
     let (mut queue, now_ms) = with_known_rate();
@@ -420,7 +445,7 @@
                             } else {
                                 TurnOutcome::NoCapacity
                             };
-                            queue.record_unserved(&id, outcome);
+                            queue.record_unserved(&id, outcome, now_ms);
                         } else {
                             free -= 1;
                             queue.record_served(&id, now_ms);
