--- a/src/demand/tests.rs
+++ b/src/demand/tests.rs
@@ -234,6 +234,34 @@
     assert!(peaks.windows(2).all(|pair| pair[1].1 <= pair[0].1));
 }
 
+/// Guards against a layout that goes back to the normal reserve while its load is only paused.
+#[test]
+fn rejections_are_summed_and_their_peak_decays_within_the_load_time() {
+    let mut meter = DemandMeter::default();
+    meter.record_arrival(&service(), 1, 700, 0);
+    for _ in 0..4 {
+        meter.record_rejected(&service(), 1, 0);
+    }
+    let reports = meter.reports(1_000);
+    assert_eq!(reports[0].rejected_per_s, 20);
+    let mut book = DemandBook::default();
+    for instance in ["a", "b"] {
+        Arrival::of(instance, 1_000, &reports).apply(&mut book, 1_000);
+    }
+    book.observe(&service(), LOAD_MS, 1_000);
+    let demand = demand_of(&book, "lac", 1_000).expect("it is known");
+    assert_eq!(demand.rejected_per_s, 4.0);
+    for instance in ["a", "b"] {
+        Arrival::of(instance, 5_000, &[report(1, 10)]).apply(&mut book, 5_000);
+    }
+    book.observe(&service(), LOAD_MS, 5_000);
+    let demand = demand_of(&book, "lac", 5_000).expect("it is known");
+    assert_eq!(
+        (demand.rejected_per_s, demand.peak_rejected_per_s),
+        (0.0, 2.0)
+    );
+}
+
 /// Guards against a peak that ends with the last stream: the callers of a zone may pause briefly.
 #[test]
 fn a_peak_outlasts_the_streams_for_the_load_time() {
