--- a/src/ctl/demand_rows.rs
+++ b/src/ctl/demand_rows.rs
@@ -6,13 +6,14 @@
 use crate::demand::DemandGauge;
 use crate::ids::{ServiceName, ZoneName};
 
-/// Demand of a zone for a service, at one priority or in all.
+/// Demand of a zone for a service, at one priority or over all priorities.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub(super) struct DemandRow {
     pub(super) service: ServiceName,
     pub(super) zone: ZoneName,
     /// `None` in the row that sums up all priorities.
     pub(super) priority: Option<u32>,
+    /// Including those that were not served.
     pub(super) streams_per_s: f64,
     pub(super) unserved_per_s: f64,
     pub(super) prompt_tokens_per_s: f64,
--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -10,8 +10,7 @@
 use indexmap::IndexSet;
 
 use super::Fleet;
-use super::chain_cost::Candidate;
-use super::chain_cost::nth_random;
+use super::chain_cost::{Candidate, nth_random};
 use super::chain_path::cheapest_path;
 use super::replacement::{displaced_token_layers, share_out};
 use crate::ids::{EndpointId, ServiceName, ZoneName};
@@ -97,7 +96,8 @@
     pub draw: Option<u64>,
 }
 
-/// Finds the cheapest chain or, with a draw, one of nearly the same cost. Returns `None` if some layer has no usable engine.
+/// Finds the cheapest chain or, with a draw, one of nearly the same cost. Returns `None` if some layer has
+/// no usable engine.
 ///
 /// A chain inside one availability zone, whichever zone it is, is preferred to any other: a request
 /// and its events are small, whereas a prompt's activations take 21 KB per token and stage on the
@@ -112,7 +112,7 @@
             .collect();
         cheapest_path(&in_zone, remaining_layers(request), request)
     });
-    let in_one_zone = in_zones.min_by(|a, b| a.cost.total_cmp(&b.cost));
+    let in_one_zone = in_zones.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
     let path = match in_one_zone {
         Some(path) => path,
         None if request.first.is_some() => return None,
@@ -155,13 +155,13 @@
     }
     let candidates: Vec<&Candidate<'_>> = candidates.iter().collect();
     let path = cheapest_path(&candidates, layers, request)?;
-    let shared = request.draw.filter(|_| path.stages.len() == 1);
-    let shared = shared.and_then(|draw| {
+    let draw = request.draw.filter(|_| path.stages.len() == 1);
+    let drawn = draw.and_then(|draw| {
         let displaced = displaced_token_layers(fleet, request, layers);
         share_out(&candidates, layers, request, displaced, draw)
     });
     let mut stages = chain.stages.clone();
-    stages.splice(at..=at, shared.map_or(path.stages, |stage| vec![stage]));
+    stages.splice(at..=at, drawn.map_or(path.stages, |stage| vec![stage]));
     Chain::checked(stages, request.model.layers)
 }
 
--- a/src/fleet/chain_cost.rs
+++ b/src/fleet/chain_cost.rs
@@ -48,8 +48,11 @@
 /// An engine that may run some layers, with its cost.
 pub(super) struct Candidate<'a> {
     pub(super) known: &'a KnownEndpoint,
+    /// Layers that it holds.
     pub(super) layers: LayerRange,
+    /// Cost of each layer that it runs, with its present memory use.
     pub(super) ms_per_layer: f64,
+    /// Cost of one more stage, with its present memory use.
     pub(super) hop_cost_ms: f64,
     /// Cost of the wait until the engine has read the prompts that were sent to it.
     pub(super) backlog_cost_ms: f64,
@@ -116,15 +119,6 @@
         let memory = RequestMemory::of(known, layers, model, kind.memory_mb);
         let fullness = memory.use_with(request.tokens as f64 * f64::from(layers.len()));
         let crowding = 1.0 + FULL_MEMORY_FACTOR * fullness * fullness;
-        let last_choice_ms = if known.is_retained() {
-            UNLISTED_COST_MS
-        } else if known.health.is_full(now_ms) {
-            REJECTED_COST_MS
-        } else if fullness > 1.0 {
-            NO_ROOM_COST_MS
-        } else {
-            0.0
-        };
         let read_ms_per_token = 1_000.0 * kind.read_factor / model.read_tokens_per_s.max(1.0);
         let read_ms_per_token_layer = read_ms_per_token / model_layers * slowness;
         let backlog_ms = read_ms_per_token_layer * known.unread_token_layers() as f64;
@@ -134,7 +128,7 @@
             ms_per_layer: idle.ms_per_layer * crowding,
             hop_cost_ms: idle.hop_ms * crowding,
             backlog_cost_ms: cost_per_answer_token(backlog_ms, model),
-            last_choice_ms,
+            last_choice_ms: last_choice_cost_ms(known, fullness, now_ms),
             start_cost_ms: start_cost_ms(known),
             may_start,
             idle,
@@ -182,6 +176,20 @@
     state ^ (state >> 31)
 }
 
+/// Additional cost of an engine that should be used only if no other can be. `fullness` is the fraction of
+/// its memory in use once it holds the request.
+fn last_choice_cost_ms(known: &KnownEndpoint, fullness: f64, now_ms: u64) -> f64 {
+    if known.is_retained() {
+        UNLISTED_COST_MS
+    } else if known.health.is_full(now_ms) {
+        REJECTED_COST_MS
+    } else if fullness > 1.0 {
+        NO_ROOM_COST_MS
+    } else {
+        0.0
+    }
+}
+
 /// Cost of starting a request at an engine, from the fraction of its slots in use.
 fn start_cost_ms(known: &KnownEndpoint) -> f64 {
     let taken = f64::from(known.requests()) + 1.0;
--- a/src/fleet/chain_path.rs
+++ b/src/fleet/chain_path.rs
@@ -6,7 +6,8 @@
 
 /// A path through a range of layers.
 pub(super) struct Path {
-    pub(super) cost: f64,
+    /// Cost in milliseconds per token of the answer.
+    pub(super) cost_ms: f64,
     pub(super) stages: Vec<ChainStage>,
 }
 
@@ -24,36 +25,29 @@
         let Some(path) = best[at].clone() else {
             continue;
         };
-        let is_start = path.candidates.is_empty() && request.first.is_none();
         for (index, candidate) in candidates.iter().enumerate() {
             if !can_follow(candidate, &path, index, bounds[at], request) {
                 continue;
             }
-            let first_ms = if is_start {
-                candidate.start_cost_ms
-            } else {
-                0.0
-            };
-            let hop_ms = candidate.hop_cost_ms
-                + candidate.backlog_cost_ms
-                + candidate.last_choice_ms
-                + first_ms
-                + zone_cost_ms(candidate, &path, candidates, request);
+            let hop_ms = fixed_cost_ms(candidate, &path, candidates, request);
             for to in at + 1..bounds.len() {
                 if bounds[to] > candidate.layers.end {
                     break;
                 }
                 let layers = f64::from(bounds[to] - bounds[at]);
-                let cost = path.cost + hop_ms + candidate.ms_per_layer * layers;
-                if best[to].as_ref().is_none_or(|known| cost < known.cost) {
-                    best[to] = Some(path.extended(index, bounds[to], cost));
+                let cost_ms = path.cost_ms + hop_ms + candidate.ms_per_layer * layers;
+                if best[to]
+                    .as_ref()
+                    .is_none_or(|known| cost_ms < known.cost_ms)
+                {
+                    best[to] = Some(path.extended(index, bounds[to], cost_ms));
                 }
             }
         }
     }
     let complete = best.pop()??;
     Some(Path {
-        cost: complete.cost,
+        cost_ms: complete.cost_ms,
         stages: complete.stages(candidates, span.first),
     })
 }
@@ -73,6 +67,26 @@
     can_start && !is_first && !cannot_start && !path.candidates.contains(&index)
 }
 
+/// The part of the cost of adding an engine to a path that does not depend on how many layers it runs.
+fn fixed_cost_ms(
+    candidate: &Candidate<'_>,
+    path: &PartialPath,
+    candidates: &[&Candidate<'_>],
+    request: ChainRequest<'_>,
+) -> f64 {
+    let is_start = path.candidates.is_empty() && request.first.is_none();
+    let start_cost_ms = if is_start {
+        candidate.start_cost_ms
+    } else {
+        0.0
+    };
+    candidate.hop_cost_ms
+        + candidate.backlog_cost_ms
+        + candidate.last_choice_ms
+        + start_cost_ms
+        + zone_cost_ms(candidate, path, candidates, request)
+}
+
 /// Cost of the link to an engine: from this instance for the first engine, otherwise from the
 /// previous engine.
 fn zone_cost_ms(
@@ -93,15 +107,18 @@
 /// range ends.
 #[derive(Clone, Debug, Default)]
 struct PartialPath {
-    cost: f64,
+    /// Cost in milliseconds per token of the answer.
+    cost_ms: f64,
+    /// Indices of the engines among the candidates, in the order of the path.
     candidates: Vec<usize>,
+    /// For each engine, the end of the layers that it runs.
     ends: Vec<u16>,
 }
 
 impl PartialPath {
-    fn extended(&self, candidate: usize, end: u16, cost: f64) -> Self {
+    fn extended(&self, candidate: usize, end: u16, cost_ms: f64) -> Self {
         let mut next = self.clone();
-        next.cost = cost;
+        next.cost_ms = cost_ms;
         next.candidates.push(candidate);
         next.ends.push(end);
         next
--- a/src/fleet/replacement.rs
+++ b/src/fleet/replacement.rs
@@ -74,7 +74,9 @@
 struct CostCurve<'a> {
     candidate: &'a Candidate<'a>,
     idle_ms: f64,
+    /// Milliseconds per square of a token times layer.
     square_ms: f64,
+    /// Milliseconds per token times layer.
     read_ms: f64,
 }
 
@@ -99,12 +101,12 @@
         self.idle_ms + self.square_ms * held * held + self.read_ms * added
     }
 
-    fn free(&self) -> f64 {
+    fn free_token_layers(&self) -> f64 {
         let memory = self.candidate.memory;
         (memory.room_token_layers - memory.held_token_layers).max(0.0)
     }
 
-    /// How much may be added until the cost is `level_ms`, at most the free memory.
+    /// Tokens times layers that may be added until the cost is `level_ms`, at most the free memory.
     fn addition_at(&self, level_ms: f64) -> f64 {
         let missing_ms = level_ms - self.cost_ms(0.0);
         if missing_ms <= 0.0 {
@@ -113,16 +115,17 @@
         let held = self.candidate.memory.held_token_layers;
         let linear = 2.0 * self.square_ms * held + self.read_ms;
         let root = (linear * linear + 4.0 * self.square_ms * missing_ms).sqrt();
-        // The usual solution of the quadratic equation, in the form that does not cancel out.
-        (2.0 * missing_ms / (linear + root)).min(self.free())
+        // Solution of the quadratic equation in the form that does not subtract nearly equal numbers.
+        (2.0 * missing_ms / (linear + root)).min(self.free_token_layers())
     }
 }
 
-/// The cost of all engines that get a share, once `added` tokens times layers are spread over them.
+/// The cost in milliseconds per token of the answer that all engines with a share reach once `added` tokens
+/// times layers are spread over them.
 fn common_cost_ms(curves: &[CostCurve<'_>], added: f64) -> f64 {
     let starts = curves.iter().map(|it| it.cost_ms(0.0));
     let mut low_ms = starts.fold(f64::INFINITY, f64::min);
-    let ends = curves.iter().map(|it| it.cost_ms(it.free()));
+    let ends = curves.iter().map(|it| it.cost_ms(it.free_token_layers()));
     let mut high_ms = ends.fold(0.0, f64::max);
     for _ in 0..LEVEL_SEARCH_STEPS {
         let level_ms = f64::midpoint(low_ms, high_ms);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,7 +5,8 @@
 //! are spread inside each availability zone, since the links between zones cannot carry every
 //! request's activations.
 //!
-//! How much memory an engine keeps for requests follows from its zone's demand; see `sizing`.
+//! How much memory an engine keeps for requests depends on the demand of its zone and on the requests that
+//! engines reject; see `sizing`.
 
 mod coverage;
 mod planner;
--- a/src/placement/sizing.rs
+++ b/src/placement/sizing.rs
@@ -2,13 +2,12 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::EndpointId;
-use crate::route_table::{AcceleratorKind, EngineModel};
-
 use super::PlacedEngine;
 use super::throughput::{Holding, request_bytes_per_layer, sustained_after_loss_per_s};
+use crate::ids::EndpointId;
+use crate::route_table::{AcceleratorKind, EngineModel};
 
-/// Typical requests for which every engine reserves memory beside its layers while demand is unknown or low.
+/// Normal reserve: number of typical requests for which every engine keeps memory beside its layers.
 /// A zone with 24 requests per second of about 3 s each runs 72 at every layer, and when an engine is lost,
 /// another one with its layers gets up to twice as many.
 const RESERVED_REQUESTS: f64 = 120.0;
@@ -20,7 +19,7 @@
 /// one's 27 layers, and losing the large one stops the zone.
 const COPY_RESERVE_FRACTION: f64 = 0.5;
 
-/// Factors on the normal reserve, tried in order until a zone sustains its demand. With larger ones, the hops
+/// Factors on the normal reserve, tried in order until a zone whose engines reject requests sustains its demand. With larger ones, the hops
 /// of longer chains cost more than the additional memory gains.
 const RESERVE_FACTORS: [f64; 3] = [1.0, 1.25, 1.5];
 
@@ -49,9 +48,11 @@
 /// Number of layers that each engine of an availability zone holds.
 #[derive(Clone, Debug)]
 pub(super) struct LayerCounts {
+    /// By engine, if some of its layers have no other holder.
     as_only_holder: IndexMap<EndpointId, u16>,
+    /// By engine, if all of its layers have another holder.
     as_copy: IndexMap<EndpointId, u16>,
-    /// Whether the reserve is above normal, because demand is.
+    /// Whether the reserve is above normal, because engines reject requests.
     has_raised_reserve: bool,
 }
 
--- a/src/placement/throughput.rs
+++ b/src/placement/throughput.rs
@@ -15,7 +15,7 @@
     pub(super) layers: u16,
 }
 
-/// Memory that a typical request takes in each layer.
+/// Memory that a typical request takes in each layer, in bytes.
 pub(super) fn request_bytes_per_layer(model: &EngineModel) -> f64 {
     let tokens = (model.usual_prompt_tokens + model.usual_answer_tokens).max(1) as f64;
     tokens * model.token_kv_bytes / f64::from(model.layers.max(1))
@@ -53,7 +53,7 @@
     free_bytes / (layers * request_bytes_per_layer(model))
 }
 
-/// Duration of a typical stream on a chain of engines that each hold `part` of the layers.
+/// Duration in milliseconds of a typical stream on a chain of engines that each hold `part` of the layers.
 fn stream_ms(kind: &AcceleratorKind, part: f64, model: &EngineModel) -> f64 {
     let token_ms = BATCH_FACTOR * model.step_ms * kind.step_factor + HOP_MS / part;
     let read_tokens_per_ms = (model.read_tokens_per_s / 1_000.0).max(f64::EPSILON);
--- a/src/relay_server/recipients.rs
+++ b/src/relay_server/recipients.rs
@@ -23,6 +23,7 @@
 const NEWS_MS: u64 = 1_000;
 /// How long a process sends to its whole zone after its start, until it knows the others.
 const START_MS: u64 = 5_000;
+
 /// How far a heartbeat reaches in the own zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reach {
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -126,8 +126,8 @@
     response
 }
 
-/// Whether the requester is of this instance's zone, which it states itself: its address is known only by
-/// the port of its listener.
+/// Whether the requester is of this instance's zone. It states that itself, since the port that it calls from
+/// does not show which instance it is.
 fn requester_scope(query: &str) -> TrafficScope {
     let scope = query_pairs(query).find_map(|(name, value)| (name == "scope").then_some(value));
     TrafficScope::from_value(scope.unwrap_or_default())
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -1,7 +1,8 @@
 //! Relays streams of model engines: runs them one after another and forwards their events. The
-//! chain of a run is chosen in `plan`, where priorities differ in `turn`, and run in `chain_run`, the handling of silent runs is in
-//! `repair`; runs that another instance serves are in `delegate`, resuming a partial response is in
-//! `go_on`, and the log line at the end in `ending`.
+//! chain of a run is chosen in `plan`, or in `turn` for services whose streams have different
+//! priorities, and run in `chain_run`; the handling of silent runs is in `repair`, runs that another
+//! instance serves are in `delegate`, resuming a partial response is in `go_on`, and the log line at
+//! the end is in `ending`.
 
 mod chain_run;
 mod delegate;
@@ -331,7 +332,8 @@
         }
     }
 
-    /// The same, and how many priorities of the service are more urgent.
+    /// What the next retry is for, and how many priorities of the service are more urgent than that of
+    /// this request.
     fn retry_class(&self) -> RetryClass {
         let request = &self.request;
         let table = &request.table;
--- a/src/start_queue/queue.rs
+++ b/src/start_queue/queue.rs
@@ -11,8 +11,9 @@
 
 /// Longest wait of a request that has not run. Requests end and engines return many times per
 /// second.
-const MAX_WAIT_BOUND_MS: u64 = 160;
-/// One of this many turns goes to less urgent priorities while they wait, and so on among them.
+pub(super) const MAX_WAIT_BOUND_MS: u64 = 160;
+/// One of this many turns goes to less urgent priorities while they wait. Among these, the same share of
+/// turns goes to the next less urgent ones.
 const TURNS_PER_RESERVED: u32 = 8;
 /// Smallest length at which the queue counts as full: a rate measured from few grants is imprecise.
 const MIN_CAPACITY: usize = 4;
@@ -99,7 +100,8 @@
 }
 
 impl Waiting {
-    /// After a freeze of the process, deadlines have passed without anybody having left.
+    /// Whether the deadline is still ahead. After a freeze of the process, requests whose deadline has passed
+    /// have not left yet.
     fn is_in_time(&self, now_ms: u64) -> bool {
         now_ms < self.until_ms
     }
@@ -192,14 +194,14 @@
         }
         let candidates = || self.contenders(now_ms);
         let order = |a: &Waiting, b: &Waiting| self.order(&a.rank, &b.rank, now_ms);
-        let first = candidates().min_by(|a, b| order(a.1, b.1))?;
-        if !first.1.rank.has_run {
-            let turn = self.turn_priority(candidates().map(|(_, it)| it.rank.priority));
-            let has_turn = candidates().filter(|(_, it)| Some(it.rank.priority) == turn);
-            let first = has_turn.min_by(|a, b| order(a.1, b.1))?;
-            return Some(first.0);
+        let (first, waiting) = candidates().min_by(|a, b| order(a.1, b.1))?;
+        if waiting.rank.has_run {
+            return Some(first);
         }
-        Some(first.0)
+        let turn = self.turn_priority(candidates().map(|(_, it)| it.rank.priority));
+        let has_turn = candidates().filter(|(_, it)| Some(it.rank.priority) == turn);
+        let (first, _) = has_turn.min_by(|a, b| order(a.1, b.1))?;
+        Some(first)
     }
 
     /// Records that a request got capacity in its turn, and removes it.
@@ -286,7 +288,7 @@
         self.in_time(now_ms).filter(|(_, it)| !it.is_skipped)
     }
 
-    /// Whether time that passes says something about the rate of turns.
+    /// Whether requests wait that could get a turn, so that time without a grant counts for the rate.
     fn has_contenders(&self) -> bool {
         self.waiting.values().any(|it| !it.is_skipped)
     }
@@ -322,16 +324,8 @@
         if gets_reserved && not_run().count() < MAX_NOT_RUN {
             return Ok(None);
         }
-        let mut taken: IndexMap<u32, usize> = IndexMap::new();
-        let mut reserved: Vec<&Id> = Vec::new();
-        // In the order of joining.
-        for (id, it) in not_run().filter(|(_, it)| is_less_urgent(&it.rank)) {
-            let taken = taken.entry(it.rank.priority).or_default();
-            if *taken < places {
-                *taken += 1;
-                reserved.push(id);
-            }
-        }
+        let less_urgent = not_run().filter(|(_, it)| is_less_urgent(&it.rank));
+        let reserved = with_reserved_places(less_urgent, places);
         if self.waiting.len() - reserved.len() < capacity {
             return Ok(None);
         }
@@ -351,3 +345,20 @@
             .then_with(|| a.arrived_ms.cmp(&b.arrived_ms))
     }
 }
+
+/// The first requests of each priority, in the order of joining: as many as have reserved places.
+fn with_reserved_places<'a, Id, I>(less_urgent: I, places: usize) -> Vec<&'a Id>
+where
+    I: Iterator<Item = (&'a Id, &'a Waiting)>,
+{
+    let mut taken: IndexMap<u32, usize> = IndexMap::new();
+    let mut reserved = Vec::new();
+    for (id, it) in less_urgent {
+        let taken = taken.entry(it.rank.priority).or_default();
+        if *taken < places {
+            *taken += 1;
+            reserved.push(id);
+        }
+    }
+    reserved
+}
--- a/src/start_queue/rate.rs
+++ b/src/start_queue/rate.rs
@@ -2,10 +2,12 @@
 
 use std::collections::VecDeque;
 
+use super::queue::MAX_WAIT_BOUND_MS;
+
 /// Period over which the rate is measured. Capacity changes within seconds when engines are lost.
 const WINDOW_MS: u64 = 2_000;
 /// Waiting time without any grant after which the rate counts as measured: the longest wait bound.
-const MIN_MEASURED_MS: u64 = 160;
+const MIN_MEASURED_MS: u64 = MAX_WAIT_BOUND_MS;
 /// Longest time between two observations that counts. The driver observes at least every 100 ms; a
 /// longer gap means that the process was frozen, which says nothing about the engines, and is left
 /// out.
