--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -165,7 +165,7 @@
                 sustained_per_s = sizing.sustained_per_s,
                 reserve_factor = sizing.reserve_factor,
                 is_sufficient = sizing.is_sufficient();
-                "layout of zone was sized"
+                "reserve or sufficiency of a zone's layout has changed"
             );
         }
     }
