--- a/src/relay_server/demand_exchange.rs
+++ b/src/relay_server/demand_exchange.rs
@@ -5,13 +5,11 @@
 use super::adapter::Adapter;
 use super::heartbeat::{Heartbeat, HeartbeatDemand};
 use super::node::Node;
+use super::peer::MIN_DEMAND_TTL_MS;
 use super::request::RelayedRequest;
 use crate::demand::{DemandBook, DemandReport, ReportSource, ZoneDemand, ZoneSum, render_gauges};
 use crate::ids::{InstanceId, ServiceName, ZoneName};
 
-/// How long the own report counts. It is renewed with each heartbeat.
-const OWN_TTL_MS: u64 = 3_000;
-
 impl<A> Node<A>
 where
     A: Adapter,
@@ -52,7 +50,8 @@
             instance: &self.settings.instance,
             incarnation: self.incarnation,
             sent_ms: now_ms,
-            ttl_ms: OWN_TTL_MS,
+            // Renewed with each heartbeat.
+            ttl_ms: MIN_DEMAND_TTL_MS,
         };
         let mut book = self.demand_book.borrow_mut();
         book.apply(&own, &reports, now_ms);
@@ -115,8 +114,8 @@
     }
 }
 
-/// Applies the demand in a heartbeat. A report that does not come from the zone that it belongs into is ignored,
-/// so that a zone's demand has one source only.
+/// Applies the demand in a heartbeat. Reports of single instances are accepted from the own zone only, and
+/// sums of zones from other zones only, so that no stream is counted twice.
 pub(super) fn apply_demand(
     book: &mut DemandBook,
     (own_instance, own_zone): (&InstanceId, &ZoneName),
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -22,7 +22,7 @@
 const INTERVAL_SLACK_MS: u64 = 300;
 /// How long a silent peer's report of demand counts, unless its heartbeats arrive so rarely that its timeout is
 /// longer. Short enough that callers who have moved on to other instances are counted twice only briefly.
-const MIN_DEMAND_TTL_MS: u64 = 3_000;
+pub(super) const MIN_DEMAND_TTL_MS: u64 = 3_000;
 
 /// How long a silent peer is kept, unless its timeout is longer.
 const MIN_PEER_TTL_MS: u64 = 60_000;
