Layout: engines that load layers are no holders; given-up layers stay out of use; only lacking capacity counts as rejection

Found by reading the change. Tests: engines_that_load_layers_do_not_count_as_their_holders, given_up_layers_stay_out_of_use_while_the_engine_still_reports_them. They were not run without the fix.

--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -69,6 +69,8 @@
     pub peers_load: EngineLoad,
     /// Time until which the layers reported by the engine itself override the list.
     reported_layers_until_ms: Option<u64>,
+    /// Until when the engine may still report layers that it was ordered to give up.
+    gives_up_until_ms: Option<u64>,
     /// Layers according to the list.
     layers_in_list: Option<LayerRange>,
     /// Phase according to the list, without reports of peers.
@@ -91,6 +93,7 @@
             own_unread_token_layers: 0,
             peers_load: EngineLoad::default(),
             reported_layers_until_ms: None,
+            gives_up_until_ms: None,
             layers_in_list,
             phase_in_list,
             missing_since_ms: None,
@@ -104,6 +107,12 @@
 
     /// Applies the layers that the engine itself reported; they override the list for a while.
     pub fn set_reported_layers(&mut self, layers: Option<LayerRange>, now_ms: u64) {
+        let gives_up = self.gives_up_until_ms.is_some_and(|until| now_ms < until);
+        let kept = self.listed.layers.filter(|_| gives_up);
+        if kept.is_some_and(|kept| layers.is_some_and(|reported| reported.covers(kept))) {
+            return;
+        }
+        self.gives_up_until_ms = None;
         self.listed.layers = layers;
         self.reported_layers_until_ms = Some(now_ms + LAYERS_OVERRIDE_MS);
     }
@@ -114,8 +123,11 @@
         let only_gives_up = self.listed.layers.is_some_and(|held| held.covers(ordered));
         if only_gives_up {
             self.listed.layers = Some(ordered);
-            self.reported_layers_until_ms = Some(now_ms + GIVEN_UP_LAYERS_OVERRIDE_MS);
+            let until_ms = now_ms + GIVEN_UP_LAYERS_OVERRIDE_MS;
+            self.reported_layers_until_ms = Some(until_ms);
+            self.gives_up_until_ms = Some(until_ms);
         } else {
+            self.gives_up_until_ms = None;
             self.set_reported_layers(None, now_ms);
         }
     }
@@ -227,6 +239,7 @@
         let is_over = |until| now_ms >= until;
         if self.reported_layers_until_ms.is_some_and(is_over) {
             self.reported_layers_until_ms = None;
+            self.gives_up_until_ms = None;
             self.listed.layers = self.layers_in_list;
         }
     }
--- a/src/fleet/known_tests.rs
+++ b/src/fleet/known_tests.rs
@@ -2,6 +2,7 @@
 
 use super::{EndpointFailure, Fleet, KnownEndpoint, ListedEndpoint, ListingRead, Phase};
 use crate::ids::{EndpointId, ServiceName, ZoneName};
+use crate::wire::engine::LayerRange;
 
 /// Time at which the engine below is probed, and at which the missing response counts as a failure.
 const PROBE_SENT_MS: u64 = 1_000;
@@ -64,3 +65,30 @@
         assert!(engine.is_lost());
     });
 }
+
+/// Guards against requests for layers that an engine was ordered to give up: it reports them until its requests
+/// have ended, and so does the list.
+#[test]
+fn given_up_layers_stay_out_of_use_while_the_engine_still_reports_them() {
+    let range = |first, end| LayerRange { first, end };
+    with_engine(|engine| {
+        engine.set_reported_layers(Some(range(0, 29)), 0);
+        engine.set_ordered_layers(range(0, 25), 100);
+        assert_eq!(engine.listed.layers, Some(range(0, 25)));
+        engine.set_reported_layers(Some(range(0, 29)), 300);
+        engine.expire_reported_layers(5_000);
+        assert_eq!(engine.listed.layers, Some(range(0, 25)));
+        engine.set_reported_layers(Some(range(30, 40)), 6_000);
+        assert_eq!(engine.listed.layers, Some(range(30, 40)));
+    });
+}
+
+/// Guards against requests for layers that an engine has not loaded.
+#[test]
+fn an_engine_that_has_to_load_layers_gets_no_requests() {
+    with_engine(|engine| {
+        engine.set_reported_layers(Some(LayerRange { first: 0, end: 29 }), 0);
+        engine.set_ordered_layers(LayerRange { first: 10, end: 35 }, 100);
+        assert_eq!(engine.listed.layers, None);
+    });
+}
--- a/src/placement/shrink.rs
+++ b/src/placement/shrink.rs
@@ -32,7 +32,7 @@
         usable.sort_by_key(|engine| Reverse(engine.held_token_layers));
         let mut ranges: IndexMap<&EndpointId, HeldRange> = usable
             .iter()
-            .filter_map(|engine| Some((&engine.id, self.held_range(engine, model)?)))
+            .filter_map(|engine| Some((&engine.id, self.served_range(engine, model)?)))
             .collect();
         let mut orders = Vec::new();
         for engine in usable.into_iter().filter(|it| self.can_take_order(it)) {
@@ -60,6 +60,13 @@
         }
         orders
     }
+
+    /// The layers that an engine holds now and will go on holding. One that still loads its layers is no holder.
+    fn served_range(&self, engine: &PlacedEngine, model: &EngineModel) -> Option<HeldRange> {
+        let planned = self.held_range(engine, model)?;
+        let held = engine.layers?;
+        held.covers(planned.layers).then_some(planned)
+    }
 }
 
 /// The layers that an engine keeps if it holds too many; `None` if it holds no more than `counts` or if other
--- a/src/placement/shrink_tests.rs
+++ b/src/placement/shrink_tests.rs
@@ -216,6 +216,30 @@
     }
 }
 
+/// Guards against a layer whose only other holders still load it.
+#[test]
+fn engines_that_load_layers_do_not_count_as_their_holders() {
+    let mut zone = Zone::laid_out(engines(3, 14, 16));
+    let model = model();
+    for engine in zone
+        .engines
+        .clone()
+        .into_iter()
+        .filter(|it| it.kind != "large")
+    {
+        let layers = engine.layers.expect("held");
+        let at = zone.engines.iter().position(|it| it.id == engine.id);
+        zone.engines[at.expect("listed")].layers = None;
+        let order = PlacementOrder {
+            endpoint: engine.id,
+            layers,
+        };
+        let now_ms = zone.now_ms;
+        zone.planner.order_reported(order, &model, now_ms);
+    }
+    assert_eq!(zone.run_round(&demand(100.0)), vec![]);
+}
+
 #[test]
 fn sizing_says_when_no_reserve_sustains_the_demand() {
     let engines = engines(3, 14, 16);
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -57,7 +57,10 @@
                 .and_then(|address| stage_at(held.chain(), address));
             let at_fault = at_fault.unwrap_or_else(|| held.chain().first().clone());
             self.mark_full(&at_fault.endpoint);
-            self.node.record_rejected(&self.request, boot_ms());
+            // With this status the engine says that it lacks the layers, not the capacity.
+            if head.status != StatusCode::MISDIRECTED_REQUEST {
+                self.node.record_rejected(&self.request, boot_ms());
+            }
             // The engine may be full, leaving or dead; the response does not say which.
             check_in_background(&self.node, &at_fault);
             return RunOutcome::Failed(
