--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import http.client
 import json
 import os
 import random
@@ -47,8 +48,9 @@
 
 
 def response(status, headers=(), body=b""):
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines = [f"HTTP/1.1 {status} {http.client.responses[status]}"]
     lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
@@ -222,7 +224,8 @@
 # ---------------------------------------------------------------- engines (a process each)
 
 class Engine:
-    """One engine of `writer`, or one replica of `desk`. At SIGUSR1 it reports `draining`."""
+    """One engine of `writer`, or one replica of `desk`. At SIGUSR1 it reports `draining`; at SIGUSR2 it is faulty for
+    `spell_s` seconds: after a share `extra_x` of its answers it sends the first `extra_bytes` bytes of them again."""
 
     def __init__(self, options):
         self.id = options["id"]
@@ -232,6 +235,15 @@
         self.unframed = options.get("unframed", False)
         self.pause_s = options.get("pause_ms", 40) / 1000
         self.work_s = options.get("work_ms", 30) / 1000
+        self.slots = options.get("slots", 64)
+        self.places = options.get("places", 64)
+        self.spell_s = options.get("spell_s", 5.0)
+        self.extra_x = options.get("extra_x", 0.03)
+        self.extra_bytes = options.get("extra_bytes", 80)
+        self.extra_late_s = options.get("extra_late_ms", 5) / 1000
+        self.faulty_until = 0.0
+        self.working = 0
+        self.free = asyncio.Semaphore(self.slots)
         self.answer_bytes = options.get("answer_bytes", 700)
         self.log = open(options["log"], "a", buffering=1)
         self.state = "ready"
@@ -249,13 +261,18 @@
         self.port = server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGUSR1, lambda: asyncio.ensure_future(self.leave()))
+        loop.add_signal_handler(signal.SIGUSR2, self.begin_spell)
         while True:
             await self.heartbeat()
             await asyncio.sleep(HEARTBEAT_MS / 1000)
 
+    def begin_spell(self):
+        self.faulty_until = time.monotonic() + self.spell_s
+        self.note("is faulty from now on", for_s=self.spell_s)
+
     async def heartbeat(self, **extra):
         entry = {"id": self.id, "service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone,
-                 "version": "v1", "slots": 64, "state": self.state, "coldLeftMs": 0, "seq": self.seq, **extra}
+                 "version": "v1", "slots": self.slots, "state": self.state, "coldLeftMs": 0, "seq": self.seq, **extra}
         if self.service == "writer":
             entry["kind"] = "a"
             entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
@@ -321,21 +338,40 @@
             writer.write(response(200 if self.state == "ready" else 503, [("Fescueshore-Instance-Id", self.id)]))
             return True
         attempt = headers.get("fescueshore-attempt-id", "")
-        rejected = [("Fescueshore-Attempt-Id", attempt), ("Fescueshore-Not-Executed", "1")]
+        date = ("Date", time.strftime("%a, %d %b %Y %H:%M:%S GMT", time.gmtime()))
+        rejected = [("Fescueshore-Not-Executed", "1"), date, ("Fescueshore-Attempt-Id", attempt)]
         if headers.get("fescueshore-expect-instance", self.id) != self.id:
             writer.write(response(421, rejected))
             return True
-        sealed = [("Fescueshore-Attempt-Id", attempt), ("Fescueshore-Response-Seal", f"{self.id}.{attempt}")]
+        sealed = [date, ("Fescueshore-Attempt-Id", attempt), ("Fescueshore-Response-Seal", f"{self.id}.{attempt}")]
         if self.service == "writer":
             return await self.stream(writer, headers, attempt, sealed)
-        self.note("runs", attempt=attempt, method=method, target=target, bytes=len(body), state=self.state)
-        await asyncio.sleep(self.work_s)
+        if self.working >= self.places:
+            self.note("rejects as full", attempt=attempt)
+            return await self.send(writer, attempt, response(503, rejected))
+        self.working += 1
+        try:
+            async with self.free:
+                self.note("runs", attempt=attempt, method=method, target=target, bytes=len(body), state=self.state)
+                await asyncio.sleep(self.work_s)
+        finally:
+            self.working -= 1
         answer = json.dumps({"attempt": attempt, "engine": self.id, "filler": "x" * self.answer_bytes}).encode()
-        self.note("answers", attempt=attempt)
-        writer.write(response(200, sealed, answer))
+        self.note("answers", attempt=attempt, status=200)
+        return await self.send(writer, attempt, response(200, sealed, answer))
+
+    async def send(self, writer, attempt, answer):
+        """Sends an answer and, as a faulty engine, the beginning of a second copy of it a little later."""
+        writer.write(answer)
+        if time.monotonic() < self.faulty_until and random.random() < self.extra_x:
+            await writer.drain()
+            await asyncio.sleep(self.extra_late_s)
+            writer.write(answer[: self.extra_bytes])
+            self.note("sends bytes of a second answer", attempt=attempt, bytes=answer[: self.extra_bytes].decode())
         return True
 
-    async def stream(self, writer, headers, attempt, sealed):
+    async def stream(self, writer, headers, attempt, sealed, unframed=None):
+        unframed = self.unframed if unframed is None else unframed
         hops = headers.get("fescueshore-hop-count", "")
         if self.layers is None or (not hops and self.layers != (0, LAYERS)):
             writer.write(response(421, [("Fescueshore-Attempt-Id", attempt), ("Fescueshore-Not-Executed", "1")]))
@@ -343,18 +379,18 @@
         count = int(headers["fescueshore-token-count"].split(",")[1])
         first = int(headers["last-event-id"]) + 1 if "last-event-id" in headers else 0
         self.note("runs", attempt=attempt, first=first, hops=hops, state=self.state)
-        framing = [("Connection", "close")] if self.unframed else [("Transfer-Encoding", "chunked")]
+        framing = [("Connection", "close")] if unframed else [("Transfer-Encoding", "chunked")]
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in sealed + framing]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         for number in range(first, count):
             await asyncio.sleep(self.pause_s)
             event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
-            writer.write(event if self.unframed else b"%x\r\n%s\r\n" % (len(event), event))
+            writer.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             self.note("event", attempt=attempt, number=number)
         self.note("answers", attempt=attempt)
-        if self.unframed:
+        if unframed:
             return False
         writer.write(b"0\r\n\r\n")
         return True
@@ -395,9 +431,10 @@
         seen["headers"] = head[1]
         if "chunked" in head[1].get("transfer-encoding", ""):
             while True:
-                size = int((await reader.readline()).strip() or b"0", 16)
+                # `readuntil` fails if the channel ends here: only the final chunk makes the body whole.
+                size = int((await reader.readuntil(b"\r\n")).strip(), 16)
                 piece = await reader.readexactly(size)
-                await reader.readline()
+                await reader.readuntil(b"\r\n")
                 if size == 0:
                     break
                 seen["body"] += piece
