--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -47,6 +47,12 @@
     return await reader.readexactly(int(headers.get("content-length", "0")))
 
 
+def tenant_of(headers):
+    """The tenant as an engine reads it: UTF-8, or None if the header is missing."""
+    value = headers.get("fescueshore-tenant")
+    return value and value.encode("latin-1").decode("utf-8", "replace")
+
+
 def response(status, headers=(), body=b""):
     lines = [f"HTTP/1.1 {status} {http.client.responses[status]}"]
     lines += [f"{name}: {value}" for name, value in headers]
@@ -189,7 +195,7 @@
         return json_response(200, self.reply([]))
 
 
-def manifest(version, keys=(KEY,), resumable=True):
+def manifest(version, keys=(KEY,), resumable=True, more_tenants=()):
     engine = {
         "layers": LAYERS, "layerMb": 1000.0, "tokenKvBytes": 400000, "step_ms": 1.0, "read_per_s": 100000,
         "loads_at_once": 0, "usual": {"prompt": 100, "answer": 80}, "models": [{"name": "m", "loadS": 0.5}],
@@ -217,7 +223,7 @@
         ],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 5000,
                    "idleTimeoutMs": 30000},
-        "tenants": [{"name": TENANT, "apiKeys": list(keys)}],
+        "tenants": [{"name": TENANT, "apiKeys": list(keys)}, *more_tenants],
     }
 
 
@@ -352,7 +358,8 @@
         self.working += 1
         try:
             async with self.free:
-                self.note("runs", attempt=attempt, method=method, target=target, bytes=len(body), state=self.state)
+                self.note("runs", attempt=attempt, method=method, target=target, bytes=len(body), state=self.state,
+                          tenant=tenant_of(headers))
                 await asyncio.sleep(self.work_s)
         finally:
             self.working -= 1
@@ -378,7 +385,7 @@
             return True
         count = int(headers["fescueshore-token-count"].split(",")[1])
         first = int(headers["last-event-id"]) + 1 if "last-event-id" in headers else 0
-        self.note("runs", attempt=attempt, first=first, hops=hops, state=self.state)
+        self.note("runs", attempt=attempt, first=first, hops=hops, state=self.state, tenant=tenant_of(headers))
         framing = [("Connection", "close")] if unframed else [("Transfer-Encoding", "chunked")]
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in sealed + framing]
