--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -505,7 +505,8 @@
     async def start_instance(self, name, zone, number, bootstrap=True, **settings):
         ip = f"{self.net}.{number}"
         ports = {kind: free_port(ip=ip) for kind in ("front", "ready", "control", "directory")}
-        peers, metrics = free_port(socket.SOCK_DGRAM, ip), free_port()
+        # The same number has to be free for TCP and UDP.
+        peers, metrics = free_port(ip=ip), free_port(ip=ip)
         value = {
             "nodeName": name, "role": "instance", "machineClass": "front", "serves": ["front", "directory"],
             "ip": ip, "zone": zone, "region": "tunis",
