--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -258,13 +258,21 @@
         self.fence = 0
         self.born = int(time.time() * 1000)
         self.port = options.get("port", 0)
+        # Begins to listen at SIGUSR1 only: how long Python takes to start is no part of a case.
+        self.standby = options.get("standby", False)
 
     def note(self, what, **values):
         self.log.write(json.dumps({"at": round(time.time(), 3), "engine": self.id, "what": what, **values}) + "\n")
 
     async def run(self):
+        if self.standby:
+            begins = asyncio.Event()
+            asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, begins.set)
+            self.note("stands by")
+            await begins.wait()
         server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.port = server.sockets[0].getsockname()[1]
+        self.note("listens", port=self.port)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGUSR1, lambda: asyncio.ensure_future(self.leave()))
         loop.add_signal_handler(signal.SIGUSR2, self.begin_spell)
@@ -408,8 +416,8 @@
 async def call(front, target, attempt, method="POST", body=b"{}", tokens=None, deadline_ms=20000, extra=(),
                key=KEY, keep=None, bytes_per_s=None):
     """Sends a request on a new channel, or on `keep` (reader, writer); returns what the client sees."""
-    seen = {"attempt": attempt, "status": None, "headers": {}, "body": b"", "whole": False, "events": []}
-    started = time.monotonic()
+    seen = {"attempt": attempt, "status": None, "headers": {}, "body": b"", "whole": False, "events": [], "pause_ms": 0}
+    started = last = time.monotonic()
     try:
         if keep:
             reader, writer = keep
@@ -444,6 +452,8 @@
                 await reader.readuntil(b"\r\n")
                 if size == 0:
                     break
+                seen["pause_ms"] = max(seen["pause_ms"], int((time.monotonic() - last) * 1000) if seen["body"] else 0)
+                last = time.monotonic()
                 seen["body"] += piece
         else:
             left = int(head[1].get("content-length", "0"))
@@ -489,6 +499,7 @@
         self.store = Store()
         self.engines = {}
         self.instances = {}
+        self.started_with = {}
         self.started = time.time()
         self.net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
 
@@ -501,6 +512,24 @@
         process = await asyncio.create_subprocess_exec(sys.executable, os.path.abspath(__file__), "engine",
                                                        json.dumps(options), start_new_session=True)
         self.engines[name] = process
+        self.started_with[name] = options
+
+    async def crash_engine(self, name):
+        """Kills an engine and waits until its process is gone."""
+        self.engines[name].kill()
+        await self.engines[name].wait()
+
+    async def prepare_restart(self, name):
+        """Prepares the next boot of an engine, which begins at SIGUSR1, at the same address and with a new id."""
+        listening = [it for it in self.engine_lines() if it["engine"] == name and it["what"] == "listens"]
+        options = {**self.started_with[name], "port": listening[-1]["port"], "standby": True}
+        boot = options["id"] = f"i-{random.getrandbits(32):08x}"
+        await self.start_engine(boot, options.pop("service"), options.pop("zone"), **options)
+
+        async def stands_by():
+            return any(it["engine"] == boot for it in self.engine_lines())
+        await self.until("the next boot stands by", stands_by)
+        return boot
 
     async def start_instance(self, name, zone, number, bootstrap=True, **settings):
         ip = f"{self.net}.{number}"
