--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -646,7 +646,7 @@
 
 
 async def begin_streams(deployment, count, events, gap_s=0.004):
-    """Sends `count` streams of `events` events, to the instances in turn. Returns each attempt's instance, and the calls."""
+    """Sends streams of `events` events to the instances in turn. Returns each attempt's instance, and the calls."""
     names, sent, calls = list(deployment.instances), {}, []
     for number in range(count):
         attempt, name = f"{random.getrandbits(64):016x}", names[number % len(names)]
