--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -131,13 +131,13 @@
             if outcome == AttemptOutcome::TurnedAway {
                 self.cause = RefusalCause::Full;
             }
-            let (node, service) = (self.node, &self.request.service);
+            let (node, request) = (self.node, self.request);
             if self.attempts.take_refund(outcome) {
-                node.cancel_retry(service);
+                node.cancel_retry(request);
             }
             match self
                 .attempts
-                .attempt_ended(outcome, || node.take_retry(service, RetryPurpose::Start))
+                .attempt_ended(outcome, || node.take_retry(request, RetryPurpose::Start))
             {
                 NextStep::Retry => {}
                 NextStep::ForwardFailure(limit) => {
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -2,6 +2,7 @@
 
 use super::adapter::Adapter;
 use super::node::Node;
+use super::request::RelayedRequest;
 use crate::clock::boot_ms;
 use crate::ids::ServiceName;
 use crate::relay::{AttemptLimit, BudgetShare, RetryClass, RetryConditions, RetryPurpose};
@@ -16,12 +17,14 @@
         self.budget.borrow_mut().request(service, share, boot_ms());
     }
 
-    /// Takes one retry out of the budget, if one is left.
-    pub(crate) fn take_retry<C>(&self, service: &ServiceName, class: C) -> bool
+    /// Takes one retry for a request out of the budget, if one is left.
+    pub(crate) fn take_retry<C>(&self, request: &RelayedRequest, class: C) -> bool
     where
         C: Into<RetryClass>,
     {
         let share = self.budget_share();
+        let class = class.into();
+        let service = &request.service;
         let mut budget = self.budget.borrow_mut();
         let is_left = budget.take(service, share, class, boot_ms());
         self.counters.count(if is_left {
@@ -29,13 +32,27 @@
         } else {
             "relay.repeats.over_budget"
         });
+        log::info!(
+            request = request.ask.id.as_str(),
+            service = service.as_str(),
+            purpose:? = class.purpose,
+            is_left,
+            repeats_left = budget.remaining(service, share, boot_ms()),
+            known_instances = share.instances;
+            "retry is taken from the budget"
+        );
         is_left
     }
 
     /// Returns a retry to the budget that was not delivered to any endpoint.
-    pub(crate) fn cancel_retry(&self, service: &ServiceName) {
+    pub(crate) fn cancel_retry(&self, request: &RelayedRequest) {
         self.counters.count("relay.repeats.cancelled");
-        self.budget.borrow_mut().refund(service);
+        self.budget.borrow_mut().refund(&request.service);
+        log::info!(
+            request = request.ask.id.as_str(),
+            service = request.service.as_str();
+            "retry is returned to the budget"
+        );
     }
 
     /// Whether the budget has one more retry.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -218,15 +218,14 @@
                 RunOutcome::DelegateFailed(outcome) => outcome,
             };
             self.splitter.drop_partial();
-            let node = &self.node;
-            let service = &self.request.service;
+            let (node, request) = (&self.node, &self.request);
             let class = self.retry_class();
             if self.attempts.take_refund(outcome) {
-                node.cancel_retry(service);
+                node.cancel_retry(request);
             }
             match self
                 .attempts
-                .attempt_ended(outcome, || node.take_retry(service, class))
+                .attempt_ended(outcome, || node.take_retry(request, class))
             {
                 NextStep::Retry | NextStep::Resume => {}
                 NextStep::ForwardFailure(limit) => {
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -237,6 +237,14 @@
             // Anything readable now is the end of the connection or bytes that belong to no
             // request.
             let is_quiet = last.framed.next().now_or_never().is_none();
+            let has_unread_bytes = !last.framed.is_read_buf_empty();
+            if has_unread_bytes {
+                log::info!(
+                    endpoint:% = address,
+                    is_reused = is_quiet;
+                    "idle connection has bytes that belong to no request"
+                );
+            }
             if now_ms < last.until_ms && is_quiet {
                 return Some(last.framed);
             }
