A connection with unread bytes is not used again, and a response head holds one status line

Cause: an idle connection counted as quiet if the decoder had no complete head. The beginning of a head that a faulty endpoint sends behind a response stayed in the buffer, and the next response was decoded behind it: the status line and headers of the one, id, seal and body of the other. With a rejection in front, a request that ran counted as turned away.

- A connection with anything unread is closed.
What comes between this check and the response cannot be seen before it is decoded, so a head with a second status line in it is garbled: whatever beginning comes first, the line of the second head is within it.
- A head of more than 64 KiB, or behind empty lines, is garbled.

--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -2,9 +2,11 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::thread;
+use std::time::Duration;
 
-use actix_http::RequestHead;
+use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use proptest::prelude::*;
 
@@ -40,7 +42,7 @@
             match end {
                 ConnectionEnd::Close => drop(stream.shutdown(Shutdown::Both)),
                 ConnectionEnd::Reset => {
-                    thread::sleep(std::time::Duration::from_millis(30));
+                    thread::sleep(Duration::from_millis(30));
                     drop(stream);
                 }
                 ConnectionEnd::KeepOpen => kept.push(stream),
@@ -137,6 +139,104 @@
     }
 }
 
+/// Starts an endpoint that answers each request of a connection with the next of these parts, and sends `late`
+/// bytes behind the first response.
+fn endpoint_with_late_bytes(
+    responses: [&'static [u8]; 2],
+    late: &'static [u8],
+    sent: SyncSender<()>,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let mut responses = responses.into_iter();
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("connections are accepted");
+            let mut request = [0; 4_096];
+            while stream.read(&mut request).is_ok_and(|length| length > 0) {
+                let Some(response) = responses.next() else {
+                    return;
+                };
+                stream.write_all(response).expect("the router reads");
+                if responses.len() == 1 {
+                    // The response is received on its own.
+                    thread::sleep(Duration::from_millis(20));
+                    stream.write_all(late).expect("the router has not closed");
+                    sent.send(()).expect("the test waits for it");
+                }
+            }
+        }
+    });
+    address
+}
+
+/// Sends a request and returns the response head, and whether the connection was new.
+async fn fetch_head(
+    upstreams: &UpstreamPool,
+    address: SocketAddr,
+) -> Result<(ResponseHead, bool), UpstreamFailure> {
+    let exchange = upstreams
+        .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+        .await?;
+    let is_new = exchange.is_new;
+    let (head, mut body) = exchange.head().await?;
+    while body.next().await?.is_some() {}
+    upstreams.release(body, None, 0);
+    Ok((head, is_new))
+}
+
+const NO_CONTENT: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+#[actix_rt::test]
+async fn a_connection_on_which_another_response_has_begun_is_not_reused() {
+    let (sender, sent) = sync_channel(1);
+    let beginning = b"HTTP/1.1 503 Service Unavailable\r\nDate: Fr";
+    let address = endpoint_with_late_bytes([NO_CONTENT; 2], beginning, sender);
+    let upstreams = UpstreamPool::new();
+    fetch_head(&upstreams, address).await.expect("a response");
+    assert!(upstreams.has_idle(address));
+    sent.recv().expect("the endpoint sends more");
+    actix_rt::time::sleep(Duration::from_millis(20)).await;
+    let second = fetch_head(&upstreams, address).await;
+    let (head, is_new) = second.expect("a response on another connection");
+    assert!(is_new, "the connection with unread bytes was used again");
+    assert_eq!(head.status, StatusCode::OK);
+}
+
+#[actix_rt::test]
+async fn a_response_behind_the_beginning_of_another_one_is_garbled() {
+    for beginning in [
+        &b"HTTP/1.1 503 Service Unavailable\r\nDate: FrHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..],
+        b"HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+        b"\r\n\r\nHTTP/1.1 503 Service Unavailable\r\nDate: FrHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\nDate: FrHTTP/1.0 500 Internal Server Error\nContent-Length: 0\n\n",
+    ] {
+        assert_eq!(
+            fetch(beginning, ConnectionEnd::KeepOpen).await,
+            Err(UpstreamFailure::Garbled)
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn a_head_without_end_is_garbled() {
+    let head = format!("HTTP/1.1 200 OK\r\n{}", "a: b\r\n".repeat(20_000));
+    assert_eq!(
+        fetch(head.leak().as_bytes(), ConnectionEnd::KeepOpen).await,
+        Err(UpstreamFailure::Garbled)
+    );
+}
+
+#[actix_rt::test]
+async fn a_body_that_names_a_status_line_is_not_garbled() {
+    let sound =
+        b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 15\r\n\r\nHTTP/1.1 200 OK";
+    assert_eq!(
+        fetch(sound, ConnectionEnd::KeepOpen).await,
+        Ok(b"HTTP/1.1 200 OK".to_vec())
+    );
+}
+
 #[actix_rt::test]
 async fn a_refused_connection_sent_nothing() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -12,7 +12,7 @@
 use actix_codec::Framed;
 use actix_http::body::BodySize;
 use actix_http::error::PayloadError;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::h1::{ClientPayloadCodec, Message, MessageType};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, header};
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -22,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::response_codec::ResponseCodec;
 use crate::fleet::EndpointFailure;
 use crate::relay::AttemptOutcome;
 
@@ -79,7 +80,7 @@
 
 /// An idle connection.
 struct IdleConnection {
-    framed: Framed<TcpStream, ClientCodec>,
+    framed: Framed<TcpStream, ResponseCodec>,
     until_ms: u64,
 }
 
@@ -94,7 +95,7 @@
     address: SocketAddr,
     /// Whether the connection was opened for this request.
     pub(super) is_new: bool,
-    framed: Framed<TcpStream, ClientCodec>,
+    framed: Framed<TcpStream, ResponseCodec>,
 }
 
 /// The body of a response.
@@ -180,11 +181,11 @@
         if !is_clean || !framed.codec_ref().keep_alive() || idle_ms == 0 {
             return;
         }
-        let framed = framed.into_map_codec(ClientPayloadCodec::into_message_codec);
+        let framed = framed.into_map_codec(ResponseCodec::after_body);
         self.keep(body.address, framed, now_ms + idle_ms);
     }
 
-    fn keep(&self, address: SocketAddr, framed: Framed<TcpStream, ClientCodec>, until_ms: u64) {
+    fn keep(&self, address: SocketAddr, framed: Framed<TcpStream, ResponseCodec>, until_ms: u64) {
         let mut idle = self.idle.borrow_mut();
         let of_address = idle.entry(address).or_default();
         if of_address.len() >= MAX_IDLE_PER_ADDRESS {
@@ -230,22 +231,18 @@
         &self,
         address: SocketAddr,
         now_ms: u64,
-    ) -> Option<Framed<TcpStream, ClientCodec>> {
+    ) -> Option<Framed<TcpStream, ResponseCodec>> {
         let mut idle = self.idle.borrow_mut();
         let of_address = idle.get_mut(&address)?;
         while let Some(mut last) = of_address.pop() {
-            // Anything readable now is the end of the connection or bytes that belong to no
-            // request.
-            let is_quiet = last.framed.next().now_or_never().is_none();
+            // Anything readable now is the end of the connection or bytes that belong to no request. The
+            // beginning of a response head leaves the codec waiting for more of it.
+            let has_ended = last.framed.next().now_or_never().is_some();
             let has_unread_bytes = !last.framed.is_read_buf_empty();
             if has_unread_bytes {
-                log::info!(
-                    endpoint:% = address,
-                    is_reused = is_quiet;
-                    "idle connection has bytes that belong to no request"
-                );
+                log::info!(endpoint:% = address; "idle connection has bytes that belong to no request");
             }
-            if now_ms < last.until_ms && is_quiet {
+            if now_ms < last.until_ms && !has_ended && !has_unread_bytes {
                 return Some(last.framed);
             }
         }
@@ -255,7 +252,7 @@
     async fn connect(
         &self,
         address: SocketAddr,
-    ) -> Result<Framed<TcpStream, ClientCodec>, UpstreamFailure> {
+    ) -> Result<Framed<TcpStream, ResponseCodec>, UpstreamFailure> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream =
             stream
@@ -267,7 +264,7 @@
         // Without this option, a body sent after its head waits for an acknowledgement. If setting
         // it fails, only latency suffers.
         let _ = stream.set_nodelay(true);
-        Ok(Framed::new(stream, ClientCodec::new(self.config.clone())))
+        Ok(Framed::new(stream, ResponseCodec::new(self.config.clone())))
     }
 }
 
@@ -297,7 +294,7 @@
 
 /// Determines where the body of a response ends. The codec treats a response without an announced
 /// length as having no body; by the protocol it ends with the connection.
-fn body_state(head: &ResponseHead, framed: Framed<TcpStream, ClientCodec>) -> BodyState {
+fn body_state(head: &ResponseHead, framed: Framed<TcpStream, ResponseCodec>) -> BodyState {
     let has_no_body = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
@@ -314,8 +311,10 @@
     }
 }
 
-fn payload_framed(framed: Framed<TcpStream, ClientCodec>) -> Framed<TcpStream, ClientPayloadCodec> {
-    framed.into_map_codec(ClientCodec::into_payload_codec)
+fn payload_framed(
+    framed: Framed<TcpStream, ResponseCodec>,
+) -> Framed<TcpStream, ClientPayloadCodec> {
+    framed.into_map_codec(ResponseCodec::into_body_codec)
 }
 
 impl ResponseBody {
