An engine that is leaving may exit in the middle of a response without a length

Cause: a response without a length ends with its connection, and an engine listed as leaving was taken to complete its work before it exits, without a probe. Engines may be gone two seconds after their notice. It is probed now like any other.

--- a/src/relay_server/exits.rs
+++ b/src/relay_server/exits.rs
@@ -61,12 +61,11 @@
     listed_exit(&node.fleet.borrow(), endpoint)
 }
 
-/// A leaving endpoint completes its work first. An unlisted endpoint may have been replaced while this
-/// instance was suspended.
+/// An unlisted endpoint may have been replaced while this instance was suspended. One that is leaving may exit
+/// before its work is complete.
 fn listed_exit(fleet: &Fleet, endpoint: &EndpointId) -> Option<bool> {
     match fleet.get(endpoint).map(|known| known.listed.phase) {
-        Some(Phase::Live) => None,
-        Some(Phase::Leaving) => Some(false),
+        Some(Phase::Live | Phase::Leaving) => None,
         None => Some(true),
     }
 }
