An endpoint lives on after a response without a length only if it says its own name

Cause: where reports do not say when an engine was started, an answer at its address passed for one of the process that ran the stream. Plain responses had less: a connection that was accepted.

Evidence is now a report with the start time of that process or, where reports have none, the endpoint's name on its health page. A report of an engine that has never had an order is one of a new process, as in the other checks. Anything else counts as an end in the middle of the work, also for endpoints that are no longer listed. Each question and answer has a log line.

What was ruled out: the list (it lags), a report without a start time but with orders (others may have placed layers at the new process). The two checks that readmit endpoints and that precede a placement take such a report as before: they say nothing of an earlier run.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -146,12 +146,6 @@
         self.ended.contains_key(id) || self.get(id).is_some_and(is_gone)
     }
 
-    /// Whether an endpoint has ended, or refuses connections of this instance, whatever the reason.
-    pub(crate) fn refuses(&self, id: &EndpointId) -> bool {
-        let refuses = |known: &KnownEndpoint| known.health.refused_ms().is_some();
-        self.has_ended(id) || self.get(id).is_some_and(refuses)
-    }
-
     /// Forgets that endpoints of a service were found unreachable after `at_ms`, when a connection to any of
     /// them was last attempted with success: this instance was partitioned from them. Returns how many were.
     pub(crate) fn forgive_unreachable_since(&mut self, service: &ServiceName, at_ms: u64) -> usize {
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -170,7 +170,7 @@
     Unknown,
 }
 
-/// Control calls to engines, as opposed to relayed requests.
+/// Control calls to endpoints, as opposed to relayed requests.
 pub trait EngineControl {
     /// Requests an engine's state. The call after a failed one uses a new connection, so that a
     /// pooled connection that no longer delivers data does not make a healthy engine look dead.
@@ -180,6 +180,15 @@
         timeout_ms: u64,
     ) -> impl Future<Output = Result<EngineReport, OrderFailure>>;
 
+    /// Asks the process at an address for the name under which it is listed. `None` if its answer does not
+    /// say, as when it rejects the call for lack of capacity.
+    fn identify(
+        &self,
+        endpoint: SocketAddr,
+        health_path: &str,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<Option<EndpointName>, OrderFailure>>;
+
     /// Orders an engine to hold exactly these layers.
     fn place(
         &self,
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -69,19 +69,28 @@
 /// Which process lifetime of an engine a report belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AnsweringLifetime {
-    /// The lifetime that was probed, as far as the report tells.
+    /// The lifetime that was probed.
     Current,
+    /// The report does not tell.
+    Unknown,
     /// A later lifetime: the probed process has exited.
     Newer,
     /// An earlier lifetime: its report is of no use.
     Older,
 }
 
+impl AnsweringLifetime {
+    /// Whether it may be the lifetime that was probed.
+    pub(super) fn may_be_current(self) -> bool {
+        matches!(self, Self::Current | Self::Unknown)
+    }
+}
+
 /// Compares the lifetime that was probed with the one that answered.
 pub(super) fn answering_lifetime(probed: &EndpointId, report: &EngineReport) -> AnsweringLifetime {
     let (Some(probed_ms), Some(started_ms)) = (probed.started_unix_ms(), report.started_unix_ms)
     else {
-        return AnsweringLifetime::Current;
+        return AnsweringLifetime::Unknown;
     };
     match started_ms.cmp(&probed_ms) {
         Ordering::Equal => AnsweringLifetime::Current,
@@ -221,8 +230,8 @@
         ProbeResult::Inconclusive => return,
     };
     match answering_lifetime(id, &report) {
-        AnsweringLifetime::Current if !report.is_unplaced => {}
-        AnsweringLifetime::Current | AnsweringLifetime::Newer => {
+        AnsweringLifetime::Current | AnsweringLifetime::Unknown if !report.is_unplaced => {}
+        AnsweringLifetime::Current | AnsweringLifetime::Unknown | AnsweringLifetime::Newer => {
             log::warn!(endpoint = id.as_str(), born_unix_ms = report.started_unix_ms; "engine process has restarted");
             node.record_failure(id, EndpointFailure::Ended);
             return;
@@ -287,7 +296,7 @@
                 known.health.pause(boot_ms());
             }
             Some(ProbeResult::Healthy(report))
-                if answering_lifetime(&id, &report) != AnsweringLifetime::Current =>
+                if !answering_lifetime(&id, &report).may_be_current() =>
             {
                 known.health.pause(boot_ms());
             }
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::adapter::{Adapter, EngineControl, OrderFailure};
-use super::checks::{AnsweringLifetime, answering_lifetime};
+use super::checks::answering_lifetime;
 use super::node::Node;
 use super::peer_book::HolderStatus;
 use super::store_calls::StoreCall;
@@ -324,7 +324,7 @@
 {
     let engines = node.adapter.engines();
     let report = engines.report(address, REPORT_TIMEOUT_MS).await?;
-    if answering_lifetime(endpoint, &report) != AnsweringLifetime::Current {
+    if !answering_lifetime(endpoint, &report).may_be_current() {
         log::info!(
             endpoint = endpoint.as_str(),
             born_unix_ms = report.started_unix_ms;
--- a/src/relay_server/exits.rs
+++ b/src/relay_server/exits.rs
@@ -1,73 +1,98 @@
 //! Exits of endpoints: whether the process at which a connection has just ended has exited too.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::sleep;
 
-use super::adapter::Adapter;
+use super::adapter::{Adapter, EngineControl};
 use super::checks::{AnsweringLifetime, answering_lifetime, handle_result};
 use super::node::Node;
 use super::plain::address_of;
 use super::probes::{ProbeResult, probe};
+use super::request::RelayedRequest;
 use super::upstream::UpstreamFailure;
 use crate::clock::boot_ms;
-use crate::fleet::{ChainStage, Fleet, Phase};
-use crate::ids::EndpointId;
+use crate::fleet::ChainStage;
+use crate::ids::{EndpointId, EndpointName};
 
 /// Time from the end of a process's first connection until it accepts no new ones: its sockets are closed
 /// one after the other.
 const EXIT_DURATION: Duration = Duration::from_millis(10);
+/// Time that an endpoint has to name itself: the caller waits for the end of its response meanwhile.
+const IDENTIFY_TIMEOUT_MS: u64 = 250;
 
 /// Determines whether an engine whose connection has just ended may have exited in the middle of its work.
-/// Earlier results do not show this, and silence does not show that it lives.
-pub(crate) async fn engine_may_have_exited<A>(node: &Rc<Node<A>>, stage: &ChainStage) -> bool
+/// Only an answer of the process that ran the request shows that it lives: neither what the list says, nor
+/// earlier results, nor an answer of another process at its address.
+pub(crate) async fn engine_may_have_exited<A>(
+    node: &Rc<Node<A>>,
+    request: &RelayedRequest,
+    stage: &ChainStage,
+) -> bool
 where
     A: Adapter,
 {
-    if let Some(has_exited) = wait_for_listed_exit(node, &stage.endpoint).await {
-        return has_exited;
-    }
-    let result = probe(node, &stage.endpoint, stage.address).await;
-    let has_answered = match &result {
-        ProbeResult::Healthy(report) => {
-            answering_lifetime(&stage.endpoint, report) == AnsweringLifetime::Current
+    sleep(EXIT_DURATION).await;
+    let endpoint = &stage.endpoint;
+    let result = probe(node, endpoint, stage.address).await;
+    let answering = match &result {
+        ProbeResult::Healthy(report) if !report.is_unplaced => {
+            Some(answering_lifetime(endpoint, report))
         }
-        _ => false,
+        _ => None,
     };
     handle_result(node, stage, result);
-    !has_answered
+    match answering {
+        Some(AnsweringLifetime::Current) => false,
+        Some(AnsweringLifetime::Unknown) => !is_at(node, request, endpoint, stage.address).await,
+        Some(AnsweringLifetime::Newer | AnsweringLifetime::Older) | None => true,
+    }
 }
 
 /// Determines whether a replica whose connection has just ended may have exited in the middle of its work.
-pub(super) async fn replica_may_have_exited<A>(node: &Rc<Node<A>>, endpoint: &EndpointId) -> bool
+pub(super) async fn replica_may_have_exited<A>(
+    node: &Rc<Node<A>>,
+    request: &RelayedRequest,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+) -> bool
 where
     A: Adapter,
 {
-    if let Some(has_exited) = wait_for_listed_exit(node, endpoint).await {
-        return has_exited;
-    }
-    probe_replica(node, endpoint).await;
-    node.fleet.borrow().refuses(endpoint)
+    sleep(EXIT_DURATION).await;
+    !is_at(node, request, endpoint, address).await
 }
 
-/// Waits until an exiting process has closed its sockets, and returns whether it exited with requests in
-/// progress according to the endpoint list; `None` if it is still listed as live.
-async fn wait_for_listed_exit<A>(node: &Node<A>, endpoint: &EndpointId) -> Option<bool>
+/// Whether the process at an address says that it is this endpoint.
+async fn is_at<A>(
+    node: &Node<A>,
+    request: &RelayedRequest,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+) -> bool
 where
     A: Adapter,
 {
-    sleep(EXIT_DURATION).await;
-    listed_exit(&node.fleet.borrow(), endpoint)
-}
-
-/// An unlisted endpoint may have been replaced while this instance was suspended. One that is leaving may exit
-/// before its work is complete.
-fn listed_exit(fleet: &Fleet, endpoint: &EndpointId) -> Option<bool> {
-    match fleet.get(endpoint).map(|known| known.listed.phase) {
-        Some(Phase::Live | Phase::Leaving) => None,
-        None => Some(true),
-    }
+    let service = request.table.services.get(&request.service);
+    let Some(path) = service.and_then(|it| it.health_path.as_deref()) else {
+        return false;
+    };
+    node.counters.count("relay.checks");
+    let engines = node.adapter.engines();
+    let answer = engines.identify(address, path, IDENTIFY_TIMEOUT_MS).await;
+    let answers_as = answer.as_ref().ok().and_then(Option::as_ref);
+    let is_at = answers_as == Some(&endpoint.name());
+    log::info!(
+        request = request.ask.id.as_str(),
+        endpoint = endpoint.as_str(),
+        answers_as = answers_as.map(EndpointName::as_str),
+        failure = answer.as_ref().err().map(ToString::to_string),
+        is_at;
+        "endpoint was asked for its name after a response without a length"
+    );
+    is_at
 }
 
 /// Checks in the background whether a replica has exited. Otherwise only the next request sent to
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -358,7 +358,9 @@
     };
     let scope = node.scope_of_endpoint(endpoint);
     node.count_traffic(TrafficKind::EndpointResponses, scope, content.len());
-    if body.ends_with_connection() && replica_may_have_exited(node, endpoint).await {
+    if body.ends_with_connection()
+        && replica_may_have_exited(node, request, endpoint, address).await
+    {
         return failed(UpstreamFailure::Broken);
     }
     let now_ms = boot_ms();
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -195,7 +195,7 @@
             return false;
         }
         let is_empty = self.splitter.last_id().is_none() && self.run_events == 0;
-        is_empty || engine_may_have_exited(&self.node, chain.first()).await
+        is_empty || engine_may_have_exited(&self.node, &self.request, chain.first()).await
     }
 
     /// When to check the run if no data arrives until then.
--- a/src/route_table/table.rs
+++ b/src/route_table/table.rs
@@ -137,6 +137,8 @@
 pub struct ServiceSpec {
     /// Maximum number of connections to one endpoint, from all callers together.
     pub max_connections: u32,
+    /// Path of the page on which an endpoint names itself, if it has one.
+    pub health_path: Option<String>,
     /// The model, if the endpoints are engines that host layers.
     pub model: Option<EngineModel>,
 }
