Retry budget: a retry counts until a window after its latest possible arrival

Engines count arrivals, and the budget counted a retry from when it was taken. Between the two lie a wait for capacity, a connection, and the silence of an endpoint: what is written to a process that stands still is read when it goes on, also after the sender has closed. Besides, a returned retry took the newest entry out of the window, whoever's it was, so that later sends were counted from the time of earlier ones.

A retry now has an id. It counts as long as it may still wait or be on its way, and for a window after it was answered, after its connection was closed by the endpoint, or 3 s after it was abandoned. A first send that was abandoned may arrive behind the retry that followed, so the retry is held until that time as well. The part of the own share of a process that has just started covers as long.

Tests of the window that took retries without an end record an arrival now; their bounds are unchanged.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexSet;
 
+use super::window::MAX_ARRIVAL_DELAY_MS;
 use super::{AttemptLimit, FinalError, RefusalCause, RelayFailure};
 use crate::ids::{EndpointId, InstanceId};
 use crate::invariant;
@@ -84,6 +85,8 @@
     /// The response head has been forwarded, so the caller holds part of the response.
     has_started: bool,
     sends: u32,
+    /// Until when a send that was abandoned may still arrive at its endpoint.
+    arrivals_until_ms: u64,
 }
 
 impl Attempts {
@@ -103,6 +106,7 @@
             holds_retry: false,
             has_started: false,
             sends: 0,
+            arrivals_until_ms: 0,
         }
     }
 
@@ -223,6 +227,16 @@
         std::mem::take(&mut self.holds_retry) && outcome == AttemptOutcome::NotSent
     }
 
+    /// When all sends up to the one that ends now have arrived at the latest. `is_settled` tells that nothing of
+    /// this one can arrive any more: its endpoint has answered it or has closed the connection. The first send
+    /// may arrive after the retry that followed it, and then counts as the retry.
+    pub fn arrived_by_ms(&mut self, is_settled: bool, now_ms: u64) -> u64 {
+        if !is_settled {
+            self.arrivals_until_ms = now_ms + MAX_ARRIVAL_DELAY_MS;
+        }
+        self.arrivals_until_ms.max(now_ms)
+    }
+
     /// Forgets endpoints that have exited, since nothing runs there any more, or that this instance no
     /// longer reaches.
     pub fn forget_ended<F>(&mut self, has_ended: F)
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -2,7 +2,8 @@
 //!
 //! All instances together may retry a fixed ratio of the requests of a service within a window,
 //! plus a fixed slack. Each instance has the ratio of its own requests and an even share of the
-//! slack, so that the total holds without coordination. Instances of one zone lend each other what
+//! slack, so that the total holds without coordination. Endpoints count arrivals: a retry counts from the
+//! moment at which it is taken until a window after its latest possible arrival. Instances of one zone lend each other what
 //! they do not need; see [`loans`](super::loans).
 
 use indexmap::IndexMap;
@@ -21,6 +22,10 @@
     Resume,
 }
 
+/// Identifies a retry that was taken from the budget of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryId(u64);
+
 /// What a retry is for, and how urgent its request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryClass {
@@ -61,6 +66,8 @@
     started_ms: Option<u64>,
     /// Id of the next loan.
     next_loan: u32,
+    /// Id of the next retry.
+    next_retry: u64,
 }
 
 impl RetryBudget {
@@ -105,31 +112,41 @@
             .record_demand(purpose, now_ms);
     }
 
-    /// Takes one retry from the budget, if one is left.
+    /// Takes one retry from the budget, if one is left. It counts until it is refunded, or for a window after
+    /// the arrival that is recorded for it.
     pub fn take<C>(
         &mut self,
         service: &ServiceName,
         share: BudgetShare,
         class: C,
         now_ms: u64,
-    ) -> bool
+    ) -> Option<RetryId>
     where
         C: Into<RetryClass>,
     {
         let class = class.into();
+        let id = RetryId(self.next_retry);
         let window = self.window(service, share, now_ms);
         window.record_demand(class.purpose, now_ms);
-        let is_left = window.has_left(share, class, now_ms);
-        if is_left {
-            window.record_retry(class.purpose, now_ms);
+        if !window.has_left(share, class, now_ms) {
+            return None;
         }
-        is_left
+        window.record_retry(id, class.purpose, now_ms);
+        self.next_retry += 1;
+        Some(id)
     }
 
     /// Refunds a retry that was taken but not sent.
-    pub fn refund(&mut self, service: &ServiceName) {
+    pub fn refund(&mut self, service: &ServiceName, id: RetryId) {
+        if let Some(window) = self.services.get_mut(service) {
+            window.remove(id);
+        }
+    }
+
+    /// Records when a retry has arrived at the latest, which may be later than now.
+    pub fn record_arrival(&mut self, service: &ServiceName, id: RetryId, arrived_by_ms: u64) {
         if let Some(window) = self.services.get_mut(service) {
-            window.remove_newest();
+            window.record_arrival(id, arrived_by_ms);
         }
     }
 
--- a/src/relay/limits_tests.rs
+++ b/src/relay/limits_tests.rs
@@ -111,9 +111,13 @@
     for at_ms in 0..50 {
         budget.request(&service, share, at_ms);
     }
-    budget.take(&service, share, RetryPurpose::Start, 100);
+    let _ = budget.take(&service, share, RetryPurpose::Start, 100);
     let left = budget.remaining(&service, share, 100);
-    let taken = (0..100).filter(|_| budget.take(&service, share, RetryPurpose::Start, 100));
+    let taken = (0..100).filter(|_| {
+        budget
+            .take(&service, share, RetryPurpose::Start, 100)
+            .is_some()
+    });
     assert_eq!(left as usize, taken.count());
     assert_eq!(budget.remaining(&service, share, 100), 0);
 }
--- a/src/relay/loan_tests/mod.rs
+++ b/src/relay/loan_tests/mod.rs
@@ -74,6 +74,42 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(59),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against retries that are sent to silent endpoints arriving beside those of the next window.
+    #[test]
+    fn retries_that_silent_endpoints_read_late_stay_within_the_allowance(
+        (count, zones) in any_size(),
+        starts_ms in prop::collection::vec(0u64..RUN_MS, 1..6),
+        length_ms in 500u64..2_500,
+        period_ms in prop::option::of(8_000u64..11_000),
+        demand in any_demand(),
+        restarts in 0usize..6,
+        seed in any::<u64>(),
+    ) {
+        let faults = Faults { restarts, ..NO_FAULTS };
+        let mut simulation = Simulation::new(count, zones, faults, seed);
+        let periodic = |period_ms| (0..RUN_MS).step_by(period_ms as usize).collect();
+        let starts_ms: Vec<u64> = period_ms.map_or(starts_ms, periodic);
+        simulation.silences_ms = starts_ms.iter().map(|at_ms| *at_ms..at_ms + length_ms).collect();
+        for now_ms in (0..RUN_MS).step_by(STEP_MS as usize) {
+            simulation.step(now_ms);
+            let askers = simulation.instances_in_need(demand, now_ms);
+            simulation.requests(100, &[], now_ms);
+            simulation.request_retries(&askers, now_ms);
+            simulation.record_overdraw(now_ms);
+        }
+        println!("maximum overdraw: {:.1}, {count} {demand:?}", simulation.max_overdraw);
+        prop_assert!(simulation.max_overdraw <= 0.0, "{} too many", simulation.max_overdraw);
+    }
+}
+
 /// Number of retries within a window that one instance of a zone of 29 gets if no other needs any.
 fn retries_of_single_instance() -> usize {
     let mut simulation = Simulation::new(29, 1, NO_FAULTS, 29);
@@ -107,8 +143,15 @@
         instances: 29,
     };
     let mut budget = RetryBudget::default();
-    while budget.take(&service, share, RetryPurpose::Start, 5_000) {}
-    assert!(budget.take(&service, share, RetryPurpose::Resume, 5_000));
+    while budget
+        .take(&service, share, RetryPurpose::Start, 5_000)
+        .is_some()
+    {}
+    assert!(
+        budget
+            .take(&service, share, RetryPurpose::Resume, 5_000)
+            .is_some()
+    );
 }
 
 /// Guards against a wrong time for the next available retry.
--- a/src/relay/loan_tests/simulation.rs
+++ b/src/relay/loan_tests/simulation.rs
@@ -5,6 +5,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use super::super::window::MAX_ARRIVAL_DELAY_MS;
 use super::super::*;
 use crate::ids::{Incarnation, InstanceId, ServiceName};
 
@@ -14,6 +15,8 @@
 pub(super) const RATIO: f64 = 0.2;
 pub(super) const SLACK: f64 = 198.0;
 pub(super) const RUN_MS: u64 = 32_000;
+/// How long an instance waits for an endpoint.
+const ATTEMPT_TIMEOUT_MS: u64 = 300;
 
 /// Which instances need retries.
 #[derive(Clone, Copy, Debug)]
@@ -98,6 +101,8 @@
     requests_ms: VecDeque<u64>,
     pub(super) retries_ms: VecDeque<u64>,
     pub(super) max_overdraw: f64,
+    /// When endpoints read nothing.
+    pub(super) silences_ms: Vec<std::ops::Range<u64>>,
 }
 
 impl Simulation {
@@ -129,6 +134,7 @@
             requests_ms: VecDeque::new(),
             retries_ms: VecDeque::new(),
             max_overdraw: f64::MIN,
+            silences_ms: Vec::new(),
         };
         simulation.schedule_faults(count);
         simulation
@@ -299,12 +305,28 @@
     }
 
     pub(super) fn retry(&mut self, at: usize, purpose: RetryPurpose, now_ms: u64) -> bool {
+        let arrives_ms = self.arrival_ms(now_ms);
         let budget = &mut self.instances[at].budget;
-        let is_taken = budget.take(&self.service, self.share, purpose, now_ms);
-        if is_taken {
-            self.retries_ms.push_back(now_ms);
-        }
-        is_taken
+        let Some(id) = budget.take(&self.service, self.share, purpose, now_ms) else {
+            return false;
+        };
+        let abandoned_ms = now_ms + ATTEMPT_TIMEOUT_MS;
+        let arrived_by_ms = if arrives_ms > abandoned_ms {
+            abandoned_ms + MAX_ARRIVAL_DELAY_MS
+        } else {
+            arrives_ms
+        };
+        budget.record_arrival(&self.service, id, arrived_by_ms);
+        let place = self.retries_ms.partition_point(|it| *it <= arrives_ms);
+        self.retries_ms.insert(place, arrives_ms);
+        true
+    }
+
+    /// When a request that is sent now is read: once the silence of the endpoints has ended, if there is one.
+    fn arrival_ms(&self, now_ms: u64) -> u64 {
+        let mut silences = self.silences_ms.iter();
+        let silence = silences.find(|it| it.contains(&now_ms));
+        silence.map_or(now_ms, |it| it.end)
     }
 
     pub(super) fn instances_in_need(&self, demand: Demand, now_ms: u64) -> Vec<usize> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -34,7 +34,7 @@
 mod window;
 
 pub use attempts::{AttemptOutcome, Attempts, NextStep};
-pub use budget::{BudgetShare, RetryBudget, RetryClass, RetryPurpose};
+pub use budget::{BudgetShare, RetryBudget, RetryClass, RetryId, RetryPurpose};
 pub use delegation::DelegationHistory;
 pub use events::{CompleteEvents, EventSplitter, SplitError};
 pub use limits::{AttemptLimit, RelayFailure};
@@ -47,3 +47,4 @@
     PROBE_OFFSETS_MS, PROBE_TIMEOUT_MS, PROMPT_REPLY_MS, ProbeHistory, SilenceCause,
 };
 pub use stall::{StallAction, StallDetector};
+pub(crate) use window::MAX_ARRIVAL_DELAY_MS;
--- a/src/relay/reserve_tests.rs
+++ b/src/relay/reserve_tests.rs
@@ -25,7 +25,7 @@
     C: Into<RetryClass> + Copy,
 {
     let service = ServiceName::from("model");
-    let taken = (0..200).filter(|_| budget.take(&service, SHARE, class, 1_000));
+    let taken = (0..200).filter(|_| budget.take(&service, SHARE, class, 1_000).is_some());
     u32::try_from(taken.count()).unwrap_or(u32::MAX)
 }
 
@@ -66,8 +66,8 @@
         for (at_ms, is_resume) in (0u64..).zip(purposes) {
             let purpose = if is_resume { RetryPurpose::Resume } else { RetryPurpose::Start };
             let class = RetryClass { purpose, more_urgent_priorities: 0 };
-            let taken = plain.take(&service, SHARE, purpose, at_ms);
-            prop_assert_eq!(taken, classed.take(&service, SHARE, class, at_ms));
+            let taken = plain.take(&service, SHARE, purpose, at_ms).is_some();
+            prop_assert_eq!(taken, classed.take(&service, SHARE, class, at_ms).is_some());
         }
     }
 
@@ -77,7 +77,7 @@
         let service = ServiceName::from("model");
         let mut budget = RetryBudget::default();
         for _ in 0..taken {
-            budget.take(&service, SHARE, class(0), 1_000);
+            let _ = budget.take(&service, SHARE, class(0), 1_000);
         }
         let less = budget.has_left(&service, SHARE, class(more_urgent), 1_000);
         prop_assert!(!less || budget.has_left(&service, SHARE, class(0), 1_000));
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -104,7 +104,11 @@
             budget.request(&service, SHARE, number * 100);
         }
         taken += (0..1_000)
-            .filter(|_| budget.take(&service, SHARE, RetryPurpose::Start, 5_000))
+            .filter(|_| {
+                budget
+                    .take(&service, SHARE, RetryPurpose::Start, 5_000)
+                    .is_some()
+            })
             .count();
     }
     // 0.2 of 100 requests plus a slack of 20.
@@ -116,9 +120,52 @@
 fn budget_refills_as_the_window_moves() {
     let service = ServiceName::from("ledger-api");
     let mut budget = RetryBudget::default();
-    while budget.take(&service, SHARE, RetryPurpose::Start, 1_000) {}
-    assert!(!budget.take(&service, SHARE, RetryPurpose::Start, 10_900));
-    assert!(budget.take(&service, SHARE, RetryPurpose::Start, 11_100));
+    while let Some(id) = budget.take(&service, SHARE, RetryPurpose::Start, 1_000) {
+        budget.record_arrival(&service, id, 1_000);
+    }
+    let mut take = |at_ms| budget.take(&service, SHARE, RetryPurpose::Start, at_ms);
+    assert_eq!(take(10_900), None);
+    assert!(take(11_100).is_some());
+}
+
+#[test]
+fn a_retry_that_has_not_arrived_still_counts_after_a_window() {
+    let service = ServiceName::from("ledger-api");
+    let mut budget = RetryBudget::default();
+    let mut last = None;
+    while let Some(id) = budget.take(&service, SHARE, RetryPurpose::Start, 1_000) {
+        last = Some(id);
+    }
+    let mut take = |at_ms| budget.take(&service, SHARE, RetryPurpose::Start, at_ms);
+    assert_eq!(take(12_000), None);
+    budget.record_arrival(&service, last.expect("a retry was left"), 12_000);
+    let mut take = |at_ms| budget.take(&service, SHARE, RetryPurpose::Start, at_ms);
+    assert_eq!(take(21_900), None);
+    assert!(take(22_100).is_some());
+}
+
+/// Guards against counting a retry from the time of an earlier one that was never sent.
+#[test]
+fn a_refund_leaves_the_retries_of_other_requests() {
+    let service = ServiceName::from("ledger-api");
+    let mut budget = RetryBudget::default();
+    let unsent = budget.take(&service, SHARE, RetryPurpose::Start, 1_000);
+    let mut arrive = |at_ms| {
+        while let Some(id) = budget.take(&service, SHARE, RetryPurpose::Start, at_ms) {
+            budget.record_arrival(&service, id, at_ms);
+        }
+    };
+    arrive(5_000);
+    budget.refund(&service, unsent.expect("a retry was left"));
+    assert!(
+        budget
+            .take(&service, SHARE, RetryPurpose::Start, 5_000)
+            .is_some()
+    );
+    assert_eq!(
+        budget.take(&service, SHARE, RetryPurpose::Start, 14_900),
+        None
+    );
 }
 
 // Guards against ending a partial response when its retry is rejected or no retry is left. Such
@@ -249,7 +296,9 @@
     let mut budget = RetryBudget::default();
     let mut next_ms = |now_ms| {
         let purpose = RetryPurpose::Resume;
-        while budget.take(&service, SHARE, purpose, now_ms) {}
+        while let Some(id) = budget.take(&service, SHARE, purpose, now_ms) {
+            budget.record_arrival(&service, id, now_ms);
+        }
         budget.next_available_ms(&service, SHARE, purpose, now_ms)
     };
     let again_ms = next_ms(1_000);
--- a/src/relay/unsent_tests.rs
+++ b/src/relay/unsent_tests.rs
@@ -51,10 +51,15 @@
         instances: 1,
     };
     let mut budget = RetryBudget::default();
-    assert!(budget.take(&service, share, RetryPurpose::Resume, 0));
-    assert!(!budget.take(&service, share, RetryPurpose::Resume, 1));
-    budget.refund(&service);
-    assert!(budget.take(&service, share, RetryPurpose::Resume, 2));
+    let mut take = |at_ms| budget.take(&service, share, RetryPurpose::Resume, at_ms);
+    let taken = take(0).expect("a retry is left");
+    assert_eq!(take(1), None);
+    budget.refund(&service, taken);
+    assert!(
+        budget
+            .take(&service, share, RetryPurpose::Resume, 2)
+            .is_some()
+    );
 }
 
 #[test]
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -2,11 +2,12 @@
 
 use std::collections::VecDeque;
 
-use super::budget::{BudgetShare, RetryClass, RetryPurpose};
+use super::budget::{BudgetShare, RetryClass, RetryId, RetryPurpose};
 use super::loans::{BorrowedLoans, GrantedLoans, LOAN_TTL_MS, Lender, RETRY_MILLI};
 
 /// Fraction of the allowance that is used. The rest covers requests that are counted in the window
-/// of another instance, and processes that start without history.
+/// of another instance, processes that start without history, and retries that were sent with a loan and
+/// arrive after it has expired.
 const USED_FRACTION: f64 = 0.7;
 
 /// Fraction of the even share that a process uses while retries of an earlier process in its place
@@ -37,11 +38,15 @@
 /// Refused callers retry within it.
 const DEMAND_WINDOW_MS: u64 = 1_000;
 
+/// How long after a send was abandoned it may still arrive: an endpoint that stands still reads later what its
+/// kernel has accepted, also if the connection was closed meanwhile.
+pub(crate) const MAX_ARRIVAL_DELAY_MS: u64 = 3_000;
+
 /// Requests and retries of one service within the last window.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Window {
     requests_ms: VecDeque<u64>,
-    retries: VecDeque<SentRetry>,
+    retries: Vec<SentRetry>,
     /// Demand for retries, whether or not one was available.
     demand: VecDeque<RetryDemand>,
     /// Parts of the own share that other instances use.
@@ -62,10 +67,20 @@
 
 #[derive(Clone, Copy, Debug)]
 struct SentRetry {
-    at_ms: u64,
+    id: RetryId,
     purpose: RetryPurpose,
     /// Part that is charged to the own share.
     own_milli: u64,
+    /// When it has arrived at the latest; `None` as long as it may still wait or be on its way. Endpoints
+    /// count arrivals, and a retry may arrive long after it was taken.
+    arrived_by_ms: Option<u64>,
+}
+
+impl SentRetry {
+    /// Whether it may arrive, or have arrived, at `from_ms` or later.
+    fn counts_since(&self, from_ms: u64) -> bool {
+        self.arrived_by_ms.is_none_or(|at_ms| at_ms >= from_ms)
+    }
 }
 
 /// The balance at one moment.
@@ -100,8 +115,9 @@
 impl Window {
     /// Creates the window of a process; `started_ms` is its start time if it started recently.
     pub(super) fn starting(started_ms: Option<u64>, share: BudgetShare) -> Self {
+        let counted_ms = LOAN_TTL_MS + MAX_ARRIVAL_DELAY_MS + share.window_ms;
         Self {
-            starting_until_ms: started_ms.map(|at_ms| at_ms + share.window_ms + LOAN_TTL_MS),
+            starting_until_ms: started_ms.map(|at_ms| at_ms + counted_ms),
             ..Self::default()
         }
     }
@@ -119,7 +135,7 @@
     pub(super) fn drop_old(&mut self, share: BudgetShare, now_ms: u64) {
         let from_ms = now_ms.saturating_sub(share.window_ms);
         drop_while(&mut self.requests_ms, |at_ms| *at_ms < from_ms);
-        drop_while(&mut self.retries, |retry| retry.at_ms < from_ms);
+        self.retries.retain(|retry| retry.counts_since(from_ms));
         drop_while(&mut self.demand, |it| it.at_ms + DEMAND_WINDOW_MS < now_ms);
         self.lent.drop_expired(now_ms);
     }
@@ -149,23 +165,31 @@
     }
 
     /// Records a retry. Loans are used first, since they expire.
-    pub(super) fn record_retry(&mut self, purpose: RetryPurpose, now_ms: u64) {
+    pub(super) fn record_retry(&mut self, id: RetryId, purpose: RetryPurpose, now_ms: u64) {
         let mut own_milli = RETRY_MILLI;
         if purpose == RetryPurpose::Resume {
             own_milli -= self.borrowed_to_resume.consume(own_milli, now_ms);
         }
         own_milli -= self.borrowed.consume(own_milli, now_ms);
-        self.retries.push_back(SentRetry {
-            at_ms: now_ms,
+        self.retries.push(SentRetry {
+            id,
             purpose,
             own_milli,
+            arrived_by_ms: None,
         });
     }
 
-    /// Removes the newest retry. With several in progress it makes little difference which one is
-    /// removed; what it used of loans is not restored.
-    pub(super) fn remove_newest(&mut self) {
-        self.retries.pop_back();
+    /// Removes a retry that was not sent. What it used of loans is not restored.
+    pub(super) fn remove(&mut self, id: RetryId) {
+        self.retries.retain(|retry| retry.id != id);
+    }
+
+    /// Records when a retry has arrived at the latest.
+    pub(super) fn record_arrival(&mut self, id: RetryId, arrived_by_ms: u64) {
+        let mut retries = self.retries.iter_mut();
+        if let Some(retry) = retries.find(|retry| retry.id == id) {
+            retry.arrived_by_ms = Some(arrived_by_ms);
+        }
     }
 
     /// Shortfall of the available retries against the demand.
@@ -248,7 +272,8 @@
         class: RetryClass,
         now_ms: u64,
     ) -> Option<u64> {
-        let retries = self.retries.iter().map(|it| it.at_ms + share.window_ms + 1);
+        let arrivals = self.retries.iter().filter_map(|it| it.arrived_by_ms);
+        let retries = arrivals.map(|at_ms| at_ms + share.window_ms + 1);
         let loans = self.lent.expiries_ms().map(|end_ms| end_ms + 1);
         let start = self.starting_until_ms.map(|until_ms| until_ms + 1);
         let changes = retries.chain(loans).chain(start);
@@ -262,8 +287,7 @@
 
     fn balance(&self, share: BudgetShare, at_ms: u64) -> Balance {
         let from_ms = at_ms.saturating_sub(share.window_ms);
-        let first = self.retries.partition_point(|it| it.at_ms < from_ms);
-        let sent = self.retries.range(first..);
+        let sent = self.retries.iter().filter(|it| it.counts_since(from_ms));
         let starts = sent.clone().filter(|it| it.purpose == RetryPurpose::Start);
         let own_used: u64 = sent.clone().map(|it| it.own_milli).sum();
         let charged = own_used + self.lent.total_milli(at_ms);
@@ -271,7 +295,7 @@
             own_milli: self.allowed_milli(share, at_ms).saturating_sub(charged),
             borrowed_milli: self.borrowed.total_milli(at_ms),
             borrowed_to_resume_milli: self.borrowed_to_resume.total_milli(at_ms),
-            sent_milli: sent.len() as u64 * RETRY_MILLI,
+            sent_milli: sent.count() as u64 * RETRY_MILLI,
             start_milli: starts.count() as u64 * RETRY_MILLI,
         }
     }
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -20,6 +20,7 @@
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, close_if_stopping, error_response, instant_at};
+use super::retries::HeldRetry;
 use super::send_context::SendContext;
 use super::traffic::TrafficKind;
 use super::upstream::UpstreamFailure;
@@ -62,7 +63,10 @@
 }
 
 /// A request over all its attempts.
-struct PlainRelay<'a, A> {
+struct PlainRelay<'a, A>
+where
+    A: Adapter,
+{
     node: &'a Rc<Node<A>>,
     request: &'a RelayedRequest,
     attempts: Attempts,
@@ -74,6 +78,8 @@
     tried_delegates: IndexSet<InstanceId>,
     /// Why the request is refused if nothing more can be tried.
     cause: RefusalCause,
+    /// The retry that was taken for the current send.
+    retry: Option<HeldRetry<A>>,
 }
 
 /// Relays a request until it has a response or a final error.
@@ -107,6 +113,7 @@
             failure: None,
             tried_delegates: IndexSet::new(),
             cause: RefusalCause::NoEndpoint,
+            retry: None,
         }
     }
 
@@ -115,7 +122,9 @@
             if self.is_withheld() {
                 return self.fail(self.attempts.give_up(RefusalCause::Withheld));
             }
-            let result = match self.choose_target() {
+            let target = self.choose_target();
+            let is_delegated = matches!(target, Some(Target::Delegate(_)));
+            let result = match target {
                 Some(Target::Endpoint(endpoint)) => self.attempt_at(&endpoint).await,
                 Some(Target::Delegate(delegate)) => self.attempt_by(&delegate).await,
                 None => {
@@ -125,20 +134,23 @@
                 }
             };
             let outcome = match result {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.response_arrived();
+                    return Ok(response);
+                }
                 Err(outcome) => outcome,
             };
             if outcome == AttemptOutcome::TurnedAway {
                 self.cause = RefusalCause::Full;
             }
             let (node, request) = (self.node, self.request);
-            if self.attempts.take_refund(outcome) {
-                node.cancel_retry(request);
-            }
-            match self
-                .attempts
-                .attempt_ended(outcome, || node.take_retry(request, RetryPurpose::Start))
-            {
+            self.end_retry(outcome, is_delegated);
+            let retry = &mut self.retry;
+            let next = self.attempts.attempt_ended(outcome, || {
+                *retry = node.take_retry(request, RetryPurpose::Start);
+                retry.is_some()
+            });
+            match next {
                 NextStep::Retry => {}
                 NextStep::ForwardFailure(limit) => {
                     let error = FinalError::Unknown;
@@ -151,6 +163,30 @@
         }
     }
 
+    fn response_arrived(&mut self) {
+        let arrived_by_ms = self.attempts.arrived_by_ms(true, boot_ms());
+        if let Some(retry) = self.retry.take() {
+            retry.end(arrived_by_ms);
+        }
+    }
+
+    /// Ends the retry of a send that had no response to forward.
+    fn end_retry(&mut self, outcome: AttemptOutcome, is_delegated: bool) {
+        let is_settled = match outcome {
+            AttemptOutcome::Abandoned => false,
+            // The other instance may stand still, and send the request once it goes on.
+            AttemptOutcome::Lost => !is_delegated,
+            AttemptOutcome::NotSent | AttemptOutcome::TurnedAway | AttemptOutcome::Failed => true,
+        };
+        let arrived_by_ms = self.attempts.arrived_by_ms(is_settled, boot_ms());
+        let is_refunded = self.attempts.take_refund(outcome);
+        match self.retry.take() {
+            Some(retry) if is_refunded => self.node.cancel_retry(self.request, retry),
+            Some(retry) => retry.end(arrived_by_ms),
+            None => {}
+        }
+    }
+
     fn is_withheld(&self) -> bool {
         let is_trial = self.request.is_quarantine_trial && self.attempts.sends() == 0;
         let status = self.node.quarantine_status(self.request.features.as_ref());
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -1,11 +1,51 @@
 //! The retry budget of the instance.
 
+use std::rc::Rc;
+
 use super::adapter::Adapter;
 use super::node::Node;
 use super::request::RelayedRequest;
 use crate::clock::boot_ms;
 use crate::ids::ServiceName;
-use crate::relay::{AttemptLimit, BudgetShare, RetryClass, RetryConditions, RetryPurpose};
+use crate::relay::{
+    AttemptLimit, BudgetShare, MAX_ARRIVAL_DELAY_MS, RetryClass, RetryConditions, RetryId,
+    RetryPurpose,
+};
+
+/// A retry that was taken from the budget for the next or the current send of a request.
+pub(crate) struct HeldRetry<A>
+where
+    A: Adapter,
+{
+    node: Rc<Node<A>>,
+    service: ServiceName,
+    id: RetryId,
+    /// When it has arrived at the latest, if that is known.
+    arrived_by_ms: Option<u64>,
+}
+
+impl<A> HeldRetry<A>
+where
+    A: Adapter,
+{
+    /// Ends the retry, which has arrived by then.
+    pub(crate) fn end(mut self, arrived_by_ms: u64) {
+        self.arrived_by_ms = Some(arrived_by_ms);
+    }
+}
+
+impl<A> Drop for HeldRetry<A>
+where
+    A: Adapter,
+{
+    /// Dropped with its request, for instance because the caller has left: it may have been sent.
+    fn drop(&mut self) {
+        let arrived_by_ms = self.arrived_by_ms;
+        let arrived_by_ms = arrived_by_ms.unwrap_or_else(|| boot_ms() + MAX_ARRIVAL_DELAY_MS);
+        let mut budget = self.node.budget.borrow_mut();
+        budget.record_arrival(&self.service, self.id, arrived_by_ms);
+    }
+}
 
 impl<A> Node<A>
 where
@@ -18,7 +58,11 @@
     }
 
     /// Takes one retry for a request out of the budget, if one is left.
-    pub(crate) fn take_retry<C>(&self, request: &RelayedRequest, class: C) -> bool
+    pub(crate) fn take_retry<C>(
+        self: &Rc<Self>,
+        request: &RelayedRequest,
+        class: C,
+    ) -> Option<HeldRetry<A>>
     where
         C: Into<RetryClass>,
     {
@@ -26,8 +70,8 @@
         let class = class.into();
         let service = &request.service;
         let mut budget = self.budget.borrow_mut();
-        let is_left = budget.take(service, share, class, boot_ms());
-        self.counters.count(if is_left {
+        let id = budget.take(service, share, class, boot_ms());
+        self.counters.count(if id.is_some() {
             "relay.repeats.allowed"
         } else {
             "relay.repeats.over_budget"
@@ -36,18 +80,23 @@
             request = request.ask.id.as_str(),
             service = service.as_str(),
             purpose:? = class.purpose,
-            is_left,
+            is_left = id.is_some(),
             repeats_left = budget.remaining(service, share, boot_ms()),
             known_instances = share.instances;
             "retry is taken from the budget"
         );
-        is_left
+        id.map(|id| HeldRetry {
+            node: Rc::clone(self),
+            service: service.clone(),
+            id,
+            arrived_by_ms: None,
+        })
     }
 
     /// Returns a retry to the budget that was not delivered to any endpoint.
-    pub(crate) fn cancel_retry(&self, request: &RelayedRequest) {
+    pub(crate) fn cancel_retry(&self, request: &RelayedRequest, retry: HeldRetry<A>) {
         self.counters.count("relay.repeats.cancelled");
-        self.budget.borrow_mut().refund(&request.service);
+        self.budget.borrow_mut().refund(&request.service, retry.id);
         log::info!(
             request = request.ask.id.as_str(),
             service = request.service.as_str();
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -32,6 +32,7 @@
 use super::headers;
 use super::node::Node;
 use super::request::{RelayedRequest, instant_at};
+use super::retries::HeldRetry;
 use super::send_context::SendContext;
 use super::stream_response::InitialResponse;
 use super::upstream::ResponseBody;
@@ -82,7 +83,10 @@
 }
 
 /// A stream over all its runs.
-pub(super) struct StreamRelay<A> {
+pub(super) struct StreamRelay<A>
+where
+    A: Adapter,
+{
     node: Rc<Node<A>>,
     request: RelayedRequest,
     attempts: Attempts,
@@ -110,6 +114,8 @@
     /// Whether the newest run is sent although the request is withheld.
     is_quarantine_trial: bool,
     repairs: u32,
+    /// The retry that was taken for the next or the current run.
+    retry: Option<HeldRetry<A>>,
     /// Longest time without an event.
     longest_gap_ms: u64,
     first_event_ms: Option<u64>,
@@ -145,6 +151,7 @@
             run_events: 0,
             is_cleared: false,
             repairs: 0,
+            retry: None,
             longest_gap_ms: 0,
             first_event_ms: None,
         }
@@ -205,7 +212,7 @@
                 RunTarget::Chain(chain) => self.run_on_chain(chain).await,
                 RunTarget::Delegate(delegate) => self.run_by_delegate(&delegate).await,
             };
-            let outcome = match run {
+            let (outcome, is_settled) = match run {
                 RunOutcome::Complete => return StreamOutcome::Complete,
                 RunOutcome::CallerLeft => return StreamOutcome::CallerLeft,
                 RunOutcome::Withheld => {
@@ -213,20 +220,20 @@
                 }
                 RunOutcome::Failed(outcome, failure, at_fault) => {
                     self.record_failed_run(outcome, failure, &at_fault);
-                    outcome
+                    (outcome, failure != EndpointFailure::Silent)
                 }
-                RunOutcome::DelegateFailed(outcome) => outcome,
+                // The other instance may stand still, and send the request once it goes on.
+                RunOutcome::DelegateFailed(outcome) => (outcome, outcome != AttemptOutcome::Lost),
             };
             self.splitter.drop_partial();
-            let (node, request) = (&self.node, &self.request);
+            self.end_retry(outcome, is_settled);
             let class = self.retry_class();
-            if self.attempts.take_refund(outcome) {
-                node.cancel_retry(request);
-            }
-            match self
-                .attempts
-                .attempt_ended(outcome, || node.take_retry(request, class))
-            {
+            let (node, request, retry) = (&self.node, &self.request, &mut self.retry);
+            let next = self.attempts.attempt_ended(outcome, || {
+                *retry = node.take_retry(request, class);
+                retry.is_some()
+            });
+            match next {
                 NextStep::Retry | NextStep::Resume => {}
                 NextStep::ForwardFailure(limit) => {
                     let error = FinalError::Unknown;
@@ -237,6 +244,30 @@
         }
     }
 
+    /// Records that the response head of a run has arrived, and with it the request before.
+    fn head_arrived(&mut self) {
+        let now_ms = boot_ms();
+        self.head_ms = Some(now_ms);
+        let arrived_by_ms = self.attempts.arrived_by_ms(true, now_ms);
+        if let Some(retry) = self.retry.take() {
+            retry.end(arrived_by_ms);
+        }
+    }
+
+    /// Ends the retry of a run. `is_settled` tells that nothing of its request can arrive any more.
+    fn end_retry(&mut self, outcome: AttemptOutcome, is_settled: bool) {
+        let has_arrived = self.head_ms.is_some();
+        let arrived_by_ms = self
+            .attempts
+            .arrived_by_ms(is_settled || has_arrived, boot_ms());
+        let is_refunded = self.attempts.take_refund(outcome);
+        match self.retry.take() {
+            Some(retry) if is_refunded => self.node.cancel_retry(&self.request, retry),
+            Some(retry) => retry.end(arrived_by_ms),
+            None => {}
+        }
+    }
+
     async fn next_target(&mut self) -> Result<RunTarget, RefusalCause> {
         self.wait_for_verdict().await?;
         self.forget_ended();
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -74,7 +74,7 @@
             self.failure = self.read_failure(&head, body).await;
             return RunOutcome::Failed(AttemptOutcome::Failed, EndpointFailure::Failed, first);
         }
-        self.head_ms = Some(boot_ms());
+        self.head_arrived();
         self.node.record_accepted(held.chain());
         self.attempts.response_started();
         let initial = InitialResponse {
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -85,7 +85,7 @@
         if facts.id.as_deref() != Some(self.request.ask.id.as_str()) {
             return RunOutcome::DelegateFailed(AttemptOutcome::Lost);
         }
-        self.head_ms = Some(boot_ms());
+        self.head_arrived();
         self.attempts.response_started();
         let initial = InitialResponse {
             status: head.status,
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -104,7 +104,8 @@
         let target = self.target_with_capacity(now_ms)?;
         // Taken only now that the run can be sent: a retry taken earlier would also leave the
         // window earlier.
-        if !self.node.take_retry(&self.request, RetryPurpose::Resume) {
+        self.retry = self.node.take_retry(&self.request, RetryPurpose::Resume);
+        if self.retry.is_none() {
             return Err(ResumeBlocker::Retry { due_ms: now_ms });
         }
         self.attempts.hold_retry();
