Responses that are read whole share 64 MiB of memory

A response for which the memory does not suffice is garbled, as one that is too large: an idempotent request goes to another endpoint. Both write a log line.

Not bounded together: incomplete events of streams, 1 MiB each.

--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -81,6 +81,7 @@
 #[cfg(test)]
 mod records_tests;
 mod request;
+mod response_buffers;
 mod response_codec;
 #[cfg(test)]
 mod restored_list_tests;
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -8,9 +8,11 @@
 
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
+use futures_util::future::join_all;
 use proptest::prelude::*;
 
 use super::peer_selection::SyncState;
+use super::response_buffers::MAX_TOTAL_BYTES;
 use super::snapshot::{KnownVersions, Snapshot};
 use super::upstream::{UpstreamFailure, UpstreamPool};
 
@@ -227,6 +229,59 @@
     );
 }
 
+/// Starts an endpoint that sends a head and then bytes without end to each connection.
+fn endpoint_without_end(head: &'static str, part: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("connections are accepted");
+            thread::spawn(move || {
+                let _ = stream.write_all(head.as_bytes());
+                // Ends when the router closes the connection.
+                while stream.write_all(part.as_bytes()).is_ok() {}
+            });
+        }
+    });
+    address
+}
+
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+#[actix_rt::test]
+async fn bodies_without_end_are_garbled_within_the_memory_for_all_of_them() {
+    let piece = "x".repeat(16 << 10);
+    let chunk = format!("4000\r\n{piece}\r\n");
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (head, part) in [("HTTP/1.1 200 OK\r\n\r\n", piece), (chunked, chunk)] {
+        let address = endpoint_without_end(head, part.leak());
+        let upstreams = UpstreamPool::new();
+        let read = || async {
+            let exchange = upstreams
+                .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+                .await?;
+            let (_, mut body) = exchange.head().await?;
+            body.read_to_end(MAX_BODY_BYTES).await
+        };
+        let all = join_all((0..12).map(|_| read()));
+        let measured = async {
+            let mut most_bytes = 0;
+            loop {
+                most_bytes = most_bytes.max(upstreams.buffered_bytes());
+                if upstreams.buffered_bytes() == 0 && most_bytes > 0 {
+                    return most_bytes;
+                }
+                actix_rt::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        let (results, most_bytes) = futures_util::join!(all, measured);
+        for result in results {
+            assert_eq!(result, Err(UpstreamFailure::Garbled));
+        }
+        assert!(most_bytes <= MAX_TOTAL_BYTES, "{most_bytes}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_body_that_names_a_status_line_is_not_garbled() {
     let sound =
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::response_buffers::ResponseBuffers;
 use super::response_codec::ResponseCodec;
 use crate::fleet::EndpointFailure;
 use crate::relay::AttemptOutcome;
@@ -88,6 +89,7 @@
 pub(crate) struct UpstreamPool {
     config: ServiceConfig,
     idle: RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>,
+    buffers: ResponseBuffers,
 }
 
 /// A connection on which a request was sent.
@@ -96,6 +98,7 @@
     /// Whether the connection was opened for this request.
     pub(super) is_new: bool,
     framed: Framed<TcpStream, ResponseCodec>,
+    buffers: ResponseBuffers,
 }
 
 /// The body of a response.
@@ -105,6 +108,7 @@
     /// leave the same trace.
     ends_with_connection: bool,
     state: BodyState,
+    buffers: ResponseBuffers,
 }
 
 enum BodyState {
@@ -122,6 +126,7 @@
         Self {
             config: ServiceConfig::default(),
             idle: RefCell::default(),
+            buffers: ResponseBuffers::default(),
         }
     }
 
@@ -166,6 +171,7 @@
             address,
             is_new,
             framed,
+            buffers: self.buffers.clone(),
         })
     }
 
@@ -218,6 +224,12 @@
         });
     }
 
+    /// Memory in use by the responses that are being read whole.
+    #[cfg(test)]
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.buffers.used_bytes()
+    }
+
     /// Whether an idle connection to an endpoint is kept.
     #[cfg(test)]
     pub(super) fn has_idle(&self, address: SocketAddr) -> bool {
@@ -287,6 +299,7 @@
             address: self.address,
             ends_with_connection: matches!(state, BodyState::UntilClose(..)),
             state,
+            buffers: self.buffers,
         };
         Ok((head, body))
     }
@@ -323,11 +336,20 @@
         self.ends_with_connection
     }
 
-    /// Reads the rest of the body. One of more than `max_bytes` counts as garbled.
+    /// Reads the rest of the body. One of more than `max_bytes` counts as garbled, and so does one for which
+    /// the memory of all responses does not suffice.
     pub(crate) async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, UpstreamFailure> {
+        let mut share = self.buffers.begin();
         let mut buffer = BytesMut::new();
         while let Some(bytes) = self.next().await? {
-            if buffer.len() + bytes.len() > max_bytes {
+            if buffer.len() + bytes.len() > max_bytes || !share.grow(bytes.len()) {
+                log::warn!(
+                    endpoint:% = self.address,
+                    read_bytes = buffer.len(),
+                    max_bytes,
+                    all_responses_bytes = self.buffers.used_bytes();
+                    "response is too large and not read to its end"
+                );
                 return Err(UpstreamFailure::Garbled);
             }
             buffer.extend_from_slice(&bytes);
