Streams that are forwarded whole run at no more endpoints than their route allows

Streams of a service without layers are buffered whole, and their attempts were counted as those of a stream, which may return to an engine where it ran: the limit on endpoints (BUDGET) did not hold for them. Seen by reading in the review. They have the policy of an idempotent request, or of one that runs at most once if they may not be resumed. The new test fails with the policy of a stream.

--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -116,6 +116,18 @@
     assert!(taken >= 20, "{taken} retries");
 }
 
+#[test]
+fn a_stream_that_is_forwarded_whole_runs_at_no_more_endpoints_than_allowed() {
+    let policy = RetryPolicy::Stream { resumable: true }.for_whole_response();
+    let mut attempts = Attempts::new(policy, 2);
+    attempts.send_started(&EndpointId::from("a"));
+    let second = attempts.attempt_ended(AttemptOutcome::Lost, || true);
+    assert_eq!(second, NextStep::Retry);
+    attempts.send_started(&EndpointId::from("b"));
+    let third = attempts.attempt_ended(AttemptOutcome::Lost, || true);
+    assert!(is_final(third), "{third:?}");
+}
+
 #[test]
 fn budget_refills_as_the_window_moves() {
     let service = ServiceName::from("ledger-api");
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -108,7 +108,10 @@
         Self {
             node,
             request,
-            attempts: Attempts::new(request.route.retry_policy, request.max_endpoints()),
+            attempts: Attempts::new(
+                request.route.retry_policy.for_whole_response(),
+                request.max_endpoints(),
+            ),
             send_context: SendContext::default(),
             failure: None,
             tried_delegates: IndexSet::new(),
--- a/src/route_table/table.rs
+++ b/src/route_table/table.rs
@@ -28,6 +28,15 @@
         }
     }
 
+    /// The policy for a response that is forwarded only once it is complete: there is no part to resume.
+    pub fn for_whole_response(self) -> Self {
+        match self {
+            Self::Stream { resumable: true } => Self::Idempotent,
+            Self::Stream { resumable: false } => Self::NonIdempotent,
+            Self::Idempotent | Self::NonIdempotent => self,
+        }
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
