A retry that is taken and not sent is returned at once

A request that took a retry and then found no target, or no time left, kept it charged for a window and, since retries count until their latest possible arrival, 3 s longer. Nothing was sent, so it goes back.

--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -123,6 +123,7 @@
     async fn serve(&mut self) -> Result<CompleteResponse, RelayFailure> {
         loop {
             if self.is_withheld() {
+                self.return_unsent_retry();
                 return self.fail(self.attempts.give_up(RefusalCause::Withheld));
             }
             let target = self.choose_target();
@@ -131,6 +132,7 @@
                 Some(Target::Endpoint(endpoint)) => self.attempt_at(&endpoint).await,
                 Some(Target::Delegate(delegate)) => self.attempt_by(&delegate).await,
                 None => {
+                    self.return_unsent_retry();
                     let rate_limited = self.node.rate_limit_refusal(&self.request.service);
                     let cause = rate_limited.unwrap_or(self.cause);
                     return self.fail(self.attempts.give_up(cause));
@@ -190,6 +192,13 @@
         }
     }
 
+    /// Returns the retry for a send that is not made.
+    fn return_unsent_retry(&mut self) {
+        if let Some(retry) = self.retry.take() {
+            self.node.cancel_retry(self.request, retry);
+        }
+    }
+
     fn is_withheld(&self) -> bool {
         let is_trial = self.request.is_quarantine_trial && self.attempts.sends() == 0;
         let status = self.node.quarantine_status(self.request.features.as_ref());
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -198,11 +198,13 @@
             let target = match self.next_target().await {
                 Ok(target) => target,
                 Err(cause) => {
+                    self.return_unsent_retry();
                     self.log_no_chain(cause);
                     return StreamOutcome::Failed(self.attempts.give_up(cause));
                 }
             };
             if !self.request.has_time_to_send(boot_ms()) {
+                self.return_unsent_retry();
                 return StreamOutcome::Failed(self.attempts.give_up(RefusalCause::TooLate));
             }
             self.runs += 1;
@@ -268,6 +270,13 @@
         }
     }
 
+    /// Returns the retry for a run that is not sent.
+    fn return_unsent_retry(&mut self) {
+        if let Some(retry) = self.retry.take() {
+            self.node.cancel_retry(&self.request, retry);
+        }
+    }
+
     async fn next_target(&mut self) -> Result<RunTarget, RefusalCause> {
         self.wait_for_verdict().await?;
         self.forget_ended();
--- a/src/relay_server/stream/withheld.rs
+++ b/src/relay_server/stream/withheld.rs
@@ -34,11 +34,8 @@
         }
         let checked = self.check_withheld();
         // Refund the retry that was taken for the run that will not be sent.
-        if checked.is_err()
-            && self.attempts.take_refund(AttemptOutcome::NotSent)
-            && let Some(retry) = self.retry.take()
-        {
-            self.node.cancel_retry(&self.request, retry);
+        if checked.is_err() && self.attempts.take_refund(AttemptOutcome::NotSent) {
+            self.return_unsent_retry();
         }
         checked
     }
