Read again: one way to end the retry of a failed send; comments

Plain requests and streams had the same lines to refund or end a retry. A withheld stream returned its retry in two places, the second of which does it for every run that is not sent. A doc comment of the adapter's tests stood on the wrong function. The 64 MiB are shared by the responses of one pool, of which an instance has two; the pages said all. No behaviour is changed.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -227,9 +227,9 @@
         std::mem::take(&mut self.holds_retry) && outcome == AttemptOutcome::NotSent
     }
 
-    /// When all sends up to the one that ends now have arrived at the latest. `is_settled` tells that nothing of
-    /// this one can arrive any more: its endpoint has answered it or has closed the connection. The first send
-    /// may arrive after the retry that followed it, and then counts as the retry.
+    /// Latest arrival time of all sends so far. `is_settled` means that the current send cannot arrive later than
+    /// now: its endpoint has answered it or has closed the connection. An abandoned send may arrive after the
+    /// retry that followed it, and then the endpoint counts it as the retry.
     pub fn arrived_by_ms(&mut self, is_settled: bool, now_ms: u64) -> u64 {
         if !is_settled {
             self.arrivals_until_ms = now_ms + MAX_ARRIVAL_DELAY_MS;
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -156,7 +156,7 @@
     assert!(take(22_100).is_some());
 }
 
-/// Guards against counting a retry from the time of an earlier one that was never sent.
+/// Guards against a refund that removes the entry of another request's retry.
 #[test]
 fn a_refund_leaves_the_retries_of_other_requests() {
     let service = ServiceName::from("ledger-api");
--- a/src/relay_server/checks.rs
+++ b/src/relay_server/checks.rs
@@ -71,7 +71,7 @@
 pub(super) enum AnsweringLifetime {
     /// The lifetime that was probed.
     Current,
-    /// The report does not tell.
+    /// The report has no start time.
     Unknown,
     /// A later lifetime: the probed process has exited.
     Newer,
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -78,7 +78,7 @@
     tried_delegates: IndexSet<InstanceId>,
     /// Why the request is refused if nothing more can be tried.
     cause: RefusalCause,
-    /// The retry that was taken for the current send.
+    /// The retry that the current send uses.
     retry: Option<HeldRetry<A>>,
 }
 
@@ -183,13 +183,9 @@
             AttemptOutcome::Lost => !is_delegated,
             AttemptOutcome::NotSent | AttemptOutcome::TurnedAway | AttemptOutcome::Failed => true,
         };
-        let arrived_by_ms = self.attempts.arrived_by_ms(is_settled, boot_ms());
-        let is_refunded = self.attempts.take_refund(outcome);
-        match self.retry.take() {
-            Some(retry) if is_refunded => self.node.cancel_retry(self.request, retry),
-            Some(retry) => retry.end(arrived_by_ms),
-            None => {}
-        }
+        let retry = self.retry.take();
+        self.node
+            .end_retry(self.request, &mut self.attempts, retry, outcome, is_settled);
     }
 
     /// Returns the retry for a send that is not made.
--- a/src/relay_server/response_buffers.rs
+++ b/src/relay_server/response_buffers.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Maximum size of all responses together that are being read: a quarter of the memory of a usual instance.
+/// Maximum size of all responses of one pool of connections that are being read: a quarter of the memory of a usual instance.
 /// Faulty endpoints may send bytes without end, many at once.
 pub(super) const MAX_TOTAL_BYTES: usize = 64 << 20;
 
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -8,8 +8,8 @@
 use crate::clock::boot_ms;
 use crate::ids::ServiceName;
 use crate::relay::{
-    AttemptLimit, BudgetShare, MAX_ARRIVAL_DELAY_MS, RetryClass, RetryConditions, RetryId,
-    RetryPurpose,
+    AttemptLimit, AttemptOutcome, Attempts, BudgetShare, MAX_ARRIVAL_DELAY_MS, RetryClass,
+    RetryConditions, RetryId, RetryPurpose,
 };
 
 /// A retry that was taken from the budget for the next or the current send of a request.
@@ -93,6 +93,24 @@
         })
     }
 
+    /// Ends the retry of a send that failed, if it used one. `is_settled` means that it cannot arrive later than now.
+    pub(crate) fn end_retry(
+        &self,
+        request: &RelayedRequest,
+        attempts: &mut Attempts,
+        retry: Option<HeldRetry<A>>,
+        outcome: AttemptOutcome,
+        is_settled: bool,
+    ) {
+        let arrived_by_ms = attempts.arrived_by_ms(is_settled, boot_ms());
+        let is_refunded = attempts.take_refund(outcome);
+        match retry {
+            Some(retry) if is_refunded => self.cancel_retry(request, retry),
+            Some(retry) => retry.end(arrived_by_ms),
+            None => {}
+        }
+    }
+
     /// Returns a retry to the budget that was not delivered to any endpoint.
     pub(crate) fn cancel_retry(&self, request: &RelayedRequest, retry: HeldRetry<A>) {
         self.counters.count("relay.repeats.cancelled");
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -114,7 +114,7 @@
     /// Whether the newest run is sent although the request is withheld.
     is_quarantine_trial: bool,
     repairs: u32,
-    /// The retry that was taken for the next or the current run.
+    /// The retry that the next or current run uses.
     retry: Option<HeldRetry<A>>,
     /// Longest time without an event.
     longest_gap_ms: u64,
@@ -256,18 +256,18 @@
         }
     }
 
-    /// Ends the retry of a run. `is_settled` tells that nothing of its request can arrive any more.
+    /// Ends the retry of a failed run. `is_settled` means that its request cannot arrive later than now.
     fn end_retry(&mut self, outcome: AttemptOutcome, is_settled: bool) {
         let has_arrived = self.head_ms.is_some();
-        let arrived_by_ms = self
-            .attempts
-            .arrived_by_ms(is_settled || has_arrived, boot_ms());
-        let is_refunded = self.attempts.take_refund(outcome);
-        match self.retry.take() {
-            Some(retry) if is_refunded => self.node.cancel_retry(&self.request, retry),
-            Some(retry) => retry.end(arrived_by_ms),
-            None => {}
-        }
+        let is_settled = is_settled || has_arrived;
+        let retry = self.retry.take();
+        self.node.end_retry(
+            &self.request,
+            &mut self.attempts,
+            retry,
+            outcome,
+            is_settled,
+        );
     }
 
     /// Returns the retry for a run that is not sent.
--- a/src/relay_server/stream/withheld.rs
+++ b/src/relay_server/stream/withheld.rs
@@ -28,16 +28,11 @@
 
     /// Waits until it is known whether the engine at which the last run was interrupted has exited,
     /// if that decides whether the request is withheld. Otherwise another engine could be lost.
-    pub(super) async fn wait_for_verdict(&mut self) -> Result<(), RefusalCause> {
+    pub(super) async fn wait_for_verdict(&self) -> Result<(), RefusalCause> {
         while self.quarantine_status() == QuarantineStatus::Undecided {
             sleep(Duration::from_millis(VERDICT_POLL_INTERVAL_MS)).await;
         }
-        let checked = self.check_withheld();
-        // Refund the retry that was taken for the run that will not be sent.
-        if checked.is_err() && self.attempts.take_refund(AttemptOutcome::NotSent) {
-            self.return_unsent_retry();
-        }
-        checked
+        self.check_withheld()
     }
 
     fn quarantine_status(&self) -> QuarantineStatus {
