--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -27,6 +27,7 @@
 # Limits of a machine and of callers, as the installation's sheet and its operator's document state them.
 MEMORY_MB = 260
 MAX_FDS = 4200
+LINK_MBPS = 1000.0
 MAX_HEADER_BYTES = 16384
 MAX_BODY_BYTES = 4194304
 IDLE_TIMEOUT_MS = 15000
@@ -267,7 +268,7 @@
             "ip": ip, "zone": zone, "region": "tunis", "zones": zones,
             "listen": {"front": f"{ip}:8227", "ready": f"{ip}:8220", "control": f"{ip}:8229", "directory": f"{ip}:8224"},
             "portRange": [7340, 7355], "seeds": [], "bootstrap": bootstrap, "inTolerance": False,
-            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": MAX_FDS, "linkMbps": 1000.0,
+            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": MAX_FDS, "linkMbps": LINK_MBPS,
                        "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "directory", "heartbeatMs": 1200,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants",
