Log which endpoints a request's maximum no longer counts

Whether a request may run at one more endpoint was decided without a trace: no line told that an endpoint at which it had run was left out of the count, nor whether that was since its process had ended or since this instance reached no endpoint. The last line of a request has the number that counts.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -121,10 +121,14 @@
         (self.endpoints_left() == 0).then_some(&self.ran_on)
     }
 
+    /// Number of endpoints on which the request may have run and that count towards the maximum.
+    pub fn endpoints_used(&self) -> usize {
+        self.ran_on.len() + self.delegated_runs
+    }
+
     /// Number of further endpoints on which the request may run.
     pub fn endpoints_left(&self) -> usize {
-        let used = self.ran_on.len() + self.delegated_runs;
-        self.max_endpoints.saturating_sub(used)
+        self.max_endpoints.saturating_sub(self.endpoints_used())
     }
 
     /// Whether the request may be sent to another instance, which chooses the endpoint.
@@ -238,12 +242,14 @@
     }
 
     /// Forgets endpoints that have exited, since nothing runs there any more, or that this instance no
-    /// longer reaches.
-    pub fn forget_ended<F>(&mut self, has_ended: F)
+    /// longer reaches. Returns them.
+    pub fn forget_ended<F>(&mut self, has_ended: F) -> Vec<EndpointId>
     where
         F: Fn(&EndpointId) -> bool,
     {
-        self.ran_on.retain(|endpoint| !has_ended(endpoint));
+        self.ran_on
+            .extract_if(.., |endpoint| has_ended(endpoint))
+            .collect()
     }
 
     /// Records that the request is about to be sent.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -389,8 +389,19 @@
         let fleet = self.node.fleet.borrow();
         // An engine that has only left the list may continue its current work.
         let is_cut_off = fleet.reach.is_lost(&self.request.service);
-        self.attempts
+        let forgotten = self
+            .attempts
             .forget_ended(|id| is_cut_off || fleet.has_ended(id));
+        for endpoint in &forgotten {
+            log::info!(
+                request = self.request.ask.id.as_str(),
+                endpoint = endpoint.as_str(),
+                has_ended = fleet.has_ended(endpoint),
+                is_cut_off,
+                endpoints_used = self.attempts.endpoints_used();
+                "endpoint no longer counts towards the maximum of a request"
+            );
+        }
     }
 
     /// Reports that engines survive this request.
--- a/src/relay_server/stream/ending.rs
+++ b/src/relay_server/stream/ending.rs
@@ -102,6 +102,7 @@
             limit = limit.map(AttemptLimit::name),
             repeats_left = self.node.retries_left(&self.request.service),
             sends = self.attempts.sends(),
+            endpoints_used = self.attempts.endpoints_used(),
             turned_away = self.attempts.turned_away(),
             delegated_by = self.request.delegated_by(),
             known_at_send = self.send_context.endpoints.as_str(),
