An endpoint that gives no answer counts towards a request's maximum

Callers saw streams run on three and four endpoints where their route allows two (BUDGET, "on more engines than their route's maxAttempts").

Cause: while no endpoint of a service accepts connections of an instance, it holds that it is partitioned from them, and left the endpoints at which a request had run out of its count, since those that are cut off don't count. But a process that stands still with a full accept queue looks the same to new connections, and goes on with its runs once it goes on. What was believed was counted as a fact; the class is a limit that is kept by a belief.

Now an endpoint is out of the count only if its process has ended or it refuses connections, which neither a stopped nor an overloaded process does.

The tests of partitions pass: a partition that refuses is known for what it is, and one that gives no answer leaves one of two endpoints for a run at another instance.

--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -146,6 +146,14 @@
         self.ended.contains_key(id) || self.get(id).is_some_and(is_gone)
     }
 
+    /// Whether an endpoint has exited or is partitioned from this instance, as refused connections show. One
+    /// that stands still or is overloaded gives no answer instead, and so does one behind a partition that
+    /// drops packets: these cannot be told apart.
+    pub(crate) fn is_gone(&self, id: &EndpointId) -> bool {
+        let known = self.get(id);
+        self.has_ended(id) || known.is_some_and(|known| known.health.refused_ms().is_some())
+    }
+
     /// Forgets that endpoints of a service were found unreachable after `at_ms`, when a connection to any of
     /// them was last attempted with success: this instance was partitioned from them. Returns how many were.
     pub(crate) fn forgive_unreachable_since(&mut self, service: &ServiceName, at_ms: u64) -> usize {
--- a/src/fleet/refusal_tests.rs
+++ b/src/fleet/refusal_tests.rs
@@ -34,6 +34,17 @@
     assert!(fleet.get(&a).is_some_and(|known| !known.accepts_work()));
 }
 
+#[test]
+fn an_endpoint_that_gives_no_answer_is_not_gone_though_none_is_reached() {
+    let (mut fleet, silent, refusing) = two_endpoints();
+    let service = fleet.get(&silent).expect("listed").listed.service.clone();
+    fleet.record_failure(&silent, EndpointFailure::Unreachable, 100);
+    fleet.record_failure(&refusing, EndpointFailure::Refused, 100);
+    fleet.reach.of(&service).record_none_reached(101);
+    assert!(fleet.reach.is_lost(&service));
+    assert!(!fleet.is_gone(&silent) && fleet.is_gone(&refusing));
+}
+
 #[test]
 fn an_endpoint_of_another_service_shows_nothing_about_one_that_refuses() {
     let (mut fleet, a, _) = two_endpoints();
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -61,7 +61,7 @@
 ///
 /// Invariants: a request that must run at most once and may have run is not sent again, and its
 /// final error is not [`FinalError::NotRun`]; the request may have run on at most `max_endpoints`
-/// live endpoints; once the caller holds part of a resumable response, neither a rejected retry nor
+/// endpoints that are not gone; once the caller holds part of a resumable response, neither a rejected retry nor
 /// an exhausted budget ends it.
 #[derive(Clone, Debug)]
 pub struct Attempts {
@@ -71,7 +71,7 @@
     excluded: IndexSet<EndpointId>,
     /// Endpoints that were excluded and then readmitted.
     readmitted: IndexSet<EndpointId>,
-    /// Endpoints on which the request may have run and that have not exited since.
+    /// Endpoints on which the request may have run and that are not known to be gone since.
     ran_on: IndexSet<EndpointId>,
     /// Runs at endpoints that other instances chose.
     delegated_runs: usize,
@@ -207,15 +207,11 @@
         }
     }
 
-    /// The state after the current run would be abandoned at an endpoint that this instance no longer
-    /// reaches; `None` if no other run could follow.
+    /// The state after the current run would be abandoned; `None` if no other run could follow.
     pub fn after_abandoning(&self) -> Option<Self> {
         let mut abandoned = self.clone();
         match abandoned.attempt_ended(AttemptOutcome::Abandoned, || true) {
-            NextStep::Retry | NextStep::Resume => {
-                abandoned.forget_ended(|_| true);
-                Some(abandoned)
-            }
+            NextStep::Retry | NextStep::Resume => Some(abandoned),
             NextStep::ForwardFailure(_) | NextStep::GiveUp(_) => None,
         }
     }
@@ -241,14 +237,14 @@
         self.arrivals_until_ms.max(now_ms)
     }
 
-    /// Forgets endpoints that have exited, since nothing runs there any more, or that this instance no
-    /// longer reaches. Returns them.
-    pub fn forget_ended<F>(&mut self, has_ended: F) -> Vec<EndpointId>
+    /// Forgets endpoints that have exited or are partitioned from this instance, and returns them. One that
+    /// merely gives no answer may go on running the request, and counts.
+    pub fn forget_gone<F>(&mut self, is_gone: F) -> Vec<EndpointId>
     where
         F: Fn(&EndpointId) -> bool,
     {
         self.ran_on
-            .extract_if(.., |endpoint| has_ended(endpoint))
+            .extract_if(.., |endpoint| is_gone(endpoint))
             .collect()
     }
 
--- a/src/relay/limits_tests.rs
+++ b/src/relay/limits_tests.rs
@@ -83,6 +83,21 @@
     assert_eq!(limit(RefusalCause::NoEndpoint), AttemptLimit::NoEndpoint);
 }
 
+#[test]
+fn an_abandoned_run_counts_towards_the_endpoint_limit_whatever_is_reached() {
+    let mut attempts = Attempts::new(STREAM, 2);
+    attempts.send_started(&EndpointId::from("a"));
+    attempts.response_started();
+    let abandoned = attempts.after_abandoning().expect("another run may follow");
+    assert_eq!(abandoned.endpoints_left(), 1);
+    attempts.attempt_ended(AttemptOutcome::Abandoned, || true);
+    assert!(attempts.forget_gone(|_| false).is_empty());
+    assert_eq!(
+        (attempts.endpoints_used(), attempts.endpoints_left()),
+        (1, 1)
+    );
+}
+
 #[test]
 fn sends_and_rejections_are_counted() {
     let mut attempts = Attempts::new(STREAM, 2);
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -268,7 +268,7 @@
         runs += 1;
         attempts.send_started(&EndpointId::from(format!("e{runs}")));
         match attempts.attempt_ended(AttemptOutcome::Lost, || true) {
-            NextStep::Resume => drop(attempts.forget_ended(|_| true)),
+            NextStep::Resume => drop(attempts.forget_gone(|_| true)),
             last => break last,
         }
     };
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -279,7 +279,7 @@
 
     async fn next_target(&mut self) -> Result<RunTarget, RefusalCause> {
         self.wait_for_verdict().await?;
-        self.forget_ended();
+        self.forget_gone();
         if self.attempts.has_started() {
             return self.target_to_resume().await;
         }
@@ -383,21 +383,17 @@
         }
     }
 
-    /// Engines that have exited, or that this instance no longer reaches, do not count among those on
-    /// which the request ran.
-    fn forget_ended(&mut self) {
+    /// Engines that have exited or are partitioned from this instance do not count among those on which the
+    /// request ran. That no engine accepts connections shows neither.
+    fn forget_gone(&mut self) {
         let fleet = self.node.fleet.borrow();
         // An engine that has only left the list may continue its current work.
-        let is_cut_off = fleet.reach.is_lost(&self.request.service);
-        let forgotten = self
-            .attempts
-            .forget_ended(|id| is_cut_off || fleet.has_ended(id));
+        let forgotten = self.attempts.forget_gone(|id| fleet.is_gone(id));
         for endpoint in &forgotten {
             log::info!(
                 request = self.request.ask.id.as_str(),
                 endpoint = endpoint.as_str(),
                 has_ended = fleet.has_ended(endpoint),
-                is_cut_off,
                 endpoints_used = self.attempts.endpoints_used();
                 "endpoint no longer counts towards the maximum of a request"
             );
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -28,7 +28,7 @@
         let mut place = None;
         loop {
             self.check_withheld()?;
-            self.forget_ended();
+            self.forget_gone();
             let now_ms = boot_ms();
             let has_turn = place
                 .as_ref()
