A running stream leaves its engine only if another instance reaches endpoints

While all endpoints stood still, each instance held that it was partitioned from them: it abandoned streams after 300 ms of silence and passed them on to instances that were no better off.

Only their word tells a partition from endpoints that stand still. A stream that may have run is delegated only then, and is not given up for a run that could not be sent either. Requests that have not run are delegated as before.

All instances must run this release: the question is new.

--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -8,6 +8,9 @@
 
 use crate::ids::ServiceName;
 
+/// How long the word of another instance that it reaches endpoints counts: several intervals between inquiries.
+const REACHED_ELSEWHERE_TTL_MS: u64 = 1_000;
+
 /// A change of whether endpoints are reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReachChange {
@@ -36,6 +39,13 @@
             .is_some_and(EndpointReach::is_lost)
     }
 
+    /// Whether this instance is partitioned from the endpoints of a service: none accepts its connections, while
+    /// another instance reaches them. Without such an instance the endpoints may stand still.
+    pub(crate) fn is_cut_off(&self, service: &ServiceName, now_ms: u64) -> bool {
+        let reach = self.services.get(service);
+        reach.is_some_and(|reach| reach.is_cut_off(now_ms))
+    }
+
     /// Services of which no endpoint accepts connections of this instance.
     pub(crate) fn lost_services(&self) -> impl Iterator<Item = &ServiceName> {
         let lost = self.services.iter().filter(|(_, reach)| reach.is_lost());
@@ -63,7 +73,7 @@
     }
 
     /// Whether an endpoint of a service was reached by a connection that was attempted at `at_ms` or later.
-    pub(super) fn is_shown_since(&self, service: &ServiceName, at_ms: u64) -> bool {
+    pub(crate) fn is_shown_since(&self, service: &ServiceName, at_ms: u64) -> bool {
         let reach = self.services.get(service);
         reach.is_some_and(|reach| reach.is_shown_since(at_ms))
     }
@@ -83,6 +93,8 @@
     failed_ms: u64,
     /// Since when no endpoint has accepted a connection, if a check has shown that.
     lost_since_ms: Option<u64>,
+    /// When another instance was last asked that reached an endpoint, since then.
+    reached_elsewhere_ms: Option<u64>,
 }
 
 impl EndpointReach {
@@ -91,6 +103,22 @@
         self.lost_since_ms.is_some()
     }
 
+    /// Whether no endpoint accepts connections of this instance, while another instance reaches them.
+    pub(crate) fn is_cut_off(&self, now_ms: u64) -> bool {
+        let is_recent = |asked_ms| now_ms < asked_ms + REACHED_ELSEWHERE_TTL_MS;
+        self.is_lost() && self.reached_elsewhere_ms.is_some_and(is_recent)
+    }
+
+    /// Records that another instance, asked at `asked_ms`, reaches an endpoint.
+    pub(crate) fn record_reached_elsewhere(&mut self, asked_ms: u64) {
+        if self
+            .lost_since_ms
+            .is_some_and(|since_ms| since_ms <= asked_ms)
+        {
+            self.reached_elsewhere_ms = Some(asked_ms);
+        }
+    }
+
     /// Whether an endpoint was reached by a connection that was attempted at `at_ms` or later.
     pub(crate) fn is_shown_since(&self, at_ms: u64) -> bool {
         self.connected_ms >= at_ms
@@ -123,6 +151,7 @@
             return None;
         }
         self.lost_since_ms = Some(started_ms);
+        self.reached_elsewhere_ms = None;
         Some(ReachChange::Lost)
     }
 }
--- a/src/fleet/reach_tests.rs
+++ b/src/fleet/reach_tests.rs
@@ -36,3 +36,23 @@
     assert_eq!(reach.record_none_reached(11), None);
     assert!(!reach.is_lost());
 }
+
+#[test]
+fn an_instance_is_cut_off_only_while_another_one_reaches_endpoints() {
+    let mut reach = EndpointReach::default();
+    reach.record_unreachable(10);
+    reach.record_reached_elsewhere(10);
+    reach.record_none_reached(11);
+    assert!(reach.is_lost() && !reach.is_cut_off(12));
+    // Asked before the loss.
+    reach.record_reached_elsewhere(9);
+    assert!(!reach.is_cut_off(12));
+    reach.record_reached_elsewhere(20);
+    assert!(reach.is_cut_off(1_019) && !reach.is_cut_off(1_020));
+    reach.record_reached_elsewhere(1_100);
+    reach.record_connected(1_200, 1_201);
+    assert!(!reach.is_cut_off(1_202));
+    reach.record_unreachable(1_300);
+    reach.record_none_reached(1_301);
+    assert!(reach.is_lost() && !reach.is_cut_off(1_302));
+}
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -89,7 +89,8 @@
 /// Why a request is delegated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DelegationReason {
-    /// This instance reaches no endpoint of the service.
+    /// This instance reaches no endpoint of the service. For a request that may have run, only if another
+    /// instance reaches them: its endpoint may merely stand still, and then goes on with it.
     CutOff,
     /// No endpoint that is left can run the request, and some are unreachable from here. Endpoints that all
     /// instances reach are no reason.
@@ -174,10 +175,10 @@
         tried: &IndexSet<InstanceId>,
     ) -> Option<Delegate> {
         let may_delegate = request.delegation.is_none() && attempts.may_delegate();
-        if !may_delegate || !self.applies(reason, &request.service) {
+        let now_ms = boot_ms();
+        if !may_delegate || !self.applies(reason, &request.service, attempts, now_ms) {
             return None;
         }
-        let now_ms = boot_ms();
         let history = self.delegation_history.borrow();
         let may_ask = |it: &Delegate| {
             !tried.contains(&it.instance) && history.may_ask(&request.service, &it.instance, now_ms)
@@ -187,9 +188,18 @@
         weighted_by_link(&delegates, |it| it.link_mbps, self.random_u64()).cloned()
     }
 
-    fn applies(&self, reason: DelegationReason, service: &ServiceName) -> bool {
+    fn applies(
+        &self,
+        reason: DelegationReason,
+        service: &ServiceName,
+        attempts: &Attempts,
+        now_ms: u64,
+    ) -> bool {
         let fleet = self.fleet.borrow();
         match reason {
+            DelegationReason::CutOff if attempts.may_have_run() => {
+                fleet.reach.is_cut_off(service, now_ms)
+            }
             DelegationReason::CutOff => fleet.reach.is_lost(service),
             DelegationReason::NoneUsable => fleet
                 .of_service(service)
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -74,6 +74,7 @@
 mod quarantine_rows;
 mod query;
 mod reach;
+mod reach_inquiry;
 mod recipients;
 #[cfg(test)]
 mod recipients_tests;
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -12,6 +12,7 @@
 
 use super::adapter::Adapter;
 use super::node::Node;
+use super::reach_inquiry::inquire;
 use crate::clock::boot_ms;
 use crate::fleet::{EndpointFailure, Fleet, KnownEndpoint, ReachChange};
 use crate::ids::{EndpointId, ServiceName};
@@ -50,14 +51,16 @@
     }
 }
 
-/// Checks a service until one of its endpoints is reached.
+/// Checks a service until one of its endpoints is reached, and asks other instances meanwhile.
 async fn check_until_reached<A>(node: &Rc<Node<A>>, service: &ServiceName)
 where
     A: Adapter,
 {
     while node.fleet.borrow().reach.needs_check(service) {
         if !check(node, service).await {
-            sleep(RECHECK_INTERVAL).await;
+            let inquiry = timeout(RECHECK_INTERVAL, inquire(node, service));
+            // An inquiry that takes as long says nothing; the next one may.
+            let _ = tokio::join!(sleep(RECHECK_INTERVAL), inquiry);
         }
     }
     // Endpoints that refuse connections are now known to have ended, or not to have.
@@ -67,7 +70,7 @@
 
 /// Tries to connect to several endpoints of a service, one after the other. Returns whether one of them accepted, or
 /// there is none.
-async fn check<A>(node: &Node<A>, service: &ServiceName) -> bool
+pub(super) async fn check<A>(node: &Node<A>, service: &ServiceName) -> bool
 where
     A: Adapter,
 {
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -18,7 +18,8 @@
 use super::settings::RelaySettings;
 use super::traffic::bytes_between_zones;
 use super::{
-    checks, delegation, duty, feeds, front, peer_list, peers, reach, records, room_notice, snapshot,
+    checks, delegation, duty, feeds, front, peer_list, peers, reach, reach_inquiry, records,
+    room_notice, snapshot,
 };
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
@@ -169,6 +170,7 @@
                     let query = request.uri().query().unwrap_or("");
                     match request.path() {
                         peer_list::PEER_LIST_PATH => peer_list::respond(&node, query),
+                        reach_inquiry::REACH_PATH => reach_inquiry::respond(&node, query).await,
                         _ => snapshot::respond(&node, query, request.peer_addr()),
                     }
                 }
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -37,7 +37,7 @@
     pub(super) fn should_delegate_silent_run(&self, now_ms: u64) -> bool {
         let node = &self.node;
         let service = &self.request.service;
-        let is_cut_off = node.fleet.borrow().reach.is_lost(service);
+        let is_cut_off = node.fleet.borrow().reach.is_cut_off(service, now_ms);
         if !is_cut_off || self.stall.silence_ms(now_ms) < MAX_SILENCE_MS {
             return false;
         }
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -28,7 +28,7 @@
         }
         match self.stall.next_action(boot_ms()) {
             StallAction::Wait => Ok(()),
-            StallAction::GiveUp if !self.can_resume(held.chain()) => {
+            StallAction::GiveUp if self.reaches_none() || !self.can_resume(held.chain()) => {
                 self.stall.chain_changed(boot_ms());
                 Ok(())
             }
@@ -133,6 +133,12 @@
         ))
     }
 
+    /// Whether no engine accepts connections of this instance, so that it could not send another run.
+    fn reaches_none(&self) -> bool {
+        let fleet = self.node.fleet.borrow();
+        fleet.reach.is_lost(&self.request.service)
+    }
+
     /// Whether another run could resume where the current one stands.
     fn can_resume(&self, current: &Chain) -> bool {
         let Some(trial) = self.attempts.after_losing(&current.first().endpoint) else {
@@ -195,8 +201,7 @@
     fn unhealthy_stages(&self, chain: &Chain) -> Vec<EndpointId> {
         let fleet = self.node.fleet.borrow();
         let first = &chain.first().endpoint;
-        let is_silent =
-            self.stall.is_silent(boot_ms()) && !fleet.reach.is_lost(&self.request.service);
+        let is_silent = self.stall.is_silent(boot_ms()) && !self.reaches_none();
         let is_unhealthy = |id: &EndpointId| {
             let is_excluded = id != first && self.attempts.excluded().contains(id);
             let is_lost = fleet
