A stream may return to an engine that it could not be sent to

A partial response may return to an excluded engine once. Where both engines that its route allows had been readmitted, and a connection to the second was not made in time, it waited until its caller left though both were sound ("stream waits to resume", lacks chain, 8.5 s): the connection that was not made counted like a run that failed.

An attempt that was not sent takes no retry, so the engine is readmitted again 300 ms later, as long as a connection is waited for. After a run that failed it stays so, as before.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -1,6 +1,6 @@
 //! Tracks the attempts to serve one request and decides what follows each of them.
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::window::MAX_ARRIVAL_DELAY_MS;
 use super::{AttemptLimit, FinalError, RefusalCause, RelayFailure};
@@ -18,6 +18,10 @@
 /// losses are likely caused by the request itself and would use up retries that others need.
 const MAX_RUNS: u32 = 8;
 
+/// How long a partial response does not return to an endpoint to which an attempt could not be sent: as long as
+/// a connection is waited for.
+const UNSENT_EXCLUSION_MS: u64 = 300;
+
 /// How an attempt ended that produced no response to forward.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -71,6 +75,8 @@
     excluded: IndexSet<EndpointId>,
     /// Endpoints that were excluded and then readmitted.
     readmitted: IndexSet<EndpointId>,
+    /// Excluded endpoints to which the newest attempt was not sent, and when that was.
+    unsent_ms: IndexMap<EndpointId, u64>,
     /// Endpoints on which the request may have run and that are not known to be gone since.
     ran_on: IndexSet<EndpointId>,
     /// Runs at endpoints that other instances chose.
@@ -98,6 +104,7 @@
             max_endpoints: max_endpoints.max(1) as usize,
             excluded: IndexSet::new(),
             readmitted: IndexSet::new(),
+            unsent_ms: IndexMap::new(),
             ran_on: IndexSet::new(),
             delegated_runs: 0,
             current_send: None,
@@ -175,23 +182,39 @@
     /// Excludes the endpoint at which an attempt failed. An endpoint that rejected a resumed
     /// response is not excluded: it may have capacity again long before the deadline, and until
     /// then the fleet marks it as full.
-    pub fn exclude_after(&mut self, endpoint: &EndpointId, outcome: AttemptOutcome) {
-        if !(self.has_started && outcome == AttemptOutcome::TurnedAway) {
-            self.exclude(endpoint);
+    pub fn exclude_after(&mut self, endpoint: &EndpointId, outcome: AttemptOutcome, now_ms: u64) {
+        if self.has_started && outcome == AttemptOutcome::TurnedAway {
+            return;
+        }
+        self.exclude(endpoint);
+        if outcome == AttemptOutcome::NotSent {
+            self.unsent_ms.insert(endpoint.clone(), now_ms);
+        } else {
+            self.unsent_ms.swap_remove(endpoint);
         }
     }
 
-    /// Readmits endpoints that are healthy again, each of them once. This is for a partial response
-    /// that no other endpoint can resume: the reason for the exclusion may have been wrong or may
-    /// be over, while without the endpoint the response certainly ends. An endpoint that keeps
-    /// failing immediately would otherwise take a retry every few milliseconds.
-    pub fn readmit<F>(&mut self, is_healthy: F)
+    /// Readmits endpoints that are healthy again. This is for a partial response that no other endpoint
+    /// can resume: the reason for the exclusion may have been wrong or may be over, while without the
+    /// endpoint the response certainly ends. Each is readmitted once, and again some time after an attempt
+    /// that was not sent, which takes no retry. An endpoint that keeps failing immediately would otherwise
+    /// take one every few milliseconds.
+    pub fn readmit<F>(&mut self, is_healthy: F, now_ms: u64)
     where
         F: Fn(&EndpointId) -> bool,
     {
-        let readmitted = &mut self.readmitted;
+        let (readmitted, unsent_ms) = (&mut self.readmitted, &mut self.unsent_ms);
+        let mut is_readmitted = |endpoint: &EndpointId| {
+            let at_ms = unsent_ms.get(endpoint);
+            let is_due = at_ms.is_some_and(|at_ms| now_ms >= at_ms + UNSENT_EXCLUSION_MS);
+            let is_first = readmitted.insert(endpoint.clone());
+            if is_first || is_due {
+                unsent_ms.swap_remove(endpoint);
+            }
+            is_first || is_due
+        };
         self.excluded
-            .retain(|endpoint| !(is_healthy(endpoint) && readmitted.insert(endpoint.clone())));
+            .retain(|endpoint| !(is_healthy(endpoint) && is_readmitted(endpoint)));
     }
 
     /// The state after the run at `first` would be lost; `None` if no other run could follow.
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -247,15 +247,15 @@
 fn partial_response_may_return_to_an_endpoint_that_was_full() {
     let (first, full) = (EndpointId::from("first"), EndpointId::from("full"));
     let mut attempts = Attempts::new(RetryPolicy::Stream { resumable: true }, 2);
-    attempts.exclude_after(&full, AttemptOutcome::TurnedAway);
+    attempts.exclude_after(&full, AttemptOutcome::TurnedAway, 0);
     assert!(
         attempts.excluded().contains(&full),
         "no response has started"
     );
     let mut attempts = Attempts::new(RetryPolicy::Stream { resumable: true }, 2);
     attempts.response_started();
-    attempts.exclude_after(&first, AttemptOutcome::Lost);
-    attempts.exclude_after(&full, AttemptOutcome::TurnedAway);
+    attempts.exclude_after(&first, AttemptOutcome::Lost, 0);
+    attempts.exclude_after(&full, AttemptOutcome::TurnedAway, 0);
     assert_eq!(attempts.excluded().iter().collect::<Vec<_>>(), [&first]);
 }
 
--- a/src/relay/unsent_tests.rs
+++ b/src/relay/unsent_tests.rs
@@ -68,7 +68,7 @@
     let mut attempts = after_a_lost_run();
     attempts.exclude(&healthy);
     attempts.exclude(&dead);
-    attempts.readmit(|endpoint| *endpoint == healthy);
+    attempts.readmit(|endpoint| *endpoint == healthy, 0);
     assert_eq!(attempts.excluded().iter().collect::<Vec<_>>(), [&dead]);
 }
 
@@ -78,7 +78,26 @@
     let mut attempts = after_a_lost_run();
     for is_first in [true, false] {
         attempts.exclude(&engine);
-        attempts.readmit(|_| true);
+        attempts.readmit(|_| true, 10_000);
         assert_eq!(attempts.excluded().is_empty(), is_first);
     }
 }
+
+#[test]
+fn engine_that_could_not_be_sent_to_is_readmitted_again_after_a_while() {
+    let engine = EndpointId::from("a");
+    let mut attempts = after_a_lost_run();
+    attempts.exclude(&engine);
+    attempts.readmit(|_| true, 100);
+    attempts.exclude_after(&engine, AttemptOutcome::NotSent, 1_000);
+    attempts.readmit(|_| true, 1_299);
+    assert!(attempts.excluded().contains(&engine), "it fails at once");
+    attempts.readmit(|_| true, 1_300);
+    assert!(!attempts.excluded().contains(&engine));
+    attempts.exclude_after(&engine, AttemptOutcome::Lost, 1_310);
+    attempts.readmit(|_| true, 9_000);
+    assert!(
+        attempts.excluded().contains(&engine),
+        "its run took a retry"
+    );
+}
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -244,7 +244,7 @@
             silent_ms = self.stall.silence_ms(now_ms);
             "run failed"
         );
-        self.attempts.exclude_after(at_fault, outcome);
+        self.attempts.exclude_after(at_fault, outcome, now_ms);
         self.record_interrupted_run(at_fault, outcome);
     }
 
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -5,6 +5,7 @@
 use super::{RunTarget, StreamRelay};
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, KnownEndpoint};
+use crate::ids::EndpointId;
 use crate::relay::{RefusalCause, ResumeBlocker, RetryPurpose};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::capacity_queue::{QueuePlace, QueueWake};
@@ -116,7 +117,10 @@
         if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff) {
             return Ok(RunTarget::Delegate(delegate));
         }
-        let Some(chain) = self.plan(None).or_else(|| self.plan_with_readmitted()) else {
+        let Some(chain) = self
+            .plan(None)
+            .or_else(|| self.plan_with_readmitted(now_ms))
+        else {
             let delegate = self.choose_delegate(DelegationReason::NoneUsable);
             return delegate
                 .map(RunTarget::Delegate)
@@ -130,10 +134,10 @@
     }
 
     /// A chain that includes engines which were excluded from this request and are healthy again.
-    fn plan_with_readmitted(&mut self) -> Option<Chain> {
+    fn plan_with_readmitted(&mut self, now_ms: u64) -> Option<Chain> {
         let fleet = self.node.fleet.borrow();
-        self.attempts
-            .readmit(|id| fleet.get(id).is_some_and(KnownEndpoint::accepts_work));
+        let is_healthy = |id: &EndpointId| fleet.get(id).is_some_and(KnownEndpoint::accepts_work);
+        self.attempts.readmit(is_healthy, now_ms);
         drop(fleet);
         self.plan(None)
     }
