A delegated request counts on as many endpoints as it may have run on

A request that fails at another instance now counts as having run on all the endpoints that it was allowed there. A stream keeps one back for a run after the other instance has ended, so that with two allowed each side has one.

Test: endpoints_that_another_instance_may_have_used_count_towards_the_limit; before, the count was one for each delegation, whatever it was allowed.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -57,8 +57,11 @@
 #[derive(Clone, Debug)]
 enum SendTarget {
     Endpoint(EndpointId),
-    /// Another instance, which chooses the endpoint.
-    Instance,
+    /// Another instance, which chooses the endpoints.
+    Instance {
+        /// Maximum number of endpoints on which it may run the request.
+        max_endpoints: usize,
+    },
 }
 
 /// The attempts of one request.
@@ -79,8 +82,8 @@
     unsent_ms: IndexMap<EndpointId, u64>,
     /// Endpoints on which the request may have run and that are not known to be gone since.
     ran_on: IndexSet<EndpointId>,
-    /// Runs at endpoints that other instances chose.
-    delegated_runs: usize,
+    /// Endpoints on which other instances may have run the request.
+    delegated_endpoints: usize,
     /// Target of the send whose outcome is not known yet.
     current_send: Option<SendTarget>,
     turned_away: u32,
@@ -106,7 +109,7 @@
             readmitted: IndexSet::new(),
             unsent_ms: IndexMap::new(),
             ran_on: IndexSet::new(),
-            delegated_runs: 0,
+            delegated_endpoints: 0,
             current_send: None,
             turned_away: 0,
             runs: 0,
@@ -130,7 +133,7 @@
 
     /// Number of endpoints on which the request may have run and that count towards the maximum.
     pub fn endpoints_used(&self) -> usize {
-        self.ran_on.len() + self.delegated_runs
+        self.ran_on.len() + self.delegated_endpoints
     }
 
     /// Number of further endpoints on which the request may run.
@@ -138,7 +141,16 @@
         self.max_endpoints.saturating_sub(self.endpoints_used())
     }
 
-    /// Whether the request may be sent to another instance, which chooses the endpoint.
+    /// Number of endpoints on which another instance may run the request. A stream keeps one back, since the
+    /// other instance may end in the middle of it.
+    pub fn endpoints_to_delegate(&self) -> usize {
+        match self.endpoints_left() {
+            left if left > 1 && self.retry_policy.is_stream() => left - 1,
+            left => left,
+        }
+    }
+
+    /// Whether the request may be sent to another instance, which chooses the endpoints.
     pub fn may_delegate(&self) -> bool {
         let may_run = !self.may_have_run() || self.retry_policy.allows_retry();
         may_run && self.endpoints_left() > 0
@@ -277,9 +289,13 @@
         self.target_chosen(target, || endpoint.to_string());
     }
 
-    /// Records that the request is about to be sent to another instance.
-    pub fn delegation_started(&mut self, instance: &InstanceId) {
-        self.target_chosen(SendTarget::Instance, || instance.to_string());
+    /// Records that the request is about to be sent to another instance, and returns on how many endpoints
+    /// that may run it. If it fails there, it counts as having run on all of them.
+    pub fn delegation_started(&mut self, instance: &InstanceId) -> usize {
+        let max_endpoints = self.endpoints_to_delegate();
+        let target = SendTarget::Instance { max_endpoints };
+        self.target_chosen(target, || instance.to_string());
+        max_endpoints
     }
 
     fn target_chosen<F>(&mut self, target: SendTarget, name: F)
@@ -309,7 +325,9 @@
                 self.runs += 1;
                 match target {
                     Some(SendTarget::Endpoint(endpoint)) => drop(self.ran_on.insert(endpoint)),
-                    Some(SendTarget::Instance) => self.delegated_runs += 1,
+                    Some(SendTarget::Instance { max_endpoints }) => {
+                        self.delegated_endpoints += max_endpoints;
+                    }
                     None => {}
                 }
             }
--- a/src/relay/limits_tests.rs
+++ b/src/relay/limits_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, InstanceId};
 use crate::route_table::RetryPolicy;
 
 const STREAM: RetryPolicy = RetryPolicy::Stream { resumable: true };
@@ -98,6 +98,26 @@
     );
 }
 
+#[test]
+fn endpoints_that_another_instance_may_have_used_count_towards_the_limit() {
+    let other = InstanceId::from("other");
+    let mut stream = Attempts::new(STREAM, 3);
+    assert_eq!(stream.delegation_started(&other), 2);
+    stream.attempt_ended(AttemptOutcome::Lost, || true);
+    assert_eq!((stream.endpoints_used(), stream.endpoints_left()), (2, 1));
+    assert_eq!(stream.delegation_started(&other), 1);
+    stream.attempt_ended(AttemptOutcome::TurnedAway, || true);
+    assert_eq!(stream.endpoints_left(), 1);
+    let mut whole = Attempts::new(RetryPolicy::Idempotent, 2);
+    assert_eq!(whole.delegation_started(&other), 2);
+    let next = whole.attempt_ended(AttemptOutcome::Lost, || true);
+    let end = RelayFailure {
+        error: FinalError::Unknown,
+        limit: AttemptLimit::Endpoints,
+    };
+    assert_eq!(next, NextStep::GiveUp(end));
+}
+
 #[test]
 fn sends_and_rejections_are_counted() {
     let mut attempts = Attempts::new(STREAM, 2);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -15,7 +15,7 @@
 use self::delegate::delegate_once;
 use super::adapter::{Adapter, ResponseMetadata};
 use super::delegates::Delegate;
-use super::delegation::DelegationReason;
+use super::delegation::{DelegatedRun, DelegationReason};
 use super::exits::{probe_replica_in_background, replica_may_have_exited};
 use super::headers;
 use super::node::Node;
@@ -269,9 +269,14 @@
         &mut self,
         delegate: &Delegate,
     ) -> Result<CompleteResponse, AttemptOutcome> {
-        self.attempts.delegation_started(&delegate.instance);
+        let run = DelegatedRun {
+            request: self.request,
+            delegate,
+            max_endpoints: self.attempts.delegation_started(&delegate.instance),
+            resume_after: None,
+        };
         self.tried_delegates.insert(delegate.instance.clone());
-        delegate_once(self.node, self.request, delegate, &self.attempts).await
+        delegate_once(self.node, run).await
     }
 
     /// A failure response from an endpoint is more informative than an error of the relay itself.
--- a/src/relay_server/plain/delegate.rs
+++ b/src/relay_server/plain/delegate.rs
@@ -2,31 +2,24 @@
 
 use super::{CompleteResponse, MAX_RESPONSE_BYTES};
 use crate::clock::boot_ms;
-use crate::relay::{AttemptOutcome, Attempts};
+use crate::relay::AttemptOutcome;
 use crate::relay_server::adapter::Adapter;
-use crate::relay_server::delegates::Delegate;
 use crate::relay_server::delegation::{DelegatedRun, failed};
 use crate::relay_server::headers;
 use crate::relay_server::node::Node;
-use crate::relay_server::request::RelayedRequest;
 use crate::relay_server::traffic::TrafficKind;
 
 /// Has another instance serve a request, and returns its response once it is complete.
 pub(super) async fn delegate_once<A>(
     node: &Node<A>,
-    request: &RelayedRequest,
-    delegate: &Delegate,
-    attempts: &Attempts,
+    run: DelegatedRun<'_>,
 ) -> Result<CompleteResponse, AttemptOutcome>
 where
     A: Adapter,
 {
-    let run = DelegatedRun {
-        request,
-        delegate,
-        max_endpoints: attempts.endpoints_left(),
-        resume_after: None,
-    };
+    let DelegatedRun {
+        request, delegate, ..
+    } = run;
     let (head, mut body) = node.delegate_request(run).await?;
     let facts = node.adapter.parse_response_metadata(&head);
     let is_own = facts.id.as_deref() == Some(request.ask.id.as_str());
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -51,13 +51,13 @@
 
     /// Has another instance serve a run, and forwards its events.
     pub(super) async fn run_by_delegate(&mut self, delegate: &Delegate) -> RunOutcome {
-        self.attempts.delegation_started(&delegate.instance);
+        let max_endpoints = self.attempts.delegation_started(&delegate.instance);
         self.chain = None;
         self.stall.run_started(boot_ms());
         let run = DelegatedRun {
             request: &self.request,
             delegate,
-            max_endpoints: self.attempts.endpoints_left(),
+            max_endpoints,
             resume_after: self.splitter.last_id(),
         };
         let response = self.node.delegate_request(run).await;
