A delegated request that endpoints turned away was sent

An instance that serves for another said "not sent" by the cause of its refusal alone. A request that endpoints had turned away, and that found none left then (no endpoint, no chain, a rate limit), was not sent by its word: the retry went back to the budget, and the next send took none, although endpoints had received it.

Whether any endpoint received a request is part of its final error now, taken from the sends that were made.

Tests: a_delegated_request_that_endpoints_turned_away_was_sent, and the property test of attempts holds it for any sequence of outcomes.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -67,7 +67,7 @@
 /// The attempts of one request.
 ///
 /// Invariants: a request that must run at most once and may have run is not sent again, and its
-/// final error is not [`FinalError::NotRun`]; the request may have run on at most `max_endpoints`
+/// final error is neither [`FinalError::NotRun`] nor [`FinalError::TurnedAway`]; the request may have run on at most `max_endpoints`
 /// endpoints that are not gone; once the caller holds part of a resumable response, neither a rejected retry nor
 /// an exhausted budget ends it.
 #[derive(Clone, Debug)]
@@ -356,6 +356,7 @@
 
     fn final_error(&self, cause: RefusalCause) -> FinalError {
         match (self.may_have_run() || self.current_send.is_some(), cause) {
+            (false, cause) if self.sends > 0 => FinalError::TurnedAway(cause),
             (false, cause) => FinalError::NotRun(cause),
             (true, RefusalCause::TooLate) => FinalError::TimedOut,
             (true, _) => FinalError::Unknown,
--- a/src/relay/limits_tests.rs
+++ b/src/relay/limits_tests.rs
@@ -44,7 +44,7 @@
 fn repeatedly_rejected_request_ends_at_the_rejection_limit() {
     let end = failure_after(STREAM, 2, [AttemptOutcome::TurnedAway; 8], true);
     assert_eq!(end.limit, AttemptLimit::TurnedAway);
-    assert_eq!(end.error, FinalError::NotRun(RefusalCause::Full));
+    assert_eq!(end.error, FinalError::TurnedAway(RefusalCause::Full));
 }
 
 #[test]
@@ -60,7 +60,10 @@
     assert_eq!(partial.error, FinalError::Unknown);
     let not_run = failure_after(STREAM, 2, [AttemptOutcome::TurnedAway], false);
     assert_eq!(not_run.limit, AttemptLimit::Budget);
-    assert_eq!(not_run.error, FinalError::NotRun(RefusalCause::NoBudget));
+    assert_eq!(
+        not_run.error,
+        FinalError::TurnedAway(RefusalCause::NoBudget)
+    );
 }
 
 #[test]
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -83,8 +83,9 @@
         }
     }
 
-    /// Whether no endpoint has received the request. With the other causes, one may have turned it away.
-    pub fn implies_unsent(self) -> bool {
+    /// Whether the instance lacks what it needs to serve any request of the service, and not merely capacity or
+    /// time for this one.
+    pub fn is_unavailability(self) -> bool {
         match self {
             Self::NoTable
             | Self::OldTable
@@ -125,8 +126,11 @@
 /// The error reported to a caller when there is no endpoint's response to forward.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalError {
-    /// The request has not run and never will: 503 with a retry time.
+    /// No endpoint has received the request, and none will: 503 with a retry time.
     NotRun(RefusalCause),
+    /// Endpoints have received the request and turned it away. It has not run and never will: 503 with a
+    /// retry time.
+    TurnedAway(RefusalCause),
     /// The request may have run and its response is lost: 502.
     Unknown,
     /// The deadline passed and the request may have run: 504.
@@ -137,16 +141,24 @@
     /// HTTP status.
     pub fn status(self) -> u16 {
         match self {
-            Self::NotRun(_) => 503,
+            Self::NotRun(_) | Self::TurnedAway(_) => 503,
             Self::Unknown => 502,
             Self::TimedOut => 504,
         }
     }
 
+    /// Why the request was refused, if it has not run.
+    pub fn refusal_cause(self) -> Option<RefusalCause> {
+        match self {
+            Self::NotRun(cause) | Self::TurnedAway(cause) => Some(cause),
+            Self::Unknown | Self::TimedOut => None,
+        }
+    }
+
     /// Name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Self::NotRun(cause) => cause.name(),
+            Self::NotRun(cause) | Self::TurnedAway(cause) => cause.name(),
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
         }
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -38,9 +38,11 @@
     ) {
         let mut attempts = Attempts::new(retry_policy, 2);
         let mut may_have_run = false;
+        let mut was_sent = false;
         for (number, (end, has_budget)) in ends.into_iter().enumerate() {
             attempts.send_started(&EndpointId::from(format!("e{number}")));
             may_have_run |= !matches!(end, AttemptOutcome::NotSent | AttemptOutcome::TurnedAway);
+            was_sent |= end != AttemptOutcome::NotSent;
             match attempts.attempt_ended(end, || has_budget) {
                 NextStep::Retry | NextStep::Resume => {
                     prop_assert!(!may_have_run || retry_policy.allows_retry());
@@ -50,7 +52,10 @@
                     break;
                 }
                 NextStep::GiveUp(end) => {
-                    prop_assert_eq!(matches!(end.error, FinalError::NotRun(_)), !may_have_run);
+                    let is_refused = end.error.refusal_cause().is_some();
+                    prop_assert_eq!(is_refused, !may_have_run);
+                    let is_unsent = matches!(end.error, FinalError::NotRun(_));
+                    prop_assert_eq!(is_unsent, !was_sent);
                     break;
                 }
             }
@@ -226,7 +231,7 @@
     attempts.send_started(&EndpointId::from("first"));
     let next = attempts.attempt_ended(AttemptOutcome::TurnedAway, || false);
     let end = RelayFailure {
-        error: FinalError::NotRun(RefusalCause::NoBudget),
+        error: FinalError::TurnedAway(RefusalCause::NoBudget),
         limit: AttemptLimit::Budget,
     };
     assert_eq!(next, NextStep::GiveUp(end));
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -102,7 +102,7 @@
 pub(super) struct DelegatedRun<'a> {
     pub(super) request: &'a RelayedRequest,
     pub(super) delegate: &'a Delegate,
-    /// Maximum number of endpoints on which the request may still run.
+    /// Maximum number of endpoints on which the other instance may run the request.
     pub(super) max_endpoints: usize,
     /// The last event of the stream that the caller has received, if any.
     pub(super) resume_after: Option<u64>,
@@ -113,9 +113,9 @@
 pub(super) enum DelegationOutcome {
     /// The response is final.
     Answered,
-    /// No endpoint has received it.
+    /// No endpoint has received it, and the other instance cannot serve requests like it.
     NotSent,
-    /// Endpoints have turned it away; it has not run.
+    /// It has not run. Endpoints may have turned it away.
     TurnedAway,
     /// It may have run.
     Unknown,
@@ -145,11 +145,11 @@
     }
 
     /// The outcome that a response of this instance represents.
-    fn of_response<B>(response: &Response<B>) -> Self {
+    pub(super) fn of_response<B>(response: &Response<B>) -> Self {
         match response.extensions().get::<FinalError>() {
             None => Self::Answered,
-            Some(FinalError::NotRun(cause)) if cause.implies_unsent() => Self::NotSent,
-            Some(FinalError::NotRun(_)) => Self::TurnedAway,
+            Some(FinalError::NotRun(cause)) if cause.is_unavailability() => Self::NotSent,
+            Some(FinalError::NotRun(_) | FinalError::TurnedAway(_)) => Self::TurnedAway,
             Some(FinalError::Unknown | FinalError::TimedOut) => Self::Unknown,
         }
     }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -18,6 +18,8 @@
 #[cfg(test)]
 mod delegates_tests;
 mod delegation;
+#[cfg(test)]
+mod delegation_tests;
 mod demand_exchange;
 #[cfg(test)]
 mod demand_exchange_tests;
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -148,7 +148,7 @@
 {
     let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let mut response = Response::with_body(status, BoxBody::new(error.name()));
-    if let FinalError::NotRun(cause) = error {
+    if let Some(cause) = error.refusal_cause() {
         let seconds = format!(
             "{:.3}",
             cause.retry_after_ms(retry_conditions) as f64 / 1_000.0
