All request bodies together take a quarter of an instance's memory

Each body was bounded, their sum was not, and each was copied once more into the write buffer of its connection.

Bodies share a quarter of the memory that the platform states. Memory for a body of announced length is taken before it is read; one for which there is none is read on and dropped, so that its caller sees the 503. An eighth is left to bodies of 16 KiB and less. Bodies are sent in pieces of 64 KiB.

Test: large_bodies_of_many_callers_leave_memory_to_small_ones.

--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -24,6 +24,8 @@
     NoChain,
     /// The remaining endpoints had no capacity.
     NoRoom,
+    /// The bodies of other requests used the memory for them.
+    NoMemory,
     /// No route table was known.
     NoTable,
     /// The route table was too old.
@@ -49,6 +51,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::NoChain => "no_chain",
             Self::NoRoom => "no_room",
+            Self::NoMemory => "no_memory",
             Self::NoTable => "no_table",
             Self::OldTable => "old_table",
             Self::Stopping => "stopping",
@@ -66,6 +69,7 @@
             RefusalCause::NoEndpoint => Self::NoEndpoint,
             RefusalCause::NoChain => Self::NoChain,
             RefusalCause::Full | RefusalCause::Queue { .. } => Self::NoRoom,
+            RefusalCause::NoMemory => Self::NoMemory,
             RefusalCause::NoBudget => Self::Budget,
             RefusalCause::Stopping => Self::Stopping,
             RefusalCause::TooLate => Self::Deadline,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -15,6 +15,8 @@
 /// Longest such delay. The rate of turns changes within seconds, and a caller that retries later has
 /// missed every objective.
 const MAX_QUEUE_RETRY_MS: u64 = 4_000;
+/// Time in which the bodies of other requests are sent on, or other instances are chosen.
+const MEMORY_RETRY_MS: u64 = 300;
 /// Fraction of the retry delay over which callers refused together are spread.
 const JITTER: f64 = 0.3;
 
@@ -45,6 +47,8 @@
     NoChain,
     /// The endpoints that were tried have no capacity.
     Full,
+    /// The bodies of other requests use the memory for them.
+    NoMemory,
     /// The request would have waited too long for capacity, behind others of its service.
     Queue {
         /// Expected time until its turn; `None` if the rate of turns is unknown.
@@ -74,6 +78,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::NoChain => "no_chain",
             Self::Full => "full",
+            Self::NoMemory => "no_memory",
             Self::Queue { .. } => "queue",
             Self::NoBudget => "no_budget",
             Self::Stopping => "stopping",
@@ -94,7 +99,9 @@
             | Self::Stopping
             | Self::Withheld
             | Self::RateLimited { .. } => true,
-            Self::Full | Self::Queue { .. } | Self::NoBudget | Self::TooLate => false,
+            Self::Full | Self::NoMemory | Self::Queue { .. } | Self::NoBudget | Self::TooLate => {
+                false
+            }
         }
     }
 
@@ -110,6 +117,7 @@
             Self::NoTable | Self::OldTable | Self::NoEndpoint => OUTAGE_MS,
             Self::NoChain => REASSIGNMENT_MS + conditions.load_ms,
             Self::Full | Self::NoBudget => conditions.run_ms / 2,
+            Self::NoMemory => MEMORY_RETRY_MS,
             Self::Queue { expected_wait_ms } => expected_wait_ms
                 .unwrap_or(conditions.run_ms / 2)
                 .clamp(MIN_QUEUE_RETRY_MS, MAX_QUEUE_RETRY_MS),
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -2,15 +2,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderValue};
 use actix_http::uri::PathAndQuery;
 use actix_http::{Payload, Request, RequestHead, Response, StatusCode};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use tokio::time::timeout;
+use bytes::Bytes;
 
 use super::adapter::{Adapter, LocalPage};
 use super::delegation::{Delegation, set_outcome, strip_headers};
@@ -18,14 +15,13 @@
 use super::node::Node;
 use super::plain::relay_plain;
 use super::request::{RelayedRequest, error_response, status_response};
+use super::request_body::{BodyError, RequestBody, read_body};
 use super::stream_response::relay_stream;
 use crate::clock::boot_ms;
 use crate::quarantine::{QuarantineStatus, RequestParts};
 use crate::relay::{AttemptLimit, FinalError, RefusalCause};
 use crate::route_table::{Rejection, Route, RouteTable};
 
-/// Timeout for reading a complete body. Callers send bodies of a few kilobytes without pause.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Percentage of a planned stop's time limit in which all requests are still accepted: a stream
 /// usually lasts 3 s and at most 7 s, and callers that have this instance's address keep using it
 /// for some seconds. Plain requests are accepted for as long as their route's timeout fits.
@@ -179,9 +175,12 @@
         Ok(resolved) => resolved,
         Err(response) => return *response,
     };
-    let body = match read_body(payload, table.limits.max_body_bytes).await {
+    let limit_bytes = table.limits.max_body_bytes;
+    let headers = &request.head().headers;
+    let read = read_body(headers, payload, limit_bytes, &node.request_memory).await;
+    let RequestBody { bytes: body, share } = match read {
         Ok(body) => body,
-        Err(status) => return status_response(node, status),
+        Err(error) => return refuse_body(node, &resolved, error),
     };
     let parts = RequestParts {
         account: resolved.account.as_ref(),
@@ -196,6 +195,7 @@
     let features = node.request_features(&parts, &resolved.ask.shared_prompt_parts);
     let mut relayed = RelayedRequest {
         body,
+        _memory: Some(share),
         features,
         delegation,
         ..resolved
@@ -303,6 +303,7 @@
         service,
         head: headers::forwarded_request_head(head),
         body: Bytes::new(),
+        _memory: None,
         features: None,
         is_quarantine_trial: false,
         delegation: None,
@@ -409,23 +410,21 @@
     error_response(node, FinalError::NotRun(cause), conditions)
 }
 
-async fn read_body(
-    mut payload: Payload<actix_http::BoxedPayloadStream>,
-    limit_bytes: usize,
-) -> Result<Bytes, StatusCode> {
-    let read = async {
-        let mut body = BytesMut::new();
-        while let Some(piece) = payload.next().await {
-            let piece = piece.map_err(|_| StatusCode::BAD_REQUEST)?;
-            if body.len() + piece.len() > limit_bytes {
-                return Err(StatusCode::PAYLOAD_TOO_LARGE);
-            }
-            body.extend_from_slice(&piece);
+/// Responds to a request whose body was not read to its end. It has not run.
+fn refuse_body<A>(node: &Node<A>, request: &RelayedRequest, error: BodyError) -> Response<BoxBody>
+where
+    A: Adapter,
+{
+    let status = match error {
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Malformed => StatusCode::BAD_REQUEST,
+        BodyError::NoMemory => {
+            let (id, route) = (&request.ask.id, Some(&request.route));
+            return refuse(node, id, route, RefusalCause::NoMemory);
         }
-        Ok(body.freeze())
     };
-    let read = timeout(BODY_TIMEOUT, read).await;
-    read.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+    status_response(node, status)
 }
 
 /// A response body that counts as an open request until it is sent or dropped.
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -52,6 +52,7 @@
 mod list_sync;
 mod load_change;
 mod locate;
+mod memory_budget;
 mod node;
 mod pacing;
 mod peer;
@@ -84,7 +85,9 @@
 #[cfg(test)]
 mod records_tests;
 mod request;
-mod response_buffers;
+mod request_body;
+#[cfg(test)]
+mod request_body_tests;
 mod response_codec;
 #[cfg(test)]
 mod restored_list_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -12,7 +12,9 @@
 use super::fleet_lines::log_changes;
 use super::heartbeat::Availability;
 use super::list_log::ListLog;
+use super::memory_budget::MemoryBudget;
 use super::peer_book::PeerBook;
+use super::request_body::request_memory;
 use super::settings::RelaySettings;
 use super::store_health::StoreHealth;
 use super::uplink::Uplink;
@@ -63,6 +65,8 @@
     pub(crate) are_records_loaded: Cell<bool>,
     /// Recent reads of the endpoint list that other instances may need.
     pub(crate) list_log: RefCell<ListLog>,
+    /// Memory of the bodies of all requests that are being served.
+    pub(crate) request_memory: MemoryBudget,
     /// Budget of this instance's link for serving peers.
     pub(crate) uplink: RefCell<Uplink>,
     /// When the process started.
@@ -103,6 +107,7 @@
         Self {
             peers: RefCell::new(PeerBook::new(&settings, incarnation, boot_ms())),
             uplink: RefCell::new(Uplink::new(settings.link_mbps)),
+            request_memory: request_memory(settings.memory_mb),
             adapter,
             settings,
             incarnation,
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -11,6 +11,7 @@
 
 use super::adapter::{Adapter, Dispatch, RequestMetadata};
 use super::delegation::Delegation;
+use super::memory_budget::MemoryShare;
 use super::node::Node;
 use crate::clock::boot_ms;
 use crate::fleet::Chain;
@@ -33,6 +34,8 @@
     /// Request head without the headers of the caller's connection.
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
+    /// Memory of the body.
+    pub(super) _memory: Option<MemoryShare>,
     /// What it has in common with other requests; `None` as long as the digest key is not known.
     pub(crate) features: Option<RequestFeatures>,
     /// Whether it is sent to one endpoint although it is withheld, to find out whether that is wrong.
--- a/src/relay_server/settings.rs
+++ b/src/relay_server/settings.rs
@@ -21,6 +21,8 @@
     pub peers: SocketAddr,
     /// Speed of the instance's network link in Mbit/s; 0 if unknown.
     pub link_mbps: u32,
+    /// Memory of the instance in megabytes; 0 if unknown.
+    pub memory_mb: u32,
     /// Whether the whole deployment starts for the first time, so that no instance is known yet.
     pub is_first_start: bool,
     /// Bounds that the deployment guarantees.
--- a/src/relay_server/test_settings.rs
+++ b/src/relay_server/test_settings.rs
@@ -21,6 +21,7 @@
         metrics: None,
         peers,
         link_mbps,
+        memory_mb: 0,
         is_first_start: false,
         bounds: RelayBounds {
             key_trust_ms: 4_900,
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -12,9 +12,8 @@
 use proptest::prelude::*;
 
 use super::peer_selection::SyncState;
-use super::response_buffers::MAX_TOTAL_BYTES;
 use super::snapshot::{KnownVersions, Snapshot};
-use super::upstream::{UpstreamFailure, UpstreamPool};
+use super::upstream::{MAX_BUFFERED_BYTES, UpstreamFailure, UpstreamPool};
 
 /// What the endpoint does with the connection after its response.
 #[derive(Clone, Copy)]
@@ -278,7 +277,7 @@
         for result in results {
             assert_eq!(result, Err(UpstreamFailure::Garbled));
         }
-        assert!(most_bytes <= MAX_TOTAL_BYTES, "{most_bytes}");
+        assert!(most_bytes <= MAX_BUFFERED_BYTES, "{most_bytes}");
     }
 }
 
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -22,7 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::response_buffers::ResponseBuffers;
+use super::memory_budget::MemoryBudget;
 use super::response_codec::ResponseCodec;
 use crate::fleet::EndpointFailure;
 use crate::relay::AttemptOutcome;
@@ -36,6 +36,11 @@
 /// Subtracted from the keep-alive time that an endpoint announces, because its close may already be
 /// in progress.
 const IDLE_MARGIN_MS: u64 = 600;
+/// Maximum size of all responses of one pool that are being read whole: a quarter of the memory of a usual
+/// instance. Faulty endpoints may send bytes without end, many at once.
+pub(super) const MAX_BUFFERED_BYTES: usize = 64 << 20;
+/// Size of the pieces in which a body is sent. The write buffer of a connection keeps its size.
+const SEND_PIECE_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept per endpoint.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -89,7 +94,7 @@
 pub(crate) struct UpstreamPool {
     config: ServiceConfig,
     idle: RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>,
-    buffers: ResponseBuffers,
+    buffers: MemoryBudget,
 }
 
 /// A connection on which a request was sent.
@@ -98,7 +103,7 @@
     /// Whether the connection was opened for this request.
     pub(super) is_new: bool,
     framed: Framed<TcpStream, ResponseCodec>,
-    buffers: ResponseBuffers,
+    buffers: MemoryBudget,
 }
 
 /// The body of a response.
@@ -108,7 +113,7 @@
     /// leave the same trace.
     ends_with_connection: bool,
     state: BodyState,
-    buffers: ResponseBuffers,
+    buffers: MemoryBudget,
 }
 
 enum BodyState {
@@ -126,7 +131,7 @@
         Self {
             config: ServiceConfig::default(),
             idle: RefCell::default(),
-            buffers: ResponseBuffers::default(),
+            buffers: MemoryBudget::new(MAX_BUFFERED_BYTES),
         }
     }
 
@@ -161,8 +166,10 @@
         let head = Message::Item((RequestHeadType::Owned(head), size));
         let sent = async {
             framed.feed(head).await?;
-            if !body.is_empty() {
-                framed.feed(Message::Chunk(Some(body))).await?;
+            let mut unsent = body;
+            while !unsent.is_empty() {
+                let piece = unsent.split_to(unsent.len().min(SEND_PIECE_BYTES));
+                framed.send(Message::Chunk(Some(piece))).await?;
             }
             framed.flush().await
         };
