A later process of the same name does not vouch for a response without a length

The instance asked the address for its name, and the answer was right, though it came from another process; that the list had shown the restart was not looked at.

A response that ends with its connection counts as broken off if the end of its endpoint's process is known, whatever the address answers.

The process test an_unframed_response_is_not_taken_for_complete_by_an_answer_of_a_later_process_of_the_same_name got 200 with "begin" before, 502 after. Open: a restart that the list has not shown yet when the name is asked for.

--- a/src/relay_server/exits.rs
+++ b/src/relay_server/exits.rs
@@ -65,7 +65,7 @@
     !is_at(node, request, endpoint, address).await
 }
 
-/// Whether the process at an address says that it is this endpoint.
+/// Whether the process at an address says that it is this endpoint, and no later process of that name is known.
 async fn is_at<A>(
     node: &Node<A>,
     request: &RelayedRequest,
@@ -83,12 +83,14 @@
     let engines = node.adapter.engines();
     let answer = engines.identify(address, path, IDENTIFY_TIMEOUT_MS).await;
     let answers_as = answer.as_ref().ok().and_then(Option::as_ref);
-    let is_at = answers_as == Some(&endpoint.name());
+    let has_ended = node.fleet.borrow().has_ended(endpoint);
+    let is_at = answers_as == Some(&endpoint.name()) && !has_ended;
     log::info!(
         request = request.ask.id.as_str(),
         endpoint = endpoint.as_str(),
         answers_as = answers_as.map(EndpointName::as_str),
         failure = answer.as_ref().err().map(ToString::to_string),
+        has_ended,
         is_at;
         "endpoint was asked for its name after a response without a length"
     );
