Idle connections of callers are closed where sockets run short

Idle connections were kept for 120 s whatever the document's idle timeout (15 s) said, and nothing made room for new ones.

Where connections of callers take up half of the sockets that the platform allows, those that have been idle for longer than the document allows are closed; beyond three quarters, those that have been idle longest. Below half nothing changes: callers reuse connections for as long as the document of the moment lets them, and a request that crosses a close costs them an attempt.

Tests: caller_connections_tests.

--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -1,6 +1,7 @@
 //! Entry point of callers' requests: serves the instance's local pages and relays all others.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix_http::body::BoxBody;
@@ -39,14 +40,20 @@
     node: Rc<Node<A>>,
     /// Whether another instance has received it from its caller.
     is_delegated: bool,
+    /// Address of its caller, if that is connected to this instance.
+    caller: Option<SocketAddr>,
 }
 
 impl<A> OpenRequest<A> {
-    fn begin(node: &Rc<Node<A>>, is_delegated: bool) -> Self {
+    fn begin(node: &Rc<Node<A>>, is_delegated: bool, peer: Option<SocketAddr>) -> Self {
         let open = Self {
             node: Rc::clone(node),
             is_delegated,
+            caller: peer.filter(|_| !is_delegated),
         };
+        if let Some(caller) = open.caller {
+            node.caller_connections.borrow_mut().record_request(caller);
+        }
         open.counts()
             .for_each(|count| count.set(count.get().saturating_add(1)));
         open
@@ -62,6 +69,10 @@
     fn drop(&mut self) {
         self.counts()
             .for_each(|count| count.set(count.get().saturating_sub(1)));
+        if let Some(caller) = self.caller {
+            let mut connections = self.node.caller_connections.borrow_mut();
+            connections.record_response(caller, boot_ms());
+        }
     }
 }
 
@@ -75,7 +86,7 @@
     match node.adapter.match_local_page(uri.path(), query) {
         Some(page) => serve_local_page(&node, &page),
         None => {
-            let open = OpenRequest::begin(&node, false);
+            let open = OpenRequest::begin(&node, false, request.peer_addr());
             let response = relay(&node, request, None).await;
             response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
         }
@@ -92,7 +103,7 @@
         return status_response(&node, StatusCode::BAD_REQUEST);
     };
     node.counters.count("relay.delegations.received");
-    let open = OpenRequest::begin(&node, true);
+    let open = OpenRequest::begin(&node, true, request.peer_addr());
     let mut response = relay(&node, request, Some(delegation)).await;
     set_outcome(&mut response);
     response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -4,6 +4,9 @@
 //! An [`Adapter`] implements the platform's wire format; nothing here depends on a specific platform.
 
 mod adapter;
+mod caller_connections;
+#[cfg(test)]
+mod caller_connections_tests;
 mod capacity_queue;
 #[cfg(test)]
 mod capacity_queue_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::adapter::Adapter;
+use super::caller_connections::CallerConnections;
 use super::capacity_queue::CapacityQueues;
 use super::checks::CheckCache;
 use super::fleet_lines::log_changes;
@@ -65,6 +66,8 @@
     pub(crate) are_records_loaded: Cell<bool>,
     /// Recent reads of the endpoint list that other instances may need.
     pub(crate) list_log: RefCell<ListLog>,
+    /// Open connections of callers.
+    pub(crate) caller_connections: RefCell<CallerConnections>,
     /// Memory of the bodies of all requests that are being served.
     pub(crate) request_memory: MemoryBudget,
     /// Budget of this instance's link for serving peers.
@@ -107,6 +110,7 @@
         Self {
             peers: RefCell::new(PeerBook::new(&settings, incarnation, boot_ms())),
             uplink: RefCell::new(Uplink::new(settings.link_mbps)),
+            caller_connections: RefCell::new(CallerConnections::new(settings.max_sockets)),
             request_memory: request_memory(settings.memory_mb),
             adapter,
             settings,
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
+use super::caller_connections::{self, RecordOnClose};
 use super::node::Node;
 use super::settings::RelaySettings;
 use super::traffic::bytes_between_zones;
@@ -157,8 +158,9 @@
 where
     A: Adapter,
 {
+    let served = Rc::clone(&node);
     let service = fn_service(move |request: Request| {
-        let node = Rc::clone(&node);
+        let node = Rc::clone(&served);
         async move {
             let response = match page {
                 ListenerKind::Front => front::handle_request(node, request).await,
@@ -192,15 +194,25 @@
     };
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, caller)) => {
                 // Events are small and would wait for acknowledgements with Nagle's algorithm. A
                 // failure costs only latency.
                 let _ = stream.set_nodelay(true);
                 let connection = connections.call(stream);
-                actix_rt::spawn(async move {
+                let record = (page == ListenerKind::Front).then(|| RecordOnClose {
+                    node: Rc::clone(&node),
+                    caller,
+                });
+                let is_recorded = record.is_some();
+                let task = actix_rt::spawn(async move {
+                    let _record = record;
                     // Errors of a connection concern only its requests, which are logged separately.
                     let _ = connection.await;
                 });
+                if is_recorded {
+                    let mut open = node.caller_connections.borrow_mut();
+                    open.record_opened(caller, task.abort_handle(), boot_ms());
+                }
             }
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a connection");
@@ -225,6 +237,7 @@
         node.upstreams.sweep(now_ms);
         node.delegates.sweep(now_ms);
         node.checks.borrow_mut().sweep(now_ms);
+        caller_connections::close_excess(&node);
         let changes = node.fleet.borrow_mut().expire(now_ms);
         node.apply_changes(&changes);
         node.update_quarantine();
--- a/src/relay_server/settings.rs
+++ b/src/relay_server/settings.rs
@@ -23,6 +23,8 @@
     pub link_mbps: u32,
     /// Memory of the instance in megabytes; 0 if unknown.
     pub memory_mb: u32,
+    /// Number of sockets that the process may open; 0 if unknown.
+    pub max_sockets: u32,
     /// Whether the whole deployment starts for the first time, so that no instance is known yet.
     pub is_first_start: bool,
     /// Bounds that the deployment guarantees.
--- a/src/relay_server/test_settings.rs
+++ b/src/relay_server/test_settings.rs
@@ -22,6 +22,7 @@
         peers,
         link_mbps,
         memory_mb: 0,
+        max_sockets: 0,
         is_first_start: false,
         bounds: RelayBounds {
             key_trust_ms: 4_900,
