--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -146,9 +146,9 @@
         self.ended.contains_key(id) || self.get(id).is_some_and(is_gone)
     }
 
-    /// Whether an endpoint has exited or is partitioned from this instance, as refused connections show. One
-    /// that stands still or is overloaded gives no answer instead, and so does one behind a partition that
-    /// drops packets: these cannot be told apart.
+    /// Whether an endpoint has exited or is partitioned from this instance, as refused connections show. A
+    /// stopped or overloaded endpoint does not respond instead, and neither does an endpoint behind a partition
+    /// that drops packets: these cases cannot be distinguished.
     pub(crate) fn is_gone(&self, id: &EndpointId) -> bool {
         let known = self.get(id);
         self.has_ended(id) || known.is_some_and(|known| known.health.refused_ms().is_some())
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -8,7 +8,7 @@
 
 use crate::ids::ServiceName;
 
-/// How long the word of another instance that it reaches endpoints counts: several intervals between inquiries.
+/// How long the confirmation of another instance that it reaches endpoints is valid: several inquiry intervals.
 const REACHED_ELSEWHERE_TTL_MS: u64 = 1_000;
 
 /// A change of whether endpoints are reached.
@@ -40,7 +40,7 @@
     }
 
     /// Whether this instance is partitioned from the endpoints of a service: none accepts its connections, while
-    /// another instance reaches them. Without such an instance the endpoints may stand still.
+    /// another instance reaches them. Without such a confirmation the endpoints may have stopped.
     pub(crate) fn is_cut_off(&self, service: &ServiceName, now_ms: u64) -> bool {
         let reach = self.services.get(service);
         reach.is_some_and(|reach| reach.is_cut_off(now_ms))
@@ -93,7 +93,8 @@
     failed_ms: u64,
     /// Since when no endpoint has accepted a connection, if a check has shown that.
     lost_since_ms: Option<u64>,
-    /// When another instance was last asked that reached an endpoint, since then.
+    /// When the newest inquiry was sent to which another instance responded that it reaches an endpoint, since
+    /// this instance reaches none.
     reached_elsewhere_ms: Option<u64>,
 }
 
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -18,8 +18,8 @@
 /// losses are likely caused by the request itself and would use up retries that others need.
 const MAX_RUNS: u32 = 8;
 
-/// How long a partial response does not return to an endpoint to which an attempt could not be sent: as long as
-/// a connection is waited for.
+/// How long an endpoint to which an attempt could not be sent stays excluded from a partial response: the
+/// timeout of a connection.
 const UNSENT_EXCLUSION_MS: u64 = 300;
 
 /// How an attempt ended that produced no response to forward.
@@ -66,10 +66,10 @@
 
 /// The attempts of one request.
 ///
-/// Invariants: a request that must run at most once and may have run is not sent again, and its
-/// final error is neither [`FinalError::NotRun`] nor [`FinalError::TurnedAway`]; the request may have run on at most `max_endpoints`
-/// endpoints that are not gone; once the caller holds part of a resumable response, neither a rejected retry nor
-/// an exhausted budget ends it.
+/// Invariants: a request that must run at most once and may have run is not sent again, and its final error is
+/// neither [`FinalError::NotRun`] nor [`FinalError::TurnedAway`]; the request may have run on at most
+/// `max_endpoints` endpoints that are not gone; once the caller holds part of a resumable response, neither a
+/// rejected retry nor an exhausted budget ends it.
 #[derive(Clone, Debug)]
 pub struct Attempts {
     retry_policy: RetryPolicy,
@@ -272,8 +272,8 @@
         self.arrivals_until_ms.max(now_ms)
     }
 
-    /// Forgets endpoints that have exited or are partitioned from this instance, and returns them. One that
-    /// merely gives no answer may go on running the request, and counts.
+    /// Forgets endpoints that have exited or are partitioned from this instance, and returns them. An endpoint
+    /// that only does not respond may still run the request, so it counts.
     pub fn forget_gone<F>(&mut self, is_gone: F) -> Vec<EndpointId>
     where
         F: Fn(&EndpointId) -> bool,
@@ -289,8 +289,8 @@
         self.target_chosen(target, || endpoint.to_string());
     }
 
-    /// Records that the request is about to be sent to another instance, and returns on how many endpoints
-    /// that may run it. If it fails there, it counts as having run on all of them.
+    /// Records that the request is about to be sent to another instance. Returns the maximum number of endpoints
+    /// on which that instance may run it; if it fails there, it counts as having run on all of them.
     pub fn delegation_started(&mut self, instance: &InstanceId) -> usize {
         let max_endpoints = self.endpoints_to_delegate();
         let target = SendTarget::Instance { max_endpoints };
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -24,7 +24,7 @@
     NoChain,
     /// The remaining endpoints had no capacity.
     NoRoom,
-    /// The bodies of other requests used the memory for them.
+    /// The bodies of other requests used all memory for request bodies.
     NoMemory,
     /// No route table was known.
     NoTable,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -15,7 +15,7 @@
 /// Longest such delay. The rate of turns changes within seconds, and a caller that retries later has
 /// missed every objective.
 const MAX_QUEUE_RETRY_MS: u64 = 4_000;
-/// Time in which the bodies of other requests are sent on, or other instances are chosen.
+/// Typical time until bodies of other requests have been sent to their endpoints.
 const MEMORY_RETRY_MS: u64 = 300;
 /// Fraction of the retry delay over which callers refused together are spread.
 const JITTER: f64 = 0.3;
@@ -47,7 +47,7 @@
     NoChain,
     /// The endpoints that were tried have no capacity.
     Full,
-    /// The bodies of other requests use the memory for them.
+    /// The bodies of other requests use all memory for request bodies.
     NoMemory,
     /// The request would have waited too long for capacity, behind others of its service.
     Queue {
--- a/src/relay_server/caller_connections.rs
+++ b/src/relay_server/caller_connections.rs
@@ -11,12 +11,11 @@
 use super::node::Node;
 use crate::clock::boot_ms;
 
-/// Sockets of an instance that is not told how many it may open.
+/// Maximum number of sockets of an instance whose limit is unknown.
 const DEFAULT_SOCKETS: usize = 1_024;
-/// Part of the sockets, as a divisor, up to which idle connections of callers are kept for as long as a process
-/// keeps them by itself.
+/// Part of the sockets, as a divisor, up to which connections of callers are not limited.
 const UNCHECKED_PART: usize = 2;
-/// Part of the sockets, as a divisor, that is left for endpoints, other instances and new callers.
+/// Part of the sockets, as a divisor, that is reserved for endpoints, other instances and new callers.
 const RESERVED_PART: usize = 4;
 
 /// A connection of a caller.
@@ -77,9 +76,8 @@
         }
     }
 
-    /// The connections to close. Where they take up half of the sockets, callers have to keep to the time for
-    /// which they may be idle, `max_idle_ms`; where so few are left that new callers could not connect, the
-    /// connections that have been idle longest are closed.
+    /// The connections to close. Above half of the sockets these are the ones that have been idle for longer than
+    /// `max_idle_ms`; above the reserve, also those that have been idle longest.
     pub(super) fn excess(&self, max_idle_ms: u64, now_ms: u64) -> Vec<SocketAddr> {
         let unchecked = self.max_sockets / UNCHECKED_PART;
         if self.open.len() <= unchecked {
@@ -147,7 +145,7 @@
     A: Adapter,
 {
     fn drop(&mut self) {
-        // While connections are being closed the record is in use, and this one is out of it.
+        // The record is borrowed only by `close`, which has already removed this connection.
         if let Ok(mut connections) = self.node.caller_connections.try_borrow_mut() {
             connections.record_closed(self.caller);
         }
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -89,8 +89,8 @@
 /// Why a request is delegated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DelegationReason {
-    /// This instance reaches no endpoint of the service. For a request that may have run, only if another
-    /// instance reaches them: its endpoint may merely stand still, and then goes on with it.
+    /// This instance reaches no endpoint of the service. A request that may have run is delegated only if another
+    /// instance reaches them, because a stopped endpoint continues its runs later.
     CutOff,
     /// No endpoint that is left can run the request, and some are unreachable from here. Endpoints that all
     /// instances reach are no reason.
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -59,7 +59,7 @@
     while node.fleet.borrow().reach.needs_check(service) {
         if !check(node, service).await {
             let inquiry = timeout(RECHECK_INTERVAL, inquire(node, service));
-            // An inquiry that takes as long says nothing; the next one may.
+            // An inquiry without a result in this time is repeated.
             let _ = tokio::join!(sleep(RECHECK_INTERVAL), inquiry);
         }
     }
--- a/src/relay_server/reach_inquiry.rs
+++ b/src/relay_server/reach_inquiry.rs
@@ -1,7 +1,7 @@
-//! Asks other instances whether they reach the endpoints of a service of which none accepts connections of this one.
+//! Inquiries whether other instances reach the endpoints of a service that this instance does not reach.
 //!
-//! New connections get no answer across a partition, and none from endpoints that stand still either. If other
-//! instances reach the endpoints, this one is partitioned from them.
+//! A new connection times out across a partition, and also at an endpoint that is stopped and whose accept queue is
+//! full. If other instances reach the endpoints, this instance is partitioned from them.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,15 +22,14 @@
 
 /// Path of the calls at the address for peers.
 pub(super) const REACH_PATH: &str = "/reach";
-/// Number of instances to ask at once. Some of them may have ended.
+/// Number of instances asked at once, because some of them may have exited.
 const INSTANCES_PER_INQUIRY: usize = 3;
-/// Age of a connection up to which it answers an inquiry, so that instances that ask at the same moment cause one
-/// connection.
+/// Maximum age of a connection that answers an inquiry, so that simultaneous inquiries cause a single connection.
 const RECENT_CONNECTION_MS: u64 = 50;
-/// Longest reply that is accepted; it is a single byte.
+/// Maximum size of a reply, which is a single byte.
 const MAX_REPLY_BYTES: usize = 16;
 
-/// Responds to another instance whether this one reaches endpoints of a service, which it may have to find out.
+/// Responds to an inquiry. Connects to endpoints if no recent connection answers it.
 pub(super) async fn respond<A>(node: &Rc<Node<A>>, query: &str) -> Response<BoxBody>
 where
     A: Adapter,
@@ -64,7 +63,7 @@
     is_shown_since(asked_ms)
 }
 
-/// Asks a few instances that may serve requests of this one. The first that reaches an endpoint is enough.
+/// Asks a few of the instances that could serve this one's requests, and records the first confirmation.
 pub(super) async fn inquire<A>(node: &Node<A>, service: &ServiceName)
 where
     A: Adapter,
@@ -100,7 +99,7 @@
     (address, is_reached)
 }
 
-/// Addresses of a few instances that hold that they reach the endpoints, at random places of the list.
+/// Addresses of a few instances that have not reported the endpoints as unreached, from a random offset.
 fn addresses_to_ask<A>(node: &Node<A>, service: &ServiceName, now_ms: u64) -> Vec<SocketAddr>
 where
     A: Adapter,
@@ -114,7 +113,7 @@
         .collect()
 }
 
-/// The service that an inquiry names.
+/// The service in the query of an inquiry.
 fn service_in(query: &str) -> Option<ServiceName> {
     let name = query_pairs(query).find_map(|(name, value)| (name == "service").then_some(value));
     let name = hex::decode(name?).ok()?;
--- a/src/relay_server/request_body.rs
+++ b/src/relay_server/request_body.rs
@@ -12,14 +12,14 @@
 
 /// Timeout for the arrival of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Memory of an instance that is not told how much it has.
+/// Memory of an instance whose limit is unknown.
 const DEFAULT_MEMORY_MB: u32 = 256;
-/// Part of the memory that all request bodies together may take, as a divisor. What has arrived and has not been
-/// read takes about as much again, and responses that are read whole as much as that.
+/// Part of the memory that all request bodies together may take, as a divisor. Receive buffers take about as much
+/// again, and so do responses that are read whole.
 const REQUESTS_PART: usize = 4;
 /// Size up to which a body may use the whole budget.
 const SMALL_BODY_BYTES: usize = 16 << 10;
-/// Part of the budget, as a divisor, that is left to small bodies.
+/// Part of the budget, as a divisor, that is reserved for small bodies.
 const SMALL_BODIES_PART: usize = 8;
 
 /// A body that has been read completely.
@@ -51,8 +51,8 @@
 }
 
 /// Reads the body of a request. Memory for a body of announced length is taken before it is read, so that bodies
-/// which are half read do not keep one another from being read to the end. One for which there is no memory is
-/// read on and dropped: a caller that is still sending would not see the refusal.
+/// which are half read do not block one another. A body without memory is read to its end and discarded, because
+/// a caller that is still sending would not read the refusal.
 pub(super) async fn read_body(
     headers: &HeaderMap,
     mut payload: Payload<BoxedPayloadStream>,
@@ -119,8 +119,8 @@
     }
 }
 
-/// Takes memory for a body of this size. Returns whether there is enough. Large bodies leave a part of the budget to
-/// small ones, so that a few callers do not keep all others from being served.
+/// Takes memory for a body of this size. Returns whether there is enough. Large bodies leave part of the budget to
+/// small ones, so that a few callers cannot block all others.
 fn take_memory(share: &mut MemoryShare, body_bytes: usize, budget: &MemoryBudget) -> bool {
     if body_bytes <= SMALL_BODY_BYTES {
         return share.grow_to(body_bytes);
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -384,7 +384,7 @@
     }
 
     /// Engines that have exited or are partitioned from this instance do not count among those on which the
-    /// request ran. That no engine accepts connections shows neither.
+    /// request ran. A connection timeout shows neither.
     fn forget_gone(&mut self) {
         let fleet = self.node.fleet.borrow();
         // An engine that has only left the list may continue its current work.
