The wait for the head of a resumed run at another instance is bounded

A resumed run at another instance is given up after a second without a head if another run may follow.

--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -19,6 +19,9 @@
 /// Silence of a run after which it is left for another instance if this one reaches no endpoint. A pause of a
 /// healthy engine is mostly shorter, and callers leave after two seconds.
 const MAX_SILENCE_MS: u64 = 300;
+/// Maximum wait for the response head of a resumed run that another instance serves, if another run may follow:
+/// callers leave after two seconds without an event.
+const RESUME_HEAD_TIMEOUT_MS: u64 = 1_000;
 /// Interval between checks of a run that another instance serves.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -60,8 +63,17 @@
             max_endpoints,
             resume_after: self.splitter.last_id(),
         };
-        let response = self.node.delegate_request(run).await;
-        let outcome = match response {
+        let may_follow = self.attempts.has_started() && self.may_follow_delegated_run();
+        let limit_ms = if may_follow {
+            RESUME_HEAD_TIMEOUT_MS
+        } else {
+            self.request.remaining_ms(boot_ms())
+        };
+        let response = timeout(
+            Duration::from_millis(limit_ms),
+            self.node.delegate_request(run),
+        );
+        let outcome = match response.await.unwrap_or(Err(AttemptOutcome::Lost)) {
             Ok((head, body)) => self.forward_delegated(delegate, &head, body).await,
             Err(outcome) => RunOutcome::DelegateFailed(outcome),
         };
