Connections in use are not closed where sockets run short

Cause: a connection was idle since it was opened, or since a request that was relayed. Local pages (readiness, locate) were served before their request was counted, so these connections always counted as unused since their opening, and were the first to be closed. By the same cause a response that waited for a slow reader counted as complete, also for a planned stop, which could end the process before it was sent. Connections were known by the caller's address, which two connections to different addresses of an instance may share.

Change: the stream of a connection records when bytes arrive and leave, and whether some wait to be sent; each request is recorded on its connection, local pages too. A connection is known by a number of its own. Only connections without a request and without unsent bytes are closed for sockets: first what is overdue, then what was used once, then the rest, longest idle first; a new one has a second to send its first request. A stop waits for unsent responses. Accepting moves into listener.rs.

--- a/src/relay_server/caller_connections.rs
+++ b/src/relay_server/caller_connections.rs
@@ -1,13 +1,14 @@
-//! The open connections of callers, and which idle ones to close when they take up too many sockets.
+//! The open connections of callers, and which of them to close: those that exceed the operator's limits, and unused ones
+//! when they take up too many sockets.
 
 use std::cmp::Reverse;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use indexmap::IndexMap;
 use tokio::task::AbortHandle;
 
 use super::adapter::Adapter;
+use super::connection_activity::{ConnectionActivity, ConnectionState};
 use super::node::Node;
 use crate::clock::boot_ms;
 
@@ -17,22 +18,26 @@
 const UNCHECKED_PART: usize = 2;
 /// Part of the sockets, as a divisor, that is reserved for endpoints, other instances and new callers.
 const RESERVED_PART: usize = 4;
+/// Time after which a caller gives up on a new connection. Until then its first request may be on the way.
+const FIRST_REQUEST_MS: u64 = 1_000;
+
+/// Number of a connection, in the order of their opening.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct ConnectionId(u64);
 
 /// A connection of a caller.
 #[derive(Debug)]
 struct CallerConnection {
-    /// Closes the connection.
-    task: AbortHandle,
-    /// Requests on it whose responses are not complete.
-    open_requests: u32,
-    /// When it was opened, or the last response was complete.
-    idle_since_ms: u64,
+    /// Serves the connection; aborting it closes the connection.
+    task: Option<AbortHandle>,
+    activity: Rc<ConnectionActivity>,
 }
 
-/// The open connections of callers, by the caller's address.
+/// The open connections of callers.
 #[derive(Debug)]
 pub(crate) struct CallerConnections {
-    open: IndexMap<SocketAddr, CallerConnection>,
+    open: IndexMap<ConnectionId, CallerConnection>,
+    next_id: u64,
     max_sockets: usize,
 }
 
@@ -42,75 +47,101 @@
         let known = Some(max_sockets as usize).filter(|it| *it > 0);
         Self {
             open: IndexMap::new(),
+            next_id: 0,
             max_sockets: known.unwrap_or(DEFAULT_SOCKETS),
         }
     }
 
-    /// Records a new connection, which `task` serves.
-    pub(super) fn record_opened(&mut self, caller: SocketAddr, task: AbortHandle, now_ms: u64) {
+    /// Records a new connection.
+    pub(super) fn record_opened(&mut self, now_ms: u64) -> (ConnectionId, Rc<ConnectionActivity>) {
+        let id = ConnectionId(self.next_id);
+        self.next_id += 1;
+        let activity = Rc::new(ConnectionActivity::opened(now_ms));
         let connection = CallerConnection {
-            task,
-            open_requests: 0,
-            idle_since_ms: now_ms,
+            task: None,
+            activity: Rc::clone(&activity),
         };
-        self.open.insert(caller, connection);
+        self.open.insert(id, connection);
+        (id, activity)
     }
 
-    /// Records that a connection is closed.
-    pub(super) fn record_closed(&mut self, caller: SocketAddr) {
-        self.open.swap_remove(&caller);
+    /// Records the task that serves a connection.
+    pub(super) fn record_task(&mut self, id: ConnectionId, task: AbortHandle) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.task = Some(task);
+        }
     }
 
-    /// Records that a request has arrived.
-    pub(super) fn record_request(&mut self, caller: SocketAddr) {
-        if let Some(connection) = self.open.get_mut(&caller) {
-            connection.open_requests += 1;
-        }
+    /// Records that a connection is closed.
+    pub(super) fn record_closed(&mut self, id: ConnectionId) {
+        self.open.swap_remove(&id);
     }
 
-    /// Records that a response is complete.
-    pub(super) fn record_response(&mut self, caller: SocketAddr, now_ms: u64) {
-        if let Some(connection) = self.open.get_mut(&caller) {
-            connection.open_requests = connection.open_requests.saturating_sub(1);
-            connection.idle_since_ms = now_ms;
-        }
+    /// Number of connections on which a complete response has not been sent to its end.
+    pub(super) fn unsent_responses(&self) -> usize {
+        let activities = self.open.values().map(|it| &it.activity);
+        activities.filter(|it| it.has_unsent_response()).count()
     }
 
     /// The connections to close. Above half of the sockets these are the ones that have been idle for longer than
-    /// `max_idle_ms`; above the reserve, also those that have been idle longest.
-    pub(super) fn excess(&self, max_idle_ms: u64, now_ms: u64) -> Vec<SocketAddr> {
+    /// `max_idle_ms`; above the reserve, also those least likely to be used again.
+    pub(super) fn excess(&self, max_idle_ms: u64, now_ms: u64) -> Vec<ConnectionId> {
         let unchecked = self.max_sockets / UNCHECKED_PART;
         if self.open.len() <= unchecked {
             return Vec::new();
         }
-        let is_idle = |connection: &CallerConnection| connection.open_requests == 0;
-        let mut idle: Vec<(u64, SocketAddr)> = self
+        let mut unused: Vec<UnusedConnection> = self
             .open
             .iter()
-            .filter(|(_, connection)| is_idle(connection))
-            .map(|(caller, connection)| (now_ms.saturating_sub(connection.idle_since_ms), *caller))
+            .filter_map(|(id, it)| UnusedConnection::of(*id, &it.activity, now_ms))
             .collect();
-        idle.sort_unstable_by_key(|(idle_ms, _)| Reverse(*idle_ms));
-        let overdue = idle
-            .iter()
-            .filter(|(idle_ms, _)| *idle_ms > max_idle_ms)
-            .count();
+        let is_overdue = |it: &UnusedConnection| it.idle_ms > max_idle_ms;
+        unused
+            .sort_unstable_by_key(|it| (!is_overdue(it), it.is_reused, Reverse(it.idle_ms), it.id));
+        let overdue = unused.iter().filter(|it| is_overdue(it)).count();
         let most = self.max_sockets - self.max_sockets / RESERVED_PART;
         let beyond_reserve = self.open.len().saturating_sub(most);
-        let excess = idle.into_iter().take(overdue.max(beyond_reserve));
-        excess.map(|(_, caller)| caller).collect()
+        let excess = unused.into_iter().take(overdue.max(beyond_reserve));
+        excess.map(|it| it.id).collect()
     }
 
     /// Closes connections.
-    fn close(&mut self, callers: &[SocketAddr]) {
-        for caller in callers {
-            if let Some(connection) = self.open.swap_remove(caller) {
-                connection.task.abort();
+    fn close(&mut self, ids: &[ConnectionId]) {
+        for id in ids {
+            if let Some(task) = self.open.swap_remove(id).and_then(|it| it.task) {
+                task.abort();
             }
         }
     }
 }
 
+/// A connection that may be closed without breaking off a request.
+#[derive(Clone, Copy, Debug)]
+struct UnusedConnection {
+    id: ConnectionId,
+    /// Whether its caller has sent several requests on it, and is likely to send another.
+    is_reused: bool,
+    idle_ms: u64,
+}
+
+impl UnusedConnection {
+    /// `None` if a request is under way, or a response has not been sent to its end.
+    fn of(id: ConnectionId, activity: &ConnectionActivity, now_ms: u64) -> Option<Self> {
+        let since_ms = match activity.state() {
+            ConnectionState::Serving | ConnectionState::Unsent { .. } => return None,
+            ConnectionState::ReceivingHead { .. } => activity.active_at_ms(),
+            ConnectionState::Idle { since_ms } => since_ms,
+        };
+        let idle_ms = now_ms.saturating_sub(since_ms);
+        let is_new = activity.requests() == 0 && idle_ms < FIRST_REQUEST_MS;
+        (!is_new).then_some(Self {
+            id,
+            is_reused: activity.requests() > 1,
+            idle_ms,
+        })
+    }
+}
+
 /// Closes connections of callers that take up too many sockets.
 pub(super) fn close_excess<A>(node: &Node<A>)
 where
@@ -137,7 +168,7 @@
     A: Adapter,
 {
     pub(super) node: Rc<Node<A>>,
-    pub(super) caller: SocketAddr,
+    pub(super) id: ConnectionId,
 }
 
 impl<A> Drop for RecordOnClose<A>
@@ -147,7 +178,7 @@
     fn drop(&mut self) {
         // The record is borrowed only by `close`, which has already removed this connection.
         if let Ok(mut connections) = self.node.caller_connections.try_borrow_mut() {
-            connections.record_closed(self.caller);
+            connections.record_closed(self.id);
         }
     }
 }
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -1,7 +1,6 @@
 //! Entry point of callers' requests: serves the instance's local pages and relays all others.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix_http::body::BoxBody;
@@ -11,6 +10,7 @@
 use bytes::Bytes;
 
 use super::adapter::{Adapter, LocalPage};
+use super::connection_activity::RequestOnConnection;
 use super::delegation::{Delegation, set_outcome, strip_headers};
 use super::headers;
 use super::node::Node;
@@ -35,25 +35,26 @@
 /// Maximum number of open requests of other instances' callers. Each takes some tens of kilobytes.
 const MAX_DELEGATED: u64 = 512;
 
-/// Counts a request as open until its response is complete.
+/// Counts a request as open until its response has been handed over.
 pub(crate) struct OpenRequest<A> {
     node: Rc<Node<A>>,
     /// Whether another instance has received it from its caller.
     is_delegated: bool,
-    /// Address of its caller, if that is connected to this instance.
-    caller: Option<SocketAddr>,
+    /// Its part in the activity on its caller's connection, if the caller is connected to this instance.
+    _on_connection: Option<RequestOnConnection>,
 }
 
 impl<A> OpenRequest<A> {
-    fn begin(node: &Rc<Node<A>>, is_delegated: bool, peer: Option<SocketAddr>) -> Self {
+    fn begin(
+        node: &Rc<Node<A>>,
+        is_delegated: bool,
+        on_connection: Option<RequestOnConnection>,
+    ) -> Self {
         let open = Self {
             node: Rc::clone(node),
             is_delegated,
-            caller: peer.filter(|_| !is_delegated),
+            _on_connection: on_connection,
         };
-        if let Some(caller) = open.caller {
-            node.caller_connections.borrow_mut().record_request(caller);
-        }
         open.counts()
             .for_each(|count| count.set(count.get().saturating_add(1)));
         open
@@ -69,10 +70,6 @@
     fn drop(&mut self) {
         self.counts()
             .for_each(|count| count.set(count.get().saturating_sub(1)));
-        if let Some(caller) = self.caller {
-            let mut connections = self.node.caller_connections.borrow_mut();
-            connections.record_response(caller, boot_ms());
-        }
     }
 }
 
@@ -81,12 +78,13 @@
 where
     A: Adapter,
 {
+    let on_connection = RequestOnConnection::begin(&request);
     let uri = request.uri();
     let query = uri.query().unwrap_or("");
     match node.adapter.match_local_page(uri.path(), query) {
         Some(page) => serve_local_page(&node, &page),
         None => {
-            let open = OpenRequest::begin(&node, false, request.peer_addr());
+            let open = OpenRequest::begin(&node, false, on_connection);
             let response = relay(&node, request, None).await;
             response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
         }
@@ -103,7 +101,7 @@
         return status_response(&node, StatusCode::BAD_REQUEST);
     };
     node.counters.count("relay.delegations.received");
-    let open = OpenRequest::begin(&node, true, request.peer_addr());
+    let open = OpenRequest::begin(&node, true, None);
     let mut response = relay(&node, request, Some(delegation)).await;
     set_outcome(&mut response);
     response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
--- /dev/null
+++ b/src/relay_server/listener.rs
@@ -0,0 +1,167 @@
+//! Accepts connections of callers and other instances, and serves the requests on them.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::sleep;
+
+use super::adapter::Adapter;
+use super::caller_connections::RecordOnClose;
+use super::caller_stream::CallerStream;
+use super::node::Node;
+use super::{delegation, front, peer_list, reach_inquiry, snapshot};
+use crate::clock::boot_ms;
+
+/// Length of the queue of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Timeout for the arrival of a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ListenerKind {
+    Front,
+    Metrics,
+    Peers,
+}
+
+/// Listens on an address.
+pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts and serves connections for as long as the process runs.
+pub(super) async fn serve<A>(node: Rc<Node<A>>, listener: TcpListener, kind: ListenerKind)
+where
+    A: Adapter,
+{
+    match kind {
+        ListenerKind::Front => serve_callers(node, listener).await,
+        ListenerKind::Metrics | ListenerKind::Peers => serve_others(node, listener, kind).await,
+    }
+}
+
+async fn serve_callers<A>(node: Rc<Node<A>>, listener: TcpListener)
+where
+    A: Adapter,
+{
+    let served = Rc::clone(&node);
+    let service = fn_service(move |request: Request| {
+        let node = Rc::clone(&served);
+        async move { Ok::<_, Infallible>(front::handle_request(node, request).await) }
+    });
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
+        .client_request_timeout(HEAD_TIMEOUT)
+        // A caller that closes its side has disconnected: its request is dropped with all its
+        // resources.
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &CallerStream, data| {
+            data.insert(Rc::clone(stream.activity()));
+        })
+        .h1(service);
+    let Ok(connections) = factory.new_service(()).await else {
+        log::error!("cannot create the HTTP service");
+        return;
+    };
+    loop {
+        let (stream, caller) = accept(&listener).await;
+        let (id, activity) = node
+            .caller_connections
+            .borrow_mut()
+            .record_opened(boot_ms());
+        let connection =
+            connections.call((CallerStream::new(Rc::new(stream), activity), Some(caller)));
+        let record = RecordOnClose {
+            node: Rc::clone(&node),
+            id,
+        };
+        let task = actix_rt::spawn(async move {
+            let _record = record;
+            // Errors of a connection concern only its requests, which are logged separately.
+            let _ = connection.await;
+        });
+        let mut open = node.caller_connections.borrow_mut();
+        open.record_task(id, task.abort_handle());
+    }
+}
+
+async fn serve_others<A>(node: Rc<Node<A>>, listener: TcpListener, kind: ListenerKind)
+where
+    A: Adapter,
+{
+    let service = fn_service(move |request: Request| {
+        let node = Rc::clone(&node);
+        async move {
+            let response = match kind {
+                ListenerKind::Metrics => front::metrics_page(&node),
+                _ => handle_peer_request(node, request).await,
+            };
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
+        .client_request_timeout(HEAD_TIMEOUT)
+        .h1_allow_half_closed(false)
+        .h1(service)
+        .tcp();
+    let Ok(connections) = factory.new_service(()).await else {
+        log::error!("cannot create the HTTP service");
+        return;
+    };
+    loop {
+        let (stream, _) = accept(&listener).await;
+        let connection = connections.call(stream);
+        actix_rt::spawn(async move {
+            let _ = connection.await;
+        });
+    }
+}
+
+async fn handle_peer_request<A>(node: Rc<Node<A>>, request: Request) -> Response<BoxBody>
+where
+    A: Adapter,
+{
+    if delegation::is_delegated(request.head()) {
+        return front::handle_delegated(node, request).await;
+    }
+    let query = request.uri().query().unwrap_or("");
+    match request.path() {
+        peer_list::PEER_LIST_PATH => peer_list::respond(&node, query),
+        reach_inquiry::REACH_PATH => reach_inquiry::respond(&node, query).await,
+        _ => snapshot::respond(&node, query, request.peer_addr()),
+    }
+}
+
+/// Waits for the next connection.
+async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                // Events are small and would wait for acknowledgements with Nagle's algorithm. A
+                // failure costs only latency.
+                let _ = stream.set_nodelay(true);
+                return (stream, peer);
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "cannot accept a connection");
+                sleep(ACCEPT_RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -7,13 +7,18 @@
 mod caller_connections;
 #[cfg(test)]
 mod caller_connections_tests;
+mod caller_stream;
+#[cfg(test)]
+mod caller_stream_tests;
 mod capacity_queue;
 #[cfg(test)]
 mod capacity_queue_tests;
 mod checks;
 mod compact_loads;
+
 #[cfg(test)]
 mod compact_loads_tests;
+mod connection_activity;
 mod cross_zone;
 #[cfg(test)]
 mod cross_zone_tests;
@@ -53,6 +58,7 @@
 #[cfg(test)]
 mod list_propagation_tests;
 mod list_sync;
+mod listener;
 mod load_change;
 mod locate;
 mod memory_budget;
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -1,37 +1,25 @@
 //! Startup and graceful shutdown of a relaying instance. Everything runs on one thread.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::{HttpService, KeepAlive, Request};
-use actix_service::{Service, ServiceFactory, fn_service};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
-use super::caller_connections::{self, RecordOnClose};
+use super::caller_connections;
+use super::listener::{ListenerKind, listen, serve};
 use super::node::Node;
 use super::settings::RelaySettings;
 use super::traffic::bytes_between_zones;
-use super::{
-    checks, delegation, duty, feeds, front, peer_list, peers, reach, reach_inquiry, records,
-    room_notice, snapshot,
-};
+use super::{checks, duty, feeds, peer_list, peers, reach, records, room_notice, snapshot};
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
 
-/// Length of the queue of connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
-/// How long an idle connection of a caller is kept. Callers reuse connections for up to four fifths
-/// of the operator's limit, which is far below this and may change while the connection is open.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Timeout for the arrival of a request's head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between sweeps of idle connections and of endpoints' pauses.
 const SWEEP_INTERVAL_MS: u64 = 200;
 /// Interval between probes of an engine that was slow.
@@ -108,14 +96,14 @@
     let mut addresses = vec![settings.front];
     addresses.extend(&settings.local_page_addresses);
     for address in addresses {
-        let listener = listen(address)?;
+        let listener = listen_at(address)?;
         actix_rt::spawn(serve(Rc::clone(node), listener, ListenerKind::Front));
     }
     if let Some(address) = settings.metrics {
-        let listener = listen(address)?;
+        let listener = listen_at(address)?;
         actix_rt::spawn(serve(Rc::clone(node), listener, ListenerKind::Metrics));
     }
-    let listener = listen(settings.peers)?;
+    let listener = listen_at(settings.peers)?;
     actix_rt::spawn(serve(Rc::clone(node), listener, ListenerKind::Peers));
     let socket = UdpSocket::bind(settings.peers).await;
     let socket = socket.map_err(|cause| RelayStartError::Listen {
@@ -136,90 +124,8 @@
     Ok(())
 }
 
-/// What a listener serves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ListenerKind {
-    Front,
-    Metrics,
-    Peers,
-}
-
-fn listen(address: SocketAddr) -> Result<TcpListener, RelayStartError> {
-    let listener = || -> io::Result<TcpListener> {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    listener().map_err(|cause| RelayStartError::Listen { address, cause })
-}
-
-async fn serve<A>(node: Rc<Node<A>>, listener: TcpListener, page: ListenerKind)
-where
-    A: Adapter,
-{
-    let served = Rc::clone(&node);
-    let service = fn_service(move |request: Request| {
-        let node = Rc::clone(&served);
-        async move {
-            let response = match page {
-                ListenerKind::Front => front::handle_request(node, request).await,
-                ListenerKind::Metrics => front::metrics_page(&node),
-                ListenerKind::Peers if delegation::is_delegated(request.head()) => {
-                    front::handle_delegated(node, request).await
-                }
-                ListenerKind::Peers => {
-                    let query = request.uri().query().unwrap_or("");
-                    match request.path() {
-                        peer_list::PEER_LIST_PATH => peer_list::respond(&node, query),
-                        reach_inquiry::REACH_PATH => reach_inquiry::respond(&node, query).await,
-                        _ => snapshot::respond(&node, query, request.peer_addr()),
-                    }
-                }
-            };
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
-        .client_request_timeout(HEAD_TIMEOUT)
-        // A caller that closes its side has disconnected: its request is dropped with all its
-        // resources.
-        .h1_allow_half_closed(false)
-        .h1(service)
-        .tcp();
-    let Ok(connections) = factory.new_service(()).await else {
-        log::error!("cannot create the HTTP service");
-        return;
-    };
-    loop {
-        match listener.accept().await {
-            Ok((stream, caller)) => {
-                // Events are small and would wait for acknowledgements with Nagle's algorithm. A
-                // failure costs only latency.
-                let _ = stream.set_nodelay(true);
-                let connection = connections.call(stream);
-                let record = (page == ListenerKind::Front).then(|| RecordOnClose {
-                    node: Rc::clone(&node),
-                    caller,
-                });
-                let is_recorded = record.is_some();
-                let task = actix_rt::spawn(async move {
-                    let _record = record;
-                    // Errors of a connection concern only its requests, which are logged separately.
-                    let _ = connection.await;
-                });
-                if is_recorded {
-                    let mut open = node.caller_connections.borrow_mut();
-                    open.record_opened(caller, task.abort_handle(), boot_ms());
-                }
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept a connection");
-                sleep(Duration::from_millis(SWEEP_INTERVAL_MS)).await;
-            }
-        }
-    }
+fn listen_at(address: SocketAddr) -> Result<TcpListener, RelayStartError> {
+    listen(address).map_err(|cause| RelayStartError::Listen { address, cause })
 }
 
 async fn sweep<A>(node: Rc<Node<A>>)
@@ -261,7 +167,8 @@
     loop {
         sleep(Duration::from_millis(STOP_POLL_INTERVAL_MS)).await;
         let now_ms = boot_ms();
-        let open = node.open_requests.get();
+        let unsent = node.caller_connections.borrow().unsent_responses();
+        let open = node.open_requests.get() + unsent as u64;
         let is_idle = open == 0 && now_ms >= since_ms + linger_ms;
         if is_idle || now_ms >= end_ms {
             log::info!(
