The document's limits on callers' connections hold, and an instance without sockets for callers is not ready

What callers saw: headerTimeoutMs was never used (10 s from the opening of a connection, none on a used one), and idleTimeoutMs only where half of the sockets were taken (120 s otherwise). Requests in progress could take every socket: then new connections were not accepted, connections to endpoints failed too, and /-/ready said 200 all the while.

Cause: the limits were constants of the HTTP service, which can't follow a document; only idle connections were counted against sockets; a failed accept was a log line. The check of idle connections ran behind probes of endpoints, so endpoints that hang delayed it.

Change: connections are checked every 200 ms in a task of their own. Half a head gets 408 after the header timeout, counted from its first byte; a connection without a byte in either direction is closed after the idle timeout, also one whose caller stopped reading. A shortened limit does not hold for what was idle before it. A connection on which bytes have arrived that are not read yet is not closed. An eighth of the sockets is never given to callers; where they have the rest, or no descriptor is left, unused connections are closed at once (not reused ones within 2 s of a request), and after 500 ms the instance says that it is not ready; its own pages are still accepted. The test of a limit above half of the sockets is replaced by a stricter one: the idle timeout holds however many sockets are left.

--- a/src/relay_server/caller_connections_tests.rs
+++ b/src/relay_server/caller_connections_tests.rs
@@ -1,9 +1,13 @@
 use std::rc::Rc;
 
-use super::caller_connections::{CallerConnections, ConnectionId};
+use super::caller_connections::{CallerConnections, CloseCause, ConnectionId};
 use super::connection_activity::ConnectionActivity;
+use super::connection_timeouts::Timeouts;
 
-const MAX_IDLE_MS: u64 = 15_000;
+const TIMEOUTS: Timeouts = Timeouts {
+    head_ms: 3_000,
+    idle_ms: 15_000,
+};
 
 /// Connections at an instance that may open 100 sockets.
 struct Opened {
@@ -20,7 +24,9 @@
             ids: Vec::new(),
             activities: Vec::new(),
         };
-        (0..count).for_each(|number| opened.open(number * 1_000));
+        // Early enough that the limits before it are of no effect.
+        opened.connections.update_timeouts(TIMEOUTS, 0);
+        (0..count).for_each(|number| opened.open(1 + number * 1_000));
         opened
     }
 
@@ -30,12 +36,24 @@
         self.activities.push(activity);
     }
 
-    /// Numbers of the connections to close.
-    fn excess(&self, max_idle_ms: u64, now_ms: u64) -> Vec<usize> {
-        let excess = self.connections.excess(max_idle_ms, now_ms).into_iter();
-        excess
-            .filter_map(|id| self.ids.iter().position(|it| *it == id))
-            .collect()
+    fn number(&self, id: ConnectionId) -> usize {
+        let mut ids = self.ids.iter();
+        ids.position(|it| *it == id).expect("it was opened")
+    }
+
+    /// Numbers of the connections to close for sockets.
+    fn excess(&self, now_ms: u64) -> Vec<usize> {
+        let excess = self.connections.excess(now_ms).into_iter();
+        excess.map(|id| self.number(id)).collect()
+    }
+
+    /// Numbers of the connections that exceed a limit.
+    fn overdue(&self, cause: CloseCause, now_ms: u64) -> Vec<usize> {
+        let overdue = self.connections.overdue(now_ms).into_iter();
+        let of_cause = overdue.filter(|(_, it)| *it == cause);
+        let mut numbers: Vec<usize> = of_cause.map(|(id, _)| self.number(id)).collect();
+        numbers.sort_unstable();
+        numbers
     }
 
     fn serve(&self, number: usize, now_ms: u64) {
@@ -49,23 +67,71 @@
 }
 
 #[test]
-fn idle_connections_are_kept_while_there_are_sockets() {
-    let opened = Opened::each_second(50);
-    assert_eq!(opened.excess(MAX_IDLE_MS, 119_000), numbers(0..0));
-}
-
-#[test]
-fn connections_that_are_idle_for_longer_than_allowed_are_closed_when_half_of_the_sockets_are_used()
-{
+fn connections_that_are_idle_for_longer_than_allowed_are_closed_however_many_sockets_are_left() {
     let mut opened = Opened::each_second(60);
-    assert_eq!(opened.excess(MAX_IDLE_MS, 20_000), numbers(0..5));
-    opened.activities[0].record_request(0);
+    let overdue = |opened: &Opened, now_ms| opened.overdue(CloseCause::IdleTimeout, now_ms);
+    assert_eq!(overdue(&opened, 15_001), numbers(0..0));
+    assert_eq!(overdue(&opened, 20_000), numbers(0..5));
+    opened.activities[0].record_request(1);
     opened.serve(2, 12_000);
-    assert_eq!(opened.excess(MAX_IDLE_MS, 20_000), [1, 3, 4]);
+    assert_eq!(overdue(&opened, 20_000), [1, 3, 4]);
     for id in &opened.ids[0..10] {
         opened.connections.record_closed(*id);
     }
-    assert_eq!(opened.excess(MAX_IDLE_MS, 90_000), numbers(0..0));
+    assert_eq!(overdue(&opened, 90_000), numbers(10..60));
+}
+
+/// Guards against the close of a connection that its caller may still use by the document of before.
+#[test]
+fn a_longer_idle_timeout_holds_for_connections_that_were_idle_before_it_was_shortened() {
+    let mut opened = Opened::each_second(10);
+    let timeouts = |idle_ms| Timeouts {
+        idle_ms,
+        ..TIMEOUTS
+    };
+    opened.connections.update_timeouts(timeouts(2_000), 5_000);
+    let overdue = |opened: &Opened, now_ms| opened.overdue(CloseCause::IdleTimeout, now_ms);
+    assert_eq!(overdue(&opened, 14_000), numbers(5..10));
+    assert_eq!(overdue(&opened, 17_000), [0, 1, 5, 6, 7, 8, 9]);
+    opened.connections.update_timeouts(timeouts(30_000), 17_500);
+    assert_eq!(overdue(&opened, 25_000), numbers(0..0));
+}
+
+/// Guards against callers that keep connections by sending half a request on each.
+#[test]
+fn half_a_head_is_kept_for_the_header_timeout_from_its_first_byte() {
+    let opened = Opened::each_second(2);
+    opened.activities[0].record_read(10_000);
+    opened.activities[0].record_read(12_900);
+    assert_eq!(
+        opened.overdue(CloseCause::HeadTimeout, 13_000),
+        numbers(0..0)
+    );
+    assert_eq!(opened.overdue(CloseCause::HeadTimeout, 13_001), [0]);
+    opened.activities[0].record_request(13_001);
+    assert_eq!(
+        opened.overdue(CloseCause::HeadTimeout, 90_000),
+        numbers(0..0)
+    );
+}
+
+#[test]
+fn a_caller_that_stops_reading_is_idle_from_the_last_byte_that_it_took() {
+    let opened = Opened::each_second(1);
+    opened.activities[0].record_request(1);
+    opened.activities[0].record_written(20_000);
+    opened.activities[0].record_write_blocked();
+    assert_eq!(
+        opened.overdue(CloseCause::IdleTimeout, 35_000),
+        numbers(0..0)
+    );
+    assert_eq!(opened.overdue(CloseCause::IdleTimeout, 35_001), [0]);
+}
+
+#[test]
+fn idle_connections_are_not_closed_for_sockets_while_the_reserve_is_free() {
+    let opened = Opened::each_second(75);
+    assert_eq!(opened.excess(119_000), numbers(0..0));
 }
 
 /// Guards against an instance that says it is ready and has no descriptor for a new caller.
@@ -74,11 +140,12 @@
     let opened = Opened::each_second(90);
     opened.activities[0..80]
         .iter()
-        .for_each(|it| it.record_request(0));
-    assert_eq!(opened.excess(1_000_000, 90_000), numbers(80..90));
-    opened.activities[7].record_response(90_000);
-    let closed = opened.excess(1_000_000, 90_001);
+        .for_each(|it| it.record_request(1));
+    assert_eq!(opened.excess(90_001), numbers(80..90));
+    opened.activities[7].record_response(90_001);
+    let closed = opened.excess(90_002);
     assert_eq!(closed, [numbers(80..90), numbers(7..8)].concat());
+    assert!(opened.connections.is_full());
 }
 
 /// Guards against the close of the connection on which the platform asks whether the instance is ready.
@@ -88,8 +155,11 @@
     opened.serve(0, 20_000);
     opened.serve(0, 60_000);
     (1..80).for_each(|number| opened.serve(number, 80_000));
-    assert_eq!(opened.excess(1_000_000, 90_000), numbers(1..6));
-    assert_eq!(opened.excess(25_000, 90_000), [0, 1, 2, 3, 4]);
+    assert_eq!(opened.excess(90_000), numbers(1..6));
+    (1..80).for_each(|number| opened.activities[number].record_request(90_000));
+    assert_eq!(opened.excess(90_000), [0]);
+    opened.serve(0, 90_000);
+    assert_eq!(opened.excess(91_999), numbers(0..0));
 }
 
 /// Guards against the loss of a response whose end a slow caller has not read.
@@ -97,31 +167,31 @@
 fn connections_with_unsent_bytes_are_not_closed_for_sockets() {
     let opened = Opened::each_second(90);
     for activity in &opened.activities[0..85] {
-        activity.record_request(0);
+        activity.record_request(1);
         activity.record_write_blocked();
-        activity.record_response(1);
+        activity.record_response(2);
     }
     assert_eq!(opened.connections.unsent_responses(), 85);
-    assert_eq!(opened.excess(MAX_IDLE_MS, 200_000), numbers(85..90));
-    opened.activities[3].record_written(2);
-    assert_eq!(opened.excess(MAX_IDLE_MS, 200_000)[0], 3);
+    assert_eq!(opened.excess(200_000), numbers(85..90));
+    opened.activities[3].record_written(3);
+    assert!(opened.excess(200_000).contains(&3));
 }
 
 #[test]
 fn a_new_connection_is_given_the_time_to_send_its_first_request() {
     let mut opened = Opened::each_second(0);
     (0..90).for_each(|_| opened.open(5_000));
-    assert_eq!(opened.excess(MAX_IDLE_MS, 5_999), numbers(0..0));
-    assert_eq!(opened.excess(MAX_IDLE_MS, 6_000), numbers(0..15));
+    assert_eq!(opened.excess(5_999), numbers(0..0));
+    assert_eq!(opened.excess(6_000), numbers(0..15));
 }
 
-/// Guards against callers that keep connections by sending half a request on each.
+/// Guards against callers that take up all sockets by sending half a request on each.
 #[test]
-fn connections_with_half_a_head_are_closed_like_idle_ones() {
+fn connections_with_half_a_head_are_closed_for_sockets_like_idle_ones() {
     let opened = Opened::each_second(90);
     opened
         .activities
         .iter()
         .for_each(|it| it.record_read(90_000));
-    assert_eq!(opened.excess(MAX_IDLE_MS, 92_000), numbers(0..15));
+    assert_eq!(opened.excess(92_000), numbers(0..15));
 }
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -114,6 +114,11 @@
 {
     node.counters
         .gauge("relay.open_requests", node.open_requests.get());
+    let connections = node.caller_connections.borrow().count() as u64;
+    node.counters.gauge("relay.caller_connections", connections);
+    let to_endpoints = node.upstreams.idle_count() as u64;
+    node.counters
+        .gauge("relay.idle_endpoint_connections", to_endpoints);
     let mut page = node.counters.render_prometheus();
     page.push_str(&node.demand_gauges(boot_ms()));
     Response::with_body(StatusCode::OK, BoxBody::new(page))
--- a/src/relay_server/listener.rs
+++ b/src/relay_server/listener.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
-use super::caller_connections::RecordOnClose;
+use super::caller_connections::{ConnectionServer, RecordOnClose, free_sockets};
 use super::caller_stream::CallerStream;
 use super::node::Node;
 use super::{delegation, front, peer_list, reach_inquiry, snapshot};
@@ -21,17 +21,20 @@
 
 /// Length of the queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
-/// How long an idle connection is kept.
+/// How long an idle connection of another instance is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Timeout for the arrival of a request's head.
+/// Timeout for the arrival of the head of another instance's request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a connection could not be accepted.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ListenerKind {
+    /// Callers' requests.
     Front,
+    /// The pages of the instance itself, which are needed also when callers have all their sockets.
+    LocalPages,
     Metrics,
     Peers,
 }
@@ -50,12 +53,14 @@
     A: Adapter,
 {
     match kind {
-        ListenerKind::Front => serve_callers(node, listener).await,
+        ListenerKind::Front | ListenerKind::LocalPages => {
+            serve_callers(node, listener, kind).await;
+        }
         ListenerKind::Metrics | ListenerKind::Peers => serve_others(node, listener, kind).await,
     }
 }
 
-async fn serve_callers<A>(node: Rc<Node<A>>, listener: TcpListener)
+async fn serve_callers<A>(node: Rc<Node<A>>, listener: TcpListener, kind: ListenerKind)
 where
     A: Adapter,
 {
@@ -65,8 +70,9 @@
         async move { Ok::<_, Infallible>(front::handle_request(node, request).await) }
     });
     let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
-        .client_request_timeout(HEAD_TIMEOUT)
+        // The limits of the document are kept by `caller_connections`, since they change.
+        .keep_alive(KeepAlive::Os)
+        .client_request_timeout(Duration::ZERO)
         // A caller that closes its side has disconnected: its request is dropped with all its
         // resources.
         .h1_allow_half_closed(false)
@@ -79,13 +85,22 @@
         return;
     };
     loop {
-        let (stream, caller) = accept(&listener).await;
+        if kind == ListenerKind::Front {
+            wait_for_free_socket(&node).await;
+        }
+        let (stream, caller) = accept(&node, &listener).await;
+        if kind == ListenerKind::Front {
+            node.record_accept();
+        }
+        let stream = Rc::new(stream);
         let (id, activity) = node
             .caller_connections
             .borrow_mut()
             .record_opened(boot_ms());
-        let connection =
-            connections.call((CallerStream::new(Rc::new(stream), activity), Some(caller)));
+        let connection = connections.call((
+            CallerStream::new(Rc::clone(&stream), activity),
+            Some(caller),
+        ));
         let record = RecordOnClose {
             node: Rc::clone(&node),
             id,
@@ -95,8 +110,13 @@
             // Errors of a connection concern only its requests, which are logged separately.
             let _ = connection.await;
         });
-        let mut open = node.caller_connections.borrow_mut();
-        open.record_task(id, task.abort_handle());
+        let server = ConnectionServer {
+            task: task.abort_handle(),
+            stream,
+        };
+        node.caller_connections
+            .borrow_mut()
+            .record_server(id, server);
     }
 }
 
@@ -104,8 +124,9 @@
 where
     A: Adapter,
 {
+    let served = Rc::clone(&node);
     let service = fn_service(move |request: Request| {
-        let node = Rc::clone(&node);
+        let node = Rc::clone(&served);
         async move {
             let response = match kind {
                 ListenerKind::Metrics => front::metrics_page(&node),
@@ -125,7 +146,7 @@
         return;
     };
     loop {
-        let (stream, _) = accept(&listener).await;
+        let (stream, _) = accept(&node, &listener).await;
         let connection = connections.call(stream);
         actix_rt::spawn(async move {
             let _ = connection.await;
@@ -148,8 +169,23 @@
     }
 }
 
+/// Waits while callers have all the sockets that they may take. New ones wait in the listener's queue meanwhile.
+async fn wait_for_free_socket<A>(node: &Node<A>)
+where
+    A: Adapter,
+{
+    while node.caller_connections.borrow().is_full() {
+        node.record_accept_failure(boot_ms());
+        free_sockets(node, boot_ms());
+        sleep(ACCEPT_RETRY_INTERVAL).await;
+    }
+}
+
 /// Waits for the next connection.
-async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+async fn accept<A>(node: &Node<A>, listener: &TcpListener) -> (TcpStream, SocketAddr)
+where
+    A: Adapter,
+{
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
@@ -159,7 +195,15 @@
                 return (stream, peer);
             }
             Err(error) => {
-                log::warn!(error:% = error; "cannot accept a connection");
+                log::warn!(
+                    error:% = error,
+                    caller_connections = node.caller_connections.borrow().count();
+                    "cannot accept a connection"
+                );
+                node.record_accept_failure(boot_ms());
+                node.upstreams.discard_idle();
+                node.delegates.discard_idle();
+                free_sockets(node, boot_ms());
                 sleep(ACCEPT_RETRY_INTERVAL).await;
             }
         }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -19,6 +19,9 @@
 #[cfg(test)]
 mod compact_loads_tests;
 mod connection_activity;
+mod connection_timeouts;
+#[cfg(test)]
+mod connection_timeouts_tests;
 mod cross_zone;
 #[cfg(test)]
 mod cross_zone_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -30,6 +30,9 @@
 use crate::route_table::{CurrentTable, RouteTable};
 use crate::telemetry::Counters;
 
+/// How long callers' connections may wait to be accepted at an instance that says that it is ready.
+const MAX_ACCEPT_DELAY_MS: u64 = 500;
+
 /// Shared state of one instance.
 pub(crate) struct Node<A> {
     pub(crate) adapter: A,
@@ -68,6 +71,8 @@
     pub(crate) list_log: RefCell<ListLog>,
     /// Open connections of callers.
     pub(crate) caller_connections: RefCell<CallerConnections>,
+    /// First and last time at which connections could not be accepted, since the last that was.
+    accept_failing_ms: Cell<Option<(u64, u64)>>,
     /// Memory of the bodies of all requests that are being served.
     pub(crate) request_memory: MemoryBudget,
     /// Budget of this instance's link for serving peers.
@@ -111,6 +116,7 @@
             peers: RefCell::new(PeerBook::new(&settings, incarnation, boot_ms())),
             uplink: RefCell::new(Uplink::new(settings.link_mbps)),
             caller_connections: RefCell::new(CallerConnections::new(settings.max_sockets)),
+            accept_failing_ms: Cell::default(),
             request_memory: request_memory(settings.memory_mb),
             adapter,
             settings,
@@ -159,11 +165,43 @@
         self.is_informed() && self.stopping_since_ms.get().is_none()
     }
 
-    /// Whether callers should prefer this instance: it is open, and its route table is recent enough
-    /// for keys to be trusted.
+    /// Whether callers should prefer this instance: it is open, accepts connections, and its route table is
+    /// recent enough for keys to be trusted.
     pub(crate) fn is_ready(&self) -> bool {
-        let age_ms = self.table.borrow().age_ms(boot_ms());
-        self.is_open() && age_ms <= self.settings.bounds.key_trust_ms
+        let now_ms = boot_ms();
+        let age_ms = self.table.borrow().age_ms(now_ms);
+        let is_trusted = age_ms <= self.settings.bounds.key_trust_ms;
+        self.is_open() && is_trusted && self.accepts_connections(now_ms)
+    }
+
+    fn accepts_connections(&self, now_ms: u64) -> bool {
+        let failing = self.accept_failing_ms.get();
+        // A failure is retried at once, so that an older one is over.
+        failing.is_none_or(|(first_ms, last_ms)| {
+            last_ms < first_ms + MAX_ACCEPT_DELAY_MS || now_ms >= last_ms + MAX_ACCEPT_DELAY_MS
+        })
+    }
+
+    /// Records that a caller's connection was accepted.
+    pub(super) fn record_accept(&self) {
+        self.accept_failing_ms.set(None);
+    }
+
+    /// Records that no connection can be accepted.
+    pub(super) fn record_accept_failure(&self, now_ms: u64) {
+        let first_ms = match self.accept_failing_ms.get() {
+            Some((first_ms, last_ms)) if now_ms < last_ms + MAX_ACCEPT_DELAY_MS => first_ms,
+            _ => {
+                self.counters.count("relay.accept_failures");
+                log::warn!(
+                    caller_connections = self.caller_connections.borrow().count(),
+                    max_sockets = self.settings.max_sockets;
+                    "connections cannot be accepted for want of sockets"
+                );
+                now_ms
+            }
+        };
+        self.accept_failing_ms.set(Some((first_ms, now_ms)));
     }
 
     /// Whether callers should use this instance, and whether it can supply others with data.
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -20,7 +20,7 @@
 use crate::clock::boot_ms;
 use crate::exit_codes::Exit;
 
-/// Interval between sweeps of idle connections and of endpoints' pauses.
+/// Interval between sweeps, and between checks of endpoints' pauses.
 const SWEEP_INTERVAL_MS: u64 = 200;
 /// Interval between probes of an engine that was slow.
 const SLOW_CHECK_INTERVAL_MS: u64 = 1_000;
@@ -93,11 +93,11 @@
     A: Adapter,
 {
     let settings = &node.settings;
-    let mut addresses = vec![settings.front];
-    addresses.extend(&settings.local_page_addresses);
-    for address in addresses {
-        let listener = listen_at(address)?;
-        actix_rt::spawn(serve(Rc::clone(node), listener, ListenerKind::Front));
+    let listener = listen_at(settings.front)?;
+    actix_rt::spawn(serve(Rc::clone(node), listener, ListenerKind::Front));
+    for address in &settings.local_page_addresses {
+        let listener = listen_at(*address)?;
+        actix_rt::spawn(serve(Rc::clone(node), listener, ListenerKind::LocalPages));
     }
     if let Some(address) = settings.metrics {
         let listener = listen_at(address)?;
@@ -120,7 +120,9 @@
     actix_rt::spawn(records::maintain_records(Rc::clone(node)));
     actix_rt::spawn(peer_list::sync_peer_list(Rc::clone(node)));
     actix_rt::spawn(reach::check_when_unreachable(Rc::clone(node)));
+    actix_rt::spawn(caller_connections::limit_connections(Rc::clone(node)));
     actix_rt::spawn(sweep(Rc::clone(node)));
+    actix_rt::spawn(check_endpoints(Rc::clone(node)));
     Ok(())
 }
 
@@ -128,25 +130,37 @@
     listen(address).map_err(|cause| RelayStartError::Listen { address, cause })
 }
 
+/// Drops what is outdated, for as long as the process runs.
 async fn sweep<A>(node: Rc<Node<A>>)
 where
     A: Adapter,
 {
-    let mut slow_checked_ms = 0;
     loop {
         sleep(Duration::from_millis(SWEEP_INTERVAL_MS)).await;
         let now_ms = boot_ms();
-        if now_ms >= slow_checked_ms + SLOW_CHECK_INTERVAL_MS {
-            slow_checked_ms = now_ms;
-            checks::check_slow(&node).await;
-        }
         node.upstreams.sweep(now_ms);
         node.delegates.sweep(now_ms);
         node.checks.borrow_mut().sweep(now_ms);
-        caller_connections::close_excess(&node);
         let changes = node.fleet.borrow_mut().expire(now_ms);
         node.apply_changes(&changes);
         node.update_quarantine();
+    }
+}
+
+/// Checks slow and paused endpoints, for as long as the process runs. Apart from [`sweep`], since endpoints that hang
+/// delay a check.
+async fn check_endpoints<A>(node: Rc<Node<A>>)
+where
+    A: Adapter,
+{
+    let mut slow_checked_ms = 0;
+    loop {
+        sleep(Duration::from_millis(SWEEP_INTERVAL_MS)).await;
+        let now_ms = boot_ms();
+        if now_ms >= slow_checked_ms + SLOW_CHECK_INTERVAL_MS {
+            slow_checked_ms = now_ms;
+            checks::check_slow(&node).await;
+        }
         checks::check_paused(&node).await;
     }
 }
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -223,6 +223,11 @@
         self.idle.borrow_mut().swap_remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub(super) fn discard_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes idle connections that are too old to be reused.
     pub(crate) fn sweep(&self, now_ms: u64) {
         self.idle.borrow_mut().retain(|_, idle| {
@@ -231,6 +236,11 @@
         });
     }
 
+    /// Number of idle connections.
+    pub(super) fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Memory in use by the responses that are being read whole.
     #[cfg(test)]
     pub(super) fn buffered_bytes(&self) -> usize {
