Heads of endpoints' responses cut at any byte: a test

Another operator's report: an engine stopped in the middle of its response's head and closed, and clients got a 200 with an empty or short body. It cannot happen here as far as tried: each cut of three heads (length, chunks, until close), also behind an interim response and on a reused connection, is a broken response. The test passed without a change of code. Not tried: resumed streams, delegated requests, replies of the store in several pages.

--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -25,6 +25,8 @@
 mod cross_zone;
 #[cfg(test)]
 mod cross_zone_tests;
+#[cfg(test)]
+mod cut_head_tests;
 mod delegates;
 #[cfg(test)]
 mod delegates_tests;
