Log lines: a request is sent although its caller has left; where a repeat goes, and when that endpoint was last heard

No decision changes. Two beliefs become two fields: data from an endpoint, which now counts for replicas too, and a connection that its kernel accepted, which shows only that its process has not exited; the quarantine uses the later of both, as before.

--- a/src/fleet/known.rs
+++ b/src/fleet/known.rs
@@ -57,8 +57,11 @@
     pub provenance: Provenance,
     /// Health as shown by calls.
     pub health: EndpointHealth,
-    /// When something was last received from it.
+    /// When something was last received from it. A connection does not count: the kernel accepts them for a process
+    /// that is stopped.
     pub last_heard: LastHeard,
+    /// When a connection to it was last found to be accepted, so that its process had not exited; 0 if never.
+    pub accepted_connection_ms: u64,
     /// Requests of this process that are in flight there.
     pub in_flight: u32,
     /// Tokens times layers in its memory that belong to requests of this process.
@@ -88,6 +91,7 @@
             provenance,
             health: EndpointHealth::default(),
             last_heard: LastHeard::default(),
+            accepted_connection_ms: 0,
             in_flight: 0,
             held_token_layers: 0,
             own_unread_token_layers: 0,
@@ -158,6 +162,11 @@
         self.missing_since_ms.is_some()
     }
 
+    /// When its process was last known not to have exited; 0 if never.
+    pub fn last_alive_ms(&self) -> u64 {
+        self.last_heard.at_ms().max(self.accepted_connection_ms)
+    }
+
     /// Whether something was received after the failed probe was sent. Does not apply to an endpoint
     /// that refuses connections or has ended: what it sent earlier does not show that it is alive.
     pub fn heard_since_probe(&self) -> bool {
--- a/src/relay_server/caller_stream.rs
+++ b/src/relay_server/caller_stream.rs
@@ -24,6 +24,11 @@
         Self { stream, activity }
     }
 
+    /// The socket.
+    pub(super) fn socket(&self) -> &Rc<TcpStream> {
+        &self.stream
+    }
+
     /// The activity on the connection.
     pub(super) fn activity(&self) -> &Rc<ConnectionActivity> {
         &self.activity
@@ -39,15 +44,20 @@
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(buffer.initialize_unfilled()) {
+                Ok(0) => {
+                    self.activity.record_end();
+                    return Poll::Ready(Ok(()));
+                }
                 Ok(length) => {
                     buffer.advance(length);
-                    if length > 0 {
-                        self.activity.record_read(boot_ms());
-                    }
+                    self.activity.record_read(boot_ms());
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
+                Err(error) => {
+                    self.activity.record_end();
+                    return Poll::Ready(Err(error));
+                }
             }
         }
     }
--- a/src/relay_server/connection_activity.rs
+++ b/src/relay_server/connection_activity.rs
@@ -5,6 +5,7 @@
 
 use actix_http::Request;
 
+use super::caller_link::CallerLink;
 use crate::clock::boot_ms;
 
 /// What happens on one connection. Written by the connection's stream and by its requests.
@@ -20,6 +21,8 @@
     open_requests: Cell<u32>,
     /// Requests that have arrived so far.
     requests: Cell<u64>,
+    /// Whether the caller has closed its side, or the connection was reset.
+    has_ended: Cell<bool>,
 }
 
 /// The state of a connection.
@@ -44,6 +47,7 @@
             has_unsent_bytes: Cell::default(),
             open_requests: Cell::default(),
             requests: Cell::default(),
+            has_ended: Cell::default(),
         }
     }
 
@@ -55,6 +59,16 @@
         }
     }
 
+    /// Records that nothing more can be read: the caller has closed its side, or the connection was reset.
+    pub(super) fn record_end(&self) {
+        self.has_ended.set(true);
+    }
+
+    /// Whether nothing more can be read, as far as the connection's stream has noticed.
+    pub(super) fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+
     /// Records that bytes have left.
     pub(super) fn record_written(&self, now_ms: u64) {
         self.active_at_ms.set(now_ms);
@@ -117,7 +131,7 @@
 impl RequestOnConnection {
     /// Records that a request has arrived; `None` if the activity on its connection is not recorded.
     pub(super) fn begin(request: &Request) -> Option<Self> {
-        let activity = request.conn_data::<Rc<ConnectionActivity>>()?;
+        let activity = request.conn_data::<CallerLink>()?.activity();
         activity.record_request(boot_ms());
         Some(Self(Rc::clone(activity)))
     }
--- a/src/relay_server/exits.rs
+++ b/src/relay_server/exits.rs
@@ -120,8 +120,8 @@
     match node.upstreams.preconnect(address, started_ms).await {
         Ok(()) => {
             node.note_connected(endpoint, started_ms);
-            if let Some(known) = node.fleet.borrow().get(endpoint) {
-                known.last_heard.record(boot_ms());
+            if let Some(known) = node.fleet.borrow_mut().get_mut(endpoint) {
+                known.accepted_connection_ms = boot_ms();
             }
         }
         Err(UpstreamFailure::NoListener) => {
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 
 use super::adapter::{Adapter, LocalPage};
+use super::caller_link::CallerLink;
 use super::connection_activity::RequestOnConnection;
 use super::delegation::{Delegation, set_outcome, strip_headers};
 use super::headers;
@@ -321,6 +322,7 @@
         features: None,
         is_quarantine_trial: false,
         delegation: None,
+        caller: request.conn_data::<CallerLink>().cloned(),
         arrived_ms: now_ms,
         deadline_ms: now_ms + timeout_ms.min(route.timeout_ms),
         route,
--- a/src/relay_server/listener.rs
+++ b/src/relay_server/listener.rs
@@ -14,6 +14,7 @@
 
 use super::adapter::Adapter;
 use super::caller_connections::{ConnectionServer, RecordOnClose, free_sockets};
+use super::caller_link::CallerLink;
 use super::caller_stream::CallerStream;
 use super::node::Node;
 use super::{delegation, front, peer_list, reach_inquiry, snapshot};
@@ -77,7 +78,7 @@
         // resources.
         .h1_allow_half_closed(false)
         .on_connect_ext(|stream: &CallerStream, data| {
-            data.insert(Rc::clone(stream.activity()));
+            data.insert(CallerLink::of(stream));
         })
         .h1(service);
     let Ok(connections) = factory.new_service(()).await else {
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -7,6 +7,7 @@
 mod caller_connections;
 #[cfg(test)]
 mod caller_connections_tests;
+mod caller_link;
 mod caller_stream;
 #[cfg(test)]
 mod caller_stream_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -316,6 +316,13 @@
             .map_or(0, |known| known.last_heard.at_ms())
     }
 
+    /// Records that data has arrived from an endpoint.
+    pub(crate) fn record_heard(&self, endpoint: &EndpointId) {
+        if let Some(known) = self.fleet.borrow().get(endpoint) {
+            known.last_heard.record(boot_ms());
+        }
+    }
+
     fn handle_exclusion(&self, endpoint: &EndpointId, failure: EndpointFailure) {
         let now_ms = boot_ms();
         let ago = |at_ms: u64| now_ms.saturating_sub(at_ms);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -230,6 +230,9 @@
         &mut self,
         endpoint: &EndpointId,
     ) -> Result<CompleteResponse, AttemptOutcome> {
+        if self.attempts.sends() > 0 {
+            self.log_repeat(endpoint);
+        }
         self.attempts.send_started(endpoint);
         self.send_context = SendContext::new(self.node, [endpoint]);
         let result = attempt_once(self.node, self.request, endpoint, &self.attempts).await;
@@ -265,6 +268,21 @@
         Err(outcome)
     }
 
+    /// Logs what is known about the endpoint to which the request is sent again.
+    fn log_repeat(&self, endpoint: &EndpointId) {
+        let now_ms = boot_ms();
+        let heard_ms = self.node.last_heard_ms(endpoint);
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            endpoint = endpoint.as_str(),
+            heard_ago_ms = (heard_ms > 0).then(|| now_ms.saturating_sub(heard_ms)),
+            since_arrival_ms = now_ms.saturating_sub(self.request.arrived_ms),
+            left_ms = self.request.remaining_ms(now_ms),
+            sends = self.attempts.sends();
+            "request is sent again"
+        );
+    }
+
     async fn attempt_by(
         &mut self,
         delegate: &Delegate,
@@ -387,6 +405,7 @@
     let head = request.head_for(node, endpoint, None, None);
     let sent = node
         .send_with_permit(endpoint, address, head, request.body.clone(), || {
+            request.log_send_without_caller(endpoint);
             node.accepts_requests(endpoint)
         })
         .await;
@@ -398,6 +417,7 @@
         Ok(response) => response,
         Err(failure) => return failed(failure),
     };
+    node.record_heard(endpoint);
     let facts = node.adapter.parse_response_metadata(&head);
     if facts.id.as_deref() != Some(request.ask.id.as_str()) {
         return failed(UpstreamFailure::Garbled);
--- a/src/relay_server/probes.rs
+++ b/src/relay_server/probes.rs
@@ -145,10 +145,8 @@
             .borrow_mut()
             .record_reply(sent_ms, boot_ms());
     }
-    if answer.is_ok()
-        && let Some(known) = node.fleet.borrow().get(id)
-    {
-        known.last_heard.record(boot_ms());
+    if answer.is_ok() {
+        node.record_heard(id);
     }
     answer
 }
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::adapter::{Adapter, Dispatch, RequestMetadata};
+use super::caller_link::CallerLink;
 use super::delegation::Delegation;
 use super::memory_budget::MemoryShare;
 use super::node::Node;
@@ -43,6 +44,8 @@
     pub(crate) arrived_ms: u64,
     /// The instance that has received it from the caller, if that is another one.
     pub(crate) delegation: Option<Delegation>,
+    /// The connection on which it arrived, if that is observed.
+    pub(super) caller: Option<CallerLink>,
     /// When the caller must have a response: the earlier of its own and the route's timeout.
     pub(crate) deadline_ms: u64,
 }
@@ -77,6 +80,25 @@
         self.deadline_ms.saturating_sub(now_ms)
     }
 
+    /// Whether the caller is still connected, or the instance that has delegated the request.
+    pub(crate) fn has_caller(&self) -> bool {
+        !self.caller.as_ref().is_some_and(CallerLink::has_ended)
+    }
+
+    /// Logs a send to an endpoint whose response nobody waits for.
+    pub(crate) fn log_send_without_caller(&self, endpoint: &EndpointId) {
+        if !self.has_caller() {
+            log::info!(
+                request = self.ask.id.as_str(),
+                endpoint = endpoint.as_str(),
+                is_idempotent = self.route.retry_policy.allows_retry(),
+                delegated_by = self.delegated_by(),
+                since_arrival_ms = boot_ms().saturating_sub(self.arrived_ms);
+                "request is sent although its caller has left"
+            );
+        }
+    }
+
     /// Whether enough time is left to send the request.
     pub(crate) fn has_time_to_send(&self, now_ms: u64) -> bool {
         self.remaining_ms(now_ms) >= MIN_SEND_WINDOW_MS
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -98,6 +98,7 @@
         let body = self.request.body.clone();
         let node = &self.node;
         let may_send = || {
+            self.request.log_send_without_caller(&first.endpoint);
             let mut stages = chain.stages().iter();
             stages.all(|stage| node.accepts_requests(&stage.endpoint))
         };
--- a/src/relay_server/withholding.rs
+++ b/src/relay_server/withholding.rs
@@ -159,7 +159,7 @@
         // It was in service when the run broke off, and has neither drained nor answered since.
         None => EndpointLiveness::Ended,
         Some(known) if known.listed.phase == Phase::Leaving => EndpointLiveness::Ended,
-        Some(known) if known.last_heard.at_ms() > broke_off_ms + IN_TRANSIT_MS => {
+        Some(known) if known.last_alive_ms() > broke_off_ms + IN_TRANSIT_MS => {
             EndpointLiveness::Alive
         }
         Some(_) => EndpointLiveness::Unknown,
