A request whose caller has left is not sent to an endpoint

What callers saw: a non-idempotent request ran twice. Its caller's connection was reset or closed while its instance stood still, before the instance had read the request, so the caller sent it again to another instance; the first one ran it as well when it went on.

Cause: what was written to a process stays readable after its writer has closed, by FIN or by RST. The HTTP service reads the request and the end of the connection in one round, starts the request, and drops it at the end of the round. By then it had been written on an idle connection to an endpoint. Class: acting on what was true when bytes were sent, not now.

Change: a request knows the connection on which it arrived. Right before its bytes are written to an endpoint, or to another instance, the kernel is asked whether the caller is still there; if not, nothing is sent. The connections of other instances are observed in the same way, so that a delegated request that was given up isn't run later either; both kinds are served by one function now.

--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -32,6 +32,8 @@
     OldTable,
     /// The process was about to stop.
     Stopping,
+    /// The caller had left.
+    CallerLeft,
     /// The request is withheld because endpoints crash when they run it.
     Withheld,
     /// The endpoints that could run the request accepted none from this instance.
@@ -55,6 +57,7 @@
             Self::NoTable => "no_table",
             Self::OldTable => "old_table",
             Self::Stopping => "stopping",
+            Self::CallerLeft => "caller_left",
             Self::Withheld => "withheld",
             Self::RateLimited => "rate_limited",
         }
@@ -73,6 +76,7 @@
             RefusalCause::NoBudget => Self::Budget,
             RefusalCause::Stopping => Self::Stopping,
             RefusalCause::TooLate => Self::Deadline,
+            RefusalCause::CallerLeft => Self::CallerLeft,
             RefusalCause::Withheld => Self::Withheld,
             RefusalCause::RateLimited { .. } => Self::RateLimited,
         }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -60,6 +60,8 @@
     Stopping,
     /// The deadline passed before the request was sent.
     TooLate,
+    /// The caller left before the request was sent.
+    CallerLeft,
     /// The request is withheld because endpoints crash when they run it.
     Withheld,
     /// The endpoints that could run the request accept none from this instance at present.
@@ -83,6 +85,7 @@
             Self::NoBudget => "no_budget",
             Self::Stopping => "stopping",
             Self::TooLate => "too_late",
+            Self::CallerLeft => "caller_left",
             Self::Withheld => "withheld",
             Self::RateLimited { .. } => "rate_limited",
         }
@@ -99,9 +102,12 @@
             | Self::Stopping
             | Self::Withheld
             | Self::RateLimited { .. } => true,
-            Self::Full | Self::NoMemory | Self::Queue { .. } | Self::NoBudget | Self::TooLate => {
-                false
-            }
+            Self::Full
+            | Self::NoMemory
+            | Self::Queue { .. }
+            | Self::NoBudget
+            | Self::TooLate
+            | Self::CallerLeft => false,
         }
     }
 
@@ -110,7 +116,7 @@
     /// the response, while retrying late costs only time.
     pub fn retry_after_ms(self, conditions: RetryConditions) -> u64 {
         let usual_ms = match self {
-            Self::Stopping | Self::TooLate => OTHER_INSTANCE_RETRY_MS,
+            Self::Stopping | Self::TooLate | Self::CallerLeft => OTHER_INSTANCE_RETRY_MS,
             Self::NoTable | Self::OldTable if conditions.other_instances_serve => {
                 OTHER_INSTANCE_RETRY_MS
             }
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -284,7 +284,9 @@
         let body = request.body.clone();
         let sent = self
             .delegates
-            .send(run.delegate.address, head, body, now_ms, || true)
+            .send(run.delegate.address, head, body, now_ms, || {
+                request.may_send(self)
+            })
             .await;
         if !sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
             let scope = self.scope_of_instance(&run.delegate.instance);
--- a/src/relay_server/listener.rs
+++ b/src/relay_server/listener.rs
@@ -16,6 +16,7 @@
 use super::caller_connections::{ConnectionServer, RecordOnClose, free_sockets};
 use super::caller_link::CallerLink;
 use super::caller_stream::CallerStream;
+use super::connection_activity::ConnectionActivity;
 use super::node::Node;
 use super::{delegation, front, peer_list, reach_inquiry, snapshot};
 use crate::clock::boot_ms;
@@ -48,32 +49,48 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts and serves connections for as long as the process runs.
-pub(super) async fn serve<A>(node: Rc<Node<A>>, listener: TcpListener, kind: ListenerKind)
-where
-    A: Adapter,
-{
-    match kind {
-        ListenerKind::Front | ListenerKind::LocalPages => {
-            serve_callers(node, listener, kind).await;
+impl ListenerKind {
+    /// Whether callers connect to it, so that the document's limits on their connections hold.
+    fn is_for_callers(self) -> bool {
+        matches!(self, Self::Front | Self::LocalPages)
+    }
+
+    async fn respond<A>(self, node: Rc<Node<A>>, request: Request) -> Response<BoxBody>
+    where
+        A: Adapter,
+    {
+        match self {
+            Self::Front | Self::LocalPages => front::handle_request(node, request).await,
+            Self::Metrics => front::metrics_page(&node),
+            Self::Peers => handle_peer_request(node, request).await,
+        }
+    }
+
+    /// Idle timeout and timeout for the arrival of a head. Those of callers are kept by `caller_connections`, since
+    /// they change with the document.
+    fn timeouts(self) -> (KeepAlive, Duration) {
+        if self.is_for_callers() {
+            (KeepAlive::Os, Duration::ZERO)
+        } else {
+            (KeepAlive::Timeout(IDLE_TIMEOUT), HEAD_TIMEOUT)
         }
-        ListenerKind::Metrics | ListenerKind::Peers => serve_others(node, listener, kind).await,
     }
 }
 
-async fn serve_callers<A>(node: Rc<Node<A>>, listener: TcpListener, kind: ListenerKind)
+/// Accepts and serves connections for as long as the process runs.
+pub(super) async fn serve<A>(node: Rc<Node<A>>, listener: TcpListener, kind: ListenerKind)
 where
     A: Adapter,
 {
     let served = Rc::clone(&node);
     let service = fn_service(move |request: Request| {
         let node = Rc::clone(&served);
-        async move { Ok::<_, Infallible>(front::handle_request(node, request).await) }
+        async move { Ok::<_, Infallible>(kind.respond(node, request).await) }
     });
+    let (idle_timeout, head_timeout) = kind.timeouts();
     let factory = HttpService::build()
-        // The limits of the document are kept by `caller_connections`, since they change.
-        .keep_alive(KeepAlive::Os)
-        .client_request_timeout(Duration::ZERO)
+        .keep_alive(idle_timeout)
+        .client_request_timeout(head_timeout)
         // A caller that closes its side has disconnected: its request is dropped with all its
         // resources.
         .h1_allow_half_closed(false)
@@ -94,65 +111,43 @@
             node.record_accept();
         }
         let stream = Rc::new(stream);
-        let (id, activity) = node
-            .caller_connections
-            .borrow_mut()
-            .record_opened(boot_ms());
+        let (record, activity) = if kind.is_for_callers() {
+            let (record, activity) = record_opened(&node);
+            (Some(record), activity)
+        } else {
+            (None, Rc::new(ConnectionActivity::opened(boot_ms())))
+        };
+        let id = record.as_ref().map(|it| it.id);
         let connection = connections.call((
             CallerStream::new(Rc::clone(&stream), activity),
             Some(caller),
         ));
-        let record = RecordOnClose {
-            node: Rc::clone(&node),
-            id,
-        };
         let task = actix_rt::spawn(async move {
             let _record = record;
             // Errors of a connection concern only its requests, which are logged separately.
             let _ = connection.await;
         });
-        let server = ConnectionServer {
-            task: task.abort_handle(),
-            stream,
-        };
-        node.caller_connections
-            .borrow_mut()
-            .record_server(id, server);
+        if let Some(id) = id {
+            let server = ConnectionServer {
+                task: task.abort_handle(),
+                stream,
+            };
+            node.caller_connections
+                .borrow_mut()
+                .record_server(id, server);
+        }
     }
 }
 
-async fn serve_others<A>(node: Rc<Node<A>>, listener: TcpListener, kind: ListenerKind)
+/// Records a new connection of a caller.
+fn record_opened<A>(node: &Rc<Node<A>>) -> (RecordOnClose<A>, Rc<ConnectionActivity>)
 where
     A: Adapter,
 {
-    let served = Rc::clone(&node);
-    let service = fn_service(move |request: Request| {
-        let node = Rc::clone(&served);
-        async move {
-            let response = match kind {
-                ListenerKind::Metrics => front::metrics_page(&node),
-                _ => handle_peer_request(node, request).await,
-            };
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
-        .client_request_timeout(HEAD_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .h1(service)
-        .tcp();
-    let Ok(connections) = factory.new_service(()).await else {
-        log::error!("cannot create the HTTP service");
-        return;
-    };
-    loop {
-        let (stream, _) = accept(&node, &listener).await;
-        let connection = connections.call(stream);
-        actix_rt::spawn(async move {
-            let _ = connection.await;
-        });
-    }
+    let mut connections = node.caller_connections.borrow_mut();
+    let (id, activity) = connections.record_opened(boot_ms());
+    let node = Rc::clone(node);
+    (RecordOnClose { node, id }, activity)
 }
 
 async fn handle_peer_request<A>(node: Rc<Node<A>>, request: Request) -> Response<BoxBody>
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -150,6 +150,9 @@
             }
             let (node, request) = (self.node, self.request);
             self.end_retry(outcome, is_delegated);
+            if outcome == AttemptOutcome::NotSent && !request.has_caller() {
+                return self.fail(self.attempts.give_up(RefusalCause::CallerLeft));
+            }
             let retry = &mut self.retry;
             let next = self.attempts.attempt_ended(outcome, || {
                 *retry = node.take_retry(request, RetryPurpose::Start);
@@ -405,8 +408,7 @@
     let head = request.head_for(node, endpoint, None, None);
     let sent = node
         .send_with_permit(endpoint, address, head, request.body.clone(), || {
-            request.log_send_without_caller(endpoint);
-            node.accepts_requests(endpoint)
+            request.may_send(node) && node.accepts_requests(endpoint)
         })
         .await;
     let exchange = match sent {
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -85,18 +85,21 @@
         !self.caller.as_ref().is_some_and(CallerLink::has_ended)
     }
 
-    /// Logs a send to an endpoint whose response nobody waits for.
-    pub(crate) fn log_send_without_caller(&self, endpoint: &EndpointId) {
-        if !self.has_caller() {
+    /// Whether to send the request now: its caller is still connected. A caller that has left may have sent it again
+    /// elsewhere.
+    pub(super) fn may_send<A>(&self, node: &Node<A>) -> bool {
+        let has_caller = self.has_caller();
+        if !has_caller {
+            node.counters.count("relay.sends_without_caller");
             log::info!(
                 request = self.ask.id.as_str(),
-                endpoint = endpoint.as_str(),
-                is_idempotent = self.route.retry_policy.allows_retry(),
+                route = self.route.name.as_str(),
                 delegated_by = self.delegated_by(),
                 since_arrival_ms = boot_ms().saturating_sub(self.arrived_ms);
-                "request is sent although its caller has left"
+                "request is not sent: its caller has left"
             );
         }
+        has_caller
     }
 
     /// Whether enough time is left to send the request.
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -229,6 +229,9 @@
             };
             self.splitter.drop_partial();
             self.end_retry(outcome, is_settled);
+            if outcome == AttemptOutcome::NotSent && !self.request.has_caller() {
+                return StreamOutcome::CallerLeft;
+            }
             let class = self.retry_class();
             let (node, request, retry) = (&self.node, &self.request, &mut self.retry);
             let next = self.attempts.attempt_ended(outcome, || {
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -98,9 +98,9 @@
         let body = self.request.body.clone();
         let node = &self.node;
         let may_send = || {
-            self.request.log_send_without_caller(&first.endpoint);
             let mut stages = chain.stages().iter();
-            stages.all(|stage| node.accepts_requests(&stage.endpoint))
+            self.request.may_send(node)
+                && stages.all(|stage| node.accepts_requests(&stage.endpoint))
         };
         node.send_with_permit(&first.endpoint, first.address, head, body, may_send)
             .await
