A plain request is sent again only to a replica that has shown that it is alive

What callers saw: nothing at once.

Cause: the target of a repeat was chosen by what replicas had done before the silence. A connection shows nothing, since the kernel accepts it for a stopped process. Class: a decision made on a belief older than the fault.

Change: an endpoint that has received a request before is followed only by one from which data has arrived since the attempt failed: a response, or the answer to a health probe, which all requests of an instance share. Until then the request waits; the silent endpoint keeps it and may answer, and no retry is taken. If several endpoints stood still together, the one that has the request gets one more objective when they go on. A request that has not run waits for an objective at most and is refused. A delegated request says whether it was sent before, so that the rule holds over both instances.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -56,5 +56,5 @@
 pub use provenance::{InfoSource, Provenance};
 pub(crate) use provenance::{describe_known, describe_list};
 pub(crate) use reach::{ReachChange, ServiceReach};
-pub use replicas::pick_replica;
+pub use replicas::{RepeatChoice, pick_living_replica, pick_replica};
 pub(crate) use unread::UnreadPrompt;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -240,6 +240,32 @@
     assert_eq!(pick(&fleet, &[]).as_deref(), Some("b"));
 }
 
+/// Replicas that stopped together are all silent, whatever was heard from them before.
+#[test]
+fn a_repeat_goes_only_to_a_replica_that_was_heard_since_the_request_failed() {
+    let fleet = fleet(vec![
+        listed("a", "lac", None),
+        listed("b", "lac", None),
+        listed("c", "marsa", None),
+    ]);
+    let hear = |id: &str, at_ms| {
+        let known = fleet.get(&EndpointId::from(id)).expect("listed");
+        known.last_heard.record(at_ms);
+    };
+    let pick = |tried: &[&str]| {
+        let tried: IndexSet<EndpointId> = tried.iter().map(|id| EndpointId::from(*id)).collect();
+        let (service, zone) = (ServiceName::from("menu-mind"), ZoneName::from("lac"));
+        pick_living_replica(&fleet, &service, &zone, &tried, 1_000, 1_300)
+    };
+    let ids = |ids: &[&str]| ids.iter().map(|id| EndpointId::from(*id)).collect();
+    hear("b", 999);
+    hear("c", 990);
+    assert_eq!(pick(&["a"]), RepeatChoice::Silent(ids(&["b", "c"])));
+    hear("c", 1_000);
+    assert_eq!(pick(&["a"]), RepeatChoice::Alive(EndpointId::from("c")));
+    assert_eq!(pick(&["a", "b", "c"]), RepeatChoice::None);
+}
+
 /// A fleet with two engines for each of three layer ranges, and the chain over the first of each.
 fn two_engines_per_range() -> (Fleet, Chain) {
     let ranges = [range(0, 6), range(6, 13), range(13, 20)];
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -29,6 +29,8 @@
 const TABLE_VERSION: HeaderName = HeaderName::from_static("fescue-table-version");
 /// Maximum number of endpoints on which the request may still run.
 const MAX_ENDPOINTS: HeaderName = HeaderName::from_static("fescue-max-endpoints");
+/// Whether endpoints have received the request before: `1` if so.
+const IS_REPEAT: HeaderName = HeaderName::from_static("fescue-is-repeat");
 /// Outcome of the request.
 const OUTCOME: HeaderName = HeaderName::from_static("fescue-delegation-outcome");
 
@@ -43,6 +45,8 @@
     pub(super) table_version: u64,
     /// Maximum number of endpoints on which the request may run.
     pub(super) max_endpoints: u32,
+    /// Whether endpoints have received the request before.
+    pub(super) is_repeat: bool,
 }
 
 impl Delegation {
@@ -53,14 +57,17 @@
             delegated_by: InstanceId::from(text(DELEGATED_BY)?),
             table_version: text(TABLE_VERSION)?.parse().ok()?,
             max_endpoints: text(MAX_ENDPOINTS)?.parse().ok()?,
+            is_repeat: text(IS_REPEAT) == Some("1"),
         })
     }
 
     fn set_headers(&self, headers: &mut HeaderMap) {
         let table_version = self.table_version.to_string();
         let max_endpoints = self.max_endpoints.to_string();
+        let is_repeat = if self.is_repeat { "1" } else { "0" };
         for (name, value) in [
             (DELEGATED_BY, self.delegated_by.as_str()),
+            (IS_REPEAT, is_repeat),
             (TABLE_VERSION, &table_version),
             (MAX_ENDPOINTS, &max_endpoints),
         ] {
@@ -81,7 +88,13 @@
 
 /// Removes the headers that are used only between instances.
 pub(super) fn strip_headers(headers: &mut HeaderMap) {
-    for name in [DELEGATED_BY, TABLE_VERSION, MAX_ENDPOINTS, OUTCOME] {
+    for name in [
+        DELEGATED_BY,
+        TABLE_VERSION,
+        MAX_ENDPOINTS,
+        IS_REPEAT,
+        OUTCOME,
+    ] {
         headers.remove(name);
     }
 }
@@ -104,6 +117,8 @@
     pub(super) delegate: &'a Delegate,
     /// Maximum number of endpoints on which the other instance may run the request.
     pub(super) max_endpoints: usize,
+    /// Whether endpoints have received the request before.
+    pub(super) is_repeat: bool,
     /// The last event of the stream that the caller has received, if any.
     pub(super) resume_after: Option<u64>,
 }
@@ -279,6 +294,7 @@
             delegated_by: self.settings.instance.clone(),
             table_version: request.table.version,
             max_endpoints: u32::try_from(run.max_endpoints).unwrap_or(u32::MAX),
+            is_repeat: run.is_repeat,
         };
         delegation.set_headers(&mut head.headers);
         let body = request.body.clone();
--- a/src/relay_server/duty.rs
+++ b/src/relay_server/duty.rs
@@ -288,7 +288,7 @@
 where
     A: Adapter,
 {
-    let address = super::plain::address_of(node, &order.endpoint);
+    let address = node.address_of(&order.endpoint);
     let address = address.ok_or(OrderFailure::Unknown)?;
     check_movable(node, &order.endpoint, address).await?;
     let result = node
--- a/src/relay_server/exits.rs
+++ b/src/relay_server/exits.rs
@@ -9,7 +9,6 @@
 use super::adapter::{Adapter, EngineControl};
 use super::checks::{AnsweringLifetime, answering_lifetime, handle_result};
 use super::node::Node;
-use super::plain::address_of;
 use super::probes::{ProbeResult, probe};
 use super::request::RelayedRequest;
 use super::upstream::UpstreamFailure;
@@ -113,7 +112,7 @@
 where
     A: Adapter,
 {
-    let Some(address) = address_of(node, endpoint) else {
+    let Some(address) = node.address_of(endpoint) else {
         return;
     };
     let started_ms = boot_ms();
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -55,6 +55,7 @@
 mod introduction;
 #[cfg(test)]
 mod introduction_tests;
+mod life_signs;
 mod list_log;
 #[cfg(test)]
 mod list_log_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of one instance share. All of them run on one thread.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::RngExt;
@@ -12,6 +13,7 @@
 use super::checks::CheckCache;
 use super::fleet_lines::log_changes;
 use super::heartbeat::Availability;
+use super::life_signs::ProbedReplicas;
 use super::list_log::ListLog;
 use super::memory_budget::MemoryBudget;
 use super::peer_book::PeerBook;
@@ -83,6 +85,11 @@
     pub(super) informed: watch::Sender<bool>,
     /// Notified when an endpoint was found unreachable.
     pub(crate) endpoint_unreachable: Notify,
+    /// Notified when data has arrived from a replica, or the state of endpoints has changed, which makes requests look
+    /// for a replica again.
+    pub(crate) replica_signal: Notify,
+    /// Replicas that are being probed for signs of life.
+    pub(crate) probed_replicas: RefCell<ProbedReplicas>,
     /// Notified when a heartbeat must be sent to peers at once.
     pub(crate) heartbeat_due: Notify,
     /// Engines that rejected a request for lack of capacity, still to be announced to peers.
@@ -142,6 +149,8 @@
             started_ms: boot_ms(),
             informed: watch::Sender::new(false),
             endpoint_unreachable: Notify::new(),
+            replica_signal: Notify::new(),
+            probed_replicas: RefCell::default(),
             heartbeat_due: Notify::new(),
             unannounced_full_engines: RefCell::default(),
             full_engines_notify: Notify::new(),
@@ -308,6 +317,12 @@
         }
     }
 
+    /// The address of an endpoint, if it is listed.
+    pub(super) fn address_of(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
+        let fleet = self.fleet.borrow();
+        fleet.get(endpoint).map(|known| known.listed.address)
+    }
+
     /// When data last arrived from an endpoint or through it; 0 if none has.
     pub(crate) fn last_heard_ms(&self, endpoint: &EndpointId) -> u64 {
         let fleet = self.fleet.borrow();
@@ -316,13 +331,6 @@
             .map_or(0, |known| known.last_heard.at_ms())
     }
 
-    /// Records that data has arrived from an endpoint.
-    pub(crate) fn record_heard(&self, endpoint: &EndpointId) {
-        if let Some(known) = self.fleet.borrow().get(endpoint) {
-            known.last_heard.record(boot_ms());
-        }
-    }
-
     fn handle_exclusion(&self, endpoint: &EndpointId, failure: EndpointFailure) {
         let now_ms = boot_ms();
         let ago = |at_ms: u64| now_ms.saturating_sub(at_ms);
@@ -400,6 +408,7 @@
     /// Makes running streams check their chains, and waiting ones look for capacity.
     pub(crate) fn wake_streams(&self) {
         self.chain_check_signal.send_modify(|count| *count += 1);
+        self.replica_signal.notify_waiters();
         self.wake_waiting_streams();
     }
 
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -1,31 +1,31 @@
 //! Relays requests to services whose endpoints hold no layers; responses are buffered completely.
 
 mod delegate;
+mod exchange;
+mod patience;
+mod target;
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use indexmap::IndexSet;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 
 use self::delegate::delegate_once;
-use super::adapter::{Adapter, ResponseMetadata};
+use self::target::Target;
+use super::adapter::Adapter;
 use super::delegates::Delegate;
-use super::delegation::{DelegatedRun, DelegationReason};
-use super::exits::{probe_replica_in_background, replica_may_have_exited};
-use super::headers;
+use super::delegation::DelegatedRun;
+use super::exits::probe_replica_in_background;
 use super::node::Node;
 use super::request::{RelayedRequest, close_if_stopping, error_response, instant_at};
 use super::retries::HeldRetry;
 use super::send_context::SendContext;
-use super::traffic::TrafficKind;
-use super::upstream::UpstreamFailure;
 use crate::clock::boot_ms;
-use crate::fleet::{EndpointFailure, pick_replica};
+use crate::fleet::EndpointFailure;
 use crate::ids::{EndpointId, InstanceId};
 use crate::quarantine::QuarantineStatus;
 use crate::relay::{
@@ -35,10 +35,6 @@
 
 /// Maximum size of a buffered response.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// How long an endpoint may take, in objectives, before an idempotent request is tried elsewhere.
-/// One response in a hundred takes five times the mean, and the mean is a fifth of the objective.
-const ATTEMPT_OBJECTIVES: u64 = 2;
-
 /// A complete response of an endpoint.
 struct CompleteResponse {
     status: StatusCode,
@@ -55,13 +51,6 @@
     Failed(AttemptOutcome, EndpointFailure),
 }
 
-/// What an attempt goes to.
-enum Target {
-    Endpoint(EndpointId),
-    /// Another instance.
-    Delegate(Delegate),
-}
-
 /// A request over all its attempts.
 struct PlainRelay<'a, A>
 where
@@ -80,6 +69,10 @@
     cause: RefusalCause,
     /// The retry that the current send uses.
     retry: Option<HeldRetry<A>>,
+    /// What the next attempt goes to, if that was known when the one before was abandoned.
+    next_target: Option<Target>,
+    /// When the newest attempt failed; the arrival of the request before that.
+    failed_ms: u64,
 }
 
 /// Relays a request until it has a response or a final error.
@@ -117,22 +110,25 @@
             tried_delegates: IndexSet::new(),
             cause: RefusalCause::NoEndpoint,
             retry: None,
+            next_target: None,
+            failed_ms: request.arrived_ms,
         }
     }
 
     async fn serve(&mut self) -> Result<CompleteResponse, RelayFailure> {
         loop {
             if self.is_withheld() {
-                self.return_unsent_retry();
                 return self.fail(self.attempts.give_up(RefusalCause::Withheld));
             }
-            let target = self.choose_target();
+            let target = self.choose_target().await;
+            if target.is_some() && !self.take_retry() {
+                return self.fail(self.attempts.give_up(RefusalCause::NoBudget));
+            }
             let is_delegated = matches!(target, Some(Target::Delegate(_)));
             let result = match target {
                 Some(Target::Endpoint(endpoint)) => self.attempt_at(&endpoint).await,
                 Some(Target::Delegate(delegate)) => self.attempt_by(&delegate).await,
                 None => {
-                    self.return_unsent_retry();
                     let rate_limited = self.node.rate_limit_refusal(&self.request.service);
                     let cause = rate_limited.unwrap_or(self.cause);
                     return self.fail(self.attempts.give_up(cause));
@@ -153,10 +149,10 @@
             if outcome == AttemptOutcome::NotSent && !request.has_caller() {
                 return self.fail(self.attempts.give_up(RefusalCause::CallerLeft));
             }
-            let retry = &mut self.retry;
+            self.failed_ms = boot_ms();
+            // The retry is taken once there is something to send the request to.
             let next = self.attempts.attempt_ended(outcome, || {
-                *retry = node.take_retry(request, RetryPurpose::Start);
-                retry.is_some()
+                node.has_retry(&request.service, RetryPurpose::Start)
             });
             match next {
                 NextStep::Retry => {}
@@ -191,11 +187,13 @@
             .end_retry(self.request, &mut self.attempts, retry, outcome, is_settled);
     }
 
-    /// Returns the retry for a send that is not made.
-    fn return_unsent_retry(&mut self) {
-        if let Some(retry) = self.retry.take() {
-            self.node.cancel_retry(self.request, retry);
+    /// Takes a retry from the budget for the next send if it needs one. Returns whether it may be made.
+    fn take_retry(&mut self) -> bool {
+        if self.attempts.sends() == 0 {
+            return true;
         }
+        self.retry = self.node.take_retry(self.request, RetryPurpose::Start);
+        self.retry.is_some()
     }
 
     fn is_withheld(&self) -> bool {
@@ -204,31 +202,6 @@
         status == QuarantineStatus::Withheld && !is_trial
     }
 
-    /// What the next attempt goes to: another instance if this one reaches no endpoints, or none that has not
-    /// been tried.
-    fn choose_target(&self) -> Option<Target> {
-        if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff) {
-            return Some(Target::Delegate(delegate));
-        }
-        let picked = pick_replica(
-            &self.node.fleet.borrow(),
-            &self.request.service,
-            &self.node.settings.zone,
-            self.attempts.excluded(),
-            boot_ms(),
-        );
-        if let Some(endpoint) = picked {
-            return Some(Target::Endpoint(endpoint));
-        }
-        let delegate = self.choose_delegate(DelegationReason::NoneUsable)?;
-        Some(Target::Delegate(delegate))
-    }
-
-    fn choose_delegate(&self, reason: DelegationReason) -> Option<Delegate> {
-        self.node
-            .choose_delegate(reason, self.request, &self.attempts, &self.tried_delegates)
-    }
-
     async fn attempt_at(
         &mut self,
         endpoint: &EndpointId,
@@ -238,7 +211,7 @@
         }
         self.attempts.send_started(endpoint);
         self.send_context = SendContext::new(self.node, [endpoint]);
-        let result = attempt_once(self.node, self.request, endpoint, &self.attempts).await;
+        let result = self.exchange_with_patience(endpoint).await;
         let (outcome, failure) = match result {
             AttemptResult::Response(response) if is_failure(&response) => {
                 self.failure = Some(response);
@@ -290,9 +263,11 @@
         &mut self,
         delegate: &Delegate,
     ) -> Result<CompleteResponse, AttemptOutcome> {
+        let is_repeat = self.attempts.sends() > 0;
         let run = DelegatedRun {
             request: self.request,
             delegate,
+            is_repeat,
             max_endpoints: self.attempts.delegation_started(&delegate.instance),
             resume_after: None,
         };
@@ -368,147 +343,3 @@
 fn is_failure(response: &CompleteResponse) -> bool {
     response.status.is_server_error()
 }
-
-async fn attempt_once<A>(
-    node: &Rc<Node<A>>,
-    request: &RelayedRequest,
-    endpoint: &EndpointId,
-    attempts: &Attempts,
-) -> AttemptResult
-where
-    A: Adapter,
-{
-    let started_ms = boot_ms();
-    let _load = InFlightGuard::begin(node, endpoint);
-    let exchange = exchange(node, request, endpoint);
-    if !attempts.may_try_another() {
-        return exchange.await;
-    }
-    let limit_ms = request.route.objective_ms * ATTEMPT_OBJECTIVES;
-    let limit = Duration::from_millis(limit_ms.min(request.remaining_ms(started_ms) / 2));
-    let result = timeout(limit, exchange).await;
-    result.unwrap_or(AttemptResult::Failed(
-        AttemptOutcome::Abandoned,
-        EndpointFailure::Silent,
-    ))
-}
-
-async fn exchange<A>(
-    node: &Rc<Node<A>>,
-    request: &RelayedRequest,
-    endpoint: &EndpointId,
-) -> AttemptResult
-where
-    A: Adapter,
-{
-    let started_ms = boot_ms();
-    let Some(address) = address_of(node, endpoint) else {
-        return AttemptResult::Failed(AttemptOutcome::NotSent, EndpointFailure::Unreachable);
-    };
-    let head = request.head_for(node, endpoint, None, None);
-    let sent = node
-        .send_with_permit(endpoint, address, head, request.body.clone(), || {
-            request.may_send(node) && node.accepts_requests(endpoint)
-        })
-        .await;
-    let exchange = match sent {
-        Ok(exchange) => exchange,
-        Err(failure) => return failed(failure),
-    };
-    let (head, mut body) = match exchange.head().await {
-        Ok(response) => response,
-        Err(failure) => return failed(failure),
-    };
-    node.record_heard(endpoint);
-    let facts = node.adapter.parse_response_metadata(&head);
-    if facts.id.as_deref() != Some(request.ask.id.as_str()) {
-        return failed(UpstreamFailure::Garbled);
-    }
-    node.apply_pacing(endpoint, facts.pacing);
-    let content = match body.read_to_end(MAX_RESPONSE_BYTES).await {
-        Ok(content) => content,
-        Err(failure) => return failed(failure),
-    };
-    let scope = node.scope_of_endpoint(endpoint);
-    node.count_traffic(TrafficKind::EndpointResponses, scope, content.len());
-    if body.ends_with_connection()
-        && replica_may_have_exited(node, request, endpoint, address).await
-    {
-        return failed(UpstreamFailure::Broken);
-    }
-    let now_ms = boot_ms();
-    let keep_alive_ms = headers::keep_alive_ms(&head);
-    node.upstreams.release(body, keep_alive_ms, now_ms);
-    if let Some(failed) = unusable_response(&facts, head.status) {
-        return failed;
-    }
-    if let Some(known) = node.fleet.borrow_mut().get_mut(endpoint)
-        && !head.status.is_server_error()
-    {
-        known
-            .health
-            .record_answer(now_ms.saturating_sub(started_ms));
-    }
-    AttemptResult::Response(CompleteResponse {
-        status: head.status,
-        headers: headers::end_to_end_headers(&head.headers),
-        body: content,
-        limit: None,
-    })
-}
-
-/// Classifies a response that cannot be forwarded.
-fn unusable_response(facts: &ResponseMetadata, status: StatusCode) -> Option<AttemptResult> {
-    if facts.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return Some(AttemptResult::Failed(
-            AttemptOutcome::TurnedAway,
-            EndpointFailure::Full,
-        ));
-    }
-    // These statuses promise that nothing ran, but the endpoint does not confirm it.
-    let promises_not_run = matches!(status.as_u16(), 408 | 429 | 503);
-    let is_unsealed = status.is_success() && !facts.is_sealed;
-    (promises_not_run || is_unsealed).then_some(AttemptResult::Failed(
-        AttemptOutcome::Abandoned,
-        EndpointFailure::Failed,
-    ))
-}
-
-fn failed(failure: UpstreamFailure) -> AttemptResult {
-    let (outcome, failure) = failure.classify();
-    AttemptResult::Failed(outcome, failure)
-}
-
-pub(super) fn address_of<A>(node: &Node<A>, endpoint: &EndpointId) -> Option<std::net::SocketAddr>
-where
-    A: Adapter,
-{
-    let fleet = node.fleet.borrow();
-    fleet.get(endpoint).map(|known| known.listed.address)
-}
-
-/// Counts a request as in flight at an endpoint until dropped.
-struct InFlightGuard<'a, A> {
-    node: &'a Node<A>,
-    endpoint: EndpointId,
-}
-
-impl<'a, A> InFlightGuard<'a, A> {
-    fn begin(node: &'a Node<A>, endpoint: &EndpointId) -> Self {
-        if let Some(known) = node.fleet.borrow_mut().get_mut(endpoint) {
-            known.in_flight += 1;
-        }
-        Self {
-            node,
-            endpoint: endpoint.clone(),
-        }
-    }
-}
-
-impl<A> Drop for InFlightGuard<'_, A> {
-    fn drop(&mut self) {
-        if let Some(known) = self.node.fleet.borrow_mut().get_mut(&self.endpoint) {
-            known.in_flight = known.in_flight.saturating_sub(1);
-        }
-    }
-}
--- /dev/null
+++ b/src/relay_server/plain/patience.rs
@@ -0,0 +1,68 @@
+//! How long an endpoint that does not answer is waited for.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::exchange::{InFlightGuard, exchange};
+use super::{AttemptResult, PlainRelay};
+use crate::clock::boot_ms;
+use crate::fleet::EndpointFailure;
+use crate::ids::EndpointId;
+use crate::relay::{AttemptOutcome, RetryPurpose};
+use crate::relay_server::adapter::Adapter;
+
+/// How long an endpoint may take, in objectives, before an idempotent request is tried elsewhere.
+/// One response in a hundred takes five times the mean, and the mean is a fifth of the objective.
+const ATTEMPT_OBJECTIVES: u64 = 2;
+/// Maximum time in which an endpoint that is running shows it. After a longer wait, endpoints have stood still
+/// together, and the one that has the request may go on as well.
+const PROMPT_SIGN_MS: u64 = 100;
+
+impl<A> PlainRelay<'_, A>
+where
+    A: Adapter,
+{
+    /// Sends the request to an endpoint. If it does not answer in time, it is waited for until another attempt can
+    /// help.
+    pub(super) async fn exchange_with_patience(&mut self, endpoint: &EndpointId) -> AttemptResult {
+        let (node, request) = (self.node, self.request);
+        let started_ms = boot_ms();
+        let _load = InFlightGuard::begin(node, endpoint);
+        let mut exchange = pin!(exchange(node, request, endpoint));
+        if !self.attempts.may_try_another() {
+            return exchange.await;
+        }
+        let objective_ms = request.route.objective_ms;
+        let limit_ms = objective_ms * ATTEMPT_OBJECTIVES;
+        let mut patience_ms = limit_ms.min(request.remaining_ms(started_ms) / 2);
+        loop {
+            let patience = Duration::from_millis(patience_ms);
+            if let Ok(result) = timeout(patience, &mut exchange).await {
+                return result;
+            }
+            let Some(trial) = self.attempts.after_losing(endpoint) else {
+                return exchange.await;
+            };
+            if !node.has_retry(&request.service, RetryPurpose::Start) {
+                break;
+            }
+            let silent_ms = boot_ms();
+            tokio::select! {
+                biased;
+                result = &mut exchange => return result,
+                target = self.target_of_repeat(&trial, silent_ms) => match target {
+                    // No other endpoint is left.
+                    None => return exchange.await,
+                    Some(target) if boot_ms() <= silent_ms + PROMPT_SIGN_MS => {
+                        self.next_target = Some(target);
+                        break;
+                    }
+                    Some(_) => patience_ms = objective_ms,
+                },
+            }
+        }
+        AttemptResult::Failed(AttemptOutcome::Abandoned, EndpointFailure::Silent)
+    }
+}
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -57,6 +57,11 @@
         limit.unwrap_or(u32::MAX).min(self.route.max_endpoints)
     }
 
+    /// Whether endpoints have received it from another instance before.
+    pub(super) fn is_repeat(&self) -> bool {
+        self.delegation.as_ref().is_some_and(|it| it.is_repeat)
+    }
+
     /// The instance that has received it from the caller, for log lines.
     pub(crate) fn delegated_by(&self) -> Option<&str> {
         let delegation = self.delegation.as_ref();
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -54,6 +54,7 @@
 
     /// Has another instance serve a run, and forwards its events.
     pub(super) async fn run_by_delegate(&mut self, delegate: &Delegate) -> RunOutcome {
+        let is_repeat = self.attempts.sends() > 0;
         let max_endpoints = self.attempts.delegation_started(&delegate.instance);
         self.chain = None;
         self.stall.run_started(boot_ms());
@@ -61,6 +62,7 @@
             request: &self.request,
             delegate,
             max_endpoints,
+            is_repeat,
             resume_after: self.splitter.last_id(),
         };
         let may_follow = self.attempts.has_started() && self.may_follow_delegated_run();
