An endpoint that another may follow gets half of the time that is left

A send cannot be taken back: what was written is read although the connection was closed.

Change: an attempt that may be followed by another has a timeout of its own, half of what is left, and the endpoint is told that. The last attempt, a request that may not run again, and one whose service has no other usable replica get all that is left, as before.

--- a/src/relay_server/plain/exchange.rs
+++ b/src/relay_server/plain/exchange.rs
@@ -17,11 +17,12 @@
 use crate::relay_server::traffic::TrafficKind;
 use crate::relay_server::upstream::UpstreamFailure;
 
-/// Sends a request to an endpoint and reads its response to the end.
+/// Sends a request to an endpoint, which may take `timeout_ms`, and reads its response to the end.
 pub(super) async fn exchange<A>(
     node: &Rc<Node<A>>,
     request: &RelayedRequest,
     endpoint: &EndpointId,
+    timeout_ms: u64,
 ) -> AttemptResult
 where
     A: Adapter,
@@ -30,7 +31,7 @@
     let Some(address) = node.address_of(endpoint) else {
         return AttemptResult::Failed(AttemptOutcome::NotSent, EndpointFailure::Unreachable);
     };
-    let head = request.head_for(node, endpoint, None, None);
+    let head = request.head_for(node, endpoint, timeout_ms, None, None);
     let sent = node
         .send_with_permit(endpoint, address, head, request.body.clone(), || {
             request.may_send(node) && node.accepts_requests(endpoint)
--- a/src/relay_server/plain/patience.rs
+++ b/src/relay_server/plain/patience.rs
@@ -16,6 +16,9 @@
 /// How long an endpoint may take, in objectives, before an idempotent request is tried elsewhere.
 /// One response in a hundred takes five times the mean, and the mean is a fifth of the objective.
 const ATTEMPT_OBJECTIVES: u64 = 2;
+/// Part of the time left, as a divisor, that an endpoint gets if another may follow. One that stands still reads the
+/// request late, and takes the time that it was given from then on.
+const TIMEOUT_PART: u64 = 2;
 /// Maximum time in which an endpoint that is running shows it. After a longer wait, endpoints have stood still
 /// together, and the one that has the request may go on as well.
 const PROMPT_SIGN_MS: u64 = 100;
@@ -30,13 +33,15 @@
         let (node, request) = (self.node, self.request);
         let started_ms = boot_ms();
         let _load = InFlightGuard::begin(node, endpoint);
-        let mut exchange = pin!(exchange(node, request, endpoint));
-        if !self.attempts.may_try_another() {
-            return exchange.await;
+        let left_ms = request.remaining_ms(started_ms);
+        if !self.may_try_another(endpoint) {
+            return exchange(node, request, endpoint, left_ms).await;
         }
+        let timeout_ms = left_ms / TIMEOUT_PART;
+        let mut exchange = pin!(exchange(node, request, endpoint, timeout_ms));
         let objective_ms = request.route.objective_ms;
         let limit_ms = objective_ms * ATTEMPT_OBJECTIVES;
-        let mut patience_ms = limit_ms.min(request.remaining_ms(started_ms) / 2);
+        let mut patience_ms = limit_ms.min(timeout_ms);
         loop {
             let patience = Duration::from_millis(patience_ms);
             if let Ok(result) = timeout(patience, &mut exchange).await {
@@ -65,4 +70,14 @@
         }
         AttemptResult::Failed(AttemptOutcome::Abandoned, EndpointFailure::Silent)
     }
+
+    /// Whether another replica may get the request after `endpoint`.
+    fn may_try_another(&self, endpoint: &EndpointId) -> bool {
+        if !self.attempts.may_try_another() {
+            return false;
+        }
+        let mut tried = self.attempts.excluded().clone();
+        tried.insert(endpoint.clone());
+        self.pick(&tried).is_some()
+    }
 }
--- a/src/relay_server/plain/target.rs
+++ b/src/relay_server/plain/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use tokio::time::timeout;
 
 use super::PlainRelay;
@@ -48,20 +49,20 @@
         if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff, attempts) {
             return Some(Target::Delegate(delegate));
         }
-        let picked = pick_replica(
-            &self.node.fleet.borrow(),
-            &self.request.service,
-            &self.node.settings.zone,
-            attempts.excluded(),
-            boot_ms(),
-        );
-        if let Some(endpoint) = picked {
+        if let Some(endpoint) = self.pick(attempts.excluded()) {
             return Some(Target::Endpoint(endpoint));
         }
         let delegate = self.choose_delegate(DelegationReason::NoneUsable, attempts)?;
         Some(Target::Delegate(delegate))
     }
 
+    /// The replica for a request that no endpoint but those in `tried` has received.
+    pub(super) fn pick(&self, tried: &IndexSet<EndpointId>) -> Option<EndpointId> {
+        let fleet = self.node.fleet.borrow();
+        let zone = &self.node.settings.zone;
+        pick_replica(&fleet, &self.request.service, zone, tried, boot_ms())
+    }
+
     /// What a request goes to that endpoints have received before: a replica from which data has arrived at
     /// `heard_since_ms` or later. Waits until there is one. `None` if no replica and no other instance is left.
     pub(super) async fn target_of_repeat(
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -112,11 +112,12 @@
         self.remaining_ms(now_ms) >= MIN_SEND_WINDOW_MS
     }
 
-    /// The request head for one endpoint.
+    /// The request head for one endpoint, which may take `timeout_ms`.
     pub(crate) fn head_for<A>(
         &self,
         node: &Node<A>,
         endpoint: &EndpointId,
+        timeout_ms: u64,
         chain: Option<&Chain>,
         resume_after: Option<u64>,
     ) -> RequestHead
@@ -125,7 +126,7 @@
     {
         let mut head = self.head.clone();
         let dispatch = Dispatch {
-            timeout_ms: self.remaining_ms(boot_ms()),
+            timeout_ms,
             endpoint: &endpoint.name(),
             account: self.account.as_ref(),
             priority: self.priority,
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -92,9 +92,14 @@
     async fn send(&self, chain: &Chain) -> Result<Exchange, UpstreamFailure> {
         let first = chain.first();
         let resume_after = self.splitter.last_id();
-        let head = self
-            .request
-            .head_for(&self.node, &first.endpoint, Some(chain), resume_after);
+        let left_ms = self.request.remaining_ms(boot_ms());
+        let head = self.request.head_for(
+            &self.node,
+            &first.endpoint,
+            left_ms,
+            Some(chain),
+            resume_after,
+        );
         let body = self.request.body.clone();
         let node = &self.node;
         let may_send = || {
