--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -146,15 +146,15 @@
             }
             let (node, request) = (self.node, self.request);
             self.end_retry(outcome, is_delegated);
-            if outcome == AttemptOutcome::NotSent && !request.has_caller() {
-                return self.fail(self.attempts.give_up(RefusalCause::CallerLeft));
-            }
             self.failed_ms = boot_ms();
             // The retry is taken once there is something to send the request to.
             let next = self.attempts.attempt_ended(outcome, || {
                 node.has_retry(&request.service, RetryPurpose::Start)
             });
             match next {
+                NextStep::Retry if outcome == AttemptOutcome::NotSent && !request.has_caller() => {
+                    return self.fail(self.attempts.give_up(RefusalCause::CallerLeft));
+                }
                 NextStep::Retry => {}
                 NextStep::ForwardFailure(limit) => {
                     let error = FinalError::Unknown;
