--- a/src/relay_server/life_signs.rs
+++ b/src/relay_server/life_signs.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::adapter::{Adapter, EngineControl, OrderFailure};
 use super::node::Node;
@@ -24,7 +24,7 @@
 /// the list may have changed.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Replicas that are being probed for signs of life. All requests share the probes.
+/// Replicas that are being probed for signs of life, or whose probe has just failed. All requests share the probes.
 pub(crate) type ProbedReplicas = IndexSet<EndpointId>;
 
 impl<A> Node<A>
@@ -65,25 +65,29 @@
         }
     }
 
-    /// Probes a replica in the background, unless a probe of it is in progress.
+    /// Probes a replica in the background, unless a probe of it is in progress or has just failed.
     fn probe_for_life(self: &Rc<Self>, endpoint: &EndpointId, health_path: &str) {
         if !self.probed_replicas.borrow_mut().insert(endpoint.clone()) {
             return;
         }
         let (node, endpoint, path) = (Rc::clone(self), endpoint.clone(), health_path.to_owned());
         actix_rt::spawn(async move {
-            probe(&node, &endpoint, &path).await;
+            if !probe(&node, &endpoint, &path).await {
+                // A refused connection would be repeated at once for as long as a request waits.
+                sleep(RECHECK_INTERVAL).await;
+            }
             node.probed_replicas.borrow_mut().swap_remove(&endpoint);
         });
     }
 }
 
-async fn probe<A>(node: &Node<A>, endpoint: &EndpointId, health_path: &str)
+/// Probes a replica. Returns whether it has answered.
+async fn probe<A>(node: &Node<A>, endpoint: &EndpointId, health_path: &str) -> bool
 where
     A: Adapter,
 {
     let Some(address) = node.address_of(endpoint) else {
-        return;
+        return false;
     };
     node.counters.count("relay.checks");
     let asked_ms = boot_ms();
@@ -98,11 +102,15 @@
         "replica was probed for a sign of life"
     );
     match answer {
-        // Another process may have taken over the address.
-        Ok(Some(name)) if name != endpoint.name() => {}
-        Ok(_) => node.record_heard(endpoint),
+        Ok(name) if name.as_ref().is_none_or(|it| *it == endpoint.name()) => {
+            node.record_heard(endpoint);
+            return true;
+        }
+        // Another process has taken over the address.
+        Ok(_) => {}
         Err(OrderFailure::NoListener) => node.record_refused(endpoint),
         // It may be this instance that is partitioned from the replica.
         Err(_) => node.note_unreachable(endpoint),
     }
+    false
 }
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -88,7 +88,7 @@
     /// Notified when data has arrived from a replica, or the state of endpoints has changed, which makes requests look
     /// for a replica again.
     pub(crate) replica_signal: Notify,
-    /// Replicas that are being probed for signs of life.
+    /// Replicas that are not to be probed for signs of life now.
     pub(crate) probed_replicas: RefCell<ProbedReplicas>,
     /// Notified when a heartbeat must be sent to peers at once.
     pub(crate) heartbeat_due: Notify,
