Read again: one look at a caller's socket, signs of life in one file, comments in ordinary terms

No behaviour changes.

Checks: linter; 26 process tests (departed callers, repeats, open connections, odd entries, partitions) and 207 unit tests passed.

--- a/src/relay_server/caller_connections.rs
+++ b/src/relay_server/caller_connections.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use rustix::net::{RecvFlags, recv};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
+use super::caller_link::Readable;
 use super::connection_activity::{ConnectionActivity, ConnectionState};
 use super::connection_timeouts::{TimeoutHistory, Timeouts};
 use super::node::Node;
@@ -185,7 +185,8 @@
     /// Closes a connection, unless bytes have arrived on it that are not read yet. Returns whether it is closed.
     fn close(&mut self, id: ConnectionId, cause: CloseCause) -> bool {
         let server = self.open.get(&id).and_then(|it| it.server.as_ref());
-        let Some(server) = server.filter(|it| !has_unread_bytes(&it.stream)) else {
+        // Unread bytes may be a request that this process had no time to read.
+        let Some(server) = server.filter(|it| Readable::of(&it.stream) != Readable::Bytes) else {
             return false;
         };
         if cause == CloseCause::HeadTimeout {
@@ -198,12 +199,6 @@
     }
 }
 
-/// Whether bytes have arrived that are not read yet: a request that this process had no time to read.
-fn has_unread_bytes(stream: &TcpStream) -> bool {
-    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-    recv(stream, &mut [0_u8; 1], flags).is_ok_and(|(length, _)| length > 0)
-}
-
 /// A connection that may be closed without breaking off a request.
 #[derive(Clone, Copy, Debug)]
 struct UnusedConnection {
--- a/src/relay_server/caller_link.rs
+++ b/src/relay_server/caller_link.rs
@@ -36,16 +36,30 @@
     /// Whether the caller has closed its side, or the connection was reset, as far as the kernel knows now.
     pub(crate) fn has_ended(&self) -> bool {
         let stream = self.stream.upgrade();
+        let is_at_end = |stream: &TcpStream| Readable::of(stream) == Readable::End;
         self.activity.has_ended() || stream.is_none_or(|stream| is_at_end(&stream))
     }
 }
 
-/// Whether nothing more can be read from a socket. Bytes that wait to be read hide its end.
-fn is_at_end(stream: &TcpStream) -> bool {
-    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-    match recv(stream, &mut [0_u8; 1], flags) {
-        Ok((length, _)) => length == 0,
-        Err(Errno::AGAIN | Errno::INTR) => false,
-        Err(_) => true,
+/// What can be read from a socket now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Readable {
+    Nothing,
+    /// Bytes, which hide an end of the connection behind them.
+    Bytes,
+    /// The peer has closed its side, or the connection was reset.
+    End,
+}
+
+impl Readable {
+    /// Looks at a socket without reading from it.
+    pub(super) fn of(stream: &TcpStream) -> Self {
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        match recv(stream, &mut [0_u8; 1], flags) {
+            Ok((0, _)) => Self::End,
+            Ok(_) => Self::Bytes,
+            Err(Errno::AGAIN | Errno::INTR) => Self::Nothing,
+            Err(_) => Self::End,
+        }
     }
 }
--- a/src/relay_server/life_signs.rs
+++ b/src/relay_server/life_signs.rs
@@ -39,6 +39,14 @@
         self.replica_signal.notify_waiters();
     }
 
+    /// When data last arrived from an endpoint or through it; 0 if none has.
+    pub(crate) fn last_heard_ms(&self, endpoint: &EndpointId) -> u64 {
+        let fleet = self.fleet.borrow();
+        fleet
+            .get(endpoint)
+            .map_or(0, |known| known.last_heard.at_ms())
+    }
+
     /// Waits until `choose` returns a result. Meanwhile, the replicas that it names are probed. It is called again
     /// whenever an endpoint has been heard, and from time to time.
     pub(super) async fn await_life_sign<T, F>(
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -323,14 +323,6 @@
         fleet.get(endpoint).map(|known| known.listed.address)
     }
 
-    /// When data last arrived from an endpoint or through it; 0 if none has.
-    pub(crate) fn last_heard_ms(&self, endpoint: &EndpointId) -> u64 {
-        let fleet = self.fleet.borrow();
-        fleet
-            .get(endpoint)
-            .map_or(0, |known| known.last_heard.at_ms())
-    }
-
     fn handle_exclusion(&self, endpoint: &EndpointId, failure: EndpointFailure) {
         let now_ms = boot_ms();
         let ago = |at_ms: u64| now_ms.saturating_sub(at_ms);
--- a/src/relay_server/plain/patience.rs
+++ b/src/relay_server/plain/patience.rs
@@ -16,11 +16,11 @@
 /// How long an endpoint may take, in objectives, before an idempotent request is tried elsewhere.
 /// One response in a hundred takes five times the mean, and the mean is a fifth of the objective.
 const ATTEMPT_OBJECTIVES: u64 = 2;
-/// Part of the time left, as a divisor, that an endpoint gets if another may follow. One that stands still reads the
-/// request late, and takes the time that it was given from then on.
+/// Divisor of the remaining time for the timeout of an attempt that can be retried. A stopped endpoint reads the request
+/// late, and the timeout starts only then.
 const TIMEOUT_PART: u64 = 2;
-/// Maximum time in which an endpoint that is running shows it. After a longer wait, endpoints have stood still
-/// together, and the one that has the request may go on as well.
+/// Maximum response time of a probe at a running endpoint. After a longer wait, several endpoints were stopped, and the
+/// one with the request has probably resumed too.
 const PROMPT_SIGN_MS: u64 = 100;
 
 impl<A> PlainRelay<'_, A>
