Log lines: a standstill of the process itself, and the requests that a retry counts

Without them a repeat after a standstill of the instance cannot be told from one after a silence of its engine, nor a budget that counts too many requests from one that counts too many instances. The event loop observes itself at each turn, and at least each 100 ms; a pause of 250 ms or more is a standstill. Nothing is decided by it yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 mod dissemination_tests;
 pub mod document;
 pub mod entry;
+mod event_loop;
 pub mod exit_codes;
 pub mod fairness;
 pub mod fleet;
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -156,6 +156,17 @@
         window.retries_left(share, now_ms)
     }
 
+    /// Number of requests that the budget counts, for log lines.
+    pub fn counted_requests(
+        &mut self,
+        service: &ServiceName,
+        share: BudgetShare,
+        now_ms: u64,
+    ) -> usize {
+        let window = self.window(service, share, now_ms);
+        window.counted_requests(share, now_ms)
+    }
+
     /// When a retry becomes available by the passage of time: `now_ms` if one is available now,
     /// [`u64::MAX`] if only a loan or more requests can provide one. A loan may provide one sooner.
     pub fn next_available_ms<C>(
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -301,9 +301,7 @@
     }
 
     fn allowed_milli(&self, share: BudgetShare, at_ms: u64) -> u64 {
-        let from_ms = at_ms.saturating_sub(share.window_ms);
-        let first = self.requests_ms.partition_point(|it| *it < from_ms);
-        let requests = (self.requests_ms.len() - first) as f64;
+        let requests = self.counted_requests(share, at_ms) as f64;
         let even_fraction = if self.is_starting(at_ms) {
             STARTUP_FRACTION
         } else {
@@ -314,6 +312,13 @@
         (retries * RETRY_MILLI as f64) as u64
     }
 
+    /// Number of requests that count at a moment.
+    pub(super) fn counted_requests(&self, share: BudgetShare, at_ms: u64) -> usize {
+        let from_ms = at_ms.saturating_sub(share.window_ms);
+        let first = self.requests_ms.partition_point(|it| *it < from_ms);
+        self.requests_ms.len() - first
+    }
+
     fn is_starting(&self, at_ms: u64) -> bool {
         self.starting_until_ms
             .is_some_and(|until_ms| at_ms <= until_ms)
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -121,6 +121,7 @@
 mod senders_tests;
 mod settings;
 mod snapshot;
+mod standstill;
 mod start_wait;
 mod store_calls;
 mod store_health;
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -82,6 +82,7 @@
             purpose:? = class.purpose,
             is_left = id.is_some(),
             repeats_left = budget.remaining(service, share, boot_ms()),
+            counted_requests = budget.counted_requests(service, share, boot_ms()),
             known_instances = share.instances;
             "retry is taken from the budget"
         );
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -18,6 +18,7 @@
 use super::traffic::bytes_between_zones;
 use super::{checks, duty, feeds, peer_list, peers, reach, records, room_notice, snapshot};
 use crate::clock::boot_ms;
+use crate::event_loop;
 use crate::exit_codes::Exit;
 
 /// Interval between sweeps, and between checks of endpoints' pauses.
@@ -60,22 +61,26 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RelayStartError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(RelayStartError::Signals)?;
     let node = Rc::new(Node::new(adapter, settings));
-    start(&node).await?;
-    log::info!(
-        instance = node.settings.instance.as_str(),
-        incarnation:% = node.incarnation,
-        zone = node.settings.zone.as_str(),
-        front:% = node.settings.front;
-        "instance started"
-    );
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => log_reload(&node.settings, reload()),
+    let on_standstill = |lasted_ms| node.record_standstill(lasted_ms);
+    let serving = async {
+        start(&node).await?;
+        log::info!(
+            instance = node.settings.instance.as_str(),
+            incarnation:% = node.incarnation,
+            zone = node.settings.zone.as_str(),
+            front:% = node.settings.front;
+            "instance started"
+        );
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => log_reload(&node.settings, reload()),
+            }
         }
-    }
-    Ok(stop(&node).await)
+        Ok(stop(&node).await)
+    };
+    event_loop::run(serving, on_standstill).await
 }
 
 /// Logs the result of reading the settings again. Addresses and names are fixed for the lifetime of
