--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -8,6 +8,7 @@
 
 use super::EngineCallFailure;
 use super::http::{HttpCall, HttpPeer, HttpPeers, HttpReply, HttpStream};
+use crate::event_loop;
 use crate::ids::StreamId;
 use crate::wire::engine::{
     CacheEvents, CancelStream, EngineError, EngineOrder, EngineState, OpenStream, StreamProgress,
@@ -101,7 +102,7 @@
             return Ok(stream);
         }
         let body = stream.body().limit(MAX_ERROR_BYTES);
-        let body = tokio::time::timeout(ERROR_BODY_TIMEOUT, body).await;
+        let body = event_loop::timeout(ERROR_BODY_TIMEOUT, body).await;
         match body {
             Ok(Ok(body)) => Err(parse_error(&body)),
             _ => Err(EngineCallFailure::ReplyLost),
--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -17,6 +17,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::event_loop;
+
 /// Time to wait for a connection. A request that hits this timeout has not been sent.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 /// Idle connections older than this are not reused. Shorter than the usual keep-alive timeout of a
@@ -164,7 +166,7 @@
     {
         let generation = self.generation.get();
         let timeout = Duration::from_millis(timeout_ms);
-        let result = tokio::time::timeout(timeout, exchange)
+        let result = event_loop::timeout(timeout, exchange)
             .await
             .unwrap_or(Err(HttpFailure::ReplyLost));
         if result.is_err() {
--- a/src/event_loop/running_time.rs
+++ b/src/event_loop/running_time.rs
@@ -44,4 +44,10 @@
     pub(super) fn stood_still_ms(&self) -> u64 {
         self.stood_still_ms
     }
+
+    /// The present time without the standstills so far; only differences are meaningful.
+    pub(super) fn running_ms(&mut self, now_ms: u64) -> u64 {
+        self.observe(now_ms);
+        now_ms.saturating_sub(self.stood_still_ms)
+    }
 }
--- a/src/relay_server/plain/patience.rs
+++ b/src/relay_server/plain/patience.rs
@@ -3,11 +3,10 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use tokio::time::timeout;
-
 use super::exchange::{InFlightGuard, exchange};
 use super::{AttemptResult, PlainRelay};
 use crate::clock::boot_ms;
+use crate::event_loop::timeout;
 use crate::fleet::EndpointFailure;
 use crate::ids::EndpointId;
 use crate::relay::{AttemptOutcome, RetryPurpose};
--- a/src/relay_server/reach.rs
+++ b/src/relay_server/reach.rs
@@ -8,12 +8,13 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use indexmap::IndexSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::adapter::Adapter;
 use super::node::Node;
 use super::reach_inquiry::inquire;
 use crate::clock::boot_ms;
+use crate::event_loop::timeout;
 use crate::fleet::{EndpointFailure, Fleet, KnownEndpoint, ReachChange};
 use crate::ids::{EndpointId, ServiceName};
 
--- a/src/relay_server/request_body.rs
+++ b/src/relay_server/request_body.rs
@@ -6,9 +6,9 @@
 use actix_http::{BoxedPayloadStream, Payload};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use tokio::time::timeout;
 
 use super::memory_budget::{MemoryBudget, MemoryShare};
+use crate::event_loop::timeout;
 
 /// Timeout for the arrival of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use actix_http::ResponseHead;
-use tokio::time::timeout;
 
 use super::{ChunkFailure, RunOutcome, StreamRelay};
 use crate::clock::boot_ms;
+use crate::event_loop::timeout;
 use crate::relay::{AttemptOutcome, StallAction};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::delegates::Delegate;
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -20,10 +20,10 @@
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 use super::memory_budget::MemoryBudget;
 use super::response_codec::ResponseCodec;
+use crate::event_loop::timeout;
 use crate::fleet::EndpointFailure;
 use crate::relay::AttemptOutcome;
 
