A standstill of the own process is no silence of other instances

Heartbeats that were not read while the process stood still counted as missing: after 0.8 s all other instances were taken as silent in the first moment, which decides who serves delegated requests, to which instances callers are sent, how rate limits are shared and who leads. The time in which others may be silent is extended by the standstill, since datagrams beyond the receive buffer are lost in it.

--- a/src/relay_server/delegates_tests.rs
+++ b/src/relay_server/delegates_tests.rs
@@ -71,3 +71,16 @@
     let names: Vec<&str> = delegates.iter().map(|it| it.instance.as_str()).collect();
     assert_eq!(names, ["c"]);
 }
+
+/// Guards against delegated requests that are given up because the instance with their caller stood still.
+#[test]
+fn a_standstill_of_the_own_process_is_no_silence_of_others() {
+    const STANDSTILL_MS: u64 = 5_000;
+    const SILENCE_MS: u64 = 2_000;
+    let peer = InstanceId::from("a");
+    let mut book = book_with(&[("a", "lac", All)]);
+    assert!(!book.hears(&peer, STANDSTILL_MS));
+    book.extend_silences(STANDSTILL_MS, STANDSTILL_MS);
+    assert!(book.hears(&peer, STANDSTILL_MS));
+    assert!(!book.hears(&peer, STANDSTILL_MS + SILENCE_MS));
+}
--- a/src/relay_server/peer.rs
+++ b/src/relay_server/peer.rs
@@ -216,6 +216,13 @@
             .is_some_and(|at_ms| now_ms < at_ms + within_ms)
     }
 
+    /// Extends the time in which it may be silent by a standstill of this process, in which nothing was heard.
+    pub(super) fn extend_silence(&mut self, standstill_ms: u64, now_ms: u64) {
+        let extended = |at_ms: u64| (at_ms + standstill_ms).min(now_ms);
+        self.known_since_ms = extended(self.known_since_ms);
+        self.heard_ms = self.heard_ms.map(extended);
+    }
+
     /// Whether the store has answered it recently.
     pub(super) fn has_recent_store_answer(&self, now_ms: u64) -> bool {
         self.store_answered_ms
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -480,6 +480,15 @@
         own.map(|it| it.sent_ms)
     }
 
+    /// Extends the time in which peers may be silent by a standstill of this process that has just ended.
+    /// Heartbeats that arrived meanwhile have not been read yet, and those beyond the receive buffer are lost.
+    pub(super) fn extend_silences(&mut self, standstill_ms: u64, now_ms: u64) {
+        self.listening_since_ms = (self.listening_since_ms + standstill_ms).min(now_ms);
+        for peer in self.peers.values_mut() {
+            peer.extend_silence(standstill_ms, now_ms);
+        }
+    }
+
     /// Removes peers that have been silent for a long time.
     pub(super) fn remove_expired(&mut self, now_ms: u64) {
         let own_zone = &self.own_zone;
--- a/src/relay_server/standstill.rs
+++ b/src/relay_server/standstill.rs
@@ -1,6 +1,7 @@
 //! What an instance does when it goes on after a standstill of its process.
 
 use super::node::Node;
+use crate::clock::boot_ms;
 
 impl<A> Node<A> {
     /// Records that this process stood still for `lasted_ms` until now.
@@ -12,5 +13,7 @@
             open_requests = self.open_requests.get();
             "process stood still"
         );
+        let mut peers = self.peers.borrow_mut();
+        peers.extend_silences(lasted_ms, boot_ms());
     }
 }
