--- a/src/event_loop/mod.rs
+++ b/src/event_loop/mod.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Runs tasks, unless the process has not run for a while, or has stood still for longer than is reported: then the
-/// result is `None`.
+/// Runs the tasks that are ready. The result is `None`, and no task has run, if the process has not run for a while or
+/// has stood still for longer than `reported_ms` in total.
 fn take_turn<F>(
     turns: Pin<&mut F>,
     reported_ms: u64,
