--- a/src/relay/loan_tests/mod.rs
+++ b/src/relay/loan_tests/mod.rs
@@ -154,6 +154,30 @@
     }
 }
 
+/// Guards against retries that count requests of two bursts, of which each window of arrivals has only one.
+#[test]
+fn retries_after_the_second_of_two_bursts_stay_within_the_allowance() {
+    const PERIOD_MS: u64 = 6_000;
+    const BURST_MS: u64 = 251;
+    const FAILURES_MS: std::ops::Range<u64> = 201..401;
+    let mut simulation = Simulation::new(3, 1, NO_FAULTS, 0);
+    for now_ms in (0..14_000).step_by(STEP_MS as usize) {
+        simulation.step(now_ms);
+        let in_period_ms = now_ms % PERIOD_MS;
+        let requests_per_s = if in_period_ms < BURST_MS { 6_000 } else { 0 };
+        simulation.requests(requests_per_s, &[], now_ms);
+        if FAILURES_MS.contains(&in_period_ms) {
+            let askers = simulation.instances_in_need(Demand::All, now_ms);
+            for _ in 0..5 {
+                simulation.request_retries(&askers, now_ms);
+            }
+        }
+        simulation.record_overdraw(now_ms);
+    }
+    let overdraw = simulation.max_overdraw;
+    assert!(overdraw <= 0.0, "{overdraw} too many");
+}
+
 /// Number of retries within a window that one instance of a zone of 29 gets if no other needs any.
 fn retries_of_single_instance() -> usize {
     let mut simulation = Simulation::new(29, 1, NO_FAULTS, 29);
