--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -120,6 +120,9 @@
     let to_endpoints = node.upstreams.idle_count() as u64;
     node.counters
         .gauge("relay.idle_endpoint_connections", to_endpoints);
+    let response_bytes = node.upstreams.buffered_bytes() + node.delegates.buffered_bytes();
+    node.counters
+        .gauge("relay.response_memory_bytes", response_bytes as u64);
     let mut page = node.counters.render_prometheus();
     page.push_str(&node.demand_gauges(boot_ms()));
     Response::with_body(StatusCode::OK, BoxBody::new(page))
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -192,6 +192,8 @@
         if is_idle || now_ms >= end_ms {
             log::info!(
                 open_requests = open,
+                open_delegated = node.open_delegated.get(),
+                unsent_responses = unsent,
                 took_ms = now_ms - since_ms,
                 bytes_between_zones = bytes_between_zones(&node.counters).as_str();
                 "instance stopped"
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -242,7 +242,6 @@
     }
 
     /// Memory in use by the responses that are being read whole.
-    #[cfg(test)]
     pub(super) fn buffered_bytes(&self) -> usize {
         self.buffers.used_bytes()
     }
@@ -300,10 +299,11 @@
 impl Exchange {
     /// Waits for the response head.
     pub(crate) async fn head(mut self) -> Result<(ResponseHead, ResponseBody), UpstreamFailure> {
+        let mut interim_heads = InterimHeads::none_of(self.address);
         let head = loop {
             match self.framed.next().await {
                 // Interim responses precede the final one.
-                Some(Ok(head)) if head.status.is_informational() => {}
+                Some(Ok(head)) if head.status.is_informational() => interim_heads.count += 1,
                 Some(Ok(head)) => break head,
                 Some(Err(actix_http::error::ParseError::Io(_))) | None => {
                     return Err(UpstreamFailure::Broken);
@@ -322,6 +322,26 @@
     }
 }
 
+/// Interim heads of one response. Logs their number when the final head has arrived or the exchange is dropped.
+struct InterimHeads {
+    address: SocketAddr,
+    count: u64,
+}
+
+impl InterimHeads {
+    fn none_of(address: SocketAddr) -> Self {
+        Self { address, count: 0 }
+    }
+}
+
+impl Drop for InterimHeads {
+    fn drop(&mut self) {
+        if self.count > 0 {
+            log::info!(endpoint:% = self.address, interim_heads = self.count; "response has interim heads");
+        }
+    }
+}
+
 /// Determines where the body of a response ends. The codec treats a response without an announced
 /// length as having no body; by the protocol it ends with the connection.
 fn body_state(head: &ResponseHead, framed: Framed<TcpStream, ResponseCodec>) -> BodyState {
