A stop answers each open request before the process exits

What callers saw: at the end of a planned stop open requests ended with a closed connection, though the instance knew whether each had been sent. Cause: `stop` returned with what was open. Class: a way out of a request that passes no place which answers. Change: 500 ms before the limit, bodies that still arrive, plain requests and streams without a head get their final response: 503 if not sent, 502 if they may have run. The process exits 200 ms later, counted from the responses, so that one that stood still answers too.

--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -24,12 +24,6 @@
 use crate::relay::{AttemptLimit, FinalError, RefusalCause};
 use crate::route_table::{Rejection, Route, RouteTable};
 
-/// Percentage of a planned stop's time limit in which all requests are still accepted: a stream
-/// usually lasts 3 s and at most 7 s, and callers that have this instance's address keep using it
-/// for some seconds. Plain requests are accepted for as long as their route's timeout fits.
-const STOP_ACCEPT_PERCENT: u64 = 30;
-/// Time of a planned stop reserved after the last accepted request's timeout.
-const STOP_RESERVE_MS: u64 = 800;
 /// Timeout of a caller that does not state one: no shorter than any route's timeout.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
@@ -195,8 +189,9 @@
     };
     let limit_bytes = table.limits.max_body_bytes;
     let headers = &request.head().headers;
-    let read = read_body(headers, payload, limit_bytes, &node.request_memory).await;
-    let RequestBody { bytes: body, share } = match read {
+    let read = read_body(headers, payload, limit_bytes, &node.request_memory);
+    let read = node.while_serving(read).await;
+    let RequestBody { bytes: body, share } = match read.unwrap_or(Err(BodyError::ServingEnded)) {
         Ok(body) => body,
         Err(error) => return refuse_body(node, &resolved, error),
     };
@@ -297,7 +292,9 @@
             RefusalCause::OldTable,
         )));
     }
-    if is_too_late_to_start(node, &route, now_ms) {
+    let timeout_ms = ask.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+    let deadline_ms = now_ms + timeout_ms.min(route.timeout_ms);
+    if !node.stop_allows(route.retry_policy.is_stream(), deadline_ms, now_ms) {
         return Err(Box::new(refuse(
             node,
             &ask.id,
@@ -313,7 +310,6 @@
             RefusalCause::NoEndpoint,
         )));
     };
-    let timeout_ms = ask.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     Ok(RelayedRequest {
         table: Rc::clone(table),
         account: resolved.account.map(|account| account.name.clone()),
@@ -327,27 +323,12 @@
         delegation: None,
         caller: request.conn_data::<CallerLink>().cloned(),
         arrived_ms: now_ms,
-        deadline_ms: now_ms + timeout_ms.min(route.timeout_ms),
+        deadline_ms,
         route,
         ask,
     })
 }
 
-/// Whether a planned stop is so close to its time limit that a new request might be cut off.
-fn is_too_late_to_start<A>(node: &Node<A>, route: &Route, now_ms: u64) -> bool {
-    let Some(since_ms) = node.stopping_since_ms.get() else {
-        return false;
-    };
-    let limit_ms = node.settings.bounds.stop_limit_ms;
-    let open_all_ms = limit_ms * STOP_ACCEPT_PERCENT / 100;
-    let open_route_ms = if route.retry_policy.is_stream() {
-        open_all_ms
-    } else {
-        open_all_ms.max(limit_ms.saturating_sub(route.timeout_ms + STOP_RESERVE_MS))
-    };
-    now_ms > since_ms + open_route_ms
-}
-
 fn reject<A>(
     node: &Rc<Node<A>>,
     table: &RouteTable,
@@ -434,16 +415,14 @@
 where
     A: Adapter,
 {
-    let status = match error {
-        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
-        BodyError::Malformed => StatusCode::BAD_REQUEST,
-        BodyError::NoMemory => {
-            let (id, route) = (&request.ask.id, Some(&request.route));
-            return refuse(node, id, route, RefusalCause::NoMemory);
-        }
-    };
-    status_response(node, status)
+    let (id, route) = (&request.ask.id, Some(&request.route));
+    match error {
+        BodyError::TooLarge => status_response(node, StatusCode::PAYLOAD_TOO_LARGE),
+        BodyError::TimedOut => status_response(node, StatusCode::REQUEST_TIMEOUT),
+        BodyError::Malformed => status_response(node, StatusCode::BAD_REQUEST),
+        BodyError::NoMemory => refuse(node, id, route, RefusalCause::NoMemory),
+        BodyError::ServingEnded => refuse(node, id, route, RefusalCause::Stopping),
+    }
 }
 
 /// A response body that counts as an open request until it is sent or dropped.
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -89,6 +89,9 @@
 mod peer_updates_tests;
 mod peers;
 mod plain;
+mod planned_stop;
+#[cfg(test)]
+mod planned_stop_tests;
 mod probes;
 mod quarantine_rows;
 mod query;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -17,6 +17,7 @@
 use super::list_log::ListLog;
 use super::memory_budget::MemoryBudget;
 use super::peer_book::PeerBook;
+use super::planned_stop::PlannedStop;
 use super::request_body::request_memory;
 use super::settings::RelaySettings;
 use super::store_health::StoreHealth;
@@ -105,7 +106,10 @@
     pub(crate) digest_key: RefCell<Option<DigestKey>>,
     /// Requests suspected of crashing endpoints.
     pub(crate) quarantine: RefCell<Quarantine>,
-    pub(crate) stopping_since_ms: Cell<Option<u64>>,
+    /// The planned stop, once it has begun.
+    pub(super) stop: Cell<Option<PlannedStop>>,
+    /// Whether requests without a response get a final one now.
+    pub(super) serving_ended: watch::Sender<bool>,
     /// Number of callers' requests without a complete response.
     pub(crate) open_requests: Cell<u64>,
     /// How many of them other instances have received from callers.
@@ -158,7 +162,8 @@
             chain_check_signal: watch::Sender::new(0),
             digest_key: RefCell::default(),
             quarantine: RefCell::default(),
-            stopping_since_ms: Cell::new(None),
+            stop: Cell::new(None),
+            serving_ended: watch::Sender::new(false),
             open_requests: Cell::new(0),
             open_delegated: Cell::new(0),
         }
@@ -171,7 +176,7 @@
 
     /// Whether the instance accepts callers: it has the data to serve them and is not stopping.
     pub(crate) fn is_open(&self) -> bool {
-        self.is_informed() && self.stopping_since_ms.get().is_none()
+        self.is_informed() && self.stop.get().is_none()
     }
 
     /// Whether callers should prefer this instance: it is open, accepts connections, and its route table is
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -21,6 +21,7 @@
 use super::delegation::DelegatedRun;
 use super::exits::probe_replica_in_background;
 use super::node::Node;
+use super::planned_stop::ServingEnded;
 use super::request::{RelayedRequest, close_if_stopping, error_response, instant_at};
 use super::retries::HeldRetry;
 use super::send_context::SendContext;
@@ -82,11 +83,12 @@
 {
     let mut relay = PlainRelay::new(node, &request);
     let until = instant_at(request.deadline_ms, boot_ms());
-    let result = timeout_at(until, relay.serve()).await;
+    let result = node.while_serving(timeout_at(until, relay.serve())).await;
     let RelayFailure { error, limit } = match result {
-        Ok(Ok(response)) => return relay.forward_response(response),
-        Ok(Err(failure)) => failure,
-        Err(_) => relay.attempts.give_up(RefusalCause::TooLate),
+        Ok(Ok(Ok(response))) => return relay.forward_response(response),
+        Ok(Ok(Err(failure))) => failure,
+        Ok(Err(_)) => relay.attempts.give_up(RefusalCause::TooLate),
+        Err(ServingEnded) => relay.attempts.give_up(RefusalCause::Stopping),
     };
     node.count_given_up(limit);
     relay.log_failure(error, limit);
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -217,7 +217,7 @@
 where
     A: Adapter,
 {
-    if node.stopping_since_ms.get().is_some() {
+    if node.is_stopping() {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
--- a/src/relay_server/request_body.rs
+++ b/src/relay_server/request_body.rs
@@ -41,6 +41,8 @@
     Malformed,
     /// The bodies of other requests use the memory.
     NoMemory,
+    /// The instance stopped before it had arrived.
+    ServingEnded,
 }
 
 /// The budget of an instance with `memory_mb` megabytes of memory; 0 if that is unknown.
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -14,6 +14,7 @@
 use super::caller_connections;
 use super::listener::{ListenerKind, listen, serve};
 use super::node::Node;
+use super::planned_stop::{FLUSH_MS, PlannedStop};
 use super::settings::RelaySettings;
 use super::traffic::bytes_between_zones;
 use super::{checks, duty, feeds, peer_list, peers, reach, records, room_notice, snapshot};
@@ -27,8 +28,6 @@
 const SLOW_CHECK_INTERVAL_MS: u64 = 1_000;
 /// Interval between checks whether a stop is complete.
 const STOP_POLL_INTERVAL_MS: u64 = 50;
-/// Part of the stop's time limit reserved for process exit.
-const STOP_MARGIN_MS: u64 = 300;
 
 /// Why an instance could not start.
 #[derive(Debug, Error)]
@@ -170,26 +169,35 @@
     }
 }
 
-/// Waits until all requests in flight have their responses. New ones are still accepted for a while,
+/// Waits until all requests in flight have their responses, at the end final ones of the instance. New ones are still accepted for a while,
 /// since callers keep using the addresses that they got earlier.
 async fn stop<A>(node: &Rc<Node<A>>) -> Exit
 where
     A: Adapter,
 {
     let since_ms = boot_ms();
-    node.stopping_since_ms.set(Some(since_ms));
     let bounds = &node.settings.bounds;
+    let stop = PlannedStop {
+        since_ms,
+        limit_ms: bounds.stop_limit_ms,
+    };
+    node.stop.set(Some(stop));
     log::info!(open_requests = node.open_requests.get(); "instance is stopping");
     // Callers keep the addresses that they located for their lifetime, some three times as long.
     let linger_ms = bounds.locate_lifetime_ms + 500;
-    let end_ms = since_ms + bounds.stop_limit_ms.saturating_sub(STOP_MARGIN_MS);
+    let mut exit_ms = None;
     loop {
         sleep(Duration::from_millis(STOP_POLL_INTERVAL_MS)).await;
         let now_ms = boot_ms();
         let unsent = node.caller_connections.borrow().unsent_responses();
         let open = node.open_requests.get() + unsent as u64;
         let is_idle = open == 0 && now_ms >= since_ms + linger_ms;
-        if is_idle || now_ms >= end_ms {
+        if exit_ms.is_none() && now_ms >= stop.final_responses_ms() {
+            log::info!(open_requests = open; "open requests get a final response: the instance stops");
+            node.serving_ended.send_replace(true);
+            exit_ms = Some(now_ms + FLUSH_MS);
+        }
+        if is_idle || exit_ms.is_some_and(|it| now_ms >= it) {
             log::info!(
                 open_requests = open,
                 open_delegated = node.open_delegated.get(),
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -31,6 +31,7 @@
 use super::delegation::DelegationReason;
 use super::headers;
 use super::node::Node;
+use super::planned_stop::ServingEnded;
 use super::request::{RelayedRequest, instant_at};
 use super::retries::HeldRetry;
 use super::send_context::SendContext;
@@ -165,9 +166,16 @@
 
     async fn relay(&mut self) {
         let until = instant_at(self.request.deadline_ms, boot_ms());
-        let outcome = match timeout_at(until, self.run_attempts()).await {
-            Ok(outcome) => outcome,
-            Err(_) => StreamOutcome::Failed(self.attempts.give_up(RefusalCause::TooLate)),
+        let node = Rc::clone(&self.node);
+        let outcome = match node
+            .while_serving(timeout_at(until, self.run_attempts()))
+            .await
+        {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => StreamOutcome::Failed(self.attempts.give_up(RefusalCause::TooLate)),
+            Err(ServingEnded) => {
+                StreamOutcome::Failed(self.attempts.give_up(RefusalCause::Stopping))
+            }
         };
         self.is_logged = true;
         self.log_end(&outcome);
