Whether a stop leaves time for a request is decided when it is sent

What callers saw: requests whose body, capacity or repeat came late in the grace were passed on and cut at its end, among them requests that must run once. Cause: the time left was checked once, with the time at which the head arrived. Class: a decision on a time that was read earlier in the request's way. Change: it is asked again before each send, also when the connection is ready, and for requests that go to another instance. A stream whose caller holds part of it is resumed still.

--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -301,7 +301,9 @@
         let sent = self
             .delegates
             .send(run.delegate.address, head, body, now_ms, || {
-                request.may_send(self)
+                // What the caller has of a stream is worth more with the rest of it.
+                let is_resumed = run.resume_after.is_some();
+                request.may_send(self) && (is_resumed || request.may_start(self))
             })
             .await;
         if !sent.as_ref().is_err_and(|failure| failure.sent_nothing()) {
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -122,6 +122,9 @@
             if self.is_withheld() {
                 return self.fail(self.attempts.give_up(RefusalCause::Withheld));
             }
+            if !self.request.may_start(self.node) {
+                return self.fail(self.attempts.give_up(RefusalCause::Stopping));
+            }
             let target = self.choose_target().await;
             if target.is_some() && !self.take_retry() {
                 return self.fail(self.attempts.give_up(RefusalCause::NoBudget));
--- a/src/relay_server/plain/exchange.rs
+++ b/src/relay_server/plain/exchange.rs
@@ -34,7 +34,7 @@
     let head = request.head_for(node, endpoint, timeout_ms, None, None);
     let sent = node
         .send_with_permit(endpoint, address, head, request.body.clone(), || {
-            request.may_send(node) && node.accepts_requests(endpoint)
+            request.may_send(node) && request.may_start(node) && node.accepts_requests(endpoint)
         })
         .await;
     let exchange = match sent {
--- a/src/relay_server/planned_stop.rs
+++ b/src/relay_server/planned_stop.rs
@@ -11,6 +11,8 @@
 
 use super::adapter::Adapter;
 use super::node::Node;
+use super::request::RelayedRequest;
+use crate::clock::boot_ms;
 
 /// Part of a stop's time limit, in percent, in which all requests are sent: a stream usually lasts 3 s and at most 7 s,
 /// and callers that have this instance's address keep using it for some seconds. Requests with a deadline before the
@@ -81,3 +83,24 @@
         }
     }
 }
+
+impl RelayedRequest {
+    /// Whether a planned stop leaves time to send the request for the first time, or again from the beginning.
+    pub(super) fn may_start<A>(&self, node: &Node<A>) -> bool
+    where
+        A: Adapter,
+    {
+        let is_stream = self.route.retry_policy.is_stream();
+        let may_start = node.stop_allows(is_stream, self.deadline_ms, boot_ms());
+        if !may_start {
+            log::info!(
+                request = self.ask.id.as_str(),
+                route = self.route.name.as_str(),
+                since_arrival_ms = boot_ms().saturating_sub(self.arrived_ms),
+                left_ms = self.remaining_ms(boot_ms());
+                "request is not sent: the instance stops too soon"
+            );
+        }
+        may_start
+    }
+}
--- a/src/relay_server/planned_stop_tests.rs
+++ b/src/relay_server/planned_stop_tests.rs
@@ -29,6 +29,14 @@
     assert!(!may_send(true, 4_000, 6_500), "a stream's end is not known");
 }
 
+/// Guards against a decision with the time at which the head arrived.
+#[test]
+fn a_request_that_was_accepted_in_time_and_waited_is_not_sent() {
+    let deadline_after_ms = 2_000 + 12_000;
+    assert!(may_send(false, 2_000, deadline_after_ms));
+    assert!(!may_send(false, 5_600, deadline_after_ms));
+}
+
 #[test]
 fn final_responses_are_sent_before_the_process_is_ended() {
     let exit_ms = STOP.final_responses_ms() + FLUSH_MS;
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -294,6 +294,9 @@
         if self.attempts.has_started() {
             return self.target_to_resume().await;
         }
+        if !self.request.may_start(&self.node) {
+            return Err(RefusalCause::Stopping);
+        }
         if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff) {
             return Ok(RunTarget::Delegate(delegate));
         }
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -105,6 +105,7 @@
         let may_send = || {
             let mut stages = chain.stages().iter();
             self.request.may_send(node)
+                && (self.attempts.has_started() || self.request.may_start(node))
                 && stages.all(|stage| node.accepts_requests(&stage.endpoint))
         };
         node.send_with_permit(&first.endpoint, first.address, head, body, may_send)
