A stream ends once no endpoint may run it any more

What callers saw: a stream whose two engines answered with bytes that are no event ran four times within 20 ms, and was then held for its whole 20 s, though maxAttempts let no further engine run it and each of the two had been readmitted once. Cause: only an end by the number of runs is known to a partial response. Class: a request that is given up and held. Change: an engine that has answered with what is no response, also after it was readmitted, is noted; where only such ones are left, the stream ends at once, with the limit `endpoints`. An engine that may have exited is waited for still, since another one may follow it. Test: a_partial_response_ends_once_all_endpoints_that_may_run_it_have_failed_twice_with_invalid_ones (fails without the second condition of `limit`).

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -76,6 +76,8 @@
     max_endpoints: usize,
     /// Endpoints that must not be used for this request.
     excluded: IndexSet<EndpointId>,
+    /// Endpoints that answered with what is no response, also after they had been readmitted.
+    invalid: IndexSet<EndpointId>,
     /// Endpoints that were excluded and then readmitted.
     readmitted: IndexSet<EndpointId>,
     /// Excluded endpoints to which the newest attempt was not sent, and when that was.
@@ -106,6 +108,7 @@
             retry_policy,
             max_endpoints: max_endpoints.max(1) as usize,
             excluded: IndexSet::new(),
+            invalid: IndexSet::new(),
             readmitted: IndexSet::new(),
             unsent_ms: IndexMap::new(),
             ran_on: IndexSet::new(),
@@ -206,6 +209,13 @@
         }
     }
 
+    /// Records that an endpoint which is excluded has answered with what is no response.
+    pub fn record_invalid(&mut self, endpoint: &EndpointId) {
+        if self.readmitted.contains(endpoint) {
+            self.invalid.insert(endpoint.clone());
+        }
+    }
+
     /// Readmits endpoints that are healthy again. This is for a partial response that no other endpoint
     /// can resume: the reason for the exclusion may have been wrong or may be over, while without the
     /// endpoint the response certainly ends. Each is readmitted once, and again some time after an attempt
@@ -363,12 +373,20 @@
         }
     }
 
+    /// Whether no further endpoint may run the request, and those that have run it are alive and will not be readmitted.
+    fn has_only_invalid_left(&self) -> bool {
+        let restricted_to = self.restricted_to();
+        restricted_to.is_some_and(|ran_on| ran_on.iter().all(|it| self.invalid.contains(it)))
+    }
+
     /// The limit on retries that this request has reached, regardless of the budget.
     fn limit(&self) -> Option<AttemptLimit> {
         // A stream may return to an engine on which it ran, with other stages behind it.
         let is_exhausted = self.restricted_to().is_some() && !self.retry_policy.is_stream();
         if self.may_have_run() && !self.retry_policy.allows_retry() {
             Some(AttemptLimit::MayHaveRun)
+        } else if self.has_started && self.has_only_invalid_left() {
+            Some(AttemptLimit::Endpoints)
         } else if self.has_started {
             (self.runs >= MAX_RUNS).then_some(AttemptLimit::Sends)
         } else if is_exhausted {
--- a/src/relay/unsent_tests.rs
+++ b/src/relay/unsent_tests.rs
@@ -101,3 +101,50 @@
         "its run took a retry"
     );
 }
+
+/// Sends a partial response to an endpoint, which answers with what is no response.
+fn fail_with_invalid(attempts: &mut Attempts, endpoint: &EndpointId) -> NextStep {
+    attempts.send_started(endpoint);
+    attempts.exclude_after(endpoint, AttemptOutcome::Lost, 0);
+    attempts.record_invalid(endpoint);
+    attempts.attempt_ended(AttemptOutcome::Lost, || true)
+}
+
+/// Guards against streams that wait until their deadline although no endpoint may run them.
+#[test]
+fn a_partial_response_ends_once_all_endpoints_that_may_run_it_have_failed_twice_with_invalid_ones()
+{
+    let mut attempts = Attempts::new(STREAM, 2);
+    attempts.response_started();
+    let endpoints = ["a", "b"].map(EndpointId::from);
+    for endpoint in &endpoints {
+        assert_eq!(fail_with_invalid(&mut attempts, endpoint), NextStep::Resume);
+    }
+    attempts.readmit(|_| true, 0);
+    assert_eq!(
+        fail_with_invalid(&mut attempts, &endpoints[0]),
+        NextStep::Resume
+    );
+    let end = fail_with_invalid(&mut attempts, &endpoints[1]);
+    let NextStep::GiveUp(failure) = end else {
+        panic!("{end:?}");
+    };
+    assert_eq!(failure.limit, AttemptLimit::Endpoints);
+    assert_eq!(failure.error, FinalError::Unknown);
+}
+
+#[test]
+fn a_partial_response_goes_on_waiting_if_an_endpoint_that_failed_is_gone() {
+    let mut attempts = Attempts::new(STREAM, 2);
+    attempts.response_started();
+    let endpoints = ["a", "b"].map(EndpointId::from);
+    for _ in 0..2 {
+        fail_with_invalid(&mut attempts, &endpoints[0]);
+        attempts.readmit(|_| true, 0);
+    }
+    attempts.forget_gone(|it| *it == endpoints[0]);
+    assert_eq!(
+        fail_with_invalid(&mut attempts, &endpoints[1]),
+        NextStep::Resume
+    );
+}
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -252,6 +252,9 @@
             "run failed"
         );
         self.attempts.exclude_after(at_fault, outcome, now_ms);
+        if failure == EndpointFailure::Garbled {
+            self.attempts.record_invalid(at_fault);
+        }
         self.record_interrupted_run(at_fault, outcome);
     }
 
