What one endpoint sends may not occupy an instance

Cause: interim heads were skipped without a limit, and a whole connection was read as fast as bytes came, without a pause for other tasks; a chunk's size line, its extension and trailers had no limit either. Class: an instance that is starved by one peer. Change: a connection to an endpoint gives way to other tasks after 64 KB, fails after 80 KB from which the codec got nothing, and has a receive buffer of fixed size, since bytes not yet read count as the process's memory. A response has 16 interim heads at most. Test: bytes_without_end_are_garbled_soon_whatever_they_are. A malformed chunk counts as garbled, no longer as a broken connection.

--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -43,6 +43,7 @@
 #[cfg(test)]
 mod document_parts_tests;
 mod duty;
+mod endpoint_stream;
 mod exits;
 mod feeds;
 mod fleet_lines;
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -245,6 +245,47 @@
     address
 }
 
+/// Time in which a response without end must have been given up, whatever is sent.
+const GIVING_UP: Duration = Duration::from_secs(5);
+
+/// Guards against responses without end that occupy an instance until its caller's deadline.
+#[actix_rt::test]
+async fn bytes_without_end_are_garbled_soon_whatever_they_are() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const SIZED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n";
+    for (head, part) in [
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("", "no status line"),
+        ("HTTP/1.1 200 OK\r\n", "a: b\r\n"),
+        ("HTTP/1.1 200 OK\r\na: ", "b"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "body"),
+        (SIZED, "body"),
+        (CHUNKED, "4\r\nbody\r\n"),
+        (CHUNKED, "0"),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+            "x",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            "a: b\r\n",
+        ),
+    ] {
+        let address = endpoint_without_end(head, part.repeat(4_096).leak());
+        let upstreams = UpstreamPool::new();
+        let read = async {
+            let exchange = upstreams
+                .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+                .await?;
+            let (_, mut body) = exchange.head().await?;
+            let held = body.read_to_end(1 << 20).await?;
+            Ok(held.len())
+        };
+        let read = actix_rt::time::timeout(GIVING_UP, read).await;
+        assert_eq!(read, Ok(Err(UpstreamFailure::Garbled)), "{head}{part}");
+    }
+}
+
 const MAX_BODY_BYTES: usize = 16 << 20;
 
 #[actix_rt::test]
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -11,7 +11,7 @@
 
 use actix_codec::Framed;
 use actix_http::body::BodySize;
-use actix_http::error::PayloadError;
+use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientPayloadCodec, Message, MessageType};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, header};
 use bytes::{Bytes, BytesMut};
@@ -19,8 +19,8 @@
 use indexmap::IndexMap;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
 
+use super::endpoint_stream::{EndpointStream, is_invalid};
 use super::memory_budget::MemoryBudget;
 use super::response_codec::ResponseCodec;
 use crate::event_loop::timeout;
@@ -39,6 +39,8 @@
 /// Maximum size of all responses of one pool that are being read whole: a quarter of the memory of a usual
 /// instance. Faulty endpoints may send bytes without end, many at once.
 pub(super) const MAX_BUFFERED_BYTES: usize = 64 << 20;
+/// Maximum number of interim heads before the final one of a response.
+const MAX_INTERIM_HEADS: u64 = 16;
 /// Size of the pieces in which a body is sent. The write buffer of a connection keeps its size.
 const SEND_PIECE_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept per endpoint.
@@ -86,7 +88,7 @@
 
 /// An idle connection.
 struct IdleConnection {
-    framed: Framed<TcpStream, ResponseCodec>,
+    framed: Framed<EndpointStream, ResponseCodec>,
     until_ms: u64,
 }
 
@@ -102,7 +104,7 @@
     address: SocketAddr,
     /// Whether the connection was opened for this request.
     pub(super) is_new: bool,
-    framed: Framed<TcpStream, ResponseCodec>,
+    framed: Framed<EndpointStream, ResponseCodec>,
     buffers: MemoryBudget,
 }
 
@@ -118,11 +120,11 @@
 
 enum BodyState {
     /// Its end is marked by a length or by chunked encoding.
-    Delimited(Framed<TcpStream, ClientPayloadCodec>),
+    Delimited(Framed<EndpointStream, ClientPayloadCodec>),
     /// It ends with the connection.
-    UntilClose(TcpStream, BytesMut),
+    UntilClose(EndpointStream, BytesMut),
     /// It has been received completely; the connection if it is still open.
-    Complete(Option<Framed<TcpStream, ClientPayloadCodec>>),
+    Complete(Option<Framed<EndpointStream, ClientPayloadCodec>>),
 }
 
 impl UpstreamPool {
@@ -198,7 +200,12 @@
         self.keep(body.address, framed, now_ms + idle_ms);
     }
 
-    fn keep(&self, address: SocketAddr, framed: Framed<TcpStream, ResponseCodec>, until_ms: u64) {
+    fn keep(
+        &self,
+        address: SocketAddr,
+        framed: Framed<EndpointStream, ResponseCodec>,
+        until_ms: u64,
+    ) {
         let mut idle = self.idle.borrow_mut();
         let of_address = idle.entry(address).or_default();
         if of_address.len() >= MAX_IDLE_PER_ADDRESS {
@@ -259,7 +266,7 @@
         &self,
         address: SocketAddr,
         now_ms: u64,
-    ) -> Option<Framed<TcpStream, ResponseCodec>> {
+    ) -> Option<Framed<EndpointStream, ResponseCodec>> {
         let mut idle = self.idle.borrow_mut();
         let of_address = idle.get_mut(&address)?;
         while let Some(mut last) = of_address.pop() {
@@ -280,8 +287,8 @@
     async fn connect(
         &self,
         address: SocketAddr,
-    ) -> Result<Framed<TcpStream, ResponseCodec>, UpstreamFailure> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    ) -> Result<Framed<EndpointStream, ResponseCodec>, UpstreamFailure> {
+        let stream = timeout(CONNECT_TIMEOUT, EndpointStream::connect(address)).await;
         let stream =
             stream
                 .map_err(|_| UpstreamFailure::NoConnection)?
@@ -289,9 +296,6 @@
                     io::ErrorKind::ConnectionRefused => UpstreamFailure::NoListener,
                     _ => UpstreamFailure::NoConnection,
                 })?;
-        // Without this option, a body sent after its head waits for an acknowledgement. If setting
-        // it fails, only latency suffers.
-        let _ = stream.set_nodelay(true);
         Ok(Framed::new(stream, ResponseCodec::new(self.config.clone())))
     }
 }
@@ -299,18 +303,26 @@
 impl Exchange {
     /// Waits for the response head.
     pub(crate) async fn head(mut self) -> Result<(ResponseHead, ResponseBody), UpstreamFailure> {
-        let mut interim_heads = InterimHeads::none_of(self.address);
+        let mut interim_heads = 0;
         let head = loop {
             match self.framed.next().await {
-                // Interim responses precede the final one.
-                Some(Ok(head)) if head.status.is_informational() => interim_heads.count += 1,
-                Some(Ok(head)) => break head,
-                Some(Err(actix_http::error::ParseError::Io(_))) | None => {
+                Some(Ok(head)) if !head.status.is_informational() => break head,
+                Some(Ok(_)) if interim_heads < MAX_INTERIM_HEADS => {
+                    interim_heads += 1;
+                    self.framed.io_mut().record_decoded();
+                }
+                Some(Ok(_)) => {
+                    log::warn!(endpoint:% = self.address, interim_heads; "response has too many interim heads");
+                    return Err(UpstreamFailure::Garbled);
+                }
+                Some(Err(ParseError::Io(error))) if !is_invalid(&error) => {
                     return Err(UpstreamFailure::Broken);
                 }
+                None => return Err(UpstreamFailure::Broken),
                 Some(Err(_)) => return Err(UpstreamFailure::Garbled),
             }
         };
+        self.framed.io_mut().record_decoded();
         let state = body_state(&head, self.framed);
         let body = ResponseBody {
             address: self.address,
@@ -322,29 +334,9 @@
     }
 }
 
-/// Interim heads of one response. Logs their number when the final head has arrived or the exchange is dropped.
-struct InterimHeads {
-    address: SocketAddr,
-    count: u64,
-}
-
-impl InterimHeads {
-    fn none_of(address: SocketAddr) -> Self {
-        Self { address, count: 0 }
-    }
-}
-
-impl Drop for InterimHeads {
-    fn drop(&mut self) {
-        if self.count > 0 {
-            log::info!(endpoint:% = self.address, interim_heads = self.count; "response has interim heads");
-        }
-    }
-}
-
 /// Determines where the body of a response ends. The codec treats a response without an announced
 /// length as having no body; by the protocol it ends with the connection.
-fn body_state(head: &ResponseHead, framed: Framed<TcpStream, ResponseCodec>) -> BodyState {
+fn body_state(head: &ResponseHead, framed: Framed<EndpointStream, ResponseCodec>) -> BodyState {
     let has_no_body = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
@@ -362,8 +354,8 @@
 }
 
 fn payload_framed(
-    framed: Framed<TcpStream, ResponseCodec>,
-) -> Framed<TcpStream, ClientPayloadCodec> {
+    framed: Framed<EndpointStream, ResponseCodec>,
+) -> Framed<EndpointStream, ClientPayloadCodec> {
     framed.into_map_codec(ResponseCodec::into_body_codec)
 }
 
@@ -398,20 +390,27 @@
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, UpstreamFailure> {
         match &mut self.state {
             BodyState::Delimited(framed) => match framed.next().await {
-                Some(Ok(Some(bytes))) => Ok(Some(bytes)),
+                Some(Ok(Some(bytes))) => {
+                    framed.io_mut().record_decoded();
+                    Ok(Some(bytes))
+                }
                 Some(Ok(None)) => {
                     self.mark_complete();
                     Ok(None)
                 }
-                None | Some(Err(PayloadError::Io(_) | PayloadError::Incomplete(_))) => {
+                Some(Err(PayloadError::Io(error) | PayloadError::Incomplete(Some(error))))
+                    if !is_invalid(&error) =>
+                {
                     Err(UpstreamFailure::Broken)
                 }
+                None | Some(Err(PayloadError::Incomplete(None))) => Err(UpstreamFailure::Broken),
                 Some(Err(_)) => Err(UpstreamFailure::Garbled),
             },
             BodyState::UntilClose(stream, buffer) => {
                 if buffer.is_empty() {
                     let read = stream.read_buf(buffer).await;
                     read.map_err(|_| UpstreamFailure::Broken)?;
+                    stream.record_decoded();
                 }
                 if buffer.is_empty() {
                     self.state = BodyState::Complete(None);
