All that endpoints send shares one bounded part of the memory

What callers saw: with engines and replicas that send bytes without end, an instance of 260 MB took 590 MB; the platform would have killed it, and with it the requests of all callers. Sound replicas counted as faulty for responses of a few bytes while others held the budget. Cause: the budget of 64 MB counted only bodies that are read whole, until they had been read, and twice (endpoints and other instances); not the growth of their buffers, complete responses that wait for their caller, incomplete events (1 MB a stream), nor the 64 pieces of any size that wait in each stream's queue. Class: what the other side sends bounds our memory. Change: one budget, a quarter of the memory. A response may be as large as the memory that is left, so any number of endless ones leave room; up to 16 KB is always taken. A body is held in blocks and given back as its caller takes it; an announced length over the limit is not read at all. The queue of a stream's events is bounded in bytes.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -55,6 +55,11 @@
         self.last_id
     }
 
+    /// Size of the incomplete event in the buffer.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/src/relay_server/cut_head_tests.rs
+++ b/src/relay_server/cut_head_tests.rs
@@ -5,6 +5,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::memory_budget::MemoryBudget;
 use super::upstream::{UpstreamFailure, UpstreamPool};
 
 const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
@@ -35,7 +36,7 @@
             answer(&mut stream, response).await;
         }
     });
-    let upstreams = UpstreamPool::new();
+    let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
     let mut last = Ok(());
     for number in 0..count {
         let head = RequestHead::default();
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -114,7 +114,7 @@
     let to_endpoints = node.upstreams.idle_count() as u64;
     node.counters
         .gauge("relay.idle_endpoint_connections", to_endpoints);
-    let response_bytes = node.upstreams.buffered_bytes() + node.delegates.buffered_bytes();
+    let response_bytes = node.response_memory.used_bytes();
     node.counters
         .gauge("relay.response_memory_bytes", response_bytes as u64);
     let mut page = node.counters.render_prometheus();
--- a/src/relay_server/memory_budget.rs
+++ b/src/relay_server/memory_budget.rs
@@ -3,6 +3,14 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Memory of an instance whose limit is unknown.
+const DEFAULT_MEMORY_MB: u32 = 256;
+/// Part of the memory that is a budget, as a divisor: one each for requests and responses, about as much again for
+/// receive buffers.
+const BUDGET_PART: usize = 4;
+/// Size up to which a share of a response may always grow.
+const SMALL_RESPONSE_BYTES: usize = 16 << 10;
+
 /// Memory for bodies of one kind.
 #[derive(Clone, Debug)]
 pub(super) struct MemoryBudget {
@@ -12,7 +20,7 @@
 
 /// The memory that one body uses until it is dropped.
 ///
-/// Invariant: the shares of all bodies add up to the budget at most.
+/// Invariant: the shares of all bodies add up to the budget at most, but for small ones of responses.
 #[derive(Debug)]
 pub(crate) struct MemoryShare {
     budget: MemoryBudget,
@@ -20,6 +28,14 @@
 }
 
 impl MemoryBudget {
+    /// The budget for request bodies, or for responses, of an instance with `memory_mb` megabytes of memory; 0 if that
+    /// is unknown.
+    pub(super) fn for_instance(memory_mb: u32) -> Self {
+        let known_mb = Some(memory_mb).filter(|it| *it > 0);
+        let memory_bytes = (known_mb.unwrap_or(DEFAULT_MEMORY_MB) as usize) << 20;
+        Self::new(memory_bytes / BUDGET_PART)
+    }
+
     /// A budget of which nothing is used.
     pub(super) fn new(max_bytes: usize) -> Self {
         Self {
@@ -60,6 +76,20 @@
         true
     }
 
+    /// Changes the size of the share of a response. Returns whether that is allowed: a response may be as large as the
+    /// memory that is left, so that any number of them that grow without end leave memory to all others.
+    pub(super) fn resize(&mut self, bytes: usize) -> bool {
+        let used_bytes = &self.budget.used_bytes;
+        let used_by_others = used_bytes.get() - self.bytes;
+        let left_bytes = self.budget.max_bytes.saturating_sub(used_by_others + bytes);
+        let is_allowed = bytes <= self.bytes.max(SMALL_RESPONSE_BYTES) || bytes <= left_bytes;
+        if is_allowed {
+            used_bytes.set(used_by_others + bytes);
+            self.bytes = bytes;
+        }
+        is_allowed
+    }
+
     /// Memory to be taken so that the share has this size.
     pub(super) fn missing_bytes(&self, bytes: usize) -> usize {
         bytes.saturating_sub(self.bytes)
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -44,6 +44,9 @@
 mod document_parts_tests;
 mod duty;
 mod endpoint_stream;
+mod event_queue;
+#[cfg(test)]
+mod event_queue_tests;
 mod exits;
 mod feeds;
 mod fleet_lines;
@@ -52,6 +55,9 @@
 mod front;
 mod headers;
 mod heartbeat;
+mod held_body;
+#[cfg(test)]
+mod held_body_tests;
 mod held_tokens;
 mod introduction;
 #[cfg(test)]
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -18,7 +18,6 @@
 use super::memory_budget::MemoryBudget;
 use super::peer_book::PeerBook;
 use super::planned_stop::PlannedStop;
-use super::request_body::request_memory;
 use super::settings::RelaySettings;
 use super::store_health::StoreHealth;
 use super::uplink::Uplink;
@@ -78,6 +77,8 @@
     accept_failing_ms: Cell<Option<(u64, u64)>>,
     /// Memory of the bodies of all requests that are being served.
     pub(crate) request_memory: MemoryBudget,
+    /// Memory of all responses, and of events that are not complete or wait for their caller.
+    pub(crate) response_memory: MemoryBudget,
     /// Budget of this instance's link for serving peers.
     pub(crate) uplink: RefCell<Uplink>,
     /// When the process started.
@@ -123,12 +124,13 @@
     /// The initial state of an instance, without a route table or endpoint list.
     pub(crate) fn new(adapter: A, settings: RelaySettings) -> Self {
         let incarnation = Incarnation::generate(&mut rand::rng());
+        let response_memory = MemoryBudget::for_instance(settings.memory_mb);
         Self {
             peers: RefCell::new(PeerBook::new(&settings, incarnation, boot_ms())),
             uplink: RefCell::new(Uplink::new(settings.link_mbps)),
             caller_connections: RefCell::new(CallerConnections::new(settings.max_sockets)),
             accept_failing_ms: Cell::default(),
-            request_memory: request_memory(settings.memory_mb),
+            request_memory: MemoryBudget::for_instance(settings.memory_mb),
             adapter,
             settings,
             incarnation,
@@ -140,8 +142,9 @@
             demand_book: RefCell::default(),
             capacity_queues: Rc::default(),
             run_times: RefCell::default(),
-            upstreams: UpstreamPool::new(),
-            delegates: UpstreamPool::new(),
+            upstreams: UpstreamPool::new(response_memory.clone()),
+            delegates: UpstreamPool::new(response_memory.clone()),
+            response_memory,
             delegation_history: RefCell::default(),
             checks: RefCell::default(),
             prompt_answers: RefCell::default(),
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -10,7 +10,6 @@
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::{Response, StatusCode};
-use bytes::Bytes;
 use indexmap::IndexSet;
 use tokio::time::timeout_at;
 
@@ -20,6 +19,7 @@
 use super::delegates::Delegate;
 use super::delegation::DelegatedRun;
 use super::exits::probe_replica_in_background;
+use super::held_body::HeldBody;
 use super::node::Node;
 use super::planned_stop::ServingEnded;
 use super::request::{RelayedRequest, close_if_stopping, error_response, instant_at};
@@ -40,7 +40,7 @@
 struct CompleteResponse {
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: HeldBody,
     /// Why there was no further attempt, for a failure that is forwarded.
     limit: Option<AttemptLimit>,
 }
--- a/src/relay_server/request_body.rs
+++ b/src/relay_server/request_body.rs
@@ -12,11 +12,6 @@
 
 /// Timeout for the arrival of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Memory of an instance whose limit is unknown.
-const DEFAULT_MEMORY_MB: u32 = 256;
-/// Part of the memory that all request bodies together may take, as a divisor. Receive buffers take about as much
-/// again, and so do responses that are read whole.
-const REQUESTS_PART: usize = 4;
 /// Size up to which a body may use the whole budget.
 const SMALL_BODY_BYTES: usize = 16 << 10;
 /// Part of the budget, as a divisor, that is reserved for small bodies.
@@ -45,13 +40,6 @@
     ServingEnded,
 }
 
-/// The budget of an instance with `memory_mb` megabytes of memory; 0 if that is unknown.
-pub(super) fn request_memory(memory_mb: u32) -> MemoryBudget {
-    let known_mb = Some(memory_mb).filter(|it| *it > 0);
-    let memory_bytes = (known_mb.unwrap_or(DEFAULT_MEMORY_MB) as usize) << 20;
-    MemoryBudget::new(memory_bytes / REQUESTS_PART)
-}
-
 /// Reads the body of a request. Memory for a body of announced length is taken before it is read, so that bodies
 /// which are half read do not block one another. A body without memory is read to its end and discarded, because
 /// a caller that is still sending would not read the refusal.
--- a/src/relay_server/request_body_tests.rs
+++ b/src/relay_server/request_body_tests.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 
-use super::request_body::{BodyError, RequestBody, read_body, request_memory};
+use super::memory_budget::MemoryBudget;
+use super::request_body::{BodyError, RequestBody, read_body};
 
 const LIMIT_BYTES: usize = 4 << 20;
 /// An instance whose request bodies may take 16 MiB together, 14 of them large ones.
@@ -27,7 +28,7 @@
 
 #[actix_rt::test]
 async fn large_bodies_of_many_callers_leave_memory_to_small_ones() {
-    let budget = request_memory(MEMORY_MB);
+    let budget = MemoryBudget::for_instance(MEMORY_MB);
     let read = async |bytes: usize, announced_bytes: Option<usize>| {
         let headers = headers(announced_bytes);
         read_body(&headers, payload(bytes), LIMIT_BYTES, &budget).await
@@ -50,7 +51,7 @@
 
 #[actix_rt::test]
 async fn a_body_that_is_announced_too_long_takes_no_memory() {
-    let budget = request_memory(MEMORY_MB);
+    let budget = MemoryBudget::for_instance(MEMORY_MB);
     let headers = headers(Some(LIMIT_BYTES + 1));
     let refused = read_body(&headers, payload(0), LIMIT_BYTES, &budget).await;
     assert_eq!(refused.map(|it| it.bytes.len()), Err(BodyError::TooLarge));
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -20,16 +20,17 @@
 use std::rc::Rc;
 
 use actix_http::ResponseHead;
-use bytes::Bytes;
 use indexmap::IndexSet;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 use self::ending::{LogOnDrop, StreamOutcome};
 use super::adapter::Adapter;
 use super::delegates::Delegate;
 use super::delegation::DelegationReason;
+use super::event_queue::{CallerLeft, EventSender};
 use super::headers;
+use super::memory_budget::MemoryShare;
 use super::node::Node;
 use super::planned_stop::ServingEnded;
 use super::request::{RelayedRequest, instant_at};
@@ -41,8 +42,8 @@
 use crate::fleet::{Chain, ChainStage, EndpointFailure};
 use crate::ids::{EndpointId, InstanceId};
 use crate::relay::{
-    AttemptOutcome, Attempts, EventSplitter, FinalError, NextStep, RefusalCause, RelayFailure,
-    RetryClass, RetryPurpose, StallDetector,
+    AttemptOutcome, Attempts, CompleteEvents, EventSplitter, FinalError, NextStep, RefusalCause,
+    RelayFailure, RetryClass, RetryPurpose, StallDetector,
 };
 
 /// Maximum size of an engine's failure response that is buffered for forwarding.
@@ -96,7 +97,9 @@
     splitter: EventSplitter,
     stall: StallDetector,
     initial_response: Option<oneshot::Sender<Result<InitialResponse, FinalError>>>,
-    chunks: mpsc::Sender<Result<Bytes, io::Error>>,
+    events: EventSender,
+    /// Memory of events that are not complete or not in the queue yet.
+    event_memory: MemoryShare,
     /// The newest complete failure response of an engine.
     failure: Option<InitialResponse>,
     /// Whether the log line for the end has been written.
@@ -131,7 +134,7 @@
         node: &Rc<Node<A>>,
         request: RelayedRequest,
         initial_response: oneshot::Sender<Result<InitialResponse, FinalError>>,
-        chunks: mpsc::Sender<Result<Bytes, io::Error>>,
+        events: EventSender,
     ) -> Self {
         Self {
             node: Rc::clone(node),
@@ -142,7 +145,8 @@
             is_quarantine_trial: request.is_quarantine_trial,
             request,
             initial_response: Some(initial_response),
-            chunks,
+            events,
+            event_memory: node.response_memory.begin(),
             failure: None,
             is_logged: false,
             chain: None,
@@ -195,7 +199,7 @@
                 Some(initial_response) => drop(initial_response.send(result)),
                 None => {
                     let aborted = io::Error::new(io::ErrorKind::ConnectionAborted, error.name());
-                    drop(self.chunks.send(Err(aborted)).await);
+                    self.events.abort(aborted);
                 }
             }
         }
@@ -236,6 +240,7 @@
                 RunOutcome::DelegateFailed(outcome) => (outcome, outcome != AttemptOutcome::Lost),
             };
             self.splitter.drop_partial();
+            self.event_memory.resize(0);
             self.end_retry(outcome, is_settled);
             if outcome == AttemptOutcome::NotSent && !self.request.has_caller() {
                 return StreamOutcome::CallerLeft;
@@ -342,13 +347,16 @@
     /// Forwards the complete events in a part of a response. Returns whether there were any.
     async fn forward_chunk(&mut self, bytes: &[u8]) -> Result<bool, ChunkFailure> {
         let events = match self.splitter.push(bytes) {
-            Ok(Some(events)) => events,
-            Ok(None) => return Ok(false),
+            Ok(events) => events,
             Err(error) => {
                 log::warn!(request = self.request.ask.id.as_str(), error:% = error; "invalid sequence of stream events");
                 return Err(ChunkFailure::Invalid);
             }
         };
+        self.take_event_memory(events.as_ref())?;
+        let Some(events) = events else {
+            return Ok(false);
+        };
         let now_ms = boot_ms();
         self.run_events += 1;
         let head_ago_ms = self.head_ago_ms(now_ms);
@@ -357,11 +365,27 @@
             self.clear_request();
         }
         self.record_event_time(now_ms);
-        let sent = self.chunks.send(Ok(events.bytes)).await;
-        sent.map_err(|_| ChunkFailure::CallerLeft)?;
+        let sent = self.events.send(events.bytes).await;
+        sent.map_err(|CallerLeft| ChunkFailure::CallerLeft)?;
         Ok(true)
     }
 
+    /// Takes memory for complete events that are about to be forwarded, and for the incomplete one behind them.
+    fn take_event_memory(&mut self, events: Option<&CompleteEvents>) -> Result<(), ChunkFailure> {
+        let complete_bytes = events.map_or(0, |it| it.bytes.len());
+        let held_bytes = complete_bytes + self.splitter.partial_bytes();
+        if self.event_memory.resize(held_bytes) {
+            return Ok(());
+        }
+        log::warn!(
+            request = self.request.ask.id.as_str(),
+            held_bytes,
+            all_responses_bytes = self.node.response_memory.used_bytes();
+            "stream event is too large for the memory that is left"
+        );
+        Err(ChunkFailure::Invalid)
+    }
+
     fn record_event_time(&mut self, now_ms: u64) {
         match self.stall.pause_ms(now_ms) {
             Some(pause_ms) => self.longest_gap_ms = self.longest_gap_ms.max(pause_ms),
--- a/src/relay_server/stream_response.rs
+++ b/src/relay_server/stream_response.rs
@@ -10,23 +10,23 @@
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use futures_util::Stream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 use super::adapter::Adapter;
+use super::event_queue::{EventReceiver, event_queue};
+use super::held_body::HeldBody;
 use super::node::Node;
 use super::request::{RelayedRequest, close_if_stopping, error_response};
 use super::stream::StreamRelay;
 use crate::relay::FinalError;
 
-/// Number of chunks buffered for a slow caller.
-const CHUNK_BUFFER: usize = 64;
 /// The response head, once it is known.
 pub(super) struct InitialResponse {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     /// The complete body, for a response that is not a stream.
-    pub(super) body: Option<Bytes>,
+    pub(super) body: Option<HeldBody>,
 }
 
 /// Relays a stream. The response body lasts as long as the caller reads it.
@@ -40,10 +40,10 @@
     node.record_arrival(&request);
     let retry_conditions = request.retry_conditions(node);
     let (initial_sender, initial) = oneshot::channel();
-    let (chunk_sender, chunks) = mpsc::channel(CHUNK_BUFFER);
-    let relay = StreamRelay::new(node, request, initial_sender, chunk_sender);
+    let (event_sender, events) = event_queue();
+    let relay = StreamRelay::new(node, request, initial_sender, event_sender);
     let mut body = RelayBody {
-        chunks,
+        events,
         task: actix_rt::spawn(relay.run()),
     };
     match (&mut PendingResponse(initial)).await {
@@ -53,7 +53,7 @@
             body: complete_body,
         })) => {
             let body = match complete_body {
-                Some(bytes) => BoxBody::new(bytes),
+                Some(held) => BoxBody::new(held),
                 None => BoxBody::new(BodyStream::new(body)),
             };
             let mut response = Response::with_body(status, body);
@@ -62,7 +62,7 @@
         }
         Some(Err(error)) => error_response(node, error, retry_conditions),
         None => {
-            body.chunks.close();
+            body.events.close();
             error_response(node, FinalError::Unknown, retry_conditions)
         }
     }
@@ -82,7 +82,7 @@
 /// The body of a relayed stream. Dropping it, as the server does when the caller leaves, ends the
 /// relay and with it the engines' work.
 struct RelayBody {
-    chunks: mpsc::Receiver<Result<Bytes, io::Error>>,
+    events: EventReceiver,
     task: JoinHandle<()>,
 }
 
@@ -90,7 +90,7 @@
     type Item = Result<Bytes, io::Error>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.chunks.poll_recv(cx)
+        Pin::new(&mut self.events).poll_next(cx)
     }
 }
 
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -11,9 +11,10 @@
 use futures_util::future::join_all;
 use proptest::prelude::*;
 
+use super::memory_budget::MemoryBudget;
 use super::peer_selection::SyncState;
 use super::snapshot::{KnownVersions, Snapshot};
-use super::upstream::{MAX_BUFFERED_BYTES, UpstreamFailure, UpstreamPool};
+use super::upstream::{UpstreamFailure, UpstreamPool};
 
 /// What the endpoint does with the connection after its response.
 #[derive(Clone, Copy)]
@@ -56,7 +57,7 @@
 /// Sends a request and returns the response body if it is complete.
 async fn fetch(response: &'static [u8], end: ConnectionEnd) -> Result<Vec<u8>, UpstreamFailure> {
     let address = endpoint(response, end);
-    let upstreams = UpstreamPool::new();
+    let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
     let head = RequestHead::default();
     let exchange = upstreams
         .send(address, head, Bytes::new(), 0, || true)
@@ -128,7 +129,7 @@
 async fn a_connection_with_surplus_bytes_is_not_reused() {
     let extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n";
     let address = endpoint(extra, ConnectionEnd::KeepOpen);
-    let upstreams = UpstreamPool::new();
+    let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
     for _ in 0..2 {
         let exchange = upstreams
             .send(address, RequestHead::default(), Bytes::new(), 0, || true)
@@ -193,7 +194,7 @@
     let (sender, sent) = sync_channel(1);
     let beginning = b"HTTP/1.1 503 Service Unavailable\r\nDate: Fr";
     let address = endpoint_with_late_bytes([NO_CONTENT; 2], beginning, sender);
-    let upstreams = UpstreamPool::new();
+    let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
     fetch_head(&upstreams, address).await.expect("a response");
     assert!(upstreams.has_idle(address));
     sent.recv().expect("the endpoint sends more");
@@ -272,7 +273,7 @@
         ),
     ] {
         let address = endpoint_without_end(head, part.repeat(4_096).leak());
-        let upstreams = UpstreamPool::new();
+        let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
         let read = async {
             let exchange = upstreams
                 .send(address, RequestHead::default(), Bytes::new(), 0, || true)
@@ -295,20 +296,22 @@
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     for (head, part) in [("HTTP/1.1 200 OK\r\n\r\n", piece), (chunked, chunk)] {
         let address = endpoint_without_end(head, part.leak());
-        let upstreams = UpstreamPool::new();
+        let memory = MemoryBudget::for_instance(0);
+        let upstreams = UpstreamPool::new(memory.clone());
         let read = || async {
             let exchange = upstreams
                 .send(address, RequestHead::default(), Bytes::new(), 0, || true)
                 .await?;
             let (_, mut body) = exchange.head().await?;
-            body.read_to_end(MAX_BODY_BYTES).await
+            let held = body.read_to_end(MAX_BODY_BYTES).await?;
+            Ok(held.to_vec())
         };
         let all = join_all((0..12).map(|_| read()));
         let measured = async {
             let mut most_bytes = 0;
             loop {
-                most_bytes = most_bytes.max(upstreams.buffered_bytes());
-                if upstreams.buffered_bytes() == 0 && most_bytes > 0 {
+                most_bytes = most_bytes.max(memory.used_bytes());
+                if memory.used_bytes() == 0 && most_bytes > 0 {
                     return most_bytes;
                 }
                 actix_rt::time::sleep(Duration::from_millis(1)).await;
@@ -318,7 +321,7 @@
         for result in results {
             assert_eq!(result, Err(UpstreamFailure::Garbled));
         }
-        assert!(most_bytes <= MAX_BUFFERED_BYTES, "{most_bytes}");
+        assert!(most_bytes <= memory.max_bytes(), "{most_bytes}");
     }
 }
 
@@ -337,7 +340,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
     let address = listener.local_addr().expect("it is bound");
     drop(listener);
-    let sent = UpstreamPool::new()
+    let sent = UpstreamPool::new(MemoryBudget::for_instance(0))
         .send(address, RequestHead::default(), Bytes::new(), 0, || true)
         .await;
     assert_eq!(sent.err(), Some(UpstreamFailure::NoListener));
@@ -349,7 +352,7 @@
 async fn nothing_is_sent_if_the_endpoint_no_longer_accepts_requests() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
     let address = listener.local_addr().expect("it is bound");
-    let sent = UpstreamPool::new()
+    let sent = UpstreamPool::new(MemoryBudget::for_instance(0))
         .send(address, RequestHead::default(), Bytes::new(), 0, || false)
         .await;
     assert_eq!(sent.err(), Some(UpstreamFailure::Withdrawn));
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -21,6 +21,7 @@
 use tokio::io::AsyncReadExt;
 
 use super::endpoint_stream::{EndpointStream, is_invalid};
+use super::held_body::HeldBody;
 use super::memory_budget::MemoryBudget;
 use super::response_codec::ResponseCodec;
 use crate::event_loop::timeout;
@@ -36,9 +37,6 @@
 /// Subtracted from the keep-alive time that an endpoint announces, because its close may already be
 /// in progress.
 const IDLE_MARGIN_MS: u64 = 600;
-/// Maximum size of all responses of one pool that are being read whole: a quarter of the memory of a usual
-/// instance. Faulty endpoints may send bytes without end, many at once.
-pub(super) const MAX_BUFFERED_BYTES: usize = 64 << 20;
 /// Maximum number of interim heads before the final one of a response.
 const MAX_INTERIM_HEADS: u64 = 16;
 /// Size of the pieces in which a body is sent. The write buffer of a connection keeps its size.
@@ -96,7 +94,8 @@
 pub(crate) struct UpstreamPool {
     config: ServiceConfig,
     idle: RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>,
-    buffers: MemoryBudget,
+    /// Memory of all responses.
+    memory: MemoryBudget,
 }
 
 /// A connection on which a request was sent.
@@ -105,7 +104,7 @@
     /// Whether the connection was opened for this request.
     pub(super) is_new: bool,
     framed: Framed<EndpointStream, ResponseCodec>,
-    buffers: MemoryBudget,
+    memory: MemoryBudget,
 }
 
 /// The body of a response.
@@ -114,8 +113,10 @@
     /// Whether only the end of the connection marks its end. An endpoint that exits in the middle of it may
     /// leave the same trace.
     ends_with_connection: bool,
+    /// Its length as announced, if it is.
+    announced_bytes: Option<u64>,
     state: BodyState,
-    buffers: MemoryBudget,
+    memory: MemoryBudget,
 }
 
 enum BodyState {
@@ -128,12 +129,12 @@
 }
 
 impl UpstreamPool {
-    /// Creates a pool without connections.
-    pub(crate) fn new() -> Self {
+    /// Creates a pool without connections. Responses that are held take their memory from `memory`.
+    pub(crate) fn new(memory: MemoryBudget) -> Self {
         Self {
             config: ServiceConfig::default(),
             idle: RefCell::default(),
-            buffers: MemoryBudget::new(MAX_BUFFERED_BYTES),
+            memory,
         }
     }
 
@@ -180,7 +181,7 @@
             address,
             is_new,
             framed,
-            buffers: self.buffers.clone(),
+            memory: self.memory.clone(),
         })
     }
 
@@ -248,11 +249,6 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
-    /// Memory in use by the responses that are being read whole.
-    pub(super) fn buffered_bytes(&self) -> usize {
-        self.buffers.used_bytes()
-    }
-
     /// Whether an idle connection to an endpoint is kept.
     #[cfg(test)]
     pub(super) fn has_idle(&self, address: SocketAddr) -> bool {
@@ -327,13 +323,20 @@
         let body = ResponseBody {
             address: self.address,
             ends_with_connection: matches!(state, BodyState::UntilClose(..)),
+            announced_bytes: announced_bytes(&head),
             state,
-            buffers: self.buffers,
+            memory: self.memory,
         };
         Ok((head, body))
     }
 }
 
+/// The length of a response's body as its head announces it.
+fn announced_bytes(head: &ResponseHead) -> Option<u64> {
+    let length = head.headers.get(header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.trim().parse().ok()
+}
+
 /// Determines where the body of a response ends. The codec treats a response without an announced
 /// length as having no body; by the protocol it ends with the connection.
 fn body_state(head: &ResponseHead, framed: Framed<EndpointStream, ResponseCodec>) -> BodyState {
@@ -365,25 +368,37 @@
         self.ends_with_connection
     }
 
-    /// Reads the rest of the body. One of more than `max_bytes` counts as garbled, and so does one for which
-    /// the memory of all responses does not suffice.
-    pub(crate) async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, UpstreamFailure> {
-        let mut share = self.buffers.begin();
-        let mut buffer = BytesMut::new();
+    /// Reads the rest of the body. One of more than `max_bytes` counts as garbled, and so does one that is larger than
+    /// the memory that all responses leave.
+    pub(crate) async fn read_to_end(
+        &mut self,
+        max_bytes: usize,
+    ) -> Result<HeldBody, UpstreamFailure> {
+        let mut held = HeldBody::new(self.memory.begin());
+        let is_announced_too_long = self
+            .announced_bytes
+            .is_some_and(|length| length > max_bytes as u64);
+        if is_announced_too_long {
+            return Err(self.too_large(&held, max_bytes));
+        }
         while let Some(bytes) = self.next().await? {
-            if buffer.len() + bytes.len() > max_bytes || !share.grow(bytes.len()) {
-                log::warn!(
-                    endpoint:% = self.address,
-                    read_bytes = buffer.len(),
-                    max_bytes,
-                    all_responses_bytes = self.buffers.used_bytes();
-                    "response is too large and not read to its end"
-                );
-                return Err(UpstreamFailure::Garbled);
+            if held.len() + bytes.len() > max_bytes || !held.push(&bytes) {
+                return Err(self.too_large(&held, max_bytes));
             }
-            buffer.extend_from_slice(&bytes);
         }
-        Ok(buffer.freeze())
+        Ok(held)
+    }
+
+    fn too_large(&self, held: &HeldBody, max_bytes: usize) -> UpstreamFailure {
+        log::warn!(
+            endpoint:% = self.address,
+            read_bytes = held.len(),
+            announced_bytes = self.announced_bytes,
+            max_bytes,
+            all_responses_bytes = self.memory.used_bytes();
+            "response is too large and not read to its end"
+        );
+        UpstreamFailure::Garbled
     }
 
     /// The next bytes; `None` once the body is complete.
