A request whose body took a while is resolved again

What callers could see: a request whose key was taken away, or whose route was dropped, while its body arrived (up to 10 s) ran; the table and the age of its keys were those of the head. Cause and class: a decision on a state that was read earlier in the request's way, as with the stop. Change: after 250 ms, or if the route table has changed, route, key, age of the keys and the stop are looked at again; the deadline stays that of the head. Test: a_request_whose_key_is_revoked_while_its_body_arrives_does_not_run, answered 200 before, 401 now.

--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -27,6 +27,9 @@
 /// Timeout of a caller that does not state one: no shorter than any route's timeout.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
+/// Age up to which the resolution of a request is used without another look.
+const MAX_RESOLUTION_AGE_MS: u64 = 250;
+
 /// Maximum number of open requests of other instances' callers. Each takes some tens of kilobytes.
 const MAX_DELEGATED: u64 = 512;
 
@@ -183,7 +186,7 @@
         return status_response(node, status);
     }
     let (request, payload) = request.replace_payload(Payload::None);
-    let resolved = match resolve(node, &table, &request, arrived_ms) {
+    let resolved = match resolve(node, &table, &request, arrived_ms, boot_ms()) {
         Ok(resolved) => resolved,
         Err(response) => return *response,
     };
@@ -195,6 +198,10 @@
         Ok(body) => body,
         Err(error) => return refuse_body(node, &resolved, error),
     };
+    let resolved = match resolve_again(node, resolved, &request, boot_ms()) {
+        Ok(resolved) => resolved,
+        Err(response) => return *response,
+    };
     let parts = RequestParts {
         account: resolved.account.as_ref(),
         method: request.method().as_str(),
@@ -260,11 +267,32 @@
     node.counters.time_ms("relay.list_age", list_age_ms);
 }
 
+/// Resolves a request again whose body took a while, or during whose body the route table has changed: its key or route
+/// may be gone, or too little time be left.
+fn resolve_again<A>(
+    node: &Rc<Node<A>>,
+    resolved: RelayedRequest,
+    request: &Request<()>,
+    now_ms: u64,
+) -> Result<RelayedRequest, Box<Response<BoxBody>>>
+where
+    A: Adapter,
+{
+    let table = node.routes();
+    let table = table.unwrap_or_else(|| Rc::clone(&resolved.table));
+    let is_recent = now_ms < resolved.arrived_ms + MAX_RESOLUTION_AGE_MS;
+    if is_recent && Rc::ptr_eq(&table, &resolved.table) {
+        return Ok(resolved);
+    }
+    resolve(node, &table, request, resolved.arrived_ms, now_ms)
+}
+
 /// Resolves a request with the route table, or returns the response that rejects it.
 fn resolve<A>(
     node: &Rc<Node<A>>,
     table: &Rc<RouteTable>,
     request: &Request<()>,
+    arrived_ms: u64,
     now_ms: u64,
 ) -> Result<RelayedRequest, Box<Response<BoxBody>>>
 where
@@ -293,7 +321,7 @@
         )));
     }
     let timeout_ms = ask.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-    let deadline_ms = now_ms + timeout_ms.min(route.timeout_ms);
+    let deadline_ms = arrived_ms + timeout_ms.min(route.timeout_ms);
     if !node.stop_allows(route.retry_policy.is_stream(), deadline_ms, now_ms) {
         return Err(Box::new(refuse(
             node,
@@ -322,7 +350,7 @@
         is_quarantine_trial: false,
         delegation: None,
         caller: request.conn_data::<CallerLink>().cloned(),
-        arrived_ms: now_ms,
+        arrived_ms,
         deadline_ms,
         route,
         ask,
