Incomplete events are kept in blocks

What callers could see: 200 streams whose engines send one event without end took 227 MB (trial, chunks without an event's end, one instance), though their bytes counted as 65 MB at most. Cause: a buffer that doubles is copied and leaves holes in the heap. Change: what arrives of an event is kept in blocks of 16 KB, as bodies are, and joined once the event is complete; bytes in which no event ends are no longer searched twice.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,9 @@
 
 pub mod admission;
 mod audit;
+mod block_buffer;
+#[cfg(test)]
+mod block_buffer_tests;
 pub(crate) mod chain;
 mod checked_toml;
 pub mod claims;
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -1,10 +1,14 @@
 //! Splits a stream into complete events, so that runs are joined only between two events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use thiserror::Error;
 
-/// Maximum size of an incomplete event in the buffer.
+use crate::block_buffer::BlockBuffer;
+
+/// Maximum size of an incomplete event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Bytes on one side of a seam between two pieces that may belong to the end of an event: one less than the longest end.
+const SEAM_BYTES: usize = 2;
 /// Field that carries the number of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -37,7 +41,8 @@
 /// runs of a request. Invariant: the numbers of forwarded events increase by one, across runs.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
-    buffer: BytesMut,
+    /// The incomplete event behind those that were returned.
+    partial: BlockBuffer,
     last_id: Option<u64>,
 }
 
@@ -45,7 +50,7 @@
     /// Starts after an event that the caller already has.
     pub fn resuming_after(last_id: Option<u64>) -> Self {
         Self {
-            buffer: BytesMut::new(),
+            partial: BlockBuffer::default(),
             last_id,
         }
     }
@@ -55,47 +60,62 @@
         self.last_id
     }
 
-    /// Size of the incomplete event in the buffer.
+    /// Size of the incomplete event.
     pub fn partial_bytes(&self) -> usize {
-        self.buffer.len()
+        self.partial.len()
     }
 
-    /// Whether an incomplete event is buffered.
+    /// Whether there is an incomplete event.
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.partial.is_empty()
     }
 
     /// Discards the incomplete event, because its run ended in the middle of it.
     pub fn drop_partial(&mut self) {
-        self.buffer.clear();
+        self.partial.clear();
     }
 
     /// Takes bytes of the current run and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<CompleteEvents>, SplitError> {
-        let searched = self.buffer.len().saturating_sub(3);
-        self.buffer.extend_from_slice(bytes);
+        if !self.completes_event(bytes) {
+            self.keep(bytes)?;
+            return Ok(None);
+        }
+        let mut from = self.partial.len().saturating_sub(SEAM_BYTES);
+        let mut received = self.partial.take_joined(bytes);
         let mut end = 0;
         let mut count = 0;
-        let mut from = searched;
         // Stored only together with the returned bytes: after an error, the next run must resend
         // the rest.
         let mut last_id = self.last_id;
-        while let Some(next) = event_end(&self.buffer, from) {
-            let id = event_id(&self.buffer[end..next]);
+        while let Some(next) = event_end(&received, from) {
+            let id = event_id(&received[end..next]);
             last_id = next_id(last_id, id)?;
             end = next;
             from = next;
             count += 1;
         }
-        if self.buffer.len() - end > MAX_EVENT_BYTES {
-            return Err(SplitError::TooLong);
-        }
+        self.keep(&received[end..])?;
         self.last_id = last_id;
-        let events = (count > 0).then(|| CompleteEvents {
-            bytes: self.buffer.split_to(end).freeze(),
+        Ok(Some(CompleteEvents {
+            bytes: received.split_to(end).freeze(),
             count,
-        });
-        Ok(events)
+        }))
+    }
+
+    /// Whether the incomplete event ends in these bytes.
+    fn completes_event(&self, bytes: &[u8]) -> bool {
+        let mut seam = self.partial.tail(SEAM_BYTES);
+        seam.extend(bytes.iter().take(SEAM_BYTES));
+        event_end(&seam, 0).is_some() || event_end(bytes, 0).is_some()
+    }
+
+    fn keep(&mut self, bytes: &[u8]) -> Result<(), SplitError> {
+        if self.partial.len() + bytes.len() > MAX_EVENT_BYTES {
+            return Err(SplitError::TooLong);
+        }
+        self.partial.push(bytes);
+        Ok(())
     }
 }
 
