--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -186,30 +186,33 @@
     // Callers keep the addresses that they located for their lifetime, some three times as long.
     let linger_ms = bounds.locate_lifetime_ms + 500;
     let mut exit_ms = None;
+    let mut has_cut_off = false;
     loop {
         sleep(Duration::from_millis(STOP_POLL_INTERVAL_MS)).await;
         let now_ms = boot_ms();
         let unsent = node.caller_connections.borrow().unsent_responses();
         let open = node.open_requests.get() + unsent as u64;
-        let is_idle = open == 0 && now_ms >= since_ms + linger_ms;
         if exit_ms.is_none() && now_ms >= stop.final_responses_ms() {
             log::info!(open_requests = open; "open requests get a final response: the instance stops");
             node.serving_ended.send_replace(true);
+            has_cut_off = open > 0;
             exit_ms = Some(now_ms + FLUSH_MS);
         }
+        let is_idle = open == 0 && now_ms >= since_ms + linger_ms;
         if is_idle || exit_ms.is_some_and(|it| now_ms >= it) {
             log::info!(
                 open_requests = open,
                 open_delegated = node.open_delegated.get(),
                 unsent_responses = unsent,
+                has_cut_off,
                 took_ms = now_ms - since_ms,
                 bytes_between_zones = bytes_between_zones(&node.counters).as_str();
                 "instance stopped"
             );
-            return if open == 0 {
-                Exit::Success
-            } else {
+            return if has_cut_off {
                 Exit::Forced
+            } else {
+                Exit::Success
             };
         }
     }
