Whether a request's service has a model is read from the table that it is resolved with

A stream whose route had moved to a service that only the newer table knows would have been relayed as a plain request.

--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -242,7 +242,8 @@
         );
     }
     let is_stream = relayed.route.retry_policy.is_stream();
-    let has_model = table
+    let has_model = relayed
+        .table
         .services
         .get(&relayed.service)
         .is_some_and(|service| service.model.is_some());
