The line of a retry and two gauges tell an instance's share of the retry budget

The line has own_share_milli and own_used_milli of the newest window; gauges relay.repeats.share_milli and used_milli sum them over all services.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::loans::{Lender, LendingSource, RetryAmount, RetryLoan, allocate};
-use super::window::Window;
+use super::window::{BudgetUsage, Window};
 use crate::ids::ServiceName;
 
 /// What a retry is for.
@@ -156,15 +156,19 @@
         window.retries_left(share, now_ms)
     }
 
-    /// Number of requests that the budget counts, for log lines.
-    pub fn counted_requests(
-        &mut self,
-        service: &ServiceName,
-        share: BudgetShare,
-        now_ms: u64,
-    ) -> usize {
-        let window = self.window(service, share, now_ms);
-        window.counted_requests(share, now_ms)
+    /// What this instance may retry in the newest window and what of it is used, for log lines.
+    pub fn usage(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> BudgetUsage {
+        self.window(service, share, now_ms).usage(share, now_ms)
+    }
+
+    /// What this instance may retry in the newest window and what of it is used, summed over all services.
+    pub fn total_usage(&mut self, share: BudgetShare, now_ms: u64) -> BudgetUsage {
+        let windows = self.services.values_mut();
+        let usages = windows.map(|window| {
+            window.drop_old(share, now_ms);
+            window.usage(share, now_ms)
+        });
+        usages.sum()
     }
 
     /// When a retry becomes available by the passage of time: `now_ms` if one is available now,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -47,4 +47,5 @@
     PROBE_OFFSETS_MS, PROBE_TIMEOUT_MS, PROMPT_REPLY_MS, ProbeHistory, SilenceCause,
 };
 pub use stall::{StallAction, StallDetector};
+pub use window::BudgetUsage;
 pub(crate) use window::MAX_ARRIVAL_DELAY_MS;
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
+use std::iter::Sum;
 
 use super::budget::{BudgetShare, RetryClass, RetryId, RetryPurpose};
 use super::loans::{BorrowedLoans, GrantedLoans, LOAN_TTL_MS, Lender, RETRY_MILLI};
@@ -43,6 +44,30 @@
 /// kernel has accepted, also if the connection was closed meanwhile.
 pub(crate) const MAX_ARRIVAL_DELAY_MS: u64 = 3_000;
 
+/// What one instance may retry in the newest window, and what of it is used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BudgetUsage {
+    /// Number of requests that allow retries.
+    pub requests: usize,
+    /// Own share, in thousandths of a retry.
+    pub allowed_milli: u64,
+    /// Retries and loans that are charged to the own share, in thousandths of a retry.
+    pub charged_milli: u64,
+}
+
+impl Sum for BudgetUsage {
+    fn sum<I>(usages: I) -> Self
+    where
+        I: Iterator<Item = Self>,
+    {
+        usages.fold(Self::default(), |sum, it| Self {
+            requests: sum.requests + it.requests,
+            allowed_milli: sum.allowed_milli + it.allowed_milli,
+            charged_milli: sum.charged_milli + it.charged_milli,
+        })
+    }
+}
+
 /// Requests and retries of one service within the last window.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Window {
@@ -381,9 +406,15 @@
         before(end_ms) - before(from_ms)
     }
 
-    /// Number of requests that allow retries in the newest window.
-    pub(super) fn counted_requests(&self, share: BudgetShare, at_ms: u64) -> usize {
-        self.requests_for_window(share, at_ms.saturating_sub(share.window_ms))
+    /// What is allowed and used in the newest window.
+    pub(super) fn usage(&self, share: BudgetShare, at_ms: u64) -> BudgetUsage {
+        let from_ms = at_ms.saturating_sub(share.window_ms);
+        let charges = self.charges(share, at_ms);
+        BudgetUsage {
+            requests: self.requests_for_window(share, from_ms),
+            allowed_milli: self.allowed_since_milli(share, from_ms, at_ms),
+            charged_milli: charges.iter().map(|it| it.milli).sum(),
+        }
     }
 
     fn is_starting(&self, at_ms: u64) -> bool {
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -76,13 +76,16 @@
         } else {
             "relay.repeats.over_budget"
         });
+        let usage = budget.usage(service, share, boot_ms());
         log::info!(
             request = request.ask.id.as_str(),
             service = service.as_str(),
             purpose:? = class.purpose,
             is_left = id.is_some(),
             repeats_left = budget.remaining(service, share, boot_ms()),
-            counted_requests = budget.counted_requests(service, share, boot_ms()),
+            counted_requests = usage.requests,
+            own_share_milli = usage.allowed_milli,
+            own_used_milli = usage.charged_milli,
             known_instances = share.instances;
             "retry is taken from the budget"
         );
--- a/src/relay_server/retry_loans.rs
+++ b/src/relay_server/retry_loans.rs
@@ -65,6 +65,11 @@
         let spare_milli = budget.spare_milli(share, now_ms);
         self.counters
             .gauge("relay.repeats.spare_milli", spare_milli);
+        let usage = budget.total_usage(share, now_ms);
+        self.counters
+            .gauge("relay.repeats.share_milli", usage.allowed_milli);
+        self.counters
+            .gauge("relay.repeats.used_milli", usage.charged_milli);
         budget.needs(share, now_ms)
     }
 
