--- a/src/relay/loan_tests/mod.rs
+++ b/src/relay/loan_tests/mod.rs
@@ -219,8 +219,7 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against instances that load leaves and those that it reaches counting different windows, so that their
-    /// shares add up to more than the allowance.
+    /// Guards against shares that add up to more than the allowance, since load leaves some instances and reaches others.
     #[test]
     fn retries_stay_within_the_allowance_while_load_moves_between_instances(
         count in 3usize..12,
