--- a/src/relay/loan_tests/mod.rs
+++ b/src/relay/loan_tests/mod.rs
@@ -178,12 +178,12 @@
     assert!(overdraw <= 0.0, "{overdraw} too many");
 }
 
-/// Which instances get the requests.
+/// Load that rotates among groups of instances.
 #[derive(Clone, Copy, Debug)]
 struct MovingLoad {
-    /// Number of groups of instances that get the requests in turn.
+    /// Number of groups.
     groups: usize,
-    /// For how long a group gets them.
+    /// Duration for which a group receives all requests.
     stay_ms: u64,
     requests_per_s: u64,
 }
@@ -237,7 +237,7 @@
     }
 }
 
-/// Guards against the same, in the case of three zones that get all requests in turn.
+/// Guards against shares that add up to more than the allowance while load rotates among three zones.
 #[test]
 fn retries_stay_within_the_allowance_while_load_moves_from_zone_to_zone() {
     let load = MovingLoad {
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -413,7 +413,7 @@
         let charges = self.charges(share, at_ms);
         BudgetUsage {
             requests: self.requests_for_window(share, from_ms),
-            allowed_milli: self.allowed_since_milli(share, from_ms, at_ms),
+            allowed_milli: self.allowed_milli(share, at_ms),
             charged_milli: charges.iter().map(|it| it.milli).sum(),
         }
     }
