A response under another id leaves a line; a connection knows the requests that it has carried

Before this a response that does not bear the id of the request left only the cause of the failed attempt. The line has its id and status, whether the connection has carried that request before, and whether the connection is new, which tells a late answer to an earlier request from bytes that belong to none. What a response means is unchanged.

--- a/src/relay_server/cut_head_tests.rs
+++ b/src/relay_server/cut_head_tests.rs
@@ -1,11 +1,10 @@
 //! Responses of endpoints that end in the middle of their head.
 
-use actix_http::RequestHead;
-use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::memory_budget::MemoryBudget;
+use super::tests::outgoing_request;
 use super::upstream::{UpstreamFailure, UpstreamPool};
 
 const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
@@ -39,9 +38,8 @@
     let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
     let mut last = Ok(());
     for number in 0..count {
-        let head = RequestHead::default();
         let sent = upstreams
-            .send(address, head, Bytes::new(), 0, || true)
+            .send(address, outgoing_request(), 0, || true)
             .await;
         let exchange = sent.expect("the endpoint reads requests");
         assert_eq!(exchange.is_new, number == 0);
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -18,7 +18,7 @@
 use super::peer_selection::weighted_by_link;
 use super::request::RelayedRequest;
 use super::traffic::TrafficKind;
-use super::upstream::{Exchange, ResponseBody, UpstreamFailure};
+use super::upstream::{Exchange, OutgoingRequest, ResponseBody, UpstreamFailure};
 use crate::clock::boot_ms;
 use crate::ids::{InstanceId, ServiceName};
 use crate::relay::{AttemptOutcome, Attempts, FinalError};
@@ -297,10 +297,14 @@
             is_repeat: run.is_repeat,
         };
         delegation.set_headers(&mut head.headers);
-        let body = request.body.clone();
+        let outgoing = OutgoingRequest {
+            id: &request.ask.id,
+            head,
+            body: request.body.clone(),
+        };
         let sent = self
             .delegates
-            .send(run.delegate.address, head, body, now_ms, || {
+            .send(run.delegate.address, outgoing, now_ms, || {
                 // What the caller has of a stream is worth more with the rest of it.
                 let is_resumed = run.resume_after.is_some();
                 request.may_send(self) && (is_resumed || request.may_start(self))
--- a/src/relay_server/endpoint_stream.rs
+++ b/src/relay_server/endpoint_stream.rs
@@ -9,6 +9,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 
+use super::carried_requests::CarriedRequests;
+
 /// Size that the kernel is asked for of a connection's receive buffer. It counts as memory of the process, and fills up
 /// while the process stands still.
 const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
@@ -26,6 +28,8 @@
     turn_bytes: usize,
     /// Bytes read since the codec has got a head or part of a body.
     framing_bytes: usize,
+    /// The requests that were sent on it.
+    pub(super) carried: CarriedRequests,
 }
 
 impl EndpointStream {
@@ -44,6 +48,7 @@
             stream,
             turn_bytes: 0,
             framing_bytes: 0,
+            carried: CarriedRequests::default(),
         })
     }
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -14,6 +14,7 @@
 mod capacity_queue;
 #[cfg(test)]
 mod capacity_queue_tests;
+mod carried_requests;
 mod checks;
 mod compact_loads;
 
--- a/src/relay_server/pacing.rs
+++ b/src/relay_server/pacing.rs
@@ -2,15 +2,12 @@
 
 use std::net::SocketAddr;
 
-use actix_http::RequestHead;
-use bytes::Bytes;
-
 use super::adapter::Adapter;
 use super::node::Node;
 use super::peer_book::PeerBook;
 use super::senders::{LimitedEndpoint, share_per_s};
 use super::traffic::TrafficKind;
-use super::upstream::{Exchange, UpstreamFailure};
+use super::upstream::{Exchange, OutgoingRequest, UpstreamFailure};
 use crate::clock::boot_ms;
 use crate::fleet::{Fleet, LimitReport, Pacing, PacingChange, Permit};
 use crate::ids::{EndpointId, InstanceId, ServiceName};
@@ -92,8 +89,7 @@
         &self,
         endpoint: &EndpointId,
         address: SocketAddr,
-        head: RequestHead,
-        body: Bytes,
+        request: OutgoingRequest<'_>,
         may_send: F,
     ) -> Result<Exchange, UpstreamFailure>
     where
@@ -104,11 +100,11 @@
             return Err(UpstreamFailure::Withdrawn);
         }
         let started_ms = boot_ms();
-        let body_bytes = body.len();
+        let body_bytes = request.body.len();
         let may_send = || may_send() && self.renew_permit(endpoint, permit);
         let sent = self
             .upstreams
-            .send(address, head, body, started_ms, may_send)
+            .send(address, request, started_ms, may_send)
             .await;
         match &sent {
             Err(UpstreamFailure::NoConnection | UpstreamFailure::NoListener) => {
--- a/src/relay_server/plain/exchange.rs
+++ b/src/relay_server/plain/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::StatusCode;
+use actix_http::{ResponseHead, StatusCode};
 
 use super::{AttemptResult, CompleteResponse, MAX_RESPONSE_BYTES};
 use crate::clock::boot_ms;
@@ -15,7 +15,7 @@
 use crate::relay_server::node::Node;
 use crate::relay_server::request::RelayedRequest;
 use crate::relay_server::traffic::TrafficKind;
-use crate::relay_server::upstream::UpstreamFailure;
+use crate::relay_server::upstream::{OutgoingRequest, UpstreamFailure};
 
 /// Sends a request to an endpoint, which may take `timeout_ms`, and reads its response to the end.
 pub(super) async fn exchange<A>(
@@ -32,8 +32,13 @@
         return AttemptResult::Failed(AttemptOutcome::NotSent, EndpointFailure::Unreachable);
     };
     let head = request.head_for(node, endpoint, timeout_ms, None, None);
+    let outgoing = OutgoingRequest {
+        id: &request.ask.id,
+        head,
+        body: request.body.clone(),
+    };
     let sent = node
-        .send_with_permit(endpoint, address, head, request.body.clone(), || {
+        .send_with_permit(endpoint, address, outgoing, || {
             request.may_send(node) && request.may_start(node) && node.accepts_requests(endpoint)
         })
         .await;
@@ -41,15 +46,13 @@
         Ok(exchange) => exchange,
         Err(failure) => return failed(failure),
     };
-    let (head, mut body) = match exchange.head().await {
+    let id_of = |head: &ResponseHead| node.adapter.parse_response_metadata(head).id;
+    let (head, mut body) = match exchange.own_head(id_of).await {
         Ok(response) => response,
         Err(failure) => return failed(failure),
     };
     node.record_heard(endpoint);
     let facts = node.adapter.parse_response_metadata(&head);
-    if facts.id.as_deref() != Some(request.ask.id.as_str()) {
-        return failed(UpstreamFailure::Garbled);
-    }
     node.apply_pacing(endpoint, facts.pacing);
     let content = match body.read_to_end(MAX_RESPONSE_BYTES).await {
         Ok(content) => content,
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -1,5 +1,7 @@
 //! Runs of a stream on a chain of engines.
 
+use std::rc::Rc;
+
 use actix_http::{ResponseHead, StatusCode};
 use tokio::time::{Instant, sleep_until};
 
@@ -17,7 +19,7 @@
 use crate::relay_server::send_context::SendContext;
 use crate::relay_server::stream_response::InitialResponse;
 use crate::relay_server::traffic::TrafficKind;
-use crate::relay_server::upstream::{Exchange, ResponseBody, UpstreamFailure};
+use crate::relay_server::upstream::{Exchange, OutgoingRequest, ResponseBody, UpstreamFailure};
 
 impl<A> StreamRelay<A>
 where
@@ -46,9 +48,6 @@
             Err(outcome) => return outcome,
         };
         let facts = self.node.adapter.parse_response_metadata(&head);
-        if facts.id.as_deref() != Some(self.request.ask.id.as_str()) {
-            return self.connection_failed(UpstreamFailure::Garbled, held.chain());
-        }
         let first = &held.chain().first().endpoint;
         self.node.apply_pacing(first, facts.pacing);
         if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -100,7 +99,11 @@
             Some(chain),
             resume_after,
         );
-        let body = self.request.body.clone();
+        let outgoing = OutgoingRequest {
+            id: &self.request.ask.id,
+            head,
+            body: self.request.body.clone(),
+        };
         let node = &self.node;
         let may_send = || {
             let mut stages = chain.stages().iter();
@@ -108,7 +111,7 @@
                 && (self.attempts.has_started() || self.request.may_start(node))
                 && stages.all(|stage| node.accepts_requests(&stage.endpoint))
         };
-        node.send_with_permit(&first.endpoint, first.address, head, body, may_send)
+        node.send_with_permit(&first.endpoint, first.address, outgoing, may_send)
             .await
     }
 
@@ -119,7 +122,9 @@
         held: &mut HeldTokens<A>,
     ) -> Result<(ResponseHead, ResponseBody), RunOutcome> {
         let mut signal = self.node.chain_check_signal.subscribe();
-        let mut head = std::pin::pin!(exchange.head());
+        let node = Rc::clone(&self.node);
+        let id_of = |head: &ResponseHead| node.adapter.parse_response_metadata(head).id;
+        let mut head = std::pin::pin!(exchange.own_head(id_of));
         loop {
             let due = self.next_check_at(boot_ms());
             tokio::select! {
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::thread;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use super::memory_budget::MemoryBudget;
 use super::peer_selection::SyncState;
 use super::snapshot::{KnownVersions, Snapshot};
-use super::upstream::{UpstreamFailure, UpstreamPool};
+use super::upstream::{OutgoingRequest, UpstreamFailure, UpstreamPool};
 
 /// What the endpoint does with the connection after its response.
 #[derive(Clone, Copy)]
@@ -54,13 +55,23 @@
     address
 }
 
+/// A request with an id of its own.
+pub(super) fn outgoing_request() -> OutgoingRequest<'static> {
+    static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed).to_string();
+    OutgoingRequest {
+        id: id.leak(),
+        head: RequestHead::default(),
+        body: Bytes::new(),
+    }
+}
+
 /// Sends a request and returns the response body if it is complete.
 async fn fetch(response: &'static [u8], end: ConnectionEnd) -> Result<Vec<u8>, UpstreamFailure> {
     let address = endpoint(response, end);
     let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
-    let head = RequestHead::default();
     let exchange = upstreams
-        .send(address, head, Bytes::new(), 0, || true)
+        .send(address, outgoing_request(), 0, || true)
         .await?;
     let (_, mut body) = exchange.head().await?;
     let mut received = Vec::new();
@@ -132,7 +143,7 @@
     let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
     for _ in 0..2 {
         let exchange = upstreams
-            .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+            .send(address, outgoing_request(), 0, || true)
             .await;
         let (_, mut body) = exchange.expect("sent").head().await.expect("a response");
         while body.next().await.expect("a complete body").is_some() {}
@@ -178,7 +189,7 @@
     address: SocketAddr,
 ) -> Result<(ResponseHead, bool), UpstreamFailure> {
     let exchange = upstreams
-        .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+        .send(address, outgoing_request(), 0, || true)
         .await?;
     let is_new = exchange.is_new;
     let (head, mut body) = exchange.head().await?;
@@ -276,7 +287,7 @@
         let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
         let read = async {
             let exchange = upstreams
-                .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+                .send(address, outgoing_request(), 0, || true)
                 .await?;
             let (_, mut body) = exchange.head().await?;
             let held = body.read_to_end(1 << 20).await?;
@@ -300,7 +311,7 @@
         let upstreams = UpstreamPool::new(memory.clone());
         let read = || async {
             let exchange = upstreams
-                .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+                .send(address, outgoing_request(), 0, || true)
                 .await?;
             let (_, mut body) = exchange.head().await?;
             let held = body.read_to_end(MAX_BODY_BYTES).await?;
@@ -341,7 +352,7 @@
     let address = listener.local_addr().expect("it is bound");
     drop(listener);
     let sent = UpstreamPool::new(MemoryBudget::for_instance(0))
-        .send(address, RequestHead::default(), Bytes::new(), 0, || true)
+        .send(address, outgoing_request(), 0, || true)
         .await;
     assert_eq!(sent.err(), Some(UpstreamFailure::NoListener));
 }
@@ -353,7 +364,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
     let address = listener.local_addr().expect("it is bound");
     let sent = UpstreamPool::new(MemoryBudget::for_instance(0))
-        .send(address, RequestHead::default(), Bytes::new(), 0, || false)
+        .send(address, outgoing_request(), 0, || false)
         .await;
     assert_eq!(sent.err(), Some(UpstreamFailure::Withdrawn));
     let (mut connection, _) = listener.accept().expect("there was a connection");
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -84,6 +84,14 @@
     }
 }
 
+/// A request as it is sent.
+pub(crate) struct OutgoingRequest<'a> {
+    /// Its id, which endpoints repeat in their responses.
+    pub(crate) id: &'a str,
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+}
+
 /// An idle connection.
 struct IdleConnection {
     framed: Framed<EndpointStream, ResponseCodec>,
@@ -101,6 +109,8 @@
 /// A connection on which a request was sent.
 pub(crate) struct Exchange {
     address: SocketAddr,
+    /// Id of the request.
+    id: String,
     /// Whether the connection was opened for this request.
     pub(super) is_new: bool,
     framed: Framed<EndpointStream, ResponseCodec>,
@@ -144,14 +154,14 @@
     pub(crate) async fn send<F>(
         &self,
         address: SocketAddr,
-        head: RequestHead,
-        body: Bytes,
+        request: OutgoingRequest<'_>,
         now_ms: u64,
         may_send: F,
     ) -> Result<Exchange, UpstreamFailure>
     where
         F: FnOnce() -> bool,
     {
+        let OutgoingRequest { id, head, body } = request;
         let idle = self.take_idle(address, now_ms);
         let is_new = idle.is_none();
         let mut framed = match idle {
@@ -161,6 +171,7 @@
         if !may_send() {
             return Err(UpstreamFailure::Withdrawn);
         }
+        framed.io_mut().carried.record(id);
         let size = if body.is_empty() {
             BodySize::None
         } else {
@@ -179,6 +190,7 @@
         sent.await.map_err(|_| UpstreamFailure::Broken)?;
         Ok(Exchange {
             address,
+            id: id.to_owned(),
             is_new,
             framed,
             memory: self.memory.clone(),
@@ -190,11 +202,13 @@
         let BodyState::Complete(Some(framed)) = body.state else {
             return;
         };
+        let may_carry_more = !framed.io_ref().carried.is_full();
         let is_clean = framed.is_read_buf_empty();
         let idle_ms = keep_alive_ms.map_or(DEFAULT_IDLE_TIMEOUT_MS, |ms| {
             ms.saturating_sub(IDLE_MARGIN_MS)
         });
-        if !is_clean || !framed.codec_ref().keep_alive() || idle_ms == 0 {
+        let is_kept_alive = framed.codec_ref().keep_alive();
+        if !may_carry_more || !is_clean || !is_kept_alive || idle_ms == 0 {
             return;
         }
         let framed = framed.into_map_codec(ResponseCodec::after_body);
@@ -297,12 +311,52 @@
 }
 
 impl Exchange {
+    /// Waits for the response head, which must bear the id of the request. `id_of` returns the id of a head.
+    pub(crate) async fn own_head<F>(
+        mut self,
+        id_of: F,
+    ) -> Result<(ResponseHead, ResponseBody), UpstreamFailure>
+    where
+        F: Fn(&ResponseHead) -> Option<String>,
+    {
+        let head = self.next_head().await?;
+        let response_id = id_of(&head);
+        if response_id.as_deref() != Some(self.id.as_str()) {
+            self.log_foreign_response(&head, response_id.as_deref());
+            return Err(UpstreamFailure::Garbled);
+        }
+        Ok(self.into_response(head))
+    }
+
+    /// Logs a response that does not bear the id of the request.
+    fn log_foreign_response(&self, head: &ResponseHead, response_id: Option<&str>) {
+        let carried = &self.framed.io_ref().carried;
+        log::info!(
+            request = self.id.as_str(),
+            endpoint:% = self.address,
+            response_id = response_id,
+            status = head.status.as_u16(),
+            is_of_earlier_request = response_id.is_some_and(|id| carried.contains(id)),
+            is_new_connection = self.is_new;
+            "response does not bear the id of the request"
+        );
+    }
+
     /// Waits for the response head.
     pub(crate) async fn head(mut self) -> Result<(ResponseHead, ResponseBody), UpstreamFailure> {
+        let head = self.next_head().await?;
+        Ok(self.into_response(head))
+    }
+
+    /// Reads the next head that is not an interim one.
+    async fn next_head(&mut self) -> Result<ResponseHead, UpstreamFailure> {
         let mut interim_heads = 0;
-        let head = loop {
+        loop {
             match self.framed.next().await {
-                Some(Ok(head)) if !head.status.is_informational() => break head,
+                Some(Ok(head)) if !head.status.is_informational() => {
+                    self.framed.io_mut().record_decoded();
+                    return Ok(head);
+                }
                 Some(Ok(_)) if interim_heads < MAX_INTERIM_HEADS => {
                     interim_heads += 1;
                     self.framed.io_mut().record_decoded();
@@ -317,8 +371,10 @@
                 None => return Err(UpstreamFailure::Broken),
                 Some(Err(_)) => return Err(UpstreamFailure::Garbled),
             }
-        };
-        self.framed.io_mut().record_decoded();
+        }
+    }
+
+    fn into_response(self, head: ResponseHead) -> (ResponseHead, ResponseBody) {
         let state = body_state(&head, self.framed);
         let body = ResponseBody {
             address: self.address,
@@ -327,7 +383,7 @@
             state,
             memory: self.memory,
         };
-        Ok((head, body))
+        (head, body)
     }
 }
 
