A late response to an earlier request of a connection is passed over

What callers saw: 502 for requests that had run, or a second run of one that may be repeated, when an endpoint sent a response once more where the next one was due, such as the copy of a refusal. Plain requests and streams took a response with another id for a faulty one: the attempt counted as lost, the connection was closed, and the endpoint had a failure on its record, although the own response followed on the same connection.

Cause: a response was matched to its request by its place on the connection, and the id only vetoed it. Now the response with the request's id is waited for. Passed over is a whole response whose end its head tells, under the id of a request that this connection has carried: at most eight, of 64 KiB at most. Still garbled: an id that the connection has not carried or none, a response that ends with the connection, one to a HEAD request (its head announces a body that does not come), one in whose body another head begins.

Ruled out: reading such responses only while a connection is idle. Bytes may arrive between that look and the send, and the reactor may not have seen them yet.

--- a/src/relay_server/carried_requests.rs
+++ b/src/relay_server/carried_requests.rs
@@ -2,6 +2,8 @@
 
 use std::hash::{BuildHasher, RandomState};
 
+use actix_http::Method;
+
 /// Maximum number of requests on one connection, which bounds the memory for their ids.
 const MAX_REQUESTS: usize = 256;
 
@@ -9,23 +11,36 @@
 #[derive(Debug, Default)]
 pub(super) struct CarriedRequests {
     hasher: RandomState,
-    /// Hashes of the ids, which callers choose and which may be long.
-    hashes: Vec<u64>,
+    requests: Vec<CarriedRequest>,
+}
+
+#[derive(Debug)]
+struct CarriedRequest {
+    /// Hash of its id, which its caller has chosen and which may be long.
+    id_hash: u64,
+    /// Whether its responses have no body, whatever their heads announce.
+    is_head: bool,
 }
 
 impl CarriedRequests {
     /// Records that a request is sent on the connection.
-    pub(super) fn record(&mut self, id: &str) {
-        self.hashes.push(self.hasher.hash_one(id));
+    pub(super) fn record(&mut self, id: &str, method: &Method) {
+        self.requests.push(CarriedRequest {
+            id_hash: self.hasher.hash_one(id),
+            is_head: *method == Method::HEAD,
+        });
     }
 
     /// Whether the connection may carry no further request.
     pub(super) fn is_full(&self) -> bool {
-        self.hashes.len() >= MAX_REQUESTS
+        self.requests.len() >= MAX_REQUESTS
     }
 
-    /// Whether the connection has carried a request with this id.
-    pub(super) fn contains(&self, id: &str) -> bool {
-        self.hashes.contains(&self.hasher.hash_one(id))
+    /// Whether the connection has carried a request with this id, the end of whose responses can be told from their
+    /// heads.
+    pub(super) fn delimits_response_to(&self, id: &str) -> bool {
+        let id_hash = self.hasher.hash_one(id);
+        let mut requests = self.requests.iter();
+        requests.any(|it| it.id_hash == id_hash && !it.is_head)
     }
 }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -143,6 +143,8 @@
 mod stream;
 mod stream_response;
 #[cfg(test)]
+mod surplus_response_tests;
+#[cfg(test)]
 mod test_settings;
 #[cfg(test)]
 mod tests;
--- a/src/relay_server/response_codec.rs
+++ b/src/relay_server/response_codec.rs
@@ -93,8 +93,12 @@
 }
 
 fn has_second_status_line(head: &[u8]) -> bool {
-    let mut places = head.windows(STATUS_LINE_BYTES).skip(1);
-    places.any(is_status_line)
+    has_status_line(head.get(1..).unwrap_or_default())
+}
+
+/// Whether a status line begins anywhere in these bytes.
+pub(super) fn has_status_line(bytes: &[u8]) -> bool {
+    bytes.windows(STATUS_LINE_BYTES).any(is_status_line)
 }
 
 fn is_status_line(bytes: &[u8]) -> bool {
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -39,6 +39,10 @@
 const IDLE_MARGIN_MS: u64 = 600;
 /// Maximum number of interim heads before the final one of a response.
 const MAX_INTERIM_HEADS: u64 = 16;
+/// Maximum number of responses to earlier requests of a connection before the one that is due.
+const MAX_SURPLUS_RESPONSES: usize = 8;
+/// Maximum size of the body of such a response.
+const MAX_SURPLUS_BODY_BYTES: usize = 64 << 10;
 /// Size of the pieces in which a body is sent. The write buffer of a connection keeps its size.
 const SEND_PIECE_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept per endpoint.
@@ -171,7 +175,7 @@
         if !may_send() {
             return Err(UpstreamFailure::Withdrawn);
         }
-        framed.io_mut().carried.record(id);
+        framed.io_mut().carried.record(id, &head.method);
         let size = if body.is_empty() {
             BodySize::None
         } else {
@@ -311,7 +315,9 @@
 }
 
 impl Exchange {
-    /// Waits for the response head, which must bear the id of the request. `id_of` returns the id of a head.
+    /// Waits for the head of the response that bears the id of the request. `id_of` returns the id of a head. An
+    /// endpoint may respond to an earlier request of the connection once more: that response is passed over if
+    /// its end is known.
     pub(crate) async fn own_head<F>(
         mut self,
         id_of: F,
@@ -319,29 +325,67 @@
     where
         F: Fn(&ResponseHead) -> Option<String>,
     {
-        let head = self.next_head().await?;
-        let response_id = id_of(&head);
-        if response_id.as_deref() != Some(self.id.as_str()) {
-            self.log_foreign_response(&head, response_id.as_deref());
-            return Err(UpstreamFailure::Garbled);
+        for _ in 0..=MAX_SURPLUS_RESPONSES {
+            let head = self.next_head().await?;
+            let response_id = id_of(&head);
+            if response_id.as_deref() == Some(self.id.as_str()) {
+                return Ok(self.into_response(head));
+            }
+            let carried = &self.framed.io_ref().carried;
+            let may_pass_over = response_id
+                .as_deref()
+                .is_some_and(|id| carried.delimits_response_to(id));
+            self.log_foreign_response(&head, response_id.as_deref(), may_pass_over);
+            if !may_pass_over {
+                return Err(UpstreamFailure::Garbled);
+            }
+            self = self.pass_over(head).await?;
         }
-        Ok(self.into_response(head))
+        Err(UpstreamFailure::Garbled)
     }
 
     /// Logs a response that does not bear the id of the request.
-    fn log_foreign_response(&self, head: &ResponseHead, response_id: Option<&str>) {
-        let carried = &self.framed.io_ref().carried;
+    fn log_foreign_response(
+        &self,
+        head: &ResponseHead,
+        response_id: Option<&str>,
+        is_passed_over: bool,
+    ) {
         log::info!(
             request = self.id.as_str(),
             endpoint:% = self.address,
             response_id = response_id,
             status = head.status.as_u16(),
-            is_of_earlier_request = response_id.is_some_and(|id| carried.contains(id)),
+            is_passed_over,
             is_new_connection = self.is_new;
             "response does not bear the id of the request"
         );
     }
 
+    /// Reads the response with this head to its end, which must not be that of the connection.
+    async fn pass_over(self, head: ResponseHead) -> Result<Self, UpstreamFailure> {
+        let (address, id, is_new) = (self.address, self.id.clone(), self.is_new);
+        let (_, mut body) = self.into_response(head);
+        if body.ends_with_connection {
+            return Err(UpstreamFailure::Garbled);
+        }
+        let content = body.read_to_end(MAX_SURPLUS_BODY_BYTES).await?;
+        // Without its last bytes, the response would take the beginning of the next one for them.
+        if content.has_status_line() {
+            return Err(UpstreamFailure::Garbled);
+        }
+        let BodyState::Complete(Some(framed)) = body.state else {
+            return Err(UpstreamFailure::Broken);
+        };
+        Ok(Self {
+            address,
+            id,
+            is_new,
+            framed: framed.into_map_codec(ResponseCodec::after_body),
+            memory: body.memory,
+        })
+    }
+
     /// Waits for the response head.
     pub(crate) async fn head(mut self) -> Result<(ResponseHead, ResponseBody), UpstreamFailure> {
         let head = self.next_head().await?;
