A connection carries no id a second time

What callers saw: a request that must run once ran twice, or was refused although it ran, when its caller came back under the id that had just been refused. The connection of a refusal is used again; if the same id goes out on it, a late copy of the refusal passes for the response to the second send, and there the id tells nothing.

Cause: a response was believed because its id is that of the request under way, although the connection had carried a request with this id before. Now a request is not sent on a connection that has carried its id, so a copy that stays on its connection can't reach it. This holds for connections to endpoints and to other instances, whoever sends the id again: a caller, a stream whose engine had refused it, or an instance to which a request is delegated twice.

Not found: a way on which the product itself, without a caller that reuses ids, sent one id twice on one connection.

--- a/src/relay_server/carried_requests.rs
+++ b/src/relay_server/carried_requests.rs
@@ -36,6 +36,12 @@
         self.requests.len() >= MAX_REQUESTS
     }
 
+    /// Whether the connection has carried a request with this id.
+    pub(super) fn contains(&self, id: &str) -> bool {
+        let id_hash = self.hasher.hash_one(id);
+        self.requests.iter().any(|it| it.id_hash == id_hash)
+    }
+
     /// Whether the connection has carried a request with this id, the end of whose responses can be told from their
     /// heads.
     pub(super) fn delimits_response_to(&self, id: &str) -> bool {
--- a/src/relay_server/surplus_response_tests.rs
+++ b/src/relay_server/surplus_response_tests.rs
@@ -1,7 +1,7 @@
 //! Responses that an endpoint sends once more, where the response to a later request of the connection is due.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
 use actix_http::{Method, RequestHead, ResponseHead, StatusCode};
@@ -23,32 +23,30 @@
 type Received = Result<(StatusCode, Vec<u8>, bool), UpstreamFailure>;
 
 /// Starts an endpoint that answers each request of its first connection with the next of these texts, and so on for
-/// further connections. It keeps connections open.
+/// further connections.
 fn endpoint(connections: Vec<Vec<String>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
     let address = listener.local_addr().expect("it is bound");
     thread::spawn(move || {
-        let mut kept = Vec::new();
         for responses in connections {
-            let (mut stream, _) = listener.accept().expect("the router connects");
-            for response in responses {
-                let mut request = [0; 4_096];
-                let length = stream.read(&mut request).expect("the router sends");
-                assert!(length > 0, "the router has closed the connection");
-                stream
-                    .write_all(response.as_bytes())
-                    .expect("the router reads");
-            }
-            kept.push(stream);
-        }
-        // Connections end with the test.
-        loop {
-            thread::park();
+            let (stream, _) = listener.accept().expect("the router connects");
+            thread::spawn(move || answer_in_turn(stream, &responses));
         }
     });
     address
 }
 
+/// Answers each request of a connection with the next text, and reads on until the router closes it.
+fn answer_in_turn(mut stream: TcpStream, responses: &[String]) {
+    let mut responses = responses.iter();
+    let mut request = [0; 4_096];
+    while stream.read(&mut request).is_ok_and(|length| length > 0) {
+        let response = responses.next().map_or("", String::as_str);
+        // The router may have closed the connection.
+        let _ = stream.write_all(response.as_bytes());
+    }
+}
+
 fn id_of(head: &ResponseHead) -> Option<String> {
     let id = head.headers.get("x-id")?;
     id.to_str().ok().map(str::to_owned)
@@ -107,6 +105,22 @@
     }
 }
 
+/// Guards against requests that are sent elsewhere, or refused, while they run.
+#[actix_rt::test]
+async fn a_late_copy_of_a_refusal_is_not_taken_for_the_response_to_the_same_id_sent_again() {
+    let refusal = REFUSALS[0];
+    let answer = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\ndone";
+    let first_connection = vec![refusal.to_owned(), format!("{refusal}{answer}")];
+    let second_connection = vec![answer.to_owned()];
+    let address = endpoint(vec![first_connection, second_connection]);
+    let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
+    let refused = exchange(&upstreams, address, request("1", Method::POST)).await;
+    let again = exchange(&upstreams, address, request("1", Method::POST)).await;
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    assert_eq!(refused.map(|it| it.0), Ok(unavailable));
+    assert_eq!(again, Ok((StatusCode::OK, b"done".to_vec(), true)));
+}
+
 /// Guards against bytes that belong to no request, or whose end is unknown, passing for a response to an earlier one.
 #[actix_rt::test]
 async fn a_response_under_an_id_that_its_connection_has_not_carried_is_garbled() {
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -166,7 +166,7 @@
         F: FnOnce() -> bool,
     {
         let OutgoingRequest { id, head, body } = request;
-        let idle = self.take_idle(address, now_ms);
+        let idle = self.take_idle(address, id, now_ms);
         let is_new = idle.is_none();
         let mut framed = match idle {
             Some(framed) => framed,
@@ -276,14 +276,19 @@
             .is_some_and(|idle| !idle.is_empty())
     }
 
+    /// Takes a connection for a request out of the idle ones. A late copy of the response to an earlier request with
+    /// the same id would pass for the response to this one.
     fn take_idle(
         &self,
         address: SocketAddr,
+        id: &str,
         now_ms: u64,
     ) -> Option<Framed<EndpointStream, ResponseCodec>> {
         let mut idle = self.idle.borrow_mut();
         let of_address = idle.get_mut(&address)?;
-        while let Some(mut last) = of_address.pop() {
+        let has_carried = |it: &IdleConnection| it.framed.io_ref().carried.contains(id);
+        while let Some(at) = of_address.iter().rposition(|it| !has_carried(it)) {
+            let mut last = of_address.remove(at);
             // Anything readable now is the end of the connection or bytes that belong to no request. The
             // beginning of a response head leaves the codec waiting for more of it.
             let has_ended = last.framed.next().now_or_never().is_some();
@@ -295,6 +300,9 @@
                 return Some(last.framed);
             }
         }
+        if !of_address.is_empty() {
+            log::info!(request = id, endpoint:% = address; "idle connections have carried this id and are not used for it");
+        }
         None
     }
 
