A late response whose end is missing is given up as soon as the next one begins

What callers would see: a request that waits until its deadline (504) although its response has arrived, when a copy of an earlier response lacks more bytes of its body than the next response has. The body was searched for another head only once it was complete. It is searched as it arrives now.

Beside it: while a response to a HEAD request is due, the codec reads no bodies, so that the body of a copy would be read as the next response. A copy is not passed over then. Of an id that is not the request's, 64 characters are logged.

--- a/src/relay_server/carried_requests.rs
+++ b/src/relay_server/carried_requests.rs
@@ -43,9 +43,12 @@
     }
 
     /// Whether the connection has carried a request with this id, the end of whose responses can be told from their
-    /// heads.
+    /// heads. While a response to a HEAD request is due, no body is read.
     pub(super) fn delimits_response_to(&self, id: &str) -> bool {
         let id_hash = self.hasher.hash_one(id);
+        if self.requests.last().is_some_and(|it| it.is_head) {
+            return false;
+        }
         let mut requests = self.requests.iter();
         requests.any(|it| it.id_hash == id_hash && !it.is_head)
     }
--- a/src/relay_server/held_body.rs
+++ b/src/relay_server/held_body.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 
 use super::memory_budget::MemoryShare;
-use super::response_codec::has_status_line;
 use crate::block_buffer::BlockBuffer;
 
 /// A body of which any part may have arrived, and the memory that it takes.
@@ -50,12 +49,8 @@
         block
     }
 
-    /// Whether the status line of a response begins anywhere in it.
-    pub(super) fn has_status_line(&self) -> bool {
-        has_status_line(&self.to_vec())
-    }
-
     /// All bytes in one piece.
+    #[cfg(test)]
     pub(super) fn to_vec(&self) -> Vec<u8> {
         self.bytes.clone().take_joined(&[]).to_vec()
     }
--- a/src/relay_server/surplus_response_tests.rs
+++ b/src/relay_server/surplus_response_tests.rs
@@ -130,8 +130,9 @@
     let without_length = refusal.replace("Content-Length: 0\r\n", "");
     let too_many = refusal.repeat(100);
     let too_large = REFUSALS[1].replace("Content-Length: 4", "Content-Length: 400000");
-    // The rest of its body is missing, and its end is that of the next head.
+    // The rest of its body is missing: less than the next response has, or more.
     let cut = REFUSALS[1].replace("Content-Length: 4", "Content-Length: 40");
+    let cut_early = REFUSALS[1].replace("Content-Length: 4", "Content-Length: 4000");
     for late in [
         unknown,
         without_id,
@@ -139,6 +140,7 @@
         too_many,
         too_large,
         cut,
+        cut_early,
     ] {
         let second = format!("{late}{SECOND}");
         let response = second_response(Method::GET, refusal, &second).await;
@@ -154,3 +156,17 @@
     let response = second_response(Method::HEAD, head_only, &second).await;
     assert_eq!(response, Err(UpstreamFailure::Garbled));
 }
+
+/// Guards against a body that is not read while the response to a HEAD request is due, and taken for that response.
+#[actix_rt::test]
+async fn a_late_copy_before_the_response_to_a_head_request_is_garbled() {
+    let body = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n";
+    let length = body.len();
+    let first = format!("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: {length}\r\n\r\n{body}");
+    let address = endpoint(vec![vec![first.clone(), first]]);
+    let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
+    let received = exchange(&upstreams, address, request("1", Method::GET)).await;
+    received.expect("a response");
+    let received = exchange(&upstreams, address, request("2", Method::HEAD)).await;
+    assert_eq!(received, Err(UpstreamFailure::Garbled));
+}
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -23,7 +23,7 @@
 use super::endpoint_stream::{EndpointStream, is_invalid};
 use super::held_body::HeldBody;
 use super::memory_budget::MemoryBudget;
-use super::response_codec::ResponseCodec;
+use super::response_codec::{ResponseCodec, has_status_line};
 use crate::event_loop::timeout;
 use crate::fleet::EndpointFailure;
 use crate::relay::AttemptOutcome;
@@ -43,6 +43,8 @@
 const MAX_SURPLUS_RESPONSES: usize = 8;
 /// Maximum size of the body of such a response.
 const MAX_SURPLUS_BODY_BYTES: usize = 64 << 10;
+/// Characters of an unknown id that are logged.
+const MAX_LOGGED_ID_CHARS: usize = 64;
 /// Size of the pieces in which a body is sent. The write buffer of a connection keeps its size.
 const SEND_PIECE_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept per endpoint.
@@ -362,7 +364,7 @@
         log::info!(
             request = self.id.as_str(),
             endpoint:% = self.address,
-            response_id = response_id,
+            response_id = response_id.map(shortened),
             status = head.status.as_u16(),
             is_passed_over,
             is_new_connection = self.is_new;
@@ -377,11 +379,7 @@
         if body.ends_with_connection {
             return Err(UpstreamFailure::Garbled);
         }
-        let content = body.read_to_end(MAX_SURPLUS_BODY_BYTES).await?;
-        // Without its last bytes, the response would take the beginning of the next one for them.
-        if content.has_status_line() {
-            return Err(UpstreamFailure::Garbled);
-        }
+        body.discard_to_end(MAX_SURPLUS_BODY_BYTES).await?;
         let BodyState::Complete(Some(framed)) = body.state else {
             return Err(UpstreamFailure::Broken);
         };
@@ -439,6 +437,12 @@
     }
 }
 
+/// The beginning of an id, which may have any length.
+fn shortened(id: &str) -> &str {
+    let end = id.char_indices().nth(MAX_LOGGED_ID_CHARS);
+    &id[..end.map_or(id.len(), |(at, _)| at)]
+}
+
 /// The length of a response's body as its head announces it.
 fn announced_bytes(head: &ResponseHead) -> Option<u64> {
     let length = head.headers.get(header::CONTENT_LENGTH)?;
@@ -497,6 +501,19 @@
         Ok(held)
     }
 
+    /// Reads the rest of a body of at most `max_bytes`. One in which another response begins counts as garbled: its
+    /// own last bytes are missing.
+    async fn discard_to_end(&mut self, max_bytes: usize) -> Result<(), UpstreamFailure> {
+        let mut content = BytesMut::new();
+        while let Some(bytes) = self.next().await? {
+            content.extend_from_slice(&bytes);
+            if content.len() > max_bytes || has_status_line(&content) {
+                return Err(UpstreamFailure::Garbled);
+            }
+        }
+        Ok(())
+    }
+
     fn too_large(&self, held: &HeldBody, max_bytes: usize) -> UpstreamFailure {
         log::warn!(
             endpoint:% = self.address,
