The receive buffers of accepted connections share a quarter of the memory

What callers of an instance saw: it may exceed its memory, since bytes that have arrived and are not read count, and the kernel lets the receive buffer of each connection grow to megabytes.

Now the kernel is asked for buffers that add up to a quarter of limits.memoryMb at limits.maxFds connections, between 4 and 64 KiB each: the quarter that the budgets for bodies and responses leave to receive buffers. On the users' sheets that is 16 KiB: a request of a few kilobytes arrives at once, a body of 200 kB in some 80 ms at 6 ms there and back, by calculation.

--- a/src/relay_server/caller_connections.rs
+++ b/src/relay_server/caller_connections.rs
@@ -118,6 +118,11 @@
         self.timeouts.update(timeouts, now_ms);
     }
 
+    /// Maximum number of sockets.
+    pub(super) fn max_sockets(&self) -> usize {
+        self.max_sockets
+    }
+
     /// Number of open connections.
     pub(super) fn count(&self) -> usize {
         self.open.len()
--- a/src/relay_server/listener.rs
+++ b/src/relay_server/listener.rs
@@ -41,10 +41,11 @@
     Peers,
 }
 
-/// Listens on an address.
-pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Listens on an address. The kernel is asked for receive buffers of this size for the connections.
+pub(super) fn listen(address: SocketAddr, receive_buffer_bytes: u32) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(receive_buffer_bytes)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/src/relay_server/memory_budget.rs
+++ b/src/relay_server/memory_budget.rs
@@ -8,6 +8,9 @@
 /// Part of the memory that is a budget, as a divisor: one each for requests and responses, about as much again for
 /// receive buffers.
 const BUDGET_PART: usize = 4;
+/// Sizes between which the receive buffer of an accepted connection is: a usual request, and what a fast link needs.
+const MIN_RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
+const MAX_RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// Size up to which a share of a response may always grow.
 const SMALL_RESPONSE_BYTES: usize = 16 << 10;
 
@@ -27,6 +30,15 @@
     bytes: usize,
 }
 
+/// Size of the receive buffers of accepted connections, of which an instance with `memory_mb` megabytes of memory may
+/// have `max_sockets`; 0 if these are unknown. What arrives and is not read counts as memory of the instance.
+pub(super) fn receive_buffer_bytes(memory_mb: u32, max_sockets: usize) -> u32 {
+    let budget = MemoryBudget::for_instance(memory_mb);
+    let share_bytes = budget.max_bytes() / max_sockets.max(1);
+    let share_bytes = u32::try_from(share_bytes).unwrap_or(u32::MAX);
+    share_bytes.clamp(MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES)
+}
+
 impl MemoryBudget {
     /// The budget for request bodies, or for responses, of an instance with `memory_mb` megabytes of memory; 0 if that
     /// is unknown.
--- a/src/relay_server/run.rs
+++ b/src/relay_server/run.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use thiserror::Error;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
 use super::caller_connections;
 use super::listener::{ListenerKind, listen, serve};
+use super::memory_budget::receive_buffer_bytes;
 use super::node::Node;
 use super::planned_stop::{FLUSH_MS, PlannedStop};
 use super::settings::RelaySettings;
@@ -97,6 +98,11 @@
     A: Adapter,
 {
     let settings = &node.settings;
+    let max_sockets = node.caller_connections.borrow().max_sockets();
+    let buffer_bytes = receive_buffer_bytes(settings.memory_mb, max_sockets);
+    let listen_at = |address| {
+        listen(address, buffer_bytes).map_err(|cause| RelayStartError::Listen { address, cause })
+    };
     let listener = listen_at(settings.front)?;
     actix_rt::spawn(serve(Rc::clone(node), listener, ListenerKind::Front));
     for address in &settings.local_page_addresses {
@@ -130,10 +136,6 @@
     Ok(())
 }
 
-fn listen_at(address: SocketAddr) -> Result<TcpListener, RelayStartError> {
-    listen(address).map_err(|cause| RelayStartError::Listen { address, cause })
-}
-
 /// Drops what is outdated, for as long as the process runs.
 async fn sweep<A>(node: Rc<Node<A>>)
 where
