A request on a caller's connection is read once the one before it is answered

What callers saw: an instance that runs out of memory, and with it the end of their requests, while a few clients send many requests ahead on their connections and read none of the answers.

Cause: the HTTP service parses all requests that it gets, as many as its read buffer of 128 KiB holds at once, and answers those without a response body whether their answers leave or not; nothing held it back. Class: work that one party orders and does not pay for is bounded by its speed only.

Now a connection hands the HTTP service the bytes of one request: up to the end of its head and body, found by the same framing as the service's own. The next is handed over once the one before it is answered and the answer has left this process. Of what follows, 4 KiB are read, which shows when the caller leaves; the rest waits in the kernel. The service gets 8 KiB before it parses them, so that its buffer does not grow. This holds on each listener: callers, local pages, metrics, other instances. A connection whose answers are not read is closed after the document's idle timeout also if more requests wait on it; before, unread bytes kept it open. Requests of callers that send ahead and read are answered in order as before; there is no limit on their number.

Ruled out: a cap on the requests or bytes sent ahead, which a client inside the limits may meet; closing such connections, which would lose requests that were read.

--- a/src/relay_server/caller_connections.rs
+++ b/src/relay_server/caller_connections.rs
@@ -189,9 +189,16 @@
 
     /// Closes a connection, unless bytes have arrived on it that are not read yet. Returns whether it is closed.
     fn close(&mut self, id: ConnectionId, cause: CloseCause) -> bool {
-        let server = self.open.get(&id).and_then(|it| it.server.as_ref());
-        // Unread bytes may be a request that this process had no time to read.
-        let Some(server) = server.filter(|it| Readable::of(&it.stream) != Readable::Bytes) else {
+        let Some(connection) = self.open.get(&id) else {
+            return false;
+        };
+        // Unread bytes may be a request that this process had no time to read. Those of a caller that does not
+        // read are left unread.
+        let may_close = |server: &&ConnectionServer| {
+            connection.activity.has_unsent_bytes()
+                || Readable::of(&server.stream) != Readable::Bytes
+        };
+        let Some(server) = connection.server.as_ref().filter(may_close) else {
             return false;
         };
         if cause == CloseCause::HeadTimeout {
--- a/src/relay_server/caller_stream_tests.rs
+++ b/src/relay_server/caller_stream_tests.rs
@@ -1,10 +1,12 @@
 use std::rc::Rc;
 
+use futures_util::FutureExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::caller_stream::CallerStream;
 use super::connection_activity::{ConnectionActivity, ConnectionState};
+use super::request_boundary::BodyFraming;
 
 /// More than the send and receive buffers of a connection hold.
 const LARGE_RESPONSE_BYTES: usize = 64 << 20;
@@ -42,6 +44,51 @@
     assert!(matches!(activity.state(), ConnectionState::Idle { since_ms } if since_ms > 0));
 }
 
+/// Guards against memory for the requests that a caller sends ahead, and for their responses.
+#[actix_rt::test]
+async fn a_request_is_read_once_the_one_before_it_is_answered_and_its_answer_has_left() {
+    const REQUEST: &[u8] = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n";
+    let (mut caller, mut stream) = connect().await;
+    let activity = Rc::clone(stream.activity());
+    caller.write_all(&REQUEST.repeat(1_000)).await.unwrap();
+    let mut buffer = [0; 64 << 10];
+    for _ in 0..500 {
+        let mut received = 0;
+        while received < REQUEST.len() {
+            received += stream.read(&mut buffer).await.unwrap();
+        }
+        assert_eq!(received, REQUEST.len());
+        assert!(is_pending(&mut stream, &mut buffer), "before it has begun");
+        activity.record_request(1);
+        activity.record_body_framing(BodyFraming::None);
+        assert!(is_pending(&mut stream, &mut buffer), "while it is served");
+        activity.record_write_blocked();
+        activity.record_response(1);
+        assert!(is_pending(&mut stream, &mut buffer), "while it is unsent");
+        activity.record_written(1);
+    }
+}
+
+/// Whether nothing can be read now.
+fn is_pending(stream: &mut CallerStream, buffer: &mut [u8]) -> bool {
+    stream.read(buffer).now_or_never().is_none()
+}
+
+/// Guards against a caller that is waited for although it has left.
+#[actix_rt::test]
+async fn the_end_of_a_connection_is_read_while_a_request_is_served() {
+    let (mut caller, mut stream) = connect().await;
+    let activity = Rc::clone(stream.activity());
+    let mut buffer = [0; 1_024];
+    let request = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\nGET /b";
+    caller.write_all(request).await.unwrap();
+    assert_eq!(stream.read(&mut buffer).await.unwrap(), request.len() - 6);
+    activity.record_request(1);
+    drop(caller);
+    assert_eq!(stream.read(&mut buffer).await.unwrap(), 0);
+    assert!(activity.has_ended());
+}
+
 #[actix_rt::test]
 async fn the_first_bytes_of_a_request_begin_its_head() {
     let (mut caller, mut stream) = connect().await;
--- a/src/relay_server/front.rs
+++ b/src/relay_server/front.rs
@@ -11,7 +11,6 @@
 
 use super::adapter::{Adapter, LocalPage};
 use super::caller_link::CallerLink;
-use super::connection_activity::RequestOnConnection;
 use super::delegation::{Delegation, set_outcome, strip_headers};
 use super::headers;
 use super::node::Node;
@@ -38,20 +37,13 @@
     node: Rc<Node<A>>,
     /// Whether another instance has received it from its caller.
     is_delegated: bool,
-    /// Its part in the activity on its caller's connection, if the caller is connected to this instance.
-    _on_connection: Option<RequestOnConnection>,
 }
 
 impl<A> OpenRequest<A> {
-    fn begin(
-        node: &Rc<Node<A>>,
-        is_delegated: bool,
-        on_connection: Option<RequestOnConnection>,
-    ) -> Self {
+    fn begin(node: &Rc<Node<A>>, is_delegated: bool) -> Self {
         let open = Self {
             node: Rc::clone(node),
             is_delegated,
-            _on_connection: on_connection,
         };
         open.counts()
             .for_each(|count| count.set(count.get().saturating_add(1)));
@@ -76,13 +68,12 @@
 where
     A: Adapter,
 {
-    let on_connection = RequestOnConnection::begin(&request);
     let uri = request.uri();
     let query = uri.query().unwrap_or("");
     match node.adapter.match_local_page(uri.path(), query) {
         Some(page) => serve_local_page(&node, &page),
         None => {
-            let open = OpenRequest::begin(&node, false, on_connection);
+            let open = OpenRequest::begin(&node, false);
             let response = relay(&node, request, None).await;
             response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
         }
@@ -99,7 +90,7 @@
         return status_response(&node, StatusCode::BAD_REQUEST);
     };
     node.counters.count("relay.delegations.received");
-    let open = OpenRequest::begin(&node, true, None);
+    let open = OpenRequest::begin(&node, true);
     let mut response = relay(&node, request, Some(delegation)).await;
     set_outcome(&mut response);
     response.map_body(|_, body| BoxBody::new(TrackedBody { body, _open: open }))
--- a/src/relay_server/listener.rs
+++ b/src/relay_server/listener.rs
@@ -16,7 +16,7 @@
 use super::caller_connections::{ConnectionServer, RecordOnClose, free_sockets};
 use super::caller_link::CallerLink;
 use super::caller_stream::CallerStream;
-use super::connection_activity::ConnectionActivity;
+use super::connection_activity::{AnswerBody, ConnectionActivity, RequestOnConnection};
 use super::node::Node;
 use super::{delegation, front, peer_list, reach_inquiry, snapshot};
 use crate::clock::boot_ms;
@@ -84,9 +84,16 @@
     A: Adapter,
 {
     let served = Rc::clone(&node);
-    let service = fn_service(move |request: Request| {
+    let service = fn_service(move |mut request: Request| {
         let node = Rc::clone(&served);
-        async move { Ok::<_, Infallible>(kind.respond(node, request).await) }
+        let on_connection = RequestOnConnection::begin(&mut request);
+        async move {
+            let response = kind.respond(node, request).await;
+            Ok::<_, Infallible>(response.map_body(|_, body| AnswerBody {
+                body,
+                _on_connection: on_connection,
+            }))
+        }
     });
     let (idle_timeout, head_timeout) = kind.timeouts();
     let factory = HttpService::build()
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -115,6 +115,9 @@
 mod request_body;
 #[cfg(test)]
 mod request_body_tests;
+mod request_boundary;
+#[cfg(test)]
+mod request_boundary_tests;
 mod response_codec;
 #[cfg(test)]
 mod restored_list_tests;
