Memory for a body of announced length is reserved in one piece

What callers of an instance saw: it exceeds its memory under many large bodies, although the budget for bodies is kept. The budget counts the bytes of a body, and its buffer grew as they arrived, to up to twice as many, with the old and the new one held while it moved.

--- a/src/relay_server/request_body.rs
+++ b/src/relay_server/request_body.rs
@@ -92,6 +92,10 @@
         let _ = self
             .held
             .take_if(|(_, share)| !take_memory(share, body_bytes, budget));
+        if let Some((bytes, _)) = &mut self.held {
+            // A buffer that grows as the body arrives takes up to three times its size.
+            bytes.reserve(body_bytes.saturating_sub(bytes.len()));
+        }
     }
 
     fn push(&mut self, piece: &[u8]) {
