A stream at its endpoint limit returns to its engines from another instance

Trace, the same in all three: the first engine is silent for 115 to 117 ms and the run counts as lost; the stream goes on at a second engine, from the same instance, whose link is cut a moment later. 0.4 to 0.9 s later the instance finds that it reaches no engine and is told that another one does. It does not delegate the stream: with two engines used, as many as the route allows, none is left for a delegate. Engines behind a silent partition go on counting, since they may only stand still. The caller left after 10 s without an event. In one of the three runs the second engine never received the request and the connection broke after 4.1 s; that cannot be known, so the engine counts all the same.

Change: such a stream is delegated with the ids of the engines on which it ran, and the delegate may run it on these only. A missing chain among them is no reason to take the delegate for unable to serve others. Only streams that may be resumed return to an endpoint, and only while the instance is cut off and another one reaches endpoints.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -123,6 +123,17 @@
         }
     }
 
+    /// Creates the state of a request that another instance has passed on. It may run on `max_endpoints` endpoints, and
+    /// again on those in `ran_on`, which count towards the maximum.
+    pub fn delegated<I>(retry_policy: RetryPolicy, max_endpoints: u32, ran_on: I) -> Self
+    where
+        I: IntoIterator<Item = EndpointId>,
+    {
+        let mut attempts = Self::new(retry_policy, max_endpoints);
+        attempts.ran_on.extend(ran_on);
+        attempts
+    }
+
     /// Endpoints that must not be used.
     pub fn excluded(&self) -> &IndexSet<EndpointId> {
         &self.excluded
@@ -159,6 +170,14 @@
         may_run && self.endpoints_left() > 0
     }
 
+    /// Endpoints on which another instance may run the request again although no further one may: those on which it has
+    /// run from here. Only streams return to an endpoint.
+    pub fn endpoints_to_reuse(&self) -> Option<&IndexSet<EndpointId>> {
+        let may_return = self.retry_policy.is_stream() && self.retry_policy.allows_retry();
+        let ran_on = self.restricted_to().filter(|ran_on| !ran_on.is_empty());
+        ran_on.filter(|_| may_return)
+    }
+
     /// Whether another endpoint may be tried if the current attempt fails after it started.
     pub fn may_try_another(&self) -> bool {
         self.retry_policy.allows_retry() && self.endpoints_left() > 1
--- a/src/relay/limits_tests.rs
+++ b/src/relay/limits_tests.rs
@@ -121,6 +121,43 @@
     assert_eq!(next, NextStep::GiveUp(end));
 }
 
+/// Guards against a stream that stays at endpoints which its instance no longer reaches, because it may run on no
+/// further one.
+#[test]
+fn a_stream_at_its_endpoint_limit_may_return_to_its_endpoints_from_another_instance() {
+    let run_on = [EndpointId::from("a"), EndpointId::from("b")];
+    let mut stream = Attempts::new(STREAM, 2);
+    for endpoint in &run_on {
+        assert_eq!(stream.endpoints_to_reuse(), None);
+        stream.send_started(endpoint);
+        stream.attempt_ended(AttemptOutcome::Abandoned, || true);
+    }
+    assert!(!stream.may_delegate());
+    let reused = stream.endpoints_to_reuse().expect("it has run on two");
+    assert!(reused.iter().eq(&run_on));
+    assert_eq!(stream.delegation_started(&InstanceId::from("other")), 0);
+    let elsewhere = Attempts::delegated(STREAM, 0, run_on.clone());
+    assert_eq!(elsewhere.endpoints_left(), 0);
+    let restricted_to = elsewhere.restricted_to().expect("no endpoint is left");
+    assert!(restricted_to.iter().eq(&run_on));
+}
+
+/// Guards against a second run of what must run at most once, or of a response without parts to resume.
+#[test]
+fn only_a_stream_that_may_be_resumed_returns_to_its_endpoints() {
+    let policies = [
+        RetryPolicy::Idempotent,
+        RetryPolicy::NonIdempotent,
+        RetryPolicy::Stream { resumable: false },
+    ];
+    for policy in policies {
+        let mut attempts = Attempts::new(policy, 1);
+        attempts.send_started(&EndpointId::from("a"));
+        attempts.attempt_ended(AttemptOutcome::Abandoned, || true);
+        assert_eq!(attempts.endpoints_to_reuse(), None, "{policy:?}");
+    }
+}
+
 #[test]
 fn sends_and_rejections_are_counted() {
     let mut attempts = Attempts::new(STREAM, 2);
--- a/src/relay_server/delegation.rs
+++ b/src/relay_server/delegation.rs
@@ -20,7 +20,7 @@
 use super::traffic::TrafficKind;
 use super::upstream::{Exchange, OutgoingRequest, ResponseBody, UpstreamFailure};
 use crate::clock::boot_ms;
-use crate::ids::{InstanceId, ServiceName};
+use crate::ids::{EndpointId, InstanceId, ServiceName};
 use crate::relay::{AttemptOutcome, Attempts, FinalError};
 
 /// Name of the instance that delegates a request.
@@ -29,6 +29,8 @@
 const TABLE_VERSION: HeaderName = HeaderName::from_static("fescue-table-version");
 /// Maximum number of endpoints on which the request may still run.
 const MAX_ENDPOINTS: HeaderName = HeaderName::from_static("fescue-max-endpoints");
+/// Endpoints on which the request may run again if the maximum is 0: their ids in hexadecimal form, separated by commas.
+const REUSED_ENDPOINTS: HeaderName = HeaderName::from_static("fescue-reused-endpoints");
 /// Whether endpoints have received the request before: `1` if so.
 const IS_REPEAT: HeaderName = HeaderName::from_static("fescue-is-repeat");
 /// Outcome of the request.
@@ -45,6 +47,8 @@
     pub(super) table_version: u64,
     /// Maximum number of endpoints on which the request may run.
     pub(super) max_endpoints: u32,
+    /// Endpoints on which it has run and may run again, if no further one may run it.
+    pub(super) reused_endpoints: Vec<EndpointId>,
     /// Whether endpoints have received the request before.
     pub(super) is_repeat: bool,
 }
@@ -57,19 +61,22 @@
             delegated_by: InstanceId::from(text(DELEGATED_BY)?),
             table_version: text(TABLE_VERSION)?.parse().ok()?,
             max_endpoints: text(MAX_ENDPOINTS)?.parse().ok()?,
+            reused_endpoints: text(REUSED_ENDPOINTS).map_or_else(Vec::new, decode_endpoints),
             is_repeat: text(IS_REPEAT) == Some("1"),
         })
     }
 
-    fn set_headers(&self, headers: &mut HeaderMap) {
+    pub(super) fn set_headers(&self, headers: &mut HeaderMap) {
         let table_version = self.table_version.to_string();
         let max_endpoints = self.max_endpoints.to_string();
         let is_repeat = if self.is_repeat { "1" } else { "0" };
+        let reused_endpoints = encode_endpoints(&self.reused_endpoints);
         for (name, value) in [
             (DELEGATED_BY, self.delegated_by.as_str()),
             (IS_REPEAT, is_repeat),
             (TABLE_VERSION, &table_version),
             (MAX_ENDPOINTS, &max_endpoints),
+            (REUSED_ENDPOINTS, &reused_endpoints),
         ] {
             match HeaderValue::from_str(value) {
                 Ok(value) => drop(headers.insert(name, value)),
@@ -81,6 +88,23 @@
     }
 }
 
+fn encode_endpoints(endpoints: &[EndpointId]) -> String {
+    let encoded: Vec<String> = endpoints
+        .iter()
+        .map(|it| hex::encode(it.as_str()))
+        .collect();
+    encoded.join(",")
+}
+
+/// Reads ids of endpoints; skips what is no id.
+fn decode_endpoints(text: &str) -> Vec<EndpointId> {
+    let decode = |part: &str| {
+        let bytes = hex::decode(part).ok().filter(|it| !it.is_empty())?;
+        String::from_utf8(bytes).ok().map(EndpointId::from)
+    };
+    text.split(',').filter_map(decode).collect()
+}
+
 /// Whether a request was passed on by another instance.
 pub(super) fn is_delegated(head: &RequestHead) -> bool {
     head.headers.contains_key(DELEGATED_BY)
@@ -92,6 +116,7 @@
         DELEGATED_BY,
         TABLE_VERSION,
         MAX_ENDPOINTS,
+        REUSED_ENDPOINTS,
         IS_REPEAT,
         OUTCOME,
     ] {
@@ -117,6 +142,8 @@
     pub(super) delegate: &'a Delegate,
     /// Maximum number of endpoints on which the other instance may run the request.
     pub(super) max_endpoints: usize,
+    /// Endpoints on which it may run the request again if that maximum is 0.
+    pub(super) reused_endpoints: &'a [EndpointId],
     /// Whether endpoints have received the request before.
     pub(super) is_repeat: bool,
     /// The last event of the stream that the caller has received, if any.
@@ -189,7 +216,11 @@
         attempts: &Attempts,
         tried: &IndexSet<InstanceId>,
     ) -> Option<Delegate> {
-        let may_delegate = request.delegation.is_none() && attempts.may_delegate();
+        // Another instance may reach endpoints that this one is cut off from, also those on which a stream has run.
+        let may_return =
+            reason == DelegationReason::CutOff && attempts.endpoints_to_reuse().is_some();
+        let may_run = attempts.may_delegate() || may_return;
+        let may_delegate = request.delegation.is_none() && may_run;
         let now_ms = boot_ms();
         if !may_delegate || !self.applies(reason, &request.service, attempts, now_ms) {
             return None;
@@ -239,6 +270,7 @@
             is_cut_off = self.fleet.borrow().reach.is_lost(&request.service),
             resume_after = run.resume_after,
             max_endpoints = run.max_endpoints,
+            reused_endpoints = run.reused_endpoints.len(),
             table = request.table.version;
             "request is delegated to another instance"
         );
@@ -294,6 +326,7 @@
             delegated_by: self.settings.instance.clone(),
             table_version: request.table.version,
             max_endpoints: u32::try_from(run.max_endpoints).unwrap_or(u32::MAX),
+            reused_endpoints: run.reused_endpoints.to_vec(),
             is_repeat: run.is_repeat,
         };
         delegation.set_headers(&mut head.headers);
--- a/src/relay_server/plain.rs
+++ b/src/relay_server/plain.rs
@@ -274,6 +274,7 @@
             delegate,
             is_repeat,
             max_endpoints: self.attempts.delegation_started(&delegate.instance),
+            reused_endpoints: &[],
             resume_after: None,
         };
         self.tried_delegates.insert(delegate.instance.clone());
--- a/src/relay_server/request.rs
+++ b/src/relay_server/request.rs
@@ -57,6 +57,12 @@
         limit.unwrap_or(u32::MAX).min(self.route.max_endpoints)
     }
 
+    /// Endpoints on which it has run from another instance, if it may run only there.
+    pub(super) fn reused_endpoints(&self) -> impl Iterator<Item = EndpointId> {
+        let delegation = self.delegation.iter();
+        delegation.flat_map(|it| it.reused_endpoints.iter().cloned())
+    }
+
     /// Whether endpoints have received it from another instance before.
     pub(super) fn is_repeat(&self) -> bool {
         self.delegation.as_ref().is_some_and(|it| it.is_repeat)
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -138,7 +138,11 @@
     ) -> Self {
         Self {
             node: Rc::clone(node),
-            attempts: Attempts::new(request.route.retry_policy, request.max_endpoints()),
+            attempts: Attempts::delegated(
+                request.route.retry_policy,
+                request.max_endpoints(),
+                request.reused_endpoints(),
+            ),
             lost_delegates: IndexSet::new(),
             splitter: EventSplitter::resuming_after(request.ask.resume_after),
             stall: StallDetector::new(boot_ms()),
--- a/src/relay_server/stream/delegate.rs
+++ b/src/relay_server/stream/delegate.rs
@@ -7,6 +7,7 @@
 use super::{ChunkFailure, RunOutcome, StreamRelay};
 use crate::clock::boot_ms;
 use crate::event_loop::timeout;
+use crate::ids::EndpointId;
 use crate::relay::{AttemptOutcome, StallAction};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::delegates::Delegate;
@@ -55,6 +56,9 @@
     /// Has another instance serve a run, and forwards its events.
     pub(super) async fn run_by_delegate(&mut self, delegate: &Delegate) -> RunOutcome {
         let is_repeat = self.attempts.sends() > 0;
+        let reused_endpoints = self.attempts.endpoints_to_reuse();
+        let reused_endpoints: Vec<EndpointId> =
+            reused_endpoints.into_iter().flatten().cloned().collect();
         let max_endpoints = self.attempts.delegation_started(&delegate.instance);
         self.chain = None;
         self.stall.run_started(boot_ms());
@@ -62,6 +66,7 @@
             request: &self.request,
             delegate,
             max_endpoints,
+            reused_endpoints: &reused_endpoints,
             is_repeat,
             resume_after: self.splitter.last_id(),
         };
--- a/src/relay_server/stream/plan.rs
+++ b/src/relay_server/stream/plan.rs
@@ -64,12 +64,17 @@
         let rate_limited = self.node.rate_limit_refusal(&self.request.service);
         match rate_limited.filter(|_| self.layer_without_holder().is_none()) {
             Some(cause) => cause,
-            None if self.attempts.excluded().is_empty() => RefusalCause::NoChain,
+            None if !self.is_restricted() => RefusalCause::NoChain,
             // The engine that rejected this request may have been the only one.
             None => RefusalCause::Full,
         }
     }
 
+    /// Whether some engines may not be the first to run this request, so that a missing chain says nothing about others.
+    pub(super) fn is_restricted(&self) -> bool {
+        !self.attempts.excluded().is_empty() || self.attempts.restricted_to().is_some()
+    }
+
     /// Whether waiting for `remaining_ms` cannot help a request that has not run.
     pub(super) fn is_futile(&self, cause: RefusalCause, remaining_ms: u64) -> bool {
         let is_futile = match cause {
--- a/src/relay_server/stream/turn.rs
+++ b/src/relay_server/stream/turn.rs
@@ -107,9 +107,7 @@
     /// Records that a request found no chain with capacity in its turn.
     pub(super) fn record_failed_turn(&self, place: &QueuePlace, now_ms: u64) {
         // Others may use the engines that are excluded for this request.
-        let is_restricted =
-            !self.attempts.excluded().is_empty() || self.attempts.restricted_to().is_some();
-        let outcome = if is_restricted {
+        let outcome = if self.is_restricted() {
             TurnOutcome::Restricted
         } else {
             TurnOutcome::NoCapacity
