A connection is looked at for its end also after a large response

What callers would see: 502 for a request that must run once, sent on a connection whose end had already arrived. After 64 KiB without a pause, the stream to an endpoint makes other tasks run before it reads on. A response that ended there left that pause to the look at the idle connection, which then saw neither an end nor bytes that belong to no request.

--- a/src/relay_server/endpoint_stream.rs
+++ b/src/relay_server/endpoint_stream.rs
@@ -52,6 +52,11 @@
         })
     }
 
+    /// Records that nothing more is to be read now. What is read next begins a turn.
+    pub(super) fn end_turn(&mut self) {
+        self.turn_bytes = 0;
+    }
+
     /// Records that the codec has got a head or part of a body from what was read.
     pub(super) fn record_decoded(&mut self) {
         self.framing_bytes = 0;
--- a/src/relay_server/tests.rs
+++ b/src/relay_server/tests.rs
@@ -152,6 +152,21 @@
     }
 }
 
+/// Guards against a request that is lost on a connection whose end has arrived behind a large response.
+#[actix_rt::test]
+async fn a_connection_that_has_ended_behind_a_large_response_is_not_reused() {
+    const BODY_BYTES: usize = 256 << 10;
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    let response = head + &"x".repeat(BODY_BYTES);
+    let address = endpoint(response.leak().as_bytes(), ConnectionEnd::Close);
+    let upstreams = UpstreamPool::new(MemoryBudget::for_instance(0));
+    for _ in 0..20 {
+        let (_, is_new) = fetch_head(&upstreams, address).await.expect("a response");
+        assert!(is_new, "the connection had ended");
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Starts an endpoint that answers each request of a connection with the next of these parts, and sends `late`
 /// bytes behind the first response.
 fn endpoint_with_late_bytes(
--- a/src/relay_server/upstream.rs
+++ b/src/relay_server/upstream.rs
@@ -217,7 +217,8 @@
         if !may_carry_more || !is_clean || !is_kept_alive || idle_ms == 0 {
             return;
         }
-        let framed = framed.into_map_codec(ResponseCodec::after_body);
+        let mut framed = framed.into_map_codec(ResponseCodec::after_body);
+        framed.io_mut().end_turn();
         self.keep(body.address, framed, now_ms + idle_ms);
     }
 
