A chunked body with trailers ends where the HTTP service takes it to end

What callers of an instance saw: memory without limit again, when a client sends a trailer that looks like the head of a request with a large body: the scan took the body to end before the trailer, and handed over all that followed as that body, while the HTTP service read it as requests. A caller that sends trailers waited until its request timed out.

Cause: the scan assumed that the service accepts no trailers. It follows the service's states now. So that memory does not depend on two parsers that agree: nothing is handed over while an answer waits to be sent and no request is open, and a connection on which a second request begins within the first is closed.

--- a/src/relay_server/caller_stream.rs
+++ b/src/relay_server/caller_stream.rs
@@ -72,12 +72,18 @@
         }
     }
 
-    /// Whether the HTTP service gets nothing more until a request has begun, or has been answered.
+    /// Whether the HTTP service gets nothing more until a request has begun, or an answer has left.
     fn must_wait(&self) -> bool {
-        matches!(
+        let is_complete = matches!(
             self.boundary,
             RequestBoundary::AfterHead | RequestBoundary::End
-        )
+        );
+        is_complete || self.activity.has_unsent_response()
+    }
+
+    /// Whether the HTTP service has found a request behind the end of the present one.
+    fn is_out_of_step(&self) -> bool {
+        self.activity.requests() > self.earlier_requests + 1
     }
 
     /// Reads from the socket.
@@ -165,6 +171,11 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if this.is_out_of_step() {
+            this.activity.record_end();
+            let error = io::Error::new(io::ErrorKind::InvalidData, "a request has no clear end");
+            return Poll::Ready(Err(error));
+        }
         this.update_boundary();
         if this.must_wait() {
             this.turn_bytes = 0;
--- a/src/relay_server/caller_stream_tests.rs
+++ b/src/relay_server/caller_stream_tests.rs
@@ -74,6 +74,21 @@
     stream.read(buffer).now_or_never().is_none()
 }
 
+/// Guards against requests that are read without limit because two parsers disagree on the end of one.
+#[actix_rt::test]
+async fn a_connection_on_which_a_second_request_begins_within_the_first_is_not_read_on() {
+    let (mut caller, mut stream) = connect().await;
+    let activity = Rc::clone(stream.activity());
+    let mut buffer = [0; 1_024];
+    let head = b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n";
+    caller.write_all(head).await.unwrap();
+    assert_eq!(stream.read(&mut buffer).await.unwrap(), head.len());
+    activity.record_request(1);
+    activity.record_request(1);
+    caller.write_all(b"body").await.unwrap();
+    assert!(stream.read(&mut buffer).await.is_err());
+}
+
 /// Guards against a caller that is waited for although it has left.
 #[actix_rt::test]
 async fn the_end_of_a_connection_is_read_while_a_request_is_served() {
--- a/src/relay_server/request_boundary.rs
+++ b/src/relay_server/request_boundary.rs
@@ -44,7 +44,7 @@
 /// Length up to which a line of a head may frame the body: a name and a number.
 const MAX_SCANNED_LINE_BYTES: usize = 48;
 
-/// Finds the end of a chunked body, as the HTTP service does: it accepts no trailers.
+/// Finds the end of a chunked body, as the HTTP service does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ChunkScan {
     /// In the size of a chunk.
@@ -53,8 +53,14 @@
     Extension(u64),
     /// The chunk and its line end have this many bytes left.
     Data(u64),
-    /// The line end behind the last chunk has this many bytes left.
-    LastLine(u64),
+    /// At the beginning of a line behind the last chunk: of a trailer, or the empty one that ends the body.
+    TrailerStart,
+    Trailer,
+    /// Behind the carriage return of a trailer.
+    TrailerCr,
+    /// Behind the carriage return of the empty line.
+    EndCr,
+    End,
 }
 
 /// Size of a line end.
@@ -167,7 +173,7 @@
         let mut taken = 0;
         while taken < bytes.len() {
             taken += self.step(&bytes[taken..]);
-            if *self == Self::LastLine(0) {
+            if *self == Self::End {
                 return (taken, true);
             }
         }
@@ -196,7 +202,11 @@
                 };
                 (next, taken)
             }
-            Self::LastLine(left) => (Self::LastLine(left - 1), 1),
+            Self::TrailerStart if byte == b'\r' => (Self::EndCr, 1),
+            Self::Trailer if byte == b'\r' => (Self::TrailerCr, 1),
+            Self::TrailerStart | Self::Trailer => (Self::Trailer, 1),
+            Self::TrailerCr => (Self::TrailerStart, 1),
+            Self::EndCr | Self::End => (Self::End, 1),
         };
         *self = next;
         taken
@@ -205,7 +215,7 @@
     /// What follows the line with the size of a chunk; the last one has none.
     fn behind_size(size: u64) -> Self {
         match size {
-            0 => Self::LastLine(LINE_END_BYTES),
+            0 => Self::TrailerStart,
             _ => Self::Data(size.saturating_add(LINE_END_BYTES)),
         }
     }
--- a/src/relay_server/request_boundary_tests.rs
+++ b/src/relay_server/request_boundary_tests.rs
@@ -33,12 +33,17 @@
 
 fn chunked_body() -> impl Strategy<Value = SentRequest> {
     let chunk = ("[ -~\r\n]{1,40}", "(;[a-z=]{0,5})?", "0{0,2}");
-    prop::collection::vec(chunk, 0..5).prop_map(|chunks| {
+    let trailer =
+        "(content-length: [0-9]{1,9}|x{0,3}transfer-encoding: chunked|[a-z]{1,9}: [a-z]{0,9})";
+    let trailers = prop::collection::vec(trailer, 0..3);
+    let chunks = prop::collection::vec(chunk, 0..5);
+    (chunks, trailers).prop_map(|(chunks, trailers)| {
         let chunks = chunks.iter().map(|(data, extension, zeros)| {
             format!("{zeros}{:X}{extension}\r\n{data}\r\n", data.len())
         });
         let chunks: String = chunks.collect();
-        let text = format!("transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n");
+        let trailers: String = trailers.iter().map(|it| format!("{it}\r\n")).collect();
+        let text = format!("transfer-encoding: chunked\r\n\r\n{chunks}0\r\n{trailers}\r\n");
         (text, BodyFraming::Chunked)
     })
 }
