The rest of a body behind its answer is no beginning of a head

What callers would see: 408 and a close on an idle connection, after the header timeout in place of the idle timeout, if a request was refused while part of its body was on the way. Since requests are handed over piece by piece, that part is more often read after the answer.

--- a/src/relay_server/caller_stream.rs
+++ b/src/relay_server/caller_stream.rs
@@ -181,6 +181,7 @@
             this.turn_bytes = 0;
             return this.poll_ahead(cx);
         }
+        let is_head = matches!(this.boundary, RequestBoundary::Head(_));
         let length = if this.ahead.is_empty() {
             let read = this.poll_request(cx, buffer);
             if read.is_pending() {
@@ -191,7 +192,7 @@
             this.hand_over_ahead(buffer)
         };
         this.turn_bytes += length;
-        if length > 0 {
+        if length > 0 && is_head {
             this.activity.record_read(boot_ms());
         }
         Poll::Ready(Ok(()))
--- a/src/relay_server/caller_stream_tests.rs
+++ b/src/relay_server/caller_stream_tests.rs
@@ -89,6 +89,22 @@
     assert!(stream.read(&mut buffer).await.is_err());
 }
 
+/// Guards against a 408 on an idle connection, because the rest of a refused request's body counted as a head.
+#[actix_rt::test]
+async fn the_rest_of_a_body_behind_its_answer_begins_no_head() {
+    let (mut caller, mut stream) = connect().await;
+    let activity = Rc::clone(stream.activity());
+    let mut buffer = [0; 1_024];
+    let head = b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n";
+    caller.write_all(head).await.unwrap();
+    assert_eq!(stream.read(&mut buffer).await.unwrap(), head.len());
+    activity.record_request(1);
+    activity.record_response(1);
+    caller.write_all(b"body").await.unwrap();
+    assert_eq!(stream.read(&mut buffer).await.unwrap(), 4);
+    assert!(matches!(activity.state(), ConnectionState::Idle { .. }));
+}
+
 /// Guards against a caller that is waited for although it has left.
 #[actix_rt::test]
 async fn the_end_of_a_connection_is_read_while_a_request_is_served() {
