--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::loans::{Lender, LendingSource, RetryAmount, RetryLoan, allocate};
-use super::window::{BudgetUsage, Window};
+use super::window::{BudgetUsage, Window, starting_until_ms};
 use crate::ids::ServiceName;
 
 /// What a retry is for.
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Whether retries of an earlier process in the place of this one may still count in a window.
+    pub fn is_starting(&self, share: BudgetShare, now_ms: u64) -> bool {
+        let started_ms = self.started_ms;
+        started_ms.is_some_and(|at_ms| now_ms <= starting_until_ms(at_ms, share))
+    }
+
     /// Records a caller's request.
     pub fn request(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) {
         self.window(service, share, now_ms).record_request(now_ms);
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -152,9 +152,8 @@
 impl Window {
     /// Creates the window of a process; `started_ms` is its start time if it started recently.
     pub(super) fn starting(started_ms: Option<u64>, share: BudgetShare) -> Self {
-        let counted_ms = LOAN_TTL_MS + MAX_ARRIVAL_DELAY_MS + share.window_ms;
         Self {
-            starting_until_ms: started_ms.map(|at_ms| at_ms + counted_ms),
+            starting_until_ms: started_ms.map(|at_ms| starting_until_ms(at_ms, share)),
             ..Self::default()
         }
     }
@@ -424,6 +423,11 @@
     }
 }
 
+/// Until when retries of an earlier process may count in a window, if a process started in its place at `started_ms`.
+pub(super) fn starting_until_ms(started_ms: u64, share: BudgetShare) -> u64 {
+    started_ms + LOAN_TTL_MS + MAX_ARRIVAL_DELAY_MS + share.window_ms
+}
+
 fn drop_while<T, F>(items: &mut VecDeque<T>, is_old: F)
 where
     F: Fn(&T) -> bool,
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -125,6 +125,7 @@
 mod retry_loans;
 #[cfg(test)]
 mod retry_loans_tests;
+mod retry_share;
 mod room_notice;
 #[cfg(test)]
 mod room_notice_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -18,6 +18,7 @@
 use super::memory_budget::MemoryBudget;
 use super::peer_book::PeerBook;
 use super::planned_stop::PlannedStop;
+use super::retry_share::ShareBasis;
 use super::settings::RelaySettings;
 use super::store_health::StoreHealth;
 use super::uplink::Uplink;
@@ -44,6 +45,8 @@
     pub(crate) table: RefCell<CurrentTable>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) budget: RefCell<RetryBudget>,
+    /// What the own share of the retry budget depended on when it was last reported.
+    pub(super) reported_share_basis: Cell<Option<ShareBasis>>,
     /// Demand of this instance's callers.
     pub(crate) demand_meter: RefCell<DemandMeter>,
     /// Demand of the zones.
@@ -138,6 +141,7 @@
             table: RefCell::default(),
             fleet: RefCell::default(),
             budget: RefCell::new(RetryBudget::starting(boot_ms())),
+            reported_share_basis: Cell::default(),
             demand_meter: RefCell::default(),
             demand_book: RefCell::default(),
             capacity_queues: Rc::default(),
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -79,6 +79,8 @@
     listening_since_ms: u64,
     /// Whether the whole deployment starts for the first time.
     is_first_start: bool,
+    /// Whether this process has read the records of all instances.
+    pub(super) has_read_records: bool,
     /// Whether a heartbeat is to be sent without waiting for the next interval.
     is_heartbeat_requested: bool,
     /// What decides which instances of the own zone receive each heartbeat.
@@ -104,6 +106,7 @@
             peer_released_leases: IndexMap::new(),
             listening_since_ms: now_ms,
             is_first_start: settings.is_first_start,
+            has_read_records: false,
             is_heartbeat_requested: false,
             reach: ZoneReach::new(now_ms),
             cross_zone: CrossZonePacing::new(now_ms),
@@ -139,6 +142,11 @@
         reported.max().unwrap_or(0).max(self.own_known_instances())
     }
 
+    /// Whether this process has read the records of all instances, or a peer has told how many there are.
+    pub(super) fn knows_all_instances(&self) -> bool {
+        self.has_read_records || self.peers.values().any(|peer| peer.known_instances > 0)
+    }
+
     pub(super) fn own_known_instances(&self) -> u32 {
         1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1)
     }
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -8,8 +8,8 @@
 use crate::clock::boot_ms;
 use crate::ids::ServiceName;
 use crate::relay::{
-    AttemptLimit, AttemptOutcome, Attempts, BudgetShare, MAX_ARRIVAL_DELAY_MS, RetryClass,
-    RetryConditions, RetryId, RetryPurpose,
+    AttemptLimit, AttemptOutcome, Attempts, MAX_ARRIVAL_DELAY_MS, RetryClass, RetryConditions,
+    RetryId, RetryPurpose,
 };
 
 /// A retry that was taken from the budget for the next or the current send of a request.
@@ -86,7 +86,9 @@
             counted_requests = usage.requests,
             own_share_milli = usage.allowed_milli,
             own_used_milli = usage.charged_milli,
-            known_instances = share.instances;
+            known_instances = share.instances,
+            knows_all_instances = self.peers.borrow().knows_all_instances(),
+            is_starting = budget.is_starting(share, boot_ms());
             "retry is taken from the budget"
         );
         id.map(|id| HeldRetry {
@@ -179,15 +181,4 @@
             random: self.random_u64(),
         }
     }
-
-    /// The retry budget of all instances together, as far as this instance knows them.
-    pub(super) fn budget_share(&self) -> BudgetShare {
-        let bounds = &self.settings.bounds;
-        BudgetShare {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
-            window_ms: bounds.retry_window_ms,
-            instances: self.peers.borrow().known_instances(),
-        }
-    }
 }
--- a/src/relay_server/retry_loans.rs
+++ b/src/relay_server/retry_loans.rs
@@ -61,15 +61,11 @@
     /// Retries that this instance lacks.
     pub(super) fn retry_needs(&self, now_ms: u64) -> Vec<RetryAmount> {
         let share = self.budget_share();
+        self.report_retry_share(share, now_ms);
         let mut budget = self.budget.borrow_mut();
         let spare_milli = budget.spare_milli(share, now_ms);
         self.counters
             .gauge("relay.repeats.spare_milli", spare_milli);
-        let usage = budget.total_usage(share, now_ms);
-        self.counters
-            .gauge("relay.repeats.share_milli", usage.allowed_milli);
-        self.counters
-            .gauge("relay.repeats.used_milli", usage.charged_milli);
         budget.needs(share, now_ms)
     }
 
