A process has no part of the slack while retries of earlier ones may count

Each process started with 0.3 of its instance's share of the slack, whatever the processes before it in the same place had used. One start within a window was allowed for (0.7 + 0.3), two or more were not.

A process keeps nothing, and cannot know how often its place has been taken, so the only part that is safe at any number of starts is none; the ratio of its own requests is safe, since each request counts at one process.

--- a/src/relay/loan_tests/mod.rs
+++ b/src/relay/loan_tests/mod.rs
@@ -35,6 +35,7 @@
             restarts,
             restart_all_ms,
             partitions,
+            ..NO_FAULTS
         },
     )
 }
@@ -249,6 +250,39 @@
     assert!(overdraw <= 0.0, "{overdraw} too many");
 }
 
+/// Simulates retries that all instances want all the time while all of them restart every `interval_ms`. Returns by how
+/// many the retries exceed the allowance.
+fn overdraw_of_restarts(count: usize, interval_ms: u64, unknown_count_ms: u64) -> f64 {
+    let faults = Faults {
+        restart_interval_ms: Some(interval_ms),
+        unknown_count_ms,
+        ..NO_FAULTS
+    };
+    let mut simulation = Simulation::new(count, 3, faults, 88);
+    for now_ms in (0..RUN_MS).step_by(STEP_MS as usize) {
+        simulation.step(now_ms);
+        simulation.requests(100, &[], now_ms);
+        for at in 0..count {
+            simulation.retry(at, RetryPurpose::Resume, now_ms);
+        }
+        simulation.record_overdraw(now_ms);
+    }
+    simulation.max_overdraw
+}
+
+/// Guards against processes that start one after the other in the same place, each with a share of the slack.
+#[test]
+fn retries_of_processes_that_start_in_series_stay_within_the_allowance() {
+    for interval_ms in [500, 1_000, 3_000, 7_000] {
+        let overdraw = overdraw_of_restarts(7, interval_ms, 0);
+        println!("maximum overdraw: {overdraw:.1}, every {interval_ms} ms");
+        assert!(
+            overdraw <= 0.0,
+            "{overdraw} too many, every {interval_ms} ms"
+        );
+    }
+}
+
 /// Number of retries within a window that one instance of a zone of 29 gets if no other needs any.
 fn retries_of_single_instance() -> usize {
     let mut simulation = Simulation::new(29, 1, NO_FAULTS, 29);
--- a/src/relay/loan_tests/simulation.rs
+++ b/src/relay/loan_tests/simulation.rs
@@ -15,6 +15,8 @@
 pub(super) const RATIO: f64 = 0.2;
 pub(super) const SLACK: f64 = 198.0;
 pub(super) const RUN_MS: u64 = 32_000;
+/// The number of instances that a process assumes as long as it knows none.
+const UNKNOWN: u32 = 1;
 /// How long an instance waits for an endpoint.
 const ATTEMPT_TIMEOUT_MS: u64 = 300;
 
@@ -39,6 +41,10 @@
     pub(super) restarts: usize,
     /// When all instances restart at once.
     pub(super) restart_all_ms: Option<u64>,
+    /// Interval in which all instances restart, over and over.
+    pub(super) restart_interval_ms: Option<u64>,
+    /// How long after its start a process does not know how many instances there are.
+    pub(super) unknown_count_ms: u64,
     pub(super) partitions: usize,
 }
 
@@ -47,6 +53,8 @@
     max_delay_ms: 2,
     restarts: 0,
     restart_all_ms: None,
+    restart_interval_ms: None,
+    unknown_count_ms: 0,
     partitions: 0,
 };
 
@@ -83,6 +91,7 @@
 pub(super) struct Instance {
     pub(super) budget: RetryBudget,
     process: u32,
+    started_ms: Option<u64>,
     next_heartbeat_ms: u64,
     /// Needs of each other instance that have not been processed yet.
     received: Vec<Option<Needs>>,
@@ -112,6 +121,7 @@
             .map(|_| Instance {
                 budget: RetryBudget::default(),
                 process: 0,
+                started_ms: None,
                 next_heartbeat_ms: rng.random_range(0..HEARTBEAT_MS) / STEP_MS * STEP_MS,
                 received: (0..count).map(|_| None).collect(),
                 partition: 0..0,
@@ -159,7 +169,9 @@
     }
 
     fn restart_due(&mut self, now_ms: u64) {
-        let restarts_all = self.faults.restart_all_ms == Some(now_ms);
+        let interval_ms = self.faults.restart_interval_ms;
+        let is_in_series = interval_ms.is_some_and(|it| now_ms > 0 && now_ms.is_multiple_of(it));
+        let restarts_all = self.faults.restart_all_ms == Some(now_ms) || is_in_series;
         let count = self.instances.len();
         for instance in &mut self.instances {
             if restarts_all
@@ -167,11 +179,27 @@
             {
                 instance.budget = RetryBudget::starting(now_ms);
                 instance.process += 1;
+                instance.started_ms = Some(now_ms);
                 instance.received = (0..count).map(|_| None).collect();
             }
         }
     }
 
+    /// The share of the budget as an instance knows it.
+    fn share_of(&self, at: usize, now_ms: u64) -> BudgetShare {
+        let started_ms = self.instances[at].started_ms;
+        let unknown_ms = self.faults.unknown_count_ms;
+        let is_unknown = started_ms.is_some_and(|it| now_ms < it + unknown_ms);
+        BudgetShare {
+            instances: if is_unknown {
+                UNKNOWN
+            } else {
+                self.share.instances
+            },
+            ..self.share
+        }
+    }
+
     fn deliver(&mut self, now_ms: u64) {
         let (due, later) = std::mem::take(&mut self.datagrams)
             .into_iter()
@@ -180,7 +208,7 @@
         let mut due: Vec<Datagram> = due;
         due.sort_by_key(|it| it.due_ms);
         for datagram in due {
-            let share = self.share;
+            let share = self.share_of(datagram.to, now_ms);
             let instance = &mut self.instances[datagram.to];
             match datagram.message {
                 Message::Needs(needs) => {
@@ -215,7 +243,8 @@
                 continue;
             }
             self.instances[from].next_heartbeat_ms += HEARTBEAT_MS;
-            let needs = self.instances[from].budget.needs(self.share, now_ms);
+            let share = self.share_of(from, now_ms);
+            let needs = self.instances[from].budget.needs(share, now_ms);
             let same_zone = (0..self.instances.len()).filter(|to| *to != from);
             let same_zone: Vec<usize> = same_zone
                 .filter(|to| self.zone(*to) == self.zone(from))
@@ -236,7 +265,7 @@
     }
 
     fn grant(&mut self, from: usize, same_zone: &[usize], now_ms: u64) {
-        let share = self.share;
+        let share = self.share_of(from, now_ms);
         let lender = &mut self.instances[from];
         let lacks = |at: usize, purpose| {
             let received = lender.received[at].as_ref();
@@ -298,16 +327,18 @@
             } else {
                 only_at[self.rng.random_range(0..only_at.len())]
             };
+            let share = self.share_of(at, now_ms);
             let budget = &mut self.instances[at].budget;
-            budget.request(&self.service, self.share, now_ms);
+            budget.request(&self.service, share, now_ms);
             self.requests_ms.push_back(now_ms);
         }
     }
 
     pub(super) fn retry(&mut self, at: usize, purpose: RetryPurpose, now_ms: u64) -> bool {
         let arrives_ms = self.arrival_ms(now_ms);
+        let share = self.share_of(at, now_ms);
         let budget = &mut self.instances[at].budget;
-        let Some(id) = budget.take(&self.service, self.share, purpose, now_ms) else {
+        let Some(id) = budget.take(&self.service, share, purpose, now_ms) else {
             return false;
         };
         let abandoned_ms = now_ms + ATTEMPT_TIMEOUT_MS;
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -11,15 +11,10 @@
 /// callers sent them, and retries that arrive later than expected.
 const REQUESTS_FRACTION: f64 = 0.9;
 
-/// Fraction of the even share of the slack that is used. The rest covers processes that start without history, and
-/// retries that were sent with a loan and arrive after it has expired.
+/// Fraction of the even share of the slack that is used. The rest covers instances that others have not learned of,
+/// and retries that were sent with a loan and arrive after it has expired.
 const SLACK_FRACTION: f64 = 0.7;
 
-/// Fraction of the even share that a process uses while retries of an earlier process in its place
-/// may still count in the window. Together with [`SLACK_FRACTION`] it adds up to one share, so that
-/// engines get no more retries than allowed even if all instances restart at once.
-const STARTUP_FRACTION: f64 = 1.0 - SLACK_FRACTION;
-
 /// Fraction of a window's retries that is reserved for resuming partial responses: their callers
 /// cannot request the rest again, while a refused caller can retry.
 const RESUME_RESERVE: f64 = 0.25;
@@ -382,16 +377,21 @@
     /// The own share of the window that starts at `from_ms`, as far as it is known at `at_ms`.
     fn allowed_since_milli(&self, share: BudgetShare, from_ms: u64, at_ms: u64) -> u64 {
         let requests = self.requests_for_window(share, from_ms);
-        let even_fraction = if self.is_starting(at_ms) {
-            STARTUP_FRACTION
-        } else {
-            SLACK_FRACTION
-        };
-        let even_share = share.slack / f64::from(share.instances.max(1));
-        let retries = share.ratio * requests * REQUESTS_FRACTION + even_share * even_fraction;
+        let slack = self.own_slack(share, at_ms);
+        let retries = share.ratio * requests * REQUESTS_FRACTION + slack;
         (retries * RETRY_MILLI as f64) as u64
     }
 
+    /// The own part of the slack. A process has none while retries of earlier processes in its place may still count:
+    /// it cannot know how many there were, or what they used. The part for its own requests is free of them.
+    fn own_slack(&self, share: BudgetShare, at_ms: u64) -> f64 {
+        if self.is_starting(at_ms) {
+            return 0.0;
+        }
+        let even_share = share.slack / f64::from(share.instances.max(1));
+        even_share * SLACK_FRACTION
+    }
+
     /// Number of requests that allow retries in the window that starts at `from_ms`: the mean of that window and the
     /// one before it. The means of all instances add up to at most the larger of the two totals, wherever the load
     /// moves; the larger of the two at each instance would not.
