An instance that may not know all others has no part of the slack

Each instance divided the slack by the instances that it knew. A process that had just started knew none and took the whole; so did, after a minute, each side of a partition while the store was away, since silent instances were forgotten.

Now the number is not known until the records of all were read, here or by the peer whose list was taken; until then there is none of the slack, and the ratio of the own requests only. The largest number ever known counts, so that a silent instance goes on sharing. every_instance_with_a_record_shares_the_budget asserted the opposite for an instance silent for 70 s: it may be alive behind a partition, with its own share; the new test beside it holds that it counts.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -55,8 +55,9 @@
     pub slack: f64,
     /// Length of the window.
     pub window_ms: u64,
-    /// Number of instances that share the slack; at least 1.
-    pub instances: u32,
+    /// Number of instances that share the slack; at least 1. `None` if it is not known, and then none of the slack is
+    /// used.
+    pub instances: Option<u32>,
 }
 
 /// Requests and retries of this instance within the last window, by service.
--- a/src/relay/limits_tests.rs
+++ b/src/relay/limits_tests.rs
@@ -180,7 +180,7 @@
         ratio: 0.2,
         slack: 20.0,
         window_ms: 10_000,
-        instances: 2,
+        instances: Some(2),
     };
     let mut budget = RetryBudget::default();
     for at_ms in 0..50 {
--- a/src/relay/loan_tests/mod.rs
+++ b/src/relay/loan_tests/mod.rs
@@ -283,6 +283,19 @@
     }
 }
 
+/// Guards against processes that take the whole slack for their own since they know no other instance yet.
+#[test]
+fn retries_of_processes_that_know_no_others_yet_stay_within_the_allowance() {
+    for (interval_ms, unknown_count_ms) in [(20_000, 400), (7_000, 400), (15_500, 15_400)] {
+        let overdraw = overdraw_of_restarts(7, interval_ms, unknown_count_ms);
+        println!("maximum overdraw: {overdraw:.1}, every {interval_ms} ms");
+        assert!(
+            overdraw <= 0.0,
+            "{overdraw} too many, every {interval_ms} ms"
+        );
+    }
+}
+
 /// Number of retries within a window that one instance of a zone of 29 gets if no other needs any.
 fn retries_of_single_instance() -> usize {
     let mut simulation = Simulation::new(29, 1, NO_FAULTS, 29);
@@ -313,7 +326,7 @@
         ratio: RATIO,
         slack: SLACK,
         window_ms: WINDOW_MS,
-        instances: 29,
+        instances: Some(29),
     };
     let mut budget = RetryBudget::default();
     while budget
@@ -381,7 +394,7 @@
         ratio: RATIO,
         slack: 0.0,
         window_ms: WINDOW_MS,
-        instances: 29,
+        instances: Some(29),
     };
     let mut budget = RetryBudget::default();
     assert_eq!(budget.needs(share, 0), Vec::new());
--- a/src/relay/loan_tests/simulation.rs
+++ b/src/relay/loan_tests/simulation.rs
@@ -15,8 +15,6 @@
 pub(super) const RATIO: f64 = 0.2;
 pub(super) const SLACK: f64 = 198.0;
 pub(super) const RUN_MS: u64 = 32_000;
-/// The number of instances that a process assumes as long as it knows none.
-const UNKNOWN: u32 = 1;
 /// How long an instance waits for an endpoint.
 const ATTEMPT_TIMEOUT_MS: u64 = 300;
 
@@ -135,7 +133,7 @@
                 ratio: RATIO,
                 slack: SLACK,
                 window_ms: WINDOW_MS,
-                instances: count as u32,
+                instances: Some(count as u32),
             },
             service: ServiceName::from("model"),
             faults,
@@ -191,11 +189,7 @@
         let unknown_ms = self.faults.unknown_count_ms;
         let is_unknown = started_ms.is_some_and(|it| now_ms < it + unknown_ms);
         BudgetShare {
-            instances: if is_unknown {
-                UNKNOWN
-            } else {
-                self.share.instances
-            },
+            instances: self.share.instances.filter(|_| !is_unknown),
             ..self.share
         }
     }
--- a/src/relay/reserve_tests.rs
+++ b/src/relay/reserve_tests.rs
@@ -10,7 +10,7 @@
     ratio: 0.0,
     slack: 80.0,
     window_ms: 10_000,
-    instances: 1,
+    instances: Some(1),
 };
 
 fn class(more_urgent_priorities: u32) -> RetryClass {
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -4,11 +4,12 @@
 use crate::ids::{EndpointId, ServiceName};
 use crate::route_table::RetryPolicy;
 
+const INSTANCES: u32 = 2;
 const SHARE: BudgetShare = BudgetShare {
     ratio: 0.2,
     slack: 20.0,
     window_ms: 10_000,
-    instances: 2,
+    instances: Some(INSTANCES),
 };
 
 fn any_repeat() -> impl Strategy<Value = RetryPolicy> {
@@ -103,7 +104,7 @@
 fn retries_at_once(purpose: RetryPurpose, load_ms: u64) -> usize {
     let service = ServiceName::from("ledger-api");
     let mut taken = 0;
-    for _ in 0..SHARE.instances {
+    for _ in 0..INSTANCES {
         let mut budget = RetryBudget::default();
         for at_ms in (0..load_ms).step_by(100) {
             budget.request(&service, SHARE, at_ms);
--- a/src/relay/unsent_tests.rs
+++ b/src/relay/unsent_tests.rs
@@ -48,7 +48,7 @@
         ratio: 0.0,
         slack: 2.0,
         window_ms: 10_000,
-        instances: 1,
+        instances: Some(1),
     };
     let mut budget = RetryBudget::default();
     let mut take = |at_ms| budget.take(&service, share, RetryPurpose::Resume, at_ms);
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -385,11 +385,10 @@
     /// The own part of the slack. A process has none while retries of earlier processes in its place may still count:
     /// it cannot know how many there were, or what they used. The part for its own requests is free of them.
     fn own_slack(&self, share: BudgetShare, at_ms: u64) -> f64 {
-        if self.is_starting(at_ms) {
-            return 0.0;
-        }
-        let even_share = share.slack / f64::from(share.instances.max(1));
-        even_share * SLACK_FRACTION
+        let instances = share.instances.filter(|_| !self.is_starting(at_ms));
+        instances.map_or(0.0, |count| {
+            share.slack / f64::from(count.max(1)) * SLACK_FRACTION
+        })
     }
 
     /// Number of requests that allow retries in the window that starts at `from_ms`: the mean of that window and the
--- a/src/relay_server/fleet_start_tests.rs
+++ b/src/relay_server/fleet_start_tests.rs
@@ -160,6 +160,7 @@
         for record in self.records.values() {
             book.add_record(record.clone(), now_ms);
         }
+        book.note_all_known();
     }
 }
 
@@ -298,11 +299,14 @@
         let listed = sources
             .find(|it| it.own.peers == source)
             .and_then(|it| it.book.as_ref())
-            .map(|it| it.listed(0, now_ms));
+            .map(|it| (it.listed(0, now_ms), it.knows_all()));
         let instance = &mut self.instances[index];
         instance.next_list_ms = now_ms + PEER_LIST_INTERVAL_MS;
-        if let (Some(book), Some(listed)) = (&mut instance.book, listed) {
+        if let (Some(book), Some((listed, knows_all))) = (&mut instance.book, listed) {
             book.add_listed(listed, now_ms);
+            if knows_all {
+                book.note_all_known();
+            }
         }
     }
 }
--- a/src/relay_server/peer_book.rs
+++ b/src/relay_server/peer_book.rs
@@ -76,11 +76,13 @@
     /// Leases that peers have released, in the same form.
     peer_released_leases: IndexMap<ServiceName, u64>,
     /// When this process started to listen for heartbeats.
-    listening_since_ms: u64,
+    pub(super) listening_since_ms: u64,
     /// Whether the whole deployment starts for the first time.
     is_first_start: bool,
-    /// Whether this process has read the records of all instances.
-    pub(super) has_read_records: bool,
+    /// Whether this process has learned of all instances that have records.
+    knows_all: bool,
+    /// Largest number of instances known at a time, including this one.
+    most_known_instances: u32,
     /// Whether a heartbeat is to be sent without waiting for the next interval.
     is_heartbeat_requested: bool,
     /// What decides which instances of the own zone receive each heartbeat.
@@ -106,7 +108,8 @@
             peer_released_leases: IndexMap::new(),
             listening_since_ms: now_ms,
             is_first_start: settings.is_first_start,
-            has_read_records: false,
+            knows_all: false,
+            most_known_instances: 1,
             is_heartbeat_requested: false,
             reach: ZoneReach::new(now_ms),
             cross_zone: CrossZonePacing::new(now_ms),
@@ -134,17 +137,30 @@
             .map(|(_, peer)| peer)
     }
 
-    /// Number of instances that share a retry budget, including this one. Every known instance counts, since
-    /// one that is merely unreachable continues to retry. If a peer knows of more, its number is used, since
-    /// a process that has just started has heard few.
-    pub(crate) fn known_instances(&self) -> u32 {
+    /// Number of instances that share a retry budget, including this one; `None` as long as this process may not know
+    /// all. Every instance counts that was ever known: one that is merely unreachable continues to retry. If a peer
+    /// knows of more, its number is used.
+    pub(crate) fn known_instances(&self) -> Option<u32> {
         let reported = self.peers.values().map(|peer| peer.known_instances);
-        reported.max().unwrap_or(0).max(self.own_known_instances())
+        let own = self.most_known_instances.max(self.own_known_instances());
+        let known = reported.max().unwrap_or(0).max(own);
+        self.knows_all.then_some(known)
     }
 
-    /// Whether this process has read the records of all instances, or a peer has told how many there are.
-    pub(super) fn knows_all_instances(&self) -> bool {
-        self.has_read_records || self.peers.values().any(|peer| peer.known_instances > 0)
+    /// Whether this process has learned of all instances that have records.
+    pub(super) fn knows_all(&self) -> bool {
+        self.knows_all
+    }
+
+    /// Records that this process has learned of all instances that have records.
+    pub(super) fn note_all_known(&mut self) {
+        self.knows_all = true;
+        self.update_most_known();
+    }
+
+    /// Updates the largest number of instances known at a time.
+    pub(super) fn update_most_known(&mut self) {
+        self.most_known_instances = self.most_known_instances.max(self.own_known_instances());
     }
 
     pub(super) fn own_known_instances(&self) -> u32 {
@@ -499,6 +515,7 @@
 
     /// Removes peers that have been silent for a long time.
     pub(super) fn remove_expired(&mut self, now_ms: u64) {
+        self.update_most_known();
         let own_zone = &self.own_zone;
         self.peers
             .retain(|_, peer| now_ms < peer.last_seen_ms() + peer.ttl_ms(own_zone));
--- a/src/relay_server/peer_book_tests.rs
+++ b/src/relay_server/peer_book_tests.rs
@@ -178,12 +178,34 @@
 #[test]
 fn every_instance_with_a_record_shares_the_budget() {
     let mut a = book("a", "lac", 1_000);
-    assert_eq!(a.known_instances(), 1);
+    a.note_all_known();
+    assert_eq!(a.known_instances(), Some(1));
+    a.add_record(record("d", "marsa", 4_000), 0);
+    assert_eq!(a.known_instances(), Some(2));
+}
+
+// Guards against both sides of a long partition dividing the budget among their own instances.
+#[test]
+fn an_instance_that_was_silent_for_long_goes_on_sharing_the_budget() {
+    let mut a = book("a", "lac", 1_000);
+    a.note_all_known();
     a.add_record(record("d", "marsa", 4_000), 0);
-    assert_eq!(a.known_instances(), 2);
     a.remove_expired(1_000);
     a.remove_expired(70_000);
-    assert_eq!(a.known_instances(), 1);
+    assert_eq!(a.own_known_instances(), 1);
+    assert_eq!(a.known_instances(), Some(2));
+}
+
+// Guards against a process that has just started taking the whole budget for its own, or half of it.
+#[test]
+fn a_process_that_may_not_know_all_instances_knows_no_number_of_them() {
+    let mut new = book("a", "lac", 1_000);
+    assert_eq!(new.known_instances(), None);
+    let beat = heartbeat(&mut book("b", "lac", 2_000), READY, 0);
+    new.apply_heartbeat(&beat, address(2_001), 0);
+    assert_eq!(new.known_instances(), None);
+    new.note_all_known();
+    assert_eq!(new.known_instances(), Some(2));
 }
 
 #[test]
--- a/src/relay_server/peer_list.rs
+++ b/src/relay_server/peer_list.rs
@@ -1,6 +1,6 @@
 //! Transfer of the list of known instances within a zone. An instance that a peer of its zone surpasses
-//! in the number of known instances asks that peer for its list, and for the key of request digests if it
-//! lacks it. The store is then read by a few instances of a zone only.
+//! in the number of known instances asks that peer for its list. One that may not know all instances, or lacks the
+//! key of request digests, asks a peer that reads the store. The store is then read by a few instances of a zone only.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,6 +61,9 @@
     digest_key: Option<String>,
     entries: Vec<ListedPeer>,
     is_last: bool,
+    /// Whether the sender knows all instances that have records.
+    #[serde(default)]
+    knows_all: bool,
 }
 
 /// Responds to a peer's request for the list.
@@ -82,6 +85,7 @@
                 digest_key: node.digest_key.borrow().as_ref().map(DigestKey::to_hex),
                 entries,
                 is_last,
+                knows_all: node.peers.borrow().knows_all(),
             })
         }
         Admission::Busy { wait_ms } => PeerListReply::Busy { wait_ms },
@@ -136,8 +140,12 @@
             PeerListReply::Part(part) => {
                 add_key(node, part.digest_key.as_deref());
                 from += part.entries.len();
-                node.peers.borrow_mut().add_listed(part.entries, boot_ms());
+                let mut peers = node.peers.borrow_mut();
+                peers.add_listed(part.entries, boot_ms());
                 if part.is_last {
+                    if part.knows_all {
+                        peers.note_all_known();
+                    }
                     return Ok(());
                 }
             }
--- a/src/relay_server/peer_membership.rs
+++ b/src/relay_server/peer_membership.rs
@@ -10,6 +10,10 @@
 use super::peer_selection::weighted_by_link;
 use crate::ids::InstanceId;
 
+/// How long after its start a process leaves it to others to have more instances in their lists, before it asks one
+/// that reads the store whether it knows all.
+const SETTLE_MS: u64 = 3_000;
+
 impl PeerBook {
     /// Adds a peer from its record in the store, unless the peer is known already: its heartbeats are more
     /// recent. Returns whether it was unknown.
@@ -56,7 +60,7 @@
     }
 
     /// The peer to ask for its list: one of the own zone that knows more instances than this one, or one
-    /// that reads the store if this instance `lacks_key`. The likelier the faster its link.
+    /// that reads the store if this one `lacks_key` or may not know all. The likelier the faster its link.
     pub(super) fn peer_list_source(
         &self,
         lacks_key: bool,
@@ -64,12 +68,18 @@
         now_ms: u64,
     ) -> Option<SocketAddr> {
         let own_known = self.own_known_instances();
+        let is_reader = |peer: &Peer| peer.has_recent_store_answer(now_ms);
         let is_useful = |peer: &&Peer| {
             let knows_more = peer.known_instances > own_known;
-            knows_more || (lacks_key && peer.has_recent_store_answer(now_ms))
+            knows_more || (lacks_key && is_reader(peer))
         };
-        let heard = self.heard_zone_peers(now_ms).map(|(_, peer)| peer);
-        let sources: Vec<&Peer> = heard.filter(is_useful).collect();
+        let is_settled = now_ms >= self.listening_since_ms + SETTLE_MS;
+        let must_complete = !self.knows_all() && is_settled;
+        let heard = || self.heard_zone_peers(now_ms).map(|(_, peer)| peer);
+        let mut sources: Vec<&Peer> = heard().filter(is_useful).collect();
+        if sources.is_empty() && must_complete {
+            sources = heard().filter(|peer| is_reader(peer)).collect();
+        }
         let chosen = weighted_by_link(&sources, |peer| peer.link_mbps, random);
         chosen.map(|peer| peer.address)
     }
--- a/src/relay_server/peer_membership_tests.rs
+++ b/src/relay_server/peer_membership_tests.rs
@@ -126,3 +126,18 @@
     own.remove_expired(201_000);
     assert_eq!(own.own_known_instances(), 1);
 }
+
+// Guards against a process that never learns from its zone whether it knows all instances.
+#[test]
+fn an_instance_that_may_not_know_all_asks_one_that_reads_the_store() {
+    let mut own = book("a", "lac", 1_000);
+    let mut reader = book("b", "lac", 2_000);
+    let (early_ms, settled_ms) = (2_900, 3_000);
+    let beat = heartbeat(&mut reader, READY, settled_ms);
+    own.apply_heartbeat(&beat, address(2_001), early_ms);
+    assert_eq!(own.peer_list_source(false, 0, early_ms), None, "too early");
+    let from = own.peer_list_source(false, 0, settled_ms);
+    assert_eq!(from, Some(address(2_001)));
+    own.note_all_known();
+    assert_eq!(own.peer_list_source(false, 0, settled_ms), None);
+}
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -341,7 +341,7 @@
             .extend(records.into_iter().map(|it| (it.instance.clone(), it)));
         after = next_page(&rows, MAX_RECORDS_PER_CALL);
         if after.is_none() {
-            node.peers.borrow_mut().has_read_records = true;
+            node.peers.borrow_mut().note_all_known();
             return Some(all);
         }
     }
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -87,7 +87,6 @@
             own_share_milli = usage.allowed_milli,
             own_used_milli = usage.charged_milli,
             known_instances = share.instances,
-            knows_all_instances = self.peers.borrow().knows_all_instances(),
             is_starting = budget.is_starting(share, boot_ms());
             "retry is taken from the budget"
         );
--- a/src/relay_server/retry_loans_tests.rs
+++ b/src/relay_server/retry_loans_tests.rs
@@ -76,7 +76,8 @@
     let beat = heartbeat(&mut book_with_needs(), READY, 600);
     let mut new = book("f", "lac", 6_000);
     new.apply_heartbeat(&beat, address(1_001), 610);
-    assert_eq!(new.known_instances(), 5);
+    new.note_all_known();
+    assert_eq!(new.known_instances(), Some(5));
 }
 
 /// Guards against returning a loan to a restarted process, which has lent nothing.
--- a/src/relay_server/retry_share.rs
+++ b/src/relay_server/retry_share.rs
@@ -7,10 +7,8 @@
 /// What the share of this instance depends on, besides its own requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ShareBasis {
-    /// Number of instances that share the slack, as far as this one knows.
-    instances: u32,
-    /// Whether that number covers all instances.
-    knows_all_instances: bool,
+    /// Number of instances that share the slack, if it is known.
+    instances: Option<u32>,
     /// Whether retries of an earlier process of this instance may still count.
     is_starting: bool,
 }
@@ -36,10 +34,12 @@
         let gauge = |name, value| self.counters.gauge(name, value);
         gauge("relay.repeats.share_milli", usage.allowed_milli);
         gauge("relay.repeats.used_milli", usage.charged_milli);
-        gauge("relay.repeats.instances", u64::from(share.instances));
+        gauge(
+            "relay.repeats.instances",
+            u64::from(share.instances.unwrap_or(0)),
+        );
         let basis = ShareBasis {
             instances: share.instances,
-            knows_all_instances: self.peers.borrow().knows_all_instances(),
             is_starting: self.budget.borrow().is_starting(share, now_ms),
         };
         if self.reported_share_basis.replace(Some(basis)) == Some(basis) {
@@ -47,7 +47,6 @@
         }
         log::info!(
             instances = basis.instances,
-            knows_all_instances = basis.knows_all_instances,
             is_starting = basis.is_starting,
             started_ago_ms = now_ms.saturating_sub(self.started_ms),
             own_share_milli = usage.allowed_milli,
