The first process of an instance has its part of the slack soon

What callers saw: with a deployment that has just started could retry next to nothing for 14 s.

Cause: each start was taken for a restart. Whether an earlier process may have sent retries can be known: a process that creates its instance's record in the store, which is never removed, is the first in its place, and a second one finds the record. The record is now created under the condition that it is absent, unless the contacts that were read include it, so that a restart costs no call more.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::loans::{Lender, LendingSource, RetryAmount, RetryLoan, allocate};
-use super::window::{BudgetUsage, Window, starting_until_ms};
+use super::window::{BudgetUsage, Window, retries_count_until_ms};
 use crate::ids::ServiceName;
 
 /// What a retry is for.
@@ -64,28 +64,56 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     services: IndexMap<ServiceName, Window>,
-    /// Start time of this process, if another process may have run in its place shortly before.
-    started_ms: Option<u64>,
+    /// Why, and for how long, this process has no part of the slack after its start.
+    startup: Option<Startup>,
     /// Id of the next loan.
     next_loan: u32,
     /// Id of the next retry.
     next_retry: u64,
 }
 
+/// A start of a process.
+#[derive(Clone, Copy, Debug)]
+enum Startup {
+    /// Earlier processes may have run in its place until then.
+    Restart { started_ms: u64 },
+    /// It is the first in its place, and may not know the instances that start beside it until then.
+    First { until_ms: u64 },
+}
+
+impl Startup {
+    /// Until when the process has no part of the slack.
+    fn until_ms(self, share: BudgetShare) -> u64 {
+        match self {
+            Self::Restart { started_ms } => retries_count_until_ms(started_ms, share),
+            Self::First { until_ms } => until_ms,
+        }
+    }
+}
+
 impl RetryBudget {
     /// Creates the budget of a process that starts now, possibly in place of one that has just
     /// exited.
     pub fn starting(now_ms: u64) -> Self {
         Self {
-            started_ms: Some(now_ms),
+            startup: Some(Startup::Restart { started_ms: now_ms }),
             ..Self::default()
         }
     }
 
-    /// Whether retries of an earlier process in the place of this one may still count in a window.
+    /// Records that no other process has run in the place of this one. It may not know the instances that start beside
+    /// it before `until_ms`.
+    pub fn note_first_process(&mut self, until_ms: u64) {
+        self.startup = Some(Startup::First { until_ms });
+        for window in self.services.values_mut() {
+            window.set_starting_until(until_ms);
+        }
+    }
+
+    /// Whether this process has just started, so that it has no part of the slack.
     pub fn is_starting(&self, share: BudgetShare, now_ms: u64) -> bool {
-        let started_ms = self.started_ms;
-        started_ms.is_some_and(|at_ms| now_ms <= starting_until_ms(at_ms, share))
+        let startup = self.startup;
+        startup.is_some_and(|it| now_ms <= it.until_ms(share))
     }
 
     /// Records a caller's request.
@@ -282,7 +310,7 @@
 
     fn window(&mut self, service: &ServiceName, share: BudgetShare, now_ms: u64) -> &mut Window {
         if !self.services.contains_key(service) {
-            let window = Window::starting(self.started_ms, share);
+            let window = Window::starting(self.startup.map(|it| it.until_ms(share)));
             self.services.insert(service.clone(), window);
         }
         let window = &mut self.services[service];
--- a/src/relay/loan_tests/mod.rs
+++ b/src/relay/loan_tests/mod.rs
@@ -296,6 +296,20 @@
     }
 }
 
+/// Guards against a deployment that starts for the first time without any retry until a window has passed.
+#[test]
+fn a_process_without_a_predecessor_soon_has_its_part_of_the_slack() {
+    let mut simulation = Simulation::new(3, 1, NO_FAULTS, 88);
+    let (service, share) = (simulation.service.clone(), simulation.share);
+    let budget = &mut simulation.instances[0].budget;
+    *budget = RetryBudget::starting(0);
+    let purpose = RetryPurpose::Start;
+    assert!(!budget.has_left(&service, share, purpose, 2_000));
+    budget.note_first_process(1_000);
+    assert!(!budget.has_left(&service, share, purpose, 1_000));
+    assert!(budget.has_left(&service, share, purpose, 1_001));
+}
+
 /// Number of retries within a window that one instance of a zone of 29 gets if no other needs any.
 fn retries_of_single_instance() -> usize {
     let mut simulation = Simulation::new(29, 1, NO_FAULTS, 29);
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -79,7 +79,7 @@
     borrowed: BorrowedLoans,
     /// Loans from other instances for resuming responses only.
     borrowed_to_resume: BorrowedLoans,
-    /// Until when retries of an earlier process in this place may count in a window.
+    /// Until when the process has no part of the slack, if it has just started.
     starting_until_ms: Option<u64>,
 }
 
@@ -145,14 +145,19 @@
 }
 
 impl Window {
-    /// Creates the window of a process; `started_ms` is its start time if it started recently.
-    pub(super) fn starting(started_ms: Option<u64>, share: BudgetShare) -> Self {
+    /// Creates the window of a process that has no part of the slack until `starting_until_ms`, if it has just started.
+    pub(super) fn starting(starting_until_ms: Option<u64>) -> Self {
         Self {
-            starting_until_ms: started_ms.map(|at_ms| starting_until_ms(at_ms, share)),
+            starting_until_ms,
             ..Self::default()
         }
     }
 
+    /// Changes until when the process has no part of the slack.
+    pub(super) fn set_starting_until(&mut self, until_ms: u64) {
+        self.starting_until_ms = Some(until_ms);
+    }
+
     pub(super) fn record_request(&mut self, now_ms: u64) {
         self.requests_ms.push_back(now_ms);
     }
@@ -423,7 +428,7 @@
 }
 
 /// Until when retries of an earlier process may count in a window, if a process started in its place at `started_ms`.
-pub(super) fn starting_until_ms(started_ms: u64, share: BudgetShare) -> u64 {
+pub(super) fn retries_count_until_ms(started_ms: u64, share: BudgetShare) -> u64 {
     started_ms + LOAN_TTL_MS + MAX_ARRIVAL_DELAY_MS + share.window_ms
 }
 
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -11,14 +11,14 @@
 use tokio::time::sleep;
 
 use super::adapter::Adapter;
-use super::introduction::{Introduction, IntroductionStep, MAX_CONTACTS};
+use super::introduction::{FIRST_START_MS, Introduction, IntroductionStep, MAX_CONTACTS};
 use super::node::Node;
 use super::peer::InstanceRecord;
 use super::quarantine_rows;
 use super::store_calls::StoreCall;
 use crate::clock::boot_ms;
 use crate::ids::InstanceId;
-use crate::wire::platform::{Row, ScanRows, Transaction, Write};
+use crate::wire::platform::{Condition, Row, ScanRows, TransactReply, Transaction, Write};
 
 /// Interval between checks whether an introduction has progressed.
 const INTRODUCTION_POLL_MS: u64 = 20;
@@ -63,6 +63,7 @@
 {
     let is_first_start = node.settings.is_first_start;
     let mut introduction = Introduction::new(is_first_start, node.random_u64(), boot_ms());
+    let mut had_record = false;
     loop {
         let now_ms = boot_ms();
         let hears_zone_peer = node.peers.borrow().hears_zone_peer(now_ms);
@@ -71,11 +72,13 @@
                 sleep(Duration::from_millis(INTRODUCTION_POLL_MS)).await;
             }
             IntroductionStep::ReadContacts => {
-                let found = read_contacts(node).await;
+                let contacts = read_contacts(node).await;
+                had_record |= contacts.is_some_and(|it| it.has_own);
+                let found = contacts.map(|it| it.others);
                 introduction.record_contacts(found, node.random_u64(), boot_ms());
                 node.request_heartbeat();
             }
-            IntroductionStep::Register => return register(node).await,
+            IntroductionStep::Register => return register(node, had_record).await,
             IntroductionStep::Done => {
                 log::info!("peers of the zone know this instance");
                 return;
@@ -84,9 +87,18 @@
     }
 }
 
-/// Reads records of the own zone and adds their instances to the peer book. Returns how many other
-/// instances there are, `None` if the store does not answer.
-async fn read_contacts<A>(node: &Node<A>) -> Option<usize>
+/// Records of the own zone that were found.
+#[derive(Clone, Copy, Debug)]
+struct Contacts {
+    /// Number of other instances.
+    others: usize,
+    /// Whether there is a record of this instance: an earlier process has run in its place.
+    has_own: bool,
+}
+
+/// Reads records of the own zone and adds their instances to the peer book. Returns `None` if the store does not
+/// answer.
+async fn read_contacts<A>(node: &Node<A>) -> Option<Contacts>
 where
     A: Adapter,
 {
@@ -94,18 +106,22 @@
     let rows = scan(node, prefix, None, MAX_CONTACTS, StoreCall::Contacts).await?;
     let records: Vec<InstanceRecord> = rows.iter().filter_map(parse_record).collect();
     let is_other = |record: &&InstanceRecord| record.instance != node.settings.instance;
-    let found = records.iter().filter(is_other).count();
-    log::info!(found; "read records of contacts");
+    let others = records.iter().filter(is_other).count();
+    let has_own = others < records.len();
+    log::info!(found = others, has_own; "read records of contacts");
     add_records(node, records);
-    Some(found)
+    Some(Contacts { others, has_own })
 }
 
 /// Writes the own record and reads all others, until both have succeeded.
-async fn register<A>(node: &Rc<Node<A>>)
+async fn register<A>(node: &Rc<Node<A>>, had_record: bool)
 where
     A: Adapter,
 {
-    let mut registration = Registration::default();
+    let mut registration = Registration {
+        had_record,
+        ..Registration::default()
+    };
     loop {
         // Comes first because requests may arrive at any moment.
         let knows_key = quarantine_rows::load(node).await;
@@ -117,7 +133,7 @@
                 .is_some_and(|it| own_record(node).is_recorded_in(&it.records));
         }
         if !registration.is_written {
-            registration.is_written = write_records(node, &[own_record(node)]).await;
+            write_own_record(node, &mut registration).await;
             // Reads after the write, so that of two instances that start together at least one finds the
             // other.
             read = read_all(node).await;
@@ -135,9 +151,65 @@
     }
 }
 
+/// Writes the own record. If there was none, no earlier process has run in the place of this one.
+async fn write_own_record<A>(node: &Node<A>, registration: &mut Registration)
+where
+    A: Adapter,
+{
+    if !registration.had_record {
+        match create_own_record(node).await {
+            Some(TransactReply::Committed { .. }) => {
+                let until_ms = node.started_ms + FIRST_START_MS;
+                node.budget.borrow_mut().note_first_process(until_ms);
+                registration.is_written = true;
+                return;
+            }
+            Some(TransactReply::Conflict { .. }) => registration.had_record = true,
+            None => return,
+        }
+    }
+    registration.is_written = write_records(node, &[own_record(node)]).await;
+}
+
+/// Writes the own record if the store has none of this instance. Returns `None` if the store does not answer.
+async fn create_own_record<A>(node: &Node<A>) -> Option<TransactReply>
+where
+    A: Adapter,
+{
+    let (key, value) = record_row(&own_record(node))?;
+    let transaction = Transaction {
+        conditions: vec![Condition::BeAbsent { key: key.clone() }],
+        writes: vec![Write::Put { key, value }],
+    };
+    let cause = StoreCall::WriteRecords;
+    let reply = node.transact_rows(cause, &transaction).await;
+    match &reply {
+        Ok(reply) => {
+            let is_first = matches!(reply, TransactReply::Committed { .. });
+            log::info!(is_first; "looked for a record of an earlier process of this instance");
+        }
+        Err(failure) => {
+            log::warn!(failure:% = failure; "instance records could not be written to the store");
+        }
+    }
+    reply.ok()
+}
+
+/// Key and value of a record's row.
+fn record_row(record: &InstanceRecord) -> Option<(String, String)> {
+    let Ok(value) = serde_json::to_string(record) else {
+        log::error!(instance = record.instance.as_str(); "instance record could not be serialized");
+        return None;
+    };
+    let prefix = zone_prefix(record.zone.as_str());
+    Some((format!("{prefix}{}", record.instance), value))
+}
+
 /// Progress of the registration of this instance.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Registration {
+    /// Whether the store had a record of this instance before.
+    pub(super) had_record: bool,
     /// Whether the own record is in the store.
     pub(super) is_written: bool,
     /// Consecutive rounds in which a call failed.
@@ -289,12 +361,9 @@
 {
     let mut writes = Vec::new();
     for record in records {
-        let Ok(value) = serde_json::to_string(record) else {
-            log::error!(instance = record.instance.as_str(); "instance record could not be serialized");
+        let Some((key, value)) = record_row(record) else {
             return false;
         };
-        let prefix = zone_prefix(record.zone.as_str());
-        let key = format!("{prefix}{}", record.instance);
         writes.push(Write::Put { key, value });
     }
     let transaction = Transaction {
--- a/src/relay_server/records_tests.rs
+++ b/src/relay_server/records_tests.rs
@@ -40,6 +40,7 @@
     assert!(!started.reads_first());
     for is_written in [false, true] {
         let failed = Registration {
+            had_record: false,
             is_written,
             failures: 1,
         };
