The first process of an instance waits from its registration on

Where the store is away for long while a deployment starts for the first time, the 1.75 s in which instances that start beside it become known were over before its record was there, and the first to register would have divided the slack by one.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     services: IndexMap<ServiceName, Window>,
-    /// Why, and for how long, this process has no part of the slack after its start.
+    /// How this process has started, which decides for how long it has no part of the slack.
     startup: Option<Startup>,
     /// Id of the next loan.
     next_loan: u32,
@@ -72,12 +72,12 @@
     next_retry: u64,
 }
 
-/// A start of a process.
+/// How this process has started.
 #[derive(Clone, Copy, Debug)]
 enum Startup {
-    /// Earlier processes may have run in its place until then.
+    /// At `started_ms`, possibly in place of one that had just exited.
     Restart { started_ms: u64 },
-    /// It is the first in its place, and may not know the instances that start beside it until then.
+    /// As the first in its place. It may not know the instances that start beside it before `until_ms`.
     First { until_ms: u64 },
 }
 
--- a/src/relay_server/records.rs
+++ b/src/relay_server/records.rs
@@ -159,7 +159,7 @@
     if !registration.had_record {
         match create_own_record(node).await {
             Some(TransactReply::Committed { .. }) => {
-                let until_ms = node.started_ms + FIRST_START_MS;
+                let until_ms = boot_ms() + FIRST_START_MS;
                 node.budget.borrow_mut().note_first_process(until_ms);
                 registration.is_written = true;
                 return;
