Log lines and counters of replaced engines and of streams that are sent again

Decisions are as before.

New: the lines 'stream is sent again' and 'lost engine of a running stream has no replacement', 'stages' in 'run failed', relay.reroutes by outcome.

--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -170,6 +170,19 @@
     Unknown,
 }
 
+impl OrderFailure {
+    /// Name in counters.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::NoReply => "no_reply",
+            Self::NoListener => "no_listener",
+            Self::Conflict(_) => "conflict",
+            Self::Fenced => "fenced",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Control calls to endpoints, as opposed to relayed requests.
 pub trait EngineControl {
     /// Requests an engine's state. The call after a failed one uses a new connection, so that a
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -118,6 +118,8 @@
     /// Whether the newest run is sent although the request is withheld.
     is_quarantine_trial: bool,
     repairs: u32,
+    /// The newest lost engine that had no replacement, for log lines.
+    unreplaced: Option<EndpointId>,
     /// The retry that the next or current run uses.
     retry: Option<HeldRetry<A>>,
     /// Longest time without an event.
@@ -160,6 +162,7 @@
             run_events: 0,
             is_cleared: false,
             repairs: 0,
+            unreplaced: None,
             retry: None,
             longest_gap_ms: 0,
             first_event_ms: None,
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -27,6 +27,9 @@
 {
     /// Runs the request on a chain and forwards the events.
     pub(super) async fn run_on_chain(&mut self, chain: Chain) -> RunOutcome {
+        if self.attempts.sends() > 0 {
+            self.log_repeat(&chain);
+        }
         self.attempts.send_started(&chain.first().endpoint);
         let stages = chain.stages().iter().map(|stage| &stage.endpoint);
         self.send_context = SendContext::new(&self.node, stages);
@@ -34,6 +37,19 @@
         self.run_once(chain).await
     }
 
+    /// Logs on how many engines a request that has been sent before runs again.
+    fn log_repeat(&self, chain: &Chain) {
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            first = chain.first().endpoint.as_str(),
+            stages = chain.stages().len(),
+            sends = self.attempts.sends(),
+            last_event = self.splitter.last_id(),
+            left_ms = self.request.remaining_ms(boot_ms());
+            "stream is sent again"
+        );
+    }
+
     async fn run_once(&mut self, chain: Chain) -> RunOutcome {
         let tokens = self.request.held_tokens();
         let prompt_tokens = self.request.ask.prompt_tokens.unwrap_or(0);
@@ -246,6 +262,7 @@
             prompt_parts = self.request.prompt_parts_label().as_str(),
             first = first.map(|first| first.endpoint.as_str()),
             at_fault = at_fault.as_str(),
+            stages = self.chain.as_ref().map(|chain| chain.stages().len()),
             end:? = outcome,
             cause = failure.name(),
             known_at_send = self.send_context.endpoints.as_str(),
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -2,7 +2,7 @@
 
 use super::{RunOutcome, StreamRelay, stage_at};
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, EndpointFailure, replace_stage};
+use crate::fleet::{Chain, EndpointFailure, first_gap, replace_stage};
 use crate::ids::EndpointId;
 use crate::relay::{AttemptOutcome, StallAction};
 use crate::relay_server::adapter::{Adapter, EngineControl, OrderFailure};
@@ -103,6 +103,7 @@
                 return Ok(());
             }
             let Some(chain) = self.plan_around(held.chain(), &lost) else {
+                self.log_no_replacement(held.chain(), &unhealthy);
                 break;
             };
             match self.reroute(&chain, &unhealthy).await {
@@ -162,23 +163,47 @@
         let id = self.request.ask.id.as_str();
         let engines = self.node.adapter.engines();
         let rerouted = engines.reroute(id, chain, REROUTE_TIMEOUT_MS).await;
-        let outcome = match &rerouted {
-            Ok(()) => "taken".to_owned(),
-            Err(failure) => failure.to_string(),
-        };
+        let outcome = rerouted.map_or_else(OrderFailure::name, |()| "taken");
         log::info!(
             request = id,
             unsound = unhealthy.as_str(),
             first = chain.first().endpoint.as_str(),
             stages = chain.stages().len(),
             silent_ms = self.stall.silence_ms(boot_ms()),
-            outcome = outcome.as_str();
+            outcome;
             "chain of a running stream is changed"
         );
-        self.node.counters.count("relay.reroutes");
+        let counters = &self.node.counters;
+        counters.count("relay.reroutes");
+        counters.count(&format!("relay.reroutes.{outcome}"));
         rerouted
     }
 
+    /// Logs why a lost stage is not replaced: the layers that need an engine, and the first of them that none
+    /// has which the run could use.
+    fn log_no_replacement(&mut self, current: &Chain, lost: &EndpointId) {
+        if self.unreplaced.replace(lost.clone()).as_ref() == Some(lost) {
+            return;
+        }
+        let stage = current.stages().iter().find(|it| it.endpoint == *lost);
+        let gap = self
+            .chain_ask(&self.attempts, Some(current))
+            .and_then(|ask| {
+                let fleet = self.node.fleet.borrow();
+                first_gap(&fleet, ask, boot_ms())
+            });
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            unsound = lost.as_str(),
+            first = current.first().endpoint.as_str(),
+            layers = stage.map(|it| format!("{}-{}", it.layers.first, it.layers.end)).as_deref(),
+            layer_without_holder = gap,
+            silent_ms = self.stall.silence_ms(boot_ms());
+            "lost engine of a running stream has no replacement"
+        );
+        self.node.counters.count("relay.reroutes.no_replacement");
+    }
+
     /// A chain without the lost stages that keeps as many other stages as possible, because new
     /// ones process all tokens again.
     fn plan_around(&self, current: &Chain, lost: &[EndpointId]) -> Option<Chain> {
