Orders to replace an engine bear the newest fencing token where engines require one

Callers saw: each lost engine of a stream's chain cost a whole new run on all engines, and a retry of the budget, at engines that take a missing fencing token for the lowest.

An order bears no token until an engine has refused one; then the newest one is read from the lease, once for all streams, and a refused token is never sent again. Deployments whose engines take orders without a token see no change.

a_lost_engine_is_replaced_where_engines_require_a_fencing_token failed before (three of six streams ran twice).

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -6,6 +6,9 @@
 //! holder first, unless the holder is paused between its last clock check and the send. The fencing
 //! token covers that case, and [`Lease::may_send_orders`] covers engines that ignore the token.
 
+mod order_token;
+#[cfg(test)]
+mod order_token_tests;
 mod rows;
 #[cfg(test)]
 mod tests;
@@ -14,8 +17,11 @@
 use crate::ids::{Incarnation, InstanceId, ServiceName};
 use crate::instance::{TableCall, TableReply};
 use crate::invariant;
-use crate::wire::platform::{ReadRows, TransactReply};
-use rows::{LeaseRow, ReadLease, lease_key, lease_write, read_lease};
+use crate::wire::platform::TransactReply;
+use rows::{LeaseRow, ReadLease, lease_write, read_lease};
+
+pub(crate) use order_token::{KnownToken, OrderToken};
+pub(crate) use rows::{lease_read, lease_token};
 
 /// How long a lease is valid without renewal.
 pub(crate) const LEASE_MS: u64 = 10_000;
@@ -269,9 +275,7 @@
             }
             (None, true) => {
                 self.next_call_ms = now_ms + self.timing.watch_ms;
-                Some(TableCall::Read(ReadRows {
-                    keys: vec![lease_key(&self.service)],
-                }))
+                Some(TableCall::Read(lease_read(&self.service)))
             }
             (None, false) => None,
         }
--- a/src/lease/rows.rs
+++ b/src/lease/rows.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{Incarnation, InstanceId, ServiceName};
-use crate::wire::platform::{Condition, Row, Transaction, Write};
+use crate::wire::platform::{Condition, ReadRows, Row, Transaction, Write};
 
 /// Holder of a lease. The row is never deleted, so that the fencing token never decreases.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +45,21 @@
     format!("lease/{service}")
 }
 
+/// The read of a service's lease.
+pub(crate) fn lease_read(service: &ServiceName) -> ReadRows {
+    ReadRows {
+        keys: vec![lease_key(service)],
+    }
+}
+
+/// The fencing token in a service's lease, if it is among the rows.
+pub(crate) fn lease_token(rows: &[Row], service: &ServiceName) -> Option<u64> {
+    match read_lease(rows, service) {
+        ReadLease::Row(_, lease) => Some(lease.fence),
+        ReadLease::Absent | ReadLease::Unreadable => None,
+    }
+}
+
 /// Finds the lease of a service among rows.
 pub(super) fn read_lease(rows: &[Row], service: &ServiceName) -> ReadLease {
     let key = lease_key(service);
--- a/src/relay_server/adapter.rs
+++ b/src/relay_server/adapter.rs
@@ -210,11 +210,12 @@
         fence: u64,
     ) -> impl Future<Output = Result<(), OrderFailure>>;
 
-    /// Orders the first engine of a running request to switch to another chain.
+    /// Orders the first engine of a running request to switch to another chain, with a fencing token or without.
     fn reroute(
         &self,
         id: &str,
         chain: &Chain,
+        fence: Option<u64>,
         timeout_ms: u64,
     ) -> impl Future<Output = Result<(), OrderFailure>>;
 }
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -118,6 +118,7 @@
 mod request_boundary;
 #[cfg(test)]
 mod request_boundary_tests;
+mod reroutes;
 mod response_codec;
 #[cfg(test)]
 mod restored_list_tests;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -18,6 +18,7 @@
 use super::memory_budget::MemoryBudget;
 use super::peer_book::PeerBook;
 use super::planned_stop::PlannedStop;
+use super::reroutes::Reroutes;
 use super::retry_share::ShareBasis;
 use super::settings::RelaySettings;
 use super::store_health::StoreHealth;
@@ -61,6 +62,8 @@
     /// Instances that could not serve requests for this one lately.
     pub(crate) delegation_history: RefCell<DelegationHistory>,
     pub(crate) checks: RefCell<CheckCache>,
+    /// Orders to change the chains of running streams.
+    pub(super) reroutes: Reroutes,
     /// Engines' responses to this instance's probes, to distinguish a saturated link from a dead engine.
     pub(crate) prompt_answers: RefCell<ProbeHistory>,
     pub(crate) peers: RefCell<PeerBook>,
@@ -151,6 +154,7 @@
             response_memory,
             delegation_history: RefCell::default(),
             checks: RefCell::default(),
+            reroutes: Reroutes::default(),
             prompt_answers: RefCell::default(),
             peer_orders: RefCell::default(),
             store: Cell::default(),
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -5,13 +5,10 @@
 use crate::fleet::{Chain, EndpointFailure, first_gap, replace_stage};
 use crate::ids::EndpointId;
 use crate::relay::{AttemptOutcome, StallAction};
-use crate::relay_server::adapter::{Adapter, EngineControl, OrderFailure};
+use crate::relay_server::adapter::{Adapter, OrderFailure};
 use crate::relay_server::checks::{check_chain, check_chain_in_background};
 use crate::relay_server::held_tokens::HeldTokens;
 
-/// Maximum wait for the response to an order that changes a chain. Callers notice a pause of 200
-/// ms.
-const REROUTE_TIMEOUT_MS: u64 = 150;
 /// Maximum number of orders to change a chain after the loss of one engine, each avoiding another
 /// engine without capacity.
 const MAX_REROUTES: u32 = 3;
@@ -95,24 +92,40 @@
                 first,
             ));
         }
+        if self.replace_lost(held, &unhealthy).await {
+            return Ok(());
+        }
+        // Silence alone is no reason to end a response that cannot be resumed elsewhere.
+        if !self.can_resume(held.chain()) {
+            return Ok(());
+        }
+        Err(RunOutcome::Failed(
+            AttemptOutcome::Lost,
+            EndpointFailure::Silent,
+            unhealthy,
+        ))
+    }
+
+    /// Orders a chain without the lost stages. Returns whether the run goes on.
+    async fn replace_lost(&mut self, held: &mut HeldTokens<A>, unhealthy: &EndpointId) -> bool {
         for _ in 0..MAX_REROUTES {
             // The previous order may have found a stage without capacity.
             let lost = self.unhealthy_stages(held.chain());
             if lost.is_empty() {
                 // Events arrived again while the previous order was in progress.
-                return Ok(());
+                return true;
             }
             let Some(chain) = self.plan_around(held.chain(), &lost) else {
-                self.log_no_replacement(held.chain(), &unhealthy);
+                self.log_no_replacement(held.chain(), unhealthy);
                 break;
             };
-            match self.reroute(&chain, &unhealthy).await {
+            match self.reroute(&chain, unhealthy).await {
                 Ok(()) => {
                     self.repairs += 1;
                     self.stall.chain_changed(boot_ms());
                     self.chain = Some(chain.clone());
                     held.move_to(chain);
-                    return Ok(());
+                    return true;
                 }
                 // Another engine may have the capacity or the layers that this one lacks.
                 Err(OrderFailure::Conflict(Some(address))) => {
@@ -123,15 +136,23 @@
                 Err(_) => break,
             }
         }
-        // Silence alone is no reason to end a response that cannot be resumed elsewhere.
-        if !self.can_resume(held.chain()) {
-            return Ok(());
-        }
-        Err(RunOutcome::Failed(
-            AttemptOutcome::Lost,
-            EndpointFailure::Silent,
-            unhealthy,
-        ))
+        false
+    }
+
+    async fn reroute(&self, chain: &Chain, unhealthy: &EndpointId) -> Result<(), OrderFailure> {
+        let (service, request) = (&self.request.service, &self.request.ask.id);
+        let rerouted = self.node.reroute(service, request, chain).await;
+        let outcome = rerouted.map_or_else(OrderFailure::name, |()| "taken");
+        log::info!(
+            request = request.as_str(),
+            unsound = unhealthy.as_str(),
+            first = chain.first().endpoint.as_str(),
+            stages = chain.stages().len(),
+            silent_ms = self.stall.silence_ms(boot_ms()),
+            outcome;
+            "chain of a running stream is changed"
+        );
+        rerouted
     }
 
     /// Whether no engine accepts connections of this instance, so that it could not send another run.
@@ -159,26 +180,6 @@
         is_left
     }
 
-    async fn reroute(&self, chain: &Chain, unhealthy: &EndpointId) -> Result<(), OrderFailure> {
-        let id = self.request.ask.id.as_str();
-        let engines = self.node.adapter.engines();
-        let rerouted = engines.reroute(id, chain, REROUTE_TIMEOUT_MS).await;
-        let outcome = rerouted.map_or_else(OrderFailure::name, |()| "taken");
-        log::info!(
-            request = id,
-            unsound = unhealthy.as_str(),
-            first = chain.first().endpoint.as_str(),
-            stages = chain.stages().len(),
-            silent_ms = self.stall.silence_ms(boot_ms()),
-            outcome;
-            "chain of a running stream is changed"
-        );
-        let counters = &self.node.counters;
-        counters.count("relay.reroutes");
-        counters.count(&format!("relay.reroutes.{outcome}"));
-        rerouted
-    }
-
     /// Logs why a lost stage is not replaced: the layers that need an engine, and the first of them that none
     /// has which the run could use.
     fn log_no_replacement(&mut self, current: &Chain, lost: &EndpointId) {
