A failed order to change a chain is not repeated at every change of the fleet

Orders are priced, and an engine that fails them is in need already. Now the next order of a run waits 250 ms after a failed one.

--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -118,6 +118,8 @@
     /// Whether the newest run is sent although the request is withheld.
     is_quarantine_trial: bool,
     repairs: u32,
+    /// When the next order to change the chain may be sent, after one that failed.
+    next_reroute_ms: u64,
     /// The newest lost engine that had no replacement, for log lines.
     unreplaced: Option<EndpointId>,
     /// The retry that the next or current run uses.
@@ -162,6 +164,7 @@
             run_events: 0,
             is_cleared: false,
             repairs: 0,
+            next_reroute_ms: 0,
             unreplaced: None,
             retry: None,
             longest_gap_ms: 0,
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -34,6 +34,7 @@
         let stages = chain.stages().iter().map(|stage| &stage.endpoint);
         self.send_context = SendContext::new(&self.node, stages);
         self.chain = Some(chain.clone());
+        self.next_reroute_ms = 0;
         self.run_once(chain).await
     }
 
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -9,6 +9,9 @@
 use crate::relay_server::checks::{check_chain, check_chain_in_background};
 use crate::relay_server::held_tokens::HeldTokens;
 
+/// Interval between orders of one run after a failed one. The fleet changes many times per second, and each change
+/// makes a run that cannot be resumed elsewhere look for a replacement again.
+const REROUTE_INTERVAL_MS: u64 = 250;
 /// Maximum number of orders to change a chain after the loss of one engine, each avoiding another
 /// engine without capacity.
 const MAX_REROUTES: u32 = 3;
@@ -108,6 +111,9 @@
 
     /// Orders a chain without the lost stages. Returns whether the run goes on.
     async fn replace_lost(&mut self, held: &mut HeldTokens<A>, unhealthy: &EndpointId) -> bool {
+        if boot_ms() < self.next_reroute_ms {
+            return false;
+        }
         for _ in 0..MAX_REROUTES {
             // The previous order may have found a stage without capacity.
             let lost = self.unhealthy_stages(held.chain());
@@ -136,6 +142,7 @@
                 Err(_) => break,
             }
         }
+        self.next_reroute_ms = boot_ms() + REROUTE_INTERVAL_MS;
         false
     }
 
