A lost engine is replaced from another zone where the stream may not run again

Callers saw: a stream whose lost engine had no second holder of its layers in the zone, and which could not be run again (no retry left, or not resumable), stood still until the engine cut it off, although another zone held the layers.

Engines of another zone are the last resort, behind the own zone and behind another run.

--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -96,6 +96,16 @@
     pub draw: Option<u64>,
 }
 
+/// Availability zones whose engines may join a running chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Zones {
+    /// That of the first engine. A new stage reads all tokens so far, and their activations would occupy the link
+    /// between two zones.
+    OfFirst,
+    /// All zones.
+    All,
+}
+
 /// Finds the cheapest chain or, with a draw, one of nearly the same cost. Returns `None` if some layer has
 /// no usable engine.
 ///
@@ -103,7 +113,7 @@
 /// and its events are small, whereas a prompt's activations take 21 KB per token and stage on the
 /// shared link between two zones.
 pub fn plan_chain(fleet: &Fleet, request: ChainRequest<'_>, now_ms: u64) -> Option<Chain> {
-    let candidates = candidates(fleet, request, now_ms);
+    let candidates = candidates(fleet, request, Zones::OfFirst, now_ms);
     let zones: IndexSet<&ZoneName> = candidates.iter().map(|it| &it.known.listed.zone).collect();
     let in_zones = zones.into_iter().filter_map(|zone| {
         let in_zone: Vec<&Candidate<'_>> = candidates
@@ -127,9 +137,9 @@
     Chain::checked(stages, request.model.layers)
 }
 
-/// Replaces one stage other than the first by engines of the first stage's zone. All other stages
-/// stay, with the tokens that they hold in memory, even if they would not get new work. Returns
-/// `None` if no usable engine outside the chain holds the layers of the lost stage.
+/// Replaces one stage other than the first. All other stages stay, with the tokens that they hold in memory,
+/// even if they would not get new work. Returns `None` if no usable engine of `zones` outside the chain holds
+/// the layers of the lost stage.
 ///
 /// All streams of the lost engine choose at the same moment, and none knows yet what the others take.
 /// Where one engine can run the stage, it is therefore drawn from all that the displaced streams
@@ -139,20 +149,46 @@
     request: ChainRequest<'_>,
     chain: &Chain,
     lost: &EndpointId,
+    zones: Zones,
     now_ms: u64,
 ) -> Option<Chain> {
     let at = chain.stages.iter().position(|it| it.endpoint == *lost)?;
-    let in_chain = |id: &EndpointId| chain.stages.iter().any(|it| it.endpoint == *id);
     let request = ChainRequest {
         first: Some(chain.first()),
         ..request
     };
     let layers = chain.stages[at].layers;
-    let mut candidates = candidates(fleet, request, now_ms);
+    let candidates = replacements(fleet, request, zones, chain, now_ms);
+    let replacing = replacement_stages(fleet, request, layers, &candidates)?;
+    let mut stages = chain.stages.clone();
+    stages.splice(at..=at, replacing);
+    Chain::checked(stages, request.model.layers)
+}
+
+/// Engines outside a chain that may replace one of its stages.
+fn replacements<'a>(
+    fleet: &'a Fleet,
+    request: ChainRequest<'a>,
+    zones: Zones,
+    chain: &Chain,
+    now_ms: u64,
+) -> Vec<Candidate<'a>> {
+    let in_chain = |id: &EndpointId| chain.stages.iter().any(|it| it.endpoint == *id);
+    let mut candidates = candidates(fleet, request, zones, now_ms);
     candidates.retain(|candidate| !in_chain(&candidate.known.listed.id));
     for candidate in &mut candidates {
         candidate.add_reading(request);
     }
+    candidates
+}
+
+/// The stages that replace a lost one.
+fn replacement_stages(
+    fleet: &Fleet,
+    request: ChainRequest<'_>,
+    layers: LayerRange,
+    candidates: &[Candidate<'_>],
+) -> Option<Vec<ChainStage>> {
     let candidates: Vec<&Candidate<'_>> = candidates.iter().collect();
     let path = cheapest_path(&candidates, layers, request)?;
     let draw = request.draw.filter(|_| path.stages.len() == 1);
@@ -160,28 +196,30 @@
         let displaced = displaced_token_layers(fleet, request, layers);
         share_out(&candidates, layers, request, displaced, draw)
     });
-    let mut stages = chain.stages.clone();
-    stages.splice(at..=at, drawn.map_or(path.stages, |stage| vec![stage]));
-    Chain::checked(stages, request.model.layers)
+    Some(drawn.map_or(path.stages, |stage| vec![stage]))
 }
 
 /// The first layer without a usable engine, for the log line of a request that got no chain.
 pub fn first_gap(fleet: &Fleet, request: ChainRequest<'_>, now_ms: u64) -> Option<u16> {
-    let candidates = candidates(fleet, request, now_ms);
+    let candidates = candidates(fleet, request, Zones::OfFirst, now_ms);
     (0..request.model.layers).find(|layer| {
         let holds = |it: &Candidate<'_>| it.layers.first <= *layer && *layer < it.layers.end;
         !candidates.iter().any(holds)
     })
 }
 
-fn candidates<'a>(fleet: &'a Fleet, request: ChainRequest<'a>, now_ms: u64) -> Vec<Candidate<'a>> {
-    let first = request.first.and_then(|first| fleet.get(&first.endpoint));
+fn candidates<'a>(
+    fleet: &'a Fleet,
+    request: ChainRequest<'a>,
+    zones: Zones,
+    now_ms: u64,
+) -> Vec<Candidate<'a>> {
+    let first = request.first.filter(|_| zones == Zones::OfFirst);
+    let first = first.and_then(|first| fleet.get(&first.endpoint));
     let first_zone = first.map(|known| &known.listed.zone);
     let mut candidates: Vec<Candidate<'_>> = fleet
         .of_service(request.service)
         .filter(|known| known.accepts_work() && !request.excluded.contains(&known.listed.id))
-        // A chain that is already running stays in the zone of its first stage: the new stage
-        // recomputes all tokens so far.
         .filter(|known| first_zone.is_none_or(|zone| known.listed.zone == *zone))
         .filter_map(|known| {
             Candidate::new(known, fleet.may_send(known.id(), now_ms), request, now_ms)
--- a/src/fleet/chain_choice_tests.rs
+++ b/src/fleet/chain_choice_tests.rs
@@ -190,7 +190,7 @@
         });
         let chain = Chain::checked(stages.to_vec(), 20).expect("it covers all layers");
         let replaced = zone.choose(instance, |view, request| {
-            replace_stage(view, request, &chain, &lost, 0)
+            replace_stage(view, request, &chain, &lost, Zones::OfFirst, 0)
         });
         let stage = &replaced.stages()[1..replaced.stages().len() - 1];
         zone.add(instance, stage);
@@ -387,7 +387,7 @@
     for _ in 0..20 {
         let lost = EndpointId::from("lost");
         let replaced = zone.choose(0, |view, request| {
-            replace_stage(view, request, &chain, &lost, 0)
+            replace_stage(view, request, &chain, &lost, Zones::OfFirst, 0)
         });
         assert_eq!(replaced.stages()[1].endpoint.as_str(), "b");
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -42,7 +42,7 @@
 #[cfg(test)]
 mod unread_tests;
 
-pub use chain::{Chain, ChainRequest, ChainStage, first_gap, plan_chain, replace_stage};
+pub use chain::{Chain, ChainRequest, ChainStage, Zones, first_gap, plan_chain, replace_stage};
 pub use entry::{
     EntryError, FleetChange, ListedEndpoint, ListingRead, ListingScope, LiveAgain, LiveReason,
     Phase, UnusableEntry,
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -286,6 +286,10 @@
 }
 
 fn without_stage(fleet: &Fleet, chain: &Chain, lost: &str) -> Option<String> {
+    without_stage_in(fleet, chain, lost, Zones::OfFirst)
+}
+
+fn without_stage_in(fleet: &Fleet, chain: &Chain, lost: &str, zones: Zones) -> Option<String> {
     let request = ChainRequest {
         service: &ServiceName::from("menu-mind"),
         model: &model(),
@@ -299,7 +303,7 @@
     let lost = EndpointId::from(lost);
     let replaced = |draw| {
         let request = ChainRequest { draw, ..request };
-        replace_stage(fleet, request, chain, &lost, 0).map(|it| it.to_string())
+        replace_stage(fleet, request, chain, &lost, zones, 0).map(|it| it.to_string())
     };
     let cheapest = replaced(None);
     for draw in some_draws() {
@@ -322,6 +326,29 @@
     assert_eq!(without_stage(&fleet, &chain, "b1"), None);
 }
 
+#[test]
+fn a_lost_stage_is_replaced_from_another_zone_only_if_that_is_allowed() {
+    let entries = vec![
+        listed("a", "lac", Some(range(0, 6))),
+        listed("b", "lac", Some(range(6, 13))),
+        listed("c", "lac", Some(range(13, 20))),
+        listed("d", "marsa", Some(range(6, 10))),
+        listed("e", "marsa", Some(range(10, 20))),
+    ];
+    let mut fleet = fleet(entries);
+    let stages = ["a", "b", "c"].map(|id| {
+        let known = fleet.get(&EndpointId::from(id));
+        known.and_then(KnownEndpoint::stage).expect("it has layers")
+    });
+    let chain = Chain::checked(stages.into(), 20).expect("it covers all layers");
+    let replaced = Some("a=0-6,d=6-10,e=10-13,c=13-20".to_owned());
+    assert_eq!(without_stage(&fleet, &chain, "b"), None);
+    let in_all = |fleet: &Fleet| without_stage_in(fleet, &chain, "b", Zones::All);
+    assert_eq!(in_all(&fleet), replaced);
+    fleet.apply_leaving_report(&reporting_peer(), &EndpointId::from("d"), 0);
+    assert_eq!(in_all(&fleet), None);
+}
+
 #[test]
 fn an_engine_with_estimated_full_memory_is_preferred_to_one_that_rejected_a_request() {
     let mut fleet = fleet(vec![
--- a/src/fleet/unread_tests.rs
+++ b/src/fleet/unread_tests.rs
@@ -129,7 +129,7 @@
     report(&mut fleet, &[("a", 80)]);
     for draw in [None].into_iter().chain((0..100).map(Some)) {
         let replaced = with_request(draw, |request| {
-            replace_stage(&fleet, request, &chain, &id("lost"), 0)
+            replace_stage(&fleet, request, &chain, &id("lost"), Zones::OfFirst, 0)
         });
         let replaced = replaced.map(|it| it.to_string());
         assert_eq!(replaced.as_deref(), Some("first=0-10,b=10-20"));
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -2,7 +2,7 @@
 
 use super::{RunOutcome, StreamRelay, stage_at};
 use crate::clock::boot_ms;
-use crate::fleet::{Chain, EndpointFailure, first_gap, replace_stage};
+use crate::fleet::{Chain, EndpointFailure, Zones, first_gap, replace_stage};
 use crate::ids::EndpointId;
 use crate::relay::{AttemptOutcome, StallAction};
 use crate::relay_server::adapter::{Adapter, OrderFailure};
@@ -212,18 +212,28 @@
         self.node.counters.count("relay.reroutes.no_replacement");
     }
 
+    /// A chain without the lost stages. Engines of another zone are the last resort: another run is faster, if
+    /// the request may have one.
+    fn plan_around(&self, current: &Chain, lost: &[EndpointId]) -> Option<Chain> {
+        let in_zone = self.replace_stages(current, lost, Zones::OfFirst);
+        let planned = in_zone.or_else(|| self.plan(Some(current)));
+        if planned.is_some() || self.can_resume(current) {
+            return planned;
+        }
+        self.replace_stages(current, lost, Zones::All)
+    }
+
     /// A chain without the lost stages that keeps as many other stages as possible, because new
     /// ones process all tokens again.
-    fn plan_around(&self, current: &Chain, lost: &[EndpointId]) -> Option<Chain> {
+    fn replace_stages(&self, current: &Chain, lost: &[EndpointId], zones: Zones) -> Option<Chain> {
         let fleet = self.node.fleet.borrow();
         let ask = self.chain_ask(&self.attempts, None)?;
         let now_ms = boot_ms();
         let mut chain = Some(current.clone());
         for endpoint in lost {
-            chain = chain.and_then(|it| replace_stage(&fleet, ask, &it, endpoint, now_ms));
+            chain = chain.and_then(|it| replace_stage(&fleet, ask, &it, endpoint, zones, now_ms));
         }
-        drop(fleet);
-        chain.or_else(|| self.plan(Some(current)))
+        chain
     }
 
     /// Stages that have exited, are excluded for this request, or count as dead while the run is
