--- a/src/relay_server/reroutes.rs
+++ b/src/relay_server/reroutes.rs
@@ -45,6 +45,11 @@
     }
 }
 
+/// Name of an order's outcome in counters and log lines.
+pub(super) fn outcome_name(result: Result<(), OrderFailure>) -> &'static str {
+    result.map_or_else(OrderFailure::name, |()| "taken")
+}
+
 impl<A> Node<A>
 where
     A: Adapter,
@@ -53,7 +58,7 @@
     ///
     /// # Errors
     ///
-    /// [`OrderFailure::Fenced`] also if no newer fencing token is known than one that engines have refused.
+    /// [`OrderFailure::Fenced`] also if every known fencing token has been refused.
     pub(crate) async fn reroute(
         &self,
         service: &ServiceName,
@@ -111,7 +116,7 @@
     }
 
     fn count_reroute(&self, result: Result<(), OrderFailure>) {
-        let outcome = result.map_or_else(OrderFailure::name, |()| "taken");
+        let outcome = outcome_name(result);
         self.counters.count("relay.reroutes");
         self.counters.count(&format!("relay.reroutes.{outcome}"));
     }
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -118,7 +118,7 @@
     /// Whether the newest run is sent although the request is withheld.
     is_quarantine_trial: bool,
     repairs: u32,
-    /// When the next order to change the chain may be sent, after one that failed.
+    /// Earliest time of the next order to change the chain.
     next_reroute_ms: u64,
     /// The newest lost engine that had no replacement, for log lines.
     unreplaced: Option<EndpointId>,
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -8,6 +8,7 @@
 use crate::relay_server::adapter::{Adapter, OrderFailure};
 use crate::relay_server::checks::{check_chain, check_chain_in_background};
 use crate::relay_server::held_tokens::HeldTokens;
+use crate::relay_server::reroutes::outcome_name;
 
 /// Interval between orders of one run after a failed one. The fleet changes many times per second, and each change
 /// makes a run that cannot be resumed elsewhere look for a replacement again.
@@ -149,14 +150,13 @@
     async fn reroute(&self, chain: &Chain, unhealthy: &EndpointId) -> Result<(), OrderFailure> {
         let (service, request) = (&self.request.service, &self.request.ask.id);
         let rerouted = self.node.reroute(service, request, chain).await;
-        let outcome = rerouted.map_or_else(OrderFailure::name, |()| "taken");
         log::info!(
             request = request.as_str(),
             unsound = unhealthy.as_str(),
             first = chain.first().endpoint.as_str(),
             stages = chain.stages().len(),
             silent_ms = self.stall.silence_ms(boot_ms()),
-            outcome;
+            outcome = outcome_name(rerouted);
             "chain of a running stream is changed"
         );
         rerouted
