Lease: a renewal whose reply was lost is not forgotten when the next call of that millisecond is not sent

Callers: an instance whose renewal went unanswered, and which then called again within the same millisecond (the lease is wanted, not wanted and wanted again, or another holder is reported as ended) without that call being sent, forgot that the first one may have taken effect. Its next renewal met its own row as a conflict and took the time of that later call for the beginning of the lease: here 23,000 ms in place of 15,000. Meanwhile another instance waits from the row that it read, and two hold the lease. Cause: the last write was recognised by its time of sending. Class: identity by a time that two events can share. Fix: the lease remembers whether the last call is the one that the pending write describes.

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -127,6 +127,8 @@
     /// The first write since the last reply that could be interpreted.
     pending_write: Option<PendingWrite>,
     last_call_ms: u64,
+    /// Whether the last call is the one that `pending_write` describes.
+    last_call_is_pending: bool,
     call_in_flight: bool,
     next_call_ms: u64,
     /// Highest fencing token seen; never decreases.
@@ -166,6 +168,7 @@
             holding: None,
             pending_write: None,
             last_call_ms: 0,
+            last_call_is_pending: false,
             call_in_flight: false,
             next_call_ms: 0,
             highest_fence: 0,
@@ -235,7 +238,9 @@
         if self.call_in_flight || now_ms < self.next_call_ms {
             return None;
         }
+        let had_pending = self.pending_write.is_some();
         let call = self.next_call(now_ms)?;
+        self.last_call_is_pending = !had_pending && self.pending_write.is_some();
         self.call_in_flight = true;
         self.last_call_ms = now_ms;
         Some(call)
@@ -356,8 +361,7 @@
     }
 
     fn call_failed(&mut self, failure: TableFailure) {
-        let is_last = |pending: &PendingWrite| pending.sent_ms == self.last_call_ms;
-        if !failure.may_have_applied() && self.pending_write.as_ref().is_some_and(is_last) {
+        if self.last_call_is_pending && !failure.may_have_applied() {
             self.pending_write = None;
         }
     }
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 
-use super::{LEASE_MS, Lease, LeaseEvent, MAX_ORDER_DELAY_MS};
+use super::{LEASE_MS, Lease, LeaseEvent, MARGIN_MS, MAX_ORDER_DELAY_MS};
 use crate::clients::TableFailure;
 use crate::control::tests::fake_table::FakeTable;
 use crate::ids::{Incarnation, InstanceId, ServiceName};
@@ -162,6 +162,29 @@
     assert_eq!(simulation.taken, [(1, 0)]);
 }
 
+#[test]
+fn a_lost_renewal_still_counts_after_a_call_of_the_same_millisecond_that_was_not_sent() {
+    let mut simulation = Simulation::new();
+    run(&mut simulation, 1, 2_000);
+    simulation.now_ms += 3_000;
+    simulation.call(1, Fate::AppliedReplyLost);
+    simulation.leases[1].want(false);
+    simulation.leases[1].want(true);
+    simulation.call(1, Fate::NotSent);
+    let renewed_ms = simulation.now_ms;
+    run(&mut simulation, 0, 100);
+    simulation.now_ms = renewed_ms + 8_000;
+    simulation.call(1, Fate::Delivered);
+    let held = simulation.leases[1].held(simulation.now_ms);
+    assert_eq!(
+        held.map(|held| held.valid_until_ms),
+        Some(renewed_ms + LEASE_MS)
+    );
+    simulation.now_ms = renewed_ms + LEASE_MS + MARGIN_MS;
+    simulation.call(0, Fate::Delivered);
+    assert_eq!(simulation.holders(), 1);
+}
+
 #[test]
 fn an_expired_lease_is_taken_over_under_a_higher_fence() {
     let mut simulation = Simulation::new();
