Retry budget: a retry on a chain is charged for each engine at which it arrives

Cause: the budget counted sends, while the rule counts arrivals. Now a retry is taken with the length of the stream's newest chain, its charge is corrected once the chain of the run is known, and a run that an engine refuses is charged up to that engine. Demand and loans between instances are in the same unit. Tests: the new ones count arrivals on chains against the allowance; before, a retry had no number of engines.

--- a/src/fleet/chain.rs
+++ b/src/fleet/chain.rs
@@ -69,6 +69,17 @@
         &self.stages
     }
 
+    /// Number of engines, one for each stage.
+    pub(crate) fn engines(&self) -> u32 {
+        u32::try_from(self.stages.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Number of engines up to and including one of them; `None` if it is not in the chain.
+    pub(crate) fn engines_until(&self, last: &EndpointId) -> Option<u32> {
+        let position = self.stages.iter().position(|it| it.endpoint == *last)?;
+        u32::try_from(position + 1).ok()
+    }
+
     /// The stage that receives the request.
     pub fn first(&self) -> &ChainStage {
         &self.stages[0]
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -4,13 +4,14 @@
 //! plus a fixed slack. Each instance has the ratio of its own requests and an even share of the
 //! slack, so that the total holds without coordination: each request counts at one instance only, and all
 //! instances count those of the same windows. Endpoints count arrivals: a retry counts from the
-//! moment at which it is taken until a window after its latest possible arrival. Instances of one zone
-//! lend each other what they do not need; see [`loans`](super::loans).
+//! moment at which it is taken until a window after its latest possible arrival. A retry that runs on a chain
+//! arrives at each engine of it, and is charged for each. Instances of one zone lend each other what they do
+//! not need; see [`loans`](super::loans).
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::loans::{Lender, LendingSource, RetryAmount, RetryLoan, allocate};
+use super::loans::{Lender, LendingSource, RETRY_MILLI, RetryAmount, RetryLoan, allocate};
 use super::window::{BudgetUsage, Window, retries_count_until_ms};
 use crate::ids::ServiceName;
 
@@ -27,25 +28,40 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryId(u64);
 
-/// What a retry is for, and how urgent its request is.
+/// What a retry is for, at how many engines it arrives, and how urgent its request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryClass {
     /// What it is for.
     pub purpose: RetryPurpose,
+    /// Number of engines at which it arrives: the length of its chain. At least 1.
+    pub engines: u32,
     /// Number of distinct priorities of the service that are more urgent than that of the request.
     pub more_urgent_priorities: u32,
 }
 
+impl RetryClass {
+    /// What it is charged, in thousandths of a retry.
+    pub(super) fn milli(self) -> u64 {
+        charge_milli(self.engines)
+    }
+}
+
 impl From<RetryPurpose> for RetryClass {
-    /// The class where all requests of the service are equally urgent.
+    /// The class of a retry at one engine where all requests of the service are equally urgent.
     fn from(purpose: RetryPurpose) -> Self {
         Self {
             purpose,
+            engines: 1,
             more_urgent_priorities: 0,
         }
     }
 }
 
+/// What a retry at so many engines is charged, in thousandths of a retry.
+fn charge_milli(engines: u32) -> u64 {
+    u64::from(engines.max(1)) * RETRY_MILLI
+}
+
 /// What all instances together may retry within a window, and how many instances share it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetShare {
@@ -137,15 +153,17 @@
     }
 
     /// Records demand for a retry, so that other instances are asked to lend one.
-    pub fn note_demand(
+    pub fn note_demand<C>(
         &mut self,
         service: &ServiceName,
         share: BudgetShare,
-        purpose: RetryPurpose,
+        class: C,
         now_ms: u64,
-    ) {
-        self.window(service, share, now_ms)
-            .record_demand(purpose, now_ms);
+    ) where
+        C: Into<RetryClass>,
+    {
+        let window = self.window(service, share, now_ms);
+        window.record_demand(class.into(), now_ms);
     }
 
     /// Takes one retry from the budget, if one is left. It counts until it is refunded, or for a window after
@@ -163,15 +181,23 @@
         let class = class.into();
         let id = RetryId(self.next_retry);
         let window = self.window(service, share, now_ms);
-        window.record_demand(class.purpose, now_ms);
+        window.record_demand(class, now_ms);
         if !window.has_left(share, class, now_ms) {
             return None;
         }
-        window.record_retry(id, class.purpose, now_ms);
+        window.record_retry(id, class, now_ms);
         self.next_retry += 1;
         Some(id)
     }
 
+    /// Changes the number of engines at which a retry arrives, once its chain is known. Of a longer chain than
+    /// expected the rest is charged even if it is not left, so that later retries wait for it.
+    pub fn set_engines(&mut self, service: &ServiceName, id: RetryId, engines: u32) {
+        if let Some(window) = self.services.get_mut(service) {
+            window.set_charge(id, charge_milli(engines));
+        }
+    }
+
     /// Refunds a retry that was taken but not sent.
     pub fn refund(&mut self, service: &ServiceName, id: RetryId) {
         if let Some(window) = self.services.get_mut(service) {
--- a/src/relay/reserve_tests.rs
+++ b/src/relay/reserve_tests.rs
@@ -16,6 +16,7 @@
 fn class(more_urgent_priorities: u32) -> RetryClass {
     RetryClass {
         purpose: RetryPurpose::Start,
+        engines: 1,
         more_urgent_priorities,
     }
 }
@@ -50,6 +51,7 @@
     let mut budget = RetryBudget::default();
     let resume = RetryClass {
         purpose: RetryPurpose::Resume,
+        engines: 1,
         more_urgent_priorities: 3,
     };
     assert_eq!(take_all(&mut budget, resume), 56);
@@ -65,7 +67,7 @@
         let (mut plain, mut classed) = (RetryBudget::default(), RetryBudget::default());
         for (at_ms, is_resume) in (0u64..).zip(purposes) {
             let purpose = if is_resume { RetryPurpose::Resume } else { RetryPurpose::Start };
-            let class = RetryClass { purpose, more_urgent_priorities: 0 };
+            let class = RetryClass { purpose, engines: 1, more_urgent_priorities: 0 };
             let taken = plain.take(&service, SHARE, purpose, at_ms).is_some();
             prop_assert_eq!(taken, classed.take(&service, SHARE, class, at_ms).is_some());
         }
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -148,6 +148,64 @@
     assert!(is_final(third), "{third:?}");
 }
 
+/// A retry that runs on a chain of so many engines.
+fn on_engines(engines: u32) -> RetryClass {
+    RetryClass {
+        engines,
+        ..RetryPurpose::Resume.into()
+    }
+}
+
+/// Guards against chains of ten engines that get ten times the arrivals of the retries that are charged.
+#[test]
+fn retries_on_chains_stay_within_the_allowance_at_all_their_engines() {
+    let service = ServiceName::from("ledger-api");
+    let mut budget = RetryBudget::default();
+    let share = BudgetShare {
+        slack: 100.0,
+        instances: Some(1),
+        ..SHARE
+    };
+    let mut take = |engines| budget.take(&service, share, on_engines(engines), 1_000);
+    let arrivals: u32 = [10, 6, 10, 8, 10, 10, 10, 10, 10, 10, 1, 1, 1, 1, 1, 1, 1]
+        .into_iter()
+        .filter(|engines| take(*engines).is_some())
+        .sum();
+    assert_eq!(arrivals, 70);
+}
+
+#[test]
+fn a_retry_on_a_shorter_chain_than_expected_leaves_the_rest_to_others() {
+    let service = ServiceName::from("ledger-api");
+    let mut budget = RetryBudget::default();
+    let share = BudgetShare {
+        slack: 20.0,
+        instances: Some(1),
+        ..SHARE
+    };
+    let first = budget.take(&service, share, on_engines(10), 1_000);
+    assert_eq!(budget.take(&service, share, on_engines(10), 1_000), None);
+    budget.set_engines(&service, first.expect("a retry was left"), 4);
+    let second = budget.take(&service, share, on_engines(10), 1_000);
+    assert!(second.is_some());
+    assert_eq!(budget.take(&service, share, on_engines(1), 1_000), None);
+}
+
+#[test]
+fn a_retry_on_a_longer_chain_than_expected_is_charged_for_all_of_it() {
+    let service = ServiceName::from("ledger-api");
+    let mut budget = RetryBudget::default();
+    let share = BudgetShare {
+        slack: 20.0,
+        instances: Some(1),
+        ..SHARE
+    };
+    let first = budget.take(&service, share, on_engines(2), 1_000);
+    budget.set_engines(&service, first.expect("a retry was left"), 12);
+    assert!(budget.take(&service, share, on_engines(2), 1_000).is_some());
+    assert_eq!(budget.take(&service, share, on_engines(1), 1_000), None);
+}
+
 #[test]
 fn budget_refills_as_the_window_moves() {
     let service = ServiceName::from("ledger-api");
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -87,13 +87,15 @@
 struct RetryDemand {
     at_ms: u64,
     purpose: RetryPurpose,
+    milli: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct SentRetry {
     id: RetryId,
     purpose: RetryPurpose,
-    /// Part that is charged to the own share.
+    milli: u64,
+    /// Part of `milli` that is charged to the own share.
     own_milli: u64,
     /// When it has arrived at the latest; `None` as long as it may still wait or be on its way. Endpoints
     /// count arrivals, and a retry may arrive long after it was taken.
@@ -162,9 +164,12 @@
         self.requests_ms.push_back(now_ms);
     }
 
-    pub(super) fn record_demand(&mut self, purpose: RetryPurpose, now_ms: u64) {
-        let at_ms = now_ms;
-        self.demand.push_back(RetryDemand { at_ms, purpose });
+    pub(super) fn record_demand(&mut self, class: RetryClass, now_ms: u64) {
+        self.demand.push_back(RetryDemand {
+            at_ms: now_ms,
+            purpose: class.purpose,
+            milli: class.milli(),
+        });
     }
 
     /// Drops entries that no longer count.
@@ -179,7 +184,7 @@
 
     pub(super) fn has_left(&self, share: BudgetShare, class: RetryClass, at_ms: u64) -> bool {
         let left = self.balance(share, at_ms).available_milli(class.purpose);
-        left >= RETRY_MILLI + self.reserve_milli(share, class, at_ms)
+        left >= class.milli() + self.reserve_milli(share, class, at_ms)
     }
 
     /// What a request must leave for more urgent ones. A caller that holds a part of its response
@@ -202,20 +207,30 @@
     }
 
     /// Records a retry. Loans are used first, since they expire.
-    pub(super) fn record_retry(&mut self, id: RetryId, purpose: RetryPurpose, now_ms: u64) {
-        let mut own_milli = RETRY_MILLI;
-        if purpose == RetryPurpose::Resume {
+    pub(super) fn record_retry(&mut self, id: RetryId, class: RetryClass, now_ms: u64) {
+        let mut own_milli = class.milli();
+        if class.purpose == RetryPurpose::Resume {
             own_milli -= self.borrowed_to_resume.consume(own_milli, now_ms);
         }
         own_milli -= self.borrowed.consume(own_milli, now_ms);
         self.retries.push(SentRetry {
             id,
-            purpose,
+            purpose: class.purpose,
+            milli: class.milli(),
             own_milli,
             arrived_by_ms: None,
         });
     }
 
+    /// Changes what a retry is charged. What it used of loans is not restored, and no more is used.
+    pub(super) fn set_charge(&mut self, id: RetryId, milli: u64) {
+        let mut retries = self.retries.iter_mut();
+        if let Some(retry) = retries.find(|retry| retry.id == id) {
+            retry.own_milli = (retry.own_milli + milli).saturating_sub(retry.milli);
+            retry.milli = milli;
+        }
+    }
+
     /// Removes a retry that was not sent. What it used of loans is not restored.
     pub(super) fn remove(&mut self, id: RetryId) {
         self.retries.retain(|retry| retry.id != id);
@@ -233,9 +248,10 @@
     pub(super) fn need_milli(&self, share: BudgetShare, purpose: RetryPurpose, now_ms: u64) -> u64 {
         let is_recent =
             |it: &&RetryDemand| it.purpose == purpose && now_ms <= it.at_ms + DEMAND_WINDOW_MS;
-        let demand = self.demand.iter().filter(is_recent).count() as u64;
+        let recent = self.demand.iter().filter(is_recent);
+        let demand_milli: u64 = recent.map(|it| it.milli).sum();
         let left = self.balance(share, now_ms).available_milli(purpose);
-        (demand * RETRY_MILLI).saturating_sub(left)
+        demand_milli.saturating_sub(left)
     }
 
     /// The amount that may be lent. A process that has just started lends nothing, since an earlier
@@ -330,8 +346,8 @@
             own_milli: self.own_left_milli(share, at_ms),
             borrowed_milli: self.borrowed.total_milli(at_ms),
             borrowed_to_resume_milli: self.borrowed_to_resume.total_milli(at_ms),
-            sent_milli: sent.count() as u64 * RETRY_MILLI,
-            start_milli: starts.count() as u64 * RETRY_MILLI,
+            sent_milli: sent.map(|it| it.milli).sum(),
+            start_milli: starts.map(|it| it.milli).sum(),
         }
     }
 
--- a/src/relay_server/retries.rs
+++ b/src/relay_server/retries.rs
@@ -9,7 +9,7 @@
 use crate::ids::ServiceName;
 use crate::relay::{
     AttemptLimit, AttemptOutcome, Attempts, MAX_ARRIVAL_DELAY_MS, RetryClass, RetryConditions,
-    RetryId, RetryPurpose,
+    RetryId,
 };
 
 /// A retry that was taken from the budget for the next or the current send of a request.
@@ -28,6 +28,12 @@
 where
     A: Adapter,
 {
+    /// Changes the number of engines at which the retry arrives.
+    pub(crate) fn set_engines(&self, engines: u32) {
+        let mut budget = self.node.budget.borrow_mut();
+        budget.set_engines(&self.service, self.id, engines);
+    }
+
     /// Ends the retry, which has arrived by then.
     pub(crate) fn end(mut self, arrived_by_ms: u64) {
         self.arrived_by_ms = Some(arrived_by_ms);
@@ -81,6 +87,7 @@
             request = request.ask.id.as_str(),
             service = service.as_str(),
             purpose:? = class.purpose,
+            engines = class.engines,
             is_left = id.is_some(),
             repeats_left = budget.remaining(service, share, boot_ms()),
             counted_requests = usage.requests,
@@ -152,22 +159,23 @@
 
     /// When the budget will have one more retry if only time passes; not later than `now_ms` if one
     /// is left now.
-    pub(crate) fn next_retry_ms(
-        &self,
-        service: &ServiceName,
-        purpose: RetryPurpose,
-        now_ms: u64,
-    ) -> u64 {
+    pub(crate) fn next_retry_ms<C>(&self, service: &ServiceName, class: C, now_ms: u64) -> u64
+    where
+        C: Into<RetryClass>,
+    {
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
-        budget.next_available_ms(service, share, purpose, now_ms)
+        budget.next_available_ms(service, share, class, now_ms)
     }
 
     /// Notes that a request waits for a retry, so that one is borrowed from other instances.
-    pub(crate) fn note_retry_demand(&self, service: &ServiceName, purpose: RetryPurpose) {
+    pub(crate) fn note_retry_demand<C>(&self, service: &ServiceName, class: C)
+    where
+        C: Into<RetryClass>,
+    {
         let share = self.budget_share();
         let mut budget = self.budget.borrow_mut();
-        budget.note_demand(service, share, purpose, boot_ms());
+        budget.note_demand(service, share, class, boot_ms());
         self.counters.count("relay.repeats.awaited");
     }
 
--- a/src/relay_server/stream.rs
+++ b/src/relay_server/stream.rs
@@ -106,6 +106,8 @@
     is_logged: bool,
     /// Chain of the newest run, for log lines; `None` if another instance chose it.
     chain: Option<Chain>,
+    /// Number of engines of the newest chain that this instance chose; 1 before the first one.
+    chain_engines: u32,
     /// What was known when the newest run was sent.
     send_context: SendContext,
     runs: u32,
@@ -158,6 +160,7 @@
             failure: None,
             is_logged: false,
             chain: None,
+            chain_engines: 1,
             send_context: SendContext::default(),
             runs: 0,
             head_ms: None,
@@ -419,13 +422,14 @@
         }
     }
 
-    /// What the next retry is for, and how many priorities of the service are more urgent than that of
-    /// this request.
+    /// What the next retry is for, on how many engines it probably runs, and how many priorities of the
+    /// service are more urgent than that of this request.
     fn retry_class(&self) -> RetryClass {
         let request = &self.request;
         let table = &request.table;
         RetryClass {
             purpose: self.retry_purpose(),
+            engines: self.chain_engines,
             more_urgent_priorities: table
                 .more_urgent_priorities(&request.service, request.priority),
         }
--- a/src/relay_server/stream/chain_run.rs
+++ b/src/relay_server/stream/chain_run.rs
@@ -34,6 +34,10 @@
         let stages = chain.stages().iter().map(|stage| &stage.endpoint);
         self.send_context = SendContext::new(&self.node, stages);
         self.chain = Some(chain.clone());
+        self.chain_engines = chain.engines();
+        if let Some(retry) = &self.retry {
+            retry.set_engines(self.chain_engines);
+        }
         self.next_reroute_ms = 0;
         self.run_once(chain).await
     }
@@ -274,6 +278,7 @@
             silent_ms = self.stall.silence_ms(now_ms);
             "run failed"
         );
+        self.record_reach_of_refusal(at_fault, outcome);
         self.attempts.exclude_after(at_fault, outcome, now_ms);
         if failure == EndpointFailure::Garbled {
             self.attempts.record_invalid(at_fault);
@@ -281,6 +286,20 @@
         self.record_interrupted_run(at_fault, outcome);
     }
 
+    /// Charges the retry of a run that an engine refused for the engines up to that one only.
+    fn record_reach_of_refusal(&self, refusing: &EndpointId, outcome: AttemptOutcome) {
+        if outcome != AttemptOutcome::TurnedAway {
+            return;
+        }
+        let reached = self
+            .chain
+            .as_ref()
+            .and_then(|it| it.engines_until(refusing));
+        if let (Some(retry), Some(engines)) = (&self.retry, reached) {
+            retry.set_engines(engines);
+        }
+    }
+
     fn mark_full(&self, endpoint: &EndpointId) {
         self.node.record_full(endpoint);
     }
--- a/src/relay_server/stream/go_on.rs
+++ b/src/relay_server/stream/go_on.rs
@@ -6,7 +6,7 @@
 use crate::clock::boot_ms;
 use crate::fleet::{Chain, KnownEndpoint};
 use crate::ids::EndpointId;
-use crate::relay::{RefusalCause, ResumeBlocker, RetryPurpose};
+use crate::relay::{RefusalCause, ResumeBlocker, RetryClass};
 use crate::relay_server::adapter::Adapter;
 use crate::relay_server::capacity_queue::{QueuePlace, QueueWake};
 use crate::relay_server::delegation::DelegationReason;
@@ -90,22 +90,21 @@
     /// requests.
     fn request_loan(&self) {
         let service = &self.request.service;
-        self.node.note_retry_demand(service, RetryPurpose::Resume);
+        self.node.note_retry_demand(service, self.retry_class());
     }
 
     fn try_next_run(&mut self, now_ms: u64) -> Result<RunTarget, ResumeBlocker> {
-        let service = &self.request.service.clone();
         // Checked first because it is cheapest.
-        let due_ms = self
-            .node
-            .next_retry_ms(service, RetryPurpose::Resume, now_ms);
-        if due_ms > now_ms {
-            return Err(ResumeBlocker::Retry { due_ms });
-        }
+        self.check_retry(self.retry_class(), now_ms)?;
         let target = self.target_with_capacity(now_ms)?;
+        if let RunTarget::Chain(chain) = &target {
+            self.chain_engines = chain.engines();
+        }
+        let class = self.retry_class();
+        self.check_retry(class, now_ms)?;
         // Taken only now that the run can be sent: a retry taken earlier would also leave the
         // window earlier.
-        self.retry = self.node.take_retry(&self.request, RetryPurpose::Resume);
+        self.retry = self.node.take_retry(&self.request, class);
         if self.retry.is_none() {
             return Err(ResumeBlocker::Retry { due_ms: now_ms });
         }
@@ -113,6 +112,16 @@
         Ok(target)
     }
 
+    /// Fails with the time at which the budget will have a retry of a class, unless it has one now.
+    fn check_retry(&self, class: RetryClass, now_ms: u64) -> Result<(), ResumeBlocker> {
+        let service = &self.request.service;
+        let due_ms = self.node.next_retry_ms(service, class, now_ms);
+        if due_ms > now_ms {
+            return Err(ResumeBlocker::Retry { due_ms });
+        }
+        Ok(())
+    }
+
     fn target_with_capacity(&mut self, now_ms: u64) -> Result<RunTarget, ResumeBlocker> {
         if let Some(delegate) = self.choose_delegate(DelegationReason::CutOff) {
             return Ok(RunTarget::Delegate(delegate));
--- a/src/relay_server/stream/repair.rs
+++ b/src/relay_server/stream/repair.rs
@@ -177,12 +177,12 @@
             return false;
         }
         let service = &self.request.service;
-        let purpose = self.retry_purpose();
-        let is_left = self.node.has_retry(service, self.retry_class());
+        let class = self.retry_class();
+        let is_left = self.node.has_retry(service, class);
         if !is_left {
             // The current run may have ended, so a retry is requested from other instances in the
             // meantime.
-            self.node.note_retry_demand(service, purpose);
+            self.node.note_retry_demand(service, class);
         }
         is_left
     }
