Documents: peers that hold an older version are sent what has changed

Cause: a document of 302 kB goes over links of 14 Mbit/s whole for a change of 200 bytes. Now an instance remembers the outlines of the last 16 versions that it held, and answers a peer that holds one of them, and says that it takes changes, with the edits that lead from there to its own version, if they are shorter than what the peer lacks. Instances of earlier releases neither ask for changes nor get any.

--- a/src/relay_server/document_parts.rs
+++ b/src/relay_server/document_parts.rs
@@ -4,10 +4,11 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::document_changes::DocumentChanges;
 use super::query::query_pairs;
 
 /// Longest document that is accepted.
-const MAX_DOCUMENT_BYTES: u64 = 8 << 20;
+pub(super) const MAX_DOCUMENT_BYTES: u64 = 8 << 20;
 
 /// Which part of the document is requested.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -18,18 +19,21 @@
     pub(super) version: u64,
     /// Number of bytes of that version that have been received.
     pub(super) received_bytes: u64,
+    /// Whether changes to the version that the requester holds are accepted in place of a part.
+    pub(super) takes_changes: bool,
 }
 
 impl DocumentQuery {
     /// Formats the query for a URL.
     pub(super) fn to_query_string(self) -> String {
         let wanted = u8::from(self.is_wanted);
+        let changes = u8::from(self.takes_changes);
         let Self {
             version,
             received_bytes,
             ..
         } = self;
-        format!("document={wanted}&version={version}&from={received_bytes}")
+        format!("document={wanted}&version={version}&from={received_bytes}&changes={changes}")
     }
 
     /// Parses the query of a request. Missing and malformed values count as 0.
@@ -41,6 +45,7 @@
                 "document" => parsed.is_wanted = value != 0,
                 "version" => parsed.version = value,
                 "from" => parsed.received_bytes = value,
+                "changes" => parsed.takes_changes = value != 0,
                 _ => {}
             }
         }
@@ -80,6 +85,8 @@
         /// How long to wait before the next request.
         wait_ms: u64,
     },
+    /// What differs in a newer version. Only for requesters that accept it.
+    Changes(DocumentChanges),
 }
 
 /// Why a part was rejected.
@@ -117,11 +124,12 @@
     }
 
     /// The query for the next part.
-    pub(super) fn query(&self, is_wanted: bool) -> DocumentQuery {
+    pub(super) fn query(&self, is_wanted: bool, takes_changes: bool) -> DocumentQuery {
         DocumentQuery {
             is_wanted,
             version: self.version,
             received_bytes: self.content.len() as u64,
+            takes_changes,
         }
     }
 
--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -107,6 +107,9 @@
     };
     let version = sourced.table.version;
     let change = node.table.borrow_mut().update(sourced, sent_ms);
+    if change == TableChange::Applied {
+        remember_document(node, version);
+    }
     node.update_informed();
     match change {
         TableChange::Applied => {
@@ -119,6 +122,14 @@
     change == TableChange::Applied
 }
 
+/// Remembers the document in force, so that peers with older versions can be sent what has changed.
+fn remember_document<A>(node: &Node<A>, version: u64) {
+    let table = node.table.borrow();
+    if let Some(source) = table.source() {
+        node.document_history.borrow_mut().record(version, source);
+    }
+}
+
 /// Keeps the endpoint list up to date until the process exits.
 pub(crate) async fn follow_endpoints<A>(node: Rc<Node<A>>)
 where
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -38,6 +38,9 @@
 mod demand_exchange;
 #[cfg(test)]
 mod demand_exchange_tests;
+mod document_changes;
+#[cfg(test)]
+mod document_changes_tests;
 #[cfg(test)]
 mod document_distribution_tests;
 mod document_parts;
--- a/src/relay_server/node.rs
+++ b/src/relay_server/node.rs
@@ -11,6 +11,7 @@
 use super::caller_connections::CallerConnections;
 use super::capacity_queue::CapacityQueues;
 use super::checks::CheckCache;
+use super::document_changes::DocumentHistory;
 use super::fleet_lines::log_changes;
 use super::heartbeat::Availability;
 use super::life_signs::ProbedReplicas;
@@ -77,6 +78,8 @@
     pub(crate) are_records_loaded: Cell<bool>,
     /// Recent reads of the endpoint list that other instances may need.
     pub(crate) list_log: RefCell<ListLog>,
+    /// Versions of the document that were in force here lately.
+    pub(super) document_history: RefCell<DocumentHistory>,
     /// Open connections of callers.
     pub(crate) caller_connections: RefCell<CallerConnections>,
     /// First and last time at which connections could not be accepted, since the last that was.
@@ -161,6 +164,7 @@
             reads_store: watch::Sender::new(false),
             are_records_loaded: Cell::new(false),
             list_log: RefCell::default(),
+            document_history: RefCell::default(),
             started_ms: boot_ms(),
             informed: watch::Sender::new(false),
             endpoint_unreachable: Notify::new(),
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -18,8 +18,10 @@
 use tokio::time::sleep;
 
 use super::adapter::{Adapter, FeedFailure};
+use super::document_changes::{DocumentChanges, DocumentChangesError};
 use super::document_parts::{
-    DocumentPart, DocumentPartError, DocumentQuery, DocumentReply, PartialDocument,
+    CompleteDocument, DocumentPart, DocumentPartError, DocumentQuery, DocumentReply,
+    PartialDocument,
 };
 use super::feeds::apply_table;
 use super::list_log::ListDelta;
@@ -97,6 +99,8 @@
     #[error("{0}")]
     DocumentPart(#[from] DocumentPartError),
     #[error("{0}")]
+    DocumentChanges(#[from] DocumentChangesError),
+    #[error("{0}")]
     ListPart(#[from] ListPartError),
     #[error("unusable document: {0}")]
     Document(#[from] FeedFailure),
@@ -144,7 +148,8 @@
 {
     let document_bytes = match &snapshot.document {
         DocumentReply::Part(part) => part.content.len(),
-        _ => 0,
+        DocumentReply::Changes(changes) => changes.estimated_bytes(),
+        DocumentReply::Nothing | DocumentReply::Busy { .. } => 0,
     };
     let total_bytes = match response.body().size() {
         BodySize::Sized(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
@@ -212,26 +217,56 @@
     let offset_bytes = query.resume_offset(table.version, source.len());
     let remaining = &source.as_bytes()[offset_bytes..];
     let peer = peer.map(|it| it.to_string());
-    match node.uplink.borrow_mut().admit(remaining.len(), now_ms) {
-        Admission::Granted { bytes } => {
-            let counter = "relay.snapshots.document_bytes";
-            node.counters.add(counter, bytes as u64);
-            let is_last = bytes == remaining.len();
-            log::info!(peer, table = table.version, from_bytes = offset_bytes, bytes, is_last; "sending part of the document to peer");
-            DocumentReply::Part(DocumentPart {
-                version: table.version,
-                total_bytes: source.len() as u64,
-                offset_bytes: offset_bytes as u64,
-                content: remaining[..bytes].to_vec(),
-                age_ms: current.age_ms(now_ms),
-            })
-        }
+    let changes = changes_shorter_than(node, known, query, remaining.len(), now_ms);
+    let missing_bytes = changes
+        .as_ref()
+        .map_or(remaining.len(), DocumentChanges::estimated_bytes);
+    let bytes = match node.uplink.borrow_mut().admit(missing_bytes, now_ms) {
+        Admission::Granted { bytes } => bytes,
         Admission::Busy { wait_ms } => {
             node.counters.count("relay.snapshots.busy");
             log::debug!(peer, table = table.version, wait_ms; "link busy, part of the document not sent to peer");
-            DocumentReply::Busy { wait_ms }
+            return DocumentReply::Busy { wait_ms };
         }
+    };
+    node.counters
+        .add("relay.snapshots.document_bytes", bytes as u64);
+    if let Some(changes) = changes.filter(|_| bytes == missing_bytes) {
+        node.counters.count("relay.snapshots.document_changes");
+        log::info!(peer, table = table.version, base = known.table, bytes; "sending changes of the document to peer");
+        return DocumentReply::Changes(changes);
     }
+    let is_last = bytes == remaining.len();
+    log::info!(peer, table = table.version, from_bytes = offset_bytes, bytes, is_last; "sending part of the document to peer");
+    DocumentReply::Part(DocumentPart {
+        version: table.version,
+        total_bytes: source.len() as u64,
+        offset_bytes: offset_bytes as u64,
+        content: remaining[..bytes].to_vec(),
+        age_ms: current.age_ms(now_ms),
+    })
+}
+
+/// What has changed since the version of a requester that accepts changes, if that takes fewer bytes than the rest
+/// of the document that it lacks.
+fn changes_shorter_than<A>(
+    node: &Node<A>,
+    known: KnownVersions,
+    query: DocumentQuery,
+    remaining_bytes: usize,
+    now_ms: u64,
+) -> Option<DocumentChanges>
+where
+    A: Adapter,
+{
+    if !query.takes_changes {
+        return None;
+    }
+    let current = node.table.borrow();
+    let age_ms = current.age_ms(now_ms);
+    let history = node.document_history.borrow();
+    let changes = history.changes_since(known.table, current.source()?, age_ms)?;
+    Some(changes).filter(|it| it.estimated_bytes() < remaining_bytes)
 }
 
 /// Requests snapshots from peers that have newer versions, for as long as the process runs.
@@ -271,6 +306,9 @@
 struct ReceivedParts {
     document: PartialDocument,
     list: PartialList,
+    /// The own version of the document to which changes could not be applied, if there is one: changes to it are
+    /// not asked for again.
+    unchangeable: Option<u64>,
 }
 
 fn next_action<A>(
@@ -335,7 +373,8 @@
     } = request;
     let sent_ms = boot_ms();
     let known = own_versions(node);
-    let document = received.document.query(*wants_document);
+    let takes_changes = received.unchangeable != Some(known.table);
+    let document = received.document.query(*wants_document, takes_changes);
     let path = known.path(document, received.list.query(&peer.instance));
     let scope = TrafficScope::of_same_zone(peer.is_same_zone);
     let path = format!("{path}&scope={}", scope.value());
@@ -370,6 +409,13 @@
             add_document_part(node, &mut received.document, part, peer, sent_ms)?;
             Ok(true)
         }
+        DocumentReply::Changes(changes) => {
+            let applied = apply_document_changes(node, &changes, peer, sent_ms);
+            if applied.is_err() {
+                received.unchangeable = Some(changes.base_version);
+            }
+            applied.map(|()| true)
+        }
     }
 }
 
@@ -393,23 +439,63 @@
 where
     A: Adapter,
 {
-    let total_bytes = part.total_bytes;
     let (complete, discarded_bytes) = partial.add(part, sent_ms)?;
     count_discarded(node, discarded_bytes);
-    if let Some(complete) = complete {
-        let table = node.adapter.parse_table(&complete.content)?;
-        log::info!(
-            peer:% = peer.address,
-            table = table.version,
-            bytes = total_bytes,
-            last_part_ms = boot_ms().saturating_sub(sent_ms);
-            "received document from peers"
-        );
-        let source = complete.content;
-        let sourced = TableWithSource { table, source };
-        if apply_table(node, Some(sourced), complete.newest_at_ms) {
-            node.request_heartbeat();
-        }
+    match complete {
+        Some(complete) => apply_document(node, complete, peer, sent_ms),
+        None => Ok(()),
+    }
+}
+
+/// Applies changes that were requested at `sent_ms` to the document in force, unless another version has come into
+/// force since.
+fn apply_document_changes<A>(
+    node: &Node<A>,
+    changes: &DocumentChanges,
+    peer: &SyncSource,
+    sent_ms: u64,
+) -> Result<(), SnapshotError>
+where
+    A: Adapter,
+{
+    let current = node.table.borrow();
+    let is_base = current
+        .table()
+        .is_some_and(|table| table.version == changes.base_version);
+    let Some(base) = current.source().filter(|_| is_base) else {
+        return Ok(());
+    };
+    let content = changes.apply(base)?;
+    drop(current);
+    let newest_at_ms = sent_ms.saturating_sub(changes.age_ms);
+    let complete = CompleteDocument {
+        content,
+        newest_at_ms,
+    };
+    apply_document(node, complete, peer, sent_ms)
+}
+
+fn apply_document<A>(
+    node: &Node<A>,
+    complete: CompleteDocument,
+    peer: &SyncSource,
+    sent_ms: u64,
+) -> Result<(), SnapshotError>
+where
+    A: Adapter,
+{
+    let table = node.adapter.parse_table(&complete.content)?;
+    log::info!(
+        peer:% = peer.address,
+        table = table.version,
+        bytes = complete.content.len(),
+        last_part_ms = boot_ms().saturating_sub(sent_ms);
+        "received document from peers"
+    );
+    let source = complete.content;
+    let sourced = TableWithSource { table, source };
+    if apply_table(node, Some(sourced), complete.newest_at_ms) {
+        node.request_heartbeat();
     }
     Ok(())
 }
