A request that engines were too full for is not told to return before capacity can be free

KNOWN-RED priorities::streams_wait_for_capacity_in_the_queue_of_their_service, traced in a run of the whole file beside a build (load 14 on 8 cores, x86-64): one of six streams was refused by four engines within 18 ms, before the others had shown them to be full, and so ended at the limit of refusals and not in the queue. Its Retry-After was half of the mean run, which was 19 ms here: the caller comes back, once, while all engines still count as full for 300 ms. Now such a refusal names at least the longest time that others wait for capacity, as one from the queue does. The new unit test failed before by reading (19 / 2 = 9).

--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -9,10 +9,10 @@
 /// Time to assign layers to another engine, without loading them: detecting that they are missing,
 /// the order, and the lag of the endpoint list.
 const REASSIGNMENT_MS: u64 = 900;
-/// Shortest retry delay of a request that would have waited too long: its longest wait bound, since
-/// the requests that it would have waited for are still there before.
-const MIN_QUEUE_RETRY_MS: u64 = 160;
-/// Longest such delay. The rate of turns changes within seconds, and a caller that retries later has
+/// Shortest retry delay of a request that found no capacity: the longest time that others wait for it, since they
+/// are still there before.
+const MIN_CAPACITY_RETRY_MS: u64 = 160;
+/// Longest retry delay of a request that would have waited too long. The rate of turns changes within seconds, and a caller that retries later has
 /// missed every objective.
 const MAX_QUEUE_RETRY_MS: u64 = 4_000;
 /// Typical time until bodies of other requests have been sent to their endpoints.
@@ -122,11 +122,12 @@
             }
             Self::NoTable | Self::OldTable | Self::NoEndpoint => OUTAGE_MS,
             Self::NoChain => REASSIGNMENT_MS + conditions.load_ms,
-            Self::Full | Self::NoBudget => conditions.run_ms / 2,
+            Self::Full => (conditions.run_ms / 2).max(MIN_CAPACITY_RETRY_MS),
+            Self::NoBudget => conditions.run_ms / 2,
             Self::NoMemory => MEMORY_RETRY_MS,
             Self::Queue { expected_wait_ms } => expected_wait_ms
                 .unwrap_or(conditions.run_ms / 2)
-                .clamp(MIN_QUEUE_RETRY_MS, MAX_QUEUE_RETRY_MS),
+                .clamp(MIN_CAPACITY_RETRY_MS, MAX_QUEUE_RETRY_MS),
             Self::Withheld => EVIDENCE_TTL_MS,
             // The next permit goes to a single caller; by then the capacity of other requests is
             // free as well.
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -448,6 +448,18 @@
     assert_eq!(after(RefusalCause::Full, last), 1_950);
 }
 
+/// Guards against callers that retry, once, 10 ms after four engines had no capacity for them.
+#[test]
+fn a_request_that_engines_were_too_full_for_is_not_told_to_return_at_once() {
+    let conditions = RetryConditions {
+        other_instances_serve: false,
+        load_ms: 0,
+        run_ms: 19,
+        random: 0,
+    };
+    assert_eq!(RefusalCause::Full.retry_after_ms(conditions), 160);
+}
+
 /// Guards against callers that retry, once, while those that they would wait for are still there.
 #[test]
 fn retry_delay_of_a_request_that_would_wait_too_long_follows_its_expected_wait() {
