Documents: two versions are compared for 5 ms at most

Beside: the shortest changes between two documents of 60,000 lines without anything in common took over 60 s to find (test run with that much time; it passes with 5 ms), in which an instance serves nobody. Any correct changes will do.

--- a/src/relay_server/document_changes.rs
+++ b/src/relay_server/document_changes.rs
@@ -6,9 +6,10 @@
 
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
-use similar::{Algorithm, DiffOp, capture_diff_slices};
+use similar::{Algorithm, DiffOp, capture_diff_slices_deadline};
 use thiserror::Error;
 
 use super::document_parts::MAX_DOCUMENT_BYTES;
@@ -170,16 +171,22 @@
     }
 
     /// How the newest version, whose text is `text`, differs from `base_version`. `None` if either is not
-    /// remembered.
+    /// remembered. After `search_until` the shortest changes are no longer searched for, only correct ones.
     pub(super) fn changes_since(
         &self,
         base_version: u64,
         text: &str,
         age_ms: u64,
+        search_until: Instant,
     ) -> Option<DocumentChanges> {
         let newest = self.outlines.back()?;
         let base = self.outlines.iter().find(|it| it.version == base_version)?;
-        let operations = capture_diff_slices(Algorithm::Myers, &base.hashes, &newest.hashes);
+        let operations = capture_diff_slices_deadline(
+            Algorithm::Myers,
+            &base.hashes,
+            &newest.hashes,
+            Some(search_until),
+        );
         let edits = operations
             .into_iter()
             .filter_map(|operation| edit(operation, base, newest, text));
--- a/src/relay_server/document_changes_tests.rs
+++ b/src/relay_server/document_changes_tests.rs
@@ -1,8 +1,10 @@
 //! Tests of the changes between two versions of the document.
 
+use std::time::{Duration, Instant};
+
 use proptest::prelude::*;
 
-use super::document_changes::{DocumentChangesError, DocumentHistory};
+use super::document_changes::{DocumentChanges, DocumentChangesError, DocumentHistory};
 
 fn document(version: u64, routes: &[u64]) -> String {
     let routes: Vec<String> = routes
@@ -17,6 +19,11 @@
     )
 }
 
+fn changes_since(history: &DocumentHistory, base: u64, text: &str) -> Option<DocumentChanges> {
+    let search_until = Instant::now() + Duration::from_secs(60);
+    history.changes_since(base, text, 0, search_until)
+}
+
 fn many_routes() -> Vec<u64> {
     (0..1_400).collect()
 }
@@ -33,7 +40,7 @@
     let mut history = DocumentHistory::default();
     history.record(4, &before);
     history.record(16, &after);
-    let changes = history.changes_since(4, &after, 0).expect("both are known");
+    let changes = changes_since(&history, 4, &after).expect("both are known");
     assert_eq!(changes.apply(&before).as_ref(), Ok(&after));
     assert!(changes.estimated_bytes() < 1_000, "{changes:?}");
 }
@@ -50,9 +57,7 @@
         newest = document(version, &routes);
         history.record(version, &newest);
     }
-    let changes = history
-        .changes_since(1, &newest, 0)
-        .expect("both are known");
+    let changes = changes_since(&history, 1, &newest).expect("both are known");
     assert_eq!(changes.apply(&oldest), Ok(newest));
 }
 
@@ -62,9 +67,7 @@
     history.record(1, &document(1, &[1, 2, 3]));
     let newest = document(2, &[1, 2, 3, 4]);
     history.record(2, &newest);
-    let changes = history
-        .changes_since(1, &newest, 0)
-        .expect("both are known");
+    let changes = changes_since(&history, 1, &newest).expect("both are known");
     let other = document(1, &[1, 9, 3]);
     assert_eq!(
         changes.apply(&other),
@@ -80,9 +83,26 @@
         history.record(version, &document(version, &[version]));
     }
     let newest = document(39, &[39]);
-    assert!(history.changes_since(1, &newest, 0).is_none());
-    assert!(history.changes_since(38, &newest, 0).is_some());
-    assert!(history.changes_since(50, &newest, 0).is_none());
+    assert!(changes_since(&history, 1, &newest).is_none());
+    assert!(changes_since(&history, 38, &newest).is_some());
+    assert!(changes_since(&history, 50, &newest).is_none());
+}
+
+/// Guards against an instance that serves nobody while it compares two long documents without anything in common.
+#[test]
+fn documents_that_differ_everywhere_are_not_compared_for_long() {
+    let before: String = (0..60_000).map(|line| format!("{line}\n")).collect();
+    let after: String = (0..60_000)
+        .map(|line| format!("{}\n", line * 7 + 1))
+        .collect();
+    let mut history = DocumentHistory::default();
+    history.record(1, &before);
+    history.record(2, &after);
+    let started = Instant::now();
+    let changes = history.changes_since(1, &after, 0, started + Duration::from_millis(5));
+    let took = started.elapsed();
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    assert_eq!(changes.expect("both are known").apply(&before), Ok(after));
 }
 
 #[test]
@@ -92,8 +112,8 @@
     for version in 1..6 {
         history.record(version, &lines);
     }
-    assert!(history.changes_since(4, &lines, 0).is_none());
-    assert!(history.changes_since(5, &lines, 0).is_some());
+    assert!(changes_since(&history, 4, &lines).is_none());
+    assert!(changes_since(&history, 5, &lines).is_some());
 }
 
 proptest! {
@@ -106,7 +126,7 @@
         let mut history = DocumentHistory::default();
         history.record(1, &before);
         history.record(2, &after);
-        let changes = history.changes_since(1, &after, 0).expect("both are known");
+        let changes = changes_since(&history, 1, &after).expect("both are known");
         prop_assert_eq!(changes.apply(&before), Ok(after));
     }
 }
--- a/src/relay_server/snapshot.rs
+++ b/src/relay_server/snapshot.rs
@@ -9,7 +9,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::Response;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
@@ -43,6 +43,8 @@
 pub(super) const POLL_INTERVAL_MS: u64 = 250;
 /// Longest snapshot that is accepted: the longest document and thousands of endpoints.
 const MAX_SNAPSHOT_BYTES: usize = 8 << 20;
+/// How long the changes between two documents are searched for. Requests of callers wait meanwhile.
+const MAX_SEARCH: Duration = Duration::from_millis(5);
 const SNAPSHOT_PATH: &str = "/snapshot";
 
 /// Content with its age: the time since it was last known to be the newest, as of the response.
@@ -265,7 +267,9 @@
     let current = node.table.borrow();
     let age_ms = current.age_ms(now_ms);
     let history = node.document_history.borrow();
-    let changes = history.changes_since(known.table, current.source()?, age_ms)?;
+    let search_until = Instant::now() + MAX_SEARCH;
+    let source = current.source()?;
+    let changes = history.changes_since(known.table, source, age_ms, search_until)?;
     Some(changes).filter(|it| it.estimated_bytes() < remaining_bytes)
 }
 
