Retry budget: half of a chain may reach into what is reserved

Now the whole chain has to be left in the share, as before, so that the rule holds by construction, but only half of it outside of the reserves. A retry at one or two engines is decided as before. The new test got one chain in place of two before.

--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -174,6 +174,26 @@
     assert_eq!(arrivals, 70);
 }
 
+/// Guards against a share of which only the first chain is ever used, since the reserves leave less than a second one.
+#[test]
+fn reserves_leave_more_than_one_chain_of_an_instances_share() {
+    let service = ServiceName::from("ledger-api");
+    let mut budget = RetryBudget::default();
+    let share = BudgetShare {
+        slack: 50.0,
+        instances: Some(1),
+        ..SHARE
+    };
+    let start = RetryClass {
+        purpose: RetryPurpose::Start,
+        engines: 11,
+        more_urgent_priorities: 1,
+    };
+    let mut take = |class| budget.take(&service, share, class, 1_000).is_some();
+    assert_eq!([take(start), take(start), take(start)], [true, true, false]);
+    assert_eq!([take(on_engines(11)), take(on_engines(11))], [true, false]);
+}
+
 #[test]
 fn a_retry_on_a_shorter_chain_than_expected_leaves_the_rest_to_others() {
     let service = ServiceName::from("ledger-api");
--- a/src/relay/window.rs
+++ b/src/relay/window.rs
@@ -133,10 +133,20 @@
 }
 
 impl Balance {
-    fn available_milli(self, purpose: RetryPurpose) -> u64 {
+    /// All that is left, reserved or not, but for loans that are for another purpose.
+    fn left_milli(self, purpose: RetryPurpose) -> u64 {
         let left = self.own_milli + self.borrowed_milli;
         match purpose {
             RetryPurpose::Resume => left + self.borrowed_to_resume_milli,
+            RetryPurpose::Start => left,
+        }
+    }
+
+    /// What is left without the part that is reserved for resuming.
+    fn available_milli(self, purpose: RetryPurpose) -> u64 {
+        let left = self.left_milli(purpose);
+        match purpose {
+            RetryPurpose::Resume => left,
             RetryPurpose::Start => {
                 let all = (self.sent_milli + left) as f64;
                 let to_start = (all * (1.0 - RESUME_RESERVE)) as u64;
@@ -183,8 +193,14 @@
     }
 
     pub(super) fn has_left(&self, share: BudgetShare, class: RetryClass, at_ms: u64) -> bool {
-        let left = self.balance(share, at_ms).available_milli(class.purpose);
-        left >= class.milli() + self.reserve_milli(share, class, at_ms)
+        let balance = self.balance(share, at_ms);
+        let available_milli = balance.available_milli(class.purpose);
+        let reserve_milli = self.reserve_milli(share, class, at_ms);
+        // A chain is long beside the share of one instance. Half of it may reach into what is reserved, or most of
+        // the share would never be used.
+        let outside_reserve_milli = (class.milli() / 2).max(RETRY_MILLI);
+        balance.left_milli(class.purpose) >= class.milli()
+            && available_milli >= outside_reserve_milli + reserve_milli
     }
 
     /// What a request must leave for more urgent ones. A caller that holds a part of its response
