--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -12,8 +12,8 @@
 /// Shortest retry delay of a request that found no capacity: the longest time that others wait for it, since they
 /// are still there before.
 const MIN_CAPACITY_RETRY_MS: u64 = 160;
-/// Longest retry delay of a request that would have waited too long. The rate of turns changes within seconds, and a caller that retries later has
-/// missed every objective.
+/// Longest retry delay of a request that would have waited too long. The rate of turns changes
+/// within seconds, and a caller that retries later has missed every objective.
 const MAX_QUEUE_RETRY_MS: u64 = 4_000;
 /// Typical time until bodies of other requests have been sent to their endpoints.
 const MEMORY_RETRY_MS: u64 = 300;
