--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,8 @@
 
 mod attempts;
 mod budget;
+#[cfg(test)]
+mod chain_charge_tests;
 mod delegation;
 #[cfg(test)]
 mod delegation_tests;
--- a/src/relay_server/listener.rs
+++ b/src/relay_server/listener.rs
@@ -18,7 +18,7 @@
 use super::caller_stream::CallerStream;
 use super::connection_activity::{AnswerBody, ConnectionActivity, RequestOnConnection};
 use super::node::Node;
-use super::{delegation, front, peer_list, reach_inquiry, snapshot};
+use super::{delegation, front, peer_list, reach_inquiry, snapshot_reply};
 use crate::clock::boot_ms;
 
 /// Length of the queue of connections that wait to be accepted.
@@ -169,7 +169,7 @@
     match request.path() {
         peer_list::PEER_LIST_PATH => peer_list::respond(&node, query),
         reach_inquiry::REACH_PATH => reach_inquiry::respond(&node, query).await,
-        _ => snapshot::respond(&node, query, request.peer_addr()),
+        _ => snapshot_reply::respond(&node, query, request.peer_addr()),
     }
 }
 
--- a/src/relay_server/mod.rs
+++ b/src/relay_server/mod.rs
@@ -140,6 +140,7 @@
 mod senders_tests;
 mod settings;
 mod snapshot;
+mod snapshot_reply;
 mod standstill;
 mod start_wait;
 mod store_calls;
