--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -127,7 +127,7 @@
     /// The first write since the last reply that could be interpreted.
     pending_write: Option<PendingWrite>,
     last_call_ms: u64,
-    /// Whether the last call is the one that `pending_write` describes.
+    /// Whether the last call sent `pending_write`.
     last_call_is_pending: bool,
     call_in_flight: bool,
     next_call_ms: u64,
--- a/src/relay_server/document_changes.rs
+++ b/src/relay_server/document_changes.rs
@@ -35,12 +35,10 @@
 pub(super) struct DocumentChanges {
     /// The version that the edits apply to.
     pub(super) base_version: u64,
-    /// The version that they lead to.
-    pub(super) version: u64,
-    /// SHA-256 of the text of `version`.
+    /// SHA-256 of the text that they lead to.
     digest: [u8; 32],
     edits: Vec<Edit>,
-    /// Time since `version` was last known to be the newest.
+    /// Time since the version that they lead to was last known to be the newest.
     pub(super) age_ms: u64,
 }
 
@@ -192,7 +190,6 @@
             .filter_map(|operation| edit(operation, base, newest, text));
         Some(DocumentChanges {
             base_version,
-            version: newest.version,
             digest: newest.digest,
             edits: edits.collect(),
             age_ms,
--- a/src/relay_server/document_changes_tests.rs
+++ b/src/relay_server/document_changes_tests.rs
@@ -88,7 +88,7 @@
     assert!(changes_since(&history, 50, &newest).is_none());
 }
 
-/// Guards against an instance that serves nobody while it compares two long documents without anything in common.
+/// Guards against a diff of two long, unrelated documents that blocks the event loop.
 #[test]
 fn documents_that_differ_everywhere_are_not_compared_for_long() {
     let before: String = (0..60_000).map(|line| format!("{line}\n")).collect();
--- a/src/relay_server/feeds.rs
+++ b/src/relay_server/feeds.rs
@@ -107,14 +107,12 @@
     };
     let version = sourced.table.version;
     let change = node.table.borrow_mut().update(sourced, sent_ms);
-    if change == TableChange::Applied {
-        remember_document(node, version);
-    }
     node.update_informed();
     match change {
         TableChange::Applied => {
             log::info!(table = version, read_sent_ms = sent_ms; "route table is in force");
             node.counters.count("relay.tables");
+            remember_document(node, version);
         }
         TableChange::Confirmed => {}
         TableChange::Stale => log::warn!(table = version; "ignored an older route table"),
